--- /dev/null
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command-line tool. */
+package io.marigoldsail.cli;
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/LogRecord.java
@@ -0,0 +1,17 @@
+package io.marigoldsail.log;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * One record of a stream.
+ *
+ * @param offset the record's place in its stream
+ * @param bytes the record as appended; not copied, callers must not change it
+ */
+@SuppressWarnings("ArrayRecordComponent") // bytes are handed through unread; equality is not used
+public record LogRecord(long offset, byte[] bytes) {
+  /** Checks the components. */
+  public LogRecord {
+    requireNonNull(bytes, "bytes");
+  }
+}
