--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/RequestLedger.java
@@ -0,0 +1,200 @@
+package io.marigoldsail.dispatch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkState;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What a side process knows of each attempt: not run, running, done; and what it has forgotten.
+ *
+ * <p>This is what makes "not run" true and "at most once" hold. An attempt may start only if its id
+ * was never seen. Refusing one, or being asked about one that never came, puts a tombstone on its
+ * id, so that a copy still on its way cannot run afterwards. Answers of ended attempts are kept for
+ * whoever lost the connection they were sent on.
+ *
+ * <p>Ids of ended attempts are kept for a bounded time and number. To tell "never seen" from "seen
+ * and forgotten", the highest forgotten sequence of each entry incarnation is remembered; at or
+ * below it nothing is claimed. Sequences are given when an attempt is sent, so a living attempt is
+ * never that old.
+ *
+ * <p>A pure state machine, confined to one thread; times are nanoseconds of one monotonic clock.
+ *
+ * @param <A> the type of a kept answer
+ */
+public final class RequestLedger<A> {
+  /** What is known of an attempt. */
+  public enum State {
+    /** Never seen. */
+    UNSEEN,
+    /** It did not run and never will. */
+    TOMBSTONE,
+    /** Held for a free slot; may still be given up as not run. */
+    WAITING,
+    /** Handed to the target. */
+    RUNNING,
+    /** Ended; its answer is kept. */
+    DONE,
+    /** Seen once, or too old to tell. */
+    FORGOTTEN
+  }
+
+  private record Kept<A>(State state, Optional<A> answer, long bytes, long forgetAt) {}
+
+  private final int maxEnded;
+  private final long maxAnswerBytes;
+  private final long windowNanos;
+  private final Map<WireId, State> alive = new HashMap<>();
+  private final LinkedHashMap<WireId, Kept<A>> ended = new LinkedHashMap<>();
+  private final LinkedHashMap<WireId, Long> answerSizes = new LinkedHashMap<>();
+  private final Map<Long, Long> forgottenUpTo = new HashMap<>();
+  private long answerBytes;
+
+  /**
+   * Creates an empty ledger.
+   *
+   * @param maxEnded how many ended attempts are kept at most
+   * @param maxAnswerBytes how many bytes of answers are kept at most, all together
+   * @param windowNanos how long an ended attempt is kept
+   */
+  public RequestLedger(int maxEnded, long maxAnswerBytes, long windowNanos) {
+    checkArgument(maxEnded > 0, "maxEnded is not positive: %s", maxEnded);
+    checkArgument(maxAnswerBytes >= 0, "maxAnswerBytes is negative: %s", maxAnswerBytes);
+    checkArgument(windowNanos > 0, "windowNanos is not positive: %s", windowNanos);
+    this.maxEnded = maxEnded;
+    this.maxAnswerBytes = maxAnswerBytes;
+    this.windowNanos = windowNanos;
+  }
+
+  /** Returns what is known of the attempt. */
+  public State state(WireId id) {
+    State living = alive.get(id);
+    if (living != null) {
+      return living;
+    }
+    Kept<A> kept = ended.get(id);
+    if (kept != null) {
+      return kept.state();
+    }
+    Long mark = forgottenUpTo.get(id.entryIncarnation());
+    return mark != null && id.sequence() <= mark ? State.FORGOTTEN : State.UNSEEN;
+  }
+
+  /** Returns the answer of an attempt that is done, if it is still kept. */
+  public Optional<A> answer(WireId id) {
+    Kept<A> kept = ended.get(id);
+    return kept == null ? Optional.empty() : kept.answer();
+  }
+
+  /**
+   * Takes an attempt in, to wait for a slot.
+   *
+   * @return whether it may run; false where its id was seen before
+   */
+  public boolean admit(WireId id) {
+    if (state(id) != State.UNSEEN) {
+      return false;
+    }
+    alive.put(id, State.WAITING);
+    return true;
+  }
+
+  /**
+   * Tells that the attempt is handed to the target now.
+   *
+   * @throws IllegalStateException if it was not waiting
+   */
+  public void started(WireId id) {
+    checkState(alive.get(id) == State.WAITING, "%s is %s", id, state(id));
+    alive.put(id, State.RUNNING);
+  }
+
+  /**
+   * Puts a tombstone on an attempt that has not started.
+   *
+   * @return whether that is proof that it never runs; false where it runs, ran or is forgotten
+   */
+  public boolean bury(WireId id, long now) {
+    State state = state(id);
+    if (state == State.TOMBSTONE) {
+      return true;
+    }
+    if (state != State.UNSEEN && state != State.WAITING) {
+      return false;
+    }
+    alive.remove(id);
+    end(id, new Kept<>(State.TOMBSTONE, Optional.empty(), 0, now + windowNanos), now);
+    return true;
+  }
+
+  /** Puts a tombstone on an attempt that was started, on proof that its target saw no byte. */
+  public void neverReached(WireId id, long now) {
+    alive.remove(id);
+    end(id, new Kept<>(State.TOMBSTONE, Optional.empty(), 0, now + windowNanos), now);
+  }
+
+  /** Keeps the answer of an attempt that ended. */
+  public void done(WireId id, A answer, long bytes, long now) {
+    checkState(alive.remove(id) == State.RUNNING, "%s was not running", id);
+    end(id, new Kept<>(State.DONE, Optional.of(answer), bytes, now + windowNanos), now);
+  }
+
+  /** Notes that an attempt ended whose answer is too long to be kept. */
+  public void doneUnkept(WireId id, long now) {
+    checkState(alive.remove(id) == State.RUNNING, "%s was not running", id);
+    end(id, new Kept<>(State.FORGOTTEN, Optional.empty(), 0, now + windowNanos), now);
+  }
+
+  /** Forgets what is older than the window. */
+  public void expire(long now) {
+    Iterator<Map.Entry<WireId, Kept<A>>> oldest = ended.entrySet().iterator();
+    while (oldest.hasNext()) {
+      Map.Entry<WireId, Kept<A>> entry = oldest.next();
+      boolean due = entry.getValue().forgetAt() - now <= 0;
+      if (!due && ended.size() <= maxEnded) {
+        return;
+      }
+      forget(entry.getKey(), entry.getValue());
+      oldest.remove();
+    }
+  }
+
+  /** Returns how many bytes of answers are kept. */
+  public long answerBytes() {
+    return answerBytes;
+  }
+
+  private void end(WireId id, Kept<A> kept, long now) {
+    ended.put(id, kept);
+    if (kept.bytes() > 0) {
+      answerSizes.put(id, kept.bytes());
+      answerBytes += kept.bytes();
+      dropAnswers();
+    }
+    expire(now);
+  }
+
+  /** Drops the oldest answers but not their ids: what they were about is known to have run. */
+  private void dropAnswers() {
+    Iterator<Map.Entry<WireId, Long>> oldest = answerSizes.entrySet().iterator();
+    while (answerBytes > maxAnswerBytes && oldest.hasNext()) {
+      Map.Entry<WireId, Long> entry = oldest.next();
+      Kept<A> kept = ended.get(entry.getKey());
+      ended.replace(
+          entry.getKey(), new Kept<>(State.FORGOTTEN, Optional.empty(), 0, kept.forgetAt()));
+      answerBytes -= entry.getValue();
+      oldest.remove();
+    }
+  }
+
+  private void forget(WireId id, Kept<A> kept) {
+    forgottenUpTo.merge(id.entryIncarnation(), id.sequence(), Math::max);
+    if (answerSizes.remove(id) != null) {
+      answerBytes -= kept.bytes();
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/membership/Announcement.java
@@ -0,0 +1,68 @@
+package io.marigoldsail.membership;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.dispatch.TargetState;
+
+/**
+ * What the side process of a VM says of it and of its target.
+ *
+ * <p>Immutable. Rejects nulls.
+ *
+ * @param vm the VM's name
+ * @param vmIncarnation the boot of the VM's worker
+ * @param processIncarnation the side process's own incarnation; a higher one is a later process
+ * @param zone the VM's availability zone
+ * @param rack the VM's rack
+ * @param address where entries may dial the side process, {@code host:port}
+ * @param service the service of the VM's target, or empty where it has none
+ * @param slots how many requests the target runs at once, or 0 where there is none
+ * @param leaving whether the target takes nothing new
+ * @param load what the target has to do now
+ * @param configurationRevision the revision in force in the side process
+ * @param milliProcessors the VM's processors in thousandths
+ * @param memoryBytes the VM's memory in bytes
+ * @param accelerators the VM's accelerators
+ */
+public record Announcement(
+    String vm,
+    long vmIncarnation,
+    long processIncarnation,
+    String zone,
+    String rack,
+    String address,
+    String service,
+    int slots,
+    boolean leaving,
+    TargetLoad load,
+    long configurationRevision,
+    int milliProcessors,
+    long memoryBytes,
+    int accelerators) {
+  /** Checks the components. */
+  public Announcement {
+    checkArgument(!vm.isEmpty(), "vm is empty");
+    requireNonNull(zone, "zone");
+    requireNonNull(rack, "rack");
+    checkArgument(!address.isEmpty(), "address of %s is empty", vm);
+    requireNonNull(service, "service");
+    checkArgument(slots >= 0, "slots is negative: %s", slots);
+    requireNonNull(load, "load");
+  }
+
+  /** Returns whether the VM has a target that requests can be sent to. */
+  public boolean hasTarget() {
+    return !service.isEmpty() && slots > 0;
+  }
+
+  /**
+   * Returns the target as decisions see it.
+   *
+   * @throws IllegalArgumentException if the VM has none
+   */
+  public TargetState targetState() {
+    return new TargetState(vm, processIncarnation, service, zone, slots, leaving);
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/AnswerWriter.java
@@ -0,0 +1,70 @@
+package io.marigoldsail.daemon.dispatch;
+
+import io.marigoldsail.error.Failure;
+import io.marigoldsail.protocol.Header;
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Writes the one answer to a caller's request. */
+final class AnswerWriter implements AnswerSink {
+  private final Response response;
+  private final Callback callback;
+  private final Runnable ended;
+
+  /**
+   * Creates a writer.
+   *
+   * @param response where to write
+   * @param callback to be completed after writing
+   * @param ended told first that the request has ended
+   */
+  AnswerWriter(Response response, Callback callback, Runnable ended) {
+    this.response = response;
+    this.callback = callback;
+    this.ended = ended;
+  }
+
+  @Override
+  public void answered(String requestId, CallerAnswer answer) {
+    ended.run();
+    response.setStatus(answer.status());
+    HttpFields.Mutable fields = response.getHeaders();
+    for (Header header : answer.headers()) {
+      fields.add(header.getName(), header.getValue());
+    }
+    fields.put(CallerHeaders.REQUEST_ID, requestId);
+    boolean mayHaveBody =
+        answer.status() != HttpStatus.NO_CONTENT_204
+            && answer.status() != HttpStatus.NOT_MODIFIED_304;
+    if (mayHaveBody && !fields.contains(HttpHeader.CONTENT_LENGTH)) {
+      fields.put(HttpHeader.CONTENT_LENGTH, answer.body().size());
+    }
+    response.write(true, answer.body().asReadOnlyByteBuffer(), callback);
+  }
+
+  @Override
+  public void failed(String requestId, Failure failure) {
+    ended.run();
+    write(response, callback, failure, requestId);
+  }
+
+  /** Writes a failure as problem details. */
+  static void write(Response response, Callback callback, Failure failure, String requestId) {
+    byte[] body = ProblemDetails.json(failure, requestId);
+    response.setStatus(failure.kind().httpStatus());
+    HttpFields.Mutable fields = response.getHeaders();
+    fields.put(HttpHeader.CONTENT_TYPE, ProblemDetails.MEDIA_TYPE);
+    fields.put(HttpHeader.CONTENT_LENGTH, body.length);
+    if (!requestId.isEmpty()) {
+      fields.put(CallerHeaders.REQUEST_ID, requestId);
+    }
+    if (failure.retryAfterMillis() > 0) {
+      fields.put(HttpHeader.RETRY_AFTER, ProblemDetails.retryAfterSeconds(failure));
+    }
+    response.write(true, ByteBuffer.wrap(body), callback);
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryDispatcher.java
@@ -0,0 +1,320 @@
+package io.marigoldsail.daemon.dispatch;
+
+import static com.google.common.base.Preconditions.checkState;
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.EntryIdentity;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.link.MemberListener;
+import io.marigoldsail.dispatch.Arrival;
+import io.marigoldsail.dispatch.AttemptOutcome;
+import io.marigoldsail.dispatch.ByteBudget;
+import io.marigoldsail.dispatch.Decision;
+import io.marigoldsail.dispatch.RequestPolicy;
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Failure;
+import io.marigoldsail.membership.Announcement;
+import io.marigoldsail.membership.MemberTable;
+import io.marigoldsail.timeline.Event;
+import io.marigoldsail.timeline.EventKind;
+import io.marigoldsail.timeline.EventRecorder;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Carries out what an entry's {@link RequestPolicy} decides, and tells it what came of it.
+ *
+ * <p>Keeps every request until its one answer, matches answers by id, and finds out over a new
+ * connection what became of requests whose connection was lost. All state is confined to the loop's
+ * thread; the public methods may be called from any thread.
+ */
+public final class EntryDispatcher implements AutoCloseable {
+  private static final System.Logger LOG = System.getLogger(EntryDispatcher.class.getName());
+  private static final long FROZEN_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long NEVER = Long.MAX_VALUE;
+
+  private final LinkLoop loop;
+  private final EntryIdentity identity;
+  private final RequestPolicy policy;
+  private final LinkTimes times;
+  private final EventRecorder events;
+  private final Attempts attempts;
+  private final Map<Long, PendingRequest> pending = new HashMap<>();
+  private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private volatile boolean stopping;
+  private boolean refusing;
+  private long lastNumber;
+  private long lastTick;
+  private long wakeAt = NEVER;
+  private Future<?> wake;
+  private Future<?> tick;
+
+  /**
+   * Creates a dispatcher that is not started.
+   *
+   * @param loop the thread
+   * @param identity who this entry is
+   * @param policy decides; owned by this dispatcher from now on
+   * @param times how connections are watched
+   * @param answerBudget what answers may hold while they are put together
+   * @param events the time line
+   * @param random for the back-off's jitter
+   */
+  public EntryDispatcher(
+      LinkLoop loop,
+      EntryIdentity identity,
+      RequestPolicy policy,
+      LinkTimes times,
+      ByteBudget answerBudget,
+      EventRecorder events,
+      RandomGenerator random) {
+    this.loop = requireNonNull(loop, "loop");
+    this.identity = requireNonNull(identity, "identity");
+    this.policy = requireNonNull(policy, "policy");
+    this.times = requireNonNull(times, "times");
+    this.events = requireNonNull(events, "events");
+    this.attempts =
+        new Attempts(loop, identity, times, answerBudget, events, random, new FromAttempts());
+  }
+
+  /** Begins to serve. */
+  public void start() {
+    lastTick = loop.now();
+    tick = loop.repeat(this::tick, times.tickNanos());
+  }
+
+  /** Returns the listener through which this dispatcher learns of targets. */
+  public MemberListener memberListener() {
+    return new FromMembers();
+  }
+
+  /** Takes a request; its sink is called exactly once. */
+  public void submit(CallerRequest request, AnswerSink sink) {
+    loop.run(() -> arrived(request, sink));
+  }
+
+  /** Returns whether the platform's balancer may send callers here. */
+  public boolean isReady() {
+    return !stopping;
+  }
+
+  /**
+   * Begins a planned stop: health turns bad at once, arrivals are served for the grace time, what
+   * is in progress ends.
+   *
+   * @param graceNanos how long the platform's balancer may take to notice the bad health
+   * @return completed when every request taken has been answered
+   */
+  public CompletableFuture<Void> beginStop(long graceNanos) {
+    stopping = true;
+    loop.schedule(
+        () -> {
+          refusing = true;
+          checkDrained();
+        },
+        graceNanos);
+    return drained;
+  }
+
+  /** Ends all connections; what is pending gets no answer, so {@link #beginStop} goes first. */
+  @Override
+  public void close() {
+    tick.cancel(false);
+    loop.run(attempts.pools()::close);
+  }
+
+  private void arrived(CallerRequest request, AnswerSink sink) {
+    long number = ++lastNumber;
+    String label = Long.toHexString(identity.incarnation()) + "-" + number;
+    if (refusing) {
+      sink.failed(label, new Failure(ErrorKind.SHUTTING_DOWN, identity.name() + " stops", 1_000));
+      return;
+    }
+    events.record(
+        Event.of(EventKind.REQUEST_ARRIVED)
+            .withRequest(label)
+            .withCaller(request.caller())
+            .withDetail(request.service()));
+    pending.put(number, new PendingRequest(number, label, request, sink));
+    long now = loop.now();
+    Arrival arrival =
+        new Arrival(
+            number,
+            request.service(),
+            request.caller(),
+            request.key(),
+            request.idempotent(),
+            request.arrivedAt(),
+            Math.max(request.arrivedAt(), request.deadline()));
+    carryOut(policy.arrived(arrival, now));
+    PendingRequest waits = pending.get(number);
+    if (waits != null && waits.attempt() == null) {
+      events.record(Event.of(EventKind.REQUEST_QUEUED).withRequest(label));
+    }
+  }
+
+  private void carryOut(List<Decision> decisions) {
+    for (Decision decision : decisions) {
+      PendingRequest request = pending.get(decision.request());
+      checkState(request != null, "decision on request %s that is not here", decision.request());
+      if (decision instanceof Decision.Send send) {
+        request.vm(send.vm());
+        send(request, send);
+      } else if (decision instanceof Decision.Refuse refuse) {
+        refuse(request, refuse.failure());
+      }
+    }
+    armWake();
+  }
+
+  private void armWake() {
+    long next = policy.nextWake();
+    if (next == NEVER || (wakeAt != NEVER && wakeAt - next <= 0)) {
+      return;
+    }
+    if (wake != null) {
+      wake.cancel(false);
+    }
+    wakeAt = next;
+    wake = loop.schedule(this::wake, Math.max(0, next - loop.now()));
+  }
+
+  private void wake() {
+    wakeAt = NEVER;
+    wake = null;
+    carryOut(policy.wake(loop.now()));
+  }
+
+  private void refuse(PendingRequest request, Failure failure) {
+    // The policy knows outcomes by their kind alone; a refusal after an attempt that may have run
+    // must not read as "not run" to the caller, who would safely ask again and run it twice.
+    if (request.mayHaveRun() && failure.kind().execution() == ErrorKind.Execution.NOT_RUN) {
+      answer(request);
+      return;
+    }
+    fail(request, failure);
+  }
+
+  private void send(PendingRequest request, Decision.Send send) {
+    // Whatever the policy makes of outcomes: what may have run and is not idempotent is never sent
+    // again.
+    if (request.mayHaveRun() && !request.request().idempotent()) {
+      LOG.log(System.Logger.Level.ERROR, "event=second-run-prevented request={0}", request.label());
+      answer(request);
+      return;
+    }
+    attempts.start(request, send);
+  }
+
+  private void ended(
+      PendingRequest request,
+      String vm,
+      AttemptOutcome outcome,
+      CallerAnswer answer,
+      Failure failure) {
+    request.ended(outcome, answer, failure);
+    carryOut(policy.attemptEnded(request.number(), vm, outcome, loop.now()));
+    if (pending.containsKey(request.number())
+        && request.attempt() == null
+        && !policy.isPending(request.number())) {
+      answer(request);
+    }
+  }
+
+  /** Hands the outcome of the last attempt on. */
+  private void answer(PendingRequest request) {
+    if (request.lastAnswer() != null) {
+      forget(request);
+      request.sink().answered(request.label(), request.lastAnswer());
+      return;
+    }
+    Failure failure = request.lastFailure();
+    if (request.mayHaveRun() && failure.kind().execution() == ErrorKind.Execution.NOT_RUN) {
+      failure =
+          Failure.of(
+              ErrorKind.OUTCOME_UNKNOWN, "an earlier attempt may have run; " + failure.detail());
+    }
+    fail(request, failure);
+  }
+
+  private void fail(PendingRequest request, Failure failure) {
+    forget(request);
+    boolean refused = failure.kind().execution() == ErrorKind.Execution.NOT_RUN;
+    events.record(
+        Event.of(refused ? EventKind.REQUEST_REFUSED : EventKind.REQUEST_FAILED)
+            .withRequest(request.label())
+            .withCaller(request.request().caller())
+            .withDetail(failure.kind().code() + ": " + failure.detail()));
+    request.sink().failed(request.label(), failure);
+  }
+
+  private void forget(PendingRequest request) {
+    pending.remove(request.number());
+    checkDrained();
+  }
+
+  private void checkDrained() {
+    if (refusing && pending.isEmpty()) {
+      drained.complete(null);
+    }
+  }
+
+  private void tick() {
+    long now = loop.now();
+    if (now - lastTick > FROZEN_NANOS) {
+      // This process was frozen; its peers' frames wait in its sockets.
+      attempts.pools().excuseSilence(now);
+    }
+    lastTick = now;
+    attempts.tick(now);
+  }
+
+  private void targetsChanged() {
+    carryOut(policy.targetsChanged(attempts.pools().targets(), loop.now()));
+  }
+
+  /** What members announce. */
+  private final class FromMembers implements MemberListener {
+    @Override
+    public void announced(Announcement announcement, MemberTable.Change change) {
+      if (attempts.pools().announced(announcement)) {
+        targetsChanged();
+      }
+      if (attempts.pools().isUsable(announcement.vm())) {
+        carryOut(policy.reported(announcement.vm(), announcement.load(), loop.now()));
+      }
+    }
+
+    @Override
+    public void lost(Announcement last) {
+      if (attempts.pools().retire(last.vm())) {
+        targetsChanged();
+      }
+    }
+  }
+
+  /** What comes of attempts. */
+  private final class FromAttempts implements Attempts.Listener {
+    @Override
+    public void ended(
+        PendingRequest request, AttemptOutcome outcome, CallerAnswer answer, Failure failure) {
+      EntryDispatcher.this.ended(request, request.vm(), outcome, answer, failure);
+    }
+
+    @Override
+    public void reported(String vm, TargetLoad load) {
+      carryOut(policy.reported(vm, load, loop.now()));
+    }
+
+    @Override
+    public void targetsChanged() {
+      EntryDispatcher.this.targetsChanged();
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/HopHeaders.java
@@ -0,0 +1,56 @@
+package io.marigoldsail.daemon.dispatch;
+
+import com.google.common.base.Ascii;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.protocol.Header;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+
+/** Tells headers that belong to one connection from those that travel with the message. */
+final class HopHeaders {
+  private static final ImmutableSet<String> OF_ONE_HOP =
+      ImmutableSet.of(
+          "connection",
+          "content-length",
+          "expect",
+          "host",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade");
+
+  private static final Splitter NAMES = Splitter.on(',').trimResults().omitEmptyStrings();
+
+  private HopHeaders() {}
+
+  /** Adds the headers that travel on to the list. */
+  static void copy(HttpFields fields, List<Header> into) {
+    Set<String> named = namedByConnection(fields);
+    for (HttpField field : fields) {
+      String name = field.getLowerCaseName();
+      if (!OF_ONE_HOP.contains(name) && !named.contains(name) && field.getValue() != null) {
+        into.add(Header.newBuilder().setName(field.getName()).setValue(field.getValue()).build());
+      }
+    }
+  }
+
+  private static Set<String> namedByConnection(HttpFields fields) {
+    if (!fields.contains(HttpHeader.CONNECTION)) {
+      return Set.of();
+    }
+    Set<String> named = new HashSet<>();
+    for (String value : fields.getValuesList(HttpHeader.CONNECTION)) {
+      NAMES.split(value).forEach(name -> named.add(Ascii.toLowerCase(name)));
+    }
+    return named;
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/PendingRequest.java
@@ -0,0 +1,163 @@
+package io.marigoldsail.daemon.dispatch;
+
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.dispatch.AttemptOutcome;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Failure;
+import java.util.concurrent.Future;
+
+/** A caller's request in an entry until it is answered. Confined to the loop's thread. */
+final class PendingRequest {
+  private final long number;
+  private final String label;
+  private final CallerRequest request;
+  private final AnswerSink sink;
+  private Attempt attempt;
+  private String vm = "";
+  private boolean mayHaveRun;
+  private AttemptOutcome lastOutcome = AttemptOutcome.NOT_RUN;
+  private CallerAnswer lastAnswer;
+  private Failure lastFailure =
+      Failure.of(ErrorKind.INTERNAL, "the request ended without any outcome");
+
+  PendingRequest(long number, String label, CallerRequest request, AnswerSink sink) {
+    this.number = number;
+    this.label = label;
+    this.request = request;
+    this.sink = sink;
+  }
+
+  /** One attempt: sent to one side process under one wire id. */
+  static final class Attempt {
+    private final long sequence;
+    private final TargetPool pool;
+    private LinkConnection connection;
+    private AnswerAssembly assembly;
+    private Future<?> timer;
+    private long resolveUntil = Long.MAX_VALUE;
+
+    Attempt(long sequence, TargetPool pool, LinkConnection connection) {
+      this.sequence = sequence;
+      this.pool = pool;
+      this.connection = connection;
+      pool.attemptBegan();
+    }
+
+    long sequence() {
+      return sequence;
+    }
+
+    TargetPool pool() {
+      return pool;
+    }
+
+    /** Returns the connection that the answer is awaited on, or null while there is none. */
+    LinkConnection connection() {
+      return connection;
+    }
+
+    void connection(LinkConnection newConnection) {
+      connection = newConnection;
+      dropAssembly();
+    }
+
+    AnswerAssembly assembly() {
+      return assembly;
+    }
+
+    void assembly(AnswerAssembly newAssembly) {
+      dropAssembly();
+      assembly = newAssembly;
+    }
+
+    void timer(Future<?> newTimer) {
+      timer = newTimer;
+    }
+
+    long resolveUntil() {
+      return resolveUntil;
+    }
+
+    void resolveUntil(long deadline) {
+      resolveUntil = deadline;
+    }
+
+    void end() {
+      dropAssembly();
+      timer.cancel(false);
+      pool.attemptEnded();
+    }
+
+    private void dropAssembly() {
+      if (assembly != null) {
+        assembly.release();
+        assembly = null;
+      }
+    }
+  }
+
+  long number() {
+    return number;
+  }
+
+  String label() {
+    return label;
+  }
+
+  CallerRequest request() {
+    return request;
+  }
+
+  AnswerSink sink() {
+    return sink;
+  }
+
+  /** Returns the VM of the present or last attempt, or empty before the first. */
+  String vm() {
+    return vm;
+  }
+
+  void vm(String newVm) {
+    vm = newVm;
+  }
+
+  Attempt attempt() {
+    return attempt;
+  }
+
+  void attempt(Attempt newAttempt) {
+    attempt = newAttempt;
+  }
+
+  /** Returns whether any attempt so far may have taken effect. */
+  boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
+  AttemptOutcome lastOutcome() {
+    return lastOutcome;
+  }
+
+  /** Returns the answer of the last attempt, or null where it brought none. */
+  CallerAnswer lastAnswer() {
+    return lastAnswer;
+  }
+
+  Failure lastFailure() {
+    return lastFailure;
+  }
+
+  /** Notes how an attempt ended; exactly one of answer and failure is not null. */
+  void ended(AttemptOutcome outcome, CallerAnswer answer, Failure failure) {
+    if (attempt != null) {
+      attempt.end();
+      attempt = null;
+    }
+    mayHaveRun |= outcome.mayHaveRun();
+    lastOutcome = outcome;
+    lastAnswer = answer;
+    if (failure != null) {
+      lastFailure = failure;
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/RequestReader.java
@@ -0,0 +1,111 @@
+package io.marigoldsail.daemon.dispatch;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.protobuf.ByteString;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.protocol.Header;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.server.Request;
+
+/** Checks the head of a caller's request and makes a {@link CallerRequest} of it. */
+final class RequestReader {
+  private static final ImmutableSet<String> IDEMPOTENT_METHODS =
+      ImmutableSet.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE");
+
+  private static final int MAX_PATH_LENGTH = 8 * 1024;
+
+  private final ServiceDeadlines deadlines;
+
+  RequestReader(ServiceDeadlines deadlines) {
+    this.deadlines = deadlines;
+  }
+
+  /** Returns the request without its body, or what is wrong with its head. */
+  Result<CallerRequest> read(Request request, long now) {
+    String path = request.getHttpURI().getPathQuery();
+    if (path == null || !path.startsWith("/") || path.length() > MAX_PATH_LENGTH) {
+      return Result.failed(ErrorKind.BAD_REQUEST, "the path is missing or too long");
+    }
+    try {
+      new URI("http://target" + path);
+    } catch (URISyntaxException e) {
+      return Result.failed(ErrorKind.BAD_REQUEST, "the path is no URI: " + e.getReason());
+    }
+    String service = service(path);
+    OptionalLong defaultMillis = deadlines.defaultDeadlineMillis(service);
+    if (defaultMillis.isEmpty()) {
+      return Result.failed(ErrorKind.NOT_FOUND, "no service is named '" + service + "'");
+    }
+    HttpFields fields = request.getHeaders();
+    Result<Long> millis = deadlineMillis(fields, defaultMillis.getAsLong());
+    return millis.then(left -> read(request, service, path, now, left));
+  }
+
+  private static Result<CallerRequest> read(
+      Request request, String service, String path, long now, long leftMillis) {
+    HttpFields fields = request.getHeaders();
+    String caller = fields.get(CallerHeaders.CALLER);
+    String key = fields.get(CallerHeaders.KEY);
+    String idempotencyKey = fields.get(CallerHeaders.IDEMPOTENCY_KEY);
+    for (String name : new String[] {caller, key, idempotencyKey}) {
+      if (name != null && name.length() > CallerLimits.MAX_NAME_LENGTH) {
+        return Result.failed(
+            ErrorKind.BAD_REQUEST,
+            "a name in the headers is longer than " + CallerLimits.MAX_NAME_LENGTH);
+      }
+    }
+    List<Header> headers = new ArrayList<>();
+    HopHeaders.copy(fields, headers);
+    return Result.ok(
+        new CallerRequest(
+            service,
+            request.getMethod(),
+            path,
+            headers,
+            ByteString.EMPTY,
+            caller == null || caller.isEmpty() ? Request.getRemoteAddr(request) : caller,
+            key == null ? "" : key,
+            idempotencyKey == null ? "" : idempotencyKey,
+            IDEMPOTENT_METHODS.contains(request.getMethod()),
+            now,
+            now + TimeUnit.MILLISECONDS.toNanos(leftMillis)));
+  }
+
+  private static String service(String path) {
+    int end = 1;
+    while (end < path.length() && path.charAt(end) != '/' && path.charAt(end) != '?') {
+      end++;
+    }
+    return path.substring(1, end);
+  }
+
+  private static Result<Long> deadlineMillis(HttpFields fields, long defaultMillis) {
+    String named = fields.get(CallerHeaders.DEADLINE_MILLIS);
+    if (named == null) {
+      return Result.ok(defaultMillis);
+    }
+    try {
+      long millis = Long.parseLong(named);
+      if (millis > 0 && millis <= CallerLimits.MAX_DEADLINE_MILLIS) {
+        return Result.ok(millis);
+      }
+    } catch (NumberFormatException e) {
+      // Answered below like a number out of range.
+    }
+    return Result.failed(
+        ErrorKind.BAD_REQUEST,
+        CallerHeaders.DEADLINE_MILLIS
+            + " is not a whole number from 1 to "
+            + CallerLimits.MAX_DEADLINE_MILLIS
+            + ": '"
+            + named
+            + "'");
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -0,0 +1,495 @@
+package io.marigoldsail.daemon.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.Announcements;
+import io.marigoldsail.daemon.link.BrokenFrameException;
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.link.LinkListener;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.link.LinkServer;
+import io.marigoldsail.dispatch.ByteBudget;
+import io.marigoldsail.dispatch.RequestLedger;
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.dispatch.TransitDelay;
+import io.marigoldsail.dispatch.WireId;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.protocol.AnswerStart;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.RequestBody;
+import io.marigoldsail.protocol.RequestStart;
+import io.marigoldsail.protocol.Resolution;
+import io.marigoldsail.protocol.Resolve;
+import io.marigoldsail.protocol.TargetReport;
+import io.marigoldsail.timeline.Event;
+import io.marigoldsail.timeline.EventKind;
+import io.marigoldsail.timeline.EventRecorder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+
+/**
+ * Runs the requests of all entries on the target beside it, each at most once.
+ *
+ * <p>All state is confined to the loop's thread; the public methods may be called from any thread.
+ * Every refusal first puts a tombstone on the request's id in the {@link RequestLedger}.
+ */
+public final class SideDispatcher implements AutoCloseable {
+  private static final System.Logger LOG = System.getLogger(SideDispatcher.class.getName());
+
+  /** Ended ids kept: the load of several seconds of a fast target, in a few megabytes. */
+  private static final int MAX_ENDED = 20_000;
+
+  private static final long LEDGER_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(60);
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** How long past its deadline a request may still hold its slot, because its target does. */
+  private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  /** A refusal for want of a slot asks the entry to wait about a round trip. */
+  private static final long SOON_MILLIS = 5;
+
+  private static final long LATER_MILLIS = 1_000;
+
+  private final LinkLoop loop;
+  private final Target target;
+  private final SideLimits limits;
+  private final long processIncarnation;
+  private final IntSupplier entryCount;
+  private final ByteBudget budget;
+  private final EventRecorder events;
+  private final LinkServer server;
+  private final RequestLedger<Frame> ledger;
+  private final Map<WireId, SideRequest> requests = new HashMap<>();
+  private final ArrayDeque<SideRequest> waiting = new ArrayDeque<>();
+  private final Map<LinkConnection, TransitDelay> delays = new HashMap<>();
+  private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private volatile int running;
+  private volatile int waitingCount;
+  private volatile boolean stopping;
+  private volatile boolean targetTakesWork;
+  private volatile Runnable leavingListener = () -> {};
+  private boolean probing;
+  private Future<?> tick;
+
+  /**
+   * Creates a dispatcher that does not listen yet.
+   *
+   * @param loop the thread
+   * @param address where entries dial in
+   * @param target the target
+   * @param limits the bounds
+   * @param processIncarnation this process's incarnation, as announced
+   * @param entryCount how many entries hear this process
+   * @param budget what bodies hold; shared with the target's client
+   * @param events the time line
+   */
+  public SideDispatcher(
+      LinkLoop loop,
+      InetSocketAddress address,
+      Target target,
+      SideLimits limits,
+      long processIncarnation,
+      IntSupplier entryCount,
+      ByteBudget budget,
+      EventRecorder events) {
+    this.loop = requireNonNull(loop, "loop");
+    this.target = requireNonNull(target, "target");
+    this.limits = requireNonNull(limits, "limits");
+    this.processIncarnation = processIncarnation;
+    this.entryCount = requireNonNull(entryCount, "entryCount");
+    this.budget = requireNonNull(budget, "budget");
+    this.events = requireNonNull(events, "events");
+    this.server = new LinkServer(loop, address, limits.maxConnections(), new Incoming());
+    this.ledger = new RequestLedger<>(MAX_ENDED, limits.keptAnswerBytes(), LEDGER_WINDOW_NANOS);
+  }
+
+  /** Sets who is told when {@link #isLeaving} changes; to be called before {@link #start}. */
+  public void onLeavingChanged(Runnable listener) {
+    leavingListener = requireNonNull(listener, "listener");
+  }
+
+  /**
+   * Begins to listen.
+   *
+   * @throws IOException if the address cannot be had
+   */
+  public void start() throws IOException {
+    server.start();
+    tick = loop.repeat(this::tick, TICK_NANOS);
+    loop.runLater(this::tick);
+  }
+
+  /** Returns the port that is listened on. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Returns what the target has to do now. */
+  public TargetLoad load() {
+    return new TargetLoad(running, waitingCount, entryCount.getAsInt(), isLeaving());
+  }
+
+  /** Returns whether nothing new is taken: this process or its target is stopping. */
+  public boolean isLeaving() {
+    return stopping || !targetTakesWork;
+  }
+
+  /**
+   * Begins a planned stop: nothing new is taken, what is in progress ends.
+   *
+   * @return completed when the last answer was handed to its connection
+   */
+  public CompletableFuture<Void> beginStop() {
+    stopping = true;
+    loop.run(
+        () -> {
+          leavingListener.run();
+          checkDrained();
+        });
+    return drained;
+  }
+
+  /** Ends all connections; what is in progress is lost, so {@link #beginStop} goes first. */
+  @Override
+  public void close() {
+    tick.cancel(false);
+    server.close();
+  }
+
+  private void tick() {
+    ledger.expire(loop.now());
+    if (probing) {
+      return;
+    }
+    probing = true;
+    target.probe(takesWork -> loop.run(() -> probed(takesWork)));
+  }
+
+  private void probed(boolean takesWork) {
+    probing = false;
+    if (takesWork == targetTakesWork) {
+      return;
+    }
+    targetTakesWork = takesWork;
+    LOG.log(System.Logger.Level.INFO, "event=target-changed takes-work={0}", takesWork);
+    leavingListener.run();
+  }
+
+  private void checkDrained() {
+    if (stopping && requests.isEmpty()) {
+      drained.complete(null);
+    }
+  }
+
+  private void start(LinkConnection connection, RequestStart start) throws BrokenFrameException {
+    long now = loop.now();
+    WireId id = SideFrames.id(start.getId());
+    switch (ledger.state(id)) {
+      case UNSEEN -> admit(connection, id, start, now);
+      case TOMBSTONE -> connection.send(notRun(id, ErrorKind.OVERLOADED, "given up before", 0));
+      case WAITING, RUNNING -> throw new BrokenFrameException("second start of " + id);
+      // A copy that comes so late that its id is forgotten must not run: it may have run.
+      case DONE, FORGOTTEN -> connection.send(failed(id, ErrorKind.OUTCOME_UNKNOWN, "seen before"));
+    }
+  }
+
+  private void admit(LinkConnection connection, WireId id, RequestStart start, long now)
+      throws BrokenFrameException {
+    // Time that the frame spent in buffers while this process was frozen counts, too: without it a
+    // woken process would start requests whose callers were answered long ago.
+    long delay = delays.get(connection).excess(start.getSentAt(), now);
+    long deadline = now + TimeUnit.MILLISECONDS.toNanos(start.getRemainingMillis()) - delay;
+    Refusal refusal = refusal(start, deadline, now);
+    if (refusal != null) {
+      refuse(connection, id, start.getLabel(), refusal);
+      return;
+    }
+    SideRequest request;
+    try {
+      request = new SideRequest(id, start, deadline, connection);
+    } catch (BrokenFrameException e) {
+      budget.release(start.getBodyLength());
+      throw e;
+    }
+    ledger.admit(id);
+    requests.put(id, request);
+    if (request.isWhole()) {
+      ready(request);
+    }
+  }
+
+  /** Why a request is not taken. */
+  private record Refusal(ErrorKind kind, String detail, long retryAfterMillis) {}
+
+  /** Returns why the request is not taken, or null after reserving room for its body. */
+  private Refusal refusal(RequestStart start, long deadline, long now) {
+    if (isLeaving()) {
+      return new Refusal(ErrorKind.SHUTTING_DOWN, "the target is leaving", LATER_MILLIS);
+    }
+    if (deadline - now <= 0) {
+      return new Refusal(ErrorKind.DEADLINE_BEFORE_START, "came after its deadline", 0);
+    }
+    if (start.getBodyLength() > Bodies.MAX_BYTES) {
+      return new Refusal(ErrorKind.BODY_TOO_LARGE, "limit is " + Bodies.MAX_BYTES, 0);
+    }
+    if (isFull()) {
+      return new Refusal(ErrorKind.OVERLOADED, "all slots and the waiting room", SOON_MILLIS);
+    }
+    if (!budget.tryReserve(start.getBodyLength())) {
+      return new Refusal(ErrorKind.OVERLOADED, "no room for the body", SOON_MILLIS);
+    }
+    return null;
+  }
+
+  private boolean isFull() {
+    return running >= limits.slots() && waiting.size() >= limits.waitingRoom();
+  }
+
+  private void refuse(LinkConnection connection, WireId id, String label, Refusal refusal) {
+    if (!ledger.bury(id, loop.now())) {
+      connection.send(failed(id, ErrorKind.OUTCOME_UNKNOWN, "seen before"));
+      return;
+    }
+    events.record(
+        Event.of(EventKind.REQUEST_REFUSED)
+            .withRequest(label)
+            .withDetail(refusal.kind().code() + ": " + refusal.detail()));
+    connection.send(notRun(id, refusal.kind(), refusal.detail(), refusal.retryAfterMillis()));
+  }
+
+  private void body(LinkConnection connection, RequestBody body) throws BrokenFrameException {
+    SideRequest request = requests.get(SideFrames.id(body.getId()));
+    // Chunks of a request that was refused, or given up, are still on their way; they are dropped.
+    if (request == null || request.isWhole() || request.answerTo() != connection) {
+      return;
+    }
+    request.add(body.getData(), body.getLast());
+    if (request.isWhole()) {
+      ready(request);
+    }
+  }
+
+  private void ready(SideRequest request) {
+    if (running < limits.slots()) {
+      run(request);
+      return;
+    }
+    if (isFull()) {
+      giveUp(request, new Refusal(ErrorKind.OVERLOADED, "the waiting room is full", SOON_MILLIS));
+      return;
+    }
+    waiting.add(request);
+    waitingCount = waiting.size();
+  }
+
+  private void giveUp(SideRequest request, Refusal refusal) {
+    discard(request);
+    refuse(request.answerTo(), request.id(), request.start().getLabel(), refusal);
+    checkDrained();
+  }
+
+  /** Takes a request that has not started out of everything but the ledger. */
+  private void discard(SideRequest request) {
+    requests.remove(request.id());
+    if (waiting.remove(request)) {
+      waitingCount = waiting.size();
+    }
+    budget.release(request.start().getBodyLength());
+  }
+
+  private void run(SideRequest request) {
+    if (request.deadline() - loop.now() <= 0) {
+      giveUp(request, new Refusal(ErrorKind.DEADLINE_BEFORE_START, "waited too long", 0));
+      return;
+    }
+    RequestStart start = request.start();
+    ledger.started(request.id());
+    running++;
+    events.record(
+        Event.of(EventKind.REQUEST_STARTED)
+            .withRequest(start.getLabel())
+            .withCaller(start.getCaller()));
+    TargetRequest toTarget =
+        new TargetRequest(
+            start.getMethod(),
+            start.getPath(),
+            start.getHeadersList(),
+            request.body(),
+            request.deadline() + LINGER_NANOS);
+    target.send(toTarget, outcome -> loop.run(() -> ended(request, outcome)));
+    request.dropBody();
+  }
+
+  private void ended(SideRequest request, TargetOutcome outcome) {
+    running--;
+    requests.remove(request.id());
+    budget.release(request.start().getBodyLength());
+    if (outcome instanceof TargetOutcome.Answered answered) {
+      answer(request, answered);
+    } else if (outcome instanceof TargetOutcome.NeverSent never) {
+      ledger.neverReached(request.id(), loop.now());
+      request
+          .answerTo()
+          .send(notRun(request.id(), ErrorKind.TARGET_UNREACHABLE, never.detail(), LATER_MILLIS));
+    } else if (outcome instanceof TargetOutcome.Lost lost) {
+      fail(request, ErrorKind.OUTCOME_UNKNOWN, lost.detail());
+    } else if (outcome instanceof TargetOutcome.BrokenAnswer broken) {
+      fail(request, ErrorKind.TARGET_BROKEN_ANSWER, broken.detail());
+    }
+    startNext();
+    checkDrained();
+  }
+
+  private void startNext() {
+    while (running < limits.slots() && !waiting.isEmpty()) {
+      SideRequest next = waiting.poll();
+      waitingCount = waiting.size();
+      run(next);
+    }
+  }
+
+  private void fail(SideRequest request, ErrorKind kind, String detail) {
+    events.record(
+        Event.of(EventKind.REQUEST_FAILED)
+            .withRequest(request.start().getLabel())
+            .withDetail(kind.code() + ": " + detail));
+    Frame frame = failed(request.id(), kind, detail);
+    ledger.done(request.id(), frame, 0, loop.now());
+    request.answerTo().send(frame);
+  }
+
+  private void answer(SideRequest request, TargetOutcome.Answered answered) {
+    events.record(
+        Event.of(EventKind.REQUEST_ANSWERED)
+            .withRequest(request.start().getLabel())
+            .withDetail("status " + answered.status()));
+    AnswerStart start = SideFrames.answerStart(request.id(), answered, report());
+    if (answered.body().size() > Bodies.CHUNK_BYTES) {
+      ledger.doneUnkept(request.id(), loop.now());
+      Runnable sent = () -> budget.release(answered.reservedBytes());
+      request.answerTo().sendAll(new AnswerFrames(start, answered.body(), sent));
+      return;
+    }
+    budget.release(answered.reservedBytes());
+    AnswerStart whole = start.toBuilder().setData(answered.body()).setLast(true).build();
+    Frame frame = Frame.newBuilder().setAnswerStart(whole).build();
+    ledger.done(request.id(), frame, frame.getSerializedSize(), loop.now());
+    request.answerTo().send(frame);
+  }
+
+  private void cancel(WireId id) {
+    SideRequest request = requests.get(id);
+    if (request == null) {
+      ledger.bury(id, loop.now());
+      return;
+    }
+    // A running request goes on: its target cannot be made to undo it, and a slot counted as free
+    // while the target still works in it would overload the target.
+    if (ledger.bury(id, loop.now())) {
+      discard(request);
+      checkDrained();
+    }
+  }
+
+  private void resolve(LinkConnection connection, Resolve resolve) {
+    WireId id = SideFrames.id(resolve.getId());
+    Resolution.State state = Resolution.State.FORGOTTEN;
+    // A process started anew on this address has seen none of its predecessor's requests; for it
+    // "never seen" proves nothing.
+    if (resolve.getProcessIncarnation() == processIncarnation) {
+      SideRequest request = requests.get(id);
+      if (request != null && !request.isWhole()) {
+        // The rest of the body was lost with its connection.
+        discard(request);
+        ledger.bury(id, loop.now());
+      }
+      if (ledger.answer(id).isPresent()) {
+        connection.send(ledger.answer(id).get());
+        recordResolved(id, "done");
+        return;
+      }
+      state = resolution(connection, id);
+    }
+    recordResolved(id, state.name());
+    connection.send(SideFrames.resolution(id, state));
+  }
+
+  private Resolution.State resolution(LinkConnection connection, WireId id) {
+    return switch (ledger.state(id)) {
+      case UNSEEN, TOMBSTONE -> {
+        ledger.bury(id, loop.now());
+        yield Resolution.State.NOT_RUN;
+      }
+      case WAITING, RUNNING -> {
+        requests.get(id).answerTo(connection);
+        yield Resolution.State.RUNNING;
+      }
+      case DONE, FORGOTTEN -> Resolution.State.FORGOTTEN;
+    };
+  }
+
+  private void recordResolved(WireId id, String state) {
+    events.record(Event.of(EventKind.REQUEST_RESOLVED).withDetail("attempt " + id + ": " + state));
+  }
+
+  private Frame notRun(WireId id, ErrorKind kind, String detail, long retryAfterMillis) {
+    return SideFrames.notRun(id, kind, detail, retryAfterMillis, report());
+  }
+
+  private Frame failed(WireId id, ErrorKind kind, String detail) {
+    return SideFrames.failed(id, kind, detail, report());
+  }
+
+  private TargetReport report() {
+    return Announcements.write(load(), limits.slots());
+  }
+
+  /** Frames of entries. */
+  private final class Incoming implements LinkListener {
+    @Override
+    public void opened(LinkConnection connection) {
+      delays.put(connection, new TransitDelay());
+    }
+
+    @Override
+    public void received(LinkConnection connection, Frame frame) throws BrokenFrameException {
+      switch (frame.getBodyCase()) {
+        case REQUEST_START -> start(connection, frame.getRequestStart());
+        case REQUEST_BODY -> body(connection, frame.getRequestBody());
+        case RESOLVE -> resolve(connection, frame.getResolve());
+        case CANCEL -> cancel(SideFrames.id(frame.getCancel().getId()));
+        case PING -> {
+          long sentAt = frame.getPing().getNonce();
+          delays.get(connection).excess(sentAt, loop.now());
+          connection.send(SideFrames.pong(sentAt));
+        }
+        default -> throw new BrokenFrameException("unexpected " + frame.getBodyCase());
+      }
+    }
+
+    @Override
+    public void closed(LinkConnection connection, String reason) {
+      delays.remove(connection);
+      List<SideRequest> cutShort = new ArrayList<>();
+      for (SideRequest request : requests.values()) {
+        if (request.answerTo() == connection && !request.isWhole()) {
+          cutShort.add(request);
+        }
+      }
+      for (SideRequest request : cutShort) {
+        discard(request);
+        ledger.bury(request.id(), loop.now());
+      }
+      checkDrained();
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideFrames.java
@@ -0,0 +1,70 @@
+package io.marigoldsail.daemon.dispatch;
+
+import io.marigoldsail.dispatch.WireId;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.protocol.AnswerStart;
+import io.marigoldsail.protocol.Failed;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.NotRun;
+import io.marigoldsail.protocol.Pong;
+import io.marigoldsail.protocol.RequestId;
+import io.marigoldsail.protocol.Resolution;
+import io.marigoldsail.protocol.TargetReport;
+
+/** Makes the frames that a side process sends on connections of requests. */
+final class SideFrames {
+  private SideFrames() {}
+
+  static RequestId message(WireId id) {
+    return RequestId.newBuilder()
+        .setEntryIncarnation(id.entryIncarnation())
+        .setSequence(id.sequence())
+        .build();
+  }
+
+  static WireId id(RequestId message) {
+    return new WireId(message.getEntryIncarnation(), message.getSequence());
+  }
+
+  static Frame notRun(
+      WireId id, ErrorKind kind, String detail, long retryAfterMillis, TargetReport report) {
+    NotRun.Builder notRun =
+        NotRun.newBuilder()
+            .setId(message(id))
+            .setErrorKind(kind.code())
+            .setDetail(detail)
+            .setRetryAfterMillis(retryAfterMillis)
+            .setReport(report);
+    return Frame.newBuilder().setNotRun(notRun).build();
+  }
+
+  static Frame failed(WireId id, ErrorKind kind, String detail, TargetReport report) {
+    Failed.Builder failed =
+        Failed.newBuilder()
+            .setId(message(id))
+            .setErrorKind(kind.code())
+            .setDetail(detail)
+            .setReport(report);
+    return Frame.newBuilder().setFailed(failed).build();
+  }
+
+  static AnswerStart answerStart(WireId id, TargetOutcome.Answered answered, TargetReport report) {
+    return AnswerStart.newBuilder()
+        .setId(message(id))
+        .setStatus(answered.status())
+        .addAllHeaders(answered.headers())
+        .setBodyLength(answered.body().size())
+        .setReport(report)
+        .build();
+  }
+
+  static Frame resolution(WireId id, Resolution.State state) {
+    return Frame.newBuilder()
+        .setResolution(Resolution.newBuilder().setId(message(id)).setState(state))
+        .build();
+  }
+
+  static Frame pong(long nonce) {
+    return Frame.newBuilder().setPong(Pong.newBuilder().setNonce(nonce)).build();
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideLimits.java
@@ -0,0 +1,39 @@
+package io.marigoldsail.daemon.dispatch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Bounds of a side process.
+ *
+ * @param slots how many requests its target runs at once
+ * @param waitingRoom how many more are held for a free slot; covers a round trip to the entries, so
+ *     that a slot that falls free is filled at once, and no more, for fairness is only seen there
+ * @param maxConnections how many connections entries may have open at once
+ * @param bodyBytes what bodies of requests and long answers may hold together, in bytes
+ * @param keptAnswerBytes what answers kept for entries that lost a connection may hold, in bytes
+ */
+public record SideLimits(
+    int slots, int waitingRoom, int maxConnections, long bodyBytes, long keptAnswerBytes) {
+  private static final int DEFAULT_MAX_CONNECTIONS = 256;
+  private static final long DEFAULT_BODY_BYTES = 2L * Bodies.MAX_BYTES;
+  private static final long DEFAULT_KEPT_ANSWER_BYTES = 3L * 1024 * 1024;
+
+  /** Checks the components. */
+  public SideLimits {
+    checkArgument(slots > 0, "slots is not positive: %s", slots);
+    checkArgument(waitingRoom >= 0, "waitingRoom is negative: %s", waitingRoom);
+    checkArgument(maxConnections > 0, "maxConnections is not positive: %s", maxConnections);
+    checkArgument(bodyBytes >= Bodies.MAX_BYTES, "bodyBytes is less than one body: %s", bodyBytes);
+    checkArgument(keptAnswerBytes >= 0, "keptAnswerBytes is negative: %s", keptAnswerBytes);
+  }
+
+  /** Returns the bounds that fit a heap of 40 MB. */
+  public static SideLimits ofSlots(int slots) {
+    return new SideLimits(
+        slots,
+        Math.max(1, slots / 2),
+        DEFAULT_MAX_CONNECTIONS,
+        DEFAULT_BODY_BYTES,
+        DEFAULT_KEPT_ANSWER_BYTES);
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetOutcome.java
@@ -0,0 +1,52 @@
+package io.marigoldsail.daemon.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import io.marigoldsail.protocol.Header;
+import java.util.List;
+
+/** What came of a request handed to a {@link Target}. Immutable. Rejects nulls. */
+public sealed interface TargetOutcome {
+  /**
+   * The target answered, and the answer is whole.
+   *
+   * @param status the HTTP status
+   * @param headers the headers that travel with the message
+   * @param body the whole body
+   * @param reservedBytes what the body holds of the process's budget; the receiver gives it back
+   */
+  record Answered(int status, List<Header> headers, ByteString body, long reservedBytes)
+      implements TargetOutcome {
+    /** Checks the components. */
+    public Answered {
+      headers = ImmutableList.copyOf(headers);
+      requireNonNull(body, "body");
+    }
+  }
+
+  /** Nothing of the request was sent: there was no connection to send it on. */
+  record NeverSent(String detail) implements TargetOutcome {
+    /** Checks the component. */
+    public NeverSent {
+      requireNonNull(detail, "detail");
+    }
+  }
+
+  /** The request was sent, at least in part, and no answer came. */
+  record Lost(String detail) implements TargetOutcome {
+    /** Checks the component. */
+    public Lost {
+      requireNonNull(detail, "detail");
+    }
+  }
+
+  /** An answer began and was cut short, or was too long or no valid answer. */
+  record BrokenAnswer(String detail) implements TargetOutcome {
+    /** Checks the component. */
+    public BrokenAnswer {
+      requireNonNull(detail, "detail");
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetPool.java
@@ -0,0 +1,213 @@
+package io.marigoldsail.daemon.dispatch;
+
+import io.marigoldsail.daemon.link.BrokenFrameException;
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.link.LinkListener;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.membership.Announcement;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.Ping;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * An entry's connections to one side process: a few, watched for silence and dialled again.
+ *
+ * <p>A connection counts only after its first ping was answered: a frozen process's kernel accepts
+ * connections that nobody serves, and the stamps of the first frames tell the side process how long
+ * the way usually takes. Confined to the loop's thread.
+ */
+final class TargetPool {
+  /** Told of what the connections bring. */
+  interface Listener {
+    /** A connection can be used. */
+    void usable(TargetPool pool, LinkConnection connection);
+
+    /** A frame other than a pong came. */
+    void received(TargetPool pool, LinkConnection connection, Frame frame)
+        throws BrokenFrameException;
+
+    /** Nobody listens where the side process was. */
+    void refused(TargetPool pool);
+
+    /** A connection has ended. */
+    void lost(TargetPool pool, LinkConnection connection, String reason);
+  }
+
+  private static final long BACK_OFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final long MAX_BACK_OFF_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final LinkLoop loop;
+  private final InetSocketAddress address;
+  private final LinkTimes times;
+  private final RandomGenerator random;
+  private final Listener listener;
+  private final List<LinkConnection> usable = new ArrayList<>();
+  private final List<LinkConnection> fresh = new ArrayList<>();
+  private Announcement announcement;
+  private int dialling;
+  private int next;
+  private long dialAt;
+  private long backOffNanos = BACK_OFF_NANOS;
+  private int attemptsInFlight;
+  private boolean closed;
+
+  TargetPool(
+      LinkLoop loop,
+      Announcement announcement,
+      InetSocketAddress address,
+      LinkTimes times,
+      RandomGenerator random,
+      Listener listener) {
+    this.loop = loop;
+    this.announcement = announcement;
+    this.address = address;
+    this.times = times;
+    this.random = random;
+    this.listener = listener;
+    this.dialAt = loop.now();
+  }
+
+  String vm() {
+    return announcement.vm();
+  }
+
+  long incarnation() {
+    return announcement.processIncarnation();
+  }
+
+  Announcement announcement() {
+    return announcement;
+  }
+
+  void announcement(Announcement newer) {
+    announcement = newer;
+  }
+
+  boolean isUsable() {
+    return !usable.isEmpty();
+  }
+
+  /** Returns whether exactly one connection is usable. */
+  boolean isFirstUsable() {
+    return usable.size() == 1;
+  }
+
+  void attemptBegan() {
+    attemptsInFlight++;
+  }
+
+  void attemptEnded() {
+    attemptsInFlight--;
+  }
+
+  boolean hasAttempts() {
+    return attemptsInFlight > 0;
+  }
+
+  /** Returns the connections in turn, or null where none is usable. */
+  LinkConnection pick() {
+    if (usable.isEmpty()) {
+      return null;
+    }
+    next = (next + 1) % usable.size();
+    return usable.get(next);
+  }
+
+  /** Dials what is missing, pings what was quiet, and gives up what stayed silent. */
+  void tick(long now) {
+    while (!closed
+        && usable.size() + fresh.size() + dialling < times.connections()
+        && dialAt - now <= 0) {
+      dialling++;
+      loop.dial(address, new Incoming(), this::failed);
+    }
+    for (LinkConnection connection : allConnections()) {
+      long unanswered = connection.unansweredNanos(now);
+      boolean idle = now - connection.lastReceived() > times.idlePingNanos();
+      // A connection that something between the two ends lost track of accepts bytes and brings
+      // nothing, for good, and no error ever comes of it. Every peer answers a ping at once, so
+      // silence in spite of pings tells it from a peer that only works long.
+      if (unanswered > times.silenceNanos()) {
+        connection.close("silent");
+      } else if (unanswered > times.pingAfterNanos() || idle) {
+        ping(connection);
+      }
+    }
+  }
+
+  void excuseSilence(long now) {
+    allConnections().forEach(connection -> connection.excuseSilence(now));
+  }
+
+  void close() {
+    closed = true;
+    allConnections().forEach(connection -> connection.close("stopped"));
+  }
+
+  private List<LinkConnection> allConnections() {
+    List<LinkConnection> all = new ArrayList<>(usable);
+    all.addAll(fresh);
+    return all;
+  }
+
+  private void ping(LinkConnection connection) {
+    connection.send(Frame.newBuilder().setPing(Ping.newBuilder().setNonce(loop.now())).build());
+  }
+
+  private void failed(Throwable cause) {
+    dialling--;
+    backOff();
+    if (cause instanceof ConnectException && !isUsable()) {
+      listener.refused(this);
+    }
+  }
+
+  private void backOff() {
+    dialAt = loop.now() + backOffNanos / 2 + random.nextLong(backOffNanos);
+    backOffNanos = Math.min(MAX_BACK_OFF_NANOS, backOffNanos * 2);
+  }
+
+  /** Frames of the side process. */
+  private final class Incoming implements LinkListener {
+    @Override
+    public void opened(LinkConnection connection) {
+      dialling--;
+      if (closed) {
+        connection.close("stopped");
+        return;
+      }
+      fresh.add(connection);
+      ping(connection);
+    }
+
+    @Override
+    public void received(LinkConnection connection, Frame frame) throws BrokenFrameException {
+      if (frame.getBodyCase() != Frame.BodyCase.PONG) {
+        listener.received(TargetPool.this, connection, frame);
+        return;
+      }
+      if (fresh.remove(connection)) {
+        usable.add(connection);
+        backOffNanos = BACK_OFF_NANOS;
+        listener.usable(TargetPool.this, connection);
+      }
+    }
+
+    @Override
+    public void closed(LinkConnection connection, String reason) {
+      boolean wasUsable = usable.remove(connection);
+      if (fresh.remove(connection)) {
+        backOff();
+      }
+      if (wasUsable) {
+        listener.lost(TargetPool.this, connection, reason);
+        tick(loop.now());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetPools.java
@@ -0,0 +1,119 @@
+package io.marigoldsail.daemon.dispatch;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.link.HostPort;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.dispatch.TargetState;
+import io.marigoldsail.membership.Announcement;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * An entry's connections to all side processes that announced a target.
+ *
+ * <p>A target is offered to the policy only while there is a usable connection to it. Confined to
+ * the loop's thread.
+ */
+final class TargetPools {
+  private static final System.Logger LOG = System.getLogger(TargetPools.class.getName());
+
+  private final LinkLoop loop;
+  private final LinkTimes times;
+  private final RandomGenerator random;
+  private final TargetPool.Listener listener;
+  private final TreeMap<String, TargetPool> pools = new TreeMap<>();
+  private final List<TargetPool> retired = new ArrayList<>();
+
+  TargetPools(
+      LinkLoop loop, LinkTimes times, RandomGenerator random, TargetPool.Listener listener) {
+    this.loop = loop;
+    this.times = times;
+    this.random = random;
+    this.listener = listener;
+  }
+
+  TargetPool byVm(String vm) {
+    return pools.get(vm);
+  }
+
+  boolean isUsable(String vm) {
+    TargetPool pool = pools.get(vm);
+    return pool != null && pool.isUsable();
+  }
+
+  /** Takes an announcement; returns whether the list of targets changed by it. */
+  boolean announced(Announcement announcement) {
+    TargetPool known = pools.get(announcement.vm());
+    if (!announcement.hasTarget()) {
+      return retire(announcement.vm());
+    }
+    if (known != null
+        && known.incarnation() == announcement.processIncarnation()
+        && known.announcement().address().equals(announcement.address())) {
+      boolean changed = !known.announcement().targetState().equals(announcement.targetState());
+      known.announcement(announcement);
+      return changed;
+    }
+    boolean changed = retire(announcement.vm());
+    HostPort.parse(announcement.address())
+        .ifPresentOrElse(
+            address -> {
+              TargetPool pool =
+                  new TargetPool(loop, announcement, address, times, random, listener);
+              pools.put(announcement.vm(), pool);
+              pool.tick(loop.now());
+            },
+            () ->
+                LOG.log(
+                    System.Logger.Level.WARNING,
+                    "event=bad-address vm={0} address=\"{1}\"",
+                    announcement.vm(),
+                    announcement.address()));
+    return changed;
+  }
+
+  /**
+   * Takes a VM out of the list; returns whether it was a target until now.
+   *
+   * <p>Its connections stay until the attempts on them have ended: a VM whose announcements stopped
+   * may still answer what it was sent.
+   */
+  boolean retire(String vm) {
+    TargetPool pool = pools.remove(vm);
+    if (pool == null) {
+      return false;
+    }
+    retired.add(pool);
+    return pool.isUsable();
+  }
+
+  List<TargetState> targets() {
+    ImmutableList.Builder<TargetState> targets = ImmutableList.builder();
+    for (TargetPool pool : pools.values()) {
+      if (pool.isUsable()) {
+        targets.add(pool.announcement().targetState());
+      }
+    }
+    return targets.build();
+  }
+
+  void tick(long now) {
+    List<TargetPool> idle = retired.stream().filter(pool -> !pool.hasAttempts()).toList();
+    retired.removeAll(idle);
+    idle.forEach(TargetPool::close);
+    retired.forEach(pool -> pool.tick(now));
+    new ArrayList<>(pools.values()).forEach(pool -> pool.tick(now));
+  }
+
+  void excuseSilence(long now) {
+    pools.values().forEach(pool -> pool.excuseSilence(now));
+    retired.forEach(pool -> pool.excuseSilence(now));
+  }
+
+  void close() {
+    pools.values().forEach(TargetPool::close);
+    retired.forEach(TargetPool::close);
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/Announcements.java
@@ -0,0 +1,87 @@
+package io.marigoldsail.daemon.link;
+
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.membership.Announcement;
+import io.marigoldsail.protocol.Announce;
+import io.marigoldsail.protocol.TargetReport;
+
+/** Translates announcements and reports between frames and the types of decisions. */
+public final class Announcements {
+  private Announcements() {}
+
+  /** Returns the announcement as a message. */
+  public static Announce write(Announcement announcement) {
+    return Announce.newBuilder()
+        .setVm(announcement.vm())
+        .setVmIncarnation(announcement.vmIncarnation())
+        .setProcessIncarnation(announcement.processIncarnation())
+        .setZone(announcement.zone())
+        .setRack(announcement.rack())
+        .setAddress(announcement.address())
+        .setService(announcement.service())
+        .setSlots(announcement.slots())
+        .setLeaving(announcement.leaving())
+        .setReport(write(announcement.load(), announcement.slots()))
+        .setConfigurationRevision(announcement.configurationRevision())
+        .setMilliProcessors(announcement.milliProcessors())
+        .setMemoryBytes(announcement.memoryBytes())
+        .setAccelerators(announcement.accelerators())
+        .build();
+  }
+
+  /** Returns the load as a message. */
+  public static TargetReport write(TargetLoad load, int slots) {
+    return TargetReport.newBuilder()
+        .setSlots(slots)
+        .setInFlight(load.inFlight())
+        .setWaiting(load.waiting())
+        .setEntries(load.entries())
+        .setLeaving(load.leaving())
+        .build();
+  }
+
+  /**
+   * Returns the message as an announcement.
+   *
+   * @throws BrokenFrameException if a field is missing or out of range
+   */
+  public static Announcement read(Announce message) throws BrokenFrameException {
+    try {
+      return new Announcement(
+          message.getVm(),
+          message.getVmIncarnation(),
+          message.getProcessIncarnation(),
+          message.getZone(),
+          message.getRack(),
+          message.getAddress(),
+          message.getService(),
+          message.getSlots(),
+          message.getLeaving(),
+          load(message.getReport()),
+          message.getConfigurationRevision(),
+          message.getMilliProcessors(),
+          message.getMemoryBytes(),
+          message.getAccelerators());
+    } catch (IllegalArgumentException e) {
+      throw new BrokenFrameException("announcement: " + e.getMessage());
+    }
+  }
+
+  /**
+   * Returns the message as a load.
+   *
+   * @throws BrokenFrameException if a count is out of range
+   */
+  public static TargetLoad read(TargetReport message) throws BrokenFrameException {
+    try {
+      return load(message);
+    } catch (IllegalArgumentException e) {
+      throw new BrokenFrameException("report: " + e.getMessage());
+    }
+  }
+
+  private static TargetLoad load(TargetReport message) {
+    return new TargetLoad(
+        message.getInFlight(), message.getWaiting(), message.getEntries(), message.getLeaving());
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/EntryLink.java
@@ -0,0 +1,174 @@
+package io.marigoldsail.daemon.link;
+
+import io.marigoldsail.protocol.AnnounceAck;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.TaskMessage;
+import io.marigoldsail.timeline.Event;
+import io.marigoldsail.timeline.EventKind;
+import io.marigoldsail.timeline.EventRecorder;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/** A side process's link to one entry: dialled, announced on, watched and dialled again. */
+final class EntryLink {
+  /** Told of what comes over the link. */
+  interface Listener {
+    void opened(EntryLink link);
+
+    void acknowledged(EntryLink link, AnnounceAck ack);
+
+    void task(String entry, TaskMessage message);
+
+    void lost(EntryLink link);
+  }
+
+  private static final System.Logger LOG = System.getLogger(EntryLink.class.getName());
+
+  /** A link whose announcements are not answered for this long is taken for dead. */
+  private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
+
+  private static final long BACK_OFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final long MAX_BACK_OFF_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long FROZEN_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final LinkLoop loop;
+  private final InetSocketAddress address;
+  private final boolean seed;
+  private final RandomGenerator random;
+  private final EventRecorder events;
+  private final Listener listener;
+  private LinkConnection connection;
+  private boolean dialling;
+  private boolean closed;
+  private long backOffNanos = BACK_OFF_NANOS;
+  private long dialAt;
+  private long lastMentioned;
+  private long lastTurn;
+  private String entry = "";
+
+  EntryLink(
+      LinkLoop loop,
+      InetSocketAddress address,
+      boolean seed,
+      RandomGenerator random,
+      EventRecorder events,
+      Listener listener) {
+    this.loop = loop;
+    this.address = address;
+    this.seed = seed;
+    this.random = random;
+    this.events = events;
+    this.listener = listener;
+    this.dialAt = loop.now();
+    this.lastMentioned = loop.now();
+    this.lastTurn = loop.now();
+  }
+
+  /** Announces on the link, or dials it where it is down and due. */
+  void announce(Frame announcement, long now) {
+    boolean wasFrozen = now - lastTurn > FROZEN_NANOS;
+    lastTurn = now;
+    if (connection == null) {
+      if (!dialling && dialAt - now <= 0) {
+        dial();
+      }
+      return;
+    }
+    if (wasFrozen) {
+      connection.excuseSilence(now);
+    }
+    // A connection that something between the two ends has lost track of takes bytes and answers
+    // nothing, for good; the entry would drop this VM while it goes on announcing into the void.
+    if (now - connection.lastReceived() > SILENCE_NANOS) {
+      connection.close("silent");
+      return;
+    }
+    connection.send(announcement);
+  }
+
+  void send(Frame frame) {
+    if (connection != null) {
+      connection.send(frame);
+    }
+  }
+
+  void mentioned(long now) {
+    lastMentioned = now;
+  }
+
+  boolean isHeard() {
+    return connection != null && !entry.isEmpty();
+  }
+
+  boolean mayBeForgotten(long now, long afterNanos) {
+    return !seed && connection == null && now - lastMentioned > afterNanos;
+  }
+
+  void close() {
+    closed = true;
+    if (connection != null) {
+      connection.close("stopped");
+    }
+  }
+
+  private void dial() {
+    dialling = true;
+    loop.dial(
+        address,
+        new Incoming(),
+        reason -> {
+          dialling = false;
+          backOff();
+          LOG.log(
+              System.Logger.Level.DEBUG,
+              "event=entry-unreachable entry={0} reason=\"{1}\"",
+              address,
+              reason.getMessage());
+        });
+  }
+
+  private void backOff() {
+    dialAt = loop.now() + backOffNanos / 2 + random.nextLong(backOffNanos);
+    backOffNanos = Math.min(MAX_BACK_OFF_NANOS, backOffNanos * 2);
+  }
+
+  /** Frames of the entry. */
+  private final class Incoming implements LinkListener {
+    @Override
+    public void opened(LinkConnection opened) {
+      dialling = false;
+      if (closed) {
+        opened.close("stopped");
+        return;
+      }
+      connection = opened;
+      listener.opened(EntryLink.this);
+    }
+
+    @Override
+    public void received(LinkConnection from, Frame frame) throws BrokenFrameException {
+      switch (frame.getBodyCase()) {
+        case ANNOUNCE_ACK -> {
+          entry = frame.getAnnounceAck().getEntry();
+          backOffNanos = BACK_OFF_NANOS;
+          listener.acknowledged(EntryLink.this, frame.getAnnounceAck());
+        }
+        case TASK -> listener.task(entry, frame.getTask());
+        default -> throw new BrokenFrameException("unexpected " + frame.getBodyCase());
+      }
+    }
+
+    @Override
+    public void closed(LinkConnection ended, String reason) {
+      if (connection != ended) {
+        return;
+      }
+      connection = null;
+      backOff();
+      listener.lost(EntryLink.this);
+      events.record(
+          Event.of(EventKind.CONNECTION_LOST).withDetail("entry " + address + ": " + reason));
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
@@ -0,0 +1,115 @@
+package io.marigoldsail.daemon.link;
+
+import io.marigoldsail.protocol.Frame;
+import io.netty.channel.Channel;
+import java.util.ArrayDeque;
+
+/**
+ * One connection between two of our processes.
+ *
+ * <p>Confined to the loop's thread, but for {@link #toString}. Frames sent one by one keep their
+ * order. A long body goes by {@link #sendAll}, chunk by chunk as the peer takes them, so that it
+ * neither fills this process's memory nor holds up the small frames of other requests.
+ */
+public final class LinkConnection {
+  private final Channel channel;
+  private final LinkLoop loop;
+  private final String remote;
+  private final ArrayDeque<FrameStream> streams = new ArrayDeque<>();
+  private long lastReceived;
+  private boolean unanswered;
+  private long unansweredSince;
+  private String closeReason = "closed by peer";
+
+  LinkConnection(Channel channel, LinkLoop loop) {
+    this.channel = channel;
+    this.loop = loop;
+    this.remote = String.valueOf(channel.remoteAddress());
+    this.lastReceived = loop.now();
+  }
+
+  /** Sends the frame; without effect on a closed connection. */
+  public void send(Frame frame) {
+    write(frame);
+  }
+
+  /** Sends the frames one after another while the peer takes them. */
+  public void sendAll(FrameStream frames) {
+    if (!channel.isActive()) {
+      frames.ended();
+      return;
+    }
+    streams.add(frames);
+    pump();
+  }
+
+  /** Ends the connection; the listener is told the reason. */
+  public void close(String reason) {
+    if (channel.isOpen()) {
+      closeReason = reason;
+      channel.close();
+    }
+  }
+
+  /** Returns whether frames can be sent. */
+  public boolean isOpen() {
+    return channel.isActive();
+  }
+
+  /** Returns when the last frame was read, in nanoseconds of the loop's clock. */
+  public long lastReceived() {
+    return lastReceived;
+  }
+
+  /** Returns for how long nothing came after something was sent, in nanoseconds; else 0. */
+  public long unansweredNanos(long now) {
+    return unanswered ? now - unansweredSince : 0;
+  }
+
+  /** Takes now for the time of the last frame, after this process was itself frozen. */
+  public void excuseSilence(long now) {
+    lastReceived = now;
+    unansweredSince = now;
+  }
+
+  void touched(long now) {
+    lastReceived = now;
+    unanswered = false;
+  }
+
+  String closeReason() {
+    return closeReason;
+  }
+
+  /** Sends one chunk of each long body in turn until the connection has enough to write. */
+  void pump() {
+    while (!streams.isEmpty() && channel.isActive() && channel.isWritable()) {
+      FrameStream stream = streams.poll();
+      write(stream.next());
+      if (stream.hasNext()) {
+        streams.add(stream);
+      } else {
+        stream.ended();
+      }
+    }
+  }
+
+  private void write(Frame frame) {
+    if (!unanswered) {
+      unanswered = true;
+      unansweredSince = loop.now();
+    }
+    channel.writeAndFlush(frame, channel.voidPromise());
+  }
+
+  void dropStreams() {
+    while (!streams.isEmpty()) {
+      streams.poll().ended();
+    }
+  }
+
+  @Override
+  public String toString() {
+    return remote;
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkHandler.java
@@ -0,0 +1,65 @@
+package io.marigoldsail.daemon.link;
+
+import io.marigoldsail.protocol.Frame;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.io.IOException;
+
+/** Hands frames and the end of one connection to its listener. */
+final class LinkHandler extends SimpleChannelInboundHandler<Frame> {
+  private static final System.Logger LOG = System.getLogger(LinkHandler.class.getName());
+
+  private final LinkLoop loop;
+  private final LinkListener listener;
+  private LinkConnection connection;
+
+  LinkHandler(LinkLoop loop, LinkListener listener) {
+    this.loop = loop;
+    this.listener = listener;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    connection = new LinkConnection(context.channel(), loop);
+    listener.opened(connection);
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Frame frame)
+      throws BrokenFrameException {
+    if (!connection.isOpen()) {
+      return;
+    }
+    connection.touched(loop.now());
+    listener.received(connection, frame);
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    if (connection != null) {
+      connection.pump();
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    if (connection != null) {
+      connection.dropStreams();
+      listener.closed(connection, connection.closeReason());
+    }
+  }
+
+  /** A broken frame costs its own connection and one line in the log, nothing else. */
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    String reason = cause.getClass().getSimpleName() + ": " + cause.getMessage();
+    if (connection != null && connection.isOpen()) {
+      System.Logger.Level level =
+          cause instanceof IOException ? System.Logger.Level.INFO : System.Logger.Level.WARNING;
+      LOG.log(level, "event=link-broken peer={0} reason=\"{1}\"", connection, reason);
+      connection.close(reason);
+      return;
+    }
+    context.close();
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -0,0 +1,131 @@
+package io.marigoldsail.daemon.link;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.time.MonotonicClock;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The one event loop thread of a process on which links are read and requests are decided.
+ *
+ * <p>One thread owns both, so that an answer read from a link is matched, decided on and passed on
+ * without a hop to another thread and without locks. Whatever runs here must not block. The methods
+ * may be called from any thread.
+ */
+public final class LinkLoop implements AutoCloseable {
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int ACCEPT_BACKLOG = 128;
+
+  private final MonotonicClock clock;
+  private final EventLoopGroup group;
+  private final EventLoop loop;
+
+  /**
+   * Starts the thread.
+   *
+   * @param name the thread's name
+   * @param clock the process's monotonic clock
+   */
+  public LinkLoop(String name, MonotonicClock clock) {
+    this.clock = requireNonNull(clock, "clock");
+    this.group =
+        new MultiThreadIoEventLoopGroup(
+            1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
+    this.loop = group.next();
+  }
+
+  /** Returns the process's monotonic clock in nanoseconds. */
+  public long now() {
+    return clock.nanos();
+  }
+
+  /** Runs the task on the loop: at once where the caller is on it, else soon. */
+  public void run(Runnable task) {
+    if (loop.inEventLoop()) {
+      task.run();
+      return;
+    }
+    loop.execute(task);
+  }
+
+  /** Runs the task on the loop, after what runs there now. */
+  public void runLater(Runnable task) {
+    loop.execute(task);
+  }
+
+  /** Runs the task on the loop after the delay. */
+  public Future<?> schedule(Runnable task, long delayNanos) {
+    return loop.schedule(task, delayNanos, TimeUnit.NANOSECONDS);
+  }
+
+  /** Runs the task on the loop again and again, first after one period. */
+  public Future<?> repeat(Runnable task, long periodNanos) {
+    return loop.scheduleWithFixedDelay(task, periodNanos, periodNanos, TimeUnit.NANOSECONDS);
+  }
+
+  /** Returns whether the calling thread is the loop's. */
+  public boolean inLoop() {
+    return loop.inEventLoop();
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @param address where to
+   * @param listener told on the loop when the connection opens, of its frames and of its end
+   * @param failed told on the loop why it could not be opened
+   */
+  public void dial(InetSocketAddress address, LinkListener listener, Consumer<Throwable> failed) {
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(new LinkInitializer(this, listener));
+    bootstrap
+        .connect(address)
+        .addListener(
+            (ChannelFuture connected) -> {
+              if (!connected.isSuccess()) {
+                failed.accept(connected.cause());
+              }
+            });
+  }
+
+  /** Listens on the address; package-private, see {@link LinkServer}. */
+  Channel listen(InetSocketAddress address, LinkInitializer initializer)
+      throws InterruptedException {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(initializer)
+        .bind(address)
+        .sync()
+        .channel();
+  }
+
+  /** Stops the thread; tasks that have not run are dropped. Waits for its end. */
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+}
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/AnswerStart.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/AnswerStart.java
@@ -177,6 +177,21 @@
     return report_ == null ? io.marigoldsail.protocol.TargetReport.getDefaultInstance() : report_;
   }
 
+  public static final int BODY_LENGTH_FIELD_NUMBER = 7;
+  private long bodyLength_ = 0L;
+  /**
+   * <pre>
+   * Length of the whole body; a shorter one is an error, never a short answer.
+   * </pre>
+   *
+   * <code>uint64 body_length = 7;</code>
+   * @return The bodyLength.
+   */
+  @java.lang.Override
+  public long getBodyLength() {
+    return bodyLength_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -209,6 +224,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(6, getReport());
     }
+    if (bodyLength_ != 0L) {
+      output.writeUInt64(7, bodyLength_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -242,6 +260,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, getReport());
     }
+    if (bodyLength_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, bodyLength_);
+    }
     return size;
   }
   @java.lang.Override
@@ -284,6 +306,8 @@
       if (!getReport()
           .equals(other.getReport())) return false;
     }
+    if (getBodyLength()
+        != other.getBodyLength()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -314,6 +338,9 @@
       hash = (37 * hash) + REPORT_FIELD_NUMBER;
       hash = (53 * hash) + getReport().hashCode();
     }
+    hash = (37 * hash) + BODY_LENGTH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBodyLength());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -473,6 +500,7 @@
         reportBuilder_.dispose();
         reportBuilder_ = null;
       }
+      bodyLength_ = 0L;
       return this;
     }
 
@@ -541,6 +569,9 @@
             : reportBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.bodyLength_ = bodyLength_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -597,6 +628,9 @@
       if (other.hasReport()) {
         mergeReport(other.getReport());
       }
+      if (other.getBodyLength() != 0L) {
+        setBodyLength(other.getBodyLength());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -663,6 +697,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 56: {
+              bodyLength_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1248,6 +1287,50 @@
       return reportBuilder_;
     }
 
+    private long bodyLength_ ;
+    /**
+     * <pre>
+     * Length of the whole body; a shorter one is an error, never a short answer.
+     * </pre>
+     *
+     * <code>uint64 body_length = 7;</code>
+     * @return The bodyLength.
+     */
+    @java.lang.Override
+    public long getBodyLength() {
+      return bodyLength_;
+    }
+    /**
+     * <pre>
+     * Length of the whole body; a shorter one is an error, never a short answer.
+     * </pre>
+     *
+     * <code>uint64 body_length = 7;</code>
+     * @param value The bodyLength to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBodyLength(long value) {
+
+      bodyLength_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Length of the whole body; a shorter one is an error, never a short answer.
+     * </pre>
+     *
+     * <code>uint64 body_length = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBodyLength() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      bodyLength_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.AnswerStart)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/AnswerStartOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/AnswerStartOrBuilder.java
@@ -81,4 +81,14 @@
    * <code>.marigoldsail.TargetReport report = 6;</code>
    */
   io.marigoldsail.protocol.TargetReportOrBuilder getReportOrBuilder();
+
+  /**
+   * <pre>
+   * Length of the whole body; a shorter one is an error, never a short answer.
+   * </pre>
+   *
+   * <code>uint64 body_length = 7;</code>
+   * @return The bodyLength.
+   */
+  long getBodyLength();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
@@ -153,38 +153,40 @@
       "ries\030\004 \003(\t\"c\n\014TargetReport\022\r\n\005slots\030\001 \001(" +
       "\r\022\021\n\tin_flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\017\n" +
       "\007leaving\030\004 \001(\010\022\017\n\007entries\030\005 \001(\r\"%\n\006Heade" +
-      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\200\002\n\014Reque" +
+      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\240\002\n\014Reque" +
       "stStart\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Reque" +
       "stId\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n\007he" +
       "aders\030\004 \003(\0132\024.marigoldsail.Header\022\030\n\020rem" +
       "aining_millis\030\005 \001(\004\022\022\n\nidempotent\030\006 \001(\010\022" +
       "\016\n\006caller\030\007 \001(\t\022\027\n\017idempotency_key\030\010 \001(\t" +
       "\022\023\n\013body_length\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014\n\004l" +
-      "ast\030\013 \001(\010\"N\n\013RequestBody\022#\n\002id\030\001 \001(\0132\027.m" +
-      "arigoldsail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004l" +
-      "ast\030\003 \001(\010\"\261\001\n\013AnswerStart\022#\n\002id\030\001 \001(\0132\027." +
-      "marigoldsail.RequestId\022\016\n\006status\030\002 \001(\r\022%" +
-      "\n\007headers\030\003 \003(\0132\024.marigoldsail.Header\022\014\n" +
-      "\004data\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006report\030\006 \001(" +
-      "\0132\032.marigoldsail.TargetReport\"M\n\nAnswerB" +
-      "ody\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId" +
-      "\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\231\001\n\006NotRun\022" +
-      "#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n\n" +
-      "error_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\032\n\022retr" +
-      "y_after_millis\030\004 \001(\004\022*\n\006report\030\005 \001(\0132\032.m" +
-      "arigoldsail.TargetReport\"}\n\006Failed\022#\n\002id" +
-      "\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n\nerror" +
-      "_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022*\n\006report\030\004 " +
-      "\001(\0132\032.marigoldsail.TargetReport\".\n\007Resol" +
-      "ve\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\"" +
-      "\251\001\n\nResolution\022#\n\002id\030\001 \001(\0132\027.marigoldsai" +
-      "l.RequestId\022-\n\005state\030\002 \001(\0162\036.marigoldsai" +
-      "l.Resolution.State\"G\n\005State\022\025\n\021STATE_UNS" +
-      "PECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r\n\t" +
-      "FORGOTTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.mari" +
-      "goldsail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(" +
-      "\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\004B\034\n\030io.marigolds" +
-      "ail.protocolP\001b\006proto3"
+      "ast\030\013 \001(\010\022\r\n\005label\030\014 \001(\t\022\017\n\007sent_at\030\r \001(" +
+      "\020\"N\n\013RequestBody\022#\n\002id\030\001 \001(\0132\027.marigolds" +
+      "ail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(" +
+      "\010\"\306\001\n\013AnswerStart\022#\n\002id\030\001 \001(\0132\027.marigold" +
+      "sail.RequestId\022\016\n\006status\030\002 \001(\r\022%\n\007header" +
+      "s\030\003 \003(\0132\024.marigoldsail.Header\022\014\n\004data\030\004 " +
+      "\001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006report\030\006 \001(\0132\032.mari" +
+      "goldsail.TargetReport\022\023\n\013body_length\030\007 \001" +
+      "(\004\"M\n\nAnswerBody\022#\n\002id\030\001 \001(\0132\027.marigolds" +
+      "ail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(" +
+      "\010\"\231\001\n\006NotRun\022#\n\002id\030\001 \001(\0132\027.marigoldsail." +
+      "RequestId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030" +
+      "\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\004\022*\n\006rep" +
+      "ort\030\005 \001(\0132\032.marigoldsail.TargetReport\"}\n" +
+      "\006Failed\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Reque" +
+      "stId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t" +
+      "\022*\n\006report\030\004 \001(\0132\032.marigoldsail.TargetRe" +
+      "port\"K\n\007Resolve\022#\n\002id\030\001 \001(\0132\027.marigoldsa" +
+      "il.RequestId\022\033\n\023process_incarnation\030\002 \001(" +
+      "\004\"\251\001\n\nResolution\022#\n\002id\030\001 \001(\0132\027.marigolds" +
+      "ail.RequestId\022-\n\005state\030\002 \001(\0162\036.marigolds" +
+      "ail.Resolution.State\"G\n\005State\022\025\n\021STATE_U" +
+      "NSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r" +
+      "\n\tFORGOTTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.ma" +
+      "rigoldsail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 " +
+      "\001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\004B\034\n\030io.marigol" +
+      "dsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -232,7 +234,7 @@
     internal_static_marigoldsail_RequestStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RequestStart_descriptor,
-        new java.lang.String[] { "Id", "Method", "Path", "Headers", "RemainingMillis", "Idempotent", "Caller", "IdempotencyKey", "BodyLength", "Data", "Last", });
+        new java.lang.String[] { "Id", "Method", "Path", "Headers", "RemainingMillis", "Idempotent", "Caller", "IdempotencyKey", "BodyLength", "Data", "Last", "Label", "SentAt", });
     internal_static_marigoldsail_RequestBody_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_marigoldsail_RequestBody_fieldAccessorTable = new
@@ -244,7 +246,7 @@
     internal_static_marigoldsail_AnswerStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_AnswerStart_descriptor,
-        new java.lang.String[] { "Id", "Status", "Headers", "Data", "Last", "Report", });
+        new java.lang.String[] { "Id", "Status", "Headers", "Data", "Last", "Report", "BodyLength", });
     internal_static_marigoldsail_AnswerBody_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_marigoldsail_AnswerBody_fieldAccessorTable = new
@@ -268,7 +270,7 @@
     internal_static_marigoldsail_Resolve_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Resolve_descriptor,
-        new java.lang.String[] { "Id", });
+        new java.lang.String[] { "Id", "ProcessIncarnation", });
     internal_static_marigoldsail_Resolution_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_marigoldsail_Resolution_fieldAccessorTable = new
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RequestStart.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RequestStart.java
@@ -34,6 +34,7 @@
     caller_ = "";
     idempotencyKey_ = "";
     data_ = com.google.protobuf.ByteString.EMPTY;
+    label_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -337,6 +338,69 @@
     return last_;
   }
 
+  public static final int LABEL_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object label_ = "";
+  /**
+   * <pre>
+   * The id that the caller is shown; one for all attempts of a request, for the time line.
+   * </pre>
+   *
+   * <code>string label = 12;</code>
+   * @return The label.
+   */
+  @java.lang.Override
+  public java.lang.String getLabel() {
+    java.lang.Object ref = label_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      label_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The id that the caller is shown; one for all attempts of a request, for the time line.
+   * </pre>
+   *
+   * <code>string label = 12;</code>
+   * @return The bytes for label.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getLabelBytes() {
+    java.lang.Object ref = label_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      label_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int SENT_AT_FIELD_NUMBER = 13;
+  private long sentAt_ = 0L;
+  /**
+   * <pre>
+   * The entry's monotonic clock when this frame was sent, in nanoseconds; only differences between
+   * frames of one connection mean anything.
+   * </pre>
+   *
+   * <code>sfixed64 sent_at = 13;</code>
+   * @return The sentAt.
+   */
+  @java.lang.Override
+  public long getSentAt() {
+    return sentAt_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -384,6 +448,12 @@
     if (last_ != false) {
       output.writeBool(11, last_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(label_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 12, label_);
+    }
+    if (sentAt_ != 0L) {
+      output.writeSFixed64(13, sentAt_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -433,6 +503,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(11, last_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(label_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(12, label_);
+    }
+    if (sentAt_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSFixed64Size(13, sentAt_);
+    }
     return size;
   }
   @java.lang.Override
@@ -482,6 +559,10 @@
         .equals(other.getData())) return false;
     if (getLast()
         != other.getLast()) return false;
+    if (!getLabel()
+        .equals(other.getLabel())) return false;
+    if (getSentAt()
+        != other.getSentAt()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -523,6 +604,11 @@
     hash = (37 * hash) + LAST_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLast());
+    hash = (37 * hash) + LABEL_FIELD_NUMBER;
+    hash = (53 * hash) + getLabel().hashCode();
+    hash = (37 * hash) + SENT_AT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentAt());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -682,6 +768,8 @@
       bodyLength_ = 0L;
       data_ = com.google.protobuf.ByteString.EMPTY;
       last_ = false;
+      label_ = "";
+      sentAt_ = 0L;
       return this;
     }
 
@@ -762,6 +850,12 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.last_ = last_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.label_ = label_;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.sentAt_ = sentAt_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -841,6 +935,14 @@
       if (other.getLast() != false) {
         setLast(other.getLast());
       }
+      if (!other.getLabel().isEmpty()) {
+        label_ = other.label_;
+        bitField0_ |= 0x00000800;
+        onChanged();
+      }
+      if (other.getSentAt() != 0L) {
+        setSentAt(other.getSentAt());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -930,6 +1032,16 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 88
+            case 98: {
+              label_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 98
+            case 105: {
+              sentAt_ = input.readSFixed64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 105
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1760,6 +1872,145 @@
       return this;
     }
 
+    private java.lang.Object label_ = "";
+    /**
+     * <pre>
+     * The id that the caller is shown; one for all attempts of a request, for the time line.
+     * </pre>
+     *
+     * <code>string label = 12;</code>
+     * @return The label.
+     */
+    public java.lang.String getLabel() {
+      java.lang.Object ref = label_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        label_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The id that the caller is shown; one for all attempts of a request, for the time line.
+     * </pre>
+     *
+     * <code>string label = 12;</code>
+     * @return The bytes for label.
+     */
+    public com.google.protobuf.ByteString
+        getLabelBytes() {
+      java.lang.Object ref = label_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        label_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The id that the caller is shown; one for all attempts of a request, for the time line.
+     * </pre>
+     *
+     * <code>string label = 12;</code>
+     * @param value The label to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLabel(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      label_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The id that the caller is shown; one for all attempts of a request, for the time line.
+     * </pre>
+     *
+     * <code>string label = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLabel() {
+      label_ = getDefaultInstance().getLabel();
+      bitField0_ = (bitField0_ & ~0x00000800);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The id that the caller is shown; one for all attempts of a request, for the time line.
+     * </pre>
+     *
+     * <code>string label = 12;</code>
+     * @param value The bytes for label to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLabelBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      label_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+
+    private long sentAt_ ;
+    /**
+     * <pre>
+     * The entry's monotonic clock when this frame was sent, in nanoseconds; only differences between
+     * frames of one connection mean anything.
+     * </pre>
+     *
+     * <code>sfixed64 sent_at = 13;</code>
+     * @return The sentAt.
+     */
+    @java.lang.Override
+    public long getSentAt() {
+      return sentAt_;
+    }
+    /**
+     * <pre>
+     * The entry's monotonic clock when this frame was sent, in nanoseconds; only differences between
+     * frames of one connection mean anything.
+     * </pre>
+     *
+     * <code>sfixed64 sent_at = 13;</code>
+     * @param value The sentAt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentAt(long value) {
+
+      sentAt_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The entry's monotonic clock when this frame was sent, in nanoseconds; only differences between
+     * frames of one connection mean anything.
+     * </pre>
+     *
+     * <code>sfixed64 sent_at = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentAt() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      sentAt_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.RequestStart)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RequestStartOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RequestStartOrBuilder.java
@@ -130,4 +130,35 @@
    * @return The last.
    */
   boolean getLast();
+
+  /**
+   * <pre>
+   * The id that the caller is shown; one for all attempts of a request, for the time line.
+   * </pre>
+   *
+   * <code>string label = 12;</code>
+   * @return The label.
+   */
+  java.lang.String getLabel();
+  /**
+   * <pre>
+   * The id that the caller is shown; one for all attempts of a request, for the time line.
+   * </pre>
+   *
+   * <code>string label = 12;</code>
+   * @return The bytes for label.
+   */
+  com.google.protobuf.ByteString
+      getLabelBytes();
+
+  /**
+   * <pre>
+   * The entry's monotonic clock when this frame was sent, in nanoseconds; only differences between
+   * frames of one connection mean anything.
+   * </pre>
+   *
+   * <code>sfixed64 sent_at = 13;</code>
+   * @return The sentAt.
+   */
+  long getSentAt();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Resolve.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Resolve.java
@@ -79,6 +79,21 @@
     return id_ == null ? io.marigoldsail.protocol.RequestId.getDefaultInstance() : id_;
   }
 
+  public static final int PROCESS_INCARNATION_FIELD_NUMBER = 2;
+  private long processIncarnation_ = 0L;
+  /**
+   * <pre>
+   * The side process that the request was sent to; another one knows nothing of it.
+   * </pre>
+   *
+   * <code>uint64 process_incarnation = 2;</code>
+   * @return The processIncarnation.
+   */
+  @java.lang.Override
+  public long getProcessIncarnation() {
+    return processIncarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -96,6 +111,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(1, getId());
     }
+    if (processIncarnation_ != 0L) {
+      output.writeUInt64(2, processIncarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -104,6 +122,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(1, getId());
     }
+    if (processIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(2, processIncarnation_);
+    }
     return size;
   }
   @java.lang.Override
@@ -133,6 +155,8 @@
       if (!getId()
           .equals(other.getId())) return false;
     }
+    if (getProcessIncarnation()
+        != other.getProcessIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -148,6 +172,9 @@
       hash = (37 * hash) + ID_FIELD_NUMBER;
       hash = (53 * hash) + getId().hashCode();
     }
+    hash = (37 * hash) + PROCESS_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getProcessIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -294,6 +321,7 @@
         idBuilder_.dispose();
         idBuilder_ = null;
       }
+      processIncarnation_ = 0L;
       return this;
     }
 
@@ -334,6 +362,9 @@
             : idBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.processIncarnation_ = processIncarnation_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -352,6 +383,9 @@
       if (other.hasId()) {
         mergeId(other.getId());
       }
+      if (other.getProcessIncarnation() != 0L) {
+        setProcessIncarnation(other.getProcessIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -383,6 +417,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
+            case 16: {
+              processIncarnation_ = input.readUInt64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -519,6 +558,50 @@
       return idBuilder_;
     }
 
+    private long processIncarnation_ ;
+    /**
+     * <pre>
+     * The side process that the request was sent to; another one knows nothing of it.
+     * </pre>
+     *
+     * <code>uint64 process_incarnation = 2;</code>
+     * @return The processIncarnation.
+     */
+    @java.lang.Override
+    public long getProcessIncarnation() {
+      return processIncarnation_;
+    }
+    /**
+     * <pre>
+     * The side process that the request was sent to; another one knows nothing of it.
+     * </pre>
+     *
+     * <code>uint64 process_incarnation = 2;</code>
+     * @param value The processIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProcessIncarnation(long value) {
+
+      processIncarnation_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The side process that the request was sent to; another one knows nothing of it.
+     * </pre>
+     *
+     * <code>uint64 process_incarnation = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProcessIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      processIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.Resolve)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/ResolveOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/ResolveOrBuilder.java
@@ -24,4 +24,14 @@
    * <code>.marigoldsail.RequestId id = 1;</code>
    */
   io.marigoldsail.protocol.RequestIdOrBuilder getIdOrBuilder();
+
+  /**
+   * <pre>
+   * The side process that the request was sent to; another one knows nothing of it.
+   * </pre>
+   *
+   * <code>uint64 process_incarnation = 2;</code>
+   * @return The processIncarnation.
+   */
+  long getProcessIncarnation();
 }
