--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/FakeLogService.java
@@ -0,0 +1,210 @@
+package io.marigoldsail.testlib.platform;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.log.LogPage;
+import io.marigoldsail.log.LogRecord;
+import io.marigoldsail.log.LogService;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * A log service in memory that fails as it is told.
+ *
+ * <p>Safe for any thread; blocks the calling one. Real time passes only where a read waits, where
+ * {@code slowMillis} is set, and under {@code appendsPerSecond}. Rejects nulls.
+ */
+public final class FakeLogService implements LogService {
+  /** What was asked of the service so far, for tests that weigh its load. */
+  public record Counts(long appends, long appendedBytes, long reads, long readBytes) {}
+
+  private static final class Stream {
+    private final List<byte[]> records = new ArrayList<>();
+    private long firstOffset;
+
+    private long nextOffset() {
+      return firstOffset + records.size();
+    }
+  }
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Condition changed = lock.newCondition();
+  private final Map<String, Stream> streams = new HashMap<>();
+  private LogFaults faults = LogFaults.none();
+  private long nextAppendAt;
+  private Counts counts = new Counts(0, 0, 0, 0);
+
+  /** Creates an empty service in good health. */
+  public FakeLogService() {
+    this.nextAppendAt = System.nanoTime();
+  }
+
+  /** Returns what the service does wrong just now. */
+  public LogFaults faults() {
+    lock.lock();
+    try {
+      return faults;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Replaces what the service does wrong; readers that wait notice at once. */
+  public void setFaults(LogFaults newFaults) {
+    requireNonNull(newFaults, "newFaults");
+    lock.lock();
+    try {
+      faults = newFaults;
+      streams.values().forEach(this::expire);
+      changed.signalAll();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns what was asked of the service so far. */
+  public Counts counts() {
+    lock.lock();
+    try {
+      return counts;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Returns the offset that the stream's next append gets, whatever the faults. */
+  public long nextOffset(String stream) {
+    lock.lock();
+    try {
+      return stream(stream).nextOffset();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  @Override
+  public Result<Long> append(String stream, byte[] record) {
+    requireNonNull(stream, "stream");
+    requireNonNull(record, "record");
+    lock.lock();
+    try {
+      pauseAsFaultsSay(true);
+      if (faults.down()) {
+        return Result.failed(ErrorKind.LOG_UNAVAILABLE, "log service is down");
+      }
+      long offset = store(stream, record);
+      if (faults.doubleAppends() != 0) {
+        store(stream, record);
+        faults = faults.withDoubleAppends(countDown(faults.doubleAppends()));
+      }
+      changed.signalAll();
+      if (faults.loseAnswers() != 0) {
+        faults = faults.withLoseAnswers(countDown(faults.loseAnswers()));
+        return Result.failed(ErrorKind.LOG_OUTCOME_UNKNOWN, "answer to append lost");
+      }
+      return Result.ok(offset);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Result.failed(ErrorKind.LOG_UNAVAILABLE, "interrupted");
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  @Override
+  public Result<LogPage> read(String stream, long fromOffset, int maxRecords, long waitMillis) {
+    requireNonNull(stream, "stream");
+    checkArgument(maxRecords > 0, "maxRecords is not positive: %s", maxRecords);
+    lock.lock();
+    try {
+      pauseAsFaultsSay(false);
+      long left = TimeUnit.MILLISECONDS.toNanos(waitMillis);
+      while (!faults.down() && fromOffset >= visibleEnd(stream(stream)) && left > 0) {
+        left = changed.awaitNanos(left);
+      }
+      if (faults.down()) {
+        return Result.failed(ErrorKind.LOG_UNAVAILABLE, "log service is down");
+      }
+      return Result.ok(page(stream(stream), fromOffset, maxRecords));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Result.failed(ErrorKind.LOG_UNAVAILABLE, "interrupted");
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private LogPage page(Stream stream, long fromOffset, int maxRecords) {
+    long end = visibleEnd(stream);
+    long offset = Math.max(fromOffset, stream.firstOffset);
+    List<LogRecord> found = new ArrayList<>();
+    long bytes = 0;
+    while (offset < end && found.size() < maxRecords) {
+      byte[] record = stream.records.get((int) (offset - stream.firstOffset));
+      found.add(new LogRecord(offset, record));
+      bytes += record.length;
+      offset++;
+    }
+    counts =
+        new Counts(
+            counts.appends(), counts.appendedBytes(), counts.reads() + 1, counts.readBytes + bytes);
+    return new LogPage(found, stream.firstOffset, end);
+  }
+
+  private long store(String name, byte[] record) {
+    Stream stream = stream(name);
+    long offset = stream.nextOffset();
+    stream.records.add(record.clone());
+    expire(stream);
+    counts =
+        new Counts(
+            counts.appends() + 1,
+            counts.appendedBytes() + record.length,
+            counts.reads(),
+            counts.readBytes());
+    return offset;
+  }
+
+  private void expire(Stream stream) {
+    int excess = stream.records.size() - faults.retainedRecords();
+    if (faults.retainedRecords() > 0 && excess > 0) {
+      stream.records.subList(0, excess).clear();
+      stream.firstOffset += excess;
+    }
+  }
+
+  private Stream stream(String name) {
+    return streams.computeIfAbsent(name, unused -> new Stream());
+  }
+
+  private long visibleEnd(Stream stream) {
+    return Math.max(stream.firstOffset, stream.nextOffset() - faults.staleRecords());
+  }
+
+  private void pauseAsFaultsSay(boolean append) throws InterruptedException {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faults.slowMillis());
+    if (append && faults.appendsPerSecond() > 0) {
+      nextAppendAt =
+          Math.max(nextAppendAt, System.nanoTime())
+              + TimeUnit.SECONDS.toNanos(1) / faults.appendsPerSecond();
+      until = Math.max(until, nextAppendAt);
+    }
+    LogFaults asked = faults;
+    long left = until - System.nanoTime();
+    while (left > 0 && faults.slowMillis() == asked.slowMillis()) {
+      left = changed.awaitNanos(left);
+    }
+  }
+
+  private static int countDown(int count) {
+    return count < 0 ? count : count - 1;
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/StandInLogService.java
@@ -0,0 +1,158 @@
+package io.marigoldsail.testlib.platform;
+
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.log.LogPage;
+import io.marigoldsail.log.LogRecord;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+
+/**
+ * A log service over HTTP, for tests and demonstrations.
+ *
+ * <ul>
+ *   <li>{@code POST /streams/NAME/records} appends the body and answers {@code {"offset": N}};
+ *   <li>{@code GET /streams/NAME/records?from=N&max=N&waitMillis=N} reads;
+ *   <li>{@code POST /admin/faults} changes {@link LogFaults}, {@code GET /admin/faults} shows them;
+ *   <li>{@code GET /admin/counts} tells what was asked of it.
+ * </ul>
+ *
+ * <p>A refusal is a 503 and had no effect; a lost answer is a connection cut after the effect.
+ */
+public final class StandInLogService implements AutoCloseable {
+  /** A record as it travels; Jackson writes the bytes in Base64. */
+  @SuppressWarnings("ArrayRecordComponent") // only ever written out
+  private record WireRecord(long offset, byte[] bytes) {}
+
+  private record WirePage(List<WireRecord> records, long firstOffset, long nextOffset) {}
+
+  private static final String PATH_START = "/streams/";
+  private static final String PATH_END = "/records";
+  private static final int MAX_RECORD_BYTES = 1 << 20;
+  private static final int MAX_THREADS = 256;
+  private static final int DEFAULT_PAGE = 100;
+
+  private final FakeLogService log;
+  private final StandInServer server;
+
+  /**
+   * Creates a log service that is not started yet.
+   *
+   * @param host the IP number to listen on
+   * @param port the port, or 0 for a free one
+   */
+  public StandInLogService(String host, int port) {
+    this.log = new FakeLogService();
+    this.server = new StandInServer(host, port, MAX_THREADS, new Answers());
+  }
+
+  /** Starts to listen and returns this. */
+  public StandInLogService start() {
+    server.start();
+    return this;
+  }
+
+  /** Returns the address to reach it at, such as {@code http://127.0.0.1:7000}. */
+  public String address() {
+    return server.address();
+  }
+
+  /** Returns the log in memory, to set its faults and to look at its records. */
+  public FakeLogService log() {
+    return log;
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+
+  private final class Answers extends Handler.Abstract {
+    @Override
+    public boolean handle(Request request, Response response, Callback callback)
+        throws IOException {
+      String path = Request.getPathInContext(request);
+      if (path.equals("/admin/faults")) {
+        return faults(request, response, callback);
+      }
+      if (path.equals("/admin/counts")) {
+        return StandInServer.answer(response, callback, 200, log.counts());
+      }
+      if (path.startsWith(PATH_START) && path.endsWith(PATH_END)) {
+        String stream =
+            path.substring(PATH_START.length(), Math.max(PATH_START.length(), path.length() - 8));
+        return request.getMethod().equals("POST")
+            ? append(stream, request, response, callback)
+            : read(stream, request, response, callback);
+      }
+      return StandInServer.refuse(response, callback, 404, "no such path: " + path);
+    }
+
+    private boolean faults(Request request, Response response, Callback callback) {
+      if (request.getMethod().equals("POST")) {
+        try {
+          log.setFaults(StandInServer.update(log.faults(), LogFaults.class, request));
+        } catch (IOException e) {
+          return StandInServer.refuse(response, callback, 400, e.getMessage());
+        }
+      }
+      return StandInServer.answer(response, callback, 200, log.faults());
+    }
+
+    private boolean append(String stream, Request request, Response response, Callback callback)
+        throws IOException {
+      ByteBuffer body = Content.Source.asByteBuffer(request);
+      if (body.remaining() > MAX_RECORD_BYTES) {
+        return StandInServer.refuse(response, callback, 413, "record too large");
+      }
+      byte[] record = new byte[body.remaining()];
+      body.get(record);
+      Result<Long> result = log.append(stream, record);
+      if (result instanceof Result.Failed<Long> failed) {
+        return failed.failure().kind() == ErrorKind.LOG_OUTCOME_UNKNOWN
+            ? StandInServer.cut(request, callback)
+            : StandInServer.refuse(response, callback, 503, failed.failure().detail());
+      }
+      return StandInServer.answer(
+          response,
+          callback,
+          200,
+          StandInServer.JSON.createObjectNode().put("offset", result.value()));
+    }
+
+    private boolean read(String stream, Request request, Response response, Callback callback) {
+      Fields query = Request.extractQueryParameters(request);
+      long from;
+      int max;
+      long wait;
+      try {
+        from = Long.parseLong(query.getValue("from"));
+        max = query.get("max") == null ? DEFAULT_PAGE : Integer.parseInt(query.getValue("max"));
+        wait = query.get("waitMillis") == null ? 0 : Long.parseLong(query.getValue("waitMillis"));
+      } catch (NumberFormatException e) {
+        return StandInServer.refuse(response, callback, 400, "bad query: " + e.getMessage());
+      }
+      Result<LogPage> result = log.read(stream, from, Math.max(1, max), wait);
+      if (result instanceof Result.Failed<LogPage> failed) {
+        return StandInServer.refuse(response, callback, 503, failed.failure().detail());
+      }
+      return StandInServer.answer(response, callback, 200, wire(result.value()));
+    }
+
+    private WirePage wire(LogPage page) {
+      List<WireRecord> records = new ArrayList<>();
+      for (LogRecord record : page.records()) {
+        records.add(new WireRecord(record.offset(), record.bytes()));
+      }
+      return new WirePage(records, page.firstOffset(), page.nextOffset());
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/StandInServer.java
@@ -0,0 +1,106 @@
+package io.marigoldsail.testlib.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** The HTTP server under a stand-in, with the little JSON that stand-ins speak. */
+final class StandInServer implements AutoCloseable {
+  static final ObjectMapper JSON = new ObjectMapper();
+  private static final int LEAST_THREADS = 8;
+
+  private final Server server;
+  private final ServerConnector connector;
+  private final String host;
+
+  StandInServer(String host, int port, int maxThreads, Handler handler) {
+    this.host = host;
+    QueuedThreadPool threads = new QueuedThreadPool(maxThreads, LEAST_THREADS);
+    threads.setDaemon(true);
+    this.server = new Server(threads);
+    HttpConfiguration http = new HttpConfiguration();
+    http.setSendServerVersion(false);
+    this.connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
+    connector.setHost(host);
+    connector.setPort(port);
+    server.addConnector(connector);
+    server.setHandler(handler);
+  }
+
+  Server server() {
+    return server;
+  }
+
+  void start() {
+    try {
+      server.start();
+    } catch (Exception e) {
+      throw new IllegalStateException("stand-in cannot listen: " + e.getMessage(), e);
+    }
+  }
+
+  String address() {
+    return "http://" + host + ":" + connector.getLocalPort();
+  }
+
+  @Override
+  public void close() {
+    try {
+      server.stop();
+    } catch (Exception e) {
+      throw new IllegalStateException("stand-in cannot stop: " + e.getMessage(), e);
+    }
+  }
+
+  /** Answers with a value as JSON. */
+  static boolean answer(Response response, Callback callback, int status, Object value) {
+    byte[] bytes;
+    try {
+      bytes = JSON.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("no JSON: " + e.getMessage(), e);
+    }
+    response.setStatus(status);
+    response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+    response.write(true, ByteBuffer.wrap(bytes), callback);
+    return true;
+  }
+
+  /** Answers with an error status and one sentence. */
+  static boolean refuse(Response response, Callback callback, int status, String detail) {
+    return answer(response, callback, status, JSON.createObjectNode().put("detail", detail));
+  }
+
+  /** Cuts the connection without an answer. */
+  static boolean cut(Request request, Callback callback) {
+    request.getConnectionMetaData().getConnection().getEndPoint().close();
+    callback.failed(new IOException("cut on purpose"));
+    return true;
+  }
+
+  /**
+   * Returns a value with the fields that the request's body names replaced.
+   *
+   * @throws IOException if the body is no JSON object with only known fields of the right types
+   */
+  static <T> T update(T value, Class<T> type, Request request) throws IOException {
+    String body = Content.Source.asString(request, StandardCharsets.UTF_8);
+    JsonNode present = JSON.valueToTree(value);
+    JsonNode merged = JSON.readerForUpdating(present).readValue(body);
+    return JSON.treeToValue(merged, type);
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/TargetRecord.java
@@ -0,0 +1,58 @@
+package io.marigoldsail.testlib.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A target's own, bounded record of what it ran. Safe for any thread.
+ *
+ * <p>When full it counts instead of keeping, so that a checker sees that it cannot judge.
+ */
+final class TargetRecord {
+  /** What a checker reads. */
+  record Contents(List<TargetRun> runs, long notKept, int mostAtOnce) {}
+
+  private final int capacity;
+  private final List<TargetRun> runs = new ArrayList<>();
+  private long notKept;
+  private int running;
+  private int mostAtOnce;
+
+  TargetRecord(int capacity) {
+    this.capacity = capacity;
+  }
+
+  /** Keeps the start of a run and returns its index for {@link #ended}, or -1. */
+  synchronized int started(TargetRun run) {
+    running++;
+    mostAtOnce = Math.max(mostAtOnce, running);
+    if (runs.size() == capacity) {
+      notKept++;
+      return -1;
+    }
+    runs.add(run);
+    return runs.size() - 1;
+  }
+
+  synchronized void ended(int index, long atMillis) {
+    running--;
+    if (index < 0 || index >= runs.size()) {
+      return;
+    }
+    TargetRun run = runs.get(index);
+    runs.set(
+        index,
+        new TargetRun(
+            run.target(),
+            run.requestId(),
+            run.idempotencyKey(),
+            run.method(),
+            run.path(),
+            run.startMillis(),
+            atMillis));
+  }
+
+  synchronized Contents contents() {
+    return new Contents(List.copyOf(runs), notKept, mostAtOnce);
+  }
+}
