Define the worker as tasks meet it

A worker enforces leases by itself. Deadlines are readings of the worker's own clock, not spans: a span sent late by a frozen side process would start anew on arrival and outlive the evidence that it rests on. Weighed: spans in milliseconds (simpler, unsafe), the VM's wall clock (may jump).

--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/lease/WorkerBoot.java
@@ -0,0 +1,22 @@
+package io.marigoldsail.lease;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.job.Sizes;
+
+/**
+ * One boot of a worker.
+ *
+ * <p>Immutable. Rejects nulls.
+ *
+ * @param incarnation identifies the boot; a new boot runs nothing of an earlier one
+ * @param capacity what tasks may use in all
+ * @param clockMillis the worker's clock when it answered, in milliseconds from any origin; steady
+ *     within a boot
+ */
+public record WorkerBoot(long incarnation, Sizes capacity, long clockMillis) {
+  /** Checks the components. */
+  public WorkerBoot {
+    requireNonNull(capacity, "capacity");
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/lease/WorkerStart.java
@@ -0,0 +1,47 @@
+package io.marigoldsail.lease;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.job.Sizes;
+
+/**
+ * What a worker is told to run.
+ *
+ * <p>Immutable. Rejects nulls.
+ *
+ * @param task the task's name, such as {@code payout/3}
+ * @param attempt the attempt, from 1
+ * @param token the fencing token: the log offset of the accepted claim
+ * @param leaseDeadlineMillis when the worker stops the attempt by itself, a reading of its clock
+ * @param sizes what the attempt may use
+ * @param command what to run, opaque to this system
+ * @param checkpoint the checkpoint to resume from, or empty for a fresh start
+ * @param checkpointIntervalMillis how often the task writes a checkpoint by itself, in
+ *     milliseconds; 0 for never
+ * @param runMillis the declared run time in milliseconds; often far off
+ */
+public record WorkerStart(
+    String task,
+    int attempt,
+    long token,
+    long leaseDeadlineMillis,
+    Sizes sizes,
+    String command,
+    String checkpoint,
+    long checkpointIntervalMillis,
+    long runMillis) {
+  /** Checks the components. */
+  public WorkerStart {
+    requireNonNull(task, "task");
+    checkArgument(attempt > 0, "attempt is not positive: %s", attempt);
+    requireNonNull(sizes, "sizes");
+    requireNonNull(command, "command");
+    requireNonNull(checkpoint, "checkpoint");
+    checkArgument(
+        checkpointIntervalMillis >= 0,
+        "checkpointIntervalMillis is negative: %s",
+        checkpointIntervalMillis);
+    checkArgument(runMillis >= 0, "runMillis is negative: %s", runMillis);
+  }
+}
