--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
@@ -0,0 +1,141 @@
+package io.marigoldsail.daemon.platform;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/**
+ * Sends one request at a time to the platform and tells a lost answer from one never asked for.
+ *
+ * <p>Safe for any thread; blocks the calling one until the answer, at most the given time. A
+ * connection whose answer does not come in time is closed, so that the next request opens a new
+ * one: the platform's middle boxes forget connections silently.
+ */
+public final class PlatformClient implements AutoCloseable {
+  /** How an exchange ended. */
+  sealed interface Exchange permits Answered, NeverSent, AnswerLost, AnswerTooLong {}
+
+  /** A whole answer. */
+  record Answered(int status, byte[] body) implements Exchange {}
+
+  /** No byte of the request left this process. */
+  record NeverSent(String detail) implements Exchange {}
+
+  /** The request may have taken effect; its answer did not come, or not whole. */
+  record AnswerLost(String detail) implements Exchange {}
+
+  /** An answer came and was longer than allowed. */
+  record AnswerTooLong(int maxBytes) implements Exchange {}
+
+  private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final long GRACE_MILLIS = 500;
+  private static final int CONNECTIONS = 16;
+  private static final int MAX_THREADS = 12;
+  private static final int MIN_THREADS = 2;
+  private static final int QUEUED = 64;
+
+  private final HttpClient client;
+
+  private PlatformClient(HttpClient client) {
+    this.client = client;
+  }
+
+  /**
+   * Returns a started client.
+   *
+   * @param name the start of its threads' names
+   * @throws IllegalStateException if it cannot start
+   */
+  public static PlatformClient start(String name) {
+    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+    threads.setName(requireNonNull(name, "name"));
+    threads.setDaemon(true);
+    ClientConnector connector = new ClientConnector();
+    connector.setSelectors(1);
+    connector.setExecutor(threads);
+    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+    client.setMaxConnectionsPerDestination(CONNECTIONS);
+    client.setMaxRequestsQueuedPerDestination(QUEUED);
+    client.setFollowRedirects(false);
+    try {
+      client.start();
+    } catch (Exception e) {
+      throw new IllegalStateException("platform client cannot start: " + e.getMessage(), e);
+    }
+    client.getContentDecoderFactories().clear();
+    return new PlatformClient(client);
+  }
+
+  Exchange get(String uri, int maxAnswerBytes, long timeoutMillis) {
+    return exchange(client.newRequest(uri), maxAnswerBytes, timeoutMillis);
+  }
+
+  Exchange post(String uri, String type, byte[] body, int maxAnswerBytes, long timeoutMillis) {
+    Request request =
+        client.newRequest(uri).method(HttpMethod.POST).body(new BytesRequestContent(type, body));
+    return exchange(request, maxAnswerBytes, timeoutMillis);
+  }
+
+  private static Exchange exchange(Request request, int maxAnswerBytes, long timeoutMillis) {
+    checkArgument(timeoutMillis > 0, "timeoutMillis is not positive: %s", timeoutMillis);
+    // Begin is called before the first byte is written. Without it a refused or timed out
+    // connection would count as an unknown outcome, and callers would have to look it up.
+    AtomicBoolean begun = new AtomicBoolean();
+    request.onRequestBegin(begins -> begun.set(true));
+    request.timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    CompletableFuture<ContentResponse> sent =
+        new CompletableResponseListener(request, maxAnswerBytes).send();
+    try {
+      ContentResponse response = sent.get(timeoutMillis + GRACE_MILLIS, TimeUnit.MILLISECONDS);
+      return new Answered(response.getStatus(), response.getContent());
+    } catch (ExecutionException e) {
+      return failed(begun.get(), e.getCause(), maxAnswerBytes);
+    } catch (TimeoutException e) {
+      request.abort(e);
+      return failed(begun.get(), e, maxAnswerBytes);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      request.abort(e);
+      return failed(begun.get(), e, maxAnswerBytes);
+    }
+  }
+
+  private static Exchange failed(boolean begun, Throwable cause, int maxAnswerBytes) {
+    if (!begun) {
+      return new NeverSent(describe(cause));
+    }
+    // Jetty tells of an answer beyond the buffer with this exception and no other here.
+    if (cause instanceof IllegalArgumentException) {
+      return new AnswerTooLong(maxAnswerBytes);
+    }
+    return new AnswerLost(describe(cause));
+  }
+
+  private static String describe(Throwable cause) {
+    return cause.getClass().getSimpleName() + ": " + cause.getMessage();
+  }
+
+  @Override
+  public void close() {
+    try {
+      client.stop();
+    } catch (Exception e) {
+      throw new IllegalStateException("platform client cannot stop: " + e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/FakeWorker.java
@@ -0,0 +1,269 @@
+package io.marigoldsail.testlib.platform;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.lease.UsageSample;
+import io.marigoldsail.lease.Worker;
+import io.marigoldsail.lease.WorkerBoot;
+import io.marigoldsail.lease.WorkerListing;
+import io.marigoldsail.lease.WorkerStart;
+import io.marigoldsail.lease.WorkerTask;
+import io.marigoldsail.lease.WorkerTask.State;
+import io.marigoldsail.time.WallClock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * A worker in memory that enforces leases by its own clock and fails as it is told.
+ *
+ * <p>Nothing moves between calls: each call first lets the time pass that its clock shows, so that
+ * ends carry the time at which they were due. Safe for any thread. Rejects nulls.
+ */
+public final class FakeWorker implements Worker {
+  private static final long SAMPLE_MILLIS = 1_000;
+  private static final long SAMPLE_TOLD_MILLIS = 10_000;
+
+  private record LateSample(UsageSample sample, long toldFrom) {}
+
+  private final String name;
+  private final Sizes capacity;
+  private final WallClock clock;
+  private final Map<String, Long> highestTokens = new HashMap<>();
+  private final Map<String, FakeAttempt> attempts = new LinkedHashMap<>();
+  private final List<WorkerRun> runsOfOldBoots = new ArrayList<>();
+  private final List<LateSample> samples = new ArrayList<>();
+  private WorkerFaults faults = WorkerFaults.none();
+  private long incarnation = 1;
+  private long askedOverCapacity;
+
+  /**
+   * Creates a worker that runs nothing.
+   *
+   * @param name its name in its record
+   * @param capacity what tasks may use in all
+   * @param clock its clock, steady, in milliseconds
+   */
+  public FakeWorker(String name, Sizes capacity, WallClock clock) {
+    this.name = requireNonNull(name, "name");
+    this.capacity = requireNonNull(capacity, "capacity");
+    this.clock = requireNonNull(clock, "clock");
+  }
+
+  /** Returns what it does wrong just now. */
+  public synchronized WorkerFaults faults() {
+    return faults;
+  }
+
+  /** Replaces what it does wrong from now on. */
+  public synchronized void setFaults(WorkerFaults newFaults) {
+    advance();
+    faults = requireNonNull(newFaults, "newFaults");
+  }
+
+  /** Boots anew: whatever ran has ended, and the new incarnation has not heard of it. */
+  public synchronized void reboot() {
+    long now = advance();
+    for (FakeAttempt attempt : attempts.values()) {
+      if (attempt.describe().running()) {
+        attempt.end(State.FAILED, "worker rebooted", now);
+      }
+      runsOfOldBoots.add(attempt.run(name, incarnation));
+    }
+    attempts.clear();
+    samples.clear();
+    incarnation++;
+  }
+
+  /** Returns every attempt it ever ran, those of one boot in the order of starting. */
+  public synchronized List<WorkerRun> runs() {
+    advance();
+    List<WorkerRun> runs = new ArrayList<>(runsOfOldBoots);
+    attempts.values().forEach(attempt -> runs.add(attempt.run(name, incarnation)));
+    return runs;
+  }
+
+  /** Returns how many starts it refused because they would have exceeded what it has. */
+  public synchronized long askedOverCapacity() {
+    return askedOverCapacity;
+  }
+
+  @Override
+  public synchronized Result<WorkerBoot> boot() {
+    return answer(() -> Result.ok(describeBoot()));
+  }
+
+  @Override
+  public synchronized Result<WorkerTask> start(WorkerStart start) {
+    requireNonNull(start, "start");
+    return answer(() -> startNow(start));
+  }
+
+  private Result<WorkerTask> startNow(WorkerStart start) {
+    FakeAttempt known = attempts.get(key(start.task(), start.token()));
+    if (known != null) {
+      return Result.ok(known.describe());
+    }
+    long now = clock.millis();
+    if (highestTokens.getOrDefault(start.task(), -1L) >= start.token()) {
+      return Result.failed(ErrorKind.CONFLICT, "a token not below " + start.token() + " was seen");
+    }
+    if (start.leaseDeadlineMillis() <= now) {
+      return Result.failed(ErrorKind.CONFLICT, "the lease deadline has passed");
+    }
+    if (!used().plus(start.sizes()).fitsIn(capacity)) {
+      askedOverCapacity++;
+      return Result.failed(ErrorKind.CONFLICT, "no room for " + start.sizes());
+    }
+    highestTokens.put(start.task(), start.token());
+    for (FakeAttempt older : attempts.values()) {
+      if (older.describe().running() && older.describe().task().equals(start.task())) {
+        older.end(State.STOPPED, "superseded by token " + start.token(), now);
+      }
+    }
+    FakeAttempt attempt = new FakeAttempt(start, now);
+    if (faults.failEverything()) {
+      attempt.end(State.FAILED, "this worker fails everything", now);
+    }
+    attempts.put(key(start.task(), start.token()), attempt);
+    return Result.ok(attempt.describe());
+  }
+
+  @Override
+  public synchronized Result<WorkerTask> renew(String task, long token, long leaseDeadlineMillis) {
+    return answer(
+        () -> {
+          FakeAttempt attempt = attempts.get(key(task, token));
+          if (attempt == null || !attempt.describe().running()) {
+            return Result.failed(ErrorKind.NOT_FOUND, "no such attempt runs: " + key(task, token));
+          }
+          if (leaseDeadlineMillis <= clock.millis()) {
+            return Result.failed(ErrorKind.CONFLICT, "the lease deadline has passed");
+          }
+          attempt.renew(leaseDeadlineMillis);
+          return Result.ok(attempt.describe());
+        });
+  }
+
+  @Override
+  public synchronized Result<WorkerTask> throttle(String task, long token, int percent) {
+    if (percent < 1 || percent > 100) {
+      return Result.failed(ErrorKind.BAD_REQUEST, "percent is not in 1..100: " + percent);
+    }
+    return ofRunning(task, token, attempt -> attempt.throttle(percent));
+  }
+
+  @Override
+  public synchronized Result<WorkerTask> checkpoint(String task, long token) {
+    return ofRunning(task, token, FakeAttempt::checkpointNow);
+  }
+
+  private Result<WorkerTask> ofRunning(String task, long token, Consumer<FakeAttempt> change) {
+    return answer(
+        () -> {
+          FakeAttempt attempt = attempts.get(key(task, token));
+          if (attempt == null || !attempt.describe().running()) {
+            return Result.failed(ErrorKind.NOT_FOUND, "no such attempt runs: " + key(task, token));
+          }
+          change.accept(attempt);
+          return Result.ok(attempt.describe());
+        });
+  }
+
+  @Override
+  public synchronized Result<WorkerTask> stop(String task, long token) {
+    requireNonNull(task, "task");
+    return answer(
+        () -> {
+          highestTokens.merge(task, token, Math::max);
+          FakeAttempt attempt = attempts.get(key(task, token));
+          if (attempt == null) {
+            return Result.ok(
+                new WorkerTask(task, 1, token, State.STOPPED, Sizes.NONE, "", "never started"));
+          }
+          if (attempt.describe().running()) {
+            attempt.end(State.STOPPED, "told to stop", clock.millis());
+          }
+          return Result.ok(attempt.describe());
+        });
+  }
+
+  @Override
+  public synchronized Result<WorkerListing> list() {
+    return answer(
+        () ->
+            Result.ok(
+                new WorkerListing(
+                    describeBoot(),
+                    attempts.values().stream().map(FakeAttempt::describe).toList())));
+  }
+
+  @Override
+  public synchronized Result<List<UsageSample>> usage() {
+    return answer(
+        () -> {
+          long now = clock.millis();
+          samples.removeIf(late -> late.toldFrom() + SAMPLE_TOLD_MILLIS < now);
+          return Result.ok(
+              samples.stream()
+                  .filter(late -> late.toldFrom() <= now)
+                  .map(LateSample::sample)
+                  .toList());
+        });
+  }
+
+  private <T> Result<T> answer(Supplier<Result<T>> call) {
+    if (faults.down()) {
+      return Result.failed(ErrorKind.TARGET_UNREACHABLE, "worker is down");
+    }
+    advance();
+    Result<T> result = call.get();
+    if (faults.loseAnswers() != 0) {
+      int left = faults.loseAnswers() < 0 ? -1 : faults.loseAnswers() - 1;
+      faults = faults.withLoseAnswers(left);
+      return Result.failed(ErrorKind.OUTCOME_UNKNOWN, "answer of worker lost");
+    }
+    return result;
+  }
+
+  private long advance() {
+    long now = clock.millis();
+    double noise = faults.slowdown();
+    for (FakeAttempt attempt : attempts.values()) {
+      noise *= attempt.describe().running() ? attempt.noise() : 1;
+    }
+    for (FakeAttempt attempt : attempts.values()) {
+      double slowdown = noise / attempt.noise();
+      attempt.advance(now, slowdown);
+      if (attempt.describe().running() && now - attempt.measuredMillis() >= SAMPLE_MILLIS) {
+        samples.add(new LateSample(attempt.measure(now, slowdown), now + faults.usageLagMillis()));
+      }
+    }
+    return now;
+  }
+
+  private WorkerBoot describeBoot() {
+    return new WorkerBoot(incarnation, capacity, clock.millis());
+  }
+
+  private Sizes used() {
+    Sizes used = Sizes.NONE;
+    for (FakeAttempt attempt : attempts.values()) {
+      if (attempt.describe().running()) {
+        used = used.plus(attempt.sizes());
+      }
+    }
+    return used;
+  }
+
+  private static String key(String task, long token) {
+    return task + "@" + token;
+  }
+}
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/StandInServer.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/StandInServer.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -88,7 +89,7 @@
   /** Cuts the connection without an answer. */
   static boolean cut(Request request, Callback callback) {
     request.getConnectionMetaData().getConnection().getEndPoint().close();
-    callback.failed(new IOException("cut on purpose"));
+    callback.failed(new EofException("cut on purpose"));
     return true;
   }
 
@@ -98,7 +99,11 @@
    * @throws IOException if the body is no JSON object with only known fields of the right types
    */
   static <T> T update(T value, Class<T> type, Request request) throws IOException {
-    String body = Content.Source.asString(request, StandardCharsets.UTF_8);
+    return update(value, type, Content.Source.asString(request, StandardCharsets.UTF_8));
+  }
+
+  /** Does the same with a body that was read already. */
+  static <T> T update(T value, Class<T> type, String body) throws IOException {
     JsonNode present = JSON.valueToTree(value);
     JsonNode merged = JSON.readerForUpdating(present).readValue(body);
     return JSON.treeToValue(merged, type);
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/StandInWorker.java
@@ -0,0 +1,152 @@
+package io.marigoldsail.testlib.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.marigoldsail.error.Failure;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.lease.WorkerStart;
+import io.marigoldsail.time.WallClock;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * A worker over HTTP, for tests and demonstrations; see {@link FakeWorker} for what it does.
+ *
+ * <p>{@code GET /boot}, {@code /tasks} and {@code /usage} tell; {@code POST /tasks/start}, {@code
+ * renew}, {@code throttle}, {@code checkpoint} and {@code stop} act and answer with the task. A
+ * failure is its kind's status with {@code {"kind": CODE, "detail": TEXT}}; a lost answer is a cut
+ * connection. {@code POST /admin/faults} changes {@link WorkerFaults}, {@code POST /admin/reboot}
+ * boots anew, {@code GET /admin/record} shows every run.
+ */
+public final class StandInWorker implements AutoCloseable {
+  /** What a checker reads. */
+  private record Contents(List<WorkerRun> runs, long askedOverCapacity) {}
+
+  private static final int MAX_THREADS = 32;
+
+  private final FakeWorker worker;
+  private final StandInServer server;
+
+  /**
+   * Creates a worker that is not started yet.
+   *
+   * @param name its name in its record
+   * @param host the IP number to listen on
+   * @param port the port, or 0 for a free one
+   * @param capacity what tasks may use in all
+   */
+  public StandInWorker(String name, String host, int port, Sizes capacity) {
+    long originMillis = System.currentTimeMillis();
+    long originNanos = System.nanoTime();
+    WallClock steady =
+        () -> originMillis + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - originNanos);
+    this.worker = new FakeWorker(name, capacity, steady);
+    this.server = new StandInServer(host, port, MAX_THREADS, new Answers());
+  }
+
+  /** Starts to listen and returns this. */
+  public StandInWorker start() {
+    server.start();
+    return this;
+  }
+
+  /** Returns the address to reach it at. */
+  public String address() {
+    return server.address();
+  }
+
+  /** Returns the worker in memory, to set its faults and to look at its record. */
+  public FakeWorker worker() {
+    return worker;
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+
+  private final class Answers extends Handler.Abstract {
+    @Override
+    public boolean handle(Request request, Response response, Callback callback)
+        throws IOException {
+      String path = Request.getPathInContext(request);
+      String body = Content.Source.asString(request, StandardCharsets.UTF_8);
+      try {
+        if (path.startsWith("/admin/")) {
+          return StandInServer.answer(response, callback, 200, administer(path, body));
+        }
+        return answer(act(path, body), request, response, callback);
+      } catch (IOException | IllegalArgumentException e) {
+        return StandInServer.refuse(response, callback, 400, String.valueOf(e.getMessage()));
+      }
+    }
+
+    private Object administer(String path, String body) throws IOException {
+      return switch (path) {
+        case "/admin/faults" -> {
+          if (!body.isEmpty()) {
+            worker.setFaults(StandInServer.update(worker.faults(), WorkerFaults.class, body));
+          }
+          yield worker.faults();
+        }
+        case "/admin/reboot" -> {
+          worker.reboot();
+          yield worker.boot();
+        }
+        case "/admin/record" -> new Contents(worker.runs(), worker.askedOverCapacity());
+        default -> throw new IllegalArgumentException("no such path: " + path);
+      };
+    }
+
+    private Result<?> act(String path, String body) throws IOException {
+      return switch (path) {
+        case "/boot" -> worker.boot();
+        case "/tasks" -> worker.list();
+        case "/usage" -> worker.usage();
+        case "/tasks/start" -> worker.start(StandInServer.JSON.readValue(body, WorkerStart.class));
+        default -> actOnTask(path, StandInServer.JSON.readTree(body));
+      };
+    }
+
+    private Result<?> actOnTask(String path, JsonNode body) {
+      String task = body.required("task").asText();
+      long token = body.required("token").asLong();
+      return switch (path) {
+        case "/tasks/renew" ->
+            worker.renew(task, token, body.required("leaseDeadlineMillis").asLong());
+        case "/tasks/throttle" -> worker.throttle(task, token, body.required("percent").asInt());
+        case "/tasks/checkpoint" -> worker.checkpoint(task, token);
+        case "/tasks/stop" -> worker.stop(task, token);
+        default -> throw new IllegalArgumentException("no such path: " + path);
+      };
+    }
+
+    private boolean answer(
+        Result<?> result, Request request, Response response, Callback callback) {
+      if (!(result instanceof Result.Failed<?> failed)) {
+        return StandInServer.answer(response, callback, 200, result.value());
+      }
+      Failure failure = failed.failure();
+      return switch (failure.kind()) {
+        case OUTCOME_UNKNOWN -> StandInServer.cut(request, callback);
+        case TARGET_UNREACHABLE -> StandInServer.refuse(response, callback, 503, failure.detail());
+        default ->
+            StandInServer.answer(
+                response,
+                callback,
+                failure.kind().httpStatus(),
+                StandInServer.JSON
+                    .createObjectNode()
+                    .put("kind", failure.kind().code())
+                    .put("detail", failure.detail()));
+      };
+    }
+  }
+}
