--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/LogLine.java
@@ -0,0 +1,107 @@
+package io.marigoldsail.daemon.observe;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+/**
+ * One event as a line of key=value pairs, {@code event=} first.
+ *
+ * <p>Values with spaces, quotes, equals signs or control characters are quoted and escaped, so a
+ * line is always one line and splits back into its pairs, whatever a caller sent. Immutable.
+ * Rejects nulls.
+ *
+ * <pre>{@code
+ * log.info(LogLine.of("log-outage-began").with("stream", stream).with("offset", offset));
+ * }</pre>
+ */
+public final class LogLine {
+  private static final int LONGEST_VALUE = 2000;
+
+  private final String text;
+
+  private LogLine(String text) {
+    this.text = text;
+  }
+
+  /** Returns a line about an event, named in lower case with hyphens. */
+  public static LogLine of(String event) {
+    return new LogLine("event=" + quoted(event));
+  }
+
+  /** Returns this line with one more pair. */
+  public LogLine with(String key, Object value) {
+    checkArgument(isKey(key), "not a key: %s", key);
+    return new LogLine(text + " " + key + "=" + quoted(String.valueOf(value)));
+  }
+
+  /** Returns this line with one more pair. */
+  public LogLine with(String key, long value) {
+    checkArgument(isKey(key), "not a key: %s", key);
+    return new LogLine(text + " " + key + "=" + value);
+  }
+
+  /** Returns this line with what an exception tells, and where it was thrown. */
+  public LogLine withError(Throwable error) {
+    requireNonNull(error, "error");
+    StackTraceElement[] trace = error.getStackTrace();
+    LogLine line = with("error", error);
+    return trace.length == 0 ? line : line.with("at", trace[0]);
+  }
+
+  /** Returns the line, without a line end. */
+  @Override
+  public String toString() {
+    return text;
+  }
+
+  private static boolean isKey(String key) {
+    return !key.isEmpty()
+        && key.chars().allMatch(c -> c == '_' || c == '.' || Character.isLetterOrDigit(c));
+  }
+
+  /** Returns the value as it stands after the equals sign. */
+  static String quoted(String value) {
+    String shown = value;
+    if (shown.length() > LONGEST_VALUE) {
+      shown = shown.substring(0, LONGEST_VALUE) + "...";
+    }
+    if (!shown.isEmpty() && shown.chars().allMatch(LogLine::isPlain)) {
+      return shown;
+    }
+    StringBuilder quoted = new StringBuilder(shown.length() + 2).append('"');
+    for (int i = 0; i < shown.length(); i++) {
+      appendEscaped(quoted, shown.charAt(i));
+    }
+    return quoted.append('"').toString();
+  }
+
+  private static boolean isPlain(int c) {
+    return c > ' ' && c != '"' && c != '=' && c != '\\' && !isControl(c);
+  }
+
+  /** Line and paragraph separators end a line for some readers, as control characters do. */
+  private static boolean isControl(int c) {
+    int type = Character.getType(c);
+    return Character.isISOControl(c)
+        || type == Character.LINE_SEPARATOR
+        || type == Character.PARAGRAPH_SEPARATOR
+        || type == Character.SPACE_SEPARATOR;
+  }
+
+  private static void appendEscaped(StringBuilder quoted, char c) {
+    switch (c) {
+      case '"' -> quoted.append("\\\"");
+      case '\\' -> quoted.append("\\\\");
+      case '\n' -> quoted.append("\\n");
+      case '\r' -> quoted.append("\\r");
+      case '\t' -> quoted.append("\\t");
+      default -> {
+        if (c != ' ' && isControl(c)) {
+          quoted.append(String.format("\\u%04x", (int) c));
+        } else {
+          quoted.append(c);
+        }
+      }
+    }
+  }
+}
