--- a/marigoldsail-core/src/main/java/io/marigoldsail/timeline/EventKind.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/timeline/EventKind.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.timeline;
 
 import java.util.Locale;
+import java.util.Optional;
 
 /** What an {@link Event} tells of. Constants are named subject first. */
 public enum EventKind {
@@ -81,4 +82,14 @@
   public String code() {
     return name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
+
+  /** Returns the kind with the given {@linkplain #code() code}, or empty for a foreign one. */
+  public static Optional<EventKind> forCode(String code) {
+    for (EventKind kind : values()) {
+      if (kind.code().equals(code)) {
+        return Optional.of(kind);
+      }
+    }
+    return Optional.empty();
+  }
 }
