--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/AdmissionPolicy.java
@@ -0,0 +1,136 @@
+package io.marigoldsail.admission;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Decides at the moment of arrival whether a request may wait, so that a refusal costs no time.
+ *
+ * <p>Three load patterns. A burst of a second: what can be served before its deadline is let in,
+ * for nothing is gained by refusing it; without this, a bound on the delay throws away what fits.
+ * Overload that lasts: a queue that stays long serves nobody more, so once there was a queue longer
+ * than the target delay for {@link #BURST_NANOS}, only as many wait as the target delay covers;
+ * without this, everybody is served just before the deadline, or after it. The tighter bound holds
+ * until nothing was refused for {@link #CALM_NANOS}, else the queue would grow long again every
+ * time it dips under the target. A hot caller or key: one flow may hold at most {@link #ALPHA}
+ * times the places that are still free (a dynamic threshold), so there is always room for others
+ * and nobody who was let in is thrown out later; without it, one caller fills the queue and the
+ * rest are refused.
+ *
+ * <p>Grounds for the figures: a second is the longest burst that the users named; four lets a
+ * single caller use four fifths of the queue when it is alone, and two hot ones four ninths each.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class AdmissionPolicy {
+  /** How long a queue may stay above the target delay before it counts as overload. */
+  static final long BURST_NANOS = 1_000_000_000L;
+
+  /** How long nothing may have been refused before overload counts as over. */
+  static final long CALM_NANOS = 1_000_000_000L;
+
+  /** The share of the free places that one flow may hold. */
+  static final int ALPHA = 4;
+
+  private static final int MIN_PLACES = 4;
+  private static final long NEVER = Long.MIN_VALUE;
+
+  private long aboveSince = NEVER;
+  private boolean overloaded;
+  private long lastRefusal = NEVER;
+
+  /** What was decided on a request that cannot be sent at once. */
+  public enum Verdict {
+    /** It may wait. */
+    WAIT,
+    /** The queue is as long as it may be, or too long for this request's deadline. */
+    FULL,
+    /** There is room, but not for more of this caller or key. */
+    OVER_SHARE
+  }
+
+  /**
+   * What a decision depends on.
+   *
+   * @param waiting how many requests wait in all
+   * @param waitingOfFlow how many of the same caller or key, whichever has more
+   * @param ahead how many would be served before it
+   * @param perSecond how many are served a second
+   * @param targetDelayNanos the longest wait under lasting overload
+   * @param maxWaiting the most that may wait whatever their delay
+   * @param spareNanos how long the request can wait and still be answered by its deadline
+   */
+  public record Situation(
+      int waiting,
+      int waitingOfFlow,
+      int ahead,
+      double perSecond,
+      long targetDelayNanos,
+      int maxWaiting,
+      long spareNanos) {
+    /** Checks the components. */
+    public Situation {
+      checkArgument(perSecond > 0, "perSecond is not positive: %s", perSecond);
+    }
+
+    private double waitNanos(int requests) {
+      return requests / perSecond * 1e9;
+    }
+
+    private int placesFor(long delayNanos) {
+      double places = perSecond * delayNanos / 1e9;
+      return (int) Math.max(MIN_PLACES, Math.min(maxWaiting, places));
+    }
+  }
+
+  /** Creates a policy that has seen no overload. */
+  public AdmissionPolicy() {}
+
+  /** Decides on one request, and takes note of a refusal. */
+  public Verdict decide(Situation situation, long now) {
+    observe(situation, now);
+    Verdict verdict = verdict(situation);
+    if (verdict != Verdict.WAIT) {
+      lastRefusal = now;
+    }
+    return verdict;
+  }
+
+  private Verdict verdict(Situation situation) {
+    long bound = overloaded ? situation.targetDelayNanos() : Math.max(0, situation.spareNanos());
+    int places = situation.placesFor(bound);
+    if (situation.waiting() >= places) {
+      return Verdict.FULL;
+    }
+    if (situation.waitNanos(situation.ahead()) > situation.spareNanos()) {
+      return Verdict.FULL;
+    }
+    if (situation.waitingOfFlow() >= ALPHA * (places - situation.waiting())) {
+      return Verdict.OVER_SHARE;
+    }
+    return Verdict.WAIT;
+  }
+
+  private void observe(Situation situation, long now) {
+    if (overloaded) {
+      overloaded = lastRefusal != NEVER && now - lastRefusal < CALM_NANOS;
+      return;
+    }
+    if (situation.waitNanos(situation.waiting()) <= situation.targetDelayNanos()) {
+      aboveSince = NEVER;
+      return;
+    }
+    if (aboveSince == NEVER) {
+      aboveSince = now;
+    }
+    if (now - aboveSince >= BURST_NANOS) {
+      overloaded = true;
+      lastRefusal = now;
+      aboveSince = NEVER;
+    }
+  }
+
+  /** Returns whether the service has been full for so long that the target delay bounds waits. */
+  public boolean isOverloaded() {
+    return overloaded;
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
@@ -0,0 +1,179 @@
+package io.marigoldsail.admission;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * A queue that serves callers, and what they ask about, in turn (start-time fair queueing).
+ *
+ * <p>Load pattern: one caller, or one key that many callers ask about, sends many times its share.
+ * Without turns, a queue that is first come first served makes everybody wait behind the hot one.
+ * Here each caller and each key has a virtual clock that moves on by one for each of its requests;
+ * a request is served in the order of the later of its two clocks. So a caller that asks about a
+ * hot key waits for that request only, not for its others.
+ *
+ * <p>Memory is bounded by {@link #MAX_FLOWS} clocks of each sort, beyond the requests that wait: a
+ * clock that is dropped early makes its owner look new, which costs fairness for one request.
+ *
+ * <p>Not safe for use by several threads. Adding, taking and removing cost O(log n).
+ *
+ * @param <T> what waits
+ */
+public final class FairQueue<T> {
+  /** How many virtual clocks of callers, and of keys, are kept at most. */
+  static final int MAX_FLOWS = 4_096;
+
+  private final TreeSet<Ticket<T>> waiting = new TreeSet<>(Ticket.ORDER);
+  private final Map<String, Integer> waitingOfCaller = new HashMap<>();
+  private final Map<String, Integer> waitingOfKey = new HashMap<>();
+  private final Map<String, Long> callerClocks = new BoundedClocks();
+  private final Map<String, Long> keyClocks = new BoundedClocks();
+  private long virtualTime;
+  private long sequence;
+
+  /** A place in the queue; hand it back to {@link #restore} or {@link #remove}. Immutable. */
+  public static final class Ticket<T> {
+    private static final Comparator<Ticket<?>> ORDER =
+        Comparator.<Ticket<?>>comparingLong(ticket -> ticket.start)
+            .thenComparingLong(ticket -> ticket.sequence);
+
+    private final T item;
+    private final String caller;
+    private final String key;
+    private final long start;
+    private final long sequence;
+
+    private Ticket(T item, String caller, String key, long start, long sequence) {
+      this.item = item;
+      this.caller = caller;
+      this.key = key;
+      this.start = start;
+      this.sequence = sequence;
+    }
+
+    /** Returns what waits. */
+    public T item() {
+      return item;
+    }
+  }
+
+  /** Creates an empty queue. */
+  public FairQueue() {}
+
+  private static final class BoundedClocks extends LinkedHashMap<String, Long> {
+    private static final long serialVersionUID = 1;
+
+    private BoundedClocks() {
+      super(16, 0.75f, true);
+    }
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+      return size() > MAX_FLOWS;
+    }
+  }
+
+  /**
+   * Adds a request at its caller's and its key's turn.
+   *
+   * @param key what the request is about; empty where it names nothing
+   */
+  public Ticket<T> add(T item, String caller, String key) {
+    requireNonNull(item, "item");
+    long start = advance(callerClocks, caller);
+    if (!key.isEmpty()) {
+      start = Math.max(start, advance(keyClocks, key));
+    }
+    Ticket<T> ticket = new Ticket<>(item, caller, key, start, sequence++);
+    insert(ticket);
+    return ticket;
+  }
+
+  private long advance(Map<String, Long> clocks, String flow) {
+    long start = Math.max(virtualTime, clocks.getOrDefault(flow, virtualTime));
+    clocks.put(flow, start + 1);
+    return start;
+  }
+
+  /** Puts a request that was taken but not served back at its old place. */
+  public void restore(Ticket<T> ticket) {
+    checkArgument(!waiting.contains(ticket), "the ticket already waits");
+    insert(ticket);
+  }
+
+  private void insert(Ticket<T> ticket) {
+    waiting.add(ticket);
+    waitingOfCaller.merge(ticket.caller, 1, Integer::sum);
+    if (!ticket.key.isEmpty()) {
+      waitingOfKey.merge(ticket.key, 1, Integer::sum);
+    }
+  }
+
+  /** Takes the request whose turn it is, or returns empty if none waits. */
+  public Optional<Ticket<T>> poll() {
+    Ticket<T> ticket = waiting.pollFirst();
+    if (ticket == null) {
+      return Optional.empty();
+    }
+    virtualTime = Math.max(virtualTime, ticket.start);
+    forget(ticket);
+    return Optional.of(ticket);
+  }
+
+  /** Removes a request that waits; returns whether it did. */
+  public boolean remove(Ticket<T> ticket) {
+    boolean waited = waiting.remove(ticket);
+    if (waited) {
+      forget(ticket);
+    }
+    return waited;
+  }
+
+  private void forget(Ticket<T> ticket) {
+    decrement(waitingOfCaller, ticket.caller);
+    if (!ticket.key.isEmpty()) {
+      decrement(waitingOfKey, ticket.key);
+    }
+    if (waiting.isEmpty()) {
+      callerClocks.clear();
+      keyClocks.clear();
+    }
+  }
+
+  private static void decrement(Map<String, Integer> counts, String flow) {
+    counts.computeIfPresent(flow, (name, count) -> count == 1 ? null : count - 1);
+  }
+
+  /** Returns how many requests wait. */
+  public int size() {
+    return waiting.size();
+  }
+
+  /** Returns whether no request waits. */
+  public boolean isEmpty() {
+    return waiting.isEmpty();
+  }
+
+  /** Returns how many requests of the hotter of the given caller and key wait. */
+  public int waitingOf(String caller, String key) {
+    int ofCaller = waitingOfCaller.getOrDefault(caller, 0);
+    int ofKey = key.isEmpty() ? 0 : waitingOfKey.getOrDefault(key, 0);
+    return Math.max(ofCaller, ofKey);
+  }
+
+  /**
+   * Returns an upper bound on how many requests are served before one that the given caller would
+   * add now: all that wait, or one of each caller for each of its own and one more.
+   */
+  public int aheadOf(String caller, String key) {
+    long turns = (long) (waitingOf(caller, key) + 1) * (waitingOfCaller.size() + 1);
+    return (int) Math.min(waiting.size(), turns);
+  }
+}
--- a/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/RequestPolicy.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/RequestPolicy.java
@@ -20,7 +20,10 @@
   /** Tells which targets there are now; those missing from the list are gone. */
   List<Decision> targetsChanged(List<TargetState> targets, long now);
 
-  /** Tells what a target's side process last reported. */
+  /**
+   * Tells what a target's side process last reported. Where the report rides on an answer, tell
+   * {@link #attemptEnded} first.
+   */
   List<Decision> reported(String vm, TargetLoad load, long now);
 
   /**
--- a/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/RequestScheduler.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/RequestScheduler.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -98,11 +99,9 @@
     if (service == null) {
       return ImmutableList.of();
     }
-    List<Decision> decisions = service.callerGone(request, now);
-    if (!service.holds(request)) {
-      pending.remove(request);
-    }
-    return settled(decisions);
+    service.callerGone(request);
+    pending.remove(request);
+    return ImmutableList.of();
   }
 
   @Override
@@ -126,6 +125,17 @@
     return next;
   }
 
+  /** Returns the VMs whose targets are eased off now, over all services, for operators. */
+  public List<String> easedOff() {
+    return services.values().stream().flatMap(service -> service.easedOff().stream()).toList();
+  }
+
+  /** Returns how many requests wait, by service, for operators. */
+  public Map<String, Integer> waiting() {
+    return services.entrySet().stream()
+        .collect(ImmutableMap.toImmutableMap(Map.Entry::getKey, e -> e.getValue().waiting()));
+  }
+
   private List<Decision> settled(List<Decision> decisions) {
     for (Decision decision : decisions) {
       if (decision instanceof Decision.Refuse refuse) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceScheduler.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceScheduler.java
@@ -1,53 +1,57 @@
 package io.marigoldsail.dispatch;
 
+import io.marigoldsail.admission.AdmissionPolicy;
+import io.marigoldsail.admission.ComeBackTimes;
+import io.marigoldsail.admission.DrainRate;
+import io.marigoldsail.admission.FairQueue;
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.error.Failure;
-import java.util.ArrayDeque;
+import io.marigoldsail.retry.RetryPolicy;
+import io.marigoldsail.routing.Route;
+import io.marigoldsail.routing.Router;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 
-/** The decisions about one service. Confined to the thread of its {@link RequestScheduler}. */
+/**
+ * The decisions about one service: joins admission, routing and retry into the life of a request.
+ *
+ * <p>A request is at any moment in exactly one place: in the queue, sent to a VM, or waiting for
+ * its next try. Confined to the thread of its {@link RequestScheduler}.
+ */
 final class ServiceScheduler {
   private static final long NO_TARGET_RETRY_MILLIS = 1_000;
-  private static final int MAX_ATTEMPTS = 3;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** A request is taken only if it can wait and then still run this many mean times. */
+  private static final int SPARE_MEANS = 2;
 
-  private final String zone;
   private final RandomGenerator random;
-  private final Map<String, Target> targets = new HashMap<>();
-  private final Deque<Held> queue = new ArrayDeque<>();
-  private final Map<Long, Held> held = new HashMap<>();
+  private final Router router;
+  private final RetryPolicy retries;
+  private final ComeBackTimes comeBackTimes;
+  private final AdmissionPolicy admission = new AdmissionPolicy();
+  private final DrainRate drainRate = new DrainRate();
+  private final FairQueue<HeldRequest> queue = new FairQueue<>();
+  private final TimedQueue deadlines = new TimedQueue();
+  private final TimedQueue dueRetries = new TimedQueue();
+  private final Map<Long, HeldRequest> held = new HashMap<>();
   private ServiceLimits limits;
+  private long nextRoom = Long.MAX_VALUE;
 
   ServiceScheduler(String zone, ServiceLimits limits, RandomGenerator random) {
-    this.zone = zone;
     this.limits = limits;
     this.random = random;
+    this.router = new Router(zone, random);
+    this.retries = new RetryPolicy(random);
+    this.comeBackTimes = new ComeBackTimes(random);
   }
 
-  private static final class Target {
-    private TargetState state;
-    private int inFlight;
-    private int entries = 1;
-
-    private boolean hasRoom() {
-      return !state.leaving() && inFlight < Math.max(1, state.slots() / Math.max(1, entries));
-    }
-  }
-
-  private static final class Held {
-    private final Arrival arrival;
-    private int attempts;
-    private String vm = "";
-
-    private Held(Arrival arrival) {
-      this.arrival = arrival;
-    }
-  }
-
+  /** Returns the refusal of a request for which there is no target at all. */
   static Decision refusedWithoutTarget(Arrival arrival, RandomGenerator random) {
     long retry = NO_TARGET_RETRY_MILLIS + random.nextLong(NO_TARGET_RETRY_MILLIS);
     return new Decision.Refuse(
@@ -60,153 +64,212 @@
   }
 
   boolean isIdle() {
-    return targets.isEmpty() && held.isEmpty();
+    return router.isEmpty() && held.isEmpty();
   }
 
   boolean holds(long request) {
     return held.containsKey(request);
   }
 
+  List<String> easedOff() {
+    return router.easedOff();
+  }
+
+  int waiting() {
+    return queue.size();
+  }
+
   List<Decision> arrived(Arrival arrival, long now) {
     List<Decision> decisions = new ArrayList<>();
-    if (targets.isEmpty()) {
+    if (router.isEmpty()) {
       decisions.add(refusedWithoutTarget(arrival, random));
       return decisions;
     }
-    if (queue.size() >= limits.maxWaiting()) {
-      decisions.add(refuse(arrival, ErrorKind.OVERLOADED, "the queue is full"));
+    AdmissionPolicy.Verdict verdict = admission.decide(situation(arrival, now), now);
+    if (verdict != AdmissionPolicy.Verdict.WAIT) {
+      decisions.add(refuse(arrival, kindOf(verdict), now));
       return decisions;
     }
-    Held entry = new Held(arrival);
-    held.put(arrival.request(), entry);
-    queue.add(entry);
+    HeldRequest request = new HeldRequest(arrival);
+    held.put(arrival.request(), request);
+    enqueue(request);
     dispatch(decisions, now);
     return decisions;
   }
 
-  private Decision refuse(Arrival arrival, ErrorKind kind, String why) {
-    long retry = NO_TARGET_RETRY_MILLIS + random.nextLong(NO_TARGET_RETRY_MILLIS);
-    return new Decision.Refuse(arrival.request(), new Failure(kind, why, retry));
+  private AdmissionPolicy.Situation situation(Arrival arrival, long now) {
+    long spare = arrival.deadline() - now - (long) (SPARE_MEANS * drainRate.meanNanos());
+    return new AdmissionPolicy.Situation(
+        queue.size(),
+        queue.waitingOf(arrival.caller(), arrival.key()),
+        queue.aheadOf(arrival.caller(), arrival.key()),
+        drainRate.perSecond(router.inFlight()),
+        limits.targetDelayMillis() * NANOS_PER_MILLI,
+        limits.maxWaiting(),
+        spare);
   }
 
-  List<Decision> targetsChanged(List<TargetState> states, long now) {
-    Map<String, Target> before = new HashMap<>(targets);
-    targets.clear();
-    for (TargetState state : states) {
-      Target target = before.getOrDefault(state.vm(), new Target());
-      target.state = state;
-      targets.put(state.vm(), target);
+  private static ErrorKind kindOf(AdmissionPolicy.Verdict verdict) {
+    return verdict == AdmissionPolicy.Verdict.OVER_SHARE
+        ? ErrorKind.CALLER_OVER_SHARE
+        : ErrorKind.OVERLOADED;
+  }
+
+  private Decision refuse(Arrival arrival, ErrorKind kind, long now) {
+    int inFlight = router.inFlight();
+    double wait = drainRate.waitNanos(queue.size(), inFlight);
+    long retry = comeBackTimes.next(wait, drainRate.perSecond(inFlight), now);
+    String detail = "service " + arrival.service() + ", " + queue.size() + " waiting here";
+    return new Decision.Refuse(arrival.request(), new Failure(kind, detail, retry));
+  }
+
+  private void enqueue(HeldRequest request) {
+    if (request.ticket() == null) {
+      request.queued(queue.add(request, request.arrival().caller(), request.arrival().key()));
+    } else {
+      queue.restore(request.ticket());
     }
+    deadlines.add(request.arrival().deadline(), request);
+  }
+
+  List<Decision> targetsChanged(List<TargetState> states, long now) {
+    router.changed(states, now);
     List<Decision> decisions = new ArrayList<>();
-    if (targets.isEmpty()) {
-      for (Held entry : queue) {
-        held.remove(entry.arrival.request());
-        decisions.add(refusedWithoutTarget(entry.arrival, random));
-      }
-      queue.clear();
+    if (router.isEmpty()) {
+      refuseAllWaiting(decisions);
     }
     dispatch(decisions, now);
     return decisions;
   }
 
+  private void refuseAllWaiting(List<Decision> decisions) {
+    Optional<FairQueue.Ticket<HeldRequest>> next = queue.poll();
+    while (next.isPresent()) {
+      HeldRequest request = next.get().item();
+      deadlines.remove(request.arrival().deadline(), request);
+      held.remove(request.number());
+      decisions.add(refusedWithoutTarget(request.arrival(), random));
+      next = queue.poll();
+    }
+  }
+
   List<Decision> reported(String vm, TargetLoad load, long now) {
+    router.reported(vm, load, now);
     List<Decision> decisions = new ArrayList<>();
-    Target target = targets.get(vm);
-    if (target != null) {
-      target.entries = Math.max(1, load.entries());
-      dispatch(decisions, now);
-    }
+    dispatch(decisions, now);
     return decisions;
   }
 
-  List<Decision> attemptEnded(long request, String vm, AttemptOutcome outcome, long now) {
+  List<Decision> attemptEnded(long number, String vm, AttemptOutcome outcome, long now) {
     List<Decision> decisions = new ArrayList<>();
-    Target target = targets.get(vm);
-    if (target != null) {
-      target.inFlight = Math.max(0, target.inFlight - 1);
+    HeldRequest request = held.get(number);
+    if (request == null || !request.vm().equals(vm)) {
+      return decisions;
     }
-    Held entry = held.get(request);
-    if (entry != null) {
-      entry.vm = "";
-      boolean again =
-          outcome.mayRetry(entry.arrival.idempotent())
-              && entry.attempts < MAX_ATTEMPTS
-              && now < entry.arrival.deadline();
-      if (again) {
-        queue.addFirst(entry);
-      } else {
-        held.remove(request);
-      }
+    router.ended(vm, outcome, request.sentAt(), now);
+    if (outcome == AttemptOutcome.ANSWERED) {
+      drainRate.answered(now - request.sentAt());
     }
+    request.attemptEnded();
+    settleOrRetry(request, outcome, now);
     dispatch(decisions, now);
     return decisions;
   }
 
-  List<Decision> callerGone(long request, long now) {
-    Held entry = held.get(request);
-    if (entry != null && entry.vm.isEmpty()) {
-      queue.remove(entry);
-      held.remove(request);
+  private void settleOrRetry(HeldRequest request, AttemptOutcome outcome, long now) {
+    Arrival arrival = request.arrival();
+    OptionalLong retryAt =
+        retries.retryAt(
+            outcome,
+            arrival.idempotent(),
+            request.tries(),
+            !queue.isEmpty(),
+            arrival.deadline(),
+            now);
+    if (retryAt.isEmpty()) {
+      held.remove(request.number());
+    } else if (retryAt.getAsLong() <= now) {
+      enqueue(request);
+    } else {
+      dueRetries.add(retryAt.getAsLong(), request);
     }
-    return List.of();
+  }
+
+  void callerGone(long number) {
+    HeldRequest request = held.remove(number);
+    if (request == null) {
+      return;
+    }
+    if (request.isSent()) {
+      router.abandoned(request.vm(), request.sentAt());
+      return;
+    }
+    queue.remove(request.ticket());
+    deadlines.remove(request.arrival().deadline(), request);
   }
 
   List<Decision> wake(long now) {
     List<Decision> decisions = new ArrayList<>();
-    queue.removeIf(entry -> expire(entry, decisions, now));
+    HeldRequest due = dueRetries.pollDue(now);
+    while (due != null) {
+      if (held.containsKey(due.number())) {
+        enqueue(due);
+      }
+      due = dueRetries.pollDue(now);
+    }
+    HeldRequest expired = deadlines.pollDue(now);
+    while (expired != null) {
+      queue.remove(expired.ticket());
+      giveUp(expired, decisions, now);
+      expired = deadlines.pollDue(now);
+    }
     dispatch(decisions, now);
     return decisions;
   }
 
-  private boolean expire(Held entry, List<Decision> decisions, long now) {
-    if (now < entry.arrival.deadline()) {
-      return false;
-    }
-    held.remove(entry.arrival.request());
-    decisions.add(refuse(entry.arrival, ErrorKind.DEADLINE_BEFORE_START, "no slot came free"));
-    return true;
+  private void giveUp(HeldRequest request, List<Decision> decisions, long now) {
+    held.remove(request.number());
+    decisions.add(refuse(request.arrival(), ErrorKind.DEADLINE_BEFORE_START, now));
   }
 
   long nextWake() {
-    long next = Long.MAX_VALUE;
-    for (Held entry : queue) {
-      next = Math.min(next, entry.arrival.deadline());
-    }
-    return next;
+    return Math.min(Math.min(deadlines.nextTime(), dueRetries.nextTime()), nextRoom);
   }
 
   private void dispatch(List<Decision> decisions, long now) {
-    while (!queue.isEmpty()) {
-      Target target = leastLoaded();
-      if (target == null) {
+    nextRoom = Long.MAX_VALUE;
+    Optional<FairQueue.Ticket<HeldRequest>> next = queue.poll();
+    while (next.isPresent()) {
+      HeldRequest request = next.get().item();
+      Optional<Route> route = router.choose(request.failedVm(), mayProbe(request, now), now);
+      if (route.isEmpty()) {
+        queue.restore(next.get());
+        nextRoom = router.nextChange(now);
         return;
       }
-      Held entry = queue.poll();
-      if (expire(entry, decisions, now)) {
-        continue;
+      deadlines.remove(request.arrival().deadline(), request);
+      if (now >= request.arrival().deadline()) {
+        giveUp(request, decisions, now);
+      } else {
+        decisions.add(send(request, route.get(), now));
       }
-      entry.attempts++;
-      entry.vm = target.state.vm();
-      target.inFlight++;
-      decisions.add(
-          new Decision.Send(entry.arrival.request(), entry.vm, entry.attempts, "least loaded"));
+      next = queue.poll();
     }
   }
 
-  private Target leastLoaded() {
-    Target best = null;
-    for (Target target : targets.values()) {
-      if (target.hasRoom() && (best == null || better(target, best))) {
-        best = target;
-      }
-    }
-    return best;
+  /** A probe may be slow or fail: only first tries that can be repeated and have time for it. */
+  private boolean mayProbe(HeldRequest request, long now) {
+    Arrival arrival = request.arrival();
+    double spare = arrival.deadline() - now;
+    return arrival.idempotent() && request.tries() == 0 && spare > 10 * drainRate.meanNanos();
   }
 
-  private boolean better(Target one, Target other) {
-    if (one.inFlight != other.inFlight) {
-      return one.inFlight < other.inFlight;
+  private Decision send(HeldRequest request, Route route, long now) {
+    router.sent(route.vm(), now);
+    request.sent(route.vm(), now);
+    if (request.tries() == 1) {
+      retries.requestSent();
     }
-    return one.state.zone().equals(zone) && !other.state.zone().equals(zone);
+    return new Decision.Send(request.number(), route.vm(), request.tries(), route.reason().text());
   }
 }
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/retry/RetryPolicy.java
@@ -0,0 +1,74 @@
+package io.marigoldsail.retry;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.dispatch.AttemptOutcome;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides whether an attempt that ended is tried again, and when.
+ *
+ * <p>Load patterns: targets that fail, and a full service. A failed request is tried again at most
+ * {@link #MAX_FAILED_TRIES} times in all, only if that can do no harm, if the budget allows, never
+ * while requests wait (a retry would take the place of somebody's first try) and only after a
+ * random back-off that doubles, so that tries at a target that restarts do not come in step.
+ *
+ * <p>A request that a full side process turned away is another matter: it cost no slot, so it goes
+ * back to the queue at once and without budget, up to {@link #MAX_TURNED_AWAY} tries; without that
+ * bound a request could circle until its deadline. Not safe for use by several threads.
+ */
+public final class RetryPolicy {
+  static final int MAX_FAILED_TRIES = 3;
+  static final int MAX_TURNED_AWAY = 8;
+  static final long FIRST_BACK_OFF_NANOS = 10_000_000L;
+
+  private final RetryBudget budget = new RetryBudget();
+  private final RandomGenerator random;
+
+  /** Creates a policy with a full budget. */
+  public RetryPolicy(RandomGenerator random) {
+    this.random = requireNonNull(random, "random");
+  }
+
+  /** Takes note of a request's first try. */
+  public void requestSent() {
+    budget.requestSent();
+  }
+
+  /**
+   * Returns when to try again, or empty if the outcome is final.
+   *
+   * @param tries how often it was tried so far
+   * @param queueing whether other requests wait for a place
+   * @param deadline the request's deadline; what would be due later is not tried
+   */
+  public OptionalLong retryAt(
+      AttemptOutcome outcome,
+      boolean idempotent,
+      int tries,
+      boolean queueing,
+      long deadline,
+      long now) {
+    if (!outcome.mayRetry(idempotent)) {
+      return OptionalLong.empty();
+    }
+    if (outcome.refusedByTarget()) {
+      return tries < MAX_TURNED_AWAY ? before(deadline, now) : OptionalLong.empty();
+    }
+    if (queueing || tries >= MAX_FAILED_TRIES) {
+      return OptionalLong.empty();
+    }
+    OptionalLong due = before(deadline, now + backOff(tries));
+    return due.isPresent() && budget.spend() ? due : OptionalLong.empty();
+  }
+
+  private static OptionalLong before(long deadline, long due) {
+    return due < deadline ? OptionalLong.of(due) : OptionalLong.empty();
+  }
+
+  private long backOff(int tries) {
+    long most = FIRST_BACK_OFF_NANOS << (tries - 1);
+    return most / 2 + random.nextLong(most / 2);
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/Router.java
@@ -0,0 +1,277 @@
+package io.marigoldsail.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.dispatch.AttemptOutcome;
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.dispatch.TargetState;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+
+/**
+ * Chooses the target of each request of one service.
+ *
+ * <p>Load pattern: many targets whose load is known late, from several entries. The least loaded of
+ * all would draw every entry to the same target until the next report; a random one leaves some
+ * full while others idle. The better of {@link #CHOICES} random ones with a free slot does neither.
+ * The own zone's targets come first while one of them is below {@link #ZONE_LOAD}: a hop between
+ * zones costs a millisecond each way, a busy target ten times that. Where no slot is free, a place
+ * to wait beside a target is taken, so that a freed slot does not stay empty for a round trip.
+ *
+ * <p>Slow and failing targets get only probes: one request at a time, not more often than every
+ * {@link #PROBE_NANOS} and than one in {@link #REQUESTS_PER_PROBE} of this entry's requests, so
+ * that all entries together send well under 2% there.
+ *
+ * <p>Not safe for use by several threads. A choice costs O(targets).
+ */
+public final class Router {
+  static final int CHOICES = 2;
+  static final double ZONE_LOAD = 0.75;
+  static final long PROBE_NANOS = 250_000_000L;
+  static final int REQUESTS_PER_PROBE = 200;
+  private static final long ROW_PROBE_NANOS = 20_000_000L;
+  private static final long FLEET_NANOS = 50_000_000L;
+  private static final int SPACING_SAMPLES = 100;
+  private static final long ENTRY_START_NANOS = 2_000_000_000L;
+
+  private final String zone;
+  private final RandomGenerator random;
+  private final Map<String, Target> targets = new LinkedHashMap<>();
+  private TargetHealth.Fleet fleet = TargetHealth.Fleet.UNKNOWN;
+  private long fleetAt = Long.MIN_VALUE;
+  private long firstTargetAt = Long.MAX_VALUE;
+  private double sendSpacingNanos;
+  private long lastSend = Long.MIN_VALUE;
+
+  /** Creates a router that knows no targets, for an entry in the given zone. */
+  public Router(String zone, RandomGenerator random) {
+    this.zone = requireNonNull(zone, "zone");
+    this.random = requireNonNull(random, "random");
+  }
+
+  /** Replaces the targets; one with a new incarnation counts as new and is started slowly. */
+  public void changed(List<TargetState> states, long now) {
+    Map<String, Target> before = new LinkedHashMap<>(targets);
+    targets.clear();
+    if (!states.isEmpty()) {
+      firstTargetAt = Math.min(firstTargetAt, now);
+    }
+    for (TargetState state : states) {
+      Target target = before.get(state.vm());
+      if (target == null || target.state().incarnation() != state.incarnation()) {
+        target = new Target(state, rampOfNew(now), now);
+      } else {
+        target.update(state);
+      }
+      targets.put(state.vm(), target);
+    }
+    fleetAt = Long.MIN_VALUE;
+  }
+
+  /** Targets heard of while this entry itself starts were there before it and are warm. */
+  private SlowStart rampOfNew(long now) {
+    return now - firstTargetAt < ENTRY_START_NANOS ? SlowStart.over(now) : SlowStart.at(now);
+  }
+
+  /** Takes in what a side process reported; unknown VMs are ignored. */
+  public void reported(String vm, TargetLoad load, long now) {
+    Target target = targets.get(vm);
+    if (target == null) {
+      return;
+    }
+    target.share().reported(load, now);
+    if (load.leaving()) {
+      target.markLeaving();
+    }
+  }
+
+  /**
+   * Returns where a request goes now, or empty if no target has a place for it.
+   *
+   * @param avoided a VM that failed it before, passed over while there are others; may be empty
+   * @param mayProbe whether the request may be used to try a slow or failing target
+   */
+  public Optional<Route> choose(String avoided, boolean mayProbe, long now) {
+    if (mayProbe) {
+      Optional<Route> probe = probe(now);
+      if (probe.isPresent()) {
+        return probe;
+      }
+    }
+    Optional<Route> route = chooseOpen(avoided, now);
+    if (route.isEmpty() && !avoided.isEmpty()) {
+      return chooseOpen("", now);
+    }
+    return route;
+  }
+
+  private Optional<Route> probe(long now) {
+    for (Target target : targets.values()) {
+      if (target.isDueForProbe(now)) {
+        target.probeNotBefore(now + probeSpacing());
+        return Optional.of(new Route(target.state().vm(), Route.Reason.PROBE));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private long probeSpacing() {
+    long byRequests = (long) (REQUESTS_PER_PROBE * sendSpacingNanos);
+    long spacing = Math.max(PROBE_NANOS, byRequests);
+    return spacing + random.nextLong(spacing / 4);
+  }
+
+  private Optional<Route> chooseOpen(String avoided, long now) {
+    List<Target> own = new ArrayList<>();
+    List<Target> free = new ArrayList<>();
+    List<Target> waiting = new ArrayList<>();
+    for (Target target : targets.values()) {
+      if (target.state().vm().equals(avoided) || !target.isOpen(now)) {
+        continue;
+      }
+      if (target.share().hasFreeSlot(now)) {
+        free.add(target);
+        if (isNear(target)) {
+          own.add(target);
+        }
+      } else if (target.share().hasPlace(now)) {
+        waiting.add(target);
+      }
+    }
+    if (!own.isEmpty()) {
+      return best(own, Route.Reason.OWN_ZONE, now);
+    }
+    if (!free.isEmpty()) {
+      return best(free, Route.Reason.ANY_ZONE, now);
+    }
+    return best(waiting, Route.Reason.WAITING_PLACE, now);
+  }
+
+  private boolean isNear(Target target) {
+    return target.state().zone().equals(zone) && target.share().loadRatio() < ZONE_LOAD;
+  }
+
+  private Optional<Route> best(List<Target> candidates, Route.Reason reason, long now) {
+    if (candidates.isEmpty()) {
+      return Optional.empty();
+    }
+    refreshFleet(now);
+    Target best = null;
+    double bestScore = Double.POSITIVE_INFINITY;
+    int choices = Math.min(CHOICES, candidates.size());
+    for (int i = 0; i < choices; i++) {
+      int picked = i + random.nextInt(candidates.size() - i);
+      Target target = candidates.get(picked);
+      candidates.set(picked, candidates.get(i));
+      double score = score(target);
+      if (score < bestScore) {
+        best = target;
+        bestScore = score;
+      }
+    }
+    return Optional.of(new Route(best.state().vm(), reason));
+  }
+
+  private double score(Target target) {
+    double load = (target.share().inUse() + 1.0) / target.share().slots();
+    return load * Math.max(1, target.health().relativeLatency(fleet));
+  }
+
+  private void refreshFleet(long now) {
+    if (fleetAt != Long.MIN_VALUE && now - fleetAt < FLEET_NANOS) {
+      return;
+    }
+    fleetAt = now;
+    double[] logs = known().mapToDouble(TargetHealth::logLatency).sorted().toArray();
+    double[] failures = known().mapToDouble(TargetHealth::failures).sorted().toArray();
+    if (logs.length > 0) {
+      int middle = (logs.length - 1) / 2;
+      fleet = new TargetHealth.Fleet(logs[middle], failures[middle], logs.length);
+    }
+  }
+
+  private Stream<TargetHealth> known() {
+    return targets.values().stream().map(Target::health).filter(TargetHealth::isKnown);
+  }
+
+  /** Takes note that a request was sent. */
+  public void sent(String vm, long now) {
+    targets.get(vm).share().sent(now);
+    if (lastSend != Long.MIN_VALUE) {
+      sendSpacingNanos += (now - lastSend - sendSpacingNanos) / SPACING_SAMPLES;
+    }
+    lastSend = now;
+  }
+
+  /** Takes in how an attempt ended that was sent at the given time. */
+  public void ended(String vm, AttemptOutcome outcome, long sentAt, long now) {
+    Target target = targetOfAttempt(vm, sentAt);
+    if (target == null) {
+      return;
+    }
+    if (outcome.refusedByTarget()) {
+      target.share().turnedAway(now);
+      return;
+    }
+    target.share().ended();
+    refreshFleet(now);
+    boolean wasEased = target.health().isEased();
+    boolean changed = target.health().ended(outcome, now - sentAt, fleet);
+    if (wasEased && changed) {
+      target.restart(now);
+    } else if (target.health().isEased() && target.health().isInGoodRow()) {
+      target.probeNotBefore(now + ROW_PROBE_NANOS);
+    } else if (changed) {
+      target.probeNotBefore(now + probeSpacing());
+    }
+  }
+
+  /** Takes note that an attempt was given up without knowing how it ended. */
+  public void abandoned(String vm, long sentAt) {
+    Target target = targetOfAttempt(vm, sentAt);
+    if (target != null) {
+      target.share().ended();
+    }
+  }
+
+  /** An attempt sent before a VM's target was replaced must not count against the new one. */
+  private Target targetOfAttempt(String vm, long sentAt) {
+    Target target = targets.get(vm);
+    return target == null || sentAt < target.createdAt() ? null : target;
+  }
+
+  /** Returns how many requests of this entry are at targets. */
+  public int inFlight() {
+    return targets.values().stream().mapToInt(target -> target.share().own()).sum();
+  }
+
+  /** Returns whether no target is known. */
+  public boolean isEmpty() {
+    return targets.isEmpty();
+  }
+
+  /** Returns the VMs that are eased off now, for operators. */
+  public List<String> easedOff() {
+    return targets.values().stream()
+        .filter(target -> target.health().isEased())
+        .map(target -> target.state().vm())
+        .toList();
+  }
+
+  /** Returns when a target that turned a request away may be tried again, after the given time. */
+  public long nextChange(long now) {
+    long next = Long.MAX_VALUE;
+    for (Target target : targets.values()) {
+      long held = target.share().heldUntil();
+      if (held > now) {
+        next = Math.min(next, held);
+      }
+    }
+    return next;
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
@@ -0,0 +1,120 @@
+package io.marigoldsail.routing;
+
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.dispatch.WaitingRoom;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * How many of one target's slots this entry may use, when other entries use them too.
+ *
+ * <p>Load pattern: several entries, full or not, that never talk to each other. A fixed share
+ * (slots over entries) leaves slots empty whenever the load of the entries differs, and with nine
+ * entries and eight slots it is less than one. Taking whatever looks free lets a busy entry starve
+ * a new one, and sends all entries to the same target that looked free in the last report.
+ *
+ * <p>So an entry estimates what is in use: the last report, corrected by what it sent and got back
+ * since, for each sees the reports that ride on its own answers. It refills its own freed slots by
+ * itself; beyond its fair share it keeps half the waiting places free, which an entry below its
+ * fair share may take: the shares move towards even without a word. An entry with nothing at a
+ * target may always try one request, whatever the report says, so that nobody starves on an old
+ * report; a full side process turns that one away.
+ *
+ * <p>Not safe for use by several threads.
+ */
+final class SlotShare {
+  /** What was sent this lately may not have been there when the report was written. */
+  static final long IN_FLIGHT_NANOS = 1_000_000L;
+
+  /** How long a target that turned a request away is not sent more, unless it reports room. */
+  static final long TURNED_AWAY_NANOS = 3_000_000L;
+
+  private final Deque<Long> recentSends = new ArrayDeque<>();
+  private int slots;
+  private int own;
+  private int others;
+  private int entries = 1;
+  private long heldUntil = Long.MIN_VALUE;
+
+  SlotShare(int slots) {
+    this.slots = slots;
+  }
+
+  void resize(int newSlots) {
+    slots = newSlots;
+  }
+
+  void sent(long now) {
+    own++;
+    recentSends.addLast(now);
+    forgetSendsBefore(now - IN_FLIGHT_NANOS);
+  }
+
+  void ended() {
+    own = Math.max(0, own - 1);
+  }
+
+  void turnedAway(long now) {
+    ended();
+    heldUntil = now + TURNED_AWAY_NANOS;
+    others = Math.max(others, slots + WaitingRoom.placesFor(slots) - own);
+  }
+
+  void reported(TargetLoad load, long now) {
+    forgetSendsBefore(now - IN_FLIGHT_NANOS);
+    int seenOfOwn = Math.max(0, own - recentSends.size());
+    others = Math.max(0, load.inFlight() + load.waiting() - seenOfOwn);
+    entries = Math.max(1, load.entries());
+    if (inUse() < slots) {
+      heldUntil = Long.MIN_VALUE;
+    }
+  }
+
+  private void forgetSendsBefore(long time) {
+    while (!recentSends.isEmpty() && recentSends.peekFirst() < time) {
+      recentSends.removeFirst();
+    }
+  }
+
+  int own() {
+    return own;
+  }
+
+  int slots() {
+    return slots;
+  }
+
+  int inUse() {
+    return own + others;
+  }
+
+  double loadRatio() {
+    return (double) inUse() / slots;
+  }
+
+  /** Returns whether a request sent now would likely find a free slot. */
+  boolean hasFreeSlot(long now) {
+    return now >= heldUntil && inUse() < slots;
+  }
+
+  /** Returns whether a request may be sent now, to a free slot or to a place to wait. */
+  boolean hasPlace(long now) {
+    if (now < heldUntil) {
+      return false;
+    }
+    int places = slots + WaitingRoom.placesFor(slots);
+    if (own < fairShare(places)) {
+      return own == 0 || inUse() < places;
+    }
+    return inUse() < slots + (WaitingRoom.placesFor(slots) + 1) / 2;
+  }
+
+  private int fairShare(int places) {
+    return Math.max(1, places / entries);
+  }
+
+  /** Returns until when a target that turned a request away is left alone. */
+  long heldUntil() {
+    return heldUntil;
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/TargetHealth.java
@@ -0,0 +1,135 @@
+package io.marigoldsail.routing;
+
+import io.marigoldsail.dispatch.AttemptOutcome;
+
+/**
+ * Whether one target is slow or failing compared with the rest, and how it is tried again.
+ *
+ * <p>Load patterns: a target ten times slower, and one that fails at once. Without a guard the slow
+ * one holds requests ten times as long, and the failing one, always idle, attracts them. Each
+ * answer moves the mean of the logarithm of the latency: a job fifty times as long, one in twenty,
+ * moves it by a fifth, where it would move a plain mean by two and a half times; so long jobs do
+ * not make a target look slow. A target {@link #EASE_RATIO} times slower than the median of all, or
+ * failing more than half of its requests while the median does not, is eased off: it gets single
+ * probes.
+ *
+ * <p>Probes are requests of real callers, so they are few (see {@link Router}) and idempotent. The
+ * target is given back its share, by a slow start, when {@link #PROBES} in a row had a mean below
+ * {@link #RECOVER_RATIO}; a probe that fails or is slow ends the row.
+ *
+ * <p>Grounds: latencies spread like an exponential have a standard deviation of 1.28 in logarithm,
+ * the mean over about {@value #SAMPLES} answers one of 0.3; a ratio of four is 4.6 of these. Ten
+ * times slower crosses it after nine answers. Not safe for use by several threads.
+ */
+final class TargetHealth {
+  static final double EASE_RATIO = 4;
+  static final double RECOVER_RATIO = 2.2;
+  static final int PROBES = 5;
+  private static final double BAD_PROBE_RATIO = 3;
+  private static final int SAMPLES = 10;
+  private static final int FAILURE_SAMPLES = 6;
+  private static final double MAX_FAILURES = 0.5;
+  private static final int MIN_ANSWERS = 5;
+
+  /** Keeps a millisecond's difference between zones from counting for very short requests. */
+  private static final double FLOOR_NANOS = 2_000_000;
+
+  private double logLatency;
+  private double failures;
+  private int answers;
+  private boolean eased;
+  private int goodProbes;
+  private double probeLogSum;
+
+  /** What the targets of a service have in common, to compare one with. Immutable. */
+  record Fleet(double logLatency, double failures, int targets) {
+    static final Fleet UNKNOWN = new Fleet(0, 0, 0);
+  }
+
+  static double logOf(long nanos) {
+    return Math.log(nanos + FLOOR_NANOS);
+  }
+
+  boolean isKnown() {
+    return answers >= MIN_ANSWERS;
+  }
+
+  boolean isEased() {
+    return eased;
+  }
+
+  double logLatency() {
+    return logLatency;
+  }
+
+  double failures() {
+    return failures;
+  }
+
+  /** Returns how many times slower than the median target this one is; 1 while unknown. */
+  double relativeLatency(Fleet fleet) {
+    if (!isKnown() || fleet.targets() == 0) {
+      return 1;
+    }
+    return Math.exp(logLatency - fleet.logLatency());
+  }
+
+  /** Takes in how an attempt ended after the given nanoseconds; returns whether health changed. */
+  boolean ended(AttemptOutcome outcome, long nanos, Fleet fleet) {
+    boolean failed = outcome != AttemptOutcome.ANSWERED;
+    if (eased) {
+      return probeEnded(failed, logOf(nanos), fleet);
+    }
+    observe(failed, logOf(nanos));
+    if (isKnown() && fleet.targets() > 1 && isBad(fleet)) {
+      eased = true;
+      startRow();
+      return true;
+    }
+    return false;
+  }
+
+  private void observe(boolean failed, double log) {
+    answers++;
+    failures += ((failed ? 1 : 0) - failures) / FAILURE_SAMPLES;
+    if (!failed) {
+      logLatency += (log - logLatency) / Math.min(answers, SAMPLES);
+    }
+  }
+
+  private boolean isBad(Fleet fleet) {
+    boolean failing = failures > MAX_FAILURES && fleet.failures() < MAX_FAILURES / 2;
+    boolean slow = relativeLatency(fleet) > EASE_RATIO;
+    return failing || slow;
+  }
+
+  private boolean probeEnded(boolean failed, double log, Fleet fleet) {
+    if (failed || log - fleet.logLatency() > Math.log(BAD_PROBE_RATIO)) {
+      startRow();
+      return false;
+    }
+    goodProbes++;
+    probeLogSum += log;
+    if (goodProbes < PROBES) {
+      return false;
+    }
+    boolean recovered = probeLogSum / PROBES - fleet.logLatency() < Math.log(RECOVER_RATIO);
+    startRow();
+    if (recovered) {
+      eased = false;
+      failures = 0;
+      logLatency = fleet.logLatency();
+    }
+    return recovered;
+  }
+
+  private void startRow() {
+    goodProbes = 0;
+    probeLogSum = 0;
+  }
+
+  /** Returns whether the last probe was good and the next may follow soon. */
+  boolean isInGoodRow() {
+    return goodProbes > 0;
+  }
+}
