--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/EntryState.java
@@ -0,0 +1,32 @@
+package io.marigoldsail.job;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * An entry as its heartbeats tell of it.
+ *
+ * <p>Immutable. Rejects nulls.
+ *
+ * @param entry the entry's name
+ * @param incarnation its start
+ * @param lastHeartbeat the position of its last heartbeat
+ * @param heard the VMs that it hears
+ */
+public record EntryState(String entry, long incarnation, long lastHeartbeat, Set<String> heard) {
+  /** Checks and copies the components. */
+  public EntryState {
+    requireNonNull(entry, "entry");
+    heard = Set.copyOf(heard);
+  }
+
+  static EntryState after(EntryState before, TaskRecord.Heartbeat heartbeat, long position) {
+    boolean same = before != null && before.incarnation == heartbeat.incarnation();
+    Set<String> heard = same ? new TreeSet<>(before.heard) : new TreeSet<>();
+    heard.removeAll(heartbeat.lost());
+    heard.addAll(heartbeat.gained());
+    return new EntryState(heartbeat.entry(), heartbeat.incarnation(), position, heard);
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskState.java
@@ -0,0 +1,170 @@
+package io.marigoldsail.job;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A task as folded from the log up to some position.
+ *
+ * <p>Immutable. Rejects nulls.
+ *
+ * @param name the task's name: job, slash, index
+ * @param phase where it stands
+ * @param attempt the present attempt while claimed, else the next one; from 1
+ * @param token the fencing token of the present attempt; 0 unless claimed
+ * @param vm where it is claimed for, or was last
+ * @param registration that VM's registration; 0 unless claimed
+ * @param booked what the claim takes up on the VM
+ * @param leaseMillis the lease of the present attempt, in milliseconds
+ * @param checkpoint the last checkpoint known, or empty
+ * @param failedVms VMs on which an attempt failed by itself, oldest first
+ * @param evictions how often it was evicted
+ * @param detail why it waits or how it ended; empty if nothing happened yet
+ */
+public record TaskState(
+    String name,
+    Phase phase,
+    int attempt,
+    long token,
+    String vm,
+    long registration,
+    Sizes booked,
+    long leaseMillis,
+    String checkpoint,
+    List<String> failedVms,
+    int evictions,
+    String detail) {
+  /** Where a task stands. */
+  public enum Phase {
+    /** Waits for a claim. */
+    WAITING(false),
+    /** Claimed; runs, or is about to. */
+    CLAIMED(false),
+    /** Ended with success. */
+    DONE(true),
+    /** Ended because its job was cancelled. */
+    CANCELLED(true),
+    /** Ended without success; the detail says why. */
+    FAILED(true);
+
+    private final boolean ended;
+
+    Phase(boolean ended) {
+      this.ended = ended;
+    }
+
+    /** Returns whether nothing more happens to the task. */
+    public boolean ended() {
+      return ended;
+    }
+  }
+
+  /** Checks and copies the components. */
+  public TaskState {
+    requireNonNull(name, "name");
+    requireNonNull(phase, "phase");
+    requireNonNull(vm, "vm");
+    requireNonNull(booked, "booked");
+    requireNonNull(checkpoint, "checkpoint");
+    failedVms = List.copyOf(failedVms);
+    requireNonNull(detail, "detail");
+  }
+
+  static TaskState accepted(String name) {
+    return new TaskState(name, Phase.WAITING, 1, 0, "", 0, Sizes.NONE, 0, "", List.of(), 0, "");
+  }
+
+  /** Returns the name of the task's job. */
+  @JsonIgnore
+  public String job() {
+    return jobOf(name);
+  }
+
+  /** Returns the name of the job that a task of the given name belongs to. */
+  public static String jobOf(String task) {
+    int slash = task.indexOf('/');
+    return slash < 0 ? task : task.substring(0, slash);
+  }
+
+  /** Returns whether the attempt with the given token is in force. */
+  public boolean holds(long otherToken) {
+    return phase == Phase.CLAIMED && token == otherToken;
+  }
+
+  TaskState claimed(TaskRecord.Claimed claim, long newToken) {
+    return new TaskState(
+        name,
+        Phase.CLAIMED,
+        attempt,
+        newToken,
+        claim.vm(),
+        claim.registration(),
+        claim.sizes(),
+        claim.leaseMillis(),
+        checkpoint,
+        failedVms,
+        evictions,
+        detail);
+  }
+
+  TaskState withCheckpoint(String newCheckpoint) {
+    if (newCheckpoint.isEmpty()) {
+      return this;
+    }
+    return new TaskState(
+        name,
+        phase,
+        attempt,
+        token,
+        vm,
+        registration,
+        booked,
+        leaseMillis,
+        newCheckpoint,
+        failedVms,
+        evictions,
+        detail);
+  }
+
+  TaskState withFailedVm(String failedVm) {
+    List<String> vms = new ArrayList<>(failedVms);
+    vms.add(failedVm);
+    return new TaskState(
+        name,
+        phase,
+        attempt,
+        token,
+        vm,
+        registration,
+        booked,
+        leaseMillis,
+        checkpoint,
+        vms,
+        evictions,
+        detail);
+  }
+
+  TaskState waiting(boolean evicted, String newDetail) {
+    return new TaskState(
+        name,
+        Phase.WAITING,
+        attempt + 1,
+        0,
+        vm,
+        0,
+        Sizes.NONE,
+        0,
+        checkpoint,
+        failedVms,
+        evictions + (evicted ? 1 : 0),
+        newDetail);
+  }
+
+  TaskState ended(Phase end, String newDetail) {
+    return new TaskState(
+        name, end, attempt, 0, vm, 0, Sizes.NONE, 0, checkpoint, failedVms, evictions, newDetail);
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
@@ -0,0 +1,440 @@
+package io.marigoldsail.job;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.job.TaskState.Phase;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * What stands in the log about jobs, tasks, VMs and entries: the one state machine that every entry
+ * folds for itself and that gives each of them the same answer at the same position.
+ *
+ * <p>Nothing but the records and their positions enters the fold; no clock, no configuration. A
+ * record that does not apply (a claim that lost its race, a doubled or late release) changes
+ * nothing.
+ *
+ * <p>Safe for any thread: every method holds the table's lock, and what they return is immutable.
+ * Applying costs a few map look-ups, the revocation of a VM one step for each of its tasks.
+ */
+public final class TaskTable {
+  /** An attempt fails by itself on so many different VMs before the task ends as failed. */
+  public static final int MAX_FAILED_VMS = 3;
+
+  /** An attempt fails by itself so often, wherever, before the task ends as failed. */
+  public static final int MAX_FAILURES = 6;
+
+  /** Ended jobs stay readable until they have so many tasks in all. */
+  static final int MAX_ENDED_TASKS = 5_000;
+
+  private static final int MAX_ENTRIES = 64;
+
+  private final Map<String, MutableJob> jobs = new LinkedHashMap<>();
+  private final Map<String, MutableJob> endedJobs = new LinkedHashMap<>();
+  private final Map<Long, VmState> vms = new TreeMap<>();
+  private final Map<String, Long> currentByVm = new HashMap<>();
+  private final Map<Long, TreeSet<String>> tasksByRegistration = new HashMap<>();
+  private final Map<String, EntryState> entries = new TreeMap<>();
+  private int endedTasks;
+  private long applied = -1;
+
+  /** Creates an empty table. */
+  public TaskTable() {}
+
+  /**
+   * Folds one record in.
+   *
+   * @param position the record's place in the log, greater than all before
+   * @return whether the record changed anything but its position
+   */
+  public synchronized boolean apply(long position, TaskRecord record) {
+    requireNonNull(record, "record");
+    checkArgument(position > applied, "position %s is not after %s", position, applied);
+    applied = position;
+    if (record instanceof TaskRecord.JobAccepted accepted) {
+      return accept(position, accepted);
+    }
+    if (record instanceof TaskRecord.JobCancelled cancelled) {
+      return cancel(cancelled);
+    }
+    if (record instanceof TaskRecord.VmJoined joined) {
+      return join(position, joined.vm());
+    }
+    if (record instanceof TaskRecord.VmRevoked revoked) {
+      return revoke(revoked.vm(), revoked.registration());
+    }
+    if (record instanceof TaskRecord.VmCleared cleared) {
+      return clear(cleared);
+    }
+    if (record instanceof TaskRecord.Claimed claimed) {
+      return claim(position, claimed);
+    }
+    if (record instanceof TaskRecord.Checkpointed checkpointed) {
+      return checkpoint(checkpointed);
+    }
+    if (record instanceof TaskRecord.Released released) {
+      return release(released);
+    }
+    if (record instanceof TaskRecord.Ended ended) {
+      return end(ended);
+    }
+    return heartbeat(position, (TaskRecord.Heartbeat) record);
+  }
+
+  /** Returns the position of the last record folded in, or -1. */
+  public synchronized long applied() {
+    return applied;
+  }
+
+  /** Returns the task of the given name, or empty if it is not known, or no more. */
+  public synchronized Optional<TaskState> task(String name) {
+    MutableJob job = findJob(TaskState.jobOf(name));
+    return job == null ? Optional.empty() : Optional.ofNullable(job.find(name));
+  }
+
+  /** Returns the job of the given name, or empty if it is not known, or no more. */
+  public synchronized Optional<JobState> job(String name) {
+    return Optional.ofNullable(findJob(name)).map(MutableJob::state);
+  }
+
+  /** Returns the tasks of the job of the given name, by index; empty for an unknown job. */
+  public synchronized List<TaskState> tasksOf(String jobName) {
+    MutableJob job = findJob(jobName);
+    return job == null ? List.of() : job.tasks();
+  }
+
+  /** Returns the jobs that have not ended, in the order of their acceptance. */
+  public synchronized List<JobState> jobs() {
+    return jobs.values().stream().map(MutableJob::state).toList();
+  }
+
+  /** Returns the jobs that ended not long ago, oldest end first. */
+  public synchronized List<JobState> endedJobs() {
+    return endedJobs.values().stream().map(MutableJob::state).toList();
+  }
+
+  /** Returns at most the given number of the job's waiting tasks from an index on. */
+  public synchronized List<TaskState> waiting(String jobName, int fromIndex, int limit) {
+    MutableJob job = jobs.get(jobName);
+    List<TaskState> found = new ArrayList<>();
+    if (job == null) {
+      return found;
+    }
+    int index = job.nextWaiting(fromIndex);
+    while (index >= 0 && found.size() < limit) {
+      found.add(job.task(index));
+      index = job.nextWaiting(index + 1);
+    }
+    return found;
+  }
+
+  /** Returns every registration, revoked ones too, oldest first. */
+  public synchronized List<VmState> vms() {
+    return List.copyOf(vms.values());
+  }
+
+  /** Returns the VM's present registration, or empty if it has none or it is revoked. */
+  public synchronized Optional<VmState> vm(String name) {
+    Long registration = currentByVm.get(name);
+    return Optional.ofNullable(registration == null ? null : vms.get(registration))
+        .filter(vm -> !vm.revoked());
+  }
+
+  /** Returns the tasks claimed on a registration, by name. */
+  public synchronized List<TaskState> tasksOn(long registration) {
+    TreeSet<String> names = tasksByRegistration.get(registration);
+    if (names == null) {
+      return List.of();
+    }
+    return names.stream().map(name -> findJob(TaskState.jobOf(name)).find(name)).toList();
+  }
+
+  /** Returns the entries that wrote heartbeats, by name. */
+  public synchronized Collection<EntryState> entries() {
+    return List.copyOf(entries.values());
+  }
+
+  /** Returns all there is, for a snapshot. */
+  public synchronized TaskTableSnapshot snapshot() {
+    List<TaskTableSnapshot.Job> kept = new ArrayList<>();
+    jobs.values().forEach(job -> kept.add(TaskTableSnapshot.Job.of(job)));
+    endedJobs.values().forEach(job -> kept.add(TaskTableSnapshot.Job.of(job)));
+    return new TaskTableSnapshot(
+        applied, kept, List.copyOf(vms.values()), List.copyOf(entries.values()));
+  }
+
+  /** Replaces all there is by a snapshot. */
+  public synchronized void restore(TaskTableSnapshot snapshot) {
+    jobs.clear();
+    endedJobs.clear();
+    vms.clear();
+    currentByVm.clear();
+    tasksByRegistration.clear();
+    entries.clear();
+    endedTasks = 0;
+    applied = snapshot.applied();
+    for (VmState vm : snapshot.vms()) {
+      vms.put(vm.registration(), vm);
+      currentByVm.merge(vm.vm(), vm.registration(), Math::max);
+    }
+    snapshot.entries().forEach(entry -> entries.put(entry.entry(), entry));
+    for (TaskTableSnapshot.Job kept : snapshot.jobs()) {
+      restoreJob(kept.toMutable());
+    }
+  }
+
+  private void restoreJob(MutableJob job) {
+    if (job.ended()) {
+      endedJobs.put(job.spec().name(), job);
+      endedTasks += job.spec().count();
+      return;
+    }
+    jobs.put(job.spec().name(), job);
+    for (TaskState task : job.tasks()) {
+      if (task.phase() == Phase.CLAIMED) {
+        tasksByRegistration
+            .computeIfAbsent(task.registration(), unused -> new TreeSet<>())
+            .add(task.name());
+      }
+    }
+  }
+
+  private MutableJob findJob(String name) {
+    MutableJob job = jobs.get(name);
+    return job == null ? endedJobs.get(name) : job;
+  }
+
+  private boolean accept(long position, TaskRecord.JobAccepted accepted) {
+    String name = accepted.job().name();
+    if (findJob(name) != null) {
+      return false;
+    }
+    jobs.put(name, new MutableJob(accepted.job(), position, accepted.acceptedMillis(), ""));
+    return true;
+  }
+
+  private boolean cancel(TaskRecord.JobCancelled cancelled) {
+    MutableJob job = jobs.get(cancelled.job());
+    if (job == null || job.cancelled()) {
+      return false;
+    }
+    job.cancel(cancelled.reason());
+    int index = job.nextWaiting(0);
+    while (index >= 0) {
+      job.put(job.task(index).ended(Phase.CANCELLED, job.cancelReason()));
+      index = job.nextWaiting(index + 1);
+    }
+    retireIfEnded(job);
+    return true;
+  }
+
+  private boolean join(long position, VmDescription vm) {
+    Long currentRegistration = currentByVm.get(vm.vm());
+    VmState current = currentRegistration == null ? null : vms.get(currentRegistration);
+    if (current != null && current.description().bootIncarnation() == vm.bootIncarnation()) {
+      // Either two entries saw it join, or it is revoked and its leases are not surely over.
+      return false;
+    }
+    if (isBeingCleared(vm)) {
+      return false;
+    }
+    vms.put(position, new VmState(vm, position, false, Sizes.NONE, 0));
+    currentByVm.put(vm.vm(), position);
+    if (current != null) {
+      // A new boot under the same name: nothing new goes to the old one, but what it held stays
+      // held until its leases are over, because the name alone does not prove that it is gone.
+      revoke(vm.vm(), current.registration());
+    }
+    return true;
+  }
+
+  /** Returns whether this very boot was revoked and may still hold leases. */
+  private boolean isBeingCleared(VmDescription boot) {
+    for (VmState vm : vms.values()) {
+      boolean same = vm.description().bootIncarnation() == boot.bootIncarnation();
+      if (same && vm.revoked() && vm.vm().equals(boot.vm())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean revoke(String name, long registration) {
+    VmState vm = vms.get(registration);
+    if (vm == null || vm.revoked() || !vm.vm().equals(name)) {
+      return false;
+    }
+    vms.put(registration, vm.asRevoked());
+    dropIfEmpty(registration);
+    return true;
+  }
+
+  private boolean clear(TaskRecord.VmCleared cleared) {
+    VmState vm = vms.get(cleared.registration());
+    if (vm == null || !vm.revoked() || !vm.vm().equals(cleared.vm())) {
+      return false;
+    }
+    for (TaskState task : tasksOn(cleared.registration())) {
+      if (task.leaseMillis() <= cleared.leaseMillis()) {
+        leave(task, ReleaseCause.VM_LOST, "VM " + cleared.vm() + " was lost");
+      }
+    }
+    dropIfEmpty(cleared.registration());
+    return true;
+  }
+
+  private void dropIfEmpty(long registration) {
+    VmState vm = vms.get(registration);
+    if (vm == null || !vm.revoked() || vm.tasks() > 0) {
+      return;
+    }
+    vms.remove(registration);
+    currentByVm.remove(vm.vm(), registration);
+  }
+
+  private boolean claim(long position, TaskRecord.Claimed claim) {
+    MutableJob job = jobs.get(TaskState.jobOf(claim.task()));
+    TaskState task = job == null ? null : job.find(claim.task());
+    if (task == null || task.phase() != Phase.WAITING || task.attempt() != claim.attempt()) {
+      return false;
+    }
+    VmState vm = vms.get(claim.registration());
+    if (vm == null || vm.revoked() || !vm.vm().equals(claim.vm())) {
+      return false;
+    }
+    // Entries choose on views that may be seconds old; only here do all of them see the same
+    // bookings, so only here can two claims be kept from filling the same room twice.
+    if (!claim.sizes().fitsIn(vm.free())) {
+      return false;
+    }
+    vms.put(vm.registration(), vm.withClaim(claim.sizes()));
+    tasksByRegistration
+        .computeIfAbsent(vm.registration(), unused -> new TreeSet<>())
+        .add(claim.task());
+    job.put(task.claimed(claim, position));
+    return true;
+  }
+
+  private boolean checkpoint(TaskRecord.Checkpointed checkpointed) {
+    TaskState task = held(checkpointed.task(), checkpointed.token());
+    if (task == null) {
+      return false;
+    }
+    jobs.get(task.job()).put(task.withCheckpoint(checkpointed.checkpoint()));
+    return true;
+  }
+
+  private boolean release(TaskRecord.Released released) {
+    // A doubled release, or a late one of an older attempt, no longer names the token in force;
+    // folding it would start a second attempt beside the first.
+    TaskState task = held(released.task(), released.token());
+    if (task == null) {
+      return false;
+    }
+    leave(task.withCheckpoint(released.checkpoint()), released.cause(), released.detail());
+    return true;
+  }
+
+  private boolean end(TaskRecord.Ended ended) {
+    TaskState task = held(ended.task(), ended.token());
+    if (task == null) {
+      return false;
+    }
+    TaskState last = task.withCheckpoint(ended.checkpoint());
+    if (ended.success()) {
+      settle(task, last.ended(Phase.DONE, ended.detail()));
+    } else {
+      settle(task, afterFailure(last.withFailedVm(task.vm()), ended.detail()));
+    }
+    return true;
+  }
+
+  private TaskState afterFailure(TaskState task, String detail) {
+    MutableJob job = jobs.get(task.job());
+    if (job.cancelled()) {
+      return task.ended(Phase.CANCELLED, job.cancelReason());
+    }
+    if (!job.spec().idempotent()) {
+      return task.ended(
+          Phase.FAILED, "failed on " + task.vm() + " and must not run twice: " + detail);
+    }
+    long vmsTried = task.failedVms().stream().distinct().count();
+    if (vmsTried >= MAX_FAILED_VMS || task.failedVms().size() >= MAX_FAILURES) {
+      return task.ended(
+          Phase.FAILED, "failed on " + String.join(", ", task.failedVms()) + ": " + detail);
+    }
+    return task.waiting(false, "failed on " + task.vm() + ": " + detail);
+  }
+
+  /** Ends the hold of a claimed task that did not end by itself. */
+  private void leave(TaskState task, ReleaseCause cause, String detail) {
+    MutableJob job = jobs.get(task.job());
+    if (job.cancelled()) {
+      settle(task, task.ended(Phase.CANCELLED, job.cancelReason()));
+      return;
+    }
+    boolean workLost = cause.mayHaveRun() && !cause.endsAtCheckpoint();
+    if (workLost && !job.spec().idempotent()) {
+      settle(task, task.ended(Phase.FAILED, "may have run and must not run twice: " + detail));
+      return;
+    }
+    settle(task, task.waiting(cause == ReleaseCause.EVICTED, detail));
+  }
+
+  private void settle(TaskState before, TaskState after) {
+    VmState vm = vms.get(before.registration());
+    vms.put(vm.registration(), vm.withoutClaim(before.booked()));
+    TreeSet<String> names = tasksByRegistration.get(vm.registration());
+    names.remove(before.name());
+    if (names.isEmpty()) {
+      tasksByRegistration.remove(vm.registration());
+    }
+    dropIfEmpty(vm.registration());
+    MutableJob job = jobs.get(before.job());
+    job.put(after);
+    retireIfEnded(job);
+  }
+
+  private TaskState held(String taskName, long token) {
+    MutableJob job = jobs.get(TaskState.jobOf(taskName));
+    TaskState task = job == null ? null : job.find(taskName);
+    return task != null && task.holds(token) ? task : null;
+  }
+
+  private void retireIfEnded(MutableJob job) {
+    if (!job.ended()) {
+      return;
+    }
+    jobs.remove(job.spec().name());
+    endedJobs.put(job.spec().name(), job);
+    endedTasks += job.spec().count();
+    var oldestFirst = endedJobs.values().iterator();
+    while (endedTasks > MAX_ENDED_TASKS && endedJobs.size() > 1) {
+      endedTasks -= oldestFirst.next().spec().count();
+      oldestFirst.remove();
+    }
+  }
+
+  private boolean heartbeat(long position, TaskRecord.Heartbeat heartbeat) {
+    EntryState before = entries.get(heartbeat.entry());
+    entries.put(heartbeat.entry(), EntryState.after(before, heartbeat, position));
+    if (entries.size() > MAX_ENTRIES) {
+      EntryState oldest = null;
+      for (EntryState entry : entries.values()) {
+        if (oldest == null || entry.lastHeartbeat() < oldest.lastHeartbeat()) {
+          oldest = entry;
+        }
+      }
+      entries.remove(oldest.entry());
+    }
+    return true;
+  }
+}
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTask.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTask.java
@@ -36,6 +36,7 @@
     job_ = "";
     team_ = "";
     checkpoint_ = "";
+    command_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -110,7 +111,7 @@
   private long token_ = 0L;
   /**
    * <pre>
-   * Fencing token: the log offset of the accepted claim.
+   * Fencing token: the log position of the accepted claim.
    * </pre>
    *
    * <code>uint64 token = 3;</code>
@@ -121,15 +122,19 @@
     return token_;
   }
 
-  public static final int VM_INCARNATION_FIELD_NUMBER = 4;
-  private long vmIncarnation_ = 0L;
+  public static final int REGISTRATION_FIELD_NUMBER = 4;
+  private long registration_ = 0L;
   /**
-   * <code>uint64 vm_incarnation = 4;</code>
-   * @return The vmIncarnation.
+   * <pre>
+   * The VM's registration that the claim names.
+   * </pre>
+   *
+   * <code>uint64 registration = 4;</code>
+   * @return The registration.
    */
   @java.lang.Override
-  public long getVmIncarnation() {
-    return vmIncarnation_;
+  public long getRegistration() {
+    return registration_;
   }
 
   public static final int JOB_FIELD_NUMBER = 5;
@@ -222,13 +227,13 @@
   }
 
   public static final int MILLI_PROCESSORS_FIELD_NUMBER = 8;
-  private int milliProcessors_ = 0;
+  private long milliProcessors_ = 0L;
   /**
-   * <code>uint32 milli_processors = 8;</code>
+   * <code>uint64 milli_processors = 8;</code>
    * @return The milliProcessors.
    */
   @java.lang.Override
-  public int getMilliProcessors() {
+  public long getMilliProcessors() {
     return milliProcessors_;
   }
 
@@ -244,13 +249,13 @@
   }
 
   public static final int ACCELERATORS_FIELD_NUMBER = 10;
-  private int accelerators_ = 0;
+  private long accelerators_ = 0L;
   /**
-   * <code>uint32 accelerators = 10;</code>
+   * <code>uint64 accelerators = 10;</code>
    * @return The accelerators.
    */
   @java.lang.Override
-  public int getAccelerators() {
+  public long getAccelerators() {
     return accelerators_;
   }
 
@@ -323,6 +328,86 @@
     return runMillis_;
   }
 
+  public static final int COMMAND_FIELD_NUMBER = 14;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object command_ = "";
+  /**
+   * <code>string command = 14;</code>
+   * @return The command.
+   */
+  @java.lang.Override
+  public java.lang.String getCommand() {
+    java.lang.Object ref = command_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      command_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string command = 14;</code>
+   * @return The bytes for command.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCommandBytes() {
+    java.lang.Object ref = command_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      command_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int LEASE_MILLIS_FIELD_NUMBER = 15;
+  private long leaseMillis_ = 0L;
+  /**
+   * <code>uint64 lease_millis = 15;</code>
+   * @return The leaseMillis.
+   */
+  @java.lang.Override
+  public long getLeaseMillis() {
+    return leaseMillis_;
+  }
+
+  public static final int PROCESS_INCARNATION_FIELD_NUMBER = 16;
+  private long processIncarnation_ = 0L;
+  /**
+   * <pre>
+   * The side process's incarnation that this entry has vouched to; an earlier one's is dropped.
+   * </pre>
+   *
+   * <code>uint64 process_incarnation = 16;</code>
+   * @return The processIncarnation.
+   */
+  @java.lang.Override
+  public long getProcessIncarnation() {
+    return processIncarnation_;
+  }
+
+  public static final int FINISH_BY_MILLIS_FIELD_NUMBER = 17;
+  private long finishByMillis_ = 0L;
+  /**
+   * <pre>
+   * Milliseconds since the Unix epoch by which the task should be done; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 finish_by_millis = 17;</code>
+   * @return The finishByMillis.
+   */
+  @java.lang.Override
+  public long getFinishByMillis() {
+    return finishByMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -346,8 +431,8 @@
     if (token_ != 0L) {
       output.writeUInt64(3, token_);
     }
-    if (vmIncarnation_ != 0L) {
-      output.writeUInt64(4, vmIncarnation_);
+    if (registration_ != 0L) {
+      output.writeUInt64(4, registration_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(job_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, job_);
@@ -358,14 +443,14 @@
     if (latencyCritical_ != false) {
       output.writeBool(7, latencyCritical_);
     }
-    if (milliProcessors_ != 0) {
-      output.writeUInt32(8, milliProcessors_);
+    if (milliProcessors_ != 0L) {
+      output.writeUInt64(8, milliProcessors_);
     }
     if (memoryBytes_ != 0L) {
       output.writeUInt64(9, memoryBytes_);
     }
-    if (accelerators_ != 0) {
-      output.writeUInt32(10, accelerators_);
+    if (accelerators_ != 0L) {
+      output.writeUInt64(10, accelerators_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 11, checkpoint_);
@@ -376,6 +461,18 @@
     if (runMillis_ != 0L) {
       output.writeUInt64(13, runMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(command_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 14, command_);
+    }
+    if (leaseMillis_ != 0L) {
+      output.writeUInt64(15, leaseMillis_);
+    }
+    if (processIncarnation_ != 0L) {
+      output.writeUInt64(16, processIncarnation_);
+    }
+    if (finishByMillis_ != 0L) {
+      output.writeUInt64(17, finishByMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -391,9 +488,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, token_);
     }
-    if (vmIncarnation_ != 0L) {
+    if (registration_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(4, vmIncarnation_);
+        .computeUInt64Size(4, registration_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(job_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, job_);
@@ -405,17 +502,17 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, latencyCritical_);
     }
-    if (milliProcessors_ != 0) {
+    if (milliProcessors_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(8, milliProcessors_);
+        .computeUInt64Size(8, milliProcessors_);
     }
     if (memoryBytes_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(9, memoryBytes_);
     }
-    if (accelerators_ != 0) {
+    if (accelerators_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(10, accelerators_);
+        .computeUInt64Size(10, accelerators_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(11, checkpoint_);
@@ -428,6 +525,21 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(13, runMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(command_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(14, command_);
+    }
+    if (leaseMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(15, leaseMillis_);
+    }
+    if (processIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(16, processIncarnation_);
+    }
+    if (finishByMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(17, finishByMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -458,8 +570,8 @@
         != other.getAttempt()) return false;
     if (getToken()
         != other.getToken()) return false;
-    if (getVmIncarnation()
-        != other.getVmIncarnation()) return false;
+    if (getRegistration()
+        != other.getRegistration()) return false;
     if (!getJob()
         .equals(other.getJob())) return false;
     if (!getTeam()
@@ -478,6 +590,14 @@
         != other.getCheckpointIntervalMillis()) return false;
     if (getRunMillis()
         != other.getRunMillis()) return false;
+    if (!getCommand()
+        .equals(other.getCommand())) return false;
+    if (getLeaseMillis()
+        != other.getLeaseMillis()) return false;
+    if (getProcessIncarnation()
+        != other.getProcessIncarnation()) return false;
+    if (getFinishByMillis()
+        != other.getFinishByMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -496,9 +616,9 @@
     hash = (37 * hash) + TOKEN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getToken());
-    hash = (37 * hash) + VM_INCARNATION_FIELD_NUMBER;
+    hash = (37 * hash) + REGISTRATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getVmIncarnation());
+        getRegistration());
     hash = (37 * hash) + JOB_FIELD_NUMBER;
     hash = (53 * hash) + getJob().hashCode();
     hash = (37 * hash) + TEAM_FIELD_NUMBER;
@@ -507,12 +627,14 @@
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLatencyCritical());
     hash = (37 * hash) + MILLI_PROCESSORS_FIELD_NUMBER;
-    hash = (53 * hash) + getMilliProcessors();
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getMilliProcessors());
     hash = (37 * hash) + MEMORY_BYTES_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getMemoryBytes());
     hash = (37 * hash) + ACCELERATORS_FIELD_NUMBER;
-    hash = (53 * hash) + getAccelerators();
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAccelerators());
     hash = (37 * hash) + CHECKPOINT_FIELD_NUMBER;
     hash = (53 * hash) + getCheckpoint().hashCode();
     hash = (37 * hash) + CHECKPOINT_INTERVAL_MILLIS_FIELD_NUMBER;
@@ -521,6 +643,17 @@
     hash = (37 * hash) + RUN_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRunMillis());
+    hash = (37 * hash) + COMMAND_FIELD_NUMBER;
+    hash = (53 * hash) + getCommand().hashCode();
+    hash = (37 * hash) + LEASE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLeaseMillis());
+    hash = (37 * hash) + PROCESS_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getProcessIncarnation());
+    hash = (37 * hash) + FINISH_BY_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getFinishByMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -659,16 +792,20 @@
       task_ = "";
       attempt_ = 0;
       token_ = 0L;
-      vmIncarnation_ = 0L;
+      registration_ = 0L;
       job_ = "";
       team_ = "";
       latencyCritical_ = false;
-      milliProcessors_ = 0;
+      milliProcessors_ = 0L;
       memoryBytes_ = 0L;
-      accelerators_ = 0;
+      accelerators_ = 0L;
       checkpoint_ = "";
       checkpointIntervalMillis_ = 0L;
       runMillis_ = 0L;
+      command_ = "";
+      leaseMillis_ = 0L;
+      processIncarnation_ = 0L;
+      finishByMillis_ = 0L;
       return this;
     }
 
@@ -712,7 +849,7 @@
         result.token_ = token_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.vmIncarnation_ = vmIncarnation_;
+        result.registration_ = registration_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.job_ = job_;
@@ -741,6 +878,18 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.runMillis_ = runMillis_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.command_ = command_;
+      }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.leaseMillis_ = leaseMillis_;
+      }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.processIncarnation_ = processIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.finishByMillis_ = finishByMillis_;
+      }
     }
 
     @java.lang.Override
@@ -766,8 +915,8 @@
       if (other.getToken() != 0L) {
         setToken(other.getToken());
       }
-      if (other.getVmIncarnation() != 0L) {
-        setVmIncarnation(other.getVmIncarnation());
+      if (other.getRegistration() != 0L) {
+        setRegistration(other.getRegistration());
       }
       if (!other.getJob().isEmpty()) {
         job_ = other.job_;
@@ -782,13 +931,13 @@
       if (other.getLatencyCritical() != false) {
         setLatencyCritical(other.getLatencyCritical());
       }
-      if (other.getMilliProcessors() != 0) {
+      if (other.getMilliProcessors() != 0L) {
         setMilliProcessors(other.getMilliProcessors());
       }
       if (other.getMemoryBytes() != 0L) {
         setMemoryBytes(other.getMemoryBytes());
       }
-      if (other.getAccelerators() != 0) {
+      if (other.getAccelerators() != 0L) {
         setAccelerators(other.getAccelerators());
       }
       if (!other.getCheckpoint().isEmpty()) {
@@ -802,6 +951,20 @@
       if (other.getRunMillis() != 0L) {
         setRunMillis(other.getRunMillis());
       }
+      if (!other.getCommand().isEmpty()) {
+        command_ = other.command_;
+        bitField0_ |= 0x00002000;
+        onChanged();
+      }
+      if (other.getLeaseMillis() != 0L) {
+        setLeaseMillis(other.getLeaseMillis());
+      }
+      if (other.getProcessIncarnation() != 0L) {
+        setProcessIncarnation(other.getProcessIncarnation());
+      }
+      if (other.getFinishByMillis() != 0L) {
+        setFinishByMillis(other.getFinishByMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -842,7 +1005,7 @@
               break;
             } // case 24
             case 32: {
-              vmIncarnation_ = input.readUInt64();
+              registration_ = input.readUInt64();
               bitField0_ |= 0x00000008;
               break;
             } // case 32
@@ -862,7 +1025,7 @@
               break;
             } // case 56
             case 64: {
-              milliProcessors_ = input.readUInt32();
+              milliProcessors_ = input.readUInt64();
               bitField0_ |= 0x00000080;
               break;
             } // case 64
@@ -872,7 +1035,7 @@
               break;
             } // case 72
             case 80: {
-              accelerators_ = input.readUInt32();
+              accelerators_ = input.readUInt64();
               bitField0_ |= 0x00000200;
               break;
             } // case 80
@@ -891,6 +1054,26 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 114: {
+              command_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 114
+            case 120: {
+              leaseMillis_ = input.readUInt64();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
+            case 128: {
+              processIncarnation_ = input.readUInt64();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
+            case 136: {
+              finishByMillis_ = input.readUInt64();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 136
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1015,7 +1198,7 @@
     private long token_ ;
     /**
      * <pre>
-     * Fencing token: the log offset of the accepted claim.
+     * Fencing token: the log position of the accepted claim.
      * </pre>
      *
      * <code>uint64 token = 3;</code>
@@ -1027,7 +1210,7 @@
     }
     /**
      * <pre>
-     * Fencing token: the log offset of the accepted claim.
+     * Fencing token: the log position of the accepted claim.
      * </pre>
      *
      * <code>uint64 token = 3;</code>
@@ -1043,7 +1226,7 @@
     }
     /**
      * <pre>
-     * Fencing token: the log offset of the accepted claim.
+     * Fencing token: the log position of the accepted claim.
      * </pre>
      *
      * <code>uint64 token = 3;</code>
@@ -1056,34 +1239,46 @@
       return this;
     }
 
-    private long vmIncarnation_ ;
+    private long registration_ ;
     /**
-     * <code>uint64 vm_incarnation = 4;</code>
-     * @return The vmIncarnation.
+     * <pre>
+     * The VM's registration that the claim names.
+     * </pre>
+     *
+     * <code>uint64 registration = 4;</code>
+     * @return The registration.
      */
     @java.lang.Override
-    public long getVmIncarnation() {
-      return vmIncarnation_;
+    public long getRegistration() {
+      return registration_;
     }
     /**
-     * <code>uint64 vm_incarnation = 4;</code>
-     * @param value The vmIncarnation to set.
+     * <pre>
+     * The VM's registration that the claim names.
+     * </pre>
+     *
+     * <code>uint64 registration = 4;</code>
+     * @param value The registration to set.
      * @return This builder for chaining.
      */
-    public Builder setVmIncarnation(long value) {
+    public Builder setRegistration(long value) {
 
-      vmIncarnation_ = value;
+      registration_ = value;
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 vm_incarnation = 4;</code>
+     * <pre>
+     * The VM's registration that the claim names.
+     * </pre>
+     *
+     * <code>uint64 registration = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearVmIncarnation() {
+    public Builder clearRegistration() {
       bitField0_ = (bitField0_ & ~0x00000008);
-      vmIncarnation_ = 0L;
+      registration_ = 0L;
       onChanged();
       return this;
     }
@@ -1264,21 +1459,21 @@
       return this;
     }
 
-    private int milliProcessors_ ;
+    private long milliProcessors_ ;
     /**
-     * <code>uint32 milli_processors = 8;</code>
+     * <code>uint64 milli_processors = 8;</code>
      * @return The milliProcessors.
      */
     @java.lang.Override
-    public int getMilliProcessors() {
+    public long getMilliProcessors() {
       return milliProcessors_;
     }
     /**
-     * <code>uint32 milli_processors = 8;</code>
+     * <code>uint64 milli_processors = 8;</code>
      * @param value The milliProcessors to set.
      * @return This builder for chaining.
      */
-    public Builder setMilliProcessors(int value) {
+    public Builder setMilliProcessors(long value) {
 
       milliProcessors_ = value;
       bitField0_ |= 0x00000080;
@@ -1286,12 +1481,12 @@
       return this;
     }
     /**
-     * <code>uint32 milli_processors = 8;</code>
+     * <code>uint64 milli_processors = 8;</code>
      * @return This builder for chaining.
      */
     public Builder clearMilliProcessors() {
       bitField0_ = (bitField0_ & ~0x00000080);
-      milliProcessors_ = 0;
+      milliProcessors_ = 0L;
       onChanged();
       return this;
     }
@@ -1328,21 +1523,21 @@
       return this;
     }
 
-    private int accelerators_ ;
+    private long accelerators_ ;
     /**
-     * <code>uint32 accelerators = 10;</code>
+     * <code>uint64 accelerators = 10;</code>
      * @return The accelerators.
      */
     @java.lang.Override
-    public int getAccelerators() {
+    public long getAccelerators() {
       return accelerators_;
     }
     /**
-     * <code>uint32 accelerators = 10;</code>
+     * <code>uint64 accelerators = 10;</code>
      * @param value The accelerators to set.
      * @return This builder for chaining.
      */
-    public Builder setAccelerators(int value) {
+    public Builder setAccelerators(long value) {
 
       accelerators_ = value;
       bitField0_ |= 0x00000200;
@@ -1350,12 +1545,12 @@
       return this;
     }
     /**
-     * <code>uint32 accelerators = 10;</code>
+     * <code>uint64 accelerators = 10;</code>
      * @return This builder for chaining.
      */
     public Builder clearAccelerators() {
       bitField0_ = (bitField0_ & ~0x00000200);
-      accelerators_ = 0;
+      accelerators_ = 0L;
       onChanged();
       return this;
     }
@@ -1516,6 +1711,198 @@
       return this;
     }
 
+    private java.lang.Object command_ = "";
+    /**
+     * <code>string command = 14;</code>
+     * @return The command.
+     */
+    public java.lang.String getCommand() {
+      java.lang.Object ref = command_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        command_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string command = 14;</code>
+     * @return The bytes for command.
+     */
+    public com.google.protobuf.ByteString
+        getCommandBytes() {
+      java.lang.Object ref = command_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        command_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string command = 14;</code>
+     * @param value The command to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCommand(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      command_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string command = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCommand() {
+      command_ = getDefaultInstance().getCommand();
+      bitField0_ = (bitField0_ & ~0x00002000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string command = 14;</code>
+     * @param value The bytes for command to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCommandBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      command_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+
+    private long leaseMillis_ ;
+    /**
+     * <code>uint64 lease_millis = 15;</code>
+     * @return The leaseMillis.
+     */
+    @java.lang.Override
+    public long getLeaseMillis() {
+      return leaseMillis_;
+    }
+    /**
+     * <code>uint64 lease_millis = 15;</code>
+     * @param value The leaseMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaseMillis(long value) {
+
+      leaseMillis_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 lease_millis = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaseMillis() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      leaseMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long processIncarnation_ ;
+    /**
+     * <pre>
+     * The side process's incarnation that this entry has vouched to; an earlier one's is dropped.
+     * </pre>
+     *
+     * <code>uint64 process_incarnation = 16;</code>
+     * @return The processIncarnation.
+     */
+    @java.lang.Override
+    public long getProcessIncarnation() {
+      return processIncarnation_;
+    }
+    /**
+     * <pre>
+     * The side process's incarnation that this entry has vouched to; an earlier one's is dropped.
+     * </pre>
+     *
+     * <code>uint64 process_incarnation = 16;</code>
+     * @param value The processIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProcessIncarnation(long value) {
+
+      processIncarnation_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The side process's incarnation that this entry has vouched to; an earlier one's is dropped.
+     * </pre>
+     *
+     * <code>uint64 process_incarnation = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProcessIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      processIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long finishByMillis_ ;
+    /**
+     * <pre>
+     * Milliseconds since the Unix epoch by which the task should be done; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 finish_by_millis = 17;</code>
+     * @return The finishByMillis.
+     */
+    @java.lang.Override
+    public long getFinishByMillis() {
+      return finishByMillis_;
+    }
+    /**
+     * <pre>
+     * Milliseconds since the Unix epoch by which the task should be done; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 finish_by_millis = 17;</code>
+     * @param value The finishByMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFinishByMillis(long value) {
+
+      finishByMillis_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds since the Unix epoch by which the task should be done; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 finish_by_millis = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFinishByMillis() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      finishByMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.StartTask)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTaskOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTaskOrBuilder.java
@@ -30,7 +30,7 @@
 
   /**
    * <pre>
-   * Fencing token: the log offset of the accepted claim.
+   * Fencing token: the log position of the accepted claim.
    * </pre>
    *
    * <code>uint64 token = 3;</code>
@@ -39,10 +39,14 @@
   long getToken();
 
   /**
-   * <code>uint64 vm_incarnation = 4;</code>
-   * @return The vmIncarnation.
+   * <pre>
+   * The VM's registration that the claim names.
+   * </pre>
+   *
+   * <code>uint64 registration = 4;</code>
+   * @return The registration.
    */
-  long getVmIncarnation();
+  long getRegistration();
 
   /**
    * <code>string job = 5;</code>
@@ -75,10 +79,10 @@
   boolean getLatencyCritical();
 
   /**
-   * <code>uint32 milli_processors = 8;</code>
+   * <code>uint64 milli_processors = 8;</code>
    * @return The milliProcessors.
    */
-  int getMilliProcessors();
+  long getMilliProcessors();
 
   /**
    * <code>uint64 memory_bytes = 9;</code>
@@ -87,10 +91,10 @@
   long getMemoryBytes();
 
   /**
-   * <code>uint32 accelerators = 10;</code>
+   * <code>uint64 accelerators = 10;</code>
    * @return The accelerators.
    */
-  int getAccelerators();
+  long getAccelerators();
 
   /**
    * <pre>
@@ -123,4 +127,42 @@
    * @return The runMillis.
    */
   long getRunMillis();
+
+  /**
+   * <code>string command = 14;</code>
+   * @return The command.
+   */
+  java.lang.String getCommand();
+  /**
+   * <code>string command = 14;</code>
+   * @return The bytes for command.
+   */
+  com.google.protobuf.ByteString
+      getCommandBytes();
+
+  /**
+   * <code>uint64 lease_millis = 15;</code>
+   * @return The leaseMillis.
+   */
+  long getLeaseMillis();
+
+  /**
+   * <pre>
+   * The side process's incarnation that this entry has vouched to; an earlier one's is dropped.
+   * </pre>
+   *
+   * <code>uint64 process_incarnation = 16;</code>
+   * @return The processIncarnation.
+   */
+  long getProcessIncarnation();
+
+  /**
+   * <pre>
+   * Milliseconds since the Unix epoch by which the task should be done; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 finish_by_millis = 17;</code>
+   * @return The finishByMillis.
+   */
+  long getFinishByMillis();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Task.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Task.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_marigoldsail_TaskMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_AskVouch_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_AskVouch_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_marigoldsail_StartTask_descriptor;
   static final 
@@ -56,6 +61,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_marigoldsail_TaskReportAck_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_UsageReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_UsageReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_TaskUsage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_TaskUsage_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -66,36 +81,52 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\027marigoldsail/task.proto\022\014marigoldsail\"" +
-      "\354\001\n\013TaskMessage\022(\n\005start\030\001 \001(\0132\027.marigol" +
+      "\305\002\n\013TaskMessage\022(\n\005start\030\001 \001(\0132\027.marigol" +
       "dsail.StartTaskH\000\022&\n\004stop\030\002 \001(\0132\026.marigo" +
       "ldsail.StopTaskH\000\022$\n\005vouch\030\003 \001(\0132\023.marig" +
       "oldsail.VouchH\000\022*\n\006report\030\004 \001(\0132\030.marigo" +
       "ldsail.TaskReportH\000\0221\n\nreport_ack\030\005 \001(\0132" +
-      "\033.marigoldsail.TaskReportAckH\000B\006\n\004kind\"\230" +
-      "\002\n\tStartTask\022\014\n\004task\030\001 \001(\t\022\017\n\007attempt\030\002 " +
-      "\001(\r\022\r\n\005token\030\003 \001(\004\022\026\n\016vm_incarnation\030\004 \001" +
-      "(\004\022\013\n\003job\030\005 \001(\t\022\014\n\004team\030\006 \001(\t\022\030\n\020latency" +
-      "_critical\030\007 \001(\010\022\030\n\020milli_processors\030\010 \001(" +
-      "\r\022\024\n\014memory_bytes\030\t \001(\004\022\024\n\014accelerators\030" +
-      "\n \001(\r\022\022\n\ncheckpoint\030\013 \001(\t\022\"\n\032checkpoint_" +
-      "interval_millis\030\014 \001(\004\022\022\n\nrun_millis\030\r \001(" +
-      "\004\"\265\001\n\010StopTask\022\014\n\004task\030\001 \001(\t\022\017\n\007attempt\030" +
-      "\002 \001(\r\022\r\n\005token\030\003 \001(\004\022-\n\006reason\030\004 \001(\0162\035.m" +
-      "arigoldsail.StopTask.Reason\"L\n\006Reason\022\026\n" +
-      "\022REASON_UNSPECIFIED\020\000\022\r\n\tCANCELLED\020\001\022\013\n\007" +
-      "EVICTED\020\002\022\016\n\nSUPERSEDED\020\003\"M\n\005Vouch\022\026\n\016vm" +
-      "_incarnation\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(\004\022\030" +
-      "\n\020heartbeat_offset\030\003 \001(\004\"\353\001\n\nTaskReport\022" +
-      "\014\n\004task\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030" +
-      "\003 \001(\004\022-\n\005state\030\004 \001(\0162\036.marigoldsail.Task" +
-      "Report.State\022\022\n\ncheckpoint\030\005 \001(\t\022\016\n\006deta" +
-      "il\030\006 \001(\t\"\\\n\005State\022\025\n\021STATE_UNSPECIFIED\020\000" +
-      "\022\013\n\007RUNNING\020\001\022\010\n\004DONE\020\002\022\n\n\006FAILED\020\003\022\014\n\010R" +
-      "ELEASED\020\004\022\013\n\007REFUSED\020\005\"l\n\rTaskReportAck\022" +
-      "\014\n\004task\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030" +
-      "\003 \001(\004\022-\n\005state\030\004 \001(\0162\036.marigoldsail.Task" +
-      "Report.StateB\034\n\030io.marigoldsail.protocol" +
-      "P\001b\006proto3"
+      "\033.marigoldsail.TaskReportAckH\000\022+\n\task_vo" +
+      "uch\030\006 \001(\0132\026.marigoldsail.AskVouchH\000\022*\n\005u" +
+      "sage\030\007 \001(\0132\031.marigoldsail.UsageReportH\000B" +
+      "\006\n\004kind\"\325\001\n\010AskVouch\022\n\n\002vm\030\001 \001(\t\022\030\n\020boot" +
+      "_incarnation\030\002 \001(\004\022\033\n\023process_incarnatio" +
+      "n\030\003 \001(\004\022\023\n\013asked_nanos\030\004 \001(\004\022\014\n\004zone\030\005 \001" +
+      "(\t\022\014\n\004rack\030\006 \001(\t\022\030\n\020milli_processors\030\007 \001" +
+      "(\004\022\024\n\014memory_bytes\030\010 \001(\004\022\024\n\014accelerators" +
+      "\030\t \001(\004\022\017\n\007leaving\030\n \001(\010\"\364\002\n\tStartTask\022\014\n" +
+      "\004task\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030\003 " +
+      "\001(\004\022\024\n\014registration\030\004 \001(\004\022\013\n\003job\030\005 \001(\t\022\014" +
+      "\n\004team\030\006 \001(\t\022\030\n\020latency_critical\030\007 \001(\010\022\030" +
+      "\n\020milli_processors\030\010 \001(\004\022\024\n\014memory_bytes" +
+      "\030\t \001(\004\022\024\n\014accelerators\030\n \001(\004\022\022\n\ncheckpoi" +
+      "nt\030\013 \001(\t\022\"\n\032checkpoint_interval_millis\030\014" +
+      " \001(\004\022\022\n\nrun_millis\030\r \001(\004\022\017\n\007command\030\016 \001(" +
+      "\t\022\024\n\014lease_millis\030\017 \001(\004\022\033\n\023process_incar" +
+      "nation\030\020 \001(\004\022\030\n\020finish_by_millis\030\021 \001(\004\"\265" +
+      "\001\n\010StopTask\022\014\n\004task\030\001 \001(\t\022\017\n\007attempt\030\002 \001" +
+      "(\r\022\r\n\005token\030\003 \001(\004\022-\n\006reason\030\004 \001(\0162\035.mari" +
+      "goldsail.StopTask.Reason\"L\n\006Reason\022\026\n\022RE" +
+      "ASON_UNSPECIFIED\020\000\022\r\n\tCANCELLED\020\001\022\013\n\007EVI" +
+      "CTED\020\002\022\016\n\nSUPERSEDED\020\003\"b\n\005Vouch\022\024\n\014regis" +
+      "tration\030\001 \001(\004\022\023\n\013asked_nanos\030\002 \001(\004\022\033\n\023pr" +
+      "ocess_incarnation\030\003 \001(\004\022\021\n\theartbeat\030\004 \001" +
+      "(\004\"\374\001\n\nTaskReport\022\014\n\004task\030\001 \001(\t\022\017\n\007attem" +
+      "pt\030\002 \001(\r\022\r\n\005token\030\003 \001(\004\022-\n\005state\030\004 \001(\0162\036" +
+      ".marigoldsail.TaskReport.State\022\022\n\ncheckp" +
+      "oint\030\005 \001(\t\022\016\n\006detail\030\006 \001(\t\022\017\n\007evicted\030\007 " +
+      "\001(\010\"\\\n\005State\022\025\n\021STATE_UNSPECIFIED\020\000\022\013\n\007R" +
+      "UNNING\020\001\022\010\n\004DONE\020\002\022\n\n\006FAILED\020\003\022\014\n\010RELEAS" +
+      "ED\020\004\022\013\n\007REFUSED\020\005\"l\n\rTaskReportAck\022\014\n\004ta" +
+      "sk\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030\003 \001(\004" +
+      "\022-\n\005state\030\004 \001(\0162\036.marigoldsail.TaskRepor" +
+      "t.State\"d\n\013UsageReport\022\n\n\002vm\030\001 \001(\t\022&\n\005ta" +
+      "sks\030\002 \003(\0132\027.marigoldsail.TaskUsage\022!\n\031se" +
+      "rvice_slowdown_permille\030\003 \001(\r\"s\n\tTaskUsa" +
+      "ge\022\014\n\004task\030\001 \001(\t\022\r\n\005token\030\002 \001(\004\022\030\n\020milli" +
+      "_processors\030\003 \001(\004\022\024\n\014memory_bytes\030\004 \001(\004\022" +
+      "\031\n\021slowdown_permille\030\005 \001(\rB\034\n\030io.marigol" +
+      "dsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -106,37 +137,55 @@
     internal_static_marigoldsail_TaskMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_TaskMessage_descriptor,
-        new java.lang.String[] { "Start", "Stop", "Vouch", "Report", "ReportAck", "Kind", });
-    internal_static_marigoldsail_StartTask_descriptor =
+        new java.lang.String[] { "Start", "Stop", "Vouch", "Report", "ReportAck", "AskVouch", "Usage", "Kind", });
+    internal_static_marigoldsail_AskVouch_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_marigoldsail_AskVouch_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_AskVouch_descriptor,
+        new java.lang.String[] { "Vm", "BootIncarnation", "ProcessIncarnation", "AskedNanos", "Zone", "Rack", "MilliProcessors", "MemoryBytes", "Accelerators", "Leaving", });
+    internal_static_marigoldsail_StartTask_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_marigoldsail_StartTask_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_StartTask_descriptor,
-        new java.lang.String[] { "Task", "Attempt", "Token", "VmIncarnation", "Job", "Team", "LatencyCritical", "MilliProcessors", "MemoryBytes", "Accelerators", "Checkpoint", "CheckpointIntervalMillis", "RunMillis", });
+        new java.lang.String[] { "Task", "Attempt", "Token", "Registration", "Job", "Team", "LatencyCritical", "MilliProcessors", "MemoryBytes", "Accelerators", "Checkpoint", "CheckpointIntervalMillis", "RunMillis", "Command", "LeaseMillis", "ProcessIncarnation", "FinishByMillis", });
     internal_static_marigoldsail_StopTask_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_marigoldsail_StopTask_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_StopTask_descriptor,
         new java.lang.String[] { "Task", "Attempt", "Token", "Reason", });
     internal_static_marigoldsail_Vouch_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_marigoldsail_Vouch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Vouch_descriptor,
-        new java.lang.String[] { "VmIncarnation", "AgeMillis", "HeartbeatOffset", });
+        new java.lang.String[] { "Registration", "AskedNanos", "ProcessIncarnation", "Heartbeat", });
     internal_static_marigoldsail_TaskReport_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_marigoldsail_TaskReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_TaskReport_descriptor,
-        new java.lang.String[] { "Task", "Attempt", "Token", "State", "Checkpoint", "Detail", });
+        new java.lang.String[] { "Task", "Attempt", "Token", "State", "Checkpoint", "Detail", "Evicted", });
     internal_static_marigoldsail_TaskReportAck_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_marigoldsail_TaskReportAck_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_TaskReportAck_descriptor,
         new java.lang.String[] { "Task", "Attempt", "Token", "State", });
+    internal_static_marigoldsail_UsageReport_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_marigoldsail_UsageReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_UsageReport_descriptor,
+        new java.lang.String[] { "Vm", "Tasks", "ServiceSlowdownPermille", });
+    internal_static_marigoldsail_TaskUsage_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_marigoldsail_TaskUsage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_TaskUsage_descriptor,
+        new java.lang.String[] { "Task", "Token", "MilliProcessors", "MemoryBytes", "SlowdownPermille", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskMessage.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskMessage.java
@@ -63,6 +63,8 @@
     VOUCH(3),
     REPORT(4),
     REPORT_ACK(5),
+    ASK_VOUCH(6),
+    USAGE(7),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -85,6 +87,8 @@
         case 3: return VOUCH;
         case 4: return REPORT;
         case 5: return REPORT_ACK;
+        case 6: return ASK_VOUCH;
+        case 7: return USAGE;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -255,6 +259,68 @@
     return io.marigoldsail.protocol.TaskReportAck.getDefaultInstance();
   }
 
+  public static final int ASK_VOUCH_FIELD_NUMBER = 6;
+  /**
+   * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+   * @return Whether the askVouch field is set.
+   */
+  @java.lang.Override
+  public boolean hasAskVouch() {
+    return kindCase_ == 6;
+  }
+  /**
+   * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+   * @return The askVouch.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.AskVouch getAskVouch() {
+    if (kindCase_ == 6) {
+       return (io.marigoldsail.protocol.AskVouch) kind_;
+    }
+    return io.marigoldsail.protocol.AskVouch.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.AskVouchOrBuilder getAskVouchOrBuilder() {
+    if (kindCase_ == 6) {
+       return (io.marigoldsail.protocol.AskVouch) kind_;
+    }
+    return io.marigoldsail.protocol.AskVouch.getDefaultInstance();
+  }
+
+  public static final int USAGE_FIELD_NUMBER = 7;
+  /**
+   * <code>.marigoldsail.UsageReport usage = 7;</code>
+   * @return Whether the usage field is set.
+   */
+  @java.lang.Override
+  public boolean hasUsage() {
+    return kindCase_ == 7;
+  }
+  /**
+   * <code>.marigoldsail.UsageReport usage = 7;</code>
+   * @return The usage.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.UsageReport getUsage() {
+    if (kindCase_ == 7) {
+       return (io.marigoldsail.protocol.UsageReport) kind_;
+    }
+    return io.marigoldsail.protocol.UsageReport.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.UsageReport usage = 7;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.UsageReportOrBuilder getUsageOrBuilder() {
+    if (kindCase_ == 7) {
+       return (io.marigoldsail.protocol.UsageReport) kind_;
+    }
+    return io.marigoldsail.protocol.UsageReport.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -284,6 +350,12 @@
     if (kindCase_ == 5) {
       output.writeMessage(5, (io.marigoldsail.protocol.TaskReportAck) kind_);
     }
+    if (kindCase_ == 6) {
+      output.writeMessage(6, (io.marigoldsail.protocol.AskVouch) kind_);
+    }
+    if (kindCase_ == 7) {
+      output.writeMessage(7, (io.marigoldsail.protocol.UsageReport) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -308,6 +380,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, (io.marigoldsail.protocol.TaskReportAck) kind_);
     }
+    if (kindCase_ == 6) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, (io.marigoldsail.protocol.AskVouch) kind_);
+    }
+    if (kindCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, (io.marigoldsail.protocol.UsageReport) kind_);
+    }
     return size;
   }
   @java.lang.Override
@@ -354,6 +434,14 @@
         if (!getReportAck()
             .equals(other.getReportAck())) return false;
         break;
+      case 6:
+        if (!getAskVouch()
+            .equals(other.getAskVouch())) return false;
+        break;
+      case 7:
+        if (!getUsage()
+            .equals(other.getUsage())) return false;
+        break;
       case 0:
       default:
     }
@@ -389,6 +477,14 @@
         hash = (37 * hash) + REPORT_ACK_FIELD_NUMBER;
         hash = (53 * hash) + getReportAck().hashCode();
         break;
+      case 6:
+        hash = (37 * hash) + ASK_VOUCH_FIELD_NUMBER;
+        hash = (53 * hash) + getAskVouch().hashCode();
+        break;
+      case 7:
+        hash = (37 * hash) + USAGE_FIELD_NUMBER;
+        hash = (53 * hash) + getUsage().hashCode();
+        break;
       case 0:
       default:
     }
@@ -542,6 +638,12 @@
       if (reportAckBuilder_ != null) {
         reportAckBuilder_.clear();
       }
+      if (askVouchBuilder_ != null) {
+        askVouchBuilder_.clear();
+      }
+      if (usageBuilder_ != null) {
+        usageBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -603,6 +705,14 @@
           reportAckBuilder_ != null) {
         result.kind_ = reportAckBuilder_.build();
       }
+      if (kindCase_ == 6 &&
+          askVouchBuilder_ != null) {
+        result.kind_ = askVouchBuilder_.build();
+      }
+      if (kindCase_ == 7 &&
+          usageBuilder_ != null) {
+        result.kind_ = usageBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -638,6 +748,14 @@
           mergeReportAck(other.getReportAck());
           break;
         }
+        case ASK_VOUCH: {
+          mergeAskVouch(other.getAskVouch());
+          break;
+        }
+        case USAGE: {
+          mergeUsage(other.getUsage());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -701,6 +819,20 @@
               kindCase_ = 5;
               break;
             } // case 42
+            case 50: {
+              input.readMessage(
+                  internalGetAskVouchFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 6;
+              break;
+            } // case 50
+            case 58: {
+              input.readMessage(
+                  internalGetUsageFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 7;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1433,6 +1565,286 @@
       return reportAckBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.AskVouch, io.marigoldsail.protocol.AskVouch.Builder, io.marigoldsail.protocol.AskVouchOrBuilder> askVouchBuilder_;
+    /**
+     * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+     * @return Whether the askVouch field is set.
+     */
+    @java.lang.Override
+    public boolean hasAskVouch() {
+      return kindCase_ == 6;
+    }
+    /**
+     * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+     * @return The askVouch.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.AskVouch getAskVouch() {
+      if (askVouchBuilder_ == null) {
+        if (kindCase_ == 6) {
+          return (io.marigoldsail.protocol.AskVouch) kind_;
+        }
+        return io.marigoldsail.protocol.AskVouch.getDefaultInstance();
+      } else {
+        if (kindCase_ == 6) {
+          return askVouchBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.AskVouch.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+     */
+    public Builder setAskVouch(io.marigoldsail.protocol.AskVouch value) {
+      if (askVouchBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        askVouchBuilder_.setMessage(value);
+      }
+      kindCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+     */
+    public Builder setAskVouch(
+        io.marigoldsail.protocol.AskVouch.Builder builderForValue) {
+      if (askVouchBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        askVouchBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+     */
+    public Builder mergeAskVouch(io.marigoldsail.protocol.AskVouch value) {
+      if (askVouchBuilder_ == null) {
+        if (kindCase_ == 6 &&
+            kind_ != io.marigoldsail.protocol.AskVouch.getDefaultInstance()) {
+          kind_ = io.marigoldsail.protocol.AskVouch.newBuilder((io.marigoldsail.protocol.AskVouch) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 6) {
+          askVouchBuilder_.mergeFrom(value);
+        } else {
+          askVouchBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+     */
+    public Builder clearAskVouch() {
+      if (askVouchBuilder_ == null) {
+        if (kindCase_ == 6) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 6) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        askVouchBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+     */
+    public io.marigoldsail.protocol.AskVouch.Builder getAskVouchBuilder() {
+      return internalGetAskVouchFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.AskVouchOrBuilder getAskVouchOrBuilder() {
+      if ((kindCase_ == 6) && (askVouchBuilder_ != null)) {
+        return askVouchBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 6) {
+          return (io.marigoldsail.protocol.AskVouch) kind_;
+        }
+        return io.marigoldsail.protocol.AskVouch.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.AskVouch, io.marigoldsail.protocol.AskVouch.Builder, io.marigoldsail.protocol.AskVouchOrBuilder> 
+        internalGetAskVouchFieldBuilder() {
+      if (askVouchBuilder_ == null) {
+        if (!(kindCase_ == 6)) {
+          kind_ = io.marigoldsail.protocol.AskVouch.getDefaultInstance();
+        }
+        askVouchBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.AskVouch, io.marigoldsail.protocol.AskVouch.Builder, io.marigoldsail.protocol.AskVouchOrBuilder>(
+                (io.marigoldsail.protocol.AskVouch) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 6;
+      onChanged();
+      return askVouchBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.UsageReport, io.marigoldsail.protocol.UsageReport.Builder, io.marigoldsail.protocol.UsageReportOrBuilder> usageBuilder_;
+    /**
+     * <code>.marigoldsail.UsageReport usage = 7;</code>
+     * @return Whether the usage field is set.
+     */
+    @java.lang.Override
+    public boolean hasUsage() {
+      return kindCase_ == 7;
+    }
+    /**
+     * <code>.marigoldsail.UsageReport usage = 7;</code>
+     * @return The usage.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.UsageReport getUsage() {
+      if (usageBuilder_ == null) {
+        if (kindCase_ == 7) {
+          return (io.marigoldsail.protocol.UsageReport) kind_;
+        }
+        return io.marigoldsail.protocol.UsageReport.getDefaultInstance();
+      } else {
+        if (kindCase_ == 7) {
+          return usageBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.UsageReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.UsageReport usage = 7;</code>
+     */
+    public Builder setUsage(io.marigoldsail.protocol.UsageReport value) {
+      if (usageBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        usageBuilder_.setMessage(value);
+      }
+      kindCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.UsageReport usage = 7;</code>
+     */
+    public Builder setUsage(
+        io.marigoldsail.protocol.UsageReport.Builder builderForValue) {
+      if (usageBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        usageBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.UsageReport usage = 7;</code>
+     */
+    public Builder mergeUsage(io.marigoldsail.protocol.UsageReport value) {
+      if (usageBuilder_ == null) {
+        if (kindCase_ == 7 &&
+            kind_ != io.marigoldsail.protocol.UsageReport.getDefaultInstance()) {
+          kind_ = io.marigoldsail.protocol.UsageReport.newBuilder((io.marigoldsail.protocol.UsageReport) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 7) {
+          usageBuilder_.mergeFrom(value);
+        } else {
+          usageBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.UsageReport usage = 7;</code>
+     */
+    public Builder clearUsage() {
+      if (usageBuilder_ == null) {
+        if (kindCase_ == 7) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 7) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        usageBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.UsageReport usage = 7;</code>
+     */
+    public io.marigoldsail.protocol.UsageReport.Builder getUsageBuilder() {
+      return internalGetUsageFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.UsageReport usage = 7;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.UsageReportOrBuilder getUsageOrBuilder() {
+      if ((kindCase_ == 7) && (usageBuilder_ != null)) {
+        return usageBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 7) {
+          return (io.marigoldsail.protocol.UsageReport) kind_;
+        }
+        return io.marigoldsail.protocol.UsageReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.UsageReport usage = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.UsageReport, io.marigoldsail.protocol.UsageReport.Builder, io.marigoldsail.protocol.UsageReportOrBuilder> 
+        internalGetUsageFieldBuilder() {
+      if (usageBuilder_ == null) {
+        if (!(kindCase_ == 7)) {
+          kind_ = io.marigoldsail.protocol.UsageReport.getDefaultInstance();
+        }
+        usageBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.UsageReport, io.marigoldsail.protocol.UsageReport.Builder, io.marigoldsail.protocol.UsageReportOrBuilder>(
+                (io.marigoldsail.protocol.UsageReport) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 7;
+      onChanged();
+      return usageBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.TaskMessage)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskMessageOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskMessageOrBuilder.java
@@ -85,5 +85,35 @@
    */
   io.marigoldsail.protocol.TaskReportAckOrBuilder getReportAckOrBuilder();
 
+  /**
+   * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+   * @return Whether the askVouch field is set.
+   */
+  boolean hasAskVouch();
+  /**
+   * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+   * @return The askVouch.
+   */
+  io.marigoldsail.protocol.AskVouch getAskVouch();
+  /**
+   * <code>.marigoldsail.AskVouch ask_vouch = 6;</code>
+   */
+  io.marigoldsail.protocol.AskVouchOrBuilder getAskVouchOrBuilder();
+
+  /**
+   * <code>.marigoldsail.UsageReport usage = 7;</code>
+   * @return Whether the usage field is set.
+   */
+  boolean hasUsage();
+  /**
+   * <code>.marigoldsail.UsageReport usage = 7;</code>
+   * @return The usage.
+   */
+  io.marigoldsail.protocol.UsageReport getUsage();
+  /**
+   * <code>.marigoldsail.UsageReport usage = 7;</code>
+   */
+  io.marigoldsail.protocol.UsageReportOrBuilder getUsageOrBuilder();
+
   io.marigoldsail.protocol.TaskMessage.KindCase getKindCase();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskReport.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskReport.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Side process to entry: what became of an attempt; repeated until acknowledged.
+ * Side process to entry: what became of an attempt; repeated until acknowledged, RUNNING excepted.
  * </pre>
  *
  * Protobuf type {@code marigoldsail.TaskReport}
@@ -78,10 +78,18 @@
      */
     FAILED(3),
     /**
+     * <pre>
+     * Stopped on purpose or by its lease; the next attempt resumes from the checkpoint.
+     * </pre>
+     *
      * <code>RELEASED = 4;</code>
      */
     RELEASED(4),
     /**
+     * <pre>
+     * Never started, and never will under this token.
+     * </pre>
+     *
      * <code>REFUSED = 5;</code>
      */
     REFUSED(5),
@@ -114,10 +122,18 @@
      */
     public static final int FAILED_VALUE = 3;
     /**
+     * <pre>
+     * Stopped on purpose or by its lease; the next attempt resumes from the checkpoint.
+     * </pre>
+     *
      * <code>RELEASED = 4;</code>
      */
     public static final int RELEASED_VALUE = 4;
     /**
+     * <pre>
+     * Never started, and never will under this token.
+     * </pre>
+     *
      * <code>REFUSED = 5;</code>
      */
     public static final int REFUSED_VALUE = 5;
@@ -366,6 +382,21 @@
     }
   }
 
+  public static final int EVICTED_FIELD_NUMBER = 7;
+  private boolean evicted_ = false;
+  /**
+   * <pre>
+   * Whether the guard of the VM evicted it.
+   * </pre>
+   *
+   * <code>bool evicted = 7;</code>
+   * @return The evicted.
+   */
+  @java.lang.Override
+  public boolean getEvicted() {
+    return evicted_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -398,6 +429,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, detail_);
     }
+    if (evicted_ != false) {
+      output.writeBool(7, evicted_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -423,6 +457,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, detail_);
     }
+    if (evicted_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, evicted_);
+    }
     return size;
   }
   @java.lang.Override
@@ -458,6 +496,8 @@
         .equals(other.getCheckpoint())) return false;
     if (!getDetail()
         .equals(other.getDetail())) return false;
+    if (getEvicted()
+        != other.getEvicted()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -482,6 +522,9 @@
     hash = (53 * hash) + getCheckpoint().hashCode();
     hash = (37 * hash) + DETAIL_FIELD_NUMBER;
     hash = (53 * hash) + getDetail().hashCode();
+    hash = (37 * hash) + EVICTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getEvicted());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -581,7 +624,7 @@
   }
   /**
    * <pre>
-   * Side process to entry: what became of an attempt; repeated until acknowledged.
+   * Side process to entry: what became of an attempt; repeated until acknowledged, RUNNING excepted.
    * </pre>
    *
    * Protobuf type {@code marigoldsail.TaskReport}
@@ -623,6 +666,7 @@
       state_ = 0;
       checkpoint_ = "";
       detail_ = "";
+      evicted_ = false;
       return this;
     }
 
@@ -674,6 +718,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.detail_ = detail_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.evicted_ = evicted_;
+      }
     }
 
     @java.lang.Override
@@ -712,6 +759,9 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (other.getEvicted() != false) {
+        setEvicted(other.getEvicted());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -766,6 +816,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 56: {
+              evicted_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1115,6 +1170,50 @@
       return this;
     }
 
+    private boolean evicted_ ;
+    /**
+     * <pre>
+     * Whether the guard of the VM evicted it.
+     * </pre>
+     *
+     * <code>bool evicted = 7;</code>
+     * @return The evicted.
+     */
+    @java.lang.Override
+    public boolean getEvicted() {
+      return evicted_;
+    }
+    /**
+     * <pre>
+     * Whether the guard of the VM evicted it.
+     * </pre>
+     *
+     * <code>bool evicted = 7;</code>
+     * @param value The evicted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvicted(boolean value) {
+
+      evicted_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the guard of the VM evicted it.
+     * </pre>
+     *
+     * <code>bool evicted = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvicted() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      evicted_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.TaskReport)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskReportOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskReportOrBuilder.java
@@ -68,4 +68,14 @@
    */
   com.google.protobuf.ByteString
       getDetailBytes();
+
+  /**
+   * <pre>
+   * Whether the guard of the VM evicted it.
+   * </pre>
+   *
+   * <code>bool evicted = 7;</code>
+   * @return The evicted.
+   */
+  boolean getEvicted();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Vouch.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Vouch.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Entry to side process: evidence from the log that the VM's incarnation was not revoked.
+ * Entry to side process: evidence from the log that the VM's registration was not revoked.
  * </pre>
  *
  * Protobuf type {@code marigoldsail.Vouch}
@@ -52,45 +52,62 @@
             io.marigoldsail.protocol.Vouch.class, io.marigoldsail.protocol.Vouch.Builder.class);
   }
 
-  public static final int VM_INCARNATION_FIELD_NUMBER = 1;
-  private long vmIncarnation_ = 0L;
+  public static final int REGISTRATION_FIELD_NUMBER = 1;
+  private long registration_ = 0L;
   /**
-   * <code>uint64 vm_incarnation = 1;</code>
-   * @return The vmIncarnation.
+   * <pre>
+   * The VM's registration: the log position where the VM joined.
+   * </pre>
+   *
+   * <code>uint64 registration = 1;</code>
+   * @return The registration.
    */
   @java.lang.Override
-  public long getVmIncarnation() {
-    return vmIncarnation_;
+  public long getRegistration() {
+    return registration_;
   }
 
-  public static final int AGE_MILLIS_FIELD_NUMBER = 2;
-  private long ageMillis_ = 0L;
+  public static final int ASKED_NANOS_FIELD_NUMBER = 2;
+  private long askedNanos_ = 0L;
   /**
    * <pre>
-   * How long ago, when this was sent, the entry sent the heartbeat that this evidence rests on.
+   * The AskVouch that the entry had received before it sent the heartbeat that this rests on. The
+   * lease counts from this reading of the side process's own clock, so that neither transit time
+   * nor drift between clocks can lengthen it.
    * </pre>
    *
-   * <code>uint64 age_millis = 2;</code>
-   * @return The ageMillis.
+   * <code>uint64 asked_nanos = 2;</code>
+   * @return The askedNanos.
+   */
+  @java.lang.Override
+  public long getAskedNanos() {
+    return askedNanos_;
+  }
+
+  public static final int PROCESS_INCARNATION_FIELD_NUMBER = 3;
+  private long processIncarnation_ = 0L;
+  /**
+   * <code>uint64 process_incarnation = 3;</code>
+   * @return The processIncarnation.
    */
   @java.lang.Override
-  public long getAgeMillis() {
-    return ageMillis_;
+  public long getProcessIncarnation() {
+    return processIncarnation_;
   }
 
-  public static final int HEARTBEAT_OFFSET_FIELD_NUMBER = 3;
-  private long heartbeatOffset_ = 0L;
+  public static final int HEARTBEAT_FIELD_NUMBER = 4;
+  private long heartbeat_ = 0L;
   /**
    * <pre>
-   * Identifies the evidence; echoed nowhere, only for the time line.
+   * Position of the heartbeat in the log; only for the time line.
    * </pre>
    *
-   * <code>uint64 heartbeat_offset = 3;</code>
-   * @return The heartbeatOffset.
+   * <code>uint64 heartbeat = 4;</code>
+   * @return The heartbeat.
    */
   @java.lang.Override
-  public long getHeartbeatOffset() {
-    return heartbeatOffset_;
+  public long getHeartbeat() {
+    return heartbeat_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -107,30 +124,37 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (vmIncarnation_ != 0L) {
-      output.writeUInt64(1, vmIncarnation_);
+    if (registration_ != 0L) {
+      output.writeUInt64(1, registration_);
+    }
+    if (askedNanos_ != 0L) {
+      output.writeUInt64(2, askedNanos_);
     }
-    if (ageMillis_ != 0L) {
-      output.writeUInt64(2, ageMillis_);
+    if (processIncarnation_ != 0L) {
+      output.writeUInt64(3, processIncarnation_);
     }
-    if (heartbeatOffset_ != 0L) {
-      output.writeUInt64(3, heartbeatOffset_);
+    if (heartbeat_ != 0L) {
+      output.writeUInt64(4, heartbeat_);
     }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
     int size = 0;
-    if (vmIncarnation_ != 0L) {
+    if (registration_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, vmIncarnation_);
+        .computeUInt64Size(1, registration_);
     }
-    if (ageMillis_ != 0L) {
+    if (askedNanos_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, ageMillis_);
+        .computeUInt64Size(2, askedNanos_);
     }
-    if (heartbeatOffset_ != 0L) {
+    if (processIncarnation_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(3, heartbeatOffset_);
+        .computeUInt64Size(3, processIncarnation_);
+    }
+    if (heartbeat_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, heartbeat_);
     }
     return size;
   }
@@ -156,12 +180,14 @@
     }
     io.marigoldsail.protocol.Vouch other = (io.marigoldsail.protocol.Vouch) obj;
 
-    if (getVmIncarnation()
-        != other.getVmIncarnation()) return false;
-    if (getAgeMillis()
-        != other.getAgeMillis()) return false;
-    if (getHeartbeatOffset()
-        != other.getHeartbeatOffset()) return false;
+    if (getRegistration()
+        != other.getRegistration()) return false;
+    if (getAskedNanos()
+        != other.getAskedNanos()) return false;
+    if (getProcessIncarnation()
+        != other.getProcessIncarnation()) return false;
+    if (getHeartbeat()
+        != other.getHeartbeat()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -173,15 +199,18 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + VM_INCARNATION_FIELD_NUMBER;
+    hash = (37 * hash) + REGISTRATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRegistration());
+    hash = (37 * hash) + ASKED_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getVmIncarnation());
-    hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+        getAskedNanos());
+    hash = (37 * hash) + PROCESS_INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getAgeMillis());
-    hash = (37 * hash) + HEARTBEAT_OFFSET_FIELD_NUMBER;
+        getProcessIncarnation());
+    hash = (37 * hash) + HEARTBEAT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getHeartbeatOffset());
+        getHeartbeat());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -281,7 +310,7 @@
   }
   /**
    * <pre>
-   * Entry to side process: evidence from the log that the VM's incarnation was not revoked.
+   * Entry to side process: evidence from the log that the VM's registration was not revoked.
    * </pre>
    *
    * Protobuf type {@code marigoldsail.Vouch}
@@ -317,9 +346,10 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      vmIncarnation_ = 0L;
-      ageMillis_ = 0L;
-      heartbeatOffset_ = 0L;
+      registration_ = 0L;
+      askedNanos_ = 0L;
+      processIncarnation_ = 0L;
+      heartbeat_ = 0L;
       return this;
     }
 
@@ -354,13 +384,16 @@
     private void buildPartial0(io.marigoldsail.protocol.Vouch result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.vmIncarnation_ = vmIncarnation_;
+        result.registration_ = registration_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.ageMillis_ = ageMillis_;
+        result.askedNanos_ = askedNanos_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.heartbeatOffset_ = heartbeatOffset_;
+        result.processIncarnation_ = processIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.heartbeat_ = heartbeat_;
       }
     }
 
@@ -376,14 +409,17 @@
 
     public Builder mergeFrom(io.marigoldsail.protocol.Vouch other) {
       if (other == io.marigoldsail.protocol.Vouch.getDefaultInstance()) return this;
-      if (other.getVmIncarnation() != 0L) {
-        setVmIncarnation(other.getVmIncarnation());
+      if (other.getRegistration() != 0L) {
+        setRegistration(other.getRegistration());
+      }
+      if (other.getAskedNanos() != 0L) {
+        setAskedNanos(other.getAskedNanos());
       }
-      if (other.getAgeMillis() != 0L) {
-        setAgeMillis(other.getAgeMillis());
+      if (other.getProcessIncarnation() != 0L) {
+        setProcessIncarnation(other.getProcessIncarnation());
       }
-      if (other.getHeartbeatOffset() != 0L) {
-        setHeartbeatOffset(other.getHeartbeatOffset());
+      if (other.getHeartbeat() != 0L) {
+        setHeartbeat(other.getHeartbeat());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -410,20 +446,25 @@
               done = true;
               break;
             case 8: {
-              vmIncarnation_ = input.readUInt64();
+              registration_ = input.readUInt64();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
             case 16: {
-              ageMillis_ = input.readUInt64();
+              askedNanos_ = input.readUInt64();
               bitField0_ |= 0x00000002;
               break;
             } // case 16
             case 24: {
-              heartbeatOffset_ = input.readUInt64();
+              processIncarnation_ = input.readUInt64();
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              heartbeat_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -441,122 +482,172 @@
     }
     private int bitField0_;
 
-    private long vmIncarnation_ ;
+    private long registration_ ;
     /**
-     * <code>uint64 vm_incarnation = 1;</code>
-     * @return The vmIncarnation.
+     * <pre>
+     * The VM's registration: the log position where the VM joined.
+     * </pre>
+     *
+     * <code>uint64 registration = 1;</code>
+     * @return The registration.
      */
     @java.lang.Override
-    public long getVmIncarnation() {
-      return vmIncarnation_;
+    public long getRegistration() {
+      return registration_;
     }
     /**
-     * <code>uint64 vm_incarnation = 1;</code>
-     * @param value The vmIncarnation to set.
+     * <pre>
+     * The VM's registration: the log position where the VM joined.
+     * </pre>
+     *
+     * <code>uint64 registration = 1;</code>
+     * @param value The registration to set.
      * @return This builder for chaining.
      */
-    public Builder setVmIncarnation(long value) {
+    public Builder setRegistration(long value) {
 
-      vmIncarnation_ = value;
+      registration_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 vm_incarnation = 1;</code>
+     * <pre>
+     * The VM's registration: the log position where the VM joined.
+     * </pre>
+     *
+     * <code>uint64 registration = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearVmIncarnation() {
+    public Builder clearRegistration() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      vmIncarnation_ = 0L;
+      registration_ = 0L;
       onChanged();
       return this;
     }
 
-    private long ageMillis_ ;
+    private long askedNanos_ ;
     /**
      * <pre>
-     * How long ago, when this was sent, the entry sent the heartbeat that this evidence rests on.
+     * The AskVouch that the entry had received before it sent the heartbeat that this rests on. The
+     * lease counts from this reading of the side process's own clock, so that neither transit time
+     * nor drift between clocks can lengthen it.
      * </pre>
      *
-     * <code>uint64 age_millis = 2;</code>
-     * @return The ageMillis.
+     * <code>uint64 asked_nanos = 2;</code>
+     * @return The askedNanos.
      */
     @java.lang.Override
-    public long getAgeMillis() {
-      return ageMillis_;
+    public long getAskedNanos() {
+      return askedNanos_;
     }
     /**
      * <pre>
-     * How long ago, when this was sent, the entry sent the heartbeat that this evidence rests on.
+     * The AskVouch that the entry had received before it sent the heartbeat that this rests on. The
+     * lease counts from this reading of the side process's own clock, so that neither transit time
+     * nor drift between clocks can lengthen it.
      * </pre>
      *
-     * <code>uint64 age_millis = 2;</code>
-     * @param value The ageMillis to set.
+     * <code>uint64 asked_nanos = 2;</code>
+     * @param value The askedNanos to set.
      * @return This builder for chaining.
      */
-    public Builder setAgeMillis(long value) {
+    public Builder setAskedNanos(long value) {
 
-      ageMillis_ = value;
+      askedNanos_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * How long ago, when this was sent, the entry sent the heartbeat that this evidence rests on.
+     * The AskVouch that the entry had received before it sent the heartbeat that this rests on. The
+     * lease counts from this reading of the side process's own clock, so that neither transit time
+     * nor drift between clocks can lengthen it.
      * </pre>
      *
-     * <code>uint64 age_millis = 2;</code>
+     * <code>uint64 asked_nanos = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearAgeMillis() {
+    public Builder clearAskedNanos() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      ageMillis_ = 0L;
+      askedNanos_ = 0L;
       onChanged();
       return this;
     }
 
-    private long heartbeatOffset_ ;
+    private long processIncarnation_ ;
+    /**
+     * <code>uint64 process_incarnation = 3;</code>
+     * @return The processIncarnation.
+     */
+    @java.lang.Override
+    public long getProcessIncarnation() {
+      return processIncarnation_;
+    }
+    /**
+     * <code>uint64 process_incarnation = 3;</code>
+     * @param value The processIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProcessIncarnation(long value) {
+
+      processIncarnation_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 process_incarnation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProcessIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      processIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long heartbeat_ ;
     /**
      * <pre>
-     * Identifies the evidence; echoed nowhere, only for the time line.
+     * Position of the heartbeat in the log; only for the time line.
      * </pre>
      *
-     * <code>uint64 heartbeat_offset = 3;</code>
-     * @return The heartbeatOffset.
+     * <code>uint64 heartbeat = 4;</code>
+     * @return The heartbeat.
      */
     @java.lang.Override
-    public long getHeartbeatOffset() {
-      return heartbeatOffset_;
+    public long getHeartbeat() {
+      return heartbeat_;
     }
     /**
      * <pre>
-     * Identifies the evidence; echoed nowhere, only for the time line.
+     * Position of the heartbeat in the log; only for the time line.
      * </pre>
      *
-     * <code>uint64 heartbeat_offset = 3;</code>
-     * @param value The heartbeatOffset to set.
+     * <code>uint64 heartbeat = 4;</code>
+     * @param value The heartbeat to set.
      * @return This builder for chaining.
      */
-    public Builder setHeartbeatOffset(long value) {
+    public Builder setHeartbeat(long value) {
 
-      heartbeatOffset_ = value;
-      bitField0_ |= 0x00000004;
+      heartbeat_ = value;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Identifies the evidence; echoed nowhere, only for the time line.
+     * Position of the heartbeat in the log; only for the time line.
      * </pre>
      *
-     * <code>uint64 heartbeat_offset = 3;</code>
+     * <code>uint64 heartbeat = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearHeartbeatOffset() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      heartbeatOffset_ = 0L;
+    public Builder clearHeartbeat() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      heartbeat_ = 0L;
       onChanged();
       return this;
     }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VouchOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VouchOrBuilder.java
@@ -11,28 +11,40 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>uint64 vm_incarnation = 1;</code>
-   * @return The vmIncarnation.
+   * <pre>
+   * The VM's registration: the log position where the VM joined.
+   * </pre>
+   *
+   * <code>uint64 registration = 1;</code>
+   * @return The registration.
    */
-  long getVmIncarnation();
+  long getRegistration();
 
   /**
    * <pre>
-   * How long ago, when this was sent, the entry sent the heartbeat that this evidence rests on.
+   * The AskVouch that the entry had received before it sent the heartbeat that this rests on. The
+   * lease counts from this reading of the side process's own clock, so that neither transit time
+   * nor drift between clocks can lengthen it.
    * </pre>
    *
-   * <code>uint64 age_millis = 2;</code>
-   * @return The ageMillis.
+   * <code>uint64 asked_nanos = 2;</code>
+   * @return The askedNanos.
+   */
+  long getAskedNanos();
+
+  /**
+   * <code>uint64 process_incarnation = 3;</code>
+   * @return The processIncarnation.
    */
-  long getAgeMillis();
+  long getProcessIncarnation();
 
   /**
    * <pre>
-   * Identifies the evidence; echoed nowhere, only for the time line.
+   * Position of the heartbeat in the log; only for the time line.
    * </pre>
    *
-   * <code>uint64 heartbeat_offset = 3;</code>
-   * @return The heartbeatOffset.
+   * <code>uint64 heartbeat = 4;</code>
+   * @return The heartbeat.
    */
-  long getHeartbeatOffset();
+  long getHeartbeat();
 }
