--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
@@ -43,6 +43,7 @@
   private final Map<String, Long> currentByVm = new HashMap<>();
   private final Map<Long, TreeSet<String>> tasksByRegistration = new HashMap<>();
   private final Map<String, EntryState> entries = new TreeMap<>();
+  private final Map<String, Sizes> bookedByTeam = new HashMap<>();
   private int endedTasks;
   private long applied = -1;
 
@@ -157,6 +158,11 @@
     return names.stream().map(name -> findJob(TaskState.jobOf(name)).find(name)).toList();
   }
 
+  /** Returns what each team's claims take up in all; teams without claims are left out. */
+  public synchronized Map<String, Sizes> bookedByTeam() {
+    return Map.copyOf(bookedByTeam);
+  }
+
   /** Returns the entries that wrote heartbeats, by name. */
   public synchronized Collection<EntryState> entries() {
     return List.copyOf(entries.values());
@@ -179,6 +185,7 @@
     currentByVm.clear();
     tasksByRegistration.clear();
     entries.clear();
+    bookedByTeam.clear();
     endedTasks = 0;
     applied = snapshot.applied();
     for (VmState vm : snapshot.vms()) {
@@ -203,6 +210,7 @@
         tasksByRegistration
             .computeIfAbsent(task.registration(), unused -> new TreeSet<>())
             .add(task.name());
+        bookedByTeam.merge(job.spec().team(), task.booked(), Sizes::plus);
       }
     }
   }
@@ -319,6 +327,7 @@
     tasksByRegistration
         .computeIfAbsent(vm.registration(), unused -> new TreeSet<>())
         .add(claim.task());
+    bookedByTeam.merge(job.spec().team(), claim.sizes(), Sizes::plus);
     job.put(task.claimed(claim, position));
     return true;
   }
@@ -399,10 +408,16 @@
     }
     dropIfEmpty(vm.registration());
     MutableJob job = jobs.get(before.job());
+    bookedByTeam.computeIfPresent(
+        job.spec().team(), (team, booked) -> nullIfNone(booked.minus(before.booked())));
     job.put(after);
     retireIfEnded(job);
   }
 
+  private static Sizes nullIfNone(Sizes sizes) {
+    return sizes.equals(Sizes.NONE) ? null : sizes;
+  }
+
   private TaskState held(String taskName, long token) {
     MutableJob job = jobs.get(TaskState.jobOf(taskName));
     TaskState task = job == null ? null : job.find(taskName);
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/Fleet.java
@@ -0,0 +1,92 @@
+package io.marigoldsail.placement;
+
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.VmState;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * The VMs that may be given tasks at one moment, with the room that is left.
+ *
+ * <p>Made anew for each round of decisions; takes note of what the round gives away. Not safe for
+ * use by several threads.
+ */
+public final class Fleet {
+  private final List<VmRoom> rooms = new ArrayList<>();
+  private final Map<Long, VmRoom> byRegistration = new HashMap<>();
+  private Sizes capacity = Sizes.NONE;
+
+  /**
+   * Creates the fleet of the VMs that are not revoked.
+   *
+   * @param vms the registrations
+   * @param usable whether a VM may be given tasks, by name
+   */
+  public Fleet(List<VmState> vms, Predicate<String> usable) {
+    for (VmState vm : vms) {
+      if (vm.revoked()) {
+        continue;
+      }
+      capacity = capacity.plus(vm.description().capacity());
+      if (usable.test(vm.vm())) {
+        VmRoom room = new VmRoom(vm);
+        rooms.add(room);
+        byRegistration.put(vm.registration(), room);
+      }
+    }
+  }
+
+  /** Returns the VMs that may be given tasks, oldest registration first. */
+  public List<VmRoom> rooms() {
+    return rooms;
+  }
+
+  /** Returns what all VMs have together, those that may not be given tasks included. */
+  public Sizes capacity() {
+    return capacity;
+  }
+
+  /** Notes that a claim for the sizes is on its way to the log; unknown registrations pass. */
+  public void take(long registration, Sizes sizes) {
+    VmRoom room = byRegistration.get(registration);
+    if (room != null) {
+      room.take(sizes);
+    }
+  }
+
+  /**
+   * Returns why the sizes fit no VM even if it were empty, or empty if they fit one. A fleet of
+   * which no VM is known yet refuses nothing.
+   */
+  public static Optional<String> whyNever(List<VmState> vms, Sizes sizes) {
+    Sizes largest = Sizes.NONE;
+    for (VmState vm : vms) {
+      Sizes has = vm.description().capacity();
+      if (sizes.fitsIn(has)) {
+        return Optional.empty();
+      }
+      largest = largest.max(has);
+    }
+    return vms.isEmpty() ? Optional.empty() : Optional.of(reason(sizes, largest));
+  }
+
+  private static String reason(Sizes sizes, Sizes largest) {
+    if (sizes.accelerators() > largest.accelerators()) {
+      return "a task needs %d accelerators, no VM has more than %d"
+          .formatted(sizes.accelerators(), largest.accelerators());
+    }
+    if (sizes.memoryBytes() > largest.memoryBytes()) {
+      return "a task needs %d bytes of memory, no VM has more than %d"
+          .formatted(sizes.memoryBytes(), largest.memoryBytes());
+    }
+    if (sizes.milliProcessors() > largest.milliProcessors()) {
+      return "a task needs %d thousandths of a processor, no VM has more than %d"
+          .formatted(sizes.milliProcessors(), largest.milliProcessors());
+    }
+    return "no single VM has the processors, memory and accelerators that a task needs together";
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/PlacementCosts.java
@@ -0,0 +1,17 @@
+package io.marigoldsail.placement;
+
+/**
+ * What makes a VM worse for a task beside the room it has, in units of a whole VM's load.
+ *
+ * <p>Implementations must return at once.
+ */
+@FunctionalInterface
+public interface PlacementCosts {
+  /** Returns the cost, 0 for none. */
+  double cost(PlacementRequest request, VmRoom room);
+
+  /** Returns costs that know nothing. */
+  static PlacementCosts none() {
+    return (request, room) -> 0;
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/VmRoom.java
@@ -0,0 +1,47 @@
+package io.marigoldsail.placement;
+
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.VmState;
+
+/** One VM inside a {@link Fleet}: its state in the log, and what is about to be claimed on it. */
+public final class VmRoom {
+  private final VmState state;
+  private Sizes free;
+
+  VmRoom(VmState state) {
+    this.state = state;
+    this.free = state.free();
+  }
+
+  /** Returns the VM's registration as folded from the log. */
+  public VmState state() {
+    return state;
+  }
+
+  /** Returns the VM's name. */
+  public String vm() {
+    return state.vm();
+  }
+
+  /** Returns the room left after what is about to be claimed. */
+  public Sizes free() {
+    return free;
+  }
+
+  /** Returns the largest share of one kind of resource that would be taken with the sizes added. */
+  double loadWith(Sizes sizes) {
+    Sizes capacity = state.description().capacity();
+    Sizes taken = capacity.minus(free).plus(sizes);
+    double processors = share(taken.milliProcessors(), capacity.milliProcessors());
+    double memory = share(taken.memoryBytes(), capacity.memoryBytes());
+    return Math.max(processors, memory);
+  }
+
+  void take(Sizes sizes) {
+    free = free.minus(sizes);
+  }
+
+  private static double share(long taken, long capacity) {
+    return capacity == 0 ? 0 : (double) taken / capacity;
+  }
+}
