Test the whole request path and give long answers' memory back where it came from

RequestPathTest showed that a side process whose target client and dispatcher were given two budgets threw in the loop when it released a long answer, and the caller waited out its deadline. The outcome now carries the release itself, so that the two cannot be confused. Bodies of 0 bytes to 8 MiB come back whole, one byte more is refused, also without Content-Length; 2,000 concurrent requests get their own answers.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/Main.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/Main.java
@@ -17,8 +17,8 @@
 import picocli.CommandLine.Option;
 
 /**
- * The daemon's command: reads the settings, starts the process of their role, and runs it until it is
- * told to stop by a signal, which it does gracefully.
+ * The daemon's command: reads the settings, starts the process of their role, and runs it until it
+ * is told to stop by a signal, which it does gracefully.
  *
  * <p>Exit codes: 0 after a planned stop, 2 for bad arguments or settings (an address in use among
  * them), 1 for an internal error.
@@ -74,8 +74,8 @@
   }
 
   /**
-   * Runs on the signal. The virtual machine halts once this returns, so the stop is done here and not
-   * in the main thread; logs are flushed line by line and need no hook of their own.
+   * Runs on the signal. The virtual machine halts once this returns, so the stop is done here and
+   * not in the main thread; logs are flushed line by line and need no hook of their own.
    */
   private static void stop(DaemonProcess process, CountDownLatch ended) {
     LOG.info(LogLine.of("planned-stop-began"));
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/CallerHeaders.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/CallerHeaders.java
@@ -14,7 +14,7 @@
   /** Names one intended effect over several tries. */
   public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
-  /** In answers: the request's id on the time line. */
+  /** In answers, and in requests to targets: the request's id on the time line. */
   public static final String REQUEST_ID = "Marigoldsail-Request-Id";
 
   private CallerHeaders() {}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryDispatcher.java
@@ -99,6 +99,11 @@
     loop.run(() -> arrived(request, sink));
   }
 
+  /** Returns how many targets there are connections to; to be called on the loop's thread. */
+  int reachableTargets() {
+    return attempts.pools().targets().size();
+  }
+
   /** Returns whether the platform's balancer may send callers here. */
   public boolean isReady() {
     return !stopping;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/RequestReader.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/RequestReader.java
@@ -63,6 +63,8 @@
     }
     List<Header> headers = new ArrayList<>();
     HopHeaders.copy(fields, headers);
+    // Only the entry names requests; a name that a caller made up would mislead the time line.
+    headers.removeIf(header -> header.getName().equalsIgnoreCase(CallerHeaders.REQUEST_ID));
     return Result.ok(
         new CallerRequest(
             service,
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -89,7 +89,7 @@
    * @param limits the bounds
    * @param processIncarnation this process's incarnation, as announced
    * @param entryCount how many entries hear this process
-   * @param budget what bodies hold; shared with the target's client
+   * @param budget what bodies of requests hold; the same as that of the target's client
    * @param events the time line
    */
   public SideDispatcher(
@@ -171,16 +171,16 @@
       return;
     }
     probing = true;
-    target.probe(takesWork -> loop.run(() -> probed(takesWork)));
+    target.probe(health -> loop.run(() -> probed(health)));
   }
 
-  private void probed(boolean takesWork) {
+  private void probed(TargetHealth health) {
     probing = false;
-    if (takesWork == targetTakesWork) {
+    if (health == TargetHealth.UNCLEAR || (health == TargetHealth.SERVING) == targetTakesWork) {
       return;
     }
-    targetTakesWork = takesWork;
-    LOG.log(System.Logger.Level.INFO, "event=target-changed takes-work={0}", takesWork);
+    targetTakesWork = health == TargetHealth.SERVING;
+    LOG.log(System.Logger.Level.INFO, "event=target-changed health={0}", health);
     leavingListener.run();
   }
 
@@ -319,12 +319,7 @@
             .withRequest(start.getLabel())
             .withCaller(start.getCaller()));
     TargetRequest toTarget =
-        new TargetRequest(
-            start.getMethod(),
-            start.getPath(),
-            start.getHeadersList(),
-            request.body(),
-            request.deadline() + LINGER_NANOS);
+        SideFrames.toTarget(start, request.body(), request.deadline() + LINGER_NANOS);
     target.send(toTarget, outcome -> loop.run(() -> ended(request, outcome)));
     request.dropBody();
   }
@@ -375,11 +370,10 @@
     AnswerStart start = SideFrames.answerStart(request.id(), answered, report());
     if (answered.body().size() > Bodies.CHUNK_BYTES) {
       ledger.doneUnkept(request.id(), loop.now());
-      Runnable sent = () -> budget.release(answered.reservedBytes());
-      request.answerTo().sendAll(new AnswerFrames(start, answered.body(), sent));
+      request.answerTo().sendAll(new AnswerFrames(start, answered.body(), answered.release()));
       return;
     }
-    budget.release(answered.reservedBytes());
+    answered.release().run();
     AnswerStart whole = start.toBuilder().setData(answered.body()).setLast(true).build();
     Frame frame = Frame.newBuilder().setAnswerStart(whole).build();
     ledger.done(request.id(), frame, frame.getSerializedSize(), loop.now());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideFrames.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideFrames.java
@@ -1,15 +1,20 @@
 package io.marigoldsail.daemon.dispatch;
 
+import com.google.protobuf.ByteString;
 import io.marigoldsail.dispatch.WireId;
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.protocol.AnswerStart;
 import io.marigoldsail.protocol.Failed;
 import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.Header;
 import io.marigoldsail.protocol.NotRun;
 import io.marigoldsail.protocol.Pong;
 import io.marigoldsail.protocol.RequestId;
+import io.marigoldsail.protocol.RequestStart;
 import io.marigoldsail.protocol.Resolution;
 import io.marigoldsail.protocol.TargetReport;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Makes the frames that a side process sends on connections of requests. */
 final class SideFrames {
@@ -67,4 +72,13 @@
   static Frame pong(long nonce) {
     return Frame.newBuilder().setPong(Pong.newBuilder().setNonce(nonce)).build();
   }
+
+  /** Returns the request as its target gets it, with the id by which the time line knows it. */
+  static TargetRequest toTarget(RequestStart start, ByteString body, long giveUpAt) {
+    Header id =
+        Header.newBuilder().setName(CallerHeaders.REQUEST_ID).setValue(start.getLabel()).build();
+    List<Header> headers = new ArrayList<>(start.getHeadersList());
+    headers.add(id);
+    return new TargetRequest(start.getMethod(), start.getPath(), headers, body, giveUpAt);
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/Target.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/Target.java
@@ -21,7 +21,7 @@
    *
    * @param heard told exactly once, on any thread
    */
-  void probe(Consumer<Boolean> heard);
+  void probe(Consumer<TargetHealth> heard);
 
   /** Gives up all connections. */
   @Override
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetClient.java
@@ -7,6 +7,8 @@
 import io.marigoldsail.dispatch.ByteBudget;
 import io.marigoldsail.protocol.Header;
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +16,7 @@
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -50,7 +53,7 @@
    * @param address the target's base address, such as {@code http://127.0.0.1:9001}
    * @param maxConnections how many connections the target takes
    * @param probePath the path that tells whether the target takes work: a status of 503 says no,
-   *     any other answer yes
+   *     any other answer yes; empty where it is enough that somebody listens at the address
    * @param budget what long answers may hold in this process
    */
   public TargetClient(
@@ -125,18 +128,29 @@
   }
 
   @Override
-  public void probe(Consumer<Boolean> heard) {
+  public void probe(Consumer<TargetHealth> heard) {
+    if (probePath.isEmpty()) {
+      loop.probe(
+          new InetSocketAddress(address.getHost(), address.getPort()),
+          accepted -> heard.accept(accepted ? TargetHealth.SERVING : TargetHealth.LEAVING));
+      return;
+    }
     client
         .newRequest(address.resolve(probePath))
         .timeout(PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-        .send(
-            result -> {
-              boolean takesWork =
-                  result.getResponse() != null
-                      && result.getResponse().getStatus() > 0
-                      && result.getResponse().getStatus() != HttpStatus.SERVICE_UNAVAILABLE_503;
-              heard.accept(takesWork);
-            });
+        .send(result -> heard.accept(health(result)));
+  }
+
+  private static TargetHealth health(Result result) {
+    if (result.isSucceeded()) {
+      return result.getResponse().getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503
+          ? TargetHealth.LEAVING
+          : TargetHealth.SERVING;
+    }
+    // A full target may be too busy to answer; only that nobody listens is a clear no.
+    return result.getFailure() instanceof ConnectException
+        ? TargetHealth.LEAVING
+        : TargetHealth.UNCLEAR;
   }
 
   @Override
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetExchange.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetExchange.java
@@ -104,11 +104,15 @@
     }
     TargetOutcome outcome = outcome(result);
     if (!(outcome instanceof TargetOutcome.Answered)) {
-      budget.release(reserved);
+      release();
     }
     ended.accept(outcome);
   }
 
+  private void release() {
+    budget.release(reserved);
+  }
+
   private TargetOutcome outcome(Result result) {
     if (result.isSucceeded() || answeredEarly(result)) {
       List<Header> headers = new ArrayList<>();
@@ -116,7 +120,8 @@
       if (bodiless) {
         copyLength(result.getResponse(), headers);
       }
-      return new TargetOutcome.Answered(result.getResponse().getStatus(), headers, body, reserved);
+      return new TargetOutcome.Answered(
+          result.getResponse().getStatus(), headers, body, this::release);
     }
     String detail = broken != null ? broken : String.valueOf(result.getFailure());
     if (!begun) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetOutcome.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetOutcome.java
@@ -15,14 +15,16 @@
    * @param status the HTTP status
    * @param headers the headers that travel with the message
    * @param body the whole body
-   * @param reservedBytes what the body holds of the process's budget; the receiver gives it back
+   * @param release gives back what the body holds of the process's memory budget; the receiver runs
+   *     it once, when it holds the body no more
    */
-  record Answered(int status, List<Header> headers, ByteString body, long reservedBytes)
+  record Answered(int status, List<Header> headers, ByteString body, Runnable release)
       implements TargetOutcome {
     /** Checks the components. */
     public Answered {
       headers = ImmutableList.copyOf(headers);
       requireNonNull(body, "body");
+      requireNonNull(release, "release");
     }
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -7,6 +7,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -108,6 +109,26 @@
             });
   }
 
+  /**
+   * Tries whether somebody listens at the address.
+   *
+   * @param address where
+   * @param heard told on the loop whether a connection was accepted; it is closed at once
+   */
+  public void probe(InetSocketAddress address, Consumer<Boolean> heard) {
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .handler(new ChannelInboundHandlerAdapter())
+        .connect(address)
+        .addListener(
+            (ChannelFuture connected) -> {
+              connected.channel().close();
+              heard.accept(connected.isSuccess());
+            });
+  }
+
   /** Listens on the address; package-private, see {@link LinkServer}. */
   Channel listen(InetSocketAddress address, LinkInitializer initializer)
       throws InterruptedException {
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/Await.java
@@ -0,0 +1,50 @@
+package io.marigoldsail.daemon.dispatch;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+
+/** Waits for conditions; the bound only keeps a failing test from hanging. */
+final class Await {
+  private static final long CHECK_MILLIS = 5;
+  private static final long BOUND_SECONDS = 60;
+  private static final ScheduledExecutorService CHECKS =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task, "await");
+            thread.setDaemon(true);
+            return thread;
+          });
+
+  private Await() {}
+
+  static void until(String what, BooleanSupplier condition) {
+    CompletableFuture<Void> holds = new CompletableFuture<>();
+    Runnable check =
+        () -> {
+          try {
+            if (condition.getAsBoolean()) {
+              holds.complete(null);
+            }
+          } catch (RuntimeException e) {
+            holds.completeExceptionally(e);
+          }
+        };
+    ScheduledFuture<?> checks =
+        CHECKS.scheduleWithFixedDelay(check, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    try {
+      holds.get(BOUND_SECONDS, TimeUnit.SECONDS);
+    } catch (TimeoutException e) {
+      throw new AssertionError("never: " + what, e);
+    } catch (InterruptedException | ExecutionException e) {
+      throw new AssertionError("while waiting for: " + what, e);
+    } finally {
+      checks.cancel(false);
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryUnderTest.java
@@ -0,0 +1,145 @@
+package io.marigoldsail.daemon.dispatch;
+
+import io.marigoldsail.daemon.link.EntryIdentity;
+import io.marigoldsail.daemon.link.EntryLinks;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.dispatch.ByteBudget;
+import io.marigoldsail.dispatch.RequestPolicy;
+import io.marigoldsail.dispatch.RequestScheduler;
+import io.marigoldsail.dispatch.SchedulerSettings;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.timeline.EventRecorder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+
+/** The request half of an entry, wired as the process wires it, with an HTTP client for it. */
+final class EntryUnderTest implements AutoCloseable {
+  private static final long DEFAULT_DEADLINE_MILLIS = 20_000;
+
+  private final LinkLoop loop;
+  private final EntryLinks links;
+  private final EntryDispatcher dispatcher;
+  private final CallerServer callers;
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(10))
+          .build();
+
+  EntryUnderTest(String name, long incarnation) throws IOException {
+    this(name, incarnation, LinkTimes.DEFAULT, EventRecorder.none());
+  }
+
+  EntryUnderTest(String name, long incarnation, LinkTimes times, EventRecorder events)
+      throws IOException {
+    this(
+        name,
+        incarnation,
+        times,
+        events,
+        new RequestScheduler(SchedulerSettings.of("suva"), new SplittableRandom(11)));
+  }
+
+  EntryUnderTest(
+      String name, long incarnation, LinkTimes times, EventRecorder events, RequestPolicy policy)
+      throws IOException {
+    EntryIdentity identity = new EntryIdentity(name, incarnation);
+    InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+    loop = new LinkLoop(name, MonotonicClock.system());
+    links = new EntryLinks(loop, any, 1_000, identity, () -> 0, List::of, events);
+    dispatcher =
+        new EntryDispatcher(
+            loop,
+            identity,
+            policy,
+            times,
+            new ByteBudget(64L << 20),
+            events,
+            new SplittableRandom(5));
+    links.addMemberListener(dispatcher.memberListener());
+    callers =
+        new CallerServer(
+            MonotonicClock.system(),
+            any,
+            CallerLimits.ofHeap(),
+            service ->
+                service.equals("parking")
+                    ? OptionalLong.of(DEFAULT_DEADLINE_MILLIS)
+                    : OptionalLong.empty(),
+            dispatcher,
+            () -> true);
+    links.start();
+    dispatcher.start();
+    callers.start();
+  }
+
+  InetSocketAddress address() {
+    return new InetSocketAddress("127.0.0.1", links.port());
+  }
+
+  int callersPort() {
+    return callers.port();
+  }
+
+  EntryDispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  EntryLinks links() {
+    return links;
+  }
+
+  LinkLoop loop() {
+    return loop;
+  }
+
+  HttpRequest.Builder request(String path) {
+    return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callers.port() + path))
+        .timeout(Duration.ofSeconds(30));
+  }
+
+  HttpResponse<byte[]> get(String path) throws IOException, InterruptedException {
+    return send(request(path).GET());
+  }
+
+  HttpResponse<byte[]> post(String path, byte[] body) throws IOException, InterruptedException {
+    return send(request(path).POST(HttpRequest.BodyPublishers.ofByteArray(body)));
+  }
+
+  HttpResponse<byte[]> send(HttpRequest.Builder request) throws IOException, InterruptedException {
+    return client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+  }
+
+  CompletableFuture<HttpResponse<byte[]>> sendAsync(HttpRequest.Builder request) {
+    return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+  }
+
+  /** Waits until so many targets can be reached. */
+  void awaitTargets(int count) {
+    Await.until("targets known", () -> onLoop(() -> dispatcher.reachableTargets() == count));
+  }
+
+  private boolean onLoop(java.util.function.BooleanSupplier question) {
+    CompletableFuture<Boolean> answer = new CompletableFuture<>();
+    loop.run(() -> answer.complete(question.getAsBoolean()));
+    return answer.join();
+  }
+
+  /** Ends at once, as when the process is killed. */
+  @Override
+  public void close() {
+    callers.close();
+    dispatcher.close();
+    links.close();
+    loop.close();
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideUnderTest.java
@@ -0,0 +1,120 @@
+package io.marigoldsail.daemon.dispatch;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.link.SideLinks;
+import io.marigoldsail.dispatch.ByteBudget;
+import io.marigoldsail.membership.Announcement;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.timeline.EventRecorder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** The request half of a side process, wired as the process wires it. */
+final class SideUnderTest implements AutoCloseable {
+  private static final int SLOTS = 8;
+
+  private final String vm;
+  private final long incarnation;
+  private final LinkLoop loop;
+  private final Target target;
+  private final SideDispatcher dispatcher;
+  private SideLinks links;
+  private volatile String address;
+
+  SideUnderTest(
+      String vm, long incarnation, int port, Target target, LinkLoop loop, ByteBudget budget)
+      throws IOException {
+    this.vm = vm;
+    this.incarnation = incarnation;
+    this.loop = loop;
+    this.target = target;
+    SideLimits limits = SideLimits.ofSlots(SLOTS);
+    this.dispatcher =
+        new SideDispatcher(
+            loop,
+            new InetSocketAddress("127.0.0.1", port),
+            target,
+            limits,
+            incarnation,
+            () -> links == null ? 1 : links.entryCount(),
+            budget,
+            EventRecorder.none());
+    dispatcher.onLeavingChanged(
+        () -> {
+          if (links != null) {
+            links.announceNow();
+          }
+        });
+    dispatcher.start();
+    this.address = "127.0.0.1:" + dispatcher.port();
+  }
+
+  static SideUnderTest onHttp(String vm, long incarnation, String targetAddress)
+      throws IOException {
+    LinkLoop loop = new LinkLoop(vm, MonotonicClock.system());
+    ByteBudget budget = new ByteBudget(2L * Bodies.MAX_BYTES);
+    TargetClient client = new TargetClient(loop, URI.create(targetAddress), 64, "", budget);
+    client.start();
+    return new SideUnderTest(vm, incarnation, 0, client, loop, budget);
+  }
+
+  /** Announces the given address instead of its own, such as that of a proxy before it. */
+  void announceAddress(String newAddress) {
+    address = newAddress;
+  }
+
+  void announceTo(List<InetSocketAddress> entries) {
+    links =
+        new SideLinks(
+            loop, this::announcement, entries, EventRecorder.none(), new SplittableRandom(7));
+    links.start();
+  }
+
+  private Announcement announcement() {
+    return new Announcement(
+        vm,
+        1,
+        incarnation,
+        "suva",
+        "suva-r1",
+        address,
+        "parking",
+        SLOTS,
+        dispatcher.isLeaving(),
+        dispatcher.load(),
+        0,
+        16_000,
+        60L << 30,
+        0);
+  }
+
+  SideDispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  SideLinks links() {
+    return links;
+  }
+
+  LinkLoop loop() {
+    return loop;
+  }
+
+  int port() {
+    return dispatcher.port();
+  }
+
+  /** Ends at once, as when the process is killed. */
+  @Override
+  public void close() {
+    if (links != null) {
+      links.close();
+    }
+    dispatcher.close();
+    target.close();
+    loop.close();
+  }
+}
