--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/membership/MemberTableTest.java
@@ -0,0 +1,105 @@
+package io.marigoldsail.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.membership.MemberTable.Change;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class MemberTableTest {
+  private static final long SILENCE = 3_000_000_000L;
+
+  private final MemberTable table = new MemberTable(SILENCE);
+
+  private static Announcement announcement(long incarnation, boolean leaving) {
+    return new Announcement(
+        "vm-1",
+        1,
+        incarnation,
+        "suva",
+        "r1",
+        "127.0.0.1:1",
+        "parking",
+        8,
+        leaving,
+        new TargetLoad(0, 0, 1, leaving),
+        0,
+        16_000,
+        1L << 30,
+        0);
+  }
+
+  @Test
+  void announcementCountsUntilItsDeadline() {
+    assertEquals(Change.JOINED, table.announced(announcement(1, false), 0));
+    assertEquals(List.of(), table.expire(SILENCE - 1));
+    assertEquals(1, table.targets().size());
+
+    assertEquals(List.of(announcement(1, false)), table.expire(SILENCE));
+    assertEquals(List.of(), table.targets());
+  }
+
+  @Test
+  void leavingIsToldOnceAndSeenInTheTargets() {
+    table.announced(announcement(1, false), 0);
+
+    assertEquals(Change.LEAVING, table.announced(announcement(1, true), 1));
+    assertEquals(Change.UPDATED, table.announced(announcement(1, true), 2));
+    assertTrue(table.targets().get(0).leaving());
+  }
+
+  /**
+   * A VM is frozen and its side process replaced; when the old one wakes it announces itself again.
+   * Entries that believe it send requests to a process whose successor holds the slots: twice as
+   * many run as the target has slots, and every turn of the two starts the target slowly anew.
+   */
+  @Test
+  void wokenPredecessorDoesNotReplaceItsSuccessor() {
+    table.announced(announcement(1, false), 0);
+    assertEquals(Change.JOINED, table.announced(announcement(2, false), 1));
+
+    assertEquals(Change.STALE, table.announced(announcement(1, false), 2));
+
+    assertEquals(2, table.targets().get(0).incarnation());
+    assertEquals(List.of(), table.expire(SILENCE));
+    assertEquals(1, table.expire(SILENCE + 1).size());
+  }
+
+  /** The same, with the successor already silent and dropped when the predecessor wakes. */
+  @Test
+  void wokenPredecessorDoesNotReplaceALostSuccessor() {
+    table.announced(announcement(2, false), 0);
+    table.expire(SILENCE);
+
+    assertEquals(Change.STALE, table.announced(announcement(1, false), SILENCE + 1));
+    assertEquals(List.of(), table.targets());
+  }
+
+  @Test
+  void incarnationOfALostVmIsForgottenAfterAMinute() {
+    table.announced(announcement(2, false), 0);
+    table.expire(SILENCE);
+    long later = SILENCE + 60_000_000_000L;
+    table.expire(later);
+
+    assertEquals(Change.JOINED, table.announced(announcement(1, false), later));
+  }
+
+  /**
+   * An entry is frozen for ten seconds. When it wakes, its clock has passed every deadline while
+   * the announcements of all those seconds lie unread in its sockets; without mercy it drops all
+   * targets and refuses every caller.
+   */
+  @Test
+  void frozenEntryGivesEveryoneTheSilenceAnew() {
+    table.announced(announcement(1, false), 0);
+    long woken = 10_000_000_000L;
+
+    table.extendAll(woken);
+
+    assertEquals(List.of(), table.expire(woken));
+    assertEquals(1, table.expire(woken + SILENCE).size());
+  }
+}
