--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetPool.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetPool.java
@@ -109,13 +109,25 @@
     return attemptsInFlight > 0;
   }
 
-  /** Returns the connections in turn, or null where none is usable. */
+  /**
+   * Returns the connection that answers best, in turn where several do, or null where none is
+   * usable.
+   *
+   * <p>A connection that went silent is noticed after {@link LinkTimes#silenceNanos}; taken in turn
+   * it would hold up every second request of that time. Whatever was sent on it is unanswered
+   * longer than on the others, so that those are taken.
+   */
   LinkConnection pick() {
-    if (usable.isEmpty()) {
-      return null;
+    long now = loop.now();
+    LinkConnection best = null;
+    for (int i = 0; i < usable.size(); i++) {
+      next = (next + 1) % usable.size();
+      LinkConnection candidate = usable.get(next);
+      if (best == null || candidate.unansweredNanos(now) < best.unansweredNanos(now)) {
+        best = candidate;
+      }
     }
-    next = (next + 1) % usable.size();
-    return usable.get(next);
+    return best;
   }
 
   /** Dials what is missing, pings what was quiet, and gives up what stayed silent. */
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryDispatcherTest.java
@@ -0,0 +1,299 @@
+package io.marigoldsail.daemon.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.dispatch.WireId;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.Resolution;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** An entry against a side process that says what the test tells it to. */
+class EntryDispatcherTest {
+  private static final long INCARNATION = 42;
+
+  private EntryUnderTest entry;
+  private FakeSide side;
+
+  @BeforeEach
+  void start() throws Exception {
+    entry = new EntryUnderTest("entry-1", 1);
+    side = new FakeSide("vm-1", INCARNATION, 0);
+    side.announce(entry, false);
+    entry.awaitTargets(1);
+  }
+
+  @AfterEach
+  void stop() {
+    entry.close();
+    side.close();
+  }
+
+  private CompletableFuture<HttpResponse<byte[]>> charge() {
+    return entry.sendAsync(
+        entry.request("/parking/charge").POST(HttpRequest.BodyPublishers.ofString("5 dollars")));
+  }
+
+  private CompletableFuture<HttpResponse<byte[]>> lookup() {
+    return entry.sendAsync(entry.request("/parking/spaces").GET());
+  }
+
+  private static String text(HttpResponse<byte[]> answer) {
+    return new String(answer.body(), StandardCharsets.UTF_8);
+  }
+
+  /** Lets the request's connection go silent and returns the Resolve that comes on a new one. */
+  private FakeSide.Heard silenceAndAwaitResolve(FakeSide.Heard request) throws Exception {
+    side.fallSilent(request.connection());
+    FakeSide.Heard resolve = side.next();
+    assertTrue(resolve.frame().hasResolve(), () -> "not a resolve: " + resolve.frame());
+    assertNotSame(request.connection(), resolve.connection());
+    return resolve;
+  }
+
+  /**
+   * Something between entry and side process loses track of a connection: bytes go in, nothing
+   * comes out, no error is ever seen. The motorist's request must not hang on it; asked over a new
+   * connection, the side process says that it runs, and the answer comes there.
+   */
+  @Test
+  void requestOnASilentConnectionIsResolvedOverANewOne() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> charge = charge();
+    FakeSide.Heard request = side.next();
+    WireId id = FakeSide.idOf(request.frame());
+
+    FakeSide.Heard resolve = silenceAndAwaitResolve(request);
+    assertEquals(id, SideFrames.id(resolve.frame().getResolve().getId()));
+    assertEquals(INCARNATION, resolve.frame().getResolve().getProcessIncarnation());
+    side.send(resolve.connection(), FakeSide.resolution(id, Resolution.State.RUNNING));
+    side.send(resolve.connection(), FakeSide.answer(id, 200, "charged"));
+
+    assertEquals("charged", text(charge.join()));
+    assertEquals(0, side.unread());
+  }
+
+  /** While one connection is silent, requests on the others are answered as ever. */
+  @Test
+  void othersDoNotNoticeASilentConnection() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> stuck = charge();
+    FakeSide.Heard first = side.next();
+    side.fallSilent(first.connection());
+    for (int i = 0; i < 3; i++) {
+      CompletableFuture<HttpResponse<byte[]>> other = lookup();
+      FakeSide.Heard next = side.next();
+      if (next.frame().hasResolve()) {
+        side.send(next.connection(), FakeSide.answer(FakeSide.idOf(first.frame()), 200, "late"));
+        next = side.next();
+      }
+      side.send(next.connection(), FakeSide.answer(FakeSide.idOf(next.frame()), 200, "free"));
+      assertEquals("free", text(other.join()));
+    }
+    if (!stuck.isDone()) {
+      FakeSide.Heard resolve = side.next();
+      side.send(resolve.connection(), FakeSide.answer(FakeSide.idOf(first.frame()), 200, "late"));
+    }
+    assertEquals("late", text(stuck.join()));
+  }
+
+  /** Proven not to have run, a charge may be sent once more, under a new id. */
+  @Test
+  void chargeProvenNotRunIsTriedAgainUnderANewId() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> charge = charge();
+    FakeSide.Heard request = side.next();
+    WireId id = FakeSide.idOf(request.frame());
+    FakeSide.Heard resolve = silenceAndAwaitResolve(request);
+    side.send(resolve.connection(), FakeSide.resolution(id, Resolution.State.NOT_RUN));
+
+    FakeSide.Heard again = side.next();
+    assertNotEquals(id, FakeSide.idOf(again.frame()));
+    side.send(again.connection(), FakeSide.answer(FakeSide.idOf(again.frame()), 200, "charged"));
+
+    assertEquals("charged", text(charge.join()));
+  }
+
+  /**
+   * The side process has forgotten, or is another one now: nobody can tell whether the charge was
+   * made. Trying again may charge twice; the caller is told that the outcome is unknown.
+   */
+  @Test
+  void chargeOfUnknownOutcomeIsNeverTriedAgain() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> charge = charge();
+    FakeSide.Heard request = side.next();
+    FakeSide.Heard resolve = silenceAndAwaitResolve(request);
+    side.send(
+        resolve.connection(),
+        FakeSide.resolution(FakeSide.idOf(request.frame()), Resolution.State.FORGOTTEN));
+
+    HttpResponse<byte[]> answer = charge.join();
+    assertEquals(502, answer.statusCode());
+    assertTrue(text(answer).contains("\"kind\":\"outcome-unknown\""), () -> text(answer));
+    assertTrue(text(answer).contains("\"execution\":\"unknown\""), () -> text(answer));
+    assertEquals(0, side.unread());
+  }
+
+  /** A lookup does no harm twice, so the motorist gets an answer all the same. */
+  @Test
+  void lookupOfUnknownOutcomeIsTriedAgain() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> lookup = lookup();
+    FakeSide.Heard request = side.next();
+    FakeSide.Heard resolve = silenceAndAwaitResolve(request);
+    side.send(
+        resolve.connection(),
+        FakeSide.resolution(FakeSide.idOf(request.frame()), Resolution.State.FORGOTTEN));
+
+    FakeSide.Heard again = side.next();
+    side.send(again.connection(), FakeSide.answer(FakeSide.idOf(again.frame()), 200, "free"));
+    assertEquals("free", text(lookup.join()));
+  }
+
+  /** The side process is killed: its charge ends as unknown at once, not at its deadline. */
+  @Test
+  void chargeAtAKilledSideProcessIsAnsweredAsUnknown() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> charge = charge();
+    side.next();
+    side.close();
+
+    HttpResponse<byte[]> answer = charge.join();
+    assertEquals(502, answer.statusCode());
+    assertTrue(text(answer).contains("outcome-unknown"), () -> text(answer));
+  }
+
+  /**
+   * An answer ends before its announced length. Handed on, a payout statement would lack its last
+   * lines and look whole. It is a broken frame: the connection ends and the outcome is resolved.
+   */
+  @Test
+  void answerShorterThanItsLengthIsNeverHandedOn() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> charge = charge();
+    FakeSide.Heard request = side.next();
+    WireId id = FakeSide.idOf(request.frame());
+    side.send(request.connection(), FakeSide.answer(id, 200, "half", 8));
+
+    FakeSide.Heard resolve = side.next();
+    assertTrue(resolve.frame().hasResolve());
+    side.send(resolve.connection(), FakeSide.answer(id, 200, "half and"));
+    assertEquals("half and", text(charge.join()));
+  }
+
+  /** Answers to ids that nobody waits for, such as doubled ones, touch nobody. */
+  @Test
+  void doubledAndForeignAnswersAreDropped() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> first = lookup();
+    FakeSide.Heard request = side.next();
+    WireId id = FakeSide.idOf(request.frame());
+    side.send(request.connection(), FakeSide.answer(new WireId(1, 999), 200, "foreign"));
+    side.send(request.connection(), FakeSide.answer(id, 200, "mine"));
+    side.send(request.connection(), FakeSide.answer(id, 200, "mine again"));
+    assertEquals("mine", text(first.join()));
+
+    CompletableFuture<HttpResponse<byte[]>> second = lookup();
+    FakeSide.Heard next = side.next();
+    side.send(next.connection(), FakeSide.answer(FakeSide.idOf(next.frame()), 200, "next"));
+    assertEquals("next", text(second.join()));
+  }
+
+  /** Nobody waits any more: the side process is told, so that it need not start it. */
+  @Test
+  void requestPastItsDeadlineIsAnsweredAndCancelled() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> charge =
+        entry.sendAsync(
+            entry
+                .request("/parking/charge")
+                .header(CallerHeaders.DEADLINE_MILLIS, "300")
+                .POST(HttpRequest.BodyPublishers.ofString("5 dollars")));
+    FakeSide.Heard request = side.next();
+    assertTrue(request.frame().getRequestStart().getRemainingMillis() <= 300);
+
+    FakeSide.Heard cancel = side.next();
+
+    assertEquals(request.frame().getRequestStart().getId(), cancel.frame().getCancel().getId());
+    HttpResponse<byte[]> answer = charge.join();
+    assertEquals(504, answer.statusCode());
+    assertTrue(text(answer).contains("deadline-while-running"), () -> text(answer));
+  }
+
+  /** A refusal of the side process reaches the caller as such where no other target is left. */
+  @Test
+  void refusalNamesItsKindAndWhenToComeBack() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> charge = charge();
+    while (!charge.isDone()) {
+      FakeSide.Heard request = side.next();
+      WireId id = FakeSide.idOf(request.frame());
+      side.send(request.connection(), FakeSide.notRun(id, ErrorKind.OVERLOADED));
+      Await.until("tried again or answered", () -> charge.isDone() || side.unread() > 0);
+    }
+
+    HttpResponse<byte[]> answer = charge.join();
+    assertEquals(503, answer.statusCode());
+    assertTrue(text(answer).contains("\"execution\":\"not_run\""), () -> text(answer));
+    assertTrue(answer.headers().firstValue("Retry-After").isPresent());
+  }
+
+  /**
+   * A planned stop under way: the balancer reads "not ready" at once, callers it still sends are
+   * served for the grace time, and what is in progress is answered before the process may exit.
+   */
+  @Test
+  void plannedStopServesItsGraceTimeAndEndsWhatIsInProgress() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> before = charge();
+    FakeSide.Heard first = side.next();
+    assertEquals(200, entry.get(CallerServer.READY_PATH).statusCode());
+
+    CompletableFuture<Void> drained =
+        entry.dispatcher().beginStop(TimeUnit.MILLISECONDS.toNanos(500));
+    assertEquals(503, entry.get(CallerServer.READY_PATH).statusCode());
+    assertEquals(200, entry.get(CallerServer.LIVE_PATH).statusCode());
+    CompletableFuture<HttpResponse<byte[]>> during = lookup();
+    FakeSide.Heard second = side.next();
+    side.send(second.connection(), FakeSide.answer(FakeSide.idOf(second.frame()), 200, "free"));
+    assertEquals("free", text(during.join()));
+
+    CompletableFuture<HttpResponse<byte[]>> late = lookup();
+    Await.until("answered or sent", () -> late.isDone() || side.unread() > 0);
+    CompletableFuture<HttpResponse<byte[]>> last = late;
+    while (!last.isDone()) {
+      FakeSide.Heard sent = side.next();
+      side.send(sent.connection(), FakeSide.answer(FakeSide.idOf(sent.frame()), 200, "free"));
+      last.join();
+      CompletableFuture<HttpResponse<byte[]>> next = lookup();
+      Await.until("answered or sent", () -> next.isDone() || side.unread() > 0);
+      last = next;
+    }
+    assertTrue(text(last.join()).contains("shutting-down"), "refused after the grace time");
+    assertFalse(drained.isDone());
+    side.send(first.connection(), FakeSide.answer(FakeSide.idOf(first.frame()), 200, "charged"));
+
+    assertEquals("charged", text(before.join()));
+    drained.orTimeout(30, TimeUnit.SECONDS).join();
+  }
+
+  @Test
+  void leavingTargetIsPassedOver() throws Exception {
+    side.announce(entry, true);
+    try (FakeSide other = new FakeSide("vm-2", 1, 0)) {
+      other.announce(entry, false);
+      entry.awaitTargets(2);
+      for (int i = 0; i < 20; i++) {
+        CompletableFuture<HttpResponse<byte[]>> lookup = lookup();
+        FakeSide.Heard request = other.next();
+        Frame answer = FakeSide.answer(FakeSide.idOf(request.frame()), 200, "free");
+        LinkConnection connection = request.connection();
+        other.send(connection, answer);
+        assertEquals(200, lookup.join().statusCode());
+      }
+    }
+    assertEquals(0, side.unread());
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/FakePeer.java
@@ -0,0 +1,69 @@
+package io.marigoldsail.daemon.dispatch;
+
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.link.LinkListener;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.protocol.Frame;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** One end of a connection, dialled by the test, which reads and sends frames one by one. */
+final class FakePeer implements LinkListener {
+  private final LinkLoop loop;
+  private final CompletableFuture<LinkConnection> connection = new CompletableFuture<>();
+  private final BlockingQueue<Frame> frames = new LinkedBlockingQueue<>();
+  private final CompletableFuture<String> ended = new CompletableFuture<>();
+
+  private FakePeer(LinkLoop loop) {
+    this.loop = loop;
+  }
+
+  static FakePeer dial(LinkLoop loop, int port) {
+    FakePeer peer = new FakePeer(loop);
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+    loop.dial(address, peer, peer.connection::completeExceptionally);
+    peer.connection.join();
+    return peer;
+  }
+
+  @Override
+  public void opened(LinkConnection opened) {
+    connection.complete(opened);
+  }
+
+  @Override
+  public void received(LinkConnection from, Frame frame) {
+    frames.add(frame);
+  }
+
+  @Override
+  public void closed(LinkConnection closed, String reason) {
+    ended.complete(reason);
+  }
+
+  void send(Frame frame) {
+    loop.run(() -> connection.join().send(frame));
+  }
+
+  /** Waits for the next frame. */
+  Frame next() throws InterruptedException {
+    Frame frame = frames.poll(30, TimeUnit.SECONDS);
+    if (frame == null) {
+      throw new AssertionError("no frame came");
+    }
+    return frame;
+  }
+
+  /** Waits until the other end has closed the connection. */
+  void awaitEnd() {
+    ended.orTimeout(30, TimeUnit.SECONDS).join();
+  }
+
+  void close() {
+    loop.run(() -> connection.join().close("test"));
+    awaitEnd();
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/FakeTarget.java
@@ -0,0 +1,56 @@
+package io.marigoldsail.daemon.dispatch;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+/** A target whose every request ends when the test says so. */
+final class FakeTarget implements Target {
+  /** One request at the target. */
+  record Run(TargetRequest request, Consumer<TargetOutcome> ended) {
+    void answer(String body) {
+      ended.accept(
+          new TargetOutcome.Answered(200, List.of(), ByteString.copyFromUtf8(body), () -> {}));
+    }
+  }
+
+  private final BlockingQueue<Run> runs = new LinkedBlockingQueue<>();
+  private final AtomicInteger started = new AtomicInteger();
+  private volatile TargetHealth health = TargetHealth.SERVING;
+
+  @Override
+  public void send(TargetRequest request, Consumer<TargetOutcome> ended) {
+    started.incrementAndGet();
+    runs.add(new Run(request, ended));
+  }
+
+  @Override
+  public void probe(Consumer<TargetHealth> heard) {
+    heard.accept(health);
+  }
+
+  @Override
+  public void close() {}
+
+  void health(TargetHealth newHealth) {
+    health = newHealth;
+  }
+
+  /** Returns how many requests were ever handed over. */
+  int started() {
+    return started.get();
+  }
+
+  /** Waits for the next request. */
+  Run next() throws InterruptedException {
+    Run run = runs.poll(30, TimeUnit.SECONDS);
+    if (run == null) {
+      throw new AssertionError("no request reached the target");
+    }
+    return run;
+  }
+}
