Follow and append to log streams exactly once

An append whose answer was lost goes out again in front of everything newer once a read has reached the end without it; if that read was stale the copy is dropped by every reader alike.

--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/AppendQueue.java
@@ -0,0 +1,260 @@
+package io.marigoldsail.log;
+
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Failure;
+import io.marigoldsail.error.Result;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides when one writer's entries go to the log, which go together, and what became of each.
+ *
+ * <p>Load pattern: starts and ends of tasks come in bursts of many a second, while the log takes
+ * several hundred appends a second from all writers together. One append is under way at a time;
+ * what comes meanwhile shares the next one, so batches grow with the load and an idle writer waits
+ * for nothing. Without this a burst of 90 starts a second would take three appends for each.
+ *
+ * <p>An entry is done when it was read back. An append whose answer was lost is held until a later
+ * read has reached the end of the stream: then it was seen, or its entries go first into the next
+ * record. Appending them again is safe even when the read was stale, because readers drop the copy
+ * ({@link WriterMarks}); it must only come before this writer's later entries, or readers would
+ * drop it as if it were a copy. That is why nothing else is sent in between.
+ *
+ * <p>Bounded in entries and bytes; knows neither thread nor clock; guarded by {@link LogAppender}.
+ */
+final class AppendQueue {
+  /** An entry on its way. */
+  record Pending(String id, long sequence, byte[] encoded, long deadline, Outcome outcome) {}
+
+  /** Where the one who appends hears of the end. */
+  interface Outcome {
+    /** Called exactly once. */
+    void complete(Result<Position> result);
+  }
+
+  /** Entries that go into one platform record. */
+  record Batch(List<Pending> entries) {
+    byte[] record() {
+      return RecordCodec.record(entries.stream().map(Pending::encoded).toList());
+    }
+  }
+
+  /** An end to be told once no lock is held. */
+  record Completion(Pending entry, Result<Position> result) {
+    void tell() {
+      entry.outcome().complete(result);
+    }
+  }
+
+  private static final long FULL_RETRY_MILLIS = 1_000;
+
+  private final AppendSettings settings;
+  private final Backoff backoff;
+  private final Map<String, Pending> open = new LinkedHashMap<>();
+  private final ArrayDeque<Pending> waiting = new ArrayDeque<>();
+  private final Map<String, Pending> unresolved = new LinkedHashMap<>();
+
+  /** Ids of entries that may stand in the log: sent, and not refused each time. */
+  private final Set<String> maybeStored = new HashSet<>();
+
+  /** Entries whose first append is under way: not stored if that one is refused. */
+  private final List<Pending> underWay = new ArrayList<>();
+
+  private int openBytes;
+  private boolean inFlight;
+  private long nextTryAt = Long.MIN_VALUE;
+  private long earliestDeadline = Long.MAX_VALUE;
+
+  AppendQueue(AppendSettings settings, Backoff backoff) {
+    this.settings = settings;
+    this.backoff = backoff;
+  }
+
+  /** Takes an entry in, or says why not; in that case it will never be sent. */
+  Optional<Failure> offer(Pending entry, long now) {
+    int bytes = entry.encoded().length;
+    if (bytes + RecordCodec.overhead(1) > settings.maxBatchBytes()) {
+      return Optional.of(Failure.of(ErrorKind.BODY_TOO_LARGE, "log entry of " + bytes + " bytes"));
+    }
+    if (backoff.failing() && entry.deadline() <= nextTryAt) {
+      return Optional.of(refusal("the log does not answer", nextTryAt - now));
+    }
+    if (open.size() >= settings.maxOpen() || openBytes + bytes > settings.maxOpenBytes()) {
+      long wait = TimeUnit.MILLISECONDS.toNanos(FULL_RETRY_MILLIS);
+      return Optional.of(refusal(open.size() + " entries wait already", wait));
+    }
+    open.put(entry.id(), entry);
+    openBytes += bytes;
+    waiting.add(entry);
+    earliestDeadline = Math.min(earliestDeadline, entry.deadline());
+    return Optional.empty();
+  }
+
+  private static Failure refusal(String detail, long waitNanos) {
+    long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(waitNanos));
+    return new Failure(ErrorKind.LOG_UNAVAILABLE, detail, millis);
+  }
+
+  /** Returns the next record's entries, if it is time to append. */
+  Optional<Batch> takeBatch(long now) {
+    if (inFlight || !unresolved.isEmpty() || waiting.isEmpty() || now < nextTryAt) {
+      return Optional.empty();
+    }
+    List<Pending> entries = new ArrayList<>();
+    int bytes = 0;
+    while (!waiting.isEmpty() && entries.size() < settings.maxBatch()) {
+      if (!isOpen(waiting.peek())) {
+        waiting.poll();
+        continue;
+      }
+      bytes += waiting.peek().encoded().length;
+      if (bytes + RecordCodec.overhead(entries.size() + 1) > settings.maxBatchBytes()) {
+        break;
+      }
+      entries.add(waiting.poll());
+    }
+    if (entries.isEmpty()) {
+      return Optional.empty();
+    }
+    inFlight = true;
+    underWay.clear();
+    entries.stream().filter(entry -> maybeStored.add(entry.id())).forEach(underWay::add);
+    nextTryAt = now + TimeUnit.MILLISECONDS.toNanos(settings.paceMillis());
+    return Optional.of(new Batch(entries));
+  }
+
+  /** Tells how an append ended. */
+  List<Completion> appended(Batch batch, Result<Long> result, long now) {
+    inFlight = false;
+    if (!(result instanceof Result.Failed<Long> failed)) {
+      backoff.succeeded();
+      return List.of();
+    }
+    return switch (failed.failure().kind()) {
+      case LOG_UNAVAILABLE -> {
+        nextTryAt = now + backoff.failed();
+        underWay.forEach(entry -> maybeStored.remove(entry.id()));
+        putBack(batch.entries());
+        yield List.of();
+      }
+      case BODY_TOO_LARGE -> {
+        List<Completion> refused = new ArrayList<>();
+        for (Pending entry : batch.entries()) {
+          finish(entry, Result.failed(failed.failure())).ifPresent(refused::add);
+        }
+        yield refused;
+      }
+      default -> {
+        nextTryAt = now + backoff.failed();
+        batch.entries().stream()
+            .filter(this::isOpen)
+            .forEach(entry -> unresolved.put(entry.id(), entry));
+        yield List.of();
+      }
+    };
+  }
+
+  /** Tells that an entry was read at the place where it counts. */
+  Optional<Completion> readBack(String id, Position position) {
+    Pending entry = open.get(id);
+    return entry == null ? Optional.empty() : finish(entry, Result.ok(position));
+  }
+
+  /** Tells that a read reached the end of the stream; what it did not show goes out again. */
+  void reachedEnd() {
+    if (!unresolved.isEmpty()) {
+      putBack(List.copyOf(unresolved.values()));
+      unresolved.clear();
+    }
+  }
+
+  /**
+   * Tells that the reader now stands behind a snapshot that includes this writer's entries up to a
+   * sequence number, without having seen each.
+   */
+  List<Completion> passed(long sequence) {
+    List<Completion> ended = new ArrayList<>();
+    for (Pending entry : List.copyOf(open.values())) {
+      if (entry.sequence() <= sequence) {
+        Failure unknown =
+            Failure.of(ErrorKind.LOG_OUTCOME_UNKNOWN, "the reader passed it in a snapshot");
+        finish(entry, Result.failed(unknown)).ifPresent(ended::add);
+      }
+    }
+    return ended;
+  }
+
+  /** Gives up what has passed its deadline. */
+  List<Completion> expire(long now) {
+    if (now < earliestDeadline) {
+      return List.of();
+    }
+    List<Completion> expired = new ArrayList<>();
+    earliestDeadline = Long.MAX_VALUE;
+    for (Pending entry : List.copyOf(open.values())) {
+      if (entry.deadline() <= now) {
+        finish(entry, Result.failed(late(entry, now))).ifPresent(expired::add);
+      } else {
+        earliestDeadline = Math.min(earliestDeadline, entry.deadline());
+      }
+    }
+    waiting.removeIf(entry -> !isOpen(entry));
+    return expired;
+  }
+
+  private Failure late(Pending entry, long now) {
+    // An entry that may be stored counts wherever it is read; any other is never sent from here on.
+    return !maybeStored.contains(entry.id())
+        ? refusal("the log did not answer in time", Math.max(0, nextTryAt - now))
+        : Failure.of(ErrorKind.LOG_OUTCOME_UNKNOWN, "not read back in time");
+  }
+
+  /** Gives up everything, for a planned stop. */
+  List<Completion> giveUp(long now) {
+    List<Completion> ended = new ArrayList<>();
+    for (Pending entry : List.copyOf(open.values())) {
+      finish(entry, Result.failed(late(entry, now))).ifPresent(ended::add);
+    }
+    return ended;
+  }
+
+  /** Returns when {@link #takeBatch} or {@link #expire} is due next, or {@link Long#MAX_VALUE}. */
+  long nextWake() {
+    boolean ready = !inFlight && unresolved.isEmpty() && !waiting.isEmpty();
+    return Math.min(earliestDeadline, ready ? nextTryAt : Long.MAX_VALUE);
+  }
+
+  /** Returns how many entries are held. */
+  int size() {
+    return open.size();
+  }
+
+  private boolean isOpen(Pending entry) {
+    return open.containsKey(entry.id());
+  }
+
+  private void putBack(List<Pending> entries) {
+    for (int i = entries.size() - 1; i >= 0; i--) {
+      if (isOpen(entries.get(i))) {
+        waiting.addFirst(entries.get(i));
+      }
+    }
+  }
+
+  private Optional<Completion> finish(Pending entry, Result<Position> result) {
+    if (open.remove(entry.id()) == null) {
+      return Optional.empty();
+    }
+    openBytes -= entry.encoded().length;
+    maybeStored.remove(entry.id());
+    unresolved.remove(entry.id());
+    return Optional.of(new Completion(entry, result));
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/RecordCodec.java
@@ -0,0 +1,143 @@
+package io.marigoldsail.log;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Turns batches of entries into platform records and back.
+ *
+ * <p>A record is {@code {"v":1,"entries":[{"id":...,"type":...,"body":...}]}}. Unknown fields pass.
+ * Nothing that a record holds makes {@link #decode} throw.
+ */
+final class RecordCodec {
+  /** Why a record, or an entry of one, was passed over. */
+  enum Skip {
+    /** The bytes are no JSON object. */
+    NOT_JSON,
+    /** The record is of a version that this software does not know. */
+    NEWER_VERSION,
+    /** The record, or an entry of it, has not the fields that it must have. */
+    MALFORMED,
+    /** The fold threw on the entry. */
+    REFUSED_BY_FOLD
+  }
+
+  /** An entry as it stands in a record. */
+  record Raw(int index, String id, EntryIds.Parts parts, String type, JsonNode body) {}
+
+  /** What a record holds: good entries, and why others were passed over. */
+  record Decoded(List<Raw> entries, List<Skip> skips) {}
+
+  static final int VERSION = 1;
+
+  private static final int MAX_DEPTH = 100;
+  private static final byte[] START = ascii("{\"v\":" + VERSION + ",\"entries\":[");
+  private static final byte[] END = ascii("]}");
+
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder(
+              JsonFactory.builder()
+                  .streamReadConstraints(
+                      StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
+                  .build())
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private RecordCodec() {}
+
+  private static byte[] ascii(String text) {
+    return text.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  /** Returns one entry as JSON, to be put into a record by {@link #record}. */
+  static byte[] entry(String id, String type, JsonNode body) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (JsonGenerator json = MAPPER.createGenerator(bytes)) {
+      json.writeStartObject();
+      json.writeStringField("id", id);
+      json.writeStringField("type", type);
+      json.writeFieldName("body");
+      MAPPER.writeTree(json, body);
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /** Returns a record of entries that {@link #entry} made. */
+  static byte[] record(List<byte[]> entries) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    bytes.writeBytes(START);
+    for (int i = 0; i < entries.size(); i++) {
+      if (i > 0) {
+        bytes.write(',');
+      }
+      bytes.writeBytes(entries.get(i));
+    }
+    bytes.writeBytes(END);
+    return bytes.toByteArray();
+  }
+
+  /** Returns how much longer a record is than its entries, at most. */
+  static int overhead(int entries) {
+    return START.length + END.length + entries;
+  }
+
+  static Decoded decode(byte[] record) {
+    JsonNode root;
+    try {
+      root = MAPPER.readTree(record);
+    } catch (JsonProcessingException e) {
+      return skipped(Skip.NOT_JSON);
+    } catch (IOException | RuntimeException e) {
+      return skipped(Skip.NOT_JSON);
+    }
+    if (root == null || !root.isObject()) {
+      return skipped(Skip.NOT_JSON);
+    }
+    JsonNode version = root.path("v");
+    if (version.isIntegralNumber() && version.asLong() > VERSION) {
+      return skipped(Skip.NEWER_VERSION);
+    }
+    if (version.asLong() != VERSION || !root.path("entries").isArray()) {
+      return skipped(Skip.MALFORMED);
+    }
+    return entries(root.path("entries"));
+  }
+
+  private static Decoded entries(JsonNode array) {
+    List<Raw> entries = new ArrayList<>(array.size());
+    List<Skip> skips = new ArrayList<>();
+    for (int i = 0; i < array.size(); i++) {
+      JsonNode entry = array.get(i);
+      var parts = EntryIds.parse(entry.path("id").asText());
+      if (parts.isEmpty() || !entry.path("type").isTextual() || !entry.has("body")) {
+        skips.add(Skip.MALFORMED);
+        continue;
+      }
+      String id = entry.path("id").textValue();
+      if (id == null) {
+        skips.add(Skip.MALFORMED);
+        continue;
+      }
+      entries.add(new Raw(i, id, parts.get(), entry.path("type").textValue(), entry.path("body")));
+    }
+    return new Decoded(entries, skips);
+  }
+
+  private static Decoded skipped(Skip reason) {
+    return new Decoded(List.of(), List.of(reason));
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/SnapshotParts.java
@@ -0,0 +1,155 @@
+package io.marigoldsail.log;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+/**
+ * Splits snapshots into entries that fit a platform record, and puts them together again.
+ *
+ * <p>A part is {@code {"snapshot":ID,"through":N,"part":I,"parts":N,"data":BASE64}}; the data
+ * together are the gzipped JSON of a {@link StreamSnapshot}. Parts of several snapshots may
+ * interleave and repeat. An instance collects parts; it holds at most {@value #MAX_OPEN} unfinished
+ * snapshots, and is confined to one thread.
+ */
+final class SnapshotParts {
+  static final String TYPE = "snapshot-part";
+
+  private static final int MAX_OPEN = 4;
+  private static final int MAX_PARTS = 1_024;
+  private static final int PART_BYTES = 128 << 10;
+  private static final int MAX_SNAPSHOT_BYTES = 128 << 20;
+  private static final JsonMapper MAPPER = new JsonMapper();
+
+  /** What is known of a snapshot after one of its parts was seen. */
+  record Seen(long through, boolean complete, Optional<StreamSnapshot> snapshot) {}
+
+  private static final class Open {
+    private final String[] parts;
+    private int missing;
+
+    private Open(int count) {
+      this.parts = new String[count];
+      this.missing = count;
+    }
+  }
+
+  private final Map<String, Open> open = new LinkedHashMap<>();
+
+  SnapshotParts() {}
+
+  /** Returns the bodies of the parts of a snapshot. */
+  static List<JsonNode> split(StreamSnapshot snapshot, String id) {
+    byte[] bytes = compress(snapshot);
+    int count = (bytes.length + PART_BYTES - 1) / PART_BYTES;
+    List<JsonNode> parts = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      int from = i * PART_BYTES;
+      byte[] piece = Arrays.copyOfRange(bytes, from, Math.min(bytes.length, from + PART_BYTES));
+      parts.add(
+          JsonNodeFactory.instance
+              .objectNode()
+              .put("snapshot", id)
+              .put("through", snapshot.through())
+              .put("part", i)
+              .put("parts", count)
+              .put("data", Base64.getEncoder().encodeToString(piece)));
+    }
+    return parts;
+  }
+
+  /**
+   * Takes a part in, or returns empty if it makes no sense.
+   *
+   * @param keep whether the caller wants the snapshot; else only its completeness is told
+   */
+  Optional<Seen> add(JsonNode body, boolean keep) {
+    String id = body.path("snapshot").asText();
+    int count = body.path("parts").asInt();
+    int part = body.path("part").asInt(-1);
+    boolean sound = !id.isEmpty() && count > 0 && count <= MAX_PARTS && part >= 0 && part < count;
+    if (!sound || !body.path("through").canConvertToLong() || !body.path("data").isTextual()) {
+      return Optional.empty();
+    }
+    long through = body.path("through").longValue();
+    Open collecting = open.computeIfAbsent(id, unused -> new Open(count));
+    if (collecting.parts.length != count) {
+      return Optional.empty();
+    }
+    if (collecting.parts[part] == null) {
+      collecting.parts[part] = keep ? body.path("data").textValue() : "";
+      collecting.missing--;
+    }
+    if (collecting.missing > 0) {
+      dropOldest();
+      return Optional.of(new Seen(through, false, Optional.empty()));
+    }
+    open.remove(id);
+    return keep
+        ? join(collecting, through)
+        : Optional.of(new Seen(through, true, Optional.empty()));
+  }
+
+  /** Forgets what was collected, such as parts whose data were not kept. */
+  void clear() {
+    open.clear();
+  }
+
+  private void dropOldest() {
+    if (open.size() > MAX_OPEN) {
+      open.remove(open.keySet().iterator().next());
+    }
+  }
+
+  private static Optional<Seen> join(Open collected, long through) {
+    try {
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      for (String data : collected.parts) {
+        bytes.writeBytes(Base64.getDecoder().decode(data));
+      }
+      StreamSnapshot snapshot = expand(bytes.toByteArray());
+      return snapshot.through() == through
+          ? Optional.of(new Seen(through, true, Optional.of(snapshot)))
+          : Optional.empty();
+    } catch (IOException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static byte[] compress(StreamSnapshot snapshot) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (GZIPOutputStream gzip = new GZIPOutputStream(bytes)) {
+      MAPPER.writeValue(gzip, snapshot.toJson());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  private static StreamSnapshot expand(byte[] bytes) throws IOException {
+    try (GZIPInputStream gzip = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
+      // A small record must not be able to fill the memory by expanding without end.
+      byte[] expanded = gzip.readNBytes(MAX_SNAPSHOT_BYTES + 1);
+      if (expanded.length > MAX_SNAPSHOT_BYTES) {
+        throw new IOException("snapshot exceeds " + MAX_SNAPSHOT_BYTES + " bytes");
+      }
+      return StreamSnapshot.fromJson(MAPPER.readTree(expanded));
+    } catch (JsonProcessingException e) {
+      throw new IOException("snapshot is no JSON", e);
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/SnapshotSchedule.java
@@ -0,0 +1,77 @@
+package io.marigoldsail.log;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides when this process writes a snapshot, so that one of many does, well within retention.
+ *
+ * <p>A snapshot is due when many records have come since the last one, when that one is old, or
+ * when it stands in the older half of what retention has left. Every process finds that out at
+ * about the same moment; if each wrote at once, the log would take as many copies of the state as
+ * there are processes. So each draws a moment within a span, and gives way to any that began
+ * before; if that one dies halfway, the next one's moment comes. Knows neither thread nor clock;
+ * confined to one thread.
+ */
+final class SnapshotSchedule {
+  private final SnapshotSettings settings;
+  private final RandomGenerator random;
+  private long lastThrough = -1;
+  private long lastSeenAt;
+  private long writeAt = Long.MAX_VALUE;
+  private long heldUntil = Long.MIN_VALUE;
+
+  SnapshotSchedule(SnapshotSettings settings, RandomGenerator random, long now) {
+    this.settings = requireNonNull(settings, "settings");
+    this.random = requireNonNull(random, "random");
+    this.lastSeenAt = now;
+  }
+
+  /** Tells of a complete snapshot in the stream. */
+  void saw(long through, long now) {
+    lastThrough = Math.max(lastThrough, through);
+    lastSeenAt = now;
+    writeAt = Long.MAX_VALUE;
+  }
+
+  /** Tells of a part, of whichever snapshot. */
+  void sawPart(long now) {
+    heldUntil = now + TimeUnit.MILLISECONDS.toNanos(settings.holdMillis());
+  }
+
+  /** Returns whether this process writes one now; if so, the next one is at another moment. */
+  boolean shouldWrite(StreamStatus status, long now) {
+    if (!isDue(status, now)) {
+      writeAt = Long.MAX_VALUE;
+      return false;
+    }
+    if (writeAt == Long.MAX_VALUE) {
+      writeAt = drawn(now);
+    }
+    if (now < writeAt || now < heldUntil) {
+      return false;
+    }
+    writeAt = drawn(now);
+    return true;
+  }
+
+  private long drawn(long now) {
+    return now + random.nextLong(TimeUnit.MILLISECONDS.toNanos(settings.spreadMillis()));
+  }
+
+  private boolean isDue(StreamStatus status, long now) {
+    // A state that passed over records of a newer version is not what newer readers have.
+    boolean whole = status.caughtUp() && status.newerVersions() == 0 && status.applied() > 0;
+    if (!whole) {
+      return false;
+    }
+    long since = status.applied() - Math.max(lastThrough, 0);
+    boolean many = since >= settings.everyRecords();
+    boolean old = now - lastSeenAt >= TimeUnit.MILLISECONDS.toNanos(settings.everyMillis());
+    long middle = status.firstOffset() + (status.applied() - status.firstOffset()) / 2;
+    boolean expiring = status.firstOffset() > 0 && lastThrough < middle;
+    return many || old || expiring;
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/log/AppendQueueTest.java
@@ -0,0 +1,210 @@
+package io.marigoldsail.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Failure;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.log.AppendQueue.Batch;
+import io.marigoldsail.log.AppendQueue.Completion;
+import io.marigoldsail.log.AppendQueue.Pending;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+final class AppendQueueTest {
+  private static final long MILLI = 1_000_000;
+  private static final long FAR = 1_000_000 * MILLI;
+
+  private final AppendSettings settings = AppendSettings.usual().withMaxOpen(600);
+  private final AppendQueue queue =
+      new AppendQueue(settings, new Backoff(50 * MILLI, 1_000 * MILLI, new Random(7)));
+  private final EntryIds ids = EntryIds.of("entry-1", 10);
+  private final Map<String, Result<Position>> ends = new HashMap<>();
+  private long now;
+
+  @Test
+  void sendsASingleEntryAtOnce() {
+    offer(FAR);
+
+    assertEquals(1, queue.takeBatch(now).orElseThrow().entries().size());
+  }
+
+  @Test
+  void letsABurstShareRecords() {
+    // 90 starts come within a second while the log takes several hundred appends a second from
+    // all. Were each sent alone, one entry alone would take half of that.
+    int appends = 0;
+    for (int i = 0; i < 90; i++) {
+      offer(FAR);
+      now += 11 * MILLI;
+      Optional<Batch> batch = queue.takeBatch(now);
+      if (batch.isPresent()) {
+        appends++;
+        queue.appended(batch.get(), Result.ok((long) appends), now);
+      }
+    }
+
+    assertTrue(appends <= 50, "appends " + appends);
+  }
+
+  @Test
+  void appendsAgainOnlyWhatAReadDidNotShow() {
+    // The answers to two appends are lost: the first had been stored, the second had not. The
+    // caller of each must get one entry in the log, told at its place.
+    String stored = offer(FAR);
+    Batch first = take();
+    String lost = offer(FAR);
+    fail(first, ErrorKind.LOG_OUTCOME_UNKNOWN);
+    now += 2_000 * MILLI;
+    assertTrue(queue.takeBatch(now).isEmpty(), "later entries must not overtake");
+
+    tell(queue.readBack(stored, new Position(5, 0)));
+    queue.reachedEnd();
+    Batch second = take();
+    assertEquals(List.of(lost), idsOf(second));
+    fail(second, ErrorKind.LOG_OUTCOME_UNKNOWN);
+    now += 2_000 * MILLI;
+    queue.reachedEnd();
+
+    Batch again = take();
+    assertEquals(List.of(lost), idsOf(again));
+    assertEquals(Result.ok(new Position(5, 0)), ends.get(stored));
+  }
+
+  @Test
+  void keepsTheOrderWhenItAppendsAgain() {
+    // Readers drop an entry that comes behind a later one of its writer. So what is appended again
+    // has to stand in front of what came meanwhile.
+    String one = offer(FAR);
+    String two = offer(FAR);
+    fail(take(), ErrorKind.LOG_UNAVAILABLE);
+    String three = offer(FAR);
+    now += 2_000 * MILLI;
+    Batch batch = take();
+    assertEquals(List.of(one, two, three), idsOf(batch));
+    String four = offer(FAR);
+    fail(batch, ErrorKind.LOG_OUTCOME_UNKNOWN);
+    queue.reachedEnd();
+    now += 2_000 * MILLI;
+
+    assertEquals(List.of(one, two, three, four), idsOf(take()));
+  }
+
+  @Test
+  void saysNotRunOnlyOfWhatWasNeverStored() {
+    // The log is down past the callers' deadlines. One entry was refused each time, the other's
+    // answer was lost: only the first is known not to be there.
+    String refused = offer(now + 500 * MILLI);
+    fail(take(), ErrorKind.LOG_UNAVAILABLE);
+    now += 600 * MILLI;
+    queue.expire(now).forEach(Completion::tell);
+    assertEquals(ErrorKind.LOG_UNAVAILABLE, kind(refused));
+
+    now += 2_000 * MILLI;
+    String unknown = offer(now + 5_000 * MILLI);
+    fail(take(), ErrorKind.LOG_OUTCOME_UNKNOWN);
+    queue.reachedEnd();
+    now += 2_000 * MILLI;
+    fail(take(), ErrorKind.LOG_UNAVAILABLE);
+    now += 10_000 * MILLI;
+    queue.expire(now).forEach(Completion::tell);
+    assertEquals(ErrorKind.LOG_OUTCOME_UNKNOWN, kind(unknown));
+    assertTrue(queue.takeBatch(now).isEmpty(), "what was given up must not be sent");
+    assertEquals(0, queue.size());
+  }
+
+  @Test
+  void refusesAtOnceWhatAnOutageOutlasts() {
+    offer(FAR);
+    fail(take(), ErrorKind.LOG_UNAVAILABLE);
+
+    Failure refusal = queue.offer(pending(now + MILLI), now).orElseThrow();
+
+    assertEquals(ErrorKind.LOG_UNAVAILABLE, refusal.kind());
+    assertTrue(refusal.retryAfterMillis() > 0);
+  }
+
+  @Test
+  void staysBoundedDuringAnOutage() {
+    // The log is down for minutes while entries come on. They are refused once the bound is
+    // reached, and those that pass their deadline make room; nothing grows with the outage.
+    fail(takeAfterOffer(), ErrorKind.LOG_UNAVAILABLE);
+    int refused = 0;
+    for (int second = 0; second < 300; second++) {
+      now += 1_000 * MILLI;
+      queue.expire(now).forEach(Completion::tell);
+      for (int i = 0; i < 100; i++) {
+        refused += queue.offer(pending(now + 30_000 * MILLI), now).isPresent() ? 1 : 0;
+      }
+      queue.takeBatch(now).ifPresent(batch -> fail(batch, ErrorKind.LOG_UNAVAILABLE));
+      assertTrue(queue.size() <= settings.maxOpen());
+    }
+
+    assertTrue(refused > 20_000, "refused " + refused);
+  }
+
+  @Test
+  void refusesAnEntryLargerThanARecord() {
+    byte[] large = new byte[settings.maxBatchBytes()];
+    Pending entry = new Pending("entry-1/a/1", 1, large, FAR, result -> {});
+
+    assertEquals(ErrorKind.BODY_TOO_LARGE, queue.offer(entry, now).orElseThrow().kind());
+  }
+
+  @Test
+  void settlesEntriesThatASnapshotPassedOver() {
+    String passed = offer(FAR);
+    take();
+    String later = offer(FAR);
+
+    queue.passed(1).forEach(Completion::tell);
+
+    assertEquals(ErrorKind.LOG_OUTCOME_UNKNOWN, kind(passed));
+    assertFalse(ends.containsKey(later));
+  }
+
+  private Batch takeAfterOffer() {
+    offer(FAR);
+    return take();
+  }
+
+  private String offer(long deadline) {
+    Pending entry = pending(deadline);
+    assertEquals(Optional.empty(), queue.offer(entry, now));
+    return entry.id();
+  }
+
+  private Pending pending(long deadline) {
+    String id = ids.next();
+    long sequence = EntryIds.parse(id).orElseThrow().sequence();
+    byte[] encoded = RecordCodec.entry(id, "t", JsonNodeFactory.instance.objectNode());
+    return new Pending(id, sequence, encoded, deadline, result -> ends.put(id, result));
+  }
+
+  private Batch take() {
+    return queue.takeBatch(now).orElseThrow();
+  }
+
+  private void fail(Batch batch, ErrorKind kind) {
+    queue.appended(batch, Result.failed(kind, "test"), now).forEach(Completion::tell);
+  }
+
+  private void tell(Optional<Completion> completion) {
+    completion.orElseThrow().tell();
+  }
+
+  private ErrorKind kind(String id) {
+    return ((Result.Failed<Position>) ends.get(id)).failure().kind();
+  }
+
+  private static List<String> idsOf(Batch batch) {
+    return batch.entries().stream().map(Pending::id).toList();
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/log/SnapshotScheduleTest.java
@@ -0,0 +1,101 @@
+package io.marigoldsail.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+final class SnapshotScheduleTest {
+  private static final long MILLI = 1_000_000;
+  private static final SnapshotSettings SETTINGS = new SnapshotSettings(100, 60_000, 4_000, 2_000);
+
+  private static SnapshotSchedule schedule(int seed) {
+    return new SnapshotSchedule(SETTINGS, new Random(seed), 0);
+  }
+
+  private static StreamStatus at(long applied, long firstOffset) {
+    return new StreamStatus(applied, applied, firstOffset, false, false, 0, 0);
+  }
+
+  @Property(seed = "3401", tries = 50)
+  void oneOrTwoOfManyWrite(
+      @ForAll @IntRange(min = 0, max = 100_000) int seed,
+      @ForAll @IntRange(min = 1, max = 9) int processes) {
+    // Nine entries see at the same moment that a snapshot is due. If each wrote one, the log would
+    // take nine copies of the state at once. A part is seen by the others 20 ms after it was
+    // written, so two may begin in one such gap.
+    List<SnapshotSchedule> all = new ArrayList<>();
+    for (int i = 0; i < processes; i++) {
+      all.add(schedule(seed + i));
+    }
+    int writers = 0;
+    long partSeenAt = Long.MAX_VALUE;
+    for (long now = 0; now < 10_000 * MILLI; now += 5 * MILLI) {
+      for (SnapshotSchedule one : all) {
+        if (now >= partSeenAt) {
+          one.saw(100, now);
+        }
+        if (one.shouldWrite(at(100, 0), now)) {
+          writers++;
+          partSeenAt = Math.min(partSeenAt, now + 20 * MILLI);
+        }
+      }
+    }
+
+    assertTrue(writers >= 1 && writers <= 3, "writers " + writers);
+  }
+
+  @Test
+  void writesAgainWhenTheOneThatBeganDied() {
+    // The process whose turn it was dies between two parts. The snapshot stays incomplete, and
+    // unless another takes over the records before it expire without one.
+    SnapshotSchedule schedule = schedule(1);
+    assertFalse(schedule.shouldWrite(at(100, 0), 0));
+    schedule.sawPart(0);
+
+    assertFalse(schedule.shouldWrite(at(100, 0), 1_999 * MILLI));
+    assertTrue(schedule.shouldWrite(at(100, 0), 6_000 * MILLI));
+  }
+
+  @Test
+  void writesBeforeTheLastSnapshotExpires() {
+    SnapshotSchedule schedule = schedule(1);
+    schedule.saw(10, 0);
+    assertEquals(false, due(schedule, at(50, 0), 1));
+    assertEquals(false, due(schedule, at(19, 1), 10_000));
+    assertEquals(false, due(schedule, at(15, 5), 20_000));
+    assertEquals(true, due(schedule, at(50, 5), 30_000));
+  }
+
+  @Test
+  void writesForAQuietStreamToo() {
+    SnapshotSchedule schedule = schedule(1);
+    schedule.saw(10, 0);
+
+    assertEquals(false, due(schedule, at(11, 0), 50_000));
+    assertEquals(true, due(schedule, at(11, 0), 61_000));
+  }
+
+  @Test
+  void writesNothingThatOthersCannotUse() {
+    SnapshotSchedule schedule = schedule(1);
+    StreamStatus behind = new StreamStatus(500, 900, 0, false, false, 0, 0);
+    StreamStatus older = new StreamStatus(500, 500, 0, false, false, 1, 1);
+
+    assertEquals(false, due(schedule, behind, 100_000));
+    assertEquals(false, due(schedule, older, 200_000));
+  }
+
+  /** Asks at a time in milliseconds, and again after the whole span in which a moment is drawn. */
+  private static boolean due(SnapshotSchedule schedule, StreamStatus status, long millis) {
+    boolean first = schedule.shouldWrite(status, millis * MILLI);
+    return first || schedule.shouldWrite(status, (millis + 4_001) * MILLI);
+  }
+}
