--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/fault/TcpFaultProxy.java
@@ -0,0 +1,220 @@
+package io.marigoldsail.testlib.fault;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Forwards TCP connections on loopback and spoils them as told.
+ *
+ * <p>A silent connection stays open at both ends while its bytes vanish, as when a middle box has
+ * forgotten it. Safe for any thread.
+ */
+public final class TcpFaultProxy implements AutoCloseable {
+  /** Which way bytes go. */
+  public enum Direction {
+    /** From the one who connected. */
+    TO_SERVER,
+    /** Back to the one who connected. */
+    TO_CLIENT
+  }
+
+  private static final int BUFFER_BYTES = 64 << 10;
+  private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+
+  private final InetSocketAddress server;
+  private final ServerSocket acceptor;
+  private final Set<Link> links = ConcurrentHashMap.newKeySet();
+  private final Map<Direction, AtomicLong> forwarded = new EnumMap<>(Direction.class);
+  private final Object changed = new Object();
+  private volatile boolean refusing;
+  private volatile boolean silent;
+  private volatile long delayMillis;
+
+  /**
+   * Creates a proxy on a free port and begins to forward.
+   *
+   * @param serverPort the port on loopback that connections go on to
+   * @throws UncheckedIOException if it cannot listen
+   */
+  public TcpFaultProxy(int serverPort) {
+    this.server = new InetSocketAddress(InetAddress.getLoopbackAddress(), serverPort);
+    for (Direction direction : Direction.values()) {
+      forwarded.put(direction, new AtomicLong());
+    }
+    try {
+      this.acceptor = new ServerSocket(0, 128, InetAddress.getLoopbackAddress());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    startThread(this::acceptAll);
+  }
+
+  /** Returns the port that it listens on. */
+  public int port() {
+    return acceptor.getLocalPort();
+  }
+
+  /** Returns how many bytes it has passed on in a direction. */
+  public long forwardedBytes(Direction direction) {
+    return forwarded.get(direction).get();
+  }
+
+  /** Returns how many connections are open. */
+  public int openConnections() {
+    return links.size();
+  }
+
+  /** Closes every open connection; new ones work. */
+  public void cutOpen() {
+    links.forEach(Link::close);
+  }
+
+  /** Lets bytes of the connections open now vanish in a direction, for good; new ones work. */
+  public void silenceOpen(Direction direction) {
+    requireNonNull(direction, "direction");
+    links.forEach(link -> link.silence(direction));
+  }
+
+  /** Lets all bytes of open and new connections vanish, or not; a silenced one stays silent. */
+  public void setSilent(boolean newSilent) {
+    silent = newSilent;
+  }
+
+  /** Closes what is open and refuses new connections, or accepts them again. */
+  public void setRefusing(boolean newRefusing) {
+    refusing = newRefusing;
+    if (newRefusing) {
+      cutOpen();
+    }
+  }
+
+  /** Holds each piece back for some milliseconds in both directions. */
+  public void setDelayMillis(long newDelayMillis) {
+    synchronized (changed) {
+      delayMillis = newDelayMillis;
+      changed.notifyAll();
+    }
+  }
+
+  @Override
+  public void close() {
+    closeQuietly(acceptor);
+    cutOpen();
+  }
+
+  private void acceptAll() {
+    while (!acceptor.isClosed()) {
+      try {
+        Socket client = acceptor.accept();
+        if (refusing) {
+          closeQuietly(client);
+        } else {
+          startThread(() -> connect(client));
+        }
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void connect(Socket client) {
+    Socket onward = new Socket();
+    try {
+      onward.connect(server, CONNECT_TIMEOUT_MILLIS);
+      client.setTcpNoDelay(true);
+      onward.setTcpNoDelay(true);
+      Link link = new Link(client, onward);
+      links.add(link);
+      startThread(() -> link.pump(Direction.TO_SERVER, client, onward));
+      link.pump(Direction.TO_CLIENT, onward, client);
+    } catch (IOException e) {
+      closeQuietly(client);
+      closeQuietly(onward);
+    }
+  }
+
+  private void hold() throws InterruptedException {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delayMillis);
+    synchronized (changed) {
+      long left = until - System.nanoTime();
+      while (left > 0 && delayMillis > 0) {
+        TimeUnit.NANOSECONDS.timedWait(changed, left);
+        left = until - System.nanoTime();
+      }
+    }
+  }
+
+  private static void startThread(Runnable work) {
+    Thread thread = new Thread(work, "tcp-fault-proxy");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static void closeQuietly(AutoCloseable socket) {
+    try {
+      socket.close();
+    } catch (Exception e) {
+      // The other end has gone first, which is what closing is for.
+    }
+  }
+
+  private final class Link {
+    private final Socket client;
+    private final Socket onward;
+    private final Set<Direction> silenced = ConcurrentHashMap.newKeySet();
+
+    private Link(Socket client, Socket onward) {
+      this.client = client;
+      this.onward = onward;
+    }
+
+    private void silence(Direction direction) {
+      silenced.add(direction);
+    }
+
+    private void close() {
+      closeQuietly(client);
+      closeQuietly(onward);
+      links.remove(this);
+    }
+
+    private void pump(Direction direction, Socket from, Socket to) {
+      byte[] buffer = new byte[BUFFER_BYTES];
+      try {
+        InputStream in = from.getInputStream();
+        OutputStream out = to.getOutputStream();
+        int count = in.read(buffer);
+        while (count >= 0) {
+          hold();
+          if (!silent && !silenced.contains(direction)) {
+            out.write(buffer, 0, count);
+            forwarded.get(direction).addAndGet(count);
+          }
+          count = in.read(buffer);
+        }
+        if (!silent && !silenced.contains(direction)) {
+          close();
+        }
+      } catch (IOException e) {
+        close();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        close();
+      }
+    }
+  }
+}
