Claim, start, vouch, revoke and report tasks between entries and side processes

SideTasks adopts what the worker runs, renews with deadlines of the worker's clock, and reports until acknowledged.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/QueueOrder.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/QueueOrder.java
@@ -32,8 +32,12 @@
    */
   public static final long AGING_MILLIS = 3_600_000;
 
-  /** Urgent jobs may take up this part of the fleet beyond their team's fair share. */
-  private static final double URGENT_HEAD_START = 1_000;
+  /**
+   * Urgent jobs rank as if their team had so many whole fleets less. It is bounded, because a team
+   * that calls all of its work urgent would starve the others else; with 2, work that is not urgent
+   * has its turn after two hours.
+   */
+  private static final double URGENT_HEAD_START = 2;
 
   private final Function<String, TeamQuota> quotas;
   private final Sizes capacity;
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/Sizes.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/Sizes.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.math.LongMath;
+
 /**
  * An amount of processors, memory and accelerators: what a VM has, or what a task needs.
  *
@@ -23,13 +25,13 @@
     checkArgument(accelerators >= 0, "accelerators is negative: %s", accelerators);
   }
 
-  /** Returns the sum of this and the other. */
+  /** Returns the sum of this and the other; a component too large for a long is the largest one. */
   public Sizes plus(Sizes other) {
     requireNonNull(other, "other");
     return new Sizes(
-        milliProcessors + other.milliProcessors,
-        memoryBytes + other.memoryBytes,
-        accelerators + other.accelerators);
+        LongMath.saturatedAdd(milliProcessors, other.milliProcessors),
+        LongMath.saturatedAdd(memoryBytes, other.memoryBytes),
+        LongMath.saturatedAdd(accelerators, other.accelerators));
   }
 
   /** Returns this less the other, each component at least zero. */
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
@@ -0,0 +1,240 @@
+package io.marigoldsail.daemon.task;
+
+import io.marigoldsail.error.Result;
+import io.marigoldsail.job.JobSpec;
+import io.marigoldsail.job.JobState;
+import io.marigoldsail.job.QueueOrder;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.Spread;
+import io.marigoldsail.job.TaskRecord;
+import io.marigoldsail.job.TaskState;
+import io.marigoldsail.job.VmState;
+import io.marigoldsail.placement.Fleet;
+import io.marigoldsail.placement.PlacementDecision;
+import io.marigoldsail.placement.PlacementRequest;
+import io.marigoldsail.placement.Placer;
+import io.marigoldsail.timeline.Event;
+import io.marigoldsail.timeline.EventKind;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * One entry's part in giving waiting tasks a VM: takes them in the queue's order, chooses a VM and
+ * writes the claim.
+ *
+ * <p>Load pattern: thousands of tasks wait when a fleet frees up, or the log comes back after an
+ * outage. Claims on their way are bounded, so that a round trip to the log paces them, and rounds
+ * are bounded in work. Tasks are divided among the living entries by a hash of their name; without
+ * that every entry would race for the head of the same queue and all but one append would be
+ * wasted. An entry takes another's tasks only after the job has not moved for a while.
+ */
+final class ClaimLoop {
+  private static final int MAX_ON_THEIR_WAY = 64;
+  private static final int MAX_TRIES_A_ROUND = 128;
+  private static final int CANDIDATES = 256;
+  private static final long OTHERS_TASKS_MILLIS = 3_000;
+  private static final long LOG_BACK_OFF_MILLIS = 500;
+
+  private record Pending(VmState vm, Sizes sizes) {}
+
+  private record Progress(long marker, long othersFrom) {}
+
+  /** One job's waiting tasks in one round. */
+  private record Candidates(Deque<TaskState> tasks, Map<String, Integer> inGroup) {}
+
+  private final EntryContext context;
+  private final VmWatch watch;
+  private final StartLoop starts;
+  private final Placer placer;
+  private final Function<JobSpec, Sizes> estimates;
+  private final Map<String, Pending> onTheirWay = new HashMap<>();
+  private final Map<String, Progress> progress = new HashMap<>();
+  private final Map<String, String> whyWaiting = new HashMap<>();
+  private long pausedUntil;
+
+  ClaimLoop(
+      EntryContext context,
+      VmWatch watch,
+      StartLoop starts,
+      Placer placer,
+      Function<JobSpec, Sizes> estimates) {
+    this.context = context;
+    this.watch = watch;
+    this.starts = starts;
+    this.placer = placer;
+    this.estimates = estimates;
+    this.pausedUntil = context.nanos();
+  }
+
+  void tick() {
+    if (!context.passed(pausedUntil) || onTheirWay.size() >= MAX_ON_THEIR_WAY) {
+      return;
+    }
+    List<JobState> jobs = context.table().jobs();
+    noteProgress(jobs);
+    if (jobs.stream().noneMatch(job -> job.waiting() > 0)) {
+      return;
+    }
+    Fleet fleet = new Fleet(context.table().vms(), watch::usable);
+    onTheirWay.values().forEach(p -> fleet.take(p.vm().registration(), p.sizes()));
+    QueueOrder order =
+        new QueueOrder(
+            jobs,
+            context.table().bookedByTeam(),
+            team -> context.terms().quota(team),
+            fleet.capacity(),
+            context.wallMillis());
+    round(order, fleet);
+  }
+
+  /** Returns why the job's tasks wait, as far as this entry has looked; empty if it has not. */
+  String whyWaiting(String job) {
+    return whyWaiting.getOrDefault(job, "");
+  }
+
+  private void round(QueueOrder order, Fleet fleet) {
+    Map<String, Candidates> candidates = new HashMap<>();
+    Optional<JobState> next = order.next();
+    int tries = 0;
+    while (next.isPresent() && tries < MAX_TRIES_A_ROUND && onTheirWay.size() < MAX_ON_THEIR_WAY) {
+      tries++;
+      JobState job = next.get();
+      Candidates waiting =
+          candidates.computeIfAbsent(job.spec().name(), unused -> candidatesOf(job));
+      TaskState task = waiting.tasks().poll();
+      if (task != null) {
+        Sizes sizes = estimates.apply(job.spec());
+        if (tryClaim(order, fleet, job, task, waiting.inGroup())) {
+          order.took(job, sizes, !waiting.tasks().isEmpty());
+        }
+      }
+      next = order.next();
+    }
+  }
+
+  private boolean tryClaim(
+      QueueOrder order, Fleet fleet, JobState job, TaskState task, Map<String, Integer> inGroup) {
+    JobSpec spec = job.spec();
+    Sizes sizes = estimates.apply(spec);
+    if (!order.withinQuota(spec.team(), sizes)) {
+      wait(spec, "team " + spec.team() + " is at its quota");
+      return false;
+    }
+    PlacementDecision decision =
+        placer.place(new PlacementRequest(spec, task, sizes, inGroup), fleet);
+    if (decision instanceof PlacementDecision.NoRoom noRoom) {
+      wait(spec, noRoom.why());
+      return false;
+    }
+    PlacementDecision.Chosen chosen = (PlacementDecision.Chosen) decision;
+    whyWaiting.remove(spec.name());
+    VmState vm = chosen.room().state();
+    fleet.take(vm.registration(), sizes);
+    if (spec.spread() != Spread.NONE) {
+      inGroup.merge(spec.spread().groupOf(vm.description()), 1, Integer::sum);
+    }
+    claim(spec, task, vm, sizes, chosen.why());
+    return true;
+  }
+
+  private void wait(JobSpec spec, String why) {
+    String before = whyWaiting.put(spec.name(), why);
+    if (before == null) {
+      context.record(
+          Event.of(EventKind.TASK_WAITING)
+              .withTask(spec.name())
+              .withTeam(spec.team())
+              .withDetail(why));
+    }
+  }
+
+  private void claim(JobSpec spec, TaskState task, VmState vm, Sizes sizes, String why) {
+    TaskRecord.Claimed claim =
+        new TaskRecord.Claimed(
+            task.name(),
+            task.attempt(),
+            vm.vm(),
+            vm.registration(),
+            sizes,
+            context.terms().leases().leaseMillis(spec.taskClass()),
+            context.identity().name());
+    onTheirWay.put(task.name(), new Pending(vm, sizes));
+    context.record(
+        Event.of(EventKind.TASK_PLACED).withTask(task.name()).withVm(vm.vm()).withDetail(why));
+    context.append(claim, result -> claimed(claim, spec, result));
+  }
+
+  private void claimed(TaskRecord.Claimed claim, JobSpec spec, Result<Long> result) {
+    onTheirWay.remove(claim.task());
+    if (!(result instanceof Result.Ok<Long> ok)) {
+      // Should it have got in after all, the sweep finds it in the table and starts it.
+      pausedUntil = context.afterMillis(LOG_BACK_OFF_MILLIS);
+      return;
+    }
+    Optional<TaskState> task = context.table().task(claim.task());
+    boolean won = task.isPresent() && task.get().holds(ok.value());
+    EventKind kind = won ? EventKind.TASK_CLAIMED : EventKind.TASK_CLAIM_LOST;
+    context.record(
+        Event.of(kind)
+            .withTask(claim.task())
+            .withVm(claim.vm())
+            .withTeam(spec.team())
+            .withDetail("attempt " + claim.attempt() + " token " + ok.value()));
+    if (won) {
+      starts.claimed(task.get(), spec);
+    }
+  }
+
+  private Candidates candidatesOf(JobState job) {
+    List<TaskState> waiting = context.table().waiting(job.spec().name(), 0, CANDIDATES);
+    List<String> live = watch.liveEntries();
+    int own = live.indexOf(context.identity().name());
+    boolean others = context.passed(progress.get(job.spec().name()).othersFrom());
+    Deque<TaskState> tasks = new ArrayDeque<>();
+    for (TaskState task : waiting) {
+      boolean mine = Math.floorMod(task.name().hashCode(), live.size()) == own;
+      if ((mine || others) && !onTheirWay.containsKey(task.name())) {
+        tasks.add(task);
+      }
+    }
+    return new Candidates(tasks, inGroup(job.spec()));
+  }
+
+  private Map<String, Integer> inGroup(JobSpec spec) {
+    Map<String, Integer> counts = new HashMap<>();
+    if (spec.spread() == Spread.NONE) {
+      return counts;
+    }
+    Map<Long, VmState> vms = new HashMap<>();
+    context.table().vms().forEach(vm -> vms.put(vm.registration(), vm));
+    for (TaskState task : context.table().tasksOf(spec.name())) {
+      VmState vm = vms.get(task.registration());
+      if (vm != null) {
+        counts.merge(spec.spread().groupOf(vm.description()), 1, Integer::sum);
+      }
+    }
+    return counts;
+  }
+
+  private void noteProgress(List<JobState> jobs) {
+    Set<String> names = new HashSet<>();
+    for (JobState job : jobs) {
+      String name = job.spec().name();
+      names.add(name);
+      Progress before = progress.get(name);
+      if (before == null || before.marker() != job.waiting()) {
+        long othersFrom = context.afterMillis(OTHERS_TASKS_MILLIS);
+        progress.put(name, new Progress(job.waiting(), othersFrom));
+      }
+    }
+    progress.keySet().retainAll(names);
+    whyWaiting.keySet().retainAll(names);
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/EntryTasks.java
@@ -0,0 +1,136 @@
+package io.marigoldsail.daemon.task;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.job.JobSpec;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.TaskTable;
+import io.marigoldsail.placement.PlacementCosts;
+import io.marigoldsail.placement.Placer;
+import io.marigoldsail.protocol.TaskMessage;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.time.WallClock;
+import io.marigoldsail.timeline.EventRecorder;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * The tasks' part of an entry: claims waiting tasks, has them started, keeps VMs vouched for.
+ *
+ * <p>Wiring: feed {@link #onMessage} with every TaskMessage that a side process sends, give a
+ * {@link TaskChannel} that sends to side processes by the names used there, and call {@link #start}
+ * with a scheduler once the follower of the stream {@code tasks} has caught up once. The table must
+ * be the one that the follower folds into, the log one that completes appends after the fold (see
+ * {@link FollowedTaskLog}). Entries keep nothing of their own that another could not read from the
+ * log; any of them may die at any point.
+ *
+ * <p>Safe for any thread; one lock guards everything.
+ */
+public final class EntryTasks implements AutoCloseable {
+  private static final Logger LOGGER = System.getLogger(EntryTasks.class.getName());
+  private static final long TICK_MILLIS = 50;
+
+  private final EntryContext context;
+  private final VmWatch watch;
+  private final StartLoop starts;
+  private final ClaimLoop claims;
+  private ScheduledFuture<?> ticking;
+
+  /**
+   * Creates the tasks' part of an entry; nothing runs before {@link #start}.
+   *
+   * @param identity which entry this is
+   * @param table what the log says, folded by the follower of the stream
+   * @param log the way to append to the stream
+   * @param channel the way to side processes
+   * @param terms what the configuration in force says, asked anew at each decision
+   * @param clock this process's clock
+   * @param wallClock this VM's clock, for the queue's aging and the time line only
+   * @param random breaks ties between VMs
+   * @param recorder the time line
+   */
+  public EntryTasks(
+      EntryIdentity identity,
+      TaskTable table,
+      TaskLog log,
+      TaskChannel channel,
+      Supplier<TaskTerms> terms,
+      MonotonicClock clock,
+      WallClock wallClock,
+      RandomGenerator random,
+      EventRecorder recorder) {
+    requireNonNull(random, "random");
+    this.context =
+        new EntryContext(
+            identity, table, log, channel, terms, clock, wallClock, recorder, this::locked);
+    this.watch = new VmWatch(context, this::onFirstVouch);
+    this.starts = new StartLoop(context, watch);
+    this.claims =
+        new ClaimLoop(
+            context, watch, starts, new Placer(PlacementCosts.none(), random), this::estimate);
+  }
+
+  /** Begins to work on the given scheduler. */
+  public synchronized void start(ScheduledExecutorService scheduler) {
+    ticking =
+        scheduler.scheduleWithFixedDelay(
+            this::tickSafely, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Takes in a message of a side process. */
+  public synchronized void onMessage(String peer, TaskMessage message) {
+    switch (message.getKindCase()) {
+      case ASK_VOUCH -> watch.onAsk(peer, message.getAskVouch());
+      case REPORT -> starts.onReport(peer, message.getReport());
+      default -> {
+        // Kinds that only entries send, or that a newer version added.
+      }
+    }
+  }
+
+  /** Does what is due now. Called by the scheduler; tests call it on a virtual clock. */
+  public synchronized void tick() {
+    watch.tick();
+    starts.tick();
+    claims.tick();
+  }
+
+  /** Stops deciding; tasks go on, looked after by the other entries. */
+  @Override
+  public synchronized void close() {
+    if (ticking != null) {
+      ticking.cancel(false);
+    }
+  }
+
+  /** Returns why a job's tasks wait, as far as this entry knows; may be empty. */
+  synchronized String whyWaiting(String job) {
+    return claims.whyWaiting(job);
+  }
+
+  private Sizes estimate(JobSpec spec) {
+    return spec.sizes();
+  }
+
+  private void onFirstVouch(String vm) {
+    context.table().vm(vm).ifPresent(starts::sweep);
+  }
+
+  private synchronized void locked(Runnable step) {
+    step.run();
+  }
+
+  private void tickSafely() {
+    try {
+      tick();
+    } catch (RuntimeException e) {
+      // A thrown exception would end the schedule for good, and with it all claims of this entry.
+      LOGGER.log(Level.ERROR, "event=entry-tasks-tick-failed", e);
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTask.java
@@ -0,0 +1,159 @@
+package io.marigoldsail.daemon.task;
+
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.lease.WorkerTask;
+import io.marigoldsail.protocol.StartTask;
+import io.marigoldsail.protocol.TaskReport;
+
+/** One attempt in a side process, as far as it knows; not safe for use by several threads. */
+final class SideTask {
+  /** Where an attempt stands in its side process. */
+  enum Phase {
+    /** The worker was told to start it but has not said that it did. */
+    UNCERTAIN,
+    /** The worker runs it. */
+    RUNNING,
+    /** It must stop and the worker has not confirmed that it did. */
+    STOPPING,
+    /** It runs no more; its report is repeated until an entry acknowledges it. */
+    ENDED
+  }
+
+  private final String task;
+  private final int attempt;
+  private final long token;
+  private final Sizes sizes;
+  private boolean latencyCritical;
+  private Phase phase;
+  private long leaseMillis;
+  private long grantedNanos = Long.MIN_VALUE;
+  private String checkpoint = "";
+  private String reportedCheckpoint = "";
+  private String detail = "";
+  private boolean evicted;
+  private TaskReport.State end = TaskReport.State.STATE_UNSPECIFIED;
+
+  SideTask(
+      String task,
+      int attempt,
+      long token,
+      Sizes sizes,
+      boolean latencyCritical,
+      long leaseMillis,
+      Phase phase) {
+    this.task = task;
+    this.attempt = attempt;
+    this.token = token;
+    this.sizes = sizes;
+    this.latencyCritical = latencyCritical;
+    this.leaseMillis = leaseMillis;
+    this.phase = phase;
+  }
+
+  /** Returns an attempt that the worker runs from before this process's start. */
+  static SideTask adopted(WorkerTask task) {
+    // Its lease's length is told again by the next StartTask of an entry; until then it is not
+    // renewed. Its class is not known until then, so it is not evicted before.
+    SideTask adopted =
+        new SideTask(
+            task.task(), task.attempt(), task.token(), task.sizes(), true, 0, Phase.RUNNING);
+    adopted.checkpoint = task.checkpoint();
+    return adopted;
+  }
+
+  String task() {
+    return task;
+  }
+
+  int attempt() {
+    return attempt;
+  }
+
+  long token() {
+    return token;
+  }
+
+  Sizes sizes() {
+    return sizes;
+  }
+
+  boolean latencyCritical() {
+    return latencyCritical;
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  void phase(Phase newPhase) {
+    phase = newPhase;
+  }
+
+  /** Returns whether the attempt may still take up its sizes. */
+  boolean holdsRoom() {
+    return phase != Phase.ENDED;
+  }
+
+  long leaseMillis() {
+    return leaseMillis;
+  }
+
+  /** Takes in what an entry says about an attempt that was adopted from the worker. */
+  void told(StartTask start) {
+    leaseMillis = start.getLeaseMillis();
+    latencyCritical = start.getLatencyCritical();
+  }
+
+  /** Returns the lease's deadline that the worker was last told. */
+  long grantedNanos() {
+    return grantedNanos;
+  }
+
+  void granted(long deadlineNanos) {
+    grantedNanos = deadlineNanos;
+  }
+
+  String checkpoint() {
+    return checkpoint;
+  }
+
+  void checkpoint(String newCheckpoint) {
+    if (!newCheckpoint.isEmpty()) {
+      checkpoint = newCheckpoint;
+    }
+  }
+
+  /** Returns whether the last checkpoint has not been told to an entry, and takes it as told. */
+  boolean takeUntoldCheckpoint() {
+    boolean untold = !checkpoint.equals(reportedCheckpoint);
+    reportedCheckpoint = checkpoint;
+    return untold;
+  }
+
+  void stopping(boolean byGuard, String why) {
+    phase = Phase.STOPPING;
+    evicted = byGuard;
+    detail = why;
+  }
+
+  void ended(TaskReport.State newEnd, String newDetail) {
+    phase = Phase.ENDED;
+    end = newEnd;
+    if (!newDetail.isEmpty()) {
+      detail = newDetail;
+    }
+  }
+
+  TaskReport report() {
+    TaskReport.State state = phase == Phase.ENDED ? end : TaskReport.State.RUNNING;
+    return TaskReport.newBuilder()
+        .setTask(task)
+        .setAttempt(attempt)
+        .setToken(token)
+        .setState(state)
+        .setCheckpoint(checkpoint)
+        .setDetail(detail)
+        .setEvicted(evicted)
+        .build();
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTasks.java
@@ -0,0 +1,194 @@
+package io.marigoldsail.daemon.task;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.lease.Worker;
+import io.marigoldsail.lease.WorkerBoot;
+import io.marigoldsail.protocol.AskVouch;
+import io.marigoldsail.protocol.TaskMessage;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.timeline.EventRecorder;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The tasks' part of a side process: runs what accepted claims say on the VM's worker, renews
+ * leases on evidence only, and reports until acknowledged.
+ *
+ * <p>Wiring: feed {@link #onMessage} with every TaskMessage that an entry sends, give a {@link
+ * TaskChannel} to the entries, call {@link #start}. One thread does all the work, because calls to
+ * the worker block; messages wait in a bounded queue, and what overflows it is sent again by its
+ * sender.
+ *
+ * <p>Keeps nothing that it cannot learn again: after a restart it asks the worker what runs.
+ */
+public final class SideTasks implements AutoCloseable {
+  private static final Logger LOGGER = System.getLogger(SideTasks.class.getName());
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final int MAX_QUEUED = 4_096;
+  private static final long POLL_MILLIS = 50;
+  private static final long ASK_MILLIS = 1_000;
+  private static final long LIST_MILLIS = 500;
+  private static final long REPORT_MILLIS = 1_000;
+
+  /** A worker silent for so long is as good as dead: the VM stops asking and so gets revoked. */
+  private static final long WORKER_SILENT_MILLIS = 10_000;
+
+  private record Incoming(String peer, TaskMessage message) {}
+
+  private final SideIdentity identity;
+  private final TaskChannel channel;
+  private final MonotonicClock clock;
+  private final SideReports reports;
+  private final SideAttempts attempts;
+  private final BlockingQueue<Incoming> queue = new LinkedBlockingQueue<>(MAX_QUEUED);
+  private long workerSilentAt;
+  private long nextAsk;
+  private long nextList;
+  private long nextReport;
+  private volatile boolean leaving;
+  private volatile boolean closed;
+  private Thread thread;
+
+  /**
+   * Creates the tasks' part of a side process; nothing runs before {@link #start}.
+   *
+   * @param identity which side process this is
+   * @param worker the VM's worker
+   * @param channel the way to entries
+   * @param clock this process's clock
+   * @param recorder the time line
+   */
+  public SideTasks(
+      SideIdentity identity,
+      Worker worker,
+      TaskChannel channel,
+      MonotonicClock clock,
+      EventRecorder recorder) {
+    this.identity = requireNonNull(identity, "identity");
+    this.channel = requireNonNull(channel, "channel");
+    this.clock = requireNonNull(clock, "clock");
+    this.reports = new SideReports(channel);
+    this.attempts = new SideAttempts(identity, worker, reports, clock, recorder);
+    this.workerSilentAt = clock.nanos();
+    this.nextAsk = clock.nanos();
+    this.nextList = clock.nanos();
+    this.nextReport = clock.nanos();
+  }
+
+  /** Begins to work in a thread of its own. */
+  public void start() {
+    thread = new Thread(this::run, "side-tasks");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Takes in a message of an entry. Never blocks. */
+  public void onMessage(String peer, TaskMessage message) {
+    // A full queue drops the message; entries repeat starts and stops, and vouch every second.
+    boolean unused = queue.offer(new Incoming(peer, message));
+  }
+
+  /** Announces from now on that this VM takes no new tasks; running ones go on. */
+  public void leave() {
+    leaving = true;
+  }
+
+  /** Stops the thread. What runs goes on under its lease, for the next side process to adopt. */
+  @Override
+  public void close() {
+    closed = true;
+    if (thread != null) {
+      thread.interrupt();
+    }
+  }
+
+  /** Handles what has arrived and what is due. Called by the thread; tests call it. */
+  void step() {
+    Incoming next = queue.poll();
+    while (next != null) {
+      handle(next);
+      next = queue.poll();
+    }
+    if (passed(nextList)) {
+      nextList = afterMillis(LIST_MILLIS);
+      if (attempts.look()) {
+        workerSilentAt = afterMillis(WORKER_SILENT_MILLIS);
+      }
+    }
+    if (passed(nextAsk)) {
+      nextAsk = afterMillis(ASK_MILLIS);
+      ask();
+    }
+    attempts.renewAll();
+    if (passed(nextReport)) {
+      nextReport = afterMillis(REPORT_MILLIS);
+      attempts.settleUncertain();
+      reports.repeat(attempts.tasks());
+    }
+  }
+
+  private void run() {
+    while (!closed) {
+      try {
+        Incoming next = queue.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
+        if (next != null) {
+          handle(next);
+        }
+        step();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      } catch (RuntimeException e) {
+        // Ending the thread would let every lease on this VM run out.
+        LOGGER.log(Level.ERROR, "event=side-tasks-step-failed", e);
+      }
+    }
+  }
+
+  private void handle(Incoming incoming) {
+    TaskMessage message = incoming.message();
+    switch (message.getKindCase()) {
+      case VOUCH -> attempts.onVouch(message.getVouch());
+      case START -> attempts.onStart(incoming.peer(), message.getStart());
+      case STOP -> attempts.onStop(incoming.peer(), message.getStop());
+      case REPORT_ACK -> attempts.onAck(message.getReportAck());
+      default -> {
+        // Kinds that only side processes send, or that a newer version added.
+      }
+    }
+  }
+
+  private void ask() {
+    if (attempts.boot().isEmpty() || passed(workerSilentAt)) {
+      return;
+    }
+    WorkerBoot boot = attempts.boot().get();
+    AskVouch ask =
+        AskVouch.newBuilder()
+            .setVm(identity.vm())
+            .setBootIncarnation(boot.incarnation())
+            .setProcessIncarnation(identity.processIncarnation())
+            .setAskedNanos(clock.nanos())
+            .setZone(identity.zone())
+            .setRack(identity.rack())
+            .setMilliProcessors(boot.capacity().milliProcessors())
+            .setMemoryBytes(boot.capacity().memoryBytes())
+            .setAccelerators(boot.capacity().accelerators())
+            .setLeaving(leaving)
+            .build();
+    TaskMessage message = TaskMessage.newBuilder().setAskVouch(ask).build();
+    channel.peers().forEach(peer -> channel.send(peer, message));
+  }
+
+  private long afterMillis(long millis) {
+    return clock.nanos() + millis * NANOS_PER_MILLI;
+  }
+
+  private boolean passed(long deadlineNanos) {
+    return clock.nanos() - deadlineNanos >= 0;
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/StartLoop.java
@@ -0,0 +1,218 @@
+package io.marigoldsail.daemon.task;
+
+import io.marigoldsail.error.Result;
+import io.marigoldsail.job.JobSpec;
+import io.marigoldsail.job.JobState;
+import io.marigoldsail.job.ReleaseCause;
+import io.marigoldsail.job.TaskClass;
+import io.marigoldsail.job.TaskRecord;
+import io.marigoldsail.job.TaskState;
+import io.marigoldsail.job.VmState;
+import io.marigoldsail.protocol.StartTask;
+import io.marigoldsail.protocol.StopTask;
+import io.marigoldsail.protocol.TaskMessage;
+import io.marigoldsail.protocol.TaskReport;
+import io.marigoldsail.protocol.TaskReportAck;
+import io.marigoldsail.timeline.Event;
+import io.marigoldsail.timeline.EventKind;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * One entry's part in running claimed tasks: sends starts until the side process says that the task
+ * runs, stops tasks of cancelled jobs, writes reports to the log and acknowledges them once folded.
+ *
+ * <p>It works from the table, not from memory of its own claims: an entry that dies between claim
+ * and start leaves a claimed task that any other entry's next sweep starts.
+ */
+final class StartLoop {
+  private static final long SWEEP_MILLIS = 2_000;
+
+  private final EntryContext context;
+  private final VmWatch watch;
+
+  /** Tokens that a side process said it runs, with that process's incarnation. */
+  private final Map<Long, Long> running = new HashMap<>();
+
+  private final Set<String> reportsOnTheirWay = new HashSet<>();
+  private long nextSweep;
+
+  StartLoop(EntryContext context, VmWatch watch) {
+    this.context = context;
+    this.watch = watch;
+    this.nextSweep = context.nanos();
+  }
+
+  void tick() {
+    if (!context.passed(nextSweep)) {
+      return;
+    }
+    nextSweep = context.afterMillis(SWEEP_MILLIS);
+    Set<Long> inForce = new HashSet<>();
+    for (VmState vm : context.table().vms()) {
+      for (TaskState task : context.table().tasksOn(vm.registration())) {
+        inForce.add(task.token());
+      }
+      sweep(vm);
+    }
+    running.keySet().retainAll(inForce);
+  }
+
+  /** Sends what the VM's side process should know about the tasks claimed on it. */
+  void sweep(VmState vm) {
+    Optional<VmWatch.Contact> contact = watch.vouched(vm.vm());
+    if (vm.revoked() || contact.isEmpty()) {
+      return;
+    }
+    for (TaskState task : context.table().tasksOn(vm.registration())) {
+      Optional<JobState> job = context.table().job(task.job());
+      if (job.isEmpty()) {
+        continue;
+      }
+      if (!job.get().cancelReason().isEmpty()) {
+        sendStop(contact.get(), task);
+      } else if (!isRunning(task, contact.get())) {
+        sendStart(contact.get(), task, job.get().spec());
+      }
+    }
+  }
+
+  /** Starts a task whose claim was just read back as accepted. */
+  void claimed(TaskState task, JobSpec spec) {
+    watch.vouched(task.vm()).ifPresent(contact -> sendStart(contact, task, spec));
+  }
+
+  void onReport(String peer, TaskReport report) {
+    Optional<TaskState> task = context.table().task(report.getTask());
+    boolean inForce = task.isPresent() && task.get().holds(report.getToken());
+    if (!inForce) {
+      if (report.getToken() <= context.table().applied()) {
+        // Its claim has been folded and is no longer in force, so the report has been too, or is
+        // late for good. A claim not read yet must not be acknowledged: the report would be lost.
+        acknowledge(peer, report);
+      }
+      return;
+    }
+    if (report.getState() == TaskReport.State.RUNNING) {
+      onRunning(task.get(), report);
+      return;
+    }
+    Optional<TaskRecord> record = recordOf(report);
+    if (record.isPresent() && reportsOnTheirWay.add(report.getTask())) {
+      context.append(record.get(), result -> folded(peer, report, result));
+    }
+  }
+
+  private boolean isRunning(TaskState task, VmWatch.Contact contact) {
+    Long process = running.get(task.token());
+    return process != null && process == contact.ask().processIncarnation();
+  }
+
+  private void onRunning(TaskState task, TaskReport report) {
+    Optional<VmWatch.Contact> contact = watch.vouched(task.vm());
+    if (contact.isPresent()) {
+      long process = contact.get().ask().processIncarnation();
+      if (running.put(task.token(), process) == null) {
+        context.record(Event.of(EventKind.TASK_STARTED).withTask(task.name()).withVm(task.vm()));
+      }
+    }
+    String checkpoint = report.getCheckpoint();
+    boolean fresh = !checkpoint.isEmpty() && !checkpoint.equals(task.checkpoint());
+    if (fresh && reportsOnTheirWay.add(task.name())) {
+      context.append(
+          new TaskRecord.Checkpointed(task.name(), task.token(), checkpoint),
+          result -> reportsOnTheirWay.remove(task.name()));
+    }
+  }
+
+  private static Optional<TaskRecord> recordOf(TaskReport report) {
+    String task = report.getTask();
+    long token = report.getToken();
+    String checkpoint = report.getCheckpoint();
+    String detail = report.getDetail();
+    return switch (report.getState()) {
+      case DONE -> Optional.of(new TaskRecord.Ended(task, token, true, checkpoint, detail));
+      case FAILED -> Optional.of(new TaskRecord.Ended(task, token, false, checkpoint, detail));
+      case REFUSED ->
+          Optional.of(
+              new TaskRecord.Released(task, token, ReleaseCause.REFUSED, checkpoint, detail));
+      case RELEASED -> {
+        ReleaseCause cause = report.getEvicted() ? ReleaseCause.EVICTED : ReleaseCause.LAPSED;
+        yield Optional.of(new TaskRecord.Released(task, token, cause, checkpoint, detail));
+      }
+      default -> Optional.empty();
+    };
+  }
+
+  private void folded(String peer, TaskReport report, Result<Long> result) {
+    reportsOnTheirWay.remove(report.getTask());
+    if (!result.isOk()) {
+      // The side process repeats the report; the log may be back by then.
+      return;
+    }
+    running.remove(report.getToken());
+    acknowledge(peer, report);
+    EventKind kind = kindOf(report);
+    context.record(
+        Event.of(kind)
+            .withTask(report.getTask())
+            .withVm(context.table().task(report.getTask()).map(TaskState::vm).orElse(""))
+            .withDetail(report.getState() + " " + report.getDetail()));
+  }
+
+  private static EventKind kindOf(TaskReport report) {
+    return switch (report.getState()) {
+      case DONE, FAILED -> EventKind.TASK_ENDED;
+      default -> report.getEvicted() ? EventKind.TASK_EVICTED : EventKind.TASK_RELEASED;
+    };
+  }
+
+  private void acknowledge(String peer, TaskReport report) {
+    TaskReportAck ack =
+        TaskReportAck.newBuilder()
+            .setTask(report.getTask())
+            .setAttempt(report.getAttempt())
+            .setToken(report.getToken())
+            .setState(report.getState())
+            .build();
+    context.channel().send(peer, TaskMessage.newBuilder().setReportAck(ack).build());
+  }
+
+  private void sendStart(VmWatch.Contact contact, TaskState task, JobSpec spec) {
+    StartTask start =
+        StartTask.newBuilder()
+            .setTask(task.name())
+            .setAttempt(task.attempt())
+            .setToken(task.token())
+            .setRegistration(task.registration())
+            .setJob(spec.name())
+            .setTeam(spec.team())
+            .setLatencyCritical(spec.taskClass() == TaskClass.LATENCY_CRITICAL)
+            .setMilliProcessors(task.booked().milliProcessors())
+            .setMemoryBytes(task.booked().memoryBytes())
+            .setAccelerators(task.booked().accelerators())
+            .setCheckpoint(task.checkpoint())
+            .setCheckpointIntervalMillis(spec.checkpointIntervalMillis())
+            .setRunMillis(spec.runMillis())
+            .setCommand(spec.command())
+            .setLeaseMillis(task.leaseMillis())
+            .setProcessIncarnation(contact.ask().processIncarnation())
+            .setFinishByMillis(spec.finishByMillis())
+            .build();
+    context.channel().send(contact.peer(), TaskMessage.newBuilder().setStart(start).build());
+  }
+
+  private void sendStop(VmWatch.Contact contact, TaskState task) {
+    StopTask stop =
+        StopTask.newBuilder()
+            .setTask(task.name())
+            .setAttempt(task.attempt())
+            .setToken(task.token())
+            .setReason(StopTask.Reason.CANCELLED)
+            .build();
+    context.channel().send(contact.peer(), TaskMessage.newBuilder().setStop(stop).build());
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/TaskTerms.java
@@ -0,0 +1,31 @@
+package io.marigoldsail.daemon.task;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.job.TeamQuota;
+import io.marigoldsail.lease.LeaseTerms;
+import java.util.Map;
+
+/**
+ * What the configuration says about tasks.
+ *
+ * <p>Immutable. Rejects nulls.
+ *
+ * @param leases how long leases last
+ * @param quotas what teams may take up, by name
+ */
+public record TaskTerms(LeaseTerms leases, Map<String, TeamQuota> quotas) {
+  /** What holds where no configuration says otherwise. */
+  public static final TaskTerms DEFAULT = new TaskTerms(LeaseTerms.DEFAULT, Map.of());
+
+  /** Checks and copies the components. */
+  public TaskTerms {
+    requireNonNull(leases, "leases");
+    quotas = Map.copyOf(quotas);
+  }
+
+  /** Returns what the team may take up. */
+  public TeamQuota quota(String team) {
+    return quotas.getOrDefault(team, TeamQuota.DEFAULT);
+  }
+}
