--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/BaselinePolicy.java
@@ -0,0 +1,79 @@
+package io.marigoldsail.testlib.measure;
+
+import io.marigoldsail.dispatch.Arrival;
+import io.marigoldsail.dispatch.AttemptOutcome;
+import io.marigoldsail.dispatch.Decision;
+import io.marigoldsail.dispatch.RequestPolicy;
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.dispatch.TargetState;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The naive policy that measurements compare with: round robin over all targets, first come first
+ * served in unbounded queues beside them, free retries, and no look at load, deadline or caller.
+ */
+final class BaselinePolicy implements RequestPolicy {
+  private static final int MAX_TRIES = 4;
+
+  private record Sent(Arrival arrival, int tries) {}
+
+  private final Map<Long, Sent> pending = new HashMap<>();
+  private List<TargetState> targets = List.of();
+  private int next;
+
+  @Override
+  public List<Decision> arrived(Arrival arrival, long now) {
+    return send(arrival, 1);
+  }
+
+  private List<Decision> send(Arrival arrival, int tries) {
+    pending.put(arrival.request(), new Sent(arrival, tries));
+    TargetState target = targets.get(next++ % targets.size());
+    return List.of(new Decision.Send(arrival.request(), target.vm(), tries, "round robin"));
+  }
+
+  @Override
+  public List<Decision> targetsChanged(List<TargetState> newTargets, long now) {
+    targets = List.copyOf(newTargets);
+    return List.of();
+  }
+
+  @Override
+  public List<Decision> reported(String vm, TargetLoad load, long now) {
+    return List.of();
+  }
+
+  @Override
+  public List<Decision> attemptEnded(long request, String vm, AttemptOutcome outcome, long now) {
+    Sent sent = pending.remove(request);
+    if (sent == null
+        || !outcome.mayRetry(sent.arrival().idempotent())
+        || sent.tries() == MAX_TRIES) {
+      return List.of();
+    }
+    return send(sent.arrival(), sent.tries() + 1);
+  }
+
+  @Override
+  public List<Decision> callerGone(long request, long now) {
+    pending.remove(request);
+    return List.of();
+  }
+
+  @Override
+  public boolean isPending(long request) {
+    return pending.containsKey(request);
+  }
+
+  @Override
+  public List<Decision> wake(long now) {
+    return List.of();
+  }
+
+  @Override
+  public long nextWake() {
+    return Long.MAX_VALUE;
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/ModelEntry.java
@@ -0,0 +1,143 @@
+package io.marigoldsail.testlib.measure;
+
+import io.marigoldsail.dispatch.Arrival;
+import io.marigoldsail.dispatch.AttemptOutcome;
+import io.marigoldsail.dispatch.Decision;
+import io.marigoldsail.dispatch.RequestPolicy;
+import io.marigoldsail.dispatch.TargetLoad;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One entry: carries its policy's decisions to the targets and their answers to the callers. */
+final class ModelEntry {
+  static final String SERVICE = "service";
+
+  /** Who carries messages and keeps the record; the bench. */
+  interface Surroundings {
+    void send(int entry, String vm, Call call, ModelTarget.AnswerSink sink);
+
+    void settled(Call call, long retryAfterMillis);
+  }
+
+  private final int number;
+  private final EventQueue events;
+  private final RequestPolicy policy;
+  private final Surroundings surroundings;
+  private final Map<Long, Call> open = new HashMap<>();
+  private long wakeAt = Long.MAX_VALUE;
+
+  ModelEntry(int number, EventQueue events, RequestPolicy policy, Surroundings surroundings) {
+    this.number = number;
+    this.events = events;
+    this.policy = policy;
+    this.surroundings = surroundings;
+  }
+
+  RequestPolicy policy() {
+    return policy;
+  }
+
+  void arrived(Call call) {
+    open.put(call.number, call);
+    Call.Plan plan = call.plan;
+    apply(
+        policy.arrived(
+            new Arrival(
+                call.number,
+                SERVICE,
+                plan.caller(),
+                plan.key(),
+                plan.idempotent(),
+                events.now(),
+                call.deadline()),
+            events.now()));
+  }
+
+  void reported(String vm, TargetLoad load) {
+    apply(policy.reported(vm, load, events.now()));
+  }
+
+  private void apply(List<Decision> decisions) {
+    for (Decision decision : decisions) {
+      if (decision instanceof Decision.Send send) {
+        send(send);
+      } else if (decision instanceof Decision.Refuse refuse) {
+        settle(
+            open.get(refuse.request()), Call.Result.REFUSED, refuse.failure().retryAfterMillis());
+      }
+    }
+    scheduleWake();
+  }
+
+  private void send(Decision.Send send) {
+    Call call = open.get(send.request());
+    call.tries++;
+    int attempt = call.tries;
+    if (attempt == 1) {
+      events.at(Math.max(events.now(), call.deadline()), () -> deadlinePassed(call));
+    }
+    String vm = send.vm();
+    surroundings.send(number, vm, call, (outcome, load) -> ended(call, attempt, vm, outcome, load));
+    sentTo.put(call.number, vm);
+  }
+
+  private final Map<Long, String> sentTo = new HashMap<>();
+
+  private void deadlinePassed(Call call) {
+    String vm = sentTo.remove(call.number);
+    if (!call.isOpen() || vm == null) {
+      return;
+    }
+    List<Decision> decisions =
+        policy.attemptEnded(call.number, vm, AttemptOutcome.TIMED_OUT, events.now());
+    settle(call, Call.Result.TIMED_OUT, 0);
+    apply(decisions);
+  }
+
+  private void ended(Call call, int attempt, String vm, AttemptOutcome outcome, TargetLoad load) {
+    if (call.isOpen() && call.tries == attempt) {
+      sentTo.remove(call.number);
+      List<Decision> decisions = policy.attemptEnded(call.number, vm, outcome, events.now());
+      if (!policy.isPending(call.number)) {
+        settle(call, resultOf(outcome), 0);
+      }
+      apply(decisions);
+    }
+    reported(vm, load);
+  }
+
+  private static Call.Result resultOf(AttemptOutcome outcome) {
+    return switch (outcome) {
+      case ANSWERED -> Call.Result.SERVED;
+      case NOT_RUN -> Call.Result.REFUSED;
+      case TARGET_ERROR, LOST -> Call.Result.FAILED;
+      case TIMED_OUT -> Call.Result.TIMED_OUT;
+    };
+  }
+
+  private void settle(Call call, Call.Result result, long retryAfterMillis) {
+    open.remove(call.number);
+    call.result = result;
+    call.answeredAt = events.now();
+    surroundings.settled(call, retryAfterMillis);
+  }
+
+  private void scheduleWake() {
+    long next = policy.nextWake();
+    if (next >= wakeAt) {
+      return;
+    }
+    wakeAt = Math.max(next, events.now());
+    long due = wakeAt;
+    events.at(due, () -> wake(due));
+  }
+
+  private void wake(long due) {
+    if (wakeAt != due) {
+      return;
+    }
+    wakeAt = Long.MAX_VALUE;
+    apply(policy.wake(events.now()));
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestBench.java
@@ -0,0 +1,146 @@
+package io.marigoldsail.testlib.measure;
+
+import io.marigoldsail.dispatch.TargetState;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+
+/** Runs one load plan under one policy on a virtual clock and keeps what callers received. */
+final class RequestBench implements ModelEntry.Surroundings {
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final long ANNOUNCE_NANOS = 500_000_000L;
+  private static final long COME_BACK_NANOS = NANOS_PER_SECOND;
+  private static final int DRAIN_SECONDS = 12;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final Deployment deployment;
+  private final LoadPlan plan;
+  private final EventQueue events = new EventQueue();
+  private final List<ModelTarget> targets = new ArrayList<>();
+  private final List<ModelEntry> entries = new ArrayList<>();
+  private final List<Call> calls = new ArrayList<>();
+  private final List<Sent> sends = new ArrayList<>();
+
+  /** One try that was sent. */
+  record Sent(long time, int target) {}
+
+  /** What a run leaves: all calls in order of arrival, all tries in order of sending. */
+  record Record(LoadPlan plan, List<Call> calls, List<Sent> sends) {}
+
+  private RequestBench(
+      Deployment deployment, int entryCount, PolicyKind kind, LoadPlan plan, long seed) {
+    this.deployment = deployment;
+    this.plan = plan;
+    for (int i = 0; i < Deployment.TARGETS; i++) {
+      int places = kind.waitingPlaces(Deployment.SLOTS);
+      targets.add(new ModelTarget(events, Deployment.SLOTS, places, entryCount));
+    }
+    for (int i = 0; i < entryCount; i++) {
+      entries.add(new ModelEntry(i, events, kind.create(Deployment.zoneOf(i), seed + 1 + i), this));
+    }
+  }
+
+  static Record run(
+      Deployment deployment, int entryCount, PolicyKind kind, LoadPlan plan, long seed) {
+    RequestBench bench = new RequestBench(deployment, entryCount, kind, plan, seed);
+    bench.run(plan.draw(entryCount, seed).iterator());
+    return new Record(plan, bench.calls, bench.sends);
+  }
+
+  private void run(Iterator<Call.Plan> plans) {
+    entries.forEach(entry -> entry.policy().targetsChanged(targetStates(), 0));
+    for (int target = 0; target < targets.size(); target++) {
+      announce(target, ANNOUNCE_NANOS * target / targets.size());
+    }
+    for (LoadPlan.Change change : plan.changes()) {
+      events.at((long) (change.second() * NANOS_PER_SECOND), () -> apply(change));
+    }
+    arriveNext(plans);
+    events.runUntil((plan.seconds() + DRAIN_SECONDS) * NANOS_PER_SECOND);
+  }
+
+  private List<TargetState> targetStates() {
+    List<TargetState> states = new ArrayList<>();
+    for (int i = 0; i < targets.size(); i++) {
+      states.add(
+          new TargetState(
+              vmOf(i), 1, ModelEntry.SERVICE, Deployment.zoneOf(i), Deployment.SLOTS, false));
+    }
+    return states;
+  }
+
+  private static String vmOf(int target) {
+    return "vm-" + target;
+  }
+
+  private void apply(LoadPlan.Change change) {
+    ModelTarget target = targets.get(change.target());
+    target.slowness(change.slowness());
+    target.failing(change.failing());
+  }
+
+  private void announce(int target, long at) {
+    events.at(
+        at,
+        () -> {
+          for (int entry = 0; entry < entries.size(); entry++) {
+            ModelEntry receiver = entries.get(entry);
+            var load = targets.get(target).load();
+            events.at(
+                at + Deployment.wayNanos(entry, target),
+                () -> receiver.reported(vmOf(target), load));
+          }
+          announce(target, at + ANNOUNCE_NANOS);
+        });
+  }
+
+  private void arriveNext(Iterator<Call.Plan> plans) {
+    if (!plans.hasNext()) {
+      return;
+    }
+    Call.Plan next = plans.next();
+    events.at(
+        next.arrivesAt(),
+        () -> {
+          arrive(next, next.entry(), next.returns());
+          arriveNext(plans);
+        });
+  }
+
+  private void arrive(Call.Plan callPlan, int entry, int returnsLeft) {
+    Call call = new Call(calls.size(), callPlan, events.now(), returnsLeft);
+    calls.add(call);
+    entries.get(entry % entries.size()).arrived(call);
+  }
+
+  @Override
+  public void send(int entry, String vm, Call call, ModelTarget.AnswerSink sink) {
+    int target = Integer.parseInt(vm.substring(vm.indexOf('-') + 1));
+    long way = Deployment.wayNanos(entry, target);
+    sends.add(new Sent(events.now(), target));
+    events.at(
+        events.now() + way,
+        () ->
+            targets
+                .get(target)
+                .arrived(
+                    call,
+                    (outcome, load) ->
+                        events.at(events.now() + way, () -> sink.ended(outcome, load))));
+  }
+
+  @Override
+  public void settled(Call call, long retryAfterMillis) {
+    boolean useful = call.answeredAt + 2 * deployment.clientNanos() <= call.deadline();
+    if (call.result == Call.Result.SERVED && !useful) {
+      call.result = Call.Result.LATE;
+    }
+    if (call.result == Call.Result.SERVED || call.returnsLeft == 0) {
+      return;
+    }
+    long wait =
+        call.result == Call.Result.REFUSED ? retryAfterMillis * NANOS_PER_MILLI : COME_BACK_NANOS;
+    long back = events.now() + 2 * deployment.clientNanos() + wait;
+    events.at(back, () -> arrive(call.plan, call.plan.entry() + 1, call.returnsLeft - 1));
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPattern.java
@@ -0,0 +1,67 @@
+package io.marigoldsail.testlib.measure;
+
+import com.google.common.collect.ImmutableList;
+import java.util.function.Predicate;
+
+/**
+ * A load pattern of requests: runs its plan and the plan without the disturbance, under both
+ * policies, for one, three and nine entries.
+ *
+ * @param name the pattern's name with its deployment
+ * @param deployment whose distances hold
+ * @param plan the load with the disturbance
+ * @param reference the load without it
+ * @param others which calls are not at fault
+ * @param extra metrics beside the common ones
+ */
+record RequestPattern(
+    String name,
+    Deployment deployment,
+    LoadPlan plan,
+    LoadPlan reference,
+    Predicate<Call> others,
+    Extra extra)
+    implements MeasurePattern {
+  static final ImmutableList<Integer> ENTRIES = ImmutableList.of(1, 3, 9);
+
+  /** Adds metrics that only one pattern has. */
+  @FunctionalInterface
+  interface Extra {
+    void add(RequestScore score, double referenceP99, Printer printer);
+  }
+
+  /** Prints one metric of the run at hand. */
+  @FunctionalInterface
+  interface Printer {
+    void print(String metric, double value);
+  }
+
+  @Override
+  public void run(long seed, MeasureRows rows) {
+    for (int entries : ENTRIES) {
+      for (PolicyKind kind : PolicyKind.values()) {
+        run(entries, kind, seed, rows);
+      }
+    }
+  }
+
+  private void run(int entries, PolicyKind kind, long seed, MeasureRows rows) {
+    RequestScore calm =
+        new RequestScore(RequestBench.run(deployment, entries, kind, reference, seed));
+    double referenceP99 = calm.percentileMillis(99, others);
+    RequestScore score = new RequestScore(RequestBench.run(deployment, entries, kind, plan, seed));
+    Printer printer = (metric, value) -> rows.add(name, entries, kind.label(), metric, value);
+    printer.print("goodput_ratio", score.goodputRatio());
+    printer.print("p50_ms", score.percentileMillis(50, RequestScore.all()));
+    printer.print("p99_ms", score.percentileMillis(99, RequestScore.all()));
+    printer.print("reference_p99_ms", referenceP99);
+    printer.print("others_p99_ms", score.percentileMillis(99, others));
+    printer.print("others_served_share", score.share(others, Call.Result.SERVED));
+    printer.print("refused_share", score.share(RequestScore.all(), Call.Result.REFUSED));
+    printer.print(
+        "late_share", score.share(RequestScore.all(), Call.Result.LATE, Call.Result.TIMED_OUT));
+    printer.print("refusal_ms", score.refusalMillis());
+    printer.print("tries_per_request", score.triesPerRequest());
+    extra.add(score, referenceP99, printer);
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPatterns.java
@@ -0,0 +1,173 @@
+package io.marigoldsail.testlib.measure;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.testlib.measure.LoadPlan.Change;
+import io.marigoldsail.testlib.measure.LoadPlan.Stream;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** The load patterns of requests, each for both deployments. */
+final class RequestPatterns {
+  private static final String HOT_CALLER = "hot-caller";
+  private static final String HOT_KEY = "hot-key";
+  private static final int SLOW_TARGET = 4;
+  private static final double SLOW_FROM = 10;
+  private static final double SLOW_TO = 20;
+  private static final double SLOWNESS = 10;
+  private static final double BURST_FROM = 10;
+  private static final double BURST_TO = 11;
+  private static final double NEARLY_FULL_SHARE = 0.8;
+  private static final double RECOVERED_P99 = 1.5;
+  private static final RequestPattern.Extra NOTHING = (score, p99, printer) -> {};
+
+  private RequestPatterns() {}
+
+  static List<MeasurePattern> all() {
+    ImmutableList.Builder<MeasurePattern> patterns = ImmutableList.builder();
+    for (Deployment deployment : Deployment.values()) {
+      patterns.add(overload(deployment));
+      patterns.add(burst(deployment));
+      patterns.add(hotCaller(deployment));
+      patterns.add(hotKey(deployment));
+      patterns.add(slowTarget(deployment));
+      patterns.add(longAmongShort(deployment));
+      patterns.add(failingTargets(deployment));
+      patterns.add(allAtOnce(deployment));
+    }
+    return patterns.build();
+  }
+
+  /** Three times what the targets can serve; the reference is a third of it. */
+  private static RequestPattern overload(Deployment deployment) {
+    return pattern(
+        "overload",
+        deployment,
+        LoadPlan.of(30, 10, Stream.ordinary(3)),
+        LoadPlan.of(30, 10, Stream.ordinary(0.3)),
+        RequestScore.all(),
+        NOTHING);
+  }
+
+  /** Ten times the load of 0.3 for a second: two seconds of work too much. */
+  private static RequestPattern burst(Deployment deployment) {
+    LoadPlan calm = LoadPlan.of(20, 5, Stream.ordinary(0.3));
+    return pattern(
+        "burst",
+        deployment,
+        calm.with(Stream.ordinary(2.7).between(BURST_FROM, BURST_TO)),
+        calm,
+        RequestScore.all(),
+        (score, p99, printer) -> {
+          // The last of the burst that fit their deadline are answered a second after its end.
+          printer.print(
+              "burst_goodput_ratio", score.between(BURST_FROM, BURST_TO + 1).goodputRatio());
+          printer.print("recovery_s", score.recoverySeconds(BURST_TO, RECOVERED_P99 * p99));
+        });
+  }
+
+  /** One of 20 callers sends ten times its share of a load of 0.8: more than fits. */
+  private static RequestPattern hotCaller(Deployment deployment) {
+    LoadPlan calm = LoadPlan.of(30, 10, Stream.ordinary(0.8));
+    return pattern(
+        "hot-caller",
+        deployment,
+        calm.with(Stream.ordinary(0.4).from(HOT_CALLER)),
+        calm,
+        call -> !call.plan.caller().equals(HOT_CALLER),
+        NOTHING);
+  }
+
+  /** One of 20 keys is asked about ten times as often as the others, by all callers. */
+  private static RequestPattern hotKey(Deployment deployment) {
+    LoadPlan calm = LoadPlan.of(30, 10, Stream.ordinary(0.8));
+    return pattern(
+        "hot-key",
+        deployment,
+        calm.with(Stream.ordinary(0.4).about(HOT_KEY)),
+        calm,
+        call -> !call.plan.key().equals(HOT_KEY),
+        NOTHING);
+  }
+
+  /** One target is ten times slower for 10 s. */
+  private static RequestPattern slowTarget(Deployment deployment) {
+    LoadPlan calm = LoadPlan.of(35, 5, Stream.ordinary(0.6));
+    return pattern(
+        "slow-target",
+        deployment,
+        calm.with(new Change(SLOW_FROM, SLOW_TARGET, SLOWNESS, false))
+            .with(new Change(SLOW_TO, SLOW_TARGET, 1, false)),
+        calm,
+        RequestScore.all(),
+        RequestPatterns::addSlowTarget);
+  }
+
+  private static void addSlowTarget(
+      RequestScore score, double referenceP99, RequestPattern.Printer printer) {
+    double before = score.between(5, SLOW_FROM).targetShare(SLOW_TARGET);
+    RequestScore slow = score.between(SLOW_FROM, SLOW_TO);
+    printer.print("slow_p99_ms", slow.percentileMillis(99, RequestScore.all()));
+    printer.print("slow_share", score.between(SLOW_FROM + 1, SLOW_TO).targetShare(SLOW_TARGET));
+    printer.print(
+        "recovery_s", score.shareRecoverySeconds(SLOW_TO, SLOW_TARGET, NEARLY_FULL_SHARE * before));
+  }
+
+  /** One request in twenty takes fifty times as long; the short ones alone are a load of 0.2. */
+  private static RequestPattern longAmongShort(Deployment deployment) {
+    LoadPlan calm = LoadPlan.of(40, 10, Stream.ordinary(0.2));
+    return pattern(
+        "long-among-short",
+        deployment,
+        calm.with(Stream.ordinary(0.2 * 0.05 / 0.95).longer(50)),
+        calm,
+        call -> !call.plan.isLong(),
+        NOTHING);
+  }
+
+  /** Two targets fail everything at once, in a millisecond, for 15 s. */
+  private static RequestPattern failingTargets(Deployment deployment) {
+    LoadPlan calm = LoadPlan.of(35, 5, Stream.ordinary(0.6));
+    return pattern(
+        "failing-targets",
+        deployment,
+        calm.with(new Change(10, 3, 1, true))
+            .with(new Change(10, 7, 1, true))
+            .with(new Change(25, 3, 1, false))
+            .with(new Change(25, 7, 1, false)),
+        calm,
+        RequestScore.all(),
+        (score, p99, printer) ->
+            printer.print("failed_share", score.share(RequestScore.all(), Call.Result.FAILED)));
+  }
+
+  /** All of the above together on a load of 0.5. */
+  private static RequestPattern allAtOnce(Deployment deployment) {
+    LoadPlan calm = LoadPlan.of(35, 5, Stream.ordinary(0.5));
+    Predicate<Call> innocent =
+        call ->
+            !call.plan.isLong()
+                && !call.plan.caller().equals(HOT_CALLER)
+                && !call.plan.key().equals(HOT_KEY);
+    LoadPlan plan =
+        calm.with(Stream.ordinary(0.25).from(HOT_CALLER))
+            .with(Stream.ordinary(0.25).about(HOT_KEY))
+            .with(Stream.ordinary(0.003).longer(50))
+            .with(Stream.ordinary(4.5).between(BURST_FROM, BURST_TO))
+            .with(new Change(SLOW_FROM, SLOW_TARGET, SLOWNESS, false))
+            .with(new Change(SLOW_TO, SLOW_TARGET, 1, false))
+            .with(new Change(10, 7, 1, true))
+            .with(new Change(25, 7, 1, false));
+    return pattern("all-at-once", deployment, plan, calm, innocent, RequestPatterns::addSlowTarget);
+  }
+
+  private static RequestPattern pattern(
+      String name,
+      Deployment deployment,
+      LoadPlan plan,
+      LoadPlan reference,
+      Predicate<Call> others,
+      RequestPattern.Extra extra) {
+    return new RequestPattern(
+        deployment.patternName(name), deployment, plan, reference, others, extra);
+  }
+}
