--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/configuration/ConfigurationCheck.java
@@ -0,0 +1,106 @@
+package io.marigoldsail.configuration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Failure;
+import io.marigoldsail.json.Json;
+import io.marigoldsail.json.SchemaCheck;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Decides whether a file may be published: by its schema, and by rules over what would be effective
+ * at every site that it touches.
+ *
+ * <p>The verdict depends on nothing but its arguments, because every process must come to the same
+ * one for the same record. Safe for any thread; costs some milliseconds for a large file.
+ */
+public final class ConfigurationCheck {
+  /** The largest content of a file in bytes, written in one line. */
+  public static final int LARGEST_CONTENT = 256 * 1024;
+
+  private final SchemaCheck baseSchema =
+      SchemaCheck.ofResource(ConfigurationCheck.class, "base.schema.json");
+  private final SchemaCheck overlaySchema =
+      SchemaCheck.ofResource(ConfigurationCheck.class, "overlay.schema.json");
+
+  /** Creates a check; keep it, since compiling the schemas costs some milliseconds. */
+  public ConfigurationCheck() {}
+
+  /**
+   * Returns what is wrong with a file in itself, or empty.
+   *
+   * @param origin what opens the failure's line: the file as the operator knows it
+   * @param file {@code base} or a site
+   */
+  public Optional<Failure> checkFile(String origin, String file, JsonNode content) {
+    if (!ConfigurationFiles.isName(file)) {
+      return broken(origin, "name", "must be base or a site in lower case, is \"" + file + "\"");
+    }
+    if (Json.bytes(content).length > LARGEST_CONTENT) {
+      return broken(origin, "content", "is longer than " + LARGEST_CONTENT + " bytes");
+    }
+    boolean base = file.equals(ConfigurationFiles.BASE);
+    Optional<Failure> failure = (base ? baseSchema : overlaySchema).check(origin, content);
+    if (failure.isPresent() || base) {
+      return failure;
+    }
+    String site = content.path(ConfigurationFiles.SITE_KEY).asText();
+    if (!site.equals(file)) {
+      return broken(
+          origin, "site", "must be \"" + file + "\" as the file's name, is \"" + site + "\"");
+    }
+    return Optional.empty();
+  }
+
+  /** Returns what would be wrong at a site that the changed file touches, or empty. */
+  Optional<Failure> checkSites(String origin, String file, ConfigurationFiles files) {
+    TreeSet<String> sites = new TreeSet<>();
+    if (file.equals(ConfigurationFiles.BASE)) {
+      sites.addAll(files.sites());
+      // A site without an overlay runs on the base alone.
+      sites.add(ConfigurationFiles.BASE);
+    } else {
+      sites.add(file);
+    }
+    for (String site : sites) {
+      Configuration effective = ConfigurationParser.parse(0, site, files.merged(site));
+      Optional<Failure> failure = checkEffective(origin + ": at site " + site, effective);
+      if (failure.isPresent()) {
+        return failure;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<Failure> checkEffective(String origin, Configuration effective) {
+    for (Map.Entry<String, ServiceConfiguration> named : effective.services().entrySet()) {
+      ServiceConfiguration service = named.getValue();
+      String key = "services." + named.getKey() + ".";
+      if (service.defaultDeadlineMillis() <= service.targetDelayMillis()) {
+        return broken(
+            origin,
+            key + "defaultDeadlineMillis",
+            "must be above targetDelayMillis, "
+                + (service.targetDelayMillis() + ", is " + service.defaultDeadlineMillis()));
+      }
+      if (service.tailLatencyGoalMillis() > service.defaultDeadlineMillis()) {
+        return broken(
+            origin,
+            key + "tailLatencyGoalMillis",
+            "must be at most defaultDeadlineMillis, "
+                + (service.defaultDeadlineMillis() + ", is " + service.tailLatencyGoalMillis()));
+      }
+    }
+    GuardConfiguration guard = effective.guard();
+    double weights = guard.tailLatencyWeight() + guard.evictionsWeight() + guard.throughputWeight();
+    return weights > 0
+        ? Optional.empty()
+        : broken(origin, "guard.weights", "at least one weight must be above 0");
+  }
+
+  private static Optional<Failure> broken(String origin, String key, String rule) {
+    return Optional.of(Failure.of(ErrorKind.INVALID_CONTENT, origin + ": " + key + ": " + rule));
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/configuration/ConfigurationRow.java
@@ -0,0 +1,26 @@
+package io.marigoldsail.configuration;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * One effective value and where it comes from.
+ *
+ * <p>Immutable. Rejects nulls.
+ *
+ * @param key the path of keys with dots between them
+ * @param value the value
+ * @param source the file that set it, or {@value #DEFAULT}
+ */
+public record ConfigurationRow(String key, JsonNode value, String source) {
+  /** The source of values that no file sets. */
+  public static final String DEFAULT = "default";
+
+  /** Checks the components. */
+  public ConfigurationRow {
+    requireNonNull(key, "key");
+    requireNonNull(value, "value");
+    requireNonNull(source, "source");
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/configuration/ConfigurationView.java
@@ -0,0 +1,93 @@
+package io.marigoldsail.configuration;
+
+import com.fasterxml.jackson.core.JsonPointer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** Tells people what is effective at a site, which file set it, and what a change would do. */
+final class ConfigurationView {
+  private static final JsonNode ABSENT = TextNode.valueOf("(absent)");
+
+  private ConfigurationView() {}
+
+  /** Returns every effective value of a site, by key. */
+  static List<ConfigurationRow> rows(ConfigurationFiles files, String site) {
+    Configuration configuration = ConfigurationParser.parse(0, site, files.merged(site));
+    List<ConfigurationRow> rows = new ArrayList<>();
+    collect(files, site, ConfigurationParser.write(configuration), JsonPointer.empty(), "", rows);
+    return rows;
+  }
+
+  private static void collect(
+      ConfigurationFiles files,
+      String site,
+      JsonNode node,
+      JsonPointer pointer,
+      String key,
+      List<ConfigurationRow> rows) {
+    if (!node.isObject()) {
+      rows.add(new ConfigurationRow(key, node, source(files, site, pointer)));
+      return;
+    }
+    for (Map.Entry<String, JsonNode> child : ((ObjectNode) node).properties()) {
+      String childKey = key.isEmpty() ? child.getKey() : key + "." + child.getKey();
+      JsonPointer childPointer = pointer.appendProperty(child.getKey());
+      collect(files, site, child.getValue(), childPointer, childKey, rows);
+    }
+  }
+
+  /** A null in the overlay removes the base's value, so the default holds and no file is named. */
+  private static String source(ConfigurationFiles files, String site, JsonPointer pointer) {
+    for (String file : List.of(site, ConfigurationFiles.BASE)) {
+      JsonNode content = files.content(file).orElse(null);
+      if (content == null) {
+        continue;
+      }
+      JsonPointer rest = pointer;
+      JsonNode node = content;
+      while (!rest.matches() && node.isObject() && node.has(rest.getMatchingProperty())) {
+        node = node.get(rest.getMatchingProperty());
+        rest = rest.tail();
+      }
+      if (node.isNull()) {
+        return ConfigurationRow.DEFAULT;
+      }
+      if (rest.matches()) {
+        return file;
+      }
+    }
+    return ConfigurationRow.DEFAULT;
+  }
+
+  /** Returns what differs at a site between two contents, by key. */
+  static List<ConfigurationChange> changes(
+      ConfigurationFiles before, ConfigurationFiles after, String site) {
+    Map<String, ConfigurationRow> old = byKey(rows(before, site));
+    Map<String, ConfigurationRow> changed = byKey(rows(after, site));
+    TreeSet<String> keys = new TreeSet<>(old.keySet());
+    keys.addAll(changed.keySet());
+    List<ConfigurationChange> changes = new ArrayList<>();
+    for (String key : keys) {
+      ConfigurationRow absent = new ConfigurationRow(key, ABSENT, ConfigurationRow.DEFAULT);
+      ConfigurationRow from = old.getOrDefault(key, absent);
+      ConfigurationRow to = changed.getOrDefault(key, absent);
+      if (!from.value().equals(to.value())) {
+        changes.add(
+            new ConfigurationChange(key, from.value(), from.source(), to.value(), to.source()));
+      }
+    }
+    return changes;
+  }
+
+  private static Map<String, ConfigurationRow> byKey(List<ConfigurationRow> rows) {
+    Map<String, ConfigurationRow> byKey = new TreeMap<>();
+    rows.forEach(row -> byKey.put(row.key(), row));
+    return byKey;
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/configuration/MergePatch.java
@@ -0,0 +1,35 @@
+package io.marigoldsail.configuration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.marigoldsail.json.Json;
+import java.util.Iterator;
+import java.util.Map;
+
+/**
+ * The rules by which an overlay changes the base: JSON merge patch (RFC 7396).
+ *
+ * <p>Objects merge key by key; any other value of the overlay replaces the base's; null removes the
+ * base's, so that the default holds. Stateless, safe for any thread; changes no argument.
+ */
+final class MergePatch {
+  private MergePatch() {}
+
+  /** Returns the target with the patch applied. */
+  static JsonNode apply(JsonNode target, JsonNode patch) {
+    if (!patch.isObject()) {
+      return patch;
+    }
+    ObjectNode merged = target.isObject() ? target.deepCopy() : Json.object();
+    Iterator<Map.Entry<String, JsonNode>> entries = patch.properties().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<String, JsonNode> entry = entries.next();
+      if (entry.getValue().isNull()) {
+        merged.remove(entry.getKey());
+      } else {
+        merged.set(entry.getKey(), apply(merged.path(entry.getKey()), entry.getValue()));
+      }
+    }
+    return merged;
+  }
+}
--- a/marigoldsail-core/src/main/java/io/marigoldsail/json/SchemaCheck.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/json/SchemaCheck.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -75,7 +76,7 @@
     return switch (error.getKeyword()) {
       case "additionalProperties" -> child(key, name) + ": unknown key";
       case "required" -> child(key, name) + ": is missing";
-      case "type" -> key + ": must be " + article(rule.asText()) + ", is " + found + hint(rule);
+      case "type" -> key + ": must be " + types(rule) + ", is " + found + hint(rule);
       case "minimum" -> key + ": must be at least " + rule.asText() + ", is " + found;
       case "maximum" -> key + ": must be at most " + rule.asText() + ", is " + found;
       case "exclusiveMinimum" -> key + ": must be above " + rule.asText() + ", is " + found;
@@ -83,13 +84,24 @@
       case "const" -> key + ": must be " + rule + ", is " + found;
       case "minItems" -> key + ": needs at least " + rule.asText() + " items";
       case "minLength" -> key + ": must not be empty";
+      case "propertyNames" -> child(key, name) + ": is no name; names match [a-z0-9-]";
       case "pattern" -> key + ": must match " + rule.asText() + ", is " + found;
       default -> key + ": " + error.getMessage();
     };
   }
 
+  private static String types(JsonNode rule) {
+    if (!rule.isArray()) {
+      return article(rule.asText());
+    }
+    List<String> names = new ArrayList<>();
+    rule.forEach(type -> names.add(type.asText().equals("null") ? "null" : article(type.asText())));
+    return String.join(" or ", names);
+  }
+
   private static String hint(JsonNode rule) {
-    boolean number = rule.asText().equals("integer") || rule.asText().equals("number");
+    String types = rule.toString();
+    boolean number = types.contains("integer") || types.contains("number");
     return number ? "; give a plain number in the key's unit" : "";
   }
 
