--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/configuration/ConfigurationViewTest.java
@@ -0,0 +1,58 @@
+package io.marigoldsail.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.IntNode;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+final class ConfigurationViewTest {
+  private static final String KEY = "services.parking.maxWaiting";
+
+  private final ConfigurationFiles files =
+      ConfigurationFiles.NONE
+          .with("base", ConfigurationTesting.baseWithWaiting(500))
+          .with("vatulele", ConfigurationTesting.overlayWithWaiting("vatulele", 200));
+
+  @Test
+  void namesTheFileThatSetAValue() {
+    assertEquals(new ConfigurationRow(KEY, IntNode.valueOf(200), "vatulele"), row("vatulele", KEY));
+    assertEquals(new ConfigurationRow(KEY, IntNode.valueOf(500), "base"), row("kitamizora", KEY));
+    assertEquals("default", row("vatulele", "services.parking.targetDelayMillis").source());
+    assertEquals("default", row("vatulele", "guard.weights.evictions").source());
+  }
+
+  @Test
+  void nullInAnOverlayBringsTheDefaultBack() {
+    ConfigurationFiles reset =
+        files.with(
+            "vatulele",
+            ConfigurationTesting.json(
+                "{'site':'vatulele','services':{'parking':{'maxWaiting':null}}}"));
+    ConfigurationRow found =
+        ConfigurationView.rows(reset, "vatulele").stream()
+            .filter(r -> r.key().equals(KEY))
+            .findFirst()
+            .orElseThrow();
+    assertEquals(ServiceConfiguration.DEFAULT.maxWaiting(), found.value().asInt());
+    assertEquals("default", found.source());
+  }
+
+  @Test
+  void changeOfTheBaseShowsOnlyWhereItTakesEffect() {
+    ConfigurationFiles after = files.with("base", ConfigurationTesting.baseWithWaiting(600));
+    assertEquals(List.of(), ConfigurationView.changes(files, after, "vatulele"));
+    assertEquals(
+        List.of(
+            new ConfigurationChange(
+                KEY, IntNode.valueOf(500), "base", IntNode.valueOf(600), "base")),
+        ConfigurationView.changes(files, after, "base"));
+  }
+
+  private ConfigurationRow row(String site, String key) {
+    return ConfigurationView.rows(files, site).stream()
+        .filter(r -> r.key().equals(key))
+        .findFirst()
+        .orElseThrow();
+  }
+}
