Carry a stamp on every frame and the operators' address on announcements

One field on Frame instead of one in each message: every frame between processes is cause and effect for the time line. The operators' address lets an entry list all processes at /members.

--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Announce.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Announce.java
@@ -37,6 +37,7 @@
     rack_ = "";
     address_ = "";
     service_ = "";
+    operatorsAddress_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -386,6 +387,53 @@
     return accelerators_;
   }
 
+  public static final int OPERATORS_ADDRESS_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object operatorsAddress_ = "";
+  /**
+   * <pre>
+   * Where operators reach this side process, host:port.
+   * </pre>
+   *
+   * <code>string operators_address = 16;</code>
+   * @return The operatorsAddress.
+   */
+  @java.lang.Override
+  public java.lang.String getOperatorsAddress() {
+    java.lang.Object ref = operatorsAddress_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      operatorsAddress_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Where operators reach this side process, host:port.
+   * </pre>
+   *
+   * <code>string operators_address = 16;</code>
+   * @return The bytes for operatorsAddress.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getOperatorsAddressBytes() {
+    java.lang.Object ref = operatorsAddress_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      operatorsAddress_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -445,6 +493,9 @@
     if (accelerators_ != 0) {
       output.writeUInt32(15, accelerators_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operatorsAddress_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 16, operatorsAddress_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -504,6 +555,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(15, accelerators_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operatorsAddress_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(16, operatorsAddress_);
+    }
     return size;
   }
   @java.lang.Override
@@ -561,6 +615,8 @@
         != other.getMemoryBytes()) return false;
     if (getAccelerators()
         != other.getAccelerators()) return false;
+    if (!getOperatorsAddress()
+        .equals(other.getOperatorsAddress())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -609,6 +665,8 @@
         getMemoryBytes());
     hash = (37 * hash) + ACCELERATORS_FIELD_NUMBER;
     hash = (53 * hash) + getAccelerators();
+    hash = (37 * hash) + OPERATORS_ADDRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getOperatorsAddress().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -769,6 +827,7 @@
       milliProcessors_ = 0;
       memoryBytes_ = 0L;
       accelerators_ = 0;
+      operatorsAddress_ = "";
       return this;
     }
 
@@ -851,6 +910,9 @@
       if (((from_bitField0_ & 0x00004000) != 0)) {
         result.accelerators_ = accelerators_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.operatorsAddress_ = operatorsAddress_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -921,6 +983,11 @@
       if (other.getAccelerators() != 0) {
         setAccelerators(other.getAccelerators());
       }
+      if (!other.getOperatorsAddress().isEmpty()) {
+        operatorsAddress_ = other.operatorsAddress_;
+        bitField0_ |= 0x00008000;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1022,6 +1089,11 @@
               bitField0_ |= 0x00004000;
               break;
             } // case 120
+            case 130: {
+              operatorsAddress_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 130
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1826,6 +1898,98 @@
       return this;
     }
 
+    private java.lang.Object operatorsAddress_ = "";
+    /**
+     * <pre>
+     * Where operators reach this side process, host:port.
+     * </pre>
+     *
+     * <code>string operators_address = 16;</code>
+     * @return The operatorsAddress.
+     */
+    public java.lang.String getOperatorsAddress() {
+      java.lang.Object ref = operatorsAddress_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        operatorsAddress_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Where operators reach this side process, host:port.
+     * </pre>
+     *
+     * <code>string operators_address = 16;</code>
+     * @return The bytes for operatorsAddress.
+     */
+    public com.google.protobuf.ByteString
+        getOperatorsAddressBytes() {
+      java.lang.Object ref = operatorsAddress_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        operatorsAddress_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Where operators reach this side process, host:port.
+     * </pre>
+     *
+     * <code>string operators_address = 16;</code>
+     * @param value The operatorsAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOperatorsAddress(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      operatorsAddress_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Where operators reach this side process, host:port.
+     * </pre>
+     *
+     * <code>string operators_address = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOperatorsAddress() {
+      operatorsAddress_ = getDefaultInstance().getOperatorsAddress();
+      bitField0_ = (bitField0_ & ~0x00008000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Where operators reach this side process, host:port.
+     * </pre>
+     *
+     * <code>string operators_address = 16;</code>
+     * @param value The bytes for operatorsAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOperatorsAddressBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      operatorsAddress_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.Announce)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/AnnounceOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/AnnounceOrBuilder.java
@@ -146,4 +146,24 @@
    * @return The accelerators.
    */
   int getAccelerators();
+
+  /**
+   * <pre>
+   * Where operators reach this side process, host:port.
+   * </pre>
+   *
+   * <code>string operators_address = 16;</code>
+   * @return The operatorsAddress.
+   */
+  java.lang.String getOperatorsAddress();
+  /**
+   * <pre>
+   * Where operators reach this side process, host:port.
+   * </pre>
+   *
+   * <code>string operators_address = 16;</code>
+   * @return The bytes for operatorsAddress.
+   */
+  com.google.protobuf.ByteString
+      getOperatorsAddressBytes();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Frame.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Frame.java
@@ -548,6 +548,22 @@
     return io.marigoldsail.protocol.TaskMessage.getDefaultInstance();
   }
 
+  public static final int STAMP_FIELD_NUMBER = 30;
+  private long stamp_ = 0L;
+  /**
+   * <pre>
+   * The sender's hybrid logical clock when it sent this frame; 0 if it gives none. The receiver
+   * observes it, so that the time line shows causes before effects.
+   * </pre>
+   *
+   * <code>fixed64 stamp = 30;</code>
+   * @return The stamp.
+   */
+  @java.lang.Override
+  public long getStamp() {
+    return stamp_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -604,6 +620,9 @@
     if (bodyCase_ == 20) {
       output.writeMessage(20, (io.marigoldsail.protocol.TaskMessage) body_);
     }
+    if (stamp_ != 0L) {
+      output.writeFixed64(30, stamp_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -664,6 +683,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(20, (io.marigoldsail.protocol.TaskMessage) body_);
     }
+    if (stamp_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(30, stamp_);
+    }
     return size;
   }
   @java.lang.Override
@@ -688,6 +711,8 @@
     }
     io.marigoldsail.protocol.Frame other = (io.marigoldsail.protocol.Frame) obj;
 
+    if (getStamp()
+        != other.getStamp()) return false;
     if (!getBodyCase().equals(other.getBodyCase())) return false;
     switch (bodyCase_) {
       case 1:
@@ -760,6 +785,9 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + STAMP_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStamp());
     switch (bodyCase_) {
       case 1:
         hash = (37 * hash) + ANNOUNCE_FIELD_NUMBER;
@@ -993,6 +1021,7 @@
       if (taskBuilder_ != null) {
         taskBuilder_.clear();
       }
+      stamp_ = 0L;
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1029,6 +1058,9 @@
 
     private void buildPartial0(io.marigoldsail.protocol.Frame result) {
       int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.stamp_ = stamp_;
+      }
     }
 
     private void buildPartialOneofs(io.marigoldsail.protocol.Frame result) {
@@ -1104,6 +1136,9 @@
 
     public Builder mergeFrom(io.marigoldsail.protocol.Frame other) {
       if (other == io.marigoldsail.protocol.Frame.getDefaultInstance()) return this;
+      if (other.getStamp() != 0L) {
+        setStamp(other.getStamp());
+      }
       switch (other.getBodyCase()) {
         case ANNOUNCE: {
           mergeAnnounce(other.getAnnounce());
@@ -1287,6 +1322,11 @@
               bodyCase_ = 20;
               break;
             } // case 162
+            case 241: {
+              stamp_ = input.readFixed64();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 241
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3279,6 +3319,53 @@
       return taskBuilder_;
     }
 
+    private long stamp_ ;
+    /**
+     * <pre>
+     * The sender's hybrid logical clock when it sent this frame; 0 if it gives none. The receiver
+     * observes it, so that the time line shows causes before effects.
+     * </pre>
+     *
+     * <code>fixed64 stamp = 30;</code>
+     * @return The stamp.
+     */
+    @java.lang.Override
+    public long getStamp() {
+      return stamp_;
+    }
+    /**
+     * <pre>
+     * The sender's hybrid logical clock when it sent this frame; 0 if it gives none. The receiver
+     * observes it, so that the time line shows causes before effects.
+     * </pre>
+     *
+     * <code>fixed64 stamp = 30;</code>
+     * @param value The stamp to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStamp(long value) {
+
+      stamp_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's hybrid logical clock when it sent this frame; 0 if it gives none. The receiver
+     * observes it, so that the time line shows causes before effects.
+     * </pre>
+     *
+     * <code>fixed64 stamp = 30;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStamp() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      stamp_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.Frame)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/FrameOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/FrameOrBuilder.java
@@ -220,5 +220,16 @@
    */
   io.marigoldsail.protocol.TaskMessageOrBuilder getTaskOrBuilder();
 
+  /**
+   * <pre>
+   * The sender's hybrid logical clock when it sent this frame; 0 if it gives none. The receiver
+   * observes it, so that the time line shows causes before effects.
+   * </pre>
+   *
+   * <code>fixed64 stamp = 30;</code>
+   * @return The stamp.
+   */
+  long getStamp();
+
   io.marigoldsail.protocol.Frame.BodyCase getBodyCase();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
@@ -121,7 +121,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\027marigoldsail/link.proto\022\014marigoldsail\032" +
-      "\027marigoldsail/task.proto\"\200\005\n\005Frame\022*\n\010an" +
+      "\027marigoldsail/task.proto\"\217\005\n\005Frame\022*\n\010an" +
       "nounce\030\001 \001(\0132\026.marigoldsail.AnnounceH\000\0221" +
       "\n\014announce_ack\030\002 \001(\0132\031.marigoldsail.Anno" +
       "unceAckH\000\0223\n\rrequest_start\030\003 \001(\0132\032.marig" +
@@ -137,54 +137,55 @@
       ".marigoldsail.PingH\000\022\"\n\004pong\030\014 \001(\0132\022.mar" +
       "igoldsail.PongH\000\022&\n\006cancel\030\r \001(\0132\024.marig" +
       "oldsail.CancelH\000\022)\n\004task\030\024 \001(\0132\031.marigol" +
-      "dsail.TaskMessageH\000B\006\n\004body\"8\n\tRequestId" +
-      "\022\031\n\021entry_incarnation\030\001 \001(\004\022\020\n\010sequence\030" +
-      "\002 \001(\004\"\320\002\n\010Announce\022\n\n\002vm\030\001 \001(\t\022\026\n\016vm_inc" +
-      "arnation\030\002 \001(\004\022\033\n\023process_incarnation\030\003 " +
-      "\001(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004rack\030\005 \001(\t\022\017\n\007addre" +
-      "ss\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\r\n\005slots\030\010 \001(\r" +
-      "\022\023\n\013connections\030\t \001(\r\022\017\n\007leaving\030\n \001(\010\022*" +
-      "\n\006report\030\013 \001(\0132\032.marigoldsail.TargetRepo" +
-      "rt\022\036\n\026configuration_revision\030\014 \001(\004\022\030\n\020mi" +
-      "lli_processors\030\r \001(\r\022\024\n\014memory_bytes\030\016 \001" +
-      "(\004\022\024\n\014accelerators\030\017 \001(\r\"h\n\013AnnounceAck\022" +
-      "\r\n\005entry\030\001 \001(\t\022\031\n\021entry_incarnation\030\002 \001(" +
-      "\004\022\036\n\026configuration_revision\030\003 \001(\004\022\017\n\007ent" +
-      "ries\030\004 \003(\t\"c\n\014TargetReport\022\r\n\005slots\030\001 \001(" +
-      "\r\022\021\n\tin_flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\017\n" +
-      "\007leaving\030\004 \001(\010\022\017\n\007entries\030\005 \001(\r\"%\n\006Heade" +
-      "r\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\200\002\n\014Reque" +
-      "stStart\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Reque" +
-      "stId\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n\007he" +
-      "aders\030\004 \003(\0132\024.marigoldsail.Header\022\030\n\020rem" +
-      "aining_millis\030\005 \001(\004\022\022\n\nidempotent\030\006 \001(\010\022" +
-      "\016\n\006caller\030\007 \001(\t\022\027\n\017idempotency_key\030\010 \001(\t" +
-      "\022\023\n\013body_length\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014\n\004l" +
-      "ast\030\013 \001(\010\"N\n\013RequestBody\022#\n\002id\030\001 \001(\0132\027.m" +
-      "arigoldsail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004l" +
-      "ast\030\003 \001(\010\"\261\001\n\013AnswerStart\022#\n\002id\030\001 \001(\0132\027." +
-      "marigoldsail.RequestId\022\016\n\006status\030\002 \001(\r\022%" +
-      "\n\007headers\030\003 \003(\0132\024.marigoldsail.Header\022\014\n" +
-      "\004data\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006report\030\006 \001(" +
-      "\0132\032.marigoldsail.TargetReport\"M\n\nAnswerB" +
-      "ody\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId" +
-      "\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\231\001\n\006NotRun\022" +
-      "#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n\n" +
-      "error_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\032\n\022retr" +
-      "y_after_millis\030\004 \001(\004\022*\n\006report\030\005 \001(\0132\032.m" +
-      "arigoldsail.TargetReport\"}\n\006Failed\022#\n\002id" +
-      "\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n\nerror" +
-      "_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022*\n\006report\030\004 " +
-      "\001(\0132\032.marigoldsail.TargetReport\".\n\007Resol" +
-      "ve\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\"" +
-      "\251\001\n\nResolution\022#\n\002id\030\001 \001(\0132\027.marigoldsai" +
-      "l.RequestId\022-\n\005state\030\002 \001(\0162\036.marigoldsai" +
-      "l.Resolution.State\"G\n\005State\022\025\n\021STATE_UNS" +
-      "PECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r\n\t" +
-      "FORGOTTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.mari" +
-      "goldsail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(" +
-      "\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\004B\034\n\030io.marigolds" +
-      "ail.protocolP\001b\006proto3"
+      "dsail.TaskMessageH\000\022\r\n\005stamp\030\036 \001(\006B\006\n\004bo" +
+      "dy\"8\n\tRequestId\022\031\n\021entry_incarnation\030\001 \001" +
+      "(\004\022\020\n\010sequence\030\002 \001(\004\"\353\002\n\010Announce\022\n\n\002vm\030" +
+      "\001 \001(\t\022\026\n\016vm_incarnation\030\002 \001(\004\022\033\n\023process" +
+      "_incarnation\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004rack" +
+      "\030\005 \001(\t\022\017\n\007address\030\006 \001(\t\022\017\n\007service\030\007 \001(\t" +
+      "\022\r\n\005slots\030\010 \001(\r\022\023\n\013connections\030\t \001(\r\022\017\n\007" +
+      "leaving\030\n \001(\010\022*\n\006report\030\013 \001(\0132\032.marigold" +
+      "sail.TargetReport\022\036\n\026configuration_revis" +
+      "ion\030\014 \001(\004\022\030\n\020milli_processors\030\r \001(\r\022\024\n\014m" +
+      "emory_bytes\030\016 \001(\004\022\024\n\014accelerators\030\017 \001(\r\022" +
+      "\031\n\021operators_address\030\020 \001(\t\"h\n\013AnnounceAc" +
+      "k\022\r\n\005entry\030\001 \001(\t\022\031\n\021entry_incarnation\030\002 " +
+      "\001(\004\022\036\n\026configuration_revision\030\003 \001(\004\022\017\n\007e" +
+      "ntries\030\004 \003(\t\"c\n\014TargetReport\022\r\n\005slots\030\001 " +
+      "\001(\r\022\021\n\tin_flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022" +
+      "\017\n\007leaving\030\004 \001(\010\022\017\n\007entries\030\005 \001(\r\"%\n\006Hea" +
+      "der\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\200\002\n\014Req" +
+      "uestStart\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Req" +
+      "uestId\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n\007" +
+      "headers\030\004 \003(\0132\024.marigoldsail.Header\022\030\n\020r" +
+      "emaining_millis\030\005 \001(\004\022\022\n\nidempotent\030\006 \001(" +
+      "\010\022\016\n\006caller\030\007 \001(\t\022\027\n\017idempotency_key\030\010 \001" +
+      "(\t\022\023\n\013body_length\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014\n" +
+      "\004last\030\013 \001(\010\"N\n\013RequestBody\022#\n\002id\030\001 \001(\0132\027" +
+      ".marigoldsail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n" +
+      "\004last\030\003 \001(\010\"\261\001\n\013AnswerStart\022#\n\002id\030\001 \001(\0132" +
+      "\027.marigoldsail.RequestId\022\016\n\006status\030\002 \001(\r" +
+      "\022%\n\007headers\030\003 \003(\0132\024.marigoldsail.Header\022" +
+      "\014\n\004data\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006report\030\006 " +
+      "\001(\0132\032.marigoldsail.TargetReport\"M\n\nAnswe" +
+      "rBody\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Request" +
+      "Id\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\231\001\n\006NotRu" +
+      "n\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\022" +
+      "\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\032\n\022re" +
+      "try_after_millis\030\004 \001(\004\022*\n\006report\030\005 \001(\0132\032" +
+      ".marigoldsail.TargetReport\"}\n\006Failed\022#\n\002" +
+      "id\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n\nerr" +
+      "or_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022*\n\006report\030" +
+      "\004 \001(\0132\032.marigoldsail.TargetReport\".\n\007Res" +
+      "olve\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestI" +
+      "d\"\251\001\n\nResolution\022#\n\002id\030\001 \001(\0132\027.marigolds" +
+      "ail.RequestId\022-\n\005state\030\002 \001(\0162\036.marigolds" +
+      "ail.Resolution.State\"G\n\005State\022\025\n\021STATE_U" +
+      "NSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r" +
+      "\n\tFORGOTTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.ma" +
+      "rigoldsail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 " +
+      "\001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\004B\034\n\030io.marigol" +
+      "dsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -196,7 +197,7 @@
     internal_static_marigoldsail_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Frame_descriptor,
-        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "Task", "Body", });
+        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "Task", "Stamp", "Body", });
     internal_static_marigoldsail_RequestId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_marigoldsail_RequestId_fieldAccessorTable = new
@@ -208,7 +209,7 @@
     internal_static_marigoldsail_Announce_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Announce_descriptor,
-        new java.lang.String[] { "Vm", "VmIncarnation", "ProcessIncarnation", "Zone", "Rack", "Address", "Service", "Slots", "Connections", "Leaving", "Report", "ConfigurationRevision", "MilliProcessors", "MemoryBytes", "Accelerators", });
+        new java.lang.String[] { "Vm", "VmIncarnation", "ProcessIncarnation", "Zone", "Rack", "Address", "Service", "Slots", "Connections", "Leaving", "Report", "ConfigurationRevision", "MilliProcessors", "MemoryBytes", "Accelerators", "OperatorsAddress", });
     internal_static_marigoldsail_AnnounceAck_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_marigoldsail_AnnounceAck_fieldAccessorTable = new
