--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/JobFile.java
@@ -0,0 +1,254 @@
+package io.marigoldsail.job;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Result;
+import java.io.IOException;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.Iterator;
+import java.util.Optional;
+
+/**
+ * Reads job files: JSON, every key checked, the first fault named with file and key.
+ *
+ * <p>A file that asks for 20 batch tasks of half a processor each:
+ *
+ * <pre>{@code
+ * {"name": "payout-march", "team": "payments", "class": "batch", "count": 20,
+ *  "sizes": {"milliProcessors": 500, "memoryMebibytes": 256},
+ *  "command": "payout --month 3", "runMillis": 60000}
+ * }</pre>
+ *
+ * <p>Further keys: {@code sizes.accelerators} (0), {@code urgent} (false), {@code finishBy} (an
+ * instant such as {@code 2026-12-02T22:00:00Z}), {@code idempotent} (true), {@code
+ * checkpointIntervalMillis} (0: none), {@code spread} ({@code none}, {@code rack} or {@code zone}).
+ *
+ * <p>Safe for any thread.
+ */
+public final class JobFile {
+  /** The longest file that is read, in bytes. */
+  public static final int MAX_BYTES = 64 * 1024;
+
+  private static final int MAX_COMMAND = 4_096;
+  private static final long MAX_RUN_MILLIS = 366L * 24 * 3_600_000;
+  private static final long MAX_MILLI_PROCESSORS = 1_024_000;
+  private static final long MAX_MEBIBYTES = 16L * 1024 * 1024;
+  private static final long MAX_ACCELERATORS = 64;
+  private static final long BYTES_PER_MEBIBYTE = 1024 * 1024;
+
+  private static final ImmutableSet<String> KEYS =
+      ImmutableSet.of(
+          "name",
+          "team",
+          "class",
+          "count",
+          "sizes",
+          "command",
+          "runMillis",
+          "urgent",
+          "finishBy",
+          "idempotent",
+          "checkpointIntervalMillis",
+          "spread");
+  private static final ImmutableSet<String> SIZE_KEYS =
+      ImmutableSet.of("milliProcessors", "memoryMebibytes", "accelerators");
+
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private final String fileName;
+
+  private JobFile(String fileName) {
+    this.fileName = fileName;
+  }
+
+  /** One fault of a file; leaves this class only as a failed result. */
+  private static final class Fault extends RuntimeException {
+    private static final long serialVersionUID = 1;
+
+    Fault(String message) {
+      super(message, null, false, false);
+    }
+  }
+
+  /**
+   * Returns the job that a file asks for, or a failure of kind {@code INVALID_CONTENT}, or {@code
+   * BODY_TOO_LARGE}.
+   *
+   * @param fileName how the file is called in failures
+   * @param bytes what stands in it
+   */
+  public static Result<JobSpec> read(String fileName, byte[] bytes) {
+    requireNonNull(fileName, "fileName");
+    if (bytes.length > MAX_BYTES) {
+      return Result.failed(
+          ErrorKind.BODY_TOO_LARGE,
+          "%s: %d bytes, at most %d are read".formatted(fileName, bytes.length, MAX_BYTES));
+    }
+    try {
+      return Result.ok(new JobFile(fileName).job(MAPPER.readTree(bytes)));
+    } catch (JsonProcessingException e) {
+      return Result.failed(
+          ErrorKind.INVALID_CONTENT,
+          "%s: no valid JSON: %s".formatted(fileName, e.getOriginalMessage()));
+    } catch (IOException e) {
+      return Result.failed(ErrorKind.INVALID_CONTENT, fileName + ": " + e.getMessage());
+    } catch (Fault e) {
+      return Result.failed(ErrorKind.INVALID_CONTENT, e.getMessage());
+    }
+  }
+
+  private JobSpec job(JsonNode root) {
+    object("", root, KEYS);
+    JsonNode sizes = required("", root, "sizes");
+    object("sizes", sizes, SIZE_KEYS);
+    return new JobSpec(
+        name(root, "name"),
+        name(root, "team"),
+        taskClass(root),
+        (int) number("", root, "count", 1, JobSpec.MAX_COUNT, Optional.of(1L)),
+        sizes(sizes),
+        command(root),
+        number("", root, "runMillis", 1, MAX_RUN_MILLIS, Optional.empty()),
+        flag(root, "urgent", false),
+        finishBy(root),
+        flag(root, "idempotent", true),
+        number("", root, "checkpointIntervalMillis", 0, MAX_RUN_MILLIS, Optional.of(0L)),
+        spread(root));
+  }
+
+  private Sizes sizes(JsonNode node) {
+    long processors =
+        number("sizes", node, "milliProcessors", 1, MAX_MILLI_PROCESSORS, Optional.empty());
+    long mebibytes = number("sizes", node, "memoryMebibytes", 1, MAX_MEBIBYTES, Optional.empty());
+    long accelerators = number("sizes", node, "accelerators", 0, MAX_ACCELERATORS, Optional.of(0L));
+    return new Sizes(processors, mebibytes * BYTES_PER_MEBIBYTE, accelerators);
+  }
+
+  private String name(JsonNode root, String key) {
+    String name = text("", root, key);
+    if (!JobSpec.NAME.matcher(name).matches()) {
+      throw fault(key, "\"%s\" is not a name of the form %s".formatted(name, JobSpec.NAME));
+    }
+    return name;
+  }
+
+  private String command(JsonNode root) {
+    String command = text("", root, "command");
+    if (command.isEmpty() || command.length() > MAX_COMMAND) {
+      throw fault(
+          "command", "has %d characters, not 1 to %d".formatted(command.length(), MAX_COMMAND));
+    }
+    return command;
+  }
+
+  private TaskClass taskClass(JsonNode root) {
+    String code = text("", root, "class");
+    try {
+      return TaskClass.forCode(code);
+    } catch (IllegalArgumentException e) {
+      throw fault("class", "\"%s\" is neither latency-critical nor batch".formatted(code));
+    }
+  }
+
+  private Spread spread(JsonNode root) {
+    if (!root.has("spread")) {
+      return Spread.NONE;
+    }
+    String code = text("", root, "spread");
+    try {
+      return Spread.forCode(code);
+    } catch (IllegalArgumentException e) {
+      throw fault("spread", "\"%s\" is none of none, rack, zone".formatted(code));
+    }
+  }
+
+  private long finishBy(JsonNode root) {
+    if (!root.has("finishBy")) {
+      return 0;
+    }
+    String text = text("", root, "finishBy");
+    try {
+      return Math.max(1, Instant.parse(text).toEpochMilli());
+    } catch (DateTimeParseException | ArithmeticException e) {
+      throw fault("finishBy", "\"%s\" is no instant like 2026-12-02T22:00:00Z".formatted(text));
+    }
+  }
+
+  private boolean flag(JsonNode root, String key, boolean otherwise) {
+    JsonNode node = root.get(key);
+    if (node == null) {
+      return otherwise;
+    }
+    if (!node.isBoolean()) {
+      throw fault(key, "is not true or false: " + node);
+    }
+    return node.booleanValue();
+  }
+
+  private String text(String prefix, JsonNode parent, String key) {
+    JsonNode node = required(prefix, parent, key);
+    if (!node.isTextual()) {
+      throw fault(path(prefix, key), "is not a text: " + node);
+    }
+    return node.textValue();
+  }
+
+  private long number(
+      String prefix, JsonNode parent, String key, long least, long most, Optional<Long> otherwise) {
+    if (!parent.has(key) && otherwise.isPresent()) {
+      return otherwise.get();
+    }
+    JsonNode node = required(prefix, parent, key);
+    if (!node.isIntegralNumber() || !node.canConvertToLong()) {
+      throw fault(path(prefix, key), "is not a whole number: " + node);
+    }
+    long value = node.longValue();
+    if (value < least || value > most) {
+      throw fault(path(prefix, key), "is %d, not %d to %d".formatted(value, least, most));
+    }
+    return value;
+  }
+
+  private JsonNode required(String prefix, JsonNode parent, String key) {
+    JsonNode node = parent.get(key);
+    if (node == null) {
+      throw fault(path(prefix, key), "is missing");
+    }
+    return node;
+  }
+
+  private void object(String path, JsonNode node, ImmutableSet<String> keys) {
+    if (node == null || !node.isObject()) {
+      throw fault(path, "is not a JSON object");
+    }
+    Iterator<String> names = node.fieldNames();
+    while (names.hasNext()) {
+      String key = names.next();
+      if (!keys.contains(key)) {
+        throw fault(path(path, key), "is not known; known are " + String.join(", ", keys));
+      }
+    }
+  }
+
+  private static String path(String prefix, String key) {
+    return prefix.isEmpty() ? key : prefix + "." + key;
+  }
+
+  private Fault fault(String key, String what) {
+    String place = key.isEmpty() ? "the file" : "key " + key;
+    return new Fault("%s: %s %s".formatted(fileName, place, what));
+  }
+}
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/MutableJob.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/MutableJob.java
@@ -1,5 +1,7 @@
 package io.marigoldsail.job;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import io.marigoldsail.job.TaskState.Phase;
 import java.util.BitSet;
 import java.util.EnumMap;
@@ -61,6 +63,7 @@
 
   void put(TaskState task) {
     int index = indexOf(task.name());
+    checkArgument(index >= 0, "%s is no task of %s", task.name(), spec.name());
     counts.merge(tasks[index].phase(), -1, Integer::sum);
     counts.merge(task.phase(), 1, Integer::sum);
     waiting.set(index, task.phase() == Phase.WAITING);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
@@ -7,10 +7,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -177,8 +179,15 @@
         applied, kept, List.copyOf(vms.values()), List.copyOf(entries.values()));
   }
 
-  /** Replaces all there is by a snapshot. */
+  /**
+   * Replaces all there is by a snapshot.
+   *
+   * @throws IllegalArgumentException if it contradicts itself; the table is then as it was
+   */
   public synchronized void restore(TaskTableSnapshot snapshot) {
+    List<MutableJob> restored = new ArrayList<>();
+    snapshot.jobs().forEach(kept -> restored.add(kept.toMutable()));
+    checkRegistrations(restored, snapshot.vms());
     jobs.clear();
     endedJobs.clear();
     vms.clear();
@@ -193,8 +202,18 @@
       currentByVm.merge(vm.vm(), vm.registration(), Math::max);
     }
     snapshot.entries().forEach(entry -> entries.put(entry.entry(), entry));
-    for (TaskTableSnapshot.Job kept : snapshot.jobs()) {
-      restoreJob(kept.toMutable());
+    restored.forEach(this::restoreJob);
+  }
+
+  private static void checkRegistrations(List<MutableJob> jobs, List<VmState> vms) {
+    Set<Long> known = new HashSet<>();
+    vms.forEach(vm -> known.add(vm.registration()));
+    for (MutableJob job : jobs) {
+      for (TaskState task : job.tasks()) {
+        boolean held = task.phase() == Phase.CLAIMED;
+        checkArgument(
+            !held || known.contains(task.registration()), "%s is on no known VM", task.name());
+      }
     }
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideAttempts.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideAttempts.java
@@ -244,7 +244,8 @@
     boolean reborn = boot != null && boot.incarnation() != listing.boot().incarnation();
     boot = listing.boot();
     if (reborn) {
-      // Nothing of the earlier boot runs; the entries see the new boot and clear its tasks. What had
+      // Nothing of the earlier boot runs; the entries see the new boot and clear its tasks. What
+      // had
       // ended before is still to be reported.
       tasks.values().removeIf(task -> task.phase() != SideTask.Phase.ENDED);
     }
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskWorld.java
@@ -0,0 +1,339 @@
+package io.marigoldsail.daemon.task;
+
+import io.marigoldsail.job.JobSpec;
+import io.marigoldsail.job.JobState;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.Spread;
+import io.marigoldsail.job.TaskClass;
+import io.marigoldsail.job.TaskRecord;
+import io.marigoldsail.job.TaskState;
+import io.marigoldsail.job.TaskTable;
+import io.marigoldsail.lease.LeaseTerms;
+import io.marigoldsail.protocol.TaskMessage;
+import io.marigoldsail.testlib.VirtualClock;
+import io.marigoldsail.testlib.platform.FakeWorker;
+import io.marigoldsail.testlib.platform.WorkerRun;
+import io.marigoldsail.timeline.EventRecorder;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+/**
+ * Entries, side processes, fake workers, a fake log and a fake network on one virtual clock; every
+ * part but those fakes is the real one.
+ */
+final class TaskWorld {
+  static final long STEP_MILLIS = 50;
+  static final LeaseTerms LEASES = new LeaseTerms(5_000, 10_000, 4_000);
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private record Letter(long dueNanos, String from, String to, TaskMessage message) {}
+
+  /** A VM with its worker, and the side process that is on it now. */
+  final class Vm {
+    private final String name;
+    private FakeWorker worker;
+    private SideTasks side;
+    private boolean frozen;
+    private long processes;
+
+    Vm(String name, Sizes capacity) {
+      this.name = name;
+      this.worker = new FakeWorker(name, capacity, clock);
+      workers.add(worker);
+    }
+
+    FakeWorker worker() {
+      return worker;
+    }
+
+    /** Starts a side process, in place of the one before. */
+    void startSide() {
+      processes++;
+      frozen = false;
+      SideIdentity identity =
+          new SideIdentity(name, clock.nanos() + processes, "zone-1", "rack-" + name);
+      Channel channel = new Channel(name, entries::keySet);
+      side = new SideTasks(identity, worker, channel, clock, EventRecorder.none());
+    }
+
+    void killSide() {
+      side = null;
+    }
+
+    /** Freezes or wakes the side process; what reaches it meanwhile waits for it. */
+    void freezeSide(boolean nowFrozen) {
+      frozen = nowFrozen;
+    }
+
+    /** Puts another machine under this VM's name; the old one lives on, unreachable. */
+    void replace(Sizes capacity) {
+      worker = new FakeWorker(name + "-new", capacity, clock);
+      worker.reboot();
+      workers.add(worker);
+      startSide();
+    }
+  }
+
+  /** An entry with its own view of the log. */
+  final class Entry {
+    private final TaskTable table = new TaskTable();
+    private final Map<Long, List<Runnable>> onApplied = new TreeMap<>();
+    private EntryTasks tasks;
+    private int applied;
+    private long lagMillis;
+
+    Entry(String name) {
+      EntryIdentity identity = new EntryIdentity(name, clock.nanos() + 1);
+      tasks =
+          new EntryTasks(
+              identity,
+              table,
+              record -> log.append(this, record),
+              new Channel(name, vms::keySet),
+              () -> new TaskTerms(LEASES, Map.of()),
+              clock,
+              clock,
+              new Random(7),
+              EventRecorder.none());
+    }
+
+    TaskTable table() {
+      return table;
+    }
+
+    void lag(long millis) {
+      lagMillis = millis;
+    }
+
+    void await(long position, Runnable step) {
+      onApplied.computeIfAbsent(position, unused -> new ArrayList<>()).add(step);
+    }
+
+    private void follow() {
+      if (log.down()) {
+        return;
+      }
+      while (applied < log.size() && log.writtenNanos(applied) <= lagged()) {
+        long position = applied;
+        table.apply(position, log.record(applied));
+        applied++;
+        List<Runnable> steps = onApplied.remove(position);
+        if (steps != null) {
+          steps.forEach(Runnable::run);
+        }
+      }
+    }
+
+    private long lagged() {
+      return clock.nanos() - lagMillis * NANOS_PER_MILLI;
+    }
+  }
+
+  private final class Channel implements TaskChannel {
+    private final String own;
+    private final Supplier<Set<String>> peers;
+
+    Channel(String own, Supplier<Set<String>> peers) {
+      this.own = own;
+      this.peers = peers;
+    }
+
+    @Override
+    public boolean send(String peer, TaskMessage message) {
+      if (cut.contains(own) || cut.contains(peer) || cut.contains(own + ">" + peer)) {
+        return true;
+      }
+      long transit = random.nextInt(3 * (int) NANOS_PER_MILLI);
+      letters.add(new Letter(clock.nanos() + transit, own, peer, message));
+      return true;
+    }
+
+    @Override
+    public List<String> peers() {
+      return List.copyOf(peers.get());
+    }
+  }
+
+  private final VirtualClock clock = new VirtualClock();
+  private final Random random;
+  private final FakeTaskLog log = new FakeTaskLog(clock);
+  private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private final Map<String, Vm> vms = new LinkedHashMap<>();
+  private final List<FakeWorker> workers = new ArrayList<>();
+  private final List<Letter> letters = new ArrayList<>();
+  private final Set<String> cut = new HashSet<>();
+
+  TaskWorld(long seed, int entryCount, int vmCount, Sizes capacity) {
+    random = new Random(seed);
+    clock.advance(1_000 * NANOS_PER_MILLI);
+    for (int i = 1; i <= entryCount; i++) {
+      startEntry("entry-" + i);
+    }
+    for (int i = 1; i <= vmCount; i++) {
+      Vm vm = new Vm("vm-" + i, capacity);
+      vms.put(vm.name, vm);
+      vm.startSide();
+    }
+  }
+
+  FakeTaskLog log() {
+    return log;
+  }
+
+  VirtualClock clock() {
+    return clock;
+  }
+
+  Vm vm(int number) {
+    return vms.get("vm-" + number);
+  }
+
+  Entry entry(int number) {
+    return entries.get("entry-" + number);
+  }
+
+  void startEntry(String name) {
+    entries.put(name, new Entry(name));
+  }
+
+  void killEntry(String name) {
+    entries.remove(name);
+  }
+
+  /** Loses every message from or to a process, or those of one direction: {@code from>to}. */
+  void cut(String what) {
+    cut.add(what);
+  }
+
+  void mend(String what) {
+    cut.remove(what);
+  }
+
+  void submit(JobSpec job) {
+    log.write(new TaskRecord.JobAccepted(job, clock.millis()));
+  }
+
+  void cancel(String job) {
+    log.write(new TaskRecord.JobCancelled(job, "cancelled by test"));
+  }
+
+  static JobSpec job(String name, int count, long runMillis) {
+    return new JobSpec(
+        name,
+        "team",
+        TaskClass.BATCH,
+        count,
+        new Sizes(1_000, 1_000, 0),
+        "work=" + runMillis,
+        runMillis,
+        false,
+        0,
+        true,
+        1_000,
+        Spread.NONE);
+  }
+
+  void run(long millis) {
+    long until = clock.nanos() + millis * NANOS_PER_MILLI;
+    while (clock.nanos() < until) {
+      step();
+    }
+  }
+
+  /** Runs until every job has ended, at most so long; returns whether they did. */
+  boolean runUntilEnded(long mostMillis) {
+    long until = clock.nanos() + mostMillis * NANOS_PER_MILLI;
+    while (clock.nanos() < until && !ended()) {
+      step();
+    }
+    return ended();
+  }
+
+  JobState jobState(String job) {
+    return log.truth().job(job).orElseThrow();
+  }
+
+  List<TaskState> tasks(String job) {
+    return log.truth().tasksOf(job);
+  }
+
+  /** Returns all runs of the workers' own records, by start. */
+  List<WorkerRun> runs() {
+    List<WorkerRun> runs = new ArrayList<>();
+    workers.forEach(worker -> runs.addAll(worker.runs()));
+    runs.sort(Comparator.comparingLong(WorkerRun::startMillis));
+    return runs;
+  }
+
+  /** Returns a description of every pair of runs of one task that overlapped. */
+  List<String> overlaps() {
+    Map<String, WorkerRun> last = new HashMap<>();
+    List<String> overlaps = new ArrayList<>();
+    for (WorkerRun run : runs()) {
+      WorkerRun before = last.get(run.task());
+      long end = before == null ? 0 : before.endMillis() == 0 ? Long.MAX_VALUE : before.endMillis();
+      if (end > run.startMillis()) {
+        overlaps.add(before + " and " + run);
+      }
+      if (before == null || end <= run.startMillis() || run.endMillis() == 0) {
+        last.put(run.task(), run);
+      }
+    }
+    return overlaps;
+  }
+
+  long askedOverCapacity() {
+    return workers.stream().mapToLong(FakeWorker::askedOverCapacity).sum();
+  }
+
+  private boolean ended() {
+    return log.truth().jobs().isEmpty();
+  }
+
+  private void step() {
+    clock.advance(STEP_MILLIS * NANOS_PER_MILLI);
+    deliver();
+    log.settle();
+    for (Entry entry : List.copyOf(entries.values())) {
+      entry.follow();
+      entry.tasks.tick();
+    }
+    for (Vm vm : vms.values()) {
+      if (vm.side != null && !vm.frozen) {
+        vm.side.step();
+      }
+    }
+  }
+
+  private void deliver() {
+    List<Letter> due = new ArrayList<>();
+    for (Letter letter : letters) {
+      Vm vm = vms.get(letter.to());
+      boolean waits = vm != null && vm.frozen;
+      if (letter.dueNanos() <= clock.nanos() && !waits) {
+        due.add(letter);
+      }
+    }
+    letters.removeAll(due);
+    due.sort(Comparator.comparingLong(Letter::dueNanos));
+    for (Letter letter : due) {
+      Vm vm = vms.get(letter.to());
+      Entry entry = entries.get(letter.to());
+      if (vm != null && vm.side != null) {
+        vm.side.onMessage(letter.from(), letter.message());
+      } else if (entry != null) {
+        entry.tasks.onMessage(letter.from(), letter.message());
+      }
+    }
+  }
+}
