--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/EntryTasks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/EntryTasks.java
@@ -25,9 +25,9 @@
  * <p>Wiring: feed {@link #onMessage} with every TaskMessage that a side process sends, give a
  * {@link TaskChannel} that sends to side processes by the names used there, and call {@link #start}
  * with a scheduler once the follower of the stream {@code tasks} has caught up once. The table must
- * be the one that the follower folds into, the log one that completes appends after the fold.
- * Entries keep nothing of their own that another could not read from the log; any of them may die
- * at any point.
+ * be the one that the follower folds into, the log one that completes appends after the fold, such
+ * as {@link FollowedTaskLog}. Entries keep nothing of their own that another could not read from
+ * the log; any of them may die at any point.
  *
  * <p>Safe for any thread; one lock guards everything.
  */
