Add the command-line tool with its load tool

Asks entries in turn and goes on to the next only where asking twice is harmless: nothing was sent, the entry is stopping, or the request only reads. The load tool is open-loop and counts latency from the planned time; too many open requests are counted and not sent, so that it stays bounded. GET /members lists processes with their operators' addresses; ProcessMember replaces ProcessRevision, which held part of the same.

--- /dev/null
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/ConnectionOptions.java
@@ -0,0 +1,114 @@
+package io.marigoldsail.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.json.Json;
+import io.marigoldsail.settings.HostPort;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import picocli.CommandLine;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** What every command that asks an entry takes and needs. */
+final class ConnectionOptions {
+  @Option(
+      names = {"-e", "--entries"},
+      split = ",",
+      defaultValue = "${env:MARIGOLDSAIL_ENTRIES}",
+      paramLabel = "HOST:PORT",
+      description =
+          "Operators' addresses of entries, tried in turn; also from MARIGOLDSAIL_ENTRIES.")
+  private List<String> entries = new ArrayList<>();
+
+  @Option(names = "--json", description = "Answer in JSON, one document a line, for scripts.")
+  private boolean json;
+
+  @Option(
+      names = "--timeout",
+      defaultValue = "15000",
+      paramLabel = "MILLIS",
+      description = "How long to wait for one answer, in milliseconds (${DEFAULT-VALUE}).")
+  private long timeoutMillis;
+
+  @Spec(Spec.Target.MIXEE)
+  private CommandSpec command;
+
+  ConnectionOptions() {}
+
+  boolean json() {
+    return json;
+  }
+
+  PrintWriter out() {
+    return command.commandLine().getOut();
+  }
+
+  PrintWriter err() {
+    return command.commandLine().getErr();
+  }
+
+  void printJson(JsonNode node) {
+    out().println(Json.write(node));
+    out().flush();
+  }
+
+  void print(String line) {
+    out().println(line);
+    out().flush();
+  }
+
+  OperatorClient connect() {
+    List<HostPort> addresses = new ArrayList<>();
+    for (String entry : entries == null ? List.<String>of() : entries) {
+      HostPort address =
+          HostPort.parse(entry.strip())
+              .orElseThrow(() -> usage("--entries: must be host:port, is \"" + entry + "\""));
+      addresses.add(address);
+    }
+    if (addresses.isEmpty()) {
+      throw usage("no entry given: use --entries HOST:PORT or set MARIGOLDSAIL_ENTRIES");
+    }
+    return new OperatorClient(addresses, timeoutMillis);
+  }
+
+  CommandLine.ParameterException usage(String message) {
+    return new CommandLine.ParameterException(command.commandLine(), message);
+  }
+
+  /** Returns the value, or ends the command with the failure's line and exit code. */
+  static <T> T require(Result<T> result) {
+    if (result instanceof Result.Failed<T> failed) {
+      throw CommandFailure.of(failed.failure());
+    }
+    return result.value();
+  }
+
+  static byte[] readFile(Path file) {
+    try {
+      return Files.readAllBytes(file);
+    } catch (IOException e) {
+      throw new CommandFailure(ExitCode.USAGE, file + ": cannot be read: " + e);
+    }
+  }
+
+  /** Reads a file that has to hold JSON; an error names file, line and column. */
+  static JsonNode readJson(Path file) {
+    Result<JsonNode> parsed = Json.parse(file.toString(), readFile(file));
+    if (parsed instanceof Result.Failed<JsonNode> failed) {
+      throw new CommandFailure(ExitCode.USAGE, failed.failure().detail());
+    }
+    return parsed.value();
+  }
+
+  static String encode(String value) {
+    return URLEncoder.encode(value, StandardCharsets.UTF_8).replace("+", "%20");
+  }
+}
--- /dev/null
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/load/LoadRecord.java
@@ -0,0 +1,71 @@
+package io.marigoldsail.cli.load;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Counts answers by kind and keeps the latency of served ones. Safe for any thread. */
+final class LoadRecord {
+  private static final long HIGHEST_MICROS = TimeUnit.HOURS.toMicros(1);
+  private static final int DIGITS = 3;
+
+  private final Map<String, LongAdder> byKind = new ConcurrentHashMap<>();
+  private final Histogram fromPlan = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
+  private final Histogram fromSend = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
+  private final Histogram refusals = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
+
+  /**
+   * Notes an answer.
+   *
+   * @param plannedNanos when the request was to leave; latency counts from here
+   * @param sentNanos when it left, which is later if the tool was held up
+   * @param nowNanos when the answer was whole
+   */
+  void note(LoadAnswer answer, long plannedNanos, long sentNanos, long nowNanos) {
+    byKind.computeIfAbsent(answer.kind(), kind -> new LongAdder()).increment();
+    if (answer.served()) {
+      fromPlan.recordValue(micros(nowNanos - plannedNanos));
+      fromSend.recordValue(micros(nowNanos - sentNanos));
+    } else {
+      refusals.recordValue(micros(nowNanos - sentNanos));
+    }
+  }
+
+  private static long micros(long nanos) {
+    return Math.min(HIGHEST_MICROS, Math.max(0, TimeUnit.NANOSECONDS.toMicros(nanos)));
+  }
+
+  Map<String, Long> byKind() {
+    Map<String, Long> counts = new TreeMap<>();
+    byKind.forEach((kind, count) -> counts.put(kind, count.sum()));
+    return counts;
+  }
+
+  long answered() {
+    return byKind.values().stream().mapToLong(LongAdder::sum).sum();
+  }
+
+  long served() {
+    LongAdder served = byKind.get(LoadAnswer.SERVED.kind());
+    return served == null ? 0 : served.sum();
+  }
+
+  /** Returns the latency of served requests from their planned time, in microseconds. */
+  Histogram fromPlan() {
+    return fromPlan;
+  }
+
+  /** Returns the latency of served requests from when they left, in microseconds. */
+  Histogram fromSend() {
+    return fromSend;
+  }
+
+  /** Returns how long those waited that were not served, in microseconds. */
+  Histogram refusals() {
+    return refusals;
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/configuration/ConfigurationRoutes.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/configuration/ConfigurationRoutes.java
@@ -18,6 +18,7 @@
 import io.marigoldsail.daemon.operators.OperatorAnswer;
 import io.marigoldsail.daemon.operators.OperatorRequest;
 import io.marigoldsail.daemon.operators.OperatorServer;
+import io.marigoldsail.daemon.operators.ProcessMember;
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.error.Failure;
 import io.marigoldsail.error.Result;
@@ -43,22 +44,22 @@
 
   private final ConfigurationFold fold;
   private final ConfigurationPublisher publisher;
-  private final Supplier<List<ProcessRevision>> reports;
+  private final Supplier<List<ProcessMember>> members;
   private final MonotonicClock clock;
 
   /**
    * Creates the routes.
    *
-   * @param reports gives what every live process, this one included, said last
+   * @param members gives what every live process, this one included, said last
    */
   public ConfigurationRoutes(
       ConfigurationFold fold,
       ConfigurationPublisher publisher,
-      Supplier<List<ProcessRevision>> reports,
+      Supplier<List<ProcessMember>> members,
       MonotonicClock clock) {
     this.fold = requireNonNull(fold, "fold");
     this.publisher = requireNonNull(publisher, "publisher");
-    this.reports = requireNonNull(reports, "reports");
+    this.members = requireNonNull(members, "members");
     this.clock = requireNonNull(clock, "clock");
   }
 
@@ -255,12 +256,12 @@
     node.put("accepted", accepted);
     ArrayNode processes = node.putArray("processes");
     long everywhere = accepted;
-    for (ProcessRevision report : reports.get()) {
-      everywhere = Math.min(everywhere, report.revision());
+    for (ProcessMember member : members.get()) {
+      everywhere = Math.min(everywhere, member.revision());
       ObjectNode process = processes.addObject();
-      process.put("process", report.process());
-      process.put("role", report.role());
-      process.put("revision", report.revision());
+      process.put("process", member.process());
+      process.put("role", member.role());
+      process.put("revision", member.revision());
     }
     node.put("everywhere", everywhere);
     return Result.ok(OperatorAnswer.ok(node));
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorAnswer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorAnswer.java
@@ -18,7 +18,7 @@
 public record OperatorAnswer(int status, String mediaType, byte[] body) {
   private static final int STATUS_OK = 200;
   private static final int STATUS_ACCEPTED = 202;
-  private static final String JSON = "application/json";
+  private static final String JSON_TYPE = "application/json";
 
   /** Checks the components. */
   public OperatorAnswer {
@@ -28,11 +28,16 @@
 
   /** Returns an answer with status 200. */
   public static OperatorAnswer ok(JsonNode body) {
-    return new OperatorAnswer(STATUS_OK, JSON, Json.bytes(body));
+    return new OperatorAnswer(STATUS_OK, JSON_TYPE, Json.bytes(body));
+  }
+
+  /** Returns an answer with status 200 from records or lists of them. */
+  public static OperatorAnswer okOf(Object value) {
+    return ok(Json.mapper().valueToTree(value));
   }
 
   /** Returns an answer with status 202: taken on, not ended. */
   public static OperatorAnswer accepted(JsonNode body) {
-    return new OperatorAnswer(STATUS_ACCEPTED, JSON, Json.bytes(body));
+    return new OperatorAnswer(STATUS_ACCEPTED, JSON_TYPE, Json.bytes(body));
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorRequest.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorRequest.java
@@ -59,6 +59,11 @@
     }
   }
 
+  /** Returns the body as it came; callers must not change it. */
+  public byte[] body() {
+    return body;
+  }
+
   /** Returns the body as JSON; a missing node if the body is empty. */
   public Result<JsonNode> json() {
     if (body.length == 0) {
