Keep timeouts after a burst from easing off healthy targets

Cause: seen in the burst with one entry: requests that had waited for most of their second were sent with little time left, timed out, and counted as failures of their targets; eight of eleven were eased off and what followed the burst was refused for a second and a half. Ruled out: the estimate of the drain rate (400 samples in place of 50 changed nothing).

--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/Router.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/Router.java
@@ -25,7 +25,8 @@
  *
  * <p>Slow and failing targets get only probes: one request at a time, not more often than every
  * {@link #PROBE_NANOS} and than one in {@link #REQUESTS_PER_PROBE} of this entry's requests, so
- * that all entries together send well under 2% there.
+ * that all entries together send well under 2% there. No more than one target in {@link
+ * #TARGETS_PER_EASED} is eased off: where most are bad, there is nowhere better to go.
  *
  * <p>Not safe for use by several threads. A choice costs O(targets).
  */
@@ -34,6 +35,7 @@
   static final double ZONE_LOAD = 0.75;
   static final long PROBE_NANOS = 250_000_000L;
   static final int REQUESTS_PER_PROBE = 200;
+  static final int TARGETS_PER_EASED = 3;
   private static final long ROW_PROBE_NANOS = 20_000_000L;
   private static final long FLEET_NANOS = 50_000_000L;
   private static final int SPACING_SAMPLES = 100;
@@ -221,7 +223,8 @@
     target.share().ended();
     refreshFleet(now);
     boolean wasEased = target.health().isEased();
-    boolean changed = target.health().ended(outcome, now - sentAt, fleet);
+    boolean mayEase = eased().count() < Math.max(1, targets.size() / TARGETS_PER_EASED);
+    boolean changed = target.health().ended(outcome, now - sentAt, fleet, mayEase);
     if (wasEased && changed) {
       target.restart(now);
     } else if (target.health().isEased() && target.health().isInGoodRow()) {
@@ -257,10 +260,11 @@
 
   /** Returns the VMs that are eased off now, for operators. */
   public List<String> easedOff() {
-    return targets.values().stream()
-        .filter(target -> target.health().isEased())
-        .map(target -> target.state().vm())
-        .toList();
+    return eased().map(target -> target.state().vm()).toList();
+  }
+
+  private Stream<Target> eased() {
+    return targets.values().stream().filter(target -> target.health().isEased());
   }
 
   /** Returns when a target that turned a request away may be tried again, after the given time. */
--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/TargetHealth.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/TargetHealth.java
@@ -74,14 +74,21 @@
     return Math.exp(logLatency - fleet.logLatency());
   }
 
-  /** Takes in how an attempt ended after the given nanoseconds; returns whether health changed. */
-  boolean ended(AttemptOutcome outcome, long nanos, Fleet fleet) {
+  /**
+   * Takes in how an attempt ended after the given nanoseconds; returns whether health changed.
+   *
+   * @param mayEase whether another target may be eased off
+   */
+  boolean ended(AttemptOutcome outcome, long nanos, Fleet fleet, boolean mayEase) {
     boolean failed = outcome != AttemptOutcome.ANSWERED;
+    if (outcome == AttemptOutcome.TIMED_OUT && !wasLong(nanos, fleet)) {
+      return false;
+    }
     if (eased) {
       return probeEnded(failed, logOf(nanos), fleet);
     }
     observe(failed, logOf(nanos));
-    if (isKnown() && fleet.targets() > 1 && isBad(fleet)) {
+    if (mayEase && isKnown() && fleet.targets() > 1 && isBad(fleet)) {
       eased = true;
       startRow();
       return true;
@@ -89,6 +96,15 @@
     return false;
   }
 
+  /**
+   * A request that waited long for its turn is sent with little time left. That it then times out
+   * says nothing of the target; counted as failures, such timeouts after a burst eased off eight of
+   * eleven healthy targets.
+   */
+  private static boolean wasLong(long nanos, Fleet fleet) {
+    return logOf(nanos) - fleet.logLatency() > Math.log(EASE_RATIO);
+  }
+
   private void observe(boolean failed, double log) {
     answers++;
     failures += ((failed ? 1 : 0) - failures) / FAILURE_SAMPLES;
