--- a/marigoldsail-core/src/main/java/io/marigoldsail/membership/Announcement.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/membership/Announcement.java
@@ -12,41 +12,36 @@
  * <p>Immutable. Rejects nulls.
  *
  * @param vm the VM's name
- * @param vmIncarnation the boot of the VM's worker
  * @param processIncarnation the side process's own incarnation; a higher one is a later process
  * @param zone the VM's availability zone
  * @param rack the VM's rack
  * @param address where entries may dial the side process, {@code host:port}
+ * @param operatorsAddress where operators reach the side process, {@code host:port}, or empty
  * @param service the service of the VM's target, or empty where it has none
  * @param slots how many requests the target runs at once, or 0 where there is none
  * @param leaving whether the target takes nothing new
  * @param load what the target has to do now
  * @param configurationRevision the revision in force in the side process
- * @param milliProcessors the VM's processors in thousandths
- * @param memoryBytes the VM's memory in bytes
- * @param accelerators the VM's accelerators
  */
 public record Announcement(
     String vm,
-    long vmIncarnation,
     long processIncarnation,
     String zone,
     String rack,
     String address,
+    String operatorsAddress,
     String service,
     int slots,
     boolean leaving,
     TargetLoad load,
-    long configurationRevision,
-    int milliProcessors,
-    long memoryBytes,
-    int accelerators) {
+    long configurationRevision) {
   /** Checks the components. */
   public Announcement {
     checkArgument(!vm.isEmpty(), "vm is empty");
     requireNonNull(zone, "zone");
     requireNonNull(rack, "rack");
     checkArgument(!address.isEmpty(), "address of %s is empty", vm);
+    requireNonNull(operatorsAddress, "operatorsAddress");
     requireNonNull(service, "service");
     checkArgument(slots >= 0, "slots is negative: %s", slots);
     requireNonNull(load, "load");
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryProcess.java
@@ -0,0 +1,215 @@
+package io.marigoldsail.daemon;
+
+import io.marigoldsail.configuration.ConfigurationPublisher;
+import io.marigoldsail.daemon.configuration.ConfigurationRoutes;
+import io.marigoldsail.daemon.dispatch.CallerLimits;
+import io.marigoldsail.daemon.dispatch.CallerServer;
+import io.marigoldsail.daemon.dispatch.EntryDispatcher;
+import io.marigoldsail.daemon.dispatch.LinkTimes;
+import io.marigoldsail.daemon.link.EntryIdentity;
+import io.marigoldsail.daemon.link.EntryLinks;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.operators.MemberRoutes;
+import io.marigoldsail.daemon.task.EntryTasks;
+import io.marigoldsail.daemon.task.FollowedTaskLog;
+import io.marigoldsail.daemon.task.TaskLog;
+import io.marigoldsail.daemon.task.TaskRoutes;
+import io.marigoldsail.daemon.task.TaskTerms;
+import io.marigoldsail.dispatch.ByteBudget;
+import io.marigoldsail.dispatch.RequestScheduler;
+import io.marigoldsail.dispatch.SchedulerSettings;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.job.TaskFold;
+import io.marigoldsail.job.TaskTable;
+import io.marigoldsail.settings.EntrySettings;
+import io.marigoldsail.time.WallClock;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+/** An entry: serves callers and operators, decides about requests, claims tasks. */
+final class EntryProcess implements DaemonProcess {
+  private static final EventLog LOG = EventLog.of(EntryProcess.class);
+  private static final int KEPT_EVENTS = 1 << 16;
+  private static final int MAX_SIDE_PROCESSES = 2_000;
+
+  /** How long the balancer may take to notice the bad health; it asks every second. */
+  private static final long STOP_GRACE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  private static final long DRAIN_LIMIT_SECONDS = 60;
+
+  private final EntrySettings settings;
+  private final ProcessBase base;
+  private final ScheduledExecutorService scheduler;
+  private final LinkLoop loop;
+  private final EntryLinks links;
+  private final EntryDispatcher dispatcher;
+  private final CallerServer callers;
+  private final StreamClient configurationStream;
+  private final StreamClient taskStream;
+  private final EntryRoster roster;
+  private final EntryTasks tasks;
+  private volatile boolean serving;
+
+  EntryProcess(EntrySettings settings) {
+    this.settings = settings;
+    this.base = new ProcessBase(settings, KEPT_EVENTS);
+    this.scheduler = Executors.newScheduledThreadPool(2, DaemonThreads.named("entry-work"));
+    this.loop = new LinkLoop("entry-loop", base.clock(), base.hybridClock());
+    EntryIdentity identity = new EntryIdentity(settings.name(), base.incarnation());
+    RequestScheduler policy =
+        new RequestScheduler(SchedulerSettings.of(settings.zone()), new SplittableRandom());
+    this.dispatcher = newDispatcher(identity, policy);
+    this.configurationStream =
+        StreamClient.writer(
+            base.shared(), ProcessBase.CONFIGURATION_STREAM, base.configurationFold());
+    this.roster = new EntryRoster(settings, base);
+    this.links =
+        new EntryLinks(
+            loop,
+            settings.processesAddress().socketAddress(),
+            MAX_SIDE_PROCESSES,
+            identity,
+            base::configurationRevision,
+            roster::otherProcessesAddresses,
+            base.events());
+    this.callers = newCallerServer();
+    TaskTable table = new TaskTable();
+    this.taskStream = StreamClient.writer(base.shared(), TaskFold.STREAM, new TaskFold(table));
+    TaskLog taskLog = new FollowedTaskLog(taskStream.appender(), base.clock());
+    Supplier<TaskTerms> terms = () -> ConfiguredPolicies.tasks(base.configuration());
+    this.tasks = newTasks(table, taskLog, terms);
+    links.addMemberListener(dispatcher.memberListener());
+    links.addTaskListener(
+        (peer, message) -> scheduler.execute(() -> tasks.onMessage(peer, message)));
+    base.configurationFold().onInForce(state -> configure(policy));
+    registerRoutes(table, taskLog, terms);
+  }
+
+  private EntryDispatcher newDispatcher(EntryIdentity identity, RequestScheduler policy) {
+    long answerBytes = Runtime.getRuntime().maxMemory() / 4;
+    return new EntryDispatcher(
+        loop,
+        identity,
+        policy,
+        LinkTimes.DEFAULT,
+        new ByteBudget(answerBytes),
+        base.events(),
+        new SplittableRandom());
+  }
+
+  private CallerServer newCallerServer() {
+    return new CallerServer(
+        base.clock(),
+        settings.callersAddress().socketAddress(),
+        CallerLimits.ofHeap(),
+        service -> OptionalLong.of(base.configuration().service(service).defaultDeadlineMillis()),
+        dispatcher,
+        () -> serving);
+  }
+
+  private EntryTasks newTasks(TaskTable table, TaskLog taskLog, Supplier<TaskTerms> terms) {
+    return new EntryTasks(
+        new io.marigoldsail.daemon.task.EntryIdentity(settings.name(), base.incarnation()),
+        table,
+        taskLog,
+        new LinkTaskChannel(links),
+        terms,
+        base.clock(),
+        WallClock.system(),
+        new SplittableRandom(),
+        base.events());
+  }
+
+  private void configure(RequestScheduler policy) {
+    SchedulerSettings next = ConfiguredPolicies.scheduler(base.configuration(), settings.zone());
+    loop.run(() -> policy.configure(next));
+  }
+
+  private void registerRoutes(TaskTable table, TaskLog taskLog, Supplier<TaskTerms> terms) {
+    ConfigurationPublisher publisher =
+        new ConfigurationPublisher(
+            base.configurationFold(),
+            base.configurationCheck(),
+            (type, body) -> configurationStream.appender().append(type, body),
+            base.events(),
+            base.clock(),
+            WallClock.system(),
+            scheduler,
+            settings.name() + "/" + base.incarnation());
+    Supplier<java.util.List<io.marigoldsail.daemon.operators.ProcessMember>> members =
+        () -> roster.members(links, loop);
+    new ConfigurationRoutes(base.configurationFold(), publisher, members, base.clock())
+        .registerOn(base.operators());
+    new MemberRoutes(members).registerOn(base.operators());
+    new JobRoutes(new TaskRoutes(table, taskLog, tasks, terms, WallClock.system(), base.events()))
+        .registerOn(base.operators());
+  }
+
+  @Override
+  public Result<Boolean> start() {
+    Result<Integer> operators = base.operators().start();
+    if (operators instanceof Result.Failed<Integer> failed) {
+      return Result.failed(failed.failure());
+    }
+    Result<Boolean> listening =
+        Listening.at("addresses.processes", settings.processesAddress(), links::start)
+            .then(
+                started ->
+                    Listening.at("addresses.callers", settings.callersAddress(), callers::start));
+    if (!listening.isOk()) {
+      return listening;
+    }
+    dispatcher.start();
+    configurationStream.start();
+    taskStream.start();
+    roster.start(scheduler);
+    tasks.start(scheduler);
+    serving = true;
+    base.recordStarted();
+    return listening;
+  }
+
+  /**
+   * The planned stop: the health turns bad at once, so the balancer stops sending callers; those it
+   * still sends are served for a grace time, and what is in progress ends.
+   */
+  @Override
+  public void close() {
+    if (serving) {
+      serving = false;
+      base.recordStopping();
+      roster.leave();
+      drain();
+    }
+    callers.close();
+    tasks.close();
+    roster.close();
+    taskStream.close();
+    configurationStream.close();
+    links.close();
+    dispatcher.close();
+    loop.close();
+    scheduler.shutdownNow();
+    base.close();
+  }
+
+  private void drain() {
+    try {
+      dispatcher.beginStop(STOP_GRACE_NANOS).get(DRAIN_LIMIT_SECONDS, TimeUnit.SECONDS);
+    } catch (TimeoutException e) {
+      LOG.warning(LogLine.of("drain-cut-short").with("seconds", DRAIN_LIMIT_SECONDS));
+    } catch (ExecutionException e) {
+      LOG.error(LogLine.of("drain-failed").withError(e.getCause()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/JobRoutes.java
@@ -0,0 +1,60 @@
+package io.marigoldsail.daemon;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.marigoldsail.daemon.operators.OperatorAnswer;
+import io.marigoldsail.daemon.operators.OperatorRequest;
+import io.marigoldsail.daemon.operators.OperatorServer;
+import io.marigoldsail.daemon.task.JobView;
+import io.marigoldsail.daemon.task.TaskRoutes;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.json.Json;
+import java.util.concurrent.CompletableFuture;
+
+/** Serves {@link TaskRoutes} over HTTP on the operators' server. */
+final class JobRoutes {
+  private static final String DEFAULT_REASON = "cancelled by an operator";
+
+  private final TaskRoutes routes;
+
+  JobRoutes(TaskRoutes routes) {
+    this.routes = requireNonNull(routes, "routes");
+  }
+
+  void registerOn(OperatorServer server) {
+    server.register("POST", "/jobs", this::submit);
+    server.register("DELETE", "/jobs/{name}", this::cancel);
+    server.registerImmediate("GET", "/jobs", request -> routes.jobs().then(JobRoutes::jobs));
+    server.registerImmediate(
+        "GET", "/jobs/{name}", request -> routes.job(request.path("name")).then(JobRoutes::ok));
+    server.registerImmediate(
+        "GET",
+        "/tasks/{job}/{index}",
+        request ->
+            routes.task(request.path("job") + "/" + request.path("index")).then(JobRoutes::ok));
+  }
+
+  private CompletableFuture<Result<OperatorAnswer>> submit(OperatorRequest request) {
+    String file = request.query("file").orElse("body");
+    return routes.submit(file, request.body()).thenApply(result -> result.then(JobRoutes::ok));
+  }
+
+  private CompletableFuture<Result<OperatorAnswer>> cancel(OperatorRequest request) {
+    String reason = request.query("reason").orElse(DEFAULT_REASON);
+    CompletableFuture<Result<JobView>> cancelled = routes.cancel(request.path("name"), reason);
+    return cancelled.thenApply(result -> result.then(JobRoutes::ok));
+  }
+
+  private static Result<OperatorAnswer> jobs(java.util.List<JobView> jobs) {
+    ObjectNode node = Json.object();
+    node.set("jobs", Json.mapper().valueToTree(jobs));
+    return Result.ok(OperatorAnswer.ok(node));
+  }
+
+  private static Result<OperatorAnswer> ok(Object view) {
+    JsonNode node = Json.mapper().valueToTree(view);
+    return Result.ok(OperatorAnswer.ok(node));
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
@@ -0,0 +1,175 @@
+package io.marigoldsail.daemon;
+
+import io.marigoldsail.daemon.configuration.ConfigurationRoutes;
+import io.marigoldsail.daemon.dispatch.Bodies;
+import io.marigoldsail.daemon.dispatch.SideDispatcher;
+import io.marigoldsail.daemon.dispatch.SideLimits;
+import io.marigoldsail.daemon.dispatch.TargetClient;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.link.SideLinks;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.platform.HttpWorker;
+import io.marigoldsail.daemon.task.SideIdentity;
+import io.marigoldsail.daemon.task.SideTasks;
+import io.marigoldsail.dispatch.ByteBudget;
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.membership.Announcement;
+import io.marigoldsail.settings.HostPort;
+import io.marigoldsail.settings.SideSettings;
+import io.marigoldsail.settings.TargetSettings;
+import java.net.URI;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** A side process: stands between the entries and the target and worker of its VM. */
+final class SideProcess implements DaemonProcess {
+  private static final EventLog LOG = EventLog.of(SideProcess.class);
+  private static final int KEPT_EVENTS = 1 << 13;
+  private static final long WORKER_TIMEOUT_MILLIS = 2_000;
+  private static final long DRAIN_LIMIT_SECONDS = 60;
+
+  /** The part of a VM's target, where it has one. */
+  private record TargetPart(
+      TargetSettings settings, TargetClient client, SideDispatcher dispatcher) {}
+
+  private final SideSettings settings;
+  private final ProcessBase base;
+  private final LinkLoop loop;
+  private final SideLinks links;
+  private final StreamClient configurationStream;
+  private final Optional<TargetPart> target;
+  private final Optional<SideTasks> tasks;
+  private boolean started;
+
+  SideProcess(SideSettings settings) {
+    this.settings = settings;
+    this.base = new ProcessBase(settings, KEPT_EVENTS);
+    this.loop = new LinkLoop("side-loop", base.clock(), base.hybridClock());
+    this.links =
+        new SideLinks(
+            loop,
+            this::announcement,
+            settings.entries().stream().map(HostPort::socketAddress).toList(),
+            base.events(),
+            new SplittableRandom());
+    this.configurationStream =
+        StreamClient.reader(
+            base.shared(), ProcessBase.CONFIGURATION_STREAM, base.configurationFold());
+    this.target = settings.target().map(this::newTargetPart);
+    this.tasks = settings.worker().map(this::newTasks);
+    ConfigurationRoutes.registerStateOn(base.operators(), base.configurationFold());
+  }
+
+  private TargetPart newTargetPart(TargetSettings targetSettings) {
+    ByteBudget budget = new ByteBudget(2L * Bodies.MAX_BYTES);
+    TargetClient client =
+        new TargetClient(loop, targetSettings.address(), targetSettings.connections(), "", budget);
+    SideDispatcher dispatcher =
+        new SideDispatcher(
+            loop,
+            settings.processesAddress().socketAddress(),
+            client,
+            SideLimits.ofSlots(targetSettings.slots()),
+            base.incarnation(),
+            links::entryCount,
+            budget,
+            base.events());
+    dispatcher.onLeavingChanged(links::announceNow);
+    return new TargetPart(targetSettings, client, dispatcher);
+  }
+
+  private SideTasks newTasks(URI worker) {
+    SideTasks sideTasks =
+        new SideTasks(
+            new SideIdentity(settings.name(), base.incarnation(), settings.zone(), settings.rack()),
+            new HttpWorker(base.platform(), worker.toString(), WORKER_TIMEOUT_MILLIS),
+            new LinkTaskChannel(links),
+            base.clock(),
+            base.events());
+    links.addTaskListener(sideTasks::onMessage);
+    return sideTasks;
+  }
+
+  private Announcement announcement() {
+    return new Announcement(
+        settings.name(),
+        base.incarnation(),
+        settings.zone(),
+        settings.rack(),
+        settings.processesAddress().toString(),
+        settings.operatorsAddress().toString(),
+        target.map(part -> part.settings().service()).orElse(""),
+        target.map(part -> part.settings().slots()).orElse(0),
+        target.map(part -> part.dispatcher().isLeaving()).orElse(false),
+        target
+            .map(part -> part.dispatcher().load())
+            .orElse(new TargetLoad(0, 0, links.entryCount(), false)),
+        base.configurationRevision());
+  }
+
+  @Override
+  public Result<Boolean> start() {
+    Result<Integer> operators = base.operators().start();
+    if (operators instanceof Result.Failed<Integer> failed) {
+      return Result.failed(failed.failure());
+    }
+    if (target.isPresent()) {
+      TargetPart part = target.get();
+      Result<Boolean> listening =
+          Listening.at("target.address", settings.processesAddress(), part.client()::start)
+              .then(
+                  ready ->
+                      Listening.at(
+                          "addresses.processes",
+                          settings.processesAddress(),
+                          part.dispatcher()::start));
+      if (!listening.isOk()) {
+        return listening;
+      }
+    }
+    configurationStream.start();
+    links.start();
+    tasks.ifPresent(SideTasks::start);
+    started = true;
+    base.recordStarted();
+    return Result.ok(true);
+  }
+
+  /**
+   * The planned stop: leaving is announced, newcomers are turned away as not run, and requests in
+   * progress end. Tasks go on under their leases for the next side process to adopt.
+   */
+  @Override
+  public void close() {
+    if (started) {
+      started = false;
+      base.recordStopping();
+      tasks.ifPresent(SideTasks::leave);
+      target.ifPresent(SideProcess::drain);
+    }
+    tasks.ifPresent(SideTasks::close);
+    links.close();
+    target.ifPresent(part -> part.dispatcher().close());
+    target.ifPresent(part -> part.client().close());
+    configurationStream.close();
+    loop.close();
+    base.close();
+  }
+
+  private static void drain(TargetPart part) {
+    try {
+      part.dispatcher().beginStop().get(DRAIN_LIMIT_SECONDS, TimeUnit.SECONDS);
+    } catch (TimeoutException e) {
+      LOG.warning(LogLine.of("drain-cut-short").with("seconds", DRAIN_LIMIT_SECONDS));
+    } catch (ExecutionException e) {
+      LOG.error(LogLine.of("drain-failed").withError(e.getCause()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/StreamClient.java
@@ -0,0 +1,113 @@
+package io.marigoldsail.daemon;
+
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.log.AppendSettings;
+import io.marigoldsail.log.EntryIds;
+import io.marigoldsail.log.Fold;
+import io.marigoldsail.log.FollowerSettings;
+import io.marigoldsail.log.LogAppender;
+import io.marigoldsail.log.LogService;
+import io.marigoldsail.log.SnapshotSettings;
+import io.marigoldsail.log.SnapshotWriter;
+import io.marigoldsail.log.StreamFollower;
+import io.marigoldsail.log.StreamListener;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.timeline.Event;
+import io.marigoldsail.timeline.EventKind;
+import io.marigoldsail.timeline.EventRecorder;
+import java.util.SplittableRandom;
+
+/** One stream as a process uses it: a follower and, in an entry, an appender and snapshots. */
+final class StreamClient implements AutoCloseable {
+  private static final EventLog LOG = EventLog.of(StreamClient.class);
+
+  /** What the streams of one process have in common. */
+  record Shared(
+      LogService log,
+      String process,
+      long incarnation,
+      MonotonicClock clock,
+      EventRecorder events) {}
+
+  private final StreamFollower follower;
+  private final LogAppender appender;
+
+  private StreamClient(StreamFollower follower, LogAppender appender) {
+    this.follower = follower;
+    this.appender = appender;
+  }
+
+  /** Returns a client that only reads. */
+  static StreamClient reader(Shared shared, String stream, Fold fold) {
+    return new StreamClient(newFollower(shared, stream, fold), null);
+  }
+
+  /** Returns a client that also appends, and takes its turn at writing snapshots. */
+  static StreamClient writer(Shared shared, String stream, Fold fold) {
+    StreamFollower follower = newFollower(shared, stream, fold);
+    LogAppender appender =
+        new LogAppender(
+            shared.log(),
+            follower,
+            EntryIds.of(shared.process(), shared.incarnation()),
+            AppendSettings.usual(),
+            shared.clock(),
+            new SplittableRandom());
+    SnapshotWriter.attach(
+        follower, appender, SnapshotSettings.usual(), shared.clock(), new SplittableRandom());
+    return new StreamClient(follower, appender);
+  }
+
+  private static StreamFollower newFollower(Shared shared, String stream, Fold fold) {
+    StreamFollower follower =
+        new StreamFollower(
+            shared.log(),
+            stream,
+            fold,
+            FollowerSettings.usual(),
+            shared.clock(),
+            new SplittableRandom());
+    follower.addListener(new Outages(stream, shared.events()));
+    return follower;
+  }
+
+  StreamFollower follower() {
+    return follower;
+  }
+
+  LogAppender appender() {
+    return appender;
+  }
+
+  void start() {
+    follower.start();
+    if (appender != null) {
+      appender.start();
+    }
+  }
+
+  @Override
+  public void close() {
+    if (appender != null) {
+      appender.close();
+    }
+    follower.close();
+  }
+
+  /** Puts outages into the log and on the time line. */
+  private record Outages(String stream, EventRecorder events) implements StreamListener {
+    @Override
+    public void outageBegan(String detail) {
+      LOG.warning(LogLine.of("log-outage-began").with("stream", stream).with("detail", detail));
+      events.record(
+          Event.of(EventKind.LOG_OUTAGE_BEGAN).withDetail("stream " + stream + ": " + detail));
+    }
+
+    @Override
+    public void outageEnded() {
+      LOG.info(LogLine.of("log-outage-ended").with("stream", stream));
+      events.record(Event.of(EventKind.LOG_OUTAGE_ENDED).withDetail("stream " + stream));
+    }
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/Announcements.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/Announcements.java
@@ -13,19 +13,16 @@
   public static Announce write(Announcement announcement) {
     return Announce.newBuilder()
         .setVm(announcement.vm())
-        .setVmIncarnation(announcement.vmIncarnation())
         .setProcessIncarnation(announcement.processIncarnation())
         .setZone(announcement.zone())
         .setRack(announcement.rack())
         .setAddress(announcement.address())
+        .setOperatorsAddress(announcement.operatorsAddress())
         .setService(announcement.service())
         .setSlots(announcement.slots())
         .setLeaving(announcement.leaving())
         .setReport(write(announcement.load(), announcement.slots()))
         .setConfigurationRevision(announcement.configurationRevision())
-        .setMilliProcessors(announcement.milliProcessors())
-        .setMemoryBytes(announcement.memoryBytes())
-        .setAccelerators(announcement.accelerators())
         .build();
   }
 
@@ -49,19 +46,16 @@
     try {
       return new Announcement(
           message.getVm(),
-          message.getVmIncarnation(),
           message.getProcessIncarnation(),
           message.getZone(),
           message.getRack(),
           message.getAddress(),
+          message.getOperatorsAddress(),
           message.getService(),
           message.getSlots(),
           message.getLeaving(),
           load(message.getReport()),
-          message.getConfigurationRevision(),
-          message.getMilliProcessors(),
-          message.getMemoryBytes(),
-          message.getAccelerators());
+          message.getConfigurationRevision());
     } catch (IllegalArgumentException e) {
       throw new BrokenFrameException("announcement: " + e.getMessage());
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
@@ -99,7 +99,8 @@
       unanswered = true;
       unansweredSince = loop.now();
     }
-    channel.writeAndFlush(frame, channel.voidPromise());
+    Frame stamped = frame.toBuilder().setStamp(loop.hybridClock().now()).build();
+    channel.writeAndFlush(stamped, channel.voidPromise());
   }
 
   void dropStreams() {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkHandler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkHandler.java
@@ -31,6 +31,9 @@
       return;
     }
     connection.touched(loop.now());
+    if (frame.getStamp() != 0) {
+      loop.hybridClock().observe(frame.getStamp());
+    }
     listener.received(connection, frame);
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -3,6 +3,8 @@
 import static java.util.Objects.requireNonNull;
 
 import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.time.WallClock;
+import io.marigoldsail.timeline.HybridClock;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -33,6 +35,7 @@
   private static final int ACCEPT_BACKLOG = 128;
 
   private final MonotonicClock clock;
+  private final HybridClock hybridClock;
   private final EventLoopGroup group;
   private final EventLoop loop;
 
@@ -43,7 +46,19 @@
    * @param clock the process's monotonic clock
    */
   public LinkLoop(String name, MonotonicClock clock) {
+    this(name, clock, new HybridClock(WallClock.system()));
+  }
+
+  /**
+   * Starts the thread.
+   *
+   * @param name the thread's name
+   * @param clock the process's monotonic clock
+   * @param hybridClock stamps every frame that is sent and observes every one that is read
+   */
+  public LinkLoop(String name, MonotonicClock clock, HybridClock hybridClock) {
     this.clock = requireNonNull(clock, "clock");
+    this.hybridClock = requireNonNull(hybridClock, "hybridClock");
     this.group =
         new MultiThreadIoEventLoopGroup(
             1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
@@ -55,6 +70,11 @@
     return clock.nanos();
   }
 
+  /** Returns the clock that stamps frames. */
+  HybridClock hybridClock() {
+    return hybridClock;
+  }
+
   /** Runs the task on the loop: at once where the caller is on it, else soon. */
   public void run(Runnable task) {
     if (loop.inEventLoop()) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideUnderTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideUnderTest.java
@@ -76,18 +76,15 @@
   private Announcement announcement() {
     return new Announcement(
         vm,
-        1,
         incarnation,
         "suva",
         "suva-r1",
         address,
+        "",
         "parking",
         SLOTS,
         dispatcher.isLeaving(),
         dispatcher.load(),
-        0,
-        16_000,
-        60L << 30,
         0);
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Announce.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Announce.java
@@ -98,17 +98,6 @@
     }
   }
 
-  public static final int VM_INCARNATION_FIELD_NUMBER = 2;
-  private long vmIncarnation_ = 0L;
-  /**
-   * <code>uint64 vm_incarnation = 2;</code>
-   * @return The vmIncarnation.
-   */
-  @java.lang.Override
-  public long getVmIncarnation() {
-    return vmIncarnation_;
-  }
-
   public static final int PROCESS_INCARNATION_FIELD_NUMBER = 3;
   private long processIncarnation_ = 0L;
   /**
@@ -354,39 +343,6 @@
     return configurationRevision_;
   }
 
-  public static final int MILLI_PROCESSORS_FIELD_NUMBER = 13;
-  private int milliProcessors_ = 0;
-  /**
-   * <code>uint32 milli_processors = 13;</code>
-   * @return The milliProcessors.
-   */
-  @java.lang.Override
-  public int getMilliProcessors() {
-    return milliProcessors_;
-  }
-
-  public static final int MEMORY_BYTES_FIELD_NUMBER = 14;
-  private long memoryBytes_ = 0L;
-  /**
-   * <code>uint64 memory_bytes = 14;</code>
-   * @return The memoryBytes.
-   */
-  @java.lang.Override
-  public long getMemoryBytes() {
-    return memoryBytes_;
-  }
-
-  public static final int ACCELERATORS_FIELD_NUMBER = 15;
-  private int accelerators_ = 0;
-  /**
-   * <code>uint32 accelerators = 15;</code>
-   * @return The accelerators.
-   */
-  @java.lang.Override
-  public int getAccelerators() {
-    return accelerators_;
-  }
-
   public static final int OPERATORS_ADDRESS_FIELD_NUMBER = 16;
   @SuppressWarnings("serial")
   private volatile java.lang.Object operatorsAddress_ = "";
@@ -451,9 +407,6 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, vm_);
     }
-    if (vmIncarnation_ != 0L) {
-      output.writeUInt64(2, vmIncarnation_);
-    }
     if (processIncarnation_ != 0L) {
       output.writeUInt64(3, processIncarnation_);
     }
@@ -484,15 +437,6 @@
     if (configurationRevision_ != 0L) {
       output.writeUInt64(12, configurationRevision_);
     }
-    if (milliProcessors_ != 0) {
-      output.writeUInt32(13, milliProcessors_);
-    }
-    if (memoryBytes_ != 0L) {
-      output.writeUInt64(14, memoryBytes_);
-    }
-    if (accelerators_ != 0) {
-      output.writeUInt32(15, accelerators_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operatorsAddress_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 16, operatorsAddress_);
     }
@@ -503,10 +447,6 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, vm_);
     }
-    if (vmIncarnation_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, vmIncarnation_);
-    }
     if (processIncarnation_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, processIncarnation_);
@@ -543,18 +483,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(12, configurationRevision_);
     }
-    if (milliProcessors_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(13, milliProcessors_);
-    }
-    if (memoryBytes_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(14, memoryBytes_);
-    }
-    if (accelerators_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(15, accelerators_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operatorsAddress_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(16, operatorsAddress_);
     }
@@ -584,8 +512,6 @@
 
     if (!getVm()
         .equals(other.getVm())) return false;
-    if (getVmIncarnation()
-        != other.getVmIncarnation()) return false;
     if (getProcessIncarnation()
         != other.getProcessIncarnation()) return false;
     if (!getZone()
@@ -609,12 +535,6 @@
     }
     if (getConfigurationRevision()
         != other.getConfigurationRevision()) return false;
-    if (getMilliProcessors()
-        != other.getMilliProcessors()) return false;
-    if (getMemoryBytes()
-        != other.getMemoryBytes()) return false;
-    if (getAccelerators()
-        != other.getAccelerators()) return false;
     if (!getOperatorsAddress()
         .equals(other.getOperatorsAddress())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -630,9 +550,6 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + VM_FIELD_NUMBER;
     hash = (53 * hash) + getVm().hashCode();
-    hash = (37 * hash) + VM_INCARNATION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getVmIncarnation());
     hash = (37 * hash) + PROCESS_INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getProcessIncarnation());
@@ -658,13 +575,6 @@
     hash = (37 * hash) + CONFIGURATION_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigurationRevision());
-    hash = (37 * hash) + MILLI_PROCESSORS_FIELD_NUMBER;
-    hash = (53 * hash) + getMilliProcessors();
-    hash = (37 * hash) + MEMORY_BYTES_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getMemoryBytes());
-    hash = (37 * hash) + ACCELERATORS_FIELD_NUMBER;
-    hash = (53 * hash) + getAccelerators();
     hash = (37 * hash) + OPERATORS_ADDRESS_FIELD_NUMBER;
     hash = (53 * hash) + getOperatorsAddress().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
@@ -809,7 +719,6 @@
       super.clear();
       bitField0_ = 0;
       vm_ = "";
-      vmIncarnation_ = 0L;
       processIncarnation_ = 0L;
       zone_ = "";
       rack_ = "";
@@ -824,9 +733,6 @@
         reportBuilder_ = null;
       }
       configurationRevision_ = 0L;
-      milliProcessors_ = 0;
-      memoryBytes_ = 0L;
-      accelerators_ = 0;
       operatorsAddress_ = "";
       return this;
     }
@@ -865,52 +771,40 @@
         result.vm_ = vm_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.vmIncarnation_ = vmIncarnation_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
         result.processIncarnation_ = processIncarnation_;
       }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
+      if (((from_bitField0_ & 0x00000004) != 0)) {
         result.zone_ = zone_;
       }
-      if (((from_bitField0_ & 0x00000010) != 0)) {
+      if (((from_bitField0_ & 0x00000008) != 0)) {
         result.rack_ = rack_;
       }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
+      if (((from_bitField0_ & 0x00000010) != 0)) {
         result.address_ = address_;
       }
-      if (((from_bitField0_ & 0x00000040) != 0)) {
+      if (((from_bitField0_ & 0x00000020) != 0)) {
         result.service_ = service_;
       }
-      if (((from_bitField0_ & 0x00000080) != 0)) {
+      if (((from_bitField0_ & 0x00000040) != 0)) {
         result.slots_ = slots_;
       }
-      if (((from_bitField0_ & 0x00000100) != 0)) {
+      if (((from_bitField0_ & 0x00000080) != 0)) {
         result.connections_ = connections_;
       }
-      if (((from_bitField0_ & 0x00000200) != 0)) {
+      if (((from_bitField0_ & 0x00000100) != 0)) {
         result.leaving_ = leaving_;
       }
       int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000400) != 0)) {
+      if (((from_bitField0_ & 0x00000200) != 0)) {
         result.report_ = reportBuilder_ == null
             ? report_
             : reportBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
+      if (((from_bitField0_ & 0x00000400) != 0)) {
         result.configurationRevision_ = configurationRevision_;
       }
-      if (((from_bitField0_ & 0x00001000) != 0)) {
-        result.milliProcessors_ = milliProcessors_;
-      }
-      if (((from_bitField0_ & 0x00002000) != 0)) {
-        result.memoryBytes_ = memoryBytes_;
-      }
-      if (((from_bitField0_ & 0x00004000) != 0)) {
-        result.accelerators_ = accelerators_;
-      }
-      if (((from_bitField0_ & 0x00008000) != 0)) {
+      if (((from_bitField0_ & 0x00000800) != 0)) {
         result.operatorsAddress_ = operatorsAddress_;
       }
       result.bitField0_ |= to_bitField0_;
@@ -933,30 +827,27 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (other.getVmIncarnation() != 0L) {
-        setVmIncarnation(other.getVmIncarnation());
-      }
       if (other.getProcessIncarnation() != 0L) {
         setProcessIncarnation(other.getProcessIncarnation());
       }
       if (!other.getZone().isEmpty()) {
         zone_ = other.zone_;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000004;
         onChanged();
       }
       if (!other.getRack().isEmpty()) {
         rack_ = other.rack_;
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000008;
         onChanged();
       }
       if (!other.getAddress().isEmpty()) {
         address_ = other.address_;
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000010;
         onChanged();
       }
       if (!other.getService().isEmpty()) {
         service_ = other.service_;
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
         onChanged();
       }
       if (other.getSlots() != 0) {
@@ -974,18 +865,9 @@
       if (other.getConfigurationRevision() != 0L) {
         setConfigurationRevision(other.getConfigurationRevision());
       }
-      if (other.getMilliProcessors() != 0) {
-        setMilliProcessors(other.getMilliProcessors());
-      }
-      if (other.getMemoryBytes() != 0L) {
-        setMemoryBytes(other.getMemoryBytes());
-      }
-      if (other.getAccelerators() != 0) {
-        setAccelerators(other.getAccelerators());
-      }
       if (!other.getOperatorsAddress().isEmpty()) {
         operatorsAddress_ = other.operatorsAddress_;
-        bitField0_ |= 0x00008000;
+        bitField0_ |= 0x00000800;
         onChanged();
       }
       this.mergeUnknownFields(other.getUnknownFields());
@@ -1017,81 +899,61 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 16: {
-              vmIncarnation_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
             case 24: {
               processIncarnation_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
+              bitField0_ |= 0x00000002;
               break;
             } // case 24
             case 34: {
               zone_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000008;
+              bitField0_ |= 0x00000004;
               break;
             } // case 34
             case 42: {
               rack_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000010;
+              bitField0_ |= 0x00000008;
               break;
             } // case 42
             case 50: {
               address_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000020;
+              bitField0_ |= 0x00000010;
               break;
             } // case 50
             case 58: {
               service_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000040;
+              bitField0_ |= 0x00000020;
               break;
             } // case 58
             case 64: {
               slots_ = input.readUInt32();
-              bitField0_ |= 0x00000080;
+              bitField0_ |= 0x00000040;
               break;
             } // case 64
             case 72: {
               connections_ = input.readUInt32();
-              bitField0_ |= 0x00000100;
+              bitField0_ |= 0x00000080;
               break;
             } // case 72
             case 80: {
               leaving_ = input.readBool();
-              bitField0_ |= 0x00000200;
+              bitField0_ |= 0x00000100;
               break;
             } // case 80
             case 90: {
               input.readMessage(
                   internalGetReportFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00000400;
+              bitField0_ |= 0x00000200;
               break;
             } // case 90
             case 96: {
               configurationRevision_ = input.readUInt64();
-              bitField0_ |= 0x00000800;
+              bitField0_ |= 0x00000400;
               break;
             } // case 96
-            case 104: {
-              milliProcessors_ = input.readUInt32();
-              bitField0_ |= 0x00001000;
-              break;
-            } // case 104
-            case 112: {
-              memoryBytes_ = input.readUInt64();
-              bitField0_ |= 0x00002000;
-              break;
-            } // case 112
-            case 120: {
-              accelerators_ = input.readUInt32();
-              bitField0_ |= 0x00004000;
-              break;
-            } // case 120
             case 130: {
               operatorsAddress_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00008000;
+              bitField0_ |= 0x00000800;
               break;
             } // case 130
             default: {
@@ -1183,38 +1045,6 @@
       return this;
     }
 
-    private long vmIncarnation_ ;
-    /**
-     * <code>uint64 vm_incarnation = 2;</code>
-     * @return The vmIncarnation.
-     */
-    @java.lang.Override
-    public long getVmIncarnation() {
-      return vmIncarnation_;
-    }
-    /**
-     * <code>uint64 vm_incarnation = 2;</code>
-     * @param value The vmIncarnation to set.
-     * @return This builder for chaining.
-     */
-    public Builder setVmIncarnation(long value) {
-
-      vmIncarnation_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint64 vm_incarnation = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearVmIncarnation() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      vmIncarnation_ = 0L;
-      onChanged();
-      return this;
-    }
-
     private long processIncarnation_ ;
     /**
      * <code>uint64 process_incarnation = 3;</code>
@@ -1232,7 +1062,7 @@
     public Builder setProcessIncarnation(long value) {
 
       processIncarnation_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
@@ -1241,7 +1071,7 @@
      * @return This builder for chaining.
      */
     public Builder clearProcessIncarnation() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000002);
       processIncarnation_ = 0L;
       onChanged();
       return this;
@@ -1290,7 +1120,7 @@
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       zone_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
@@ -1300,7 +1130,7 @@
      */
     public Builder clearZone() {
       zone_ = getDefaultInstance().getZone();
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000004);
       onChanged();
       return this;
     }
@@ -1314,7 +1144,7 @@
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       zone_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
@@ -1362,7 +1192,7 @@
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       rack_ = value;
-      bitField0_ |= 0x00000010;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
@@ -1372,7 +1202,7 @@
      */
     public Builder clearRack() {
       rack_ = getDefaultInstance().getRack();
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000008);
       onChanged();
       return this;
     }
@@ -1386,7 +1216,7 @@
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       rack_ = value;
-      bitField0_ |= 0x00000010;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
@@ -1446,7 +1276,7 @@
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       address_ = value;
-      bitField0_ |= 0x00000020;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
@@ -1460,7 +1290,7 @@
      */
     public Builder clearAddress() {
       address_ = getDefaultInstance().getAddress();
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000010);
       onChanged();
       return this;
     }
@@ -1478,7 +1308,7 @@
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       address_ = value;
-      bitField0_ |= 0x00000020;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
@@ -1526,7 +1356,7 @@
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       service_ = value;
-      bitField0_ |= 0x00000040;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
@@ -1536,7 +1366,7 @@
      */
     public Builder clearService() {
       service_ = getDefaultInstance().getService();
-      bitField0_ = (bitField0_ & ~0x00000040);
+      bitField0_ = (bitField0_ & ~0x00000020);
       onChanged();
       return this;
     }
@@ -1550,7 +1380,7 @@
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       service_ = value;
-      bitField0_ |= 0x00000040;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
@@ -1572,7 +1402,7 @@
     public Builder setSlots(int value) {
 
       slots_ = value;
-      bitField0_ |= 0x00000080;
+      bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
@@ -1581,7 +1411,7 @@
      * @return This builder for chaining.
      */
     public Builder clearSlots() {
-      bitField0_ = (bitField0_ & ~0x00000080);
+      bitField0_ = (bitField0_ & ~0x00000040);
       slots_ = 0;
       onChanged();
       return this;
@@ -1604,7 +1434,7 @@
     public Builder setConnections(int value) {
 
       connections_ = value;
-      bitField0_ |= 0x00000100;
+      bitField0_ |= 0x00000080;
       onChanged();
       return this;
     }
@@ -1613,7 +1443,7 @@
      * @return This builder for chaining.
      */
     public Builder clearConnections() {
-      bitField0_ = (bitField0_ & ~0x00000100);
+      bitField0_ = (bitField0_ & ~0x00000080);
       connections_ = 0;
       onChanged();
       return this;
@@ -1636,7 +1466,7 @@
     public Builder setLeaving(boolean value) {
 
       leaving_ = value;
-      bitField0_ |= 0x00000200;
+      bitField0_ |= 0x00000100;
       onChanged();
       return this;
     }
@@ -1645,7 +1475,7 @@
      * @return This builder for chaining.
      */
     public Builder clearLeaving() {
-      bitField0_ = (bitField0_ & ~0x00000200);
+      bitField0_ = (bitField0_ & ~0x00000100);
       leaving_ = false;
       onChanged();
       return this;
@@ -1659,7 +1489,7 @@
      * @return Whether the report field is set.
      */
     public boolean hasReport() {
-      return ((bitField0_ & 0x00000400) != 0);
+      return ((bitField0_ & 0x00000200) != 0);
     }
     /**
      * <code>.marigoldsail.TargetReport report = 11;</code>
@@ -1682,7 +1512,7 @@
       } else {
         reportBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00000400;
+      bitField0_ |= 0x00000200;
       onChanged();
       return this;
     }
@@ -1696,7 +1526,7 @@
       } else {
         reportBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00000400;
+      bitField0_ |= 0x00000200;
       onChanged();
       return this;
     }
@@ -1705,7 +1535,7 @@
      */
     public Builder mergeReport(io.marigoldsail.protocol.TargetReport value) {
       if (reportBuilder_ == null) {
-        if (((bitField0_ & 0x00000400) != 0) &&
+        if (((bitField0_ & 0x00000200) != 0) &&
           report_ != null &&
           report_ != io.marigoldsail.protocol.TargetReport.getDefaultInstance()) {
           getReportBuilder().mergeFrom(value);
@@ -1716,7 +1546,7 @@
         reportBuilder_.mergeFrom(value);
       }
       if (report_ != null) {
-        bitField0_ |= 0x00000400;
+        bitField0_ |= 0x00000200;
         onChanged();
       }
       return this;
@@ -1725,7 +1555,7 @@
      * <code>.marigoldsail.TargetReport report = 11;</code>
      */
     public Builder clearReport() {
-      bitField0_ = (bitField0_ & ~0x00000400);
+      bitField0_ = (bitField0_ & ~0x00000200);
       report_ = null;
       if (reportBuilder_ != null) {
         reportBuilder_.dispose();
@@ -1738,7 +1568,7 @@
      * <code>.marigoldsail.TargetReport report = 11;</code>
      */
     public io.marigoldsail.protocol.TargetReport.Builder getReportBuilder() {
-      bitField0_ |= 0x00000400;
+      bitField0_ |= 0x00000200;
       onChanged();
       return internalGetReportFieldBuilder().getBuilder();
     }
@@ -1787,7 +1617,7 @@
     public Builder setConfigurationRevision(long value) {
 
       configurationRevision_ = value;
-      bitField0_ |= 0x00000800;
+      bitField0_ |= 0x00000400;
       onChanged();
       return this;
     }
@@ -1796,108 +1626,12 @@
      * @return This builder for chaining.
      */
     public Builder clearConfigurationRevision() {
-      bitField0_ = (bitField0_ & ~0x00000800);
+      bitField0_ = (bitField0_ & ~0x00000400);
       configurationRevision_ = 0L;
       onChanged();
       return this;
     }
 
-    private int milliProcessors_ ;
-    /**
-     * <code>uint32 milli_processors = 13;</code>
-     * @return The milliProcessors.
-     */
-    @java.lang.Override
-    public int getMilliProcessors() {
-      return milliProcessors_;
-    }
-    /**
-     * <code>uint32 milli_processors = 13;</code>
-     * @param value The milliProcessors to set.
-     * @return This builder for chaining.
-     */
-    public Builder setMilliProcessors(int value) {
-
-      milliProcessors_ = value;
-      bitField0_ |= 0x00001000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint32 milli_processors = 13;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearMilliProcessors() {
-      bitField0_ = (bitField0_ & ~0x00001000);
-      milliProcessors_ = 0;
-      onChanged();
-      return this;
-    }
-
-    private long memoryBytes_ ;
-    /**
-     * <code>uint64 memory_bytes = 14;</code>
-     * @return The memoryBytes.
-     */
-    @java.lang.Override
-    public long getMemoryBytes() {
-      return memoryBytes_;
-    }
-    /**
-     * <code>uint64 memory_bytes = 14;</code>
-     * @param value The memoryBytes to set.
-     * @return This builder for chaining.
-     */
-    public Builder setMemoryBytes(long value) {
-
-      memoryBytes_ = value;
-      bitField0_ |= 0x00002000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint64 memory_bytes = 14;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearMemoryBytes() {
-      bitField0_ = (bitField0_ & ~0x00002000);
-      memoryBytes_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private int accelerators_ ;
-    /**
-     * <code>uint32 accelerators = 15;</code>
-     * @return The accelerators.
-     */
-    @java.lang.Override
-    public int getAccelerators() {
-      return accelerators_;
-    }
-    /**
-     * <code>uint32 accelerators = 15;</code>
-     * @param value The accelerators to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAccelerators(int value) {
-
-      accelerators_ = value;
-      bitField0_ |= 0x00004000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint32 accelerators = 15;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearAccelerators() {
-      bitField0_ = (bitField0_ & ~0x00004000);
-      accelerators_ = 0;
-      onChanged();
-      return this;
-    }
-
     private java.lang.Object operatorsAddress_ = "";
     /**
      * <pre>
@@ -1953,7 +1687,7 @@
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       operatorsAddress_ = value;
-      bitField0_ |= 0x00008000;
+      bitField0_ |= 0x00000800;
       onChanged();
       return this;
     }
@@ -1967,7 +1701,7 @@
      */
     public Builder clearOperatorsAddress() {
       operatorsAddress_ = getDefaultInstance().getOperatorsAddress();
-      bitField0_ = (bitField0_ & ~0x00008000);
+      bitField0_ = (bitField0_ & ~0x00000800);
       onChanged();
       return this;
     }
@@ -1985,7 +1719,7 @@
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       operatorsAddress_ = value;
-      bitField0_ |= 0x00008000;
+      bitField0_ |= 0x00000800;
       onChanged();
       return this;
     }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/AnnounceOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/AnnounceOrBuilder.java
@@ -22,12 +22,6 @@
   com.google.protobuf.ByteString
       getVmBytes();
 
-  /**
-   * <code>uint64 vm_incarnation = 2;</code>
-   * @return The vmIncarnation.
-   */
-  long getVmIncarnation();
-
   /**
    * <code>uint64 process_incarnation = 3;</code>
    * @return The processIncarnation.
@@ -129,24 +123,6 @@
    */
   long getConfigurationRevision();
 
-  /**
-   * <code>uint32 milli_processors = 13;</code>
-   * @return The milliProcessors.
-   */
-  int getMilliProcessors();
-
-  /**
-   * <code>uint64 memory_bytes = 14;</code>
-   * @return The memoryBytes.
-   */
-  long getMemoryBytes();
-
-  /**
-   * <code>uint32 accelerators = 15;</code>
-   * @return The accelerators.
-   */
-  int getAccelerators();
-
   /**
    * <pre>
    * Where operators reach this side process, host:port.
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
@@ -139,55 +139,53 @@
       "oldsail.CancelH\000\022)\n\004task\030\024 \001(\0132\031.marigol" +
       "dsail.TaskMessageH\000\022\r\n\005stamp\030\036 \001(\006B\006\n\004bo" +
       "dy\"8\n\tRequestId\022\031\n\021entry_incarnation\030\001 \001" +
-      "(\004\022\020\n\010sequence\030\002 \001(\004\"\353\002\n\010Announce\022\n\n\002vm\030" +
-      "\001 \001(\t\022\026\n\016vm_incarnation\030\002 \001(\004\022\033\n\023process" +
-      "_incarnation\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004rack" +
-      "\030\005 \001(\t\022\017\n\007address\030\006 \001(\t\022\017\n\007service\030\007 \001(\t" +
-      "\022\r\n\005slots\030\010 \001(\r\022\023\n\013connections\030\t \001(\r\022\017\n\007" +
-      "leaving\030\n \001(\010\022*\n\006report\030\013 \001(\0132\032.marigold" +
-      "sail.TargetReport\022\036\n\026configuration_revis" +
-      "ion\030\014 \001(\004\022\030\n\020milli_processors\030\r \001(\r\022\024\n\014m" +
-      "emory_bytes\030\016 \001(\004\022\024\n\014accelerators\030\017 \001(\r\022" +
-      "\031\n\021operators_address\030\020 \001(\t\"h\n\013AnnounceAc" +
-      "k\022\r\n\005entry\030\001 \001(\t\022\031\n\021entry_incarnation\030\002 " +
-      "\001(\004\022\036\n\026configuration_revision\030\003 \001(\004\022\017\n\007e" +
-      "ntries\030\004 \003(\t\"c\n\014TargetReport\022\r\n\005slots\030\001 " +
-      "\001(\r\022\021\n\tin_flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022" +
-      "\017\n\007leaving\030\004 \001(\010\022\017\n\007entries\030\005 \001(\r\"%\n\006Hea" +
-      "der\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\240\002\n\014Req" +
-      "uestStart\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Req" +
-      "uestId\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n\007" +
-      "headers\030\004 \003(\0132\024.marigoldsail.Header\022\030\n\020r" +
-      "emaining_millis\030\005 \001(\004\022\022\n\nidempotent\030\006 \001(" +
-      "\010\022\016\n\006caller\030\007 \001(\t\022\027\n\017idempotency_key\030\010 \001" +
-      "(\t\022\023\n\013body_length\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014\n" +
-      "\004last\030\013 \001(\010\022\r\n\005label\030\014 \001(\t\022\017\n\007sent_at\030\r " +
-      "\001(\020\"N\n\013RequestBody\022#\n\002id\030\001 \001(\0132\027.marigol" +
-      "dsail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 " +
-      "\001(\010\"\306\001\n\013AnswerStart\022#\n\002id\030\001 \001(\0132\027.marigo" +
-      "ldsail.RequestId\022\016\n\006status\030\002 \001(\r\022%\n\007head" +
-      "ers\030\003 \003(\0132\024.marigoldsail.Header\022\014\n\004data\030" +
-      "\004 \001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006report\030\006 \001(\0132\032.ma" +
-      "rigoldsail.TargetReport\022\023\n\013body_length\030\007" +
-      " \001(\004\"M\n\nAnswerBody\022#\n\002id\030\001 \001(\0132\027.marigol" +
-      "dsail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 " +
-      "\001(\010\"\231\001\n\006NotRun\022#\n\002id\030\001 \001(\0132\027.marigoldsai" +
-      "l.RequestId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detai" +
-      "l\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\004\022*\n\006r" +
-      "eport\030\005 \001(\0132\032.marigoldsail.TargetReport\"" +
-      "}\n\006Failed\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Req" +
-      "uestId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001" +
-      "(\t\022*\n\006report\030\004 \001(\0132\032.marigoldsail.Target" +
-      "Report\"K\n\007Resolve\022#\n\002id\030\001 \001(\0132\027.marigold" +
-      "sail.RequestId\022\033\n\023process_incarnation\030\002 " +
-      "\001(\004\"\251\001\n\nResolution\022#\n\002id\030\001 \001(\0132\027.marigol" +
-      "dsail.RequestId\022-\n\005state\030\002 \001(\0162\036.marigol" +
-      "dsail.Resolution.State\"G\n\005State\022\025\n\021STATE" +
-      "_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002" +
-      "\022\r\n\tFORGOTTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027." +
-      "marigoldsail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030" +
-      "\001 \001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\004B\034\n\030io.marig" +
-      "oldsail.protocolP\001b\006proto3"
+      "(\004\022\020\n\010sequence\030\002 \001(\004\"\215\002\n\010Announce\022\n\n\002vm\030" +
+      "\001 \001(\t\022\033\n\023process_incarnation\030\003 \001(\004\022\014\n\004zo" +
+      "ne\030\004 \001(\t\022\014\n\004rack\030\005 \001(\t\022\017\n\007address\030\006 \001(\t\022" +
+      "\017\n\007service\030\007 \001(\t\022\r\n\005slots\030\010 \001(\r\022\023\n\013conne" +
+      "ctions\030\t \001(\r\022\017\n\007leaving\030\n \001(\010\022*\n\006report\030" +
+      "\013 \001(\0132\032.marigoldsail.TargetReport\022\036\n\026con" +
+      "figuration_revision\030\014 \001(\004\022\031\n\021operators_a" +
+      "ddress\030\020 \001(\t\"h\n\013AnnounceAck\022\r\n\005entry\030\001 \001" +
+      "(\t\022\031\n\021entry_incarnation\030\002 \001(\004\022\036\n\026configu" +
+      "ration_revision\030\003 \001(\004\022\017\n\007entries\030\004 \003(\t\"c" +
+      "\n\014TargetReport\022\r\n\005slots\030\001 \001(\r\022\021\n\tin_flig" +
+      "ht\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\017\n\007leaving\030\004 \001" +
+      "(\010\022\017\n\007entries\030\005 \001(\r\"%\n\006Header\022\014\n\004name\030\001 " +
+      "\001(\t\022\r\n\005value\030\002 \001(\t\"\240\002\n\014RequestStart\022#\n\002i" +
+      "d\030\001 \001(\0132\027.marigoldsail.RequestId\022\016\n\006meth" +
+      "od\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n\007headers\030\004 \003(\0132" +
+      "\024.marigoldsail.Header\022\030\n\020remaining_milli" +
+      "s\030\005 \001(\004\022\022\n\nidempotent\030\006 \001(\010\022\016\n\006caller\030\007 " +
+      "\001(\t\022\027\n\017idempotency_key\030\010 \001(\t\022\023\n\013body_len" +
+      "gth\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014\n\004last\030\013 \001(\010\022\r\n" +
+      "\005label\030\014 \001(\t\022\017\n\007sent_at\030\r \001(\020\"N\n\013Request" +
+      "Body\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestI" +
+      "d\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\306\001\n\013Answer" +
+      "Start\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Request" +
+      "Id\022\016\n\006status\030\002 \001(\r\022%\n\007headers\030\003 \003(\0132\024.ma" +
+      "rigoldsail.Header\022\014\n\004data\030\004 \001(\014\022\014\n\004last\030" +
+      "\005 \001(\010\022*\n\006report\030\006 \001(\0132\032.marigoldsail.Tar" +
+      "getReport\022\023\n\013body_length\030\007 \001(\004\"M\n\nAnswer" +
+      "Body\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestI" +
+      "d\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\231\001\n\006NotRun" +
+      "\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n" +
+      "\nerror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\032\n\022ret" +
+      "ry_after_millis\030\004 \001(\004\022*\n\006report\030\005 \001(\0132\032." +
+      "marigoldsail.TargetReport\"}\n\006Failed\022#\n\002i" +
+      "d\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n\nerro" +
+      "r_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022*\n\006report\030\004" +
+      " \001(\0132\032.marigoldsail.TargetReport\"K\n\007Reso" +
+      "lve\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId" +
+      "\022\033\n\023process_incarnation\030\002 \001(\004\"\251\001\n\nResolu" +
+      "tion\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestI" +
+      "d\022-\n\005state\030\002 \001(\0162\036.marigoldsail.Resoluti" +
+      "on.State\"G\n\005State\022\025\n\021STATE_UNSPECIFIED\020\000" +
+      "\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r\n\tFORGOTTEN\020" +
+      "\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.marigoldsail.R" +
+      "equestId\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\004\"\025\n\004Pong\022" +
+      "\r\n\005nonce\030\001 \001(\004B\034\n\030io.marigoldsail.protoc" +
+      "olP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -211,7 +209,7 @@
     internal_static_marigoldsail_Announce_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Announce_descriptor,
-        new java.lang.String[] { "Vm", "VmIncarnation", "ProcessIncarnation", "Zone", "Rack", "Address", "Service", "Slots", "Connections", "Leaving", "Report", "ConfigurationRevision", "MilliProcessors", "MemoryBytes", "Accelerators", "OperatorsAddress", });
+        new java.lang.String[] { "Vm", "ProcessIncarnation", "Zone", "Rack", "Address", "Service", "Slots", "Connections", "Leaving", "Report", "ConfigurationRevision", "OperatorsAddress", });
     internal_static_marigoldsail_AnnounceAck_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_marigoldsail_AnnounceAck_fieldAccessorTable = new
