Hold the fold of tasks against interleavings of three stale entries

The property found a fault: a late or doubled record of an old boot's joining displaced the new boot under the same VM name, whose tasks then lost their leases.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
@@ -46,6 +46,7 @@
   private final Map<Long, TreeSet<String>> tasksByRegistration = new HashMap<>();
   private final Map<String, EntryState> entries = new TreeMap<>();
   private final Map<String, Sizes> bookedByTeam = new HashMap<>();
+  private final DisplacedBoots displaced = new DisplacedBoots();
   private int endedTasks;
   private long applied = -1;
 
@@ -176,7 +177,7 @@
     jobs.values().forEach(job -> kept.add(TaskTableSnapshot.Job.of(job)));
     endedJobs.values().forEach(job -> kept.add(TaskTableSnapshot.Job.of(job)));
     return new TaskTableSnapshot(
-        applied, kept, List.copyOf(vms.values()), List.copyOf(entries.values()));
+        applied, kept, List.copyOf(vms.values()), List.copyOf(entries.values()), displaced.byVm());
   }
 
   /**
@@ -195,6 +196,7 @@
     tasksByRegistration.clear();
     entries.clear();
     bookedByTeam.clear();
+    displaced.replace(snapshot.displaced());
     endedTasks = 0;
     applied = snapshot.applied();
     for (VmState vm : snapshot.vms()) {
@@ -270,7 +272,7 @@
       // Either two entries saw it join, or it is revoked and its leases are not surely over.
       return false;
     }
-    if (isBeingCleared(vm)) {
+    if (isBeingCleared(vm) || displaced.contains(vm.vm(), vm.bootIncarnation())) {
       return false;
     }
     vms.put(position, new VmState(vm, position, false, Sizes.NONE, 0));
@@ -278,6 +280,7 @@
     if (current != null) {
       // A new boot under the same name: nothing new goes to the old one, but what it held stays
       // held until its leases are over, because the name alone does not prove that it is gone.
+      displaced.add(vm.vm(), current.description().bootIncarnation());
       revoke(vm.vm(), current.registration());
     }
     return true;
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTableSnapshot.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTableSnapshot.java
@@ -4,9 +4,11 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableMap;
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.error.Result;
 import java.util.List;
+import java.util.Map;
 
 /**
  * A {@link TaskTable} at one position.
@@ -17,9 +19,14 @@
  * @param jobs the jobs, those under way before those that ended
  * @param vms every registration
  * @param entries the entries
+ * @param displaced boots that a later boot of the same VM has displaced, oldest first
  */
 public record TaskTableSnapshot(
-    long applied, List<Job> jobs, List<VmState> vms, List<EntryState> entries) {
+    long applied,
+    List<Job> jobs,
+    List<VmState> vms,
+    List<EntryState> entries,
+    Map<String, List<Long>> displaced) {
   /**
    * One job with what became of its tasks.
    *
@@ -62,6 +69,7 @@
     jobs = List.copyOf(jobs);
     vms = List.copyOf(vms);
     entries = List.copyOf(entries);
+    displaced = ImmutableMap.copyOf(displaced);
   }
 
   /** Returns this as JSON. */
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/job/StaleEntriesModel.java
@@ -0,0 +1,302 @@
+package io.marigoldsail.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Three entries on stale views of one log, and the VMs that run what the log accepted: every action
+ * is a possible step of real processes, in any order. What must hold is checked at each of them.
+ */
+final class StaleEntriesModel {
+  private static final int ENTRIES = 3;
+  private static final int VMS = 3;
+  private static final Sizes ROOM = new Sizes(4_000, 4_000, 1);
+
+  private record Running(String vm, long registration, long token, int progress) {}
+
+  private final Random random;
+  private final List<TaskRecord> log = new ArrayList<>();
+  private final TaskTable truth = new TaskTable();
+  private final TaskTable[] views = new TaskTable[ENTRIES];
+  private final int[] applied = new int[ENTRIES];
+  private final Map<String, Running> running = new HashMap<>();
+  private final Set<Long> startedTokens = new HashSet<>();
+  private final Map<String, Integer> lastCheckpoint = new HashMap<>();
+  private final List<TaskRecord> unsent = new ArrayList<>();
+  private int boots;
+  private int jobs;
+
+  StaleEntriesModel(long seed) {
+    random = new Random(seed);
+    for (int entry = 0; entry < ENTRIES; entry++) {
+      views[entry] = new TaskTable();
+    }
+    for (int vm = 0; vm < VMS; vm++) {
+      join("vm-" + vm, ROOM);
+    }
+    accept();
+  }
+
+  /** Takes the step that the number stands for. */
+  void act(int choice) {
+    switch (choice % 12) {
+      case 0, 1, 2 -> claim(random.nextInt(ENTRIES));
+      case 3, 4 -> follow(random.nextInt(ENTRIES), 1 + random.nextInt(6));
+      case 5, 6 -> start(random.nextInt(ENTRIES));
+      case 7 -> evict();
+      case 8 -> end();
+      case 9 -> sendLate();
+      case 10 -> repeatARecord();
+      default -> rarely();
+    }
+    check();
+  }
+
+  /** Lets everything settle with no further faults; every task must end. */
+  void settle() {
+    for (int round = 0; round < 400 && !truth.jobs().isEmpty(); round++) {
+      for (int entry = 0; entry < ENTRIES; entry++) {
+        follow(entry, log.size());
+      }
+      claim(round % ENTRIES);
+      follow(round % ENTRIES, log.size());
+      start(round % ENTRIES);
+      end();
+      clearRevoked();
+      while (!unsent.isEmpty()) {
+        sendLate();
+      }
+      check();
+    }
+    assertEquals(List.of(), truth.jobs());
+    assertTrue(running.isEmpty(), () -> "still running: " + running);
+  }
+
+  /** All views at one position are one state, and a snapshot carries all of it. */
+  void checkDeterminism() {
+    for (int entry = 0; entry < ENTRIES; entry++) {
+      TaskTable restored = new TaskTable();
+      restored.restore(TaskTableSnapshot.fromJson(views[entry].snapshot().toJson()).value());
+      for (int at = applied[entry]; at < log.size(); at++) {
+        restored.apply(at, log.get(at));
+      }
+      assertEquals(truth.snapshot().toJson(), restored.snapshot().toJson());
+    }
+  }
+
+  private void append(TaskRecord record) {
+    truth.apply(log.size(), record);
+    log.add(record);
+  }
+
+  private void accept() {
+    jobs++;
+    JobSpec spec =
+        new JobSpec(
+            "job-" + jobs,
+            "team-" + jobs % 2,
+            TaskClass.BATCH,
+            4,
+            new Sizes(1_500, 1_000, 0),
+            "run",
+            1_000,
+            false,
+            0,
+            true,
+            100,
+            Spread.NONE);
+    append(new TaskRecord.JobAccepted(spec, jobs));
+  }
+
+  private void join(String vm, Sizes capacity) {
+    boots++;
+    append(new TaskRecord.VmJoined(new VmDescription(vm, boots, capacity, "zone", "rack")));
+  }
+
+  private void follow(int entry, int records) {
+    for (int i = 0; i < records && applied[entry] < log.size(); i++) {
+      views[entry].apply(applied[entry], log.get(applied[entry]));
+      applied[entry]++;
+    }
+  }
+
+  /** An entry claims what its own view lets it, which the log may know better. */
+  private void claim(int entry) {
+    for (JobState job : views[entry].jobs()) {
+      for (TaskState task : views[entry].waiting(job.spec().name(), 0, 4)) {
+        Optional<VmState> vm =
+            views[entry].vms().stream()
+                .filter(v -> !v.revoked() && job.spec().sizes().fitsIn(v.free()))
+                .findFirst();
+        if (vm.isPresent() && random.nextBoolean()) {
+          append(
+              new TaskRecord.Claimed(
+                  task.name(),
+                  task.attempt(),
+                  vm.get().vm(),
+                  vm.get().registration(),
+                  job.spec().sizes(),
+                  1_000,
+                  "entry-" + entry));
+          return;
+        }
+      }
+    }
+  }
+
+  /** A side process is told to start what an entry has read back as accepted. */
+  private void start(int entry) {
+    for (VmState vm : views[entry].vms()) {
+      for (TaskState task : views[entry].tasksOn(vm.registration())) {
+        boolean registered =
+            truth.vms().stream()
+                .anyMatch(v -> v.registration() == vm.registration() && !v.revoked());
+        if (registered && startedTokens.add(task.token())) {
+          startOnWorker(task);
+        }
+      }
+    }
+  }
+
+  private void startOnWorker(TaskState task) {
+    Running other = running.get(task.name());
+    assertNull(other, () -> task + " starts while it runs as " + other);
+    int resumes = task.checkpoint().isEmpty() ? 0 : Integer.parseInt(task.checkpoint());
+    assertEquals(lastCheckpoint.getOrDefault(task.name(), 0), resumes, () -> "resumes " + task);
+    running.put(
+        task.name(), new Running(task.vm(), task.registration(), task.token(), resumes + 1));
+  }
+
+  private void evict() {
+    any()
+        .ifPresent(
+            name -> {
+              Running attempt = running.remove(name);
+              lastCheckpoint.put(name, attempt.progress());
+              report(
+                  new TaskRecord.Released(
+                      name,
+                      attempt.token(),
+                      ReleaseCause.EVICTED,
+                      "" + attempt.progress(),
+                      "noisy"));
+            });
+  }
+
+  private void end() {
+    any()
+        .ifPresent(
+            name -> {
+              Running attempt = running.remove(name);
+              boolean success = random.nextInt(4) > 0;
+              lastCheckpoint.put(name, attempt.progress());
+              report(
+                  new TaskRecord.Ended(
+                      name, attempt.token(), success, "" + attempt.progress(), "ended"));
+            });
+  }
+
+  private Optional<String> any() {
+    return running.keySet().stream().sorted().findFirst();
+  }
+
+  /** Reports reach the log late, and some of them twice, through two entries. */
+  private void report(TaskRecord record) {
+    unsent.add(record);
+    if (random.nextInt(3) == 0) {
+      unsent.add(record);
+    }
+  }
+
+  private void sendLate() {
+    if (!unsent.isEmpty()) {
+      append(unsent.remove(random.nextInt(unsent.size())));
+    }
+  }
+
+  private void repeatARecord() {
+    append(log.get(random.nextInt(log.size())));
+  }
+
+  private void rarely() {
+    int choice = random.nextInt(4);
+    if (choice == 0 && jobs < 6) {
+      accept();
+    } else if (choice == 1) {
+      append(new TaskRecord.JobCancelled("job-" + (1 + random.nextInt(jobs)), "wave"));
+    } else if (choice == 2) {
+      replaceVm(true);
+    } else {
+      replaceVm(false);
+    }
+  }
+
+  /** A VM dies silently, or is replaced by one that is half as large. */
+  private void replaceVm(boolean smaller) {
+    List<VmState> present = truth.vms().stream().filter(vm -> !vm.revoked()).toList();
+    if (present.isEmpty()) {
+      return;
+    }
+    VmState vm = present.get(random.nextInt(present.size()));
+    append(new TaskRecord.VmRevoked(vm.vm(), vm.registration(), "silent"));
+    join(vm.vm(), smaller ? new Sizes(3_100, 2_000, 0) : ROOM);
+    clearRevoked();
+  }
+
+  private void clearRevoked() {
+    for (VmState vm : truth.vms()) {
+      if (vm.revoked()) {
+        // Its leases run out before anybody may write that they are over.
+        running.values().removeIf(attempt -> attempt.registration() == vm.registration());
+        append(new TaskRecord.VmCleared(vm.vm(), vm.registration(), 1_000));
+      }
+    }
+    forgetLostWork();
+  }
+
+  /** What ran on a lost VM resumes from the checkpoint that the log knows. */
+  private void forgetLostWork() {
+    for (JobState job : truth.jobs()) {
+      for (TaskState task : truth.tasksOf(job.spec().name())) {
+        if (task.phase() == TaskState.Phase.WAITING) {
+          int known = task.checkpoint().isEmpty() ? 0 : Integer.parseInt(task.checkpoint());
+          lastCheckpoint.put(task.name(), known);
+        }
+      }
+    }
+  }
+
+  private void check() {
+    Map<Long, Sizes> booked = new HashMap<>();
+    for (JobState job : truth.jobs()) {
+      for (TaskState task : truth.tasksOf(job.spec().name())) {
+        if (task.phase() == TaskState.Phase.CLAIMED) {
+          booked.merge(task.registration(), task.booked(), Sizes::plus);
+        }
+      }
+    }
+    for (VmState vm : truth.vms()) {
+      Sizes held = booked.getOrDefault(vm.registration(), Sizes.NONE);
+      assertEquals(held, vm.booked(), vm::toString);
+      assertTrue(held.fitsIn(vm.description().capacity()), vm::toString);
+    }
+    Map<Long, Sizes> run = new HashMap<>();
+    running.forEach(
+        (name, attempt) ->
+            run.merge(attempt.registration(), new Sizes(1_500, 1_000, 0), Sizes::plus));
+    for (VmState vm : truth.vms()) {
+      Sizes used = run.getOrDefault(vm.registration(), Sizes.NONE);
+      assertTrue(used.fitsIn(vm.description().capacity()), () -> vm + " runs " + used);
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskTableTest.java
@@ -0,0 +1,205 @@
+package io.marigoldsail.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class TaskTableTest {
+  private static final Sizes ROOM = new Sizes(2_000, 1_000, 0);
+  private static final Sizes HALF = new Sizes(1_000, 500, 0);
+
+  private long position = -1;
+  private final TaskTable table = new TaskTable();
+
+  private long apply(TaskRecord record) {
+    position++;
+    table.apply(position, record);
+    return position;
+  }
+
+  private long join(String vm, long boot) {
+    return apply(new TaskRecord.VmJoined(new VmDescription(vm, boot, ROOM, "zone", "rack")));
+  }
+
+  private void accept(int count, boolean idempotent) {
+    apply(
+        new TaskRecord.JobAccepted(
+            new JobSpec(
+                "payout",
+                "team",
+                TaskClass.BATCH,
+                count,
+                HALF,
+                "run",
+                1,
+                false,
+                0,
+                idempotent,
+                0,
+                Spread.NONE),
+            0));
+  }
+
+  private long claim(int index, int attempt, String vm, long registration) {
+    return apply(
+        new TaskRecord.Claimed(
+            "payout/" + index, attempt, vm, registration, HALF, 1_000, "entry-1"));
+  }
+
+  private TaskState task(int index) {
+    return table.task("payout/" + index).orElseThrow();
+  }
+
+  /**
+   * Three entries race on stale views while VMs die and are replaced by smaller ones, reports come
+   * late and doubled, and jobs are cancelled. At every step no VM holds more than it has, no task
+   * runs in two places, each attempt resumes once from the last checkpoint; in the end every task
+   * has ended and every reader has the same state.
+   */
+  @Property(tries = 400, seed = "4211")
+  void holdsUnderAnyInterleaving(
+      @ForAll long seed,
+      @ForAll @Size(max = 300) List<@IntRange(max = 1_000_000) Integer> choices) {
+    StaleEntriesModel model = new StaleEntriesModel(seed);
+    choices.forEach(model::act);
+    model.checkDeterminism();
+    model.settle();
+  }
+
+  /** Two entries claim the last room on one VM at once; the second claim in the log loses. */
+  @Test
+  void theFirstClaimInTheLogWins() {
+    long vm = join("vm-1", 1);
+    accept(3, true);
+    long first = claim(0, 1, "vm-1", vm);
+    claim(1, 1, "vm-1", vm);
+    claim(2, 1, "vm-1", vm);
+    claim(0, 1, "vm-1", vm);
+
+    assertTrue(task(0).holds(first));
+    assertEquals(TaskState.Phase.WAITING, task(2).phase());
+    assertEquals(ROOM, table.vm("vm-1").orElseThrow().booked());
+  }
+
+  /**
+   * An evicted task runs again elsewhere when its release is written a second time, late. Folding
+   * the second one would free the task while it runs, and let a third attempt start beside it.
+   */
+  @Test
+  void aLateReleaseOfAnOlderAttemptChangesNothing() {
+    long vm = join("vm-1", 1);
+    accept(1, true);
+    long first = claim(0, 1, "vm-1", vm);
+    TaskRecord release =
+        new TaskRecord.Released("payout/0", first, ReleaseCause.EVICTED, "c1", "noisy");
+    apply(release);
+    long second = claim(0, 2, "vm-1", vm);
+    apply(release);
+
+    assertTrue(task(0).holds(second));
+    assertEquals("c1", task(0).checkpoint());
+    assertEquals(1, task(0).evictions());
+  }
+
+  /** A revoked VM may not join again under the same boot before its leases are surely over. */
+  @Test
+  void aRevokedBootJoinsAgainOnlyAfterItIsCleared() {
+    long vm = join("vm-1", 1);
+    accept(1, true);
+    claim(0, 1, "vm-1", vm);
+    apply(new TaskRecord.VmRevoked("vm-1", vm, "silent"));
+    join("vm-1", 1);
+    assertTrue(table.vm("vm-1").isEmpty());
+
+    apply(new TaskRecord.VmCleared("vm-1", vm, 1_000));
+    long again = join("vm-1", 1);
+    assertEquals(again, table.vm("vm-1").orElseThrow().registration());
+    assertEquals(TaskState.Phase.WAITING, task(0).phase());
+  }
+
+  /**
+   * A record of an old boot's joining comes late, or twice. Found by {@link
+   * #holdsUnderAnyInterleaving}: it displaced the new boot, whose tasks lost their leases.
+   */
+  @Test
+  void anOldBootDoesNotDisplaceANewOne() {
+    join("vm-1", 1);
+    long vm = join("vm-1", 2);
+    join("vm-1", 1);
+
+    assertEquals(vm, table.vm("vm-1").orElseThrow().registration());
+  }
+
+  /** Leases that may still last are not cleared by the wait for shorter ones. */
+  @Test
+  void clearingShortLeasesLeavesLongOnes() {
+    long vm = join("vm-1", 1);
+    accept(1, true);
+    claim(0, 1, "vm-1", vm);
+    apply(new TaskRecord.VmRevoked("vm-1", vm, "silent"));
+    apply(new TaskRecord.VmCleared("vm-1", vm, 999));
+
+    assertEquals(TaskState.Phase.CLAIMED, task(0).phase());
+  }
+
+  /** A task that must not run twice ends, with the reason, when its VM is lost while it may run. */
+  @Test
+  void aTaskThatIsNotIdempotentIsNotRunAgain() {
+    long vm = join("vm-1", 1);
+    accept(1, false);
+    claim(0, 1, "vm-1", vm);
+    apply(new TaskRecord.VmRevoked("vm-1", vm, "silent"));
+    apply(new TaskRecord.VmCleared("vm-1", vm, 1_000));
+
+    assertEquals(TaskState.Phase.FAILED, task(0).phase());
+    assertTrue(task(0).detail().contains("must not run twice"));
+  }
+
+  @Test
+  void aSecondJobOfTheSameNameChangesNothing() {
+    accept(1, true);
+    accept(2, true);
+
+    assertEquals(1, table.job("payout").orElseThrow().spec().count());
+  }
+
+  @Test
+  void namesThatOnlyLookLikeTasksAreUnknown() {
+    accept(2, true);
+
+    for (String name : List.of("payout/2", "payout/00", "payout/", "payout", "payout/-1", "x/0")) {
+      assertTrue(table.task(name).isEmpty(), name);
+    }
+  }
+
+  @Test
+  void aSnapshotThatContradictsItselfChangesNothing() {
+    accept(1, true);
+    TaskState claimed =
+        TaskState.accepted("other/0")
+            .claimed(new TaskRecord.Claimed("other/0", 1, "vm-9", 7, HALF, 1_000, "entry-1"), 8);
+    JobSpec other =
+        new JobSpec(
+            "other", "team", TaskClass.BATCH, 1, HALF, "run", 1, false, 0, true, 0, Spread.NONE);
+    TaskTableSnapshot broken =
+        new TaskTableSnapshot(
+            9,
+            List.of(new TaskTableSnapshot.Job(other, 1, 0, "", List.of(claimed))),
+            List.of(),
+            List.of(),
+            Map.of());
+
+    assertThrows(IllegalArgumentException.class, () -> table.restore(broken));
+    assertTrue(table.job("payout").isPresent());
+    assertFalse(table.job("other").isPresent());
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/EntryTasksTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/EntryTasksTest.java
@@ -12,7 +12,7 @@
   private static final Sizes ROOM_FOR_FOUR = new Sizes(4_000, 100_000, 0);
 
   private static void assertSound(TaskWorld world) {
-    assertEquals(List.of(), world.overlaps());
+    assertEquals(List.of(), world.violations());
     assertEquals(0, world.askedOverCapacity());
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskFaultsTest.java
@@ -17,7 +17,7 @@
   private static final long LONG_MILLIS = 60_000;
 
   private static void assertSound(TaskWorld world) {
-    assertEquals(List.of(), world.overlaps());
+    assertEquals(List.of(), world.violations());
     assertEquals(0, world.askedOverCapacity());
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskWorld.java
@@ -11,12 +11,12 @@
 import io.marigoldsail.lease.LeaseTerms;
 import io.marigoldsail.protocol.TaskMessage;
 import io.marigoldsail.testlib.VirtualClock;
+import io.marigoldsail.testlib.history.TaskHistory;
 import io.marigoldsail.testlib.platform.FakeWorker;
 import io.marigoldsail.testlib.platform.WorkerRun;
 import io.marigoldsail.timeline.EventRecorder;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -275,21 +275,9 @@
     return runs;
   }
 
-  /** Returns a description of every pair of runs of one task that overlapped. */
-  List<String> overlaps() {
-    Map<String, WorkerRun> last = new HashMap<>();
-    List<String> overlaps = new ArrayList<>();
-    for (WorkerRun run : runs()) {
-      WorkerRun before = last.get(run.task());
-      long end = before == null ? 0 : before.endMillis() == 0 ? Long.MAX_VALUE : before.endMillis();
-      if (end > run.startMillis()) {
-        overlaps.add(before + " and " + run);
-      }
-      if (before == null || end <= run.startMillis() || run.endMillis() == 0) {
-        last.put(run.task(), run);
-      }
-    }
-    return overlaps;
+  /** Returns what the workers' records show against "every task runs in exactly one place". */
+  List<String> violations() {
+    return TaskHistory.violations(runs(), clock.millis());
   }
 
   long askedOverCapacity() {
