--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
@@ -0,0 +1,217 @@
+package io.marigoldsail.guard;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides what the batch tasks of one VM give up for the service beside them.
+ *
+ * <p>Load pattern: a wave of noisy tasks slows the service, seen only in measurements that arrive
+ * late; which task it is, nobody says. Evicting at once loses the work of the wrong tasks and moves
+ * the noise to the next VM; doing nothing loses callers. So the guard throttles first, those it
+ * suspects most before others (programs that slowed the service before, then the youngest and
+ * largest), twice as many at each step while the service stays slow. It lets them loose one after
+ * the other when the service has been quiet, and learns from what follows whom to suspect. It
+ * evicts only when everything has been throttled for a while and the service is still slow by a
+ * margin that the site's weights give, at most one task per settling time, within a budget, and the
+ * one that frees most for the least lost work.
+ *
+ * <p>Between the two pressures nothing changes (hysteresis), because a reading lags: acting on each
+ * would answer the same noise several times over. Not safe for use by several threads; a decision
+ * costs a sort of the VM's tasks.
+ */
+public final class Guard {
+  /** The service is slow from here on; a little below its goal, as readings lag. */
+  static final double SLOW = 0.95;
+
+  /** The service is quiet up to here. */
+  static final double QUIET = 0.8;
+
+  /** How long an action is given to show in the readings, in nanoseconds. */
+  static final long SETTLE_NANOS = 1_000_000_000L;
+
+  /** How long everything must have been throttled before an eviction, in nanoseconds. */
+  static final long EVICT_AFTER_NANOS = 5_000_000_000L;
+
+  /** Readings older than this say nothing, in nanoseconds. */
+  static final long STALE_NANOS = 10_000_000_000L;
+
+  /** How much a throttled task keeps: enough to go on writing checkpoints, in percent. */
+  static final int THROTTLED_PERCENT = 10;
+
+  private static final int LOOSE = 100;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** Work lost weighs double where the task is due within this time, in milliseconds. */
+  private static final long DUE_SOON_MILLIS = 600_000;
+
+  private final Suspicion suspicion = new Suspicion();
+  private final Map<Long, GuardedTask> throttled = new HashMap<>();
+  private final EvictionBudget budget;
+  private GuardedTask probing;
+  private long nextStep;
+  private long quietSince;
+  private long allThrottledSince;
+  private boolean slowBefore;
+  private boolean allThrottled;
+  private int stepSize = 1;
+
+  /** Creates a guard that throttles nothing. */
+  public Guard(GuardTerms terms, long nowNanos) {
+    this.budget = new EvictionBudget(terms, nowNanos);
+    this.nextStep = nowNanos;
+    this.quietSince = nowNanos;
+  }
+
+  /**
+   * Returns what to do now.
+   *
+   * @param terms what the configuration in force says
+   * @param reading how the service does, or empty if it serves nothing
+   * @param tasks the batch tasks that run
+   * @param nowNanos this process's clock
+   * @param nowMillis this VM's clock, for the tasks' deadlines only
+   */
+  public List<GuardAction> decide(
+      GuardTerms terms,
+      Optional<ServiceReading> reading,
+      List<GuardedTask> tasks,
+      long nowNanos,
+      long nowMillis) {
+    forgetEnded(tasks);
+    double pressure = pressure(reading, nowNanos);
+    if (pressure > QUIET) {
+      quietSince = nowNanos;
+    }
+    if (nowNanos - nextStep < 0) {
+      return List.of();
+    }
+    if (pressure > SLOW) {
+      return onSlow(terms, pressure, tasks, nowNanos, nowMillis);
+    }
+    slowBefore = false;
+    stepSize = 1;
+    if (pressure <= QUIET) {
+      return onQuiet(terms, nowNanos);
+    }
+    return List.of();
+  }
+
+  private static double pressure(Optional<ServiceReading> reading, long nowNanos) {
+    boolean fresh = reading.isPresent() && nowNanos - reading.get().measuredNanos() < STALE_NANOS;
+    return fresh ? reading.get().pressure() : 0;
+  }
+
+  private List<GuardAction> onSlow(
+      GuardTerms terms, double pressure, List<GuardedTask> tasks, long nowNanos, long nowMillis) {
+    if (probing != null) {
+      suspicion.confirmed(probing.program());
+      probing = null;
+    }
+    nextStep = nowNanos + SETTLE_NANOS;
+    List<GuardAction> actions = throttleMore(pressure, tasks);
+    if (!actions.isEmpty()) {
+      allThrottled = false;
+      return actions;
+    }
+    if (!allThrottled) {
+      allThrottled = true;
+      allThrottledSince = nowNanos;
+    }
+    boolean longEnough = nowNanos - allThrottledSince >= EVICT_AFTER_NANOS;
+    if (!longEnough || pressure <= terms.evictionPressure()) {
+      return List.of();
+    }
+    return evictOne(terms, pressure, tasks, nowNanos, nowMillis);
+  }
+
+  private List<GuardAction> throttleMore(double pressure, List<GuardedTask> tasks) {
+    List<GuardedTask> loose = new ArrayList<>(tasks);
+    loose.removeIf(task -> throttled.containsKey(task.token()));
+    loose.sort(
+        Comparator.comparingDouble((GuardedTask task) -> -suspicion.of(task.program()))
+            .thenComparingLong(task -> -task.startedNanos())
+            .thenComparingLong(task -> -task.used().milliProcessors()));
+    stepSize = slowBefore ? stepSize * 2 : 1;
+    slowBefore = true;
+    List<GuardAction> actions = new ArrayList<>();
+    for (GuardedTask task : loose.subList(0, Math.min(stepSize, loose.size()))) {
+      throttled.put(task.token(), task);
+      actions.add(new GuardAction.Throttle(task.token(), THROTTLED_PERCENT, slowness(pressure)));
+    }
+    return actions;
+  }
+
+  private List<GuardAction> evictOne(
+      GuardTerms terms, double pressure, List<GuardedTask> tasks, long nowNanos, long nowMillis) {
+    Optional<GuardedTask> victim =
+        tasks.stream()
+            .filter(GuardedTask::evictable)
+            .max(Comparator.comparingDouble(task -> worth(task, nowNanos, nowMillis)));
+    if (victim.isEmpty() || !budget.take(terms, nowNanos)) {
+      return List.of();
+    }
+    // The next one only after this one's leaving has had the time to show.
+    allThrottledSince = nowNanos;
+    throttled.remove(victim.get().token());
+    return List.of(
+        new GuardAction.Evict(
+            victim.get().token(), slowness(pressure) + " with all batch tasks throttled"));
+  }
+
+  /** Returns how much evicting the task helps for what it loses. */
+  private double worth(GuardedTask task, long nowNanos, long nowMillis) {
+    double frees = (1 + suspicion.of(task.program())) * (1 + task.used().milliProcessors());
+    double lostSeconds = (nowNanos - task.checkpointedNanos()) / 1e9;
+    boolean dueSoon =
+        task.finishByMillis() > 0 && task.finishByMillis() - nowMillis < DUE_SOON_MILLIS;
+    return frees / (1 + lostSeconds) / (dueSoon ? 2 : 1);
+  }
+
+  private List<GuardAction> onQuiet(GuardTerms terms, long nowNanos) {
+    allThrottled = false;
+    long recoveryNanos = terms.recoveryMillis() * NANOS_PER_MILLI;
+    if (nowNanos - quietSince < recoveryNanos) {
+      return List.of();
+    }
+    if (probing != null) {
+      suspicion.cleared(probing.program());
+      probing = null;
+    }
+    Optional<GuardedTask> next =
+        throttled.values().stream()
+            .min(
+                Comparator.comparingDouble((GuardedTask task) -> suspicion.of(task.program()))
+                    .thenComparingLong(GuardedTask::startedNanos));
+    if (next.isEmpty()) {
+      return List.of();
+    }
+    // Alone, so that a service that slows again tells which task it was.
+    throttled.remove(next.get().token());
+    probing = next.get();
+    quietSince = nowNanos;
+    nextStep = nowNanos + SETTLE_NANOS;
+    return List.of(new GuardAction.Throttle(next.get().token(), LOOSE, "the service is quiet"));
+  }
+
+  private void forgetEnded(List<GuardedTask> tasks) {
+    Set<Long> running = new HashSet<>();
+    tasks.forEach(task -> running.add(task.token()));
+    throttled.keySet().retainAll(running);
+    if (probing != null && !running.contains(probing.token())) {
+      probing = null;
+    }
+  }
+
+  private static String slowness(double pressure) {
+    return String.format(
+        Locale.ROOT, "the service's tail latency is %.2f times its goal", pressure);
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/GuardAction.java
@@ -0,0 +1,28 @@
+package io.marigoldsail.guard;
+
+import static java.util.Objects.requireNonNull;
+
+/** What a {@link Guard} wants done; each kind is immutable and rejects nulls. */
+public sealed interface GuardAction {
+  /** Returns the task's fencing token. */
+  long token();
+
+  /** Returns the grounds, for people. */
+  String why();
+
+  /** Let the task use so much of its processors, 1 to 100 percent. */
+  record Throttle(long token, int percent, String why) implements GuardAction {
+    /** Checks the components. */
+    public Throttle {
+      requireNonNull(why, "why");
+    }
+  }
+
+  /** Write a checkpoint, stop the task and release it. */
+  record Evict(long token, String why) implements GuardAction {
+    /** Checks the components. */
+    public Evict {
+      requireNonNull(why, "why");
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/Suspicion.java
@@ -0,0 +1,37 @@
+package io.marigoldsail.guard;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * How much each program is suspected of slowing this VM's service, from what happened when its
+ * tasks were let loose again.
+ *
+ * <p>Bounded; what was not seen for long is forgotten first. Not safe for use by several threads.
+ */
+final class Suspicion {
+  private static final int MAX_PROGRAMS = 256;
+  private static final double FADING = 0.7;
+
+  private final Map<String, Double> scores =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+          return size() > MAX_PROGRAMS;
+        }
+      };
+
+  double of(String program) {
+    return scores.getOrDefault(program, 0.0);
+  }
+
+  /** The service slowed soon after a task of the program was let loose, or started. */
+  void confirmed(String program) {
+    scores.merge(program, 1.0, Double::sum);
+  }
+
+  /** The service stayed quiet after a task of the program was let loose. */
+  void cleared(String program) {
+    scores.computeIfPresent(program, (name, score) -> score < 0.1 ? null : score * FADING);
+  }
+}
