--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/MarigoldsailCommand.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/MarigoldsailCommand.java
@@ -51,6 +51,7 @@
     commandLine.getCommandSpec().usageMessage().exitCodeListHeading("Exit codes:%n");
     commandLine.getCommandSpec().usageMessage().exitCodeList(exitCodes());
     commandLine.setExecutionExceptionHandler(MarigoldsailCommand::explain);
+    commandLine.setParameterExceptionHandler(MarigoldsailCommand::explainUsage);
     if (arguments.length == 0) {
       commandLine.usage(err);
       return ExitCode.USAGE.code();
@@ -66,6 +67,14 @@
     return codes;
   }
 
+  /** One line is enough: the whole usage would push the error out of sight. */
+  private static int explainUsage(CommandLine.ParameterException error, String[] arguments) {
+    CommandLine commandLine = error.getCommandLine();
+    String name = commandLine.getCommandSpec().qualifiedName();
+    commandLine.getErr().println(error.getMessage() + " (see " + name + " --help)");
+    return ExitCode.USAGE.code();
+  }
+
   private static int explain(
       Exception error, CommandLine commandLine, CommandLine.ParseResult parsed) {
     if (error instanceof CommandFailure failure) {
--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/load/LoadCommand.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/load/LoadCommand.java
@@ -27,8 +27,9 @@
     name = "load",
     mixinStandardHelpOptions = true,
     description = {
-      "Sends requests at their planned times, whether or not earlier ones were answered, and",
-      "reports answers by kind and latency from the planned time. Ends by itself."
+      "Makes load as callers do and reports what they got.",
+      "Requests leave at their planned times, whether or not earlier ones were answered;",
+      "latency counts from the planned time. Ends by itself."
     })
 public final class LoadCommand implements Callable<Integer> {
   private static final int CLIENT_THREADS = 16;
@@ -125,6 +126,13 @@
   @Option(names = "--seed", defaultValue = "1", description = "Seed of the random choices.")
   private long seed;
 
+  @Option(
+      names = "--warmup",
+      defaultValue = "0",
+      paramLabel = "MILLIS",
+      description = "Do not report requests of the first so many milliseconds (${DEFAULT-VALUE}).")
+  private long warmupMillis;
+
   @Option(names = "--quiet", description = "No progress while it runs.")
   private boolean quiet;
 
@@ -147,7 +155,7 @@
       LoadSender sender = new JettyLoadSender(http, plan, verifyEcho, runId);
       Pacer pacer = Pacer.of(MonotonicClock.system());
       LoadSchedule schedule = new LoadSchedule(plan, new SplittableRandom(seed));
-      LoadRun run = new LoadRun(schedule, sender, pacer, maxOpen);
+      LoadRun run = new LoadRun(schedule, sender, pacer, maxOpen, warmupMillis);
       if (!quiet) {
         showProgress(progress, run);
       }
@@ -155,7 +163,9 @@
       run.sendAll();
       awaitAnswers(progress, run);
       long tookMillis = TimeUnit.NANOSECONDS.toMillis(pacer.nanos() - start);
-      return report(new LoadReport(run.sent(), tookMillis, run.loadRecord()), run).code();
+      LoadReport report =
+          new LoadReport(run.reported(), tookMillis - warmupMillis, run.loadRecord());
+      return report(report, run).code();
     } finally {
       progress.shutdownNow();
       http.stop();
@@ -247,6 +257,6 @@
     out.flush();
     Map<String, Long> kinds = run.loadRecord().byKind();
     long refused = kinds.getOrDefault("connection-refused", 0L);
-    return refused > 0 && refused == run.sent() ? ExitCode.TRY_LATER : ExitCode.OK;
+    return refused > 0 && refused == run.reported() ? ExitCode.TRY_LATER : ExitCode.OK;
   }
 }
--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/load/LoadRun.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/load/LoadRun.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.cli.load;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -16,13 +17,21 @@
   private final int maxOpen;
   private final LoadRecord loadRecord = new LoadRecord();
   private final AtomicLong open = new AtomicLong();
+  private final long warmupNanos;
   private volatile long sent;
+  private volatile long reported;
 
-  LoadRun(LoadSchedule schedule, LoadSender sender, Pacer pacer, int maxOpen) {
+  /**
+   * Creates a run.
+   *
+   * @param warmupMillis requests that leave earlier than this are sent, but not reported
+   */
+  LoadRun(LoadSchedule schedule, LoadSender sender, Pacer pacer, int maxOpen, long warmupMillis) {
     this.schedule = schedule;
     this.sender = sender;
     this.pacer = pacer;
     this.maxOpen = maxOpen;
+    this.warmupNanos = TimeUnit.MILLISECONDS.toNanos(warmupMillis);
   }
 
   /** Sends all requests at their times; returns without waiting for the last answers. */
@@ -38,25 +47,35 @@
     }
   }
 
-  /** Only the sending thread writes the count, so a plain increment loses nothing. */
+  /** Only the sending thread writes the counts, so a plain increment loses nothing. */
   @SuppressWarnings("NonAtomicVolatileUpdate")
   private void send(LoadRequest request, long planned) {
     long leaves = pacer.nanos();
     sent++;
+    boolean counts = request.atNanos() >= warmupNanos;
+    if (counts) {
+      reported++;
+    }
     if (open.incrementAndGet() > maxOpen) {
       open.decrementAndGet();
-      loadRecord.note(LoadAnswer.NOT_SENT, planned, leaves, leaves);
+      note(counts, LoadAnswer.NOT_SENT, planned, leaves, leaves);
       return;
     }
     sender
         .send(request)
         .thenAccept(
             answer -> {
-              loadRecord.note(answer, planned, leaves, pacer.nanos());
+              note(counts, answer, planned, leaves, pacer.nanos());
               open.decrementAndGet();
             });
   }
 
+  private void note(boolean counts, LoadAnswer answer, long planned, long leaves, long now) {
+    if (counts) {
+      loadRecord.note(answer, planned, leaves, now);
+    }
+  }
+
   LoadRecord loadRecord() {
     return loadRecord;
   }
@@ -65,6 +84,11 @@
     return sent;
   }
 
+  /** Returns how many of the sent requests left after the warm-up. */
+  long reported() {
+    return reported;
+  }
+
   long open() {
     return open.get();
   }
