Admit by the number of requests served before this one

Weighed: throwing out the hot caller's last request (a refusal that took time), a larger share of the places kept free, and counting only what is served before the newcomer.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/AdmissionPolicy.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/AdmissionPolicy.java
@@ -11,13 +11,14 @@
  * than the target delay for {@link #BURST_NANOS}, only as many wait as the target delay covers;
  * without this, everybody is served just before the deadline, or after it. The tighter bound holds
  * until nothing was refused for {@link #CALM_NANOS}, else the queue would grow long again every
- * time it dips under the target. A hot caller or key: one flow may hold at most {@link #ALPHA}
- * times the places that are still free (a dynamic threshold), so there is always room for others
+ * time it dips under the target. A hot caller or key: what counts is not the length of the queue
+ * but how many would be served before this request (see {@link FairQueue#aheadOf}); a hot caller
+ * has its own requests before it, others pass them by. So nobody is refused for another's queue,
  * and nobody who was let in is thrown out later; without it, one caller fills the queue and the
  * rest are refused.
  *
- * <p>Grounds for the figures: a second is the longest burst that the users named; four lets a
- * single caller use four fifths of the queue when it is alone, and two hot ones four ninths each.
+ * <p>Grounds for the figures: a second is the longest burst that the users named, and as long
+ * without a refusal is the shortest sign that it is over.
  *
  * <p>Not safe for use by several threads.
  */
@@ -28,9 +29,6 @@
   /** How long nothing may have been refused before overload counts as over. */
   static final long CALM_NANOS = 1_000_000_000L;
 
-  /** The share of the free places that one flow may hold. */
-  static final int ALPHA = 4;
-
   private static final int MIN_PLACES = 4;
   private static final long NEVER = Long.MIN_VALUE;
 
@@ -44,7 +42,7 @@
     WAIT,
     /** The queue is as long as it may be, or too long for this request's deadline. */
     FULL,
-    /** There is room, but not for more of this caller or key. */
+    /** The same, and most of what it would wait for is of the same caller or key. */
     OVER_SHARE
   }
 
@@ -52,8 +50,8 @@
    * What a decision depends on.
    *
    * @param waiting how many requests wait in all
-   * @param waitingOfFlow how many of the same caller or key, whichever has more
    * @param ahead how many would be served before it
+   * @param overShare whether its caller or key has more waiting than an even part
    * @param perSecond how many are served a second
    * @param targetDelayNanos the longest wait under lasting overload
    * @param maxWaiting the most that may wait whatever their delay
@@ -61,8 +59,8 @@
    */
   public record Situation(
       int waiting,
-      int waitingOfFlow,
       int ahead,
+      boolean overShare,
       double perSecond,
       long targetDelayNanos,
       int maxWaiting,
@@ -76,9 +74,8 @@
       return requests / perSecond * 1e9;
     }
 
-    private int placesFor(long delayNanos) {
-      double places = perSecond * delayNanos / 1e9;
-      return (int) Math.max(MIN_PLACES, Math.min(maxWaiting, places));
+    private Verdict refusal() {
+      return overShare ? Verdict.OVER_SHARE : Verdict.FULL;
     }
   }
 
@@ -96,18 +93,15 @@
   }
 
   private Verdict verdict(Situation situation) {
-    long bound = overloaded ? situation.targetDelayNanos() : Math.max(0, situation.spareNanos());
-    int places = situation.placesFor(bound);
-    if (situation.waiting() >= places) {
-      return Verdict.FULL;
-    }
-    if (situation.waitNanos(situation.ahead()) > situation.spareNanos()) {
-      return Verdict.FULL;
+    if (situation.waiting() >= situation.maxWaiting()) {
+      return situation.refusal();
     }
-    if (situation.waitingOfFlow() >= ALPHA * (places - situation.waiting())) {
-      return Verdict.OVER_SHARE;
+    double wait = situation.waitNanos(situation.ahead());
+    if (wait > situation.spareNanos()) {
+      return situation.refusal();
     }
-    return Verdict.WAIT;
+    boolean tooLong = overloaded && wait > situation.targetDelayNanos();
+    return tooLong && situation.ahead() >= MIN_PLACES ? situation.refusal() : Verdict.WAIT;
   }
 
   private void observe(Situation situation, long now) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
@@ -30,15 +30,19 @@
   /** How many virtual clocks of callers, and of keys, are kept at most. */
   static final int MAX_FLOWS = 4_096;
 
+  /** How many times an even part of the queue one flow may hold before it is called hot. */
+  private static final int OVER_SHARE_FACTOR = 2;
+
   private final TreeSet<Ticket<T>> waiting = new TreeSet<>(Ticket.ORDER);
   private final Map<String, Integer> waitingOfCaller = new HashMap<>();
   private final Map<String, Integer> waitingOfKey = new HashMap<>();
   private final Map<String, Long> callerClocks = new BoundedClocks();
   private final Map<String, Long> keyClocks = new BoundedClocks();
+  private final TurnCounts turns = new TurnCounts();
   private long virtualTime;
   private long sequence;
 
-  /** A place in the queue; hand it back to {@link #restore} or {@link #remove}. Immutable. */
+  /** A place in the queue; hand it back to {@link #restore} or {@link #remove}. */
   public static final class Ticket<T> {
     private static final Comparator<Ticket<?>> ORDER =
         Comparator.<Ticket<?>>comparingLong(ticket -> ticket.start)
@@ -49,6 +53,7 @@
     private final String key;
     private final long start;
     private final long sequence;
+    private int place;
 
     private Ticket(T item, String caller, String key, long start, long sequence) {
       this.item = item;
@@ -97,11 +102,15 @@
   }
 
   private long advance(Map<String, Long> clocks, String flow) {
-    long start = Math.max(virtualTime, clocks.getOrDefault(flow, virtualTime));
+    long start = startOf(clocks, flow);
     clocks.put(flow, start + 1);
     return start;
   }
 
+  private long startOf(Map<String, Long> clocks, String flow) {
+    return Math.max(virtualTime, clocks.getOrDefault(flow, virtualTime));
+  }
+
   /** Puts a request that was taken but not served back at its old place. */
   public void restore(Ticket<T> ticket) {
     checkArgument(!waiting.contains(ticket), "the ticket already waits");
@@ -110,6 +119,8 @@
 
   private void insert(Ticket<T> ticket) {
     waiting.add(ticket);
+    ticket.place = TurnCounts.placeOf(ticket.start, virtualTime);
+    turns.add(ticket.place, 1);
     waitingOfCaller.merge(ticket.caller, 1, Integer::sum);
     if (!ticket.key.isEmpty()) {
       waitingOfKey.merge(ticket.key, 1, Integer::sum);
@@ -137,6 +148,7 @@
   }
 
   private void forget(Ticket<T> ticket) {
+    turns.add(ticket.place, -1);
     decrement(waitingOfCaller, ticket.caller);
     if (!ticket.key.isEmpty()) {
       decrement(waitingOfKey, ticket.key);
@@ -161,19 +173,19 @@
     return waiting.isEmpty();
   }
 
-  /** Returns how many requests of the hotter of the given caller and key wait. */
-  public int waitingOf(String caller, String key) {
-    int ofCaller = waitingOfCaller.getOrDefault(caller, 0);
-    int ofKey = key.isEmpty() ? 0 : waitingOfKey.getOrDefault(key, 0);
-    return Math.max(ofCaller, ofKey);
+  /** Returns how many requests are served before one that the given caller would add now. */
+  public int aheadOf(String caller, String key) {
+    long start = startOf(callerClocks, caller);
+    if (!key.isEmpty()) {
+      start = Math.max(start, startOf(keyClocks, key));
+    }
+    return turns.upTo(TurnCounts.placeOf(start, virtualTime), virtualTime);
   }
 
-  /**
-   * Returns an upper bound on how many requests are served before one that the given caller would
-   * add now: all that wait, or one of each caller for each of its own and one more.
-   */
-  public int aheadOf(String caller, String key) {
-    long turns = (long) (waitingOf(caller, key) + 1) * (waitingOfCaller.size() + 1);
-    return (int) Math.min(waiting.size(), turns);
+  /** Returns whether the given caller or key has more waiting than an even part of the queue. */
+  public boolean isOverShare(String caller, String key) {
+    long ofCaller = (long) waitingOfCaller.getOrDefault(caller, 0) * waitingOfCaller.size();
+    long ofKey = key.isEmpty() ? 0 : (long) waitingOfKey.getOrDefault(key, 0) * waitingOfKey.size();
+    return Math.max(ofCaller, ofKey) > OVER_SHARE_FACTOR * waiting.size();
   }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceScheduler.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceScheduler.java
@@ -101,8 +101,8 @@
     long spare = arrival.deadline() - now - (long) (SPARE_MEANS * drainRate.meanNanos());
     return new AdmissionPolicy.Situation(
         queue.size(),
-        queue.waitingOf(arrival.caller(), arrival.key()),
         queue.aheadOf(arrival.caller(), arrival.key()),
+        queue.isOverShare(arrival.caller(), arrival.key()),
         drainRate.perSecond(router.inFlight()),
         limits.targetDelayMillis() * NANOS_PER_MILLI,
         limits.maxWaiting(),
