Keep waiting places for requests that are under way together

Cause: with three and nine entries each freed slot was claimed by more than one; every fourth try was turned away, and after eight of them a request was refused although it had waited 147 ms. Weighed: a back-off for tries after one that was turned away (slows down the entry that is short of slots); more places than entries aim to fill.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
@@ -102,15 +102,15 @@
     if (now < heldUntil) {
       return false;
     }
-    int places = slots + WaitingRoom.placesFor(slots);
-    if (own < fairShare(places)) {
-      return own == 0 || inUse() < places;
+    int aim = slots + (WaitingRoom.placesFor(slots) + 1) / 2;
+    if (own < fairShare(aim)) {
+      return own == 0 || inUse() < aim;
     }
-    return inUse() < slots + (WaitingRoom.placesFor(slots) + 1) / 2;
+    return inUse() < aim - 1;
   }
 
-  private int fairShare(int places) {
-    return Math.max(1, places / entries);
+  private int fairShare(int aim) {
+    return Math.max(1, aim / entries);
   }
 
   /** Returns until when a target that turned a request away is left alone. */
