--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
@@ -19,6 +19,10 @@
  * a request is served in the order of the later of its two clocks. So a caller that asks about a
  * hot key waits for that request only, not for its others.
  *
+ * <p>A flow may be {@link #AHEAD} requests ahead of its turn. Without that, of two requests that a
+ * quiet caller happens to send together the second would wait for a whole round of the others; the
+ * fewer requests an entry serves, the longer that takes. A hot caller gains four requests, once.
+ *
  * <p>Memory is bounded by {@link #MAX_FLOWS} clocks of each sort, beyond the requests that wait: a
  * clock that is dropped early makes its owner look new, which costs fairness for one request.
  *
@@ -30,6 +34,9 @@
   /** How many virtual clocks of callers, and of keys, are kept at most. */
   static final int MAX_FLOWS = 4_096;
 
+  /** How many requests a flow may be ahead of its turn without having to wait for it. */
+  private static final int AHEAD = 4;
+
   /** How many times an even part of the queue one flow may hold before it is called hot. */
   private static final int OVER_SHARE_FACTOR = 2;
 
@@ -104,7 +111,11 @@
   private long advance(Map<String, Long> clocks, String flow) {
     long start = startOf(clocks, flow);
     clocks.put(flow, start + 1);
-    return start;
+    return turnOf(start);
+  }
+
+  private long turnOf(long start) {
+    return Math.max(virtualTime, start - AHEAD);
   }
 
   private long startOf(Map<String, Long> clocks, String flow) {
@@ -179,7 +190,7 @@
     if (!key.isEmpty()) {
       start = Math.max(start, startOf(keyClocks, key));
     }
-    return turns.upTo(TurnCounts.placeOf(start, virtualTime), virtualTime);
+    return turns.upTo(TurnCounts.placeOf(turnOf(start), virtualTime), virtualTime);
   }
 
   /** Returns whether the given caller or key has more waiting than an even part of the queue. */
