--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
@@ -19,6 +19,10 @@
  * a request is served in the order of the later of its two clocks. So a caller that asks about a
  * hot key waits for that request only, not for its others.
  *
+ * <p>A flow may be {@link #AHEAD} requests ahead of its turn. Without that, of two requests that a
+ * quiet caller happens to send together the second would wait for a whole round of the others; the
+ * fewer requests an entry serves, the longer that takes. A hot caller gains four requests, once.
+ *
  * <p>Memory is bounded by {@link #MAX_FLOWS} clocks of each sort, beyond the requests that wait: a
  * clock that is dropped early makes its owner look new, which costs fairness for one request.
  *
@@ -30,15 +34,22 @@
   /** How many virtual clocks of callers, and of keys, are kept at most. */
   static final int MAX_FLOWS = 4_096;
 
+  /** How many requests a flow may be ahead of its turn without having to wait for it. */
+  private static final int AHEAD = 4;
+
+  /** How many times an even part of the queue one flow may hold before it is called hot. */
+  private static final int OVER_SHARE_FACTOR = 2;
+
   private final TreeSet<Ticket<T>> waiting = new TreeSet<>(Ticket.ORDER);
   private final Map<String, Integer> waitingOfCaller = new HashMap<>();
   private final Map<String, Integer> waitingOfKey = new HashMap<>();
   private final Map<String, Long> callerClocks = new BoundedClocks();
   private final Map<String, Long> keyClocks = new BoundedClocks();
+  private final TurnCounts turns = new TurnCounts();
   private long virtualTime;
   private long sequence;
 
-  /** A place in the queue; hand it back to {@link #restore} or {@link #remove}. Immutable. */
+  /** A place in the queue; hand it back to {@link #restore} or {@link #remove}. */
   public static final class Ticket<T> {
     private static final Comparator<Ticket<?>> ORDER =
         Comparator.<Ticket<?>>comparingLong(ticket -> ticket.start)
@@ -49,6 +60,7 @@
     private final String key;
     private final long start;
     private final long sequence;
+    private int place;
 
     private Ticket(T item, String caller, String key, long start, long sequence) {
       this.item = item;
@@ -97,9 +109,17 @@
   }
 
   private long advance(Map<String, Long> clocks, String flow) {
-    long start = Math.max(virtualTime, clocks.getOrDefault(flow, virtualTime));
+    long start = startOf(clocks, flow);
     clocks.put(flow, start + 1);
-    return start;
+    return turnOf(start);
+  }
+
+  private long turnOf(long start) {
+    return Math.max(virtualTime, start - AHEAD);
+  }
+
+  private long startOf(Map<String, Long> clocks, String flow) {
+    return Math.max(virtualTime, clocks.getOrDefault(flow, virtualTime));
   }
 
   /** Puts a request that was taken but not served back at its old place. */
@@ -110,6 +130,8 @@
 
   private void insert(Ticket<T> ticket) {
     waiting.add(ticket);
+    ticket.place = TurnCounts.placeOf(ticket.start, virtualTime);
+    turns.add(ticket.place, 1);
     waitingOfCaller.merge(ticket.caller, 1, Integer::sum);
     if (!ticket.key.isEmpty()) {
       waitingOfKey.merge(ticket.key, 1, Integer::sum);
@@ -137,6 +159,7 @@
   }
 
   private void forget(Ticket<T> ticket) {
+    turns.add(ticket.place, -1);
     decrement(waitingOfCaller, ticket.caller);
     if (!ticket.key.isEmpty()) {
       decrement(waitingOfKey, ticket.key);
@@ -161,19 +184,19 @@
     return waiting.isEmpty();
   }
 
-  /** Returns how many requests of the hotter of the given caller and key wait. */
-  public int waitingOf(String caller, String key) {
-    int ofCaller = waitingOfCaller.getOrDefault(caller, 0);
-    int ofKey = key.isEmpty() ? 0 : waitingOfKey.getOrDefault(key, 0);
-    return Math.max(ofCaller, ofKey);
+  /** Returns how many requests are served before one that the given caller would add now. */
+  public int aheadOf(String caller, String key) {
+    long start = startOf(callerClocks, caller);
+    if (!key.isEmpty()) {
+      start = Math.max(start, startOf(keyClocks, key));
+    }
+    return turns.upTo(TurnCounts.placeOf(turnOf(start), virtualTime), virtualTime);
   }
 
-  /**
-   * Returns an upper bound on how many requests are served before one that the given caller would
-   * add now: all that wait, or one of each caller for each of its own and one more.
-   */
-  public int aheadOf(String caller, String key) {
-    long turns = (long) (waitingOf(caller, key) + 1) * (waitingOfCaller.size() + 1);
-    return (int) Math.min(waiting.size(), turns);
+  /** Returns whether the given caller or key has more waiting than an even part of the queue. */
+  public boolean isOverShare(String caller, String key) {
+    long ofCaller = (long) waitingOfCaller.getOrDefault(caller, 0) * waitingOfCaller.size();
+    long ofKey = key.isEmpty() ? 0 : (long) waitingOfKey.getOrDefault(key, 0) * waitingOfKey.size();
+    return Math.max(ofCaller, ofKey) > OVER_SHARE_FACTOR * waiting.size();
   }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
@@ -7,10 +7,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -44,6 +46,7 @@
   private final Map<Long, TreeSet<String>> tasksByRegistration = new HashMap<>();
   private final Map<String, EntryState> entries = new TreeMap<>();
   private final Map<String, Sizes> bookedByTeam = new HashMap<>();
+  private final DisplacedBoots displaced = new DisplacedBoots();
   private int endedTasks;
   private long applied = -1;
 
@@ -174,11 +177,18 @@
     jobs.values().forEach(job -> kept.add(TaskTableSnapshot.Job.of(job)));
     endedJobs.values().forEach(job -> kept.add(TaskTableSnapshot.Job.of(job)));
     return new TaskTableSnapshot(
-        applied, kept, List.copyOf(vms.values()), List.copyOf(entries.values()));
+        applied, kept, List.copyOf(vms.values()), List.copyOf(entries.values()), displaced.byVm());
   }
 
-  /** Replaces all there is by a snapshot. */
+  /**
+   * Replaces all there is by a snapshot.
+   *
+   * @throws IllegalArgumentException if it contradicts itself; the table is then as it was
+   */
   public synchronized void restore(TaskTableSnapshot snapshot) {
+    List<MutableJob> restored = new ArrayList<>();
+    snapshot.jobs().forEach(kept -> restored.add(kept.toMutable()));
+    checkRegistrations(restored, snapshot.vms());
     jobs.clear();
     endedJobs.clear();
     vms.clear();
@@ -186,6 +196,7 @@
     tasksByRegistration.clear();
     entries.clear();
     bookedByTeam.clear();
+    displaced.replace(snapshot.displaced());
     endedTasks = 0;
     applied = snapshot.applied();
     for (VmState vm : snapshot.vms()) {
@@ -193,8 +204,18 @@
       currentByVm.merge(vm.vm(), vm.registration(), Math::max);
     }
     snapshot.entries().forEach(entry -> entries.put(entry.entry(), entry));
-    for (TaskTableSnapshot.Job kept : snapshot.jobs()) {
-      restoreJob(kept.toMutable());
+    restored.forEach(this::restoreJob);
+  }
+
+  private static void checkRegistrations(List<MutableJob> jobs, List<VmState> vms) {
+    Set<Long> known = new HashSet<>();
+    vms.forEach(vm -> known.add(vm.registration()));
+    for (MutableJob job : jobs) {
+      for (TaskState task : job.tasks()) {
+        boolean held = task.phase() == Phase.CLAIMED;
+        checkArgument(
+            !held || known.contains(task.registration()), "%s is on no known VM", task.name());
+      }
     }
   }
 
@@ -251,7 +272,7 @@
       // Either two entries saw it join, or it is revoked and its leases are not surely over.
       return false;
     }
-    if (isBeingCleared(vm)) {
+    if (isBeingCleared(vm) || displaced.contains(vm.vm(), vm.bootIncarnation())) {
       return false;
     }
     vms.put(position, new VmState(vm, position, false, Sizes.NONE, 0));
@@ -259,6 +280,7 @@
     if (current != null) {
       // A new boot under the same name: nothing new goes to the old one, but what it held stays
       // held until its leases are over, because the name alone does not prove that it is gone.
+      displaced.add(vm.vm(), current.description().bootIncarnation());
       revoke(vm.vm(), current.registration());
     }
     return true;
