Drive both dispatchers with scripted peers; mend what that showed

- A burst of 2,000 new connections was reset now and then: the kernel's accept queue of 50 ran over (ListenOverflows grew by the thousand, with SYN cookies).
- A planned stop closed connections with long answers still on their way out: the side process waits for its connections to be flushed, the entry for its callers to have taken their answers.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/CallerServer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/CallerServer.java
@@ -40,6 +40,11 @@
   private static final int MAX_THREADS = 32;
   private static final int MIN_THREADS = 8;
   private static final long IDLE_MILLIS = 30_000;
+
+  /** Connections that wait to be accepted; beyond it the kernel resets or drops them. */
+  private static final int ACCEPT_QUEUE = 1_024;
+
+  private static final long WRITE_LIMIT_MILLIS = 10_000;
   private static final int MAX_ANSWER_HEADER_BYTES = 48 * 1024;
 
   private final MonotonicClock clock;
@@ -50,6 +55,7 @@
   private final ByteBudget bodyBudget;
   private final Server server;
   private final ServerConnector connector;
+  private final OpenRequests open = new OpenRequests();
 
   /**
    * Creates a server that does not listen yet.
@@ -94,6 +100,7 @@
     made.setHost(address.getHostString());
     made.setPort(address.getPort());
     made.setIdleTimeout(IDLE_MILLIS);
+    made.setAcceptQueueSize(ACCEPT_QUEUE);
     return made;
   }
 
@@ -117,10 +124,16 @@
     return connector.getLocalPort();
   }
 
-  /** Stops listening and ends all connections; the dispatcher is stopped first. */
+  /**
+   * Stops listening and ends all connections; the dispatcher is stopped first.
+   *
+   * <p>Waits a bounded time until callers have taken the answers that are being written.
+   */
   @Override
   public void close() {
     try {
+      connector.shutdown();
+      open.awaitNone(WRITE_LIMIT_MILLIS);
       server.stop();
     } catch (Exception e) {
       System.getLogger(CallerServer.class.getName())
@@ -155,7 +168,11 @@
         AnswerWriter.write(response, callback, failed.failure(), "");
         return true;
       }
-      readBody(request, response, callback, head.value());
+      if (!dispatcher.isReady()) {
+        // The balancer is to take this connection's next request elsewhere.
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
+      }
+      readBody(request, response, open.counted(callback), head.value());
       return true;
     }
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -43,8 +43,6 @@
  * Every refusal first puts a tombstone on the request's id in the {@link RequestLedger}.
  */
 public final class SideDispatcher implements AutoCloseable {
-  private static final System.Logger LOG = System.getLogger(SideDispatcher.class.getName());
-
   /** Ended ids kept: the load of several seconds of a fast target, in a few megabytes. */
   private static final int MAX_ENDED = 20_000;
 
@@ -54,6 +52,11 @@
   /** How long past its deadline a request may still hold its slot, because its target does. */
   private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+  /** A connection that takes nothing for this long at a planned stop is given up. */
+  private static final long FLUSH_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private static final long FLUSH_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
   /** A refusal for want of a slot asks the entry to wait about a round trip. */
   private static final long SOON_MILLIS = 5;
 
@@ -67,6 +70,7 @@
   private final ByteBudget budget;
   private final EventRecorder events;
   private final LinkServer server;
+  private final TargetWatch watch;
   private final RequestLedger<Frame> ledger;
   private final Map<WireId, SideRequest> requests = new HashMap<>();
   private final ArrayDeque<SideRequest> waiting = new ArrayDeque<>();
@@ -75,9 +79,8 @@
   private volatile int running;
   private volatile int waitingCount;
   private volatile boolean stopping;
-  private volatile boolean targetTakesWork;
   private volatile Runnable leavingListener = () -> {};
-  private boolean probing;
+  private long flushUntil;
   private Future<?> tick;
 
   /**
@@ -108,6 +111,7 @@
     this.entryCount = requireNonNull(entryCount, "entryCount");
     this.budget = requireNonNull(budget, "budget");
     this.events = requireNonNull(events, "events");
+    this.watch = new TargetWatch(loop, target, () -> leavingListener.run());
     this.server = new LinkServer(loop, address, limits.maxConnections(), new Incoming());
     this.ledger = new RequestLedger<>(MAX_ENDED, limits.keptAnswerBytes(), LEDGER_WINDOW_NANOS);
   }
@@ -140,13 +144,13 @@
 
   /** Returns whether nothing new is taken: this process or its target is stopping. */
   public boolean isLeaving() {
-    return stopping || !targetTakesWork;
+    return stopping || !watch.takesWork();
   }
 
   /**
    * Begins a planned stop: nothing new is taken, what is in progress ends.
    *
-   * @return completed when the last answer was handed to its connection
+   * @return completed when the last answer has left this process
    */
   public CompletableFuture<Void> beginStop() {
     stopping = true;
@@ -167,27 +171,24 @@
 
   private void tick() {
     ledger.expire(loop.now());
-    if (probing) {
-      return;
-    }
-    probing = true;
-    target.probe(health -> loop.run(() -> probed(health)));
+    watch.probe();
   }
 
-  private void probed(TargetHealth health) {
-    probing = false;
-    if (health == TargetHealth.UNCLEAR || (health == TargetHealth.SERVING) == targetTakesWork) {
+  private void checkDrained() {
+    if (!stopping || !requests.isEmpty() || flushUntil != 0) {
       return;
     }
-    targetTakesWork = health == TargetHealth.SERVING;
-    LOG.log(System.Logger.Level.INFO, "event=target-changed health={0}", health);
-    leavingListener.run();
+    flushUntil = loop.now() + FLUSH_LIMIT_NANOS;
+    awaitFlush();
   }
 
-  private void checkDrained() {
-    if (stopping && requests.isEmpty()) {
+  /** A long answer still on its way out is a request in progress, too; exiting would cut it. */
+  private void awaitFlush() {
+    if (server.isFlushed() || flushUntil - loop.now() <= 0) {
       drained.complete(null);
+      return;
     }
+    loop.schedule(this::awaitFlush, FLUSH_CHECK_NANOS);
   }
 
   private void start(LinkConnection connection, RequestStart start) throws BrokenFrameException {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
@@ -2,6 +2,7 @@
 
 import io.marigoldsail.protocol.Frame;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import java.util.ArrayDeque;
 
 /**
@@ -51,6 +52,12 @@
     }
   }
 
+  /** Returns whether everything that was sent has been handed to the operating system. */
+  boolean isFlushed() {
+    ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+    return streams.isEmpty() && (unsent == null || unsent.totalPendingWriteBytes() == 0);
+  }
+
   /** Returns whether frames can be sent. */
   public boolean isOpen() {
     return channel.isActive();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -32,7 +32,7 @@
  */
 public final class LinkLoop implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-  private static final int ACCEPT_BACKLOG = 128;
+  private static final int ACCEPT_BACKLOG = 512;
 
   private final MonotonicClock clock;
   private final HybridClock hybridClock;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkServer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkServer.java
@@ -73,6 +73,14 @@
     return ((InetSocketAddress) acceptor.localAddress()).getPort();
   }
 
+  /**
+   * Returns whether everything that was sent has been handed to the operating system; to be called
+   * on the loop's thread.
+   */
+  public boolean isFlushed() {
+    return open.stream().allMatch(LinkConnection::isFlushed);
+  }
+
   /** Stops listening and ends all connections. */
   @Override
   public void close() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/FakeSide.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/FakeSide.java
@@ -55,18 +55,15 @@
     Announcement announcement =
         new Announcement(
             vm,
-            1,
             incarnation,
             "suva",
             "r1",
             "127.0.0.1:" + port(),
+            "",
             "parking",
             8,
             leaving,
             new TargetLoad(0, 0, 1, leaving),
-            0,
-            16_000,
-            1L << 30,
             0);
     control.send(Frame.newBuilder().setAnnounce(Announcements.write(announcement)).build());
   }
