Test faults under load and bad input at the doors of requests

Random bytes, over-long frames, frames of the wrong kind, malformed HTTP and a flood of connections harm nobody else; an unsupported HTTP version is the caller's fault, not an internal one. Seen once and under search: a 400 for a good request to the health endpoint beside random bytes.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/CallerServer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/CallerServer.java
@@ -143,8 +143,10 @@
 
   private static boolean jettyError(Request request, Response response, Callback callback) {
     int status = response.getStatus();
-    ErrorKind kind =
-        status >= HttpStatus.INTERNAL_SERVER_ERROR_500 ? ErrorKind.INTERNAL : ErrorKind.BAD_REQUEST;
+    boolean ownFault =
+        status >= HttpStatus.INTERNAL_SERVER_ERROR_500
+            && status != HttpStatus.HTTP_VERSION_NOT_SUPPORTED_505;
+    ErrorKind kind = ownFault ? ErrorKind.INTERNAL : ErrorKind.BAD_REQUEST;
     Failure failure = Failure.of(kind, HttpStatus.getMessage(status));
     AnswerWriter.write(response, callback, failure, "");
     return true;
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/BadInputTest.java
@@ -0,0 +1,211 @@
+package io.marigoldsail.daemon.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.dispatch.ByteBudget;
+import io.marigoldsail.dispatch.WireId;
+import io.marigoldsail.protocol.Announce;
+import io.marigoldsail.protocol.AnswerBody;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.Ping;
+import io.marigoldsail.protocol.Pong;
+import io.marigoldsail.protocol.RequestStart;
+import io.marigoldsail.protocol.TaskMessage;
+import io.marigoldsail.time.MonotonicClock;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+
+/** What is sent to the doors of a side process and an entry that should not be. */
+class BadInputTest {
+  private static final int TOO_LONG = 10_000_000;
+
+  private static FakeTarget target;
+  private static SideUnderTest side;
+  private static EntryUnderTest entry;
+  private static LinkLoop testLoop;
+  private static FakePeer bystander;
+
+  @BeforeContainer
+  static void start() throws Exception {
+    target = new FakeTarget();
+    testLoop = new LinkLoop("test", MonotonicClock.system());
+    LinkLoop loop = new LinkLoop("side", MonotonicClock.system());
+    ByteBudget budget = new ByteBudget(2L * Bodies.MAX_BYTES);
+    side = new SideUnderTest("vm-1", 1, 0, target, loop, budget);
+    entry = new EntryUnderTest("entry-1", 1);
+    side.announceTo(List.of(entry.address()));
+    entry.awaitTargets(1);
+    bystander = FakePeer.dial(testLoop, side.port());
+  }
+
+  @AfterContainer
+  static void stop() {
+    entry.close();
+    side.close();
+    testLoop.close();
+  }
+
+  private static Socket connect(int port) throws IOException {
+    Socket socket = new Socket();
+    socket.connect(new InetSocketAddress("127.0.0.1", port));
+    socket.setSoTimeout(30_000);
+    return socket;
+  }
+
+  private static void writeQuietly(Socket socket, byte[] bytes) {
+    try {
+      socket.getOutputStream().write(bytes);
+    } catch (IOException e) {
+      // The other end may have closed on the first of them.
+    }
+  }
+
+  /** The other connections of the side process, and callers, are served as ever. */
+  private static void assertOthersAreServed() throws Exception {
+    bystander.send(Frame.newBuilder().setPing(Ping.newBuilder().setNonce(7)).build());
+    assertTrue(bystander.next().hasPong());
+    HttpResponse<byte[]> live = entry.get(CallerServer.LIVE_PATH);
+    String said = new String(live.body(), StandardCharsets.UTF_8);
+    assertEquals(200, live.statusCode(), said);
+    assertEquals(1, entry.links().peers().size());
+  }
+
+  @Property(seed = "11", tries = 60)
+  void randomBytesHarmNobodyElse(@ForAll @Size(max = 300) byte[] bytes) throws Exception {
+    for (int port : new int[] {side.port(), entry.address().getPort(), entry.callersPort()}) {
+      try (Socket socket = connect(port)) {
+        writeQuietly(socket, bytes);
+      }
+    }
+    assertOthersAreServed();
+    assertEquals(0, target.started());
+  }
+
+  @Property(seed = "12", tries = 60)
+  void wellFramedNonsenseHarmsNobodyElse(@ForAll @Size(max = 300) byte[] bytes) throws Exception {
+    byte[] framed = ByteBuffer.allocate(4 + bytes.length).putInt(bytes.length).put(bytes).array();
+    for (int port : new int[] {side.port(), entry.address().getPort()}) {
+      try (Socket socket = connect(port)) {
+        writeQuietly(socket, framed);
+      }
+    }
+    assertOthersAreServed();
+    assertEquals(0, target.started());
+  }
+
+  /** A length of ten megabytes, with nothing behind it, must not be waited for in memory. */
+  @Property(tries = 1)
+  void frameLongerThanTheLimitEndsItsConnection() throws Exception {
+    for (int port : new int[] {side.port(), entry.address().getPort()}) {
+      try (Socket socket = connect(port)) {
+        writeQuietly(socket, ByteBuffer.allocate(4).putInt(TOO_LONG).array());
+        assertEquals(-1, socket.getInputStream().read());
+      }
+    }
+    assertOthersAreServed();
+  }
+
+  @Property(tries = 1)
+  void framesOfTheWrongKindEndTheirConnection() throws Exception {
+    WireId id = new WireId(1, 1);
+    List<Frame> toSide =
+        List.of(
+            Frame.getDefaultInstance(),
+            Frame.newBuilder().setPong(Pong.getDefaultInstance()).build(),
+            Frame.newBuilder().setAnnounce(Announce.getDefaultInstance()).build(),
+            Frame.newBuilder()
+                .setRequestStart(
+                    RequestStart.newBuilder()
+                        .setId(SideFrames.message(id))
+                        .setRemainingMillis(60_000)
+                        .setBodyLength(1)
+                        .setData(ByteString.copyFromUtf8("two"))
+                        .setLast(true))
+                .build());
+    for (Frame frame : toSide) {
+      FakePeer peer = FakePeer.dial(testLoop, side.port());
+      peer.send(frame);
+      peer.awaitEnd();
+    }
+    List<Frame> toEntry =
+        List.of(
+            Frame.getDefaultInstance(),
+            Frame.newBuilder().setAnswerBody(AnswerBody.getDefaultInstance()).build(),
+            Frame.newBuilder().setTask(TaskMessage.getDefaultInstance()).build(),
+            Frame.newBuilder().setAnnounce(Announce.newBuilder().setVm("vm-9")).build(),
+            Frame.newBuilder().setAnnounce(Announce.newBuilder().setSlots(-1)).build());
+    for (Frame frame : toEntry) {
+      FakePeer peer = FakePeer.dial(testLoop, entry.address().getPort());
+      peer.send(frame);
+      peer.awaitEnd();
+    }
+    assertOthersAreServed();
+    assertEquals(0, target.started());
+  }
+
+  @Property(tries = 1)
+  void malformedHttpIsAnsweredWithAProblem() throws Exception {
+    String[] requests = {
+      "GET /parking/x HTTP/1.1\r\n\r\n",
+      "GET /parking/x HTTP/9.9\r\nHost: x\r\n\r\n",
+      "GET /parking/x HTTP/1.1\r\nHost: x\r\nX: " + "a".repeat(20_000) + "\r\n\r\n",
+      "POST /parking/x HTTP/1.1\r\nHost: x\r\nContent-Length: many\r\n\r\n",
+      "POST /parking/x HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n",
+      "GET /parking/{x} HTTP/1.1\r\nHost: x\r\n\r\n",
+    };
+    for (String request : requests) {
+      try (Socket socket = connect(entry.callersPort())) {
+        writeQuietly(socket, request.getBytes(StandardCharsets.UTF_8));
+        socket.shutdownOutput();
+        String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(answer.startsWith("HTTP/1.1 4"), () -> request + " got " + answer);
+        assertTrue(answer.contains("application/problem+json"), () -> request + " got " + answer);
+      }
+    }
+    assertOthersAreServed();
+  }
+
+  /** Hundreds of connections that say nothing must not lock out our own processes' connections. */
+  @Property(tries = 1)
+  void floodOfConnectionsIsBounded() throws Exception {
+    List<Socket> flood = new ArrayList<>();
+    try {
+      for (int i = 0; i < 300; i++) {
+        flood.add(connect(side.port()));
+      }
+      int refused = 0;
+      for (Socket socket : flood) {
+        socket.setSoTimeout(1);
+        refused += isEnded(socket) ? 1 : 0;
+      }
+      assertTrue(refused >= 300 - 256, "refused only " + refused);
+      assertOthersAreServed();
+    } finally {
+      for (Socket socket : flood) {
+        socket.close();
+      }
+    }
+  }
+
+  private static boolean isEnded(Socket socket) {
+    try {
+      return socket.getInputStream().read() < 0;
+    } catch (IOException e) {
+      return !(e instanceof java.net.SocketTimeoutException);
+    }
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryUnderTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryUnderTest.java
@@ -29,6 +29,7 @@
   private final EntryLinks links;
   private final EntryDispatcher dispatcher;
   private final CallerServer callers;
+  private boolean closed;
   private final HttpClient client =
       HttpClient.newBuilder()
           .version(HttpClient.Version.HTTP_1_1)
@@ -137,6 +138,10 @@
   /** Ends at once, as when the process is killed. */
   @Override
   public void close() {
+    if (closed) {
+      return;
+    }
+    closed = true;
     callers.close();
     dispatcher.close();
     links.close();
