Give every idempotency key one home, by claims in the log

Keys of a service fall into 64 shards; a side process is a shard's home by a claim in the stream `keys`, under a lease that entries renew by evidence from the log's order. The home runs each key once: who asks while it runs gets its answer, who asks later the kept one, another body under the same key is a conflict. After a death the shard's next home refuses until lease and window are over (KEY_STATE_UNKNOWN, "this attempt was not run; an earlier one may have been"). Weighed: hashing over the targets that an entry sees (two entries differ, a charge runs twice), a record of every key in the log (several hundred appends a second at most, and its outages in every charge's path), homes chosen by the entries (no choice needed by the network). Left: handing keys over at a planned stop; moving shards to new targets.

--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/idempotency/KeyShardTableTest.java
@@ -0,0 +1,113 @@
+package io.marigoldsail.idempotency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.marigoldsail.dispatch.TargetState;
+import io.marigoldsail.log.LogEntry;
+import io.marigoldsail.log.Position;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class KeyShardTableTest {
+  private static final String SERVICE = "parking";
+
+  private long now = 500;
+  private long offset;
+  private final KeyShardTable table = new KeyShardTable(() -> now);
+
+  private void apply(KeyShardTable to, String type, JsonNode body) {
+    Position position = new Position(offset++, 0);
+    to.apply(new LogEntry(position, "entry-1/1/" + offset, type, body));
+  }
+
+  private void claim(String vm, long incarnation, Integer... shards) {
+    apply(
+        table, KeyShardTable.CLAIM, KeyShardTable.claim(SERVICE, vm, incarnation, List.of(shards)));
+  }
+
+  private void revoke(String vm, long incarnation) {
+    apply(table, KeyShardTable.REVOKE, KeyShardTable.revocation(vm, incarnation));
+  }
+
+  /**
+   * Two entries see different targets and claim the same shard for each. If both claims held, a
+   * charge and its repeat through the other entry would run at two homes.
+   */
+  @Test
+  void firstClaimInTheLogHolds() {
+    claim("vm-1", 1, 3);
+    claim("vm-2", 1, 3, 4);
+
+    assertEquals("vm-1", table.home(SERVICE, 3).orElseThrow().vm());
+    assertEquals("vm-2", table.home(SERVICE, 4).orElseThrow().vm());
+    assertEquals(now, table.home(SERVICE, 3).orElseThrow().quietUntil());
+  }
+
+  /** Nobody knows what a dead home ran; its successor is quiet until nobody asks for that again. */
+  @Test
+  void successorIsQuietUntilItsPredecessorsKeysAreOfNoMoreMatter() {
+    claim("vm-1", 1, 3);
+    now = 9_000;
+    revoke("vm-1", 1);
+    assertEquals(Optional.empty(), table.home(SERVICE, 3));
+    now = 10_000;
+    claim("vm-2", 1, 3);
+
+    KeyHome home = table.home(SERVICE, 3).orElseThrow();
+    assertEquals(9_000 + KeyTerms.QUIET_NANOS, home.quietUntil());
+  }
+
+  @Test
+  void revocationOfAnEarlierProcessTakesNothingFromTheLaterOne() {
+    claim("vm-1", 2, 3);
+    revoke("vm-1", 1);
+
+    assertEquals(2, table.home(SERVICE, 3).orElseThrow().incarnation());
+  }
+
+  /** An entry that starts from a snapshot cannot tell when quiet times began: they begin anew. */
+  @Test
+  void snapshotKeepsHomesAndBeginsQuietTimesAnew() {
+    claim("vm-1", 1, 3, 5);
+    revoke("vm-1", 1);
+    claim("vm-2", 1, 3);
+    claim("vm-3", 1, 7);
+    KeyShardTable other = new KeyShardTable(() -> 77_000);
+    other.restore(table.snapshot());
+
+    assertEquals(77_000 + KeyTerms.QUIET_NANOS, other.home(SERVICE, 3).orElseThrow().quietUntil());
+    assertEquals(77_000, other.home(SERVICE, 7).orElseThrow().quietUntil());
+    assertEquals(
+        table.home(SERVICE, 3).orElseThrow().claim(), other.home(SERVICE, 3).orElseThrow().claim());
+    apply(other, KeyShardTable.CLAIM, KeyShardTable.claim(SERVICE, "vm-2", 1, List.of(5)));
+    assertEquals(77_000 + KeyTerms.QUIET_NANOS, other.home(SERVICE, 5).orElseThrow().quietUntil());
+  }
+
+  @Test
+  void brokenRecordsFoldToNothing() {
+    claim("vm-1", 1, -1, 64, 9_999);
+    claim("", 1, 3);
+
+    assertEquals(Set.of(), table.homes(SERVICE).keySet());
+  }
+
+  @Test
+  void planSpreadsShardsAndPassesOverWhoLeavesOrServesAnother() {
+    List<TargetState> targets =
+        List.of(
+            new TargetState("vm-1", 1, SERVICE, "suva", 8, false),
+            new TargetState("vm-2", 1, SERVICE, "suva", 8, false),
+            new TargetState("vm-3", 1, SERVICE, "suva", 8, true),
+            new TargetState("vm-4", 1, "alerts", "suva", 8, false));
+    var claims = HomePlan.claims(SERVICE, Set.of(0, 1), targets);
+
+    assertEquals(Set.of("vm-1", "vm-2"), claims.keySet());
+    int total = claims.values().stream().mapToInt(List::size).sum();
+    assertEquals(KeyShards.COUNT - 2, total);
+    claims.values().forEach(shards -> assertTrue(shards.size() > KeyShards.COUNT / 5));
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/idempotency/KeyStoreTest.java
@@ -0,0 +1,78 @@
+package io.marigoldsail.idempotency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.marigoldsail.idempotency.KeyStore.Admission;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class KeyStoreTest {
+  private static final long FINGERPRINT = 1;
+
+  private final KeyStore<String, String> store = new KeyStore<>(2, 10);
+
+  private Admission<String> admit(String key, String waiter, long now) {
+    return store.admit(key, FINGERPRINT, waiter, now);
+  }
+
+  /** A caller loses patience and asks again while its charge runs: one charge, two answers. */
+  @Test
+  void whoAsksWhileItRunsGetsItsAnswer() {
+    assertInstanceOf(Admission.Run.class, admit("a", "first", 0));
+    assertInstanceOf(Admission.Join.class, admit("a", "second", 1));
+
+    assertEquals(List.of("second"), store.ran("a", "paid", 4, 2));
+    assertEquals(new Admission.Ran<>(Optional.of("paid")), admit("a", "third", 3));
+  }
+
+  @Test
+  void whatDidNotRunMayRunLater() {
+    admit("a", "first", 0);
+    admit("a", "second", 0);
+
+    assertEquals(List.of("second"), store.notRun("a"));
+    assertInstanceOf(Admission.Run.class, admit("a", "third", 1));
+  }
+
+  @Test
+  void keyOfAnotherRequestIsAConflict() {
+    admit("a", "first", 0);
+
+    assertInstanceOf(Admission.Conflict.class, store.admit("a", 2, "second", 0));
+    store.ran("a", "paid", 4, 1);
+    assertInstanceOf(Admission.Conflict.class, store.admit("a", 2, "third", 2));
+  }
+
+  /** Forgetting a key early for want of room would run its charge again: new ones are refused. */
+  @Test
+  void fullStoreForgetsNoKeyBeforeItsTime() {
+    admit("a", "first", 0);
+    store.ran("a", "paid", 4, 0);
+    admit("b", "first", 1);
+
+    assertInstanceOf(Admission.Full.class, admit("c", "first", 2));
+    assertInstanceOf(Admission.Ran.class, admit("a", "again", 2));
+    assertInstanceOf(Admission.Run.class, admit("c", "first", KeyTerms.WINDOW_NANOS));
+  }
+
+  @Test
+  void answersGiveWayButTheirKeysStay() {
+    admit("a", "first", 0);
+    store.ran("a", "paid", 6, 0);
+    admit("b", "first", 0);
+    store.ran("b", "paid", 6, 0);
+
+    assertEquals(new Admission.Ran<>(Optional.empty()), admit("a", "again", 1));
+    assertEquals(new Admission.Ran<>(Optional.of("paid")), admit("b", "again", 1));
+  }
+
+  @Test
+  void answerLongerThanAllMayHoldIsNotKept() {
+    admit("a", "first", 0);
+    store.ran("a", "long", 11, 0);
+
+    assertEquals(new Admission.Ran<>(Optional.empty()), admit("a", "again", 1));
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/KeyHomesTest.java
@@ -0,0 +1,208 @@
+package io.marigoldsail.daemon.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.idempotency.KeyShardTable;
+import io.marigoldsail.idempotency.KeyShards;
+import io.marigoldsail.log.AppendSettings;
+import io.marigoldsail.log.EntryIds;
+import io.marigoldsail.log.FollowerSettings;
+import io.marigoldsail.log.LogAppender;
+import io.marigoldsail.log.StreamFollower;
+import io.marigoldsail.testlib.platform.FakeLogService;
+import io.marigoldsail.testlib.platform.StandInTarget;
+import io.marigoldsail.testlib.platform.TargetRun;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.timeline.EventRecorder;
+import java.net.InetSocketAddress;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Keyed requests through two entries that agree on homes by a log. */
+class KeyHomesTest {
+  private static final int VMS = 3;
+
+  /** An entry with its part of the stream of keys. */
+  private static final class KeyedEntry implements AutoCloseable {
+    private final KeyShardTable table = new KeyShardTable(MonotonicClock.system());
+    private final StreamFollower follower;
+    private final LogAppender appender;
+    private final EntryUnderTest entry;
+    private final KeyHomes homes;
+
+    KeyedEntry(FakeLogService log, int number) throws Exception {
+      MonotonicClock clock = MonotonicClock.system();
+      SplittableRandom random = new SplittableRandom(number);
+      follower =
+          new StreamFollower(
+              log, KeyShardTable.STREAM, table, FollowerSettings.usual(), clock, random.split());
+      appender =
+          new LogAppender(
+              log,
+              follower,
+              EntryIds.of("entry-" + number, number),
+              AppendSettings.usual(),
+              clock,
+              random.split());
+      entry =
+          new EntryUnderTest(
+              "entry-" + number,
+              number,
+              LinkTimes.DEFAULT,
+              EventRecorder.none(),
+              Optional.of(table));
+      homes = new KeyHomes(entry.loop(), table, appender::append, entry.links());
+      follower.start();
+      appender.start();
+      homes.start();
+    }
+
+    CompletableFuture<HttpResponse<byte[]>> charge(String key, String query) {
+      return entry.sendAsync(
+          entry
+              .request("/parking/charge" + query)
+              .header(CallerHeaders.CALLER, "driver")
+              .header(CallerHeaders.IDEMPOTENCY_KEY, key)
+              .POST(HttpRequest.BodyPublishers.ofString("5 dollars")));
+    }
+
+    /** Waits until charges are served, that is until homes are claimed and vouched for. */
+    void awaitServed(String prefix) {
+      int[] tries = new int[1];
+      Await.until(
+          "keys are served", () -> charge(prefix + tries[0]++, "?warm").join().statusCode() == 200);
+    }
+
+    @Override
+    public void close() {
+      homes.close();
+      entry.close();
+      appender.close();
+      follower.close();
+    }
+  }
+
+  private final FakeLogService log = new FakeLogService();
+  private final List<StandInTarget> targets = new ArrayList<>();
+  private final List<SideUnderTest> sides = new ArrayList<>();
+  private KeyedEntry first;
+  private KeyedEntry second;
+
+  @BeforeEach
+  void start() throws Exception {
+    first = new KeyedEntry(log, 1);
+    second = new KeyedEntry(log, 2);
+    List<InetSocketAddress> entries = List.of(first.entry.address(), second.entry.address());
+    for (int i = 0; i < VMS; i++) {
+      StandInTarget target = new StandInTarget("target-" + i, "127.0.0.1", 0, 8, 64).start();
+      SideUnderTest side = SideUnderTest.onHttp("vm-" + i, 1, target.address());
+      side.announceTo(entries);
+      targets.add(target);
+      sides.add(side);
+    }
+    first.entry.awaitTargets(VMS);
+    second.entry.awaitTargets(VMS);
+    Await.until(
+        "both know all homes",
+        () ->
+            first.table.homes("parking").size() == KeyShards.COUNT
+                && second.table.homes("parking").size() == KeyShards.COUNT);
+    first.awaitServed("warm-1-");
+    second.awaitServed("warm-2-");
+  }
+
+  @AfterEach
+  void stop() {
+    first.close();
+    second.close();
+    sides.forEach(SideUnderTest::close);
+    targets.forEach(StandInTarget::close);
+  }
+
+  private List<TargetRun> charges() {
+    List<TargetRun> runs = new ArrayList<>();
+    targets.forEach(target -> runs.addAll(target.runs()));
+    runs.removeIf(run -> run.path().contains("?warm"));
+    return runs;
+  }
+
+  private static String text(HttpResponse<byte[]> answer) {
+    return new String(answer.body(), StandardCharsets.UTF_8);
+  }
+
+  /**
+   * Drivers lose patience and ask again through the other entry while their charge still runs, and
+   * once more when it has ended. Each key's charge must run once, at one target.
+   */
+  @Test
+  void repeatsThroughAnotherEntryRunNoSecondTime() {
+    int keys = 20;
+    List<CompletableFuture<HttpResponse<byte[]>>> answers = new ArrayList<>();
+    for (int i = 0; i < keys; i++) {
+      String key = "pay-" + i;
+      answers.add(first.charge(key, "?serviceMillis=100"));
+      answers.add(second.charge(key, "?serviceMillis=100"));
+    }
+    int served = 0;
+    for (CompletableFuture<HttpResponse<byte[]>> answer : answers) {
+      served += answer.join().statusCode() == 200 ? 1 : 0;
+    }
+    assertTrue(served > keys, "served " + served);
+    int ran = charges().size();
+    assertTrue(ran <= keys, "ran " + ran);
+
+    for (int i = 0; i < keys; i++) {
+      Await.until("key " + i + " served", servedAtLast("pay-" + i));
+    }
+    assertEquals(keys, charges().size());
+    assertEquals(keys, charges().stream().map(TargetRun::idempotencyKey).distinct().count());
+  }
+
+  private java.util.function.BooleanSupplier servedAtLast(String key) {
+    return () -> second.charge(key, "?serviceMillis=100").join().statusCode() == 200;
+  }
+
+  /**
+   * The side process that is a key's home is killed and started anew, empty, while its target goes
+   * on. It cannot know whether the charge ran; running it may be the second time. The caller is
+   * told that the state of its key is unknown, whichever entry it asks.
+   */
+  @Test
+  void killedHomeRunsNothingAgain() throws Exception {
+    assertEquals(200, first.charge("pay", "").join().statusCode());
+    int home = homeOf("pay");
+    sides.get(home).close();
+    SideUnderTest successor = SideUnderTest.onHttp("vm-" + home, 2, targets.get(home).address());
+    sides.set(home, successor);
+    successor.announceTo(List.of(first.entry.address(), second.entry.address()));
+    int shard = KeyShards.of("driver\npay");
+    Await.until(
+        "another home claimed",
+        () ->
+            second.table.home("parking", shard).isPresent()
+                && second.table.home("parking", shard).orElseThrow().quietUntil()
+                    > System.nanoTime());
+
+    for (KeyedEntry entry : List.of(first, second)) {
+      HttpResponse<byte[]> answer = entry.charge("pay", "").join();
+      assertTrue(text(answer).contains("key-state-unknown"), () -> text(answer));
+      assertTrue(text(answer).contains("this attempt was not run"), () -> text(answer));
+    }
+    assertEquals(1, charges().size());
+  }
+
+  private int homeOf(String key) {
+    String vm = first.table.home("parking", KeyShards.of("driver\n" + key)).orElseThrow().vm();
+    return Integer.parseInt(vm.substring("vm-".length()));
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideKeysTest.java
@@ -0,0 +1,201 @@
+package io.marigoldsail.daemon.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.dispatch.ByteBudget;
+import io.marigoldsail.dispatch.WireId;
+import io.marigoldsail.idempotency.KeyTerms;
+import io.marigoldsail.protocol.Cancel;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.KeyClaim;
+import io.marigoldsail.protocol.KeyLease;
+import io.marigoldsail.protocol.KeyLeases;
+import io.marigoldsail.protocol.RequestStart;
+import io.marigoldsail.time.MonotonicClock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A side process as the home of idempotency keys. */
+class SideKeysTest {
+  private static final long INCARNATION = 42;
+  private static final KeyClaim CLAIM = KeyClaim.newBuilder().setShard(3).setOffset(7).build();
+
+  private final FakeTarget target = new FakeTarget();
+  private final LinkLoop testLoop = new LinkLoop("test", MonotonicClock.system());
+  private final AtomicLong ahead = new AtomicLong();
+  private SideUnderTest side;
+  private FakePeer entry;
+  private FakePeer otherEntry;
+
+  @BeforeEach
+  void start() throws Exception {
+    LinkLoop loop = new LinkLoop("side", () -> System.nanoTime() + ahead.get());
+    ByteBudget budget = new ByteBudget(2L * Bodies.MAX_BYTES);
+    side = new SideUnderTest("vm-1", INCARNATION, 0, target, loop, budget);
+    Await.until("target probed", () -> !side.dispatcher().isLeaving());
+    entry = FakePeer.dial(testLoop, side.port());
+    otherEntry = FakePeer.dial(testLoop, side.port());
+  }
+
+  @AfterEach
+  void stop() {
+    side.close();
+    testLoop.close();
+  }
+
+  private void vouch(long incarnation, long quietMillis) {
+    KeyLease.Builder lease = KeyLease.newBuilder().setClaim(CLAIM).setQuietMillis(quietMillis);
+    side.dispatcher()
+        .keyLeases(
+            KeyLeases.newBuilder().setProcessIncarnation(incarnation).addLeases(lease).build());
+    CompletableFuture<Void> taken = new CompletableFuture<>();
+    side.loop().run(() -> taken.complete(null));
+    taken.join();
+  }
+
+  private Frame charge(long incarnation, long sequence, String key, String body) {
+    RequestStart.Builder start =
+        RequestStart.newBuilder()
+            .setId(SideFrames.message(new WireId(incarnation, sequence)))
+            .setMethod("POST")
+            .setPath("/parking/charge")
+            .setRemainingMillis(60_000)
+            .setSentAt(testLoop.now())
+            .setIdempotencyKey(key)
+            .setKeyClaim(CLAIM)
+            .setBodyLength(body.length())
+            .setData(ByteString.copyFromUtf8(body))
+            .setLast(true);
+    return Frame.newBuilder().setRequestStart(start).build();
+  }
+
+  /**
+   * A driver presses "pay" twice and the two presses reach two entries. The charge must run once,
+   * and both presses must see its receipt, also a third after it ended.
+   */
+  @Test
+  void oneChargeForAllWhoAskWithItsKey() throws Exception {
+    vouch(INCARNATION, 0);
+    entry.send(charge(1, 1, "pay", "5 dollars"));
+    FakeTarget.Run run = target.next();
+    otherEntry.send(charge(2, 1, "pay", "5 dollars"));
+    otherEntry.send(charge(2, 2, "other", "5 dollars"));
+    target.next().answer("other receipt");
+    assertEquals(2, otherEntry.next().getAnswerStart().getId().getSequence());
+
+    run.answer("receipt");
+    assertEquals("receipt", entry.next().getAnswerStart().getData().toStringUtf8());
+    Frame joined = otherEntry.next();
+    assertEquals("receipt", joined.getAnswerStart().getData().toStringUtf8());
+    assertEquals(1, joined.getAnswerStart().getId().getSequence());
+    entry.send(charge(1, 2, "pay", "5 dollars"));
+    assertEquals("receipt", entry.next().getAnswerStart().getData().toStringUtf8());
+    assertEquals(2, target.started());
+  }
+
+  @Test
+  void sameKeyForAnotherChargeIsAConflict() throws Exception {
+    vouch(INCARNATION, 0);
+    entry.send(charge(1, 1, "pay", "5 dollars"));
+    target.next();
+    entry.send(charge(1, 2, "pay", "6 dollars"));
+
+    assertEquals("conflict", entry.next().getNotRun().getErrorKind());
+    assertEquals(1, target.started());
+  }
+
+  /** The charge's outcome is lost at the target: whoever asks again hears just that. */
+  @Test
+  void unknownOutcomeStaysUnknownAndRunsNoSecondTime() throws Exception {
+    vouch(INCARNATION, 0);
+    entry.send(charge(1, 1, "pay", "5 dollars"));
+    target.next().ended().accept(new TargetOutcome.Lost("reset"));
+    assertEquals("outcome-unknown", entry.next().getFailed().getErrorKind());
+    entry.send(charge(1, 2, "pay", "5 dollars"));
+
+    assertEquals("outcome-unknown", entry.next().getFailed().getErrorKind());
+    assertEquals(1, target.started());
+  }
+
+  /**
+   * The home is cut off from all entries, or frozen, for longer than its lease; meanwhile its shard
+   * went to another one. What still reaches it must not run here, too.
+   */
+  @Test
+  void lapsedLeaseRunsNothing() throws Exception {
+    vouch(INCARNATION, 0);
+    ahead.set(KeyTerms.LEASE_NANOS);
+    entry.send(charge(1, 1, "pay", "5 dollars"));
+
+    assertEquals("key-state-unknown", entry.next().getNotRun().getErrorKind());
+    assertEquals(0, target.started());
+  }
+
+  /** The same, with the lease lapsing while the charge waits for a slot. */
+  @Test
+  void leaseIsLookedAtAgainWhenASlotFallsFree() throws Exception {
+    vouch(INCARNATION, 0);
+    List<FakeTarget.Run> runs = new ArrayList<>();
+    for (int i = 1; i <= 8; i++) {
+      entry.send(charge(1, i, "key-" + i, "5 dollars"));
+      runs.add(target.next());
+    }
+    entry.send(charge(1, 9, "pay", "5 dollars"));
+    Await.until("it waits", () -> side.dispatcher().load().waiting() == 1);
+    ahead.set(KeyTerms.LEASE_NANOS);
+    runs.get(0).answer("receipt");
+
+    assertTrue(entry.next().hasAnswerStart());
+    assertEquals("key-state-unknown", entry.next().getNotRun().getErrorKind());
+    assertEquals(8, target.started());
+  }
+
+  /** A home after a death does not know what its predecessor ran, and says so. */
+  @Test
+  void quietHomeRefusesWithTheTimeToComeBack() throws Exception {
+    vouch(INCARNATION, 5_000);
+    entry.send(charge(1, 1, "pay", "5 dollars"));
+
+    Frame refused = entry.next();
+    assertEquals("key-state-unknown", refused.getNotRun().getErrorKind());
+    assertTrue(refused.getNotRun().getRetryAfterMillis() > 0);
+    assertEquals(0, target.started());
+  }
+
+  @Test
+  void evidenceForAPredecessorCountsForNothing() throws Exception {
+    vouch(INCARNATION - 1, 0);
+    entry.send(charge(1, 1, "pay", "5 dollars"));
+
+    assertEquals("key-state-unknown", entry.next().getNotRun().getErrorKind());
+  }
+
+  /** The first press is given up while it waits; the second, which waited for it, did not run. */
+  @Test
+  void whoWaitedForAChargeThatWasGivenUpHearsNotRun() throws Exception {
+    vouch(INCARNATION, 0);
+    for (int i = 1; i <= 8; i++) {
+      entry.send(charge(1, i, "key-" + i, "5 dollars"));
+      target.next();
+    }
+    entry.send(charge(1, 9, "pay", "5 dollars"));
+    Await.until("it waits", () -> side.dispatcher().load().waiting() == 1);
+    otherEntry.send(charge(2, 1, "pay", "5 dollars"));
+    Cancel.Builder cancel = Cancel.newBuilder().setId(SideFrames.message(new WireId(1, 9)));
+    Frame cancelFrame = Frame.newBuilder().setCancel(cancel).build();
+    otherEntry.send(charge(2, 2, "key-1", "6 dollars"));
+    assertEquals("conflict", otherEntry.next().getNotRun().getErrorKind());
+    entry.send(cancelFrame);
+
+    assertEquals("overloaded", otherEntry.next().getNotRun().getErrorKind());
+    assertEquals(8, target.started());
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideUnderTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideUnderTest.java
@@ -70,6 +70,7 @@
     links =
         new SideLinks(
             loop, this::announcement, entries, EventRecorder.none(), new SplittableRandom(7));
+    links.addKeyListener(dispatcher::keyLeases);
     links.start();
   }
 
