--- /dev/null
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/log/CountFold.java
@@ -0,0 +1,36 @@
+package io.marigoldsail.log;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.Objects;
+
+/** Counts its entries and mixes their ids into a number that depends on their order. */
+final class CountFold implements Fold {
+  private long count;
+  private int mixed;
+
+  synchronized long count() {
+    return count;
+  }
+
+  synchronized String state() {
+    return count + "/" + mixed;
+  }
+
+  @Override
+  public synchronized void apply(LogEntry entry) {
+    count++;
+    mixed = Objects.hash(mixed, entry.id());
+  }
+
+  @Override
+  public synchronized JsonNode snapshot() {
+    return JsonNodeFactory.instance.objectNode().put("count", count).put("mixed", mixed);
+  }
+
+  @Override
+  public synchronized void restore(JsonNode snapshot) {
+    count = snapshot.path("count").longValue();
+    mixed = snapshot.path("mixed").intValue();
+  }
+}
