--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/load/LoadRecord.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/load/LoadRecord.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.cli.load;
 
+import io.marigoldsail.error.ErrorKind;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -54,6 +55,19 @@
     return served == null ? 0 : served.sum();
   }
 
+  /** Returns how many were refused as not run, which their callers may ask again. */
+  long refused() {
+    long refused = 0;
+    for (Map.Entry<String, Long> kind : byKind().entrySet()) {
+      boolean notRun =
+          ErrorKind.forCode(kind.getKey())
+              .filter(error -> error.execution() == ErrorKind.Execution.NOT_RUN)
+              .isPresent();
+      refused += notRun ? kind.getValue() : 0;
+    }
+    return refused;
+  }
+
   /** Returns the latency of served requests from their planned time, in microseconds. */
   Histogram fromPlan() {
     return fromPlan;
--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/load/LoadReport.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/load/LoadReport.java
@@ -73,6 +73,8 @@
     node.put("planned", planned);
     node.put("tookMillis", tookMillis);
     node.put("served", loadRecord.served());
+    node.put("refused", loadRecord.refused());
+    node.put("failed", planned - loadRecord.served() - loadRecord.refused());
     node.put("servedPerSecond", loadRecord.served() * MILLIS_PER_SECOND / tookMillis);
     ObjectNode kinds = node.putObject("answers");
     loadRecord.byKind().forEach(kinds::put);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/Main.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/Main.java
@@ -3,6 +3,7 @@
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.observe.LogSetup;
+import io.marigoldsail.daemon.observe.PatientLogManager;
 import io.marigoldsail.error.Failure;
 import io.marigoldsail.error.Result;
 import io.marigoldsail.settings.EntrySettings;
@@ -31,6 +32,10 @@
 public final class Main implements Callable<Integer> {
   static final int EXIT_BAD_SETTINGS = 2;
 
+  static {
+    PatientLogManager.use();
+  }
+
   private static final EventLog LOG = EventLog.of(Main.class);
 
   @Option(names = "--settings", required = true, description = "The settings file, JSON.")
@@ -82,6 +87,7 @@
     process.close();
     LOG.info(LogLine.of("planned-stop-ended"));
     ended.countDown();
+    Runtime.getRuntime().halt(0);
   }
 
   private static DaemonProcess create(ProcessSettings settings) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/LogSetup.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/LogSetup.java
@@ -18,7 +18,12 @@
    * @param out where the lines go, flushed after each
    */
   public static void install(String process, PrintStream out) {
-    LogManager.getLogManager().reset();
+    LogManager manager = LogManager.getLogManager();
+    if (manager instanceof PatientLogManager patient) {
+      patient.resetOnce();
+    } else {
+      manager.reset();
+    }
     Handler handler =
         new StreamHandler(out, new KeyValueFormatter(process)) {
           @Override
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/PatientLogManager.java
@@ -0,0 +1,37 @@
+package io.marigoldsail.daemon.observe;
+
+import java.util.logging.LogManager;
+
+/**
+ * A log manager that goes on logging while the process stops.
+ *
+ * <p>The usual one closes all handlers in a shutdown hook of its own, which runs beside ours: the
+ * lines of a planned stop are lost, which shows as a log that ends at the signal. This one ignores
+ * that reset; lines are flushed one by one, so nothing is left to close.
+ */
+public final class PatientLogManager extends LogManager {
+  private static final String PROPERTY = "java.util.logging.manager";
+
+  private volatile boolean patient;
+
+  /** Called by the platform, by name. */
+  public PatientLogManager() {}
+
+  /** Makes this the process's log manager; to be called before anything logs. */
+  public static void use() {
+    System.setProperty(PROPERTY, PatientLogManager.class.getName());
+  }
+
+  /** Removes all handlers; from then on nothing removes them again. */
+  void resetOnce() {
+    super.reset();
+    patient = true;
+  }
+
+  @Override
+  public void reset() {
+    if (!patient) {
+      super.reset();
+    }
+  }
+}
