--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/Main.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/Main.java
@@ -33,7 +33,9 @@
   static final int EXIT_BAD_SETTINGS = 2;
 
   static {
-    PatientLogManager.use();
+    // Before anything logs; a class literal does not yet initialize the class and so the log
+    // system.
+    System.setProperty("java.util.logging.manager", PatientLogManager.class.getName());
   }
 
   private static final EventLog LOG = EventLog.of(Main.class);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/PatientLogManager.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/PatientLogManager.java
@@ -10,18 +10,11 @@
  * that reset; lines are flushed one by one, so nothing is left to close.
  */
 public final class PatientLogManager extends LogManager {
-  private static final String PROPERTY = "java.util.logging.manager";
-
   private volatile boolean patient;
 
   /** Called by the platform, by name. */
   public PatientLogManager() {}
 
-  /** Makes this the process's log manager; to be called before anything logs. */
-  public static void use() {
-    System.setProperty(PROPERTY, PatientLogManager.class.getName());
-  }
-
   /** Removes all handlers; from then on nothing removes them again. */
   void resetOnce() {
     super.reset();
