--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/AdmissionPolicy.java
@@ -0,0 +1,130 @@
+package io.marigoldsail.admission;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Decides at the moment of arrival whether a request may wait, so that a refusal costs no time.
+ *
+ * <p>Three load patterns. A burst of a second: what can be served before its deadline is let in,
+ * for nothing is gained by refusing it; without this, a bound on the delay throws away what fits.
+ * Overload that lasts: a queue that stays long serves nobody more, so once there was a queue longer
+ * than the target delay for {@link #BURST_NANOS}, only as many wait as the target delay covers;
+ * without this, everybody is served just before the deadline, or after it. The tighter bound holds
+ * until nothing was refused for {@link #CALM_NANOS}, else the queue would grow long again every
+ * time it dips under the target. A hot caller or key: what counts is not the length of the queue
+ * but how many would be served before this request (see {@link FairQueue#aheadOf}); a hot caller
+ * has its own requests before it, others pass them by. So nobody is refused for another's queue,
+ * and nobody who was let in is thrown out later; without it, one caller fills the queue and the
+ * rest are refused.
+ *
+ * <p>Grounds for the figures: a second is the longest burst that the users named, and as long
+ * without a refusal is the shortest sign that it is over.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class AdmissionPolicy {
+  /** How long a queue may stay above the target delay before it counts as overload. */
+  static final long BURST_NANOS = 1_000_000_000L;
+
+  /** How long nothing may have been refused before overload counts as over. */
+  static final long CALM_NANOS = 1_000_000_000L;
+
+  private static final int MIN_PLACES = 4;
+  private static final long NEVER = Long.MIN_VALUE;
+
+  private long aboveSince = NEVER;
+  private boolean overloaded;
+  private long lastRefusal = NEVER;
+
+  /** What was decided on a request that cannot be sent at once. */
+  public enum Verdict {
+    /** It may wait. */
+    WAIT,
+    /** The queue is as long as it may be, or too long for this request's deadline. */
+    FULL,
+    /** The same, and most of what it would wait for is of the same caller or key. */
+    OVER_SHARE
+  }
+
+  /**
+   * What a decision depends on.
+   *
+   * @param waiting how many requests wait in all
+   * @param ahead how many would be served before it
+   * @param overShare whether its caller or key has more waiting than an even part
+   * @param perSecond how many are served a second
+   * @param targetDelayNanos the longest wait under lasting overload
+   * @param maxWaiting the most that may wait whatever their delay
+   * @param spareNanos how long the request can wait and still be answered by its deadline
+   */
+  public record Situation(
+      int waiting,
+      int ahead,
+      boolean overShare,
+      double perSecond,
+      long targetDelayNanos,
+      int maxWaiting,
+      long spareNanos) {
+    /** Checks the components. */
+    public Situation {
+      checkArgument(perSecond > 0, "perSecond is not positive: %s", perSecond);
+    }
+
+    private double waitNanos(int requests) {
+      return requests / perSecond * 1e9;
+    }
+
+    private Verdict refusal() {
+      return overShare ? Verdict.OVER_SHARE : Verdict.FULL;
+    }
+  }
+
+  /** Creates a policy that has seen no overload. */
+  public AdmissionPolicy() {}
+
+  /** Decides on one request, and takes note of a refusal. */
+  public Verdict decide(Situation situation, long now) {
+    observe(situation, now);
+    Verdict verdict = verdict(situation);
+    if (verdict != Verdict.WAIT) {
+      lastRefusal = now;
+    }
+    return verdict;
+  }
+
+  private Verdict verdict(Situation situation) {
+    if (situation.waiting() >= situation.maxWaiting()) {
+      return situation.refusal();
+    }
+    double wait = situation.waitNanos(situation.ahead());
+    if (wait > situation.spareNanos()) {
+      return situation.refusal();
+    }
+    boolean tooLong = overloaded && wait > situation.targetDelayNanos();
+    return tooLong && situation.ahead() >= MIN_PLACES ? situation.refusal() : Verdict.WAIT;
+  }
+
+  private void observe(Situation situation, long now) {
+    if (overloaded) {
+      overloaded = lastRefusal != NEVER && now - lastRefusal < CALM_NANOS;
+      return;
+    }
+    if (situation.waitNanos(situation.waiting()) <= situation.targetDelayNanos()) {
+      aboveSince = NEVER;
+      return;
+    }
+    if (aboveSince == NEVER) {
+      aboveSince = now;
+    }
+    if (now - aboveSince >= BURST_NANOS) {
+      overloaded = true;
+      lastRefusal = now;
+      aboveSince = NEVER;
+    }
+  }
+
+  /** Returns whether the service has been full for so long that the target delay bounds waits. */
+  public boolean isOverloaded() {
+    return overloaded;
+  }
+}
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/AnnounceOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/AnnounceOrBuilder.java
@@ -22,12 +22,6 @@
   com.google.protobuf.ByteString
       getVmBytes();
 
-  /**
-   * <code>uint64 vm_incarnation = 2;</code>
-   * @return The vmIncarnation.
-   */
-  long getVmIncarnation();
-
   /**
    * <code>uint64 process_incarnation = 3;</code>
    * @return The processIncarnation.
@@ -130,20 +124,22 @@
   long getConfigurationRevision();
 
   /**
-   * <code>uint32 milli_processors = 13;</code>
-   * @return The milliProcessors.
-   */
-  int getMilliProcessors();
-
-  /**
-   * <code>uint64 memory_bytes = 14;</code>
-   * @return The memoryBytes.
+   * <pre>
+   * Where operators reach this side process, host:port.
+   * </pre>
+   *
+   * <code>string operators_address = 16;</code>
+   * @return The operatorsAddress.
    */
-  long getMemoryBytes();
-
+  java.lang.String getOperatorsAddress();
   /**
-   * <code>uint32 accelerators = 15;</code>
-   * @return The accelerators.
+   * <pre>
+   * Where operators reach this side process, host:port.
+   * </pre>
+   *
+   * <code>string operators_address = 16;</code>
+   * @return The bytes for operatorsAddress.
    */
-  int getAccelerators();
+  com.google.protobuf.ByteString
+      getOperatorsAddressBytes();
 }
