--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamFollower.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamFollower.java
@@ -186,7 +186,6 @@
   private void goodRead(LogPage page) {
     if (backoff.failing()) {
       backoff.succeeded();
-      LOGGER.log(Level.INFO, "event=log-outage-ended stream={0}", stream);
       tell(StreamListener::outageEnded);
     }
     boolean sought = status.seeking();
