--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideAttempts.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideAttempts.java
@@ -80,6 +80,17 @@
     return tasks.values();
   }
 
+  /** Returns the attempt with the token, or null. */
+  SideTask find(long token) {
+    return tasks.get(token);
+  }
+
+  /** Stops an attempt for the sake of the VM's service; repeated until the worker confirms. */
+  void evict(SideTask task, String why) {
+    task.stopping(true, why);
+    stop(task);
+  }
+
   void onVouch(Vouch vouch) {
     LeaseEvidence.Change change =
         evidence.vouched(
@@ -101,7 +112,7 @@
   void onStart(String peer, StartTask start) {
     SideTask known = tasks.get(start.getToken());
     if (known != null) {
-      known.told(start);
+      known.told(start, clock.nanos());
       reports.send(peer, known.report());
       return;
     }
@@ -119,6 +130,7 @@
             start.getLatencyCritical(),
             start.getLeaseMillis(),
             SideTask.Phase.UNCERTAIN);
+    task.told(start, clock.nanos());
     task.checkpoint(start.getCheckpoint());
     Sizes after = heldRoom().plus(sizes);
     tasks.put(task.token(), task);
@@ -277,7 +289,7 @@
 
   /** Takes in what the worker says about an attempt. */
   private void observe(SideTask task, WorkerTask seen) {
-    task.checkpoint(seen.checkpoint());
+    task.checkpointSeen(seen.checkpoint(), clock.nanos());
     switch (seen.state()) {
       case RUNNING -> {
         if (task.phase() == SideTask.Phase.UNCERTAIN) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTask.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTask.java
@@ -1,6 +1,9 @@
 package io.marigoldsail.daemon.task;
 
+import io.marigoldsail.guard.GuardedTask;
+import io.marigoldsail.job.Programs;
 import io.marigoldsail.job.Sizes;
+import io.marigoldsail.lease.UsageSample;
 import io.marigoldsail.lease.WorkerTask;
 import io.marigoldsail.protocol.StartTask;
 import io.marigoldsail.protocol.TaskReport;
@@ -31,6 +34,13 @@
   private String reportedCheckpoint = "";
   private String detail = "";
   private boolean evicted;
+  private String program = "";
+  private long startedNanos;
+  private long checkpointedNanos;
+  private long finishByMillis;
+  private boolean evictable;
+  private Sizes used;
+  private double toldSlowdown;
   private TaskReport.State end = TaskReport.State.STATE_UNSPECIFIED;
 
   SideTask(
@@ -48,6 +58,7 @@
     this.latencyCritical = latencyCritical;
     this.leaseMillis = leaseMillis;
     this.phase = phase;
+    this.used = sizes;
   }
 
   /** Returns an attempt that the worker runs from before this process's start. */
@@ -98,10 +109,42 @@
     return leaseMillis;
   }
 
-  /** Takes in what an entry says about an attempt that was adopted from the worker. */
-  void told(StartTask start) {
+  /** Takes in what an entry says about the attempt, new or adopted from the worker. */
+  void told(StartTask start, long nowNanos) {
     leaseMillis = start.getLeaseMillis();
     latencyCritical = start.getLatencyCritical();
+    program = Programs.of(start.getTeam(), start.getCommand());
+    finishByMillis = start.getFinishByMillis();
+    evictable = start.getIdempotent() || start.getCheckpointIntervalMillis() > 0;
+    if (startedNanos == 0) {
+      startedNanos = nowNanos;
+      checkpointedNanos = nowNanos;
+    }
+  }
+
+  /** Returns the attempt as its VM's guard sees it. */
+  GuardedTask guarded() {
+    return new GuardedTask(
+        token, program, sizes, used, startedNanos, checkpointedNanos, finishByMillis, evictable);
+  }
+
+  /**
+   * Takes in a measurement and returns whether it differs from the last one by more than a part.
+   */
+  boolean measured(UsageSample sample, double part) {
+    boolean changed =
+        differs(sample.used().milliProcessors(), used.milliProcessors(), part)
+            || differs(sample.used().memoryBytes(), used.memoryBytes(), part)
+            || Math.abs(sample.slowdown() - toldSlowdown) > part;
+    if (changed) {
+      used = sample.used();
+      toldSlowdown = sample.slowdown();
+    }
+    return changed;
+  }
+
+  private static boolean differs(long now, long before, double part) {
+    return Math.abs(now - before) > part * Math.max(1, before);
   }
 
   /** Returns the lease's deadline that the worker was last told. */
@@ -123,6 +166,14 @@
     }
   }
 
+  /** Takes in the checkpoint that the worker tells of at a moment. */
+  void checkpointSeen(String newCheckpoint, long nowNanos) {
+    if (!newCheckpoint.isEmpty() && !newCheckpoint.equals(checkpoint)) {
+      checkpoint = newCheckpoint;
+      checkpointedNanos = nowNanos;
+    }
+  }
+
   /** Returns whether the last checkpoint has not been told to an entry, and takes it as told. */
   boolean takeUntoldCheckpoint() {
     boolean untold = !checkpoint.equals(reportedCheckpoint);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTasks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTasks.java
@@ -7,6 +7,7 @@
 import io.marigoldsail.protocol.AskVouch;
 import io.marigoldsail.protocol.TaskMessage;
 import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.time.WallClock;
 import io.marigoldsail.timeline.EventRecorder;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -33,6 +34,8 @@
   private static final long ASK_MILLIS = 1_000;
   private static final long LIST_MILLIS = 500;
   private static final long REPORT_MILLIS = 1_000;
+  private static final long MEASURE_MILLIS = 2_000;
+  private static final long GUARD_MILLIS = 500;
 
   /** A worker silent for so long is as good as dead: the VM stops asking and so gets revoked. */
   private static final long WORKER_SILENT_MILLIS = 10_000;
@@ -44,11 +47,14 @@
   private final MonotonicClock clock;
   private final SideReports reports;
   private final SideAttempts attempts;
+  private final GuardLoop guard;
   private final BlockingQueue<Incoming> queue = new LinkedBlockingQueue<>(MAX_QUEUED);
   private long workerSilentAt;
   private long nextAsk;
   private long nextList;
   private long nextReport;
+  private long nextMeasure;
+  private long nextGuard;
   private volatile boolean leaving;
   private volatile boolean closed;
   private Thread thread;
@@ -68,15 +74,42 @@
       TaskChannel channel,
       MonotonicClock clock,
       EventRecorder recorder) {
+    this(identity, worker, channel, ServiceWatch.none(), clock, WallClock.system(), recorder);
+  }
+
+  /**
+   * Creates the tasks' part of a side process whose VM also serves; nothing runs before {@link
+   * #start}.
+   *
+   * @param identity which side process this is
+   * @param worker the VM's worker
+   * @param channel the way to entries
+   * @param service the service that the guard protects
+   * @param clock this process's clock
+   * @param wallClock this VM's clock, for the tasks' deadlines only
+   * @param recorder the time line
+   */
+  public SideTasks(
+      SideIdentity identity,
+      Worker worker,
+      TaskChannel channel,
+      ServiceWatch service,
+      MonotonicClock clock,
+      WallClock wallClock,
+      EventRecorder recorder) {
     this.identity = requireNonNull(identity, "identity");
     this.channel = requireNonNull(channel, "channel");
     this.clock = requireNonNull(clock, "clock");
     this.reports = new SideReports(channel);
     this.attempts = new SideAttempts(identity, worker, reports, clock, recorder);
+    this.guard =
+        new GuardLoop(identity, worker, attempts, channel, service, clock, wallClock, recorder);
     this.workerSilentAt = clock.nanos();
     this.nextAsk = clock.nanos();
     this.nextList = clock.nanos();
     this.nextReport = clock.nanos();
+    this.nextMeasure = clock.nanos();
+    this.nextGuard = clock.nanos();
   }
 
   /** Begins to work in a thread of its own. */
@@ -124,6 +157,14 @@
       ask();
     }
     attempts.renewAll();
+    if (passed(nextMeasure)) {
+      nextMeasure = afterMillis(MEASURE_MILLIS);
+      guard.measure();
+    }
+    if (passed(nextGuard)) {
+      nextGuard = afterMillis(GUARD_MILLIS);
+      guard.step();
+    }
     if (passed(nextReport)) {
       nextReport = afterMillis(REPORT_MILLIS);
       attempts.settleUncertain();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/StartLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/StartLoop.java
@@ -201,6 +201,7 @@
             .setLeaseMillis(task.leaseMillis())
             .setProcessIncarnation(contact.ask().processIncarnation())
             .setFinishByMillis(spec.finishByMillis())
+            .setIdempotent(spec.idempotent())
             .build();
     context.channel().send(contact.peer(), TaskMessage.newBuilder().setStart(start).build());
   }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTask.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTask.java
@@ -408,6 +408,21 @@
     return finishByMillis_;
   }
 
+  public static final int IDEMPOTENT_FIELD_NUMBER = 18;
+  private boolean idempotent_ = false;
+  /**
+   * <pre>
+   * Whether the task may be run again from its last checkpoint, or its start.
+   * </pre>
+   *
+   * <code>bool idempotent = 18;</code>
+   * @return The idempotent.
+   */
+  @java.lang.Override
+  public boolean getIdempotent() {
+    return idempotent_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -473,6 +488,9 @@
     if (finishByMillis_ != 0L) {
       output.writeUInt64(17, finishByMillis_);
     }
+    if (idempotent_ != false) {
+      output.writeBool(18, idempotent_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -540,6 +558,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(17, finishByMillis_);
     }
+    if (idempotent_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(18, idempotent_);
+    }
     return size;
   }
   @java.lang.Override
@@ -598,6 +620,8 @@
         != other.getProcessIncarnation()) return false;
     if (getFinishByMillis()
         != other.getFinishByMillis()) return false;
+    if (getIdempotent()
+        != other.getIdempotent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -654,6 +678,9 @@
     hash = (37 * hash) + FINISH_BY_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getFinishByMillis());
+    hash = (37 * hash) + IDEMPOTENT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getIdempotent());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -806,6 +833,7 @@
       leaseMillis_ = 0L;
       processIncarnation_ = 0L;
       finishByMillis_ = 0L;
+      idempotent_ = false;
       return this;
     }
 
@@ -890,6 +918,9 @@
       if (((from_bitField0_ & 0x00010000) != 0)) {
         result.finishByMillis_ = finishByMillis_;
       }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.idempotent_ = idempotent_;
+      }
     }
 
     @java.lang.Override
@@ -965,6 +996,9 @@
       if (other.getFinishByMillis() != 0L) {
         setFinishByMillis(other.getFinishByMillis());
       }
+      if (other.getIdempotent() != false) {
+        setIdempotent(other.getIdempotent());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1074,6 +1108,11 @@
               bitField0_ |= 0x00010000;
               break;
             } // case 136
+            case 144: {
+              idempotent_ = input.readBool();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 144
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1903,6 +1942,50 @@
       return this;
     }
 
+    private boolean idempotent_ ;
+    /**
+     * <pre>
+     * Whether the task may be run again from its last checkpoint, or its start.
+     * </pre>
+     *
+     * <code>bool idempotent = 18;</code>
+     * @return The idempotent.
+     */
+    @java.lang.Override
+    public boolean getIdempotent() {
+      return idempotent_;
+    }
+    /**
+     * <pre>
+     * Whether the task may be run again from its last checkpoint, or its start.
+     * </pre>
+     *
+     * <code>bool idempotent = 18;</code>
+     * @param value The idempotent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIdempotent(boolean value) {
+
+      idempotent_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the task may be run again from its last checkpoint, or its start.
+     * </pre>
+     *
+     * <code>bool idempotent = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIdempotent() {
+      bitField0_ = (bitField0_ & ~0x00020000);
+      idempotent_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.StartTask)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTaskOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTaskOrBuilder.java
@@ -165,4 +165,14 @@
    * @return The finishByMillis.
    */
   long getFinishByMillis();
+
+  /**
+   * <pre>
+   * Whether the task may be run again from its last checkpoint, or its start.
+   * </pre>
+   *
+   * <code>bool idempotent = 18;</code>
+   * @return The idempotent.
+   */
+  boolean getIdempotent();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Task.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Task.java
@@ -94,7 +94,7 @@
       "n\030\003 \001(\004\022\023\n\013asked_nanos\030\004 \001(\004\022\014\n\004zone\030\005 \001" +
       "(\t\022\014\n\004rack\030\006 \001(\t\022\030\n\020milli_processors\030\007 \001" +
       "(\004\022\024\n\014memory_bytes\030\010 \001(\004\022\024\n\014accelerators" +
-      "\030\t \001(\004\022\017\n\007leaving\030\n \001(\010\"\364\002\n\tStartTask\022\014\n" +
+      "\030\t \001(\004\022\017\n\007leaving\030\n \001(\010\"\210\003\n\tStartTask\022\014\n" +
       "\004task\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030\003 " +
       "\001(\004\022\024\n\014registration\030\004 \001(\004\022\013\n\003job\030\005 \001(\t\022\014" +
       "\n\004team\030\006 \001(\t\022\030\n\020latency_critical\030\007 \001(\010\022\030" +
@@ -103,30 +103,31 @@
       "nt\030\013 \001(\t\022\"\n\032checkpoint_interval_millis\030\014" +
       " \001(\004\022\022\n\nrun_millis\030\r \001(\004\022\017\n\007command\030\016 \001(" +
       "\t\022\024\n\014lease_millis\030\017 \001(\004\022\033\n\023process_incar" +
-      "nation\030\020 \001(\004\022\030\n\020finish_by_millis\030\021 \001(\004\"\265" +
-      "\001\n\010StopTask\022\014\n\004task\030\001 \001(\t\022\017\n\007attempt\030\002 \001" +
-      "(\r\022\r\n\005token\030\003 \001(\004\022-\n\006reason\030\004 \001(\0162\035.mari" +
-      "goldsail.StopTask.Reason\"L\n\006Reason\022\026\n\022RE" +
-      "ASON_UNSPECIFIED\020\000\022\r\n\tCANCELLED\020\001\022\013\n\007EVI" +
-      "CTED\020\002\022\016\n\nSUPERSEDED\020\003\"b\n\005Vouch\022\024\n\014regis" +
-      "tration\030\001 \001(\004\022\023\n\013asked_nanos\030\002 \001(\004\022\033\n\023pr" +
-      "ocess_incarnation\030\003 \001(\004\022\021\n\theartbeat\030\004 \001" +
-      "(\004\"\374\001\n\nTaskReport\022\014\n\004task\030\001 \001(\t\022\017\n\007attem" +
-      "pt\030\002 \001(\r\022\r\n\005token\030\003 \001(\004\022-\n\005state\030\004 \001(\0162\036" +
-      ".marigoldsail.TaskReport.State\022\022\n\ncheckp" +
-      "oint\030\005 \001(\t\022\016\n\006detail\030\006 \001(\t\022\017\n\007evicted\030\007 " +
-      "\001(\010\"\\\n\005State\022\025\n\021STATE_UNSPECIFIED\020\000\022\013\n\007R" +
-      "UNNING\020\001\022\010\n\004DONE\020\002\022\n\n\006FAILED\020\003\022\014\n\010RELEAS" +
-      "ED\020\004\022\013\n\007REFUSED\020\005\"l\n\rTaskReportAck\022\014\n\004ta" +
-      "sk\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030\003 \001(\004" +
-      "\022-\n\005state\030\004 \001(\0162\036.marigoldsail.TaskRepor" +
-      "t.State\"d\n\013UsageReport\022\n\n\002vm\030\001 \001(\t\022&\n\005ta" +
-      "sks\030\002 \003(\0132\027.marigoldsail.TaskUsage\022!\n\031se" +
-      "rvice_slowdown_permille\030\003 \001(\r\"s\n\tTaskUsa" +
-      "ge\022\014\n\004task\030\001 \001(\t\022\r\n\005token\030\002 \001(\004\022\030\n\020milli" +
-      "_processors\030\003 \001(\004\022\024\n\014memory_bytes\030\004 \001(\004\022" +
-      "\031\n\021slowdown_permille\030\005 \001(\rB\034\n\030io.marigol" +
-      "dsail.protocolP\001b\006proto3"
+      "nation\030\020 \001(\004\022\030\n\020finish_by_millis\030\021 \001(\004\022\022" +
+      "\n\nidempotent\030\022 \001(\010\"\265\001\n\010StopTask\022\014\n\004task\030" +
+      "\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030\003 \001(\004\022-\n" +
+      "\006reason\030\004 \001(\0162\035.marigoldsail.StopTask.Re" +
+      "ason\"L\n\006Reason\022\026\n\022REASON_UNSPECIFIED\020\000\022\r" +
+      "\n\tCANCELLED\020\001\022\013\n\007EVICTED\020\002\022\016\n\nSUPERSEDED" +
+      "\020\003\"b\n\005Vouch\022\024\n\014registration\030\001 \001(\004\022\023\n\013ask" +
+      "ed_nanos\030\002 \001(\004\022\033\n\023process_incarnation\030\003 " +
+      "\001(\004\022\021\n\theartbeat\030\004 \001(\004\"\374\001\n\nTaskReport\022\014\n" +
+      "\004task\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030\003 " +
+      "\001(\004\022-\n\005state\030\004 \001(\0162\036.marigoldsail.TaskRe" +
+      "port.State\022\022\n\ncheckpoint\030\005 \001(\t\022\016\n\006detail" +
+      "\030\006 \001(\t\022\017\n\007evicted\030\007 \001(\010\"\\\n\005State\022\025\n\021STAT" +
+      "E_UNSPECIFIED\020\000\022\013\n\007RUNNING\020\001\022\010\n\004DONE\020\002\022\n" +
+      "\n\006FAILED\020\003\022\014\n\010RELEASED\020\004\022\013\n\007REFUSED\020\005\"l\n" +
+      "\rTaskReportAck\022\014\n\004task\030\001 \001(\t\022\017\n\007attempt\030" +
+      "\002 \001(\r\022\r\n\005token\030\003 \001(\004\022-\n\005state\030\004 \001(\0162\036.ma" +
+      "rigoldsail.TaskReport.State\"d\n\013UsageRepo" +
+      "rt\022\n\n\002vm\030\001 \001(\t\022&\n\005tasks\030\002 \003(\0132\027.marigold" +
+      "sail.TaskUsage\022!\n\031service_slowdown_permi" +
+      "lle\030\003 \001(\r\"s\n\tTaskUsage\022\014\n\004task\030\001 \001(\t\022\r\n\005" +
+      "token\030\002 \001(\004\022\030\n\020milli_processors\030\003 \001(\004\022\024\n" +
+      "\014memory_bytes\030\004 \001(\004\022\031\n\021slowdown_permille" +
+      "\030\005 \001(\rB\034\n\030io.marigoldsail.protocolP\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -149,7 +150,7 @@
     internal_static_marigoldsail_StartTask_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_StartTask_descriptor,
-        new java.lang.String[] { "Task", "Attempt", "Token", "Registration", "Job", "Team", "LatencyCritical", "MilliProcessors", "MemoryBytes", "Accelerators", "Checkpoint", "CheckpointIntervalMillis", "RunMillis", "Command", "LeaseMillis", "ProcessIncarnation", "FinishByMillis", });
+        new java.lang.String[] { "Task", "Attempt", "Token", "Registration", "Job", "Team", "LatencyCritical", "MilliProcessors", "MemoryBytes", "Accelerators", "Checkpoint", "CheckpointIntervalMillis", "RunMillis", "Command", "LeaseMillis", "ProcessIncarnation", "FinishByMillis", "Idempotent", });
     internal_static_marigoldsail_StopTask_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_marigoldsail_StopTask_fieldAccessorTable = new
