Take the configuration from peers while the log is down

A process that started during an outage served on the defaults until the log was back, and one that was just behind when the outage began stayed behind. Each now asks the addresses in its settings' peers every second while its log does not answer; a fold takes over only what is ahead of it. Weighed: carrying the state over the links between entries and side processes, which needs no further setting but puts up to a megabyte on the requests' path.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/settings/EntrySettings.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/settings/EntrySettings.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.net.URI;
+import java.util.List;
 
 /**
  * Settings of an entry process, which callers reach through the platform's balancer.
@@ -16,6 +17,7 @@
  * @param operatorsAddress where operators, metrics and events are served
  * @param processesAddress where side processes connect
  * @param logService the log service's base address
+ * @param peers operators' addresses to ask for the configuration while the log is down
  */
 public record EntrySettings(
     String name,
@@ -24,12 +26,13 @@
     HostPort callersAddress,
     HostPort operatorsAddress,
     HostPort processesAddress,
-    URI logService)
+    URI logService,
+    List<HostPort> peers)
     implements ProcessSettings {
   /** The role's name in a settings file. */
   public static final String ROLE = "entry";
 
-  /** Checks the components. */
+  /** Checks and copies the components. */
   public EntrySettings {
     requireNonNull(name, "name");
     requireNonNull(site, "site");
@@ -38,6 +41,27 @@
     requireNonNull(operatorsAddress, "operatorsAddress");
     requireNonNull(processesAddress, "processesAddress");
     requireNonNull(logService, "logService");
+    peers = List.copyOf(peers);
+  }
+
+  /** Creates settings without peers. */
+  public EntrySettings(
+      String name,
+      String site,
+      String zone,
+      HostPort callersAddress,
+      HostPort operatorsAddress,
+      HostPort processesAddress,
+      URI logService) {
+    this(
+        name,
+        site,
+        zone,
+        callersAddress,
+        operatorsAddress,
+        processesAddress,
+        logService,
+        List.of());
   }
 
   @Override
--- a/marigoldsail-core/src/main/java/io/marigoldsail/settings/ProcessSettings.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/settings/ProcessSettings.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.settings;
 
 import java.net.URI;
+import java.util.List;
 
 /**
  * What every process is told on start, whatever its role.
@@ -26,6 +27,9 @@
   /** Returns the log service's base address. */
   URI logService();
 
+  /** Returns the operators' addresses to ask for the configuration while the log is down. */
+  List<HostPort> peers();
+
   /** Returns the role as settings write it. */
   String role();
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/settings/SettingsReader.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/settings/SettingsReader.java
@@ -78,7 +78,8 @@
         fields.hostPort("/addresses/callers"),
         fields.hostPort("/addresses/operators"),
         fields.hostPort("/addresses/processes"),
-        fields.uri("/logService"));
+        fields.uri("/logService"),
+        fields.hostPorts("/peers"));
   }
 
   private static ProcessSettings sideSettings(Fields fields) {
@@ -92,7 +93,8 @@
         fields.uri("/logService"),
         fields.has("/target") ? Optional.of(target(fields)) : Optional.empty(),
         fields.has("/worker") ? Optional.of(fields.uri("/worker/address")) : Optional.empty(),
-        fields.hostPorts("/entries"));
+        fields.hostPorts("/entries"),
+        fields.hostPorts("/peers"));
   }
 
   private static TargetSettings target(Fields fields) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/settings/SideSettings.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/settings/SideSettings.java
@@ -21,6 +21,7 @@
  * @param target the target beside it, if there is one
  * @param worker the worker's base address, if there is one
  * @param entries entries to announce to at first; they tell of the others
+ * @param peers operators' addresses to ask for the configuration while the log is down
  */
 public record SideSettings(
     String name,
@@ -32,7 +33,8 @@
     URI logService,
     Optional<TargetSettings> target,
     Optional<URI> worker,
-    List<HostPort> entries)
+    List<HostPort> entries,
+    List<HostPort> peers)
     implements ProcessSettings {
   /** The role's name in a settings file. */
   public static final String ROLE = "side";
@@ -49,6 +51,33 @@
     requireNonNull(target, "target");
     requireNonNull(worker, "worker");
     entries = List.copyOf(entries);
+    peers = List.copyOf(peers);
+  }
+
+  /** Creates settings without peers. */
+  public SideSettings(
+      String name,
+      String site,
+      String zone,
+      String rack,
+      HostPort operatorsAddress,
+      HostPort processesAddress,
+      URI logService,
+      Optional<TargetSettings> target,
+      Optional<URI> worker,
+      List<HostPort> entries) {
+    this(
+        name,
+        site,
+        zone,
+        rack,
+        operatorsAddress,
+        processesAddress,
+        logService,
+        target,
+        worker,
+        entries,
+        List.of());
   }
 
   @Override
--- a/marigoldsail-core/src/test/java/io/marigoldsail/membership/MemberTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/membership/MemberTableTest.java
@@ -16,18 +16,15 @@
   private static Announcement announcement(long incarnation, boolean leaving) {
     return new Announcement(
         "vm-1",
-        1,
         incarnation,
         "suva",
         "r1",
         "127.0.0.1:1",
+        "127.0.0.1:2",
         "parking",
         8,
         leaving,
         new TargetLoad(0, 0, 1, leaving),
-        0,
-        16_000,
-        1L << 30,
         0);
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryProcess.java
@@ -169,6 +169,7 @@
     }
     dispatcher.start();
     configurationStream.start();
+    base.catchUpFromPeers(configurationStream.follower());
     taskStream.start();
     roster.start(scheduler);
     tasks.start(scheduler);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ProcessBase.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ProcessBase.java
@@ -3,13 +3,16 @@
 import io.marigoldsail.configuration.Configuration;
 import io.marigoldsail.configuration.ConfigurationCheck;
 import io.marigoldsail.configuration.ConfigurationFold;
+import io.marigoldsail.daemon.configuration.PeerCatchUp;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.observe.Metrics;
 import io.marigoldsail.daemon.operators.EventRoutes;
 import io.marigoldsail.daemon.operators.OperatorServer;
 import io.marigoldsail.daemon.platform.HttpLogService;
+import io.marigoldsail.daemon.platform.PeerClient;
 import io.marigoldsail.daemon.platform.PlatformClient;
+import io.marigoldsail.log.StreamFollower;
 import io.marigoldsail.settings.ProcessSettings;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.time.WallClock;
@@ -42,6 +45,8 @@
   /** Kept merged, since every request asks for it. */
   private volatile Configuration current;
 
+  private PeerCatchUp peerCatchUp;
+
   /**
    * Creates the parts; nothing listens yet.
    *
@@ -131,6 +136,18 @@
     return configuration.state().revisionInForce();
   }
 
+  /** Takes the configuration from the peers in the settings while the log does not answer. */
+  void catchUpFromPeers(StreamFollower configurationFollower) {
+    PeerClient client = new PeerClient(platform);
+    peerCatchUp =
+        new PeerCatchUp(
+            settings.peers(),
+            client::get,
+            configuration,
+            () -> configurationFollower.status().outage());
+    peerCatchUp.start();
+  }
+
   void recordStarted() {
     events.record(Event.of(EventKind.PROCESS_STARTED).withDetail(settings.role()));
     LOG.info(
@@ -145,6 +162,9 @@
 
   @Override
   public void close() {
+    if (peerCatchUp != null) {
+      peerCatchUp.close();
+    }
     operators.close();
     platform.close();
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
@@ -133,6 +133,7 @@
       }
     }
     configurationStream.start();
+    base.catchUpFromPeers(configurationStream.follower());
     links.start();
     tasks.ifPresent(SideTasks::start);
     started = true;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/configuration/ConfigurationRoutes.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/configuration/ConfigurationRoutes.java
@@ -75,12 +75,24 @@
     registerStateOn(server, fold);
   }
 
-  /** Serves the state alone, which every process gives to peers that start during an outage. */
+  /**
+   * Serves the state alone, which every process gives to peers that start during an outage. With
+   * {@code ?after=N} the answer is an empty object unless the revision is above N, so that asking
+   * again and again costs little.
+   */
   public static void registerStateOn(OperatorServer server, ConfigurationFold fold) {
     server.registerImmediate(
         "GET",
         "/configuration/state",
-        request -> Result.ok(OperatorAnswer.ok(ConfigurationStateJson.write(fold.state()))));
+        request ->
+            request
+                .queryNumber("after", -1)
+                .then(after -> Result.ok(OperatorAnswer.ok(state(fold, after)))));
+  }
+
+  private static ObjectNode state(ConfigurationFold fold, long after) {
+    ConfigurationState state = fold.state();
+    return state.revision() > after ? ConfigurationStateJson.write(state) : Json.object();
   }
 
   private CompletableFuture<Result<OperatorAnswer>> publish(OperatorRequest request) {
