Tell a late success as such; let refused long bodies read their refusal

Found by ConfigurationUnderFaultsTest.publishDuringAnOutageIsNeverToldAsAccepted: a publish whose outcome was unknown took effect after the outage, and the operator who asked the same again was told of a conflict with himself. Content that is there already now counts before any conflict. Jetty's own refusals (an ambiguous path, a broken header) were HTML; now problem details. A first test wanted %2F and %25 in names: Jetty refuses both as ambiguous, and no name has them.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/configuration/ConfigurationPublisher.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/configuration/ConfigurationPublisher.java
@@ -82,7 +82,7 @@
     requireNonNull(request, "request");
     ConfigurationState state = fold.state();
     Optional<Failure> conflict = conflict(request, state);
-    if (conflict.isPresent()) {
+    if (conflict.isPresent() && !holds(state, request)) {
       return CompletableFuture.completedFuture(refused(request, conflict.get()));
     }
     long basis = state.fileRevision(request.file());
@@ -92,6 +92,10 @@
   private CompletableFuture<Result<Published>> attempt(
       PublishRequest request, long basis, long deadlineNanos, int tries) {
     ConfigurationState state = fold.state();
+    if (holds(state, request)) {
+      return CompletableFuture.completedFuture(
+          Result.ok(new Published(state.revision(), false, tries)));
+    }
     if (state.fileRevision(request.file()) != basis) {
       return CompletableFuture.completedFuture(
           refused(request, changedMeanwhile(request, state, basis)));
@@ -100,10 +104,6 @@
     if (failure.isPresent()) {
       return CompletableFuture.completedFuture(refused(request, failure.get()));
     }
-    if (state.files().content(request.file()).equals(Optional.of(request.content()))) {
-      return CompletableFuture.completedFuture(
-          Result.ok(new Published(state.revision(), false, tries)));
-    }
     long remaining = deadlineNanos - clock.nanos();
     if (remaining <= 0) {
       return CompletableFuture.completedFuture(refused(request, tooManyRaces(request)));
@@ -114,6 +114,15 @@
             result -> conclude(request, basis, deadlineNanos, tries, result), executor);
   }
 
+  /**
+   * Whether the file has the wanted content already. Looked at before any conflict: the earlier try
+   * of an operator whose answer was lost may take effect late, between two looks at the state, and
+   * its author must not be told that somebody else was first.
+   */
+  private static boolean holds(ConfigurationState state, PublishRequest request) {
+    return state.files().content(request.file()).equals(Optional.of(request.content()));
+  }
+
   /** The fold is told to expect the record before it can possibly arrive. */
   private CompletableFuture<Result<PublishOutcome>> append(
       PublishRecord published, long remainingNanos) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorJettyHandler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorJettyHandler.java
@@ -14,10 +14,11 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.handler.ErrorHandler;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
 
@@ -33,23 +34,19 @@
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
-    String path = Request.getPathInContext(request);
-    Result<RouteTable.Match> match = routes.find(request.getMethod(), path);
+    // The raw path: Jetty's own decoding would make a percent sign in a name ambiguous.
+    Result<RouteTable.Match> match = routes.find(request.getMethod(), path(request));
     if (match instanceof Result.Failed<RouteTable.Match> failed) {
       writeProblem(response, callback, failed.failure());
       return true;
     }
-    if (request.getLength() > OperatorServer.LARGEST_BODY) {
-      writeProblem(response, callback, tooLarge());
-      return true;
-    }
-    Content.Source.asByteArrayAsync(request, OperatorServer.LARGEST_BODY)
-        .whenComplete(
-            (body, error) -> {
-              if (error == null) {
-                serve(match.value(), request, body, response, callback);
+    BodyReader.read(request, OperatorServer.LARGEST_BODY)
+        .thenAccept(
+            body -> {
+              if (body instanceof Result.Failed<byte[]> failed) {
+                writeProblem(response, callback, failed.failure());
               } else {
-                writeProblem(response, callback, bodyFailure(error));
+                serve(match.value(), request, body.value(), response, callback);
               }
             });
     return true;
@@ -92,17 +89,14 @@
     return parameters;
   }
 
-  /** Jetty tells a body past the limit by an illegal state, and a cut-off one by an I/O error. */
-  private static Failure bodyFailure(Throwable error) {
-    if (error instanceof IllegalStateException) {
-      return tooLarge();
-    }
-    return Failure.of(ErrorKind.BAD_REQUEST, "the body could not be read: " + error.getMessage());
-  }
-
-  private static Failure tooLarge() {
-    return Failure.of(
-        ErrorKind.BODY_TOO_LARGE, "the limit is " + OperatorServer.LARGEST_BODY + " bytes");
+  /** Answers what Jetty refuses by itself, such as a broken header, as problem details too. */
+  static boolean writeJettyError(Request request, Response response, Callback callback) {
+    Object message = request.getAttribute(ErrorHandler.ERROR_MESSAGE);
+    boolean ours = response.getStatus() >= HttpStatus.INTERNAL_SERVER_ERROR_500;
+    ErrorKind kind = ours ? ErrorKind.INTERNAL : ErrorKind.BAD_REQUEST;
+    String detail = ours ? "see the process's log" : String.valueOf(message);
+    writeProblem(response, callback, Failure.of(kind, detail));
+    return true;
   }
 
   private static void write(Response response, Callback callback, OperatorAnswer answer) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorServer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorServer.java
@@ -59,6 +59,7 @@
     connector.setAcceptQueueSize(ACCEPT_QUEUE);
     server.addConnector(connector);
     server.setHandler(new OperatorJettyHandler(routes));
+    server.setErrorHandler(OperatorJettyHandler::writeJettyError);
     registerImmediate(
         "GET",
         "/metrics",
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/ConfigurationUnderFaultsTest.java
@@ -0,0 +1,218 @@
+package io.marigoldsail.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.marigoldsail.configuration.ConfigurationCheck;
+import io.marigoldsail.configuration.ConfigurationFold;
+import io.marigoldsail.configuration.ConfigurationPublisher;
+import io.marigoldsail.configuration.PublishRequest;
+import io.marigoldsail.configuration.Published;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.json.Json;
+import io.marigoldsail.testlib.platform.FakeLogService;
+import io.marigoldsail.testlib.platform.LogFaults;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.time.WallClock;
+import io.marigoldsail.timeline.EventRecorder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The configuration over the real follower and appender, on a log that fails as it is told. */
+final class ConfigurationUnderFaultsTest {
+  private static final String STREAM = ProcessBase.CONFIGURATION_STREAM;
+  private static final long PATIENCE_SECONDS = 30;
+
+  private final FakeLogService log = new FakeLogService();
+  private final ExecutorService executor = Executors.newCachedThreadPool();
+  private final List<Member> members = new ArrayList<>();
+
+  /** One process's part: fold, stream, publisher, and every revision that was in force. */
+  private final class Member implements AutoCloseable {
+    final ConfigurationCheck check = new ConfigurationCheck();
+    final ConfigurationFold fold = new ConfigurationFold(check);
+    final List<Long> revisions = new ArrayList<>();
+    final StreamClient stream;
+    final ConfigurationPublisher publisher;
+
+    Member(String name, long incarnation) {
+      StreamClient.Shared shared =
+          new StreamClient.Shared(
+              log, name, incarnation, MonotonicClock.system(), EventRecorder.none());
+      stream = StreamClient.writer(shared, STREAM, fold);
+      publisher =
+          new ConfigurationPublisher(
+              fold,
+              check,
+              (type, body) -> stream.appender().append(type, body),
+              EventRecorder.none(),
+              MonotonicClock.system(),
+              WallClock.system(),
+              executor,
+              name + "/" + incarnation);
+      fold.onInForce(state -> note(state.revisionInForce()));
+    }
+
+    private synchronized void note(long revision) {
+      revisions.add(revision);
+    }
+
+    synchronized void checkNeverWentBack() {
+      assertEquals(revisions.stream().sorted().toList(), revisions);
+    }
+
+    CompletableFuture<Result<Published>> publish(String file, int waiting) {
+      long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+      return publisher.publish(request(file, waiting), deadline);
+    }
+
+    /** Returns once the revision is in force here. */
+    void awaitRevision(long revision) throws Exception {
+      CompletableFuture<Long> reached = new CompletableFuture<>();
+      fold.onInForce(
+          state -> {
+            if (state.revisionInForce() >= revision) {
+              reached.complete(state.revisionInForce());
+            }
+          });
+      reached.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+      stream.close();
+    }
+  }
+
+  private static PublishRequest request(String file, int waiting) {
+    String site = file.equals("base") ? "" : "\"site\":\"" + file + "\",";
+    String text = "{" + site + "\"services\":{\"parking\":{\"maxWaiting\":" + waiting + "}}}";
+    JsonNode content = Json.parse("x", text.getBytes(StandardCharsets.UTF_8)).value();
+    return new PublishRequest(file, content, "operator-" + waiting, "", OptionalLong.empty());
+  }
+
+  private Member start(String name, long incarnation) {
+    Member member = new Member(name, incarnation);
+    members.add(member);
+    member.stream.start();
+    return member;
+  }
+
+  private static Result<Published> get(CompletableFuture<Result<Published>> told) throws Exception {
+    return told.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+  }
+
+  @AfterEach
+  void stop() {
+    members.forEach(Member::checkNeverWentBack);
+    members.forEach(Member::close);
+    executor.shutdownNow();
+  }
+
+  /**
+   * Story: ten operators publish at once through three entries while the log stores records and
+   * loses every second answer. One order comes out; what was told as accepted is in it, each once.
+   */
+  @Test
+  void tenOperatorsRaceOverLostAnswers() throws Exception {
+    List<Member> entries = List.of(start("e-1", 1), start("e-2", 2), start("e-3", 3));
+    log.setFaults(LogFaults.none().withLoseAnswers(8).withDoubleAppends(4));
+    List<CompletableFuture<Result<Published>>> told = new ArrayList<>();
+    String[] files = {"base", "vatulele", "kitamizora", "suva"};
+    for (int i = 0; i < 10; i++) {
+      told.add(entries.get(i % 3).publish(files[i % files.length], i + 1));
+    }
+    List<Long> accepted = new ArrayList<>();
+    for (CompletableFuture<Result<Published>> one : told) {
+      Result<Published> result = get(one);
+      if (result.isOk()) {
+        accepted.add(result.value().revision());
+      } else {
+        ErrorKind kind = ((Result.Failed<Published>) result).failure().kind();
+        assertEquals(ErrorKind.CONFLICT, kind);
+      }
+    }
+    accepted.sort(null);
+    List<Long> expected = new ArrayList<>();
+    for (long revision = 1; revision <= accepted.size(); revision++) {
+      expected.add(revision);
+    }
+    assertEquals(expected, accepted, "each accepted publish made a revision of its own");
+    for (Member entry : entries) {
+      entry.awaitRevision(accepted.size());
+      assertEquals(
+          entries.get(0).fold.snapshot().path("files"), entry.fold.snapshot().path("files"));
+    }
+  }
+
+  /**
+   * Story: the log is down for a while; a publish is refused or its outcome unknown, never
+   * accepted. When the log is back the same publish gets in once, and all entries have it.
+   */
+  @Test
+  void publishDuringAnOutageIsNeverToldAsAccepted() throws Exception {
+    Member first = start("e-1", 1);
+    Member second = start("e-2", 2);
+    assertTrue(get(first.publish("base", 1)).isOk());
+    second.awaitRevision(1);
+    log.setFaults(LogFaults.none().withDown(true));
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(300);
+    Result<Published> during = get(first.publisher.publish(request("base", 2), deadline));
+    assertTrue(!during.isOk(), () -> "accepted while the log was down: " + during);
+    log.setFaults(LogFaults.none());
+    Result<Published> after = get(first.publish("base", 2));
+    assertEquals(2, after.value().revision());
+    second.awaitRevision(2);
+    assertEquals(2, second.fold.state().revision());
+  }
+
+  /**
+   * Story: the log keeps few records; a snapshot is written in time, old publishes expire, and an
+   * entry that starts afterwards has to come to the same configuration from the snapshot.
+   */
+  @Test
+  void entryStartsFromASnapshotAfterRecordsExpired() throws Exception {
+    Member first = start("e-1", 1);
+    for (int i = 1; i <= 5; i++) {
+      assertTrue(get(first.publish("base", i)).isOk());
+    }
+    JsonNode known = first.fold.snapshot();
+    Member late = new Member("e-2", 2);
+    members.add(late);
+    late.fold.restore(known);
+    log.setFaults(LogFaults.none().withRetainedRecords(1));
+    late.stream.start();
+    assertEquals(5, late.fold.state().revision(), "what a peer gave stays in force");
+  }
+
+  /**
+   * Story: two entries are told different ends of the log by its replicas. The one that reads the
+   * stale end publishes over what it has not seen: it must be told, not accepted.
+   */
+  @Test
+  void publisherThatReadsAStaleEndIsToldWhoWasFirst() throws Exception {
+    Member first = start("e-1", 1);
+    assertTrue(get(first.publish("base", 1)).isOk());
+    Member stale = start("e-2", 2);
+    stale.awaitRevision(1);
+    log.setFaults(LogFaults.none().withStaleRecords(1));
+    CompletableFuture<Result<Published>> one = first.publish("base", 2);
+    CompletableFuture<Result<Published>> other = stale.publish("base", 3);
+    log.setFaults(LogFaults.none());
+    long accepted = List.of(get(one), get(other)).stream().filter(Result::isOk).count();
+    assertEquals(1, accepted);
+    first.awaitRevision(2);
+    stale.awaitRevision(2);
+    assertEquals(first.fold.snapshot().path("files"), stale.fold.snapshot().path("files"));
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/operators/OperatorServerTest.java
@@ -0,0 +1,203 @@
+package io.marigoldsail.daemon.operators;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.marigoldsail.daemon.observe.Metrics;
+import io.marigoldsail.error.ErrorKind;
+import io.marigoldsail.error.Failure;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.json.Json;
+import io.marigoldsail.settings.HostPort;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class OperatorServerTest {
+  private final Metrics metrics = new Metrics();
+  private final OperatorServer server = new OperatorServer(new HostPort("127.0.0.1", 0), metrics);
+  private final HttpClient client = new HttpClient();
+
+  @BeforeEach
+  void start() throws Exception {
+    server.registerImmediate("GET", "/jobs/{name}", request -> echo(request.path("name")));
+    server.registerImmediate("GET", "/jobs/all", request -> echo("every"));
+    server.registerImmediate(
+        "POST",
+        "/jobs",
+        request -> request.json().then(body -> Result.ok(OperatorAnswer.ok(body))));
+    server.registerImmediate(
+        "GET",
+        "/full",
+        request -> Result.failed(new Failure(ErrorKind.OVERLOADED, "no room", 1_500)));
+    server.registerImmediate(
+        "GET",
+        "/broken",
+        request -> {
+          throw new IllegalStateException("a secret");
+        });
+    server.register("GET", "/later", request -> CompletableFuture.supplyAsync(() -> echo("later")));
+    assertTrue(server.start().isOk());
+    client.start();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    client.stop();
+    server.close();
+  }
+
+  private static Result<OperatorAnswer> echo(String text) {
+    return Result.ok(OperatorAnswer.ok(Json.object().put("text", text)));
+  }
+
+  private String base() {
+    return "http://127.0.0.1:" + server.port();
+  }
+
+  private ContentResponse get(String path) throws Exception {
+    return client.GET(base() + path);
+  }
+
+  private static JsonNode json(ContentResponse response) {
+    return Json.parse("answer", response.getContent()).value();
+  }
+
+  private void checkProblem(ErrorKind kind, ContentResponse response) {
+    assertEquals(kind.httpStatus(), response.getStatus());
+    assertEquals("application/problem+json", response.getMediaType());
+    assertEquals("urn:marigoldsail:error:" + kind.code(), json(response).path("type").asText());
+  }
+
+  @Test
+  void findsRoutesAndDecodesNames() throws Exception {
+    assertEquals("a b+c", json(get("/jobs/a%20b+c")).path("text").asText());
+    assertEquals("every", json(get("/jobs/all")).path("text").asText());
+    assertEquals("later", json(get("/later")).path("text").asText());
+  }
+
+  @Test
+  void errorsAreProblemDetails() throws Exception {
+    checkProblem(ErrorKind.NOT_FOUND, get("/nothing"));
+    checkProblem(ErrorKind.BAD_REQUEST, get("/jobs/a%2Fb"));
+    checkProblem(ErrorKind.BAD_REQUEST, get("/jobs/a%25b"));
+    checkProblem(ErrorKind.NOT_FOUND, get("/jobs/a/b"));
+    checkProblem(
+        ErrorKind.METHOD_NOT_ALLOWED, client.newRequest(base() + "/full").method("PUT").send());
+    ContentResponse full = get("/full");
+    checkProblem(ErrorKind.OVERLOADED, full);
+    assertEquals("2", full.getHeaders().get("Retry-After"));
+    assertEquals(1_500, json(full).path("retryAfterMillis").asInt());
+    assertEquals("not run", json(full).path("execution").asText());
+  }
+
+  @Test
+  void faultOfAHandlerIsAnsweredWithoutItsInsides() throws Exception {
+    ContentResponse response = get("/broken");
+    checkProblem(ErrorKind.INTERNAL, response);
+    assertFalse(response.getContentAsString().contains("secret"));
+  }
+
+  @Test
+  void brokenJsonIsNamedByLineAndColumn() throws Exception {
+    ContentResponse response =
+        post("{\"a\":\n tru}".getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    checkProblem(ErrorKind.BAD_REQUEST, response);
+    String detail = json(response).path("detail").asText();
+    assertTrue(detail.startsWith("body: not JSON") && detail.contains("line 2"), detail);
+  }
+
+  @Test
+  void bodyUpToTheLimitPassesAndALongerOneIsRefused() throws Exception {
+    int frame = "{\"a\":\"\"}".length();
+    byte[] longest =
+        Json.bytes(Json.object().put("a", "x".repeat(OperatorServer.LARGEST_BODY - frame)));
+    assertEquals(OperatorServer.LARGEST_BODY, longest.length);
+    assertArrayEquals(longest, post(longest).getContent());
+    byte[] tooLong = new byte[OperatorServer.LARGEST_BODY + 1];
+    checkProblem(ErrorKind.BODY_TOO_LARGE, post(tooLong));
+  }
+
+  /**
+   * Story: a client sends a long body without a length, in chunks. Without a limit while reading,
+   * the side process's small heap would fill up; answered too early, the client would see a reset
+   * connection and not the reason.
+   */
+  @Test
+  void bodyWithoutALengthIsCutOffAtTheLimit() throws Exception {
+    org.eclipse.jetty.client.AsyncRequestContent endless =
+        new org.eclipse.jetty.client.AsyncRequestContent("application/json");
+    for (int i = 0; i < 32; i++) {
+      endless.write(
+          java.nio.ByteBuffer.wrap(new byte[64 * 1024]), org.eclipse.jetty.util.Callback.NOOP);
+    }
+    endless.close();
+    ContentResponse response =
+        client.newRequest(base() + "/jobs").method("POST").body(endless).send();
+    checkProblem(ErrorKind.BODY_TOO_LARGE, response);
+  }
+
+  private ContentResponse post(byte[] body) throws Exception {
+    return client
+        .newRequest(base() + "/jobs")
+        .method("POST")
+        .body(new BytesRequestContent("application/json", body))
+        .send();
+  }
+
+  @Test
+  void metricsAreShown() throws Exception {
+    metrics.counter("tests", "Tests", "kind").labelValues("unit").inc();
+    String text = get("/metrics").getContentAsString();
+    assertTrue(text.contains("marigoldsail_tests_total{kind=\"unit\"} 1.0"), text);
+  }
+
+  @Test
+  void addressInUseIsOneLineThatNamesTheKey() {
+    OperatorServer second =
+        new OperatorServer(new HostPort("127.0.0.1", server.port()), new Metrics());
+    Result<Integer> result = second.start();
+    String detail = ((Result.Failed<Integer>) result).failure().detail();
+    assertTrue(
+        detail.startsWith("addresses.operators: cannot listen on 127.0.0.1:" + server.port()),
+        detail);
+    assertEquals(1, detail.lines().count());
+    second.close();
+  }
+
+  @Test
+  void routeIsRegisteredOnce() {
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> server.registerImmediate("GET", "/full", request -> echo("x")));
+  }
+
+  @Test
+  void randomBytesHarmNobodyElse() throws Exception {
+    Random random = new Random(52);
+    for (int i = 0; i < 50; i++) {
+      byte[] bytes = new byte[random.nextInt(2_000)];
+      random.nextBytes(bytes);
+      try (Socket socket = new Socket("127.0.0.1", server.port())) {
+        OutputStream out = socket.getOutputStream();
+        out.write(bytes);
+        out.flush();
+      } catch (java.io.IOException e) {
+        // The server may close on us while we write; that is its good right.
+        continue;
+      }
+    }
+    assertEquals(200, get("/jobs/all").getStatus());
+  }
+}
