--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryRoster.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryRoster.java
@@ -113,7 +113,8 @@
     CompletableFuture<List<Announcement>> sides = new CompletableFuture<>();
     loop.run(() -> sides.complete(links.members().members()));
     sides
-        .completeOnTimeout(List.of(), MEMBERS_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+        // Without the side processes the list would say "in force everywhere" too early.
+        .orTimeout(MEMBERS_WAIT_MILLIS, TimeUnit.MILLISECONDS)
         .join()
         .forEach(side -> members.add(member(side)));
     return members;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
@@ -63,6 +63,14 @@
     this.target = settings.target().map(this::newTargetPart);
     this.tasks = settings.worker().map(this::newTasks);
     ConfigurationRoutes.registerStateOn(base.operators(), base.configurationFold());
+    // Operators wait for it, so it is told at once instead of with the next announcement.
+    base.configurationFold()
+        .onInForce(
+            state -> {
+              if (state.revisionInForce() > 0) {
+                links.announceNow();
+              }
+            });
   }
 
   private TargetPart newTargetPart(TargetSettings targetSettings) {
