Leave the even part of waiting places to callers within their turn

Cause: hot-caller with nine entries: every entry is full of the hot caller's requests, so the other callers of an entry wait for its own 12 places (seen: 2 to 18 of them waiting per entry), and the slots no longer even out the chance bunches of nine entries.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
@@ -60,9 +60,11 @@
     private final String key;
     private final long start;
     private final long sequence;
+    private final boolean excess;
     private int place;
 
-    private Ticket(T item, String caller, String key, long start, long sequence) {
+    private Ticket(T item, String caller, String key, long start, long sequence, boolean excess) {
+      this.excess = excess;
       this.item = item;
       this.caller = caller;
       this.key = key;
@@ -70,6 +72,11 @@
       this.sequence = sequence;
     }
 
+    /** Returns whether its caller or key had had its turn already when it was added. */
+    public boolean isExcess() {
+      return excess;
+    }
+
     /** Returns what waits. */
     public T item() {
       return item;
@@ -103,7 +110,7 @@
     if (!key.isEmpty()) {
       start = Math.max(start, advance(keyClocks, key));
     }
-    Ticket<T> ticket = new Ticket<>(item, caller, key, start, sequence++);
+    Ticket<T> ticket = new Ticket<>(item, caller, key, start, sequence++, start > virtualTime);
     insert(ticket);
     return ticket;
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceScheduler.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceScheduler.java
@@ -241,7 +241,8 @@
     Optional<FairQueue.Ticket<HeldRequest>> next = queue.poll();
     while (next.isPresent()) {
       HeldRequest request = next.get().item();
-      Optional<Route> route = router.choose(request.failedVm(), mayProbe(request, now), now);
+      Optional<Route> route =
+          router.choose(request.failedVm(), next.get().isExcess(), mayProbe(request, now), now);
       if (route.isEmpty()) {
         queue.restore(next.get());
         nextRoom = router.nextChange(now);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/Router.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/Router.java
@@ -23,6 +23,11 @@
  * zones costs a millisecond each way, a busy target ten times that. Where no slot is free, a place
  * to wait beside a target is taken, so that a freed slot does not stay empty for a round trip.
  *
+ * <p>Load pattern: a hot caller keeps every entry full. Then each entry's other callers wait for
+ * that entry's own slots, a ninth of all, and the chance bunches of nine entries no longer even out
+ * over all slots. So a request beyond its caller's turn takes a place to wait only while this entry
+ * has less than its even part in flight; the rest is left to the others of all entries.
+ *
  * <p>Slow and failing targets get only probes: one request at a time, not more often than every
  * {@link #PROBE_NANOS} and than one in {@link #REQUESTS_PER_PROBE} of this entry's requests, so
  * that all entries together send well under 2% there. No more than one target in {@link
@@ -96,18 +101,20 @@
    * Returns where a request goes now, or empty if no target has a place for it.
    *
    * @param avoided a VM that failed it before, passed over while there are others; may be empty
+   * @param excess whether its caller or key had its turn already and others go first
    * @param mayProbe whether the request may be used to try a slow or failing target
    */
-  public Optional<Route> choose(String avoided, boolean mayProbe, long now) {
+  public Optional<Route> choose(String avoided, boolean excess, boolean mayProbe, long now) {
     if (mayProbe) {
       Optional<Route> probe = probe(now);
       if (probe.isPresent()) {
         return probe;
       }
     }
-    Optional<Route> route = chooseOpen(avoided, now);
+    boolean yields = excess && inFlight() >= evenPart();
+    Optional<Route> route = chooseOpen(avoided, yields, now);
     if (route.isEmpty() && !avoided.isEmpty()) {
-      return chooseOpen("", now);
+      return chooseOpen("", yields, now);
     }
     return route;
   }
@@ -128,7 +135,7 @@
     return spacing + random.nextLong(spacing / 4);
   }
 
-  private Optional<Route> chooseOpen(String avoided, long now) {
+  private Optional<Route> chooseOpen(String avoided, boolean yields, long now) {
     List<Target> own = new ArrayList<>();
     List<Target> free = new ArrayList<>();
     List<Target> waiting = new ArrayList<>();
@@ -141,7 +148,7 @@
         if (isNear(target)) {
           own.add(target);
         }
-      } else if (target.share().hasPlace(now)) {
+      } else if (!yields && target.share().hasPlace(now)) {
         waiting.add(target);
       }
     }
@@ -253,6 +260,10 @@
     return targets.values().stream().mapToInt(target -> target.share().own()).sum();
   }
 
+  private double evenPart() {
+    return targets.values().stream().mapToDouble(target -> target.share().evenPart()).sum();
+  }
+
   /** Returns whether no target is known. */
   public boolean isEmpty() {
     return targets.isEmpty();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
@@ -113,6 +113,11 @@
     return Math.max(1, aim / entries);
   }
 
+  /** Returns this entry's even part of the slots and of one waiting place; all if it is alone. */
+  double evenPart() {
+    return entries == 1 ? Double.POSITIVE_INFINITY : (slots + 1.0) / entries;
+  }
+
   /** Returns until when a target that turned a request away is left alone. */
   long heldUntil() {
     return heldUntil;
