Exit with one line when an address is in use

Cause: after a failed start the process was closed, and parts that had not started threw. Seen first as a scenario whose entry lost a race for its port; that race is the test's own (ports from the system's ephemeral range), so tests now choose ports below it. Before: a stack trace; after: FILE: addresses.KEY: cannot listen on ADDRESS, exit 2.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/DaemonProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/DaemonProcess.java
@@ -4,7 +4,7 @@
 
 /** A process of either role, from its start to its planned stop. */
 interface DaemonProcess extends AutoCloseable {
-  /** Starts everything; what was started before a failure is left to {@link #close}. */
+  /** Starts everything; after a failure there is nothing to stop gracefully, only to exit. */
   Result<Boolean> start();
 
   /** Stops gracefully: takes nothing new, ends what is in progress, then frees everything. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/Main.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/Main.java
@@ -71,7 +71,6 @@
   private int run(DaemonProcess process) throws InterruptedException {
     Result<Boolean> started = process.start();
     if (started instanceof Result.Failed<Boolean> failed) {
-      process.close();
       return refuse(failed.failure());
     }
     CountDownLatch ended = new CountDownLatch(1);
--- a/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteUnderTest.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteUnderTest.java
@@ -11,7 +11,6 @@
 import io.marigoldsail.testlib.platform.WorkerRun;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -62,7 +61,8 @@
   }
 
   private void addEntry(String name, String zone) {
-    EntryAddresses at = new EntryAddresses(freeAddress(), freeAddress(), freeAddress());
+    EntryAddresses at =
+        new EntryAddresses(FreePorts.address(), FreePorts.address(), FreePorts.address());
     entries.put(name, at);
     write(
         name,
@@ -95,8 +95,8 @@
                 name,
                 zone,
                 zone,
-                freeAddress(),
-                freeAddress(),
+                FreePorts.address(),
+                FreePorts.address(),
                 log.address(),
                 target.address(),
                 SLOTS,
@@ -113,14 +113,6 @@
     }
   }
 
-  private static String freeAddress() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
   void start(String process) {
     fleet.start(
         process, MAIN, List.of("--settings", directory.resolve(process + ".json").toString()));
