Measure reading ways, append rate and slopes of the log slice

bin/measure-log reading plays independent readers against a relay with real processes through a death, a frozen member and an outage; append offers up to 3,000 entries a second to a log that takes 300 appends; slopes gives processor time, memory and bytes at four sizes as CSV.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamFollower.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamFollower.java
@@ -205,7 +205,6 @@
 
   private void failedRead(String detail) {
     if (!backoff.failing()) {
-      LOGGER.log(Level.WARNING, "event=log-outage-began stream={0} detail=\"{1}\"", stream, detail);
       tell(listener -> listener.outageBegan(detail));
     }
     publish(true);
--- /dev/null
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/log/LogMeasure.java
@@ -0,0 +1,287 @@
+package io.marigoldsail.log;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.marigoldsail.daemon.platform.HttpLogService;
+import io.marigoldsail.daemon.platform.PlatformClient;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.testlib.fault.TcpFaultProxy;
+import io.marigoldsail.testlib.fault.TcpFaultProxy.Direction;
+import io.marigoldsail.testlib.platform.FakeLogService;
+import io.marigoldsail.testlib.platform.LogFaults;
+import io.marigoldsail.testlib.platform.StandInLogService;
+import io.marigoldsail.time.MonotonicClock;
+import java.lang.management.ManagementFactory;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Measures the log slice and prints CSV: {@code reading}, {@code append} or {@code slopes}.
+ *
+ * <p>Run by {@code bin/measure-log}; no test.
+ */
+public final class LogMeasure {
+  private static final String STREAM = "tasks";
+  private static final int BODY_BYTES = 300;
+
+  private LogMeasure() {}
+
+  /** Runs the measurements that the arguments name. */
+  public static void main(String[] arguments) throws Exception {
+    for (String what : arguments) {
+      switch (what) {
+        case "reading" -> ReadingTrial.run();
+        case "append" -> append();
+        case "slopes" -> slopes();
+        default -> {
+          System.err.println("unknown measurement: " + what + "; reading, append or slopes");
+          System.exit(2);
+        }
+      }
+    }
+    System.exit(0);
+  }
+
+  /** One process's follower and appender on a log. */
+  private record Member(StreamFollower follower, LogAppender appender) {
+    static Member start(String name, LogService log) {
+      SplittableRandom random = new SplittableRandom(name.hashCode());
+      MonotonicClock clock = MonotonicClock.system();
+      StreamFollower follower =
+          new StreamFollower(log, STREAM, new CountFold(), FollowerSettings.usual(), clock, random);
+      LogAppender appender =
+          new LogAppender(
+              log, follower, EntryIds.of(name, 1), AppendSettings.usual(), clock, random);
+      follower.start();
+      appender.start();
+      return new Member(follower, appender);
+    }
+
+    void close() {
+      appender.close();
+      follower.close();
+    }
+  }
+
+  private static ObjectNode body() {
+    return JsonNodeFactory.instance.objectNode().put("filler", "x".repeat(BODY_BYTES));
+  }
+
+  /** Entries a second that three entries offer, against a log that takes 300 appends a second. */
+  private static void append() throws Exception {
+    System.out.println(
+        "entries,offered_per_s,ok_per_s,failed,appends_per_s,p50_ms,p99_ms,worst_ms");
+    for (int rate : new int[] {30, 90, 300, 1_000, 3_000}) {
+      try (StandInLogService service = new StandInLogService("127.0.0.1", 0).start();
+          PlatformClient client = PlatformClient.start("append")) {
+        service.log().setFaults(limited(300));
+        appendAt(rate, service, client);
+      }
+    }
+  }
+
+  private static LogFaults limited(int appendsPerSecond) {
+    return new LogFaults(false, 0, 0, 0, 0, 0, appendsPerSecond);
+  }
+
+  private static void appendAt(int rate, StandInLogService service, PlatformClient client)
+      throws Exception {
+    int seconds = 5;
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      members.add(Member.start("entry-" + i, new HttpLogService(client, service.address(), 2_000)));
+    }
+    List<CompletableFuture<Double>> latencies = new ArrayList<>();
+    long began = System.nanoTime();
+    for (int i = 0; i < rate * seconds; i++) {
+      long due = began + TimeUnit.SECONDS.toNanos(1) * i / rate;
+      while (System.nanoTime() < due) {
+        LockSupport.parkNanos(due - System.nanoTime());
+      }
+      latencies.add(
+          members.get(i % 3).appender().append("t", body()).thenApply(r -> latency(r, due)));
+    }
+    List<Double> millis = new ArrayList<>();
+    for (CompletableFuture<Double> one : latencies) {
+      millis.add(one.get());
+    }
+    double took = (System.nanoTime() - began) / 1e9;
+    long failed = millis.stream().filter(one -> one.isNaN()).count();
+    millis.removeIf(one -> one.isNaN());
+    millis.sort(null);
+    System.out.printf(
+        "3,%d,%.0f,%d,%.0f,%.1f,%.1f,%.1f%n",
+        rate,
+        millis.size() / took,
+        failed,
+        service.log().counts().appends() / took,
+        millis.get(millis.size() / 2),
+        millis.get(millis.size() * 99 / 100),
+        millis.get(millis.size() - 1));
+    members.forEach(Member::close);
+  }
+
+  private static double latency(Result<Position> result, long due) {
+    return result.isOk() ? (System.nanoTime() - due) / 1e6 : Double.NaN;
+  }
+
+  /** Cost against size, at four sizes each. */
+  private static void slopes() throws Exception {
+    System.out.println("slope,size,unit,value,per");
+    warmUp();
+    for (int records : new int[] {20_000, 40_000, 80_000, 160_000}) {
+      System.out.printf("read_cpu,%d,records,%.1f,ms%n", records, readCpuMillis(records, 1));
+    }
+    for (int entries : new int[] {1, 10, 50, 100}) {
+      double cpu = readCpuMillis(40_000 / entries, entries);
+      System.out.printf("read_cpu_batched,%d,entries/record,%.2f,us/entry%n", entries, cpu / 40);
+    }
+    double unusedFirst = marksBytes(128) + outageBytes(1_250) + readerBytes(20_000);
+    for (int records : new int[] {20_000, 40_000, 80_000, 160_000}) {
+      System.out.printf("reader_memory,%d,records,%.0f,bytes%n", records, readerBytes(records));
+    }
+    for (int writers : new int[] {128, 256, 512, 1_024}) {
+      System.out.printf("marks_memory,%d,writers,%.0f,bytes%n", writers, marksBytes(writers));
+    }
+    for (int open : new int[] {1_250, 2_500, 5_000, 10_000}) {
+      System.out.printf("outage_memory,%d,entries held,%.0f,bytes%n", open, outageBytes(open));
+    }
+    for (int entries : new int[] {1, 3, 6, 9}) {
+      wireBytes(entries);
+    }
+  }
+
+  private static void warmUp() {
+    for (int i = 0; i < 20; i++) {
+      readCpuMillis(20_000, 1);
+    }
+  }
+
+  private static double readCpuMillis(int records, int entriesPerRecord) {
+    FakeLogService log = filled(records, entriesPerRecord);
+    var threads = ManagementFactory.getThreadMXBean();
+    long before = threads.getCurrentThreadCpuTime();
+    StreamCursor cursor = readAll(log);
+    double millis = (threads.getCurrentThreadCpuTime() - before) / 1e6;
+    return cursor.nextOffset() == records ? millis : Double.NaN;
+  }
+
+  /** What a reader holds once it has read so much and the log itself is gone. */
+  private static double readerBytes(int records) {
+    long before = usedBytes();
+    StreamCursor cursor = readAll(filled(records, 1));
+    double bytes = usedBytes() - before;
+    return cursor.nextOffset() == records ? bytes : Double.NaN;
+  }
+
+  private static FakeLogService filled(int records, int entriesPerRecord) {
+    FakeLogService log = new FakeLogService();
+    EntryIds ids = EntryIds.of("entry-1", 1);
+    for (int i = 0; i < records; i++) {
+      List<byte[]> entries = new ArrayList<>();
+      for (int e = 0; e < entriesPerRecord; e++) {
+        entries.add(RecordCodec.entry(ids.next(), "t", body()));
+      }
+      log.append(STREAM, RecordCodec.record(entries));
+    }
+    return log;
+  }
+
+  private static StreamCursor readAll(FakeLogService log) {
+    StreamCursor cursor =
+        new StreamCursor(new CountFold(), false, new StreamListener() {}, (o, why, n) -> {});
+    while (cursor.nextOffset() < log.nextOffset(STREAM)) {
+      cursor.accept(log.read(STREAM, cursor.nextOffset(), 200, 0).value());
+    }
+    return cursor;
+  }
+
+  private static double marksBytes(int writers) {
+    long before = usedBytes();
+    WriterMarks marks = new WriterMarks();
+    for (int i = 0; i < writers; i++) {
+      marks.accept(EntryIds.parse("entry-vm-" + i + "/5f3a9c0d12345678/17").orElseThrow());
+    }
+    double bytes = usedBytes() - before;
+    return marks.size() == 0 ? 0 : bytes;
+  }
+
+  private static double outageBytes(int open) {
+    FakeLogService log = new FakeLogService();
+    log.setFaults(LogFaults.none().withDown(true));
+    Member member = Member.start("entry-1", log);
+    long before = usedBytes();
+    List<CompletableFuture<Result<Position>>> kept = new ArrayList<>(open);
+    for (int i = 0; i < open; i++) {
+      kept.add(
+          member.appender().append("t", body(), System.nanoTime() + TimeUnit.HOURS.toNanos(1)));
+    }
+    double bytes = usedBytes() - before;
+    member.close();
+    return kept.isEmpty() ? 0 : bytes;
+  }
+
+  /** The least of several readings after collections. */
+  private static long usedBytes() {
+    long least = Long.MAX_VALUE;
+    for (int i = 0; i < 4; i++) {
+      System.gc();
+      Runtime runtime = Runtime.getRuntime();
+      least = Math.min(least, runtime.totalMemory() - runtime.freeMemory());
+    }
+    return least;
+  }
+
+  /** Bytes on the wire of a process that reads a stream of so many entries' heartbeats. */
+  private static void wireBytes(int entries) throws Exception {
+    try (StandInLogService service = new StandInLogService("127.0.0.1", 0).start();
+        TcpFaultProxy reading = new TcpFaultProxy(URI.create(service.address()).getPort());
+        TcpFaultProxy writing = new TcpFaultProxy(URI.create(service.address()).getPort());
+        PlatformClient client = PlatformClient.start("wire")) {
+      String read = "http://127.0.0.1:" + reading.port();
+      String write = "http://127.0.0.1:" + writing.port();
+      Member reader = Member.start("reader", new HttpLogService(client, read, 2_000));
+      HttpLogService writer = new HttpLogService(client, write, 2_000);
+      List<EntryIds> ids = new ArrayList<>();
+      for (int i = 0; i < entries; i++) {
+        ids.add(EntryIds.of("entry-" + i, 0x5f3a9c0d12345678L));
+      }
+      int beats = 20;
+      long began = System.nanoTime();
+      for (int beat = 0; beat < beats; beat++) {
+        for (EntryIds id : ids) {
+          byte[] entry = RecordCodec.entry(id.next(), "heartbeat", heartbeat());
+          writer.append(STREAM, RecordCodec.record(List.of(entry))).value();
+          // Apart from each other, as those of different entries are, so that each is a page.
+          LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(1) / 9);
+        }
+      }
+      reader.follower().awaitApplied(beats * entries, System.nanoTime() + 10_000_000_000L);
+      double seconds = (System.nanoTime() - began) / 1e9;
+      double count = beats * entries;
+      System.out.printf(
+          "heartbeat_read,%d,entries,%.0f,bytes/heartbeat%n", entries, bytes(reading) / count);
+      System.out.printf(
+          "heartbeat_append,%d,entries,%.0f,bytes/heartbeat%n", entries, bytes(writing) / count);
+      System.out.printf("heartbeats_at,%d,entries,%.1f,heartbeats/s%n", entries, count / seconds);
+      reader.close();
+    }
+  }
+
+  private static ObjectNode heartbeat() {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("entry", "entry-1").put("incarnation", 0x5f3a9c0d12345678L);
+    body.putArray("gained");
+    body.putArray("lost");
+    return body;
+  }
+
+  private static long bytes(TcpFaultProxy proxy) {
+    return proxy.forwardedBytes(Direction.TO_CLIENT) + proxy.forwardedBytes(Direction.TO_SERVER);
+  }
+}
--- /dev/null
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/log/ReadingTrial.java
@@ -0,0 +1,182 @@
+package io.marigoldsail.log;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.marigoldsail.testlib.fault.ProcessFleet;
+import io.marigoldsail.testlib.platform.FakeLogService;
+import io.marigoldsail.testlib.platform.LogFaults;
+import io.marigoldsail.testlib.platform.StandInLogService;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Each member reading the log by itself, against one that relays to the others and holds records
+ * for those away: load and time to be in force through a death, a frozen member and an outage.
+ *
+ * <p>Prints CSV. Real processes and the real follower; the relay exists only here. Wall time on a
+ * shared machine: a trial unless the machine is otherwise idle.
+ */
+final class ReadingTrial implements AutoCloseable {
+  private static final int MEMBERS = 6;
+  private static final int RATE = 100;
+  private static final int RECORD_BYTES = 500;
+  private static final int RELAY_PORT = 21_400;
+  private static final long PHASE_SECONDS = 6;
+  private static final long FAULT_SECONDS = 4;
+
+  private final boolean relay;
+  private final StandInLogService log = new StandInLogService("127.0.0.1", 0).start();
+  private final ProcessFleet fleet;
+  private final ScheduledExecutorService publisher = Executors.newSingleThreadScheduledExecutor();
+  private final EntryIds ids = EntryIds.of("publisher", 1);
+  private final List<String> members = new ArrayList<>();
+
+  private ReadingTrial(boolean relay, Path directory) {
+    this.relay = relay;
+    this.fleet = new ProcessFleet(directory, List.of("-Xmx64m", "-XX:+UseSerialGC"));
+  }
+
+  static void run() throws IOException {
+    System.out.println(
+        "way,phase,member,cpu_millis_per_s,applied,p50_ms,worst_ms,longest_pause_ms,log_reads_per_s");
+    for (boolean relay : new boolean[] {false, true}) {
+      try (ReadingTrial trial = new ReadingTrial(relay, Files.createTempDirectory("reading"))) {
+        trial.play();
+      }
+    }
+  }
+
+  private void play() {
+    for (int i = 0; i < MEMBERS; i++) {
+      members.add("m" + i);
+      fleet.start(
+          "m" + i,
+          ReadingMember.class.getName(),
+          List.of(sources(i), "" + (relay ? RELAY_PORT + i : 0)));
+    }
+    members.forEach(m -> fleet.await(m, 60, () -> fleet.printed(m).contains("ready")));
+    ScheduledFuture<?> publishing =
+        publisher.scheduleAtFixedRate(
+            this::publish, 0, TimeUnit.SECONDS.toMicros(1) / RATE, TimeUnit.MICROSECONDS);
+    pass(PHASE_SECONDS);
+    phase("steady", () -> pass(PHASE_SECONDS));
+    phase(
+        "death of m0",
+        () -> {
+          fleet.kill("m0");
+          pass(PHASE_SECONDS);
+        });
+    members.remove("m0");
+    phase(
+        "m1 frozen",
+        () -> {
+          fleet.freeze("m1");
+          pass(FAULT_SECONDS);
+          fleet.thaw("m1");
+          pass(PHASE_SECONDS - FAULT_SECONDS);
+        });
+    phase(
+        "outage",
+        () -> {
+          log.log().setFaults(LogFaults.none().withDown(true));
+          pass(FAULT_SECONDS);
+          log.log().setFaults(LogFaults.none());
+          pass(PHASE_SECONDS - FAULT_SECONDS);
+        });
+    publishing.cancel(false);
+  }
+
+  private String sources(int member) {
+    StringBuilder sources = new StringBuilder();
+    for (int before = 0; relay && before < Math.min(member, 2); before++) {
+      sources.append("http://127.0.0.1:").append(RELAY_PORT + before).append(',');
+    }
+    return sources + log.address();
+  }
+
+  private void publish() {
+    var body = JsonNodeFactory.instance.objectNode();
+    body.put("at", System.currentTimeMillis() * 1_000);
+    body.put("filler", "x".repeat(RECORD_BYTES));
+    byte[] entry = RecordCodec.entry(ids.next(), "t", body);
+    var unused = log.log().append("trial", RecordCodec.record(List.of(entry)));
+  }
+
+  /** Lets time pass without a condition to wait for: the phase's length is what is measured. */
+  private void pass(long seconds) {
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    fleet.await("end of phase", seconds + 60, () -> System.nanoTime() >= until);
+  }
+
+  private void phase(String name, Runnable fault) {
+    List<Long> cpuBefore = members.stream().map(this::cpuMillis).toList();
+    List<Integer> linesBefore = members.stream().map(m -> lines(m).size()).toList();
+    FakeLogService.Counts countsBefore = log.log().counts();
+    long began = System.nanoTime();
+    fault.run();
+    double seconds = (System.nanoTime() - began) / 1e9;
+    long reads = log.log().counts().reads() - countsBefore.reads();
+    for (int i = 0; i < members.size(); i++) {
+      String member = members.get(i);
+      if (!fleet.isAlive(member)) {
+        continue;
+      }
+      List<String> all = lines(member);
+      List<String> fresh = all.subList(Math.min(linesBefore.get(i), all.size()), all.size());
+      double cpu = (cpuMillis(member) - cpuBefore.get(i)) / seconds;
+      System.out.printf(
+          "%s,%s,%s,%.1f,%d,%s,%.0f%n",
+          relay ? "relay" : "independent",
+          name,
+          member,
+          cpu,
+          fresh.size(),
+          latencies(fresh),
+          reads / seconds);
+    }
+  }
+
+  /** Returns median and worst latency, and how long the longest pause in applying was. */
+  private static String latencies(List<String> lines) {
+    List<Double> sorted = new ArrayList<>();
+    long last = 0;
+    long pause = 0;
+    for (String line : lines) {
+      String[] parts = line.split(" ", -1);
+      sorted.add(Long.parseLong(parts[1]) / 1_000.0);
+      long at = Long.parseLong(parts[2]);
+      pause = last == 0 ? 0 : Math.max(pause, at - last);
+      last = at;
+    }
+    sorted.sort(null);
+    return sorted.isEmpty()
+        ? "none,none,none"
+        : String.format(
+            "%.1f,%.1f,%d", sorted.get(sorted.size() / 2), sorted.get(sorted.size() - 1), pause);
+  }
+
+  private List<String> lines(String member) {
+    return fleet.printed(member).lines().filter(line -> line.matches("\\d+ -?\\d+ \\d+")).toList();
+  }
+
+  private long cpuMillis(String member) {
+    return ProcessHandle.of(fleet.pid(member))
+        .flatMap(handle -> handle.info().totalCpuDuration())
+        .map(Duration::toMillis)
+        .orElse(0L);
+  }
+
+  @Override
+  public void close() {
+    publisher.shutdownNow();
+    fleet.close();
+    log.close();
+  }
+}
