Aim at a wait of 20 ms under lasting overload, and model the daemon's order of reports

The other order hid a fault of the model, which settled a request before a refusal of the same call; mended. The default of maxWaiting goes from 1,000 to 10,000, for a lone entry needs 4,400 places to let in what fits a deadline of a second.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/configuration/ServiceConfiguration.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/configuration/ServiceConfiguration.java
@@ -19,5 +19,5 @@
     long tailLatencyGoalMillis) {
   /** What holds for a service, or a key of it, that no file names. */
   public static final ServiceConfiguration DEFAULT =
-      new ServiceConfiguration(20, 5_000, 1_000, false, 100);
+      new ServiceConfiguration(20, 5_000, 10_000, false, 100);
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/RequestPolicy.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/RequestPolicy.java
@@ -21,8 +21,8 @@
   List<Decision> targetsChanged(List<TargetState> targets, long now);
 
   /**
-   * Tells what a target's side process last reported. Where the report rides on an answer, tell
-   * {@link #attemptEnded} first.
+   * Tells what a target's side process last reported. Where the report rides on an answer, it may
+   * be told before or after {@link #attemptEnded}.
    */
   List<Decision> reported(String vm, TargetLoad load, long now);
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceLimits.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceLimits.java
@@ -11,7 +11,7 @@
  */
 public record ServiceLimits(long targetDelayMillis, int maxWaiting) {
   /** What holds where nothing is set. */
-  public static final ServiceLimits DEFAULT = new ServiceLimits(50, 10_000);
+  public static final ServiceLimits DEFAULT = new ServiceLimits(20, 10_000);
 
   /** Checks the components. */
   public ServiceLimits {
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/ModelEntry.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/ModelEntry.java
@@ -25,6 +25,7 @@
   private final RequestPolicy policy;
   private final Surroundings surroundings;
   private final Map<Long, Call> open = new HashMap<>();
+  private final Map<Long, String> sentTo = new HashMap<>();
   private long wakeAt = Long.MAX_VALUE;
 
   ModelEntry(int number, EventQueue events, RequestPolicy policy, Surroundings surroundings) {
@@ -82,8 +83,6 @@
     sentTo.put(call.number, vm);
   }
 
-  private final Map<Long, String> sentTo = new HashMap<>();
-
   private void deadlinePassed(Call call) {
     String vm = sentTo.remove(call.number);
     if (!call.isOpen() || vm == null) {
@@ -96,15 +95,15 @@
   }
 
   private void ended(Call call, int attempt, String vm, AttemptOutcome outcome, TargetLoad load) {
+    reported(vm, load);
     if (call.isOpen() && call.tries == attempt) {
       sentTo.remove(call.number);
       List<Decision> decisions = policy.attemptEnded(call.number, vm, outcome, events.now());
-      if (!policy.isPending(call.number)) {
+      apply(decisions);
+      if (call.isOpen() && !policy.isPending(call.number)) {
         settle(call, resultOf(outcome), 0);
       }
-      apply(decisions);
     }
-    reported(vm, load);
   }
 
   private static Call.Result resultOf(AttemptOutcome outcome) {
