--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
@@ -186,6 +186,11 @@
     return waiting.size();
   }
 
+  /** Returns how many clocks of callers are kept, at most {@link #MAX_FLOWS}. */
+  int clocks() {
+    return callerClocks.size();
+  }
+
   /** Returns whether no request waits. */
   public boolean isEmpty() {
     return waiting.isEmpty();
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/retry/RetryPolicyTest.java
@@ -0,0 +1,66 @@
+package io.marigoldsail.retry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.dispatch.AttemptOutcome;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class RetryPolicyTest {
+  private static final long DEADLINE = 1_000_000_000L;
+
+  private final RetryPolicy policy = new RetryPolicy(new SplittableRandom(5));
+
+  private OptionalLong retry(AttemptOutcome outcome, boolean idempotent, int tries, boolean queue) {
+    return policy.retryAt(outcome, idempotent, tries, queue, DEADLINE, 0);
+  }
+
+  // A charge is sent, and the connection to its target is lost. It may have run: trying it again
+  // could charge the motorist twice.
+  @Test
+  void neverRepeatsWhatMayHaveRunAndIsNotIdempotent() {
+    assertTrue(retry(AttemptOutcome.LOST, false, 1, false).isEmpty());
+    assertTrue(retry(AttemptOutcome.TARGET_ERROR, false, 1, false).isEmpty());
+    assertEquals(OptionalLong.of(0), retry(AttemptOutcome.NOT_RUN, false, 1, false));
+  }
+
+  // All targets fail for ten seconds. If every failure were tried again, three times the requests
+  // would meet targets that are already in trouble.
+  @Test
+  void keepsTriesWithinATenthMoreThanRequests() {
+    int tries = 0;
+    for (int request = 0; request < 1_000; request++) {
+      policy.requestSent();
+      tries++;
+      for (int attempt = 1;
+          retry(AttemptOutcome.TARGET_ERROR, true, attempt, false).isPresent();
+          attempt++) {
+        tries++;
+      }
+    }
+    assertTrue(tries <= 1_100, "tries: " + tries);
+    assertTrue(tries > 1_050, "tries: " + tries);
+  }
+
+  @Test
+  void triesNothingAgainWhileRequestsWait() {
+    assertTrue(retry(AttemptOutcome.LOST, true, 1, true).isEmpty());
+    assertTrue(retry(AttemptOutcome.NOT_RUN, true, 1, true).isPresent());
+  }
+
+  @Test
+  void backsOffLongerEachTimeAndNeverPastTheDeadline() {
+    long first = retry(AttemptOutcome.LOST, true, 1, false).orElseThrow();
+    long second = retry(AttemptOutcome.LOST, true, 2, false).orElseThrow();
+    assertTrue(first >= RetryPolicy.FIRST_BACK_OFF_NANOS / 2 && first < second);
+    assertTrue(policy.retryAt(AttemptOutcome.LOST, true, 1, false, 1_000_000, 0).isEmpty());
+  }
+
+  // Every side process is full and turns a request away, again and again, until its deadline.
+  @Test
+  void endsTheCircleOfARequestThatIsTurnedAwayEverywhere() {
+    assertTrue(retry(AttemptOutcome.NOT_RUN, true, RetryPolicy.MAX_TURNED_AWAY, false).isEmpty());
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/routing/RouterTest.java
@@ -0,0 +1,157 @@
+package io.marigoldsail.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.dispatch.AttemptOutcome;
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.dispatch.TargetState;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class RouterTest {
+  private static final long MILLI = 1_000_000;
+  private static final int SLOTS = 8;
+
+  private final Router router = new Router("suva", new SplittableRandom(9));
+  private long now = 1;
+
+  private static TargetState target(String vm, long incarnation, String zone, boolean leaving) {
+    return new TargetState(vm, incarnation, "parking", zone, SLOTS, leaving);
+  }
+
+  private static List<TargetState> targets(int count) {
+    List<TargetState> states = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      states.add(target("vm-" + i, 1, i % 2 == 0 ? "suva" : "nadi", false));
+    }
+    return states;
+  }
+
+  private Optional<Route> send(boolean mayProbe) {
+    Optional<Route> route = router.choose("", false, mayProbe, now);
+    route.ifPresent(chosen -> router.sent(chosen.vm(), now));
+    return route;
+  }
+
+  /** Sends one request and has it answered after the time that its target takes. */
+  private String roundTrip(Map<String, Long> millis, AttemptOutcome outcome) {
+    String vm = send(true).orElseThrow().vm();
+    long sentAt = now;
+    now += millis.getOrDefault(vm, 10L) * MILLI;
+    router.ended(vm, outcome, sentAt, now);
+    return vm;
+  }
+
+  // One executor's VM is crowded by a noisy task and answers ten times slower. It must lose its
+  // share while the others keep theirs, and get it back once it is quick again.
+  @Test
+  void easesOffASlowTargetAndGivesItBackItsShare() {
+    router.changed(targets(5), now);
+    Map<String, Long> slow = new HashMap<>(Map.of("vm-2", 100L));
+    for (int i = 0; i < 200; i++) {
+      roundTrip(slow, AttemptOutcome.ANSWERED);
+    }
+    assertEquals(List.of("vm-2"), router.easedOff());
+    slow.clear();
+    for (int i = 0; i < 400 && !router.easedOff().isEmpty(); i++) {
+      now += 5 * MILLI;
+      roundTrip(slow, AttemptOutcome.ANSWERED);
+    }
+    assertEquals(List.of(), router.easedOff());
+  }
+
+  // A burst keeps requests waiting until they have milliseconds left; sent then, all of them time
+  // out. Counted as failures of their targets, that eased off eight of eleven healthy ones, and the
+  // service stayed at a third of its capacity after the burst.
+  @Test
+  void takesShortTimeoutsForNoFaultOfTheTarget() {
+    router.changed(targets(4), now);
+    for (int i = 0; i < 100; i++) {
+      roundTrip(Map.of(), AttemptOutcome.ANSWERED);
+    }
+    for (int i = 0; i < 50; i++) {
+      send(false).ifPresent(r -> router.ended(r.vm(), AttemptOutcome.TIMED_OUT, now, now + 1));
+    }
+    assertEquals(List.of(), router.easedOff());
+  }
+
+  // Every target fails at once, for the fault is in what they all ask. Easing them all off would
+  // turn errors into an outage.
+  @Test
+  void neverEasesOffMoreThanAThird() {
+    router.changed(targets(6), now);
+    Map<String, Long> slow = Map.of("vm-0", 100L, "vm-1", 100L, "vm-2", 100L);
+    for (int i = 0; i < 300; i++) {
+      roundTrip(slow, AttemptOutcome.ANSWERED);
+    }
+    assertTrue(router.easedOff().size() <= 2, () -> router.easedOff().toString());
+  }
+
+  // A target comes back while the service is busy. Filled at once with eight requests by each of
+  // nine entries, it would go down again.
+  @Test
+  void fillsANewTargetSlowly() {
+    router.changed(targets(1), now);
+    now += 10_000 * MILLI;
+    router.changed(targets(2), now);
+    int early = 0;
+    while (send(false).filter(route -> route.vm().equals("vm-1")).isPresent()
+        || router.inFlight() < SLOTS) {
+      early = router.inFlight();
+    }
+    assertTrue(early <= SLOTS + 1, "in flight: " + early);
+  }
+
+  @Test
+  void prefersItsOwnZoneUntilThatIsBusy() {
+    router.changed(targets(2), now);
+    assertEquals("vm-0", send(false).orElseThrow().vm());
+    for (int i = 0; i < 6; i++) {
+      send(false);
+    }
+    assertEquals("vm-1", send(false).orElseThrow().vm());
+  }
+
+  // A side process is told to leave; its announcement is seconds old, but a report on an answer
+  // says so at once.
+  @Test
+  void sendsNothingMoreToALeavingTarget() {
+    router.changed(targets(1), now);
+    router.reported("vm-0", new TargetLoad(0, 0, 1, true), now);
+    assertTrue(send(false).isEmpty());
+  }
+
+  // A VM is replaced under its name while requests are out. Their late ends must not count against
+  // the new one, or it would look idle while it is full.
+  @Test
+  void keepsALateEndFromCountingAgainstAReplacedTarget() {
+    router.changed(targets(1), now);
+    String vm = send(false).orElseThrow().vm();
+    long sentAt = now;
+    now += MILLI;
+    router.changed(List.of(target("vm-0", 2, "suva", false)), now);
+    router.sent(vm, now);
+    router.ended(vm, AttemptOutcome.LOST, sentAt, now);
+    assertEquals(1, router.inFlight());
+  }
+
+  // Another entry has filled the target. This one, with nothing there, may still try one request,
+  // else it would never learn that there is room; what is turned away is not repeated at once.
+  @Test
+  void triesOneRequestAtATargetThatOthersFill() {
+    router.changed(targets(1), now);
+    router.reported("vm-0", new TargetLoad(SLOTS, 4, 2, false), now);
+    assertTrue(send(false).isPresent());
+    assertFalse(send(false).isPresent());
+    router.ended("vm-0", AttemptOutcome.NOT_RUN, now, now);
+    assertFalse(send(false).isPresent());
+    assertTrue(router.nextChange(now) > now);
+  }
+}
