--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPattern.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPattern.java
@@ -46,11 +46,19 @@
   }
 
   private void run(int entries, PolicyKind kind, long seed, MeasureRows rows) {
+    run(
+        entries,
+        kind,
+        seed,
+        (metric, value) -> rows.add(name, entries, kind.label(), metric, value));
+  }
+
+  /** Runs one policy with one number of entries and hands its metrics to the printer. */
+  void run(int entries, PolicyKind kind, long seed, Printer printer) {
     RequestScore calm =
         new RequestScore(RequestBench.run(deployment, entries, kind, reference, seed));
     double referenceP99 = calm.percentileMillis(99, others);
     RequestScore score = new RequestScore(RequestBench.run(deployment, entries, kind, plan, seed));
-    Printer printer = (metric, value) -> rows.add(name, entries, kind.label(), metric, value);
     printer.print("goodput_ratio", score.goodputRatio());
     printer.print("p50_ms", score.percentileMillis(50, RequestScore.all()));
     printer.print("p99_ms", score.percentileMillis(99, RequestScore.all()));
