--- a/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
@@ -47,6 +47,10 @@
   static final int THROTTLED_PERCENT = 10;
 
   private static final int LOOSE = 100;
+
+  /** More tasks than a VM runs; keeps a service that is slow for a minute from overflowing. */
+  private static final int MAX_STEP = 1_024;
+
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** Work lost weighs double where the task is due within this time, in milliseconds. */
@@ -139,7 +143,7 @@
         Comparator.comparingDouble((GuardedTask task) -> -suspicion.of(task.program()))
             .thenComparingLong(task -> -task.startedNanos())
             .thenComparingLong(task -> -task.used().milliProcessors()));
-    stepSize = slowBefore ? stepSize * 2 : 1;
+    stepSize = slowBefore ? Math.min(stepSize * 2, MAX_STEP) : 1;
     slowBefore = true;
     List<GuardAction> actions = new ArrayList<>();
     for (GuardedTask task : loose.subList(0, Math.min(stepSize, loose.size()))) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/JobSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/JobSpec.java
@@ -61,6 +61,11 @@
     requireNonNull(spread, "spread");
   }
 
+  /** Returns what its tasks run; see {@link Programs}. */
+  public String program() {
+    return Programs.of(team, command);
+  }
+
   /** Returns the name of the job's task with the given index, from 0. */
   public String taskName(int index) {
     return name + "/" + index;
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
@@ -6,7 +6,6 @@
 import io.marigoldsail.job.TaskState.Phase;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,7 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * What stands in the log about jobs, tasks, VMs and entries: the one state machine that every entry
@@ -28,6 +27,13 @@
  * Applying costs a few map look-ups, the revocation of a VM one step for each of its tasks.
  */
 public final class TaskTable {
+  /** Told of attempts that ended by themselves; must return at once. */
+  @FunctionalInterface
+  public interface EndListener {
+    /** An attempt of a job's task ended on a VM. */
+    void ended(String vm, String job, boolean success);
+  }
+
   /** An attempt fails by itself on so many different VMs before the task ends as failed. */
   public static final int MAX_FAILED_VMS = 3;
 
@@ -41,11 +47,9 @@
 
   private final Map<String, MutableJob> jobs = new LinkedHashMap<>();
   private final Map<String, MutableJob> endedJobs = new LinkedHashMap<>();
-  private final Map<Long, VmState> vms = new TreeMap<>();
-  private final Map<String, Long> currentByVm = new HashMap<>();
-  private final Map<Long, TreeSet<String>> tasksByRegistration = new HashMap<>();
+  private final Bookings bookings = new Bookings();
   private final Map<String, EntryState> entries = new TreeMap<>();
-  private final Map<String, Sizes> bookedByTeam = new HashMap<>();
+  private final List<EndListener> endListeners = new CopyOnWriteArrayList<>();
   private final DisplacedBoots displaced = new DisplacedBoots();
   private int endedTasks;
   private long applied = -1;
@@ -142,28 +146,34 @@
 
   /** Returns every registration, revoked ones too, oldest first. */
   public synchronized List<VmState> vms() {
-    return List.copyOf(vms.values());
+    return bookings.vms();
   }
 
   /** Returns the VM's present registration, or empty if it has none or it is revoked. */
   public synchronized Optional<VmState> vm(String name) {
-    Long registration = currentByVm.get(name);
-    return Optional.ofNullable(registration == null ? null : vms.get(registration))
-        .filter(vm -> !vm.revoked());
+    return bookings.current(name).filter(vm -> !vm.revoked());
   }
 
   /** Returns the tasks claimed on a registration, by name. */
   public synchronized List<TaskState> tasksOn(long registration) {
-    TreeSet<String> names = tasksByRegistration.get(registration);
-    if (names == null) {
-      return List.of();
-    }
-    return names.stream().map(name -> findJob(TaskState.jobOf(name)).find(name)).toList();
+    return bookings.tasksOn(registration).stream()
+        .map(name -> findJob(TaskState.jobOf(name)).find(name))
+        .toList();
   }
 
   /** Returns what each team's claims take up in all; teams without claims are left out. */
   public synchronized Map<String, Sizes> bookedByTeam() {
-    return Map.copyOf(bookedByTeam);
+    return bookings.byTeam();
+  }
+
+  /** Returns how many tasks of each {@linkplain Programs program} a registration holds. */
+  public synchronized Map<String, Integer> programsOn(long registration) {
+    return bookings.programsOn(registration);
+  }
+
+  /** Adds a listener that is told of every attempt that ends by itself from now on. */
+  public void addEndListener(EndListener listener) {
+    endListeners.add(requireNonNull(listener, "listener"));
   }
 
   /** Returns the entries that wrote heartbeats, by name. */
@@ -177,7 +187,7 @@
     jobs.values().forEach(job -> kept.add(TaskTableSnapshot.Job.of(job)));
     endedJobs.values().forEach(job -> kept.add(TaskTableSnapshot.Job.of(job)));
     return new TaskTableSnapshot(
-        applied, kept, List.copyOf(vms.values()), List.copyOf(entries.values()), displaced.byVm());
+        applied, kept, bookings.vms(), List.copyOf(entries.values()), displaced.byVm());
   }
 
   /**
@@ -191,18 +201,12 @@
     checkRegistrations(restored, snapshot.vms());
     jobs.clear();
     endedJobs.clear();
-    vms.clear();
-    currentByVm.clear();
-    tasksByRegistration.clear();
+    bookings.clear();
     entries.clear();
-    bookedByTeam.clear();
     displaced.replace(snapshot.displaced());
     endedTasks = 0;
     applied = snapshot.applied();
-    for (VmState vm : snapshot.vms()) {
-      vms.put(vm.registration(), vm);
-      currentByVm.merge(vm.vm(), vm.registration(), Math::max);
-    }
+    snapshot.vms().forEach(bookings::add);
     snapshot.entries().forEach(entry -> entries.put(entry.entry(), entry));
     restored.forEach(this::restoreJob);
   }
@@ -228,10 +232,7 @@
     jobs.put(job.spec().name(), job);
     for (TaskState task : job.tasks()) {
       if (task.phase() == Phase.CLAIMED) {
-        tasksByRegistration
-            .computeIfAbsent(task.registration(), unused -> new TreeSet<>())
-            .add(task.name());
-        bookedByTeam.merge(job.spec().team(), task.booked(), Sizes::plus);
+        bookings.index(task.registration(), job.spec(), task.name(), task.booked());
       }
     }
   }
@@ -266,17 +267,15 @@
   }
 
   private boolean join(long position, VmDescription vm) {
-    Long currentRegistration = currentByVm.get(vm.vm());
-    VmState current = currentRegistration == null ? null : vms.get(currentRegistration);
+    VmState current = bookings.current(vm.vm()).orElse(null);
     if (current != null && current.description().bootIncarnation() == vm.bootIncarnation()) {
       // Either two entries saw it join, or it is revoked and its leases are not surely over.
       return false;
     }
-    if (isBeingCleared(vm) || displaced.contains(vm.vm(), vm.bootIncarnation())) {
+    if (displaced.contains(vm.vm(), vm.bootIncarnation())) {
       return false;
     }
-    vms.put(position, new VmState(vm, position, false, Sizes.NONE, 0));
-    currentByVm.put(vm.vm(), position);
+    bookings.add(new VmState(vm, position, false, Sizes.NONE, 0));
     if (current != null) {
       // A new boot under the same name: nothing new goes to the old one, but what it held stays
       // held until its leases are over, because the name alone does not prove that it is gone.
@@ -286,29 +285,17 @@
     return true;
   }
 
-  /** Returns whether this very boot was revoked and may still hold leases. */
-  private boolean isBeingCleared(VmDescription boot) {
-    for (VmState vm : vms.values()) {
-      boolean same = vm.description().bootIncarnation() == boot.bootIncarnation();
-      if (same && vm.revoked() && vm.vm().equals(boot.vm())) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private boolean revoke(String name, long registration) {
-    VmState vm = vms.get(registration);
+    VmState vm = bookings.find(registration);
     if (vm == null || vm.revoked() || !vm.vm().equals(name)) {
       return false;
     }
-    vms.put(registration, vm.asRevoked());
-    dropIfEmpty(registration);
+    bookings.revoke(vm);
     return true;
   }
 
   private boolean clear(TaskRecord.VmCleared cleared) {
-    VmState vm = vms.get(cleared.registration());
+    VmState vm = bookings.find(cleared.registration());
     if (vm == null || !vm.revoked() || !vm.vm().equals(cleared.vm())) {
       return false;
     }
@@ -317,26 +304,17 @@
         leave(task, ReleaseCause.VM_LOST, "VM " + cleared.vm() + " was lost");
       }
     }
-    dropIfEmpty(cleared.registration());
+    bookings.dropIfEmpty(cleared.registration());
     return true;
   }
 
-  private void dropIfEmpty(long registration) {
-    VmState vm = vms.get(registration);
-    if (vm == null || !vm.revoked() || vm.tasks() > 0) {
-      return;
-    }
-    vms.remove(registration);
-    currentByVm.remove(vm.vm(), registration);
-  }
-
   private boolean claim(long position, TaskRecord.Claimed claim) {
     MutableJob job = jobs.get(TaskState.jobOf(claim.task()));
     TaskState task = job == null ? null : job.find(claim.task());
     if (task == null || task.phase() != Phase.WAITING || task.attempt() != claim.attempt()) {
       return false;
     }
-    VmState vm = vms.get(claim.registration());
+    VmState vm = bookings.find(claim.registration());
     if (vm == null || vm.revoked() || !vm.vm().equals(claim.vm())) {
       return false;
     }
@@ -345,11 +323,7 @@
     if (!claim.sizes().fitsIn(vm.free())) {
       return false;
     }
-    vms.put(vm.registration(), vm.withClaim(claim.sizes()));
-    tasksByRegistration
-        .computeIfAbsent(vm.registration(), unused -> new TreeSet<>())
-        .add(claim.task());
-    bookedByTeam.merge(job.spec().team(), claim.sizes(), Sizes::plus);
+    bookings.claim(vm, job.spec(), claim.task(), claim.sizes());
     job.put(task.claimed(claim, position));
     return true;
   }
@@ -379,6 +353,9 @@
     if (task == null) {
       return false;
     }
+    for (EndListener listener : endListeners) {
+      listener.ended(task.vm(), task.job(), ended.success());
+    }
     TaskState last = task.withCheckpoint(ended.checkpoint());
     if (ended.success()) {
       settle(task, last.ended(Phase.DONE, ended.detail()));
@@ -421,25 +398,12 @@
   }
 
   private void settle(TaskState before, TaskState after) {
-    VmState vm = vms.get(before.registration());
-    vms.put(vm.registration(), vm.withoutClaim(before.booked()));
-    TreeSet<String> names = tasksByRegistration.get(vm.registration());
-    names.remove(before.name());
-    if (names.isEmpty()) {
-      tasksByRegistration.remove(vm.registration());
-    }
-    dropIfEmpty(vm.registration());
     MutableJob job = jobs.get(before.job());
-    bookedByTeam.computeIfPresent(
-        job.spec().team(), (team, booked) -> nullIfNone(booked.minus(before.booked())));
+    bookings.leave(job.spec(), before);
     job.put(after);
     retireIfEnded(job);
   }
 
-  private static Sizes nullIfNone(Sizes sizes) {
-    return sizes.equals(Sizes.NONE) ? null : sizes;
-  }
-
   private TaskState held(String taskName, long token) {
     MutableJob job = jobs.get(TaskState.jobOf(taskName));
     TaskState task = job == null ? null : job.find(taskName);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/Fleet.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.Predicate;
 
 /**
@@ -24,16 +25,20 @@
    * Creates the fleet of the VMs that are not revoked.
    *
    * @param vms the registrations
-   * @param usable whether a VM may be given tasks, by name
+   * @param usable whether a VM may be given tasks
+   * @param programsOn how many tasks of each program a registration holds
    */
-  public Fleet(List<VmState> vms, Predicate<String> usable) {
+  public Fleet(
+      List<VmState> vms,
+      Predicate<VmState> usable,
+      Function<Long, Map<String, Integer>> programsOn) {
     for (VmState vm : vms) {
       if (vm.revoked()) {
         continue;
       }
       capacity = capacity.plus(vm.description().capacity());
-      if (usable.test(vm.vm())) {
-        VmRoom room = new VmRoom(vm);
+      if (usable.test(vm)) {
+        VmRoom room = new VmRoom(vm, programsOn);
         rooms.add(room);
         byRegistration.put(vm.registration(), room);
       }
@@ -51,10 +56,10 @@
   }
 
   /** Notes that a claim for the sizes is on its way to the log; unknown registrations pass. */
-  public void take(long registration, Sizes sizes) {
+  public void take(long registration, String program, Sizes sizes) {
     VmRoom room = byRegistration.get(registration);
     if (room != null) {
-      room.take(sizes);
+      room.take(program, sizes);
     }
   }
 
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/Interference.java
@@ -0,0 +1,111 @@
+package io.marigoldsail.placement;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * How much programs slow each other, learned from measurements that arrive late.
+ *
+ * <p>Load pattern: which pairs hurt each other is known to nobody beforehand and shifts with load.
+ * Without this, placement puts the same pair together again and again, and each time the guard has
+ * to throttle it apart.
+ *
+ * <p>A measurement says that a program took so many times longer beside such neighbours. The excess
+ * is shared among the neighbours by what is known of them (least mean squares): a prediction that
+ * was too low raises the weights of all that were there, one that was too high lowers them. So the
+ * one that is always there when it is slow gains, those that are also there when it is not lose,
+ * and what ceases to hurt is unlearned at the same rate. Weights below a floor are forgotten; the
+ * table is bounded. Safe for any thread.
+ */
+public final class Interference {
+  /** The program that stands for the service of a VM. */
+  public static final String SERVICE = "service";
+
+  /** How far one measurement moves a prediction; readings are noisy, so a fifth. */
+  private static final double RATE = 0.2;
+
+  private static final double FLOOR = 0.02;
+  private static final double MOST_EXCESS = 4;
+  private static final int MAX_PROGRAMS = 1_024;
+  private static final int MAX_NEIGHBOURS = 64;
+
+  /** Slowed program, then neighbour, to the excess that one such neighbour causes. */
+  private final Map<String, Map<String, Double>> weights =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Map<String, Double>> eldest) {
+          return size() > MAX_PROGRAMS;
+        }
+      };
+
+  /** Creates a table that has learned nothing. */
+  public Interference() {}
+
+  /**
+   * Takes in a measurement.
+   *
+   * @param program what was slowed, or a service's name
+   * @param neighbours what ran beside it, one name for each task
+   * @param slowdown how much longer it took than alone, from 1
+   */
+  public synchronized void measured(String program, List<String> neighbours, double slowdown) {
+    if (neighbours.isEmpty()) {
+      return;
+    }
+    Map<String, Integer> counts = new HashMap<>();
+    neighbours.forEach(name -> counts.merge(name, 1, Integer::sum));
+    Map<String, Double> row = weights.computeIfAbsent(program, unused -> new HashMap<>());
+    double error = Math.min(MOST_EXCESS, Math.max(0, slowdown - 1)) - predicted(row, counts);
+    double norm = 0;
+    for (int count : counts.values()) {
+      norm += (double) count * count;
+    }
+    for (Map.Entry<String, Integer> neighbour : counts.entrySet()) {
+      double step = RATE * error * neighbour.getValue() / norm;
+      double weight = row.getOrDefault(neighbour.getKey(), 0.0) + step;
+      if (weight < FLOOR) {
+        row.remove(neighbour.getKey());
+      } else if (row.size() < MAX_NEIGHBOURS || row.containsKey(neighbour.getKey())) {
+        row.put(neighbour.getKey(), weight);
+      }
+    }
+    if (row.isEmpty()) {
+      weights.remove(program);
+    }
+  }
+
+  /** Returns the excess time that one neighbour costs a program; 0 for what is not known. */
+  public synchronized double excess(String program, String neighbour) {
+    Map<String, Double> row = weights.get(program);
+    return row == null ? 0 : row.getOrDefault(neighbour, 0.0);
+  }
+
+  /**
+   * Returns what a program and each other one cost each other, those that cost nothing left out.
+   */
+  public synchronized Map<String, Double> mutual(String program) {
+    Map<String, Double> costs = new HashMap<>();
+    Map<String, Double> row = weights.get(program);
+    if (row != null) {
+      costs.putAll(row);
+    }
+    weights.forEach(
+        (other, ofOther) -> {
+          Double weight = ofOther.get(program);
+          if (weight != null) {
+            costs.merge(other, weight, Double::sum);
+          }
+        });
+    return costs;
+  }
+
+  private static double predicted(Map<String, Double> row, Map<String, Integer> counts) {
+    double sum = 0;
+    for (Map.Entry<String, Integer> neighbour : counts.entrySet()) {
+      sum += row.getOrDefault(neighbour.getKey(), 0.0) * neighbour.getValue();
+    }
+    return sum;
+  }
+}
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/PlacementCosts.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/PlacementCosts.java
@@ -7,6 +7,9 @@
  */
 @FunctionalInterface
 public interface PlacementCosts {
+  /** Called once before the costs of one request are asked for, VM by VM. */
+  default void prepare(PlacementRequest request) {}
+
   /** Returns the cost, 0 for none. */
   double cost(PlacementRequest request, VmRoom room);
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/Placer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/Placer.java
@@ -2,21 +2,19 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.job.Sizes;
 import io.marigoldsail.job.Spread;
 import java.util.Locale;
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses the VM for one task: it must fit, should be away from its job's other tasks, from VMs
- * where it failed, and from load.
+ * Chooses the VM for one task: it must fit, must not have failed there as long as another VM could
+ * hold it, and should be away from its job's other tasks, from bad neighbours and from load.
  *
  * <p>Looks at every VM once, so the cost is linear in the fleet. Not safe for use by several
  * threads.
  */
 public final class Placer {
-  /** A VM where the task failed costs as much as three times a whole VM's load. */
-  private static final double FAILED_HERE = 3;
-
   /** Each of the job's tasks in the same rack or zone costs as much as a quarter of a VM's load. */
   private static final double SAME_GROUP = 0.25;
 
@@ -42,10 +40,13 @@
 
   /** Returns where the task should run, without noting it in the fleet. */
   public PlacementDecision place(PlacementRequest request, Fleet fleet) {
+    costs.prepare(request);
     VmRoom best = null;
     double bestCost = Double.POSITIVE_INFINITY;
+    boolean elsewhere = fitsWhereItDidNotFail(request, fleet);
     for (VmRoom room : fleet.rooms()) {
-      if (!request.sizes().fitsIn(room.free())) {
+      boolean avoided = elsewhere && failedOn(request, room);
+      if (avoided || !request.sizes().fitsIn(room.free())) {
         continue;
       }
       double cost = cost(request, room);
@@ -62,6 +63,28 @@
     return new PlacementDecision.Chosen(best, why);
   }
 
+  /**
+   * Returns whether some VM on which the task has not failed is large enough, full or not. A worker
+   * that fails all it is given is always empty; were its VM merely dearer, tasks would go back to
+   * it whenever the others are full, and use up their attempts there.
+   */
+  private static boolean fitsWhereItDidNotFail(PlacementRequest request, Fleet fleet) {
+    if (request.task().failedVms().isEmpty()) {
+      return true;
+    }
+    for (VmRoom room : fleet.rooms()) {
+      Sizes capacity = room.state().description().capacity();
+      if (!failedOn(request, room) && request.sizes().fitsIn(capacity)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean failedOn(PlacementRequest request, VmRoom room) {
+    return request.task().failedVms().contains(room.vm());
+  }
+
   private double cost(PlacementRequest request, VmRoom room) {
     double cost = room.loadWith(request.sizes()) + JITTER * random.nextDouble();
     Spread spread = request.spec().spread();
@@ -69,9 +92,6 @@
       String group = spread.groupOf(room.state().description());
       cost += SAME_GROUP * request.inGroup().getOrDefault(group, 0);
     }
-    if (request.task().failedVms().contains(room.vm())) {
-      cost += FAILED_HERE;
-    }
     if (request.sizes().accelerators() == 0
         && room.state().description().capacity().accelerators() > 0) {
       cost += WASTED_ACCELERATORS;
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/VmRoom.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/VmRoom.java
@@ -2,14 +2,20 @@
 
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.job.VmState;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
 
 /** One VM inside a {@link Fleet}: its state in the log, and what is about to be claimed on it. */
 public final class VmRoom {
   private final VmState state;
+  private final Function<Long, Map<String, Integer>> programsOn;
+  private Map<String, Integer> programs;
   private Sizes free;
 
-  VmRoom(VmState state) {
+  VmRoom(VmState state, Function<Long, Map<String, Integer>> programsOn) {
     this.state = state;
+    this.programsOn = programsOn;
     this.free = state.free();
   }
 
@@ -28,6 +34,14 @@
     return free;
   }
 
+  /** Returns how many tasks of each program are claimed there. */
+  public Map<String, Integer> programs() {
+    if (programs == null) {
+      programs = new HashMap<>(programsOn.apply(state.registration()));
+    }
+    return programs;
+  }
+
   /** Returns the largest share of one kind of resource that would be taken with the sizes added. */
   double loadWith(Sizes sizes) {
     Sizes capacity = state.description().capacity();
@@ -37,8 +51,9 @@
     return Math.max(processors, memory);
   }
 
-  void take(Sizes sizes) {
+  void take(String program, Sizes sizes) {
     free = free.minus(sizes);
+    programs().merge(program, 1, Integer::sum);
   }
 
   private static double share(long taken, long capacity) {
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/guard/GuardTest.java
@@ -0,0 +1,157 @@
+package io.marigoldsail.guard;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.job.Sizes;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+import org.junit.jupiter.api.Test;
+
+class GuardTest {
+  private static final long SECOND = 1_000_000_000L;
+  private static final long STEP = SECOND / 2;
+  private static final Sizes BOOKED = new Sizes(1_000, 1_000, 0);
+
+  private final List<GuardedTask> tasks = new ArrayList<>();
+  private final List<GuardAction> actions = new ArrayList<>();
+  private final List<Long> loose = new ArrayList<>();
+  private long now = SECOND;
+  private Guard guard = new Guard(GuardTerms.VATULELE, now);
+  private GuardTerms terms = GuardTerms.VATULELE;
+
+  private void add(long token, String program, long startedSecond, long checkpointedSecond) {
+    tasks.add(
+        new GuardedTask(
+            token,
+            program,
+            BOOKED,
+            BOOKED,
+            startedSecond * SECOND,
+            checkpointedSecond * SECOND,
+            0,
+            true));
+    loose.add(token);
+  }
+
+  /** Runs the guard on a service whose pressure follows from which tasks are loose. */
+  private void run(long seconds, ToDoubleFunction<List<Long>> pressure) {
+    for (long until = now + seconds * SECOND; now < until; now += STEP) {
+      ServiceReading reading = new ServiceReading(pressure.applyAsDouble(loose), 1, now);
+      List<GuardAction> decided =
+          guard.decide(terms, Optional.of(reading), List.copyOf(tasks), now, 0);
+      decided.forEach(this::carryOut);
+      actions.addAll(decided);
+    }
+  }
+
+  private void carryOut(GuardAction action) {
+    loose.remove(action.token());
+    if (action instanceof GuardAction.Throttle throttle && throttle.percent() == 100) {
+      loose.add(action.token());
+    }
+    if (action instanceof GuardAction.Evict) {
+      tasks.removeIf(task -> task.token() == action.token());
+    }
+  }
+
+  private long evictions() {
+    return actions.stream().filter(action -> action instanceof GuardAction.Evict).count();
+  }
+
+  @Test
+  void aQuietServiceCostsTheTasksNothing() {
+    add(1, "calm", 0, 0);
+    run(60, running -> 0.5);
+
+    assertEquals(List.of(), actions);
+  }
+
+  /**
+   * One of four tasks slows the service. It is throttled, nothing is evicted, and once the guard
+   * has learned which it was, the others run free.
+   */
+  @Test
+  void aNoisyTaskIsThrottledAndTheOthersRunFree() {
+    add(1, "calm", 0, 0);
+    add(2, "noisy", 0, 0);
+    add(3, "calm", 0, 0);
+    add(4, "calm", 0, 0);
+    run(120, running -> running.contains(2L) ? 1.5 : 0.5);
+
+    assertEquals(0, evictions());
+    assertTrue(loose.containsAll(List.of(1L, 3L, 4L)), () -> "loose: " + loose);
+  }
+
+  /** Between quiet and slow nothing changes, or lagging readings would make the guard swing. */
+  @Test
+  void betweenQuietAndSlowNothingChanges() {
+    add(1, "noisy", 0, 0);
+    run(2, running -> 1.2);
+    int before = actions.size();
+    run(60, running -> 0.9);
+
+    assertEquals(before, actions.size());
+    assertFalse(loose.contains(1L));
+  }
+
+  /**
+   * Throttling does not help, as with a task that thrashes the memory bus however little it runs.
+   * Only then a task is evicted, the one that loses least work.
+   */
+  @Test
+  void evictsTheTaskThatLosesLeastWhenThrottlingDoesNotHelp() {
+    add(1, "a", 0, 0);
+    add(2, "b", 0, 1);
+    add(3, "c", 0, 0);
+    run(9, running -> 1.4);
+
+    assertEquals(1, evictions());
+    assertEquals(2, actions.get(actions.size() - 1).token());
+  }
+
+  /** A service that is overloaded by its own callers is not helped by evicting task after task. */
+  @Test
+  void evictionsStayWithinTheBudget() {
+    for (int token = 1; token <= 16; token++) {
+      add(token, "calm", 0, 0);
+    }
+    run(600, running -> 3);
+
+    assertTrue(evictions() <= 5, () -> "evictions " + evictions());
+  }
+
+  /** Where evictions weigh more, a slowness that Vatulele evicts for is borne. */
+  @Test
+  void theSitesWeightsDecideWhatAnEvictionIsWorth() {
+    terms = GuardTerms.KITAMIZORA;
+    guard = new Guard(terms, now);
+    add(1, "noisy", 0, 0);
+    run(60, running -> 1.4);
+
+    assertEquals(0, evictions());
+  }
+
+  /** Readings that ceased to come say nothing about now. */
+  @Test
+  void oldReadingsAreNotActedOn() {
+    add(1, "calm", 0, 0);
+    ServiceReading old = new ServiceReading(9, 1, now - 20 * SECOND);
+
+    assertEquals(List.of(), guard.decide(terms, Optional.of(old), List.copyOf(tasks), now, 0));
+  }
+
+  /** Memory cannot be throttled: what exceeds its booking most goes before the VM runs out. */
+  @Test
+  void theTaskThatExceedsItsMemoryGoes() {
+    Sizes large = new Sizes(1_000, 3_000, 0);
+    GuardedTask honest = new GuardedTask(1, "a", BOOKED, BOOKED, 0, 0, 0, true);
+    GuardedTask liar = new GuardedTask(2, "b", BOOKED, large, 0, 0, 0, true);
+
+    assertEquals(Optional.empty(), MemoryGuard.decide(List.of(honest, liar), 0, 10_000));
+    assertEquals(2L, MemoryGuard.decide(List.of(honest, liar), 0, 4_000).orElseThrow().token());
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/job/QueueOrderTest.java
@@ -0,0 +1,94 @@
+package io.marigoldsail.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class QueueOrderTest {
+  private static final Sizes FLEET = new Sizes(100_000, 100_000, 10);
+  private static final Sizes ONE = new Sizes(1_000, 1_000, 0);
+
+  private final List<JobState> jobs = new ArrayList<>();
+  private final Map<String, Sizes> booked = new HashMap<>();
+  private final Map<String, TeamQuota> quotas = new HashMap<>();
+
+  private void add(String name, String team, int count, boolean urgent, long acceptedMillis) {
+    JobSpec spec =
+        new JobSpec(
+            name, team, TaskClass.BATCH, count, ONE, "x", 1, urgent, 0, true, 0, Spread.NONE);
+    jobs.add(new JobState(spec, jobs.size(), acceptedMillis, "", count, 0, 0, 0, 0));
+  }
+
+  private QueueOrder order(long nowMillis) {
+    return new QueueOrder(
+        jobs, booked, team -> quotas.getOrDefault(team, TeamQuota.DEFAULT), FLEET, nowMillis);
+  }
+
+  /** Gives room to so many tasks in turn and returns how many each job got. */
+  private Map<String, Integer> serve(QueueOrder order, int tasks) {
+    Map<String, Integer> served = new HashMap<>();
+    for (int i = 0; i < tasks; i++) {
+      Optional<JobState> next = order.next();
+      if (next.isEmpty()) {
+        break;
+      }
+      String name = next.get().spec().name();
+      int count = served.merge(name, 1, Integer::sum);
+      order.took(next.get(), ONE, count < next.get().waiting());
+    }
+    return served;
+  }
+
+  /** One team submits a thousand tasks first; another's few get half of the room, not the rest. */
+  @Test
+  void teamsShareWhateverTheirQueueLengths() {
+    add("flood", "a", 1_000, false, 0);
+    add("few", "b", 100, false, 0);
+
+    assertEquals(Map.of("flood", 10, "few", 10), serve(order(0), 20));
+  }
+
+  @Test
+  void weightsDivideTheRoom() {
+    quotas.put("a", new TeamQuota(3, FLEET));
+    add("heavy", "a", 1_000, false, 0);
+    add("light", "b", 1_000, false, 0);
+
+    assertEquals(Map.of("heavy", 30, "light", 10), serve(order(0), 40));
+  }
+
+  @Test
+  void urgentWorkGoesFirst() {
+    booked.put("a", new Sizes(50_000, 0, 0));
+    add("usual", "b", 10, false, 0);
+    add("urgent", "a", 10, true, 0);
+
+    assertEquals(Map.of("urgent", 10, "usual", 2), serve(order(0), 12));
+  }
+
+  /** A team calls all it has urgent, for ever; others wait for their turn, but not for ever. */
+  @Test
+  void whatHasWaitedLongHasItsTurnEvenBeforeUrgentWork() {
+    add("old", "b", 1, false, 0);
+    add("urgent", "a", 1_000, true, 3 * QueueOrder.AGING_MILLIS);
+
+    assertEquals("old", order(3 * QueueOrder.AGING_MILLIS).next().orElseThrow().spec().name());
+  }
+
+  @Test
+  void quotasBoundATeam() {
+    quotas.put("a", new TeamQuota(1, new Sizes(1_500, 10_000, 0)));
+    add("job", "a", 5, false, 0);
+    QueueOrder order = order(0);
+    assertEquals(true, order.withinQuota("a", ONE));
+    order.took(order.next().orElseThrow(), ONE, true);
+
+    assertFalse(order.withinQuota("a", ONE));
+  }
+}
--- a/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskTableTest.java
@@ -139,6 +139,30 @@
     assertEquals(vm, table.vm("vm-1").orElseThrow().registration());
   }
 
+  /** An entry that has not read a revocation yet claims on that VM; the log knows better. */
+  @Test
+  void aClaimOnARevokedVmLoses() {
+    long vm = join("vm-1", 1);
+    accept(2, true);
+    claim(0, 1, "vm-1", vm);
+    apply(new TaskRecord.VmRevoked("vm-1", vm, "silent"));
+    claim(1, 1, "vm-1", vm);
+
+    assertEquals(TaskState.Phase.WAITING, task(1).phase());
+  }
+
+  /** A claim for an attempt that is over, read late or twice, must not start the next one. */
+  @Test
+  void aClaimForAnEarlierAttemptLoses() {
+    long vm = join("vm-1", 1);
+    accept(1, true);
+    long first = claim(0, 1, "vm-1", vm);
+    apply(new TaskRecord.Released("payout/0", first, ReleaseCause.EVICTED, "c1", "noisy"));
+    claim(0, 1, "vm-1", vm);
+
+    assertEquals(TaskState.Phase.WAITING, task(0).phase());
+  }
+
   /** Leases that may still last are not cleared by the wait for shorter ones. */
   @Test
   void clearingShortLeasesLeavesLongOnes() {
--- a/marigoldsail-core/src/test/java/io/marigoldsail/lease/LeaseEvidenceTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/lease/LeaseEvidenceTest.java
@@ -25,6 +25,8 @@
     assertEquals(Change.NEW_REGISTRATION, evidence.vouched(7, 42, 10 * SECOND, 70 * SECOND));
 
     assertEquals(15 * SECOND, evidence.deadlineNanos(5_000));
+    evidence.vouched(7, 42, 12 * SECOND, 90 * SECOND);
+    assertEquals(17 * SECOND, evidence.deadlineNanos(5_000));
   }
 
   @Test
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/placement/InterferenceTest.java
@@ -0,0 +1,54 @@
+package io.marigoldsail.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class InterferenceTest {
+  private final Interference interference = new Interference();
+
+  /** A program slows whenever one neighbour is there, whoever else is; the others stay clear. */
+  @Test
+  void findsTheNeighbourThatHurts() {
+    Random random = new Random(3);
+    for (int i = 0; i < 300; i++) {
+      boolean noisy = random.nextBoolean();
+      String other = "calm-" + random.nextInt(4);
+      List<String> neighbours = noisy ? List.of("noisy", other) : List.of(other);
+      interference.measured("victim", neighbours, noisy ? 2 : 1);
+    }
+
+    assertEquals(1, interference.excess("victim", "noisy"), 0.2);
+    for (int i = 0; i < 4; i++) {
+      assertTrue(interference.excess("victim", "calm-" + i) < 0.2);
+    }
+  }
+
+  @Test
+  void unlearnsWhatCeasesToHurt() {
+    for (int i = 0; i < 50; i++) {
+      interference.measured("victim", List.of("noisy"), 2);
+    }
+    for (int i = 0; i < 50; i++) {
+      interference.measured("victim", List.of("noisy"), 1);
+    }
+
+    assertEquals(0, interference.excess("victim", "noisy"));
+    assertTrue(interference.mutual("noisy").isEmpty());
+  }
+
+  @Test
+  void costsCountBothWays() {
+    for (int i = 0; i < 50; i++) {
+      interference.measured("victim", List.of("noisy"), 2);
+    }
+
+    assertEquals(
+        interference.mutual("noisy").get("victim"), interference.excess("victim", "noisy"));
+    assertEquals(
+        interference.mutual("victim").get("noisy"), interference.excess("victim", "noisy"));
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
@@ -23,7 +23,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Function;
 
 /**
  * One entry's part in giving waiting tasks a VM: takes them in the queue's order, chooses a VM and
@@ -42,7 +41,7 @@
   private static final long OTHERS_TASKS_MILLIS = 3_000;
   private static final long LOG_BACK_OFF_MILLIS = 500;
 
-  private record Pending(VmState vm, Sizes sizes) {}
+  private record Pending(VmState vm, String program, Sizes sizes) {}
 
   private record Progress(long marker, long othersFrom) {}
 
@@ -53,7 +52,7 @@
   private final VmWatch watch;
   private final StartLoop starts;
   private final Placer placer;
-  private final Function<JobSpec, Sizes> estimates;
+  private final PlacementKnowledge knowledge;
   private final Map<String, Pending> onTheirWay = new HashMap<>();
   private final Map<String, Progress> progress = new HashMap<>();
   private final Map<String, String> whyWaiting = new HashMap<>();
@@ -64,12 +63,12 @@
       VmWatch watch,
       StartLoop starts,
       Placer placer,
-      Function<JobSpec, Sizes> estimates) {
+      PlacementKnowledge knowledge) {
     this.context = context;
     this.watch = watch;
     this.starts = starts;
     this.placer = placer;
-    this.estimates = estimates;
+    this.knowledge = knowledge;
     this.pausedUntil = context.nanos();
   }
 
@@ -82,8 +81,8 @@
     if (jobs.stream().noneMatch(job -> job.waiting() > 0)) {
       return;
     }
-    Fleet fleet = new Fleet(context.table().vms(), watch::usable);
-    onTheirWay.values().forEach(p -> fleet.take(p.vm().registration(), p.sizes()));
+    Fleet fleet = new Fleet(context.table().vms(), this::usable, context.table()::programsOn);
+    onTheirWay.values().forEach(p -> fleet.take(p.vm().registration(), p.program(), p.sizes()));
     QueueOrder order =
         new QueueOrder(
             jobs,
@@ -99,6 +98,10 @@
     return whyWaiting.getOrDefault(job, "");
   }
 
+  private boolean usable(VmState vm) {
+    return watch.usable(vm.vm()) && knowledge.usable(vm);
+  }
+
   private void round(QueueOrder order, Fleet fleet) {
     Map<String, Candidates> candidates = new HashMap<>();
     Optional<JobState> next = order.next();
@@ -110,7 +113,7 @@
           candidates.computeIfAbsent(job.spec().name(), unused -> candidatesOf(job));
       TaskState task = waiting.tasks().poll();
       if (task != null) {
-        Sizes sizes = estimates.apply(job.spec());
+        Sizes sizes = knowledge.booking(job.spec());
         if (tryClaim(order, fleet, job, task, waiting.inGroup())) {
           order.took(job, sizes, !waiting.tasks().isEmpty());
         }
@@ -122,7 +125,7 @@
   private boolean tryClaim(
       QueueOrder order, Fleet fleet, JobState job, TaskState task, Map<String, Integer> inGroup) {
     JobSpec spec = job.spec();
-    Sizes sizes = estimates.apply(spec);
+    Sizes sizes = knowledge.booking(spec);
     if (!order.withinQuota(spec.team(), sizes)) {
       wait(spec, "team " + spec.team() + " is at its quota");
       return false;
@@ -136,7 +139,7 @@
     PlacementDecision.Chosen chosen = (PlacementDecision.Chosen) decision;
     whyWaiting.remove(spec.name());
     VmState vm = chosen.room().state();
-    fleet.take(vm.registration(), sizes);
+    fleet.take(vm.registration(), spec.program(), sizes);
     if (spec.spread() != Spread.NONE) {
       inGroup.merge(spec.spread().groupOf(vm.description()), 1, Integer::sum);
     }
@@ -165,7 +168,7 @@
             sizes,
             context.terms().leases().leaseMillis(spec.taskClass()),
             context.identity().name());
-    onTheirWay.put(task.name(), new Pending(vm, sizes));
+    onTheirWay.put(task.name(), new Pending(vm, spec.program(), sizes));
     context.record(
         Event.of(EventKind.TASK_PLACED).withTask(task.name()).withVm(vm.vm()).withDetail(why));
     context.append(claim, result -> claimed(claim, spec, result));
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/EntryTasks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/EntryTasks.java
@@ -2,10 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.marigoldsail.job.JobSpec;
-import io.marigoldsail.job.Sizes;
 import io.marigoldsail.job.TaskTable;
-import io.marigoldsail.placement.PlacementCosts;
 import io.marigoldsail.placement.Placer;
 import io.marigoldsail.protocol.TaskMessage;
 import io.marigoldsail.time.MonotonicClock;
@@ -39,6 +36,7 @@
   private final VmWatch watch;
   private final StartLoop starts;
   private final ClaimLoop claims;
+  private final PlacementKnowledge knowledge;
   private ScheduledFuture<?> ticking;
 
   /**
@@ -70,9 +68,9 @@
             identity, table, log, channel, terms, clock, wallClock, recorder, this::locked);
     this.watch = new VmWatch(context, this::onFirstVouch);
     this.starts = new StartLoop(context, watch);
+    this.knowledge = new PlacementKnowledge(context);
     this.claims =
-        new ClaimLoop(
-            context, watch, starts, new Placer(PlacementCosts.none(), random), this::estimate);
+        new ClaimLoop(context, watch, starts, new Placer(knowledge.costs(), random), knowledge);
   }
 
   /** Begins to work on the given scheduler. */
@@ -87,6 +85,7 @@
     switch (message.getKindCase()) {
       case ASK_VOUCH -> watch.onAsk(peer, message.getAskVouch());
       case REPORT -> starts.onReport(peer, message.getReport());
+      case USAGE -> knowledge.onUsage(message.getUsage());
       default -> {
         // Kinds that only entries send, or that a newer version added.
       }
@@ -96,6 +95,7 @@
   /** Does what is due now. Called by the scheduler; tests call it on a virtual clock. */
   public synchronized void tick() {
     watch.tick();
+    knowledge.tick();
     starts.tick();
     claims.tick();
   }
@@ -113,10 +113,6 @@
     return claims.whyWaiting(job);
   }
 
-  private Sizes estimate(JobSpec spec) {
-    return spec.sizes();
-  }
-
   private void onFirstVouch(String vm) {
     context.table().vm(vm).ifPresent(starts::sweep);
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskWorld.java
@@ -1,5 +1,7 @@
 package io.marigoldsail.daemon.task;
 
+import io.marigoldsail.guard.GuardTerms;
+import io.marigoldsail.guard.ServiceReading;
 import io.marigoldsail.job.JobSpec;
 import io.marigoldsail.job.JobState;
 import io.marigoldsail.job.Sizes;
@@ -21,6 +23,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -45,6 +48,7 @@
     private SideTasks side;
     private boolean frozen;
     private long processes;
+    private double pressure;
 
     Vm(String name, Sizes capacity) {
       this.name = name;
@@ -63,7 +67,20 @@
       SideIdentity identity =
           new SideIdentity(name, clock.nanos() + processes, "zone-1", "rack-" + name);
       Channel channel = new Channel(name, entries::keySet);
-      side = new SideTasks(identity, worker, channel, clock, EventRecorder.none());
+      side =
+          new SideTasks(
+              identity,
+              worker,
+              channel,
+              new PressedService(this),
+              clock,
+              clock,
+              EventRecorder.none());
+    }
+
+    /** Slows the VM's service to so many times its goal. */
+    void pressure(double newPressure) {
+      pressure = newPressure;
     }
 
     void killSide() {
@@ -84,6 +101,19 @@
     }
   }
 
+  /** A service whose tail latency is what a test says. */
+  private record PressedService(Vm vm) implements ServiceWatch {
+    @Override
+    public Optional<ServiceReading> reading(long nowNanos) {
+      return Optional.of(new ServiceReading(vm.pressure, 1, nowNanos));
+    }
+
+    @Override
+    public GuardTerms terms() {
+      return GuardTerms.DEFAULT;
+    }
+  }
+
   /** An entry with its own view of the log. */
   final class Entry {
     private final TaskTable table = new TaskTable();
