--- a/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceScheduler.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceScheduler.java
@@ -28,7 +28,7 @@
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** A request is taken only if it can wait and then still run this many mean times. */
-  private static final int SPARE_MEANS = 2;
+  private static final int SPARE_MEANS = 3;
 
   private final RandomGenerator random;
   private final Router router;
@@ -101,8 +101,8 @@
     long spare = arrival.deadline() - now - (long) (SPARE_MEANS * drainRate.meanNanos());
     return new AdmissionPolicy.Situation(
         queue.size(),
-        queue.waitingOf(arrival.caller(), arrival.key()),
         queue.aheadOf(arrival.caller(), arrival.key()),
+        queue.isOverShare(arrival.caller(), arrival.key()),
         drainRate.perSecond(router.inFlight()),
         limits.targetDelayMillis() * NANOS_PER_MILLI,
         limits.maxWaiting(),
@@ -241,14 +241,15 @@
     Optional<FairQueue.Ticket<HeldRequest>> next = queue.poll();
     while (next.isPresent()) {
       HeldRequest request = next.get().item();
-      Optional<Route> route = router.choose(request.failedVm(), mayProbe(request, now), now);
+      Optional<Route> route =
+          router.choose(request.failedVm(), next.get().isExcess(), mayProbe(request, now), now);
       if (route.isEmpty()) {
         queue.restore(next.get());
         nextRoom = router.nextChange(now);
         return;
       }
       deadlines.remove(request.arrival().deadline(), request);
-      if (now >= request.arrival().deadline()) {
+      if (isHopeless(request, now)) {
         giveUp(request, decisions, now);
       } else {
         decisions.add(send(request, route.get(), now));
@@ -257,6 +258,14 @@
     }
   }
 
+  /**
+   * A slot spent on an answer that comes too late is taken from one that would be in time, so what
+   * has less than the mean time left is given up.
+   */
+  private boolean isHopeless(HeldRequest request, long now) {
+    return request.arrival().deadline() - now < drainRate.meanNanos();
+  }
+
   /** A probe may be slow or fail: only first tries that can be repeated and have time for it. */
   private boolean mayProbe(HeldRequest request, long now) {
     Arrival arrival = request.arrival();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
@@ -102,15 +102,20 @@
     if (now < heldUntil) {
       return false;
     }
-    int places = slots + WaitingRoom.placesFor(slots);
-    if (own < fairShare(places)) {
-      return own == 0 || inUse() < places;
+    int aim = slots + (WaitingRoom.placesFor(slots) + 1) / 2;
+    if (own < fairShare(aim)) {
+      return own == 0 || inUse() < aim;
     }
-    return inUse() < slots + (WaitingRoom.placesFor(slots) + 1) / 2;
+    return inUse() < aim - 1;
   }
 
-  private int fairShare(int places) {
-    return Math.max(1, places / entries);
+  private int fairShare(int aim) {
+    return Math.max(1, aim / entries);
+  }
+
+  /** Returns this entry's even part of the slots and of one waiting place; all if it is alone. */
+  double evenPart() {
+    return entries == 1 ? Double.POSITIVE_INFINITY : (slots + 1.0) / entries;
   }
 
   /** Returns until when a target that turned a request away is left alone. */
--- /dev/null
+++ b/marigoldsail-tests/src/test/resources/io/marigoldsail/tests/scenario/configuration.feature
@@ -0,0 +1,27 @@
+Feature: Configuration in force everywhere
+
+  # Five operators press the button at once. One wins, four are told, and all processes agree.
+  Scenario: operators publish at the same moment
+    Given a site with 2 entries and 2 VMs
+    When 5 operators publish the base at the same moment
+    Then revision 1 is in force in all processes
+
+  # The log takes the record and its answer is lost. Asking again must not make a second revision,
+  # and the operator must be told the truth.
+  Scenario: the answer to the append is lost
+    Given a site with 2 entries and 2 VMs
+    When the log service loses the next 3 answers
+    And the base with targetDelayMillis 40 is published and accepted
+    Then revision 1 is in force in all processes
+
+  # Processes are replaced while the log is away; an accepted configuration must not revert.
+  Scenario: processes restart while the log service is away
+    Given a site with 2 entries and 2 VMs
+    And the base with targetDelayMillis 40 is published and accepted
+    And revision 1 is in force in all processes
+    When the log service is down
+    And vm-1 is killed
+    And vm-1 starts again
+    And the log service is back
+    Then the members are 4 processes
+    And revision 1 is in force in all processes
