--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/MeasurePatterns.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/MeasurePatterns.java
@@ -9,7 +9,10 @@
 
   /** Returns all patterns in the order in which they run. */
   static List<MeasurePattern> all() {
-    return ImmutableList.<MeasurePattern>builder().addAll(RequestPatterns.all()).build();
+    return ImmutableList.<MeasurePattern>builder()
+        .addAll(RequestPatterns.all())
+        .addAll(TaskPatterns.all())
+        .build();
   }
 
   /**
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/ModelVm.java
@@ -0,0 +1,112 @@
+package io.marigoldsail.testlib.measure;
+
+import io.marigoldsail.guard.ServiceReading;
+import io.marigoldsail.guard.TailWindow;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.HdrHistogram.Histogram;
+
+/**
+ * A VM in the model: a service whose answers take longer the more its neighbours ask of the
+ * processors and the noisier they are, and batch tasks that slow each other.
+ */
+final class ModelVm {
+  static final long PROCESSORS = 16_000;
+  static final double GOAL_MILLIS = 45;
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final double BASE_MILLIS = 10;
+  private static final double SPREAD = 0.5;
+  private static final int SAMPLES_A_STEP = 10;
+  private static final long READING_LAG_MILLIS = 1_000;
+  private static final long WINDOW_NANOS = 2_000 * NANOS_PER_MILLI;
+
+  private record Answer(long atMillis, double latencyMillis) {}
+
+  private final String name;
+  private final List<ModelTask> tasks = new ArrayList<>();
+  private final TailWindow window = new TailWindow(WINDOW_NANOS);
+  private final ArrayDeque<Answer> late = new ArrayDeque<>();
+  private boolean dead;
+  private boolean failsAll;
+
+  ModelVm(String name) {
+    this.name = name;
+  }
+
+  String name() {
+    return name;
+  }
+
+  List<ModelTask> tasks() {
+    return tasks;
+  }
+
+  boolean dead() {
+    return dead;
+  }
+
+  void die() {
+    dead = true;
+    tasks.clear();
+  }
+
+  boolean failsAll() {
+    return failsAll;
+  }
+
+  void failAll() {
+    failsAll = true;
+  }
+
+  /** Answers the step's requests, with what the service itself asks of the processors. */
+  void serve(long serviceMilliProcessors, Random random, long nowMillis, Histogram answers) {
+    double factor = contention(serviceMilliProcessors) * (1 + noise());
+    for (int i = 0; i < SAMPLES_A_STEP; i++) {
+      double latency = BASE_MILLIS * Math.exp(SPREAD * random.nextGaussian()) * factor;
+      answers.recordValue((long) (latency * 1_000));
+      late.add(new Answer(nowMillis, latency));
+    }
+    while (late.peek().atMillis() + READING_LAG_MILLIS <= nowMillis) {
+      Answer answer = late.poll();
+      window.add((long) (answer.latencyMillis() * NANOS_PER_MILLI), nowMillis * NANOS_PER_MILLI);
+    }
+  }
+
+  Optional<ServiceReading> reading(long nowMillis) {
+    return window.reading(GOAL_MILLIS, nowMillis * NANOS_PER_MILLI);
+  }
+
+  /** Lets the tasks work for a step and returns the work done, in milliseconds. */
+  double work(long serviceMilliProcessors, double millis, long nowMillis) {
+    double contention = contention(serviceMilliProcessors);
+    double done = 0;
+    for (ModelTask task : tasks) {
+      done += task.advance(millis, contention * slowdown(task), nowMillis);
+    }
+    return done;
+  }
+
+  /** Returns how much longer the task takes than alone, for its neighbours. */
+  double slowdown(ModelTask task) {
+    boolean rival =
+        tasks.stream().anyMatch(other -> other.kind().program().equals(task.kind().rival()));
+    return rival ? TaskKind.RIVAL_SLOWDOWN : 1;
+  }
+
+  private double noise() {
+    return tasks.stream().mapToDouble(task -> task.kind().noise() * task.throttle()).sum();
+  }
+
+  private double contention(long serviceMilliProcessors) {
+    double asked = serviceMilliProcessors;
+    for (ModelTask task : tasks) {
+      asked += task.kind().milliProcessors() * task.throttle();
+    }
+    double over = Math.max(1, asked / PROCESSORS);
+    return over * over;
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskBench.java
@@ -0,0 +1,393 @@
+package io.marigoldsail.testlib.measure;
+
+import io.marigoldsail.guard.GuardAction;
+import io.marigoldsail.job.JobState;
+import io.marigoldsail.job.QueueOrder;
+import io.marigoldsail.job.ReleaseCause;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.TaskRecord;
+import io.marigoldsail.job.TaskState;
+import io.marigoldsail.job.TaskTable;
+import io.marigoldsail.job.TeamQuota;
+import io.marigoldsail.job.VmDescription;
+import io.marigoldsail.job.VmState;
+import io.marigoldsail.lease.LeaseTerms;
+import io.marigoldsail.placement.Fleet;
+import io.marigoldsail.placement.PlacementRequest;
+import io.marigoldsail.placement.VmRoom;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Eleven VMs, a load of jobs and the decision modules on one virtual clock, in steps of 100 ms.
+ *
+ * <p>The fold is the product's; decisions are the {@link TaskDecider}'s. Confined to one thread.
+ */
+final class TaskBench {
+  static final long HORIZON_MILLIS = 600_000;
+  static final long SERVICE_MEMORY = 8L << 30;
+  static final long VM_MEMORY = 60L << 30;
+
+  private static final int VMS = 11;
+  private static final int VMS_A_RACK = 3;
+  private static final Sizes TASK_ROOM = new Sizes(10_000, VM_MEMORY - SERVICE_MEMORY, 0);
+  private static final long STEP_MILLIS = 100;
+  private static final long APPEND_MILLIS = 100;
+  private static final long GUARD_MILLIS = 500;
+  private static final long MEASURE_MILLIS = 2_000;
+  private static final int CLAIMS_A_ROUND = 32;
+  private static final long LEASE_MILLIS = LeaseTerms.DEFAULT.batchMillis();
+
+  private record Append(long dueMillis, TaskRecord record) {}
+
+  private final TaskDisturbance disturbance;
+  private final TaskLoad load;
+  private final TaskDecider decider;
+  private final boolean fair;
+  private final TaskTable table;
+  private final Random random;
+  private final List<ModelVm> vms = new ArrayList<>();
+  private final ArrayDeque<Append> appends = new ArrayDeque<>();
+  private final Map<String, Double> checkpoints = new HashMap<>();
+  private final Map<String, Long> acceptedMillis = new HashMap<>();
+  private final Map<String, Sizes> onTheirWay = new HashMap<>();
+  private final Set<String> startedUrgent = new HashSet<>();
+  private final Map<ModelVm, Long> lostAt = new HashMap<>();
+  private final Histogram answers = new Histogram(3);
+  private final Histogram urgentMillis = new Histogram(3);
+  private long position;
+  private long now;
+  private double workMillis;
+  private double lostMillis;
+  private long evictions;
+
+  /**
+   * Creates a measurement.
+   *
+   * @param fair whether the queue is the product's, not first come, first served
+   */
+  TaskBench(
+      TaskDisturbance disturbance,
+      TaskLoad load,
+      TaskDecider decider,
+      TaskTable table,
+      boolean fair,
+      long seed) {
+    this.disturbance = disturbance;
+    this.load = load;
+    this.decider = decider;
+    this.table = table;
+    this.fair = fair;
+    this.random = new Random(seed);
+    for (int i = 0; i < VMS; i++) {
+      ModelVm vm = new ModelVm("vm-" + i);
+      vms.add(vm);
+      fold(
+          new TaskRecord.VmJoined(
+              new VmDescription(
+                  vm.name(), 1, TASK_ROOM, Deployment.zoneOf(i), "rack-" + i / VMS_A_RACK)));
+    }
+  }
+
+  ModelVm vm(int number) {
+    return vms.get(number);
+  }
+
+  void lose(int number) {
+    ModelVm vm = vms.get(number);
+    for (ModelTask task : vm.tasks()) {
+      lostMillis += task.progressMillis() - task.checkpointMillis();
+      checkpoints.put(task.name(), task.checkpointMillis());
+    }
+    vm.die();
+    lostAt.put(vm, now);
+  }
+
+  void cancelMost() {
+    int index = 0;
+    for (JobState job : table.jobs()) {
+      if (index % 5 < 3) {
+        append(new TaskRecord.JobCancelled(job.spec().name(), "wave"));
+      }
+      index++;
+    }
+  }
+
+  TaskScore run() {
+    Iterator<TaskLoad.Submission> submissions = load.submissions().iterator();
+    TaskLoad.Submission next = submissions.hasNext() ? submissions.next() : null;
+    disturbance.begin(this);
+    for (now = 0; now < HORIZON_MILLIS; now += STEP_MILLIS) {
+      disturbance.at(this, now);
+      while (next != null && next.atMillis() <= now) {
+        append(new TaskRecord.JobAccepted(next.spec(), now));
+        acceptedMillis.put(next.spec().name(), now);
+        next = submissions.hasNext() ? submissions.next() : null;
+      }
+      foldAppends();
+      clearLost();
+      serveAndWork();
+      guardAndMeasure();
+      decide();
+    }
+    return score();
+  }
+
+  private TaskScore score() {
+    long failed = 0;
+    for (JobState job : table.jobs()) {
+      failed += job.failed();
+    }
+    for (JobState job : table.endedJobs()) {
+      failed += job.failed();
+    }
+    return new TaskScore(
+        answers.getValueAtPercentile(99) / 1_000.0,
+        (workMillis - lostMillis) / 1_000,
+        evictions,
+        urgentMillis.getTotalCount() == 0
+            ? Double.NaN
+            : urgentMillis.getValueAtPercentile(99) / 1_000.0,
+        lostMillis / 1_000,
+        failed,
+        position * 1_000.0 / HORIZON_MILLIS);
+  }
+
+  private void append(TaskRecord record) {
+    appends.add(new Append(now + APPEND_MILLIS, record));
+  }
+
+  private void foldAppends() {
+    while (!disturbance.logDown(now) && !appends.isEmpty() && appends.peek().dueMillis() <= now) {
+      TaskRecord record = appends.poll().record();
+      long at = fold(record);
+      if (record instanceof TaskRecord.Claimed claim) {
+        onTheirWay.remove(claim.task());
+        start(claim, at);
+      }
+    }
+  }
+
+  private long fold(TaskRecord record) {
+    long at = position;
+    table.apply(at, record);
+    position++;
+    return at;
+  }
+
+  private void start(TaskRecord.Claimed claim, long token) {
+    Optional<TaskState> task = table.task(claim.task());
+    ModelVm vm = vmOf(claim.vm());
+    if (task.isEmpty() || !task.get().holds(token) || vm.dead()) {
+      return;
+    }
+    var spec = table.job(task.get().job()).orElseThrow().spec();
+    if (spec.urgent() && startedUrgent.add(claim.task())) {
+      urgentMillis.recordValue(now - acceptedMillis.get(spec.name()));
+    }
+    vm.tasks()
+        .add(
+            new ModelTask(
+                claim.task(),
+                spec,
+                load.kind(spec),
+                claim.sizes(),
+                token,
+                TaskLoad.workMillis(claim.task()),
+                checkpoints.getOrDefault(claim.task(), 0.0),
+                now));
+  }
+
+  private ModelVm vmOf(String name) {
+    return vms.stream().filter(vm -> vm.name().equals(name)).findFirst().orElseThrow();
+  }
+
+  /** Writes what entries write about VMs that fell silent: revoked, and cleared after the lease. */
+  private void clearLost() {
+    lostAt.forEach(
+        (vm, at) -> {
+          Optional<VmState> state =
+              table.vms().stream().filter(v -> v.vm().equals(vm.name())).findFirst();
+          if (state.isEmpty()) {
+            return;
+          }
+          long registration = state.get().registration();
+          long revokeAt = at + LeaseTerms.DEFAULT.silenceMillis();
+          if (now == revokeAt) {
+            append(new TaskRecord.VmRevoked(vm.name(), registration, "silent"));
+          }
+          if (now == roundUp(revokeAt + LeaseTerms.surelyOverMillis(LEASE_MILLIS))) {
+            append(new TaskRecord.VmCleared(vm.name(), registration, LEASE_MILLIS));
+          }
+        });
+  }
+
+  private static long roundUp(long millis) {
+    return (millis + STEP_MILLIS - 1) / STEP_MILLIS * STEP_MILLIS;
+  }
+
+  private void serveAndWork() {
+    for (int i = 0; i < VMS; i++) {
+      ModelVm vm = vms.get(i);
+      if (vm.dead()) {
+        continue;
+      }
+      long service = disturbance.serviceMilliProcessors(i, now);
+      vm.serve(service, random, now, answers);
+      workMillis += vm.work(service, STEP_MILLIS, now);
+      for (ModelTask task : List.copyOf(vm.tasks())) {
+        settle(vm, task);
+      }
+      killForMemory(vm);
+    }
+  }
+
+  private void settle(ModelVm vm, ModelTask task) {
+    boolean cancelled =
+        table.job(task.spec().name()).map(job -> !job.cancelReason().isEmpty()).orElse(true);
+    if (cancelled) {
+      release(vm, task, ReleaseCause.STOPPED);
+    } else if (vm.failsAll()) {
+      vm.tasks().remove(task);
+      append(new TaskRecord.Ended(task.name(), task.token(), false, "", "worker is broken"));
+    } else if (task.done()) {
+      vm.tasks().remove(task);
+      append(new TaskRecord.Ended(task.name(), task.token(), true, "", ""));
+    }
+  }
+
+  private void killForMemory(ModelVm vm) {
+    long used = SERVICE_MEMORY;
+    for (ModelTask task : vm.tasks()) {
+      used += task.used().memoryBytes();
+    }
+    if (used > VM_MEMORY) {
+      ModelTask largest =
+          vm.tasks().stream()
+              .max(Comparator.comparingLong(task -> task.used().memoryBytes()))
+              .orElseThrow();
+      evictions++;
+      release(vm, largest, ReleaseCause.EVICTED);
+    }
+  }
+
+  private void release(ModelVm vm, ModelTask task, ReleaseCause cause) {
+    vm.tasks().remove(task);
+    lostMillis += task.progressMillis() - task.checkpointMillis();
+    checkpoints.put(task.name(), task.checkpointMillis());
+    String checkpoint = "" + (long) task.checkpointMillis();
+    append(new TaskRecord.Released(task.name(), task.token(), cause, checkpoint, "released"));
+  }
+
+  private void guardAndMeasure() {
+    for (ModelVm vm : vms) {
+      if (vm.dead()) {
+        continue;
+      }
+      if (now % GUARD_MILLIS == 0) {
+        decider.guard(vm, now).forEach(action -> act(vm, action));
+      }
+      if (now % MEASURE_MILLIS == 0) {
+        decider.measured(vm, vm.tasks());
+      }
+    }
+  }
+
+  private void act(ModelVm vm, GuardAction action) {
+    Optional<ModelTask> task =
+        vm.tasks().stream().filter(t -> t.token() == action.token()).findFirst();
+    if (task.isEmpty()) {
+      return;
+    }
+    if (action instanceof GuardAction.Throttle throttle) {
+      task.get().throttle(throttle.percent());
+      return;
+    }
+    if (fair) {
+      task.get().checkpoint(now);
+    }
+    evictions++;
+    release(vm, task.get(), ReleaseCause.EVICTED);
+  }
+
+  private void decide() {
+    List<JobState> jobs = table.jobs();
+    if (disturbance.logDown(now) || jobs.stream().noneMatch(job -> job.waiting() > 0)) {
+      return;
+    }
+    Fleet fleet =
+        new Fleet(
+            table.vms(), vm -> !vmOf(vm.vm()).dead() && decider.usable(vm, now), table::programsOn);
+    appends.forEach(
+        append -> {
+          if (append.record() instanceof TaskRecord.Claimed claim) {
+            fleet.take(claim.registration(), programOf(claim.task()), claim.sizes());
+          }
+        });
+    if (fair) {
+      decideFairly(jobs, fleet);
+    } else {
+      jobs.forEach(job -> claimAll(job, fleet));
+    }
+  }
+
+  private String programOf(String task) {
+    return table.job(TaskState.jobOf(task)).map(job -> job.spec().program()).orElse("");
+  }
+
+  private void decideFairly(List<JobState> jobs, Fleet fleet) {
+    QueueOrder order =
+        new QueueOrder(
+            jobs, table.bookedByTeam(), team -> TeamQuota.DEFAULT, fleet.capacity(), now);
+    Map<String, Iterator<TaskState>> waiting = new HashMap<>();
+    Optional<JobState> next = order.next();
+    for (int claims = 0; next.isPresent() && claims < CLAIMS_A_ROUND; claims++) {
+      JobState job = next.get();
+      Iterator<TaskState> tasks =
+          waiting.computeIfAbsent(job.spec().name(), name -> waitingOf(job));
+      if (tasks.hasNext() && claim(job, tasks.next(), fleet)) {
+        order.took(job, decider.booking(job.spec()), tasks.hasNext());
+      }
+      next = order.next();
+    }
+  }
+
+  private void claimAll(JobState job, Fleet fleet) {
+    Iterator<TaskState> tasks = waitingOf(job);
+    while (tasks.hasNext() && claim(job, tasks.next(), fleet)) {
+      // Until one does not fit.
+    }
+  }
+
+  private Iterator<TaskState> waitingOf(JobState job) {
+    return table.waiting(job.spec().name(), 0, CLAIMS_A_ROUND).stream()
+        .filter(task -> !onTheirWay.containsKey(task.name()))
+        .iterator();
+  }
+
+  private boolean claim(JobState job, TaskState task, Fleet fleet) {
+    Sizes sizes = decider.booking(job.spec());
+    Optional<VmRoom> room =
+        decider.place(new PlacementRequest(job.spec(), task, sizes, Map.of()), fleet);
+    if (room.isEmpty()) {
+      return false;
+    }
+    VmState vm = room.get().state();
+    fleet.take(vm.registration(), job.spec().program(), sizes);
+    onTheirWay.put(task.name(), sizes);
+    append(
+        new TaskRecord.Claimed(
+            task.name(), task.attempt(), vm.vm(), vm.registration(), sizes, LEASE_MILLIS, "e"));
+    return true;
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskDecider.java
@@ -0,0 +1,143 @@
+package io.marigoldsail.testlib.measure;
+
+import io.marigoldsail.guard.Guard;
+import io.marigoldsail.guard.GuardAction;
+import io.marigoldsail.guard.GuardTerms;
+import io.marigoldsail.guard.GuardedTask;
+import io.marigoldsail.guard.MemoryGuard;
+import io.marigoldsail.guard.ServiceReading;
+import io.marigoldsail.job.JobSpec;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.TaskTable;
+import io.marigoldsail.job.VmState;
+import io.marigoldsail.placement.Fleet;
+import io.marigoldsail.placement.Interference;
+import io.marigoldsail.placement.InterferenceCosts;
+import io.marigoldsail.placement.PlacementDecision;
+import io.marigoldsail.placement.PlacementRequest;
+import io.marigoldsail.placement.Placer;
+import io.marigoldsail.placement.SizeEstimates;
+import io.marigoldsail.placement.VmRoom;
+import io.marigoldsail.placement.WorkerHealth;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+/** What decides about tasks in a measurement: the product's modules, or the baseline. */
+interface TaskDecider {
+  long NANOS_PER_MILLI = 1_000_000;
+
+  /** Returns what is booked for a task of the job. */
+  Sizes booking(JobSpec spec);
+
+  /** Returns whether the VM may be given a task. */
+  boolean usable(VmState vm, long nowMillis);
+
+  /** Returns the VM for the task. */
+  Optional<VmRoom> place(PlacementRequest request, Fleet fleet);
+
+  /** Returns what the VM's batch tasks give up. */
+  List<GuardAction> guard(ModelVm vm, long nowMillis);
+
+  /** Takes in late measurements of a VM's tasks. */
+  void measured(ModelVm vm, List<ModelTask> tasks);
+
+  /** The product's modules. */
+  final class Product implements TaskDecider {
+    private final SizeEstimates estimates = new SizeEstimates();
+    private final Interference interference = new Interference();
+    private final WorkerHealth health = new WorkerHealth();
+    private final Map<String, Guard> guards = new HashMap<>();
+    private final Placer placer;
+    private final GuardTerms terms;
+    private long nowMillis;
+
+    Product(TaskTable table, GuardTerms terms, long seed) {
+      this.terms = terms;
+      this.placer = new Placer(new InterferenceCosts(interference), new Random(seed));
+      table.addEndListener((vm, job, ok) -> health.ended(vm, job, ok, nowMillis));
+    }
+
+    @Override
+    public Sizes booking(JobSpec spec) {
+      return estimates.booking(spec);
+    }
+
+    @Override
+    public boolean usable(VmState vm, long now) {
+      nowMillis = now;
+      return health.usable(vm.vm(), vm.tasks(), now);
+    }
+
+    @Override
+    public Optional<VmRoom> place(PlacementRequest request, Fleet fleet) {
+      return placer.place(request, fleet) instanceof PlacementDecision.Chosen chosen
+          ? Optional.of(chosen.room())
+          : Optional.empty();
+    }
+
+    @Override
+    public List<GuardAction> guard(ModelVm vm, long now) {
+      long nanos = now * NANOS_PER_MILLI;
+      Guard guard = guards.computeIfAbsent(vm.name(), unused -> new Guard(terms, nanos));
+      List<GuardedTask> tasks = vm.tasks().stream().map(ModelTask::guarded).toList();
+      List<GuardAction> actions =
+          new ArrayList<>(guard.decide(terms, vm.reading(now), tasks, nanos, now));
+      MemoryGuard.decide(tasks, TaskBench.SERVICE_MEMORY, TaskBench.VM_MEMORY)
+          .ifPresent(actions::add);
+      return actions;
+    }
+
+    @Override
+    public void measured(ModelVm vm, List<ModelTask> tasks) {
+      for (ModelTask task : tasks) {
+        estimates.measured(task.spec().program(), task.kind().sizes());
+        List<String> neighbours =
+            tasks.stream()
+                .filter(other -> other.token() != task.token())
+                .map(other -> other.spec().program())
+                .toList();
+        interference.measured(task.spec().program(), neighbours, vm.slowdown(task));
+      }
+    }
+  }
+
+  /** Declared sizes, first fit, evict the youngest at once, no health. */
+  final class Baseline implements TaskDecider {
+    @Override
+    public Sizes booking(JobSpec spec) {
+      return spec.sizes();
+    }
+
+    @Override
+    public boolean usable(VmState vm, long nowMillis) {
+      return true;
+    }
+
+    @Override
+    public Optional<VmRoom> place(PlacementRequest request, Fleet fleet) {
+      return fleet.rooms().stream().filter(room -> request.sizes().fitsIn(room.free())).findFirst();
+    }
+
+    @Override
+    public List<GuardAction> guard(ModelVm vm, long nowMillis) {
+      boolean slow = vm.reading(nowMillis).map(ServiceReading::pressure).orElse(0.0) > 1;
+      Optional<GuardedTask> youngest =
+          vm.tasks().stream()
+              .map(ModelTask::guarded)
+              .max(Comparator.comparingLong(GuardedTask::startedNanos));
+      return slow && youngest.isPresent()
+          ? List.of(new GuardAction.Evict(youngest.get().token(), "slow"))
+          : List.of();
+    }
+
+    @Override
+    public void measured(ModelVm vm, List<ModelTask> tasks) {
+      // Learns nothing.
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskLoad.java
@@ -0,0 +1,111 @@
+package io.marigoldsail.testlib.measure;
+
+import io.marigoldsail.job.JobSpec;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.Spread;
+import io.marigoldsail.job.TaskClass;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/** The jobs of a measurement and when they come; the same for every policy. */
+final class TaskLoad {
+  /** A job and when it is submitted, in milliseconds. */
+  record Submission(long atMillis, JobSpec spec) {}
+
+  static final String WAVE = "wave";
+
+  private static final long GIBIBYTE = 1L << 30;
+  private static final int BACKLOG = 12;
+  private static final int TASKS_A_JOB = 8;
+  private static final int TEAMS = 5;
+  private static final int URGENT_EVERY = 10;
+  private static final long CHECKPOINT_MILLIS = 20_000;
+
+  private final List<Submission> submissions = new ArrayList<>();
+  private final Map<String, TaskKind> kinds = new HashMap<>();
+  private final Random random;
+  private final boolean wrongSizes;
+  private int jobs;
+
+  private TaskLoad(long seed, boolean wrongSizes) {
+    this.random = new Random(seed);
+    this.wrongSizes = wrongSizes;
+    addKind(new TaskKind("calm", 1_000, 2 * GIBIBYTE, 0, ""));
+    addKind(new TaskKind("large", 2_500, 4 * GIBIBYTE, 0, ""));
+    addKind(new TaskKind("left", 1_500, 3 * GIBIBYTE, 0, "right"));
+    addKind(new TaskKind("right", 1_500, 3 * GIBIBYTE, 0, "left"));
+    addKind(new TaskKind("murmur", 1_000, 2 * GIBIBYTE, 0.05, ""));
+    addKind(new TaskKind(WAVE, 1_000, 2 * GIBIBYTE, 0.5, ""));
+  }
+
+  /**
+   * Returns a load that keeps the fleet busy, with a wave of noisy jobs where that is asked for.
+   */
+  static TaskLoad of(long seed, long horizonMillis, boolean wave, boolean wrongSizes) {
+    TaskLoad load = new TaskLoad(seed, wrongSizes);
+    for (int i = 0; i < BACKLOG; i++) {
+      load.submit(0, load.usualProgram());
+    }
+    long every = 6_000;
+    for (long at = every; at < horizonMillis; at += every) {
+      boolean inWave = wave && at >= horizonMillis / 5 && at < horizonMillis / 2;
+      load.submit(at, inWave && load.random.nextInt(3) == 0 ? WAVE : load.usualProgram());
+    }
+    return load;
+  }
+
+  List<Submission> submissions() {
+    return submissions;
+  }
+
+  TaskKind kind(JobSpec spec) {
+    return kinds.get(spec.command());
+  }
+
+  /** Returns how long a task truly takes alone, in milliseconds; the same for every policy. */
+  static double workMillis(String task) {
+    return 20_000 + Math.floorMod(task.hashCode() * 31L, 80_000);
+  }
+
+  private void addKind(TaskKind kind) {
+    kinds.put(kind.program(), kind);
+  }
+
+  private String usualProgram() {
+    return List.of("calm", "calm", "large", "left", "right", "murmur").get(random.nextInt(6));
+  }
+
+  private void submit(long atMillis, String program) {
+    jobs++;
+    boolean urgent = jobs % URGENT_EVERY == 0;
+    JobSpec spec =
+        new JobSpec(
+            "job-" + jobs,
+            "team-" + jobs % TEAMS,
+            TaskClass.BATCH,
+            urgent ? 2 : TASKS_A_JOB,
+            declared(kinds.get(program)),
+            program,
+            60_000,
+            urgent,
+            0,
+            true,
+            CHECKPOINT_MILLIS,
+            Spread.RACK);
+    submissions.add(new Submission(atMillis, spec));
+  }
+
+  private Sizes declared(TaskKind kind) {
+    if (!wrongSizes) {
+      return kind.sizes();
+    }
+    double factor = List.of(3.0, 0.4, 1.0).get(random.nextInt(3));
+    return new Sizes(
+        (long) Math.min(9_000, kind.milliProcessors() * factor),
+        (long) (kind.memoryBytes() * factor),
+        0);
+  }
+}
