Throttle by halves, keep room for urgent work, let noisy tasks wait for a quiet VM

The guard throttled every suspect to a tenth at once, where it held room for calm tasks; now by halves, and programs that were seen to slow the service wait for a VM whose service is quiet.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
@@ -15,13 +15,14 @@
  *
  * <p>Load pattern: a wave of noisy tasks slows the service, seen only in measurements that arrive
  * late; which task it is, nobody says. Evicting at once loses the work of the wrong tasks and moves
- * the noise to the next VM; doing nothing loses callers. So the guard throttles first, those it
- * suspects most before others (programs that slowed the service before, then the youngest and
- * largest), twice as many at each step while the service stays slow. It lets them loose one after
- * the other when the service has been quiet, and learns from what follows whom to suspect. It
- * evicts only when everything has been throttled for a while and the service is still slow by a
- * margin that the site's weights give, at most one task per settling time, within a budget, and the
- * one that frees most for the least lost work.
+ * the noise to the next VM; doing nothing loses callers. So the guard throttles first, by halves,
+ * those it suspects most before others (programs that slowed the service before, then the youngest
+ * and largest), twice as many at each step while the service stays slow. It lets them loose one
+ * after the other when the service has been quiet, and learns from what follows whom to suspect: a
+ * task that slows the service again goes back and waits twice as long for its next try. It evicts
+ * only when everything has been throttled for a while and the service is still slow by a margin
+ * that the site's weights give, at most one task per settling time, within a budget, and the one
+ * that frees most for the least lost work.
  *
  * <p>Between the two pressures nothing changes (hysteresis), because a reading lags: acting on each
  * would answer the same noise several times over. Not safe for use by several threads; a decision
@@ -43,11 +44,14 @@
   /** Readings older than this say nothing, in nanoseconds. */
   static final long STALE_NANOS = 10_000_000_000L;
 
-  /** How much a throttled task keeps: enough to go on writing checkpoints, in percent. */
-  static final int THROTTLED_PERCENT = 10;
+  /** How much a task keeps at the least: enough to go on writing checkpoints, in percent. */
+  static final int LEAST_PERCENT = 10;
 
   private static final int LOOSE = 100;
 
+  /** A program confirmed again and again is tried about once a minute. */
+  private static final double MOST_DOUBLINGS = 5;
+
   /** More tasks than a VM runs; keeps a service that is slow for a minute from overflowing. */
   private static final int MAX_STEP = 1_024;
 
@@ -57,9 +61,9 @@
   private static final long DUE_SOON_MILLIS = 600_000;
 
   private final Suspicion suspicion = new Suspicion();
-  private final Map<Long, GuardedTask> throttled = new HashMap<>();
+  private final Map<Long, Hold> holds = new HashMap<>();
   private final EvictionBudget budget;
-  private GuardedTask probing;
+  private Hold probing;
   private long nextStep;
   private long quietSince;
   private long allThrottledSince;
@@ -67,6 +71,22 @@
   private boolean allThrottled;
   private int stepSize = 1;
 
+  /**
+   * A task that is throttled.
+   *
+   * @param percent how much it may use
+   * @param probeAt from when on it may be tried with more
+   */
+  private record Hold(GuardedTask task, int percent, long probeAt) {
+    int tighter() {
+      return Math.max(LEAST_PERCENT, percent / 2);
+    }
+
+    int looser() {
+      return Math.min(LOOSE, percent * 2);
+    }
+  }
+
   /** Creates a guard that throttles nothing. */
   public Guard(GuardTerms terms, long nowNanos) {
     this.budget = new EvictionBudget(terms, nowNanos);
@@ -115,12 +135,12 @@
 
   private List<GuardAction> onSlow(
       GuardTerms terms, double pressure, List<GuardedTask> tasks, long nowNanos, long nowMillis) {
-    if (probing != null) {
-      suspicion.confirmed(probing.program());
-      probing = null;
-    }
     nextStep = nowNanos + SETTLE_NANOS;
-    List<GuardAction> actions = throttleMore(pressure, tasks);
+    Optional<GuardAction> takenBack = takeBackProbe(terms, pressure, nowNanos);
+    if (takenBack.isPresent()) {
+      return List.of(takenBack.get());
+    }
+    List<GuardAction> actions = throttleMore(terms, pressure, tasks, nowNanos);
     if (!actions.isEmpty()) {
       allThrottled = false;
       return actions;
@@ -136,23 +156,51 @@
     return evictOne(terms, pressure, tasks, nowNanos, nowMillis);
   }
 
-  private List<GuardAction> throttleMore(double pressure, List<GuardedTask> tasks) {
-    List<GuardedTask> loose = new ArrayList<>(tasks);
-    loose.removeIf(task -> throttled.containsKey(task.token()));
-    loose.sort(
+  /** The service slowed after one task was let loose: that one goes back, and waits longer. */
+  private Optional<GuardAction> takeBackProbe(GuardTerms terms, double pressure, long nowNanos) {
+    if (probing == null) {
+      return Optional.empty();
+    }
+    GuardedTask task = probing.task();
+    suspicion.confirmed(task.program());
+    Hold before = new Hold(task, probing.percent(), probeAt(terms, task, nowNanos));
+    probing = null;
+    holds.put(task.token(), before);
+    return Optional.of(
+        new GuardAction.Throttle(task.token(), before.percent(), slowness(pressure)));
+  }
+
+  private List<GuardAction> throttleMore(
+      GuardTerms terms, double pressure, List<GuardedTask> tasks, long nowNanos) {
+    List<GuardedTask> candidates = new ArrayList<>(tasks);
+    candidates.removeIf(task -> percent(task) <= LEAST_PERCENT);
+    candidates.sort(
         Comparator.comparingDouble((GuardedTask task) -> -suspicion.of(task.program()))
             .thenComparingLong(task -> -task.startedNanos())
             .thenComparingLong(task -> -task.used().milliProcessors()));
     stepSize = slowBefore ? Math.min(stepSize * 2, MAX_STEP) : 1;
     slowBefore = true;
     List<GuardAction> actions = new ArrayList<>();
-    for (GuardedTask task : loose.subList(0, Math.min(stepSize, loose.size()))) {
-      throttled.put(task.token(), task);
-      actions.add(new GuardAction.Throttle(task.token(), THROTTLED_PERCENT, slowness(pressure)));
+    for (GuardedTask task : candidates.subList(0, Math.min(stepSize, candidates.size()))) {
+      Hold hold = new Hold(task, percent(task), probeAt(terms, task, nowNanos));
+      Hold tighter = new Hold(task, hold.tighter(), hold.probeAt());
+      holds.put(task.token(), tighter);
+      actions.add(new GuardAction.Throttle(task.token(), tighter.percent(), slowness(pressure)));
     }
     return actions;
   }
 
+  private int percent(GuardedTask task) {
+    Hold hold = holds.get(task.token());
+    return hold == null ? LOOSE : hold.percent();
+  }
+
+  /** Returns when a task may be tried with more: later, the more its program is suspected. */
+  private long probeAt(GuardTerms terms, GuardedTask task, long nowNanos) {
+    double doublings = Math.min(MOST_DOUBLINGS, suspicion.of(task.program()));
+    return nowNanos + (long) (terms.recoveryMillis() * NANOS_PER_MILLI * Math.pow(2, doublings));
+  }
+
   private List<GuardAction> evictOne(
       GuardTerms terms, double pressure, List<GuardedTask> tasks, long nowNanos, long nowMillis) {
     Optional<GuardedTask> victim =
@@ -164,7 +212,7 @@
     }
     // The next one only after this one's leaving has had the time to show.
     allThrottledSince = nowNanos;
-    throttled.remove(victim.get().token());
+    holds.remove(victim.get().token());
     return List.of(
         new GuardAction.Evict(
             victim.get().token(), slowness(pressure) + " with all batch tasks throttled"));
@@ -186,30 +234,40 @@
       return List.of();
     }
     if (probing != null) {
-      suspicion.cleared(probing.program());
+      suspicion.cleared(probing.task().program());
       probing = null;
     }
-    Optional<GuardedTask> next =
-        throttled.values().stream()
+    Optional<Hold> next =
+        holds.values().stream()
+            .filter(hold -> nowNanos - hold.probeAt() >= 0)
             .min(
-                Comparator.comparingDouble((GuardedTask task) -> suspicion.of(task.program()))
-                    .thenComparingLong(GuardedTask::startedNanos));
+                Comparator.comparingDouble((Hold hold) -> suspicion.of(hold.task().program()))
+                    .thenComparingLong(hold -> hold.task().startedNanos()));
     if (next.isEmpty()) {
       return List.of();
     }
     // Alone, so that a service that slows again tells which task it was.
-    throttled.remove(next.get().token());
-    probing = next.get();
+    return List.of(probe(terms, next.get(), nowNanos));
+  }
+
+  private GuardAction probe(GuardTerms terms, Hold hold, long nowNanos) {
+    GuardedTask task = hold.task();
+    probing = hold;
+    if (hold.looser() == LOOSE) {
+      holds.remove(task.token());
+    } else {
+      holds.put(task.token(), new Hold(task, hold.looser(), probeAt(terms, task, nowNanos)));
+    }
     quietSince = nowNanos;
     nextStep = nowNanos + SETTLE_NANOS;
-    return List.of(new GuardAction.Throttle(next.get().token(), LOOSE, "the service is quiet"));
+    return new GuardAction.Throttle(task.token(), hold.looser(), "the service is quiet");
   }
 
   private void forgetEnded(List<GuardedTask> tasks) {
     Set<Long> running = new HashSet<>();
     tasks.forEach(task -> running.add(task.token()));
-    throttled.keySet().retainAll(running);
-    if (probing != null && !running.contains(probing.token())) {
+    holds.keySet().retainAll(running);
+    if (probing != null && !running.contains(probing.task().token())) {
       probing = null;
     }
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/Fleet.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/Fleet.java
@@ -20,6 +20,9 @@
   private final List<VmRoom> rooms = new ArrayList<>();
   private final Map<Long, VmRoom> byRegistration = new HashMap<>();
   private Sizes capacity = Sizes.NONE;
+  private Sizes reservedEach = Sizes.NONE;
+  private int reservedCount;
+  private int open;
 
   /**
    * Creates the fleet of the VMs that are not revoked.
@@ -55,11 +58,47 @@
     return capacity;
   }
 
+  /**
+   * Keeps so many VMs open for urgent work from now on.
+   *
+   * @param each the room that an open VM has at least
+   * @param count how many VMs
+   */
+  public void reserve(Sizes each, int count) {
+    reservedEach = each;
+    reservedCount = each.equals(Sizes.NONE) ? 0 : count;
+    open = 0;
+    for (VmRoom room : rooms) {
+      open += isOpen(room.free()) ? 1 : 0;
+    }
+  }
+
+  /** Returns whether work that is not urgent may take the sizes and leave enough VMs open. */
+  boolean leavesReserve(VmRoom room, Sizes sizes) {
+    boolean closes = isOpen(room.free()) && !isOpen(room.free().minus(sizes));
+    return reservedCount == 0 || !closes || open > reservedCount;
+  }
+
+  private boolean isOpen(Sizes free) {
+    return reservedEach.fitsIn(free);
+  }
+
+  /** Returns what a VM has on average. */
+  public Sizes meanCapacity() {
+    int vms = Math.max(1, rooms.size());
+    return new Sizes(
+        capacity.milliProcessors() / vms,
+        capacity.memoryBytes() / vms,
+        capacity.accelerators() / vms);
+  }
+
   /** Notes that a claim for the sizes is on its way to the log; unknown registrations pass. */
   public void take(long registration, String program, Sizes sizes) {
     VmRoom room = byRegistration.get(registration);
     if (room != null) {
+      boolean before = isOpen(room.free());
       room.take(program, sizes);
+      open -= before && !isOpen(room.free()) ? 1 : 0;
     }
   }
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/Interference.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/Interference.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -26,7 +25,8 @@
   /** How far one measurement moves a prediction; readings are noisy, so a fifth. */
   private static final double RATE = 0.2;
 
-  private static final double FLOOR = 0.02;
+  private static final double FLOOR = 0.005;
+  private static final double LEAST_PRESENT = 1e-6;
   private static final double MOST_EXCESS = 4;
   private static final int MAX_PROGRAMS = 1_024;
   private static final int MAX_NEIGHBOURS = 64;
@@ -46,24 +46,23 @@
   /**
    * Takes in a measurement.
    *
-   * @param program what was slowed, or a service's name
-   * @param neighbours what ran beside it, one name for each task
+   * @param program what was slowed, or {@link #SERVICE}
+   * @param present how much of each program ran beside it: 1 for a task that ran free, less for one
+   *     that was throttled, the sum for several
    * @param slowdown how much longer it took than alone, from 1
    */
-  public synchronized void measured(String program, List<String> neighbours, double slowdown) {
-    if (neighbours.isEmpty()) {
+  public synchronized void measured(String program, Map<String, Double> present, double slowdown) {
+    double norm = 0;
+    for (double much : present.values()) {
+      norm += much * much;
+    }
+    if (norm < LEAST_PRESENT) {
       return;
     }
-    Map<String, Integer> counts = new HashMap<>();
-    neighbours.forEach(name -> counts.merge(name, 1, Integer::sum));
     Map<String, Double> row = weights.computeIfAbsent(program, unused -> new HashMap<>());
-    double error = Math.min(MOST_EXCESS, Math.max(0, slowdown - 1)) - predicted(row, counts);
-    double norm = 0;
-    for (int count : counts.values()) {
-      norm += (double) count * count;
-    }
-    for (Map.Entry<String, Integer> neighbour : counts.entrySet()) {
-      double step = RATE * error * neighbour.getValue() / norm;
+    double error = Math.min(MOST_EXCESS, Math.max(0, slowdown - 1)) - predicted(row, present);
+    for (Map.Entry<String, Double> neighbour : present.entrySet()) {
+      double step = RATE * error * neighbour.getValue() / Math.max(1, norm);
       double weight = row.getOrDefault(neighbour.getKey(), 0.0) + step;
       if (weight < FLOOR) {
         row.remove(neighbour.getKey());
@@ -76,6 +75,11 @@
     }
   }
 
+  /** Returns what one task of each program costs another, those that cost it nothing left out. */
+  public synchronized Map<String, Double> costsTo(String program) {
+    return Map.copyOf(weights.getOrDefault(program, Map.of()));
+  }
+
   /** Returns the excess time that one neighbour costs a program; 0 for what is not known. */
   public synchronized double excess(String program, String neighbour) {
     Map<String, Double> row = weights.get(program);
@@ -101,9 +105,9 @@
     return costs;
   }
 
-  private static double predicted(Map<String, Double> row, Map<String, Integer> counts) {
+  private static double predicted(Map<String, Double> row, Map<String, Double> present) {
     double sum = 0;
-    for (Map.Entry<String, Integer> neighbour : counts.entrySet()) {
+    for (Map.Entry<String, Double> neighbour : present.entrySet()) {
       sum += row.getOrDefault(neighbour.getKey(), 0.0) * neighbour.getValue();
     }
     return sum;
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/InterferenceCosts.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/InterferenceCosts.java
@@ -13,8 +13,15 @@
   /** A neighbour that doubles the run time of either costs as much as one and a half full VMs. */
   private static final double EXCESS_COST = 1.5;
 
+  /** Tasks that slow the service by less are placed without regard to it. */
+  private static final double NOISY = 0.08;
+
+  /** The service of one VM is slowed by at most so much, unless by a single task. */
+  private static final double MOST_NOISE = 0.2;
+
   private final Interference interference;
   private Map<String, Double> mutual = Map.of();
+  private Map<String, Double> service = Map.of();
 
   /** Creates costs that follow what the table learns. */
   public InterferenceCosts(Interference interference) {
@@ -24,6 +31,26 @@
   @Override
   public void prepare(PlacementRequest request) {
     mutual = interference.mutual(request.spec().program());
+    service = interference.costsTo(Interference.SERVICE);
+  }
+
+  /**
+   * Noisy tasks wait for a VM whose service is not slowed already. Placed all the same, they would
+   * be throttled there to a fraction and hold room that calm tasks could use (a trial of a noisy
+   * wave that way came to 38% of the baseline's throughput).
+   */
+  @Override
+  public boolean bearable(PlacementRequest request, VmRoom room) {
+    double own = service.getOrDefault(request.spec().program(), 0.0);
+    if (own < NOISY) {
+      return true;
+    }
+    double there = 0;
+    for (Map.Entry<String, Double> noise : service.entrySet()) {
+      Integer count = room.programs().get(noise.getKey());
+      there += count == null ? 0 : noise.getValue() * count;
+    }
+    return there < NOISY || there + own <= MOST_NOISE;
   }
 
   @Override
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/PlacementCosts.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/PlacementCosts.java
@@ -13,6 +13,11 @@
   /** Returns the cost, 0 for none. */
   double cost(PlacementRequest request, VmRoom room);
 
+  /** Returns whether the service beside can bear the task there. */
+  default boolean bearable(PlacementRequest request, VmRoom room) {
+    return true;
+  }
+
   /** Returns costs that know nothing. */
   static PlacementCosts none() {
     return (request, room) -> 0;
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/Placer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/Placer.java
@@ -49,6 +49,9 @@
       if (avoided || !request.sizes().fitsIn(room.free())) {
         continue;
       }
+      if (!request.spec().urgent() && !mayTake(request, room, fleet)) {
+        continue;
+      }
       double cost = cost(request, room);
       if (cost < bestCost) {
         best = room;
@@ -81,6 +84,10 @@
     return false;
   }
 
+  private boolean mayTake(PlacementRequest request, VmRoom room, Fleet fleet) {
+    return fleet.leavesReserve(room, request.sizes()) && costs.bearable(request, room);
+  }
+
   private static boolean failedOn(PlacementRequest request, VmRoom room) {
     return request.task().failedVms().contains(room.vm());
   }
@@ -103,6 +110,7 @@
     if (fleet.rooms().isEmpty()) {
       return "no VM may be given tasks now";
     }
-    return "no VM of %d has room for %s".formatted(fleet.rooms().size(), request.sizes());
+    return "no VM of %d has room for %s that is not kept for urgent work or for a quiet service"
+        .formatted(fleet.rooms().size(), request.sizes());
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/GuardLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/GuardLoop.java
@@ -30,6 +30,7 @@
   private static final double WORTH_TELLING = 0.1;
 
   private static final double PERMILLE = 1_000;
+  private static final int LOOSE = 100;
 
   private final SideIdentity identity;
   private final Worker worker;
@@ -91,17 +92,19 @@
             reading -> report.setServiceSlowdownPermille((int) (reading.pressure() * PERMILLE)));
     for (UsageSample sample : samples.value()) {
       SideTask task = attempts.find(sample.token());
-      if (task != null && task.measured(sample, WORTH_TELLING)) {
+      boolean changed = task != null && task.measured(sample, WORTH_TELLING);
+      if (changed || (task != null && task.throttlePercent() < LOOSE)) {
         report.addTasks(
             TaskUsage.newBuilder()
                 .setTask(sample.task())
                 .setToken(sample.token())
                 .setMilliProcessors(sample.used().milliProcessors())
                 .setMemoryBytes(sample.used().memoryBytes())
-                .setSlowdownPermille((int) (sample.slowdown() * PERMILLE)));
+                .setSlowdownPermille((int) (sample.slowdown() * PERMILLE))
+                .setThrottlePercent(task.throttlePercent()));
       }
     }
-    if (report.getTasksCount() > 0) {
+    if (report.getTasksCount() > 0 || report.getServiceSlowdownPermille() > 0) {
       TaskMessage message = TaskMessage.newBuilder().setUsage(report).build();
       channel.peers().forEach(peer -> channel.send(peer, message));
     }
@@ -134,7 +137,9 @@
       return;
     }
     if (action instanceof GuardAction.Throttle throttle) {
-      worker.throttle(task.task(), task.token(), throttle.percent());
+      if (worker.throttle(task.task(), task.token(), throttle.percent()).isOk()) {
+        task.throttled(throttle.percent());
+      }
       record(EventKind.TASK_THROTTLED, task, throttle.percent() + "%: " + throttle.why());
       return;
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/PlacementKnowledge.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/PlacementKnowledge.java
@@ -10,10 +10,13 @@
 import io.marigoldsail.placement.InterferenceCosts;
 import io.marigoldsail.placement.PlacementCosts;
 import io.marigoldsail.placement.SizeEstimates;
+import io.marigoldsail.placement.UrgentReserve;
+import io.marigoldsail.placement.UsageLearning;
 import io.marigoldsail.placement.WorkerHealth;
 import io.marigoldsail.protocol.TaskUsage;
 import io.marigoldsail.protocol.UsageReport;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -28,14 +31,14 @@
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final double PERMILLE = 1_000;
   private static final long FORGET_MILLIS = 60_000;
-
-  /** Up to this part of its goal, a service's tail latency counts as undisturbed. */
-  private static final double UNDISTURBED = 0.8;
+  private static final double PERCENT = 100;
 
   private final EntryContext context;
   private final WorkerHealth health = new WorkerHealth();
   private final SizeEstimates estimates = new SizeEstimates();
   private final Interference interference = new Interference();
+  private final UsageLearning learning = new UsageLearning(estimates, interference);
+  private final UrgentReserve reserve = new UrgentReserve();
   private long nextForget;
 
   PlacementKnowledge(EntryContext context) {
@@ -68,6 +71,17 @@
     return never ? spec.sizes() : booking;
   }
 
+  /** Keeps room in the fleet open for urgent work, as far as urgent work was seen lately. */
+  void reserveFor(List<JobState> jobs, Fleet fleet) {
+    for (JobState job : jobs) {
+      if (job.waiting() > 0) {
+        reserve.seen(booking(job.spec()), job.spec().urgent(), steadyMillis());
+      }
+    }
+    Sizes each = reserve.each(fleet.meanCapacity(), steadyMillis());
+    fleet.reserve(each, reserve.count(fleet.rooms().size()));
+  }
+
   boolean usable(VmState vm) {
     return health.usable(vm.vm(), vm.tasks(), steadyMillis());
   }
@@ -77,49 +91,28 @@
     if (vm.isEmpty()) {
       return;
     }
-    long registration = vm.get().registration();
-    Map<String, Integer> programs = context.table().programsOn(registration);
-    for (TaskUsage usage : report.getTasksList()) {
-      Optional<String> program = programOf(usage, registration);
-      if (program.isPresent()) {
-        learn(program.get(), usage, programs);
-      }
+    Map<Long, TaskUsage> told = new HashMap<>();
+    report.getTasksList().forEach(usage -> told.put(usage.getToken(), usage));
+    List<UsageLearning.Measured> measured = new ArrayList<>();
+    for (TaskState task : context.table().tasksOn(vm.get().registration())) {
+      context
+          .table()
+          .job(task.job())
+          .map(job -> measured(job.spec().program(), told.get(task.token())))
+          .ifPresent(measured::add);
     }
-    double disturbed = report.getServiceSlowdownPermille() / PERMILLE - UNDISTURBED;
-    if (report.getServiceSlowdownPermille() > 0) {
-      interference.measured(Interference.SERVICE, names(programs, ""), 1 + Math.max(0, disturbed));
-    }
-  }
-
-  private void learn(String program, TaskUsage usage, Map<String, Integer> programs) {
-    estimates.measured(program, new Sizes(usage.getMilliProcessors(), usage.getMemoryBytes(), 0));
-    interference.measured(
-        program, names(programs, program), usage.getSlowdownPermille() / PERMILLE);
+    learning.report(vm.get().vm(), measured, report.getServiceSlowdownPermille() / PERMILLE);
   }
 
-  private Optional<String> programOf(TaskUsage usage, long registration) {
-    Optional<TaskState> task = context.table().task(usage.getTask());
-    boolean current =
-        task.isPresent()
-            && task.get().holds(usage.getToken())
-            && task.get().registration() == registration;
-    if (!current) {
-      return Optional.empty();
+  private static UsageLearning.Measured measured(String program, TaskUsage usage) {
+    if (usage == null) {
+      return new UsageLearning.Measured(program, Sizes.NONE, 0, 1);
     }
-    return context.table().job(task.get().job()).map(JobState::spec).map(JobSpec::program);
-  }
-
-  /** Returns a name for each task there, one of the given program left out. */
-  private static List<String> names(Map<String, Integer> programs, String without) {
-    List<String> names = new ArrayList<>();
-    programs.forEach(
-        (program, count) -> {
-          int others = program.equals(without) ? count - 1 : count;
-          for (int i = 0; i < others; i++) {
-            names.add(program);
-          }
-        });
-    return names;
+    return new UsageLearning.Measured(
+        program,
+        new Sizes(usage.getMilliProcessors(), usage.getMemoryBytes(), 0),
+        usage.getSlowdownPermille() / PERMILLE,
+        usage.getThrottlePercent() / PERCENT);
   }
 
   private long steadyMillis() {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTask.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTask.java
@@ -41,6 +41,7 @@
   private boolean evictable;
   private Sizes used;
   private double toldSlowdown;
+  private int throttlePercent = 100;
   private TaskReport.State end = TaskReport.State.STATE_UNSPECIFIED;
 
   SideTask(
@@ -122,6 +123,15 @@
     }
   }
 
+  /** Returns how much of its processors it may use. */
+  int throttlePercent() {
+    return throttlePercent;
+  }
+
+  void throttled(int percent) {
+    throttlePercent = percent;
+  }
+
   /** Returns the attempt as its VM's guard sees it. */
   GuardedTask guarded() {
     return new GuardedTask(
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Task.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Task.java
@@ -123,11 +123,11 @@
       "rigoldsail.TaskReport.State\"d\n\013UsageRepo" +
       "rt\022\n\n\002vm\030\001 \001(\t\022&\n\005tasks\030\002 \003(\0132\027.marigold" +
       "sail.TaskUsage\022!\n\031service_slowdown_permi" +
-      "lle\030\003 \001(\r\"s\n\tTaskUsage\022\014\n\004task\030\001 \001(\t\022\r\n\005" +
-      "token\030\002 \001(\004\022\030\n\020milli_processors\030\003 \001(\004\022\024\n" +
-      "\014memory_bytes\030\004 \001(\004\022\031\n\021slowdown_permille" +
-      "\030\005 \001(\rB\034\n\030io.marigoldsail.protocolP\001b\006pr" +
-      "oto3"
+      "lle\030\003 \001(\r\"\215\001\n\tTaskUsage\022\014\n\004task\030\001 \001(\t\022\r\n" +
+      "\005token\030\002 \001(\004\022\030\n\020milli_processors\030\003 \001(\004\022\024" +
+      "\n\014memory_bytes\030\004 \001(\004\022\031\n\021slowdown_permill" +
+      "e\030\005 \001(\r\022\030\n\020throttle_percent\030\006 \001(\rB\034\n\030io." +
+      "marigoldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -186,7 +186,7 @@
     internal_static_marigoldsail_TaskUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_TaskUsage_descriptor,
-        new java.lang.String[] { "Task", "Token", "MilliProcessors", "MemoryBytes", "SlowdownPermille", });
+        new java.lang.String[] { "Task", "Token", "MilliProcessors", "MemoryBytes", "SlowdownPermille", "ThrottlePercent", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskUsage.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskUsage.java
@@ -136,6 +136,21 @@
     return slowdownPermille_;
   }
 
+  public static final int THROTTLE_PERCENT_FIELD_NUMBER = 6;
+  private int throttlePercent_ = 0;
+  /**
+   * <pre>
+   * How much of its processors the guard lets it use.
+   * </pre>
+   *
+   * <code>uint32 throttle_percent = 6;</code>
+   * @return The throttlePercent.
+   */
+  @java.lang.Override
+  public int getThrottlePercent() {
+    return throttlePercent_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -165,6 +180,9 @@
     if (slowdownPermille_ != 0) {
       output.writeUInt32(5, slowdownPermille_);
     }
+    if (throttlePercent_ != 0) {
+      output.writeUInt32(6, throttlePercent_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -188,6 +206,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, slowdownPermille_);
     }
+    if (throttlePercent_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, throttlePercent_);
+    }
     return size;
   }
   @java.lang.Override
@@ -222,6 +244,8 @@
         != other.getMemoryBytes()) return false;
     if (getSlowdownPermille()
         != other.getSlowdownPermille()) return false;
+    if (getThrottlePercent()
+        != other.getThrottlePercent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -246,6 +270,8 @@
         getMemoryBytes());
     hash = (37 * hash) + SLOWDOWN_PERMILLE_FIELD_NUMBER;
     hash = (53 * hash) + getSlowdownPermille();
+    hash = (37 * hash) + THROTTLE_PERCENT_FIELD_NUMBER;
+    hash = (53 * hash) + getThrottlePercent();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -382,6 +408,7 @@
       milliProcessors_ = 0L;
       memoryBytes_ = 0L;
       slowdownPermille_ = 0;
+      throttlePercent_ = 0;
       return this;
     }
 
@@ -430,6 +457,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.slowdownPermille_ = slowdownPermille_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.throttlePercent_ = throttlePercent_;
+      }
     }
 
     @java.lang.Override
@@ -461,6 +491,9 @@
       if (other.getSlowdownPermille() != 0) {
         setSlowdownPermille(other.getSlowdownPermille());
       }
+      if (other.getThrottlePercent() != 0) {
+        setThrottlePercent(other.getThrottlePercent());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -510,6 +543,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              throttlePercent_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -739,6 +777,50 @@
       return this;
     }
 
+    private int throttlePercent_ ;
+    /**
+     * <pre>
+     * How much of its processors the guard lets it use.
+     * </pre>
+     *
+     * <code>uint32 throttle_percent = 6;</code>
+     * @return The throttlePercent.
+     */
+    @java.lang.Override
+    public int getThrottlePercent() {
+      return throttlePercent_;
+    }
+    /**
+     * <pre>
+     * How much of its processors the guard lets it use.
+     * </pre>
+     *
+     * <code>uint32 throttle_percent = 6;</code>
+     * @param value The throttlePercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setThrottlePercent(int value) {
+
+      throttlePercent_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How much of its processors the guard lets it use.
+     * </pre>
+     *
+     * <code>uint32 throttle_percent = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearThrottlePercent() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      throttlePercent_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.TaskUsage)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskUsageOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskUsageOrBuilder.java
@@ -49,4 +49,14 @@
    * @return The slowdownPermille.
    */
   int getSlowdownPermille();
+
+  /**
+   * <pre>
+   * How much of its processors the guard lets it use.
+   * </pre>
+   *
+   * <code>uint32 throttle_percent = 6;</code>
+   * @return The throttlePercent.
+   */
+  int getThrottlePercent();
 }
