--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/SideTasksTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/SideTasksTest.java
@@ -120,6 +120,41 @@
     assertEquals(List.of(TaskReport.State.REFUSED), reports(103));
   }
 
+  /**
+   * The worker refuses a start and its confirmation that it will never run is lost. The refusal is
+   * reported all the same, once the worker has confirmed it.
+   */
+  @Test
+  void aRefusalIsReportedThoughItsConfirmationWasLost() {
+    ready();
+    send(start(101));
+    send(start(102));
+    worker.setFaults(WorkerFaults.none().withLoseAnswers(1));
+    send(start(103));
+    assertEquals(List.of(), reports(103));
+    run(3_000);
+
+    assertEquals(List.of(TaskReport.State.REFUSED), reports(103));
+  }
+
+  /**
+   * A new side process does not know yet what its worker runs from before. It counts that as taken
+   * room all the same, because it asks the worker before anything else.
+   */
+  @Test
+  void aNewSideProcessCountsWhatItsWorkerRuns() {
+    ready();
+    send(start(101));
+    send(start(102));
+    side = newSide(6);
+    run(100);
+    vouch(REGISTRATION, 6);
+    send(start(103).setProcessIncarnation(6));
+
+    assertEquals(0, worker.askedOverCapacity());
+    assertEquals(List.of(TaskReport.State.REFUSED), reports(103));
+  }
+
   /**
    * A start reaches the side process after it was restarted, sent by an entry that had not vouched
    * to the new process: the old one may have released the task, which may run elsewhere by now.
@@ -152,6 +187,7 @@
     send(start(101));
 
     assertEquals(List.of(), worker.runs());
+    assertEquals(List.of(), reports(101));
   }
 
   /**
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskFaultsTest.java
@@ -277,6 +277,37 @@
     assertAllDone(world, "payout", 40, 2 * LONG_MILLIS);
   }
 
+  /**
+   * A task ends before an entry that lags has read its claim. That entry must not acknowledge the
+   * report: the side process would forget the end, and the task would stay claimed for ever.
+   */
+  @Test
+  void anEntryThatLagsAcknowledgesNothingItHasNotRead() {
+    TaskWorld world = new TaskWorld(19, 3, 3, ROOM_FOR_FOUR);
+    world.entry(1).lag(4_000);
+    world.entry(2).lag(4_000);
+    world.submit(TaskWorld.job("payout", 30, 200));
+
+    assertAllDone(world, "payout", 30, 2 * LONG_MILLIS);
+  }
+
+  /**
+   * One of two entries lives and is cut off from every VM. The tasks that are its to claim are
+   * claimed by the other one after a while.
+   */
+  @Test
+  void anEntryWithoutVmsHoldsUpNothing() {
+    TaskWorld world = new TaskWorld(20, 2, 3, ROOM_FOR_FOUR);
+    world.run(2_000);
+    for (int vm = 1; vm <= 3; vm++) {
+      world.cut("entry-2>vm-" + vm);
+      world.cut("vm-" + vm + ">entry-2");
+    }
+    world.submit(TaskWorld.job("payout", 12, 1_000));
+
+    assertAllDone(world, "payout", 12, LONG_MILLIS);
+  }
+
   /** A task that fails on every VM ends as failed with the reason; it does not go on for ever. */
   @Test
   void aTaskThatFailsEverywhereEndsWithItsReason() {
