Let the guard tell culprits from bystanders and clear stuck suspects

A trace of noisy-wave showed 27 to 34 noisy tasks throttled to a tenth, each holding room for ten times its work, and innocent tasks at half speed because they were let loose one by one. Now bystanders are let loose in growing groups, entries tell a VM's guard what they learned of a program elsewhere, and of several stuck suspects one at a time is evicted within the budget.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
@@ -49,6 +49,12 @@
 
   private static final int LOOSE = 100;
 
+  /** Expected noise that weighs as much as one confirmed suspicion here. */
+  private static final double NOISE_OF_A_SUSPECT = 0.2;
+
+  /** A suspect that was throttled to the least for so long goes, if it is not the only one. */
+  private static final long STUCK_NANOS = 20_000_000_000L;
+
   /** A program confirmed again and again is tried about once a minute. */
   private static final double MOST_DOUBLINGS = 5;
 
@@ -63,13 +69,15 @@
   private final Suspicion suspicion = new Suspicion();
   private final Map<Long, Hold> holds = new HashMap<>();
   private final EvictionBudget budget;
-  private Hold probing;
+  private List<Hold> probing = List.of();
   private long nextStep;
   private long quietSince;
   private long allThrottledSince;
+  private long stuckSince;
   private boolean slowBefore;
   private boolean allThrottled;
   private int stepSize = 1;
+  private int probeSize = 1;
 
   /**
    * A task that is throttled.
@@ -92,6 +100,7 @@
     this.budget = new EvictionBudget(terms, nowNanos);
     this.nextStep = nowNanos;
     this.quietSince = nowNanos;
+    this.stuckSince = nowNanos;
   }
 
   /**
@@ -117,6 +126,11 @@
     if (nowNanos - nextStep < 0) {
       return List.of();
     }
+    List<GuardAction> stuck = evictStuck(terms, tasks, nowNanos, nowMillis);
+    if (!stuck.isEmpty()) {
+      nextStep = nowNanos + SETTLE_NANOS;
+      return stuck;
+    }
     if (pressure > SLOW) {
       return onSlow(terms, pressure, tasks, nowNanos, nowMillis);
     }
@@ -136,9 +150,9 @@
   private List<GuardAction> onSlow(
       GuardTerms terms, double pressure, List<GuardedTask> tasks, long nowNanos, long nowMillis) {
     nextStep = nowNanos + SETTLE_NANOS;
-    Optional<GuardAction> takenBack = takeBackProbe(terms, pressure, nowNanos);
-    if (takenBack.isPresent()) {
-      return List.of(takenBack.get());
+    List<GuardAction> takenBack = takeBackProbe(terms, pressure, nowNanos);
+    if (!takenBack.isEmpty()) {
+      return takenBack;
     }
     List<GuardAction> actions = throttleMore(terms, pressure, tasks, nowNanos);
     if (!actions.isEmpty()) {
@@ -156,18 +170,19 @@
     return evictOne(terms, pressure, tasks, nowNanos, nowMillis);
   }
 
-  /** The service slowed after one task was let loose: that one goes back, and waits longer. */
-  private Optional<GuardAction> takeBackProbe(GuardTerms terms, double pressure, long nowNanos) {
-    if (probing == null) {
-      return Optional.empty();
+  /** The service slowed after tasks were let loose: those go back, and wait longer. */
+  private List<GuardAction> takeBackProbe(GuardTerms terms, double pressure, long nowNanos) {
+    List<GuardAction> actions = new ArrayList<>();
+    for (Hold hold : probing) {
+      GuardedTask task = hold.task();
+      suspicion.confirmed(task.program(), 1.0 / probing.size());
+      Hold before = new Hold(task, hold.percent(), probeAt(terms, task, nowNanos));
+      holds.put(task.token(), before);
+      actions.add(new GuardAction.Throttle(task.token(), before.percent(), slowness(pressure)));
     }
-    GuardedTask task = probing.task();
-    suspicion.confirmed(task.program());
-    Hold before = new Hold(task, probing.percent(), probeAt(terms, task, nowNanos));
-    probing = null;
-    holds.put(task.token(), before);
-    return Optional.of(
-        new GuardAction.Throttle(task.token(), before.percent(), slowness(pressure)));
+    probing = List.of();
+    probeSize = 1;
+    return actions;
   }
 
   private List<GuardAction> throttleMore(
@@ -175,7 +190,7 @@
     List<GuardedTask> candidates = new ArrayList<>(tasks);
     candidates.removeIf(task -> percent(task) <= LEAST_PERCENT);
     candidates.sort(
-        Comparator.comparingDouble((GuardedTask task) -> -suspicion.of(task.program()))
+        Comparator.comparingDouble((GuardedTask task) -> -suspected(task))
             .thenComparingLong(task -> -task.startedNanos())
             .thenComparingLong(task -> -task.used().milliProcessors()));
     stepSize = slowBefore ? Math.min(stepSize * 2, MAX_STEP) : 1;
@@ -190,6 +205,11 @@
     return actions;
   }
 
+  /** Returns how much the task is suspected, here and by what entries learned elsewhere. */
+  private double suspected(GuardedTask task) {
+    return suspicion.of(task.program()) + task.noise() / NOISE_OF_A_SUSPECT;
+  }
+
   private int percent(GuardedTask task) {
     Hold hold = holds.get(task.token());
     return hold == null ? LOOSE : hold.percent();
@@ -197,7 +217,7 @@
 
   /** Returns when a task may be tried with more: later, the more its program is suspected. */
   private long probeAt(GuardTerms terms, GuardedTask task, long nowNanos) {
-    double doublings = Math.min(MOST_DOUBLINGS, suspicion.of(task.program()));
+    double doublings = Math.min(MOST_DOUBLINGS, suspected(task));
     return nowNanos + (long) (terms.recoveryMillis() * NANOS_PER_MILLI * Math.pow(2, doublings));
   }
 
@@ -220,7 +240,7 @@
 
   /** Returns how much evicting the task helps for what it loses. */
   private double worth(GuardedTask task, long nowNanos, long nowMillis) {
-    double frees = (1 + suspicion.of(task.program())) * (1 + task.used().milliProcessors());
+    double frees = (1 + suspected(task)) * (1 + task.used().milliProcessors());
     double lostSeconds = (nowNanos - task.checkpointedNanos()) / 1e9;
     boolean dueSoon =
         task.finishByMillis() > 0 && task.finishByMillis() - nowMillis < DUE_SOON_MILLIS;
@@ -233,43 +253,79 @@
     if (nowNanos - quietSince < recoveryNanos) {
       return List.of();
     }
-    if (probing != null) {
-      suspicion.cleared(probing.task().program());
-      probing = null;
-    }
-    Optional<Hold> next =
+    probing.forEach(hold -> suspicion.cleared(hold.task().program()));
+    probeSize = probing.isEmpty() ? probeSize : Math.min(MAX_STEP, probeSize * 2);
+    probing = List.of();
+    List<Hold> next =
         holds.values().stream()
             .filter(hold -> nowNanos - hold.probeAt() >= 0)
-            .min(
-                Comparator.comparingDouble((Hold hold) -> suspicion.of(hold.task().program()))
-                    .thenComparingLong(hold -> hold.task().startedNanos()));
+            .sorted(
+                Comparator.comparingDouble((Hold hold) -> suspected(hold.task()))
+                    .thenComparingLong(hold -> hold.task().startedNanos()))
+            .toList();
     if (next.isEmpty()) {
+      probeSize = 1;
       return List.of();
     }
-    // Alone, so that a service that slows again tells which task it was.
-    return List.of(probe(terms, next.get(), nowNanos));
+    return probe(terms, next.subList(0, Math.min(probeSize, next.size())), nowNanos);
   }
 
-  private GuardAction probe(GuardTerms terms, Hold hold, long nowNanos) {
-    GuardedTask task = hold.task();
-    probing = hold;
-    if (hold.looser() == LOOSE) {
-      holds.remove(task.token());
-    } else {
-      holds.put(task.token(), new Hold(task, hold.looser(), probeAt(terms, task, nowNanos)));
+  /**
+   * Lets tasks have twice as much: one at first, so that a service that slows again tells which it
+   * was, then more at a time as long as it stays quiet.
+   */
+  private List<GuardAction> probe(GuardTerms terms, List<Hold> chosen, long nowNanos) {
+    List<GuardAction> actions = new ArrayList<>();
+    for (Hold hold : chosen) {
+      GuardedTask task = hold.task();
+      if (hold.looser() == LOOSE) {
+        holds.remove(task.token());
+      } else {
+        holds.put(task.token(), new Hold(task, hold.looser(), probeAt(terms, task, nowNanos)));
+      }
+      actions.add(new GuardAction.Throttle(task.token(), hold.looser(), "the service is quiet"));
     }
+    probing = List.copyOf(chosen);
     quietSince = nowNanos;
     nextStep = nowNanos + SETTLE_NANOS;
-    return new GuardAction.Throttle(task.token(), hold.looser(), "the service is quiet");
+    return actions;
+  }
+
+  /**
+   * Evicts one of several suspects that have been throttled to the least for long. Each of them
+   * holds its room for ten times as long as its work takes, and together they can never be let
+   * loose here; on another VM, or later, one alone can.
+   */
+  private List<GuardAction> evictStuck(
+      GuardTerms terms, List<GuardedTask> tasks, long nowNanos, long nowMillis) {
+    List<GuardedTask> stuck =
+        tasks.stream()
+            .filter(task -> percent(task) <= LEAST_PERCENT && suspected(task) >= 1)
+            .toList();
+    if (stuck.size() < 2) {
+      stuckSince = nowNanos;
+      return List.of();
+    }
+    if (nowNanos - stuckSince < STUCK_NANOS) {
+      return List.of();
+    }
+    Optional<GuardedTask> victim =
+        stuck.stream()
+            .filter(GuardedTask::evictable)
+            .max(Comparator.comparingDouble(task -> worth(task, nowNanos, nowMillis)));
+    if (victim.isEmpty() || !budget.take(terms, nowNanos)) {
+      return List.of();
+    }
+    holds.remove(victim.get().token());
+    String why = "one of %d noisy tasks here that cannot be let loose together";
+    return List.of(new GuardAction.Evict(victim.get().token(), why.formatted(stuck.size())));
   }
 
   private void forgetEnded(List<GuardedTask> tasks) {
     Set<Long> running = new HashSet<>();
     tasks.forEach(task -> running.add(task.token()));
     holds.keySet().retainAll(running);
-    if (probing != null && !running.contains(probing.task().token())) {
-      probing = null;
-    }
+    probing = probing.stream().filter(h -> running.contains(h.task().token())).toList();
   }
 
   private static String slowness(double pressure) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/guard/Suspicion.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/Suspicion.java
@@ -25,9 +25,9 @@
     return scores.getOrDefault(program, 0.0);
   }
 
-  /** The service slowed soon after a task of the program was let loose, or started. */
-  void confirmed(String program) {
-    scores.merge(program, 1.0, Double::sum);
+  /** The service slowed soon after tasks were let loose, of which this was the given part. */
+  void confirmed(String program, double part) {
+    scores.merge(program, part, Double::sum);
   }
 
   /** The service stayed quiet after a task of the program was let loose. */
--- a/marigoldsail-core/src/test/java/io/marigoldsail/guard/GuardTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/guard/GuardTest.java
@@ -33,6 +33,7 @@
             startedSecond * SECOND,
             checkpointedSecond * SECOND,
             0,
+            0,
             true));
     loose.add(token);
   }
@@ -148,8 +149,8 @@
   @Test
   void theTaskThatExceedsItsMemoryGoes() {
     Sizes large = new Sizes(1_000, 3_000, 0);
-    GuardedTask honest = new GuardedTask(1, "a", BOOKED, BOOKED, 0, 0, 0, true);
-    GuardedTask liar = new GuardedTask(2, "b", BOOKED, large, 0, 0, 0, true);
+    GuardedTask honest = new GuardedTask(1, "a", BOOKED, BOOKED, 0, 0, 0, 0, true);
+    GuardedTask liar = new GuardedTask(2, "b", BOOKED, large, 0, 0, 0, 0, true);
 
     assertEquals(Optional.empty(), MemoryGuard.decide(List.of(honest, liar), 0, 10_000));
     assertEquals(2L, MemoryGuard.decide(List.of(honest, liar), 0, 4_000).orElseThrow().token());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/EntryTasks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/EntryTasks.java
@@ -67,8 +67,8 @@
         new EntryContext(
             identity, table, log, channel, terms, clock, wallClock, recorder, this::locked);
     this.watch = new VmWatch(context, this::onFirstVouch);
-    this.starts = new StartLoop(context, watch);
     this.knowledge = new PlacementKnowledge(context);
+    this.starts = new StartLoop(context, watch, knowledge::noise);
     this.claims =
         new ClaimLoop(context, watch, starts, new Placer(knowledge.costs(), random), knowledge);
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/PlacementKnowledge.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/PlacementKnowledge.java
@@ -71,6 +71,11 @@
     return never ? spec.sizes() : booking;
   }
 
+  /** Returns how much longer a task of the job is expected to make a service beside it take. */
+  double noise(JobSpec spec) {
+    return interference.excess(Interference.SERVICE, spec.program());
+  }
+
   /** Keeps room in the fleet open for urgent work, as far as urgent work was seen lately. */
   void reserveFor(List<JobState> jobs, Fleet fleet) {
     for (JobState job : jobs) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTask.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTask.java
@@ -22,6 +22,8 @@
     ENDED
   }
 
+  private static final double PERMILLE = 1_000;
+
   private final String task;
   private final int attempt;
   private final long token;
@@ -39,6 +41,7 @@
   private long checkpointedNanos;
   private long finishByMillis;
   private boolean evictable;
+  private double noise;
   private Sizes used;
   private double toldSlowdown;
   private int throttlePercent = 100;
@@ -116,6 +119,7 @@
     latencyCritical = start.getLatencyCritical();
     program = Programs.of(start.getTeam(), start.getCommand());
     finishByMillis = start.getFinishByMillis();
+    noise = start.getNoisePermille() / PERMILLE;
     evictable = start.getIdempotent() || start.getCheckpointIntervalMillis() > 0;
     if (startedNanos == 0) {
       startedNanos = nowNanos;
@@ -135,7 +139,15 @@
   /** Returns the attempt as its VM's guard sees it. */
   GuardedTask guarded() {
     return new GuardedTask(
-        token, program, sizes, used, startedNanos, checkpointedNanos, finishByMillis, evictable);
+        token,
+        program,
+        sizes,
+        used,
+        startedNanos,
+        checkpointedNanos,
+        finishByMillis,
+        noise,
+        evictable);
   }
 
   /**
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/StartLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/StartLoop.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 
 /**
  * One entry's part in running claimed tasks: sends starts until the side process says that the task
@@ -30,9 +31,11 @@
  */
 final class StartLoop {
   private static final long SWEEP_MILLIS = 2_000;
+  private static final double PERMILLE = 1_000;
 
   private final EntryContext context;
   private final VmWatch watch;
+  private final ToDoubleFunction<JobSpec> noise;
 
   /** Tokens that a side process said it runs, with that process's incarnation. */
   private final Map<Long, Long> running = new HashMap<>();
@@ -40,7 +43,13 @@
   private final Set<String> reportsOnTheirWay = new HashSet<>();
   private long nextSweep;
 
-  StartLoop(EntryContext context, VmWatch watch) {
+  /**
+   * Creates a loop that has started nothing.
+   *
+   * @param noise how much longer a task of a job is expected to make a service take
+   */
+  StartLoop(EntryContext context, VmWatch watch, ToDoubleFunction<JobSpec> noise) {
+    this.noise = noise;
     this.context = context;
     this.watch = watch;
     this.nextSweep = context.nanos();
@@ -202,6 +211,7 @@
             .setProcessIncarnation(contact.ask().processIncarnation())
             .setFinishByMillis(spec.finishByMillis())
             .setIdempotent(spec.idempotent())
+            .setNoisePermille((int) (PERMILLE * noise.applyAsDouble(spec)))
             .build();
     context.channel().send(contact.peer(), TaskMessage.newBuilder().setStart(start).build());
   }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTask.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTask.java
@@ -423,6 +423,21 @@
     return idempotent_;
   }
 
+  public static final int NOISE_PERMILLE_FIELD_NUMBER = 19;
+  private int noisePermille_ = 0;
+  /**
+   * <pre>
+   * How much longer the task is expected to make a service beside it take, in permille.
+   * </pre>
+   *
+   * <code>uint32 noise_permille = 19;</code>
+   * @return The noisePermille.
+   */
+  @java.lang.Override
+  public int getNoisePermille() {
+    return noisePermille_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -491,6 +506,9 @@
     if (idempotent_ != false) {
       output.writeBool(18, idempotent_);
     }
+    if (noisePermille_ != 0) {
+      output.writeUInt32(19, noisePermille_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -562,6 +580,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(18, idempotent_);
     }
+    if (noisePermille_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(19, noisePermille_);
+    }
     return size;
   }
   @java.lang.Override
@@ -622,6 +644,8 @@
         != other.getFinishByMillis()) return false;
     if (getIdempotent()
         != other.getIdempotent()) return false;
+    if (getNoisePermille()
+        != other.getNoisePermille()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -681,6 +705,8 @@
     hash = (37 * hash) + IDEMPOTENT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getIdempotent());
+    hash = (37 * hash) + NOISE_PERMILLE_FIELD_NUMBER;
+    hash = (53 * hash) + getNoisePermille();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -834,6 +860,7 @@
       processIncarnation_ = 0L;
       finishByMillis_ = 0L;
       idempotent_ = false;
+      noisePermille_ = 0;
       return this;
     }
 
@@ -921,6 +948,9 @@
       if (((from_bitField0_ & 0x00020000) != 0)) {
         result.idempotent_ = idempotent_;
       }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.noisePermille_ = noisePermille_;
+      }
     }
 
     @java.lang.Override
@@ -999,6 +1029,9 @@
       if (other.getIdempotent() != false) {
         setIdempotent(other.getIdempotent());
       }
+      if (other.getNoisePermille() != 0) {
+        setNoisePermille(other.getNoisePermille());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1113,6 +1146,11 @@
               bitField0_ |= 0x00020000;
               break;
             } // case 144
+            case 152: {
+              noisePermille_ = input.readUInt32();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 152
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1986,6 +2024,50 @@
       return this;
     }
 
+    private int noisePermille_ ;
+    /**
+     * <pre>
+     * How much longer the task is expected to make a service beside it take, in permille.
+     * </pre>
+     *
+     * <code>uint32 noise_permille = 19;</code>
+     * @return The noisePermille.
+     */
+    @java.lang.Override
+    public int getNoisePermille() {
+      return noisePermille_;
+    }
+    /**
+     * <pre>
+     * How much longer the task is expected to make a service beside it take, in permille.
+     * </pre>
+     *
+     * <code>uint32 noise_permille = 19;</code>
+     * @param value The noisePermille to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNoisePermille(int value) {
+
+      noisePermille_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How much longer the task is expected to make a service beside it take, in permille.
+     * </pre>
+     *
+     * <code>uint32 noise_permille = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNoisePermille() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      noisePermille_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.StartTask)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTaskOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTaskOrBuilder.java
@@ -175,4 +175,14 @@
    * @return The idempotent.
    */
   boolean getIdempotent();
+
+  /**
+   * <pre>
+   * How much longer the task is expected to make a service beside it take, in permille.
+   * </pre>
+   *
+   * <code>uint32 noise_permille = 19;</code>
+   * @return The noisePermille.
+   */
+  int getNoisePermille();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Task.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Task.java
@@ -94,7 +94,7 @@
       "n\030\003 \001(\004\022\023\n\013asked_nanos\030\004 \001(\004\022\014\n\004zone\030\005 \001" +
       "(\t\022\014\n\004rack\030\006 \001(\t\022\030\n\020milli_processors\030\007 \001" +
       "(\004\022\024\n\014memory_bytes\030\010 \001(\004\022\024\n\014accelerators" +
-      "\030\t \001(\004\022\017\n\007leaving\030\n \001(\010\"\210\003\n\tStartTask\022\014\n" +
+      "\030\t \001(\004\022\017\n\007leaving\030\n \001(\010\"\240\003\n\tStartTask\022\014\n" +
       "\004task\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030\003 " +
       "\001(\004\022\024\n\014registration\030\004 \001(\004\022\013\n\003job\030\005 \001(\t\022\014" +
       "\n\004team\030\006 \001(\t\022\030\n\020latency_critical\030\007 \001(\010\022\030" +
@@ -104,30 +104,31 @@
       " \001(\004\022\022\n\nrun_millis\030\r \001(\004\022\017\n\007command\030\016 \001(" +
       "\t\022\024\n\014lease_millis\030\017 \001(\004\022\033\n\023process_incar" +
       "nation\030\020 \001(\004\022\030\n\020finish_by_millis\030\021 \001(\004\022\022" +
-      "\n\nidempotent\030\022 \001(\010\"\265\001\n\010StopTask\022\014\n\004task\030" +
-      "\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030\003 \001(\004\022-\n" +
-      "\006reason\030\004 \001(\0162\035.marigoldsail.StopTask.Re" +
-      "ason\"L\n\006Reason\022\026\n\022REASON_UNSPECIFIED\020\000\022\r" +
-      "\n\tCANCELLED\020\001\022\013\n\007EVICTED\020\002\022\016\n\nSUPERSEDED" +
-      "\020\003\"b\n\005Vouch\022\024\n\014registration\030\001 \001(\004\022\023\n\013ask" +
-      "ed_nanos\030\002 \001(\004\022\033\n\023process_incarnation\030\003 " +
-      "\001(\004\022\021\n\theartbeat\030\004 \001(\004\"\374\001\n\nTaskReport\022\014\n" +
-      "\004task\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030\003 " +
-      "\001(\004\022-\n\005state\030\004 \001(\0162\036.marigoldsail.TaskRe" +
-      "port.State\022\022\n\ncheckpoint\030\005 \001(\t\022\016\n\006detail" +
-      "\030\006 \001(\t\022\017\n\007evicted\030\007 \001(\010\"\\\n\005State\022\025\n\021STAT" +
-      "E_UNSPECIFIED\020\000\022\013\n\007RUNNING\020\001\022\010\n\004DONE\020\002\022\n" +
-      "\n\006FAILED\020\003\022\014\n\010RELEASED\020\004\022\013\n\007REFUSED\020\005\"l\n" +
-      "\rTaskReportAck\022\014\n\004task\030\001 \001(\t\022\017\n\007attempt\030" +
-      "\002 \001(\r\022\r\n\005token\030\003 \001(\004\022-\n\005state\030\004 \001(\0162\036.ma" +
-      "rigoldsail.TaskReport.State\"d\n\013UsageRepo" +
-      "rt\022\n\n\002vm\030\001 \001(\t\022&\n\005tasks\030\002 \003(\0132\027.marigold" +
-      "sail.TaskUsage\022!\n\031service_slowdown_permi" +
-      "lle\030\003 \001(\r\"\215\001\n\tTaskUsage\022\014\n\004task\030\001 \001(\t\022\r\n" +
-      "\005token\030\002 \001(\004\022\030\n\020milli_processors\030\003 \001(\004\022\024" +
-      "\n\014memory_bytes\030\004 \001(\004\022\031\n\021slowdown_permill" +
-      "e\030\005 \001(\r\022\030\n\020throttle_percent\030\006 \001(\rB\034\n\030io." +
-      "marigoldsail.protocolP\001b\006proto3"
+      "\n\nidempotent\030\022 \001(\010\022\026\n\016noise_permille\030\023 \001" +
+      "(\r\"\265\001\n\010StopTask\022\014\n\004task\030\001 \001(\t\022\017\n\007attempt" +
+      "\030\002 \001(\r\022\r\n\005token\030\003 \001(\004\022-\n\006reason\030\004 \001(\0162\035." +
+      "marigoldsail.StopTask.Reason\"L\n\006Reason\022\026" +
+      "\n\022REASON_UNSPECIFIED\020\000\022\r\n\tCANCELLED\020\001\022\013\n" +
+      "\007EVICTED\020\002\022\016\n\nSUPERSEDED\020\003\"b\n\005Vouch\022\024\n\014r" +
+      "egistration\030\001 \001(\004\022\023\n\013asked_nanos\030\002 \001(\004\022\033" +
+      "\n\023process_incarnation\030\003 \001(\004\022\021\n\theartbeat" +
+      "\030\004 \001(\004\"\374\001\n\nTaskReport\022\014\n\004task\030\001 \001(\t\022\017\n\007a" +
+      "ttempt\030\002 \001(\r\022\r\n\005token\030\003 \001(\004\022-\n\005state\030\004 \001" +
+      "(\0162\036.marigoldsail.TaskReport.State\022\022\n\nch" +
+      "eckpoint\030\005 \001(\t\022\016\n\006detail\030\006 \001(\t\022\017\n\007evicte" +
+      "d\030\007 \001(\010\"\\\n\005State\022\025\n\021STATE_UNSPECIFIED\020\000\022" +
+      "\013\n\007RUNNING\020\001\022\010\n\004DONE\020\002\022\n\n\006FAILED\020\003\022\014\n\010RE" +
+      "LEASED\020\004\022\013\n\007REFUSED\020\005\"l\n\rTaskReportAck\022\014" +
+      "\n\004task\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\r\022\r\n\005token\030\003" +
+      " \001(\004\022-\n\005state\030\004 \001(\0162\036.marigoldsail.TaskR" +
+      "eport.State\"d\n\013UsageReport\022\n\n\002vm\030\001 \001(\t\022&" +
+      "\n\005tasks\030\002 \003(\0132\027.marigoldsail.TaskUsage\022!" +
+      "\n\031service_slowdown_permille\030\003 \001(\r\"\215\001\n\tTa" +
+      "skUsage\022\014\n\004task\030\001 \001(\t\022\r\n\005token\030\002 \001(\004\022\030\n\020" +
+      "milli_processors\030\003 \001(\004\022\024\n\014memory_bytes\030\004" +
+      " \001(\004\022\031\n\021slowdown_permille\030\005 \001(\r\022\030\n\020throt" +
+      "tle_percent\030\006 \001(\rB\034\n\030io.marigoldsail.pro" +
+      "tocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -150,7 +151,7 @@
     internal_static_marigoldsail_StartTask_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_StartTask_descriptor,
-        new java.lang.String[] { "Task", "Attempt", "Token", "Registration", "Job", "Team", "LatencyCritical", "MilliProcessors", "MemoryBytes", "Accelerators", "Checkpoint", "CheckpointIntervalMillis", "RunMillis", "Command", "LeaseMillis", "ProcessIncarnation", "FinishByMillis", "Idempotent", });
+        new java.lang.String[] { "Task", "Attempt", "Token", "Registration", "Job", "Team", "LatencyCritical", "MilliProcessors", "MemoryBytes", "Accelerators", "Checkpoint", "CheckpointIntervalMillis", "RunMillis", "Command", "LeaseMillis", "ProcessIncarnation", "FinishByMillis", "Idempotent", "NoisePermille", });
     internal_static_marigoldsail_StopTask_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_marigoldsail_StopTask_fieldAccessorTable = new
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/ModelTask.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/ModelTask.java
@@ -97,7 +97,7 @@
     checkpointedAtMillis = nowMillis;
   }
 
-  GuardedTask guarded() {
+  GuardedTask guarded(double noise) {
     return new GuardedTask(
         token,
         spec.program(),
@@ -106,6 +106,7 @@
         startedMillis * NANOS_PER_MILLI,
         checkpointedAtMillis * NANOS_PER_MILLI,
         0,
+        noise,
         true);
   }
 }
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskDecider.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskDecider.java
@@ -103,7 +103,7 @@
     public List<GuardAction> guard(ModelVm vm, long now) {
       long nanos = now * NANOS_PER_MILLI;
       Guard guard = guards.computeIfAbsent(vm.name(), unused -> new Guard(terms, nanos));
-      List<GuardedTask> tasks = vm.tasks().stream().map(ModelTask::guarded).toList();
+      List<GuardedTask> tasks = vm.tasks().stream().map(task -> task.guarded(noise(task))).toList();
       List<GuardAction> actions =
           new ArrayList<>(guard.decide(terms, vm.reading(now), tasks, nanos, now));
       MemoryGuard.decide(tasks, TaskBench.SERVICE_MEMORY, TaskBench.VM_MEMORY)
@@ -111,6 +111,10 @@
       return actions;
     }
 
+    private double noise(ModelTask task) {
+      return interference.excess(Interference.SERVICE, task.spec().program());
+    }
+
     @Override
     public void measured(ModelVm vm, List<ModelTask> tasks, long nowMillis) {
       List<UsageLearning.Measured> measured =
@@ -147,7 +151,7 @@
       boolean slow = vm.reading(nowMillis).map(ServiceReading::pressure).orElse(0.0) > 1;
       Optional<GuardedTask> youngest =
           vm.tasks().stream()
-              .map(ModelTask::guarded)
+              .map(task -> task.guarded(0))
               .max(Comparator.comparingLong(GuardedTask::startedNanos));
       return slow && youngest.isPresent()
           ? List.of(new GuardAction.Evict(youngest.get().token(), "slow"))
