--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/PlacementKnowledge.java
@@ -0,0 +1,126 @@
+package io.marigoldsail.daemon.task;
+
+import io.marigoldsail.job.JobSpec;
+import io.marigoldsail.job.JobState;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.TaskState;
+import io.marigoldsail.job.VmState;
+import io.marigoldsail.placement.Fleet;
+import io.marigoldsail.placement.Interference;
+import io.marigoldsail.placement.InterferenceCosts;
+import io.marigoldsail.placement.PlacementCosts;
+import io.marigoldsail.placement.SizeEstimates;
+import io.marigoldsail.placement.UrgentReserve;
+import io.marigoldsail.placement.UsageLearning;
+import io.marigoldsail.placement.WorkerHealth;
+import io.marigoldsail.protocol.TaskUsage;
+import io.marigoldsail.protocol.UsageReport;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What one entry has learned about VMs and programs. Each entry learns for itself from the same
+ * reports; nothing of it has to last.
+ */
+final class PlacementKnowledge {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final double PERMILLE = 1_000;
+  private static final long FORGET_MILLIS = 60_000;
+  private static final double PERCENT = 100;
+
+  private final EntryContext context;
+  private final WorkerHealth health = new WorkerHealth();
+  private final SizeEstimates estimates = new SizeEstimates();
+  private final Interference interference = new Interference();
+  private final UsageLearning learning = new UsageLearning(estimates, interference);
+  private final UrgentReserve reserve = new UrgentReserve();
+  private long nextForget;
+
+  PlacementKnowledge(EntryContext context) {
+    this.context = context;
+    this.nextForget = context.nanos();
+    context.table().addEndListener((vm, job, ok) -> health.ended(vm, job, ok, steadyMillis()));
+  }
+
+  void tick() {
+    if (!context.passed(nextForget)) {
+      return;
+    }
+    nextForget = context.afterMillis(FORGET_MILLIS);
+    Set<String> names = new HashSet<>();
+    context.table().vms().forEach(vm -> names.add(vm.vm()));
+    health.retain(names);
+  }
+
+  PlacementCosts costs() {
+    return new InterferenceCosts(interference);
+  }
+
+  /**
+   * Returns what to book for a task of the job. Where no VM could hold what was measured, the
+   * declared sizes count: a task that was accepted must not wait for ever.
+   */
+  Sizes booking(JobSpec spec) {
+    Sizes booking = estimates.booking(spec);
+    boolean never = Fleet.whyNever(context.table().vms(), booking).isPresent();
+    return never ? spec.sizes() : booking;
+  }
+
+  /** Returns how much longer a task of the job is expected to make a service beside it take. */
+  double noise(JobSpec spec) {
+    return interference.excess(Interference.SERVICE, spec.program());
+  }
+
+  /** Keeps room in the fleet open for urgent work, as far as urgent work was seen lately. */
+  void reserveFor(List<JobState> jobs, Fleet fleet) {
+    for (JobState job : jobs) {
+      if (job.waiting() > 0) {
+        reserve.seen(booking(job.spec()), job.spec().urgent(), steadyMillis());
+      }
+    }
+    Sizes each = reserve.each(fleet.meanCapacity(), steadyMillis());
+    fleet.reserve(each, reserve.count(fleet.rooms().size()));
+  }
+
+  boolean usable(VmState vm) {
+    return health.usable(vm.vm(), vm.tasks(), steadyMillis());
+  }
+
+  void onUsage(UsageReport report) {
+    Optional<VmState> vm = context.table().vm(report.getVm());
+    if (vm.isEmpty()) {
+      return;
+    }
+    Map<Long, TaskUsage> told = new HashMap<>();
+    report.getTasksList().forEach(usage -> told.put(usage.getToken(), usage));
+    List<UsageLearning.Measured> measured = new ArrayList<>();
+    for (TaskState task : context.table().tasksOn(vm.get().registration())) {
+      context
+          .table()
+          .job(task.job())
+          .map(job -> measured(job.spec().program(), told.get(task.token())))
+          .ifPresent(measured::add);
+    }
+    learning.report(vm.get().vm(), measured, report.getServiceSlowdownPermille() / PERMILLE);
+  }
+
+  private static UsageLearning.Measured measured(String program, TaskUsage usage) {
+    if (usage == null) {
+      return new UsageLearning.Measured(program, Sizes.NONE, 0, 1);
+    }
+    return new UsageLearning.Measured(
+        program,
+        new Sizes(usage.getMilliProcessors(), usage.getMemoryBytes(), 0),
+        usage.getSlowdownPermille() / PERMILLE,
+        usage.getThrottlePercent() / PERCENT);
+  }
+
+  private long steadyMillis() {
+    return context.nanos() / NANOS_PER_MILLI;
+  }
+}
