Sharpen three tests that a removed guard survived

The races now also check that no accepted publish overwrote a change that its operator never saw; the event reader is held still between number and event; the long body is 12 MiB, past what Jetty takes in by itself.

--- a/marigoldsail-core/src/test/java/io/marigoldsail/configuration/PublisherRacesTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/configuration/PublisherRacesTest.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.configuration;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -155,8 +156,9 @@
     }
   }
 
-  /** One publish and what its operator was told. */
-  private record Asked(PublishRequest request, CompletableFuture<Result<Published>> told) {}
+  /** One publish, the file's revision that it was made from, and what its operator was told. */
+  private record Asked(
+      PublishRequest request, long basis, CompletableFuture<Result<Published>> told) {}
 
   /**
    * Story: ten operators publish at the same moment through four entries, some of them the same
@@ -184,7 +186,8 @@
     Process process = world.processes.get(world.random.nextInt(PROCESSES));
     PublishRequest request =
         new PublishRequest(file, content, "operator-" + operator, "", OptionalLong.empty());
-    return new Asked(request, process.publisher.publish(request, FAR));
+    long basis = process.fold.state().fileRevision(file);
+    return new Asked(request, basis, process.publisher.publish(request, FAR));
   }
 
   private void checkHistory(World world, List<Asked> asked) {
@@ -201,7 +204,7 @@
       Result<Published> told = one.told().join();
       if (told.isOk()) {
         accepted++;
-        checkAccepted(end, one.request(), told.value());
+        checkAccepted(end, one, told.value());
       } else {
         checkConflict(end, one.request(), ((Result.Failed<Published>) told).failure());
       }
@@ -209,11 +212,17 @@
     assertEquals(end.revision(), accepted, "nothing but what was told as accepted is in force");
   }
 
-  private void checkAccepted(ConfigurationState end, PublishRequest request, Published published) {
+  private void checkAccepted(ConfigurationState end, Asked asked, Published published) {
+    PublishRequest request = asked.request();
     PublishedVersion version = end.version(published.revision()).orElseThrow();
     assertEquals(request.file(), version.file());
     assertEquals(request.author(), version.author());
     assertEquals(request.content(), version.content().orElseThrow());
+    boolean lostUpdate =
+        end.history().stream()
+            .filter(v -> v.file().equals(request.file()))
+            .anyMatch(v -> v.revision() > asked.basis() && v.revision() < published.revision());
+    assertFalse(lostUpdate, "a change that the operator never saw was overwritten");
   }
 
   private void checkConflict(ConfigurationState end, PublishRequest request, Failure failure) {
--- a/marigoldsail-core/src/test/java/io/marigoldsail/timeline/EventBufferTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/timeline/EventBufferTest.java
@@ -105,6 +105,29 @@
     assertEquals((long) writers * each, read);
   }
 
+  /**
+   * Story: as above, but held still at the very moment: the number is taken, the event not stored.
+   */
+  @Test
+  void readerStopsAtAnEventThatIsNotStoredYet() {
+    List<EventPage> meanwhile = new ArrayList<>();
+    List<EventBuffer> made = new ArrayList<>();
+    // Recording reads the wall clock between taking the number and storing the event.
+    HybridClock looksInBetween =
+        new HybridClock(
+            () -> {
+              made.forEach(buffer -> meanwhile.add(buffer.page(0, 10, EventFilter.ALL)));
+              return 1;
+            });
+    EventBuffer buffer = new EventBuffer("vm-1", looksInBetween, 8);
+    buffer.record(Event.of(EventKind.PROCESS_STARTED));
+    made.add(buffer);
+    buffer.record(Event.of(EventKind.TASK_STARTED));
+    assertEquals(1, meanwhile.get(0).next(), "the second event is still to come");
+    EventPage page = buffer.page(meanwhile.get(0).next(), 10, EventFilter.ALL);
+    assertEquals(EventKind.TASK_STARTED, page.events().get(0).event().kind());
+  }
+
   @Property(seed = "43")
   void pageSurvivesJson(@ForAll String text, @ForAll EventKind kind) {
     EventBuffer buffer = new EventBuffer("vm-1", clock, 2);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/operators/OperatorServerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/operators/OperatorServerTest.java
@@ -138,7 +138,7 @@
   void bodyWithoutALengthIsCutOffAtTheLimit() throws Exception {
     org.eclipse.jetty.client.AsyncRequestContent endless =
         new org.eclipse.jetty.client.AsyncRequestContent("application/json");
-    for (int i = 0; i < 32; i++) {
+    for (int i = 0; i < 192; i++) {
       endless.write(
           java.nio.ByteBuffer.wrap(new byte[64 * 1024]), org.eclipse.jetty.util.Callback.NOOP);
     }
