--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
@@ -60,9 +60,11 @@
     private final String key;
     private final long start;
     private final long sequence;
+    private final boolean excess;
     private int place;
 
-    private Ticket(T item, String caller, String key, long start, long sequence) {
+    private Ticket(T item, String caller, String key, long start, long sequence, boolean excess) {
+      this.excess = excess;
       this.item = item;
       this.caller = caller;
       this.key = key;
@@ -70,6 +72,11 @@
       this.sequence = sequence;
     }
 
+    /** Returns whether its caller or key had had its turn already when it was added. */
+    public boolean isExcess() {
+      return excess;
+    }
+
     /** Returns what waits. */
     public T item() {
       return item;
@@ -103,7 +110,7 @@
     if (!key.isEmpty()) {
       start = Math.max(start, advance(keyClocks, key));
     }
-    Ticket<T> ticket = new Ticket<>(item, caller, key, start, sequence++);
+    Ticket<T> ticket = new Ticket<>(item, caller, key, start, sequence++, start > virtualTime);
     insert(ticket);
     return ticket;
   }
@@ -179,6 +186,11 @@
     return waiting.size();
   }
 
+  /** Returns how many clocks of callers are kept, at most {@link #MAX_FLOWS}. */
+  int clocks() {
+    return callerClocks.size();
+  }
+
   /** Returns whether no request waits. */
   public boolean isEmpty() {
     return waiting.isEmpty();
@@ -193,6 +205,15 @@
     return turns.upTo(TurnCounts.placeOf(turnOf(start), virtualTime), virtualTime);
   }
 
+  /** Returns whether a request that the given caller would add now is beyond its turn. */
+  public boolean isExcess(String caller, String key) {
+    long start = startOf(callerClocks, caller);
+    if (!key.isEmpty()) {
+      start = Math.max(start, startOf(keyClocks, key));
+    }
+    return turnOf(start) > virtualTime;
+  }
+
   /** Returns whether the given caller or key has more waiting than an even part of the queue. */
   public boolean isOverShare(String caller, String key) {
     long ofCaller = (long) waitingOfCaller.getOrDefault(caller, 0) * waitingOfCaller.size();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/PlacementCosts.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/PlacementCosts.java
@@ -7,9 +7,17 @@
  */
 @FunctionalInterface
 public interface PlacementCosts {
+  /** Called once before the costs of one request are asked for, VM by VM. */
+  default void prepare(PlacementRequest request) {}
+
   /** Returns the cost, 0 for none. */
   double cost(PlacementRequest request, VmRoom room);
 
+  /** Returns whether the service beside can bear the task there. */
+  default boolean bearable(PlacementRequest request, VmRoom room) {
+    return true;
+  }
+
   /** Returns costs that know nothing. */
   static PlacementCosts none() {
     return (request, room) -> 0;
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTaskOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartTaskOrBuilder.java
@@ -165,4 +165,24 @@
    * @return The finishByMillis.
    */
   long getFinishByMillis();
+
+  /**
+   * <pre>
+   * Whether the task may be run again from its last checkpoint, or its start.
+   * </pre>
+   *
+   * <code>bool idempotent = 18;</code>
+   * @return The idempotent.
+   */
+  boolean getIdempotent();
+
+  /**
+   * <pre>
+   * How much longer the task is expected to make a service beside it take, in permille.
+   * </pre>
+   *
+   * <code>uint32 noise_permille = 19;</code>
+   * @return The noisePermille.
+   */
+  int getNoisePermille();
 }
--- /dev/null
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/CallersOfSite.java
@@ -0,0 +1,129 @@
+package io.marigoldsail.tests.scenario;
+
+import io.marigoldsail.testlib.history.RequestHistory;
+import io.marigoldsail.testlib.history.RequestHistory.Told;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Callers that ask one request after another, each over the next entry whose health is good, as the
+ * platform's balancer has it; and what they were told.
+ */
+final class CallersOfSite implements AutoCloseable {
+  private static final int CALLERS = 8;
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final int DEADLINE_MILLIS = 5_000;
+
+  private final List<String> entries;
+  private final RequestHistory history = new RequestHistory();
+  private final AtomicLong asked = new AtomicLong();
+  private final List<Thread> threads = new ArrayList<>();
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(2))
+          .build();
+  private volatile boolean stopped;
+
+  CallersOfSite(List<String> entries) {
+    this.entries = List.copyOf(entries);
+  }
+
+  void start() {
+    for (int i = 0; i < CALLERS; i++) {
+      String caller = "caller-" + i;
+      Thread thread = new Thread(() -> run(caller), caller);
+      threads.add(thread);
+      thread.start();
+    }
+  }
+
+  private void run(String caller) {
+    while (!stopped) {
+      long number = asked.getAndIncrement();
+      String entry = entries.get((int) (number % entries.size()));
+      if (isHealthy(entry)) {
+        ask(entry, caller, number);
+      }
+    }
+  }
+
+  private boolean isHealthy(String entry) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + entry + "/health/ready"))
+            .timeout(Duration.ofSeconds(1))
+            .build();
+    try {
+      return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+    } catch (IOException e) {
+      return false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private void ask(String entry, String caller, long number) {
+    boolean idempotent = number % 2 == 0;
+    String tag = "r" + number;
+    String body = "body of " + tag + " ".repeat((int) (number % 500));
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create("http://" + entry + "/parking/book?tag=" + tag))
+            .timeout(TIMEOUT)
+            .header("Marigoldsail-Caller", caller)
+            .header("Marigoldsail-Deadline-Millis", Integer.toString(DEADLINE_MILLIS))
+            .method(idempotent ? "PUT" : "POST", HttpRequest.BodyPublishers.ofString(body));
+    try {
+      HttpResponse<byte[]> answer =
+          client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+      String text = new String(answer.body(), StandardCharsets.UTF_8);
+      Told told = told(answer.statusCode(), text);
+      history.add(tag, idempotent, told, told != Told.ANSWERED || text.equals(body));
+    } catch (IOException e) {
+      history.add(tag, idempotent, Told.UNKNOWN, true);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static Told told(int status, String text) {
+    if (status == 200) {
+      return Told.ANSWERED;
+    }
+    return text.contains("\"execution\":\"not_run\"") ? Told.NOT_RUN : Told.UNKNOWN;
+  }
+
+  RequestHistory history() {
+    return history;
+  }
+
+  long answered() {
+    return history.count(Told.ANSWERED);
+  }
+
+  /** Lets the callers finish what they asked and waits for it. */
+  void stop() {
+    stopped = true;
+    for (Thread thread : threads) {
+      try {
+        thread.join(TIMEOUT.toMillis());
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    stopped = true;
+    threads.forEach(Thread::interrupt);
+  }
+}
--- /dev/null
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteSteps.java
@@ -0,0 +1,213 @@
+package io.marigoldsail.tests.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import io.marigoldsail.testlib.history.RequestHistory.Told;
+import io.marigoldsail.testlib.history.TaskHistory;
+import io.marigoldsail.testlib.platform.LogFaults;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** The steps of the scenarios. */
+public final class SiteSteps {
+  private static final long LONG_SECONDS = 90;
+
+  private SiteUnderTest site;
+  private CallersOfSite callers;
+
+  /** Creates steps without a site. */
+  public SiteSteps() {}
+
+  /** Ends everything that the scenario started. */
+  @After
+  public void end() {
+    if (callers != null) {
+      callers.close();
+    }
+    if (site != null) {
+      site.close();
+    }
+  }
+
+  @Given("a site with {int} entries and {int} VMs")
+  public void aSite(int entries, int vms) {
+    site = new SiteUnderTest(entries, vms);
+  }
+
+  @Given("leases last {int} ms")
+  public void leasesLast(int millis) {
+    String base =
+        """
+        {"leases": {"batch": {"leaseMillis": %1$d}, "latencyCritical": {"leaseMillis": %1$d}}}
+        """
+            .formatted(millis);
+    assertEquals(200, site.operators().post("/configuration/base", base).status());
+    revisionIsInForce(1);
+  }
+
+  @When("callers keep sending requests through all entries")
+  public void callersKeepSending() {
+    callers = new CallersOfSite(site.callersAddresses());
+    callers.start();
+    moreAreAnswered(100);
+  }
+
+  @When("{int} more requests have been answered")
+  public void moreAreAnswered(int count) {
+    long wanted = callers.answered() + count;
+    site.fleet().await(count + " more answers", LONG_SECONDS, () -> callers.answered() >= wanted);
+  }
+
+  @When("{word} is killed")
+  public void kill(String process) {
+    site.fleet().kill(process);
+  }
+
+  @When("{word} is frozen")
+  public void freeze(String process) {
+    site.fleet().freeze(process);
+  }
+
+  @When("{word} goes on")
+  public void thaw(String process) {
+    site.fleet().thaw(process);
+  }
+
+  @When("{word} starts again")
+  public void startAgain(String process) {
+    site.start(process);
+  }
+
+  @When("{word} is stopped as planned")
+  public void stop(String process) {
+    site.fleet().stop(process);
+    assertEquals(0, site.fleet().awaitEnd(process));
+  }
+
+  @When("the members are {int} processes")
+  public void membersAre(int count) {
+    OperatorsOfSite operators = site.operators();
+    site.fleet().await(count + " members", LONG_SECONDS, () -> operators.memberCount() == count);
+  }
+
+  @When("the log service is down")
+  public void logDown() {
+    site.logFaults(LogFaults.none().withDown(true));
+  }
+
+  @When("the log service is back")
+  public void logBack() {
+    site.logFaults(LogFaults.none());
+  }
+
+  @When("the log service loses the next {int} answers")
+  public void logLosesAnswers(int count) {
+    site.logFaults(LogFaults.none().withLoseAnswers(count));
+  }
+
+  @When("job {word} of {int} tasks of {int} ms is submitted")
+  public void submit(String name, int count, int runMillis) {
+    String file =
+        """
+        {"name": "%s", "team": "payments", "class": "batch", "count": %d, "command": "run",
+         "sizes": {"milliProcessors": 1000, "memoryMebibytes": 1024}, "runMillis": %d,
+         "checkpointIntervalMillis": 200}
+        """
+            .formatted(name, count, runMillis);
+    OperatorsOfSite.Answer answer = site.operators().post("/jobs", file);
+    assertEquals(200, answer.status(), () -> answer.body().toString());
+  }
+
+  @When("job {word} is cancelled")
+  public void cancel(String name) {
+    assertEquals(200, site.operators().delete("/jobs/" + name).status());
+  }
+
+  @When("{int} tasks of job {word} run")
+  public void tasksRun(int count, String name) {
+    site.fleet()
+        .await(
+            count + " running tasks",
+            LONG_SECONDS,
+            () -> site.workerRuns().stream().filter(run -> run.endMillis() == 0).count() >= count);
+  }
+
+  @Then("job {word} ends with {int} tasks done")
+  public void jobEnds(String name, int done) {
+    OperatorsOfSite operators = site.operators();
+    site.fleet()
+        .await(
+            "end of " + name,
+            LONG_SECONDS,
+            () -> operators.get("/jobs/" + name).body().path("ended").asBoolean());
+    JsonNode job = operators.get("/jobs/" + name).body();
+    assertEquals(done, job.path("done").asInt(), job::toString);
+  }
+
+  @Then("no task ran in two places and no VM was asked for more than it has")
+  public void tasksWereSafe() {
+    assertEquals(List.of(), TaskHistory.violations(site.workerRuns(), System.currentTimeMillis()));
+    assertEquals(0, site.startsAskedOverCapacity());
+  }
+
+  @Then("every caller got the whole answer to its own request, and no charge ran twice")
+  public void requestsWereSafe() {
+    callers.stop();
+    assertEquals(List.of(), callers.history().violations(site.targetRuns()));
+  }
+
+  @Then("every request was answered or refused as not run")
+  public void nothingCutOff() {
+    callers.stop();
+    assertEquals(0, callers.history().count(Told.UNKNOWN));
+  }
+
+  @When("revision {long} is in force in all processes")
+  public void revisionIsInForce(long revision) {
+    OperatorsOfSite operators = site.operators();
+    site.fleet()
+        .await(
+            "revision " + revision + " everywhere",
+            LONG_SECONDS,
+            () -> operators.lowestRevisionInForce() == revision);
+  }
+
+  @When("the base with targetDelayMillis {int} is published and accepted")
+  public void publish(int delay) {
+    OperatorsOfSite.Answer answer = site.operators().post("/configuration/base", base(delay));
+    assertEquals(200, answer.status(), () -> answer.body().toString());
+  }
+
+  @Then("publishing the base with targetDelayMillis {int} fails with {word}")
+  public void publishFails(int delay, String code) {
+    OperatorsOfSite.Answer answer = site.operators().post("/configuration/base", base(delay));
+    assertTrue(answer.body().path("type").asText().endsWith(code), answer.body()::toString);
+  }
+
+  @When("{int} operators publish the base at the same moment")
+  public void race(int count) {
+    List<CompletableFuture<OperatorsOfSite.Answer>> answers =
+        java.util.stream.IntStream.rangeClosed(1, count)
+            .mapToObj(
+                i ->
+                    CompletableFuture.supplyAsync(
+                        () ->
+                            site.operators()
+                                .post("/configuration/base?expectedRevision=0", base(i))))
+            .toList();
+    List<Integer> statuses = answers.stream().map(answer -> answer.join().status()).toList();
+    assertEquals(1, statuses.stream().filter(status -> status == 200).count(), statuses::toString);
+    assertTrue(
+        statuses.stream().allMatch(status -> status == 200 || status == 409), statuses::toString);
+  }
+
+  private static String base(int delay) {
+    return "{\"services\": {\"parking\": {\"targetDelayMillis\": " + delay + "}}}";
+  }
+}
--- /dev/null
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteUnderTest.java
@@ -0,0 +1,164 @@
+package io.marigoldsail.tests.scenario;
+
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.testlib.fault.ProcessFleet;
+import io.marigoldsail.testlib.platform.LogFaults;
+import io.marigoldsail.testlib.platform.StandInLogService;
+import io.marigoldsail.testlib.platform.StandInTarget;
+import io.marigoldsail.testlib.platform.StandInWorker;
+import io.marigoldsail.testlib.platform.TargetFaults;
+import io.marigoldsail.testlib.platform.TargetRun;
+import io.marigoldsail.testlib.platform.WorkerRun;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** A stand-in platform in this process, and entries and side processes as processes beside it. */
+final class SiteUnderTest implements AutoCloseable {
+  private static final String MAIN = "io.marigoldsail.daemon.Main";
+  private static final int SLOTS = 8;
+  private static final int CONNECTIONS = 64;
+  private static final long SERVICE_MILLIS = 3;
+  private static final Sizes VM_SIZES = new Sizes(16_000, 60L << 30, 0);
+  private static final long START_SECONDS = 60;
+
+  /** Where one entry listens. */
+  record EntryAddresses(String callers, String operators, String processes) {}
+
+  private final Path directory;
+  private final ProcessFleet fleet;
+  private final StandInLogService log = new StandInLogService("127.0.0.1", 0).start();
+  private final Map<String, EntryAddresses> entries = new LinkedHashMap<>();
+  private final Map<String, StandInTarget> targets = new LinkedHashMap<>();
+  private final Map<String, StandInWorker> workers = new LinkedHashMap<>();
+
+  SiteUnderTest(int entryCount, int vmCount) {
+    try {
+      directory = Files.createTempDirectory("marigoldsail-site");
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    fleet =
+        new ProcessFleet(
+            directory, List.of("-XX:+UseSerialGC", "-Xmx128m", "-XX:TieredStopAtLevel=1"));
+    for (int i = 1; i <= entryCount; i++) {
+      addEntry("entry-" + i, "zone-" + i);
+    }
+    for (int i = 1; i <= vmCount; i++) {
+      addVm("vm-" + i, "zone-" + i);
+    }
+    entries.keySet().forEach(this::start);
+    targets.keySet().forEach(this::start);
+    OperatorsOfSite operators = operators();
+    fleet.await(
+        "all members", START_SECONDS, () -> operators.memberCount() == entryCount + vmCount);
+  }
+
+  private void addEntry(String name, String zone) {
+    EntryAddresses at =
+        new EntryAddresses(FreePorts.address(), FreePorts.address(), FreePorts.address());
+    entries.put(name, at);
+    write(
+        name,
+        """
+        {"role": "entry", "name": "%s", "site": "vatulele", "zone": "%s",
+         "addresses": {"callers": "%s", "operators": "%s", "processes": "%s"},
+         "logService": "%s"}
+        """
+            .formatted(name, zone, at.callers(), at.operators(), at.processes(), log.address()));
+  }
+
+  private void addVm(String name, String zone) {
+    StandInTarget target = new StandInTarget(name, "127.0.0.1", 0, SLOTS, CONNECTIONS);
+    target.setFaults(TargetFaults.ofServiceMillis(SERVICE_MILLIS));
+    targets.put(name, target.start());
+    workers.put(name, new StandInWorker(name, "127.0.0.1", 0, VM_SIZES).start());
+    String known =
+        entries.values().stream()
+            .map(at -> '"' + at.processes() + '"')
+            .collect(Collectors.joining(", "));
+    write(
+        name,
+        """
+        {"role": "side", "name": "%s", "site": "vatulele", "zone": "%s", "rack": "%s-rack",
+         "addresses": {"operators": "%s", "processes": "%s"}, "logService": "%s",
+         "target": {"service": "parking", "address": "%s", "slots": %d, "connections": %d},
+         "worker": {"address": "%s"}, "entries": [%s]}
+        """
+            .formatted(
+                name,
+                zone,
+                zone,
+                FreePorts.address(),
+                FreePorts.address(),
+                log.address(),
+                target.address(),
+                SLOTS,
+                CONNECTIONS,
+                workers.get(name).address(),
+                known));
+  }
+
+  private void write(String name, String settings) {
+    try {
+      Files.writeString(directory.resolve(name + ".json"), settings);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  void start(String process) {
+    fleet.start(
+        process, MAIN, List.of("--settings", directory.resolve(process + ".json").toString()));
+  }
+
+  ProcessFleet fleet() {
+    return fleet;
+  }
+
+  OperatorsOfSite operators() {
+    return new OperatorsOfSite(entries.values().stream().map(EntryAddresses::operators).toList());
+  }
+
+  List<String> callersAddresses() {
+    return entries.values().stream().map(EntryAddresses::callers).toList();
+  }
+
+  void logFaults(LogFaults faults) {
+    log.log().setFaults(faults);
+  }
+
+  StandInTarget target(String vm) {
+    return targets.get(vm);
+  }
+
+  List<TargetRun> targetRuns() {
+    List<TargetRun> runs = new ArrayList<>();
+    targets.values().forEach(target -> runs.addAll(target.runs()));
+    return runs;
+  }
+
+  List<WorkerRun> workerRuns() {
+    List<WorkerRun> runs = new ArrayList<>();
+    workers.values().forEach(worker -> runs.addAll(worker.worker().runs()));
+    return runs;
+  }
+
+  long startsAskedOverCapacity() {
+    return workers.values().stream().mapToLong(one -> one.worker().askedOverCapacity()).sum();
+  }
+
+  @Override
+  public void close() {
+    fleet.close();
+    targets.values().forEach(StandInTarget::close);
+    workers.values().forEach(StandInWorker::close);
+    log.close();
+  }
+}
