--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/RequestPathTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/RequestPathTest.java
@@ -66,6 +66,8 @@
 
     assertEquals(413, answer.statusCode());
     assertTrue(text(answer).contains("body-too-large"), () -> text(answer));
+    // Refused while it was read, before it held more than one body: it never became a request.
+    assertTrue(answer.headers().firstValue(CallerHeaders.REQUEST_ID).isEmpty());
     assertEquals(List.of(), target.runs());
   }
 
