--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ProcessBase.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ProcessBase.java
@@ -73,6 +73,10 @@
         "configuration_revision",
         "The configuration revision in force in this process",
         () -> configuration.state().revisionInForce());
+    metrics.gauge(
+        "configuration_broken_records",
+        "Configuration records passed over since the start, broken or never checked",
+        configuration::brokenRecords);
     configuration.onInForce(
         state -> {
           current = state.configuration(settings.site());
