Guard services by the target's measured tail; restart in an outage on the peers' configuration

The scenario now asks that a side process that restarts while the log is down has the accepted revision in force before the log is back.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ConfiguredPolicies.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ConfiguredPolicies.java
@@ -1,11 +1,13 @@
 package io.marigoldsail.daemon;
 
 import io.marigoldsail.configuration.Configuration;
+import io.marigoldsail.configuration.GuardConfiguration;
 import io.marigoldsail.configuration.ServiceConfiguration;
 import io.marigoldsail.configuration.TeamConfiguration;
 import io.marigoldsail.daemon.task.TaskTerms;
 import io.marigoldsail.dispatch.SchedulerSettings;
 import io.marigoldsail.dispatch.ServiceLimits;
+import io.marigoldsail.guard.GuardTerms;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.job.TeamQuota;
 import io.marigoldsail.lease.LeaseTerms;
@@ -39,6 +41,15 @@
     return new TaskTerms(leases, quotas);
   }
 
+  static GuardTerms guard(Configuration configuration) {
+    GuardConfiguration guard = configuration.guard();
+    return new GuardTerms(
+        guard.tailLatencyWeight(),
+        guard.evictionsWeight(),
+        guard.throughputWeight(),
+        guard.evictionsPerHour());
+  }
+
   private static TeamQuota quota(TeamConfiguration team) {
     long memory =
         team.maxMemoryMebibytes() > Long.MAX_VALUE / BYTES_PER_MEBIBYTE
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
@@ -2,6 +2,7 @@
 
 import io.marigoldsail.daemon.configuration.ConfigurationRoutes;
 import io.marigoldsail.daemon.dispatch.Bodies;
+import io.marigoldsail.daemon.dispatch.MeasuredTarget;
 import io.marigoldsail.daemon.dispatch.SideDispatcher;
 import io.marigoldsail.daemon.dispatch.SideLimits;
 import io.marigoldsail.daemon.dispatch.TargetClient;
@@ -10,15 +11,18 @@
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.platform.HttpWorker;
+import io.marigoldsail.daemon.task.ServiceWatch;
 import io.marigoldsail.daemon.task.SideIdentity;
 import io.marigoldsail.daemon.task.SideTasks;
 import io.marigoldsail.dispatch.ByteBudget;
 import io.marigoldsail.dispatch.TargetLoad;
 import io.marigoldsail.error.Result;
+import io.marigoldsail.guard.TailWindow;
 import io.marigoldsail.membership.Announcement;
 import io.marigoldsail.settings.HostPort;
 import io.marigoldsail.settings.SideSettings;
 import io.marigoldsail.settings.TargetSettings;
+import io.marigoldsail.time.WallClock;
 import java.net.URI;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -33,9 +37,15 @@
   private static final long WORKER_TIMEOUT_MILLIS = 2_000;
   private static final long DRAIN_LIMIT_SECONDS = 60;
 
+  /** How far back the guard looks: long enough for a tail, short enough to see a wave's begin. */
+  private static final long GUARD_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   /** The part of a VM's target, where it has one. */
   private record TargetPart(
-      TargetSettings settings, TargetClient client, SideDispatcher dispatcher) {}
+      TargetSettings settings,
+      TargetClient client,
+      SideDispatcher dispatcher,
+      ServiceWatch watch) {}
 
   private final SideSettings settings;
   private final ProcessBase base;
@@ -77,11 +87,12 @@
     ByteBudget budget = new ByteBudget(2L * Bodies.MAX_BYTES);
     TargetClient client =
         new TargetClient(loop, targetSettings.address(), targetSettings.connections(), "", budget);
+    TailWindow window = new TailWindow(GUARD_WINDOW_NANOS);
     SideDispatcher dispatcher =
         new SideDispatcher(
             loop,
             settings.processesAddress().socketAddress(),
-            client,
+            new MeasuredTarget(client, window, base.clock()),
             SideLimits.ofSlots(targetSettings.slots()),
             base.incarnation(),
             links::entryCount,
@@ -89,7 +100,9 @@
             base.events());
     dispatcher.onLeavingChanged(links::announceNow);
     links.addKeyListener(dispatcher::keyLeases);
-    return new TargetPart(targetSettings, client, dispatcher);
+    ServiceWatch watch =
+        new ConfiguredServiceWatch(targetSettings.service(), window, base::configuration);
+    return new TargetPart(targetSettings, client, dispatcher, watch);
   }
 
   private SideTasks newTasks(URI worker) {
@@ -98,7 +111,9 @@
             new SideIdentity(settings.name(), base.incarnation(), settings.zone(), settings.rack()),
             new HttpWorker(base.platform(), worker.toString(), WORKER_TIMEOUT_MILLIS),
             new LinkTaskChannel(links),
+            target.map(TargetPart::watch).orElseGet(ServiceWatch::none),
             base.clock(),
+            WallClock.system(),
             base.events());
     links.addTaskListener(sideTasks::onMessage);
     return sideTasks;
--- a/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteUnderTest.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteUnderTest.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /** A stand-in platform in this process, and entries and side processes as processes beside it. */
@@ -79,17 +80,15 @@
     target.setFaults(TargetFaults.ofServiceMillis(SERVICE_MILLIS));
     targets.put(name, target.start());
     workers.put(name, new StandInWorker(name, "127.0.0.1", 0, VM_SIZES).start());
-    String known =
-        entries.values().stream()
-            .map(at -> '"' + at.processes() + '"')
-            .collect(Collectors.joining(", "));
+    String known = listed(EntryAddresses::processes);
+    String peers = listed(EntryAddresses::operators);
     write(
         name,
         """
         {"role": "side", "name": "%s", "site": "vatulele", "zone": "%s", "rack": "%s-rack",
          "addresses": {"operators": "%s", "processes": "%s"}, "logService": "%s",
          "target": {"service": "parking", "address": "%s", "slots": %d, "connections": %d},
-         "worker": {"address": "%s"}, "entries": [%s]}
+         "worker": {"address": "%s"}, "entries": [%s], "peers": [%s]}
         """
             .formatted(
                 name,
@@ -102,7 +101,14 @@
                 SLOTS,
                 CONNECTIONS,
                 workers.get(name).address(),
-                known));
+                known,
+                peers));
+  }
+
+  private String listed(Function<EntryAddresses, String> address) {
+    return entries.values().stream()
+        .map(at -> '"' + address.apply(at) + '"')
+        .collect(Collectors.joining(", "));
   }
 
   private void write(String name, String settings) {
--- a/marigoldsail-tests/src/test/resources/io/marigoldsail/tests/scenario/configuration.feature
+++ b/marigoldsail-tests/src/test/resources/io/marigoldsail/tests/scenario/configuration.feature
@@ -14,7 +14,8 @@
     And the base with targetDelayMillis 40 is published and accepted
     Then revision 1 is in force in all processes
 
-  # Processes are replaced while the log is away; an accepted configuration must not revert.
+  # Processes are replaced while the log is away. They must not serve on the defaults, so they take
+  # what is in force from their peers, and go on with the log when it is back.
   Scenario: processes restart while the log service is away
     Given a site with 2 entries and 2 VMs
     And the base with targetDelayMillis 40 is published and accepted
@@ -22,6 +23,8 @@
     When the log service is down
     And vm-1 is killed
     And vm-1 starts again
-    And the log service is back
     Then the members are 4 processes
     And revision 1 is in force in all processes
+    When the log service is back
+    And the base with targetDelayMillis 50 is published and accepted
+    Then revision 2 is in force in all processes
