--- /dev/null
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/measure/CapacityMeasure.java
@@ -0,0 +1,216 @@
+package io.marigoldsail.tests.measure;
+
+import io.marigoldsail.daemon.link.Announcements;
+import io.marigoldsail.daemon.link.BrokenFrameException;
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.job.JobSpec;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.Spread;
+import io.marigoldsail.job.TaskClass;
+import io.marigoldsail.job.TaskRecord;
+import io.marigoldsail.job.TaskRecordCodec;
+import io.marigoldsail.job.TaskTable;
+import io.marigoldsail.job.VmDescription;
+import io.marigoldsail.json.Json;
+import io.marigoldsail.membership.Announcement;
+import io.marigoldsail.membership.MemberTable;
+import io.marigoldsail.protocol.Announce;
+import java.io.IOException;
+import java.lang.ref.Reference;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.function.LongSupplier;
+
+/**
+ * Measures what an entry holds and does as the fleet grows, and prints CSV with a straight line
+ * fitted to each quantity. Run by {@code bin/measure-capacity}.
+ */
+public final class CapacityMeasure {
+  private static final int[] TASKS = {1_725, 3_450, 6_900, 13_800};
+  private static final int[] VMS = {96, 192, 385, 770};
+  private static final int TASKS_A_JOB = 20;
+  private static final int TEAMS = 400;
+  private static final int ROUNDS = 7;
+  private static final int PASSES = 100;
+  private static final int WARM_UP_PASSES = 200;
+  private static final Sizes ROOM = new Sizes(16_000, 60L << 30, 0);
+  private static final Sizes TASK = new Sizes(500, 256L << 20, 0);
+
+  private CapacityMeasure() {}
+
+  /** Prints all quantities. */
+  public static void main(String[] arguments) {
+    System.out.println("quantity,size,value,unit");
+    measure("task_table_memory", TASKS, "bytes", CapacityMeasure::tableBytes);
+    measure("task_snapshot", TASKS, "bytes", CapacityMeasure::snapshotBytes);
+    measure("task_fold_cycle", TASKS, "microseconds_in_all", CapacityMeasure::foldMicros);
+    measure("announcements_taken", VMS, "microseconds_in_all", CapacityMeasure::announceMicros);
+    System.out.println("announcement,1," + announcement(7).toByteArray().length + ",bytes");
+    System.out.println("claim_record,1," + claimBytes() + ",bytes");
+  }
+
+  private interface Quantity {
+    long of(int size);
+  }
+
+  /** The middle of some rounds. */
+  private static void measure(String name, int[] sizes, String unit, Quantity quantity) {
+    double[] values = new double[sizes.length];
+    for (int i = 0; i < sizes.length; i++) {
+      long[] rounds = new long[ROUNDS];
+      for (int round = 0; round < ROUNDS; round++) {
+        rounds[round] = quantity.of(sizes[i]);
+      }
+      Arrays.sort(rounds);
+      values[i] = rounds[ROUNDS / 2];
+      System.out.printf(Locale.ROOT, "%s,%d,%.0f,%s%n", name, sizes[i], values[i], unit);
+    }
+    fit(name, sizes, values);
+  }
+
+  private static void fit(String name, int[] sizes, double[] values) {
+    double meanSize = 0;
+    double meanValue = 0;
+    for (int i = 0; i < sizes.length; i++) {
+      meanSize += sizes[i] / (double) sizes.length;
+      meanValue += values[i] / sizes.length;
+    }
+    double across = 0;
+    double along = 0;
+    double spread = 0;
+    for (int i = 0; i < sizes.length; i++) {
+      across += (sizes[i] - meanSize) * (values[i] - meanValue);
+      along += (sizes[i] - meanSize) * (sizes[i] - meanSize);
+      spread += (values[i] - meanValue) * (values[i] - meanValue);
+    }
+    double slope = across / along;
+    System.out.printf(
+        Locale.ROOT,
+        "# %s: slope %.3f, intercept %.0f, r2 %.4f%n",
+        name,
+        slope,
+        meanValue - slope * meanSize,
+        spread == 0 ? 1 : across * across / along / spread);
+  }
+
+  private static TaskTable tableOf(int tasks) {
+    TaskTable table = new TaskTable();
+    Writer writer = new Writer(table);
+    for (int vm = 0; vm < VMS[VMS.length - 1]; vm++) {
+      writer.apply(
+          new TaskRecord.VmJoined(
+              new VmDescription("vm-" + vm, 1, ROOM, "zone-" + vm % 9, "rack-" + vm / 3)));
+    }
+    for (int task = 0; task < tasks; task++) {
+      String job = "job-" + task / TASKS_A_JOB;
+      if (task % TASKS_A_JOB == 0) {
+        writer.apply(new TaskRecord.JobAccepted(job(task / TASKS_A_JOB), 0));
+      }
+      int vm = task % VMS[VMS.length - 1];
+      writer.apply(claim(job + "/" + task % TASKS_A_JOB, vm, vm));
+    }
+    return table;
+  }
+
+  private static TaskRecord claim(String task, int vm, long registration) {
+    return new TaskRecord.Claimed(task, 1, "vm-" + vm, registration, TASK, 120_000, "entry-1");
+  }
+
+  private static JobSpec job(int number) {
+    return new JobSpec(
+        "job-" + number,
+        "team-" + number % TEAMS,
+        TaskClass.BATCH,
+        TASKS_A_JOB,
+        TASK,
+        "run",
+        60_000,
+        false,
+        0,
+        true,
+        10_000,
+        Spread.NONE);
+  }
+
+  /** Applies records at rising positions. */
+  private static final class Writer {
+    private final TaskTable table;
+    private long position = -1;
+
+    private Writer(TaskTable table) {
+      this.table = table;
+    }
+
+    private void apply(TaskRecord record) {
+      position++;
+      if (!table.apply(position, record)) {
+        throw new IllegalStateException("not accepted: " + record);
+      }
+    }
+  }
+
+  private static long tableBytes(int tasks) {
+    LongSupplier used =
+        () -> {
+          Runtime runtime = Runtime.getRuntime();
+          System.gc();
+          return runtime.totalMemory() - runtime.freeMemory();
+        };
+    long before = used.getAsLong();
+    TaskTable table = tableOf(tasks);
+    long after = used.getAsLong();
+    Reference.reachabilityFence(table);
+    return after - before;
+  }
+
+  private static long snapshotBytes(int tasks) {
+    return Json.bytes(tableOf(tasks).snapshot().toJson()).length;
+  }
+
+  /** Folding all that brings so many tasks to run: accepted, claimed. */
+  private static long foldMicros(int tasks) {
+    long began = System.nanoTime();
+    tableOf(tasks);
+    return (System.nanoTime() - began) / 1_000;
+  }
+
+  private static long announceMicros(int vms) {
+    MemberTable members = new MemberTable(3_000_000_000L);
+    byte[][] frames = new byte[vms][];
+    for (int vm = 0; vm < vms; vm++) {
+      frames[vm] = announcement(vm).toByteArray();
+    }
+    long began = 0;
+    try {
+      for (int pass = -WARM_UP_PASSES; pass < PASSES; pass++) {
+        began = pass == 0 ? System.nanoTime() : began;
+        for (byte[] frame : frames) {
+          members.announced(Announcements.read(Announce.parseFrom(frame)), pass);
+        }
+      }
+    } catch (IOException | BrokenFrameException e) {
+      throw new IllegalStateException(e);
+    }
+    return (System.nanoTime() - began) / 1_000 / PASSES;
+  }
+
+  private static Announce announcement(int vm) {
+    return Announcements.write(
+        new Announcement(
+            "vm-" + vm,
+            1_796_247_304_222L,
+            "zone-" + vm % 9,
+            "rack-" + vm / 3,
+            "10.0.0.1:8182",
+            "10.0.0.1:8181",
+            "parking",
+            8,
+            false,
+            new TargetLoad(3, 1, 9, false),
+            412));
+  }
+
+  private static int claimBytes() {
+    return Json.bytes(TaskRecordCodec.body(claim("job-1/1", 1, 1))).length;
+  }
+}
