Split batches that the log finds too large; read on behind an oversized record

Two faults found by reading: a platform with a lower limit than our batch would have refused every entry of it, and a foreign record longer than a reader's buffer would have been asked for for ever. Each has a test that failed to pass such records before.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/AppendQueue.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/AppendQueue.java
@@ -68,12 +68,14 @@
   private final List<Pending> underWay = new ArrayList<>();
 
   private int openBytes;
+  private int batchLimit;
   private boolean inFlight;
   private long nextTryAt = Long.MIN_VALUE;
   private long earliestDeadline = Long.MAX_VALUE;
 
   AppendQueue(AppendSettings settings, Backoff backoff) {
     this.settings = settings;
+    this.batchLimit = settings.maxBatch();
     this.backoff = backoff;
   }
 
@@ -109,7 +111,7 @@
     }
     List<Pending> entries = new ArrayList<>();
     int bytes = 0;
-    while (!waiting.isEmpty() && entries.size() < settings.maxBatch()) {
+    while (!waiting.isEmpty() && entries.size() < batchLimit) {
       if (!isOpen(waiting.peek())) {
         waiting.poll();
         continue;
@@ -145,6 +147,13 @@
         yield List.of();
       }
       case BODY_TOO_LARGE -> {
+        if (batch.entries().size() > 1) {
+          // This log takes less than expected; what is too large together may be fine apart.
+          batchLimit = batch.entries().size() / 2;
+          underWay.forEach(entry -> maybeStored.remove(entry.id()));
+          putBack(batch.entries());
+          yield List.of();
+        }
         List<Completion> refused = new ArrayList<>();
         for (Pending entry : batch.entries()) {
           finish(entry, Result.failed(failed.failure())).ifPresent(refused::add);
--- a/marigoldsail-core/src/test/java/io/marigoldsail/log/AppendQueueTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/log/AppendQueueTest.java
@@ -158,6 +158,24 @@
     assertEquals(ErrorKind.BODY_TOO_LARGE, queue.offer(entry, now).orElseThrow().kind());
   }
 
+  @Test
+  void splitsABatchThatTheLogFindsTooLarge() {
+    // This platform's limit for a record is lower than expected. Refusing the whole batch would
+    // refuse a hundred small entries because they came together.
+    String one = offer(FAR);
+    String two = offer(FAR);
+    fail(take(), ErrorKind.BODY_TOO_LARGE);
+    now += 2_000 * MILLI;
+
+    Batch single = take();
+    assertEquals(List.of(one), idsOf(single));
+    fail(single, ErrorKind.BODY_TOO_LARGE);
+    now += 2_000 * MILLI;
+
+    assertEquals(ErrorKind.BODY_TOO_LARGE, kind(one));
+    assertEquals(List.of(two), idsOf(take()));
+  }
+
   @Test
   void settlesEntriesThatASnapshotPassedOver() {
     String passed = offer(FAR);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/HttpLogService.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/HttpLogService.java
@@ -98,10 +98,13 @@
     while (true) {
       Exchange exchange = readOnce(stream, fromOffset, asked, waitMillis);
       if (exchange instanceof AnswerTooLong && asked > 1) {
-        // A page of large records is asked for again in halves; a single record always fits.
+        // A page of large records is asked for again in halves.
         asked /= 2;
         continue;
       }
+      if (exchange instanceof AnswerTooLong) {
+        return withoutRecord(stream, fromOffset);
+      }
       if (!(exchange instanceof Answered answered) || answered.status() != 200) {
         return Result.failed(ErrorKind.LOG_UNAVAILABLE, describe(exchange));
       }
@@ -112,6 +115,30 @@
     }
   }
 
+  /**
+   * Returns a page that holds an empty record in place of one that is longer than this process may
+   * hold. Whoever appended it is not of this system; without this every reader would ask for it for
+   * ever. Where records have expired the page holds none, so that the reader notices.
+   */
+  private Result<LogPage> withoutRecord(String stream, long offset) {
+    Exchange exchange = readOnce(stream, offset, 0, 0);
+    if (!(exchange instanceof Answered answered) || answered.status() != 200) {
+      return Result.failed(ErrorKind.LOG_UNAVAILABLE, describe(exchange));
+    }
+    return PlatformJson.read(
+            answered.body(), new TypeReference<WirePage>() {}, ErrorKind.LOG_UNAVAILABLE)
+        .then(page -> checkedPage(page, offset, 0))
+        .then(
+            page ->
+                page.firstOffset() <= offset && offset < page.nextOffset()
+                    ? Result.ok(
+                        new LogPage(
+                            List.of(new LogRecord(offset, new byte[0])),
+                            page.firstOffset(),
+                            page.nextOffset()))
+                    : Result.ok(page));
+  }
+
   private Exchange readOnce(String stream, long fromOffset, int maxRecords, long waitMillis) {
     String query = "?from=" + fromOffset + "&max=" + maxRecords + "&waitMillis=" + waitMillis;
     return client.get(uri(stream) + query, MAX_PAGE_BYTES, waitMillis + timeoutMillis);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/platform/HttpLogServiceTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/platform/HttpLogServiceTest.java
@@ -75,6 +75,20 @@
     assertEquals(8, page.nextOffset());
   }
 
+  @Test
+  void readsOnBehindARecordThatIsTooLarge() {
+    // Something else appended a record longer than a reader may hold. Every reader would ask for it
+    // again and again, and nothing behind it would ever be in force.
+    service.log().append(STREAM, new byte[5 << 20]);
+    log.append(STREAM, bytes("behind")).value();
+
+    LogPage first = log.read(STREAM, 0, 10, 0).value();
+    LogPage second = log.read(STREAM, 1, 10, 0).value();
+
+    assertEquals(0, first.records().get(0).bytes().length);
+    assertArrayEquals(bytes("behind"), second.records().get(0).bytes());
+  }
+
   @Test
   void tellsARefusalFromALostAnswer() {
     // The service refuses while it is down, and nothing took effect. Then an answer is lost on the
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/FakeLogService.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/FakeLogService.java
@@ -122,7 +122,7 @@
   @Override
   public Result<LogPage> read(String stream, long fromOffset, int maxRecords, long waitMillis) {
     requireNonNull(stream, "stream");
-    checkArgument(maxRecords > 0, "maxRecords is not positive: %s", maxRecords);
+    checkArgument(maxRecords >= 0, "maxRecords is negative: %s", maxRecords);
     lock.lock();
     try {
       pauseAsFaultsSay(false);
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/StandInLogService.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/StandInLogService.java
@@ -20,7 +20,8 @@
  *
  * <ul>
  *   <li>{@code POST /streams/NAME/records} appends the body and answers {@code {"offset": N}};
- *   <li>{@code GET /streams/NAME/records?from=N&max=N&waitMillis=N} reads;
+ *   <li>{@code GET /streams/NAME/records?from=N&max=N&waitMillis=N} reads; with {@code max=0} it
+ *       tells only where the stream begins and ends;
  *   <li>{@code POST /admin/faults} changes {@link LogFaults}, {@code GET /admin/faults} shows them;
  *   <li>{@code GET /admin/counts} tells what was asked of it.
  * </ul>
@@ -140,7 +141,7 @@
       } catch (NumberFormatException e) {
         return StandInServer.refuse(response, callback, 400, "bad query: " + e.getMessage());
       }
-      Result<LogPage> result = log.read(stream, from, Math.max(1, max), wait);
+      Result<LogPage> result = log.read(stream, from, Math.max(0, max), wait);
       if (result instanceof Result.Failed<LogPage> failed) {
         return StandInServer.refuse(response, callback, 503, failed.failure().detail());
       }
