--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamCursor.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamCursor.java
@@ -124,7 +124,9 @@
   }
 
   private boolean usable(StreamSnapshot snapshot) {
-    return seeking && snapshot.through() >= firstOffset && snapshot.through() >= applied;
+    // One that begins before what is retained leaves a gap. Any other is newer than this state, for
+    // a reader seeks only once retention has passed it.
+    return seeking && snapshot.through() >= firstOffset;
   }
 
   /**
