--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/Measure.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/Measure.java
@@ -1,6 +1,8 @@
 package io.marigoldsail.testlib.measure;
 
+import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -28,6 +30,12 @@
   @Option(names = "--seed", description = "Seed of all random choices (default ${DEFAULT-VALUE}).")
   private long seed = DEFAULT_SEED;
 
+  @Option(
+      names = "--plot",
+      paramLabel = "DIRECTORY",
+      description = "Write plots of latency and goodput against load there, print nothing.")
+  private Path plotDirectory;
+
   @Parameters(
       paramLabel = "PATTERN",
       description = "Patterns to run, with or without @DEPLOYMENT; all where none is named.")
@@ -46,11 +54,15 @@
   }
 
   @Override
-  public Integer call() {
+  public Integer call() throws IOException {
     if (list) {
       MeasurePatterns.all().forEach(pattern -> out.println(pattern.name()));
       return CommandLine.ExitCode.OK;
     }
+    if (plotDirectory != null) {
+      LoadPlots.write(plotDirectory, seed);
+      return CommandLine.ExitCode.OK;
+    }
     List<MeasurePattern> chosen = chosen();
     MeasureRows rows = new MeasureRows(out);
     chosen.forEach(pattern -> pattern.run(seed, rows));
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPatterns.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPatterns.java
@@ -33,6 +33,7 @@
       patterns.add(longAmongShort(deployment));
       patterns.add(failingTargets(deployment));
       patterns.add(allAtOnce(deployment));
+      patterns.add(new LoadCurve(deployment));
     }
     return patterns.build();
   }
@@ -157,7 +158,19 @@
             .with(new Change(SLOW_TO, SLOW_TARGET, 1, false))
             .with(new Change(10, 7, 1, true))
             .with(new Change(25, 7, 1, false));
-    return pattern("all-at-once", deployment, plan, calm, innocent, RequestPatterns::addSlowTarget);
+    return pattern(
+        "all-at-once",
+        deployment,
+        plan,
+        calm,
+        innocent,
+        (score, p99, printer) -> {
+          addSlowTarget(score, p99, printer);
+          // Without the calls of the burst, whose wait is bounded by their deadline alone.
+          printer.print(
+              "others_p99_ms_after_burst",
+              score.between(BURST_TO + 2, 35).percentileMillis(99, innocent));
+        });
   }
 
   private static RequestPattern pattern(
