--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/DecisionBench.java
@@ -0,0 +1,90 @@
+package io.marigoldsail.testlib.measure;
+
+import io.marigoldsail.dispatch.Arrival;
+import io.marigoldsail.dispatch.AttemptOutcome;
+import io.marigoldsail.dispatch.Decision;
+import io.marigoldsail.dispatch.RequestScheduler;
+import io.marigoldsail.dispatch.SchedulerSettings;
+import io.marigoldsail.dispatch.TargetLoad;
+import io.marigoldsail.dispatch.TargetState;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+
+/**
+ * Measures the wall time of a decision: arrival, report and end of one request, at a full service.
+ *
+ * <p>A program of its own, for its figures depend on the machine and are no part of the rows of
+ * {@link Measure}. Prints {@code targets,waiting,microseconds} for each size.
+ */
+public final class DecisionBench {
+  private static final int WARM_UP = 200_000;
+  private static final int ROUNDS = 300_000;
+  private static final int SLOTS = 8;
+  private static final long DEADLINE_NANOS = 5_000_000_000L;
+  private static final long STEP_NANOS = 200_000;
+
+  private final RequestScheduler scheduler =
+      new RequestScheduler(SchedulerSettings.of("zone-0"), new SplittableRandom(1));
+  private final Deque<Decision.Send> sent = new ArrayDeque<>();
+  private final SplittableRandom random = new SplittableRandom(2);
+  private long now = 1;
+  private long number;
+
+  private DecisionBench(int targets) {
+    List<TargetState> states = new ArrayList<>();
+    for (int i = 0; i < targets; i++) {
+      states.add(new TargetState("vm-" + i, 1, "service", "zone-" + i % 3, SLOTS, false));
+    }
+    carryOut(scheduler.targetsChanged(states, now));
+  }
+
+  /** Runs the bench for today's number of targets and for the number to build towards. */
+  public static void main(String[] arguments) {
+    System.out.println("targets,waiting,microseconds");
+    for (int targets : new int[] {11, 100, 770}) {
+      DecisionBench bench = new DecisionBench(targets);
+      bench.run(WARM_UP);
+      long began = System.nanoTime();
+      bench.run(ROUNDS);
+      double micros = (System.nanoTime() - began) / 1e3 / ROUNDS;
+      int waiting = bench.scheduler.waiting().getOrDefault("service", 0);
+      System.out.println(String.format(Locale.ROOT, "%d,%d,%.2f", targets, waiting, micros));
+    }
+  }
+
+  /** One request arrives and one ends in each round, so the service stays full. */
+  private void run(int rounds) {
+    for (int i = 0; i < rounds; i++) {
+      now += STEP_NANOS;
+      arrive();
+      if (sent.size() > 1 && random.nextInt(10) > 0) {
+        end(sent.poll());
+      }
+    }
+  }
+
+  private void arrive() {
+    String caller = "caller-" + random.nextInt(2_000);
+    String key = "key-" + random.nextInt(2_000);
+    carryOut(
+        scheduler.arrived(
+            new Arrival(number++, "service", caller, key, true, now, now + DEADLINE_NANOS), now));
+  }
+
+  private void end(Decision.Send send) {
+    carryOut(scheduler.reported(send.vm(), new TargetLoad(SLOTS, 1, 3, false), now));
+    carryOut(scheduler.attemptEnded(send.request(), send.vm(), AttemptOutcome.ANSWERED, now));
+  }
+
+  private void carryOut(List<Decision> decisions) {
+    for (Decision decision : decisions) {
+      if (decision instanceof Decision.Send send) {
+        sent.add(send);
+      }
+    }
+  }
+}
