Wait longer each time a target turns requests away, and measure late reports

Cause: with loads reported a second late (new pattern late-reports, load 0.8), three entries sent each request 5.2 times: a report of long ago said there was room and lifted the hold of 3 ms.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/Router.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/Router.java
@@ -227,7 +227,7 @@
       target.share().turnedAway(now);
       return;
     }
-    target.share().ended();
+    target.share().tookOne();
     refreshFleet(now);
     boolean wasEased = target.health().isEased();
     boolean mayEase = eased().count() < Math.max(1, targets.size() / TARGETS_PER_EASED);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
@@ -29,11 +29,14 @@
   /** How long a target that turned a request away is not sent more, unless it reports room. */
   static final long TURNED_AWAY_NANOS = 3_000_000L;
 
+  private static final int MAX_DOUBLINGS = 5;
+
   private final Deque<Long> recentSends = new ArrayDeque<>();
   private int slots;
   private int own;
   private int others;
   private int entries = 1;
+  private int turnedAwayInARow;
   private long heldUntil = Long.MIN_VALUE;
 
   SlotShare(int slots) {
@@ -54,9 +57,16 @@
     own = Math.max(0, own - 1);
   }
 
+  /** Takes note that a request found its place, so that there may be room for more. */
+  void tookOne() {
+    turnedAwayInARow = 0;
+    ended();
+  }
+
   void turnedAway(long now) {
     ended();
-    heldUntil = now + TURNED_AWAY_NANOS;
+    heldUntil = now + (TURNED_AWAY_NANOS << Math.min(turnedAwayInARow, MAX_DOUBLINGS));
+    turnedAwayInARow++;
     others = Math.max(others, slots + WaitingRoom.placesFor(slots) - own);
   }
 
@@ -65,9 +75,6 @@
     int seenOfOwn = Math.max(0, own - recentSends.size());
     others = Math.max(0, load.inFlight() + load.waiting() - seenOfOwn);
     entries = Math.max(1, load.entries());
-    if (inUse() < slots) {
-      heldUntil = Long.MIN_VALUE;
-    }
   }
 
   private void forgetSendsBefore(long time) {
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/LoadPlan.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/LoadPlan.java
@@ -19,9 +19,14 @@
  * @param changes what happens to targets
  * @param seconds how long calls arrive
  * @param measuredFrom seconds from which calls count; what came before is for warming up
+ * @param reportEveryNanos how old the loads that side processes report may be; 0 if always fresh
  */
 record LoadPlan(
-    ImmutableList<Stream> streams, ImmutableList<Change> changes, int seconds, int measuredFrom) {
+    ImmutableList<Stream> streams,
+    ImmutableList<Change> changes,
+    int seconds,
+    int measuredFrom,
+    long reportEveryNanos) {
   /** Mean work of an ordinary request; its distribution is exponential. */
   static final double MEAN_WORK_MILLIS = 20;
 
@@ -86,19 +91,25 @@
   record Change(double second, int target, double slowness, boolean failing) {}
 
   static LoadPlan of(int seconds, int measuredFrom, Stream... streams) {
-    return new LoadPlan(ImmutableList.copyOf(streams), ImmutableList.of(), seconds, measuredFrom);
+    return new LoadPlan(
+        ImmutableList.copyOf(streams), ImmutableList.of(), seconds, measuredFrom, 0);
   }
 
   LoadPlan with(Stream stream) {
     ImmutableList<Stream> more =
         ImmutableList.<Stream>builder().addAll(streams).add(stream).build();
-    return new LoadPlan(more, changes, seconds, measuredFrom);
+    return new LoadPlan(more, changes, seconds, measuredFrom, reportEveryNanos);
   }
 
   LoadPlan with(Change change) {
     ImmutableList<Change> more =
         ImmutableList.<Change>builder().addAll(changes).add(change).build();
-    return new LoadPlan(streams, more, seconds, measuredFrom);
+    return new LoadPlan(streams, more, seconds, measuredFrom, reportEveryNanos);
+  }
+
+  /** Returns the same load with reports that are renewed only every so many nanoseconds. */
+  LoadPlan withReportsEvery(long nanos) {
+    return new LoadPlan(streams, changes, seconds, measuredFrom, nanos);
   }
 
   /** Draws all first calls in order of arrival. */
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/ModelTarget.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/ModelTarget.java
@@ -26,12 +26,16 @@
   private final int slots;
   private final int places;
   private final int entries;
+  private final long reportEveryNanos;
   private final Deque<Waiting> waiting = new ArrayDeque<>();
   private int running;
   private double slowness = 1;
   private boolean failing;
+  private TargetLoad reported = new TargetLoad(0, 0, 0, false);
+  private long reportedAt = Long.MIN_VALUE;
 
-  ModelTarget(EventQueue events, int slots, int places, int entries) {
+  ModelTarget(EventQueue events, int slots, int places, int entries, long reportEveryNanos) {
+    this.reportEveryNanos = reportEveryNanos;
     this.events = events;
     this.slots = slots;
     this.places = places;
@@ -46,8 +50,13 @@
     failing = nowFailing;
   }
 
+  /** Returns what the side process reports, which may be old. */
   TargetLoad load() {
-    return new TargetLoad(running, waiting.size(), entries, false);
+    if (reportedAt == Long.MIN_VALUE || events.now() - reportedAt >= reportEveryNanos) {
+      reported = new TargetLoad(running, waiting.size(), entries, false);
+      reportedAt = events.now();
+    }
+    return reported;
   }
 
   void arrived(Call call, AnswerSink sink) {
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestBench.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestBench.java
@@ -33,7 +33,8 @@
     this.plan = plan;
     for (int i = 0; i < Deployment.TARGETS; i++) {
       int places = kind.waitingPlaces(Deployment.SLOTS);
-      targets.add(new ModelTarget(events, Deployment.SLOTS, places, entryCount));
+      targets.add(
+          new ModelTarget(events, Deployment.SLOTS, places, entryCount, plan.reportEveryNanos()));
     }
     for (int i = 0; i < entryCount; i++) {
       entries.add(new ModelEntry(i, events, kind.create(Deployment.zoneOf(i), seed + 1 + i), this));
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPatterns.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPatterns.java
@@ -32,6 +32,7 @@
       patterns.add(slowTarget(deployment));
       patterns.add(longAmongShort(deployment));
       patterns.add(failingTargets(deployment));
+      patterns.add(lateReports(deployment));
       patterns.add(allAtOnce(deployment));
       patterns.add(new LoadCurve(deployment));
     }
@@ -141,6 +142,18 @@
             printer.print("failed_share", score.share(RequestScore.all(), Call.Result.FAILED)));
   }
 
+  /** All loads that are reported are up to a second old, at a load of 0.8. */
+  private static RequestPattern lateReports(Deployment deployment) {
+    LoadPlan calm = LoadPlan.of(30, 10, Stream.ordinary(0.8));
+    return pattern(
+        "late-reports",
+        deployment,
+        calm.withReportsEvery(1_000_000_000L),
+        calm,
+        RequestScore.all(),
+        NOTHING);
+  }
+
   /** All of the above together on a load of 0.5. */
   private static RequestPattern allAtOnce(Deployment deployment) {
     LoadPlan calm = LoadPlan.of(35, 5, Stream.ordinary(0.5));
