Damp what reports say of other entries

Cause: late-reports with three entries; an old report minus this entry's present requests is wrong by what changed since, and limits swing with it.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
@@ -31,10 +31,13 @@
 
   private static final int MAX_DOUBLINGS = 5;
 
+  /** How far one report moves the estimate of what others use. */
+  private static final double REPORT_WEIGHT = 0.25;
+
   private final Deque<Long> recentSends = new ArrayDeque<>();
   private int slots;
   private int own;
-  private int others;
+  private double others;
   private int entries = 1;
   private int turnedAwayInARow;
   private long heldUntil = Long.MIN_VALUE;
@@ -73,7 +76,8 @@
   void reported(TargetLoad load, long now) {
     forgetSendsBefore(now - IN_FLIGHT_NANOS);
     int seenOfOwn = Math.max(0, own - recentSends.size());
-    others = Math.max(0, load.inFlight() + load.waiting() - seenOfOwn);
+    int seenOfOthers = Math.max(0, load.inFlight() + load.waiting() - seenOfOwn);
+    others += (seenOfOthers - others) * REPORT_WEIGHT;
     entries = Math.max(1, load.entries());
   }
 
@@ -91,12 +95,12 @@
     return slots;
   }
 
-  int inUse() {
+  double inUse() {
     return own + others;
   }
 
   double loadRatio() {
-    return (double) inUse() / slots;
+    return inUse() / slots;
   }
 
   /** Returns whether a request sent now would likely find a free slot. */
