--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
@@ -29,11 +29,17 @@
   /** How long a target that turned a request away is not sent more, unless it reports room. */
   static final long TURNED_AWAY_NANOS = 3_000_000L;
 
+  private static final int MAX_DOUBLINGS = 5;
+
+  /** How far one report moves the estimate of what others use. */
+  private static final double REPORT_WEIGHT = 0.25;
+
   private final Deque<Long> recentSends = new ArrayDeque<>();
   private int slots;
   private int own;
-  private int others;
+  private double others;
   private int entries = 1;
+  private int turnedAwayInARow;
   private long heldUntil = Long.MIN_VALUE;
 
   SlotShare(int slots) {
@@ -54,20 +60,25 @@
     own = Math.max(0, own - 1);
   }
 
+  /** Takes note that a request found its place, so that there may be room for more. */
+  void tookOne() {
+    turnedAwayInARow = 0;
+    ended();
+  }
+
   void turnedAway(long now) {
     ended();
-    heldUntil = now + TURNED_AWAY_NANOS;
+    heldUntil = now + (TURNED_AWAY_NANOS << Math.min(turnedAwayInARow, MAX_DOUBLINGS));
+    turnedAwayInARow++;
     others = Math.max(others, slots + WaitingRoom.placesFor(slots) - own);
   }
 
   void reported(TargetLoad load, long now) {
     forgetSendsBefore(now - IN_FLIGHT_NANOS);
     int seenOfOwn = Math.max(0, own - recentSends.size());
-    others = Math.max(0, load.inFlight() + load.waiting() - seenOfOwn);
+    int seenOfOthers = Math.max(0, load.inFlight() + load.waiting() - seenOfOwn);
+    others += (seenOfOthers - others) * REPORT_WEIGHT;
     entries = Math.max(1, load.entries());
-    if (inUse() < slots) {
-      heldUntil = Long.MIN_VALUE;
-    }
   }
 
   private void forgetSendsBefore(long time) {
@@ -84,12 +95,12 @@
     return slots;
   }
 
-  int inUse() {
+  double inUse() {
     return own + others;
   }
 
   double loadRatio() {
-    return (double) inUse() / slots;
+    return inUse() / slots;
   }
 
   /** Returns whether a request sent now would likely find a free slot. */
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPatterns.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPatterns.java
@@ -32,7 +32,9 @@
       patterns.add(slowTarget(deployment));
       patterns.add(longAmongShort(deployment));
       patterns.add(failingTargets(deployment));
+      patterns.add(lateReports(deployment));
       patterns.add(allAtOnce(deployment));
+      patterns.add(new LoadCurve(deployment));
     }
     return patterns.build();
   }
@@ -140,6 +142,18 @@
             printer.print("failed_share", score.share(RequestScore.all(), Call.Result.FAILED)));
   }
 
+  /** All loads that are reported are up to a second old, at a load of 0.8. */
+  private static RequestPattern lateReports(Deployment deployment) {
+    LoadPlan calm = LoadPlan.of(30, 10, Stream.ordinary(0.8));
+    return pattern(
+        "late-reports",
+        deployment,
+        calm.withReportsEvery(1_000_000_000L),
+        calm,
+        RequestScore.all(),
+        NOTHING);
+  }
+
   /** All of the above together on a load of 0.5. */
   private static RequestPattern allAtOnce(Deployment deployment) {
     LoadPlan calm = LoadPlan.of(35, 5, Stream.ordinary(0.5));
@@ -157,7 +171,19 @@
             .with(new Change(SLOW_TO, SLOW_TARGET, 1, false))
             .with(new Change(10, 7, 1, true))
             .with(new Change(25, 7, 1, false));
-    return pattern("all-at-once", deployment, plan, calm, innocent, RequestPatterns::addSlowTarget);
+    return pattern(
+        "all-at-once",
+        deployment,
+        plan,
+        calm,
+        innocent,
+        (score, p99, printer) -> {
+          addSlowTarget(score, p99, printer);
+          // Without the calls of the burst, whose wait is bounded by their deadline alone.
+          printer.print(
+              "others_p99_ms_after_burst",
+              score.between(BURST_TO + 2, 35).percentileMillis(99, innocent));
+        });
   }
 
   private static RequestPattern pattern(
