--- a/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
@@ -35,8 +35,12 @@
   /** The service is quiet up to here. */
   static final double QUIET = 0.8;
 
-  /** How long an action is given to show in the readings, in nanoseconds. */
-  static final long SETTLE_NANOS = 1_000_000_000L;
+  /**
+   * How long an action is given to show in the readings, in nanoseconds: a reading's lag of a
+   * second and half of its window of two. With half as long, bystanders were throttled for noise
+   * that had been dealt with.
+   */
+  static final long SETTLE_NANOS = 2_000_000_000L;
 
   /** How long everything must have been throttled before an eviction, in nanoseconds. */
   static final long EVICT_AFTER_NANOS = 5_000_000_000L;
@@ -136,10 +140,7 @@
     }
     slowBefore = false;
     stepSize = 1;
-    if (pressure <= QUIET) {
-      return onQuiet(terms, nowNanos);
-    }
-    return List.of();
+    return letLoose(terms, nowNanos);
   }
 
   private static double pressure(Optional<ServiceReading> reading, long nowNanos) {
@@ -247,7 +248,7 @@
     return frees / (1 + lostSeconds) / (dueSoon ? 2 : 1);
   }
 
-  private List<GuardAction> onQuiet(GuardTerms terms, long nowNanos) {
+  private List<GuardAction> letLoose(GuardTerms terms, long nowNanos) {
     allThrottled = false;
     long recoveryNanos = terms.recoveryMillis() * NANOS_PER_MILLI;
     if (nowNanos - quietSince < recoveryNanos) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/Bookings.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/Bookings.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.job;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,7 +43,7 @@
 
   /** Returns how many tasks of each program are claimed on a registration. */
   Map<String, Integer> programsOn(long registration) {
-    return Map.copyOf(programs.getOrDefault(registration, Map.of()));
+    return programs.getOrDefault(registration, Map.of());
   }
 
   Map<String, Sizes> byTeam() {
@@ -77,9 +78,7 @@
   /** Takes in a claim that the registration's state counts already, from a snapshot. */
   void index(long registration, JobSpec spec, String task, Sizes sizes) {
     tasks.computeIfAbsent(registration, unused -> new TreeSet<>()).add(task);
-    programs
-        .computeIfAbsent(registration, unused -> new HashMap<>())
-        .merge(spec.program(), 1, Integer::sum);
+    countProgram(registration, spec.program(), 1);
     byTeam.merge(spec.team(), sizes, Sizes::plus);
   }
 
@@ -88,8 +87,7 @@
     vms.put(registration, vms.get(registration).withoutClaim(task.booked()));
     TreeSet<String> names = tasks.get(registration);
     names.remove(task.name());
-    Map<String, Integer> counts = programs.get(registration);
-    counts.computeIfPresent(spec.program(), (name, count) -> count == 1 ? null : count - 1);
+    countProgram(registration, spec.program(), -1);
     if (names.isEmpty()) {
       tasks.remove(registration);
       programs.remove(registration);
@@ -98,6 +96,14 @@
     dropIfEmpty(registration);
   }
 
+  /** Replaces the counts by new ones: readers on other threads keep what they were given. */
+  private void countProgram(long registration, String program, int change) {
+    Map<String, Integer> counts = new HashMap<>(programs.getOrDefault(registration, Map.of()));
+    counts.merge(program, change, Integer::sum);
+    counts.values().removeIf(count -> count == 0);
+    programs.put(registration, Collections.unmodifiableMap(counts));
+  }
+
   void clear() {
     vms.clear();
     currentByVm.clear();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/InterferenceCosts.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/InterferenceCosts.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -20,6 +21,7 @@
   private static final double MOST_NOISE = 0.2;
 
   private final Interference interference;
+  private final Map<String, Map<String, Double>> mutualByProgram = new HashMap<>();
   private Map<String, Double> mutual = Map.of();
   private Map<String, Double> service = Map.of();
 
@@ -29,11 +31,16 @@
   }
 
   @Override
-  public void prepare(PlacementRequest request) {
-    mutual = interference.mutual(request.spec().program());
+  public void beginRound() {
+    mutualByProgram.clear();
     service = interference.costsTo(Interference.SERVICE);
   }
 
+  @Override
+  public void prepare(PlacementRequest request) {
+    mutual = mutualByProgram.computeIfAbsent(request.spec().program(), interference::mutual);
+  }
+
   /**
    * Noisy tasks wait for a VM whose service is not slowed already. Placed all the same, they would
    * be throttled there to a fraction and hold room that calm tasks could use (a trial of a noisy
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/PlacementCosts.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/PlacementCosts.java
@@ -7,6 +7,9 @@
  */
 @FunctionalInterface
 public interface PlacementCosts {
+  /** Called once before a round of placements; what was learned meanwhile counts from here. */
+  default void beginRound() {}
+
   /** Called once before the costs of one request are asked for, VM by VM. */
   default void prepare(PlacementRequest request) {}
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/Placer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/Placer.java
@@ -24,6 +24,10 @@
   /** Keeps entries that decide at once on one view from all choosing the same VM. */
   private static final double JITTER = 0.02;
 
+  private static final long MIXER = 0x9E3779B97F4A7C15L;
+  private static final int HASH_SHIFT = 40;
+  private static final double HASH_RANGE = 1 << 24;
+
   private final RandomGenerator random;
   private final PlacementCosts costs;
 
@@ -38,11 +42,17 @@
     this.random = requireNonNull(random, "random");
   }
 
+  /** Begins a round of placements into one fleet. */
+  public void beginRound() {
+    costs.beginRound();
+  }
+
   /** Returns where the task should run, without noting it in the fleet. */
   public PlacementDecision place(PlacementRequest request, Fleet fleet) {
     costs.prepare(request);
     VmRoom best = null;
     double bestCost = Double.POSITIVE_INFINITY;
+    long salt = random.nextLong();
     boolean elsewhere = fitsWhereItDidNotFail(request, fleet);
     for (VmRoom room : fleet.rooms()) {
       boolean avoided = elsewhere && failedOn(request, room);
@@ -52,7 +62,7 @@
       if (!request.spec().urgent() && !mayTake(request, room, fleet)) {
         continue;
       }
-      double cost = cost(request, room);
+      double cost = cost(request, room) + jitter(room, salt);
       if (cost < bestCost) {
         best = room;
         bestCost = cost;
@@ -92,8 +102,14 @@
     return request.task().failedVms().contains(room.vm());
   }
 
+  /** Returns a small random cost; a hash, because a random number for every VM costs more. */
+  private static double jitter(VmRoom room, long salt) {
+    long mixed = (room.state().registration() ^ salt) * MIXER;
+    return JITTER * (mixed >>> HASH_SHIFT) / HASH_RANGE;
+  }
+
   private double cost(PlacementRequest request, VmRoom room) {
-    double cost = room.loadWith(request.sizes()) + JITTER * random.nextDouble();
+    double cost = room.loadWith(request.sizes());
     Spread spread = request.spec().spread();
     if (spread != Spread.NONE) {
       String group = spread.groupOf(room.state().description());
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/VmRoom.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/VmRoom.java
@@ -37,7 +37,7 @@
   /** Returns how many tasks of each program are claimed there. */
   public Map<String, Integer> programs() {
     if (programs == null) {
-      programs = new HashMap<>(programsOn.apply(state.registration()));
+      programs = programsOn.apply(state.registration());
     }
     return programs;
   }
@@ -45,15 +45,22 @@
   /** Returns the largest share of one kind of resource that would be taken with the sizes added. */
   double loadWith(Sizes sizes) {
     Sizes capacity = state.description().capacity();
-    Sizes taken = capacity.minus(free).plus(sizes);
-    double processors = share(taken.milliProcessors(), capacity.milliProcessors());
-    double memory = share(taken.memoryBytes(), capacity.memoryBytes());
+    double processors =
+        share(
+            capacity.milliProcessors() - free.milliProcessors() + sizes.milliProcessors(),
+            capacity.milliProcessors());
+    double memory =
+        share(
+            capacity.memoryBytes() - free.memoryBytes() + sizes.memoryBytes(),
+            capacity.memoryBytes());
     return Math.max(processors, memory);
   }
 
   void take(String program, Sizes sizes) {
     free = free.minus(sizes);
-    programs().merge(program, 1, Integer::sum);
+    Map<String, Integer> after = new HashMap<>(programs());
+    after.merge(program, 1, Integer::sum);
+    programs = after;
   }
 
   private static double share(long taken, long capacity) {
--- a/marigoldsail-core/src/test/java/io/marigoldsail/placement/PlacerTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/placement/PlacerTest.java
@@ -48,6 +48,7 @@
 
   /** Places all tasks of a job and returns how many came to each VM. */
   private Map<String, Integer> placeAll(JobSpec spec, Fleet fleet) {
+    placer.beginRound();
     Map<String, Integer> counts = new HashMap<>();
     Map<String, Integer> inGroup = new HashMap<>();
     for (int index = 0; index < spec.count(); index++) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
@@ -84,6 +84,7 @@
     Fleet fleet = new Fleet(context.table().vms(), this::usable, context.table()::programsOn);
     onTheirWay.values().forEach(p -> fleet.take(p.vm().registration(), p.program(), p.sizes()));
     knowledge.reserveFor(jobs, fleet);
+    placer.beginRound();
     QueueOrder order =
         new QueueOrder(
             jobs,
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/GuardLoopTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/GuardLoopTest.java
@@ -65,6 +65,24 @@
     assertNoWorkRedone(world);
   }
 
+  /**
+   * Tasks that write no checkpoints by themselves are evicted. The eviction writes one, and the
+   * next attempt begins there, not from the start.
+   */
+  @Test
+  void anEvictionWritesTheCheckpointThatTheNextAttemptResumes() {
+    TaskWorld world = new TaskWorld(4, 2, 2, ROOM_FOR_FOUR);
+    world.submit(TaskWorld.job("payout", 8, 30_000, 0));
+    world.run(8_000);
+    world.vm(1).pressure(3);
+    assertTrue(world.runUntilEnded(400_000));
+
+    List<WorkerRun> resumed = world.runs().stream().filter(run -> run.attempt() > 1).toList();
+    assertFalse(resumed.isEmpty());
+    assertTrue(resumed.stream().noneMatch(run -> run.checkpoint().isEmpty()));
+    assertSound(world);
+  }
+
   /** The answers to checkpoints and stops are lost while tasks are being evicted. */
   @Test
   void lostAnswersDuringAnEvictionLoseNoWork() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskWorld.java
@@ -130,7 +130,7 @@
               table,
               record -> log.append(this, record),
               new Channel(name, vms::keySet),
-              () -> new TaskTerms(LEASES, Map.of()),
+              () -> new TaskTerms(leases, Map.of()),
               clock,
               clock,
               new Random(7),
@@ -194,6 +194,7 @@
     }
   }
 
+  private final LeaseTerms leases;
   private final VirtualClock clock = new VirtualClock();
   private final Random random;
   private final FakeTaskLog log = new FakeTaskLog(clock);
@@ -204,6 +205,11 @@
   private final Set<String> cut = new HashSet<>();
 
   TaskWorld(long seed, int entryCount, int vmCount, Sizes capacity) {
+    this(seed, entryCount, vmCount, capacity, LEASES);
+  }
+
+  TaskWorld(long seed, int entryCount, int vmCount, Sizes capacity, LeaseTerms leases) {
+    this.leases = leases;
     random = new Random(seed);
     clock.advance(1_000 * NANOS_PER_MILLI);
     for (int i = 1; i <= entryCount; i++) {
@@ -258,6 +264,10 @@
   }
 
   static JobSpec job(String name, int count, long runMillis) {
+    return job(name, count, runMillis, 1_000);
+  }
+
+  static JobSpec job(String name, int count, long runMillis, long checkpointMillis) {
     return new JobSpec(
         name,
         "team",
@@ -269,7 +279,7 @@
         false,
         0,
         true,
-        1_000,
+        checkpointMillis,
         Spread.NONE);
   }
 
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskDecider.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskDecider.java
@@ -88,6 +88,7 @@
           reserve.seen(booking(job.spec()), job.spec().urgent(), now);
         }
       }
+      placer.beginRound();
       Sizes each = reserve.each(fleet.meanCapacity(), now);
       fleet.reserve(each, reserve.count(fleet.rooms().size()));
     }
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskPatterns.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskPatterns.java
@@ -14,6 +14,7 @@
         patterns.add(new TaskPattern(disturbance, deployment));
       }
     }
+    patterns.add(new PlacementScale());
     return patterns.build();
   }
 }
