--- a/marigoldsail-core/src/test/java/io/marigoldsail/timeline/EventCost.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/timeline/EventCost.java
@@ -17,6 +17,7 @@
   private EventCost() {}
 
   public static void main(String[] arguments) throws InterruptedException {
+    System.out.printf(Locale.ROOT, "heap_bytes_per_event=%.0f%n", bytesPerEvent());
     EventBuffer buffer = new EventBuffer("entry-1", new HybridClock(WallClock.system()), 1 << 16);
     for (int threads : new int[] {1, 2, 4}) {
       double best = Double.MAX_VALUE;
@@ -47,4 +48,24 @@
     }
     ended.countDown();
   }
+
+  /** With strings of their own, as requests have them, and one detail in three. */
+  private static double bytesPerEvent() {
+    long before = usedBytes();
+    int capacity = 1 << 16;
+    EventBuffer buffer = new EventBuffer("entry-1", new HybridClock(WallClock.system()), capacity);
+    for (int i = 0; i < capacity; i++) {
+      Event event = Event.of(EventKind.REQUEST_SENT).withRequest("19ae5b2c0d1/" + i).withVm("vm-1");
+      buffer.record(i % 3 == 0 ? event.withDetail("least loaded of " + i + " targets") : event);
+    }
+    long after = usedBytes();
+    return (after - before) / (double) buffer.page(0, capacity, EventFilter.ALL).events().size();
+  }
+
+  private static long usedBytes() {
+    for (int i = 0; i < 3; i++) {
+      System.gc();
+    }
+    return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorServer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorServer.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -32,6 +33,15 @@
   private static final int IDLE_MILLIS = 30_000;
   private static final int ACCEPT_QUEUE = 128;
 
+  /**
+   * The most connections held open. Guards a side process's small heap against a flood: past it
+   * nothing is accepted until one closes, and idle ones are closed after {@link
+   * #FLOODED_IDLE_MILLIS}, so that operators get in again.
+   */
+  static final int MAX_CONNECTIONS = 128;
+
+  private static final long FLOODED_IDLE_MILLIS = 1_000;
+
   private final HostPort address;
   private final RouteTable routes = new RouteTable();
   private final Server server;
@@ -58,6 +68,9 @@
     connector.setIdleTimeout(IDLE_MILLIS);
     connector.setAcceptQueueSize(ACCEPT_QUEUE);
     server.addConnector(connector);
+    NetworkConnectionLimit limit = new NetworkConnectionLimit(MAX_CONNECTIONS, connector);
+    limit.setEndPointIdleTimeout(FLOODED_IDLE_MILLIS);
+    server.addBean(limit);
     server.setHandler(new OperatorJettyHandler(routes));
     server.setErrorHandler(OperatorJettyHandler::writeJettyError);
     registerImmediate(
@@ -105,6 +118,11 @@
     return connector.getLocalPort();
   }
 
+  /** Returns how many connections are open. */
+  int openConnections() {
+    return connector.getConnectedEndPoints().size();
+  }
+
   /** Stops listening and ends all connections. */
   @Override
   public void close() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/operators/OperatorServerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/operators/OperatorServerTest.java
@@ -15,6 +15,8 @@
 import io.marigoldsail.settings.HostPort;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.BytesRequestContent;
@@ -200,4 +202,26 @@
     }
     assertEquals(200, get("/jobs/all").getStatus());
   }
+
+  /**
+   * Story: a broken tool opens connections and never closes them. Each holds buffers in a heap of
+   * 40 MB; without a limit the side process dies. With one, an operator still gets in, since idle
+   * connections are closed soon once there are too many.
+   */
+  @Test
+  void floodOfConnectionsIsBoundedAndOperatorsGetIn() throws Exception {
+    List<Socket> flood = new ArrayList<>();
+    try {
+      for (int i = 0; i < OperatorServer.MAX_CONNECTIONS + 100; i++) {
+        flood.add(new Socket("127.0.0.1", server.port()));
+        assertTrue(server.openConnections() <= OperatorServer.MAX_CONNECTIONS + 1);
+      }
+      assertEquals(200, get("/jobs/all").getStatus());
+      assertTrue(server.openConnections() <= OperatorServer.MAX_CONNECTIONS + 1);
+    } finally {
+      for (Socket socket : flood) {
+        socket.close();
+      }
+    }
+  }
 }
