--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/ConfigurationUnderFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/ConfigurationUnderFaultsTest.java
@@ -12,6 +12,13 @@
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.error.Result;
 import io.marigoldsail.json.Json;
+import io.marigoldsail.log.AppendSettings;
+import io.marigoldsail.log.EntryIds;
+import io.marigoldsail.log.FollowerSettings;
+import io.marigoldsail.log.LogAppender;
+import io.marigoldsail.log.SnapshotSettings;
+import io.marigoldsail.log.SnapshotWriter;
+import io.marigoldsail.log.StreamFollower;
 import io.marigoldsail.testlib.platform.FakeLogService;
 import io.marigoldsail.testlib.platform.LogFaults;
 import io.marigoldsail.time.MonotonicClock;
@@ -21,6 +28,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -33,6 +41,9 @@
   private static final String STREAM = ProcessBase.CONFIGURATION_STREAM;
   private static final long PATIENCE_SECONDS = 30;
 
+  /** A snapshot after every fifth record, at once. */
+  private static final SnapshotSettings SNAPSHOTS = new SnapshotSettings(5, 600_000, 1, 0);
+
   private final FakeLogService log = new FakeLogService();
   private final ExecutorService executor = Executors.newCachedThreadPool();
   private final List<Member> members = new ArrayList<>();
@@ -42,19 +53,29 @@
     final ConfigurationCheck check = new ConfigurationCheck();
     final ConfigurationFold fold = new ConfigurationFold(check);
     final List<Long> revisions = new ArrayList<>();
-    final StreamClient stream;
+    final StreamFollower follower;
+    final LogAppender appender;
     final ConfigurationPublisher publisher;
 
     Member(String name, long incarnation) {
-      StreamClient.Shared shared =
-          new StreamClient.Shared(
-              log, name, incarnation, MonotonicClock.system(), EventRecorder.none());
-      stream = StreamClient.writer(shared, STREAM, fold);
+      MonotonicClock clock = MonotonicClock.system();
+      SplittableRandom random = new SplittableRandom(incarnation);
+      follower =
+          new StreamFollower(log, STREAM, fold, FollowerSettings.usual(), clock, random.split());
+      appender =
+          new LogAppender(
+              log,
+              follower,
+              EntryIds.of(name, incarnation),
+              AppendSettings.usual(),
+              clock,
+              random.split());
+      SnapshotWriter.attach(follower, appender, SNAPSHOTS, clock, random.split());
       publisher =
           new ConfigurationPublisher(
               fold,
               check,
-              (type, body) -> stream.appender().append(type, body),
+              (type, body) -> appender.append(type, body),
               EventRecorder.none(),
               MonotonicClock.system(),
               WallClock.system(),
@@ -90,7 +111,8 @@
 
     @Override
     public void close() {
-      stream.close();
+      appender.close();
+      follower.close();
     }
   }
 
@@ -104,7 +126,8 @@
   private Member start(String name, long incarnation) {
     Member member = new Member(name, incarnation);
     members.add(member);
-    member.stream.start();
+    member.follower.start();
+    member.appender.start();
     return member;
   }
 
@@ -177,22 +200,50 @@
   }
 
   /**
-   * Story: the log keeps few records; a snapshot is written in time, old publishes expire, and an
-   * entry that starts afterwards has to come to the same configuration from the snapshot.
+   * Story: the log keeps records for a while only; the publishes that made the configuration
+   * expire. An entry that is replaced afterwards must come to the same configuration from a
+   * snapshot in the stream, and not serve on what the few remaining records say.
    */
   @Test
   void entryStartsFromASnapshotAfterRecordsExpired() throws Exception {
     Member first = start("e-1", 1);
-    for (int i = 1; i <= 5; i++) {
+    for (int i = 1; i <= 12; i++) {
+      assertTrue(get(first.publish(i % 2 == 0 ? "base" : "vatulele", i)).isOk());
+    }
+    log.setFaults(LogFaults.none().withRetainedRecords(7));
+    long kept = log.read(STREAM, 0, 1, 0).value().firstOffset();
+    assertTrue(kept > 0, "the first publishes are gone");
+    Member late = start("e-2", 2);
+    late.awaitRevision(12);
+    assertEquals(first.fold.snapshot().path("files"), late.fold.snapshot().path("files"));
+    Result<Published> next = get(late.publish("base", 99));
+    assertEquals(13, next.value().revision());
+    first.awaitRevision(13);
+  }
+
+  /**
+   * Story: a process was frozen while the others published on and its next records expired. Awake,
+   * it goes on with its old configuration until it finds a snapshot, and never below what it had.
+   */
+  @Test
+  void frozenProcessCatchesUpFromASnapshot() throws Exception {
+    Member first = start("e-1", 1);
+    Member frozen = start("e-2", 2);
+    assertTrue(get(first.publish("base", 1)).isOk());
+    frozen.awaitRevision(1);
+    JsonNode known = frozen.fold.snapshot();
+    frozen.close();
+    for (int i = 2; i <= 12; i++) {
       assertTrue(get(first.publish("base", i)).isOk());
     }
-    JsonNode known = first.fold.snapshot();
-    Member late = new Member("e-2", 2);
-    members.add(late);
-    late.fold.restore(known);
-    log.setFaults(LogFaults.none().withRetainedRecords(1));
-    late.stream.start();
-    assertEquals(5, late.fold.state().revision(), "what a peer gave stays in force");
+    log.setFaults(LogFaults.none().withRetainedRecords(7));
+    Member awake = new Member("e-2", 3);
+    members.add(awake);
+    awake.fold.restore(known);
+    awake.follower.start();
+    awake.appender.start();
+    awake.awaitRevision(12);
+    assertEquals(first.fold.snapshot().path("files"), awake.fold.snapshot().path("files"));
   }
 
   /**
