--- a/marigoldsail-core/src/test/java/io/marigoldsail/log/StreamCursorTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/log/StreamCursorTest.java
@@ -192,7 +192,8 @@
   /** Reads to the end in pages of 50 while everything before an offset has expired. */
   private void read(StreamCursor reader, long firstOffset) {
     boolean more = true;
-    while (more) {
+    for (int pages = 0; more; pages++) {
+      assertTrue(pages < 10_000, "the reader goes round in circles");
       long from = Math.max(firstOffset, reader.nextOffset());
       List<LogRecord> page = new ArrayList<>();
       for (long at = from; at < records.size() && page.size() < 50; at++) {
--- /dev/null
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/log/SilentConnectionTest.java
@@ -0,0 +1,70 @@
+package io.marigoldsail.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.marigoldsail.daemon.platform.HttpLogService;
+import io.marigoldsail.daemon.platform.PlatformClient;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.testlib.fault.TcpFaultProxy;
+import io.marigoldsail.testlib.fault.TcpFaultProxy.Direction;
+import io.marigoldsail.testlib.platform.StandInLogService;
+import io.marigoldsail.time.MonotonicClock;
+import java.net.URI;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+final class SilentConnectionTest {
+  private static final String STREAM = "configuration";
+  private static final long TIMEOUT_MILLIS = 400;
+  private static final long PATIENCE_SECONDS = 60;
+
+  private final MonotonicClock clock = MonotonicClock.system();
+
+  @ParameterizedTest
+  @EnumSource(Direction.class)
+  void goesOnOverNewConnections(Direction direction) throws Exception {
+    // A middle box forgets all connections between a process and the log: they stay open and carry
+    // nothing any more, while new ones work. A reader that waited on such a one would show an old
+    // configuration for good. Bytes vanish on the way there, or on the way back after the effect.
+    try (StandInLogService service = new StandInLogService("127.0.0.1", 0).start();
+        TcpFaultProxy proxy = new TcpFaultProxy(URI.create(service.address()).getPort());
+        PlatformClient client = PlatformClient.start("silent")) {
+      HttpLogService log =
+          new HttpLogService(client, "http://127.0.0.1:" + proxy.port(), TIMEOUT_MILLIS);
+      CountFold fold = new CountFold();
+      SplittableRandom random = new SplittableRandom(1);
+      FollowerSettings settings = new FollowerSettings(50, 200, 1, 10, 100, false);
+      try (StreamFollower follower =
+              new StreamFollower(log, STREAM, fold, settings, clock, random);
+          LogAppender appender =
+              new LogAppender(
+                  log,
+                  follower,
+                  EntryIds.of("entry-1", 1),
+                  AppendSettings.usual(),
+                  clock,
+                  random)) {
+        follower.start();
+        appender.start();
+        assertTrue(append(appender).isOk());
+
+        proxy.silenceOpen(direction);
+
+        assertTrue(append(appender).isOk());
+        assertTrue(append(appender).isOk());
+        assertEquals(3, fold.count());
+      }
+    }
+  }
+
+  private Result<Position> append(LogAppender appender) throws Exception {
+    long deadline = clock.nanos() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+    return appender
+        .append("t", JsonNodeFactory.instance.objectNode(), deadline)
+        .get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+  }
+}
