--- a/marigoldsail-core/src/test/java/io/marigoldsail/guard/GuardTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/guard/GuardTest.java
@@ -87,6 +87,21 @@
     assertTrue(loose.containsAll(List.of(1L, 3L, 4L)), () -> "loose: " + loose);
   }
 
+  /** Each try of a known culprit costs the service a slow moment, so tries become rare. */
+  @Test
+  void aCulpritIsTriedAgainLessAndLess() {
+    add(1, "calm", 0, 0);
+    add(2, "noisy", 0, 0);
+    run(600, running -> running.contains(2L) ? 1.5 : 0.5);
+
+    long tries =
+        actions.stream()
+            .filter(action -> action.token() == 2)
+            .filter(action -> action.why().contains("quiet"))
+            .count();
+    assertTrue(tries > 2 && tries < 40, () -> "tries " + tries);
+  }
+
   /** Between quiet and slow nothing changes, or lagging readings would make the guard swing. */
   @Test
   void betweenQuietAndSlowNothingChanges() {
