--- a/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/CallersOfSite.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/CallersOfSite.java
@@ -11,6 +11,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -21,10 +23,12 @@
   private static final int CALLERS = 8;
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
   private static final int DEADLINE_MILLIS = 5_000;
+  private static final int REPEATS = 3;
 
   private final List<String> entries;
   private final RequestHistory history = new RequestHistory();
   private final AtomicLong asked = new AtomicLong();
+  private final Set<String> foreign = ConcurrentHashMap.newKeySet();
   private final List<Thread> threads = new ArrayList<>();
   private final HttpClient client =
       HttpClient.newBuilder()
@@ -71,26 +75,46 @@
     }
   }
 
+  /** Every other charge carries a key, and its caller asks again with it over the other entries. */
   private void ask(String entry, String caller, long number) {
     boolean idempotent = number % 2 == 0;
+    boolean keyed = number % 4 == 1;
     String tag = "r" + number;
+    Told told = askOnce(entry, caller, number, tag, keyed);
+    for (int i = 1; i <= REPEATS && keyed && told != Told.ANSWERED; i++) {
+      String other = entries.get((int) ((number + i) % entries.size()));
+      Told again = askOnce(other, caller, number, tag, true);
+      // "Not run" speaks of one try; an earlier one whose outcome is unknown may have run.
+      told = again == Told.ANSWERED || told == Told.NOT_RUN ? again : told;
+    }
+    history.add(tag, idempotent, told, !foreign.contains(tag));
+  }
+
+  private Told askOnce(String entry, String caller, long number, String tag, boolean keyed) {
     String body = "body of " + tag + " ".repeat((int) (number % 500));
     HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create("http://" + entry + "/parking/book?tag=" + tag))
             .timeout(TIMEOUT)
             .header("Marigoldsail-Caller", caller)
             .header("Marigoldsail-Deadline-Millis", Integer.toString(DEADLINE_MILLIS))
-            .method(idempotent ? "PUT" : "POST", HttpRequest.BodyPublishers.ofString(body));
+            .method(number % 2 == 0 ? "PUT" : "POST", HttpRequest.BodyPublishers.ofString(body));
+    if (keyed) {
+      request.header("Idempotency-Key", tag);
+    }
     try {
       HttpResponse<byte[]> answer =
           client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
       String text = new String(answer.body(), StandardCharsets.UTF_8);
       Told told = told(answer.statusCode(), text);
-      history.add(tag, idempotent, told, told != Told.ANSWERED || text.equals(body));
+      if (told == Told.ANSWERED && !text.equals(body)) {
+        foreign.add(tag);
+      }
+      return told;
     } catch (IOException e) {
-      history.add(tag, idempotent, Told.UNKNOWN, true);
+      return Told.UNKNOWN;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+      return Told.UNKNOWN;
     }
   }
 
