--- a/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/routing/SlotShare.java
@@ -20,6 +20,13 @@
  * target may always try one request, whatever the report says, so that nobody starves on an old
  * report; a full side process turns that one away.
  *
+ * <p>Load pattern: reports are late. An old report less this entry's present requests is wrong by
+ * all that changed since, and limits that follow it swing: three entries with reports a second old
+ * sent each request five times. So the estimate moves towards a report by the time since the last
+ * one, {@link #DAMPING_NANOS} for most of the way, which evens out ten answers of a busy entry and
+ * believes the announcements of a quiet one; and each time a target turns a request away, the entry
+ * waits twice as long before it sends another.
+ *
  * <p>Not safe for use by several threads.
  */
 final class SlotShare {
@@ -31,8 +38,10 @@
 
   private static final int MAX_DOUBLINGS = 5;
 
-  /** How far one report moves the estimate of what others use. */
-  private static final double REPORT_WEIGHT = 0.25;
+  /** A report moves the estimate of what others use by how long it is since the last. */
+  private static final double DAMPING_NANOS = 150_000_000;
+
+  private static final long NEVER = Long.MIN_VALUE;
 
   private final Deque<Long> recentSends = new ArrayDeque<>();
   private int slots;
@@ -40,7 +49,8 @@
   private double others;
   private int entries = 1;
   private int turnedAwayInARow;
-  private long heldUntil = Long.MIN_VALUE;
+  private long heldUntil = NEVER;
+  private long reportedAt = NEVER;
 
   SlotShare(int slots) {
     this.slots = slots;
@@ -77,10 +87,18 @@
     forgetSendsBefore(now - IN_FLIGHT_NANOS);
     int seenOfOwn = Math.max(0, own - recentSends.size());
     int seenOfOthers = Math.max(0, load.inFlight() + load.waiting() - seenOfOwn);
-    others += (seenOfOthers - others) * REPORT_WEIGHT;
+    others += (seenOfOthers - others) * reportWeight(now);
+    reportedAt = now;
     entries = Math.max(1, load.entries());
   }
 
+  private double reportWeight(long now) {
+    if (reportedAt == NEVER) {
+      return 1;
+    }
+    return 1 - Math.exp((reportedAt - now) / DAMPING_NANOS);
+  }
+
   private void forgetSendsBefore(long time) {
     while (!recentSends.isEmpty() && recentSends.peekFirst() < time) {
       recentSends.removeFirst();
--- a/marigoldsail-testlib/src/test/java/io/marigoldsail/testlib/measure/RequestPatternsTest.java
+++ b/marigoldsail-testlib/src/test/java/io/marigoldsail/testlib/measure/RequestPatternsTest.java
@@ -85,4 +85,14 @@
     assertAtMost(metrics, "tries_per_request", 1.1);
     assertAtMost(metrics, "failed_share", 0.001);
   }
+
+  // Side processes report what was true a second ago. Limits that follow such reports at once swing
+  // between full and idle: requests were turned away five times each.
+  @Test
+  void staysSteadyWhenReportsAreLate() {
+    Map<String, Double> metrics = run("late-reports@vatulele");
+    assertAtMost(metrics, "tries_per_request", 1.1);
+    assertAtMost(metrics, "p99_ms", 1.5 * metrics.get("reference_p99_ms"));
+    assertAtLeast(metrics, "goodput_ratio", 0.99);
+  }
 }
