Let a cut-off entry revoke no homes, and idle less

An entry that was just started or lost its network hears nobody and after ten seconds revoked every home of keys, healthy as they were: all keys refused for 71 s. It now revokes for silence only while it hears at least as many VMs as it misses homes. Evidence goes to homes every 3 s and at once when homes change (lease 10 s), the target is probed every second.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/idempotency/HomePlan.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/idempotency/HomePlan.java
@@ -45,6 +45,19 @@
     return claims;
   }
 
+  /**
+   * Returns whether an entry may revoke homes for their silence.
+   *
+   * <p>An entry that was just started, or is itself cut off, hears hardly anybody. Without this it
+   * would revoke all homes, healthy as they are, and every key would be refused for the quiet time.
+   *
+   * @param missing how many homes it does not hear
+   * @param heard how many VMs it hears
+   */
+  public static boolean mayRevoke(int missing, int heard) {
+    return heard >= missing;
+  }
+
   private static String strongest(List<String> vms, String service, int shard) {
     String best = vms.get(0);
     for (String vm : vms) {
--- a/marigoldsail-core/src/test/java/io/marigoldsail/idempotency/KeyShardTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/idempotency/KeyShardTableTest.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.idempotency;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -110,4 +111,13 @@
     assertEquals(KeyShards.COUNT - 2, total);
     claims.values().forEach(shards -> assertTrue(shards.size() > KeyShards.COUNT / 5));
   }
+
+  /** An entry loses its network: it must not take the homes' shards, which others still hear. */
+  @Test
+  void entryThatHearsHardlyAnybodyRevokesNobody() {
+    assertFalse(HomePlan.mayRevoke(11, 0));
+    assertFalse(HomePlan.mayRevoke(7, 4));
+    assertTrue(HomePlan.mayRevoke(4, 7));
+    assertTrue(HomePlan.mayRevoke(1, 1));
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/KeyHomes.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/KeyHomes.java
@@ -43,6 +43,10 @@
   }
 
   private static final long TICK_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** How often homes get evidence, besides at once when they change; a third of the lease. */
+  private static final long VOUCH_NANOS = TimeUnit.SECONDS.toNanos(3);
+
   private static final int MAX_APPENDS = 32;
 
   private record Member(String vm, long incarnation) {}
@@ -53,6 +57,8 @@
   private final EntryLinks links;
   private final Map<Member, Long> missingSince = new HashMap<>();
   private final AtomicInteger appends = new AtomicInteger();
+  private Map<String, Map<Integer, KeyHome>> vouchedFor = Map.of();
+  private long vouchAt;
   private Future<?> tick;
 
   /**
@@ -89,13 +95,18 @@
     Set<String> services = new HashSet<>(table.services());
     targets.forEach(target -> services.add(target.service()));
     Set<Member> homes = new HashSet<>();
+    Map<String, Map<Integer, KeyHome>> all = new HashMap<>();
     for (String service : services) {
       Map<Integer, KeyHome> held = table.homes(service);
+      all.put(service, held);
       held.values().forEach(home -> homes.add(new Member(home.vm(), home.incarnation())));
       claim(service, held.keySet(), targets);
     }
     revoke(homes);
-    if (!homes.isEmpty()) {
+    long now = loop.now();
+    if (!homes.isEmpty() && (!all.equals(vouchedFor) || vouchAt - now <= 0)) {
+      vouchedFor = all;
+      vouchAt = now + VOUCH_NANOS;
       vouch();
     }
   }
@@ -115,20 +126,30 @@
   private void revoke(Set<Member> homes) {
     long now = loop.now();
     missingSince.keySet().retainAll(homes);
+    int missing = (int) homes.stream().filter(home -> !isHeard(home)).count();
+    boolean trusted = HomePlan.mayRevoke(missing, links.members().members().size());
     for (Member home : homes) {
       Optional<Announcement> heard = links.members().member(home.vm());
-      if (heard.isPresent() && heard.get().processIncarnation() == home.incarnation()) {
+      if (isHeard(home)) {
         missingSince.remove(home);
         continue;
       }
-      long since = missingSince.computeIfAbsent(home, missing -> now);
+      long since = missingSince.computeIfAbsent(home, silent -> now);
       boolean replaced = heard.isPresent() && heard.get().processIncarnation() > home.incarnation();
-      if (replaced || now - since > KeyTerms.REVOKE_AFTER_NANOS) {
+      if (replaced || (trusted && now - since > KeyTerms.REVOKE_AFTER_NANOS)) {
         append(KeyShardTable.REVOKE, KeyShardTable.revocation(home.vm(), home.incarnation()));
       }
     }
   }
 
+  private boolean isHeard(Member home) {
+    return links
+        .members()
+        .member(home.vm())
+        .filter(heard -> heard.processIncarnation() == home.incarnation())
+        .isPresent();
+  }
+
   /** Reads the log up to an own record and vouches as of the moment before it was sent. */
   private void vouch() {
     long sentAt = loop.now();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -48,7 +48,9 @@
   private static final int MAX_ENDED = 20_000;
 
   private static final long LEDGER_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(60);
-  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** How often the target is probed: it is to get nothing new within 2 s of its leaving. */
+  private static final long TICK_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   /** How long past its deadline a request may still hold its slot, because its target does. */
   private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(10);
