--- a/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/CallersOfSite.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/CallersOfSite.java
@@ -3,6 +3,7 @@
 import io.marigoldsail.testlib.history.RequestHistory;
 import io.marigoldsail.testlib.history.RequestHistory.Told;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -123,6 +124,26 @@
     }
   }
 
+  /** Sends one request with a body to an entry. */
+  static HttpResponse<byte[]> post(String entry, byte[] body) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + entry + "/parking/book"))
+            .timeout(TIMEOUT)
+            .POST(HttpRequest.BodyPublishers.ofByteArray(body))
+            .build();
+    try {
+      return HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .build()
+          .send(request, HttpResponse.BodyHandlers.ofByteArray());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+
   private static Told told(int status, String text) {
     if (status == 200) {
       return Told.ANSWERED;
--- a/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteSteps.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteSteps.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.tests.scenario;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,7 +11,10 @@
 import io.cucumber.java.en.When;
 import io.marigoldsail.testlib.history.TaskHistory;
 import io.marigoldsail.testlib.platform.LogFaults;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
 /** The steps of the scenarios. */
@@ -167,6 +171,23 @@
     assertEquals(0, callers.cutOff());
   }
 
+  @Then("a body of {int} bytes comes back whole")
+  public void bodyComesBack(int length) {
+    byte[] body = new byte[length];
+    new SplittableRandom(length).nextBytes(body);
+    HttpResponse<byte[]> answer = CallersOfSite.post(site.callersAddresses().get(0), body);
+    assertEquals(200, answer.statusCode());
+    assertArrayEquals(body, answer.body());
+  }
+
+  @Then("a body of {int} bytes is refused as {word}")
+  public void bodyIsRefused(int length, String code) {
+    HttpResponse<byte[]> answer =
+        CallersOfSite.post(site.callersAddresses().get(0), new byte[length]);
+    assertEquals(413, answer.statusCode());
+    assertTrue(new String(answer.body(), StandardCharsets.UTF_8).contains(code));
+  }
+
   @When("revision {long} is in force in all processes")
   public void revisionIsInForce(long revision) {
     OperatorsOfSite operators = site.operators();
--- a/marigoldsail-tests/src/test/resources/io/marigoldsail/tests/scenario/requests.feature
+++ b/marigoldsail-tests/src/test/resources/io/marigoldsail/tests/scenario/requests.feature
@@ -44,3 +44,13 @@
     And 200 more requests have been answered
     Then no request lost its connection or its outcome
     And every caller got the whole answer to its own request, and no charge ran twice
+
+  # The documented limit of a body is 8 MiB. Up to it the caller's bytes come back as they were; past
+  # it the refusal names the limit, and nothing reaches a target.
+  Scenario: bodies come back whole up to the limit
+    Given a site with 1 entries and 1 VMs
+    Then a body of 0 bytes comes back whole
+    And a body of 1 bytes comes back whole
+    And a body of 65536 bytes comes back whole
+    And a body of 8388608 bytes comes back whole
+    And a body of 8388609 bytes is refused as body-too-large
