--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/OperatorClient.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/OperatorClient.java
@@ -58,6 +58,17 @@
     return ask("GET", pathAndQuery, Optional.empty());
   }
 
+  /**
+   * Returns the answer, or empty if there is none just now. For questions that are asked again and
+   * again: one entry that dies meanwhile, or the next one being behind it, must not end a wait for
+   * something that was accepted.
+   */
+  Optional<JsonNode> tryGet(String pathAndQuery) {
+    return get(pathAndQuery) instanceof Result.Ok<JsonNode> ok
+        ? Optional.of(ok.value())
+        : Optional.empty();
+  }
+
   Result<JsonNode> post(String pathAndQuery, byte[] body) {
     return ask("POST", pathAndQuery, Optional.of(body));
   }
--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/PublishCommand.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/PublishCommand.java
@@ -124,7 +124,8 @@
     Optional<JsonNode> reached =
         Waiting.until(
             () ->
-                Optional.of(ConnectionOptions.require(client.get("/configuration/in-force")))
+                client
+                    .tryGet("/configuration/in-force")
                     .filter(answer -> answer.path("everywhere").asLong() >= revision),
             waitTimeoutMillis);
     if (reached.isPresent()) {
--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/SubmitCommand.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/SubmitCommand.java
@@ -45,9 +45,7 @@
     String route = "/jobs/" + ConnectionOptions.encode(submitted.path("name").asText());
     Optional<JsonNode> ended =
         Waiting.until(
-            () ->
-                Optional.of(ConnectionOptions.require(client.get(route)))
-                    .filter(job -> job.path("ended").asBoolean()),
+            () -> client.tryGet(route).filter(job -> job.path("ended").asBoolean()),
             waitTimeoutMillis);
     print(ended.orElseGet(() -> ConnectionOptions.require(client.get(route))));
     return ended.map(JobLines::outcome).orElse(ExitCode.NOT_YET);
--- a/marigoldsail-tests/src/test/java/io/marigoldsail/tests/cli/CommandLineTest.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/cli/CommandLineTest.java
@@ -17,6 +17,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -169,6 +170,26 @@
     assertEquals("not-found: no job is called nothing\n", unknown.err());
   }
 
+  /**
+   * Story: a script submits a job and waits; the entry dies and the next one has not read the job
+   * yet. Ending with "no such job" would make the script submit it under another name.
+   */
+  @Test
+  void waitOutlivesAnEntryThatDoesNotKnowTheJobYet() throws IOException {
+    AtomicInteger asked = new AtomicInteger();
+    world.server.registerImmediate("POST", "/jobs", request -> Result.ok(job(0, false)));
+    world.server.registerImmediate(
+        "GET",
+        "/jobs/{name}",
+        request ->
+            asked.incrementAndGet() < 3
+                ? Result.failed(ErrorKind.NOT_FOUND, "no job is called payout")
+                : Result.ok(job(0, true)));
+    Run waited = run("submit", file("job.json", "{'name':'payout'}"), "--wait");
+    assertEquals(0, waited.exitCode(), waited.err());
+    assertEquals(3, asked.get());
+  }
+
   private static OperatorAnswer job(int failed, boolean ended) {
     ObjectNode node = Json.object();
     node.put("name", "payout").put("count", 2).put("failed", failed).put("ended", ended);
