--- a/marigoldsail-core/src/test/java/io/marigoldsail/placement/InterferenceTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/placement/InterferenceTest.java
@@ -33,11 +33,12 @@
     for (int i = 0; i < 50; i++) {
       interference.measured("victim", Map.of("noisy", 1.0), 2);
     }
-    for (int i = 0; i < 50; i++) {
+    for (int i = 0; i < 100; i++) {
       interference.measured("victim", Map.of("noisy", 1.0), 1);
     }
 
-    assertEquals(0, interference.excess("victim", "noisy"), 0.01);
+    assertEquals(0, interference.excess("victim", "noisy"));
+    assertTrue(interference.mutual("noisy").isEmpty());
   }
 
   @Test
