--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorServer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/operators/OperatorServer.java
@@ -9,6 +9,7 @@
 import io.marigoldsail.error.Result;
 import io.marigoldsail.settings.HostPort;
 import java.io.IOException;
+import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
@@ -59,7 +60,8 @@
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS, IDLE_MILLIS);
     threads.setReservedThreads(0);
     threads.setName("operators");
-    server = new Server(threads);
+    // Pooled buffers can be mixed up beside garbage: see docs/decisions/0205.
+    server = new Server(threads, null, new ByteBufferPool.NonPooling());
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
