--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/platform/HttpWorkerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/platform/HttpWorkerTest.java
@@ -72,9 +72,10 @@
   @Test
   void refusedConnectionTookNoEffect() {
     WorkerBoot boot = worker.boot().value();
+    String address = service.address();
     service.close();
     try (PlatformClient fresh = PlatformClient.start("fresh")) {
-      HttpWorker unconnected = new HttpWorker(fresh, service.address(), TIMEOUT_MILLIS);
+      HttpWorker unconnected = new HttpWorker(fresh, address, TIMEOUT_MILLIS);
       assertKind(ErrorKind.TARGET_UNREACHABLE, unconnected.start(start(boot, "payout/2", 2)));
     }
     Result<?> pooled = worker.start(start(boot, "payout/2", 2));
