--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/RequestFrames.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/RequestFrames.java
@@ -1,18 +1,14 @@
 package io.marigoldsail.daemon.dispatch;
 
 import com.google.protobuf.ByteString;
-import io.marigoldsail.daemon.link.FrameStream;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.RequestBody;
 import io.marigoldsail.protocol.RequestId;
 import io.marigoldsail.protocol.RequestStart;
-import java.util.NoSuchElementException;
 
 /** The frames of a request. */
-final class RequestFrames implements FrameStream {
+final class RequestFrames extends ChunkedFrames {
   private final RequestId id;
-  private Frame first;
-  private ByteString rest;
 
   /**
    * Creates the frames.
@@ -21,37 +17,18 @@
    * @param body the whole body
    */
   RequestFrames(RequestStart.Builder start, ByteString body) {
+    super(first(start, body), body);
     this.id = start.getId();
-    ByteString head = body.substring(0, Math.min(Bodies.CHUNK_BYTES, body.size()));
-    this.rest = body.substring(head.size());
-    start.setBodyLength(body.size()).setData(head).setLast(rest.isEmpty());
-    this.first = Frame.newBuilder().setRequestStart(start).build();
   }
 
-  @Override
-  public boolean hasNext() {
-    return first != null || !rest.isEmpty();
+  private static Frame first(RequestStart.Builder start, ByteString body) {
+    start.setBodyLength(body.size()).setData(head(body)).setLast(fitsFirst(body));
+    return Frame.newBuilder().setRequestStart(start).build();
   }
 
   @Override
-  public Frame next() {
-    if (first != null) {
-      Frame frame = first;
-      first = null;
-      return frame;
-    }
-    if (rest.isEmpty()) {
-      throw new NoSuchElementException();
-    }
-    ByteString chunk = rest.substring(0, Math.min(Bodies.CHUNK_BYTES, rest.size()));
-    rest = rest.substring(chunk.size());
-    RequestBody.Builder body =
-        RequestBody.newBuilder().setId(id).setData(chunk).setLast(rest.isEmpty());
+  Frame chunk(ByteString data, boolean last) {
+    RequestBody.Builder body = RequestBody.newBuilder().setId(id).setData(data).setLast(last);
     return Frame.newBuilder().setRequestBody(body).build();
   }
-
-  @Override
-  public void ended() {
-    rest = ByteString.EMPTY;
-  }
 }
