Wait for a drain in one place; ask WaitingRoom for the waiting places

Found in the read-through: both roles held the same wait with the same limit and log lines, and SideLimits computed slots / 2 itself, beside WaitingRoom.placesFor, which the model uses. Behaviour is the same. The whole suite was not run again on this one.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryProcess.java
@@ -9,8 +9,6 @@
 import io.marigoldsail.daemon.dispatch.LinkTimes;
 import io.marigoldsail.daemon.link.EntryLinks;
 import io.marigoldsail.daemon.link.LinkLoop;
-import io.marigoldsail.daemon.observe.EventLog;
-import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.operators.MemberRoutes;
 import io.marigoldsail.daemon.task.EntryTasks;
 import io.marigoldsail.daemon.task.FollowedTaskLog;
@@ -30,24 +28,19 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
 /** An entry: serves callers and operators, decides about requests, claims tasks. */
 final class EntryProcess implements DaemonProcess {
-  private static final EventLog LOG = EventLog.of(EntryProcess.class);
   private static final int KEPT_EVENTS = 1 << 16;
   private static final int MAX_SIDE_PROCESSES = 2_000;
 
   /** How long the balancer may take to notice the bad health; it asks every second. */
   private static final long STOP_GRACE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-  private static final long DRAIN_LIMIT_SECONDS = 60;
-
   /**
    * How long a publish waits for the log. Shorter than the operator's wait: else that ends first,
    * and all it can say during an outage is that the outcome is unknown, though nothing was
@@ -231,14 +224,6 @@
   }
 
   private void drain() {
-    try {
-      dispatcher.beginStop(STOP_GRACE_NANOS).get(DRAIN_LIMIT_SECONDS, TimeUnit.SECONDS);
-    } catch (TimeoutException e) {
-      LOG.warning(LogLine.of("drain-cut-short").with("seconds", DRAIN_LIMIT_SECONDS));
-    } catch (ExecutionException e) {
-      LOG.error(LogLine.of("drain-failed").withError(e.getCause()));
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    Drain.await(dispatcher.beginStop(STOP_GRACE_NANOS));
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
@@ -8,8 +8,6 @@
 import io.marigoldsail.daemon.dispatch.TargetClient;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.link.SideLinks;
-import io.marigoldsail.daemon.observe.EventLog;
-import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.platform.HttpWorker;
 import io.marigoldsail.daemon.task.ServiceWatch;
 import io.marigoldsail.daemon.task.SideIdentity;
@@ -27,16 +25,12 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 /** A side process: stands between the entries and the target and worker of its VM. */
 final class SideProcess implements DaemonProcess {
-  private static final EventLog LOG = EventLog.of(SideProcess.class);
   private static final int KEPT_EVENTS = 1 << 13;
   private static final long WORKER_TIMEOUT_MILLIS = 2_000;
-  private static final long DRAIN_LIMIT_SECONDS = 60;
 
   /**
    * How long newcomers are still turned away as not run after the last request has ended. A request
@@ -196,18 +190,10 @@
   }
 
   private static void drain(TargetPart part) {
-    try {
-      part.dispatcher()
-          .beginStop()
-          .thenRunAsync(
-              () -> {}, CompletableFuture.delayedExecutor(LINGER_MILLIS, TimeUnit.MILLISECONDS))
-          .get(DRAIN_LIMIT_SECONDS, TimeUnit.SECONDS);
-    } catch (TimeoutException e) {
-      LOG.warning(LogLine.of("drain-cut-short").with("seconds", DRAIN_LIMIT_SECONDS));
-    } catch (ExecutionException e) {
-      LOG.error(LogLine.of("drain-failed").withError(e.getCause()));
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    Drain.await(
+        part.dispatcher()
+            .beginStop()
+            .thenRunAsync(
+                () -> {}, CompletableFuture.delayedExecutor(LINGER_MILLIS, TimeUnit.MILLISECONDS)));
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideLimits.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideLimits.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import io.marigoldsail.dispatch.WaitingRoom;
+
 /**
  * Bounds of a side process.
  *
@@ -31,7 +33,7 @@
   public static SideLimits ofSlots(int slots) {
     return new SideLimits(
         slots,
-        Math.max(1, slots / 2),
+        WaitingRoom.placesFor(slots),
         DEFAULT_MAX_CONNECTIONS,
         DEFAULT_BODY_BYTES,
         DEFAULT_KEPT_ANSWER_BYTES);
