Notice that a log stream is another one than was read so far

Cause: a reader went by offsets alone. A stream that began again stayed unread until it was as long as the old one, and then counted as its continuation; one that lost its newest records was folded on from where other records stood by then. Both without a word.

Each record is now asked for together with the last one read, and compared with what stood there. A lower end alone is no proof, since a replica may lag: the record at that end is compared. A stream that ends before what retention had left is another one. Ruled out: an epoch told by the platform, which its log does not offer; comparing only after outages, because a platform that goes on from an older copy can be past the reader's offset within milliseconds.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/configuration/ConfigurationFold.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/configuration/ConfigurationFold.java
@@ -7,6 +7,7 @@
 import io.marigoldsail.error.Result;
 import io.marigoldsail.log.Fold;
 import io.marigoldsail.log.LogEntry;
+import io.marigoldsail.log.NewHistory;
 import io.marigoldsail.log.Position;
 import java.util.List;
 import java.util.Map;
@@ -151,6 +152,27 @@
     expected.remove(publishId);
   }
 
+  /** The highest revision stays in force, whatever becomes of the stream. */
+  @Override
+  public NewHistory onNewHistory() {
+    return NewHistory.CARRY_OVER;
+  }
+
+  @Override
+  public synchronized void beginNewHistory() {
+    state = state.withNextPosition(new Position(0, 0));
+  }
+
+  @Override
+  public long revision() {
+    return state.revision();
+  }
+
+  @Override
+  public long revisionOf(JsonNode snapshot) {
+    return snapshot.path("revision").asLong();
+  }
+
   @Override
   public JsonNode snapshot() {
     return ConfigurationStateJson.write(state);
@@ -168,8 +190,12 @@
     if (read.isEmpty()) {
       throw new IllegalArgumentException("no state of the configuration");
     }
-    if (read.get().nextPosition().compareTo(state.nextPosition()) <= 0
-        || read.get().revision() < state.revision()) {
+    // A later revision at an earlier place is one that was carried into a stream that began again.
+    boolean later = read.get().revision() > state.revision();
+    boolean further =
+        read.get().revision() == state.revision()
+            && read.get().nextPosition().compareTo(state.nextPosition()) > 0;
+    if (!later && !further) {
       return;
     }
     long before = state.revisionInForce();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/AppendQueue.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/AppendQueue.java
@@ -200,6 +200,21 @@
     return ended;
   }
 
+  /**
+   * Tells that the stream is another one than what was sent may stand in; it will not be read back.
+   */
+  List<Completion> historyReplaced() {
+    List<Completion> ended = new ArrayList<>();
+    for (Pending entry : List.copyOf(open.values())) {
+      if (maybeStored.contains(entry.id())) {
+        Failure unknown =
+            Failure.of(ErrorKind.LOG_OUTCOME_UNKNOWN, "the log's history was replaced");
+        finish(entry, Result.failed(unknown)).ifPresent(ended::add);
+      }
+    }
+    return ended;
+  }
+
   /** Gives up what has passed its deadline. */
   List<Completion> expire(long now) {
     if (now < earliestDeadline) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/Fold.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/Fold.java
@@ -23,4 +23,28 @@
    * @throws IllegalArgumentException if it makes no sense; the state is then as it was
    */
   void restore(JsonNode snapshot);
+
+  /** Returns what becomes of this state when the stream turns out to be another one. */
+  default NewHistory onNewHistory() {
+    return NewHistory.HALT;
+  }
+
+  /**
+   * Tells that offsets count from the beginning of another stream from now on. Only called under
+   * {@link NewHistory#READ_ON} and {@link NewHistory#CARRY_OVER}; the state stays.
+   */
+  default void beginNewHistory() {}
+
+  /**
+   * Returns a number that only grows as entries are applied, also across histories of the stream,
+   * or 0. Under {@link NewHistory#CARRY_OVER} the state with the highest one prevails.
+   */
+  default long revision() {
+    return 0;
+  }
+
+  /** Returns the {@link #revision} of another process's {@link #snapshot}, or 0. */
+  default long revisionOf(JsonNode snapshot) {
+    return 0;
+  }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/LogAppender.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/LogAppender.java
@@ -101,7 +101,9 @@
     requireNonNull(type, "type");
     requireNonNull(body, "body");
     CompletableFuture<Result<Position>> future = new CompletableFuture<>();
-    if (follower.status().seeking()) {
+    StreamStatus read = follower.status();
+    boolean offer = read.offering() && type.equals(SnapshotParts.TYPE);
+    if (read.seeking() && !offer) {
       return refused(future, "this process has not read the log far enough");
     }
     Optional<Failure> refusal;
@@ -241,6 +243,16 @@
       }
     }
 
+    @Override
+    public void historyReplaced(NewHistory reaction, String detail) {
+      lock.lock();
+      try {
+        readBack.addAll(queue.historyReplaced());
+      } finally {
+        lock.unlock();
+      }
+    }
+
     @Override
     public void pageApplied(StreamStatus status) {
       // Told only now, so that whoever waits finds the follower at least where its entry stands.
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/SnapshotSchedule.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/SnapshotSchedule.java
@@ -36,6 +36,14 @@
     writeAt = Long.MAX_VALUE;
   }
 
+  /** Tells that the stream is another one, which holds no snapshot yet. */
+  void historyReplaced(long now) {
+    lastThrough = -1;
+    lastSeenAt = now;
+    writeAt = Long.MAX_VALUE;
+    heldUntil = Long.MIN_VALUE;
+  }
+
   /** Tells of a part, of whichever snapshot. */
   void sawPart(long now) {
     heldUntil = now + TimeUnit.MILLISECONDS.toNanos(settings.holdMillis());
@@ -43,7 +51,7 @@
 
   /** Returns whether this process writes one now; if so, the next one is at another moment. */
   boolean shouldWrite(StreamStatus status, long now) {
-    if (!isDue(status, now)) {
+    if (!status.offering() && !isDue(status, now)) {
       writeAt = Long.MAX_VALUE;
       return false;
     }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/SnapshotWriter.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/SnapshotWriter.java
@@ -69,6 +69,11 @@
     schedule.saw(snapshot.through(), clock.nanos());
   }
 
+  @Override
+  public void historyReplaced(NewHistory reaction, String detail) {
+    schedule.historyReplaced(clock.nanos());
+  }
+
   @Override
   public void pageApplied(StreamStatus status) {
     if (!schedule.shouldWrite(status, clock.nanos())) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamCursor.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamCursor.java
@@ -4,6 +4,7 @@
 import io.marigoldsail.log.RecordCodec.Raw;
 import io.marigoldsail.log.RecordCodec.Skip;
 import io.marigoldsail.log.SnapshotParts.Seen;
+import io.marigoldsail.log.StreamAnchors.Match;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +20,37 @@
     void skipped(long offset, Skip reason, long count);
   }
 
+  /** What a reader asks for. */
+  enum NextRead {
+    /** Records from an offset whose predecessor is not known here. */
+    BEGIN,
+    /** The last record read, to see that this is still the same stream, and what follows it. */
+    CONTINUE,
+    /** Whether anything has come. */
+    AWAIT,
+    /** The last record of a stream that ends before what was read: a lagging replica or another. */
+    COMPARE_LOWER_END,
+    /** The last record read before another stream took the place of this one. */
+    COMPARE_LAST;
+
+    /** Returns how many records are wanted. */
+    int maxRecords(int pageRecords) {
+      return switch (this) {
+        case BEGIN -> pageRecords;
+        case CONTINUE -> pageRecords + 1;
+        case AWAIT, COMPARE_LOWER_END, COMPARE_LAST -> 1;
+      };
+    }
+
+    /** Returns whether the log is asked to wait for a record. */
+    boolean waits() {
+      return this == BEGIN || this == AWAIT;
+    }
+  }
+
+  /** How many new records in a read tell that the next will find some without waiting. */
+  private static final int BUSY_RECORDS = 2;
+
   private final Fold fold;
   private final StreamListener listener;
   private final SkipObserver skipObserver;
@@ -30,6 +62,18 @@
   private long end;
   private long firstOffset;
   private boolean seeking;
+  private final StreamAnchors anchors = new StreamAnchors();
+
+  /** The end that a page told of below what was read; 0 if none did. */
+  private long lowerEnd;
+
+  private boolean idle;
+  private boolean alone;
+  private boolean halted;
+  private boolean soughtBeforeHalt;
+  private boolean carrying;
+  private boolean ahead;
+  private long histories;
 
   private final boolean beginAnew;
 
@@ -45,8 +89,81 @@
     return nextOffset;
   }
 
-  /** Takes the records of a page in; records before {@link #nextOffset} are ignored. */
+  /** Returns what to ask the log for next. */
+  NextRead nextRead() {
+    if (halted) {
+      return NextRead.COMPARE_LAST;
+    }
+    if (lowerEnd > 0 && !idle) {
+      return NextRead.COMPARE_LOWER_END;
+    }
+    if (idle) {
+      return NextRead.AWAIT;
+    }
+    return anchors.knows(nextOffset - 1) && !alone ? NextRead.CONTINUE : NextRead.BEGIN;
+  }
+
+  /** Returns the offset that a read begins at. */
+  long offsetOf(NextRead read) {
+    return switch (read) {
+      case BEGIN, AWAIT -> nextOffset;
+      case CONTINUE, COMPARE_LAST -> nextOffset - 1;
+      case COMPARE_LOWER_END -> lowerEnd - 1;
+    };
+  }
+
+  /** Takes the answer to a read in. */
+  void accept(NextRead read, LogPage page) {
+    if (read == NextRead.AWAIT && !page.records().isEmpty()) {
+      // What has come is not known to continue what was read: it is asked for with its predecessor.
+      idle = false;
+      return;
+    }
+    long before = nextOffset;
+    accept(page);
+    if (read == NextRead.COMPARE_LOWER_END) {
+      lowerEnd = 0;
+      idle = true;
+      return;
+    }
+    long found = nextOffset - before;
+    boolean atEnd = lowerEnd == 0 && nextOffset >= page.nextOffset();
+    idle = atEnd && found < BUSY_RECORDS;
+    // The record that follows may be one that fits no page together with its predecessor.
+    alone = read == NextRead.CONTINUE && !atEnd && found == 0;
+  }
+
+  /** Returns whether all waits for the former history. */
+  boolean halted() {
+    return halted;
+  }
+
+  /** Tells that reads failed: what answers after an outage may be another stream. */
+  void failed() {
+    idle = false;
+  }
+
+  /**
+   * Takes the records of a page in; those before {@link #nextOffset} are compared with what stood
+   * there.
+   */
   void accept(LogPage page) {
+    if (halted) {
+      compareHalted(page);
+      return;
+    }
+    for (LogRecord record : page.records()) {
+      if (record.offset() < nextOffset && anchors.compare(record) == Match.OTHER) {
+        replaced(page, "another record at offset " + record.offset());
+        return;
+      }
+    }
+    if (page.nextOffset() > 0 && page.nextOffset() < firstOffset) {
+      // No replica lags by more than the whole retention.
+      replaced(page, "it ends at " + page.nextOffset() + " before the retained " + firstOffset);
+      return;
+    }
+    lowerEnd = page.nextOffset() < nextOffset ? page.nextOffset() : 0;
     firstOffset = Math.max(firstOffset, page.firstOffset());
     end = page.nextOffset();
     if (page.firstOffset() > nextOffset) {
@@ -57,6 +174,7 @@
         continue;
       }
       nextOffset++;
+      anchors.remember(record);
       if (readRecord(record)) {
         // The state now stands elsewhere in the stream; the rest of the page is read again there.
         return;
@@ -67,6 +185,44 @@
     }
   }
 
+  private void compareHalted(LogPage page) {
+    for (LogRecord record : page.records()) {
+      if (record.offset() == nextOffset - 1 && anchors.compare(record) == Match.SAME) {
+        halted = false;
+        seeking = soughtBeforeHalt;
+        listener.historyReturned();
+      }
+    }
+  }
+
+  private void replaced(LogPage page, String detail) {
+    histories++;
+    lowerEnd = 0;
+    NewHistory reaction = fold.onNewHistory();
+    if (reaction == NewHistory.HALT) {
+      halted = true;
+      soughtBeforeHalt = seeking;
+      seeking = true;
+    } else {
+      beginNewHistory(page, reaction);
+    }
+    listener.historyReplaced(reaction, detail);
+  }
+
+  private void beginNewHistory(LogPage page, NewHistory reaction) {
+    fold.beginNewHistory();
+    marks = new WriterMarks();
+    anchors.clear();
+    parts.clear();
+    firstOffset = page.firstOffset();
+    nextOffset = firstOffset;
+    applied = firstOffset;
+    end = page.nextOffset();
+    carrying = reaction == NewHistory.CARRY_OVER && fold.revision() > 0;
+    seeking = carrying;
+    ahead = false;
+  }
+
   private void expiredUnread() {
     nextOffset = firstOffset;
     parts.clear();
@@ -111,7 +267,8 @@
   }
 
   private boolean readSnapshotPart(Raw raw) {
-    Optional<Seen> seen = parts.add(raw.body(), seeking);
+    boolean keep = seeking || fold.onNewHistory() == NewHistory.CARRY_OVER;
+    Optional<Seen> seen = parts.add(raw.body(), keep);
     if (seen.isEmpty()) {
       return false;
     }
@@ -120,7 +277,24 @@
       return false;
     }
     listener.sawSnapshot(seen.get().through());
-    return seen.get().snapshot().filter(this::usable).map(this::restore).orElse(false);
+    return seen.get().snapshot().map(this::consider).orElse(false);
+  }
+
+  private boolean consider(StreamSnapshot snapshot) {
+    long offered = fold.revisionOf(snapshot.state());
+    ahead = ahead && fold.revision() > offered;
+    // Within one history no snapshot is later than a reader that stands behind it; one that is
+    // was carried over from the history before.
+    boolean later = offered > fold.revision() && snapshot.through() >= firstOffset;
+    if (!usable(snapshot) && !later) {
+      return false;
+    }
+    boolean overtaken = fold.revision() > offered;
+    if (!restore(snapshot)) {
+      return false;
+    }
+    ahead = overtaken;
+    return true;
   }
 
   private boolean usable(StreamSnapshot snapshot) {
@@ -146,6 +320,7 @@
     nextOffset = snapshot.through();
     applied = snapshot.through();
     seeking = false;
+    carrying = false;
     parts.clear();
     listener.restored(snapshot);
     return true;
@@ -153,14 +328,24 @@
 
   /** Returns the present state. */
   StreamSnapshot snapshot() {
-    return new StreamSnapshot(applied, marks.toJson(), fold.snapshot());
+    long through = carrying ? nextOffset : applied;
+    return new StreamSnapshot(through, marks.toJson(), fold.snapshot());
   }
 
   StreamStatus status(boolean outage) {
     long skipped = skips.values().stream().mapToLong(Long::longValue).sum();
     long newer = skips.getOrDefault(Skip.NEWER_VERSION, 0L);
+    boolean offering = (carrying || ahead) && !outage && nextOffset >= end;
     return new StreamStatus(
-        applied, Math.max(end, applied), firstOffset, seeking, outage, skipped, newer);
+        applied,
+        Math.max(end, applied),
+        firstOffset,
+        seeking,
+        outage,
+        skipped,
+        newer,
+        histories,
+        offering);
   }
 
   private void skip(long offset, Skip reason) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamFollower.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamFollower.java
@@ -5,6 +5,7 @@
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.error.Result;
 import io.marigoldsail.log.RecordCodec.Skip;
+import io.marigoldsail.log.StreamCursor.NextRead;
 import io.marigoldsail.time.MonotonicClock;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -45,6 +46,7 @@
   private final ReentrantLock lock = new ReentrantLock();
   private final Condition progress = lock.newCondition();
   private long nextReadAt = Long.MIN_VALUE;
+  private long nextWaitAt = Long.MIN_VALUE;
   private volatile boolean closed;
   private volatile StreamStatus status;
 
@@ -163,39 +165,51 @@
 
   private void run() {
     while (!closed) {
-      Result<LogPage> result = read();
+      NextRead asked = cursor.nextRead();
+      Result<LogPage> result = read(asked);
       if (closed) {
         return;
       }
       if (result instanceof Result.Failed<LogPage> failed) {
         failedRead(failed.failure().detail());
       } else {
-        goodRead(result.value());
+        goodRead(asked, result.value());
       }
     }
   }
 
-  private Result<LogPage> read() {
+  private Result<LogPage> read(NextRead asked) {
     long now = clock.nanos();
-    if (now < nextReadAt) {
-      pause(nextReadAt - now);
+    long due = asked.waits() ? nextWaitAt : nextReadAt;
+    if (now < due) {
+      pause(due - now);
+    }
+    long pace = cursor.halted() ? settings.retryLimitMillis() : settings.paceMillis();
+    long next = Math.max(now, due) + TimeUnit.MILLISECONDS.toNanos(pace);
+    if (asked.waits()) {
+      nextWaitAt = next;
+    } else {
+      nextReadAt = next;
     }
-    nextReadAt = Math.max(now, nextReadAt) + TimeUnit.MILLISECONDS.toNanos(settings.paceMillis());
     try {
-      return log.read(stream, cursor.nextOffset(), settings.pageRecords(), settings.waitMillis());
+      return log.read(
+          stream,
+          cursor.offsetOf(asked),
+          asked.maxRecords(settings.pageRecords()),
+          asked.waits() ? settings.waitMillis() : 0);
     } catch (RuntimeException e) {
       // A fault of the client must not end the thread: the process would run on with old state.
       return Result.failed(ErrorKind.INTERNAL, e.toString());
     }
   }
 
-  private void goodRead(LogPage page) {
+  private void goodRead(NextRead asked, LogPage page) {
     if (backoff.failing()) {
       backoff.succeeded();
       tell(StreamListener::outageEnded);
     }
     boolean sought = status.seeking();
-    cursor.accept(page);
+    cursor.accept(asked, page);
     publish(false);
     StreamStatus now = status;
     if (now.seeking() && !sought) {
@@ -213,6 +227,7 @@
     if (!backoff.failing()) {
       tell(listener -> listener.outageBegan(detail));
     }
+    cursor.failed();
     publish(true);
     pause(backoff.failed());
   }
@@ -281,6 +296,24 @@
       tell(StreamListener::sawSnapshotPart);
     }
 
+    @Override
+    public void historyReplaced(NewHistory reaction, String detail) {
+      LOGGER.log(
+          Level.WARNING,
+          "event=log-history-replaced stream={0} applied={1,number,#} reaction={2} detail=\"{3}\"",
+          stream,
+          status.applied(),
+          reaction,
+          detail);
+      tell(listener -> listener.historyReplaced(reaction, detail));
+    }
+
+    @Override
+    public void historyReturned() {
+      LOGGER.log(Level.INFO, "event=log-history-returned stream={0}", stream);
+      tell(StreamListener::historyReturned);
+    }
+
     @Override
     public void restored(StreamSnapshot snapshot) {
       LOGGER.log(
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamListener.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamListener.java
@@ -20,6 +20,12 @@
   /** The state was replaced by a snapshot's; entries before its offset are not told one by one. */
   default void restored(StreamSnapshot snapshot) {}
 
+  /** The stream is another one than was read so far; nothing more of it is applied before this. */
+  default void historyReplaced(NewHistory reaction, String detail) {}
+
+  /** The stream that was read before is back after {@link NewHistory#HALT}. */
+  default void historyReturned() {}
+
   /** The log service stopped answering. */
   default void outageBegan(String detail) {}
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamStatus.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamStatus.java
@@ -11,6 +11,8 @@
  * @param outage whether the last read failed
  * @param skipped how many records and entries it passed over so far
  * @param newerVersions how many of them were records of a newer version
+ * @param histories how often the stream turned out to be another one than was read so far
+ * @param offering whether the stream lacks this reader's state and is to be offered it
  */
 public record StreamStatus(
     long applied,
@@ -19,7 +21,9 @@
     boolean seeking,
     boolean outage,
     long skipped,
-    long newerVersions) {
+    long newerVersions,
+    long histories,
+    boolean offering) {
 
   /** Returns whether the state holds all that the log service told of. */
   public boolean caughtUp() {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/membership/EntryDirectory.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/membership/EntryDirectory.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.marigoldsail.log.Fold;
 import io.marigoldsail.log.LogEntry;
+import io.marigoldsail.log.NewHistory;
 import io.marigoldsail.time.MonotonicClock;
 import java.util.List;
 import java.util.Map;
@@ -77,6 +78,12 @@
     entries.put(presence.name(), new Held(presence, clock.nanos() + keepNanos));
   }
 
+  /** Every entry appends again within seconds, in whichever stream. */
+  @Override
+  public NewHistory onNewHistory() {
+    return NewHistory.READ_ON;
+  }
+
   @Override
   public synchronized JsonNode snapshot() {
     ArrayNode all = JsonNodeFactory.instance.arrayNode();
--- a/marigoldsail-core/src/test/java/io/marigoldsail/log/SnapshotScheduleTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/log/SnapshotScheduleTest.java
@@ -21,7 +21,7 @@
   }
 
   private static StreamStatus at(long applied, long firstOffset) {
-    return new StreamStatus(applied, applied, firstOffset, false, false, 0, 0);
+    return new StreamStatus(applied, applied, firstOffset, false, false, 0, 0, 0, false);
   }
 
   @Property(seed = "3401", tries = 50)
@@ -86,8 +86,8 @@
   @Test
   void writesNothingThatOthersCannotUse() {
     SnapshotSchedule schedule = schedule(1);
-    StreamStatus behind = new StreamStatus(500, 900, 0, false, false, 0, 0);
-    StreamStatus older = new StreamStatus(500, 500, 0, false, false, 1, 1);
+    StreamStatus behind = new StreamStatus(500, 900, 0, false, false, 0, 0, 0, false);
+    StreamStatus older = new StreamStatus(500, 500, 0, false, false, 1, 1, 0, false);
 
     assertEquals(false, due(schedule, behind, 100_000));
     assertEquals(false, due(schedule, older, 200_000));
--- a/marigoldsail-core/src/test/java/io/marigoldsail/log/StreamCursorTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/log/StreamCursorTest.java
@@ -140,6 +140,70 @@
     assertEquals(3, cursor.nextOffset());
   }
 
+  @Test
+  void doesNotContinueWithAnotherHistory() {
+    // The platform goes on from a copy that lacks the last record; another writer's record takes
+    // its offset before this reader asks again. Before, the reader applied what came behind it and
+    // differed from all others for ever, without a word.
+    append("entry-1/a/1");
+    append("entry-1/a/2");
+    read(cursor, 0);
+    byte[] lost = records.remove(1);
+    append("entry-2/b/1");
+    append("entry-2/b/2");
+
+    ask(cursor);
+
+    assertEquals(List.of("entry-1/a/1", "entry-1/a/2"), fold.ids());
+    assertEquals(1, cursor.status(false).histories());
+    assertFalse(cursor.status(false).caughtUp());
+
+    records.subList(1, records.size()).clear();
+    records.add(lost);
+    append("entry-1/a/3");
+    ask(cursor);
+    ask(cursor);
+
+    assertEquals(List.of("entry-1/a/1", "entry-1/a/2", "entry-1/a/3"), fold.ids());
+    assertTrue(cursor.status(false).caughtUp());
+  }
+
+  @Test
+  void takesALaggingReplicaForNoOtherHistory() {
+    append("entry-1/a/1");
+    append("entry-1/a/2");
+    read(cursor, 0);
+    byte[] unseen = records.remove(1);
+
+    for (int i = 0; i < 5; i++) {
+      ask(cursor);
+    }
+    assertEquals(0, cursor.status(false).histories());
+
+    records.add(unseen);
+    append("entry-1/a/3");
+    for (int i = 0; i < 3; i++) {
+      ask(cursor);
+    }
+    assertEquals(3, fold.ids().size());
+    assertEquals(0, cursor.status(false).histories());
+  }
+
+  @Test
+  void takesAStreamThatEndsBeforeTheRetainedOneForAnother() {
+    // A log set up anew long after the beginning of the old one expired: nothing can be compared.
+    for (int i = 1; i <= 9; i++) {
+      append("entry-1/a/" + i);
+    }
+    read(cursor, 0);
+    cursor.accept(new LogPage(List.of(), 7, 9));
+
+    cursor.accept(new LogPage(List.of(), 0, 2));
+
+    assertEquals(1, cursor.status(false).histories());
+    assertEquals(9, fold.ids().size());
+  }
+
   @Property(seed = "3301", tries = 100)
   void everyReaderComesToTheSameState(
       @ForAll @IntRange(min = 0, max = 1_000_000) int seed,
@@ -168,6 +232,18 @@
     }
   }
 
+  /** Lets a reader ask once for what it wants next. */
+  private void ask(StreamCursor reader) {
+    StreamCursor.NextRead wanted = reader.nextRead();
+    List<LogRecord> page = new ArrayList<>();
+    for (long at = reader.offsetOf(wanted);
+        at < records.size() && page.size() < wanted.maxRecords(50);
+        at++) {
+      page.add(new LogRecord(at, records.get((int) at)));
+    }
+    reader.accept(wanted, new LogPage(page, 0, records.size()));
+  }
+
   private void append(String... ids) {
     appendOfType("t", ids);
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/ConfigurationUnderFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/ConfigurationUnderFaultsTest.java
@@ -19,6 +19,8 @@
 import io.marigoldsail.log.SnapshotSettings;
 import io.marigoldsail.log.SnapshotWriter;
 import io.marigoldsail.log.StreamFollower;
+import io.marigoldsail.log.StreamListener;
+import io.marigoldsail.log.StreamSnapshot;
 import io.marigoldsail.testlib.platform.FakeLogService;
 import io.marigoldsail.testlib.platform.LogFaults;
 import io.marigoldsail.time.MonotonicClock;
@@ -146,6 +148,47 @@
    * Story: ten operators publish at once through three entries while the log stores records and
    * loses every second answer. One order comes out; what was told as accepted is in it, each once.
    */
+  @Test
+  void staysInForceWhenTheLogBeginsAgain() throws Exception {
+    // The platform sets the log up anew, empty. Without a guard every process stayed deaf until the
+    // new stream was as long as the old one, then went on in its middle as if it were the old one;
+    // a process that started later knew no configuration at all.
+    Member first = start("entry-1", 1);
+    Member second = start("entry-2", 2);
+    for (int waiting = 1; waiting <= 3; waiting++) {
+      assertTrue(get(first.publish("base", waiting)).isOk());
+    }
+    second.awaitRevision(3);
+    CompletableFuture<StreamSnapshot> firstWentOn = restored(first);
+    CompletableFuture<StreamSnapshot> secondWentOn = restored(second);
+
+    log.loseNewest(Integer.MAX_VALUE);
+    assertTrue(
+        log.append(STREAM, "{\"v\":1,\"entries\":[]}".getBytes(StandardCharsets.UTF_8)).isOk());
+
+    firstWentOn.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    secondWentOn.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    assertEquals(3, first.fold.state().revisionInForce());
+    Result<Published> next = get(second.publish("base", 4));
+    assertEquals(4, next.value().revision());
+    first.awaitRevision(4);
+    Member later = start("entry-3", 3);
+    later.awaitRevision(4);
+    assertEquals(1, first.follower.status().histories());
+  }
+
+  private static CompletableFuture<StreamSnapshot> restored(Member member) {
+    CompletableFuture<StreamSnapshot> restored = new CompletableFuture<>();
+    member.follower.addListener(
+        new StreamListener() {
+          @Override
+          public void restored(StreamSnapshot snapshot) {
+            restored.complete(snapshot);
+          }
+        });
+    return restored;
+  }
+
   @Test
   void tenOperatorsRaceOverLostAnswers() throws Exception {
     List<Member> entries = List.of(start("e-1", 1), start("e-2", 2), start("e-3", 3));
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/FakeLogService.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/FakeLogService.java
@@ -70,6 +70,24 @@
     }
   }
 
+  /**
+   * Cuts the newest records off every stream, as a platform does that goes on from an old copy;
+   * with more than there are, all begin again at 0.
+   */
+  public void loseNewest(int count) {
+    lock.lock();
+    try {
+      for (Stream stream : streams.values()) {
+        int left = Math.max(0, stream.records.size() - count);
+        stream.records.subList(left, stream.records.size()).clear();
+        stream.firstOffset = left == 0 ? 0 : stream.firstOffset;
+      }
+      changed.signalAll();
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /** Returns what was asked of the service so far. */
   public Counts counts() {
     lock.lock();
