Tell of another history in log line, metrics, events and GET /streams; carry on from an empty log

A stream that is empty in three waits in a row is another one too: with nothing to compare and all waiting, nobody would append. The scenarios have not run yet.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamCursor.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamCursor.java
@@ -48,6 +48,9 @@
     }
   }
 
+  /** After how many waits in a row for an empty stream it is another one. */
+  private static final int EMPTY_WAITS = 3;
+
   /** How many new records in a read tell that the next will find some without waiting. */
   private static final int BUSY_RECORDS = 2;
 
@@ -67,6 +70,7 @@
   /** The end that a page told of below what was read; 0 if none did. */
   private long lowerEnd;
 
+  private int emptyWaits;
   private boolean idle;
   private boolean alone;
   private boolean halted;
@@ -117,6 +121,15 @@
     if (read == NextRead.AWAIT && !page.records().isEmpty()) {
       // What has come is not known to continue what was read: it is asked for with its predecessor.
       idle = false;
+      end = Math.max(end, page.nextOffset());
+      return;
+    }
+    emptyWaits = read == NextRead.AWAIT && page.nextOffset() == 0 ? emptyWaits + 1 : 0;
+    if (emptyWaits >= EMPTY_WAITS && nextOffset > 0) {
+      // Nothing to compare with, and nobody may append before this is told. A replica that was
+      // empty only for a while does no harm: what is kept here is read again or found again.
+      replaced(page, "it is empty");
+      idle = false;
       return;
     }
     long before = nextOffset;
@@ -219,7 +232,7 @@
     applied = firstOffset;
     end = page.nextOffset();
     carrying = reaction == NewHistory.CARRY_OVER && fold.revision() > 0;
-    seeking = carrying;
+    seeking = carrying || (reaction == NewHistory.CARRY_OVER && firstOffset > 0);
     ahead = false;
   }
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamFollower.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamFollower.java
@@ -208,11 +208,12 @@
       backoff.succeeded();
       tell(StreamListener::outageEnded);
     }
-    boolean sought = status.seeking();
+    StreamStatus before = status;
     cursor.accept(asked, page);
     publish(false);
     StreamStatus now = status;
-    if (now.seeking() && !sought) {
+    boolean expired = now.histories() == before.histories();
+    if (expired && now.seeking() && !before.seeking()) {
       LOGGER.log(
           Level.WARNING,
           "event=log-records-expired-unread stream={0} applied={1,number,#} first={2,number,#}",
--- a/marigoldsail-core/src/main/java/io/marigoldsail/timeline/EventKind.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/timeline/EventKind.java
@@ -71,6 +71,10 @@
   LOG_OUTAGE_BEGAN,
   /** The log service answers again. */
   LOG_OUTAGE_ENDED,
+  /** A stream of the log is another one than was read so far; the detail says what follows. */
+  LOG_HISTORY_REPLACED,
+  /** The stream that was read before is back. */
+  LOG_HISTORY_RETURNED,
   /** A connection to a peer was given up. */
   CONNECTION_LOST,
   /** A process began. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ProcessBase.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ProcessBase.java
@@ -66,7 +66,8 @@
             settings.name(),
             incarnation,
             clock,
-            events);
+            events,
+            new StreamsStatus(metrics, operators));
     new EventRoutes(buffer).registerOn(operators);
     JvmMemoryMetrics.builder().register(metrics.registry());
     metrics.gauge(
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/StreamClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/StreamClient.java
@@ -8,6 +8,7 @@
 import io.marigoldsail.log.FollowerSettings;
 import io.marigoldsail.log.LogAppender;
 import io.marigoldsail.log.LogService;
+import io.marigoldsail.log.NewHistory;
 import io.marigoldsail.log.SnapshotSettings;
 import io.marigoldsail.log.SnapshotWriter;
 import io.marigoldsail.log.StreamFollower;
@@ -28,7 +29,8 @@
       String process,
       long incarnation,
       MonotonicClock clock,
-      EventRecorder events) {}
+      EventRecorder events,
+      StreamsStatus streams) {}
 
   private final StreamFollower follower;
   private final LogAppender appender;
@@ -68,7 +70,8 @@
             FollowerSettings.usual(),
             shared.clock(),
             new SplittableRandom());
-    follower.addListener(new Outages(stream, shared.events()));
+    follower.addListener(new Outages(stream, shared));
+    shared.streams().add(follower);
     return follower;
   }
 
@@ -95,19 +98,33 @@
     follower.close();
   }
 
-  /** Puts outages into the log and on the time line. */
-  private record Outages(String stream, EventRecorder events) implements StreamListener {
+  /** Puts outages and other histories into the log, the metrics and on the time line. */
+  private record Outages(String stream, Shared shared) implements StreamListener {
+    private void record(EventKind kind, String detail) {
+      shared.events().record(Event.of(kind).withDetail("stream " + stream + detail));
+    }
+
     @Override
     public void outageBegan(String detail) {
       LOG.warning(LogLine.of("log-outage-began").with("stream", stream).with("detail", detail));
-      events.record(
-          Event.of(EventKind.LOG_OUTAGE_BEGAN).withDetail("stream " + stream + ": " + detail));
+      record(EventKind.LOG_OUTAGE_BEGAN, ": " + detail);
     }
 
     @Override
     public void outageEnded() {
       LOG.info(LogLine.of("log-outage-ended").with("stream", stream));
-      events.record(Event.of(EventKind.LOG_OUTAGE_ENDED).withDetail("stream " + stream));
+      record(EventKind.LOG_OUTAGE_ENDED, "");
+    }
+
+    @Override
+    public void historyReplaced(NewHistory reaction, String detail) {
+      shared.streams().countReplaced(stream);
+      record(EventKind.LOG_HISTORY_REPLACED, ": " + detail + "; " + reaction);
+    }
+
+    @Override
+    public void historyReturned() {
+      record(EventKind.LOG_HISTORY_RETURNED, "");
     }
   }
 }
--- a/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteSteps.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteSteps.java
@@ -9,8 +9,10 @@
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
+import io.marigoldsail.testlib.fault.TcpFaultProxy;
 import io.marigoldsail.testlib.history.TaskHistory;
 import io.marigoldsail.testlib.platform.LogFaults;
+import io.marigoldsail.testlib.platform.WorkerRun;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -44,6 +46,20 @@
     site = new SiteUnderTest(entries, vms);
   }
 
+  @Given("a site with one entry and {int} VMs that reach it through a proxy")
+  public void aSiteWithProxy(int vms) {
+    site = new SiteUnderTest(1, vms, true);
+  }
+
+  @When("the open links fall silent {word} the entry")
+  public void linksFallSilent(String way) {
+    site.proxy()
+        .silenceOpen(
+            way.equals("towards")
+                ? TcpFaultProxy.Direction.TO_SERVER
+                : TcpFaultProxy.Direction.TO_CLIENT);
+  }
+
   @Given("leases last {int} ms")
   public void leasesLast(int millis) {
     String base =
@@ -110,6 +126,23 @@
     site.logFaults(LogFaults.none());
   }
 
+  @When("the log service begins again")
+  public void logBeginsAgain() {
+    site.log().loseNewest(Integer.MAX_VALUE);
+  }
+
+  @When("the log service keeps {int} records of a stream")
+  public void logKeeps(int records) {
+    site.logFaults(LogFaults.none().withRetainedRecords(records));
+  }
+
+  @When("the records of stream {word} until now have expired")
+  public void recordsExpire(String stream) {
+    long now = site.log().nextOffset(stream);
+    site.fleet()
+        .await("expiry in " + stream, LONG_SECONDS, () -> site.log().firstOffset(stream) >= now);
+  }
+
   @When("the log service loses the next {int} answers")
   public void logLosesAnswers(int count) {
     site.logFaults(LogFaults.none().withLoseAnswers(count));
@@ -160,6 +193,13 @@
     assertEquals(0, site.startsAskedOverCapacity());
   }
 
+  @Then("every task was started once")
+  public void startedOnce() {
+    List<WorkerRun> runs = site.workerRuns();
+    assertEquals(
+        runs.size(), runs.stream().map(WorkerRun::task).distinct().count(), runs::toString);
+  }
+
   @Then("every caller got the whole answer to its own request, and no charge ran twice")
   public void requestsWereSafe() {
     callers.stop();
--- a/marigoldsail-tests/src/test/resources/io/marigoldsail/tests/scenario/configuration.feature
+++ b/marigoldsail-tests/src/test/resources/io/marigoldsail/tests/scenario/configuration.feature
@@ -28,3 +28,17 @@
     When the log service is back
     And the base with targetDelayMillis 50 is published and accepted
     Then revision 2 is in force in all processes
+
+  # The platform sets its log up anew. Nothing of the configuration stands there any more, and an
+  # entry that starts then would serve without it if nobody carried it over.
+  Scenario: the log begins again, empty
+    Given a site with 2 entries and 2 VMs
+    When the base with targetDelayMillis 20 is published and accepted
+    And revision 1 is in force in all processes
+    And the log service begins again
+    And entry-1 is killed
+    And entry-1 starts again
+    And the members are 4 processes
+    Then revision 1 is in force in all processes
+    And the base with targetDelayMillis 30 is published and accepted
+    And revision 2 is in force in all processes
