--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/LogAppender.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/LogAppender.java
@@ -101,9 +101,7 @@
     requireNonNull(type, "type");
     requireNonNull(body, "body");
     CompletableFuture<Result<Position>> future = new CompletableFuture<>();
-    StreamStatus read = follower.status();
-    boolean offer = read.offering() && type.equals(SnapshotParts.TYPE);
-    if (read.seeking() && !offer) {
+    if (!follower.mayAppend(type)) {
       return refused(future, "this process has not read the log far enough");
     }
     Optional<Failure> refusal;
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamCursor.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamCursor.java
@@ -324,6 +324,7 @@
   boolean restore(StreamSnapshot snapshot) {
     try {
       WriterMarks restored = WriterMarks.fromJson(snapshot.writers());
+      listener.restoring();
       fold.restore(snapshot.state());
       marks = restored;
     } catch (RuntimeException e) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamFollower.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamFollower.java
@@ -47,6 +47,10 @@
   private final Condition progress = lock.newCondition();
   private long nextReadAt = Long.MIN_VALUE;
   private long nextWaitAt = Long.MIN_VALUE;
+
+  /** Whether the state is newer than the status tells; others may act on the state already. */
+  private volatile boolean restoring;
+
   private volatile boolean closed;
   private volatile StreamStatus status;
 
@@ -146,6 +150,13 @@
     }
   }
 
+  /** Returns whether an entry of the type may be appended by a process that has read so far. */
+  boolean mayAppend(String type) {
+    StreamStatus now = status;
+    boolean offer = now.offering() && type.equals(SnapshotParts.TYPE);
+    return !now.seeking() || restoring || offer;
+  }
+
   /** Returns the state at {@link #applied}; only to be called by a listener, in its callback. */
   StreamSnapshot snapshotInCallback() {
     return cursor.snapshot();
@@ -237,6 +248,7 @@
     lock.lock();
     try {
       status = cursor.status(outage);
+      restoring = false;
       progress.signalAll();
     } finally {
       lock.unlock();
@@ -315,6 +327,11 @@
       tell(StreamListener::historyReturned);
     }
 
+    @Override
+    public void restoring() {
+      restoring = true;
+    }
+
     @Override
     public void restored(StreamSnapshot snapshot) {
       LOGGER.log(
--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamListener.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/StreamListener.java
@@ -17,6 +17,9 @@
   /** A part of a snapshot stands in the stream: some process is writing one. */
   default void sawSnapshotPart() {}
 
+  /** The state is about to be replaced by a snapshot's. */
+  default void restoring() {}
+
   /** The state was replaced by a snapshot's; entries before its offset are not told one by one. */
   default void restored(StreamSnapshot snapshot) {}
 
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/SvgPlot.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/SvgPlot.java
@@ -12,7 +12,7 @@
  * <p>Values that are not numbers interrupt a line; values over the top are drawn at the top. Not
  * safe for use by several threads.
  */
-final class SvgPlot {
+public final class SvgPlot {
   private static final int WIDTH = 720;
   private static final int HEIGHT = 420;
   private static final int LEFT = 70;
@@ -29,8 +29,10 @@
   private final List<Line> lines = new ArrayList<>();
 
   /** An axis with its title, bounds and the values that get a label. Immutable. */
-  record Axis(String title, double from, double to, boolean isLogarithmic, List<Double> marks) {
-    Axis {
+  public record Axis(
+      String title, double from, double to, boolean isLogarithmic, List<Double> marks) {
+    /** Checks the components. */
+    public Axis {
       checkArgument(from < to, "the axis from %s to %s is empty", from, to);
       checkArgument(!isLogarithmic || from > 0, "a logarithmic axis cannot begin at %s", from);
     }
@@ -46,19 +48,20 @@
 
   private record Line(String name, boolean isDashed, List<double[]> points) {}
 
-  SvgPlot(String title, Axis horizontal, Axis vertical) {
+  /** Creates a plot without lines. */
+  public SvgPlot(String title, Axis horizontal, Axis vertical) {
     this.title = title;
     this.horizontal = horizontal;
     this.vertical = vertical;
   }
 
   /** Adds a line through points of a horizontal and a vertical value each. */
-  void add(String name, boolean isDashed, List<double[]> points) {
+  public void add(String name, boolean isDashed, List<double[]> points) {
     lines.add(new Line(name, isDashed, List.copyOf(points)));
   }
 
   /** Returns the drawing. */
-  String toSvg() {
+  public String toSvg() {
     StringBuilder svg = new StringBuilder();
     append(
         svg,
--- a/marigoldsail-tests/src/test/java/io/marigoldsail/log/CountFold.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/log/CountFold.java
@@ -8,6 +8,11 @@
 final class CountFold implements Fold {
   private long count;
   private int mixed;
+  private volatile Runnable onRestore = () -> {};
+
+  void onRestore(Runnable told) {
+    onRestore = told;
+  }
 
   synchronized long count() {
     return count;
@@ -32,5 +37,6 @@
   public synchronized void restore(JsonNode snapshot) {
     count = snapshot.path("count").longValue();
     mixed = snapshot.path("mixed").intValue();
+    onRestore.run();
   }
 }
--- a/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteSteps.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteSteps.java
@@ -239,6 +239,16 @@
             () -> operators.lowestRevisionInForce() == revision);
   }
 
+  @Then("{word} itself has revision {long} in force")
+  public void hasInForce(String entry, long revision) {
+    OperatorsOfSite operators = site.operatorsOf(entry);
+    site.fleet()
+        .await(
+            "revision " + revision + " in " + entry,
+            LONG_SECONDS,
+            () -> operators.get("/configuration").body().path("revision").asLong() == revision);
+  }
+
   @When("the base with targetDelayMillis {int} is published and accepted")
   public void publish(int delay) {
     OperatorsOfSite.Answer answer = site.operators().post("/configuration/base", base(delay));
--- a/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteUnderTest.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteUnderTest.java
@@ -157,6 +157,10 @@
     return new OperatorsOfSite(entries.values().stream().map(EntryAddresses::operators).toList());
   }
 
+  OperatorsOfSite operatorsOf(String entry) {
+    return new OperatorsOfSite(List.of(entries.get(entry).operators()));
+  }
+
   List<String> callersAddresses() {
     return entries.values().stream().map(EntryAddresses::callers).toList();
   }
