Let a stopping side process exit only when entries have acknowledged it

SideDispatcher said that it was drained when its last request had ended and been handed to the operating system. A request that an entry had sent just before it heard of the stop was still on its way, and answers could be thrown away by the kernel's reset when a connection was closed with a ping unread. SideProcess hid the first by a linger of a second; the test's side process has no linger.

Ruled out: the entry's half of the test (CallerServer waits for open answers; the workload leaves the entry before its stop begins).

Change: GoAway and its acknowledgement on each connection of requests, a fence that is asked again until nothing crossed it; the entry sends a process that goes away nothing new, whatever overtaken announcements say. The linger is gone.

FakePeer acknowledges a GoAway by itself, as FakeSide answers pings; no assertion of an existing test changed (leavingTargetIsPassedOver's loop was lifted into a method that two tests share).

--- a/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/TargetState.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/TargetState.java
@@ -24,4 +24,9 @@
     requireNonNull(zone, "zone");
     checkArgument(slots > 0, "slots is not positive: %s", slots);
   }
+
+  /** Returns this target as one that takes nothing new. */
+  public TargetState asLeaving() {
+    return new TargetState(vm, incarnation, service, zone, slots, true);
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
@@ -24,7 +24,6 @@
 import java.net.URI;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /** A side process: stands between the entries and the target and worker of its VM. */
@@ -32,14 +31,6 @@
   private static final int KEPT_EVENTS = 1 << 13;
   private static final long WORKER_TIMEOUT_MILLIS = 2_000;
 
-  /**
-   * How long newcomers are still turned away as not run after the last request has ended. A request
-   * that an entry sent just before it heard of the leaving else finds a closed connection and
-   * nobody to ask, and its caller is told that the outcome is unknown. Entries hear of it at once;
-   * this is two announcements more.
-   */
-  private static final long LINGER_MILLIS = 1_000;
-
   /** How far back the guard looks: long enough for a tail, short enough to see a wave's begin. */
   private static final long GUARD_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -190,10 +181,6 @@
   }
 
   private static void drain(TargetPart part) {
-    Drain.await(
-        part.dispatcher()
-            .beginStop()
-            .thenRunAsync(
-                () -> {}, CompletableFuture.delayedExecutor(LINGER_MILLIS, TimeUnit.MILLISECONDS)));
+    Drain.await(part.dispatcher().beginStop());
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/Attempts.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/Attempts.java
@@ -84,6 +84,14 @@
   /** Sends the request; its attempt may end before this returns. */
   void start(PendingRequest request, Decision.Send send) {
     TargetPool pool = pools.byVm(send.vm());
+    if (pool != null && pool.isGoingAway()) {
+      // A request sent after the acknowledgement would find the process gone and be of unknown
+      // outcome. Reports that were overtaken on another connection may still speak for the target.
+      String detail = send.vm() + " stops";
+      Failure failure = new Failure(ErrorKind.SHUTTING_DOWN, detail, 1_000);
+      listener.ended(request, AttemptOutcome.NOT_RUN, null, failure);
+      return;
+    }
     LinkConnection connection = pool == null ? null : pool.pick();
     if (connection == null) {
       Failure failure = new Failure(ErrorKind.TARGET_UNREACHABLE, "no link to " + send.vm(), 1_000);
@@ -255,6 +263,13 @@
     }
   }
 
+  private void goAway(TargetPool pool, LinkConnection connection) {
+    if (pool.goesAway()) {
+      listener.targetsChanged();
+    }
+    connection.sendInTurn(EntryFrames.goAwayAck());
+  }
+
   private void report(TargetPool pool, TargetReport report) throws BrokenFrameException {
     TargetLoad load = Announcements.read(report);
     if (pools.byVm(pool.vm()) == pool) {
@@ -297,6 +312,7 @@
         case NOT_RUN -> notRun(pool, connection, frame.getNotRun());
         case FAILED -> failed(pool, connection, frame.getFailed());
         case RESOLUTION -> resolution(connection, frame.getResolution());
+        case GO_AWAY -> goAway(pool, connection);
         default -> throw new BrokenFrameException("unexpected " + frame.getBodyCase());
       }
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryFrames.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryFrames.java
@@ -4,6 +4,7 @@
 import io.marigoldsail.membership.EntryIdentity;
 import io.marigoldsail.protocol.Cancel;
 import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.GoAwayAck;
 import io.marigoldsail.protocol.RequestId;
 import io.marigoldsail.protocol.RequestStart;
 import io.marigoldsail.protocol.Resolve;
@@ -47,6 +48,10 @@
         .build();
   }
 
+  static Frame goAwayAck() {
+    return Frame.newBuilder().setGoAwayAck(GoAwayAck.getDefaultInstance()).build();
+  }
+
   private static RequestId id(EntryIdentity identity, long sequence) {
     return RequestId.newBuilder()
         .setEntryIncarnation(identity.incarnation())
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -55,10 +55,12 @@
   /** How long past its deadline a request may still hold its slot, because its target does. */
   private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-  /** A connection that takes nothing for this long at a planned stop is given up. */
-  private static final long FLUSH_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+  /**
+   * A connection that takes or acknowledges nothing for this long at a planned stop is given up.
+   */
+  private static final long SETTLE_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-  private static final long FLUSH_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  private static final long SETTLE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
   /** A refusal for want of a slot asks the entry to wait about a round trip. */
   private static final long SOON_MILLIS = 5;
@@ -80,12 +82,13 @@
   private final Map<WireId, SideRequest> requests = new HashMap<>();
   private final ArrayDeque<SideRequest> waiting = new ArrayDeque<>();
   private final Map<LinkConnection, TransitDelay> delays = new HashMap<>();
+  private final GoAwayFence fence = new GoAwayFence();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private volatile int running;
   private volatile int waitingCount;
   private volatile boolean stopping;
   private volatile Runnable leavingListener = () -> {};
-  private long flushUntil;
+  private long giveUpAt;
   private Future<?> tick;
 
   /**
@@ -169,6 +172,9 @@
     loop.run(
         () -> {
           leavingListener.run();
+          fence.begin(delays.keySet());
+          // What was sent before may still wait in the process behind that first word of the stop.
+          fence.crossed();
           checkDrained();
         });
     return drained;
@@ -187,23 +193,25 @@
   }
 
   private void checkDrained() {
-    if (!stopping || !requests.isEmpty() || flushUntil != 0) {
+    if (!stopping || !requests.isEmpty() || giveUpAt != 0) {
       return;
     }
-    flushUntil = loop.now() + FLUSH_LIMIT_NANOS;
-    awaitFlush();
+    giveUpAt = loop.now() + SETTLE_LIMIT_NANOS;
+    awaitSettled();
   }
 
-  /** A long answer still on its way out is a request in progress, too; exiting would cut it. */
-  private void awaitFlush() {
-    if (server.isFlushed() || flushUntil - loop.now() <= 0) {
+  /** Waits until entries have all answers and nothing of theirs is still on its way here. */
+  private void awaitSettled() {
+    boolean settled = server.isFlushed() && fence.isPassed(delays.keySet());
+    if (settled || giveUpAt - loop.now() <= 0) {
       drained.complete(null);
       return;
     }
-    loop.schedule(this::awaitFlush, FLUSH_CHECK_NANOS);
+    loop.schedule(this::awaitSettled, SETTLE_CHECK_NANOS);
   }
 
   private void start(LinkConnection connection, RequestStart start) throws BrokenFrameException {
+    fence.crossed();
     long now = loop.now();
     WireId id = SideFrames.id(start.getId());
     switch (ledger.state(id)) {
@@ -327,6 +335,7 @@
   }
 
   private void finish(SideRequest request) {
+    fence.crossed();
     requests.remove(request.id());
     budget.release(request.start().getBodyLength());
   }
@@ -391,6 +400,7 @@
   }
 
   private void resolve(LinkConnection connection, Resolve resolve) {
+    fence.crossed();
     WireId id = SideFrames.id(resolve.getId());
     Resolution.State state = Resolution.State.FORGOTTEN;
     // A process started anew on this address has seen none of its predecessor's requests; for it
@@ -440,6 +450,9 @@
     @Override
     public void opened(LinkConnection connection) {
       delays.put(connection, new TransitDelay());
+      if (stopping) {
+        fence.add(connection);
+      }
     }
 
     @Override
@@ -448,6 +461,7 @@
         case REQUEST_START -> start(connection, frame.getRequestStart());
         case REQUEST_BODY -> body(connection, frame.getRequestBody());
         case RESOLVE -> resolve(connection, frame.getResolve());
+        case GO_AWAY_ACK -> fence.acknowledged(connection);
         case CANCEL -> cancel(SideFrames.id(frame.getCancel().getId()));
         case PING -> {
           long sentAt = frame.getPing().getNonce();
@@ -461,6 +475,7 @@
     @Override
     public void closed(LinkConnection connection, String reason) {
       delays.remove(connection);
+      fence.remove(connection);
       List<SideRequest> cutShort = new ArrayList<>();
       for (SideRequest request : requests.values()) {
         if (request.answerTo() == connection && !request.isWhole()) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideFrames.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideFrames.java
@@ -6,6 +6,7 @@
 import io.marigoldsail.protocol.AnswerStart;
 import io.marigoldsail.protocol.Failed;
 import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.GoAway;
 import io.marigoldsail.protocol.Header;
 import io.marigoldsail.protocol.NotRun;
 import io.marigoldsail.protocol.Pong;
@@ -73,6 +74,10 @@
     return Frame.newBuilder().setPong(Pong.newBuilder().setNonce(nonce)).build();
   }
 
+  static Frame goAway() {
+    return Frame.newBuilder().setGoAway(GoAway.getDefaultInstance()).build();
+  }
+
   /** Returns the request as its target gets it, with the id by which the time line knows it. */
   static TargetRequest toTarget(RequestStart start, ByteString body, long giveUpAt) {
     Header id =
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetPool.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetPool.java
@@ -4,6 +4,7 @@
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkListener;
 import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.dispatch.TargetState;
 import io.marigoldsail.membership.Announcement;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.Ping;
@@ -54,6 +55,7 @@
   private long dialAt;
   private long backOffNanos = BACK_OFF_NANOS;
   private int attemptsInFlight;
+  private boolean goingAway;
   private boolean closed;
 
   TargetPool(
@@ -88,6 +90,27 @@
     announcement = newer;
   }
 
+  /**
+   * Returns the target as the policy is to see it; leaving for good once the side process goes
+   * away, whatever an announcement says that was overtaken.
+   */
+  TargetState targetState() {
+    TargetState announced = announcement.targetState();
+    return goingAway ? announced.asLeaving() : announced;
+  }
+
+  /** Takes the side process's word that it takes nothing new; returns whether that is news. */
+  boolean goesAway() {
+    boolean news = !goingAway;
+    goingAway = true;
+    return news;
+  }
+
+  /** Returns whether the side process will take nothing new any more. */
+  boolean isGoingAway() {
+    return goingAway;
+  }
+
   boolean isUsable() {
     return !usable.isEmpty();
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetPools.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetPools.java
@@ -49,7 +49,7 @@
     return pool != null
         && pool.isUsable()
         && pool.incarnation() == incarnation
-        && !pool.announcement().leaving();
+        && !pool.targetState().leaving();
   }
 
   /** Takes an announcement; returns whether the list of targets changed by it. */
@@ -61,9 +61,9 @@
     if (known != null
         && known.incarnation() == announcement.processIncarnation()
         && known.announcement().address().equals(announcement.address())) {
-      boolean changed = !known.announcement().targetState().equals(announcement.targetState());
+      TargetState before = known.targetState();
       known.announcement(announcement);
-      return changed;
+      return !before.equals(known.targetState());
     }
     boolean changed = retire(announcement.vm());
     HostPort.parse(announcement.address())
@@ -103,7 +103,7 @@
     ImmutableList.Builder<TargetState> targets = ImmutableList.builder();
     for (TargetPool pool : pools.values()) {
       if (pool.isUsable()) {
-        targets.add(pool.announcement().targetState());
+        targets.add(pool.targetState());
       }
     }
     return targets.build();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
@@ -44,6 +44,14 @@
     pump();
   }
 
+  /**
+   * Sends the frame after the first frame of everything that was given to {@link #sendAll} before;
+   * {@link #send} may overtake bodies that have not begun.
+   */
+  public void sendInTurn(Frame frame) {
+    sendAll(new SingleFrame(frame));
+  }
+
   /** Ends the connection; the listener is told the reason. */
   public void close(String reason) {
     if (channel.isOpen()) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryDispatcherTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryDispatcherTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.marigoldsail.daemon.link.LinkConnection;
@@ -281,6 +282,31 @@
   @Test
   void leavingTargetIsPassedOver() throws Exception {
     side.announce(entry, true);
+    assertAnotherServesAll();
+  }
+
+  /**
+   * A side process goes away; an announcement that it sent before is overtaken on its way and says
+   * that it takes work. A charge sent there on that word finds the process gone, and its caller is
+   * told that the outcome is unknown.
+   */
+  @Test
+  void targetThatGoesAwayIsPassedOverWhateverAnOvertakenAnnouncementSays() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> lookup = lookup();
+    FakeSide.Heard request = side.next();
+    side.send(request.connection(), SideFrames.goAway());
+    FakeSide.Heard acknowledged = side.next();
+    assertTrue(acknowledged.frame().hasGoAwayAck());
+    assertSame(request.connection(), acknowledged.connection());
+    side.send(request.connection(), FakeSide.answer(FakeSide.idOf(request.frame()), 200, "free"));
+    assertEquals("free", text(lookup.join()), "what is in progress ends");
+
+    side.announce(entry, false);
+
+    assertAnotherServesAll();
+  }
+
+  private void assertAnotherServesAll() throws Exception {
     try (FakeSide other = new FakeSide("vm-2", 1, 0)) {
       other.announce(entry, false);
       entry.awaitTargets(2);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/FakePeer.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/FakePeer.java
@@ -10,12 +10,16 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
-/** One end of a connection, dialled by the test, which reads and sends frames one by one. */
+/**
+ * One end of a connection, dialled by the test, which reads and sends frames one by one. Like an
+ * entry it acknowledges by itself that the side process goes away, unless it is told not to.
+ */
 final class FakePeer implements LinkListener {
   private final LinkLoop loop;
   private final CompletableFuture<LinkConnection> connection = new CompletableFuture<>();
   private final BlockingQueue<Frame> frames = new LinkedBlockingQueue<>();
   private final CompletableFuture<String> ended = new CompletableFuture<>();
+  private volatile boolean holdsGoAwayAck;
 
   private FakePeer(LinkLoop loop) {
     this.loop = loop;
@@ -36,7 +40,16 @@
 
   @Override
   public void received(LinkConnection from, Frame frame) {
-    frames.add(frame);
+    if (frame.hasGoAway() && !holdsGoAwayAck) {
+      from.send(EntryFrames.goAwayAck());
+    } else {
+      frames.add(frame);
+    }
+  }
+
+  /** Leaves it to the test to read that the side process goes away, and to acknowledge it. */
+  void holdGoAwayAck() {
+    holdsGoAwayAck = true;
   }
 
   @Override
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideDispatcherTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideDispatcherTest.java
@@ -321,6 +321,51 @@
     drained.orTimeout(30, TimeUnit.SECONDS).join();
   }
 
+  /**
+   * A side process stops while it is idle. A charge that its entry sent a moment before it heard of
+   * that is still on its way; the process exits, and the caller is told that the outcome is unknown
+   * though a planned stop cuts off nobody.
+   */
+  @Test
+  void plannedStopWaitsForWhatIsStillOnItsWay() throws Exception {
+    entry.holdGoAwayAck();
+    CompletableFuture<Void> drained = side.dispatcher().beginStop();
+    entry.send(frame(request(1)));
+    assertTrue(entry.next().hasGoAway());
+    assertEquals("shutting-down", entry.next().getNotRun().getErrorKind());
+    assertFalse(drained.isDone(), "more may come before the acknowledgement");
+    entry.send(EntryFrames.goAwayAck());
+    assertTrue(entry.next().hasGoAway());
+    assertFalse(drained.isDone(), "the refusal may not have arrived");
+    entry.send(EntryFrames.goAwayAck());
+
+    drained.orTimeout(30, TimeUnit.SECONDS).join();
+    assertEquals(0, target.started());
+  }
+
+  /**
+   * The last charge ends during a stop and its answer is handed to the operating system, which has
+   * not delivered it when the process exits with a ping unread: the kernel resets the connection
+   * and throws the answer away, and a caller who was charged is told that the outcome is unknown.
+   */
+  @Test
+  void plannedStopWaitsUntilItsLastAnswerHasArrived() throws Exception {
+    entry.holdGoAwayAck();
+    entry.send(frame(request(1)));
+    FakeTarget.Run run = target.next();
+    CompletableFuture<Void> drained = side.dispatcher().beginStop();
+    assertTrue(entry.next().hasGoAway());
+    entry.send(EntryFrames.goAwayAck());
+    run.answer("charged");
+    assertTrue(entry.next().hasAnswerStart());
+
+    assertTrue(entry.next().hasGoAway(), "asked behind the answer");
+    assertFalse(drained.isDone());
+    entry.send(EntryFrames.goAwayAck());
+
+    drained.orTimeout(30, TimeUnit.SECONDS).join();
+  }
+
   @Test
   void leavingTargetGetsNothingNew() throws Exception {
     target.health(TargetHealth.LEAVING);
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Frame.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Frame.java
@@ -67,6 +67,8 @@
     PING(11),
     PONG(12),
     CANCEL(13),
+    GO_AWAY(14),
+    GO_AWAY_ACK(15),
     KEY_LEASES(16),
     TASK(20),
     BODY_NOT_SET(0);
@@ -99,6 +101,8 @@
         case 11: return PING;
         case 12: return PONG;
         case 13: return CANCEL;
+        case 14: return GO_AWAY;
+        case 15: return GO_AWAY_ACK;
         case 16: return KEY_LEASES;
         case 20: return TASK;
         case 0: return BODY_NOT_SET;
@@ -519,6 +523,68 @@
     return io.marigoldsail.protocol.Cancel.getDefaultInstance();
   }
 
+  public static final int GO_AWAY_FIELD_NUMBER = 14;
+  /**
+   * <code>.marigoldsail.GoAway go_away = 14;</code>
+   * @return Whether the goAway field is set.
+   */
+  @java.lang.Override
+  public boolean hasGoAway() {
+    return bodyCase_ == 14;
+  }
+  /**
+   * <code>.marigoldsail.GoAway go_away = 14;</code>
+   * @return The goAway.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.GoAway getGoAway() {
+    if (bodyCase_ == 14) {
+       return (io.marigoldsail.protocol.GoAway) body_;
+    }
+    return io.marigoldsail.protocol.GoAway.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.GoAway go_away = 14;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.GoAwayOrBuilder getGoAwayOrBuilder() {
+    if (bodyCase_ == 14) {
+       return (io.marigoldsail.protocol.GoAway) body_;
+    }
+    return io.marigoldsail.protocol.GoAway.getDefaultInstance();
+  }
+
+  public static final int GO_AWAY_ACK_FIELD_NUMBER = 15;
+  /**
+   * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+   * @return Whether the goAwayAck field is set.
+   */
+  @java.lang.Override
+  public boolean hasGoAwayAck() {
+    return bodyCase_ == 15;
+  }
+  /**
+   * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+   * @return The goAwayAck.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.GoAwayAck getGoAwayAck() {
+    if (bodyCase_ == 15) {
+       return (io.marigoldsail.protocol.GoAwayAck) body_;
+    }
+    return io.marigoldsail.protocol.GoAwayAck.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.GoAwayAckOrBuilder getGoAwayAckOrBuilder() {
+    if (bodyCase_ == 15) {
+       return (io.marigoldsail.protocol.GoAwayAck) body_;
+    }
+    return io.marigoldsail.protocol.GoAwayAck.getDefaultInstance();
+  }
+
   public static final int KEY_LEASES_FIELD_NUMBER = 16;
   /**
    * <code>.marigoldsail.KeyLeases key_leases = 16;</code>
@@ -650,6 +716,12 @@
     if (bodyCase_ == 13) {
       output.writeMessage(13, (io.marigoldsail.protocol.Cancel) body_);
     }
+    if (bodyCase_ == 14) {
+      output.writeMessage(14, (io.marigoldsail.protocol.GoAway) body_);
+    }
+    if (bodyCase_ == 15) {
+      output.writeMessage(15, (io.marigoldsail.protocol.GoAwayAck) body_);
+    }
     if (bodyCase_ == 16) {
       output.writeMessage(16, (io.marigoldsail.protocol.KeyLeases) body_);
     }
@@ -715,6 +787,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, (io.marigoldsail.protocol.Cancel) body_);
     }
+    if (bodyCase_ == 14) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, (io.marigoldsail.protocol.GoAway) body_);
+    }
+    if (bodyCase_ == 15) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, (io.marigoldsail.protocol.GoAwayAck) body_);
+    }
     if (bodyCase_ == 16) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(16, (io.marigoldsail.protocol.KeyLeases) body_);
@@ -807,6 +887,14 @@
         if (!getCancel()
             .equals(other.getCancel())) return false;
         break;
+      case 14:
+        if (!getGoAway()
+            .equals(other.getGoAway())) return false;
+        break;
+      case 15:
+        if (!getGoAwayAck()
+            .equals(other.getGoAwayAck())) return false;
+        break;
       case 16:
         if (!getKeyLeases()
             .equals(other.getKeyLeases())) return false;
@@ -885,6 +973,14 @@
         hash = (37 * hash) + CANCEL_FIELD_NUMBER;
         hash = (53 * hash) + getCancel().hashCode();
         break;
+      case 14:
+        hash = (37 * hash) + GO_AWAY_FIELD_NUMBER;
+        hash = (53 * hash) + getGoAway().hashCode();
+        break;
+      case 15:
+        hash = (37 * hash) + GO_AWAY_ACK_FIELD_NUMBER;
+        hash = (53 * hash) + getGoAwayAck().hashCode();
+        break;
       case 16:
         hash = (37 * hash) + KEY_LEASES_FIELD_NUMBER;
         hash = (53 * hash) + getKeyLeases().hashCode();
@@ -1066,6 +1162,12 @@
       if (cancelBuilder_ != null) {
         cancelBuilder_.clear();
       }
+      if (goAwayBuilder_ != null) {
+        goAwayBuilder_.clear();
+      }
+      if (goAwayAckBuilder_ != null) {
+        goAwayAckBuilder_.clear();
+      }
       if (keyLeasesBuilder_ != null) {
         keyLeasesBuilder_.clear();
       }
@@ -1109,7 +1211,7 @@
 
     private void buildPartial0(io.marigoldsail.protocol.Frame result) {
       int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00008000) != 0)) {
+      if (((from_bitField0_ & 0x00020000) != 0)) {
         result.stamp_ = stamp_;
       }
     }
@@ -1169,6 +1271,14 @@
           cancelBuilder_ != null) {
         result.body_ = cancelBuilder_.build();
       }
+      if (bodyCase_ == 14 &&
+          goAwayBuilder_ != null) {
+        result.body_ = goAwayBuilder_.build();
+      }
+      if (bodyCase_ == 15 &&
+          goAwayAckBuilder_ != null) {
+        result.body_ = goAwayAckBuilder_.build();
+      }
       if (bodyCase_ == 16 &&
           keyLeasesBuilder_ != null) {
         result.body_ = keyLeasesBuilder_.build();
@@ -1247,6 +1357,14 @@
           mergeCancel(other.getCancel());
           break;
         }
+        case GO_AWAY: {
+          mergeGoAway(other.getGoAway());
+          break;
+        }
+        case GO_AWAY_ACK: {
+          mergeGoAwayAck(other.getGoAwayAck());
+          break;
+        }
         case KEY_LEASES: {
           mergeKeyLeases(other.getKeyLeases());
           break;
@@ -1374,6 +1492,20 @@
               bodyCase_ = 13;
               break;
             } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetGoAwayFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 14;
+              break;
+            } // case 114
+            case 122: {
+              input.readMessage(
+                  internalGetGoAwayAckFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 15;
+              break;
+            } // case 122
             case 130: {
               input.readMessage(
                   internalGetKeyLeasesFieldBuilder().getBuilder(),
@@ -1390,7 +1522,7 @@
             } // case 162
             case 241: {
               stamp_ = input.readFixed64();
-              bitField0_ |= 0x00008000;
+              bitField0_ |= 0x00020000;
               break;
             } // case 241
             default: {
@@ -3245,6 +3377,286 @@
       return cancelBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.GoAway, io.marigoldsail.protocol.GoAway.Builder, io.marigoldsail.protocol.GoAwayOrBuilder> goAwayBuilder_;
+    /**
+     * <code>.marigoldsail.GoAway go_away = 14;</code>
+     * @return Whether the goAway field is set.
+     */
+    @java.lang.Override
+    public boolean hasGoAway() {
+      return bodyCase_ == 14;
+    }
+    /**
+     * <code>.marigoldsail.GoAway go_away = 14;</code>
+     * @return The goAway.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.GoAway getGoAway() {
+      if (goAwayBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          return (io.marigoldsail.protocol.GoAway) body_;
+        }
+        return io.marigoldsail.protocol.GoAway.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 14) {
+          return goAwayBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.GoAway.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.GoAway go_away = 14;</code>
+     */
+    public Builder setGoAway(io.marigoldsail.protocol.GoAway value) {
+      if (goAwayBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        goAwayBuilder_.setMessage(value);
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.GoAway go_away = 14;</code>
+     */
+    public Builder setGoAway(
+        io.marigoldsail.protocol.GoAway.Builder builderForValue) {
+      if (goAwayBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        goAwayBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.GoAway go_away = 14;</code>
+     */
+    public Builder mergeGoAway(io.marigoldsail.protocol.GoAway value) {
+      if (goAwayBuilder_ == null) {
+        if (bodyCase_ == 14 &&
+            body_ != io.marigoldsail.protocol.GoAway.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.GoAway.newBuilder((io.marigoldsail.protocol.GoAway) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 14) {
+          goAwayBuilder_.mergeFrom(value);
+        } else {
+          goAwayBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.GoAway go_away = 14;</code>
+     */
+    public Builder clearGoAway() {
+      if (goAwayBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        goAwayBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.GoAway go_away = 14;</code>
+     */
+    public io.marigoldsail.protocol.GoAway.Builder getGoAwayBuilder() {
+      return internalGetGoAwayFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.GoAway go_away = 14;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.GoAwayOrBuilder getGoAwayOrBuilder() {
+      if ((bodyCase_ == 14) && (goAwayBuilder_ != null)) {
+        return goAwayBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 14) {
+          return (io.marigoldsail.protocol.GoAway) body_;
+        }
+        return io.marigoldsail.protocol.GoAway.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.GoAway go_away = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.GoAway, io.marigoldsail.protocol.GoAway.Builder, io.marigoldsail.protocol.GoAwayOrBuilder> 
+        internalGetGoAwayFieldBuilder() {
+      if (goAwayBuilder_ == null) {
+        if (!(bodyCase_ == 14)) {
+          body_ = io.marigoldsail.protocol.GoAway.getDefaultInstance();
+        }
+        goAwayBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.GoAway, io.marigoldsail.protocol.GoAway.Builder, io.marigoldsail.protocol.GoAwayOrBuilder>(
+                (io.marigoldsail.protocol.GoAway) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 14;
+      onChanged();
+      return goAwayBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.GoAwayAck, io.marigoldsail.protocol.GoAwayAck.Builder, io.marigoldsail.protocol.GoAwayAckOrBuilder> goAwayAckBuilder_;
+    /**
+     * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+     * @return Whether the goAwayAck field is set.
+     */
+    @java.lang.Override
+    public boolean hasGoAwayAck() {
+      return bodyCase_ == 15;
+    }
+    /**
+     * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+     * @return The goAwayAck.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.GoAwayAck getGoAwayAck() {
+      if (goAwayAckBuilder_ == null) {
+        if (bodyCase_ == 15) {
+          return (io.marigoldsail.protocol.GoAwayAck) body_;
+        }
+        return io.marigoldsail.protocol.GoAwayAck.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 15) {
+          return goAwayAckBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.GoAwayAck.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+     */
+    public Builder setGoAwayAck(io.marigoldsail.protocol.GoAwayAck value) {
+      if (goAwayAckBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        goAwayAckBuilder_.setMessage(value);
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+     */
+    public Builder setGoAwayAck(
+        io.marigoldsail.protocol.GoAwayAck.Builder builderForValue) {
+      if (goAwayAckBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        goAwayAckBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+     */
+    public Builder mergeGoAwayAck(io.marigoldsail.protocol.GoAwayAck value) {
+      if (goAwayAckBuilder_ == null) {
+        if (bodyCase_ == 15 &&
+            body_ != io.marigoldsail.protocol.GoAwayAck.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.GoAwayAck.newBuilder((io.marigoldsail.protocol.GoAwayAck) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 15) {
+          goAwayAckBuilder_.mergeFrom(value);
+        } else {
+          goAwayAckBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+     */
+    public Builder clearGoAwayAck() {
+      if (goAwayAckBuilder_ == null) {
+        if (bodyCase_ == 15) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 15) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        goAwayAckBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+     */
+    public io.marigoldsail.protocol.GoAwayAck.Builder getGoAwayAckBuilder() {
+      return internalGetGoAwayAckFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.GoAwayAckOrBuilder getGoAwayAckOrBuilder() {
+      if ((bodyCase_ == 15) && (goAwayAckBuilder_ != null)) {
+        return goAwayAckBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 15) {
+          return (io.marigoldsail.protocol.GoAwayAck) body_;
+        }
+        return io.marigoldsail.protocol.GoAwayAck.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.GoAwayAck, io.marigoldsail.protocol.GoAwayAck.Builder, io.marigoldsail.protocol.GoAwayAckOrBuilder> 
+        internalGetGoAwayAckFieldBuilder() {
+      if (goAwayAckBuilder_ == null) {
+        if (!(bodyCase_ == 15)) {
+          body_ = io.marigoldsail.protocol.GoAwayAck.getDefaultInstance();
+        }
+        goAwayAckBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.GoAwayAck, io.marigoldsail.protocol.GoAwayAck.Builder, io.marigoldsail.protocol.GoAwayAckOrBuilder>(
+                (io.marigoldsail.protocol.GoAwayAck) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 15;
+      onChanged();
+      return goAwayAckBuilder_;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         io.marigoldsail.protocol.KeyLeases, io.marigoldsail.protocol.KeyLeases.Builder, io.marigoldsail.protocol.KeyLeasesOrBuilder> keyLeasesBuilder_;
     /**
@@ -3552,7 +3964,7 @@
     public Builder setStamp(long value) {
 
       stamp_ = value;
-      bitField0_ |= 0x00008000;
+      bitField0_ |= 0x00020000;
       onChanged();
       return this;
     }
@@ -3566,7 +3978,7 @@
      * @return This builder for chaining.
      */
     public Builder clearStamp() {
-      bitField0_ = (bitField0_ & ~0x00008000);
+      bitField0_ = (bitField0_ & ~0x00020000);
       stamp_ = 0L;
       onChanged();
       return this;
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/FrameOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/FrameOrBuilder.java
@@ -205,6 +205,36 @@
    */
   io.marigoldsail.protocol.CancelOrBuilder getCancelOrBuilder();
 
+  /**
+   * <code>.marigoldsail.GoAway go_away = 14;</code>
+   * @return Whether the goAway field is set.
+   */
+  boolean hasGoAway();
+  /**
+   * <code>.marigoldsail.GoAway go_away = 14;</code>
+   * @return The goAway.
+   */
+  io.marigoldsail.protocol.GoAway getGoAway();
+  /**
+   * <code>.marigoldsail.GoAway go_away = 14;</code>
+   */
+  io.marigoldsail.protocol.GoAwayOrBuilder getGoAwayOrBuilder();
+
+  /**
+   * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+   * @return Whether the goAwayAck field is set.
+   */
+  boolean hasGoAwayAck();
+  /**
+   * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+   * @return The goAwayAck.
+   */
+  io.marigoldsail.protocol.GoAwayAck getGoAwayAck();
+  /**
+   * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+   */
+  io.marigoldsail.protocol.GoAwayAckOrBuilder getGoAwayAckOrBuilder();
+
   /**
    * <code>.marigoldsail.KeyLeases key_leases = 16;</code>
    * @return Whether the keyLeases field is set.
