--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/CallerServer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/CallerServer.java
@@ -48,6 +48,15 @@
   private static final long WRITE_LIMIT_MILLIS = 10_000;
   private static final int MAX_ANSWER_HEADER_BYTES = 48 * 1024;
 
+  /**
+   * What is allotted for an answer's head at first. Buffers are not pooled, so that it is cleared
+   * for each answer, on the loop: with room for the longest head that was a third of its time.
+   */
+  private static final int ANSWER_HEADER_BYTES = 2 * 1024;
+
+  /** What is allotted for reading from a caller at a time; longer heads and bodies take several. */
+  private static final int INPUT_BYTES = 4 * 1024;
+
   private final MonotonicClock clock;
   private final InetSocketAddress address;
   private final EntryDispatcher dispatcher;
@@ -97,7 +106,9 @@
   private ServerConnector newConnector() {
     HttpConfiguration http = new HttpConfiguration();
     http.setRequestHeaderSize(CallerLimits.MAX_HEADER_BYTES);
-    http.setResponseHeaderSize(MAX_ANSWER_HEADER_BYTES);
+    http.setInputBufferSize(INPUT_BYTES);
+    http.setResponseHeaderSize(ANSWER_HEADER_BYTES);
+    http.setMaxResponseHeaderSize(MAX_ANSWER_HEADER_BYTES);
     http.setUseInputDirectByteBuffers(false);
     http.setUseOutputDirectByteBuffers(false);
     http.setSendServerVersion(false);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryDispatcherTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryDispatcherTest.java
@@ -107,6 +107,26 @@
     assertEquals("late", text(stuck.join()));
   }
 
+  /** Buffers for heads are small at first; a long head must grow them, not be refused. */
+  @Test
+  void longHeadsOfRequestsAndAnswersPassWhole() throws Exception {
+    String asked = "a".repeat(12 * 1024);
+    String told = "t".repeat(30 * 1024);
+    CompletableFuture<HttpResponse<byte[]>> lookup =
+        entry.sendAsync(entry.request("/parking/spaces").header("Trip", asked).GET());
+    FakeSide.Heard request = side.next();
+    assertTrue(
+        request.frame().getRequestStart().getHeadersList().stream()
+            .anyMatch(header -> header.getValue().equals(asked)));
+    Frame.Builder answer =
+        FakeSide.answer(FakeSide.idOf(request.frame()), 200, "free").toBuilder();
+    answer.getAnswerStartBuilder().addHeadersBuilder().setName("Trip").setValue(told);
+    side.send(request.connection(), answer.build());
+
+    assertEquals(told, lookup.join().headers().firstValue("Trip").orElse(""));
+    assertEquals("free", text(lookup.join()));
+  }
+
   /** Proven not to have run, a charge may be sent once more, under a new id. */
   @Test
   void chargeProvenNotRunIsTriedAgainUnderANewId() throws Exception {
