--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTasks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTasks.java
@@ -175,7 +175,7 @@
   private void run() {
     while (!closed) {
       try {
-        Incoming next = queue.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
+        Incoming next = queue.poll(idleNanos(), TimeUnit.NANOSECONDS);
         if (next != null) {
           handle(next);
         }
@@ -190,6 +190,22 @@
     }
   }
 
+  /**
+   * Returns how long there is nothing to do unless a message comes: with no task on the VM, until
+   * the next timer. Leases are renewed on evidence, which comes as a message.
+   */
+  private long idleNanos() {
+    long poll = POLL_MILLIS * NANOS_PER_MILLI;
+    if (!attempts.tasks().isEmpty()) {
+      return poll;
+    }
+    long now = clock.nanos();
+    long next = Math.min(nextList - now, nextAsk - now);
+    next = Math.min(next, Math.min(nextMeasure - now, nextGuard - now));
+    next = Math.min(next, nextReport - now);
+    return Math.max(poll, next);
+  }
+
   private void handle(Incoming incoming) {
     TaskMessage message = incoming.message();
     switch (message.getKindCase()) {
