--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
@@ -146,7 +146,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\027marigoldsail/link.proto\022\014marigoldsail\032" +
-      "\027marigoldsail/task.proto\"\227\006\n\005Frame\022*\n\010an" +
+      "\027marigoldsail/task.proto\"\255\006\n\005Frame\022*\n\010an" +
       "nounce\030\001 \001(\0132\026.marigoldsail.AnnounceH\000\0221" +
       "\n\014announce_ack\030\002 \001(\0132\031.marigoldsail.Anno" +
       "unceAckH\000\0223\n\rrequest_start\030\003 \001(\0132\032.marig" +
@@ -165,63 +165,63 @@
       "goldsail.GoAwayH\000\022.\n\013go_away_ack\030\017 \001(\0132\027" +
       ".marigoldsail.GoAwayAckH\000\022-\n\nkey_leases\030" +
       "\020 \001(\0132\027.marigoldsail.KeyLeasesH\000\022)\n\004task" +
-      "\030\024 \001(\0132\031.marigoldsail.TaskMessageH\000\022\r\n\005s" +
-      "tamp\030\036 \001(\006B\006\n\004body\"8\n\tRequestId\022\031\n\021entry" +
-      "_incarnation\030\001 \001(\004\022\020\n\010sequence\030\002 \001(\004\"\215\002\n" +
-      "\010Announce\022\n\n\002vm\030\001 \001(\t\022\033\n\023process_incarna" +
-      "tion\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004rack\030\005 \001(\t\022\017" +
-      "\n\007address\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\r\n\005slot" +
-      "s\030\010 \001(\r\022\023\n\013connections\030\t \001(\r\022\017\n\007leaving\030" +
-      "\n \001(\010\022*\n\006report\030\013 \001(\0132\032.marigoldsail.Tar" +
-      "getReport\022\036\n\026configuration_revision\030\014 \001(" +
-      "\004\022\031\n\021operators_address\030\020 \001(\t\"h\n\013Announce" +
-      "Ack\022\r\n\005entry\030\001 \001(\t\022\031\n\021entry_incarnation\030" +
-      "\002 \001(\004\022\036\n\026configuration_revision\030\003 \001(\004\022\017\n" +
-      "\007entries\030\004 \003(\t\"c\n\014TargetReport\022\r\n\005slots\030" +
-      "\001 \001(\r\022\021\n\tin_flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(" +
-      "\r\022\017\n\007leaving\030\004 \001(\010\022\017\n\007entries\030\005 \001(\r\"%\n\006H" +
-      "eader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\313\002\n\014R" +
-      "equestStart\022#\n\002id\030\001 \001(\0132\027.marigoldsail.R" +
-      "equestId\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%" +
-      "\n\007headers\030\004 \003(\0132\024.marigoldsail.Header\022\030\n" +
-      "\020remaining_millis\030\005 \001(\004\022\022\n\nidempotent\030\006 " +
-      "\001(\010\022\016\n\006caller\030\007 \001(\t\022\027\n\017idempotency_key\030\010" +
-      " \001(\t\022\023\n\013body_length\030\t \001(\004\022\014\n\004data\030\n \001(\014\022" +
-      "\014\n\004last\030\013 \001(\010\022\r\n\005label\030\014 \001(\t\022\017\n\007sent_at\030" +
-      "\r \001(\020\022)\n\tkey_claim\030\016 \001(\0132\026.marigoldsail." +
-      "KeyClaim\"8\n\010KeyClaim\022\r\n\005shard\030\001 \001(\r\022\016\n\006o" +
-      "ffset\030\002 \001(\004\022\r\n\005index\030\003 \001(\r\"d\n\tKeyLeases\022" +
-      "\033\n\023process_incarnation\030\001 \001(\004\022\022\n\nage_mill" +
-      "is\030\002 \001(\004\022&\n\006leases\030\003 \003(\0132\026.marigoldsail." +
-      "KeyLease\"G\n\010KeyLease\022%\n\005claim\030\001 \001(\0132\026.ma" +
-      "rigoldsail.KeyClaim\022\024\n\014quiet_millis\030\002 \001(" +
-      "\004\"N\n\013RequestBody\022#\n\002id\030\001 \001(\0132\027.marigolds" +
-      "ail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(" +
-      "\010\"\306\001\n\013AnswerStart\022#\n\002id\030\001 \001(\0132\027.marigold" +
-      "sail.RequestId\022\016\n\006status\030\002 \001(\r\022%\n\007header" +
-      "s\030\003 \003(\0132\024.marigoldsail.Header\022\014\n\004data\030\004 " +
-      "\001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006report\030\006 \001(\0132\032.mari" +
-      "goldsail.TargetReport\022\023\n\013body_length\030\007 \001" +
-      "(\004\"M\n\nAnswerBody\022#\n\002id\030\001 \001(\0132\027.marigolds" +
-      "ail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(" +
-      "\010\"\231\001\n\006NotRun\022#\n\002id\030\001 \001(\0132\027.marigoldsail." +
-      "RequestId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030" +
-      "\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\004\022*\n\006rep" +
-      "ort\030\005 \001(\0132\032.marigoldsail.TargetReport\"}\n" +
-      "\006Failed\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Reque" +
-      "stId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t" +
-      "\022*\n\006report\030\004 \001(\0132\032.marigoldsail.TargetRe" +
-      "port\"K\n\007Resolve\022#\n\002id\030\001 \001(\0132\027.marigoldsa" +
-      "il.RequestId\022\033\n\023process_incarnation\030\002 \001(" +
-      "\004\"\251\001\n\nResolution\022#\n\002id\030\001 \001(\0132\027.marigolds" +
-      "ail.RequestId\022-\n\005state\030\002 \001(\0162\036.marigolds" +
-      "ail.Resolution.State\"G\n\005State\022\025\n\021STATE_U" +
-      "NSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r" +
-      "\n\tFORGOTTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.ma" +
-      "rigoldsail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 " +
-      "\001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\004\"\010\n\006GoAway\"\013\n\t" +
-      "GoAwayAckB\034\n\030io.marigoldsail.protocolP\001b" +
-      "\006proto3"
+      "\030\024 \001(\0132\031.marigoldsail.TaskMessageH\000\022\024\n\014a" +
+      "nswers_read\030\022 \001(\004\022\r\n\005stamp\030\036 \001(\006B\006\n\004body" +
+      "\"8\n\tRequestId\022\031\n\021entry_incarnation\030\001 \001(\004" +
+      "\022\020\n\010sequence\030\002 \001(\004\"\215\002\n\010Announce\022\n\n\002vm\030\001 " +
+      "\001(\t\022\033\n\023process_incarnation\030\003 \001(\004\022\014\n\004zone" +
+      "\030\004 \001(\t\022\014\n\004rack\030\005 \001(\t\022\017\n\007address\030\006 \001(\t\022\017\n" +
+      "\007service\030\007 \001(\t\022\r\n\005slots\030\010 \001(\r\022\023\n\013connect" +
+      "ions\030\t \001(\r\022\017\n\007leaving\030\n \001(\010\022*\n\006report\030\013 " +
+      "\001(\0132\032.marigoldsail.TargetReport\022\036\n\026confi" +
+      "guration_revision\030\014 \001(\004\022\031\n\021operators_add" +
+      "ress\030\020 \001(\t\"h\n\013AnnounceAck\022\r\n\005entry\030\001 \001(\t" +
+      "\022\031\n\021entry_incarnation\030\002 \001(\004\022\036\n\026configura" +
+      "tion_revision\030\003 \001(\004\022\017\n\007entries\030\004 \003(\t\"c\n\014" +
+      "TargetReport\022\r\n\005slots\030\001 \001(\r\022\021\n\tin_flight" +
+      "\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\017\n\007leaving\030\004 \001(\010" +
+      "\022\017\n\007entries\030\005 \001(\r\"%\n\006Header\022\014\n\004name\030\001 \001(" +
+      "\t\022\r\n\005value\030\002 \001(\t\"\313\002\n\014RequestStart\022#\n\002id\030" +
+      "\001 \001(\0132\027.marigoldsail.RequestId\022\016\n\006method" +
+      "\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n\007headers\030\004 \003(\0132\024." +
+      "marigoldsail.Header\022\030\n\020remaining_millis\030" +
+      "\005 \001(\004\022\022\n\nidempotent\030\006 \001(\010\022\016\n\006caller\030\007 \001(" +
+      "\t\022\027\n\017idempotency_key\030\010 \001(\t\022\023\n\013body_lengt" +
+      "h\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014\n\004last\030\013 \001(\010\022\r\n\005l" +
+      "abel\030\014 \001(\t\022\017\n\007sent_at\030\r \001(\020\022)\n\tkey_claim" +
+      "\030\016 \001(\0132\026.marigoldsail.KeyClaim\"8\n\010KeyCla" +
+      "im\022\r\n\005shard\030\001 \001(\r\022\016\n\006offset\030\002 \001(\004\022\r\n\005ind" +
+      "ex\030\003 \001(\r\"d\n\tKeyLeases\022\033\n\023process_incarna" +
+      "tion\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(\004\022&\n\006leases" +
+      "\030\003 \003(\0132\026.marigoldsail.KeyLease\"G\n\010KeyLea" +
+      "se\022%\n\005claim\030\001 \001(\0132\026.marigoldsail.KeyClai" +
+      "m\022\024\n\014quiet_millis\030\002 \001(\004\"N\n\013RequestBody\022#" +
+      "\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\014\n\004d" +
+      "ata\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\306\001\n\013AnswerStart\022" +
+      "#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\016\n\006" +
+      "status\030\002 \001(\r\022%\n\007headers\030\003 \003(\0132\024.marigold" +
+      "sail.Header\022\014\n\004data\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022" +
+      "*\n\006report\030\006 \001(\0132\032.marigoldsail.TargetRep" +
+      "ort\022\023\n\013body_length\030\007 \001(\004\"M\n\nAnswerBody\022#" +
+      "\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\014\n\004d" +
+      "ata\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\231\001\n\006NotRun\022#\n\002id" +
+      "\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n\nerror" +
+      "_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\032\n\022retry_aft" +
+      "er_millis\030\004 \001(\004\022*\n\006report\030\005 \001(\0132\032.marigo" +
+      "ldsail.TargetReport\"}\n\006Failed\022#\n\002id\030\001 \001(" +
+      "\0132\027.marigoldsail.RequestId\022\022\n\nerror_kind" +
+      "\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022*\n\006report\030\004 \001(\0132\032" +
+      ".marigoldsail.TargetReport\"K\n\007Resolve\022#\n" +
+      "\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\033\n\023pr" +
+      "ocess_incarnation\030\002 \001(\004\"\251\001\n\nResolution\022#" +
+      "\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022-\n\005s" +
+      "tate\030\002 \001(\0162\036.marigoldsail.Resolution.Sta" +
+      "te\"G\n\005State\022\025\n\021STATE_UNSPECIFIED\020\000\022\013\n\007NO" +
+      "T_RUN\020\001\022\013\n\007RUNNING\020\002\022\r\n\tFORGOTTEN\020\003\"-\n\006C" +
+      "ancel\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Request" +
+      "Id\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\004\"\025\n\004Pong\022\r\n\005non" +
+      "ce\030\001 \001(\004\"\010\n\006GoAway\"\013\n\tGoAwayAckB\034\n\030io.ma" +
+      "rigoldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -233,7 +233,7 @@
     internal_static_marigoldsail_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Frame_descriptor,
-        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "GoAway", "GoAwayAck", "KeyLeases", "Task", "Stamp", "Body", });
+        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "GoAway", "GoAwayAck", "KeyLeases", "Task", "AnswersRead", "Stamp", "Body", });
     internal_static_marigoldsail_RequestId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_marigoldsail_RequestId_fieldAccessorTable = new
