--- a/marigoldsail-core/src/main/java/io/marigoldsail/idempotency/HomePlan.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/idempotency/HomePlan.java
@@ -3,8 +3,10 @@
 import io.marigoldsail.dispatch.TargetState;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -45,6 +47,22 @@
     return claims;
   }
 
+  /**
+   * Returns which target is to have a shard that its home gives away, or empty where there is none.
+   *
+   * @param service the service
+   * @param shard the shard
+   * @param from the VM of its home
+   * @param targets the targets that can be reached
+   */
+  public static Optional<TargetState> successor(
+      String service, int shard, String from, Collection<TargetState> targets) {
+    return targets.stream()
+        .filter(target -> target.service().equals(service) && !target.leaving())
+        .filter(target -> !target.vm().equals(from))
+        .max(Comparator.comparingLong(target -> KeyShards.weight(target.vm(), service, shard)));
+  }
+
   /**
    * Returns whether an entry may revoke homes for their silence.
    *
--- a/marigoldsail-core/src/main/java/io/marigoldsail/idempotency/KeyShardTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/idempotency/KeyShardTable.java
@@ -20,10 +20,10 @@
  * The homes of all shards, folded from the stream {@code keys}.
  *
  * <p>A claim holds for those of its shards that nobody holds at its place in the log, so entries
- * that race agree on one home. Only a revocation frees shards. Whoever claims a freed shard gets it
- * with a quiet time, counted from when this process read the revocation: as long as its former home
- * may still run, by its lease, and as long as what it ran may be asked for again. Safe for any
- * thread.
+ * that race agree on one home. Only a revocation frees shards, and only a hand-over moves one that
+ * is held. Whoever claims a freed shard gets it with a quiet time, counted from when this process
+ * read the revocation: as long as its former home may still run, by its lease, and as long as what
+ * it ran may be asked for again. Safe for any thread.
  */
 public final class KeyShardTable implements Fold {
   /** The name of the stream. */
@@ -35,6 +35,9 @@
   /** The type of a record by which a side process loses all its shards. */
   public static final String REVOKE = "key-revoke";
 
+  /** The type of a record by which a stopping side process's shard goes to a successor. */
+  public static final String HANDOVER = "key-handover";
+
   /** The type of a record that only gives evidence of the log's order. */
   public static final String HEARTBEAT = "key-heartbeat";
 
@@ -74,6 +77,24 @@
     return JsonNodeFactory.instance.objectNode().put("vm", vm).put("incarnation", incarnation);
   }
 
+  /**
+   * Returns the body of a record that gives a shard to a successor, which holds its keys.
+   *
+   * @param service the service
+   * @param shard the shard
+   * @param from the home that gives it away, by the claim under which it did
+   * @param vm the successor's VM
+   * @param incarnation the successor's incarnation
+   */
+  public static JsonNode handover(
+      String service, int shard, KeyHome from, String vm, long incarnation) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("service", service).put("shard", shard);
+    body.put("fromVm", from.vm()).put("fromIncarnation", from.incarnation());
+    body.put("offset", from.claim().offset()).put("index", from.claim().index());
+    return body.put("vm", vm).put("incarnation", incarnation);
+  }
+
   /** Returns the body of a heartbeat. */
   public static JsonNode heartbeat() {
     return JsonNodeFactory.instance.objectNode();
@@ -106,6 +127,7 @@
     switch (entry.type()) {
       case CLAIM -> claim(entry.position(), entry.body());
       case REVOKE -> revoke(entry.body());
+      case HANDOVER -> handOver(entry.position(), entry.body());
       default -> {
         // Heartbeats matter by their place in the log alone.
       }
@@ -128,6 +150,30 @@
     }
   }
 
+  /**
+   * Moves a shard to the successor that holds its keys, without a quiet time.
+   *
+   * <p>Only where it is still held by the very claim under which the keys were given away: a record
+   * that comes late or twice, after a revocation or another hand-over, would name a successor that
+   * knows nothing of what ran since. A quiet time that its holder had yet to wait out goes with it,
+   * for of those keys the successor knows as little.
+   */
+  private void handOver(Position position, JsonNode body) {
+    Shard shard = new Shard(body.path("service").asText(), body.path("shard").asInt(-1));
+    KeyHome held = homes.get(shard);
+    String vm = body.path("vm").asText();
+    if (held == null
+        || vm.isEmpty()
+        || !held.vm().equals(body.path("fromVm").asText())
+        || held.incarnation() != body.path("fromIncarnation").asLong()
+        || held.claim().offset() != body.path("offset").asLong(-1)
+        || held.claim().index() != body.path("index").asInt(-1)) {
+      return;
+    }
+    long incarnation = body.path("incarnation").asLong();
+    homes.put(shard, new KeyHome(vm, incarnation, position, held.quietUntil()));
+  }
+
   private void revoke(JsonNode body) {
     String vm = body.path("vm").asText();
     long incarnation = body.path("incarnation").asLong();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/idempotency/KeyStore.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/idempotency/KeyStore.java
@@ -54,6 +54,18 @@
     }
   }
 
+  /**
+   * A key whose request ran, as another store may take it over.
+   *
+   * @param key the key
+   * @param fingerprint stands for the request's method, path and body
+   * @param outcome empty where it is not kept any more
+   * @param outcomeBytes what the outcome holds
+   * @param forgetAt when the key is forgotten, in nanoseconds of the store's clock
+   */
+  public record Ended<A>(
+      String key, long fingerprint, Optional<A> outcome, long outcomeBytes, long forgetAt) {}
+
   private final int maxKeys;
   private final long maxBytes;
   private final Map<String, Known<W, A>> running = new LinkedHashMap<>();
@@ -91,6 +103,12 @@
       running.put(key, new Known<>(fingerprint));
       return new Admission.Run<>();
     }
+    if (known.ended && known.forgetAt - now <= 0) {
+      // One that was taken over may stand behind others that are forgotten later.
+      forget(known);
+      ended.remove(key);
+      return admit(key, fingerprint, waiter, now);
+    }
     if (known.fingerprint != fingerprint) {
       return new Admission.Conflict<>();
     }
@@ -113,15 +131,7 @@
   public List<W> ran(String key, A outcome, long outcomeBytes, long now) {
     Known<W, A> known = running.remove(key);
     checkState(known != null, "%s does not run", key);
-    known.ended = true;
-    known.forgetAt = now + KeyTerms.WINDOW_NANOS;
-    ended.put(key, known);
-    if (outcomeBytes <= maxBytes) {
-      known.outcome = Optional.of(outcome);
-      known.bytes = outcomeBytes;
-      bytes += outcomeBytes;
-      dropOutcomes();
-    }
+    end(key, known, Optional.of(outcome), outcomeBytes, now + KeyTerms.WINDOW_NANOS);
     List<W> waiters = ImmutableList.copyOf(known.waiters);
     known.waiters.clear();
     return waiters;
@@ -134,6 +144,68 @@
     return ImmutableList.copyOf(known.waiters);
   }
 
+  /** Returns the keys of the shard whose requests ran; those that run now are not among them. */
+  public List<Ended<A>> endedOf(int shard, long now) {
+    expire(now);
+    ImmutableList.Builder<Ended<A>> found = ImmutableList.builder();
+    ended.forEach(
+        (key, known) -> {
+          if (KeyShards.of(key) == shard) {
+            found.add(
+                new Ended<>(key, known.fingerprint, known.outcome, known.bytes, known.forgetAt));
+          }
+        });
+    return found.build();
+  }
+
+  /**
+   * Takes keys over from a store that runs none of them any more: all, or none where there is no
+   * room.
+   *
+   * <p>A key known here by an older run gives way to the one taken over.
+   *
+   * @return whether they are known now
+   */
+  public boolean takeOver(List<Ended<A>> keys, long now) {
+    expire(now);
+    if (running.size() + ended.size() + keys.size() > maxKeys) {
+      return false;
+    }
+    for (Ended<A> key : keys) {
+      if (running.containsKey(key.key())) {
+        continue;
+      }
+      Known<W, A> older = ended.remove(key.key());
+      if (older != null) {
+        forget(older);
+      }
+      end(
+          key.key(),
+          new Known<>(key.fingerprint()),
+          key.outcome(),
+          key.outcomeBytes(),
+          key.forgetAt());
+    }
+    return true;
+  }
+
+  private void end(
+      String key, Known<W, A> known, Optional<A> outcome, long outcomeBytes, long forgetAt) {
+    known.ended = true;
+    known.forgetAt = forgetAt;
+    ended.put(key, known);
+    if (outcomeBytes <= maxBytes) {
+      known.outcome = outcome;
+      known.bytes = outcomeBytes;
+      bytes += outcomeBytes;
+      dropOutcomes();
+    }
+  }
+
+  private void forget(Known<W, A> known) {
+    bytes -= known.bytes;
+  }
+
   private void dropOutcomes() {
     for (Known<W, A> oldest : ended.values()) {
       if (bytes <= maxBytes) {
@@ -153,7 +225,7 @@
       if (known.forgetAt - now > 0) {
         return;
       }
-      bytes -= known.bytes;
+      forget(known);
       oldest.remove();
     }
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/idempotency/ShardLeases.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/idempotency/ShardLeases.java
@@ -1,5 +1,7 @@
 package io.marigoldsail.idempotency;
 
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 import io.marigoldsail.log.Position;
 import java.util.HashMap;
 import java.util.Map;
@@ -57,6 +59,17 @@
     return OptionalLong.of(lease.quietUntil());
   }
 
+  /** Returns the latest claim by which this process is known to have held each shard. */
+  public Map<Integer, Position> claims() {
+    return Maps.transformValues(ImmutableMap.copyOf(leases), Lease::claim);
+  }
+
+  /** Returns whether this process is known to have held the shard by a claim after the given. */
+  public boolean heldAfter(int shard, Position claim) {
+    Lease lease = leases.get(shard);
+    return lease != null && lease.claim().compareTo(claim) > 0;
+  }
+
   private static long later(long left, long right) {
     return left - right >= 0 ? left : right;
   }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/idempotency/KeyShardTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/idempotency/KeyShardTableTest.java
@@ -62,6 +62,58 @@
     assertEquals(9_000 + KeyTerms.QUIET_NANOS, home.quietUntil());
   }
 
+  private void handOver(int shard, KeyHome from, String vm) {
+    apply(table, KeyShardTable.HANDOVER, KeyShardTable.handover(SERVICE, shard, from, vm, 1));
+  }
+
+  /** A home stops as planned and its successor has its keys: it need not be quiet. */
+  @Test
+  void handOverMovesAShardWithoutQuietTime() {
+    claim("vm-1", 1, 3);
+    KeyHome from = table.home(SERVICE, 3).orElseThrow();
+    now = 9_000;
+    handOver(3, from, "vm-2");
+
+    KeyHome home = table.home(SERVICE, 3).orElseThrow();
+    assertEquals("vm-2", home.vm());
+    assertEquals(500, home.quietUntil());
+    assertTrue(home.claim().compareTo(from.claim()) > 0);
+  }
+
+  /**
+   * An entry's hand-over comes into the log late: the home that gave the keys away was revoked
+   * meanwhile, or another entry's hand-over went first and the new home ran more. The late record's
+   * successor knows nothing of that; it must get nothing.
+   */
+  @Test
+  void lateOrSecondHandOverMovesNothing() {
+    claim("vm-1", 1, 3, 4);
+    KeyHome third = table.home(SERVICE, 3).orElseThrow();
+    handOver(3, third, "vm-2");
+    handOver(3, third, "vm-3");
+    assertEquals("vm-2", table.home(SERVICE, 3).orElseThrow().vm());
+
+    KeyHome fourth = table.home(SERVICE, 4).orElseThrow();
+    revoke("vm-1", 1);
+    handOver(4, fourth, "vm-2");
+    assertEquals(Optional.empty(), table.home(SERVICE, 4));
+    claim("vm-1", 1, 4);
+    handOver(4, fourth, "vm-2");
+    assertEquals("vm-1", table.home(SERVICE, 4).orElseThrow().vm());
+  }
+
+  /** A home that is quiet after a death stops as planned: its successor knows no more than it. */
+  @Test
+  void quietTimeGoesWithTheShard() {
+    claim("vm-1", 1, 3);
+    revoke("vm-1", 1);
+    claim("vm-2", 1, 3);
+    now = 9_000;
+    handOver(3, table.home(SERVICE, 3).orElseThrow(), "vm-3");
+
+    assertEquals(500 + KeyTerms.QUIET_NANOS, table.home(SERVICE, 3).orElseThrow().quietUntil());
+  }
+
   @Test
   void revocationOfAnEarlierProcessTakesNothingFromTheLaterOne() {
     claim("vm-1", 2, 3);
--- a/marigoldsail-core/src/test/java/io/marigoldsail/idempotency/KeyStoreTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/idempotency/KeyStoreTest.java
@@ -1,7 +1,9 @@
 package io.marigoldsail.idempotency;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.marigoldsail.idempotency.KeyStore.Admission;
 import java.util.List;
@@ -75,4 +77,34 @@
 
     assertEquals(new Admission.Ran<>(Optional.empty()), admit("a", "again", 1));
   }
+
+  /** A successor has what its predecessor ran, and forgets it when that one would have. */
+  @Test
+  void takenOverKeysAreKnownUntilTheirTime() {
+    admit("a", "first", 0);
+    store.ran("a", "paid", 4, 5);
+    KeyStore<String, String> successor = new KeyStore<>(2, 10);
+    successor.admit("b", FINGERPRINT, "first", 0);
+    successor.ran("b", "later", 4, 50);
+    assertTrue(successor.takeOver(store.endedOf(KeyShards.of("a"), 60), 60));
+
+    assertEquals(
+        new Admission.Ran<>(Optional.of("paid")), successor.admit("a", FINGERPRINT, "second", 61));
+    assertInstanceOf(Admission.Conflict.class, successor.admit("a", 2, "third", 62));
+    assertInstanceOf(
+        Admission.Run.class,
+        successor.admit("a", FINGERPRINT, "fourth", 5 + KeyTerms.WINDOW_NANOS));
+  }
+
+  /** Half of a shard would let the other half run again: all of it is taken, or none. */
+  @Test
+  void fullStoreTakesNoneOfAShard() {
+    KeyStore<String, String> successor = new KeyStore<>(1, 10);
+    successor.admit("b", FINGERPRINT, "first", 0);
+    admit("a", "first", 0);
+    store.ran("a", "paid", 4, 5);
+
+    assertFalse(successor.takeOver(store.endedOf(KeyShards.of("a"), 6), 6));
+    assertInstanceOf(Admission.Full.class, successor.admit("a", FINGERPRINT, "second", 7));
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/SideProcess.java
@@ -98,11 +98,11 @@
             new MeasuredTarget(client, window, base.clock()),
             SideLimits.ofSlots(targetSettings.slots()),
             base.incarnation(),
-            links::entryCount,
+            links,
             budget,
             base.events());
     dispatcher.onLeavingChanged(links::announceNow);
-    links.addKeyListener(dispatcher::keyLeases);
+    links.addKeyListener(dispatcher.keyListener());
     ServiceWatch watch =
         new ConfiguredServiceWatch(targetSettings.service(), window, base::configuration);
     return new TargetPart(targetSettings, client, dispatcher, watch);
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/HandoverRelay.java
@@ -0,0 +1,136 @@
+package io.marigoldsail.daemon.dispatch;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.EntryLinks;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.dispatch.TargetState;
+import io.marigoldsail.idempotency.HomePlan;
+import io.marigoldsail.idempotency.KeyHome;
+import io.marigoldsail.idempotency.KeyShardTable;
+import io.marigoldsail.log.Position;
+import io.marigoldsail.membership.Announcement;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.HandedShard;
+import io.marigoldsail.protocol.KeyHandover;
+import io.marigoldsail.protocol.KeyHandoverResult;
+import io.marigoldsail.protocol.KeyHandoverTaken;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * An entry's part in handing keys over: it passes a shard's keys on to the successor, and once that
+ * one has them all lets the log move the shard.
+ *
+ * <p>Keeps nothing, so an entry killed in the middle leaves nothing behind: either the record
+ * stands in the log, or the giver asks another entry. Runs on the loop.
+ */
+final class HandoverRelay {
+  private static final long APPEND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final LinkLoop loop;
+  private final KeyShardTable table;
+  private final KeyHomes.KeyLog log;
+  private final EntryLinks links;
+  private final Runnable moved;
+
+  HandoverRelay(
+      LinkLoop loop, KeyShardTable table, KeyHomes.KeyLog log, EntryLinks links, Runnable moved) {
+    this.loop = requireNonNull(loop, "loop");
+    this.table = requireNonNull(table, "table");
+    this.log = requireNonNull(log, "log");
+    this.links = requireNonNull(links, "links");
+    this.moved = requireNonNull(moved, "moved");
+  }
+
+  /** Takes a frame of a side process. */
+  void received(String vm, Frame frame) {
+    switch (frame.getBodyCase()) {
+      case KEY_HANDOVER -> passOn(vm, frame.getKeyHandover());
+      case KEY_HANDOVER_TAKEN -> taken(vm, frame.getKeyHandoverTaken());
+      default -> {
+        // Side processes send nothing else about keys.
+      }
+    }
+  }
+
+  private void passOn(String vm, KeyHandover frame) {
+    HandedShard given = frame.getShard();
+    Optional<Announcement> giver = links.members().member(vm);
+    if (giver.isEmpty() || giver.get().processIncarnation() != given.getProcessIncarnation()) {
+      return;
+    }
+    HandedShard shard = given.toBuilder().setVm(vm).setService(giver.get().service()).build();
+    if (!isHome(shard)) {
+      answer(shard, hasMoved(shard));
+      return;
+    }
+    Optional<TargetState> successor =
+        HomePlan.successor(
+            shard.getService(), shard.getClaim().getShard(), vm, links.members().targets());
+    if (successor.isEmpty()) {
+      answer(shard, false);
+      return;
+    }
+    KeyHandover passed =
+        frame.toBuilder()
+            .setShard(shard)
+            .setSuccessorIncarnation(successor.get().incarnation())
+            .build();
+    links.sendTo(successor.get().vm(), Frame.newBuilder().setKeyHandover(passed).build());
+  }
+
+  private void taken(String successor, KeyHandoverTaken taken) {
+    HandedShard shard = taken.getShard();
+    if (!taken.getTaken()) {
+      answer(shard, false);
+      return;
+    }
+    KeyHome from =
+        new KeyHome(
+            shard.getVm(), shard.getProcessIncarnation(), SideKeys.position(shard.getClaim()), 0);
+    log.append(
+            KeyShardTable.HANDOVER,
+            KeyShardTable.handover(
+                shard.getService(),
+                shard.getClaim().getShard(),
+                from,
+                successor,
+                taken.getSuccessorIncarnation()),
+            loop.now() + APPEND_NANOS)
+        .thenAccept(
+            result ->
+                loop.run(
+                    () -> {
+                      moved.run();
+                      answer(shard, hasMoved(shard));
+                    }));
+  }
+
+  private boolean isHome(HandedShard shard) {
+    return table
+        .home(shard.getService(), shard.getClaim().getShard())
+        .filter(home -> home.vm().equals(shard.getVm()))
+        .filter(home -> home.incarnation() == shard.getProcessIncarnation())
+        .filter(home -> home.claim().equals(SideKeys.position(shard.getClaim())))
+        .isPresent();
+  }
+
+  private boolean hasMoved(HandedShard shard) {
+    Position given = SideKeys.position(shard.getClaim());
+    return table
+        .home(shard.getService(), shard.getClaim().getShard())
+        .filter(home -> home.claim().compareTo(given) > 0)
+        .isPresent();
+  }
+
+  /** Tells the giver, in the words in which it named the shard. */
+  private void answer(HandedShard shard, boolean hasMoved) {
+    KeyHandoverResult result =
+        KeyHandoverResult.newBuilder()
+            .setShard(shard.toBuilder().clearVm().clearService())
+            .setMoved(hasMoved)
+            .build();
+    links.sendTo(shard.getVm(), Frame.newBuilder().setKeyHandoverResult(result).build());
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/KeyHomes.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/KeyHomes.java
@@ -13,6 +13,7 @@
 import io.marigoldsail.idempotency.KeyTerms;
 import io.marigoldsail.log.Position;
 import io.marigoldsail.membership.Announcement;
+import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.KeyClaim;
 import io.marigoldsail.protocol.KeyLease;
 import io.marigoldsail.protocol.KeyLeases;
@@ -47,6 +48,9 @@
   /** How often homes get evidence, besides at once when they change; a third of the lease. */
   private static final long VOUCH_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /** How long a change of homes waits for more of them before homes get evidence of it. */
+  private static final long SOON_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
   private static final int MAX_APPENDS = 32;
 
   private record Member(String vm, long incarnation) {}
@@ -59,6 +63,7 @@
   private final AtomicInteger appends = new AtomicInteger();
   private Map<String, Map<Integer, KeyHome>> vouchedFor = Map.of();
   private long vouchAt;
+  private boolean tendingSoon;
   private Future<?> tick;
 
   /**
@@ -74,6 +79,7 @@
     this.table = requireNonNull(table, "table");
     this.log = requireNonNull(log, "log");
     this.links = requireNonNull(links, "links");
+    links.addKeyListener(new HandoverRelay(loop, table, log, links, this::tendSoon)::received);
   }
 
   /** Begins to claim, to revoke and to vouch. */
@@ -86,6 +92,19 @@
     tick.cancel(false);
   }
 
+  /** Brings a successor its evidence at once: until then keys of its shards are refused. */
+  private void tendSoon() {
+    if (!tendingSoon) {
+      tendingSoon = true;
+      loop.schedule(
+          () -> {
+            tendingSoon = false;
+            tend();
+          },
+          SOON_NANOS);
+    }
+  }
+
   private void tend() {
     // While the log is away appends pile up unanswered; there is nothing to tend then.
     if (appends.get() > MAX_APPENDS) {
@@ -179,9 +198,12 @@
     long age = TimeUnit.NANOSECONDS.toMillis(now - sentAt) + 1;
     leases.forEach(
         (member, evidence) ->
-            links.sendKeyLeases(
+            links.sendTo(
                 member.vm(),
-                evidence.setProcessIncarnation(member.incarnation()).setAgeMillis(age).build()));
+                Frame.newBuilder()
+                    .setKeyLeases(
+                        evidence.setProcessIncarnation(member.incarnation()).setAgeMillis(age))
+                    .build()));
   }
 
   private static KeyLease lease(int shard, KeyHome home, long now) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -5,6 +5,8 @@
 import io.marigoldsail.daemon.dispatch.SideAnswers.Refusal;
 import io.marigoldsail.daemon.link.Announcements;
 import io.marigoldsail.daemon.link.BrokenFrameException;
+import io.marigoldsail.daemon.link.EntryChannel;
+import io.marigoldsail.daemon.link.KeyListener;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkListener;
 import io.marigoldsail.daemon.link.LinkLoop;
@@ -16,7 +18,6 @@
 import io.marigoldsail.dispatch.WireId;
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.protocol.Frame;
-import io.marigoldsail.protocol.KeyLeases;
 import io.marigoldsail.protocol.RequestBody;
 import io.marigoldsail.protocol.RequestStart;
 import io.marigoldsail.protocol.Resolution;
@@ -35,7 +36,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
 
 /**
  * Runs the requests of all entries on the target beside it, each at most once.
@@ -69,7 +69,7 @@
   private final Target target;
   private final SideLimits limits;
   private final long processIncarnation;
-  private final IntSupplier entryCount;
+  private final EntryChannel entries;
   private final ByteBudget budget;
   private final EventRecorder events;
   private final LinkServer server;
@@ -77,6 +77,7 @@
   private final RequestLedger<Frame> ledger;
   private final SideAnswers answers;
   private final SideKeys keys;
+  private final KeyExchange exchange;
   private final Map<WireId, SideRequest> requests = new HashMap<>();
   private final ArrayDeque<SideRequest> waiting = new ArrayDeque<>();
   private final Map<LinkConnection, TransitDelay> delays = new HashMap<>();
@@ -96,7 +97,7 @@
    * @param target the target
    * @param limits the bounds
    * @param processIncarnation this process's incarnation, as announced
-   * @param entryCount how many entries hear this process
+   * @param entries the way to the entries that hear this process
    * @param budget what bodies of requests hold; the same as that of the target's client
    * @param events the time line
    */
@@ -106,14 +107,14 @@
       Target target,
       SideLimits limits,
       long processIncarnation,
-      IntSupplier entryCount,
+      EntryChannel entries,
       ByteBudget budget,
       EventRecorder events) {
     this.loop = requireNonNull(loop, "loop");
     this.target = requireNonNull(target, "target");
     this.limits = requireNonNull(limits, "limits");
     this.processIncarnation = processIncarnation;
-    this.entryCount = requireNonNull(entryCount, "entryCount");
+    this.entries = requireNonNull(entries, "entries");
     this.budget = requireNonNull(budget, "budget");
     this.events = requireNonNull(events, "events");
     this.watch = new TargetWatch(loop, target, () -> leavingListener.run());
@@ -121,11 +122,12 @@
     this.ledger = new RequestLedger<>(MAX_ENDED, limits.keptAnswerBytes(), LEDGER_WINDOW_NANOS);
     this.answers = new SideAnswers(loop, ledger, this::report, events);
     this.keys = new SideKeys(loop, processIncarnation, answers);
+    this.exchange = new KeyExchange(loop, processIncarnation, entries, keys, this::isLeaving);
   }
 
-  /** Takes an entry's evidence that this process is the home of idempotency keys. */
-  public void keyLeases(KeyLeases evidence) {
-    loop.run(() -> keys.vouched(evidence));
+  /** Returns who takes what entries say about idempotency keys. */
+  public KeyListener keyListener() {
+    return exchange;
   }
 
   /** Sets who is told when {@link #isLeaving} changes; to be called before {@link #start}. */
@@ -151,7 +153,7 @@
 
   /** Returns what the target has to do now. */
   public TargetLoad load() {
-    return new TargetLoad(running, waitingCount, entryCount.getAsInt(), isLeaving());
+    return new TargetLoad(running, waitingCount, entries.entryCount(), isLeaving());
   }
 
   /** Returns whether nothing new is taken: this process or its target is stopping. */
@@ -183,11 +185,21 @@
 
   private void tick() {
     ledger.expire(loop.now());
+    keys.expire();
     watch.probe();
   }
 
   private void checkDrained() {
-    if (!stopping || !requests.isEmpty() || flushUntil != 0) {
+    if (!stopping) {
+      return;
+    }
+    // Nothing new is taken since the stop began: once nothing with a key is in progress, no key
+    // runs
+    // here any more.
+    if (requests.values().stream().noneMatch(SideKeys::isKeyed)) {
+      exchange.give(this::checkDrained);
+    }
+    if (!requests.isEmpty() || !exchange.isGiven() || flushUntil != 0) {
       return;
     }
     flushUntil = loop.now() + FLUSH_LIMIT_NANOS;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideKeys.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideKeys.java
@@ -9,12 +9,16 @@
 import io.marigoldsail.idempotency.KeyStore.Admission;
 import io.marigoldsail.idempotency.ShardLeases;
 import io.marigoldsail.log.Position;
+import io.marigoldsail.protocol.HandedShard;
 import io.marigoldsail.protocol.KeyClaim;
+import io.marigoldsail.protocol.KeyHandover;
 import io.marigoldsail.protocol.KeyLease;
 import io.marigoldsail.protocol.KeyLeases;
 import io.marigoldsail.protocol.RequestStart;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -43,6 +47,7 @@
   private final long processIncarnation;
   private final SideAnswers answers;
   private final ShardLeases leases = new ShardLeases();
+  private final KeyTaker taker = new KeyTaker();
   private final KeyStore<SideRequest, TargetOutcome> store =
       new KeyStore<>(MAX_KEYS, MAX_OUTCOME_BYTES);
 
@@ -107,9 +112,13 @@
    * Returns why the request may not start here now, or null where it may.
    *
    * <p>Asked again right before the start: a request that waited for a slot, or a process that was
-   * frozen, may have outlived its lease, and the successor may already run the same key.
+   * frozen, may have outlived its lease, and the successor may already run the same key. A target
+   * that tells repeats apart by itself does not mind.
    */
   Refusal unheld(SideRequest request) {
+    if (request.start().getTargetDetectsRepeats()) {
+      return null;
+    }
     KeyClaim claim = request.start().getKeyClaim();
     long now = loop.now();
     OptionalLong runsFrom = leases.runsFrom(claim.getShard(), position(claim), now);
@@ -140,6 +149,57 @@
     return store.notRun(request.start().getIdempotencyKey());
   }
 
+  /**
+   * Returns the shards that this process holds, for all it knows, with their keys.
+   *
+   * <p>To be asked only when nothing with a key runs here or will again: else a key that runs later
+   * is unknown to whom the shards are given.
+   */
+  List<HandoverFrames.Shard> shardsToGive() {
+    long now = loop.now();
+    List<HandoverFrames.Shard> shards = new ArrayList<>();
+    leases
+        .claims()
+        .forEach(
+            (shard, claim) -> {
+              HandedShard handed =
+                  HandedShard.newBuilder()
+                      .setProcessIncarnation(processIncarnation)
+                      .setClaim(
+                          KeyClaim.newBuilder()
+                              .setShard(shard)
+                              .setOffset(claim.offset())
+                              .setIndex(claim.index()))
+                      .build();
+              shards.add(new HandoverFrames.Shard(handed, store.endedOf(shard, now)));
+            });
+    return shards;
+  }
+
+  /**
+   * Takes keys that a stopping home gives to this process; returns whether it has the whole shard
+   * or cannot take it, or empty while some of its keys are missing.
+   *
+   * @param frame some of a shard's keys
+   * @param leaving whether this process is about to give its own away
+   */
+  Optional<Boolean> take(KeyHandover frame, boolean leaving) {
+    HandedShard shard = frame.getShard();
+    // A frame so late that this process has got the shard meanwhile tells of older runs than it
+    // knows itself.
+    boolean late = leases.heldAfter(shard.getClaim().getShard(), position(shard.getClaim()));
+    if (leaving || late || taker.isFull()) {
+      taker.drop(shard);
+      return Optional.of(false);
+    }
+    return taker.add(frame, loop.now()).map(keys -> store.takeOver(keys, loop.now()));
+  }
+
+  /** Drops parts of shards whose rest never came. */
+  void expire() {
+    taker.expire(loop.now());
+  }
+
   /** Returns the outcome as it is given again: it holds nothing of the budget of bodies. */
   static TargetOutcome kept(TargetOutcome outcome) {
     if (outcome instanceof TargetOutcome.Answered answered) {
@@ -157,7 +217,7 @@
     return outcome instanceof TargetOutcome.Answered answered ? answered.body().size() : 0;
   }
 
-  private static Position position(KeyClaim claim) {
+  static Position position(KeyClaim claim) {
     return new Position(claim.getOffset(), claim.getIndex());
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/EntryLink.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/EntryLink.java
@@ -2,7 +2,6 @@
 
 import io.marigoldsail.protocol.AnnounceAck;
 import io.marigoldsail.protocol.Frame;
-import io.marigoldsail.protocol.KeyLeases;
 import io.marigoldsail.protocol.TaskMessage;
 import io.marigoldsail.timeline.Event;
 import io.marigoldsail.timeline.EventKind;
@@ -21,7 +20,7 @@
 
     void task(String entry, TaskMessage message);
 
-    void keyLeases(KeyLeases evidence);
+    void keys(String entry, Frame frame);
 
     void lost(EntryLink link);
   }
@@ -96,6 +95,12 @@
     }
   }
 
+  void sendAll(FrameStream frames) {
+    if (connection != null) {
+      connection.sendAll(frames);
+    }
+  }
+
   void mentioned(long now) {
     lastMentioned = now;
   }
@@ -158,7 +163,7 @@
           listener.acknowledged(EntryLink.this, frame.getAnnounceAck());
         }
         case TASK -> listener.task(entry, frame.getTask());
-        case KEY_LEASES -> listener.keyLeases(frame.getKeyLeases());
+        case KEY_LEASES, KEY_HANDOVER, KEY_HANDOVER_RESULT -> listener.keys(entry, frame);
         default -> throw new BrokenFrameException("unexpected " + frame.getBodyCase());
       }
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/EntryLinks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/EntryLinks.java
@@ -8,7 +8,6 @@
 import io.marigoldsail.membership.MemberTable;
 import io.marigoldsail.protocol.AnnounceAck;
 import io.marigoldsail.protocol.Frame;
-import io.marigoldsail.protocol.KeyLeases;
 import io.marigoldsail.protocol.TaskMessage;
 import io.marigoldsail.timeline.Event;
 import io.marigoldsail.timeline.EventKind;
@@ -48,6 +47,7 @@
   private final LinkServer server;
   private final Map<String, LinkConnection> byVm = new ConcurrentHashMap<>();
   private final List<TaskListener> taskListeners = new CopyOnWriteArrayList<>();
+  private final List<KeyListener> keyListeners = new CopyOnWriteArrayList<>();
   private final List<MemberListener> memberListeners = new CopyOnWriteArrayList<>();
   private long lastTick;
   private Future<?> tick;
@@ -122,11 +122,15 @@
     return true;
   }
 
-  /** Hands evidence about keys to the link to the VM, if there is one. */
-  public void sendKeyLeases(String vm, KeyLeases evidence) {
+  /** Adds a listener for frames about idempotency keys. */
+  public void addKeyListener(KeyListener listener) {
+    keyListeners.add(requireNonNull(listener, "listener"));
+  }
+
+  /** Hands a frame to the link to the VM, if there is one. */
+  public void sendTo(String vm, Frame frame) {
     LinkConnection connection = byVm.get(vm);
     if (connection != null) {
-      Frame frame = Frame.newBuilder().setKeyLeases(evidence).build();
       loop.run(() -> connection.send(frame));
     }
   }
@@ -215,6 +219,10 @@
           String vm = vmOf(connection);
           taskListeners.forEach(listener -> listener.received(vm, frame.getTask()));
         }
+        case KEY_HANDOVER, KEY_HANDOVER_TAKEN -> {
+          String vm = vmOf(connection);
+          keyListeners.forEach(listener -> listener.received(vm, frame));
+        }
         default -> throw new BrokenFrameException("unexpected " + frame.getBodyCase());
       }
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/SideLinks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/SideLinks.java
@@ -6,7 +6,6 @@
 import io.marigoldsail.membership.Announcement;
 import io.marigoldsail.protocol.AnnounceAck;
 import io.marigoldsail.protocol.Frame;
-import io.marigoldsail.protocol.KeyLeases;
 import io.marigoldsail.protocol.TaskMessage;
 import io.marigoldsail.settings.HostPort;
 import io.marigoldsail.timeline.EventRecorder;
@@ -20,7 +19,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -31,7 +29,7 @@
  * <p>Entries come from the settings and from what entries tell of each other. Safe for any thread
  * where not said otherwise.
  */
-public final class SideLinks implements PeerLinks, AutoCloseable {
+public final class SideLinks implements PeerLinks, EntryChannel, AutoCloseable {
   /** How often the VM is announced; a sixth of the entry's {@link EntryLinks#SILENCE_NANOS}. */
   public static final long ANNOUNCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -45,7 +43,7 @@
   private final Map<InetSocketAddress, EntryLink> links = new LinkedHashMap<>();
   private final Map<String, EntryLink> byEntry = new ConcurrentHashMap<>();
   private final List<TaskListener> taskListeners = new CopyOnWriteArrayList<>();
-  private final List<Consumer<KeyLeases>> keyListeners = new CopyOnWriteArrayList<>();
+  private final List<KeyListener> keyListeners = new CopyOnWriteArrayList<>();
   private Future<?> tick;
   private volatile int openCount;
 
@@ -84,7 +82,7 @@
     loop.run(this::tick);
   }
 
-  /** Returns how many entries are known to hear this process; at least 1. */
+  @Override
   public int entryCount() {
     return Math.max(1, openCount);
   }
@@ -94,8 +92,8 @@
     taskListeners.add(requireNonNull(listener, "listener"));
   }
 
-  /** Adds a listener for evidence about keys, told on the loop; to be called before the start. */
-  public void addKeyListener(Consumer<KeyLeases> listener) {
+  /** Adds a listener for frames about keys; to be called before the start. */
+  public void addKeyListener(KeyListener listener) {
     keyListeners.add(requireNonNull(listener, "listener"));
   }
 
@@ -110,6 +108,22 @@
     return true;
   }
 
+  @Override
+  public void sendTo(String entry, Frame frame) {
+    EntryLink link = byEntry.get(entry);
+    if (link != null) {
+      loop.run(() -> link.send(frame));
+    }
+  }
+
+  @Override
+  public void sendAllTo(String entry, FrameStream frames) {
+    EntryLink link = byEntry.get(entry);
+    if (link != null) {
+      loop.run(() -> link.sendAll(frames));
+    }
+  }
+
   @Override
   public Set<String> peers() {
     return ImmutableSet.copyOf(byEntry.keySet());
@@ -188,8 +202,8 @@
     }
 
     @Override
-    public void keyLeases(KeyLeases evidence) {
-      keyListeners.forEach(listener -> listener.accept(evidence));
+    public void keys(String entry, Frame frame) {
+      keyListeners.forEach(listener -> listener.received(entry, frame));
     }
 
     @Override
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/KeyHomesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/KeyHomesTest.java
@@ -33,7 +33,7 @@
   private static final int VMS = 3;
 
   /** An entry with its part of the stream of keys. */
-  private static final class KeyedEntry implements AutoCloseable {
+  private final class KeyedEntry implements AutoCloseable {
     private final KeyShardTable table = new KeyShardTable(MonotonicClock.system());
     private final StreamFollower follower;
     private final LogAppender appender;
@@ -219,6 +219,100 @@
     assertEquals(1, charges().size());
   }
 
+  /**
+   * A home is stopped as planned, as happens 70 times a day, and drivers repeat charges that ran
+   * there. For 71 s they heard that the state of their key is unknown, for its keys went with it.
+   * Now another home has them: the repeat gets the receipt, and a new key runs.
+   */
+  @Test
+  void plannedStopHandsKeysToAnotherHome() {
+    HttpResponse<byte[]> receipt = first.charge("pay", "?tag=receipt").join();
+    assertEquals(200, receipt.statusCode());
+    SideUnderTest home = sides.remove(homeOf("pay"));
+    home.dispatcher().beginStop().join();
+    home.close();
+
+    for (KeyedEntry entry : List.of(first, second)) {
+      Await.until(
+          "the kept answer",
+          () -> text(entry.charge("pay", "?tag=receipt").join()).equals(text(receipt)));
+      for (int i = 0; i < 40; i++) {
+        String key = "after-" + i;
+        Await.until("new key", () -> entry.charge(key, "").join().statusCode() == 200);
+      }
+    }
+    assertEquals(41, charges().size());
+    assertEquals(1, charges().stream().filter(run -> run.idempotencyKey().endsWith("pay")).count());
+  }
+
+  /** The same, and the entry that carries the keys is killed as the stop begins. */
+  @Test
+  void handOverOutlivesItsEntry() {
+    HttpResponse<byte[]> receipt = first.charge("pay", "?tag=receipt").join();
+    SideUnderTest home = sides.remove(homeOf("pay"));
+    CompletableFuture<Void> stopped = home.dispatcher().beginStop();
+    first.close();
+    stopped.join();
+    home.close();
+
+    Await.until(
+        "the kept answer",
+        () -> text(second.charge("pay", "?tag=receipt").join()).equals(text(receipt)));
+    assertEquals(1, charges().size());
+  }
+
+  /**
+   * The log is down while a home is stopped as planned: nobody can be named its successor. The stop
+   * ends all the same, and the shards wait out the quiet time; the charge does not run again, also
+   * not when the log is back.
+   */
+  @Test
+  void stopDuringALogOutageLeavesItsShardsToTheQuietTime() {
+    assertEquals(200, first.charge("pay", "").join().statusCode());
+    SideUnderTest home = sides.remove(homeOf("pay"));
+    log.setFaults(log.faults().withDown(true));
+    home.dispatcher().beginStop().join();
+    home.close();
+    for (KeyedEntry entry : List.of(first, second)) {
+      assertTrue(text(entry.charge("pay", "").join()).contains("key-state-unknown"));
+    }
+    log.setFaults(log.faults().withDown(false));
+
+    Await.until(
+        "another home claimed",
+        () -> text(second.charge("pay", "").join()).contains("an earlier one may have been"));
+    assertEquals(1, charges().size());
+  }
+
+  /**
+   * Two faults at once: the log is down for longer than a lease, and one home is killed in it. The
+   * other homes refuse once their evidence has lapsed and give the kept answer again when the log
+   * is back; the killed one's keys stay unknown. No charge runs twice.
+   */
+  @Test
+  void logOutageAndKilledHomeRunNothingAgain() {
+    assertEquals(200, first.charge("pay", "").join().statusCode());
+    int killed = homeOf("pay");
+    int number = 0;
+    while (homeOf("other-" + number) == killed) {
+      number++;
+    }
+    String other = "other-" + number;
+    assertEquals(200, first.charge(other, "").join().statusCode());
+    log.setFaults(log.faults().withDown(true));
+    sides.remove(killed).close();
+    Await.until(
+        "evidence lapsed",
+        () -> text(second.charge(other, "").join()).contains("is being changed"));
+    log.setFaults(log.faults().withDown(false));
+
+    Await.until("kept answer", () -> second.charge(other, "").join().statusCode() == 200);
+    Await.until(
+        "another home claimed",
+        () -> text(second.charge("pay", "").join()).contains("an earlier one may have been"));
+    assertEquals(2, charges().size());
+  }
+
   private int homeOf(String key) {
     String vm = first.table.home("parking", KeyShards.of("driver\n" + key)).orElseThrow().vm();
     return Integer.parseInt(vm.substring("vm-".length()));
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideKeysTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideKeysTest.java
@@ -1,16 +1,23 @@
 package io.marigoldsail.daemon.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.protobuf.ByteString;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.dispatch.ByteBudget;
 import io.marigoldsail.dispatch.WireId;
+import io.marigoldsail.idempotency.KeyShards;
 import io.marigoldsail.idempotency.KeyTerms;
 import io.marigoldsail.protocol.Cancel;
 import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.HandedKey;
+import io.marigoldsail.protocol.HandedShard;
 import io.marigoldsail.protocol.KeyClaim;
+import io.marigoldsail.protocol.KeyHandover;
+import io.marigoldsail.protocol.KeyHandoverResult;
+import io.marigoldsail.protocol.KeyHandoverTaken;
 import io.marigoldsail.protocol.KeyLease;
 import io.marigoldsail.protocol.KeyLeases;
 import io.marigoldsail.protocol.RequestStart;
@@ -53,9 +60,10 @@
 
   private void vouch(long incarnation, long quietMillis) {
     KeyLease.Builder lease = KeyLease.newBuilder().setClaim(CLAIM).setQuietMillis(quietMillis);
-    side.dispatcher()
-        .keyLeases(
-            KeyLeases.newBuilder().setProcessIncarnation(incarnation).addLeases(lease).build());
+    KeyLeases.Builder evidence =
+        KeyLeases.newBuilder().setProcessIncarnation(incarnation).addLeases(lease);
+    Frame frame = Frame.newBuilder().setKeyLeases(evidence).build();
+    side.dispatcher().keyListener().received("entry-1", frame);
     CompletableFuture<Void> taken = new CompletableFuture<>();
     side.loop().run(() -> taken.complete(null));
     taken.join();
@@ -198,4 +206,88 @@
     assertEquals("overloaded", otherEntry.next().getNotRun().getErrorKind());
     assertEquals(8, target.started());
   }
+
+  private static HandedShard handed(long offset) {
+    return HandedShard.newBuilder()
+        .setVm("vm-2")
+        .setService("parking")
+        .setClaim(CLAIM.toBuilder().setOffset(offset))
+        .build();
+  }
+
+  private void handOver(HandedShard shard, int total, HandedKey... keys) {
+    KeyHandover.Builder frame =
+        KeyHandover.newBuilder()
+            .setShard(shard)
+            .setTotal(total)
+            .setSuccessorIncarnation(INCARNATION)
+            .addAllKeys(List.of(keys));
+    side.dispatcher()
+        .keyListener()
+        .received("entry-1", Frame.newBuilder().setKeyHandover(frame).build());
+  }
+
+  private static HandedKey key(String name) {
+    return HandedKey.newBuilder().setKey(name).setRemainingMillis(60_000).setLost("reset").build();
+  }
+
+  /**
+   * A stopping home's keys come in two frames, and the first comes twice while the second is late.
+   * Had the successor taken the shard by then, the charges of the second frame could run again.
+   */
+  @Test
+  void shardIsTakenOnlyWhenAllItsKeysHaveCome() throws Exception {
+    handOver(handed(5), 2, key("a"));
+    handOver(handed(5), 2, key("a"));
+    handOver(handed(6), 0);
+    assertEquals(handed(6), side.toEntry().take().getKeyHandoverTaken().getShard());
+    handOver(handed(5), 2, key("b"));
+
+    KeyHandoverTaken taken = side.toEntry().take().getKeyHandoverTaken();
+    assertEquals(handed(5), taken.getShard());
+    assertTrue(taken.getTaken());
+  }
+
+  /** A copy of the frames comes when this process has long got the shard and run more there. */
+  @Test
+  void lateKeysOfAnEarlierHomeAreNotTaken() throws Exception {
+    vouch(INCARNATION, 0);
+    handOver(handed(5), 1, key("pay"));
+    assertFalse(side.toEntry().take().getKeyHandoverTaken().getTaken());
+    entry.send(charge(1, 1, "pay", "5 dollars"));
+
+    target.next().answer("receipt");
+    assertEquals("receipt", entry.next().getAnswerStart().getData().toStringUtf8());
+  }
+
+  /**
+   * A home is stopped while a charge runs. Its keys given away before the charge has ended would
+   * leave this one out, and the driver's repeat would run at the successor.
+   */
+  @Test
+  void stoppingHomeGivesItsKeysOnceNoneRuns() throws Exception {
+    vouch(INCARNATION, 0);
+    String ofShard = "pay";
+    while (KeyShards.of(ofShard) != CLAIM.getShard()) {
+      ofShard += "-again";
+    }
+    entry.send(charge(1, 1, ofShard, "5 dollars"));
+    FakeTarget.Run run = target.next();
+    CompletableFuture<Void> stopped = side.dispatcher().beginStop();
+    otherEntry.send(charge(2, 1, "late", "5 dollars"));
+    assertEquals("shutting-down", otherEntry.next().getNotRun().getErrorKind());
+    assertTrue(side.toEntry().isEmpty());
+    run.answer("receipt");
+
+    KeyHandover given = side.toEntry().take().getKeyHandover();
+    assertEquals(1, given.getTotal());
+    assertEquals("receipt", given.getKeys(0).getAnswered().getBody().toStringUtf8());
+    assertFalse(stopped.isDone());
+    KeyHandoverResult.Builder moved =
+        KeyHandoverResult.newBuilder().setShard(given.getShard()).setMoved(true);
+    side.dispatcher()
+        .keyListener()
+        .received("entry-1", Frame.newBuilder().setKeyHandoverResult(moved).build());
+    stopped.join();
+  }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideUnderTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideUnderTest.java
@@ -1,16 +1,22 @@
 package io.marigoldsail.daemon.dispatch;
 
+import io.marigoldsail.daemon.link.EntryChannel;
+import io.marigoldsail.daemon.link.FrameStream;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.link.SideLinks;
 import io.marigoldsail.dispatch.ByteBudget;
 import io.marigoldsail.membership.Announcement;
+import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.timeline.EventRecorder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 
 /** The request half of a side process, wired as the process wires it. */
 final class SideUnderTest implements AutoCloseable {
@@ -22,6 +28,7 @@
   private final Target target;
   private final SideDispatcher dispatcher;
   private SideLinks links;
+  private final BlockingQueue<Frame> toEntry = new LinkedBlockingQueue<>();
   private volatile String address;
 
   SideUnderTest(
@@ -39,7 +46,7 @@
             target,
             limits,
             incarnation,
-            () -> links == null ? 1 : links.entryCount(),
+            new Entries(),
             budget,
             EventRecorder.none());
     dispatcher.onLeavingChanged(
@@ -70,7 +77,7 @@
     links =
         new SideLinks(
             loop, this::announcement, entries, EventRecorder.none(), new SplittableRandom(7));
-    links.addKeyListener(dispatcher::keyLeases);
+    links.addKeyListener(dispatcher.keyListener());
     links.start();
   }
 
@@ -105,6 +112,42 @@
     return dispatcher.port();
   }
 
+  /** Returns what was sent to the entry {@code entry-1} before it announced itself to any. */
+  BlockingQueue<Frame> toEntry() {
+    return toEntry;
+  }
+
+  /** The way to the entries that it announces itself to; before that, to one that the test is. */
+  private final class Entries implements EntryChannel {
+    @Override
+    public int entryCount() {
+      return links == null ? 1 : links.entryCount();
+    }
+
+    @Override
+    public Set<String> peers() {
+      return links == null ? Set.of("entry-1") : links.peers();
+    }
+
+    @Override
+    public void sendTo(String entry, Frame frame) {
+      if (links == null) {
+        toEntry.add(frame);
+      } else {
+        links.sendTo(entry, frame);
+      }
+    }
+
+    @Override
+    public void sendAllTo(String entry, FrameStream frames) {
+      if (links == null) {
+        frames.forEachRemaining(toEntry::add);
+      } else {
+        links.sendAllTo(entry, frames);
+      }
+    }
+  }
+
   /** Ends at once, as when the process is killed. */
   @Override
   public void close() {
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Frame.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Frame.java
@@ -69,6 +69,9 @@
     CANCEL(13),
     KEY_LEASES(16),
     TASK(20),
+    KEY_HANDOVER(21),
+    KEY_HANDOVER_TAKEN(22),
+    KEY_HANDOVER_RESULT(23),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -101,6 +104,9 @@
         case 13: return CANCEL;
         case 16: return KEY_LEASES;
         case 20: return TASK;
+        case 21: return KEY_HANDOVER;
+        case 22: return KEY_HANDOVER_TAKEN;
+        case 23: return KEY_HANDOVER_RESULT;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -581,6 +587,99 @@
     return io.marigoldsail.protocol.TaskMessage.getDefaultInstance();
   }
 
+  public static final int KEY_HANDOVER_FIELD_NUMBER = 21;
+  /**
+   * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+   * @return Whether the keyHandover field is set.
+   */
+  @java.lang.Override
+  public boolean hasKeyHandover() {
+    return bodyCase_ == 21;
+  }
+  /**
+   * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+   * @return The keyHandover.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.KeyHandover getKeyHandover() {
+    if (bodyCase_ == 21) {
+       return (io.marigoldsail.protocol.KeyHandover) body_;
+    }
+    return io.marigoldsail.protocol.KeyHandover.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.KeyHandoverOrBuilder getKeyHandoverOrBuilder() {
+    if (bodyCase_ == 21) {
+       return (io.marigoldsail.protocol.KeyHandover) body_;
+    }
+    return io.marigoldsail.protocol.KeyHandover.getDefaultInstance();
+  }
+
+  public static final int KEY_HANDOVER_TAKEN_FIELD_NUMBER = 22;
+  /**
+   * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+   * @return Whether the keyHandoverTaken field is set.
+   */
+  @java.lang.Override
+  public boolean hasKeyHandoverTaken() {
+    return bodyCase_ == 22;
+  }
+  /**
+   * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+   * @return The keyHandoverTaken.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.KeyHandoverTaken getKeyHandoverTaken() {
+    if (bodyCase_ == 22) {
+       return (io.marigoldsail.protocol.KeyHandoverTaken) body_;
+    }
+    return io.marigoldsail.protocol.KeyHandoverTaken.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.KeyHandoverTakenOrBuilder getKeyHandoverTakenOrBuilder() {
+    if (bodyCase_ == 22) {
+       return (io.marigoldsail.protocol.KeyHandoverTaken) body_;
+    }
+    return io.marigoldsail.protocol.KeyHandoverTaken.getDefaultInstance();
+  }
+
+  public static final int KEY_HANDOVER_RESULT_FIELD_NUMBER = 23;
+  /**
+   * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+   * @return Whether the keyHandoverResult field is set.
+   */
+  @java.lang.Override
+  public boolean hasKeyHandoverResult() {
+    return bodyCase_ == 23;
+  }
+  /**
+   * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+   * @return The keyHandoverResult.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.KeyHandoverResult getKeyHandoverResult() {
+    if (bodyCase_ == 23) {
+       return (io.marigoldsail.protocol.KeyHandoverResult) body_;
+    }
+    return io.marigoldsail.protocol.KeyHandoverResult.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.KeyHandoverResultOrBuilder getKeyHandoverResultOrBuilder() {
+    if (bodyCase_ == 23) {
+       return (io.marigoldsail.protocol.KeyHandoverResult) body_;
+    }
+    return io.marigoldsail.protocol.KeyHandoverResult.getDefaultInstance();
+  }
+
   public static final int STAMP_FIELD_NUMBER = 30;
   private long stamp_ = 0L;
   /**
@@ -656,6 +755,15 @@
     if (bodyCase_ == 20) {
       output.writeMessage(20, (io.marigoldsail.protocol.TaskMessage) body_);
     }
+    if (bodyCase_ == 21) {
+      output.writeMessage(21, (io.marigoldsail.protocol.KeyHandover) body_);
+    }
+    if (bodyCase_ == 22) {
+      output.writeMessage(22, (io.marigoldsail.protocol.KeyHandoverTaken) body_);
+    }
+    if (bodyCase_ == 23) {
+      output.writeMessage(23, (io.marigoldsail.protocol.KeyHandoverResult) body_);
+    }
     if (stamp_ != 0L) {
       output.writeFixed64(30, stamp_);
     }
@@ -723,6 +831,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(20, (io.marigoldsail.protocol.TaskMessage) body_);
     }
+    if (bodyCase_ == 21) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(21, (io.marigoldsail.protocol.KeyHandover) body_);
+    }
+    if (bodyCase_ == 22) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(22, (io.marigoldsail.protocol.KeyHandoverTaken) body_);
+    }
+    if (bodyCase_ == 23) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(23, (io.marigoldsail.protocol.KeyHandoverResult) body_);
+    }
     if (stamp_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(30, stamp_);
@@ -815,6 +935,18 @@
         if (!getTask()
             .equals(other.getTask())) return false;
         break;
+      case 21:
+        if (!getKeyHandover()
+            .equals(other.getKeyHandover())) return false;
+        break;
+      case 22:
+        if (!getKeyHandoverTaken()
+            .equals(other.getKeyHandoverTaken())) return false;
+        break;
+      case 23:
+        if (!getKeyHandoverResult()
+            .equals(other.getKeyHandoverResult())) return false;
+        break;
       case 0:
       default:
     }
@@ -893,6 +1025,18 @@
         hash = (37 * hash) + TASK_FIELD_NUMBER;
         hash = (53 * hash) + getTask().hashCode();
         break;
+      case 21:
+        hash = (37 * hash) + KEY_HANDOVER_FIELD_NUMBER;
+        hash = (53 * hash) + getKeyHandover().hashCode();
+        break;
+      case 22:
+        hash = (37 * hash) + KEY_HANDOVER_TAKEN_FIELD_NUMBER;
+        hash = (53 * hash) + getKeyHandoverTaken().hashCode();
+        break;
+      case 23:
+        hash = (37 * hash) + KEY_HANDOVER_RESULT_FIELD_NUMBER;
+        hash = (53 * hash) + getKeyHandoverResult().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1072,6 +1216,15 @@
       if (taskBuilder_ != null) {
         taskBuilder_.clear();
       }
+      if (keyHandoverBuilder_ != null) {
+        keyHandoverBuilder_.clear();
+      }
+      if (keyHandoverTakenBuilder_ != null) {
+        keyHandoverTakenBuilder_.clear();
+      }
+      if (keyHandoverResultBuilder_ != null) {
+        keyHandoverResultBuilder_.clear();
+      }
       stamp_ = 0L;
       bodyCase_ = 0;
       body_ = null;
@@ -1109,7 +1262,7 @@
 
     private void buildPartial0(io.marigoldsail.protocol.Frame result) {
       int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00008000) != 0)) {
+      if (((from_bitField0_ & 0x00040000) != 0)) {
         result.stamp_ = stamp_;
       }
     }
@@ -1177,6 +1330,18 @@
           taskBuilder_ != null) {
         result.body_ = taskBuilder_.build();
       }
+      if (bodyCase_ == 21 &&
+          keyHandoverBuilder_ != null) {
+        result.body_ = keyHandoverBuilder_.build();
+      }
+      if (bodyCase_ == 22 &&
+          keyHandoverTakenBuilder_ != null) {
+        result.body_ = keyHandoverTakenBuilder_.build();
+      }
+      if (bodyCase_ == 23 &&
+          keyHandoverResultBuilder_ != null) {
+        result.body_ = keyHandoverResultBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1255,6 +1420,18 @@
           mergeTask(other.getTask());
           break;
         }
+        case KEY_HANDOVER: {
+          mergeKeyHandover(other.getKeyHandover());
+          break;
+        }
+        case KEY_HANDOVER_TAKEN: {
+          mergeKeyHandoverTaken(other.getKeyHandoverTaken());
+          break;
+        }
+        case KEY_HANDOVER_RESULT: {
+          mergeKeyHandoverResult(other.getKeyHandoverResult());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1388,9 +1565,30 @@
               bodyCase_ = 20;
               break;
             } // case 162
+            case 170: {
+              input.readMessage(
+                  internalGetKeyHandoverFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 21;
+              break;
+            } // case 170
+            case 178: {
+              input.readMessage(
+                  internalGetKeyHandoverTakenFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 22;
+              break;
+            } // case 178
+            case 186: {
+              input.readMessage(
+                  internalGetKeyHandoverResultFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 23;
+              break;
+            } // case 186
             case 241: {
               stamp_ = input.readFixed64();
-              bitField0_ |= 0x00008000;
+              bitField0_ |= 0x00040000;
               break;
             } // case 241
             default: {
@@ -3525,6 +3723,426 @@
       return taskBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.KeyHandover, io.marigoldsail.protocol.KeyHandover.Builder, io.marigoldsail.protocol.KeyHandoverOrBuilder> keyHandoverBuilder_;
+    /**
+     * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+     * @return Whether the keyHandover field is set.
+     */
+    @java.lang.Override
+    public boolean hasKeyHandover() {
+      return bodyCase_ == 21;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+     * @return The keyHandover.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.KeyHandover getKeyHandover() {
+      if (keyHandoverBuilder_ == null) {
+        if (bodyCase_ == 21) {
+          return (io.marigoldsail.protocol.KeyHandover) body_;
+        }
+        return io.marigoldsail.protocol.KeyHandover.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 21) {
+          return keyHandoverBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.KeyHandover.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+     */
+    public Builder setKeyHandover(io.marigoldsail.protocol.KeyHandover value) {
+      if (keyHandoverBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        keyHandoverBuilder_.setMessage(value);
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+     */
+    public Builder setKeyHandover(
+        io.marigoldsail.protocol.KeyHandover.Builder builderForValue) {
+      if (keyHandoverBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        keyHandoverBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+     */
+    public Builder mergeKeyHandover(io.marigoldsail.protocol.KeyHandover value) {
+      if (keyHandoverBuilder_ == null) {
+        if (bodyCase_ == 21 &&
+            body_ != io.marigoldsail.protocol.KeyHandover.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.KeyHandover.newBuilder((io.marigoldsail.protocol.KeyHandover) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 21) {
+          keyHandoverBuilder_.mergeFrom(value);
+        } else {
+          keyHandoverBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+     */
+    public Builder clearKeyHandover() {
+      if (keyHandoverBuilder_ == null) {
+        if (bodyCase_ == 21) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 21) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        keyHandoverBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+     */
+    public io.marigoldsail.protocol.KeyHandover.Builder getKeyHandoverBuilder() {
+      return internalGetKeyHandoverFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.KeyHandoverOrBuilder getKeyHandoverOrBuilder() {
+      if ((bodyCase_ == 21) && (keyHandoverBuilder_ != null)) {
+        return keyHandoverBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 21) {
+          return (io.marigoldsail.protocol.KeyHandover) body_;
+        }
+        return io.marigoldsail.protocol.KeyHandover.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.KeyHandover, io.marigoldsail.protocol.KeyHandover.Builder, io.marigoldsail.protocol.KeyHandoverOrBuilder> 
+        internalGetKeyHandoverFieldBuilder() {
+      if (keyHandoverBuilder_ == null) {
+        if (!(bodyCase_ == 21)) {
+          body_ = io.marigoldsail.protocol.KeyHandover.getDefaultInstance();
+        }
+        keyHandoverBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.KeyHandover, io.marigoldsail.protocol.KeyHandover.Builder, io.marigoldsail.protocol.KeyHandoverOrBuilder>(
+                (io.marigoldsail.protocol.KeyHandover) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 21;
+      onChanged();
+      return keyHandoverBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.KeyHandoverTaken, io.marigoldsail.protocol.KeyHandoverTaken.Builder, io.marigoldsail.protocol.KeyHandoverTakenOrBuilder> keyHandoverTakenBuilder_;
+    /**
+     * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+     * @return Whether the keyHandoverTaken field is set.
+     */
+    @java.lang.Override
+    public boolean hasKeyHandoverTaken() {
+      return bodyCase_ == 22;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+     * @return The keyHandoverTaken.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.KeyHandoverTaken getKeyHandoverTaken() {
+      if (keyHandoverTakenBuilder_ == null) {
+        if (bodyCase_ == 22) {
+          return (io.marigoldsail.protocol.KeyHandoverTaken) body_;
+        }
+        return io.marigoldsail.protocol.KeyHandoverTaken.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 22) {
+          return keyHandoverTakenBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.KeyHandoverTaken.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+     */
+    public Builder setKeyHandoverTaken(io.marigoldsail.protocol.KeyHandoverTaken value) {
+      if (keyHandoverTakenBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        keyHandoverTakenBuilder_.setMessage(value);
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+     */
+    public Builder setKeyHandoverTaken(
+        io.marigoldsail.protocol.KeyHandoverTaken.Builder builderForValue) {
+      if (keyHandoverTakenBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        keyHandoverTakenBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+     */
+    public Builder mergeKeyHandoverTaken(io.marigoldsail.protocol.KeyHandoverTaken value) {
+      if (keyHandoverTakenBuilder_ == null) {
+        if (bodyCase_ == 22 &&
+            body_ != io.marigoldsail.protocol.KeyHandoverTaken.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.KeyHandoverTaken.newBuilder((io.marigoldsail.protocol.KeyHandoverTaken) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 22) {
+          keyHandoverTakenBuilder_.mergeFrom(value);
+        } else {
+          keyHandoverTakenBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+     */
+    public Builder clearKeyHandoverTaken() {
+      if (keyHandoverTakenBuilder_ == null) {
+        if (bodyCase_ == 22) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 22) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        keyHandoverTakenBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+     */
+    public io.marigoldsail.protocol.KeyHandoverTaken.Builder getKeyHandoverTakenBuilder() {
+      return internalGetKeyHandoverTakenFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.KeyHandoverTakenOrBuilder getKeyHandoverTakenOrBuilder() {
+      if ((bodyCase_ == 22) && (keyHandoverTakenBuilder_ != null)) {
+        return keyHandoverTakenBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 22) {
+          return (io.marigoldsail.protocol.KeyHandoverTaken) body_;
+        }
+        return io.marigoldsail.protocol.KeyHandoverTaken.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.KeyHandoverTaken, io.marigoldsail.protocol.KeyHandoverTaken.Builder, io.marigoldsail.protocol.KeyHandoverTakenOrBuilder> 
+        internalGetKeyHandoverTakenFieldBuilder() {
+      if (keyHandoverTakenBuilder_ == null) {
+        if (!(bodyCase_ == 22)) {
+          body_ = io.marigoldsail.protocol.KeyHandoverTaken.getDefaultInstance();
+        }
+        keyHandoverTakenBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.KeyHandoverTaken, io.marigoldsail.protocol.KeyHandoverTaken.Builder, io.marigoldsail.protocol.KeyHandoverTakenOrBuilder>(
+                (io.marigoldsail.protocol.KeyHandoverTaken) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 22;
+      onChanged();
+      return keyHandoverTakenBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.KeyHandoverResult, io.marigoldsail.protocol.KeyHandoverResult.Builder, io.marigoldsail.protocol.KeyHandoverResultOrBuilder> keyHandoverResultBuilder_;
+    /**
+     * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+     * @return Whether the keyHandoverResult field is set.
+     */
+    @java.lang.Override
+    public boolean hasKeyHandoverResult() {
+      return bodyCase_ == 23;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+     * @return The keyHandoverResult.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.KeyHandoverResult getKeyHandoverResult() {
+      if (keyHandoverResultBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          return (io.marigoldsail.protocol.KeyHandoverResult) body_;
+        }
+        return io.marigoldsail.protocol.KeyHandoverResult.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 23) {
+          return keyHandoverResultBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.KeyHandoverResult.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+     */
+    public Builder setKeyHandoverResult(io.marigoldsail.protocol.KeyHandoverResult value) {
+      if (keyHandoverResultBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        keyHandoverResultBuilder_.setMessage(value);
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+     */
+    public Builder setKeyHandoverResult(
+        io.marigoldsail.protocol.KeyHandoverResult.Builder builderForValue) {
+      if (keyHandoverResultBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        keyHandoverResultBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+     */
+    public Builder mergeKeyHandoverResult(io.marigoldsail.protocol.KeyHandoverResult value) {
+      if (keyHandoverResultBuilder_ == null) {
+        if (bodyCase_ == 23 &&
+            body_ != io.marigoldsail.protocol.KeyHandoverResult.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.KeyHandoverResult.newBuilder((io.marigoldsail.protocol.KeyHandoverResult) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 23) {
+          keyHandoverResultBuilder_.mergeFrom(value);
+        } else {
+          keyHandoverResultBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+     */
+    public Builder clearKeyHandoverResult() {
+      if (keyHandoverResultBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 23) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        keyHandoverResultBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+     */
+    public io.marigoldsail.protocol.KeyHandoverResult.Builder getKeyHandoverResultBuilder() {
+      return internalGetKeyHandoverResultFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.KeyHandoverResultOrBuilder getKeyHandoverResultOrBuilder() {
+      if ((bodyCase_ == 23) && (keyHandoverResultBuilder_ != null)) {
+        return keyHandoverResultBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 23) {
+          return (io.marigoldsail.protocol.KeyHandoverResult) body_;
+        }
+        return io.marigoldsail.protocol.KeyHandoverResult.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.KeyHandoverResult, io.marigoldsail.protocol.KeyHandoverResult.Builder, io.marigoldsail.protocol.KeyHandoverResultOrBuilder> 
+        internalGetKeyHandoverResultFieldBuilder() {
+      if (keyHandoverResultBuilder_ == null) {
+        if (!(bodyCase_ == 23)) {
+          body_ = io.marigoldsail.protocol.KeyHandoverResult.getDefaultInstance();
+        }
+        keyHandoverResultBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.KeyHandoverResult, io.marigoldsail.protocol.KeyHandoverResult.Builder, io.marigoldsail.protocol.KeyHandoverResultOrBuilder>(
+                (io.marigoldsail.protocol.KeyHandoverResult) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 23;
+      onChanged();
+      return keyHandoverResultBuilder_;
+    }
+
     private long stamp_ ;
     /**
      * <pre>
@@ -3552,7 +4170,7 @@
     public Builder setStamp(long value) {
 
       stamp_ = value;
-      bitField0_ |= 0x00008000;
+      bitField0_ |= 0x00040000;
       onChanged();
       return this;
     }
@@ -3566,7 +4184,7 @@
      * @return This builder for chaining.
      */
     public Builder clearStamp() {
-      bitField0_ = (bitField0_ & ~0x00008000);
+      bitField0_ = (bitField0_ & ~0x00040000);
       stamp_ = 0L;
       onChanged();
       return this;
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/FrameOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/FrameOrBuilder.java
@@ -235,6 +235,51 @@
    */
   io.marigoldsail.protocol.TaskMessageOrBuilder getTaskOrBuilder();
 
+  /**
+   * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+   * @return Whether the keyHandover field is set.
+   */
+  boolean hasKeyHandover();
+  /**
+   * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+   * @return The keyHandover.
+   */
+  io.marigoldsail.protocol.KeyHandover getKeyHandover();
+  /**
+   * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+   */
+  io.marigoldsail.protocol.KeyHandoverOrBuilder getKeyHandoverOrBuilder();
+
+  /**
+   * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+   * @return Whether the keyHandoverTaken field is set.
+   */
+  boolean hasKeyHandoverTaken();
+  /**
+   * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+   * @return The keyHandoverTaken.
+   */
+  io.marigoldsail.protocol.KeyHandoverTaken getKeyHandoverTaken();
+  /**
+   * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+   */
+  io.marigoldsail.protocol.KeyHandoverTakenOrBuilder getKeyHandoverTakenOrBuilder();
+
+  /**
+   * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+   * @return Whether the keyHandoverResult field is set.
+   */
+  boolean hasKeyHandoverResult();
+  /**
+   * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+   * @return The keyHandoverResult.
+   */
+  io.marigoldsail.protocol.KeyHandoverResult getKeyHandoverResult();
+  /**
+   * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+   */
+  io.marigoldsail.protocol.KeyHandoverResultOrBuilder getKeyHandoverResultOrBuilder();
+
   /**
    * <pre>
    * The sender's hybrid logical clock when it sent this frame; 0 if it gives none. The receiver
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
@@ -76,6 +76,36 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_marigoldsail_KeyLease_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_HandedShard_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_HandedShard_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_KeyHandover_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_KeyHandover_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_HandedKey_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_HandedKey_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_KeptAnswer_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_KeptAnswer_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_KeyHandoverTaken_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_KeyHandoverTaken_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_KeyHandoverResult_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_KeyHandoverResult_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_marigoldsail_RequestBody_descriptor;
   static final 
@@ -136,7 +166,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\027marigoldsail/link.proto\022\014marigoldsail\032" +
-      "\027marigoldsail/task.proto\"\276\005\n\005Frame\022*\n\010an" +
+      "\027marigoldsail/task.proto\"\357\006\n\005Frame\022*\n\010an" +
       "nounce\030\001 \001(\0132\026.marigoldsail.AnnounceH\000\0221" +
       "\n\014announce_ack\030\002 \001(\0132\031.marigoldsail.Anno" +
       "unceAckH\000\0223\n\rrequest_start\030\003 \001(\0132\032.marig" +
@@ -153,62 +183,84 @@
       "igoldsail.PongH\000\022&\n\006cancel\030\r \001(\0132\024.marig" +
       "oldsail.CancelH\000\022-\n\nkey_leases\030\020 \001(\0132\027.m" +
       "arigoldsail.KeyLeasesH\000\022)\n\004task\030\024 \001(\0132\031." +
-      "marigoldsail.TaskMessageH\000\022\r\n\005stamp\030\036 \001(" +
-      "\006B\006\n\004body\"8\n\tRequestId\022\031\n\021entry_incarnat" +
-      "ion\030\001 \001(\004\022\020\n\010sequence\030\002 \001(\004\"\215\002\n\010Announce" +
-      "\022\n\n\002vm\030\001 \001(\t\022\033\n\023process_incarnation\030\003 \001(" +
-      "\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004rack\030\005 \001(\t\022\017\n\007address" +
-      "\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\r\n\005slots\030\010 \001(\r\022\023" +
-      "\n\013connections\030\t \001(\r\022\017\n\007leaving\030\n \001(\010\022*\n\006" +
-      "report\030\013 \001(\0132\032.marigoldsail.TargetReport" +
-      "\022\036\n\026configuration_revision\030\014 \001(\004\022\031\n\021oper" +
-      "ators_address\030\020 \001(\t\"h\n\013AnnounceAck\022\r\n\005en" +
-      "try\030\001 \001(\t\022\031\n\021entry_incarnation\030\002 \001(\004\022\036\n\026" +
-      "configuration_revision\030\003 \001(\004\022\017\n\007entries\030" +
-      "\004 \003(\t\"c\n\014TargetReport\022\r\n\005slots\030\001 \001(\r\022\021\n\t" +
-      "in_flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\017\n\007leav" +
-      "ing\030\004 \001(\010\022\017\n\007entries\030\005 \001(\r\"%\n\006Header\022\014\n\004" +
-      "name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\313\002\n\014RequestSta" +
-      "rt\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022" +
-      "\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n\007headers" +
-      "\030\004 \003(\0132\024.marigoldsail.Header\022\030\n\020remainin" +
-      "g_millis\030\005 \001(\004\022\022\n\nidempotent\030\006 \001(\010\022\016\n\006ca" +
-      "ller\030\007 \001(\t\022\027\n\017idempotency_key\030\010 \001(\t\022\023\n\013b" +
-      "ody_length\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014\n\004last\030\013" +
-      " \001(\010\022\r\n\005label\030\014 \001(\t\022\017\n\007sent_at\030\r \001(\020\022)\n\t" +
-      "key_claim\030\016 \001(\0132\026.marigoldsail.KeyClaim\"" +
-      "8\n\010KeyClaim\022\r\n\005shard\030\001 \001(\r\022\016\n\006offset\030\002 \001" +
-      "(\004\022\r\n\005index\030\003 \001(\r\"d\n\tKeyLeases\022\033\n\023proces" +
-      "s_incarnation\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(\004\022" +
-      "&\n\006leases\030\003 \003(\0132\026.marigoldsail.KeyLease\"" +
-      "G\n\010KeyLease\022%\n\005claim\030\001 \001(\0132\026.marigoldsai" +
-      "l.KeyClaim\022\024\n\014quiet_millis\030\002 \001(\004\"N\n\013Requ" +
-      "estBody\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Reque" +
-      "stId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\306\001\n\013Ans" +
-      "werStart\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Requ" +
-      "estId\022\016\n\006status\030\002 \001(\r\022%\n\007headers\030\003 \003(\0132\024" +
-      ".marigoldsail.Header\022\014\n\004data\030\004 \001(\014\022\014\n\004la" +
-      "st\030\005 \001(\010\022*\n\006report\030\006 \001(\0132\032.marigoldsail." +
-      "TargetReport\022\023\n\013body_length\030\007 \001(\004\"M\n\nAns" +
-      "werBody\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Reque" +
-      "stId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\231\001\n\006Not" +
-      "Run\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId" +
-      "\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\032\n\022" +
-      "retry_after_millis\030\004 \001(\004\022*\n\006report\030\005 \001(\013" +
-      "2\032.marigoldsail.TargetReport\"}\n\006Failed\022#" +
-      "\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n\ne" +
-      "rror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022*\n\006repor" +
-      "t\030\004 \001(\0132\032.marigoldsail.TargetReport\"K\n\007R" +
-      "esolve\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Reques" +
-      "tId\022\033\n\023process_incarnation\030\002 \001(\004\"\251\001\n\nRes" +
-      "olution\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Reque" +
-      "stId\022-\n\005state\030\002 \001(\0162\036.marigoldsail.Resol" +
-      "ution.State\"G\n\005State\022\025\n\021STATE_UNSPECIFIE" +
-      "D\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r\n\tFORGOTT" +
-      "EN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.marigoldsai" +
-      "l.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\004\"\025\n\004Po" +
-      "ng\022\r\n\005nonce\030\001 \001(\004B\034\n\030io.marigoldsail.pro" +
-      "tocolP\001b\006proto3"
+      "marigoldsail.TaskMessageH\000\0221\n\014key_handov" +
+      "er\030\025 \001(\0132\031.marigoldsail.KeyHandoverH\000\022<\n" +
+      "\022key_handover_taken\030\026 \001(\0132\036.marigoldsail" +
+      ".KeyHandoverTakenH\000\022>\n\023key_handover_resu" +
+      "lt\030\027 \001(\0132\037.marigoldsail.KeyHandoverResul" +
+      "tH\000\022\r\n\005stamp\030\036 \001(\006B\006\n\004body\"8\n\tRequestId\022" +
+      "\031\n\021entry_incarnation\030\001 \001(\004\022\020\n\010sequence\030\002" +
+      " \001(\004\"\215\002\n\010Announce\022\n\n\002vm\030\001 \001(\t\022\033\n\023process" +
+      "_incarnation\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004rack" +
+      "\030\005 \001(\t\022\017\n\007address\030\006 \001(\t\022\017\n\007service\030\007 \001(\t" +
+      "\022\r\n\005slots\030\010 \001(\r\022\023\n\013connections\030\t \001(\r\022\017\n\007" +
+      "leaving\030\n \001(\010\022*\n\006report\030\013 \001(\0132\032.marigold" +
+      "sail.TargetReport\022\036\n\026configuration_revis" +
+      "ion\030\014 \001(\004\022\031\n\021operators_address\030\020 \001(\t\"h\n\013" +
+      "AnnounceAck\022\r\n\005entry\030\001 \001(\t\022\031\n\021entry_inca" +
+      "rnation\030\002 \001(\004\022\036\n\026configuration_revision\030" +
+      "\003 \001(\004\022\017\n\007entries\030\004 \003(\t\"c\n\014TargetReport\022\r" +
+      "\n\005slots\030\001 \001(\r\022\021\n\tin_flight\030\002 \001(\r\022\017\n\007wait" +
+      "ing\030\003 \001(\r\022\017\n\007leaving\030\004 \001(\010\022\017\n\007entries\030\005 " +
+      "\001(\r\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001" +
+      "(\t\"\353\002\n\014RequestStart\022#\n\002id\030\001 \001(\0132\027.marigo" +
+      "ldsail.RequestId\022\016\n\006method\030\002 \001(\t\022\014\n\004path" +
+      "\030\003 \001(\t\022%\n\007headers\030\004 \003(\0132\024.marigoldsail.H" +
+      "eader\022\030\n\020remaining_millis\030\005 \001(\004\022\022\n\nidemp" +
+      "otent\030\006 \001(\010\022\016\n\006caller\030\007 \001(\t\022\027\n\017idempoten" +
+      "cy_key\030\010 \001(\t\022\023\n\013body_length\030\t \001(\004\022\014\n\004dat" +
+      "a\030\n \001(\014\022\014\n\004last\030\013 \001(\010\022\r\n\005label\030\014 \001(\t\022\017\n\007" +
+      "sent_at\030\r \001(\020\022)\n\tkey_claim\030\016 \001(\0132\026.marig" +
+      "oldsail.KeyClaim\022\036\n\026target_detects_repea" +
+      "ts\030\025 \001(\010\"8\n\010KeyClaim\022\r\n\005shard\030\001 \001(\r\022\016\n\006o" +
+      "ffset\030\002 \001(\004\022\r\n\005index\030\003 \001(\r\"d\n\tKeyLeases\022" +
+      "\033\n\023process_incarnation\030\001 \001(\004\022\022\n\nage_mill" +
+      "is\030\002 \001(\004\022&\n\006leases\030\003 \003(\0132\026.marigoldsail." +
+      "KeyLease\"G\n\010KeyLease\022%\n\005claim\030\001 \001(\0132\026.ma" +
+      "rigoldsail.KeyClaim\022\024\n\014quiet_millis\030\002 \001(" +
+      "\004\"n\n\013HandedShard\022\n\n\002vm\030\001 \001(\t\022\033\n\023process_" +
+      "incarnation\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022%\n\005cl" +
+      "aim\030\004 \001(\0132\026.marigoldsail.KeyClaim\"\214\001\n\013Ke" +
+      "yHandover\022(\n\005shard\030\001 \001(\0132\031.marigoldsail." +
+      "HandedShard\022\r\n\005total\030\002 \001(\r\022%\n\004keys\030\003 \003(\013" +
+      "2\027.marigoldsail.HandedKey\022\035\n\025successor_i" +
+      "ncarnation\030\004 \001(\004\"\242\001\n\tHandedKey\022\013\n\003key\030\001 " +
+      "\001(\t\022\023\n\013fingerprint\030\002 \001(\006\022\030\n\020remaining_mi" +
+      "llis\030\003 \001(\004\022,\n\010answered\030\004 \001(\0132\030.marigolds" +
+      "ail.KeptAnswerH\000\022\016\n\004lost\030\005 \001(\tH\000\022\020\n\006brok" +
+      "en\030\006 \001(\tH\000B\t\n\007outcome\"Q\n\nKeptAnswer\022\016\n\006s" +
+      "tatus\030\001 \001(\r\022%\n\007headers\030\002 \003(\0132\024.marigolds" +
+      "ail.Header\022\014\n\004body\030\003 \001(\014\"j\n\020KeyHandoverT" +
+      "aken\022(\n\005shard\030\001 \001(\0132\031.marigoldsail.Hande" +
+      "dShard\022\035\n\025successor_incarnation\030\002 \001(\004\022\r\n" +
+      "\005taken\030\003 \001(\010\"L\n\021KeyHandoverResult\022(\n\005sha" +
+      "rd\030\001 \001(\0132\031.marigoldsail.HandedShard\022\r\n\005m" +
+      "oved\030\002 \001(\010\"N\n\013RequestBody\022#\n\002id\030\001 \001(\0132\027." +
+      "marigoldsail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004" +
+      "last\030\003 \001(\010\"\306\001\n\013AnswerStart\022#\n\002id\030\001 \001(\0132\027" +
+      ".marigoldsail.RequestId\022\016\n\006status\030\002 \001(\r\022" +
+      "%\n\007headers\030\003 \003(\0132\024.marigoldsail.Header\022\014" +
+      "\n\004data\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006report\030\006 \001" +
+      "(\0132\032.marigoldsail.TargetReport\022\023\n\013body_l" +
+      "ength\030\007 \001(\004\"M\n\nAnswerBody\022#\n\002id\030\001 \001(\0132\027." +
+      "marigoldsail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004" +
+      "last\030\003 \001(\010\"\231\001\n\006NotRun\022#\n\002id\030\001 \001(\0132\027.mari" +
+      "goldsail.RequestId\022\022\n\nerror_kind\030\002 \001(\t\022\016" +
+      "\n\006detail\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001" +
+      "(\004\022*\n\006report\030\005 \001(\0132\032.marigoldsail.Target" +
+      "Report\"}\n\006Failed\022#\n\002id\030\001 \001(\0132\027.marigolds" +
+      "ail.RequestId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006det" +
+      "ail\030\003 \001(\t\022*\n\006report\030\004 \001(\0132\032.marigoldsail" +
+      ".TargetReport\"K\n\007Resolve\022#\n\002id\030\001 \001(\0132\027.m" +
+      "arigoldsail.RequestId\022\033\n\023process_incarna" +
+      "tion\030\002 \001(\004\"\251\001\n\nResolution\022#\n\002id\030\001 \001(\0132\027." +
+      "marigoldsail.RequestId\022-\n\005state\030\002 \001(\0162\036." +
+      "marigoldsail.Resolution.State\"G\n\005State\022\025" +
+      "\n\021STATE_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RU" +
+      "NNING\020\002\022\r\n\tFORGOTTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001" +
+      " \001(\0132\027.marigoldsail.RequestId\"\025\n\004Ping\022\r\n" +
+      "\005nonce\030\001 \001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\004B\034\n\030i" +
+      "o.marigoldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -220,7 +272,7 @@
     internal_static_marigoldsail_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Frame_descriptor,
-        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "KeyLeases", "Task", "Stamp", "Body", });
+        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "KeyLeases", "Task", "KeyHandover", "KeyHandoverTaken", "KeyHandoverResult", "Stamp", "Body", });
     internal_static_marigoldsail_RequestId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_marigoldsail_RequestId_fieldAccessorTable = new
@@ -256,7 +308,7 @@
     internal_static_marigoldsail_RequestStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RequestStart_descriptor,
-        new java.lang.String[] { "Id", "Method", "Path", "Headers", "RemainingMillis", "Idempotent", "Caller", "IdempotencyKey", "BodyLength", "Data", "Last", "Label", "SentAt", "KeyClaim", });
+        new java.lang.String[] { "Id", "Method", "Path", "Headers", "RemainingMillis", "Idempotent", "Caller", "IdempotencyKey", "BodyLength", "Data", "Last", "Label", "SentAt", "KeyClaim", "TargetDetectsRepeats", });
     internal_static_marigoldsail_KeyClaim_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_marigoldsail_KeyClaim_fieldAccessorTable = new
@@ -275,62 +327,98 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_KeyLease_descriptor,
         new java.lang.String[] { "Claim", "QuietMillis", });
-    internal_static_marigoldsail_RequestBody_descriptor =
+    internal_static_marigoldsail_HandedShard_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_marigoldsail_HandedShard_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_HandedShard_descriptor,
+        new java.lang.String[] { "Vm", "ProcessIncarnation", "Service", "Claim", });
+    internal_static_marigoldsail_KeyHandover_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_marigoldsail_KeyHandover_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_KeyHandover_descriptor,
+        new java.lang.String[] { "Shard", "Total", "Keys", "SuccessorIncarnation", });
+    internal_static_marigoldsail_HandedKey_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_marigoldsail_HandedKey_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_HandedKey_descriptor,
+        new java.lang.String[] { "Key", "Fingerprint", "RemainingMillis", "Answered", "Lost", "Broken", "Outcome", });
+    internal_static_marigoldsail_KeptAnswer_descriptor =
+      getDescriptor().getMessageType(13);
+    internal_static_marigoldsail_KeptAnswer_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_KeptAnswer_descriptor,
+        new java.lang.String[] { "Status", "Headers", "Body", });
+    internal_static_marigoldsail_KeyHandoverTaken_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_marigoldsail_KeyHandoverTaken_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_KeyHandoverTaken_descriptor,
+        new java.lang.String[] { "Shard", "SuccessorIncarnation", "Taken", });
+    internal_static_marigoldsail_KeyHandoverResult_descriptor =
+      getDescriptor().getMessageType(15);
+    internal_static_marigoldsail_KeyHandoverResult_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_KeyHandoverResult_descriptor,
+        new java.lang.String[] { "Shard", "Moved", });
+    internal_static_marigoldsail_RequestBody_descriptor =
+      getDescriptor().getMessageType(16);
     internal_static_marigoldsail_RequestBody_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RequestBody_descriptor,
         new java.lang.String[] { "Id", "Data", "Last", });
     internal_static_marigoldsail_AnswerStart_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(17);
     internal_static_marigoldsail_AnswerStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_AnswerStart_descriptor,
         new java.lang.String[] { "Id", "Status", "Headers", "Data", "Last", "Report", "BodyLength", });
     internal_static_marigoldsail_AnswerBody_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(18);
     internal_static_marigoldsail_AnswerBody_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_AnswerBody_descriptor,
         new java.lang.String[] { "Id", "Data", "Last", });
     internal_static_marigoldsail_NotRun_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(19);
     internal_static_marigoldsail_NotRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_NotRun_descriptor,
         new java.lang.String[] { "Id", "ErrorKind", "Detail", "RetryAfterMillis", "Report", });
     internal_static_marigoldsail_Failed_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(20);
     internal_static_marigoldsail_Failed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Failed_descriptor,
         new java.lang.String[] { "Id", "ErrorKind", "Detail", "Report", });
     internal_static_marigoldsail_Resolve_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(21);
     internal_static_marigoldsail_Resolve_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Resolve_descriptor,
         new java.lang.String[] { "Id", "ProcessIncarnation", });
     internal_static_marigoldsail_Resolution_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(22);
     internal_static_marigoldsail_Resolution_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Resolution_descriptor,
         new java.lang.String[] { "Id", "State", });
     internal_static_marigoldsail_Cancel_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(23);
     internal_static_marigoldsail_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Cancel_descriptor,
         new java.lang.String[] { "Id", });
     internal_static_marigoldsail_Ping_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(24);
     internal_static_marigoldsail_Ping_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Ping_descriptor,
         new java.lang.String[] { "Nonce", });
     internal_static_marigoldsail_Pong_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(25);
     internal_static_marigoldsail_Pong_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Pong_descriptor,
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RequestStart.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RequestStart.java
@@ -439,6 +439,22 @@
     return keyClaim_ == null ? io.marigoldsail.protocol.KeyClaim.getDefaultInstance() : keyClaim_;
   }
 
+  public static final int TARGET_DETECTS_REPEATS_FIELD_NUMBER = 21;
+  private boolean targetDetectsRepeats_ = false;
+  /**
+   * <pre>
+   * The target itself makes a repeat of an idempotency key have no second effect, so that a home
+   * that does not know what a former one ran may run it.
+   * </pre>
+   *
+   * <code>bool target_detects_repeats = 21;</code>
+   * @return The targetDetectsRepeats.
+   */
+  @java.lang.Override
+  public boolean getTargetDetectsRepeats() {
+    return targetDetectsRepeats_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -495,6 +511,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(14, getKeyClaim());
     }
+    if (targetDetectsRepeats_ != false) {
+      output.writeBool(21, targetDetectsRepeats_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -555,6 +574,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, getKeyClaim());
     }
+    if (targetDetectsRepeats_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(21, targetDetectsRepeats_);
+    }
     return size;
   }
   @java.lang.Override
@@ -613,6 +636,8 @@
       if (!getKeyClaim()
           .equals(other.getKeyClaim())) return false;
     }
+    if (getTargetDetectsRepeats()
+        != other.getTargetDetectsRepeats()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -663,6 +688,9 @@
       hash = (37 * hash) + KEY_CLAIM_FIELD_NUMBER;
       hash = (53 * hash) + getKeyClaim().hashCode();
     }
+    hash = (37 * hash) + TARGET_DETECTS_REPEATS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getTargetDetectsRepeats());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -830,6 +858,7 @@
         keyClaimBuilder_.dispose();
         keyClaimBuilder_ = null;
       }
+      targetDetectsRepeats_ = false;
       return this;
     }
 
@@ -922,6 +951,9 @@
             : keyClaimBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.targetDetectsRepeats_ = targetDetectsRepeats_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1012,6 +1044,9 @@
       if (other.hasKeyClaim()) {
         mergeKeyClaim(other.getKeyClaim());
       }
+      if (other.getTargetDetectsRepeats() != false) {
+        setTargetDetectsRepeats(other.getTargetDetectsRepeats());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1118,6 +1153,11 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 114
+            case 168: {
+              targetDetectsRepeats_ = input.readBool();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 168
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2242,6 +2282,53 @@
       return keyClaimBuilder_;
     }
 
+    private boolean targetDetectsRepeats_ ;
+    /**
+     * <pre>
+     * The target itself makes a repeat of an idempotency key have no second effect, so that a home
+     * that does not know what a former one ran may run it.
+     * </pre>
+     *
+     * <code>bool target_detects_repeats = 21;</code>
+     * @return The targetDetectsRepeats.
+     */
+    @java.lang.Override
+    public boolean getTargetDetectsRepeats() {
+      return targetDetectsRepeats_;
+    }
+    /**
+     * <pre>
+     * The target itself makes a repeat of an idempotency key have no second effect, so that a home
+     * that does not know what a former one ran may run it.
+     * </pre>
+     *
+     * <code>bool target_detects_repeats = 21;</code>
+     * @param value The targetDetectsRepeats to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTargetDetectsRepeats(boolean value) {
+
+      targetDetectsRepeats_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The target itself makes a repeat of an idempotency key have no second effect, so that a home
+     * that does not know what a former one ran may run it.
+     * </pre>
+     *
+     * <code>bool target_detects_repeats = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTargetDetectsRepeats() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      targetDetectsRepeats_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.RequestStart)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RequestStartOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RequestStartOrBuilder.java
@@ -188,4 +188,15 @@
    * <code>.marigoldsail.KeyClaim key_claim = 14;</code>
    */
   io.marigoldsail.protocol.KeyClaimOrBuilder getKeyClaimOrBuilder();
+
+  /**
+   * <pre>
+   * The target itself makes a repeat of an idempotency key have no second effect, so that a home
+   * that does not know what a former one ran may run it.
+   * </pre>
+   *
+   * <code>bool target_detects_repeats = 21;</code>
+   * @return The targetDetectsRepeats.
+   */
+  boolean getTargetDetectsRepeats();
 }
