Run keys of unknown state where the target tells repeats apart

Cause: targetDetectsRepeats was read and checked, but nothing heeded it: after a home's death keyed requests of such a service were refused for 71 s, too.

With it the home runs a keyed request without evidence and in the quiet time; where no home is reached any target gets it through the entry's queue. Schema and settings had the key already (base and overlay, boolean, checked by flag-as-text among the bad files).

KeyHomesTest.keysOfUnknownStateRunWhereTheTargetDetectsRepeats: passes; without the flag the same death is refused (killedHomeRunsNothingAgain).

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryProcess.java
@@ -114,6 +114,7 @@
         LinkTimes.DEFAULT,
         new ByteBudget(answerBytes),
         Optional.of(keyTable),
+        service -> base.configuration().service(service).targetDetectsRepeats(),
         base.events(),
         new SplittableRandom());
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryDispatcher.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -51,6 +52,7 @@
   private final EventRecorder events;
   private final Attempts attempts;
   private final Optional<KeyShardTable> keys;
+  private final Predicate<String> detectsRepeats;
   private final Map<Long, PendingRequest> pending = new HashMap<>();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private volatile boolean stopping;
@@ -70,6 +72,7 @@
    * @param times how connections are watched
    * @param answerBudget what answers may hold while they are put together
    * @param keys the homes of idempotency keys; without them keys go to targets unused
+   * @param detectsRepeats whether the targets of a service tell repeats of a key apart themselves
    * @param events the time line
    * @param random for the back-off's jitter
    */
@@ -80,6 +83,7 @@
       LinkTimes times,
       ByteBudget answerBudget,
       Optional<KeyShardTable> keys,
+      Predicate<String> detectsRepeats,
       EventRecorder events,
       RandomGenerator random) {
     this.loop = requireNonNull(loop, "loop");
@@ -87,6 +91,7 @@
     this.policy = requireNonNull(policy, "policy");
     this.times = requireNonNull(times, "times");
     this.keys = requireNonNull(keys, "keys");
+    this.detectsRepeats = requireNonNull(detectsRepeats, "detectsRepeats");
     this.events = requireNonNull(events, "events");
     this.attempts =
         new Attempts(loop, identity, times, answerBudget, events, random, new FromAttempts());
@@ -161,6 +166,12 @@
       sendHome(arrived, keys.get());
       return;
     }
+    schedule(arrived);
+  }
+
+  private void schedule(PendingRequest arrived) {
+    CallerRequest request = arrived.request();
+    long number = arrived.number();
     long now = loop.now();
     Arrival arrival =
         new Arrival(
@@ -174,7 +185,7 @@
     carryOut(policy.arrived(arrival, now));
     PendingRequest waits = pending.get(number);
     if (waits != null && waits.attempt() == null) {
-      events.record(Event.of(EventKind.REQUEST_QUEUED).withRequest(label));
+      events.record(Event.of(EventKind.REQUEST_QUEUED).withRequest(arrived.label()));
     }
   }
 
@@ -182,19 +193,25 @@
    * Sends a request to the home of its idempotency key.
    *
    * <p>There is no choice of target and so no waiting here: the home's waiting room takes it, or it
-   * is refused. It is never tried again by this entry; the caller may, with the same key.
+   * is refused. It is never tried again by this entry; the caller may, with the same key. Where its
+   * home is not reached but the target tells repeats apart by itself, any target takes it.
    */
   private void sendHome(PendingRequest request, KeyShardTable table) {
     String service = request.request().service();
+    boolean detects = detectsRepeats.test(service);
     int shard = KeyShards.of(request.request().idempotencyKey());
     KeyHome home = table.home(service, shard).orElse(null);
     // A home that leaves refuses all; what is sent to it as it exits would be of unknown outcome.
     if (home == null || !attempts.pools().takesNew(home.vm(), home.incarnation())) {
+      if (detects) {
+        schedule(request);
+        return;
+      }
       String detail = "this attempt was not run; its Idempotency-Key has no home that is reached";
       fail(request, new Failure(ErrorKind.KEY_STATE_UNKNOWN, detail, NO_HOME_MILLIS));
       return;
     }
-    request.sentHome(KeyHomes.claim(shard, home));
+    request.sentHome(KeyHomes.claim(shard, home), detects);
     request.vm(home.vm());
     attempts.start(request, new Decision.Send(request.number(), home.vm(), 1, "home of its key"));
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryFrames.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryFrames.java
@@ -30,6 +30,7 @@
             .setSentAt(now);
     if (pending.isAtHome()) {
       start.setKeyClaim(pending.home());
+      start.setTargetDetectsRepeats(pending.targetDetectsRepeats());
     }
     return new RequestFrames(start, request.body());
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/PendingRequest.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/PendingRequest.java
@@ -15,6 +15,7 @@
   private final AnswerSink sink;
   private Attempt attempt;
   private KeyClaim home;
+  private boolean targetDetectsRepeats;
   private String vm = "";
   private boolean mayHaveRun;
   private AttemptOutcome lastOutcome = AttemptOutcome.NOT_RUN;
@@ -124,8 +125,14 @@
   }
 
   /** Notes that the request goes to the home of its key, which holds it by the claim. */
-  void sentHome(KeyClaim claim) {
+  void sentHome(KeyClaim claim, boolean detectsRepeats) {
     home = claim;
+    targetDetectsRepeats = detectsRepeats;
+  }
+
+  /** Returns whether its home may run it without knowing what a former home ran. */
+  boolean targetDetectsRepeats() {
+    return targetDetectsRepeats;
   }
 
   boolean isAtHome() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryUnderTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryUnderTest.java
@@ -22,6 +22,7 @@
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 
 /** The request half of an entry, wired as the process wires it, with an HTTP client for it. */
 final class EntryUnderTest implements AutoCloseable {
@@ -44,7 +45,7 @@
 
   EntryUnderTest(String name, long incarnation, LinkTimes times, EventRecorder events)
       throws IOException {
-    this(name, incarnation, times, events, Optional.empty());
+    this(name, incarnation, times, events, Optional.empty(), service -> false);
   }
 
   EntryUnderTest(
@@ -52,7 +53,8 @@
       long incarnation,
       LinkTimes times,
       EventRecorder events,
-      Optional<KeyShardTable> keys)
+      Optional<KeyShardTable> keys,
+      Predicate<String> detectsRepeats)
       throws IOException {
     RequestPolicy policy =
         new RequestScheduler(SchedulerSettings.of("suva"), new SplittableRandom(11));
@@ -68,6 +70,7 @@
             times,
             new ByteBudget(64L << 20),
             keys,
+            detectsRepeats,
             events,
             new SplittableRandom(5));
     links.addMemberListener(dispatcher.memberListener());
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/KeyHomesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/KeyHomesTest.java
@@ -60,7 +60,8 @@
               number,
               LinkTimes.DEFAULT,
               EventRecorder.none(),
-              Optional.of(table));
+              Optional.of(table),
+              service -> detectsRepeats);
       homes = new KeyHomes(entry.loop(), table, appender::append, entry.links());
       follower.start();
       appender.start();
@@ -95,6 +96,7 @@
   private final FakeLogService log = new FakeLogService();
   private final List<StandInTarget> targets = new ArrayList<>();
   private final List<SideUnderTest> sides = new ArrayList<>();
+  private volatile boolean detectsRepeats;
   private KeyedEntry first;
   private KeyedEntry second;
 
@@ -313,6 +315,22 @@
     assertEquals(2, charges().size());
   }
 
+  /**
+   * The killed home's service says that its target tells repeats apart: its keys are not refused
+   * for 71 s, they run, and the target sees the same key.
+   */
+  @Test
+  void keysOfUnknownStateRunWhereTheTargetDetectsRepeats() {
+    assertEquals(200, first.charge("pay", "").join().statusCode());
+    detectsRepeats = true;
+    sides.remove(homeOf("pay")).close();
+
+    for (KeyedEntry entry : List.of(first, second)) {
+      Await.until("served", () -> entry.charge("pay", "").join().statusCode() == 200);
+    }
+    assertTrue(charges().stream().allMatch(run -> run.idempotencyKey().endsWith("pay")));
+  }
+
   private int homeOf(String key) {
     String vm = first.table.home("parking", KeyShards.of("driver\n" + key)).orElseThrow().vm();
     return Integer.parseInt(vm.substring("vm-".length()));
