--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
@@ -156,6 +156,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_marigoldsail_Pong_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_GoAway_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_GoAway_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_GoAwayAck_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_GoAwayAck_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -166,7 +176,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\027marigoldsail/link.proto\022\014marigoldsail\032" +
-      "\027marigoldsail/task.proto\"\357\006\n\005Frame\022*\n\010an" +
+      "\027marigoldsail/task.proto\"\310\007\n\005Frame\022*\n\010an" +
       "nounce\030\001 \001(\0132\026.marigoldsail.AnnounceH\000\0221" +
       "\n\014announce_ack\030\002 \001(\0132\031.marigoldsail.Anno" +
       "unceAckH\000\0223\n\rrequest_start\030\003 \001(\0132\032.marig" +
@@ -181,86 +191,89 @@
       "arigoldsail.ResolutionH\000\022\"\n\004ping\030\013 \001(\0132\022" +
       ".marigoldsail.PingH\000\022\"\n\004pong\030\014 \001(\0132\022.mar" +
       "igoldsail.PongH\000\022&\n\006cancel\030\r \001(\0132\024.marig" +
-      "oldsail.CancelH\000\022-\n\nkey_leases\030\020 \001(\0132\027.m" +
-      "arigoldsail.KeyLeasesH\000\022)\n\004task\030\024 \001(\0132\031." +
-      "marigoldsail.TaskMessageH\000\0221\n\014key_handov" +
-      "er\030\025 \001(\0132\031.marigoldsail.KeyHandoverH\000\022<\n" +
-      "\022key_handover_taken\030\026 \001(\0132\036.marigoldsail" +
-      ".KeyHandoverTakenH\000\022>\n\023key_handover_resu" +
-      "lt\030\027 \001(\0132\037.marigoldsail.KeyHandoverResul" +
-      "tH\000\022\r\n\005stamp\030\036 \001(\006B\006\n\004body\"8\n\tRequestId\022" +
-      "\031\n\021entry_incarnation\030\001 \001(\004\022\020\n\010sequence\030\002" +
-      " \001(\004\"\215\002\n\010Announce\022\n\n\002vm\030\001 \001(\t\022\033\n\023process" +
-      "_incarnation\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004rack" +
-      "\030\005 \001(\t\022\017\n\007address\030\006 \001(\t\022\017\n\007service\030\007 \001(\t" +
-      "\022\r\n\005slots\030\010 \001(\r\022\023\n\013connections\030\t \001(\r\022\017\n\007" +
-      "leaving\030\n \001(\010\022*\n\006report\030\013 \001(\0132\032.marigold" +
-      "sail.TargetReport\022\036\n\026configuration_revis" +
-      "ion\030\014 \001(\004\022\031\n\021operators_address\030\020 \001(\t\"h\n\013" +
-      "AnnounceAck\022\r\n\005entry\030\001 \001(\t\022\031\n\021entry_inca" +
-      "rnation\030\002 \001(\004\022\036\n\026configuration_revision\030" +
-      "\003 \001(\004\022\017\n\007entries\030\004 \003(\t\"c\n\014TargetReport\022\r" +
-      "\n\005slots\030\001 \001(\r\022\021\n\tin_flight\030\002 \001(\r\022\017\n\007wait" +
-      "ing\030\003 \001(\r\022\017\n\007leaving\030\004 \001(\010\022\017\n\007entries\030\005 " +
-      "\001(\r\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001" +
-      "(\t\"\353\002\n\014RequestStart\022#\n\002id\030\001 \001(\0132\027.marigo" +
-      "ldsail.RequestId\022\016\n\006method\030\002 \001(\t\022\014\n\004path" +
-      "\030\003 \001(\t\022%\n\007headers\030\004 \003(\0132\024.marigoldsail.H" +
-      "eader\022\030\n\020remaining_millis\030\005 \001(\004\022\022\n\nidemp" +
-      "otent\030\006 \001(\010\022\016\n\006caller\030\007 \001(\t\022\027\n\017idempoten" +
-      "cy_key\030\010 \001(\t\022\023\n\013body_length\030\t \001(\004\022\014\n\004dat" +
-      "a\030\n \001(\014\022\014\n\004last\030\013 \001(\010\022\r\n\005label\030\014 \001(\t\022\017\n\007" +
-      "sent_at\030\r \001(\020\022)\n\tkey_claim\030\016 \001(\0132\026.marig" +
-      "oldsail.KeyClaim\022\036\n\026target_detects_repea" +
-      "ts\030\025 \001(\010\"8\n\010KeyClaim\022\r\n\005shard\030\001 \001(\r\022\016\n\006o" +
-      "ffset\030\002 \001(\004\022\r\n\005index\030\003 \001(\r\"d\n\tKeyLeases\022" +
-      "\033\n\023process_incarnation\030\001 \001(\004\022\022\n\nage_mill" +
-      "is\030\002 \001(\004\022&\n\006leases\030\003 \003(\0132\026.marigoldsail." +
-      "KeyLease\"G\n\010KeyLease\022%\n\005claim\030\001 \001(\0132\026.ma" +
-      "rigoldsail.KeyClaim\022\024\n\014quiet_millis\030\002 \001(" +
-      "\004\"n\n\013HandedShard\022\n\n\002vm\030\001 \001(\t\022\033\n\023process_" +
-      "incarnation\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022%\n\005cl" +
-      "aim\030\004 \001(\0132\026.marigoldsail.KeyClaim\"\214\001\n\013Ke" +
-      "yHandover\022(\n\005shard\030\001 \001(\0132\031.marigoldsail." +
-      "HandedShard\022\r\n\005total\030\002 \001(\r\022%\n\004keys\030\003 \003(\013" +
-      "2\027.marigoldsail.HandedKey\022\035\n\025successor_i" +
-      "ncarnation\030\004 \001(\004\"\242\001\n\tHandedKey\022\013\n\003key\030\001 " +
-      "\001(\t\022\023\n\013fingerprint\030\002 \001(\006\022\030\n\020remaining_mi" +
-      "llis\030\003 \001(\004\022,\n\010answered\030\004 \001(\0132\030.marigolds" +
-      "ail.KeptAnswerH\000\022\016\n\004lost\030\005 \001(\tH\000\022\020\n\006brok" +
-      "en\030\006 \001(\tH\000B\t\n\007outcome\"Q\n\nKeptAnswer\022\016\n\006s" +
-      "tatus\030\001 \001(\r\022%\n\007headers\030\002 \003(\0132\024.marigolds" +
-      "ail.Header\022\014\n\004body\030\003 \001(\014\"j\n\020KeyHandoverT" +
-      "aken\022(\n\005shard\030\001 \001(\0132\031.marigoldsail.Hande" +
-      "dShard\022\035\n\025successor_incarnation\030\002 \001(\004\022\r\n" +
-      "\005taken\030\003 \001(\010\"L\n\021KeyHandoverResult\022(\n\005sha" +
-      "rd\030\001 \001(\0132\031.marigoldsail.HandedShard\022\r\n\005m" +
-      "oved\030\002 \001(\010\"N\n\013RequestBody\022#\n\002id\030\001 \001(\0132\027." +
-      "marigoldsail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004" +
-      "last\030\003 \001(\010\"\306\001\n\013AnswerStart\022#\n\002id\030\001 \001(\0132\027" +
-      ".marigoldsail.RequestId\022\016\n\006status\030\002 \001(\r\022" +
-      "%\n\007headers\030\003 \003(\0132\024.marigoldsail.Header\022\014" +
-      "\n\004data\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006report\030\006 \001" +
-      "(\0132\032.marigoldsail.TargetReport\022\023\n\013body_l" +
-      "ength\030\007 \001(\004\"M\n\nAnswerBody\022#\n\002id\030\001 \001(\0132\027." +
-      "marigoldsail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004" +
-      "last\030\003 \001(\010\"\231\001\n\006NotRun\022#\n\002id\030\001 \001(\0132\027.mari" +
-      "goldsail.RequestId\022\022\n\nerror_kind\030\002 \001(\t\022\016" +
-      "\n\006detail\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001" +
-      "(\004\022*\n\006report\030\005 \001(\0132\032.marigoldsail.Target" +
-      "Report\"}\n\006Failed\022#\n\002id\030\001 \001(\0132\027.marigolds" +
-      "ail.RequestId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006det" +
-      "ail\030\003 \001(\t\022*\n\006report\030\004 \001(\0132\032.marigoldsail" +
-      ".TargetReport\"K\n\007Resolve\022#\n\002id\030\001 \001(\0132\027.m" +
-      "arigoldsail.RequestId\022\033\n\023process_incarna" +
-      "tion\030\002 \001(\004\"\251\001\n\nResolution\022#\n\002id\030\001 \001(\0132\027." +
-      "marigoldsail.RequestId\022-\n\005state\030\002 \001(\0162\036." +
-      "marigoldsail.Resolution.State\"G\n\005State\022\025" +
-      "\n\021STATE_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RU" +
-      "NNING\020\002\022\r\n\tFORGOTTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001" +
-      " \001(\0132\027.marigoldsail.RequestId\"\025\n\004Ping\022\r\n" +
-      "\005nonce\030\001 \001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\004B\034\n\030i" +
-      "o.marigoldsail.protocolP\001b\006proto3"
+      "oldsail.CancelH\000\022\'\n\007go_away\030\016 \001(\0132\024.mari" +
+      "goldsail.GoAwayH\000\022.\n\013go_away_ack\030\017 \001(\0132\027" +
+      ".marigoldsail.GoAwayAckH\000\022-\n\nkey_leases\030" +
+      "\020 \001(\0132\027.marigoldsail.KeyLeasesH\000\022)\n\004task" +
+      "\030\024 \001(\0132\031.marigoldsail.TaskMessageH\000\0221\n\014k" +
+      "ey_handover\030\025 \001(\0132\031.marigoldsail.KeyHand" +
+      "overH\000\022<\n\022key_handover_taken\030\026 \001(\0132\036.mar" +
+      "igoldsail.KeyHandoverTakenH\000\022>\n\023key_hand" +
+      "over_result\030\027 \001(\0132\037.marigoldsail.KeyHand" +
+      "overResultH\000\022\r\n\005stamp\030\036 \001(\006B\006\n\004body\"8\n\tR" +
+      "equestId\022\031\n\021entry_incarnation\030\001 \001(\004\022\020\n\010s" +
+      "equence\030\002 \001(\004\"\215\002\n\010Announce\022\n\n\002vm\030\001 \001(\t\022\033" +
+      "\n\023process_incarnation\030\003 \001(\004\022\014\n\004zone\030\004 \001(" +
+      "\t\022\014\n\004rack\030\005 \001(\t\022\017\n\007address\030\006 \001(\t\022\017\n\007serv" +
+      "ice\030\007 \001(\t\022\r\n\005slots\030\010 \001(\r\022\023\n\013connections\030" +
+      "\t \001(\r\022\017\n\007leaving\030\n \001(\010\022*\n\006report\030\013 \001(\0132\032" +
+      ".marigoldsail.TargetReport\022\036\n\026configurat" +
+      "ion_revision\030\014 \001(\004\022\031\n\021operators_address\030" +
+      "\020 \001(\t\"h\n\013AnnounceAck\022\r\n\005entry\030\001 \001(\t\022\031\n\021e" +
+      "ntry_incarnation\030\002 \001(\004\022\036\n\026configuration_" +
+      "revision\030\003 \001(\004\022\017\n\007entries\030\004 \003(\t\"c\n\014Targe" +
+      "tReport\022\r\n\005slots\030\001 \001(\r\022\021\n\tin_flight\030\002 \001(" +
+      "\r\022\017\n\007waiting\030\003 \001(\r\022\017\n\007leaving\030\004 \001(\010\022\017\n\007e" +
+      "ntries\030\005 \001(\r\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005" +
+      "value\030\002 \001(\t\"\353\002\n\014RequestStart\022#\n\002id\030\001 \001(\013" +
+      "2\027.marigoldsail.RequestId\022\016\n\006method\030\002 \001(" +
+      "\t\022\014\n\004path\030\003 \001(\t\022%\n\007headers\030\004 \003(\0132\024.marig" +
+      "oldsail.Header\022\030\n\020remaining_millis\030\005 \001(\004" +
+      "\022\022\n\nidempotent\030\006 \001(\010\022\016\n\006caller\030\007 \001(\t\022\027\n\017" +
+      "idempotency_key\030\010 \001(\t\022\023\n\013body_length\030\t \001" +
+      "(\004\022\014\n\004data\030\n \001(\014\022\014\n\004last\030\013 \001(\010\022\r\n\005label\030" +
+      "\014 \001(\t\022\017\n\007sent_at\030\r \001(\020\022)\n\tkey_claim\030\016 \001(" +
+      "\0132\026.marigoldsail.KeyClaim\022\036\n\026target_dete" +
+      "cts_repeats\030\025 \001(\010\"8\n\010KeyClaim\022\r\n\005shard\030\001" +
+      " \001(\r\022\016\n\006offset\030\002 \001(\004\022\r\n\005index\030\003 \001(\r\"d\n\tK" +
+      "eyLeases\022\033\n\023process_incarnation\030\001 \001(\004\022\022\n" +
+      "\nage_millis\030\002 \001(\004\022&\n\006leases\030\003 \003(\0132\026.mari" +
+      "goldsail.KeyLease\"G\n\010KeyLease\022%\n\005claim\030\001" +
+      " \001(\0132\026.marigoldsail.KeyClaim\022\024\n\014quiet_mi" +
+      "llis\030\002 \001(\004\"n\n\013HandedShard\022\n\n\002vm\030\001 \001(\t\022\033\n" +
+      "\023process_incarnation\030\002 \001(\004\022\017\n\007service\030\003 " +
+      "\001(\t\022%\n\005claim\030\004 \001(\0132\026.marigoldsail.KeyCla" +
+      "im\"\214\001\n\013KeyHandover\022(\n\005shard\030\001 \001(\0132\031.mari" +
+      "goldsail.HandedShard\022\r\n\005total\030\002 \001(\r\022%\n\004k" +
+      "eys\030\003 \003(\0132\027.marigoldsail.HandedKey\022\035\n\025su" +
+      "ccessor_incarnation\030\004 \001(\004\"\242\001\n\tHandedKey\022" +
+      "\013\n\003key\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001(\006\022\030\n\020rem" +
+      "aining_millis\030\003 \001(\004\022,\n\010answered\030\004 \001(\0132\030." +
+      "marigoldsail.KeptAnswerH\000\022\016\n\004lost\030\005 \001(\tH" +
+      "\000\022\020\n\006broken\030\006 \001(\tH\000B\t\n\007outcome\"Q\n\nKeptAn" +
+      "swer\022\016\n\006status\030\001 \001(\r\022%\n\007headers\030\002 \003(\0132\024." +
+      "marigoldsail.Header\022\014\n\004body\030\003 \001(\014\"j\n\020Key" +
+      "HandoverTaken\022(\n\005shard\030\001 \001(\0132\031.marigolds" +
+      "ail.HandedShard\022\035\n\025successor_incarnation" +
+      "\030\002 \001(\004\022\r\n\005taken\030\003 \001(\010\"L\n\021KeyHandoverResu" +
+      "lt\022(\n\005shard\030\001 \001(\0132\031.marigoldsail.HandedS" +
+      "hard\022\r\n\005moved\030\002 \001(\010\"N\n\013RequestBody\022#\n\002id" +
+      "\030\001 \001(\0132\027.marigoldsail.RequestId\022\014\n\004data\030" +
+      "\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\306\001\n\013AnswerStart\022#\n\002i" +
+      "d\030\001 \001(\0132\027.marigoldsail.RequestId\022\016\n\006stat" +
+      "us\030\002 \001(\r\022%\n\007headers\030\003 \003(\0132\024.marigoldsail" +
+      ".Header\022\014\n\004data\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006r" +
+      "eport\030\006 \001(\0132\032.marigoldsail.TargetReport\022" +
+      "\023\n\013body_length\030\007 \001(\004\"M\n\nAnswerBody\022#\n\002id" +
+      "\030\001 \001(\0132\027.marigoldsail.RequestId\022\014\n\004data\030" +
+      "\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\231\001\n\006NotRun\022#\n\002id\030\001 \001" +
+      "(\0132\027.marigoldsail.RequestId\022\022\n\nerror_kin" +
+      "d\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\032\n\022retry_after_m" +
+      "illis\030\004 \001(\004\022*\n\006report\030\005 \001(\0132\032.marigoldsa" +
+      "il.TargetReport\"}\n\006Failed\022#\n\002id\030\001 \001(\0132\027." +
+      "marigoldsail.RequestId\022\022\n\nerror_kind\030\002 \001" +
+      "(\t\022\016\n\006detail\030\003 \001(\t\022*\n\006report\030\004 \001(\0132\032.mar" +
+      "igoldsail.TargetReport\"K\n\007Resolve\022#\n\002id\030" +
+      "\001 \001(\0132\027.marigoldsail.RequestId\022\033\n\023proces" +
+      "s_incarnation\030\002 \001(\004\"\251\001\n\nResolution\022#\n\002id" +
+      "\030\001 \001(\0132\027.marigoldsail.RequestId\022-\n\005state" +
+      "\030\002 \001(\0162\036.marigoldsail.Resolution.State\"G" +
+      "\n\005State\022\025\n\021STATE_UNSPECIFIED\020\000\022\013\n\007NOT_RU" +
+      "N\020\001\022\013\n\007RUNNING\020\002\022\r\n\tFORGOTTEN\020\003\"-\n\006Cance" +
+      "l\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\"\025" +
+      "\n\004Ping\022\r\n\005nonce\030\001 \001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001" +
+      " \001(\004\"\010\n\006GoAway\"\013\n\tGoAwayAckB\034\n\030io.marigo" +
+      "ldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -272,7 +285,7 @@
     internal_static_marigoldsail_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Frame_descriptor,
-        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "KeyLeases", "Task", "KeyHandover", "KeyHandoverTaken", "KeyHandoverResult", "Stamp", "Body", });
+        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "GoAway", "GoAwayAck", "KeyLeases", "Task", "KeyHandover", "KeyHandoverTaken", "KeyHandoverResult", "Stamp", "Body", });
     internal_static_marigoldsail_RequestId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_marigoldsail_RequestId_fieldAccessorTable = new
@@ -423,6 +436,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Pong_descriptor,
         new java.lang.String[] { "Nonce", });
+    internal_static_marigoldsail_GoAway_descriptor =
+      getDescriptor().getMessageType(26);
+    internal_static_marigoldsail_GoAway_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_GoAway_descriptor,
+        new java.lang.String[] { });
+    internal_static_marigoldsail_GoAwayAck_descriptor =
+      getDescriptor().getMessageType(27);
+    internal_static_marigoldsail_GoAwayAck_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_GoAwayAck_descriptor,
+        new java.lang.String[] { });
     descriptor.resolveAllFeaturesImmutable();
     io.marigoldsail.protocol.Task.getDescriptor();
   }
