Measure overload and a hot caller at the size of bin/measure-real on virtual time

Two causes, then: a run that counts arrivals from the second second on leaves out the calls of the first that are being answered meanwhile; and later, calls let in are passed by others.

--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/LoadCurve.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/LoadCurve.java
@@ -25,7 +25,7 @@
 
   @Override
   public void run(long seed, MeasureRows rows) {
-    for (int entries : RequestPattern.ENTRIES) {
+    for (int entries : deployment.entryCounts()) {
       for (PolicyKind kind : PolicyKind.values()) {
         for (Point point : points(entries, kind, seed)) {
           String at = "_at_" + point.load();
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/LoadPlan.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/LoadPlan.java
@@ -33,17 +33,13 @@
   /** How long an ordinary caller waits for its answer. */
   static final long PATIENCE_MILLIS = 1_000;
 
-  /** Ordinary requests a second that all targets together can serve. */
-  static final double CAPACITY = Deployment.TARGETS * Deployment.SLOTS * 1_000 / MEAN_WORK_MILLIS;
-
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final double NANOS_PER_SECOND = 1e9;
-  private static final int MAX_RETURNS = 2;
 
   /**
    * Arrivals at random (Poisson), from callers and about keys that are drawn evenly.
    *
-   * @param load arrivals as a share of {@link #CAPACITY}
+   * @param load arrivals as a share of what all targets together can serve
    * @param fromSecond when they begin
    * @param toSecond when they end
    * @param callers names are drawn from this many
@@ -113,30 +109,34 @@
   }
 
   /** Draws all first calls in order of arrival. */
-  List<Call.Plan> draw(int entries, long seed) {
+  List<Call.Plan> draw(Deployment deployment, int entries, long seed) {
     checkArgument(entries > 0, "entries is not positive: %s", entries);
     SplittableRandom random = new SplittableRandom(seed);
     List<Call.Plan> plans = new ArrayList<>();
     for (Stream stream : streams) {
-      drawStream(stream, entries, random.split(), plans);
+      drawStream(stream, deployment, entries, random.split(), plans);
     }
     plans.sort(Comparator.comparingLong(Call.Plan::arrivesAt));
     return plans;
   }
 
   private void drawStream(
-      Stream stream, int entries, SplittableRandom random, List<Call.Plan> plans) {
-    double spacing = NANOS_PER_SECOND / (stream.load() * CAPACITY);
+      Stream stream,
+      Deployment deployment,
+      int entries,
+      SplittableRandom random,
+      List<Call.Plan> plans) {
+    double spacing = NANOS_PER_SECOND / (stream.load() * deployment.perSecond());
     double end = Math.min(seconds, stream.toSecond()) * NANOS_PER_SECOND;
     double time = stream.fromSecond() * NANOS_PER_SECOND + exponential(random, spacing);
     while (time < end) {
-      plans.add(drawCall(stream, (long) time, entries, random));
+      plans.add(drawCall(stream, (long) time, deployment, entries, random));
       time += exponential(random, spacing);
     }
   }
 
   private static Call.Plan drawCall(
-      Stream stream, long arrivesAt, int entries, SplittableRandom random) {
+      Stream stream, long arrivesAt, Deployment deployment, int entries, SplittableRandom random) {
     double meanNanos = MEAN_WORK_MILLIS * stream.lengthFactor() * NANOS_PER_MILLI;
     long patience = (long) (PATIENCE_MILLIS * NANOS_PER_MILLI * stream.lengthFactor());
     return new Call.Plan(
@@ -146,9 +146,9 @@
         name(stream.keyPrefix(), stream.keys(), random),
         stream.isLong(),
         random.nextInt(100) < 80,
-        (long) exponential(random, meanNanos),
+        deployment.drawWork(random, meanNanos),
         patience,
-        random.nextBoolean() ? 0 : MAX_RETURNS);
+        deployment.drawReturns(random));
   }
 
   private static String name(String prefix, int count, SplittableRandom random) {
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/LoadPlots.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/LoadPlots.java
@@ -37,12 +37,12 @@
    */
   static void write(Path directory, long seed) throws IOException {
     Files.createDirectories(directory);
-    for (Deployment deployment : Deployment.values()) {
+    for (Deployment deployment : Deployment.TODAY) {
       String name = deployment.name().toLowerCase(Locale.ROOT);
       SvgPlot latency = new SvgPlot("Latency against load, " + name, LOAD, LATENCY);
       SvgPlot goodput = new SvgPlot("Goodput against load, " + name, LOAD, GOODPUT);
       for (PolicyKind kind : PolicyKind.values()) {
-        for (int entries : RequestPattern.ENTRIES) {
+        for (int entries : deployment.entryCounts()) {
           List<LoadCurve.Point> points = new LoadCurve(deployment).points(entries, kind, seed);
           String line = kind.label() + ", " + entries;
           boolean isDashed = kind == PolicyKind.BASELINE;
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestBench.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestBench.java
@@ -25,13 +25,13 @@
   record Sent(long time, int target) {}
 
   /** What a run leaves: all calls in order of arrival, all tries in order of sending. */
-  record Record(LoadPlan plan, List<Call> calls, List<Sent> sends) {}
+  record Record(Deployment deployment, LoadPlan plan, List<Call> calls, List<Sent> sends) {}
 
   private RequestBench(
       Deployment deployment, int entryCount, PolicyKind kind, LoadPlan plan, long seed) {
     this.deployment = deployment;
     this.plan = plan;
-    for (int i = 0; i < Deployment.TARGETS; i++) {
+    for (int i = 0; i < deployment.targets(); i++) {
       int places = kind.waitingPlaces(Deployment.SLOTS);
       targets.add(
           new ModelTarget(events, Deployment.SLOTS, places, entryCount, plan.reportEveryNanos()));
@@ -44,8 +44,8 @@
   static Record run(
       Deployment deployment, int entryCount, PolicyKind kind, LoadPlan plan, long seed) {
     RequestBench bench = new RequestBench(deployment, entryCount, kind, plan, seed);
-    bench.run(plan.draw(entryCount, seed).iterator());
-    return new Record(plan, bench.calls, bench.sends);
+    bench.run(plan.draw(deployment, entryCount, seed).iterator());
+    return new Record(deployment, plan, bench.calls, bench.sends);
   }
 
   private void run(Iterator<Call.Plan> plans) {
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPattern.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPattern.java
@@ -1,11 +1,10 @@
 package io.marigoldsail.testlib.measure;
 
-import com.google.common.collect.ImmutableList;
 import java.util.function.Predicate;
 
 /**
  * A load pattern of requests: runs its plan and the plan without the disturbance, under both
- * policies, for one, three and nine entries.
+ * policies, for each number of entries of the deployment.
  *
  * @param name the pattern's name with its deployment
  * @param deployment whose distances hold
@@ -22,8 +21,6 @@
     Predicate<Call> others,
     Extra extra)
     implements MeasurePattern {
-  static final ImmutableList<Integer> ENTRIES = ImmutableList.of(1, 3, 9);
-
   /** Adds metrics that only one pattern has. */
   @FunctionalInterface
   interface Extra {
@@ -38,7 +35,7 @@
 
   @Override
   public void run(long seed, MeasureRows rows) {
-    for (int entries : ENTRIES) {
+    for (int entries : deployment.entryCounts()) {
       for (PolicyKind kind : PolicyKind.values()) {
         run(entries, kind, seed, rows);
       }
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPatterns.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestPatterns.java
@@ -24,7 +24,7 @@
 
   static List<MeasurePattern> all() {
     ImmutableList.Builder<MeasurePattern> patterns = ImmutableList.builder();
-    for (Deployment deployment : Deployment.values()) {
+    for (Deployment deployment : Deployment.TODAY) {
       patterns.add(overload(deployment));
       patterns.add(burst(deployment));
       patterns.add(hotCaller(deployment));
@@ -36,6 +36,8 @@
       patterns.add(allAtOnce(deployment));
       patterns.add(new LoadCurve(deployment));
     }
+    patterns.add(overloadFromRest());
+    patterns.add(loudCaller());
     return patterns.build();
   }
 
@@ -50,6 +52,36 @@
         NOTHING);
   }
 
+  /** Three times what fits from the first moment on, by callers that don't come back. */
+  private static RequestPattern overloadFromRest() {
+    return pattern(
+        "overload",
+        Deployment.LOOPBACK,
+        LoadPlan.of(10, 3, Stream.ordinary(3)),
+        LoadPlan.of(10, 3, Stream.ordinary(0.5)),
+        RequestScore.all(),
+        (score, p99, printer) -> {
+          RequestScore fromOne = score.between(1, 10);
+          printer.print("goodput_ratio_from_1_s", fromOne.goodputRatio());
+          printer.print("goodput_ratio_of_arrivals_from_1_s", fromOne.arrivedGoodputRatio());
+          printer.print("p99_ms_from_1_s", fromOne.percentileMillis(99, RequestScore.all()));
+          printer.print(
+              "p99_ms_from_0_s", score.between(0, 10).percentileMillis(99, RequestScore.all()));
+        });
+  }
+
+  /** Half of what fits from eight callers, and one more that alone sends twice what fits. */
+  private static RequestPattern loudCaller() {
+    LoadPlan calm = LoadPlan.of(10, 3, Stream.ordinary(0.5));
+    return pattern(
+        HOT_CALLER,
+        Deployment.LOOPBACK,
+        calm.with(Stream.ordinary(2).from(HOT_CALLER)),
+        calm,
+        call -> !call.plan.caller().equals(HOT_CALLER),
+        NOTHING);
+  }
+
   /** Ten times the load of 0.3 for a second: two seconds of work too much. */
   private static RequestPattern burst(Deployment deployment) {
     LoadPlan calm = LoadPlan.of(20, 5, Stream.ordinary(0.3));
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestScore.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/RequestScore.java
@@ -73,10 +73,19 @@
         calls(call -> call.returnsLeft == call.plan.returns()).stream()
             .mapToLong(call -> call.plan.workNanos())
             .sum();
-    double capacity = (to - from) * NANOS_PER_SECOND * Deployment.TARGETS * Deployment.SLOTS;
+    double capacity = (to - from) * NANOS_PER_SECOND * run.deployment().slots();
     return useful / Math.min(asked, capacity);
   }
 
+  /** Returns the useful answers to calls that arrived in the time, as work, to the capacity. */
+  double arrivedGoodputRatio() {
+    double useful =
+        calls(call -> call.result == Call.Result.SERVED).stream()
+            .mapToLong(call -> call.plan.workNanos())
+            .sum();
+    return useful / ((to - from) * NANOS_PER_SECOND * run.deployment().slots());
+  }
+
   /** Returns the share of calls with one of the given results. */
   double share(Predicate<Call> chosen, Call.Result... results) {
     List<Call.Result> wanted = List.of(results);
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskPatterns.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskPatterns.java
@@ -10,7 +10,7 @@
   static List<MeasurePattern> all() {
     ImmutableList.Builder<MeasurePattern> patterns = ImmutableList.builder();
     for (TaskDisturbance disturbance : TaskDisturbance.values()) {
-      for (Deployment deployment : Deployment.values()) {
+      for (Deployment deployment : Deployment.TODAY) {
         patterns.add(new TaskPattern(disturbance, deployment));
       }
     }
