Refuse under lasting overload by how far away a request's turn is

Cause: under lasting overload a request was let in by the number that wait before it, and then passed by those who came later with an earlier turn. The queue now tells the pace of turns, and once overload lasts, a request whose turn is more than four target delays away is refused at once.

Tests: countsThoseWhoWillPassOnceOverloadLasts, expectsThoseWhoComeLaterAndPass; AdmissionPolicyTest's situations name the new component, with the value of the old one.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/AdmissionPolicy.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/AdmissionPolicy.java
@@ -17,6 +17,11 @@
  * and nobody who was let in is thrown out later; without it, one caller fills the queue and the
  * rest are refused.
  *
+ * <p>While overload lasts, who comes later with an earlier turn passes those who wait. So a request
+ * is refused then also if its turn is far away at the pace of late ({@link
+ * FairQueue#expectedAheadOf}); without it a hot caller's requests waited for up to 200 ms though
+ * the target delay is 20 ms. A burst is short, and its wait is bounded by the deadline alone.
+ *
  * <p>A request within its caller's turn may wait twice the target delay. With one entry of nine, 20
  * ms are ten places, and a chance bunch of quiet callers fills them while a hot one keeps the
  * slots.
@@ -36,6 +41,9 @@
   /** How many target delays a request may wait whose caller and key have not had their turn. */
   static final int WITHIN_TURN_PATIENCE = 2;
 
+  /** How many target delays a request's turn may be away, those counted who will pass it. */
+  static final int PASSED_PATIENCE = 4;
+
   private static final int MIN_PLACES = 4;
   private static final long NEVER = Long.MIN_VALUE;
 
@@ -58,6 +66,7 @@
    *
    * @param waiting how many requests wait in all
    * @param ahead how many would be served before it
+   * @param expectedAhead the same with those that come later and pass it, if the load lasts
    * @param overShare whether its caller or key has more waiting than an even part
    * @param excess whether its caller or key has had its turn
    * @param perSecond how many are served a second
@@ -68,6 +77,7 @@
   public record Situation(
       int waiting,
       int ahead,
+      int expectedAhead,
       boolean overShare,
       boolean excess,
       double perSecond,
@@ -109,12 +119,20 @@
     if (situation.waiting() >= situation.maxWaiting()) {
       return situation.refusal();
     }
-    double wait = situation.waitNanos(situation.ahead());
-    if (wait > situation.spareNanos()) {
+    if (situation.waitNanos(situation.ahead()) > situation.spareNanos()) {
       return situation.refusal();
     }
-    boolean tooLong = overloaded && wait > situation.targetDelayNanos() * situation.patience();
-    return tooLong && situation.ahead() >= MIN_PLACES ? situation.refusal() : Verdict.WAIT;
+    return overloaded && isTooLong(situation) ? situation.refusal() : Verdict.WAIT;
+  }
+
+  private static boolean isTooLong(Situation situation) {
+    if (situation.waiting() < MIN_PLACES || situation.expectedAhead() < MIN_PLACES) {
+      return false;
+    }
+    double wait = situation.waitNanos(situation.ahead());
+    double expected = situation.waitNanos(situation.expectedAhead());
+    return wait > situation.targetDelayNanos() * situation.patience()
+        || expected > situation.targetDelayNanos() * PASSED_PATIENCE;
   }
 
   private void observe(Situation situation, long now) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/FairQueue.java
@@ -37,6 +37,9 @@
   /** How many requests a flow may be ahead of its turn without having to wait for it. */
   private static final int AHEAD = 4;
 
+  /** Over how many served requests the pace of turns is taken: 0.4 s of one entry of nine. */
+  private static final int PACE_REQUESTS = 200;
+
   /** How many times an even part of the queue one flow may hold before it is called hot. */
   private static final int OVER_SHARE_FACTOR = 2;
 
@@ -48,6 +51,9 @@
   private final TurnCounts turns = new TurnCounts();
   private long virtualTime;
   private long sequence;
+  private int served;
+  private long virtualTimeBefore;
+  private double turnsPerRequest = 1;
 
   /** A place in the queue; hand it back to {@link #restore} or {@link #remove}. */
   public static final class Ticket<T> {
@@ -132,6 +138,7 @@
   /** Puts a request that was taken but not served back at its old place. */
   public void restore(Ticket<T> ticket) {
     checkArgument(!waiting.contains(ticket), "the ticket already waits");
+    served--;
     insert(ticket);
   }
 
@@ -153,9 +160,19 @@
     }
     virtualTime = Math.max(virtualTime, ticket.start);
     forget(ticket);
+    notePace();
     return Optional.of(ticket);
   }
 
+  private void notePace() {
+    served++;
+    if (served >= PACE_REQUESTS) {
+      turnsPerRequest = Math.max(1, virtualTime - virtualTimeBefore) / (double) served;
+      served = 0;
+      virtualTimeBefore = virtualTime;
+    }
+  }
+
   /** Removes a request that waits; returns whether it did. */
   public boolean remove(Ticket<T> ticket) {
     boolean waited = waiting.remove(ticket);
@@ -198,20 +215,29 @@
 
   /** Returns how many requests are served before one that the given caller would add now. */
   public int aheadOf(String caller, String key) {
+    return turns.upTo(TurnCounts.placeOf(nextTurn(caller, key), virtualTime), virtualTime);
+  }
+
+  /**
+   * Returns how many requests are likely served before one that the given caller would add now,
+   * those included that come later and pass it, if turns go on at the pace of late.
+   */
+  public int expectedAheadOf(String caller, String key) {
+    double lead = (nextTurn(caller, key) - virtualTime) / turnsPerRequest;
+    return Math.max(aheadOf(caller, key), (int) Math.min(Integer.MAX_VALUE, lead));
+  }
+
+  private long nextTurn(String caller, String key) {
     long start = startOf(callerClocks, caller);
     if (!key.isEmpty()) {
       start = Math.max(start, startOf(keyClocks, key));
     }
-    return turns.upTo(TurnCounts.placeOf(turnOf(start), virtualTime), virtualTime);
+    return turnOf(start);
   }
 
   /** Returns whether a request that the given caller would add now is beyond its turn. */
   public boolean isExcess(String caller, String key) {
-    long start = startOf(callerClocks, caller);
-    if (!key.isEmpty()) {
-      start = Math.max(start, startOf(keyClocks, key));
-    }
-    return turnOf(start) > virtualTime;
+    return nextTurn(caller, key) > virtualTime;
   }
 
   /** Returns whether the given caller or key has more waiting than an even part of the queue. */
--- a/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceScheduler.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/dispatch/ServiceScheduler.java
@@ -102,6 +102,7 @@
     return new AdmissionPolicy.Situation(
         queue.size(),
         queue.aheadOf(arrival.caller(), arrival.key()),
+        queue.expectedAheadOf(arrival.caller(), arrival.key()),
         queue.isOverShare(arrival.caller(), arrival.key()),
         queue.isExcess(arrival.caller(), arrival.key()),
         drainRate.perSecond(router.inFlight()),
--- a/marigoldsail-core/src/test/java/io/marigoldsail/admission/AdmissionPolicyTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/admission/AdmissionPolicyTest.java
@@ -16,7 +16,8 @@
   private final AdmissionPolicy policy = new AdmissionPolicy();
 
   private static Situation ahead(int requests) {
-    return new Situation(requests, requests, false, true, 1_000, TARGET_DELAY, 10_000, SPARE);
+    return new Situation(
+        requests, requests, requests, false, true, 1_000, TARGET_DELAY, 10_000, SPARE);
   }
 
   // A market opens and ten times the usual motorists ask within half a second. All of them can be
@@ -53,20 +54,31 @@
   @Test
   void isMorePatientWithACallerWithinItsTurn() {
     overload();
-    Situation quiet = new Situation(30, 30, false, false, 1_000, TARGET_DELAY, 10_000, SPARE);
+    Situation quiet = new Situation(30, 30, 30, false, false, 1_000, TARGET_DELAY, 10_000, SPARE);
     assertEquals(Verdict.FULL, policy.decide(ahead(30), 1_100 * MILLI));
     assertEquals(Verdict.WAIT, policy.decide(quiet, 1_100 * MILLI));
   }
 
+  // Overload lasts; a request has had its caller's turn and ten wait before it. Everybody who comes
+  // later with an earlier turn passes it: it was let in for a target delay of 20 ms and waited 87
+  // ms.
+  @Test
+  void countsThoseWhoWillPassOnceOverloadLasts() {
+    Situation passed = new Situation(30, 10, 100, false, true, 1_000, TARGET_DELAY, 10_000, SPARE);
+    assertEquals(Verdict.WAIT, policy.decide(passed, 0));
+    overload();
+    assertEquals(Verdict.FULL, policy.decide(passed, 1_100 * MILLI));
+  }
+
   @Test
   void namesTheHotCallerAsTheCause() {
-    Situation hot = new Situation(950, 950, true, true, 1_000, TARGET_DELAY, 10_000, SPARE);
+    Situation hot = new Situation(950, 950, 950, true, true, 1_000, TARGET_DELAY, 10_000, SPARE);
     assertEquals(Verdict.OVER_SHARE, policy.decide(hot, 0));
   }
 
   @Test
   void neverHoldsMoreThanTheLimit() {
-    Situation full = new Situation(10_000, 0, false, false, 1e6, TARGET_DELAY, 10_000, SPARE);
+    Situation full = new Situation(10_000, 0, 0, false, false, 1e6, TARGET_DELAY, 10_000, SPARE);
     assertEquals(Verdict.FULL, policy.decide(full, 0));
   }
 
--- a/marigoldsail-core/src/test/java/io/marigoldsail/admission/FairQueueTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/admission/FairQueueTest.java
@@ -118,4 +118,24 @@
     }
     return items;
   }
+
+  // Ten quiet callers ask in turn, a hot one has eight requests waiting. Its ninth has 18 before
+  // it,
+  // but at each of its turns the ten pass it again: 40 are served first, not 18.
+  @Test
+  void expectsThoseWhoComeLaterAndPass() {
+    FairQueue<Integer> queue = new FairQueue<>();
+    int callers = 10;
+    for (int i = 0; i < 61 * callers; i++) {
+      queue.add(i, "quiet-" + i % callers, "");
+      if (i >= callers) {
+        queue.poll();
+      }
+    }
+    for (int i = 0; i < 8; i++) {
+      queue.add(i, "hot", "");
+    }
+    assertEquals(18, queue.aheadOf("hot", ""));
+    assertEquals(40, queue.expectedAheadOf("hot", ""));
+  }
 }
