--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideDispatcherTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideDispatcherTest.java
@@ -203,6 +203,43 @@
     assertEquals(1, target.started());
   }
 
+  /**
+   * Each answer was kept for 60 s although its entry had read it; at 16,000 a second collecting
+   * them held up one request in a hundred for 85 ms. What the entry has read is let go, what it has
+   * not read is kept, and neither can run again.
+   */
+  @Test
+  void onlyAnswersThatTheEntryHasNotReadAreKept() throws Exception {
+    for (int i = 1; i <= 2; i++) {
+      entry.send(frame(request(i)));
+      target.next().answer("charged");
+      assertTrue(entry.next().hasAnswerStart());
+    }
+    entry.answerRead();
+    entry.send(Frame.newBuilder().setPing(Ping.newBuilder().setNonce(testLoop.now())).build());
+    assertTrue(entry.next().hasPong());
+    entry.close();
+
+    FakePeer fresh = dial();
+    fresh.send(resolve(1, INCARNATION));
+    assertEquals(Resolution.State.FORGOTTEN, fresh.next().getResolution().getState());
+    fresh.send(resolve(2, INCARNATION));
+    assertEquals("charged", fresh.next().getAnswerStart().getData().toStringUtf8());
+    fresh.send(frame(request(1)));
+    assertEquals("outcome-unknown", fresh.next().getFailed().getErrorKind());
+    assertEquals(2, target.started());
+  }
+
+  /** An entry that claims answers it was never sent would have others' answers dropped unread. */
+  @Test
+  void claimOfMoreAnswersThanWereSentEndsItsConnection() throws Exception {
+    entry.answerRead();
+    entry.send(frame(request(1)));
+
+    entry.awaitEnd();
+    assertEquals(0, target.started());
+  }
+
   /**
    * The VM freezes for ten seconds with a booking unread in its socket, whose caller waits five.
    * Counting the five from when it is read, the woken process runs a booking that its caller was
@@ -321,6 +358,51 @@
     drained.orTimeout(30, TimeUnit.SECONDS).join();
   }
 
+  /**
+   * A side process stops while it is idle. A charge that its entry sent a moment before it heard of
+   * that is still on its way; the process exits, and the caller is told that the outcome is unknown
+   * though a planned stop cuts off nobody.
+   */
+  @Test
+  void plannedStopWaitsForWhatIsStillOnItsWay() throws Exception {
+    entry.holdGoAwayAck();
+    CompletableFuture<Void> drained = side.dispatcher().beginStop();
+    entry.send(frame(request(1)));
+    assertTrue(entry.next().hasGoAway());
+    assertEquals("shutting-down", entry.next().getNotRun().getErrorKind());
+    assertFalse(drained.isDone(), "more may come before the acknowledgement");
+    entry.send(EntryFrames.goAwayAck());
+    assertTrue(entry.next().hasGoAway());
+    assertFalse(drained.isDone(), "the refusal may not have arrived");
+    entry.send(EntryFrames.goAwayAck());
+
+    drained.orTimeout(30, TimeUnit.SECONDS).join();
+    assertEquals(0, target.started());
+  }
+
+  /**
+   * The last charge ends during a stop and its answer is handed to the operating system, which has
+   * not delivered it when the process exits with a ping unread: the kernel resets the connection
+   * and throws the answer away, and a caller who was charged is told that the outcome is unknown.
+   */
+  @Test
+  void plannedStopWaitsUntilItsLastAnswerHasArrived() throws Exception {
+    entry.holdGoAwayAck();
+    entry.send(frame(request(1)));
+    FakeTarget.Run run = target.next();
+    CompletableFuture<Void> drained = side.dispatcher().beginStop();
+    assertTrue(entry.next().hasGoAway());
+    entry.send(EntryFrames.goAwayAck());
+    run.answer("charged");
+    assertTrue(entry.next().hasAnswerStart());
+
+    assertTrue(entry.next().hasGoAway(), "asked behind the answer");
+    assertFalse(drained.isDone());
+    entry.send(EntryFrames.goAwayAck());
+
+    drained.orTimeout(30, TimeUnit.SECONDS).join();
+  }
+
   @Test
   void leavingTargetGetsNothingNew() throws Exception {
     target.health(TargetHealth.LEAVING);
