Let a restored task table remember the same boots as a live one

Dropping a registration now falls back to the older one that is still held, as restoring does, and a boot is displaced once.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/Bookings.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/Bookings.java
@@ -67,7 +67,14 @@
       return;
     }
     vms.remove(registration);
-    currentByVm.remove(vm.vm(), registration);
+    if (currentByVm.remove(vm.vm(), registration)) {
+      // An older one may wait for its leases yet; a restored table takes that for the last one.
+      for (VmState older : vms.values()) {
+        if (older.vm().equals(vm.vm())) {
+          currentByVm.put(older.vm(), older.registration());
+        }
+      }
+    }
   }
 
   void claim(VmState vm, JobSpec spec, String task, Sizes sizes) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/DisplacedBoots.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/DisplacedBoots.java
@@ -32,6 +32,9 @@
   }
 
   void add(String vm, long boot) {
+    if (contains(vm, boot)) {
+      return;
+    }
     ArrayDeque<Long> ofVm = boots.computeIfAbsent(vm, unused -> new ArrayDeque<>());
     ofVm.addLast(boot);
     if (ofVm.size() > MAX_BOOTS) {
--- a/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskTableTest.java
@@ -205,6 +205,29 @@
     }
   }
 
+  /**
+   * A VM is replaced twice while tasks of its first boot wait for their leases. An entry started
+   * from a snapshot had the first boot among the displaced twice, the others once: dropping the
+   * last registration forgot the older one that a restored table still knew. Such doubles push
+   * boots out of the bounded list early, and an old boot could displace a new one there.
+   */
+  @Test
+  void aRestoredTableDisplacesTheSameBoots() {
+    long first = join("vm-1", 1);
+    accept(1, true);
+    claim(0, 1, "vm-1", first);
+    long second = join("vm-1", 2);
+    apply(new TaskRecord.VmRevoked("vm-1", second, "silent"));
+    TaskTable restored = new TaskTable();
+    restored.restore(table.snapshot());
+    long third = join("vm-1", 3);
+    restored.apply(
+        third, new TaskRecord.VmJoined(new VmDescription("vm-1", 3, ROOM, "zone", "rack")));
+
+    assertEquals(table.snapshot(), restored.snapshot());
+    assertEquals(List.of(1L), table.snapshot().displaced().get("vm-1"));
+  }
+
   @Test
   void aSnapshotThatContradictsItselfChangesNothing() {
     accept(1, true);
