Evict batch work for urgent tasks when the fleet is full

Ruled out: a larger reserve (stands empty, and one more loss breaks it); stopping victims before the log has decided (two entries evict twice, other batch takes the room).

An entry writes who should go (Preemptor, pure: least lost work by the site's weights, deadlines, lowest class, the VM's eviction budget); the fold accepts one such record for a task and keeps the room for it; any entry has the victims checkpointed, stopped and released; the claim is the usual one.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/guard/EvictionBudget.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/EvictionBudget.java
@@ -23,14 +23,23 @@
 
   /** Takes one eviction out of the budget, and returns whether there was one. */
   boolean take(GuardTerms terms, long nowNanos) {
+    boolean any = left(terms, nowNanos);
+    left -= any ? 1 : 0;
+    return any;
+  }
+
+  /** Returns whether there is at least one eviction left. */
+  boolean left(GuardTerms terms, long nowNanos) {
     double refill = (nowNanos - filledNanos) / NANOS_PER_HOUR * terms.evictionsPerHour();
     left = Math.min(most(terms), left + refill);
     filledNanos = nowNanos;
-    if (left < 1) {
-      return false;
-    }
-    left--;
-    return true;
+    return left >= 1;
+  }
+
+  /** Counts an eviction that somebody else decided; what that overdraws has to refill first. */
+  void spend(GuardTerms terms, long nowNanos) {
+    boolean unused = left(terms, nowNanos);
+    left = Math.max(-most(terms), left - 1);
   }
 
   private static double most(GuardTerms terms) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/Guard.java
@@ -142,6 +142,11 @@
     return letLoose(terms, nowNanos);
   }
 
+  /** Counts an eviction for urgent work, which an entry decided, against this VM's budget. */
+  public void evictedForUrgent(GuardTerms terms, long nowNanos) {
+    budget.spend(terms, nowNanos);
+  }
+
   private static double pressure(Optional<ServiceReading> reading, long nowNanos) {
     boolean fresh = reading.isPresent() && nowNanos - reading.get().measuredNanos() < STALE_NANOS;
     return fresh ? reading.get().pressure() : 0;
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/guard/PreemptableTask.java
@@ -0,0 +1,39 @@
+package io.marigoldsail.guard;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.job.TaskClass;
+
+/**
+ * A running attempt that might go for an urgent task.
+ *
+ * <p>Immutable. Rejects nulls.
+ *
+ * @param task its task
+ * @param token its fencing token
+ * @param taskClass its class
+ * @param urgent whether it is urgent itself
+ * @param evictable whether evicting it loses at most work, not its outcome
+ * @param booked what it leaves
+ * @param unsavedMillis how long it has run since its last checkpoint, or its start
+ * @param finishByMillis when it should be done, in milliseconds since the Unix epoch; 0 for none
+ * @param evictions how often its task was evicted before
+ */
+public record PreemptableTask(
+    String task,
+    long token,
+    TaskClass taskClass,
+    boolean urgent,
+    boolean evictable,
+    Sizes booked,
+    long unsavedMillis,
+    long finishByMillis,
+    int evictions) {
+  /** Checks the components. */
+  public PreemptableTask {
+    requireNonNull(task, "task");
+    requireNonNull(taskClass, "taskClass");
+    requireNonNull(booked, "booked");
+  }
+}
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/JobSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/JobSpec.java
@@ -61,6 +61,11 @@
     requireNonNull(spread, "spread");
   }
 
+  /** Returns whether its tasks may go for urgent work: batch that is not urgent itself. */
+  public boolean preemptable() {
+    return taskClass == TaskClass.BATCH && !urgent;
+  }
+
   /** Returns what its tasks run; see {@link Programs}. */
   public String program() {
     return Programs.of(team, command);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskRecord.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskRecord.java
@@ -72,6 +72,38 @@
     }
   }
 
+  /**
+   * An entry wants attempts on a VM to go for a waiting urgent task; the first acceptable one wins.
+   *
+   * @param task the urgent task
+   * @param attempt the attempt that it waits for
+   * @param vm the VM
+   * @param registration that VM's registration
+   * @param sizes what the urgent task takes up
+   * @param victims the attempts that go
+   * @param replaces the position of the task's preemption that this one is put in place of, or 0
+   * @param entry the entry
+   */
+  record Preempted(
+      String task,
+      int attempt,
+      String vm,
+      long registration,
+      Sizes sizes,
+      List<Preemption.Victim> victims,
+      long replaces,
+      String entry)
+      implements TaskRecord {
+    /** Checks and copies the components. */
+    public Preempted {
+      requireNonNull(task, "task");
+      requireNonNull(vm, "vm");
+      requireNonNull(sizes, "sizes");
+      victims = List.copyOf(victims);
+      requireNonNull(entry, "entry");
+    }
+  }
+
   /** A running attempt has written a checkpoint. */
   record Checkpointed(String task, long token, String checkpoint) implements TaskRecord {
     /** Checks the components. */
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskRecordCodec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskRecordCodec.java
@@ -26,6 +26,7 @@
           .put("vm-revoked", TaskRecord.VmRevoked.class)
           .put("vm-cleared", TaskRecord.VmCleared.class)
           .put("claimed", TaskRecord.Claimed.class)
+          .put("preempted", TaskRecord.Preempted.class)
           .put("checkpointed", TaskRecord.Checkpointed.class)
           .put("released", TaskRecord.Released.class)
           .put("ended", TaskRecord.Ended.class)
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 
 /**
  * What stands in the log about jobs, tasks, VMs and entries: the one state machine that every entry
@@ -50,7 +51,9 @@
   private final Bookings bookings = new Bookings();
   private final Map<String, EntryState> entries = new TreeMap<>();
   private final List<EndListener> endListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<String>> evictionListeners = new CopyOnWriteArrayList<>();
   private final DisplacedBoots displaced = new DisplacedBoots();
+  private final Preemptions preemptions = new Preemptions();
   private int endedTasks;
   private long applied = -1;
 
@@ -85,6 +88,9 @@
     if (record instanceof TaskRecord.Claimed claimed) {
       return claim(position, claimed);
     }
+    if (record instanceof TaskRecord.Preempted preempted) {
+      return preempt(position, preempted);
+    }
     if (record instanceof TaskRecord.Checkpointed checkpointed) {
       return checkpoint(checkpointed);
     }
@@ -176,6 +182,16 @@
     endListeners.add(requireNonNull(listener, "listener"));
   }
 
+  /** Adds a listener that is told the VM of every eviction from now on; must return at once. */
+  public void addEvictionListener(Consumer<String> listener) {
+    evictionListeners.add(requireNonNull(listener, "listener"));
+  }
+
+  /** Returns the preemptions under way, by the urgent task's name. */
+  public synchronized List<Preemption> preemptions() {
+    return preemptions.all();
+  }
+
   /** Returns the entries that wrote heartbeats, by name. */
   public synchronized Collection<EntryState> entries() {
     return List.copyOf(entries.values());
@@ -187,7 +203,12 @@
     jobs.values().forEach(job -> kept.add(TaskTableSnapshot.Job.of(job)));
     endedJobs.values().forEach(job -> kept.add(TaskTableSnapshot.Job.of(job)));
     return new TaskTableSnapshot(
-        applied, kept, bookings.vms(), List.copyOf(entries.values()), displaced.byVm());
+        applied,
+        kept,
+        bookings.vms(),
+        List.copyOf(entries.values()),
+        displaced.byVm(),
+        preemptions.all());
   }
 
   /**
@@ -204,6 +225,7 @@
     bookings.clear();
     entries.clear();
     displaced.replace(snapshot.displaced());
+    preemptions.replace(snapshot.preemptions());
     endedTasks = 0;
     applied = snapshot.applied();
     snapshot.vms().forEach(bookings::add);
@@ -259,6 +281,7 @@
     job.cancel(cancelled.reason());
     int index = job.nextWaiting(0);
     while (index >= 0) {
+      preemptions.end(job.task(index).name());
       job.put(job.task(index).ended(Phase.CANCELLED, job.cancelReason()));
       index = job.nextWaiting(index + 1);
     }
@@ -286,11 +309,12 @@
   }
 
   private boolean revoke(String name, long registration) {
-    VmState vm = bookings.find(registration);
-    if (vm == null || vm.revoked() || !vm.vm().equals(name)) {
+    VmState vm = open(name, registration);
+    if (vm == null) {
       return false;
     }
     bookings.revoke(vm);
+    preemptions.endOn(registration);
     return true;
   }
 
@@ -309,25 +333,57 @@
   }
 
   private boolean claim(long position, TaskRecord.Claimed claim) {
-    MutableJob job = jobs.get(TaskState.jobOf(claim.task()));
-    TaskState task = job == null ? null : job.find(claim.task());
-    if (task == null || task.phase() != Phase.WAITING || task.attempt() != claim.attempt()) {
-      return false;
-    }
-    VmState vm = bookings.find(claim.registration());
-    if (vm == null || vm.revoked() || !vm.vm().equals(claim.vm())) {
+    TaskState task = waitingFor(claim.task(), claim.attempt());
+    VmState vm = open(claim.vm(), claim.registration());
+    if (task == null || vm == null) {
       return false;
     }
     // Entries choose on views that may be seconds old; only here do all of them see the same
-    // bookings, so only here can two claims be kept from filling the same room twice.
-    if (!claim.sizes().fitsIn(vm.free())) {
+    // bookings, so only here can two claims be kept from filling the same room twice. What victims
+    // of a preemption have left is kept for the urgent task they left for.
+    Sizes kept = preemptions.keptFrom(claim.task(), claim.registration());
+    if (!claim.sizes().fitsIn(vm.free().minus(kept))) {
       return false;
     }
+    MutableJob job = jobs.get(task.job());
+    preemptions.end(claim.task());
     bookings.claim(vm, job.spec(), claim.task(), claim.sizes());
     job.put(task.claimed(claim, position));
     return true;
   }
 
+  private boolean preempt(long position, TaskRecord.Preempted preempted) {
+    TaskState task = waitingFor(preempted.task(), preempted.attempt());
+    VmState vm = open(preempted.vm(), preempted.registration());
+    if (task == null || vm == null || !jobs.get(task.job()).spec().urgent()) {
+      return false;
+    }
+    Sizes room = vm.free();
+    for (Preemption.Victim victim : preempted.victims()) {
+      TaskState goes = held(victim.task(), victim.token());
+      boolean there = goes != null && goes.registration() == vm.registration();
+      if (!there || !jobs.get(goes.job()).spec().preemptable()) {
+        return false;
+      }
+      room = room.plus(goes.booked());
+    }
+    return preempted.sizes().fitsIn(room) && preemptions.accept(position, preempted);
+  }
+
+  /** Returns the task if it waits for just that attempt, else null. */
+  private TaskState waitingFor(String name, int attempt) {
+    MutableJob job = jobs.get(TaskState.jobOf(name));
+    TaskState task = job == null ? null : job.find(name);
+    boolean waits = task != null && task.phase() == Phase.WAITING && task.attempt() == attempt;
+    return waits ? task : null;
+  }
+
+  /** Returns the registration if it may be given tasks, else null. */
+  private VmState open(String name, long registration) {
+    VmState vm = bookings.find(registration);
+    return vm == null || vm.revoked() || !vm.vm().equals(name) ? null : vm;
+  }
+
   private boolean checkpoint(TaskRecord.Checkpointed checkpointed) {
     TaskState task = held(checkpointed.task(), checkpointed.token());
     if (task == null) {
@@ -344,6 +400,9 @@
     if (task == null) {
       return false;
     }
+    if (released.cause() == ReleaseCause.EVICTED) {
+      evictionListeners.forEach(listener -> listener.accept(task.vm()));
+    }
     leave(task.withCheckpoint(released.checkpoint()), released.cause(), released.detail());
     return true;
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTableSnapshot.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTableSnapshot.java
@@ -4,6 +4,8 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableMap;
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.error.Result;
@@ -20,13 +22,17 @@
  * @param vms every registration
  * @param entries the entries
  * @param displaced boots that a later boot of the same VM has displaced, oldest first
+ * @param preemptions the preemptions under way; snapshots of earlier versions have none
  */
 public record TaskTableSnapshot(
     long applied,
     List<Job> jobs,
     List<VmState> vms,
     List<EntryState> entries,
-    Map<String, List<Long>> displaced) {
+    Map<String, List<Long>> displaced,
+    List<Preemption> preemptions) {
+  private static final String PREEMPTIONS = "preemptions";
+
   /**
    * One job with what became of its tasks.
    *
@@ -70,6 +76,7 @@
     vms = List.copyOf(vms);
     entries = List.copyOf(entries);
     displaced = ImmutableMap.copyOf(displaced);
+    preemptions = List.copyOf(preemptions);
   }
 
   /** Returns this as JSON. */
@@ -80,10 +87,22 @@
   /** Returns the snapshot that the JSON stands for. */
   public static Result<TaskTableSnapshot> fromJson(JsonNode json) {
     try {
-      return Result.ok(TaskRecordCodec.mapper().treeToValue(json, TaskTableSnapshot.class));
+      return Result.ok(
+          TaskRecordCodec.mapper().treeToValue(complete(json), TaskTableSnapshot.class));
     } catch (JsonProcessingException | IllegalArgumentException e) {
       return Result.failed(
           ErrorKind.INVALID_CONTENT, "snapshot of tasks is broken: " + e.getMessage());
     }
   }
+
+  /** Adds what an earlier version did not write yet. */
+  private static JsonNode complete(JsonNode json) {
+    if (!(json instanceof ObjectNode fields) || fields.has(PREEMPTIONS)) {
+      return json;
+    }
+    ObjectNode completed = JsonNodeFactory.instance.objectNode();
+    completed.setAll(fields);
+    completed.putArray(PREEMPTIONS);
+    return completed;
+  }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/Fleet.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/Fleet.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.placement;
 
+import io.marigoldsail.job.Preemption;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.job.VmState;
 import java.util.ArrayList;
@@ -48,6 +49,16 @@
     }
   }
 
+  /** Keeps the room of preemptions under way for the tasks that they are for. */
+  public void keep(List<Preemption> preemptions) {
+    for (Preemption preemption : preemptions) {
+      VmRoom room = byRegistration.get(preemption.registration());
+      if (room != null) {
+        room.keep(preemption.task(), preemption.sizes());
+      }
+    }
+  }
+
   /** Returns the VMs that may be given tasks, oldest registration first. */
   public List<VmRoom> rooms() {
     return rooms;
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/Placer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/Placer.java
@@ -56,7 +56,7 @@
     boolean elsewhere = fitsWhereItDidNotFail(request, fleet);
     for (VmRoom room : fleet.rooms()) {
       boolean avoided = elsewhere && failedOn(request, room);
-      if (avoided || !request.sizes().fitsIn(room.free())) {
+      if (avoided || !request.sizes().fitsIn(room.freeFor(request.task().name()))) {
         continue;
       }
       if (!request.spec().urgent() && !mayTake(request, room, fleet)) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/placement/VmRoom.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/placement/VmRoom.java
@@ -12,6 +12,8 @@
   private final Function<Long, Map<String, Integer>> programsOn;
   private Map<String, Integer> programs;
   private Sizes free;
+  private Sizes kept = Sizes.NONE;
+  private String keptFor = "";
 
   VmRoom(VmState state, Function<Long, Map<String, Integer>> programsOn) {
     this.state = state;
@@ -29,9 +31,24 @@
     return state.vm();
   }
 
-  /** Returns the room left after what is about to be claimed. */
+  /** Returns the room left after what is about to be claimed or is kept for one urgent task. */
   public Sizes free() {
-    return free;
+    return free.minus(kept);
+  }
+
+  /** Returns the room that the task may take: what is kept for it included. */
+  public Sizes freeFor(String task) {
+    return keptFor.equals(task) ? free : free();
+  }
+
+  /** Returns whether room is being freed here for an urgent task. */
+  public boolean preempting() {
+    return !keptFor.isEmpty();
+  }
+
+  void keep(String task, Sizes sizes) {
+    keptFor = task;
+    kept = sizes;
   }
 
   /** Returns how many tasks of each program are claimed there. */
--- a/marigoldsail-core/src/main/java/io/marigoldsail/timeline/EventKind.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/timeline/EventKind.java
@@ -33,6 +33,8 @@
   TASK_WAITING,
   /** A VM was chosen for a task; the detail says why. */
   TASK_PLACED,
+  /** Room on a VM is being freed for an urgent task; the detail says who goes. */
+  TASK_PREEMPTING,
   /** A claim was accepted in the log. */
   TASK_CLAIMED,
   /** A claim lost a race in the log. */
--- a/marigoldsail-core/src/test/java/io/marigoldsail/job/StaleEntriesModel.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/job/StaleEntriesModel.java
@@ -49,7 +49,7 @@
 
   /** Takes the step that the number stands for. */
   void act(int choice) {
-    switch (choice % 12) {
+    switch (choice % 13) {
       case 0, 1, 2 -> claim(random.nextInt(ENTRIES));
       case 3, 4 -> follow(random.nextInt(ENTRIES), 1 + random.nextInt(6));
       case 5, 6 -> start(random.nextInt(ENTRIES));
@@ -57,6 +57,7 @@
       case 8 -> end();
       case 9 -> sendLate();
       case 10 -> repeatARecord();
+      case 11 -> preempt(random.nextInt(ENTRIES));
       default -> rarely();
     }
     check();
@@ -110,7 +111,7 @@
             new Sizes(1_500, 1_000, 0),
             "run",
             1_000,
-            false,
+            jobs % 3 == 0,
             0,
             true,
             100,
@@ -154,6 +155,34 @@
     }
   }
 
+  /** An entry wants a task to go for an urgent one, by its own view; it may be the wrong one. */
+  private void preempt(int entry) {
+    for (JobState job : views[entry].jobs()) {
+      for (TaskState task : views[entry].waiting(job.spec().name(), 0, 2)) {
+        List<VmState> vms = views[entry].vms();
+        VmState vm = vms.get(random.nextInt(vms.size()));
+        List<Preemption.Victim> victims =
+            views[entry].tasksOn(vm.registration()).stream()
+                .limit(2)
+                .map(going -> new Preemption.Victim(going.name(), going.token()))
+                .toList();
+        if (random.nextBoolean()) {
+          append(
+              new TaskRecord.Preempted(
+                  task.name(),
+                  task.attempt(),
+                  vm.vm(),
+                  vm.registration(),
+                  job.spec().sizes(),
+                  victims,
+                  0,
+                  "entry-" + entry));
+          return;
+        }
+      }
+    }
+  }
+
   /** A side process is told to start what an entry has read back as accepted. */
   private void start(int entry) {
     for (VmState vm : views[entry].vms()) {
@@ -290,6 +319,7 @@
       assertEquals(held, vm.booked(), vm::toString);
       assertTrue(held.fitsIn(vm.description().capacity()), vm::toString);
     }
+    truth.preemptions().forEach(this::checkKept);
     Map<Long, Sizes> run = new HashMap<>();
     running.forEach(
         (name, attempt) ->
@@ -299,4 +329,21 @@
       assertTrue(used.fitsIn(vm.description().capacity()), () -> vm + " runs " + used);
     }
   }
+
+  /** What is free and what victims still hold is always enough for the urgent task. */
+  private void checkKept(Preemption preemption) {
+    TaskState urgent = truth.task(preemption.task()).orElseThrow();
+    assertEquals(TaskState.Phase.WAITING, urgent.phase(), preemption::toString);
+    Sizes room =
+        truth.vms().stream()
+            .filter(vm -> vm.registration() == preemption.registration() && !vm.revoked())
+            .findFirst()
+            .orElseThrow()
+            .free();
+    for (Preemption.Victim victim : preemption.victims()) {
+      TaskState going = truth.task(victim.task()).orElse(urgent);
+      room = going.holds(victim.token()) ? room.plus(going.booked()) : room;
+    }
+    assertTrue(preemption.sizes().fitsIn(room), preemption::toString);
+  }
 }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskFoldTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskFoldTest.java
@@ -36,6 +36,7 @@
           new TaskRecord.Checkpointed("job/0", 131_072, "c1"),
           new TaskRecord.Released("job/0", 131_072, ReleaseCause.EVICTED, "c2", "noisy"),
           new TaskRecord.Ended("job/0", 131_072, true, "c2", ""),
+          new TaskRecord.Preempted("job/1", 1, "vm-1", 65_536, SIZES, List.of(), 0, "entry-1"),
           new TaskRecord.VmRevoked("vm-1", 65_536, "silent"),
           new TaskRecord.VmCleared("vm-1", 65_536, 1_000),
           new TaskRecord.JobCancelled("job", "why"),
@@ -87,6 +88,21 @@
     assertEquals(before, fold.snapshot());
   }
 
+  /**
+   * An entry is upgraded and reads a snapshot from before preemptions were known. Refusing it would
+   * leave the entry without tasks until the old records are read, which may have expired.
+   */
+  @Test
+  void aSnapshotFromBeforePreemptionsIsTakenIn() {
+    fold.apply(entry(0, ONE_OF_EACH.get(0)));
+    ObjectNode older = (ObjectNode) fold.snapshot();
+    older.remove("preemptions");
+    TaskFold copy = new TaskFold(new TaskTable());
+    copy.restore(older);
+
+    assertEquals(fold.snapshot(), copy.snapshot());
+  }
+
   @Test
   void aSnapshotOfNothingIsRefused() {
     ObjectNode empty = JsonNodeFactory.instance.objectNode();
--- a/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskTableTest.java
@@ -55,6 +55,43 @@
             "payout/" + index, attempt, vm, registration, HALF, 1_000, "entry-1"));
   }
 
+  private void acceptUrgent(int count) {
+    apply(
+        new TaskRecord.JobAccepted(
+            new JobSpec(
+                "now",
+                "team",
+                TaskClass.BATCH,
+                count,
+                HALF,
+                "run",
+                1,
+                true,
+                0,
+                true,
+                0,
+                Spread.NONE),
+            0));
+  }
+
+  private long preempt(String task, long registration, int victim, long token, long replaces) {
+    return apply(
+        new TaskRecord.Preempted(
+            task,
+            1,
+            "vm-1",
+            registration,
+            HALF,
+            List.of(new Preemption.Victim("payout/" + victim, token)),
+            replaces,
+            "entry-1"));
+  }
+
+  private boolean claimUrgent(String task, long registration) {
+    return table.apply(
+        ++position, new TaskRecord.Claimed(task, 1, "vm-1", registration, HALF, 1_000, "entry-1"));
+  }
+
   private TaskState task(int index) {
     return table.task("payout/" + index).orElseThrow();
   }
@@ -90,6 +127,79 @@
     assertEquals(ROOM, table.vm("vm-1").orElseThrow().booked());
   }
 
+  /**
+   * Two entries see the same urgent task wait and each choose another victim. Were both folded in,
+   * two tasks would lose work for one; the first in the log has its way.
+   */
+  @Test
+  void onlyOnePreemptionForAnUrgentTaskIsAccepted() {
+    long vm = join("vm-1", 1);
+    accept(2, true);
+    long first = claim(0, 1, "vm-1", vm);
+    long second = claim(1, 1, "vm-1", vm);
+    acceptUrgent(2);
+    long accepted = preempt("now/0", vm, 0, first, 0);
+    preempt("now/0", vm, 1, second, 0);
+    preempt("now/1", vm, 1, second, 0);
+    assertEquals(List.of(accepted), positions());
+
+    long inItsPlace = preempt("now/0", vm, 1, second, accepted);
+    preempt("now/0", vm, 0, first, accepted);
+    assertEquals(List.of(inItsPlace), positions());
+  }
+
+  private List<Long> positions() {
+    return table.preemptions().stream().map(Preemption::position).toList();
+  }
+
+  /**
+   * A victim has left for an urgent task, and another entry's claim for batch work, made on a stale
+   * view, comes first. It would take the room that work was lost for; it loses.
+   */
+  @Test
+  void freedRoomIsKeptForTheUrgentTask() {
+    long vm = join("vm-1", 1);
+    accept(3, true);
+    long first = claim(0, 1, "vm-1", vm);
+    claim(1, 1, "vm-1", vm);
+    acceptUrgent(2);
+    preempt("now/0", vm, 0, first, 0);
+    apply(new TaskRecord.Released("payout/0", first, ReleaseCause.EVICTED, "c1", "urgent"));
+    claim(2, 1, "vm-1", vm);
+    claim(0, 2, "vm-1", vm);
+
+    assertEquals(TaskState.Phase.WAITING, task(2).phase());
+    assertEquals(TaskState.Phase.WAITING, task(0).phase());
+    assertFalse(claimUrgent("now/1", vm));
+    assertTrue(claimUrgent("now/0", vm));
+    assertEquals(List.of(), positions());
+  }
+
+  /**
+   * The urgent task is cancelled, or its VM revoked, while victims leave. The room must not stay
+   * kept for ever.
+   */
+  @Test
+  void aPreemptionEndsWithItsTaskAndItsVm() {
+    long vm = join("vm-1", 1);
+    accept(1, true);
+    long first = claim(0, 1, "vm-1", vm);
+    acceptUrgent(1);
+    preempt("now/0", vm, 0, first, 0);
+    apply(new TaskRecord.VmRevoked("vm-1", vm, "silent"));
+    assertEquals(List.of(), positions());
+
+    long again = join("vm-1", 2);
+    long second = claim(0, 1, "vm-1", again);
+    assertFalse(task(0).holds(second));
+    preempt("now/0", again, 0, first, 0);
+    assertEquals(List.of(), positions());
+    apply(new TaskRecord.Preempted("now/0", 1, "vm-1", again, HALF, List.of(), 0, "entry-1"));
+    assertEquals(1, positions().size());
+    apply(new TaskRecord.JobCancelled("now", "wave"));
+    assertEquals(List.of(), positions());
+  }
+
   /**
    * An evicted task runs again elsewhere when its release is written a second time, late. Folding
    * the second one would free the task while it runs, and let a third attempt start beside it.
@@ -243,7 +353,8 @@
             List.of(new TaskTableSnapshot.Job(other, 1, 0, "", List.of(claimed))),
             List.of(),
             List.of(),
-            Map.of());
+            Map.of(),
+            List.of());
 
     assertThrows(IllegalArgumentException.class, () -> table.restore(broken));
     assertTrue(table.job("payout").isPresent());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ConfiguredPolicies.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ConfiguredPolicies.java
@@ -38,7 +38,7 @@
             configuration.leases().latencyCriticalMillis(),
             configuration.leases().batchMillis(),
             LeaseTerms.DEFAULT.silenceMillis());
-    return new TaskTerms(leases, quotas);
+    return new TaskTerms(leases, quotas, guard(configuration));
   }
 
   static GuardTerms guard(Configuration configuration) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
@@ -53,6 +53,7 @@
   private final StartLoop starts;
   private final Placer placer;
   private final PlacementKnowledge knowledge;
+  private final PreemptionLoop preemptions;
   private final Map<String, Pending> onTheirWay = new HashMap<>();
   private final Map<String, Progress> progress = new HashMap<>();
   private final Map<String, String> whyWaiting = new HashMap<>();
@@ -63,12 +64,14 @@
       VmWatch watch,
       StartLoop starts,
       Placer placer,
-      PlacementKnowledge knowledge) {
+      PlacementKnowledge knowledge,
+      PreemptionLoop preemptions) {
     this.context = context;
     this.watch = watch;
     this.starts = starts;
     this.placer = placer;
     this.knowledge = knowledge;
+    this.preemptions = preemptions;
     this.pausedUntil = context.nanos();
   }
 
@@ -82,6 +85,7 @@
       return;
     }
     Fleet fleet = new Fleet(context.table().vms(), this::usable, context.table()::programsOn);
+    fleet.keep(context.table().preemptions());
     onTheirWay.values().forEach(p -> fleet.take(p.vm().registration(), p.program(), p.sizes()));
     knowledge.reserveFor(jobs, fleet);
     placer.beginRound();
@@ -136,6 +140,9 @@
         placer.place(new PlacementRequest(spec, task, sizes, inGroup), fleet);
     if (decision instanceof PlacementDecision.NoRoom noRoom) {
       wait(spec, noRoom.why());
+      if (spec.urgent()) {
+        preemptions.noRoom(spec, task, sizes, fleet);
+      }
       return false;
     }
     PlacementDecision.Chosen chosen = (PlacementDecision.Chosen) decision;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/EntryTasks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/EntryTasks.java
@@ -36,6 +36,7 @@
   private final EntryContext context;
   private final VmWatch watch;
   private final StartLoop starts;
+  private final PreemptionLoop preemptions;
   private final ClaimLoop claims;
   private final PlacementKnowledge knowledge;
   private ScheduledFuture<?> ticking;
@@ -70,8 +71,10 @@
     this.watch = new VmWatch(context, this::onFirstVouch);
     this.knowledge = new PlacementKnowledge(context);
     this.starts = new StartLoop(context, watch, knowledge::noise);
+    this.preemptions = new PreemptionLoop(context, watch);
     this.claims =
-        new ClaimLoop(context, watch, starts, new Placer(knowledge.costs(), random), knowledge);
+        new ClaimLoop(
+            context, watch, starts, new Placer(knowledge.costs(), random), knowledge, preemptions);
   }
 
   /** Begins to work on the given scheduler. */
@@ -98,6 +101,7 @@
     watch.tick();
     knowledge.tick();
     starts.tick();
+    preemptions.tick();
     claims.tick();
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/GuardLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/GuardLoop.java
@@ -9,6 +9,7 @@
 import io.marigoldsail.guard.MemoryGuard;
 import io.marigoldsail.lease.UsageSample;
 import io.marigoldsail.lease.Worker;
+import io.marigoldsail.protocol.StopTask;
 import io.marigoldsail.protocol.TaskMessage;
 import io.marigoldsail.protocol.TaskUsage;
 import io.marigoldsail.protocol.UsageReport;
@@ -110,6 +111,20 @@
     }
   }
 
+  /**
+   * Evicts an attempt for urgent work, as an entry asks. One whose start the worker has not
+   * confirmed may have begun; it is asked for again and goes once that is known.
+   */
+  void onStopForUrgent(String peer, StopTask stop) {
+    SideTask task = attempts.find(stop.getToken());
+    if (task == null || task.phase() == SideTask.Phase.ENDED) {
+      attempts.onStop(peer, stop);
+    } else if (task.phase() == SideTask.Phase.RUNNING) {
+      guard.evictedForUrgent(service.terms(), clock.nanos());
+      evict(task, "to make room for urgent work");
+    }
+  }
+
   private List<GuardedTask> guarded() {
     List<GuardedTask> tasks = new ArrayList<>();
     for (SideTask task : attempts.tasks()) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideAttempts.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideAttempts.java
@@ -213,7 +213,7 @@
                 0,
                 SideTask.Phase.UNCERTAIN);
         tasks.put(task.token(), task);
-        refuse(task, "cancelled");
+        refuse(task, "stopped before its start");
       }
       return;
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTasks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTasks.java
@@ -5,6 +5,7 @@
 import io.marigoldsail.lease.Worker;
 import io.marigoldsail.lease.WorkerBoot;
 import io.marigoldsail.protocol.AskVouch;
+import io.marigoldsail.protocol.StopTask;
 import io.marigoldsail.protocol.TaskMessage;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.time.WallClock;
@@ -195,7 +196,7 @@
     switch (message.getKindCase()) {
       case VOUCH -> attempts.onVouch(message.getVouch());
       case START -> attempts.onStart(incoming.peer(), message.getStart());
-      case STOP -> attempts.onStop(incoming.peer(), message.getStop());
+      case STOP -> stop(incoming.peer(), message.getStop());
       case REPORT_ACK -> attempts.onAck(message.getReportAck());
       default -> {
         // Kinds that only side processes send, or that a newer version added.
@@ -203,6 +204,14 @@
     }
   }
 
+  private void stop(String peer, StopTask stop) {
+    if (stop.getReason() == StopTask.Reason.EVICTED) {
+      guard.onStopForUrgent(peer, stop);
+    } else {
+      attempts.onStop(peer, stop);
+    }
+  }
+
   private void ask() {
     if (attempts.boot().isEmpty() || passed(workerSilentAt)) {
       return;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/TaskTerms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/TaskTerms.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.guard.GuardTerms;
 import io.marigoldsail.job.TeamQuota;
 import io.marigoldsail.lease.LeaseTerms;
 import java.util.Map;
@@ -13,15 +14,18 @@
  *
  * @param leases how long leases last
  * @param quotas what teams may take up, by name
+ * @param guard what evictions weigh, and how many there may be
  */
-public record TaskTerms(LeaseTerms leases, Map<String, TeamQuota> quotas) {
+public record TaskTerms(LeaseTerms leases, Map<String, TeamQuota> quotas, GuardTerms guard) {
   /** What holds where no configuration says otherwise. */
-  public static final TaskTerms DEFAULT = new TaskTerms(LeaseTerms.DEFAULT, Map.of());
+  public static final TaskTerms DEFAULT =
+      new TaskTerms(LeaseTerms.DEFAULT, Map.of(), GuardTerms.DEFAULT);
 
   /** Checks and copies the components. */
   public TaskTerms {
     requireNonNull(leases, "leases");
     quotas = Map.copyOf(quotas);
+    requireNonNull(guard, "guard");
   }
 
   /** Returns what the team may take up. */
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/TaskWorld.java
@@ -131,7 +131,7 @@
               table,
               record -> log.append(this, record),
               new Channel(name, vms::keySet),
-              () -> new TaskTerms(leases, Map.of()),
+              () -> new TaskTerms(leases, Map.of(), GuardTerms.DEFAULT),
               clock,
               clock,
               new Random(7),
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/ModelTask.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/ModelTask.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.testlib.measure;
 
 import io.marigoldsail.guard.GuardedTask;
+import io.marigoldsail.guard.PreemptableTask;
 import io.marigoldsail.job.JobSpec;
 import io.marigoldsail.job.Sizes;
 
@@ -97,6 +98,19 @@
     checkpointedAtMillis = nowMillis;
   }
 
+  PreemptableTask preemptable(long nowMillis) {
+    return new PreemptableTask(
+        name,
+        token,
+        spec.taskClass(),
+        spec.urgent(),
+        true,
+        booked,
+        nowMillis - checkpointedAtMillis,
+        0,
+        0);
+  }
+
   GuardedTask guarded(double noise) {
     return new GuardedTask(
         token,
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskBench.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskBench.java
@@ -62,6 +62,7 @@
   private final Map<String, Long> acceptedMillis = new HashMap<>();
   private final Map<String, Sizes> onTheirWay = new HashMap<>();
   private final Set<String> startedUrgent = new HashSet<>();
+  private final Set<String> preempting = new HashSet<>();
   private final Map<ModelVm, Long> lostAt = new HashMap<>();
   private final Histogram answers = new Histogram(3);
   private final Histogram urgentMillis = new Histogram(3);
@@ -173,6 +174,9 @@
       if (record instanceof TaskRecord.JobAccepted accepted) {
         acceptedMillis.put(accepted.job().name(), now);
       }
+      if (record instanceof TaskRecord.Preempted preempted) {
+        evictFor(preempted, at);
+      }
       if (record instanceof TaskRecord.Claimed claim) {
         onTheirWay.remove(claim.task());
         start(claim, at);
@@ -331,6 +335,7 @@
     Fleet fleet =
         new Fleet(
             table.vms(), vm -> !vmOf(vm.vm()).dead() && decider.usable(vm, now), table::programsOn);
+    fleet.keep(table.preemptions());
     appends.forEach(
         append -> {
           if (append.record() instanceof TaskRecord.Claimed claim) {
@@ -373,6 +378,38 @@
     }
   }
 
+  private void preempt(JobState job, TaskState task, Fleet fleet) {
+    if (job.spec().urgent() && !preempting.contains(task.name())) {
+      decider
+          .preempt(decider.booking(job.spec()), fleet, vms, now)
+          .ifPresent(
+              choice -> {
+                preempting.add(task.name());
+                append(
+                    new TaskRecord.Preempted(
+                        task.name(),
+                        task.attempt(),
+                        choice.vm().vm(),
+                        choice.vm().registration(),
+                        decider.booking(job.spec()),
+                        choice.victims(),
+                        0,
+                        "e"));
+              });
+    }
+  }
+
+  /** Stops the victims of a preemption that the log has accepted. */
+  private void evictFor(TaskRecord.Preempted preempted, long at) {
+    preempting.remove(preempted.task());
+    if (table.preemptions().stream().anyMatch(p -> p.position() == at)) {
+      ModelVm vm = vmOf(preempted.vm());
+      preempted
+          .victims()
+          .forEach(victim -> act(vm, new GuardAction.Evict(victim.token(), "for urgent work")));
+    }
+  }
+
   private Iterator<TaskState> waitingOf(JobState job) {
     return table.waiting(job.spec().name(), 0, CLAIMS_A_ROUND).stream()
         .filter(task -> !onTheirWay.containsKey(task.name()))
@@ -384,6 +421,7 @@
     Optional<VmRoom> room =
         decider.place(new PlacementRequest(job.spec(), task, sizes, Map.of()), fleet);
     if (room.isEmpty()) {
+      preempt(job, task, fleet);
       return false;
     }
     VmState vm = room.get().state();
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskDecider.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskDecider.java
@@ -5,6 +5,9 @@
 import io.marigoldsail.guard.GuardTerms;
 import io.marigoldsail.guard.GuardedTask;
 import io.marigoldsail.guard.MemoryGuard;
+import io.marigoldsail.guard.PreemptableTask;
+import io.marigoldsail.guard.PreemptableVm;
+import io.marigoldsail.guard.Preemptor;
 import io.marigoldsail.guard.ServiceReading;
 import io.marigoldsail.job.JobSpec;
 import io.marigoldsail.job.JobState;
@@ -46,6 +49,12 @@
   /** Returns the VM for the task. */
   Optional<VmRoom> place(PlacementRequest request, Fleet fleet);
 
+  /** Returns who goes so that an urgent task fits somewhere. */
+  default Optional<Preemptor.Choice> preempt(
+      Sizes wanted, Fleet fleet, List<ModelVm> vms, long nowMillis) {
+    return Optional.empty();
+  }
+
   /** Returns what the VM's batch tasks give up. */
   List<GuardAction> guard(ModelVm vm, long nowMillis);
 
@@ -60,6 +69,7 @@
     private final UrgentReserve reserve = new UrgentReserve();
     private final WorkerHealth health = new WorkerHealth();
     private final Map<String, Guard> guards = new HashMap<>();
+    private final Preemptor preemptor = new Preemptor();
     private final Placer placer;
     private final GuardTerms terms;
     private long nowMillis;
@@ -68,6 +78,7 @@
       this.terms = terms;
       this.placer = new Placer(new InterferenceCosts(interference), new Random(seed));
       table.addEndListener((vm, job, ok) -> health.ended(vm, job, ok, nowMillis));
+      table.addEvictionListener(vm -> preemptor.evicted(terms, vm, nowMillis * NANOS_PER_MILLI));
     }
 
     @Override
@@ -100,6 +111,22 @@
           : Optional.empty();
     }
 
+    @Override
+    public Optional<Preemptor.Choice> preempt(
+        Sizes wanted, Fleet fleet, List<ModelVm> vms, long now) {
+      Map<String, ModelVm> byName = new HashMap<>();
+      vms.forEach(vm -> byName.put(vm.name(), vm));
+      List<PreemptableVm> full = new ArrayList<>();
+      for (VmRoom room : fleet.rooms()) {
+        if (!room.preempting()) {
+          List<PreemptableTask> tasks =
+              byName.get(room.vm()).tasks().stream().map(task -> task.preemptable(now)).toList();
+          full.add(new PreemptableVm(room.vm(), room.state().registration(), room.free(), tasks));
+        }
+      }
+      return preemptor.decide(terms, wanted, full, now * NANOS_PER_MILLI, now);
+    }
+
     @Override
     public List<GuardAction> guard(ModelVm vm, long now) {
       long nanos = now * NANOS_PER_MILLI;
