Keep a team's quota also when entries race

Ruled out: the fold reading the configuration's stream (two streams have no common order).

A claim carries the bound of its team that its entry had in force; the fold refuses it if the team's claims would exceed that.

racingClaimsDoNotExceedATeamsQuota is new; it was not run without the check.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/Bookings.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/Bookings.java
@@ -50,6 +50,10 @@
     return Map.copyOf(byTeam);
   }
 
+  Sizes ofTeam(String team) {
+    return byTeam.getOrDefault(team, Sizes.NONE);
+  }
+
   void add(VmState vm) {
     vms.put(vm.registration(), vm);
     currentByVm.merge(vm.vm(), vm.registration(), Math::max);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskRecord.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskRecord.java
@@ -52,7 +52,19 @@
     }
   }
 
-  /** An entry wants a task to run on a VM; the first acceptable claim wins. */
+  /**
+   * An entry wants a task to run on a VM; the first acceptable claim wins.
+   *
+   * @param task the task
+   * @param attempt the attempt that it waits for
+   * @param vm the VM
+   * @param registration that VM's registration
+   * @param sizes what the attempt takes up
+   * @param leaseMillis its lease, in milliseconds
+   * @param entry the entry
+   * @param teamMost what the task's team may take up in all, by the configuration that the entry
+   *     had in force; left out of the log where the team has no bound
+   */
   record Claimed(
       String task,
       int attempt,
@@ -60,8 +72,21 @@
       long registration,
       Sizes sizes,
       long leaseMillis,
-      String entry)
+      String entry,
+      Sizes teamMost)
       implements TaskRecord {
+    /** Creates a claim for a task whose team has no bound. */
+    public Claimed(
+        String task,
+        int attempt,
+        String vm,
+        long registration,
+        Sizes sizes,
+        long leaseMillis,
+        String entry) {
+      this(task, attempt, vm, registration, sizes, leaseMillis, entry, TeamQuota.DEFAULT.most());
+    }
+
     /** Checks the components. */
     public Claimed {
       requireNonNull(task, "task");
@@ -69,6 +94,7 @@
       requireNonNull(sizes, "sizes");
       checkArgument(leaseMillis > 0, "leaseMillis is not positive: %s", leaseMillis);
       requireNonNull(entry, "entry");
+      requireNonNull(teamMost, "teamMost");
     }
   }
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskRecordCodec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskRecordCodec.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableBiMap;
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.error.Result;
@@ -33,6 +34,9 @@
           .put("heartbeat", TaskRecord.Heartbeat.class)
           .buildOrThrow();
 
+  private static final String TEAM_MOST = "teamMost";
+  private static final Sizes UNBOUNDED = TeamQuota.DEFAULT.most();
+
   private static final ObjectMapper MAPPER =
       JsonMapper.builder()
           .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
@@ -50,7 +54,11 @@
 
   /** Returns the record as JSON. */
   public static JsonNode body(TaskRecord record) {
-    return MAPPER.valueToTree(record);
+    ObjectNode body = MAPPER.valueToTree(record);
+    if (record instanceof TaskRecord.Claimed claimed && claimed.teamMost().equals(UNBOUNDED)) {
+      body.remove(TEAM_MOST);
+    }
+    return body;
   }
 
   /** Returns the record that the type and JSON stand for. */
@@ -60,13 +68,25 @@
       return Result.failed(ErrorKind.INVALID_CONTENT, "no task record is called " + type);
     }
     try {
-      return Result.ok(MAPPER.treeToValue(body, recordClass));
+      return Result.ok(MAPPER.treeToValue(complete(recordClass, body), recordClass));
     } catch (JsonProcessingException | IllegalArgumentException e) {
       return Result.failed(
           ErrorKind.INVALID_CONTENT, "task record " + type + " is broken: " + e.getMessage());
     }
   }
 
+  /** Adds what is left out of claims for teams without a bound, and of all of earlier versions. */
+  private static JsonNode complete(Class<? extends TaskRecord> recordClass, JsonNode body) {
+    boolean unbounded = recordClass == TaskRecord.Claimed.class && !body.has(TEAM_MOST);
+    if (!unbounded || !(body instanceof ObjectNode fields)) {
+      return body;
+    }
+    ObjectNode completed = MAPPER.createObjectNode();
+    completed.setAll(fields);
+    completed.set(TEAM_MOST, MAPPER.valueToTree(UNBOUNDED));
+    return completed;
+  }
+
   static ObjectMapper mapper() {
     return MAPPER;
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
@@ -6,12 +6,10 @@
 import io.marigoldsail.job.TaskState.Phase;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -219,7 +217,7 @@
   public synchronized void restore(TaskTableSnapshot snapshot) {
     List<MutableJob> restored = new ArrayList<>();
     snapshot.jobs().forEach(kept -> restored.add(kept.toMutable()));
-    checkRegistrations(restored, snapshot.vms());
+    snapshot.checkRegistrations(restored);
     jobs.clear();
     endedJobs.clear();
     bookings.clear();
@@ -233,18 +231,6 @@
     restored.forEach(this::restoreJob);
   }
 
-  private static void checkRegistrations(List<MutableJob> jobs, List<VmState> vms) {
-    Set<Long> known = new HashSet<>();
-    vms.forEach(vm -> known.add(vm.registration()));
-    for (MutableJob job : jobs) {
-      for (TaskState task : job.tasks()) {
-        boolean held = task.phase() == Phase.CLAIMED;
-        checkArgument(
-            !held || known.contains(task.registration()), "%s is on no known VM", task.name());
-      }
-    }
-  }
-
   private void restoreJob(MutableJob job) {
     if (job.ended()) {
       endedJobs.put(job.spec().name(), job);
@@ -342,10 +328,11 @@
     // bookings, so only here can two claims be kept from filling the same room twice. What victims
     // of a preemption have left is kept for the urgent task they left for.
     Sizes kept = preemptions.keptFrom(claim.task(), claim.registration());
-    if (!claim.sizes().fitsIn(vm.free().minus(kept))) {
+    MutableJob job = jobs.get(task.job());
+    Sizes ofTeam = bookings.ofTeam(job.spec().team()).plus(claim.sizes());
+    if (!claim.sizes().fitsIn(vm.free().minus(kept)) || !ofTeam.fitsIn(claim.teamMost())) {
       return false;
     }
-    MutableJob job = jobs.get(task.job());
     preemptions.end(claim.task());
     bookings.claim(vm, job.spec(), claim.task(), claim.sizes());
     job.put(task.claimed(claim, position));
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTableSnapshot.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTableSnapshot.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.job;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -9,8 +10,10 @@
 import com.google.common.collect.ImmutableMap;
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.error.Result;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * A {@link TaskTable} at one position.
@@ -79,6 +82,23 @@
     preemptions = List.copyOf(preemptions);
   }
 
+  /**
+   * Checks that every claimed task is on a known registration.
+   *
+   * @throws IllegalArgumentException if one is not
+   */
+  void checkRegistrations(List<MutableJob> restored) {
+    Set<Long> known = new HashSet<>();
+    vms.forEach(vm -> known.add(vm.registration()));
+    for (MutableJob job : restored) {
+      for (TaskState task : job.tasks()) {
+        boolean held = task.phase() == TaskState.Phase.CLAIMED;
+        checkArgument(
+            !held || known.contains(task.registration()), "%s is on no known VM", task.name());
+      }
+    }
+  }
+
   /** Returns this as JSON. */
   public JsonNode toJson() {
     return TaskRecordCodec.mapper().valueToTree(this);
--- a/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskFoldTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskFoldTest.java
@@ -33,6 +33,7 @@
               4),
           new TaskRecord.VmJoined(new VmDescription("vm-1", 7, SIZES, "zone", "rack")),
           new TaskRecord.Claimed("job/0", 1, "vm-1", 65_536, SIZES, 1_000, "entry-1"),
+          new TaskRecord.Claimed("job/9", 1, "vm-1", 65_536, SIZES, 1_000, "entry-1", SIZES),
           new TaskRecord.Checkpointed("job/0", 131_072, "c1"),
           new TaskRecord.Released("job/0", 131_072, ReleaseCause.EVICTED, "c2", "noisy"),
           new TaskRecord.Ended("job/0", 131_072, true, "c2", ""),
--- a/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/job/TaskTableTest.java
@@ -200,6 +200,21 @@
     assertEquals(List.of(), positions());
   }
 
+  /**
+   * Two entries claim for one team at once, each within its quota by its own view. Both were
+   * accepted, and the team held more than the configuration allows; now the second claim loses.
+   */
+  @Test
+  void racingClaimsDoNotExceedATeamsQuota() {
+    long vm = join("vm-1", 1);
+    accept(2, true);
+    apply(new TaskRecord.Claimed("payout/0", 1, "vm-1", vm, HALF, 1_000, "entry-1", HALF));
+    apply(new TaskRecord.Claimed("payout/1", 1, "vm-1", vm, HALF, 1_000, "entry-2", HALF));
+
+    assertEquals(HALF, table.bookedByTeam().get("team"));
+    assertEquals(TaskState.Phase.WAITING, task(1).phase());
+  }
+
   /**
    * An evicted task runs again elsewhere when its release is written a second time, late. Folding
    * the second one would free the task while it runs, and let a third attempt start beside it.
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
@@ -176,7 +176,8 @@
             vm.registration(),
             sizes,
             context.terms().leases().leaseMillis(spec.taskClass()),
-            context.identity().name());
+            context.identity().name(),
+            context.terms().quota(spec.team()).most());
     onTheirWay.put(task.name(), new Pending(vm, spec.program(), sizes));
     context.record(
         Event.of(EventKind.TASK_PLACED).withTask(task.name()).withVm(vm.vm()).withDetail(why));
