--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/UrgentWorkTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/task/UrgentWorkTest.java
@@ -90,7 +90,9 @@
     assertEquals(1, world.log().truth().preemptions().size());
     assertEquals(0, evictions(world));
     world.startEntry("entry-2");
+    world.run(8_000);
 
+    assertTrue(world.runs().stream().anyMatch(run -> run.task().equals("now/0")));
     assertOneWentAndResumed(world);
   }
 
