--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/GoAwayFence.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/GoAwayFence.java
@@ -1,9 +1,12 @@
 package io.marigoldsail.daemon.dispatch;
 
 import io.marigoldsail.daemon.link.LinkConnection;
-import java.util.Collection;
+import io.marigoldsail.daemon.link.LinkLoop;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Tells, in a planned stop of a side process, when its connections may be closed.
@@ -16,20 +19,57 @@
  * acknowledgement proves both that nothing more comes and that all that was sent before has
  * arrived. A round in which something else crossed proves nothing and is done again.
  *
- * <p>Confined to the loop's thread.
+ * <p>Confined to the loop's thread, but for {@link #passed}.
  */
 final class GoAwayFence {
+  /** A connection that takes or acknowledges nothing for this long after all has ended is lost. */
+  private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
+  private final LinkLoop loop;
+  private final BooleanSupplier flushed;
+  private final Set<LinkConnection> open = new HashSet<>();
   private final Set<LinkConnection> unacknowledged = new HashSet<>();
+  private final CompletableFuture<Void> passed = new CompletableFuture<>();
+  private boolean begun;
   private boolean crossed;
+  private long giveUpAt;
+
+  /**
+   * Creates a fence for a process that is not stopping yet.
+   *
+   * @param loop the thread
+   * @param flushed whether all that was sent has been handed to the operating system
+   */
+  GoAwayFence(LinkLoop loop, BooleanSupplier flushed) {
+    this.loop = loop;
+    this.flushed = flushed;
+  }
+
+  /** Takes a new connection. */
+  void opened(LinkConnection connection) {
+    open.add(connection);
+    if (begun) {
+      ask(connection);
+    }
+  }
 
-  /** Asks on all connections; what was asked before is asked anew. */
-  void begin(Collection<LinkConnection> connections) {
-    crossed = false;
-    connections.forEach(this::add);
+  /** Forgets a connection that has ended. */
+  void closed(LinkConnection connection) {
+    open.remove(connection);
+    unacknowledged.remove(connection);
   }
 
-  /** Asks on a connection that came during the stop. */
-  void add(LinkConnection connection) {
+  /** Tells all entries of the stop. */
+  void begin() {
+    begun = true;
+    open.forEach(this::ask);
+    // What was sent before may still wait in the process behind this first word of the stop.
+    crossed();
+  }
+
+  private void ask(LinkConnection connection) {
     unacknowledged.add(connection);
     connection.send(SideFrames.goAway());
   }
@@ -39,26 +79,39 @@
     unacknowledged.remove(connection);
   }
 
-  /** Forgets a connection that has ended. */
-  void remove(LinkConnection connection) {
-    unacknowledged.remove(connection);
-  }
-
   /** Notes that a request, a question or an answer crossed the connections. */
   void crossed() {
     crossed = true;
   }
 
-  /**
-   * Returns whether everything sent has arrived and nothing new can come, and asks again where that
-   * is not proved; all that was sent must have been handed to the operating system.
-   */
-  boolean isPassed(Collection<LinkConnection> connections) {
-    if (!unacknowledged.isEmpty()) {
+  /** Begins to wait, once nothing is in progress; later calls have no effect. */
+  void settle() {
+    if (giveUpAt == 0) {
+      giveUpAt = loop.now() + LIMIT_NANOS;
+      awaitPassed();
+    }
+  }
+
+  /** Returns what is completed when the connections may be closed. */
+  CompletableFuture<Void> passed() {
+    return passed;
+  }
+
+  private void awaitPassed() {
+    if (isSettled() || giveUpAt - loop.now() <= 0) {
+      passed.complete(null);
+      return;
+    }
+    loop.schedule(this::awaitPassed, CHECK_NANOS);
+  }
+
+  private boolean isSettled() {
+    if (!unacknowledged.isEmpty() || !flushed.getAsBoolean()) {
       return false;
     }
     if (crossed) {
-      begin(connections);
+      crossed = false;
+      open.forEach(this::ask);
     }
     return unacknowledged.isEmpty();
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -55,13 +55,6 @@
   /** How long past its deadline a request may still hold its slot, because its target does. */
   private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-  /**
-   * A connection that takes or acknowledges nothing for this long at a planned stop is given up.
-   */
-  private static final long SETTLE_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
-
-  private static final long SETTLE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-
   /** A refusal for want of a slot asks the entry to wait about a round trip. */
   private static final long SOON_MILLIS = 5;
 
@@ -83,13 +76,11 @@
   private final Map<WireId, SideRequest> requests = new HashMap<>();
   private final ArrayDeque<SideRequest> waiting = new ArrayDeque<>();
   private final Map<LinkConnection, TransitDelay> delays = new HashMap<>();
-  private final GoAwayFence fence = new GoAwayFence();
-  private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private final GoAwayFence fence;
   private volatile int running;
   private volatile int waitingCount;
   private volatile boolean stopping;
   private volatile Runnable leavingListener = () -> {};
-  private long giveUpAt;
   private Future<?> tick;
 
   /**
@@ -122,6 +113,7 @@
     this.events = requireNonNull(events, "events");
     this.watch = new TargetWatch(loop, target, () -> leavingListener.run());
     this.server = new LinkServer(loop, address, limits.maxConnections(), new Incoming());
+    this.fence = new GoAwayFence(loop, server::isFlushed);
     this.ledger = new RequestLedger<>(MAX_ENDED, limits.keptAnswerBytes(), LEDGER_WINDOW_NANOS);
     this.answers = new SideAnswers(loop, ledger, this::report, events);
     this.keys = new SideKeys(loop, processIncarnation, answers);
@@ -167,19 +159,17 @@
   /**
    * Begins a planned stop: nothing new is taken, what is in progress ends.
    *
-   * @return completed when the last answer has left this process
+   * @return completed when entries have the last answer and nothing of theirs is on its way here
    */
   public CompletableFuture<Void> beginStop() {
     stopping = true;
     loop.run(
         () -> {
           leavingListener.run();
-          fence.begin(delays.keySet());
-          // What was sent before may still wait in the process behind that first word of the stop.
-          fence.crossed();
+          fence.begin();
           checkDrained();
         });
-    return drained;
+    return fence.passed();
   }
 
   /** Ends all connections; what is in progress is lost, so {@link #beginStop} goes first. */
@@ -200,21 +190,9 @@
     if (stopping && requests.values().stream().noneMatch(SideKeys::isKeyed)) {
       exchange.give(this::checkDrained);
     }
-    if (!stopping || !requests.isEmpty() || !exchange.isGiven() || giveUpAt != 0) {
-      return;
-    }
-    giveUpAt = loop.now() + SETTLE_LIMIT_NANOS;
-    awaitSettled();
-  }
-
-  /** Waits until entries have all answers and nothing of theirs is still on its way here. */
-  private void awaitSettled() {
-    boolean settled = server.isFlushed() && fence.isPassed(delays.keySet());
-    if (settled || giveUpAt - loop.now() <= 0) {
-      drained.complete(null);
-      return;
+    if (stopping && requests.isEmpty() && exchange.isGiven()) {
+      fence.settle();
     }
-    loop.schedule(this::awaitSettled, SETTLE_CHECK_NANOS);
   }
 
   private void start(LinkConnection connection, RequestStart start) throws BrokenFrameException {
@@ -457,9 +435,7 @@
     @Override
     public void opened(LinkConnection connection) {
       delays.put(connection, new TransitDelay());
-      if (stopping) {
-        fence.add(connection);
-      }
+      fence.opened(connection);
     }
 
     @Override
@@ -484,7 +460,7 @@
     public void closed(LinkConnection connection, String reason) {
       delays.remove(connection);
       answers.closed(connection);
-      fence.remove(connection);
+      fence.closed(connection);
       List<SideRequest> cutShort = new ArrayList<>();
       for (SideRequest request : requests.values()) {
         if (request.answerTo() == connection && !request.isWhole()) {
