--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/FakeLogService.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/FakeLogService.java
@@ -108,16 +108,6 @@
     }
   }
 
-  /** Returns the oldest offset of the stream that is kept. */
-  public long firstOffset(String stream) {
-    lock.lock();
-    try {
-      return stream(stream).firstOffset;
-    } finally {
-      lock.unlock();
-    }
-  }
-
   @Override
   public Result<Long> append(String stream, byte[] record) {
     requireNonNull(stream, "stream");
