--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideKeysTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideKeysTest.java
@@ -240,10 +240,10 @@
     handOver(handed(5), 2, key("a"));
     handOver(handed(5), 2, key("a"));
     handOver(handed(6), 0);
-    assertEquals(handed(6), side.toEntry().take().getKeyHandoverTaken().getShard());
+    assertEquals(handed(6), side.nextToEntry().getKeyHandoverTaken().getShard());
     handOver(handed(5), 2, key("b"));
 
-    KeyHandoverTaken taken = side.toEntry().take().getKeyHandoverTaken();
+    KeyHandoverTaken taken = side.nextToEntry().getKeyHandoverTaken();
     assertEquals(handed(5), taken.getShard());
     assertTrue(taken.getTaken());
   }
@@ -253,7 +253,7 @@
   void lateKeysOfAnEarlierHomeAreNotTaken() throws Exception {
     vouch(INCARNATION, 0);
     handOver(handed(5), 1, key("pay"));
-    assertFalse(side.toEntry().take().getKeyHandoverTaken().getTaken());
+    assertFalse(side.nextToEntry().getKeyHandoverTaken().getTaken());
     entry.send(charge(1, 1, "pay", "5 dollars"));
 
     target.next().answer("receipt");
@@ -276,18 +276,39 @@
     CompletableFuture<Void> stopped = side.dispatcher().beginStop();
     otherEntry.send(charge(2, 1, "late", "5 dollars"));
     assertEquals("shutting-down", otherEntry.next().getNotRun().getErrorKind());
-    assertTrue(side.toEntry().isEmpty());
+    assertTrue(side.hasSentEntriesNothing());
     run.answer("receipt");
 
-    KeyHandover given = side.toEntry().take().getKeyHandover();
+    KeyHandover given = side.nextToEntry().getKeyHandover();
     assertEquals(1, given.getTotal());
     assertEquals("receipt", given.getKeys(0).getAnswered().getBody().toStringUtf8());
     assertFalse(stopped.isDone());
-    KeyHandoverResult.Builder moved =
-        KeyHandoverResult.newBuilder().setShard(given.getShard()).setMoved(true);
-    side.dispatcher()
-        .keyListener()
-        .received("entry-1", Frame.newBuilder().setKeyHandoverResult(moved).build());
+    result("entry-1", given, true);
+    stopped.join();
+  }
+
+  /**
+   * The first entry that is asked cannot reach the log; the next one can. Were the home to give up
+   * at the first refusal, its keys would be refused for 71 s.
+   */
+  @Test
+  void refusedHandOverGoesByTheNextEntry() throws Exception {
+    vouch(INCARNATION, 0);
+    CompletableFuture<Void> stopped = side.dispatcher().beginStop();
+    KeyHandover given = side.nextToEntry().getKeyHandover();
+    result("entry-1", given, false);
+    assertEquals(given, side.nextToEntry().getKeyHandover());
+    result("entry-1", given, false);
+    assertFalse(stopped.isDone());
+    result("entry-2", given, true);
+
     stopped.join();
   }
+
+  private void result(String from, KeyHandover given, boolean moved) {
+    KeyHandoverResult.Builder result =
+        KeyHandoverResult.newBuilder().setShard(given.getShard()).setMoved(moved);
+    Frame frame = Frame.newBuilder().setKeyHandoverResult(result).build();
+    side.dispatcher().keyListener().received(from, frame);
+  }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideUnderTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/SideUnderTest.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.dispatch;
 
+import com.google.common.collect.ImmutableSet;
 import io.marigoldsail.daemon.link.EntryChannel;
 import io.marigoldsail.daemon.link.FrameStream;
 import io.marigoldsail.daemon.link.LinkLoop;
@@ -17,6 +18,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 /** The request half of a side process, wired as the process wires it. */
 final class SideUnderTest implements AutoCloseable {
@@ -112,12 +114,20 @@
     return dispatcher.port();
   }
 
-  /** Returns what was sent to the entry {@code entry-1} before it announced itself to any. */
-  BlockingQueue<Frame> toEntry() {
-    return toEntry;
+  /** Waits for what is sent to entries that the test is, before this announces itself to others. */
+  Frame nextToEntry() throws InterruptedException {
+    Frame frame = toEntry.poll(30, TimeUnit.SECONDS);
+    if (frame == null) {
+      throw new AssertionError("nothing was sent to an entry");
+    }
+    return frame;
+  }
+
+  boolean hasSentEntriesNothing() {
+    return toEntry.isEmpty();
   }
 
-  /** The way to the entries that it announces itself to; before that, to one that the test is. */
+  /** The way to the entries that it announces itself to; before that, to two that the test is. */
   private final class Entries implements EntryChannel {
     @Override
     public int entryCount() {
@@ -126,7 +136,7 @@
 
     @Override
     public Set<String> peers() {
-      return links == null ? Set.of("entry-1") : links.peers();
+      return links == null ? ImmutableSet.of("entry-1", "entry-2") : links.peers();
     }
 
     @Override
