Make and write HTTP off the loops

Cause (JFR, samples of Java code): 79 of 138 of the side process's loop were Jetty's client making and writing a request, 125 of 323 of the entry's were Jetty's server writing an answer; the loops decide on every request. One thread each does it now; being one, it is not woken while it is busy. Ruled out: the collector of the side process (3 ms pauses, same with a parallel one).

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/AnswerWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/AnswerWriter.java
@@ -5,6 +5,7 @@
 import io.marigoldsail.json.ProblemDetails;
 import io.marigoldsail.protocol.Header;
 import java.nio.ByteBuffer;
+import java.util.concurrent.Executor;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
@@ -16,6 +17,7 @@
   private final Response response;
   private final Callback callback;
   private final Runnable ended;
+  private final Executor writes;
 
   /**
    * Creates a writer.
@@ -23,16 +25,22 @@
    * @param response where to write
    * @param callback to be completed after writing
    * @param ended told first that the request has ended
+   * @param writes where the answer is written
    */
-  AnswerWriter(Response response, Callback callback, Runnable ended) {
+  AnswerWriter(Response response, Callback callback, Runnable ended, Executor writes) {
     this.response = response;
     this.callback = callback;
     this.ended = ended;
+    this.writes = writes;
   }
 
   @Override
   public void answered(String requestId, CallerAnswer answer) {
     ended.run();
+    writes.execute(() -> write(requestId, answer));
+  }
+
+  private void write(String requestId, CallerAnswer answer) {
     response.setStatus(answer.status());
     HttpFields.Mutable fields = response.getHeaders();
     for (Header header : answer.headers()) {
@@ -51,7 +59,7 @@
   @Override
   public void failed(String requestId, Failure failure) {
     ended.run();
-    write(response, callback, failure, requestId);
+    writes.execute(() -> write(response, callback, failure, requestId));
   }
 
   /** Writes a failure as problem details. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/CallerServer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/CallerServer.java
@@ -66,6 +66,7 @@
   private final Server server;
   private final ServerConnector connector;
   private final OpenRequests open = new OpenRequests();
+  private final WriteThread writes = new WriteThread("caller-writes");
 
   /**
    * Creates a server that does not listen yet.
@@ -152,6 +153,7 @@
       connector.shutdown();
       open.awaitNone(WRITE_LIMIT_MILLIS);
       server.stop();
+      writes.close();
     } catch (Exception e) {
       System.getLogger(CallerServer.class.getName())
           .log(System.Logger.Level.WARNING, "event=caller-server-stop reason=\"{0}\"", e);
@@ -209,7 +211,7 @@
               }
               long reserved = holder[0].reserved();
               AnswerWriter writer =
-                  new AnswerWriter(response, callback, () -> bodyBudget.release(reserved));
+                  new AnswerWriter(response, callback, () -> bodyBudget.release(reserved), writes);
               dispatcher.submit(head.withBody(body.value()), writer);
             });
     holder[0].run();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/TargetClient.java
@@ -45,6 +45,7 @@
   private final String probePath;
   private final ByteBudget budget;
   private final HttpClient client;
+  private final WriteThread writes = new WriteThread("target-writes");
 
   /**
    * Creates a client that is not started.
@@ -101,6 +102,25 @@
 
   @Override
   public void send(TargetRequest request, Consumer<TargetOutcome> ended) {
+    writes.execute(() -> write(request, ended));
+  }
+
+  private void write(TargetRequest request, Consumer<TargetOutcome> ended) {
+    Request sent;
+    try {
+      sent = newRequest(request);
+    } catch (IllegalArgumentException e) {
+      // Nobody else would ever give its slot back.
+      ended.accept(new TargetOutcome.NeverSent("cannot be sent: " + e.getMessage()));
+      return;
+    }
+    TargetExchange exchange =
+        new TargetExchange(loop, budget, HttpMethod.HEAD.is(request.method()), ended);
+    sent.onRequestBegin(begun -> exchange.begun());
+    sent.send(exchange);
+  }
+
+  private Request newRequest(TargetRequest request) {
     long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.giveUpAt() - loop.now());
     Request sent =
         client
@@ -113,10 +133,7 @@
       ByteBuffer[] parts = request.body().asReadOnlyByteBufferList().toArray(new ByteBuffer[0]);
       sent.body(new ByteBufferRequestContent(null, parts));
     }
-    TargetExchange exchange =
-        new TargetExchange(loop, budget, HttpMethod.HEAD.is(request.method()), ended);
-    sent.onRequestBegin(begun -> exchange.begun());
-    sent.send(exchange);
+    return sent;
   }
 
   private static void copyHeaders(TargetRequest request, HttpFields.Mutable fields) {
@@ -155,6 +172,7 @@
 
   @Override
   public void close() {
+    writes.close();
     try {
       client.stop();
     } catch (Exception e) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryDispatcherTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryDispatcherTest.java
@@ -119,8 +119,7 @@
     assertTrue(
         request.frame().getRequestStart().getHeadersList().stream()
             .anyMatch(header -> header.getValue().equals(asked)));
-    Frame.Builder answer =
-        FakeSide.answer(FakeSide.idOf(request.frame()), 200, "free").toBuilder();
+    Frame.Builder answer = FakeSide.answer(FakeSide.idOf(request.frame()), 200, "free").toBuilder();
     answer.getAnswerStartBuilder().addHeadersBuilder().setName("Trip").setValue(told);
     side.send(request.connection(), answer.build());
 
