--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
@@ -76,6 +76,36 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_marigoldsail_KeyLease_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_HandedShard_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_HandedShard_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_KeyHandover_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_KeyHandover_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_HandedKey_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_HandedKey_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_KeptAnswer_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_KeptAnswer_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_KeyHandoverTaken_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_KeyHandoverTaken_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_KeyHandoverResult_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_KeyHandoverResult_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_marigoldsail_RequestBody_descriptor;
   static final 
@@ -146,7 +176,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\027marigoldsail/link.proto\022\014marigoldsail\032" +
-      "\027marigoldsail/task.proto\"\255\006\n\005Frame\022*\n\010an" +
+      "\027marigoldsail/task.proto\"\336\007\n\005Frame\022*\n\010an" +
       "nounce\030\001 \001(\0132\026.marigoldsail.AnnounceH\000\0221" +
       "\n\014announce_ack\030\002 \001(\0132\031.marigoldsail.Anno" +
       "unceAckH\000\0223\n\rrequest_start\030\003 \001(\0132\032.marig" +
@@ -165,63 +195,86 @@
       "goldsail.GoAwayH\000\022.\n\013go_away_ack\030\017 \001(\0132\027" +
       ".marigoldsail.GoAwayAckH\000\022-\n\nkey_leases\030" +
       "\020 \001(\0132\027.marigoldsail.KeyLeasesH\000\022)\n\004task" +
-      "\030\024 \001(\0132\031.marigoldsail.TaskMessageH\000\022\024\n\014a" +
-      "nswers_read\030\022 \001(\004\022\r\n\005stamp\030\036 \001(\006B\006\n\004body" +
-      "\"8\n\tRequestId\022\031\n\021entry_incarnation\030\001 \001(\004" +
-      "\022\020\n\010sequence\030\002 \001(\004\"\215\002\n\010Announce\022\n\n\002vm\030\001 " +
-      "\001(\t\022\033\n\023process_incarnation\030\003 \001(\004\022\014\n\004zone" +
-      "\030\004 \001(\t\022\014\n\004rack\030\005 \001(\t\022\017\n\007address\030\006 \001(\t\022\017\n" +
-      "\007service\030\007 \001(\t\022\r\n\005slots\030\010 \001(\r\022\023\n\013connect" +
-      "ions\030\t \001(\r\022\017\n\007leaving\030\n \001(\010\022*\n\006report\030\013 " +
-      "\001(\0132\032.marigoldsail.TargetReport\022\036\n\026confi" +
-      "guration_revision\030\014 \001(\004\022\031\n\021operators_add" +
-      "ress\030\020 \001(\t\"h\n\013AnnounceAck\022\r\n\005entry\030\001 \001(\t" +
-      "\022\031\n\021entry_incarnation\030\002 \001(\004\022\036\n\026configura" +
-      "tion_revision\030\003 \001(\004\022\017\n\007entries\030\004 \003(\t\"c\n\014" +
-      "TargetReport\022\r\n\005slots\030\001 \001(\r\022\021\n\tin_flight" +
-      "\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\017\n\007leaving\030\004 \001(\010" +
-      "\022\017\n\007entries\030\005 \001(\r\"%\n\006Header\022\014\n\004name\030\001 \001(" +
-      "\t\022\r\n\005value\030\002 \001(\t\"\313\002\n\014RequestStart\022#\n\002id\030" +
-      "\001 \001(\0132\027.marigoldsail.RequestId\022\016\n\006method" +
-      "\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n\007headers\030\004 \003(\0132\024." +
-      "marigoldsail.Header\022\030\n\020remaining_millis\030" +
-      "\005 \001(\004\022\022\n\nidempotent\030\006 \001(\010\022\016\n\006caller\030\007 \001(" +
-      "\t\022\027\n\017idempotency_key\030\010 \001(\t\022\023\n\013body_lengt" +
-      "h\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014\n\004last\030\013 \001(\010\022\r\n\005l" +
-      "abel\030\014 \001(\t\022\017\n\007sent_at\030\r \001(\020\022)\n\tkey_claim" +
-      "\030\016 \001(\0132\026.marigoldsail.KeyClaim\"8\n\010KeyCla" +
-      "im\022\r\n\005shard\030\001 \001(\r\022\016\n\006offset\030\002 \001(\004\022\r\n\005ind" +
-      "ex\030\003 \001(\r\"d\n\tKeyLeases\022\033\n\023process_incarna" +
-      "tion\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(\004\022&\n\006leases" +
-      "\030\003 \003(\0132\026.marigoldsail.KeyLease\"G\n\010KeyLea" +
-      "se\022%\n\005claim\030\001 \001(\0132\026.marigoldsail.KeyClai" +
-      "m\022\024\n\014quiet_millis\030\002 \001(\004\"N\n\013RequestBody\022#" +
-      "\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\014\n\004d" +
-      "ata\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\306\001\n\013AnswerStart\022" +
-      "#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\016\n\006" +
-      "status\030\002 \001(\r\022%\n\007headers\030\003 \003(\0132\024.marigold" +
-      "sail.Header\022\014\n\004data\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022" +
-      "*\n\006report\030\006 \001(\0132\032.marigoldsail.TargetRep" +
-      "ort\022\023\n\013body_length\030\007 \001(\004\"M\n\nAnswerBody\022#" +
-      "\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\014\n\004d" +
-      "ata\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\231\001\n\006NotRun\022#\n\002id" +
-      "\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n\nerror" +
-      "_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\032\n\022retry_aft" +
-      "er_millis\030\004 \001(\004\022*\n\006report\030\005 \001(\0132\032.marigo" +
-      "ldsail.TargetReport\"}\n\006Failed\022#\n\002id\030\001 \001(" +
-      "\0132\027.marigoldsail.RequestId\022\022\n\nerror_kind" +
-      "\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022*\n\006report\030\004 \001(\0132\032" +
-      ".marigoldsail.TargetReport\"K\n\007Resolve\022#\n" +
-      "\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\033\n\023pr" +
-      "ocess_incarnation\030\002 \001(\004\"\251\001\n\nResolution\022#" +
-      "\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022-\n\005s" +
-      "tate\030\002 \001(\0162\036.marigoldsail.Resolution.Sta" +
-      "te\"G\n\005State\022\025\n\021STATE_UNSPECIFIED\020\000\022\013\n\007NO" +
-      "T_RUN\020\001\022\013\n\007RUNNING\020\002\022\r\n\tFORGOTTEN\020\003\"-\n\006C" +
-      "ancel\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Request" +
-      "Id\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\004\"\025\n\004Pong\022\r\n\005non" +
-      "ce\030\001 \001(\004\"\010\n\006GoAway\"\013\n\tGoAwayAckB\034\n\030io.ma" +
-      "rigoldsail.protocolP\001b\006proto3"
+      "\030\024 \001(\0132\031.marigoldsail.TaskMessageH\000\0221\n\014k" +
+      "ey_handover\030\025 \001(\0132\031.marigoldsail.KeyHand" +
+      "overH\000\022<\n\022key_handover_taken\030\026 \001(\0132\036.mar" +
+      "igoldsail.KeyHandoverTakenH\000\022>\n\023key_hand" +
+      "over_result\030\027 \001(\0132\037.marigoldsail.KeyHand" +
+      "overResultH\000\022\024\n\014answers_read\030\022 \001(\004\022\r\n\005st" +
+      "amp\030\036 \001(\006B\006\n\004body\"8\n\tRequestId\022\031\n\021entry_" +
+      "incarnation\030\001 \001(\004\022\020\n\010sequence\030\002 \001(\004\"\215\002\n\010" +
+      "Announce\022\n\n\002vm\030\001 \001(\t\022\033\n\023process_incarnat" +
+      "ion\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004rack\030\005 \001(\t\022\017\n" +
+      "\007address\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\r\n\005slots" +
+      "\030\010 \001(\r\022\023\n\013connections\030\t \001(\r\022\017\n\007leaving\030\n" +
+      " \001(\010\022*\n\006report\030\013 \001(\0132\032.marigoldsail.Targ" +
+      "etReport\022\036\n\026configuration_revision\030\014 \001(\004" +
+      "\022\031\n\021operators_address\030\020 \001(\t\"h\n\013AnnounceA" +
+      "ck\022\r\n\005entry\030\001 \001(\t\022\031\n\021entry_incarnation\030\002" +
+      " \001(\004\022\036\n\026configuration_revision\030\003 \001(\004\022\017\n\007" +
+      "entries\030\004 \003(\t\"c\n\014TargetReport\022\r\n\005slots\030\001" +
+      " \001(\r\022\021\n\tin_flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r" +
+      "\022\017\n\007leaving\030\004 \001(\010\022\017\n\007entries\030\005 \001(\r\"%\n\006He" +
+      "ader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\353\002\n\014Re" +
+      "questStart\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Re" +
+      "questId\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n" +
+      "\007headers\030\004 \003(\0132\024.marigoldsail.Header\022\030\n\020" +
+      "remaining_millis\030\005 \001(\004\022\022\n\nidempotent\030\006 \001" +
+      "(\010\022\016\n\006caller\030\007 \001(\t\022\027\n\017idempotency_key\030\010 " +
+      "\001(\t\022\023\n\013body_length\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014" +
+      "\n\004last\030\013 \001(\010\022\r\n\005label\030\014 \001(\t\022\017\n\007sent_at\030\r" +
+      " \001(\020\022)\n\tkey_claim\030\016 \001(\0132\026.marigoldsail.K" +
+      "eyClaim\022\036\n\026target_detects_repeats\030\025 \001(\010\"" +
+      "8\n\010KeyClaim\022\r\n\005shard\030\001 \001(\r\022\016\n\006offset\030\002 \001" +
+      "(\004\022\r\n\005index\030\003 \001(\r\"d\n\tKeyLeases\022\033\n\023proces" +
+      "s_incarnation\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(\004\022" +
+      "&\n\006leases\030\003 \003(\0132\026.marigoldsail.KeyLease\"" +
+      "G\n\010KeyLease\022%\n\005claim\030\001 \001(\0132\026.marigoldsai" +
+      "l.KeyClaim\022\024\n\014quiet_millis\030\002 \001(\004\"n\n\013Hand" +
+      "edShard\022\n\n\002vm\030\001 \001(\t\022\033\n\023process_incarnati" +
+      "on\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022%\n\005claim\030\004 \001(\013" +
+      "2\026.marigoldsail.KeyClaim\"\214\001\n\013KeyHandover" +
+      "\022(\n\005shard\030\001 \001(\0132\031.marigoldsail.HandedSha" +
+      "rd\022\r\n\005total\030\002 \001(\r\022%\n\004keys\030\003 \003(\0132\027.marigo" +
+      "ldsail.HandedKey\022\035\n\025successor_incarnatio" +
+      "n\030\004 \001(\004\"\242\001\n\tHandedKey\022\013\n\003key\030\001 \001(\t\022\023\n\013fi" +
+      "ngerprint\030\002 \001(\006\022\030\n\020remaining_millis\030\003 \001(" +
+      "\004\022,\n\010answered\030\004 \001(\0132\030.marigoldsail.KeptA" +
+      "nswerH\000\022\016\n\004lost\030\005 \001(\tH\000\022\020\n\006broken\030\006 \001(\tH" +
+      "\000B\t\n\007outcome\"Q\n\nKeptAnswer\022\016\n\006status\030\001 \001" +
+      "(\r\022%\n\007headers\030\002 \003(\0132\024.marigoldsail.Heade" +
+      "r\022\014\n\004body\030\003 \001(\014\"j\n\020KeyHandoverTaken\022(\n\005s" +
+      "hard\030\001 \001(\0132\031.marigoldsail.HandedShard\022\035\n" +
+      "\025successor_incarnation\030\002 \001(\004\022\r\n\005taken\030\003 " +
+      "\001(\010\"L\n\021KeyHandoverResult\022(\n\005shard\030\001 \001(\0132" +
+      "\031.marigoldsail.HandedShard\022\r\n\005moved\030\002 \001(" +
+      "\010\"N\n\013RequestBody\022#\n\002id\030\001 \001(\0132\027.marigolds" +
+      "ail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(" +
+      "\010\"\306\001\n\013AnswerStart\022#\n\002id\030\001 \001(\0132\027.marigold" +
+      "sail.RequestId\022\016\n\006status\030\002 \001(\r\022%\n\007header" +
+      "s\030\003 \003(\0132\024.marigoldsail.Header\022\014\n\004data\030\004 " +
+      "\001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006report\030\006 \001(\0132\032.mari" +
+      "goldsail.TargetReport\022\023\n\013body_length\030\007 \001" +
+      "(\004\"M\n\nAnswerBody\022#\n\002id\030\001 \001(\0132\027.marigolds" +
+      "ail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(" +
+      "\010\"\231\001\n\006NotRun\022#\n\002id\030\001 \001(\0132\027.marigoldsail." +
+      "RequestId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030" +
+      "\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\004\022*\n\006rep" +
+      "ort\030\005 \001(\0132\032.marigoldsail.TargetReport\"}\n" +
+      "\006Failed\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Reque" +
+      "stId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t" +
+      "\022*\n\006report\030\004 \001(\0132\032.marigoldsail.TargetRe" +
+      "port\"K\n\007Resolve\022#\n\002id\030\001 \001(\0132\027.marigoldsa" +
+      "il.RequestId\022\033\n\023process_incarnation\030\002 \001(" +
+      "\004\"\251\001\n\nResolution\022#\n\002id\030\001 \001(\0132\027.marigolds" +
+      "ail.RequestId\022-\n\005state\030\002 \001(\0162\036.marigolds" +
+      "ail.Resolution.State\"G\n\005State\022\025\n\021STATE_U" +
+      "NSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r" +
+      "\n\tFORGOTTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.ma" +
+      "rigoldsail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 " +
+      "\001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\004\"\010\n\006GoAway\"\013\n\t" +
+      "GoAwayAckB\034\n\030io.marigoldsail.protocolP\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -233,7 +286,7 @@
     internal_static_marigoldsail_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Frame_descriptor,
-        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "GoAway", "GoAwayAck", "KeyLeases", "Task", "AnswersRead", "Stamp", "Body", });
+        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "GoAway", "GoAwayAck", "KeyLeases", "Task", "KeyHandover", "KeyHandoverTaken", "KeyHandoverResult", "AnswersRead", "Stamp", "Body", });
     internal_static_marigoldsail_RequestId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_marigoldsail_RequestId_fieldAccessorTable = new
@@ -269,7 +322,7 @@
     internal_static_marigoldsail_RequestStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RequestStart_descriptor,
-        new java.lang.String[] { "Id", "Method", "Path", "Headers", "RemainingMillis", "Idempotent", "Caller", "IdempotencyKey", "BodyLength", "Data", "Last", "Label", "SentAt", "KeyClaim", });
+        new java.lang.String[] { "Id", "Method", "Path", "Headers", "RemainingMillis", "Idempotent", "Caller", "IdempotencyKey", "BodyLength", "Data", "Last", "Label", "SentAt", "KeyClaim", "TargetDetectsRepeats", });
     internal_static_marigoldsail_KeyClaim_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_marigoldsail_KeyClaim_fieldAccessorTable = new
@@ -288,74 +341,110 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_KeyLease_descriptor,
         new java.lang.String[] { "Claim", "QuietMillis", });
-    internal_static_marigoldsail_RequestBody_descriptor =
+    internal_static_marigoldsail_HandedShard_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_marigoldsail_HandedShard_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_HandedShard_descriptor,
+        new java.lang.String[] { "Vm", "ProcessIncarnation", "Service", "Claim", });
+    internal_static_marigoldsail_KeyHandover_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_marigoldsail_KeyHandover_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_KeyHandover_descriptor,
+        new java.lang.String[] { "Shard", "Total", "Keys", "SuccessorIncarnation", });
+    internal_static_marigoldsail_HandedKey_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_marigoldsail_HandedKey_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_HandedKey_descriptor,
+        new java.lang.String[] { "Key", "Fingerprint", "RemainingMillis", "Answered", "Lost", "Broken", "Outcome", });
+    internal_static_marigoldsail_KeptAnswer_descriptor =
+      getDescriptor().getMessageType(13);
+    internal_static_marigoldsail_KeptAnswer_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_KeptAnswer_descriptor,
+        new java.lang.String[] { "Status", "Headers", "Body", });
+    internal_static_marigoldsail_KeyHandoverTaken_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_marigoldsail_KeyHandoverTaken_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_KeyHandoverTaken_descriptor,
+        new java.lang.String[] { "Shard", "SuccessorIncarnation", "Taken", });
+    internal_static_marigoldsail_KeyHandoverResult_descriptor =
+      getDescriptor().getMessageType(15);
+    internal_static_marigoldsail_KeyHandoverResult_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_KeyHandoverResult_descriptor,
+        new java.lang.String[] { "Shard", "Moved", });
+    internal_static_marigoldsail_RequestBody_descriptor =
+      getDescriptor().getMessageType(16);
     internal_static_marigoldsail_RequestBody_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RequestBody_descriptor,
         new java.lang.String[] { "Id", "Data", "Last", });
     internal_static_marigoldsail_AnswerStart_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(17);
     internal_static_marigoldsail_AnswerStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_AnswerStart_descriptor,
         new java.lang.String[] { "Id", "Status", "Headers", "Data", "Last", "Report", "BodyLength", });
     internal_static_marigoldsail_AnswerBody_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(18);
     internal_static_marigoldsail_AnswerBody_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_AnswerBody_descriptor,
         new java.lang.String[] { "Id", "Data", "Last", });
     internal_static_marigoldsail_NotRun_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(19);
     internal_static_marigoldsail_NotRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_NotRun_descriptor,
         new java.lang.String[] { "Id", "ErrorKind", "Detail", "RetryAfterMillis", "Report", });
     internal_static_marigoldsail_Failed_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(20);
     internal_static_marigoldsail_Failed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Failed_descriptor,
         new java.lang.String[] { "Id", "ErrorKind", "Detail", "Report", });
     internal_static_marigoldsail_Resolve_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(21);
     internal_static_marigoldsail_Resolve_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Resolve_descriptor,
         new java.lang.String[] { "Id", "ProcessIncarnation", });
     internal_static_marigoldsail_Resolution_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(22);
     internal_static_marigoldsail_Resolution_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Resolution_descriptor,
         new java.lang.String[] { "Id", "State", });
     internal_static_marigoldsail_Cancel_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(23);
     internal_static_marigoldsail_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Cancel_descriptor,
         new java.lang.String[] { "Id", });
     internal_static_marigoldsail_Ping_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(24);
     internal_static_marigoldsail_Ping_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Ping_descriptor,
         new java.lang.String[] { "Nonce", });
     internal_static_marigoldsail_Pong_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(25);
     internal_static_marigoldsail_Pong_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Pong_descriptor,
         new java.lang.String[] { "Nonce", });
     internal_static_marigoldsail_GoAway_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(26);
     internal_static_marigoldsail_GoAway_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_GoAway_descriptor,
         new java.lang.String[] { });
     internal_static_marigoldsail_GoAwayAck_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(27);
     internal_static_marigoldsail_GoAwayAck_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_GoAwayAck_descriptor,
