Look only at jobs that wait, and again only when something changed

Cause: ClaimLoop made a state of every job 20 times a second, and EntryProcess built TaskTerms anew at each ask although they change only with the configuration. Now the table gives the waiting jobs; after a round without a claim the next one comes with the next record or after 0.2 s (heard VMs and health are not in the log); terms are built when a configuration comes into force.

placement-scale runs at a half and a quarter of the size too and prints the processor time of deciding, the listing of jobs included.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/MutableJob.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/MutableJob.java
@@ -51,6 +51,10 @@
     cancelReason = reason.isEmpty() ? "cancelled" : reason;
   }
 
+  boolean waits() {
+    return !waiting.isEmpty();
+  }
+
   boolean ended() {
     return count(Phase.WAITING) == 0 && count(Phase.CLAIMED) == 0;
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/TaskTable.java
@@ -6,6 +6,8 @@
 import io.marigoldsail.job.TaskState.Phase;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -128,6 +130,11 @@
     return jobs.values().stream().map(MutableJob::state).toList();
   }
 
+  /** Returns the jobs of which tasks wait, in the order of their acceptance. */
+  public synchronized List<JobState> waitingJobs() {
+    return jobs.values().stream().filter(MutableJob::waits).map(MutableJob::state).toList();
+  }
+
   /** Returns the jobs that ended not long ago, oldest end first. */
   public synchronized List<JobState> endedJobs() {
     return endedJobs.values().stream().map(MutableJob::state).toList();
@@ -474,13 +481,8 @@
     EntryState before = entries.get(heartbeat.entry());
     entries.put(heartbeat.entry(), EntryState.after(before, heartbeat, position));
     if (entries.size() > MAX_ENTRIES) {
-      EntryState oldest = null;
-      for (EntryState entry : entries.values()) {
-        if (oldest == null || entry.lastHeartbeat() < oldest.lastHeartbeat()) {
-          oldest = entry;
-        }
-      }
-      entries.remove(oldest.entry());
+      var byHeartbeat = Comparator.comparingLong(EntryState::lastHeartbeat);
+      entries.remove(Collections.min(entries.values(), byHeartbeat).entry());
     }
     return true;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/EntryProcess.java
@@ -63,6 +63,7 @@
   private final KeyHomes keyHomes;
   private final EntryRoster roster;
   private final EntryTasks tasks;
+  private volatile TaskTerms taskTerms = TaskTerms.DEFAULT;
   private volatile boolean serving;
 
   EntryProcess(EntrySettings settings) {
@@ -95,7 +96,7 @@
     TaskTable table = new TaskTable();
     this.taskStream = StreamClient.writer(base.shared(), TaskFold.STREAM, new TaskFold(table));
     TaskLog taskLog = new FollowedTaskLog(taskStream.appender(), base.clock());
-    Supplier<TaskTerms> terms = () -> ConfiguredPolicies.tasks(base.configuration());
+    Supplier<TaskTerms> terms = () -> taskTerms;
     this.tasks = newTasks(table, taskLog, terms);
     links.addMemberListener(dispatcher.memberListener());
     links.addMemberListener(readiness);
@@ -144,6 +145,7 @@
   private void configure(RequestScheduler policy) {
     SchedulerSettings next = ConfiguredPolicies.scheduler(base.configuration(), settings.zone());
     loop.run(() -> policy.configure(next));
+    taskTerms = ConfiguredPolicies.tasks(base.configuration());
   }
 
   private void registerRoutes(TaskTable table, TaskLog taskLog, Supplier<TaskTerms> terms) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/ClaimLoop.java
@@ -38,6 +38,11 @@
   private static final int MAX_ON_THEIR_WAY = 64;
   private static final int MAX_TRIES_A_ROUND = 128;
   private static final int CANDIDATES = 256;
+
+  /** What the log does not tell, such as which VMs are heard, is looked at so often. */
+  private static final long LOOK_AGAIN_MILLIS = 200;
+
+  private static final long NEVER = Long.MIN_VALUE;
   private static final long OTHERS_TASKS_MILLIS = 3_000;
   private static final long LOG_BACK_OFF_MILLIS = 500;
 
@@ -59,6 +64,11 @@
   private final Map<String, String> whyWaiting = new HashMap<>();
   private long pausedUntil;
 
+  /** How far the log was read when a round found nothing to claim. */
+  private long fruitlessAt = NEVER;
+
+  private long lookAgain;
+
   ClaimLoop(
       EntryContext context,
       VmWatch watch,
@@ -73,17 +83,28 @@
     this.knowledge = knowledge;
     this.preemptions = preemptions;
     this.pausedUntil = context.nanos();
+    this.lookAgain = context.nanos();
   }
 
   void tick() {
     if (!context.passed(pausedUntil) || onTheirWay.size() >= MAX_ON_THEIR_WAY) {
       return;
     }
-    List<JobState> jobs = context.table().jobs();
-    noteProgress(jobs);
-    if (jobs.stream().noneMatch(job -> job.waiting() > 0)) {
+    long applied = context.table().applied();
+    if (applied == fruitlessAt && !context.passed(lookAgain)) {
       return;
     }
+    List<JobState> jobs = context.table().waitingJobs();
+    noteProgress(jobs);
+    int before = onTheirWay.size();
+    if (!jobs.isEmpty()) {
+      decide(jobs);
+    }
+    fruitlessAt = onTheirWay.size() == before ? applied : NEVER;
+    lookAgain = context.afterMillis(LOOK_AGAIN_MILLIS);
+  }
+
+  private void decide(List<JobState> jobs) {
     Fleet fleet = new Fleet(context.table().vms(), this::usable, context.table()::programsOn);
     fleet.keep(context.table().preemptions());
     onTheirWay.values().forEach(p -> fleet.take(p.vm().registration(), p.program(), p.sizes()));
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/PlacementScale.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/PlacementScale.java
@@ -32,16 +32,18 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * The size to build for: 770 VMs, 90 task starts a second, about 13,000 tasks that run.
+ * The size to build for, 770 VMs, 90 task starts a second and about 13,000 tasks that run, or a
+ * part of all three.
  *
  * <p>{@code placement_us} and {@code fold_us} are processor time of this thread, so they differ
  * from run to run; everything else is virtual and does not.
  */
 final class PlacementScale implements MeasurePattern {
   private static final ThreadMXBean PROCESSOR = ManagementFactory.getThreadMXBean();
-  private static final int VMS = 770;
+  private static final int TARGET_VMS = 770;
   private static final int TEAMS = 400;
-  private static final int STARTS_A_SECOND = 90;
+  private static final int TASKS_A_JOB = 9;
+  private static final long TARGET_JOB_EVERY_MILLIS = 100;
   private static final long ROUND_MILLIS = 50;
   private static final long APPEND_MILLIS = 100;
   private static final long RUN_MILLIS = 145_000;
@@ -57,6 +59,8 @@
   private record Append(long dueMillis, TaskRecord.Claimed claim) {}
 
   private static final class Run {
+    private final int part;
+    private final int vms;
     private final TaskTable table = new TaskTable();
     private final Random random;
     private final Placer placer;
@@ -71,15 +75,18 @@
     private int jobs;
     private long started;
     private long foldNanos;
+    private long decideNanos;
 
-    Run(long seed) {
+    Run(long seed, int part) {
+      this.part = part;
+      this.vms = TARGET_VMS / part;
       random = new Random(seed);
       Interference interference = new Interference();
       for (int team = 0; team < TEAMS; team++) {
         interference.measured("team-" + team + "/p", Map.of("team-" + (team + 1) + "/p", 1.0), 2);
       }
       placer = new Placer(new InterferenceCosts(interference), new Random(seed));
-      for (int i = 0; i < VMS; i++) {
+      for (int i = 0; i < vms; i++) {
         fold(
             new TaskRecord.VmJoined(
                 new VmDescription("vm-" + i, 1, ROOM, "zone-" + i % 9, "rack-" + i / 30)));
@@ -88,8 +95,8 @@
 
     void run() {
       for (now = 0; now < HORIZON_MILLIS; now += ROUND_MILLIS) {
-        if (now % 100 == 0) {
-          submit(STARTS_A_SECOND / 10);
+        if (now % (TARGET_JOB_EVERY_MILLIS * part) == 0) {
+          submit(TASKS_A_JOB);
         }
         while (!ends.isEmpty() && ends.peek().atMillis() <= now) {
           End end = ends.poll();
@@ -147,10 +154,15 @@
     }
 
     private void decide() {
-      List<JobState> waiting = table.jobs().stream().filter(job -> job.waiting() > 0).toList();
-      if (waiting.isEmpty()) {
-        return;
+      long from = PROCESSOR.getCurrentThreadCpuTime();
+      List<JobState> waiting = table.waitingJobs();
+      if (!waiting.isEmpty()) {
+        decide(waiting);
       }
+      decideNanos += PROCESSOR.getCurrentThreadCpuTime() - from;
+    }
+
+    private void decide(List<JobState> waiting) {
       long before = PROCESSOR.getCurrentThreadCpuTime();
       Fleet fleet = new Fleet(table.vms(), vm -> true, table::programsOn);
       Set<String> onTheirWay = new HashSet<>();
@@ -159,7 +171,7 @@
         fleet.take(append.claim().registration(), "p", append.claim().sizes());
       }
       waiting.forEach(job -> reserve.seen(job.spec().sizes(), job.spec().urgent(), now));
-      fleet.reserve(reserve.each(fleet.meanCapacity(), now), reserve.count(VMS));
+      fleet.reserve(reserve.each(fleet.meanCapacity(), now), reserve.count(vms));
       QueueOrder order =
           new QueueOrder(
               waiting, table.bookedByTeam(), team -> TeamQuota.DEFAULT, fleet.capacity(), now);
@@ -199,14 +211,21 @@
     }
   }
 
+  private final int part;
+
+  /** Creates the pattern at the given part of the size: 1 for all of it, 2 for half. */
+  PlacementScale(int part) {
+    this.part = part;
+  }
+
   @Override
   public String name() {
-    return "placement-scale@target";
+    return "placement-scale@" + (part == 1 ? "target" : "part-" + part);
   }
 
   @Override
   public void run(long seed, MeasureRows rows) {
-    Run run = new Run(seed);
+    Run run = new Run(seed, part);
     run.run();
     double seconds = HORIZON_MILLIS / 1_000.0;
     rows.add(name(), 1, "marigoldsail", "placement_us", run.placementNanos.getMean() / 1_000);
@@ -223,6 +242,7 @@
         "marigoldsail",
         "urgent_p99_s",
         run.urgentMillis.getValueAtPercentile(99) / 1_000.0);
+    rows.add(name(), 1, "marigoldsail", "deciding_percent", run.decideNanos / 1e4 / HORIZON_MILLIS);
     rows.add(name(), 1, "marigoldsail", "starts_per_s", run.started / seconds);
     rows.add(name(), 1, "marigoldsail", "running_tasks", (double) run.ends.size());
     rows.add(name(), 1, "marigoldsail", "records_per_s", run.position / seconds);
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskPatterns.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/measure/TaskPatterns.java
@@ -5,6 +5,8 @@
 
 /** The patterns about tasks: every disturbance in both deployments, and the size to build for. */
 final class TaskPatterns {
+  private static final int LEAST_PART = 4;
+
   private TaskPatterns() {}
 
   static List<MeasurePattern> all() {
@@ -14,7 +16,9 @@
         patterns.add(new TaskPattern(disturbance, deployment));
       }
     }
-    patterns.add(new PlacementScale());
+    for (int part = 1; part <= LEAST_PART; part *= 2) {
+      patterns.add(new PlacementScale(part));
+    }
     return patterns.build();
   }
 }
