--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -5,6 +5,8 @@
 import io.marigoldsail.daemon.dispatch.SideAnswers.Refusal;
 import io.marigoldsail.daemon.link.Announcements;
 import io.marigoldsail.daemon.link.BrokenFrameException;
+import io.marigoldsail.daemon.link.EntryChannel;
+import io.marigoldsail.daemon.link.KeyListener;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkListener;
 import io.marigoldsail.daemon.link.LinkLoop;
@@ -16,7 +18,6 @@
 import io.marigoldsail.dispatch.WireId;
 import io.marigoldsail.error.ErrorKind;
 import io.marigoldsail.protocol.Frame;
-import io.marigoldsail.protocol.KeyLeases;
 import io.marigoldsail.protocol.RequestBody;
 import io.marigoldsail.protocol.RequestStart;
 import io.marigoldsail.protocol.Resolution;
@@ -35,7 +36,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
 
 /**
  * Runs the requests of all entries on the target beside it, each at most once.
@@ -55,10 +55,12 @@
   /** How long past its deadline a request may still hold its slot, because its target does. */
   private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-  /** A connection that takes nothing for this long at a planned stop is given up. */
-  private static final long FLUSH_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+  /**
+   * A connection that takes or acknowledges nothing for this long at a planned stop is given up.
+   */
+  private static final long SETTLE_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-  private static final long FLUSH_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  private static final long SETTLE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
   /** A refusal for want of a slot asks the entry to wait about a round trip. */
   private static final long SOON_MILLIS = 5;
@@ -69,7 +71,7 @@
   private final Target target;
   private final SideLimits limits;
   private final long processIncarnation;
-  private final IntSupplier entryCount;
+  private final EntryChannel entries;
   private final ByteBudget budget;
   private final EventRecorder events;
   private final LinkServer server;
@@ -77,15 +79,17 @@
   private final RequestLedger<Frame> ledger;
   private final SideAnswers answers;
   private final SideKeys keys;
+  private final KeyExchange exchange;
   private final Map<WireId, SideRequest> requests = new HashMap<>();
   private final ArrayDeque<SideRequest> waiting = new ArrayDeque<>();
   private final Map<LinkConnection, TransitDelay> delays = new HashMap<>();
+  private final GoAwayFence fence = new GoAwayFence();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private volatile int running;
   private volatile int waitingCount;
   private volatile boolean stopping;
   private volatile Runnable leavingListener = () -> {};
-  private long flushUntil;
+  private long giveUpAt;
   private Future<?> tick;
 
   /**
@@ -96,7 +100,7 @@
    * @param target the target
    * @param limits the bounds
    * @param processIncarnation this process's incarnation, as announced
-   * @param entryCount how many entries hear this process
+   * @param entries the way to the entries that hear this process
    * @param budget what bodies of requests hold; the same as that of the target's client
    * @param events the time line
    */
@@ -106,14 +110,14 @@
       Target target,
       SideLimits limits,
       long processIncarnation,
-      IntSupplier entryCount,
+      EntryChannel entries,
       ByteBudget budget,
       EventRecorder events) {
     this.loop = requireNonNull(loop, "loop");
     this.target = requireNonNull(target, "target");
     this.limits = requireNonNull(limits, "limits");
     this.processIncarnation = processIncarnation;
-    this.entryCount = requireNonNull(entryCount, "entryCount");
+    this.entries = requireNonNull(entries, "entries");
     this.budget = requireNonNull(budget, "budget");
     this.events = requireNonNull(events, "events");
     this.watch = new TargetWatch(loop, target, () -> leavingListener.run());
@@ -121,11 +125,12 @@
     this.ledger = new RequestLedger<>(MAX_ENDED, limits.keptAnswerBytes(), LEDGER_WINDOW_NANOS);
     this.answers = new SideAnswers(loop, ledger, this::report, events);
     this.keys = new SideKeys(loop, processIncarnation, answers);
+    this.exchange = new KeyExchange(loop, processIncarnation, entries, keys, this::isLeaving);
   }
 
-  /** Takes an entry's evidence that this process is the home of idempotency keys. */
-  public void keyLeases(KeyLeases evidence) {
-    loop.run(() -> keys.vouched(evidence));
+  /** Returns who takes what entries say about idempotency keys. */
+  public KeyListener keyListener() {
+    return exchange;
   }
 
   /** Sets who is told when {@link #isLeaving} changes; to be called before {@link #start}. */
@@ -151,7 +156,7 @@
 
   /** Returns what the target has to do now. */
   public TargetLoad load() {
-    return new TargetLoad(running, waitingCount, entryCount.getAsInt(), isLeaving());
+    return new TargetLoad(running, waitingCount, entries.entryCount(), isLeaving());
   }
 
   /** Returns whether nothing new is taken: this process or its target is stopping. */
@@ -169,6 +174,9 @@
     loop.run(
         () -> {
           leavingListener.run();
+          fence.begin(delays.keySet());
+          // What was sent before may still wait in the process behind that first word of the stop.
+          fence.crossed();
           checkDrained();
         });
     return drained;
@@ -183,27 +191,34 @@
 
   private void tick() {
     ledger.expire(loop.now());
+    keys.expire();
     watch.probe();
   }
 
   private void checkDrained() {
-    if (!stopping || !requests.isEmpty() || flushUntil != 0) {
+    // Newcomers are refused by now: once nothing with a key is in progress none will run here.
+    if (stopping && requests.values().stream().noneMatch(SideKeys::isKeyed)) {
+      exchange.give(this::checkDrained);
+    }
+    if (!stopping || !requests.isEmpty() || !exchange.isGiven() || giveUpAt != 0) {
       return;
     }
-    flushUntil = loop.now() + FLUSH_LIMIT_NANOS;
-    awaitFlush();
+    giveUpAt = loop.now() + SETTLE_LIMIT_NANOS;
+    awaitSettled();
   }
 
-  /** A long answer still on its way out is a request in progress, too; exiting would cut it. */
-  private void awaitFlush() {
-    if (server.isFlushed() || flushUntil - loop.now() <= 0) {
+  /** Waits until entries have all answers and nothing of theirs is still on its way here. */
+  private void awaitSettled() {
+    boolean settled = server.isFlushed() && fence.isPassed(delays.keySet());
+    if (settled || giveUpAt - loop.now() <= 0) {
       drained.complete(null);
       return;
     }
-    loop.schedule(this::awaitFlush, FLUSH_CHECK_NANOS);
+    loop.schedule(this::awaitSettled, SETTLE_CHECK_NANOS);
   }
 
   private void start(LinkConnection connection, RequestStart start) throws BrokenFrameException {
+    fence.crossed();
     long now = loop.now();
     WireId id = SideFrames.id(start.getId());
     switch (ledger.state(id)) {
@@ -327,6 +342,7 @@
   }
 
   private void finish(SideRequest request) {
+    fence.crossed();
     requests.remove(request.id());
     budget.release(request.start().getBodyLength());
   }
@@ -391,6 +407,7 @@
   }
 
   private void resolve(LinkConnection connection, Resolve resolve) {
+    fence.crossed();
     WireId id = SideFrames.id(resolve.getId());
     Resolution.State state = Resolution.State.FORGOTTEN;
     // A process started anew on this address has seen none of its predecessor's requests; for it
@@ -403,7 +420,7 @@
         ledger.bury(id, loop.now());
       }
       if (ledger.answer(id).isPresent()) {
-        connection.send(ledger.answer(id).get());
+        answers.repeat(connection, id, ledger.answer(id).get());
         recordResolved(id, "done");
         return;
       }
@@ -440,14 +457,19 @@
     @Override
     public void opened(LinkConnection connection) {
       delays.put(connection, new TransitDelay());
+      if (stopping) {
+        fence.add(connection);
+      }
     }
 
     @Override
     public void received(LinkConnection connection, Frame frame) throws BrokenFrameException {
+      answers.acknowledged(connection, frame.getAnswersRead());
       switch (frame.getBodyCase()) {
         case REQUEST_START -> start(connection, frame.getRequestStart());
         case REQUEST_BODY -> body(connection, frame.getRequestBody());
         case RESOLVE -> resolve(connection, frame.getResolve());
+        case GO_AWAY_ACK -> fence.acknowledged(connection);
         case CANCEL -> cancel(SideFrames.id(frame.getCancel().getId()));
         case PING -> {
           long sentAt = frame.getPing().getNonce();
@@ -461,6 +483,8 @@
     @Override
     public void closed(LinkConnection connection, String reason) {
       delays.remove(connection);
+      answers.closed(connection);
+      fence.remove(connection);
       List<SideRequest> cutShort = new ArrayList<>();
       for (SideRequest request : requests.values()) {
         if (request.answerTo() == connection && !request.isWhole()) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryDispatcherTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/EntryDispatcherTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.marigoldsail.daemon.link.LinkConnection;
@@ -107,6 +108,25 @@
     assertEquals("late", text(stuck.join()));
   }
 
+  /** Buffers for heads are small at first; a long head must grow them, not be refused. */
+  @Test
+  void longHeadsOfRequestsAndAnswersPassWhole() throws Exception {
+    String asked = "a".repeat(12 * 1024);
+    String told = "t".repeat(30 * 1024);
+    CompletableFuture<HttpResponse<byte[]>> lookup =
+        entry.sendAsync(entry.request("/parking/spaces").header("Trip", asked).GET());
+    FakeSide.Heard request = side.next();
+    assertTrue(
+        request.frame().getRequestStart().getHeadersList().stream()
+            .anyMatch(header -> header.getValue().equals(asked)));
+    Frame.Builder answer = FakeSide.answer(FakeSide.idOf(request.frame()), 200, "free").toBuilder();
+    answer.getAnswerStartBuilder().addHeadersBuilder().setName("Trip").setValue(told);
+    side.send(request.connection(), answer.build());
+
+    assertEquals(told, lookup.join().headers().firstValue("Trip").orElse(""));
+    assertEquals("free", text(lookup.join()));
+  }
+
   /** Proven not to have run, a charge may be sent once more, under a new id. */
   @Test
   void chargeProvenNotRunIsTriedAgainUnderANewId() throws Exception {
@@ -281,6 +301,31 @@
   @Test
   void leavingTargetIsPassedOver() throws Exception {
     side.announce(entry, true);
+    assertAnotherServesAll();
+  }
+
+  /**
+   * A side process goes away; an announcement that it sent before is overtaken on its way and says
+   * that it takes work. A charge sent there on that word finds the process gone, and its caller is
+   * told that the outcome is unknown.
+   */
+  @Test
+  void targetThatGoesAwayIsPassedOverWhateverAnOvertakenAnnouncementSays() throws Exception {
+    CompletableFuture<HttpResponse<byte[]>> lookup = lookup();
+    FakeSide.Heard request = side.next();
+    side.send(request.connection(), SideFrames.goAway());
+    FakeSide.Heard acknowledged = side.next();
+    assertTrue(acknowledged.frame().hasGoAwayAck());
+    assertSame(request.connection(), acknowledged.connection());
+    side.send(request.connection(), FakeSide.answer(FakeSide.idOf(request.frame()), 200, "free"));
+    assertEquals("free", text(lookup.join()), "what is in progress ends");
+
+    side.announce(entry, false);
+
+    assertAnotherServesAll();
+  }
+
+  private void assertAnotherServesAll() throws Exception {
     try (FakeSide other = new FakeSide("vm-2", 1, 0)) {
       other.announce(entry, false);
       entry.awaitTargets(2);
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/FrameOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/FrameOrBuilder.java
@@ -205,6 +205,36 @@
    */
   io.marigoldsail.protocol.CancelOrBuilder getCancelOrBuilder();
 
+  /**
+   * <code>.marigoldsail.GoAway go_away = 14;</code>
+   * @return Whether the goAway field is set.
+   */
+  boolean hasGoAway();
+  /**
+   * <code>.marigoldsail.GoAway go_away = 14;</code>
+   * @return The goAway.
+   */
+  io.marigoldsail.protocol.GoAway getGoAway();
+  /**
+   * <code>.marigoldsail.GoAway go_away = 14;</code>
+   */
+  io.marigoldsail.protocol.GoAwayOrBuilder getGoAwayOrBuilder();
+
+  /**
+   * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+   * @return Whether the goAwayAck field is set.
+   */
+  boolean hasGoAwayAck();
+  /**
+   * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+   * @return The goAwayAck.
+   */
+  io.marigoldsail.protocol.GoAwayAck getGoAwayAck();
+  /**
+   * <code>.marigoldsail.GoAwayAck go_away_ack = 15;</code>
+   */
+  io.marigoldsail.protocol.GoAwayAckOrBuilder getGoAwayAckOrBuilder();
+
   /**
    * <code>.marigoldsail.KeyLeases key_leases = 16;</code>
    * @return Whether the keyLeases field is set.
@@ -235,6 +265,62 @@
    */
   io.marigoldsail.protocol.TaskMessageOrBuilder getTaskOrBuilder();
 
+  /**
+   * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+   * @return Whether the keyHandover field is set.
+   */
+  boolean hasKeyHandover();
+  /**
+   * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+   * @return The keyHandover.
+   */
+  io.marigoldsail.protocol.KeyHandover getKeyHandover();
+  /**
+   * <code>.marigoldsail.KeyHandover key_handover = 21;</code>
+   */
+  io.marigoldsail.protocol.KeyHandoverOrBuilder getKeyHandoverOrBuilder();
+
+  /**
+   * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+   * @return Whether the keyHandoverTaken field is set.
+   */
+  boolean hasKeyHandoverTaken();
+  /**
+   * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+   * @return The keyHandoverTaken.
+   */
+  io.marigoldsail.protocol.KeyHandoverTaken getKeyHandoverTaken();
+  /**
+   * <code>.marigoldsail.KeyHandoverTaken key_handover_taken = 22;</code>
+   */
+  io.marigoldsail.protocol.KeyHandoverTakenOrBuilder getKeyHandoverTakenOrBuilder();
+
+  /**
+   * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+   * @return Whether the keyHandoverResult field is set.
+   */
+  boolean hasKeyHandoverResult();
+  /**
+   * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+   * @return The keyHandoverResult.
+   */
+  io.marigoldsail.protocol.KeyHandoverResult getKeyHandoverResult();
+  /**
+   * <code>.marigoldsail.KeyHandoverResult key_handover_result = 23;</code>
+   */
+  io.marigoldsail.protocol.KeyHandoverResultOrBuilder getKeyHandoverResultOrBuilder();
+
+  /**
+   * <pre>
+   * Entry to side process: how many whole answers in one frame (AnswerStart with last) were read on
+   * this connection so far. The entry asks Resolve for none of them again.
+   * </pre>
+   *
+   * <code>uint64 answers_read = 18;</code>
+   * @return The answersRead.
+   */
+  long getAnswersRead();
+
   /**
    * <pre>
    * The sender's hybrid logical clock when it sent this frame; 0 if it gives none. The receiver
