--- a/marigoldsail-core/src/main/java/io/marigoldsail/timeline/EventKind.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/timeline/EventKind.java
@@ -33,6 +33,8 @@
   TASK_WAITING,
   /** A VM was chosen for a task; the detail says why. */
   TASK_PLACED,
+  /** Room on a VM is being freed for an urgent task; the detail says who goes. */
+  TASK_PREEMPTING,
   /** A claim was accepted in the log. */
   TASK_CLAIMED,
   /** A claim lost a race in the log. */
@@ -71,6 +73,10 @@
   LOG_OUTAGE_BEGAN,
   /** The log service answers again. */
   LOG_OUTAGE_ENDED,
+  /** A stream of the log is another one than was read so far; the detail says what follows. */
+  LOG_HISTORY_REPLACED,
+  /** The stream that was read before is back. */
+  LOG_HISTORY_RETURNED,
   /** A connection to a peer was given up. */
   CONNECTION_LOST,
   /** A process began. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -219,10 +219,9 @@
 
   private void start(LinkConnection connection, RequestStart start) throws BrokenFrameException {
     fence.crossed();
-    long now = loop.now();
     WireId id = SideFrames.id(start.getId());
     switch (ledger.state(id)) {
-      case UNSEEN -> admit(connection, id, start, now);
+      case UNSEEN -> admit(connection, id, start, loop.now());
       case TOMBSTONE -> answers.repeatRefusal(connection, id);
       case WAITING, RUNNING -> throw new BrokenFrameException("second start of " + id);
       // A copy that comes so late that its id is forgotten must not run: it may have run.
@@ -420,7 +419,7 @@
         ledger.bury(id, loop.now());
       }
       if (ledger.answer(id).isPresent()) {
-        connection.send(ledger.answer(id).get());
+        answers.repeat(connection, id, ledger.answer(id).get());
         recordResolved(id, "done");
         return;
       }
@@ -464,6 +463,7 @@
 
     @Override
     public void received(LinkConnection connection, Frame frame) throws BrokenFrameException {
+      answers.acknowledged(connection, frame.getAnswersRead());
       switch (frame.getBodyCase()) {
         case REQUEST_START -> start(connection, frame.getRequestStart());
         case REQUEST_BODY -> body(connection, frame.getRequestBody());
@@ -482,6 +482,7 @@
     @Override
     public void closed(LinkConnection connection, String reason) {
       delays.remove(connection);
+      answers.closed(connection);
       fence.remove(connection);
       List<SideRequest> cutShort = new ArrayList<>();
       for (SideRequest request : requests.values()) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTasks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/task/SideTasks.java
@@ -5,6 +5,7 @@
 import io.marigoldsail.lease.Worker;
 import io.marigoldsail.lease.WorkerBoot;
 import io.marigoldsail.protocol.AskVouch;
+import io.marigoldsail.protocol.StopTask;
 import io.marigoldsail.protocol.TaskMessage;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.time.WallClock;
@@ -175,7 +176,7 @@
   private void run() {
     while (!closed) {
       try {
-        Incoming next = queue.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
+        Incoming next = queue.poll(idleNanos(), TimeUnit.NANOSECONDS);
         if (next != null) {
           handle(next);
         }
@@ -190,12 +191,28 @@
     }
   }
 
+  /**
+   * Returns how long there is nothing to do unless a message comes: with no task on the VM, until
+   * the next timer. Leases are renewed on evidence, which comes as a message.
+   */
+  private long idleNanos() {
+    long poll = POLL_MILLIS * NANOS_PER_MILLI;
+    if (!attempts.tasks().isEmpty()) {
+      return poll;
+    }
+    long now = clock.nanos();
+    long next = Math.min(nextList - now, nextAsk - now);
+    next = Math.min(next, Math.min(nextMeasure - now, nextGuard - now));
+    next = Math.min(next, nextReport - now);
+    return Math.max(poll, next);
+  }
+
   private void handle(Incoming incoming) {
     TaskMessage message = incoming.message();
     switch (message.getKindCase()) {
       case VOUCH -> attempts.onVouch(message.getVouch());
       case START -> attempts.onStart(incoming.peer(), message.getStart());
-      case STOP -> attempts.onStop(incoming.peer(), message.getStop());
+      case STOP -> stop(incoming.peer(), message.getStop());
       case REPORT_ACK -> attempts.onAck(message.getReportAck());
       default -> {
         // Kinds that only side processes send, or that a newer version added.
@@ -203,6 +220,14 @@
     }
   }
 
+  private void stop(String peer, StopTask stop) {
+    if (stop.getReason() == StopTask.Reason.EVICTED) {
+      guard.onStopForUrgent(peer, stop);
+    } else {
+      attempts.onStop(peer, stop);
+    }
+  }
+
   private void ask() {
     if (attempts.boot().isEmpty() || passed(workerSilentAt)) {
       return;
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Frame.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Frame.java
@@ -746,6 +746,22 @@
     return io.marigoldsail.protocol.KeyHandoverResult.getDefaultInstance();
   }
 
+  public static final int ANSWERS_READ_FIELD_NUMBER = 18;
+  private long answersRead_ = 0L;
+  /**
+   * <pre>
+   * Entry to side process: how many whole answers in one frame (AnswerStart with last) were read on
+   * this connection so far. The entry asks Resolve for none of them again.
+   * </pre>
+   *
+   * <code>uint64 answers_read = 18;</code>
+   * @return The answersRead.
+   */
+  @java.lang.Override
+  public long getAnswersRead() {
+    return answersRead_;
+  }
+
   public static final int STAMP_FIELD_NUMBER = 30;
   private long stamp_ = 0L;
   /**
@@ -824,6 +840,9 @@
     if (bodyCase_ == 16) {
       output.writeMessage(16, (io.marigoldsail.protocol.KeyLeases) body_);
     }
+    if (answersRead_ != 0L) {
+      output.writeUInt64(18, answersRead_);
+    }
     if (bodyCase_ == 20) {
       output.writeMessage(20, (io.marigoldsail.protocol.TaskMessage) body_);
     }
@@ -907,6 +926,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(16, (io.marigoldsail.protocol.KeyLeases) body_);
     }
+    if (answersRead_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(18, answersRead_);
+    }
     if (bodyCase_ == 20) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(20, (io.marigoldsail.protocol.TaskMessage) body_);
@@ -951,6 +974,8 @@
     }
     io.marigoldsail.protocol.Frame other = (io.marigoldsail.protocol.Frame) obj;
 
+    if (getAnswersRead()
+        != other.getAnswersRead()) return false;
     if (getStamp()
         != other.getStamp()) return false;
     if (!getBodyCase().equals(other.getBodyCase())) return false;
@@ -1049,6 +1074,9 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + ANSWERS_READ_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAnswersRead());
     hash = (37 * hash) + STAMP_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStamp());
@@ -1327,6 +1355,7 @@
       if (keyHandoverResultBuilder_ != null) {
         keyHandoverResultBuilder_.clear();
       }
+      answersRead_ = 0L;
       stamp_ = 0L;
       bodyCase_ = 0;
       body_ = null;
@@ -1365,6 +1394,9 @@
     private void buildPartial0(io.marigoldsail.protocol.Frame result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00100000) != 0)) {
+        result.answersRead_ = answersRead_;
+      }
+      if (((from_bitField0_ & 0x00200000) != 0)) {
         result.stamp_ = stamp_;
       }
     }
@@ -1466,6 +1498,9 @@
 
     public Builder mergeFrom(io.marigoldsail.protocol.Frame other) {
       if (other == io.marigoldsail.protocol.Frame.getDefaultInstance()) return this;
+      if (other.getAnswersRead() != 0L) {
+        setAnswersRead(other.getAnswersRead());
+      }
       if (other.getStamp() != 0L) {
         setStamp(other.getStamp());
       }
@@ -1690,6 +1725,11 @@
               bodyCase_ = 16;
               break;
             } // case 130
+            case 144: {
+              answersRead_ = input.readUInt64();
+              bitField0_ |= 0x00100000;
+              break;
+            } // case 144
             case 162: {
               input.readMessage(
                   internalGetTaskFieldBuilder().getBuilder(),
@@ -1720,7 +1760,7 @@
             } // case 186
             case 241: {
               stamp_ = input.readFixed64();
-              bitField0_ |= 0x00100000;
+              bitField0_ |= 0x00200000;
               break;
             } // case 241
             default: {
@@ -4555,6 +4595,53 @@
       return keyHandoverResultBuilder_;
     }
 
+    private long answersRead_ ;
+    /**
+     * <pre>
+     * Entry to side process: how many whole answers in one frame (AnswerStart with last) were read on
+     * this connection so far. The entry asks Resolve for none of them again.
+     * </pre>
+     *
+     * <code>uint64 answers_read = 18;</code>
+     * @return The answersRead.
+     */
+    @java.lang.Override
+    public long getAnswersRead() {
+      return answersRead_;
+    }
+    /**
+     * <pre>
+     * Entry to side process: how many whole answers in one frame (AnswerStart with last) were read on
+     * this connection so far. The entry asks Resolve for none of them again.
+     * </pre>
+     *
+     * <code>uint64 answers_read = 18;</code>
+     * @param value The answersRead to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAnswersRead(long value) {
+
+      answersRead_ = value;
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Entry to side process: how many whole answers in one frame (AnswerStart with last) were read on
+     * this connection so far. The entry asks Resolve for none of them again.
+     * </pre>
+     *
+     * <code>uint64 answers_read = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAnswersRead() {
+      bitField0_ = (bitField0_ & ~0x00100000);
+      answersRead_ = 0L;
+      onChanged();
+      return this;
+    }
+
     private long stamp_ ;
     /**
      * <pre>
@@ -4582,7 +4669,7 @@
     public Builder setStamp(long value) {
 
       stamp_ = value;
-      bitField0_ |= 0x00100000;
+      bitField0_ |= 0x00200000;
       onChanged();
       return this;
     }
@@ -4596,7 +4683,7 @@
      * @return This builder for chaining.
      */
     public Builder clearStamp() {
-      bitField0_ = (bitField0_ & ~0x00100000);
+      bitField0_ = (bitField0_ & ~0x00200000);
       stamp_ = 0L;
       onChanged();
       return this;
