--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -197,10 +197,9 @@
 
   private void start(LinkConnection connection, RequestStart start) throws BrokenFrameException {
     fence.crossed();
-    long now = loop.now();
     WireId id = SideFrames.id(start.getId());
     switch (ledger.state(id)) {
-      case UNSEEN -> admit(connection, id, start, now);
+      case UNSEEN -> admit(connection, id, start, loop.now());
       case TOMBSTONE -> answers.repeatRefusal(connection, id);
       case WAITING, RUNNING -> throw new BrokenFrameException("second start of " + id);
       // A copy that comes so late that its id is forgotten must not run: it may have run.
