--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -232,8 +232,7 @@
 
   private void admit(LinkConnection connection, WireId id, RequestStart start, long now)
       throws BrokenFrameException {
-    // Time that the frame spent in buffers while this process was frozen counts, too: without it a
-    // woken process would start requests whose callers were answered long ago.
+    // A woken process must not run, past its deadline, what lay in buffers while it was frozen.
     long delay = delays.get(connection).excess(start.getSentAt(), now);
     long deadline = now + TimeUnit.MILLISECONDS.toNanos(start.getRemainingMillis()) - delay;
     Refusal refusal = refusal(start, deadline, now);
