--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/FakeLogService.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/platform/FakeLogService.java
@@ -108,6 +108,16 @@
     }
   }
 
+  /** Returns the oldest offset of the stream that is kept. */
+  public long firstOffset(String stream) {
+    lock.lock();
+    try {
+      return stream(stream).firstOffset;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   @Override
   public Result<Long> append(String stream, byte[] record) {
     requireNonNull(stream, "stream");
--- a/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteSteps.java
+++ b/marigoldsail-tests/src/test/java/io/marigoldsail/tests/scenario/SiteSteps.java
@@ -138,6 +138,18 @@
     site.log().loseNewest(Integer.MAX_VALUE);
   }
 
+  @When("the log service keeps {int} records of a stream")
+  public void logKeeps(int records) {
+    site.logFaults(LogFaults.none().withRetainedRecords(records));
+  }
+
+  @When("the records of stream {word} until now have expired")
+  public void recordsExpire(String stream) {
+    long now = site.log().nextOffset(stream);
+    site.fleet()
+        .await("expiry in " + stream, LONG_SECONDS, () -> site.log().firstOffset(stream) >= now);
+  }
+
   @When("the log service loses the next {int} answers")
   public void logLosesAnswers(int count) {
     site.logFaults(LogFaults.none().withLoseAnswers(count));
--- a/marigoldsail-tests/src/test/resources/io/marigoldsail/tests/scenario/tasks.feature
+++ b/marigoldsail-tests/src/test/resources/io/marigoldsail/tests/scenario/tasks.feature
@@ -50,6 +50,23 @@
     Then job payouts ends with 6 tasks done
     And no task ran in two places and no VM was asked for more than it has
 
+  # Retention drops the records by which the job was accepted and its tasks were claimed while they
+  # run; then both entries die at once. What starts afterwards finds the job in a snapshot alone.
+  Scenario: both entries die at once after the records of a job expired
+    Given a site with 2 entries and 2 VMs
+    And leases last 20000 ms
+    And the log service keeps 200 records of a stream
+    When job payouts of 8 tasks of 30000 ms is submitted
+    And 8 tasks of job payouts run
+    And the records of stream tasks until now have expired
+    And entry-1 is killed
+    And entry-2 is killed
+    And entry-1 starts again
+    And entry-2 starts again
+    And the members are 4 processes
+    Then job payouts ends with 8 tasks done
+    And no task ran in two places and no VM was asked for more than it has
+
   # Something between the processes loses track of their connections: bytes are taken and vanish, no
   # end is told. Whoever waits for an end waits for ever; the VMs are dropped and their tasks moved.
   Scenario: links between processes fall silent, one way and then the other
