--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -209,7 +209,8 @@
 
   private void admit(LinkConnection connection, WireId id, RequestStart start, long now)
       throws BrokenFrameException {
-    // A woken process must not run, past its deadline, what lay in buffers while it was frozen.
+    // Time that the frame spent in buffers while this process was frozen counts, too: without it a
+    // woken process would start requests whose callers were answered long ago.
     long delay = delays.get(connection).excess(start.getSentAt(), now);
     long deadline = now + TimeUnit.MILLISECONDS.toNanos(start.getRemainingMillis()) - delay;
     Refusal refusal = refusal(start, deadline, now);
