--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RunKey.java
@@ -0,0 +1,26 @@
+package io.marigoldsail.workflow;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Names one run of a task; a task's attempts are numbered from 1 and never used twice.
+ *
+ * <p>Immutable. Rejects nulls.
+ *
+ * @param task the task
+ * @param attempt the number of the attempt
+ */
+public record RunKey(TaskKey task, int attempt) {
+  /** Checks the components. */
+  public RunKey {
+    requireNonNull(task, "task");
+    checkArgument(attempt >= 1, "attempt is not positive: %s", attempt);
+  }
+
+  /** Returns the text form, such as {@code 5c0e7a21d94b36f8.0.1.17#2}; for logs. */
+  @Override
+  public String toString() {
+    return task + "#" + attempt;
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -0,0 +1,113 @@
+package io.marigoldsail.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.function.ToIntFunction;
+
+/**
+ * Chooses the VM for a task.
+ *
+ * <p>Load pattern: small tasks that callers wait for, wide steps of heavy tasks that take only what
+ * others leave, and lasting tasks that serve users, all on the same VMs. Without this choice heavy
+ * tasks pile up on one VM and take turns there while others idle, and they stand beside tasks whose
+ * users feel them. The VM with the most processors left wins, since a task that fills works at the
+ * share of its declared processors that is left, and slow VMs count as having less.
+ *
+ * <p>Stateless.
+ */
+public final class VmChooser {
+  /** A task that fills goes only where it may work at this share of its speed at least. */
+  static final int MIN_FILL_PERCENT = 60;
+
+  /**
+   * What a task with a latency target beside counts against a VM for a task that fills, in
+   * thousandths of a processor: about one heavy task, so that idle VMs without such tasks go first.
+   */
+  static final long SERVING_PENALTY = 2_000;
+
+  /**
+   * What a rack far from a step's data counts, as the factor by which a task takes longer there.
+   */
+  static final double FAR_RACK_FACTOR = 1.5;
+
+  private VmChooser() {}
+
+  /**
+   * Returns the best VM that has room for a task of the step, or empty if none has.
+   *
+   * @param spec the workflow
+   * @param step the task's step
+   * @param offers the VMs to choose from
+   * @param ofStepOn how many tasks of the same step and occurrence are on a VM
+   */
+  public static Optional<VmOffer> choose(
+      WorkflowSpec spec,
+      StepSpec step,
+      Collection<VmOffer> offers,
+      ToIntFunction<VmOffer> ofStepOn) {
+    requireNonNull(ofStepOn, "ofStepOn");
+    VmOffer best = null;
+    double bestScore = Double.NEGATIVE_INFINITY;
+    for (VmOffer offer : offers) {
+      if (!admits(spec, step, offer, ofStepOn)) {
+        continue;
+      }
+      double score = score(step, offer);
+      if (score > bestScore) {
+        best = offer;
+        bestScore = score;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private static boolean admits(
+      WorkflowSpec spec, StepSpec step, VmOffer offer, ToIntFunction<VmOffer> ofStepOn) {
+    if (!offer.service().equals(spec.terms().service())) {
+      return false;
+    }
+    StepSpec.Placement placement = step.placement();
+    if (!placement.requiredLabel().isEmpty()
+        && !offer.labels().contains(placement.requiredLabel())) {
+      return false;
+    }
+    if (!step.booked().fitsIn(offer.free())) {
+      return false;
+    }
+    if (step.nature().fills() && !hasRoomToFill(step, offer)) {
+      return false;
+    }
+    return placement.maxPerVm() == 0 || ofStepOn.applyAsInt(offer) < placement.maxPerVm();
+  }
+
+  private static boolean hasRoomToFill(StepSpec step, VmOffer offer) {
+    return offer.fillPercent() >= MIN_FILL_PERCENT
+        && offer.leftMilliProcessors() >= step.sizes().milliProcessors();
+  }
+
+  private static double score(StepSpec step, VmOffer offer) {
+    double left = offer.leftMilliProcessors() - step.sizes().milliProcessors();
+    if (step.nature().fills()) {
+      left -= SERVING_PENALTY * offer.serving();
+    } else if (step.nature().serves()) {
+      left -= SERVING_PENALTY * offer.serving();
+      left -= offer.fillMilliProcessors();
+    }
+    double slowness = offer.slowness();
+    String rack = step.placement().preferredRack();
+    if (!rack.isEmpty() && !offer.labels().contains(rack)) {
+      slowness *= FAR_RACK_FACTOR;
+    }
+    // A slow VM is worth what its speed leaves of it, whichever sign the rest has.
+    return left - (slowness - 1) * offer.capacity().milliProcessors();
+  }
+
+  /** Returns whether a task of the step could run on the VM if nothing else did. */
+  public static boolean couldEverRun(StepSpec step, VmOffer offer) {
+    String label = step.placement().requiredLabel();
+    return step.sizes().fitsIn(offer.capacity())
+        && (label.isEmpty() || offer.labels().contains(label));
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
@@ -0,0 +1,66 @@
+package io.marigoldsail.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.job.Sizes;
+
+/**
+ * A VM as one that looks for room sees it: what its side process reported, less what was ordered
+ * since.
+ *
+ * <p>Immutable. Rejects nulls. Soft: the side process has the last word on room.
+ *
+ * @param place the VM and its worker's life
+ * @param service whose tasks it runs
+ * @param labels what is said of the VM, its rack among them
+ * @param capacity all that it has
+ * @param free what is not booked
+ * @param fillMilliProcessors what running tasks that fill declared, in thousandths of a processor
+ * @param fillPercent the share of its speed at which a task that fills may work here
+ * @param serving how many tasks with a latency target of their own run here
+ * @param slowness how many times as long as elsewhere tasks take here; 1 for as long
+ */
+public record VmOffer(
+    Place place,
+    String service,
+    ImmutableSet<String> labels,
+    Sizes capacity,
+    Sizes free,
+    long fillMilliProcessors,
+    int fillPercent,
+    int serving,
+    double slowness) {
+  /** Checks the components. */
+  public VmOffer {
+    requireNonNull(place, "place");
+    requireNonNull(service, "service");
+    requireNonNull(labels, "labels");
+    requireNonNull(capacity, "capacity");
+    requireNonNull(free, "free");
+  }
+
+  /** Returns what is left of the processors once tasks that fill have what they declared. */
+  long leftMilliProcessors() {
+    return free.milliProcessors() - fillMilliProcessors;
+  }
+
+  /** Returns this offer after a task of the step was placed here. */
+  public VmOffer after(StepSpec step) {
+    long fill =
+        step.nature().fills()
+            ? fillMilliProcessors + step.sizes().milliProcessors()
+            : fillMilliProcessors;
+    int nowServing = step.nature().serves() ? serving + 1 : serving;
+    return new VmOffer(
+        place,
+        service,
+        labels,
+        capacity,
+        free.minus(step.booked()),
+        fill,
+        fillPercent,
+        nowServing,
+        slowness);
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -0,0 +1,265 @@
+package io.marigoldsail.workflow;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * One workflow as its owner knows it: which task may start, what runs, what ended.
+ *
+ * <p>The owner writes {@link #record} durably before it acts on a change: an attempt before its
+ * order leaves, an end before the worker may forget it, and it tells callers {@link #shownStatus}
+ * only. So a new owner that restores the last record knows every order that may be on its way.
+ *
+ * <p>Confined to one thread. Rejects nulls. All operations take time in the number of tasks at
+ * most.
+ */
+public final class Workflow {
+  private final WorkflowSpec spec;
+  private final List<WorkflowTask> tasks = new ArrayList<>();
+  private final int tasksPerRound;
+  private final int[] firstOfStep;
+  private final int[] doneOfStep;
+  private WorkflowStatus status = WorkflowStatus.QUEUED;
+  private WorkflowStatus shownStatus = WorkflowStatus.QUEUED;
+  private long endedMillis;
+  private boolean begun;
+
+  private Workflow(WorkflowSpec spec) {
+    this.spec = spec;
+    int stepCount = spec.steps().size();
+    this.firstOfStep = new int[stepCount];
+    int first = 0;
+    for (int step = 0; step < stepCount; step++) {
+      firstOfStep[step] = first;
+      first += spec.steps().get(step).tasks();
+    }
+    this.tasksPerRound = first;
+    this.doneOfStep = new int[stepCount * spec.schedule().rounds()];
+    for (int round = 0; round < spec.schedule().rounds(); round++) {
+      addRound(round);
+    }
+  }
+
+  /** Returns a workflow of which nothing was ordered yet. */
+  public static Workflow of(WorkflowSpec spec) {
+    return new Workflow(requireNonNull(spec, "spec"));
+  }
+
+  /** Returns the workflow as the durable record left it. */
+  public static Workflow restore(WorkflowSpec spec, WorkflowRecordState state) {
+    Workflow workflow = of(spec);
+    int known = Math.min(state.tasks().size(), workflow.tasks.size());
+    for (int i = 0; i < known; i++) {
+      WorkflowTask task = workflow.tasks.get(i);
+      task.restore(state.tasks().get(i));
+      if (task.isDone()) {
+        workflow.doneOfStep[workflow.stepSlot(task.key())]++;
+      }
+    }
+    workflow.status = state.status();
+    workflow.shownStatus = state.status();
+    workflow.endedMillis = state.endedMillis();
+    workflow.begun = state.status() != WorkflowStatus.QUEUED;
+    return workflow;
+  }
+
+  private void addRound(int round) {
+    for (int step = 0; step < spec.steps().size(); step++) {
+      StepSpec stepSpec = spec.steps().get(step);
+      for (int index = 0; index < stepSpec.tasks(); index++) {
+        tasks.add(new WorkflowTask(this, new TaskKey(spec.id(), round, step, index), stepSpec));
+      }
+    }
+  }
+
+  /** Returns what was handed in. */
+  public WorkflowSpec spec() {
+    return spec;
+  }
+
+  /** Returns the status as decided; callers are told {@link #shownStatus}. */
+  public WorkflowStatus status() {
+    return status;
+  }
+
+  /** Returns the status that is durable. */
+  public WorkflowStatus shownStatus() {
+    return shownStatus;
+  }
+
+  /** Takes the status of a record that became durable for the one to show. */
+  public void show(WorkflowStatus durable) {
+    shownStatus = requireNonNull(durable, "durable");
+  }
+
+  /** Returns the wall clock at the end, in milliseconds; 0 while it has not ended. */
+  public long endedMillis() {
+    return endedMillis;
+  }
+
+  /** Returns whether a worker has begun a task. */
+  public boolean hasBegun() {
+    return begun;
+  }
+
+  void begun() {
+    begun = true;
+    if (status == WorkflowStatus.QUEUED) {
+      status = WorkflowStatus.RUNNING;
+    }
+  }
+
+  /** Returns all tasks in the order of occurrence, step and index. */
+  public List<WorkflowTask> tasks() {
+    return java.util.Collections.unmodifiableList(tasks);
+  }
+
+  /** Returns the task of the key, or empty if the workflow has none. */
+  public Optional<WorkflowTask> task(TaskKey key) {
+    if (key.workflow() != spec.id()
+        || key.occurrence() >= spec.schedule().rounds()
+        || key.step() >= spec.steps().size()
+        || key.index() >= spec.steps().get(key.step()).tasks()) {
+      return Optional.empty();
+    }
+    int position = key.occurrence() * tasksPerRound + firstOfStep[key.step()] + key.index();
+    return Optional.of(tasks.get(position));
+  }
+
+  /** Returns the tasks of one step of one occurrence. */
+  public List<WorkflowTask> tasksOf(int occurrence, int step) {
+    int first = occurrence * tasksPerRound + firstOfStep[step];
+    return tasks.subList(first, first + spec.steps().get(step).tasks());
+  }
+
+  /**
+   * Calls the consumer for each task that may be ordered now, in order.
+   *
+   * @param wallMillis the time of day, by which occurrences fall due
+   */
+  public void forEachReady(long wallMillis, Consumer<WorkflowTask> consumer) {
+    if (status.isTerminal()) {
+      return;
+    }
+    for (int round = 0; round < spec.schedule().rounds(); round++) {
+      if (spec.schedule().occurrences() > 0 && spec.schedule().dueMillis(round) > wallMillis) {
+        return;
+      }
+      for (int step = 0; step < spec.steps().size(); step++) {
+        if (dependenciesDone(round, step) && !stepDone(round, step)) {
+          tasksOf(round, step).stream()
+              .filter(task -> !task.isOpen() && !task.isDone())
+              .forEach(consumer);
+        }
+      }
+    }
+  }
+
+  /** Returns when the next occurrence falls due after the time; empty if none does. */
+  public Optional<Long> nextDueMillis(long wallMillis) {
+    if (status.isTerminal() || spec.schedule().occurrences() == 0) {
+      return Optional.empty();
+    }
+    for (int round = 0; round < spec.schedule().rounds(); round++) {
+      long due = spec.schedule().dueMillis(round);
+      if (due > wallMillis) {
+        return Optional.of(due);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private boolean dependenciesDone(int round, int step) {
+    return spec.steps().get(step).dependsOn().stream()
+        .allMatch(earlier -> stepDone(round, earlier));
+  }
+
+  private boolean stepDone(int round, int step) {
+    return doneOfStep[round * spec.steps().size() + step] == spec.steps().get(step).tasks();
+  }
+
+  private int stepSlot(TaskKey key) {
+    return key.occurrence() * spec.steps().size() + key.step();
+  }
+
+  /**
+   * Decides on the next attempt of a task.
+   *
+   * @throws IllegalStateException if one may still run, or the task is done
+   */
+  public RunKey order(WorkflowTask task, Place place) {
+    checkArgument(task.workflow() == this, "%s is a task of another workflow", task.key());
+    task.order(place);
+    return task.openRun();
+  }
+
+  /**
+   * Takes the end of a run.
+   *
+   * @return whether this changed anything; ends of other attempts than the open one do not
+   */
+  public boolean ended(RunKey run, RunOutcome outcome, String checkpoint, long wallMillis) {
+    Optional<WorkflowTask> found = task(run.task());
+    if (found.isEmpty() || !found.get().isOpen() || found.get().lastAttempt() != run.attempt()) {
+      return false;
+    }
+    WorkflowTask task = found.get();
+    task.close(outcome, checkpoint);
+    if (outcome.ran() && outcome != RunOutcome.LOST) {
+      begun();
+    }
+    if (task.isDone()) {
+      doneOfStep[stepSlot(task.key())]++;
+    }
+    if (!status.isTerminal()) {
+      conclude(task, wallMillis);
+    }
+    return true;
+  }
+
+  private void conclude(WorkflowTask task, long wallMillis) {
+    if (task.failures() >= spec.terms().maxFailures()) {
+      end(WorkflowStatus.FAILED, wallMillis);
+    } else if (task.isDone() && tasks.stream().allMatch(WorkflowTask::isDone)) {
+      end(WorkflowStatus.DONE, wallMillis);
+    }
+  }
+
+  /** Cancels the workflow; returns whether this changed anything. */
+  public boolean cancel(long wallMillis) {
+    if (status.isTerminal()) {
+      return false;
+    }
+    end(WorkflowStatus.CANCELLED, wallMillis);
+    return true;
+  }
+
+  private void end(WorkflowStatus terminal, long wallMillis) {
+    status = terminal;
+    endedMillis = wallMillis;
+  }
+
+  /** Returns the tasks whose last attempt may still run. */
+  public List<WorkflowTask> openTasks() {
+    return tasks.stream().filter(WorkflowTask::isOpen).toList();
+  }
+
+  /** Returns what must be durable of this workflow now. */
+  public WorkflowRecordState record() {
+    int last = tasks.size();
+    while (last > 0 && tasks.get(last - 1).isNew()) {
+      last--;
+    }
+    ImmutableList<TaskRecordState> states =
+        tasks.subList(0, last).stream()
+            .map(WorkflowTask::record)
+            .collect(ImmutableList.toImmutableList());
+    return new WorkflowRecordState(status, states, endedMillis);
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -27,19 +29,19 @@
  */
 public final class PlatformClient implements AutoCloseable {
   /** How an exchange ended. */
-  sealed interface Exchange permits Answered, NeverSent, AnswerLost, AnswerTooLong {}
+  public sealed interface Exchange permits Answered, NeverSent, AnswerLost, AnswerTooLong {}
 
   /** A whole answer. */
-  record Answered(int status, byte[] body) implements Exchange {}
+  public record Answered(int status, byte[] body) implements Exchange {}
 
   /** No byte of the request left this process. */
-  record NeverSent(String detail) implements Exchange {}
+  public record NeverSent(String detail) implements Exchange {}
 
   /** The request may have taken effect; its answer did not come, or not whole. */
-  record AnswerLost(String detail) implements Exchange {}
+  public record AnswerLost(String detail) implements Exchange {}
 
   /** An answer came and was longer than allowed. */
-  record AnswerTooLong(int maxBytes) implements Exchange {}
+  public record AnswerTooLong(int maxBytes) implements Exchange {}
 
   private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final long GRACE_MILLIS = 500;
@@ -61,6 +63,17 @@
    * @throws IllegalStateException if it cannot start
    */
   public static PlatformClient start(String name) {
+    return start(name, CONNECTIONS);
+  }
+
+  /**
+   * Returns a started client with more connections, for callers that let many requests wait.
+   *
+   * @param name the start of its threads' names
+   * @param connections the most connections to one address
+   * @throws IllegalStateException if it cannot start
+   */
+  public static PlatformClient start(String name, int connections) {
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName(requireNonNull(name, "name"));
     threads.setDaemon(true);
@@ -69,7 +82,7 @@
     connector.setExecutor(threads);
     HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
     client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
-    client.setMaxConnectionsPerDestination(CONNECTIONS);
+    client.setMaxConnectionsPerDestination(connections);
     client.setMaxRequestsQueuedPerDestination(QUEUED);
     client.setFollowRedirects(false);
     try {
@@ -91,6 +104,47 @@
     return exchange(request, maxAnswerBytes, timeoutMillis);
   }
 
+  /**
+   * Sends a request without blocking.
+   *
+   * @param method the HTTP method
+   * @param uri where to
+   * @param headers sent besides the usual ones
+   * @param type the media type of the body
+   * @param body what is sent; empty for none
+   * @param maxAnswerBytes the longest answer taken
+   * @param timeoutMillis how long the whole exchange may take
+   * @return completes on a thread of the client's, never exceptionally
+   */
+  public CompletableFuture<Exchange> send(
+      String method,
+      String uri,
+      Map<String, String> headers,
+      String type,
+      byte[] body,
+      int maxAnswerBytes,
+      long timeoutMillis) {
+    checkArgument(timeoutMillis > 0, "timeoutMillis is not positive: %s", timeoutMillis);
+    Request request = client.newRequest(uri).method(method);
+    headers.forEach((name, value) -> request.headers(fields -> fields.put(name, value)));
+    if (body.length > 0) {
+      request.body(new BytesRequestContent(type, body));
+    }
+    AtomicBoolean begun = new AtomicBoolean();
+    request.onRequestBegin(begins -> begun.set(true));
+    request.timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    return new CompletableResponseListener(request, maxAnswerBytes)
+        .send()
+        .handle(
+            (response, error) -> {
+              if (error == null) {
+                return new Answered(response.getStatus(), response.getContent());
+              }
+              Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+              return failed(begun.get(), cause, maxAnswerBytes);
+            });
+  }
+
   private static Exchange exchange(Request request, int maxAnswerBytes, long timeoutMillis) {
     checkArgument(timeoutMillis > 0, "timeoutMillis is not positive: %s", timeoutMillis);
     // Begin is called before the first byte is written. Without it a refused or timed out
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -0,0 +1,200 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.workflow.Place;
+import io.marigoldsail.workflow.QueueTable;
+import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.StepSpec;
+import io.marigoldsail.workflow.VmChooser;
+import io.marigoldsail.workflow.VmOffer;
+import io.marigoldsail.workflow.WaitingOrder;
+import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowIds;
+import io.marigoldsail.workflow.WorkflowTask;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Offers room to waiting tasks of the partitions that this entry owns, in {@link WaitingOrder},
+ * where {@link VmChooser} says.
+ *
+ * <p>Confined to the loop's thread.
+ */
+final class EntryScheduler {
+  private static final EventLog LOG = EventLog.of(EntryScheduler.class);
+
+  /** What a refused task waits before its next attempt, times the refusals in a row. */
+  private static final long REFUSED_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+
+  /** What a lasting task that failed waits, times its failures in a row. */
+  private static final long FAILED_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+  private static final int MAX_WAIT_FACTOR = 20;
+
+  private final LinkLoop loop;
+  private final LongSupplier wallMillis;
+  private final Ownership ownership;
+  private final EntryVms vms;
+  private final Supplier<Optional<QueueTable>> configuration;
+  private final Set<Long> toldUnsupported = new HashSet<>();
+  private boolean scheduled;
+
+  EntryScheduler(
+      LinkLoop loop,
+      LongSupplier wallMillis,
+      Ownership ownership,
+      EntryVms vms,
+      Supplier<Optional<QueueTable>> configuration) {
+    this.loop = requireNonNull(loop, "loop");
+    this.wallMillis = requireNonNull(wallMillis, "wallMillis");
+    this.ownership = requireNonNull(ownership, "ownership");
+    this.vms = requireNonNull(vms, "vms");
+    this.configuration = requireNonNull(configuration, "configuration");
+  }
+
+  /** Has waiting tasks looked at after what runs now. */
+  void soon() {
+    if (!scheduled) {
+      scheduled = true;
+      loop.runLater(
+          () -> {
+            scheduled = false;
+            run();
+          });
+    }
+  }
+
+  /** Sets how long the task of an ended run waits. */
+  void ended(WorkflowTask task, RunOutcome outcome) {
+    if (outcome == RunOutcome.REFUSED) {
+      int factor = Math.min(task.refusals(), MAX_WAIT_FACTOR);
+      task.waitUntil(loop.now() + factor * REFUSED_WAIT_NANOS);
+    } else if (outcome == RunOutcome.FAILED && task.step().nature().lasting()) {
+      task.waitUntil(loop.now() + FAILED_WAIT_NANOS);
+    }
+    soon();
+  }
+
+  private record Waiting(OwnedPartition partition, WorkflowTask task) {}
+
+  private void run() {
+    Optional<QueueTable> queues = configuration.get();
+    if (queues.isEmpty()) {
+      return;
+    }
+    List<Waiting> waiting = waiting(queues.get());
+    if (waiting.isEmpty()) {
+      return;
+    }
+    Map<String, VmOffer> offers = new HashMap<>();
+    vms.offers().forEach(offer -> offers.put(offer.place().vm(), offer));
+    // Once a step found no room, no other task of it will in this pass.
+    Set<StepSpec> full = new HashSet<>();
+    for (Waiting each : waiting) {
+      WorkflowTask task = each.task();
+      if (full.contains(task.step())) {
+        continue;
+      }
+      Optional<VmOffer> chosen =
+          VmChooser.choose(
+              task.workflow().spec(),
+              task.step(),
+              offers.values(),
+              offer -> vms.ofStepOn(offer.place().vm(), task));
+      if (chosen.isEmpty()) {
+        full.add(task.step());
+        continue;
+      }
+      VmOffer offer = chosen.get();
+      offers.put(offer.place().vm(), offer.after(task.step()));
+      order(each, offer.place());
+    }
+  }
+
+  private List<Waiting> waiting(QueueTable queues) {
+    long now = loop.now();
+    long wall = wallMillis.getAsLong();
+    record Candidate(OwnedPartition partition, Workflow workflow) {}
+    List<Candidate> candidates = new ArrayList<>();
+    for (OwnedPartition partition : ownership.active()) {
+      for (Workflow workflow : partition.workflows()) {
+        if (!workflow.status().isTerminal() && queues.uses(workflow.spec().terms().service())) {
+          candidates.add(new Candidate(partition, workflow));
+        }
+      }
+    }
+    candidates.sort(
+        (first, second) -> WaitingOrder.INSTANCE.compare(first.workflow(), second.workflow()));
+    List<Waiting> waiting = new ArrayList<>();
+    for (Candidate candidate : candidates) {
+      candidate
+          .workflow()
+          .forEachReady(
+              wall,
+              task -> {
+                if (task.notBefore() <= now && isSupported(task)) {
+                  waiting.add(new Waiting(candidate.partition(), task));
+                }
+              });
+    }
+    return waiting;
+  }
+
+  private boolean isSupported(WorkflowTask task) {
+    boolean advised = task.workflow().spec().terms().advised();
+    if (!task.step().nature().gang() && !advised) {
+      return true;
+    }
+    if (toldUnsupported.add(task.key().workflow())) {
+      LOG.warning(
+          LogLine.of("task-left-waiting")
+              .with("task", task.key())
+              .with("reason", advised ? "placement advice is not built" : "gangs are not built"));
+    }
+    return false;
+  }
+
+  private void order(Waiting waiting, Place place) {
+    WorkflowTask task = waiting.task();
+    Workflow workflow = task.workflow();
+    workflow.order(task, place);
+    LOG.info(
+        LogLine.of("run-ordered")
+            .with("run", task.openRun())
+            .with("vm", place.vm())
+            .with("worker", place.worker())
+            .with("queue", workflow.spec().queue())
+            .with("epoch", waiting.partition().epoch())
+            .with("waited_ms", wallMillis.getAsLong() - workflow.spec().acceptedMillis()));
+    vms.ordered(waiting.partition(), task);
+  }
+
+  /** Moves what can be moved off VMs whose workers leave. */
+  void evacuate() {
+    for (OpenRun run : vms.onDrainingVms()) {
+      WorkflowTask task = run.task();
+      boolean movable = task.step().nature().lasting() || task.step().nature().checkpointable();
+      if (movable && run.isDurable() && task.isStarted() && !task.isStopWanted()) {
+        task.wantStop();
+        LOG.info(
+            LogLine.of("run-evacuated")
+                .with("run", task.openRun())
+                .with("workflow", WorkflowIds.format(task.key().workflow()))
+                .with("reason", "its worker leaves"));
+        vms.stopUnwanted(task.workflow());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryTerms.java
@@ -0,0 +1,21 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+
+/**
+ * What an entry needs to know of the deployment.
+ *
+ * <p>Immutable. Rejects nulls.
+ *
+ * @param lease the lengths of leases
+ * @param keepEndedMillis how long the status of a workflow is told after its end, in milliseconds
+ * @param graceMillis how long a planned stop may take, in milliseconds
+ */
+public record EntryTerms(LeaseTermsOfWorker lease, long keepEndedMillis, long graceMillis) {
+  /** Checks the components. */
+  public EntryTerms {
+    requireNonNull(lease, "lease");
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
@@ -0,0 +1,68 @@
+package io.marigoldsail.daemon.workflow;
+
+import io.marigoldsail.workflow.WorkflowTask;
+
+/**
+ * A run that may be at work, as its owner follows it; mutable, confined to the loop's thread.
+ *
+ * <p>Nothing about it leaves the process before it is durable.
+ */
+final class OpenRun {
+  private final OwnedPartition partition;
+  private final WorkflowTask task;
+  private final long orderedAt;
+  private boolean durable;
+  private VmSession toldSession;
+  private long toldNumber;
+  private long stopToldAt = Long.MIN_VALUE;
+
+  OpenRun(OwnedPartition partition, WorkflowTask task, long orderedAt, boolean durable) {
+    this.partition = partition;
+    this.task = task;
+    this.orderedAt = orderedAt;
+    this.durable = durable;
+  }
+
+  OwnedPartition partition() {
+    return partition;
+  }
+
+  WorkflowTask task() {
+    return task;
+  }
+
+  long orderedAt() {
+    return orderedAt;
+  }
+
+  boolean isDurable() {
+    return durable;
+  }
+
+  void becameDurable() {
+    durable = true;
+  }
+
+  /** Returns whether the side process must have handled the last order by now, or got none. */
+  boolean isUnansweredBy(VmSession session, long ordersSeen) {
+    return toldSession != session || toldNumber <= ordersSeen;
+  }
+
+  void told(VmSession session, long number) {
+    toldSession = session;
+    toldNumber = number;
+  }
+
+  boolean mayTellStop(long now, long repeatNanos) {
+    if (stopToldAt != Long.MIN_VALUE && now - stopToldAt < repeatNanos) {
+      return false;
+    }
+    stopToldAt = now;
+    return true;
+  }
+
+  /** Returns whether the run should end although it is the task's open attempt. */
+  boolean isUnwanted() {
+    return task.isStopWanted() || task.workflow().status().isTerminal();
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -0,0 +1,329 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.protobuf.ByteString;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Expired;
+import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
+import io.marigoldsail.daemon.workflow.WorkflowStore.NewestPage;
+import io.marigoldsail.daemon.workflow.WorkflowStore.NewestResult;
+import io.marigoldsail.daemon.workflow.WorkflowStore.NoPage;
+import io.marigoldsail.daemon.workflow.WorkflowStore.ReadResult;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Records;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Unreadable;
+import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowIds;
+import io.marigoldsail.workflow.WorkflowRecordState;
+import io.marigoldsail.workflow.WorkflowSpec;
+import io.marigoldsail.workflow.WorkflowStatus;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One partition while this process owns it: shut out former owners, read what lasts, then follow
+ * what callers hand in.
+ *
+ * <p>Nothing is decided before {@link #isActive}: the epoch is set first, so what is read
+ * afterwards is the last word of every former owner. Records of another writer that cannot be read
+ * are passed over with a log line. Confined to the loop's thread.
+ */
+final class OwnedPartition {
+  private static final EventLog LOG = EventLog.of(OwnedPartition.class);
+  private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** How long a reading waits for a record, in milliseconds. */
+  private static final long TAIL_WAIT_MILLIS = 1_500;
+
+  /**
+   * How old the last answer to a reading may be, in nanoseconds, for this process to say that a
+   * workflow does not exist; a little longer than a reading waits.
+   */
+  private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(TAIL_WAIT_MILLIS + 700);
+
+  /** Told what happens to the partition; runs on the loop. */
+  interface Listener {
+    /** Everything that lasts has been read. */
+    void activated(OwnedPartition partition);
+
+    /** A caller has handed a workflow in. */
+    void submitted(OwnedPartition partition, Workflow workflow);
+
+    /** Another process owns the partition. */
+    void lost(OwnedPartition partition);
+  }
+
+  private final WorkflowStore store;
+  private final LinkLoop loop;
+  private final int number;
+  private final Listener listener;
+  private final PartitionWriter writer;
+  private final Map<Long, Workflow> workflows = new HashMap<>();
+  private final Map<Long, WorkflowRecordState> progress = new HashMap<>();
+  private boolean active;
+  private boolean closed;
+  private long tailFrom;
+  private long tailFreshAt = Long.MIN_VALUE;
+
+  OwnedPartition(WorkflowStore store, LinkLoop loop, int number, long epoch, Listener listener) {
+    this.store = requireNonNull(store, "store");
+    this.loop = requireNonNull(loop, "loop");
+    this.number = number;
+    this.listener = requireNonNull(listener, "listener");
+    this.writer = new PartitionWriter(store, loop, number, epoch, this::lost);
+  }
+
+  /** Begins; the listener is told when the partition is active. */
+  void open() {
+    writer.open(() -> readProgress(Optional.empty()));
+  }
+
+  /** Ends the ownership: nothing more is decided or written. */
+  void close() {
+    closed = true;
+    active = false;
+    writer.close();
+  }
+
+  private void lost() {
+    close();
+    listener.lost(this);
+  }
+
+  int number() {
+    return number;
+  }
+
+  long epoch() {
+    return writer.epoch();
+  }
+
+  boolean isActive() {
+    return active;
+  }
+
+  PartitionWriter writer() {
+    return writer;
+  }
+
+  Collection<Workflow> workflows() {
+    return Collections.unmodifiableCollection(workflows.values());
+  }
+
+  Optional<Workflow> workflow(long id) {
+    return Optional.ofNullable(workflows.get(id));
+  }
+
+  /** Returns whether everything that was accepted some time ago is surely known here. */
+  boolean isFresh() {
+    return active && loop.now() - tailFreshAt < FRESH_NANOS;
+  }
+
+  /** Writes the workflow's state; callers are told its status once it is durable. */
+  void changed(Workflow workflow) {
+    WorkflowStatus[] written = new WorkflowStatus[1];
+    writer.write(
+        WorkflowIds.format(workflow.spec().id()),
+        () -> {
+          written[0] = workflow.status();
+          return WorkflowRecords.encode(workflow.record());
+        },
+        () -> workflow.show(written[0]));
+  }
+
+  /** Drops a workflow that ended long ago from memory and store. */
+  void forget(Workflow workflow) {
+    String key = WorkflowIds.format(workflow.spec().id());
+    KeyedRecord drop = new KeyedRecord(key, ByteString.EMPTY);
+    // The submission first: without the progress it would look like a new workflow and run again.
+    store
+        .append(Topic.SUBMISSIONS, number, java.util.List.of(drop), Optional.empty())
+        .thenAccept(
+            result -> {
+              if (result instanceof WorkflowStore.Appended) {
+                loop.run(() -> dropProgress(workflow, key));
+              }
+            });
+  }
+
+  private void dropProgress(Workflow workflow, String key) {
+    if (!closed && workflows.remove(workflow.spec().id()) != null) {
+      writer.write(key, () -> ByteString.EMPTY, () -> {});
+    }
+  }
+
+  private void readProgress(Optional<String> after) {
+    readNewest(
+        Topic.PROGRESS,
+        after,
+        page -> {
+          page.records().forEach(this::takeProgress);
+          if (page.more().isPresent()) {
+            readProgress(page.more());
+          } else {
+            readSubmissions(Optional.empty());
+          }
+        });
+  }
+
+  private void readSubmissions(Optional<String> after) {
+    readNewest(
+        Topic.SUBMISSIONS,
+        after,
+        page -> {
+          if (after.isEmpty()) {
+            // Pages are no snapshot: what is written while they are read comes again from here.
+            tailFrom = page.end();
+          }
+          page.records().forEach(this::takeSubmission);
+          if (page.more().isPresent()) {
+            readSubmissions(page.more());
+          } else {
+            activate();
+          }
+        });
+  }
+
+  private void readNewest(
+      Topic topic, Optional<String> after, java.util.function.Consumer<NewestPage> taken) {
+    if (closed) {
+      return;
+    }
+    store
+        .newest(topic, number, after)
+        .thenAccept(result -> loop.run(() -> newestAnswered(topic, after, taken, result)));
+  }
+
+  private void newestAnswered(
+      Topic topic,
+      Optional<String> after,
+      java.util.function.Consumer<NewestPage> taken,
+      NewestResult result) {
+    if (closed) {
+      return;
+    }
+    if (result instanceof NewestPage page) {
+      taken.accept(page);
+      return;
+    }
+    LOG.warning(
+        LogLine.of("partition-read-retried")
+            .with("partition", number)
+            .with("topic", topic)
+            .with("reason", ((NoPage) result).reason()));
+    loop.schedule(() -> readNewest(topic, after, taken), RETRY_NANOS);
+  }
+
+  private void takeProgress(KeyedRecord keyed) {
+    OptionalLong id = WorkflowIds.parse(keyed.key());
+    Optional<WorkflowRecordState> state = WorkflowRecords.decodeProgress(keyed.value());
+    if (id.isEmpty() || state.isEmpty()) {
+      unreadable(Topic.PROGRESS, keyed.key());
+      return;
+    }
+    progress.put(id.getAsLong(), state.get());
+  }
+
+  private void takeSubmission(KeyedRecord keyed) {
+    if (keyed.value().isEmpty()) {
+      return;
+    }
+    Optional<WorkflowSpec> spec = WorkflowRecords.decodeSubmission(keyed.value());
+    if (spec.isEmpty() || !WorkflowIds.format(spec.get().id()).equals(keyed.key())) {
+      unreadable(Topic.SUBMISSIONS, keyed.key());
+      return;
+    }
+    add(spec.get());
+  }
+
+  private void unreadable(Topic topic, String key) {
+    LOG.warning(
+        LogLine.of("record-passed-over")
+            .with("partition", number)
+            .with("topic", topic)
+            .with("key", key)
+            .with("reason", "not a record of this program"));
+  }
+
+  /** Takes a workflow that was accepted durably; handed in again it stays the first one. */
+  void add(WorkflowSpec spec) {
+    if (closed || workflows.containsKey(spec.id())) {
+      return;
+    }
+    WorkflowRecordState state = progress.remove(spec.id());
+    Workflow workflow = state == null ? Workflow.of(spec) : Workflow.restore(spec, state);
+    workflows.put(spec.id(), workflow);
+    if (active) {
+      listener.submitted(this, workflow);
+    }
+  }
+
+  private void activate() {
+    progress.clear();
+    active = true;
+    tailFreshAt = loop.now();
+    LOG.info(
+        LogLine.of("partition-owned")
+            .with("partition", number)
+            .with("epoch", epoch())
+            .with("workflows", workflows.size())
+            .with("submissions_end", tailFrom));
+    listener.activated(this);
+    tail();
+  }
+
+  private void tail() {
+    if (closed) {
+      return;
+    }
+    store
+        .read(Topic.SUBMISSIONS, number, tailFrom, TAIL_WAIT_MILLIS)
+        .thenAccept(result -> loop.run(() -> tailAnswered(result)));
+  }
+
+  private void tailAnswered(ReadResult result) {
+    if (closed) {
+      return;
+    }
+    if (result instanceof Records records) {
+      tailFreshAt = loop.now();
+      tailFrom = records.next();
+      records.records().forEach(this::takeSubmission);
+      tail();
+    } else if (result instanceof Expired) {
+      LOG.info(LogLine.of("submissions-expired").with("partition", number).with("from", tailFrom));
+      rereadSubmissions(Optional.empty());
+    } else {
+      LOG.debug(
+          LogLine.of("tail-retried")
+              .with("partition", number)
+              .with("reason", ((Unreadable) result).reason()));
+      loop.schedule(this::tail, RETRY_NANOS);
+    }
+  }
+
+  private void rereadSubmissions(Optional<String> after) {
+    readNewest(
+        Topic.SUBMISSIONS,
+        after,
+        page -> {
+          if (after.isEmpty()) {
+            tailFrom = page.end();
+          }
+          page.records().forEach(this::takeSubmission);
+          if (page.more().isPresent()) {
+            rereadSubmissions(page.more());
+          } else {
+            tail();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/Ownership.java
@@ -0,0 +1,241 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Joined;
+import io.marigoldsail.daemon.workflow.WorkflowStore.NotJoined;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
+import io.marigoldsail.daemon.workflow.WorkflowStore.OwnersUnknown;
+import io.marigoldsail.workflow.WorkflowIds;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Keeps this entry a member of the owners, takes partitions up and gives them back.
+ *
+ * <p>The store's word on who owns a partition may be late, and at times it deals all partitions
+ * anew without a reason. Nothing rests on it but who tries: the epoch of a partition's writer, made
+ * of the store's generation, decides. Confined to the loop's thread.
+ */
+final class Ownership {
+  private static final EventLog LOG = EventLog.of(Ownership.class);
+
+  /**
+   * Between two joins, in nanoseconds: three go out in the time after which a member is dropped.
+   */
+  private static final long JOIN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+  /** Between two readings of the owners, in nanoseconds. */
+  private static final long OWNERS_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+
+  /** Epochs of one generation: a partition taken up again under it needs a higher one. */
+  private static final long EPOCHS_PER_GENERATION = 1_000;
+
+  /** Told of changes; runs on the loop. */
+  interface Listener extends OwnedPartition.Listener {
+    /** The store told who owns what, at the generation or later. */
+    void ownersKnown(long asOfGeneration, ImmutableList<Owner> owners);
+  }
+
+  private final WorkflowStore store;
+  private final LinkLoop loop;
+  private final EntryMember self;
+  private final Listener listener;
+  private final Map<Integer, OwnedPartition> owned = new HashMap<>();
+  private final Map<Integer, Long> lastEpochs = new HashMap<>();
+  private ImmutableSet<Integer> listed = ImmutableSet.of();
+  private long generation;
+  private boolean leaving;
+  private boolean joining;
+  private boolean connected;
+
+  Ownership(WorkflowStore store, LinkLoop loop, EntryMember self, Listener listener) {
+    this.store = requireNonNull(store, "store");
+    this.loop = requireNonNull(loop, "loop");
+    this.self = requireNonNull(self, "self");
+    this.listener = requireNonNull(listener, "listener");
+  }
+
+  /** Begins to join and to read the owners. */
+  void start() {
+    store.owners().thenAccept(result -> loop.run(() -> takeFirstOwners(result)));
+    loop.repeat(this::join, JOIN_NANOS);
+    loop.repeat(this::readOwners, OWNERS_NANOS);
+  }
+
+  /**
+   * Gives back what an earlier life of this process held.
+   *
+   * <p>Guards against the seconds in which nobody decides for its workflows, since the store drops
+   * a member only after a while. It is gone for sure: this process has its address.
+   */
+  private void takeFirstOwners(WorkflowStore.OwnersResult result) {
+    if (result instanceof Owners owners) {
+      Set<String> former = new HashSet<>();
+      for (Owner owner : owners.owners()) {
+        Optional<EntryMember> member = EntryMember.parse(owner.member());
+        if (member.isPresent() && member.get().isEarlierLifeOf(self)) {
+          former.add(owner.member());
+        }
+      }
+      for (String member : former) {
+        LOG.info(LogLine.of("former-life-removed").with("member", member));
+        store.leave(member);
+      }
+      listener.ownersKnown(0, owners.owners());
+    }
+    join();
+  }
+
+  private void join() {
+    if (leaving || joining) {
+      return;
+    }
+    joining = true;
+    store
+        .join(self.toString(), generation)
+        .thenAccept(
+            result ->
+                loop.run(
+                    () -> {
+                      joining = false;
+                      joinAnswered(result);
+                    }));
+  }
+
+  private void joinAnswered(WorkflowStore.JoinResult result) {
+    if (leaving) {
+      return;
+    }
+    if (result instanceof NotJoined failed) {
+      if (connected) {
+        connected = false;
+        LOG.warning(LogLine.of("store-lost").with("reason", failed.reason()));
+      }
+      return;
+    }
+    Joined joined = (Joined) result;
+    if (!connected) {
+      connected = true;
+      LOG.info(LogLine.of("store-regained").with("generation", joined.generation()));
+    }
+    boolean changed = joined.generation() != generation;
+    generation = joined.generation();
+    listed = joined.partitions();
+    for (int partition : ImmutableSet.copyOf(owned.keySet())) {
+      if (!listed.contains(partition)) {
+        release(partition);
+      }
+    }
+    listed.forEach(this::takeUp);
+    if (changed) {
+      LOG.info(
+          LogLine.of("membership-changed")
+              .with("generation", generation)
+              .with("partitions", listed.size()));
+      // The store gives a partition to its new owner only once the former one has called again.
+      join();
+      readOwners();
+    }
+  }
+
+  private void takeUp(int partition) {
+    if (owned.containsKey(partition)) {
+      return;
+    }
+    long floor = generation * EPOCHS_PER_GENERATION;
+    long epoch = Math.max(floor, lastEpochs.getOrDefault(partition, 0L) + 1);
+    lastEpochs.put(partition, epoch);
+    OwnedPartition taken = new OwnedPartition(store, loop, partition, epoch, new Forwarding());
+    owned.put(partition, taken);
+    taken.open();
+  }
+
+  private void release(int partition) {
+    OwnedPartition released = owned.remove(partition);
+    released.close();
+    LOG.info(
+        LogLine.of("partition-released")
+            .with("partition", partition)
+            .with("epoch", released.epoch())
+            .with("generation", generation));
+    listener.lost(released);
+  }
+
+  private void readOwners() {
+    if (leaving) {
+      return;
+    }
+    long asOf = generation;
+    store.owners().thenAccept(result -> loop.run(() -> ownersAnswered(asOf, result)));
+  }
+
+  private void ownersAnswered(long asOf, WorkflowStore.OwnersResult result) {
+    if (result instanceof Owners owners) {
+      listener.ownersKnown(asOf, owners.owners());
+    } else {
+      LOG.debug(LogLine.of("owners-unread").with("reason", ((OwnersUnknown) result).reason()));
+    }
+  }
+
+  /** Returns the partition if this process owns it and may decide for it. */
+  Optional<OwnedPartition> active(int partition) {
+    return Optional.ofNullable(owned.get(partition)).filter(OwnedPartition::isActive);
+  }
+
+  /** Returns all partitions for which this process may decide. */
+  ImmutableList<OwnedPartition> active() {
+    return owned.values().stream()
+        .filter(OwnedPartition::isActive)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the partition that holds the workflow. */
+  int partitionOf(long workflow) {
+    return WorkflowIds.partition(workflow, store.partitions());
+  }
+
+  /** Returns whether the store answered the last join. */
+  boolean isConnected() {
+    return connected;
+  }
+
+  /** Gives everything back, so that others go on at once; stops deciding. */
+  java.util.concurrent.CompletableFuture<Boolean> leave() {
+    leaving = true;
+    for (int partition : ImmutableSet.copyOf(owned.keySet())) {
+      release(partition);
+    }
+    return store.leave(self.toString());
+  }
+
+  /** Takes a partition up again after its writer was shut out while the store lists it as ours. */
+  private final class Forwarding implements OwnedPartition.Listener {
+    @Override
+    public void activated(OwnedPartition partition) {
+      listener.activated(partition);
+    }
+
+    @Override
+    public void submitted(OwnedPartition partition, io.marigoldsail.workflow.Workflow workflow) {
+      listener.submitted(partition, workflow);
+    }
+
+    @Override
+    public void lost(OwnedPartition partition) {
+      owned.remove(partition.number(), partition);
+      listener.lost(partition);
+      // The next join tells whether it is still ours; taken up again only then.
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideEntries.java
@@ -0,0 +1,213 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.link.LinkListener;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
+import io.marigoldsail.daemon.workflow.WorkflowStore.OwnersResult;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.OwnerMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The entries as a side process knows them: who owns which partition, and a connection to each.
+ *
+ * <p>The store is asked only while no entry is reached; entries tell changes. Confined to the
+ * loop's thread.
+ */
+final class SideEntries {
+  private static final EventLog LOG = EventLog.of(SideEntries.class);
+
+  /** A connection that leaves this long something unanswered is given up, in nanoseconds. */
+  private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
+
+  /** Between two questions to the store, in nanoseconds. */
+  private static final long ASK_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  /** Told of connections and frames; runs on the loop. */
+  interface Listener {
+    /** An entry is reached. */
+    void connected(EntryConnection connection);
+
+    /** An entry sent a frame that is not about owners. */
+    void received(EntryConnection connection, Frame frame);
+
+    /** Partitions have other owners. */
+    void ownersChanged();
+  }
+
+  /** A connection to an entry. */
+  static final class EntryConnection {
+    private final String member;
+    private final LinkConnection link;
+    private long ordersSeen;
+
+    EntryConnection(String member, LinkConnection link) {
+      this.member = member;
+      this.link = link;
+    }
+
+    String member() {
+      return member;
+    }
+
+    LinkConnection link() {
+      return link;
+    }
+
+    long ordersSeen() {
+      return ordersSeen;
+    }
+
+    void sawOrders(long number) {
+      ordersSeen = Math.max(ordersSeen, number);
+    }
+  }
+
+  private final LinkLoop loop;
+  private final WorkflowStore store;
+  private final Listener listener;
+  private final Map<Integer, String> owners = new HashMap<>();
+  private final Map<String, EntryConnection> connections = new HashMap<>();
+  private final Set<String> dialling = new HashSet<>();
+  private long generation;
+  private int digest;
+  private long askedAt = Long.MIN_VALUE;
+
+  SideEntries(LinkLoop loop, WorkflowStore store, Listener listener) {
+    this.loop = requireNonNull(loop, "loop");
+    this.store = requireNonNull(store, "store");
+    this.listener = requireNonNull(listener, "listener");
+  }
+
+  Iterable<EntryConnection> connections() {
+    return Set.copyOf(connections.values());
+  }
+
+  /** Returns the digest of the map in use, as an entry told it; 0 if none did. */
+  int digest() {
+    return digest;
+  }
+
+  /** Returns whether the member owns the partition, as far as is known here. */
+  boolean owns(String member, int partition) {
+    return member.equals(owners.get(partition));
+  }
+
+  /** Dials entries that are not reached, closes silent connections, asks the store if need be. */
+  void tick() {
+    long now = loop.now();
+    for (EntryConnection connection : connections()) {
+      if (connection.link().unansweredNanos(now) > SILENCE_NANOS) {
+        connection.link().close("silent");
+      }
+    }
+    Set<String> members = new HashSet<>(owners.values());
+    for (String member : members) {
+      EntryMember.parse(member).ifPresent(parsed -> dial(member, parsed));
+    }
+    for (EntryConnection connection : connections()) {
+      if (!members.contains(connection.member())) {
+        connection.link().close("no owner any more");
+      }
+    }
+    boolean alone = connections.isEmpty() || connections.size() < members.size();
+    if (alone && (askedAt == Long.MIN_VALUE || now - askedAt > ASK_NANOS)) {
+      askedAt = now;
+      store.owners().thenAccept(result -> loop.run(() -> ownersRead(result)));
+    }
+  }
+
+  private void ownersRead(OwnersResult result) {
+    if (!(result instanceof Owners read)) {
+      LOG.debug(LogLine.of("owners-unread").with("result", result));
+      return;
+    }
+    Map<Integer, String> newOwners = new HashMap<>();
+    for (Owner owner : read.owners()) {
+      newOwners.put(owner.partition(), owner.member());
+    }
+    replace(newOwners);
+  }
+
+  private void told(OwnerMap map) {
+    if (map.getOwnersCount() == 0 || map.getGeneration() < generation) {
+      return;
+    }
+    generation = map.getGeneration();
+    digest = map.getDigest();
+    Map<Integer, String> newOwners = new HashMap<>();
+    map.getOwnersList().forEach(owner -> newOwners.put(owner.getPartition(), owner.getMember()));
+    replace(newOwners);
+  }
+
+  private void replace(Map<Integer, String> newOwners) {
+    if (newOwners.isEmpty() || newOwners.equals(owners)) {
+      return;
+    }
+    owners.clear();
+    owners.putAll(newOwners);
+    LOG.info(
+        LogLine.of("owners-changed")
+            .with("members", new HashSet<>(owners.values()))
+            .with("generation", generation));
+    tick();
+    listener.ownersChanged();
+  }
+
+  private void dial(String member, EntryMember parsed) {
+    if (connections.containsKey(member) || !dialling.add(member)) {
+      return;
+    }
+    loop.dial(
+        parsed.address(),
+        new Link(member),
+        cause -> {
+          dialling.remove(member);
+          LOG.debug(LogLine.of("entry-unreachable").with("member", member).with("cause", cause));
+        });
+  }
+
+  /** A connection that this process dialled. */
+  private final class Link implements LinkListener {
+    private final String member;
+    private EntryConnection connection;
+
+    Link(String member) {
+      this.member = member;
+    }
+
+    @Override
+    public void opened(LinkConnection link) {
+      dialling.remove(member);
+      connection = new EntryConnection(member, link);
+      connections.put(member, connection);
+      LOG.info(LogLine.of("entry-connected").with("member", member));
+      listener.connected(connection);
+    }
+
+    @Override
+    public void received(LinkConnection link, Frame frame) {
+      if (frame.hasOwnerMap()) {
+        told(frame.getOwnerMap());
+      } else {
+        listener.received(connection, frame);
+      }
+    }
+
+    @Override
+    public void closed(LinkConnection link, String reason) {
+      connections.remove(member, connection);
+      LOG.info(LogLine.of("entry-disconnected").with("member", member).with("reason", reason));
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -0,0 +1,143 @@
+package io.marigoldsail.daemon.workflow;
+
+import io.marigoldsail.protocol.RunReport;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.workflow.RunKey;
+import java.util.Optional;
+
+/** A run that is or may be on the worker of this VM; mutable, confined to the loop's thread. */
+final class SideRun {
+  /** Listings, sent after an order was confirmed, that may lack a run before it counts as over. */
+  private static final int MAX_MISSES = 2;
+
+  private final RunKey key;
+  private final int partition;
+  private Optional<StartRun> order;
+  private String program = "";
+  private boolean listed;
+  private boolean confirmed;
+  private boolean uncertain;
+  private boolean stopping;
+  private int tries;
+  private int misses;
+  private String checkpoint = "";
+  private int percent;
+  private long gauge;
+  private int pacedTo = 100;
+
+  SideRun(RunKey key, int partition, Optional<StartRun> order) {
+    this.key = key;
+    this.partition = partition;
+    this.order = order;
+  }
+
+  RunKey key() {
+    return key;
+  }
+
+  int partition() {
+    return partition;
+  }
+
+  /** Returns the order, or empty for a run that was found on the worker after a restart. */
+  Optional<StartRun> order() {
+    return order;
+  }
+
+  void order(StartRun newOrder) {
+    order = Optional.of(newOrder);
+  }
+
+  String program() {
+    return program;
+  }
+
+  void program(String text) {
+    program = text;
+  }
+
+  /** Counts a try to start it; returns how many there were. */
+  int tried() {
+    return ++tries;
+  }
+
+  /** Notes that an order without an answer may be carried out later. */
+  void becameUncertain() {
+    uncertain = true;
+  }
+
+  boolean isUncertain() {
+    return uncertain;
+  }
+
+  /** Notes that the worker has taken the last order, so that listings made later must show it. */
+  void confirm() {
+    confirmed = true;
+    misses = 0;
+  }
+
+  void listed(String newCheckpoint, int newPercent, long newGauge) {
+    listed = true;
+    misses = 0;
+    checkpoint = newCheckpoint;
+    percent = newPercent;
+    gauge = newGauge;
+  }
+
+  boolean isListed() {
+    return listed;
+  }
+
+  /** Counts a listing without it; returns whether it is over. */
+  boolean missedTooOften() {
+    if (!confirmed) {
+      return false;
+    }
+    misses++;
+    return misses > MAX_MISSES;
+  }
+
+  boolean isConfirmed() {
+    return confirmed;
+  }
+
+  void stop() {
+    stopping = true;
+    confirmed = false;
+  }
+
+  boolean isStopping() {
+    return stopping;
+  }
+
+  long gauge() {
+    return gauge;
+  }
+
+  long latencyTargetMillis() {
+    return order.map(StartRun::getLatencyTargetMillis).orElse(0);
+  }
+
+  boolean fills() {
+    return order.map(StartRun::getFills).orElse(false);
+  }
+
+  int pacedTo() {
+    return pacedTo;
+  }
+
+  void pacedTo(int newPercent) {
+    pacedTo = newPercent;
+  }
+
+  RunReport report() {
+    return RunReport.newBuilder()
+        .setTask(WorkflowRecords.encode(key))
+        .setStarted(listed)
+        .setCheckpoint(checkpoint)
+        .setPercent(percent)
+        .setStopping(stopping)
+        .setSizeUnknown(order.isEmpty() && !stopping)
+        .build();
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SubmissionWriter.java
@@ -0,0 +1,71 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
+import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Writes what callers hand in; what comes while an append to a partition is on its way goes with
+ * the next.
+ *
+ * <p>Load pattern: many callers at once. Without batching each costs a call to a store that takes a
+ * limited number of calls from all entries together. Confined to the loop's thread.
+ */
+final class SubmissionWriter {
+  /** Submissions of one append at most: with the longest programs well under 1 MB. */
+  private static final int MAX_BATCH = 64;
+
+  private record Waiting(KeyedRecord submission, Consumer<AppendResult> told) {}
+
+  private final WorkflowStore store;
+  private final LinkLoop loop;
+  private final Map<Integer, List<Waiting>> waiting = new HashMap<>();
+  private final Map<Integer, Boolean> inFlight = new HashMap<>();
+
+  SubmissionWriter(WorkflowStore store, LinkLoop loop) {
+    this.store = requireNonNull(store, "store");
+    this.loop = requireNonNull(loop, "loop");
+  }
+
+  /** Writes the submission; {@code told} runs on the loop with the result. */
+  void write(int partition, KeyedRecord submission, Consumer<AppendResult> told) {
+    waiting
+        .computeIfAbsent(partition, unused -> new ArrayList<>())
+        .add(new Waiting(submission, told));
+    flush(partition);
+  }
+
+  private void flush(int partition) {
+    List<Waiting> queue = waiting.getOrDefault(partition, List.of());
+    if (queue.isEmpty() || inFlight.getOrDefault(partition, false)) {
+      return;
+    }
+    List<Waiting> head = queue.subList(0, Math.min(MAX_BATCH, queue.size()));
+    List<Waiting> batch = List.copyOf(head);
+    head.clear();
+    inFlight.put(partition, true);
+    store
+        .append(
+            Topic.SUBMISSIONS,
+            partition,
+            batch.stream().map(Waiting::submission).toList(),
+            Optional.empty())
+        .thenAccept(
+            result ->
+                loop.run(
+                    () -> {
+                      inFlight.put(partition, false);
+                      batch.forEach(each -> each.told().accept(result));
+                      flush(partition);
+                    }));
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -0,0 +1,134 @@
+package io.marigoldsail.daemon.workflow;
+
+import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.LeaseGrant;
+import io.marigoldsail.protocol.RunOrders;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.protocol.WorkflowTaskId;
+import io.marigoldsail.workflow.Place;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.WorkflowSpec;
+import io.marigoldsail.workflow.WorkflowTask;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * One connection from a side process: its last report, and the orders that wait to be sent.
+ *
+ * <p>Orders of one turn of the loop travel in one frame, numbered, so that a report tells which of
+ * them it takes into account. Confined to the loop's thread.
+ */
+final class VmSession {
+  private final LinkConnection connection;
+  private VmReport report;
+  private long reportedAt;
+  private ImmutableSet<String> labels = ImmutableSet.of();
+  private RunOrders.Builder orders = RunOrders.newBuilder();
+  private final Set<Long> programsInFrame = new HashSet<>();
+  private long lastNumber;
+  private boolean pending;
+
+  VmSession(LinkConnection connection, VmReport first, long now) {
+    this.connection = connection;
+    take(first, now);
+  }
+
+  void take(VmReport newest, long now) {
+    if (report == null || !report.getLabelsList().equals(newest.getLabelsList())) {
+      labels = ImmutableSet.copyOf(newest.getLabelsList());
+    }
+    report = newest;
+    reportedAt = now;
+  }
+
+  LinkConnection connection() {
+    return connection;
+  }
+
+  VmReport report() {
+    return report;
+  }
+
+  /** Returns when the last report was read, in the loop's nanoseconds. */
+  long reportedAt() {
+    return reportedAt;
+  }
+
+  String vm() {
+    return report.getVm();
+  }
+
+  ImmutableSet<String> labels() {
+    return labels;
+  }
+
+  /** Returns the VM with its worker's life, or empty while it has none. */
+  Optional<Place> place() {
+    return report.getWorker().isEmpty()
+        ? Optional.empty()
+        : Optional.of(new Place(report.getVm(), report.getWorker()));
+  }
+
+  Sizes capacity() {
+    return WorkflowRecords.sizes(
+        report.getMilliProcessors(), report.getMemoryMebibytes(), report.getAccelerators());
+  }
+
+  Sizes free() {
+    return WorkflowRecords.sizes(
+        report.getFreeMilliProcessors(),
+        report.getFreeMemoryMebibytes(),
+        report.getFreeAccelerators());
+  }
+
+  /** Adds a start to the next frame; returns the frame's number. */
+  long addStart(WorkflowTask task) {
+    WorkflowSpec spec = task.workflow().spec();
+    StartRun.Builder start =
+        StartRun.newBuilder()
+            .setTask(WorkflowRecords.encode(task.openRun()))
+            .setMilliProcessors((int) task.step().sizes().milliProcessors())
+            .setMemoryMebibytes(WorkflowRecords.mebibytes(task.step().sizes()))
+            .setAccelerators((int) task.step().sizes().accelerators())
+            .setCheckpoint(task.checkpoint())
+            .setImage(task.step().nature().image())
+            .setLatencyTargetMillis((int) task.step().nature().latencyTargetMillis())
+            .setFills(task.step().nature().fills());
+    if (programsInFrame.add(spec.id())) {
+      start.setProgram(spec.program());
+    } else {
+      start.setSameProgram(true);
+    }
+    orders.addStarts(start);
+    pending = true;
+    return lastNumber + 1;
+  }
+
+  void addStop(RunKey run) {
+    orders.addStops(WorkflowRecords.encode(run));
+    pending = true;
+  }
+
+  void addNotedEnd(WorkflowTaskId end) {
+    orders.addNotedEnds(end);
+    pending = true;
+  }
+
+  boolean hasPending() {
+    return pending;
+  }
+
+  /** Sends what waits, with the evidence by which the worker may go on. */
+  void flush(LeaseGrant lease) {
+    orders.setNumber(++lastNumber).setLease(lease).setWorker(report.getWorker());
+    connection.send(Frame.newBuilder().setRunOrders(orders).build());
+    orders = RunOrders.newBuilder();
+    programsInFrame.clear();
+    pending = false;
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
@@ -0,0 +1,111 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The worker of a VM.
+ *
+ * <p>Calls never block; futures complete on any thread and never exceptionally. Every call names
+ * the worker's life that it is meant for; another life answers {@link OtherWorker} and does
+ * nothing.
+ */
+public interface WorkerGateway {
+  /** How an order ended. */
+  sealed interface OrderResult {}
+
+  /** Carried out, now or by an earlier copy of the same order. */
+  record Accepted(long workerClock) implements OrderResult {}
+
+  /** Not carried out and never will be. */
+  record Refused(Refusal refusal, String detail) implements OrderResult {
+    /** Checks the components. */
+    public Refused {
+      requireNonNull(refusal, "refusal");
+    }
+  }
+
+  /** It may have been carried out, or may be yet. */
+  record OrderUnknown(String reason) implements OrderResult {}
+
+  /** The worker's life that the order was for is over. */
+  record OtherWorker() implements OrderResult, ListingResult {}
+
+  /** Why an order was refused. */
+  enum Refusal {
+    /** The attempt, or a later one, has ended here. */
+    OLD_ATTEMPT,
+    /** The worker has no room. */
+    NO_ROOM,
+    /** The deadline has passed. */
+    LATE,
+    /** The worker is unhealthy, or takes nothing now. */
+    BUSY,
+    /** The order itself is wrong. */
+    INVALID
+  }
+
+  /** What a worker says of itself. */
+  sealed interface ListingResult {}
+
+  /**
+   * All that runs, and ends that were not yet noted.
+   *
+   * @param workerClock the worker's clock in milliseconds when it answered
+   */
+  record Listing(long workerClock, ImmutableList<Running> running, ImmutableList<Ended> ended)
+      implements ListingResult {}
+
+  /** The worker did not answer. */
+  record NoListing(String reason) implements ListingResult {}
+
+  /**
+   * A run.
+   *
+   * @param checkpoint the newest progress saved; empty for none
+   * @param percent how far it is
+   * @param gauge tail latency in milliseconds of a task that serves; else processors in use, in
+   *     thousandths
+   */
+  record Running(RunKey run, String checkpoint, int percent, long gauge) {}
+
+  /**
+   * The end of a run.
+   *
+   * @param sequence counts the ends of a worker's life, from 1
+   */
+  record Ended(long sequence, RunKey run, RunOutcome outcome, String checkpoint) {}
+
+  /**
+   * A start.
+   *
+   * @param program opaque text
+   * @param deadline until when everything on the worker may run, on its clock
+   * @param checkpoint where to resume; empty for the beginning
+   */
+  record Start(RunKey run, String program, long deadline, String checkpoint) {}
+
+  /** Starts a run. */
+  CompletableFuture<OrderResult> start(String worker, Start start);
+
+  /** Stops a run; once accepted, neither this attempt nor an earlier one starts there any more. */
+  CompletableFuture<OrderResult> stop(String worker, RunKey run);
+
+  /** Sets the share of its speed at which a run may work, 0 to 100. */
+  CompletableFuture<OrderResult> pace(String worker, RunKey run, int percent);
+
+  /**
+   * Lists what runs, lets it run on until the deadline, and forgets noted ends.
+   *
+   * @param deadline on the worker's clock; empty leaves it as it is
+   * @param noted ends up to this one are durable elsewhere
+   * @param waitMillis how long to wait for an end; 0 for none
+   */
+  CompletableFuture<ListingResult> list(
+      String worker, OptionalLong deadline, long noted, long waitMillis);
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -0,0 +1,498 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.workflow.WorkerGateway.Accepted;
+import io.marigoldsail.daemon.workflow.WorkerGateway.Ended;
+import io.marigoldsail.daemon.workflow.WorkerGateway.Listing;
+import io.marigoldsail.daemon.workflow.WorkerGateway.ListingResult;
+import io.marigoldsail.daemon.workflow.WorkerGateway.NoListing;
+import io.marigoldsail.daemon.workflow.WorkerGateway.OrderResult;
+import io.marigoldsail.daemon.workflow.WorkerGateway.OtherWorker;
+import io.marigoldsail.daemon.workflow.WorkerGateway.Refusal;
+import io.marigoldsail.daemon.workflow.WorkerGateway.Refused;
+import io.marigoldsail.daemon.workflow.WorkerGateway.Running;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.protocol.EndReport;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.RoomLedger;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One life of the VM's worker: carries out orders, renews its lease, and keeps its ends until an
+ * owner has noted them.
+ *
+ * <p>A run is in here from before its order leaves until the worker has listed its end, refused it,
+ * or shown several listings without it after it took the last order. So what may still be carried
+ * out late keeps its room, and is never called over. Confined to the loop's thread.
+ */
+final class WorkerSession {
+  private static final EventLog LOG = EventLog.of(WorkerSession.class);
+
+  /** How long a listing waits for an end, in milliseconds. */
+  private static final long WAIT_MILLIS = 900;
+
+  /** The same while tasks with a latency target run: their tails are measured each half second. */
+  private static final long WAIT_SERVING_MILLIS = 450;
+
+  /** The most that the next listing waits for owners to note ends, in nanoseconds. */
+  private static final long NOTE_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+  private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+  private static final int MAX_START_TRIES = 3;
+
+  /** How long a worker that refuses or does not answer gets no new work, in nanoseconds. */
+  private static final long UNHEALTHY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  /** Told of changes; runs on the loop. */
+  interface Listener {
+    /** Something that owners want to know has changed. */
+    void changed();
+
+    /** This life of the worker is over. */
+    void gone(WorkerSession session);
+  }
+
+  private final LinkLoop loop;
+  private final WorkerGateway gateway;
+  private final String worker;
+  private final int partitions;
+  private final Listener listener;
+  private final RoomLedger room = new RoomLedger();
+  private final WorkerTime time;
+  private final RunPacing pacing;
+  private final EndLedger ends = new EndLedger();
+  private final Map<RunKey, SideRun> runs = new LinkedHashMap<>();
+  private WorkerHeartbeat heartbeat;
+  private long unhealthyUntil = Long.MIN_VALUE;
+  private boolean adopted;
+  private boolean listing;
+  private boolean closed;
+
+  WorkerSession(
+      LinkLoop loop,
+      WorkerGateway gateway,
+      WorkerHeartbeat heartbeat,
+      Listing first,
+      int partitions,
+      LeaseTermsOfWorker terms,
+      Listener listener) {
+    this.loop = requireNonNull(loop, "loop");
+    this.gateway = requireNonNull(gateway, "gateway");
+    this.heartbeat = requireNonNull(heartbeat, "heartbeat");
+    this.worker = heartbeat.worker();
+    this.partitions = partitions;
+    this.listener = requireNonNull(listener, "listener");
+    this.time = new WorkerTime(loop, terms, first.workerClock());
+    this.pacing = new RunPacing(loop, gateway, worker);
+    room.capacity(heartbeat.capacity());
+    takeListing(first, Set.of());
+    adopted = true;
+  }
+
+  void start() {
+    look();
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  String worker() {
+    return worker;
+  }
+
+  WorkerHeartbeat heartbeat() {
+    return heartbeat;
+  }
+
+  void heartbeat(WorkerHeartbeat newest) {
+    if (newest.draining() && !heartbeat.draining()) {
+      LOG.info(LogLine.of("worker-leaves").with("worker", worker).with("runs", runs.size()));
+    }
+    heartbeat = newest;
+    room.capacity(newest.capacity());
+    listener.changed();
+  }
+
+  /** Returns a time that the worker's clock has surely reached, in milliseconds. */
+  long workerClock() {
+    return time.reached();
+  }
+
+  boolean isUnhealthy() {
+    return loop.now() < unhealthyUntil;
+  }
+
+  RoomLedger room() {
+    return room;
+  }
+
+  Collection<SideRun> runs() {
+    return runs.values();
+  }
+
+  Collection<EndReport> ends() {
+    return ends.all();
+  }
+
+  int fillPercent() {
+    return pacing.percent();
+  }
+
+  long fillMilliProcessors() {
+    return runs.values().stream()
+        .filter(SideRun::fills)
+        .mapToLong(run -> run.order().orElseThrow().getMilliProcessors())
+        .sum();
+  }
+
+  int serving() {
+    return (int) runs.values().stream().filter(run -> run.latencyTargetMillis() > 0).count();
+  }
+
+  /** Takes evidence that an owner held its partition at a time on the worker's clock. */
+  boolean evidence(int partition, long epoch, long workerClock) {
+    return time.evidence(partition, epoch, workerClock);
+  }
+
+  int partitionOf(RunKey key) {
+    return io.marigoldsail.workflow.WorkflowIds.partition(key.task().workflow(), partitions);
+  }
+
+  /** Carries out an order to start, or refuses it at once. */
+  void start(RunKey key, StartRun order, String program) {
+    SideRun known = runs.get(key);
+    Sizes sizes = booked(order);
+    if (known != null) {
+      if (known.order().isEmpty()) {
+        known.order(order);
+        room.book(key, sizes);
+        listener.changed();
+      }
+      return;
+    }
+    if (ends.has(key)) {
+      return;
+    }
+    int partition = partitionOf(key);
+    Optional<String> refusal = refusal(key, partition, sizes);
+    if (refusal.isPresent()) {
+      finish(key, RunOutcome.REFUSED, "", 0, refusal.get());
+      return;
+    }
+    SideRun run = new SideRun(key, partition, Optional.of(order));
+    run.program(program);
+    runs.put(key, run);
+    sendStart(run);
+  }
+
+  private static Sizes booked(StartRun order) {
+    return WorkflowRecords.sizes(
+        order.getFills() ? 0 : order.getMilliProcessors(),
+        order.getMemoryMebibytes(),
+        order.getAccelerators());
+  }
+
+  private Optional<String> refusal(RunKey key, int partition, Sizes sizes) {
+    if (heartbeat.draining()) {
+      return Optional.of("the worker leaves");
+    }
+    if (!time.mayStart(partition)) {
+      return Optional.of("the evidence of its owner is too old");
+    }
+    if (runs.values().stream().anyMatch(run -> run.order().isEmpty())) {
+      return Optional.of("what runs here is not known yet");
+    }
+    return room.tryBook(key, sizes) ? Optional.empty() : Optional.of("no room");
+  }
+
+  private void sendStart(SideRun run) {
+    int tries = run.tried();
+    time.extend(held());
+    WorkerGateway.Start start =
+        new WorkerGateway.Start(
+            run.key(), run.program(), time.deadline(), run.order().orElseThrow().getCheckpoint());
+    gateway
+        .start(worker, start)
+        .thenAccept(result -> loop.run(() -> startAnswered(run, tries, result)));
+  }
+
+  private void startAnswered(SideRun run, int tries, OrderResult result) {
+    if (closed || runs.get(run.key()) != run || run.isStopping()) {
+      return;
+    }
+    if (result instanceof Accepted accepted) {
+      time.read(accepted.workerClock());
+      run.confirm();
+      pacing.pace(run);
+      listener.changed();
+    } else if (result instanceof OtherWorker) {
+      gone("it answered as another one");
+    } else if (result instanceof Refused refused) {
+      startRefused(run, refused);
+    } else {
+      LOG.info(
+          LogLine.of("start-unanswered")
+              .with("run", run.key())
+              .with("tries", tries)
+              .with("reason", ((WorkerGateway.OrderUnknown) result).reason()));
+      run.becameUncertain();
+      unhealthy();
+      if (run.isListed()) {
+        run.confirm();
+      } else if (tries < MAX_START_TRIES) {
+        loop.schedule(() -> retryStart(run), RETRY_NANOS);
+      } else {
+        stop(run.key());
+      }
+    }
+  }
+
+  private void retryStart(SideRun run) {
+    if (!closed && runs.get(run.key()) == run && !run.isStopping() && !run.isListed()) {
+      sendStart(run);
+    }
+  }
+
+  private void startRefused(SideRun run, Refused refused) {
+    if (refused.refusal() == Refusal.BUSY) {
+      unhealthy();
+    }
+    if (refused.refusal() == Refusal.OLD_ATTEMPT) {
+      // It ended or was stopped here: listings show its end, or it is noted already.
+      run.confirm();
+      return;
+    }
+    if (run.isUncertain()) {
+      // An earlier copy of the order may be carried out yet; the stop forbids that.
+      stop(run.key());
+      return;
+    }
+    finish(run.key(), RunOutcome.REFUSED, "", 0, refused.detail());
+  }
+
+  private void unhealthy() {
+    unhealthyUntil = loop.now() + UNHEALTHY_NANOS;
+    listener.changed();
+  }
+
+  /** Stops a run, also one that is not known here: a late order for it must not be carried out. */
+  void stop(RunKey key) {
+    if (ends.has(key)) {
+      return;
+    }
+    SideRun run = runs.get(key);
+    if (run == null) {
+      run = new SideRun(key, partitionOf(key), Optional.empty());
+      runs.put(key, run);
+    }
+    if (run.isStopping()) {
+      return;
+    }
+    run.stop();
+    sendStop(run);
+  }
+
+  private void sendStop(SideRun run) {
+    gateway.stop(worker, run.key()).thenAccept(result -> loop.run(() -> stopAnswered(run, result)));
+  }
+
+  private void stopAnswered(SideRun run, OrderResult result) {
+    if (closed || runs.get(run.key()) != run) {
+      return;
+    }
+    if (result instanceof OtherWorker) {
+      gone("it answered as another one");
+    } else if (result instanceof Accepted accepted) {
+      time.read(accepted.workerClock());
+      run.confirm();
+    } else if (result instanceof Refused refused && refused.refusal() == Refusal.OLD_ATTEMPT) {
+      run.confirm();
+    } else {
+      LOG.info(LogLine.of("stop-retried").with("run", run.key()).with("result", result));
+      loop.schedule(
+          () -> {
+            if (!closed && runs.get(run.key()) == run) {
+              sendStop(run);
+            }
+          },
+          RETRY_NANOS);
+    }
+  }
+
+  /** Forgets an end that its owner has made durable. */
+  void noted(RunKey key) {
+    if (!ends.note(key)) {
+      return;
+    }
+    if (ends.isAllNoted() && !listing) {
+      look();
+    }
+  }
+
+  private void finish(
+      RunKey key, RunOutcome outcome, String checkpoint, long sequence, String reason) {
+    runs.remove(key);
+    room.release(key);
+    ends.add(
+        key,
+        EndReport.newBuilder()
+            .setTask(WorkflowRecords.encode(key))
+            .setOutcome(outcome.number())
+            .setCheckpoint(checkpoint)
+            .setSequence(sequence)
+            .setReason(reason)
+            .build());
+    if (outcome != RunOutcome.DONE) {
+      LOG.info(
+          LogLine.of("run-over")
+              .with("run", key)
+              .with("outcome", outcome)
+              .with("reason", reason)
+              .with("worker", worker));
+    }
+    listener.changed();
+  }
+
+  private Set<Integer> held() {
+    Set<Integer> held = new HashSet<>();
+    runs.values().forEach(run -> held.add(run.partition()));
+    return held;
+  }
+
+  private void look() {
+    if (closed || listing) {
+      return;
+    }
+    listing = true;
+    OptionalLong until = time.extend(held());
+    long wait = serving() > 0 ? WAIT_SERVING_MILLIS : WAIT_MILLIS;
+    Set<RunKey> confirmed = new HashSet<>();
+    runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
+    gateway
+        .list(worker, until, ends.noted(), ends.isAllNoted() ? wait : 0)
+        .thenAccept(result -> loop.run(() -> listed(result, confirmed)));
+  }
+
+  private void listed(ListingResult result, Set<RunKey> confirmed) {
+    listing = false;
+    if (closed) {
+      return;
+    }
+    if (result instanceof OtherWorker) {
+      gone("it answered as another one");
+      return;
+    }
+    if (result instanceof NoListing failed) {
+      LOG.info(LogLine.of("worker-silent").with("worker", worker).with("reason", failed.reason()));
+      unhealthy();
+      loop.schedule(this::look, RETRY_NANOS);
+      return;
+    }
+    Listing shown = (Listing) result;
+    time.read(shown.workerClock());
+    takeListing(shown, confirmed);
+    stopOverdue();
+    if (pacing.observe(runs.values())) {
+      listener.changed();
+    }
+    if (ends.isAllNoted()) {
+      look();
+    } else {
+      loop.schedule(this::look, NOTE_WAIT_NANOS);
+    }
+  }
+
+  private void takeListing(Listing shown, Set<RunKey> confirmed) {
+    Set<RunKey> mentioned = new HashSet<>();
+    for (Ended end : shown.ended()) {
+      mentioned.add(end.run());
+      takeEnd(end);
+    }
+    boolean changed = false;
+    for (Running row : shown.running()) {
+      mentioned.add(row.run());
+      changed |= takeRunning(row);
+    }
+    for (SideRun run : List.copyOf(runs.values())) {
+      boolean missing = !mentioned.contains(run.key()) && confirmed.contains(run.key());
+      if (missing && run.missedTooOften()) {
+        finish(run.key(), RunOutcome.FORGOTTEN, "", 0, "the worker lists it no more");
+      }
+    }
+    if (changed) {
+      listener.changed();
+    }
+  }
+
+  private void takeEnd(Ended end) {
+    if (!ends.isNew(end.sequence())) {
+      return;
+    }
+    finish(end.run(), end.outcome(), end.checkpoint(), end.sequence(), "listed by the worker");
+  }
+
+  private boolean takeRunning(Running row) {
+    SideRun run = runs.get(row.run());
+    if (run == null) {
+      if (ends.has(row.run())) {
+        return false;
+      }
+      LOG.info(
+          LogLine.of(adopted ? "run-appeared" : "run-adopted")
+              .with("run", row.run())
+              .with("worker", worker));
+      run = new SideRun(row.run(), partitionOf(row.run()), Optional.empty());
+      run.confirm();
+      runs.put(row.run(), run);
+    }
+    boolean first = !run.isListed();
+    run.listed(row.checkpoint(), row.percent(), row.gauge());
+    return first;
+  }
+
+  /** Stops what belongs to owners that are silent for long, so that it does not end the others. */
+  private void stopOverdue() {
+    Set<Integer> overdue = time.overdue(held());
+    for (SideRun run : new ArrayList<>(runs.values())) {
+      if (overdue.contains(run.partition()) && !run.isStopping()) {
+        LOG.warning(
+            LogLine.of("run-stopped")
+                .with("run", run.key())
+                .with("partition", run.partition())
+                .with("reason", "its owner is silent"));
+        stop(run.key());
+      }
+    }
+  }
+
+  /** Ends this life: what ran is over, since the worker that ran it is. */
+  void gone(String reason) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    LOG.info(
+        LogLine.of("worker-gone")
+            .with("worker", worker)
+            .with("runs", runs.size())
+            .with("reason", reason));
+    listener.gone(this);
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerTime.java
@@ -0,0 +1,88 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.workflow.LeaseLedger;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The clock and the deadline of one worker's life. All times are milliseconds of the worker's
+ * clock. Confined to the loop's thread.
+ */
+final class WorkerTime {
+  /** How long after a restart owners may be silent before their runs are stopped, in millis. */
+  private static final long ADOPTED_MILLIS = 3_000;
+
+  /** A worker's clock may run this much slower than ours, in percent. */
+  private static final long DRIFT_PERCENT = 3;
+
+  private final LinkLoop loop;
+  private final LeaseLedger lease;
+  private final long first;
+  private long clock;
+  private long readAt;
+  private long deadline;
+
+  WorkerTime(LinkLoop loop, LeaseTermsOfWorker terms, long firstReading) {
+    this.loop = requireNonNull(loop, "loop");
+    this.lease = new LeaseLedger(terms);
+    this.first = firstReading;
+    read(firstReading);
+    // An earlier life of this process may have extended it up to now.
+    this.deadline = firstReading + terms.leaseMillis();
+  }
+
+  /** Takes what the worker's clock showed in an answer. */
+  void read(long shown) {
+    clock = shown;
+    readAt = loop.now();
+  }
+
+  /** Returns a time that the worker's clock has surely reached. */
+  long reached() {
+    long elapsed = TimeUnit.NANOSECONDS.toMillis(loop.now() - readAt);
+    return clock + elapsed * (100 - DRIFT_PERCENT) / 100;
+  }
+
+  /** Takes evidence that an owner held its partition; returns whether its epoch is the highest. */
+  boolean evidence(int partition, long epoch, long at) {
+    return lease.observe(partition, epoch, at);
+  }
+
+  boolean mayStart(int partition) {
+    return lease.mayStart(partition, deadline, reached());
+  }
+
+  /** Returns the deadline that the worker was last given, or may have been. */
+  long deadline() {
+    return deadline;
+  }
+
+  /** Moves the deadline as far as the partitions' evidence allows; empty if it stays. */
+  OptionalLong extend(Set<Integer> partitions) {
+    OptionalLong until = lease.deadline(partitions);
+    if (until.isEmpty() || until.getAsLong() <= deadline) {
+      return OptionalLong.empty();
+    }
+    deadline = until.getAsLong();
+    return until;
+  }
+
+  /** Returns the partitions whose runs must be stopped, since their owners are silent. */
+  Set<Integer> overdue(Collection<Integer> partitions) {
+    long now = reached();
+    Set<Integer> overdue = new HashSet<>(lease.overdue(partitions, now));
+    if (now > first + ADOPTED_MILLIS) {
+      List<Integer> unheard = partitions.stream().filter(lease::isUnknown).toList();
+      overdue.addAll(unheard);
+    }
+    return overdue;
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -0,0 +1,382 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.link.LinkListener;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.link.LinkServer;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
+import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.Pong;
+import io.marigoldsail.protocol.WorkflowQuery;
+import io.marigoldsail.protocol.WorkflowQueryAnswer;
+import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.QueueTable;
+import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowIds;
+import io.marigoldsail.workflow.WorkflowSpec;
+import io.marigoldsail.workflow.WorkflowTask;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * An entry's part in workflows: accepts them, answers for them, and decides for those whose
+ * partitions it owns.
+ *
+ * <p>The public methods may be called from any thread; everything else runs on the loop.
+ */
+public final class WorkflowEntry {
+  private static final EventLog LOG = EventLog.of(WorkflowEntry.class);
+
+  private static final long RENEW_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+  private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final long COUNTS_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+  private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(5);
+  private static final int MAX_LINKS = 2_000;
+
+  private final LinkLoop loop;
+  private final EntryTerms terms;
+  private final EntryMember self;
+  private final java.util.function.LongSupplier wallMillis;
+  private final Ownership ownership;
+  private final EntryPeers peers;
+  private final EntryVms vms;
+  private final EntryScheduler scheduler;
+  private final SubmissionWriter submissions;
+  private final LinkServer server;
+  private volatile Optional<QueueTable> configuration = Optional.empty();
+  private volatile boolean ready;
+
+  /**
+   * Creates an entry that does nothing yet.
+   *
+   * @param loop the process's loop
+   * @param store where workflows last
+   * @param address where side processes and other entries reach this one
+   * @param wallMillis the time of day in milliseconds
+   * @param terms what the deployment allows
+   */
+  public WorkflowEntry(
+      LinkLoop loop,
+      WorkflowStore store,
+      InetSocketAddress address,
+      java.util.function.LongSupplier wallMillis,
+      EntryTerms terms) {
+    this.loop = requireNonNull(loop, "loop");
+    this.terms = requireNonNull(terms, "terms");
+    this.wallMillis = requireNonNull(wallMillis, "wallMillis");
+    this.self = new EntryMember(address.getHostString(), address.getPort(), wallMillis.getAsLong());
+    this.ownership = new Ownership(store, loop, self, new Changes());
+    this.peers = new EntryPeers(loop, self);
+    this.vms = new EntryVms(loop, ownership, terms.lease(), wallMillis, new VmChanges());
+    this.scheduler = new EntryScheduler(loop, wallMillis, ownership, vms, () -> this.configuration);
+    this.submissions = new SubmissionWriter(store, loop);
+    this.server = new LinkServer(loop, address, MAX_LINKS, new Incoming());
+  }
+
+  /**
+   * Begins to listen and to join the owners.
+   *
+   * @throws IOException if the address cannot be had
+   */
+  public void start() throws IOException {
+    server.start();
+    loop.run(ownership::start);
+    loop.repeat(this::renew, RENEW_NANOS);
+    loop.repeat(this::sweep, SWEEP_NANOS);
+    loop.repeat(() -> peers.tick(waitingHere()), COUNTS_NANOS);
+    loop.repeat(this::forgetEnded, FORGET_NANOS);
+  }
+
+  /** Puts a configuration in force; older versions than the one in force are passed over. */
+  public void configure(QueueTable queues) {
+    Optional<QueueTable> before = configuration;
+    if (before.isPresent() && before.get().version() >= queues.version()) {
+      return;
+    }
+    configuration = Optional.of(queues);
+    LOG.info(
+        LogLine.of("configuration-in-force")
+            .with("version", queues.version())
+            .with("queues", queues.queues().size()));
+    loop.run(scheduler::soon);
+  }
+
+  /** Returns the configuration in force, or empty while none is known. */
+  public Optional<QueueTable> configuration() {
+    return configuration;
+  }
+
+  /** Returns whether this entry should be given callers. */
+  public boolean isReady() {
+    return ready && configuration.isPresent();
+  }
+
+  /**
+   * Writes a workflow durably.
+   *
+   * @return completes on the loop with how the append ended
+   */
+  public CompletableFuture<AppendResult> submit(WorkflowSpec spec) {
+    CompletableFuture<AppendResult> told = new CompletableFuture<>();
+    loop.run(
+        () -> {
+          int partition = ownership.partitionOf(spec.id());
+          String key = WorkflowIds.format(spec.id());
+          KeyedRecord submission = new KeyedRecord(key, WorkflowRecords.encode(spec));
+          submissions.write(partition, submission, result -> submitted(spec, result, told));
+        });
+    return told;
+  }
+
+  private void submitted(
+      WorkflowSpec spec, AppendResult result, CompletableFuture<AppendResult> told) {
+    LOG.info(
+        LogLine.of("workflow-submitted")
+            .with("workflow", WorkflowIds.format(spec.id()))
+            .with("queue", spec.queue())
+            .with("steps", spec.steps().size())
+            .with("configuration", configuration.map(QueueTable::version).orElse(0L))
+            .with("result", result.getClass().getSimpleName()));
+    if (result instanceof Appended) {
+      // Spares the owner, if it is this entry, the wait for its own reading.
+      ownership.active(ownership.partitionOf(spec.id())).ifPresent(own -> own.add(spec));
+    }
+    told.complete(result);
+  }
+
+  /**
+   * Asks for the status of a workflow, or cancels it.
+   *
+   * @return completes on the loop
+   */
+  public CompletableFuture<QueryResult> query(long workflow, String queue, boolean cancel) {
+    CompletableFuture<QueryResult> told = new CompletableFuture<>();
+    loop.run(() -> answer(workflow, queue, cancel, true, told::complete));
+    return told;
+  }
+
+  private void answer(
+      long workflow, String queue, boolean cancel, boolean mayAsk, Consumer<QueryResult> told) {
+    int partition = ownership.partitionOf(workflow);
+    Optional<OwnedPartition> own = ownership.active(partition);
+    if (own.isPresent()) {
+      answerOwn(own.get(), workflow, cancel, told);
+    } else if (mayAsk) {
+      WorkflowQuery question =
+          WorkflowQuery.newBuilder()
+              .setWorkflow(workflow)
+              .setQueue(queue)
+              .setCancel(cancel)
+              .build();
+      peers.ask(partition, question, told);
+    } else {
+      told.accept(QueryResult.CANNOT_TELL);
+    }
+  }
+
+  private void answerOwn(OwnedPartition own, long id, boolean cancel, Consumer<QueryResult> told) {
+    Optional<Workflow> found = own.workflow(id);
+    if (found.isEmpty()) {
+      told.accept(own.isFresh() ? QueryResult.UNKNOWN_WORKFLOW : QueryResult.CANNOT_TELL);
+      return;
+    }
+    Workflow workflow = found.get();
+    if (!cancel) {
+      told.accept(QueryResult.of(workflow.shownStatus()));
+      return;
+    }
+    if (workflow.cancel(wallMillis.getAsLong())) {
+      LOG.info(
+          LogLine.of("workflow-cancelled")
+              .with("workflow", WorkflowIds.format(id))
+              .with("open_runs", workflow.openTasks().size()));
+      own.changed(workflow);
+    }
+    own.writer()
+        .afterDurable(
+            () -> {
+              vms.stopUnwanted(workflow);
+              told.accept(QueryResult.of(workflow.shownStatus()));
+            });
+  }
+
+  /** Returns how many accepted workflows of the queue have no task begun; completes on the loop. */
+  public CompletableFuture<Integer> waiting(String queue) {
+    CompletableFuture<Integer> told = new CompletableFuture<>();
+    loop.run(
+        () -> told.complete(waitingHere().getOrDefault(queue, 0) + peers.waitingElsewhere(queue)));
+    return told;
+  }
+
+  private Map<String, Integer> waitingHere() {
+    Map<String, Integer> waiting = new HashMap<>();
+    for (OwnedPartition partition : ownership.active()) {
+      for (Workflow workflow : partition.workflows()) {
+        if (!workflow.hasBegun() && !workflow.status().isTerminal()) {
+          waiting.merge(workflow.spec().queue(), 1, Integer::sum);
+        }
+      }
+    }
+    return waiting;
+  }
+
+  private void renew() {
+    for (OwnedPartition partition : ownership.active()) {
+      boolean old = loop.now() - partition.writer().evidence() > RENEW_NANOS;
+      boolean running = partition.workflows().stream().anyMatch(each -> hasOpen(each));
+      if (old && running) {
+        partition.writer().renew();
+      }
+    }
+  }
+
+  private static boolean hasOpen(Workflow workflow) {
+    return workflow.tasks().stream().anyMatch(WorkflowTask::isOpen);
+  }
+
+  private void sweep() {
+    if (!ready && ownership.isConnected()) {
+      ready = true;
+    }
+    vms.sweep();
+    scheduler.evacuate();
+    scheduler.soon();
+  }
+
+  private void forgetEnded() {
+    long before = wallMillis.getAsLong() - terms.keepEndedMillis();
+    for (OwnedPartition partition : ownership.active()) {
+      for (Workflow workflow : ImmutableList.copyOf(partition.workflows())) {
+        boolean over = workflow.shownStatus().isTerminal() && workflow.endedMillis() < before;
+        if (over && workflow.openTasks().isEmpty()) {
+          partition.forget(workflow);
+        }
+      }
+    }
+  }
+
+  /** Gives all partitions back and stops deciding; callers are still answered by other owners. */
+  public CompletableFuture<Boolean> leave() {
+    ready = false;
+    CompletableFuture<Boolean> left = new CompletableFuture<>();
+    loop.run(() -> ownership.leave().thenAccept(left::complete));
+    return left;
+  }
+
+  /** Ends all links. */
+  public void close() {
+    server.close();
+  }
+
+  /** What changes in the partitions. */
+  private final class Changes implements Ownership.Listener {
+    @Override
+    public void ownersKnown(long asOfGeneration, ImmutableList<Owner> owners) {
+      if (peers.owners(asOfGeneration, owners)) {
+        Frame frame = Frame.newBuilder().setOwnerMap(peers.map()).build();
+        vms.connections().forEach(connection -> connection.send(frame));
+      }
+    }
+
+    @Override
+    public void activated(OwnedPartition partition) {
+      vms.activated(partition);
+      scheduler.soon();
+    }
+
+    @Override
+    public void submitted(OwnedPartition partition, Workflow workflow) {
+      scheduler.soon();
+    }
+
+    @Override
+    public void lost(OwnedPartition partition) {
+      vms.lost(partition);
+    }
+  }
+
+  /** What changes on the VMs. */
+  private final class VmChanges implements EntryVms.Listener {
+    @Override
+    public void ended(OwnedPartition partition, WorkflowTask task, RunOutcome outcome) {
+      if (task.workflow().status().isTerminal()) {
+        partition.writer().afterDurable(() -> vms.stopUnwanted(task.workflow()));
+      }
+      scheduler.ended(task, outcome);
+    }
+
+    @Override
+    public void roomChanged() {
+      scheduler.soon();
+    }
+  }
+
+  /** Connections from side processes and other entries. */
+  private final class Incoming implements LinkListener {
+    @Override
+    public void opened(LinkConnection connection) {
+      connection.send(Frame.newBuilder().setOwnerMap(peers.map()).build());
+    }
+
+    @Override
+    public void received(LinkConnection connection, Frame frame) {
+      switch (frame.getBodyCase()) {
+        case VM_REPORT -> {
+          vms.reported(connection, frame.getVmReport());
+          tellOwners(connection, frame.getVmReport().getOwnersDigest());
+        }
+        case WORKFLOW_QUERY -> answerPeer(connection, frame.getWorkflowQuery());
+        case WAITING_COUNTS -> peers.counted(frame.getWaitingCounts());
+        case PING -> connection.send(Frame.newBuilder().setPong(Pong.getDefaultInstance()).build());
+        default ->
+            LOG.warning(
+                LogLine.of("frame-passed-over")
+                    .with("peer", connection)
+                    .with("body", frame.getBodyCase()));
+      }
+    }
+
+    @Override
+    public void closed(LinkConnection connection, String reason) {
+      vms.disconnected(connection, reason);
+    }
+  }
+
+  /** Guards against a side process that missed a change and goes on with a map of its own. */
+  private void tellOwners(LinkConnection connection, int digestThere) {
+    if (digestThere != peers.map().getDigest()) {
+      connection.send(Frame.newBuilder().setOwnerMap(peers.map()).build());
+    }
+  }
+
+  private void answerPeer(LinkConnection connection, WorkflowQuery question) {
+    answer(
+        question.getWorkflow(),
+        question.getQueue(),
+        question.getCancel(),
+        false,
+        result ->
+            connection.send(
+                Frame.newBuilder()
+                    .setWorkflowQueryAnswer(
+                        WorkflowQueryAnswer.newBuilder()
+                            .setId(question.getId())
+                            .setResult(result.number()))
+                    .build()));
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowRecords.java
@@ -0,0 +1,214 @@
+package io.marigoldsail.daemon.workflow;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.protocol.PlaceName;
+import io.marigoldsail.protocol.TaskProgress;
+import io.marigoldsail.protocol.WorkflowProgress;
+import io.marigoldsail.protocol.WorkflowStep;
+import io.marigoldsail.protocol.WorkflowSubmission;
+import io.marigoldsail.protocol.WorkflowTaskId;
+import io.marigoldsail.workflow.Place;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.StepSpec;
+import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.TaskRecordState;
+import io.marigoldsail.workflow.WorkflowRecordState;
+import io.marigoldsail.workflow.WorkflowSpec;
+import io.marigoldsail.workflow.WorkflowStatus;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Turns workflows into their durable records and frames, and back. Stateless. */
+final class WorkflowRecords {
+  static final long BYTES_PER_MEBIBYTE = 1 << 20;
+
+  /** Phases of a task in records; numbers never change. */
+  private static final int PHASE_WAITING = 0;
+
+  private static final int PHASE_DONE = 1;
+
+  private WorkflowRecords() {}
+
+  static ByteString encode(WorkflowSpec spec) {
+    WorkflowSubmission.Builder builder =
+        WorkflowSubmission.newBuilder()
+            .setId(spec.id())
+            .setQueue(spec.queue())
+            .setService(spec.terms().service())
+            .setPriority(spec.terms().priority())
+            .setMaxFailures(spec.terms().maxFailures())
+            .setAdvised(spec.terms().advised())
+            .setProgram(spec.program())
+            .setOccurrences(spec.schedule().occurrences())
+            .setFirstDueMillis(spec.schedule().firstDueMillis())
+            .setIntervalMillis(spec.schedule().intervalMillis())
+            .setAcceptedMillis(spec.acceptedMillis());
+    spec.steps().forEach(step -> builder.addSteps(encode(step)));
+    return builder.build().toByteString();
+  }
+
+  private static WorkflowStep encode(StepSpec step) {
+    return WorkflowStep.newBuilder()
+        .setTasks(step.tasks())
+        .setMilliProcessors((int) step.sizes().milliProcessors())
+        .setMemoryMebibytes(mebibytes(step.sizes()))
+        .setAccelerators((int) step.sizes().accelerators())
+        .setEstimateMillis((int) step.estimateMillis())
+        .addAllDependsOn(step.dependsOn())
+        .setGang(step.nature().gang())
+        .setSameRack(step.placement().sameRack())
+        .setRequiredLabel(step.placement().requiredLabel())
+        .setPreferredRack(step.placement().preferredRack())
+        .setMaxPerVm(step.placement().maxPerVm())
+        .setCheckpointable(step.nature().checkpointable())
+        .setSpeculative(step.nature().speculative())
+        .setLasting(step.nature().lasting())
+        .setImage(step.nature().image())
+        .setLatencyTargetMillis((int) step.nature().latencyTargetMillis())
+        .setFills(step.nature().fills())
+        .setAllowedUnavailable(step.nature().allowedUnavailable())
+        .build();
+  }
+
+  static int mebibytes(Sizes sizes) {
+    return (int) (sizes.memoryBytes() / BYTES_PER_MEBIBYTE);
+  }
+
+  static Sizes sizes(int milliProcessors, int memoryMebibytes, int accelerators) {
+    return new Sizes(milliProcessors, memoryMebibytes * BYTES_PER_MEBIBYTE, accelerators);
+  }
+
+  /** Returns the workflow of a submission, or empty if the record is not one. */
+  static Optional<WorkflowSpec> decodeSubmission(ByteString bytes) {
+    try {
+      WorkflowSubmission submission = WorkflowSubmission.parseFrom(bytes);
+      WorkflowSpec.Terms terms =
+          new WorkflowSpec.Terms(
+              submission.getService(),
+              submission.getPriority(),
+              submission.getMaxFailures(),
+              submission.getAdvised());
+      WorkflowSpec.Schedule schedule =
+          new WorkflowSpec.Schedule(
+              submission.getOccurrences(),
+              submission.getFirstDueMillis(),
+              submission.getIntervalMillis());
+      ImmutableList<StepSpec> steps =
+          submission.getStepsList().stream()
+              .map(WorkflowRecords::decode)
+              .collect(ImmutableList.toImmutableList());
+      return Optional.of(
+          new WorkflowSpec(
+              submission.getId(),
+              submission.getQueue(),
+              terms,
+              submission.getProgram(),
+              steps,
+              schedule,
+              submission.getAcceptedMillis()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static StepSpec decode(WorkflowStep step) {
+    return new StepSpec(
+        step.getTasks(),
+        sizes(step.getMilliProcessors(), step.getMemoryMebibytes(), step.getAccelerators()),
+        step.getEstimateMillis(),
+        ImmutableList.copyOf(step.getDependsOnList()),
+        new StepSpec.Placement(
+            step.getRequiredLabel(),
+            step.getPreferredRack(),
+            step.getSameRack(),
+            step.getMaxPerVm()),
+        new StepSpec.Nature(
+            step.getGang(),
+            step.getCheckpointable(),
+            step.getSpeculative(),
+            step.getLasting(),
+            step.getFills(),
+            step.getImage(),
+            step.getLatencyTargetMillis(),
+            step.getAllowedUnavailable()));
+  }
+
+  static ByteString encode(WorkflowRecordState state) {
+    WorkflowProgress.Builder builder =
+        WorkflowProgress.newBuilder()
+            .setCancelled(state.status() == WorkflowStatus.CANCELLED)
+            .setStatus(state.status().number())
+            .setEndedMillis(state.endedMillis());
+    Map<Place, Integer> positions = new LinkedHashMap<>();
+    for (TaskRecordState task : state.tasks()) {
+      TaskProgress.Builder progress =
+          TaskProgress.newBuilder()
+              .setPhase(task.done() ? PHASE_DONE : PHASE_WAITING)
+              .setLastAttempt(task.lastAttempt())
+              .setFailures(task.failures())
+              .setCheckpoint(task.checkpoint());
+      task.place()
+          .ifPresent(
+              place ->
+                  progress.setPlace(
+                      positions.computeIfAbsent(place, unused -> positions.size() + 1)));
+      builder.addTasks(progress);
+    }
+    for (Place place : positions.keySet()) {
+      builder.addPlaces(PlaceName.newBuilder().setVm(place.vm()).setWorker(place.worker()));
+    }
+    return builder.build().toByteString();
+  }
+
+  /** Returns the state of a progress record, or empty if the record is not one. */
+  static Optional<WorkflowRecordState> decodeProgress(ByteString bytes) {
+    try {
+      WorkflowProgress progress = WorkflowProgress.parseFrom(bytes);
+      ImmutableList.Builder<TaskRecordState> tasks = ImmutableList.builder();
+      for (TaskProgress task : progress.getTasksList()) {
+        tasks.add(
+            new TaskRecordState(
+                task.getPhase() == PHASE_DONE,
+                task.getLastAttempt(),
+                task.getFailures(),
+                place(progress, task.getPlace()),
+                task.getCheckpoint()));
+      }
+      return Optional.of(
+          new WorkflowRecordState(
+              WorkflowStatus.forNumber(progress.getStatus()),
+              tasks.build(),
+              progress.getEndedMillis()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static Optional<Place> place(WorkflowProgress progress, int position) {
+    if (position < 1 || position > progress.getPlacesCount()) {
+      return Optional.empty();
+    }
+    PlaceName name = progress.getPlaces(position - 1);
+    return Optional.of(new Place(name.getVm(), name.getWorker()));
+  }
+
+  static WorkflowTaskId encode(RunKey run) {
+    return WorkflowTaskId.newBuilder()
+        .setWorkflow(run.task().workflow())
+        .setOccurrence(run.task().occurrence())
+        .setStep(run.task().step())
+        .setIndex(run.task().index())
+        .setAttempt(run.attempt())
+        .build();
+  }
+
+  /** Returns the run; a frame that names none was not sent by one of our processes. */
+  static RunKey decode(WorkflowTaskId id) {
+    TaskKey task = new TaskKey(id.getWorkflow(), id.getOccurrence(), id.getStep(), id.getIndex());
+    return new RunKey(task, id.getAttempt());
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -0,0 +1,317 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.workflow.SideEntries.EntryConnection;
+import io.marigoldsail.daemon.workflow.WorkerGateway.Listing;
+import io.marigoldsail.daemon.workflow.WorkerGateway.ListingResult;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.protocol.EndReport;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.LeaseGrant;
+import io.marigoldsail.protocol.PartitionEvidence;
+import io.marigoldsail.protocol.RunOrders;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.protocol.WorkflowTaskId;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.RunKey;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A side process's part in workflows: carries out owners' orders on the worker of its VM and tells
+ * them what becomes of it.
+ *
+ * <p>Keeps nothing: after a restart it finds what runs by asking the worker, and owners tell it the
+ * rest. The public methods may be called from any thread; everything else runs on the loop.
+ */
+public final class WorkflowSide {
+  private static final EventLog LOG = EventLog.of(WorkflowSide.class);
+
+  /** Between two reports that ask for a lease, in nanoseconds. */
+  private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  private final LinkLoop loop;
+  private final WorkerGateway gateway;
+  private final String vm;
+  private final int partitions;
+  private final LeaseTermsOfWorker terms;
+  private final SideEntries entries;
+  private WorkerSession session;
+  private String goneWorker = "";
+  private boolean probing;
+  private boolean reportScheduled;
+
+  /**
+   * Creates a side process that does nothing yet.
+   *
+   * @param loop the process's loop
+   * @param store asked for the owners
+   * @param gateway the worker
+   * @param vm the VM's name
+   * @param terms the lengths of leases
+   */
+  public WorkflowSide(
+      LinkLoop loop,
+      WorkflowStore store,
+      WorkerGateway gateway,
+      String vm,
+      LeaseTermsOfWorker terms) {
+    this.loop = requireNonNull(loop, "loop");
+    this.gateway = requireNonNull(gateway, "gateway");
+    this.vm = requireNonNull(vm, "vm");
+    this.partitions = store.partitions();
+    this.terms = requireNonNull(terms, "terms");
+    this.entries = new SideEntries(loop, store, new FromEntries());
+  }
+
+  /** Begins to look for entries. */
+  public void start() {
+    loop.run(entries::tick);
+    loop.repeat(entries::tick, TICK_NANOS);
+    loop.repeat(() -> report(true), REPORT_NANOS);
+  }
+
+  /**
+   * Takes a heartbeat of the worker.
+   *
+   * @return completes on the loop with whether it was taken, and what it says is in force
+   */
+  public CompletableFuture<Boolean> heartbeat(WorkerHeartbeat heartbeat) {
+    CompletableFuture<Boolean> taken = new CompletableFuture<>();
+    loop.run(() -> take(heartbeat, taken));
+    return taken;
+  }
+
+  private void take(WorkerHeartbeat heartbeat, CompletableFuture<Boolean> taken) {
+    if (session != null && session.worker().equals(heartbeat.worker())) {
+      if (heartbeat.sequence() >= session.heartbeat().sequence()) {
+        session.heartbeat(heartbeat);
+      }
+      taken.complete(true);
+      return;
+    }
+    if (heartbeat.worker().equals(goneWorker) || probing) {
+      // A heartbeat may arrive long after its sender ended; one of a living worker is repeated.
+      taken.complete(false);
+      return;
+    }
+    probing = true;
+    gateway
+        .list(heartbeat.worker(), OptionalLong.empty(), 0, 0)
+        .thenAccept(result -> loop.run(() -> probed(heartbeat, result, taken)));
+  }
+
+  private void probed(
+      WorkerHeartbeat heartbeat, ListingResult result, CompletableFuture<Boolean> taken) {
+    probing = false;
+    if (!(result instanceof Listing listing)) {
+      LOG.info(
+          LogLine.of("heartbeat-passed-over")
+              .with("worker", heartbeat.worker())
+              .with("sequence", heartbeat.sequence())
+              .with("reason", result));
+      taken.complete(false);
+      return;
+    }
+    if (session != null) {
+      session.gone("another one took its place");
+    }
+    session =
+        new WorkerSession(loop, gateway, heartbeat, listing, partitions, terms, new FromWorker());
+    LOG.info(
+        LogLine.of("worker-found")
+            .with("worker", heartbeat.worker())
+            .with("service", heartbeat.service())
+            .with("labels", heartbeat.labels())
+            .with("running", listing.running().size())
+            .with("draining", heartbeat.draining()));
+    session.start();
+    report(true);
+    taken.complete(true);
+  }
+
+  /** Takes the leave of a worker; completes on the loop. */
+  public CompletableFuture<Boolean> left(String worker) {
+    CompletableFuture<Boolean> taken = new CompletableFuture<>();
+    loop.run(
+        () -> {
+          if (session != null && session.worker().equals(worker)) {
+            session.gone("it left");
+          }
+          taken.complete(true);
+        });
+    return taken;
+  }
+
+  private void reportSoon() {
+    if (!reportScheduled) {
+      reportScheduled = true;
+      loop.runLater(
+          () -> {
+            reportScheduled = false;
+            report(false);
+          });
+    }
+  }
+
+  private void report(boolean wantsLease) {
+    for (EntryConnection connection : entries.connections()) {
+      report(connection, wantsLease);
+    }
+  }
+
+  private void report(EntryConnection connection, boolean wantsLease) {
+    VmReport.Builder report =
+        VmReport.newBuilder()
+            .setVm(vm)
+            .setGoneWorker(goneWorker)
+            .setOrdersSeen(connection.ordersSeen())
+            .setOwnersDigest(entries.digest())
+            .setWantsLease(wantsLease);
+    if (session != null) {
+      describe(report);
+      for (SideRun run : session.runs()) {
+        if (entries.owns(connection.member(), run.partition())) {
+          report.addRuns(run.report());
+        }
+      }
+      for (EndReport end : session.ends()) {
+        int partition = session.partitionOf(WorkflowRecords.decode(end.getTask()));
+        if (entries.owns(connection.member(), partition)) {
+          report.addEnds(end);
+        }
+      }
+    }
+    connection.link().send(Frame.newBuilder().setVmReport(report).build());
+  }
+
+  private void describe(VmReport.Builder report) {
+    WorkerHeartbeat heartbeat = session.heartbeat();
+    Sizes capacity = heartbeat.capacity();
+    Sizes free = session.room().free();
+    report
+        .setWorkerClock(session.workerClock())
+        .setWorker(session.worker())
+        .setService(heartbeat.service())
+        .setZone(heartbeat.zone())
+        .addAllLabels(heartbeat.labels())
+        .setDraining(heartbeat.draining())
+        .setUnhealthy(session.isUnhealthy())
+        .setMilliProcessors((int) capacity.milliProcessors())
+        .setMemoryMebibytes(WorkflowRecords.mebibytes(capacity))
+        .setAccelerators((int) capacity.accelerators())
+        .setFreeMilliProcessors((int) free.milliProcessors())
+        .setFreeMemoryMebibytes(WorkflowRecords.mebibytes(free))
+        .setFreeAccelerators((int) free.accelerators())
+        .setFillMilliProcessors((int) session.fillMilliProcessors())
+        .setFillPercent(session.fillPercent())
+        .setServing(session.serving());
+  }
+
+  private void obey(EntryConnection connection, RunOrders orders) {
+    connection.sawOrders(orders.getNumber());
+    if (session == null) {
+      // The next report names the worker that there is then; owners order anew what it lacks.
+      return;
+    }
+    if (!orders.getWorker().equals(session.worker())) {
+      LOG.info(
+          LogLine.of("orders-passed-over")
+              .with("member", connection.member())
+              .with("worker", orders.getWorker())
+              .with("current", session.worker()));
+      report(connection, false);
+      return;
+    }
+    Map<Integer, Boolean> current = observe(orders.getLease());
+    Map<Long, String> programs = new HashMap<>();
+    for (StartRun start : orders.getStartsList()) {
+      RunKey key = WorkflowRecords.decode(start.getTask());
+      if (!start.getSameProgram()) {
+        programs.put(key.task().workflow(), start.getProgram());
+      }
+      if (isCurrent(current, key)) {
+        session.start(key, start, programs.getOrDefault(key.task().workflow(), ""));
+      }
+    }
+    for (WorkflowTaskId stop : orders.getStopsList()) {
+      RunKey key = WorkflowRecords.decode(stop);
+      if (isCurrent(current, key)) {
+        session.stop(key);
+      }
+    }
+    for (WorkflowTaskId noted : orders.getNotedEndsList()) {
+      session.noted(WorkflowRecords.decode(noted));
+    }
+  }
+
+  private boolean isCurrent(Map<Integer, Boolean> current, RunKey key) {
+    boolean taken = current.getOrDefault(session.partitionOf(key), false);
+    if (!taken) {
+      LOG.info(
+          LogLine.of("order-passed-over")
+              .with("run", key)
+              .with("reason", "its sender does not own the partition"));
+    }
+    return taken;
+  }
+
+  private Map<Integer, Boolean> observe(LeaseGrant grant) {
+    Map<Integer, Boolean> current = new HashMap<>();
+    for (PartitionEvidence evidence : grant.getEvidenceList()) {
+      long at = grant.getWorkerClock() + evidence.getAfterReportMillis();
+      boolean newest = session.evidence(evidence.getPartition(), evidence.getEpoch(), at);
+      current.put(evidence.getPartition(), newest);
+    }
+    return current;
+  }
+
+  /** What entries send. */
+  private final class FromEntries implements SideEntries.Listener {
+    @Override
+    public void connected(EntryConnection connection) {
+      report(connection, true);
+    }
+
+    @Override
+    public void received(EntryConnection connection, Frame frame) {
+      if (frame.hasRunOrders()) {
+        obey(connection, frame.getRunOrders());
+      } else if (frame.hasLeaseGrant() && session != null) {
+        observe(frame.getLeaseGrant());
+      }
+    }
+
+    @Override
+    public void ownersChanged() {
+      report(true);
+    }
+  }
+
+  /** What the worker does. */
+  private final class FromWorker implements WorkerSession.Listener {
+    @Override
+    public void changed() {
+      reportSoon();
+    }
+
+    @Override
+    public void gone(WorkerSession over) {
+      if (session == over) {
+        goneWorker = over.worker();
+        session = null;
+        report(true);
+      }
+    }
+  }
+}
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Frame.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Frame.java
@@ -74,6 +74,13 @@
     KEY_HANDOVER(21),
     KEY_HANDOVER_TAKEN(22),
     KEY_HANDOVER_RESULT(23),
+    VM_REPORT(40),
+    LEASE_GRANT(41),
+    RUN_ORDERS(42),
+    OWNER_MAP(43),
+    WORKFLOW_QUERY(44),
+    WORKFLOW_QUERY_ANSWER(45),
+    WAITING_COUNTS(46),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -111,6 +118,13 @@
         case 21: return KEY_HANDOVER;
         case 22: return KEY_HANDOVER_TAKEN;
         case 23: return KEY_HANDOVER_RESULT;
+        case 40: return VM_REPORT;
+        case 41: return LEASE_GRANT;
+        case 42: return RUN_ORDERS;
+        case 43: return OWNER_MAP;
+        case 44: return WORKFLOW_QUERY;
+        case 45: return WORKFLOW_QUERY_ANSWER;
+        case 46: return WAITING_COUNTS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -746,6 +760,223 @@
     return io.marigoldsail.protocol.KeyHandoverResult.getDefaultInstance();
   }
 
+  public static final int VM_REPORT_FIELD_NUMBER = 40;
+  /**
+   * <code>.marigoldsail.VmReport vm_report = 40;</code>
+   * @return Whether the vmReport field is set.
+   */
+  @java.lang.Override
+  public boolean hasVmReport() {
+    return bodyCase_ == 40;
+  }
+  /**
+   * <code>.marigoldsail.VmReport vm_report = 40;</code>
+   * @return The vmReport.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.VmReport getVmReport() {
+    if (bodyCase_ == 40) {
+       return (io.marigoldsail.protocol.VmReport) body_;
+    }
+    return io.marigoldsail.protocol.VmReport.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.VmReport vm_report = 40;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.VmReportOrBuilder getVmReportOrBuilder() {
+    if (bodyCase_ == 40) {
+       return (io.marigoldsail.protocol.VmReport) body_;
+    }
+    return io.marigoldsail.protocol.VmReport.getDefaultInstance();
+  }
+
+  public static final int LEASE_GRANT_FIELD_NUMBER = 41;
+  /**
+   * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+   * @return Whether the leaseGrant field is set.
+   */
+  @java.lang.Override
+  public boolean hasLeaseGrant() {
+    return bodyCase_ == 41;
+  }
+  /**
+   * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+   * @return The leaseGrant.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.LeaseGrant getLeaseGrant() {
+    if (bodyCase_ == 41) {
+       return (io.marigoldsail.protocol.LeaseGrant) body_;
+    }
+    return io.marigoldsail.protocol.LeaseGrant.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.LeaseGrantOrBuilder getLeaseGrantOrBuilder() {
+    if (bodyCase_ == 41) {
+       return (io.marigoldsail.protocol.LeaseGrant) body_;
+    }
+    return io.marigoldsail.protocol.LeaseGrant.getDefaultInstance();
+  }
+
+  public static final int RUN_ORDERS_FIELD_NUMBER = 42;
+  /**
+   * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+   * @return Whether the runOrders field is set.
+   */
+  @java.lang.Override
+  public boolean hasRunOrders() {
+    return bodyCase_ == 42;
+  }
+  /**
+   * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+   * @return The runOrders.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.RunOrders getRunOrders() {
+    if (bodyCase_ == 42) {
+       return (io.marigoldsail.protocol.RunOrders) body_;
+    }
+    return io.marigoldsail.protocol.RunOrders.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.RunOrdersOrBuilder getRunOrdersOrBuilder() {
+    if (bodyCase_ == 42) {
+       return (io.marigoldsail.protocol.RunOrders) body_;
+    }
+    return io.marigoldsail.protocol.RunOrders.getDefaultInstance();
+  }
+
+  public static final int OWNER_MAP_FIELD_NUMBER = 43;
+  /**
+   * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+   * @return Whether the ownerMap field is set.
+   */
+  @java.lang.Override
+  public boolean hasOwnerMap() {
+    return bodyCase_ == 43;
+  }
+  /**
+   * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+   * @return The ownerMap.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.OwnerMap getOwnerMap() {
+    if (bodyCase_ == 43) {
+       return (io.marigoldsail.protocol.OwnerMap) body_;
+    }
+    return io.marigoldsail.protocol.OwnerMap.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.OwnerMapOrBuilder getOwnerMapOrBuilder() {
+    if (bodyCase_ == 43) {
+       return (io.marigoldsail.protocol.OwnerMap) body_;
+    }
+    return io.marigoldsail.protocol.OwnerMap.getDefaultInstance();
+  }
+
+  public static final int WORKFLOW_QUERY_FIELD_NUMBER = 44;
+  /**
+   * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+   * @return Whether the workflowQuery field is set.
+   */
+  @java.lang.Override
+  public boolean hasWorkflowQuery() {
+    return bodyCase_ == 44;
+  }
+  /**
+   * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+   * @return The workflowQuery.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.WorkflowQuery getWorkflowQuery() {
+    if (bodyCase_ == 44) {
+       return (io.marigoldsail.protocol.WorkflowQuery) body_;
+    }
+    return io.marigoldsail.protocol.WorkflowQuery.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.WorkflowQueryOrBuilder getWorkflowQueryOrBuilder() {
+    if (bodyCase_ == 44) {
+       return (io.marigoldsail.protocol.WorkflowQuery) body_;
+    }
+    return io.marigoldsail.protocol.WorkflowQuery.getDefaultInstance();
+  }
+
+  public static final int WORKFLOW_QUERY_ANSWER_FIELD_NUMBER = 45;
+  /**
+   * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+   * @return Whether the workflowQueryAnswer field is set.
+   */
+  @java.lang.Override
+  public boolean hasWorkflowQueryAnswer() {
+    return bodyCase_ == 45;
+  }
+  /**
+   * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+   * @return The workflowQueryAnswer.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.WorkflowQueryAnswer getWorkflowQueryAnswer() {
+    if (bodyCase_ == 45) {
+       return (io.marigoldsail.protocol.WorkflowQueryAnswer) body_;
+    }
+    return io.marigoldsail.protocol.WorkflowQueryAnswer.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.WorkflowQueryAnswerOrBuilder getWorkflowQueryAnswerOrBuilder() {
+    if (bodyCase_ == 45) {
+       return (io.marigoldsail.protocol.WorkflowQueryAnswer) body_;
+    }
+    return io.marigoldsail.protocol.WorkflowQueryAnswer.getDefaultInstance();
+  }
+
+  public static final int WAITING_COUNTS_FIELD_NUMBER = 46;
+  /**
+   * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+   * @return Whether the waitingCounts field is set.
+   */
+  @java.lang.Override
+  public boolean hasWaitingCounts() {
+    return bodyCase_ == 46;
+  }
+  /**
+   * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+   * @return The waitingCounts.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.WaitingCounts getWaitingCounts() {
+    if (bodyCase_ == 46) {
+       return (io.marigoldsail.protocol.WaitingCounts) body_;
+    }
+    return io.marigoldsail.protocol.WaitingCounts.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.WaitingCountsOrBuilder getWaitingCountsOrBuilder() {
+    if (bodyCase_ == 46) {
+       return (io.marigoldsail.protocol.WaitingCounts) body_;
+    }
+    return io.marigoldsail.protocol.WaitingCounts.getDefaultInstance();
+  }
+
   public static final int ANSWERS_READ_FIELD_NUMBER = 18;
   private long answersRead_ = 0L;
   /**
@@ -858,6 +1089,27 @@
     if (stamp_ != 0L) {
       output.writeFixed64(30, stamp_);
     }
+    if (bodyCase_ == 40) {
+      output.writeMessage(40, (io.marigoldsail.protocol.VmReport) body_);
+    }
+    if (bodyCase_ == 41) {
+      output.writeMessage(41, (io.marigoldsail.protocol.LeaseGrant) body_);
+    }
+    if (bodyCase_ == 42) {
+      output.writeMessage(42, (io.marigoldsail.protocol.RunOrders) body_);
+    }
+    if (bodyCase_ == 43) {
+      output.writeMessage(43, (io.marigoldsail.protocol.OwnerMap) body_);
+    }
+    if (bodyCase_ == 44) {
+      output.writeMessage(44, (io.marigoldsail.protocol.WorkflowQuery) body_);
+    }
+    if (bodyCase_ == 45) {
+      output.writeMessage(45, (io.marigoldsail.protocol.WorkflowQueryAnswer) body_);
+    }
+    if (bodyCase_ == 46) {
+      output.writeMessage(46, (io.marigoldsail.protocol.WaitingCounts) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -950,6 +1202,34 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(30, stamp_);
     }
+    if (bodyCase_ == 40) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(40, (io.marigoldsail.protocol.VmReport) body_);
+    }
+    if (bodyCase_ == 41) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(41, (io.marigoldsail.protocol.LeaseGrant) body_);
+    }
+    if (bodyCase_ == 42) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(42, (io.marigoldsail.protocol.RunOrders) body_);
+    }
+    if (bodyCase_ == 43) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(43, (io.marigoldsail.protocol.OwnerMap) body_);
+    }
+    if (bodyCase_ == 44) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(44, (io.marigoldsail.protocol.WorkflowQuery) body_);
+    }
+    if (bodyCase_ == 45) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(45, (io.marigoldsail.protocol.WorkflowQueryAnswer) body_);
+    }
+    if (bodyCase_ == 46) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(46, (io.marigoldsail.protocol.WaitingCounts) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1060,6 +1340,34 @@
         if (!getKeyHandoverResult()
             .equals(other.getKeyHandoverResult())) return false;
         break;
+      case 40:
+        if (!getVmReport()
+            .equals(other.getVmReport())) return false;
+        break;
+      case 41:
+        if (!getLeaseGrant()
+            .equals(other.getLeaseGrant())) return false;
+        break;
+      case 42:
+        if (!getRunOrders()
+            .equals(other.getRunOrders())) return false;
+        break;
+      case 43:
+        if (!getOwnerMap()
+            .equals(other.getOwnerMap())) return false;
+        break;
+      case 44:
+        if (!getWorkflowQuery()
+            .equals(other.getWorkflowQuery())) return false;
+        break;
+      case 45:
+        if (!getWorkflowQueryAnswer()
+            .equals(other.getWorkflowQueryAnswer())) return false;
+        break;
+      case 46:
+        if (!getWaitingCounts()
+            .equals(other.getWaitingCounts())) return false;
+        break;
       case 0:
       default:
     }
@@ -1161,6 +1469,34 @@
         hash = (37 * hash) + KEY_HANDOVER_RESULT_FIELD_NUMBER;
         hash = (53 * hash) + getKeyHandoverResult().hashCode();
         break;
+      case 40:
+        hash = (37 * hash) + VM_REPORT_FIELD_NUMBER;
+        hash = (53 * hash) + getVmReport().hashCode();
+        break;
+      case 41:
+        hash = (37 * hash) + LEASE_GRANT_FIELD_NUMBER;
+        hash = (53 * hash) + getLeaseGrant().hashCode();
+        break;
+      case 42:
+        hash = (37 * hash) + RUN_ORDERS_FIELD_NUMBER;
+        hash = (53 * hash) + getRunOrders().hashCode();
+        break;
+      case 43:
+        hash = (37 * hash) + OWNER_MAP_FIELD_NUMBER;
+        hash = (53 * hash) + getOwnerMap().hashCode();
+        break;
+      case 44:
+        hash = (37 * hash) + WORKFLOW_QUERY_FIELD_NUMBER;
+        hash = (53 * hash) + getWorkflowQuery().hashCode();
+        break;
+      case 45:
+        hash = (37 * hash) + WORKFLOW_QUERY_ANSWER_FIELD_NUMBER;
+        hash = (53 * hash) + getWorkflowQueryAnswer().hashCode();
+        break;
+      case 46:
+        hash = (37 * hash) + WAITING_COUNTS_FIELD_NUMBER;
+        hash = (53 * hash) + getWaitingCounts().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1355,6 +1691,27 @@
       if (keyHandoverResultBuilder_ != null) {
         keyHandoverResultBuilder_.clear();
       }
+      if (vmReportBuilder_ != null) {
+        vmReportBuilder_.clear();
+      }
+      if (leaseGrantBuilder_ != null) {
+        leaseGrantBuilder_.clear();
+      }
+      if (runOrdersBuilder_ != null) {
+        runOrdersBuilder_.clear();
+      }
+      if (ownerMapBuilder_ != null) {
+        ownerMapBuilder_.clear();
+      }
+      if (workflowQueryBuilder_ != null) {
+        workflowQueryBuilder_.clear();
+      }
+      if (workflowQueryAnswerBuilder_ != null) {
+        workflowQueryAnswerBuilder_.clear();
+      }
+      if (waitingCountsBuilder_ != null) {
+        waitingCountsBuilder_.clear();
+      }
       answersRead_ = 0L;
       stamp_ = 0L;
       bodyCase_ = 0;
@@ -1393,10 +1750,10 @@
 
     private void buildPartial0(io.marigoldsail.protocol.Frame result) {
       int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00100000) != 0)) {
+      if (((from_bitField0_ & 0x08000000) != 0)) {
         result.answersRead_ = answersRead_;
       }
-      if (((from_bitField0_ & 0x00200000) != 0)) {
+      if (((from_bitField0_ & 0x10000000) != 0)) {
         result.stamp_ = stamp_;
       }
     }
@@ -1484,6 +1841,34 @@
           keyHandoverResultBuilder_ != null) {
         result.body_ = keyHandoverResultBuilder_.build();
       }
+      if (bodyCase_ == 40 &&
+          vmReportBuilder_ != null) {
+        result.body_ = vmReportBuilder_.build();
+      }
+      if (bodyCase_ == 41 &&
+          leaseGrantBuilder_ != null) {
+        result.body_ = leaseGrantBuilder_.build();
+      }
+      if (bodyCase_ == 42 &&
+          runOrdersBuilder_ != null) {
+        result.body_ = runOrdersBuilder_.build();
+      }
+      if (bodyCase_ == 43 &&
+          ownerMapBuilder_ != null) {
+        result.body_ = ownerMapBuilder_.build();
+      }
+      if (bodyCase_ == 44 &&
+          workflowQueryBuilder_ != null) {
+        result.body_ = workflowQueryBuilder_.build();
+      }
+      if (bodyCase_ == 45 &&
+          workflowQueryAnswerBuilder_ != null) {
+        result.body_ = workflowQueryAnswerBuilder_.build();
+      }
+      if (bodyCase_ == 46 &&
+          waitingCountsBuilder_ != null) {
+        result.body_ = waitingCountsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1585,6 +1970,34 @@
           mergeKeyHandoverResult(other.getKeyHandoverResult());
           break;
         }
+        case VM_REPORT: {
+          mergeVmReport(other.getVmReport());
+          break;
+        }
+        case LEASE_GRANT: {
+          mergeLeaseGrant(other.getLeaseGrant());
+          break;
+        }
+        case RUN_ORDERS: {
+          mergeRunOrders(other.getRunOrders());
+          break;
+        }
+        case OWNER_MAP: {
+          mergeOwnerMap(other.getOwnerMap());
+          break;
+        }
+        case WORKFLOW_QUERY: {
+          mergeWorkflowQuery(other.getWorkflowQuery());
+          break;
+        }
+        case WORKFLOW_QUERY_ANSWER: {
+          mergeWorkflowQueryAnswer(other.getWorkflowQueryAnswer());
+          break;
+        }
+        case WAITING_COUNTS: {
+          mergeWaitingCounts(other.getWaitingCounts());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1727,7 +2140,7 @@
             } // case 130
             case 144: {
               answersRead_ = input.readUInt64();
-              bitField0_ |= 0x00100000;
+              bitField0_ |= 0x08000000;
               break;
             } // case 144
             case 162: {
@@ -1760,9 +2173,58 @@
             } // case 186
             case 241: {
               stamp_ = input.readFixed64();
-              bitField0_ |= 0x00200000;
+              bitField0_ |= 0x10000000;
               break;
             } // case 241
+            case 322: {
+              input.readMessage(
+                  internalGetVmReportFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 40;
+              break;
+            } // case 322
+            case 330: {
+              input.readMessage(
+                  internalGetLeaseGrantFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 41;
+              break;
+            } // case 330
+            case 338: {
+              input.readMessage(
+                  internalGetRunOrdersFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 42;
+              break;
+            } // case 338
+            case 346: {
+              input.readMessage(
+                  internalGetOwnerMapFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 43;
+              break;
+            } // case 346
+            case 354: {
+              input.readMessage(
+                  internalGetWorkflowQueryFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 44;
+              break;
+            } // case 354
+            case 362: {
+              input.readMessage(
+                  internalGetWorkflowQueryAnswerFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 45;
+              break;
+            } // case 362
+            case 370: {
+              input.readMessage(
+                  internalGetWaitingCountsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 46;
+              break;
+            } // case 370
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4595,6 +5057,986 @@
       return keyHandoverResultBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.VmReport, io.marigoldsail.protocol.VmReport.Builder, io.marigoldsail.protocol.VmReportOrBuilder> vmReportBuilder_;
+    /**
+     * <code>.marigoldsail.VmReport vm_report = 40;</code>
+     * @return Whether the vmReport field is set.
+     */
+    @java.lang.Override
+    public boolean hasVmReport() {
+      return bodyCase_ == 40;
+    }
+    /**
+     * <code>.marigoldsail.VmReport vm_report = 40;</code>
+     * @return The vmReport.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.VmReport getVmReport() {
+      if (vmReportBuilder_ == null) {
+        if (bodyCase_ == 40) {
+          return (io.marigoldsail.protocol.VmReport) body_;
+        }
+        return io.marigoldsail.protocol.VmReport.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 40) {
+          return vmReportBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.VmReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.VmReport vm_report = 40;</code>
+     */
+    public Builder setVmReport(io.marigoldsail.protocol.VmReport value) {
+      if (vmReportBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        vmReportBuilder_.setMessage(value);
+      }
+      bodyCase_ = 40;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.VmReport vm_report = 40;</code>
+     */
+    public Builder setVmReport(
+        io.marigoldsail.protocol.VmReport.Builder builderForValue) {
+      if (vmReportBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        vmReportBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 40;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.VmReport vm_report = 40;</code>
+     */
+    public Builder mergeVmReport(io.marigoldsail.protocol.VmReport value) {
+      if (vmReportBuilder_ == null) {
+        if (bodyCase_ == 40 &&
+            body_ != io.marigoldsail.protocol.VmReport.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.VmReport.newBuilder((io.marigoldsail.protocol.VmReport) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 40) {
+          vmReportBuilder_.mergeFrom(value);
+        } else {
+          vmReportBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 40;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.VmReport vm_report = 40;</code>
+     */
+    public Builder clearVmReport() {
+      if (vmReportBuilder_ == null) {
+        if (bodyCase_ == 40) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 40) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        vmReportBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.VmReport vm_report = 40;</code>
+     */
+    public io.marigoldsail.protocol.VmReport.Builder getVmReportBuilder() {
+      return internalGetVmReportFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.VmReport vm_report = 40;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.VmReportOrBuilder getVmReportOrBuilder() {
+      if ((bodyCase_ == 40) && (vmReportBuilder_ != null)) {
+        return vmReportBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 40) {
+          return (io.marigoldsail.protocol.VmReport) body_;
+        }
+        return io.marigoldsail.protocol.VmReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.VmReport vm_report = 40;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.VmReport, io.marigoldsail.protocol.VmReport.Builder, io.marigoldsail.protocol.VmReportOrBuilder> 
+        internalGetVmReportFieldBuilder() {
+      if (vmReportBuilder_ == null) {
+        if (!(bodyCase_ == 40)) {
+          body_ = io.marigoldsail.protocol.VmReport.getDefaultInstance();
+        }
+        vmReportBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.VmReport, io.marigoldsail.protocol.VmReport.Builder, io.marigoldsail.protocol.VmReportOrBuilder>(
+                (io.marigoldsail.protocol.VmReport) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 40;
+      onChanged();
+      return vmReportBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.LeaseGrant, io.marigoldsail.protocol.LeaseGrant.Builder, io.marigoldsail.protocol.LeaseGrantOrBuilder> leaseGrantBuilder_;
+    /**
+     * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+     * @return Whether the leaseGrant field is set.
+     */
+    @java.lang.Override
+    public boolean hasLeaseGrant() {
+      return bodyCase_ == 41;
+    }
+    /**
+     * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+     * @return The leaseGrant.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.LeaseGrant getLeaseGrant() {
+      if (leaseGrantBuilder_ == null) {
+        if (bodyCase_ == 41) {
+          return (io.marigoldsail.protocol.LeaseGrant) body_;
+        }
+        return io.marigoldsail.protocol.LeaseGrant.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 41) {
+          return leaseGrantBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.LeaseGrant.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+     */
+    public Builder setLeaseGrant(io.marigoldsail.protocol.LeaseGrant value) {
+      if (leaseGrantBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        leaseGrantBuilder_.setMessage(value);
+      }
+      bodyCase_ = 41;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+     */
+    public Builder setLeaseGrant(
+        io.marigoldsail.protocol.LeaseGrant.Builder builderForValue) {
+      if (leaseGrantBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        leaseGrantBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 41;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+     */
+    public Builder mergeLeaseGrant(io.marigoldsail.protocol.LeaseGrant value) {
+      if (leaseGrantBuilder_ == null) {
+        if (bodyCase_ == 41 &&
+            body_ != io.marigoldsail.protocol.LeaseGrant.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.LeaseGrant.newBuilder((io.marigoldsail.protocol.LeaseGrant) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 41) {
+          leaseGrantBuilder_.mergeFrom(value);
+        } else {
+          leaseGrantBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 41;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+     */
+    public Builder clearLeaseGrant() {
+      if (leaseGrantBuilder_ == null) {
+        if (bodyCase_ == 41) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 41) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        leaseGrantBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+     */
+    public io.marigoldsail.protocol.LeaseGrant.Builder getLeaseGrantBuilder() {
+      return internalGetLeaseGrantFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.LeaseGrantOrBuilder getLeaseGrantOrBuilder() {
+      if ((bodyCase_ == 41) && (leaseGrantBuilder_ != null)) {
+        return leaseGrantBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 41) {
+          return (io.marigoldsail.protocol.LeaseGrant) body_;
+        }
+        return io.marigoldsail.protocol.LeaseGrant.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.LeaseGrant, io.marigoldsail.protocol.LeaseGrant.Builder, io.marigoldsail.protocol.LeaseGrantOrBuilder> 
+        internalGetLeaseGrantFieldBuilder() {
+      if (leaseGrantBuilder_ == null) {
+        if (!(bodyCase_ == 41)) {
+          body_ = io.marigoldsail.protocol.LeaseGrant.getDefaultInstance();
+        }
+        leaseGrantBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.LeaseGrant, io.marigoldsail.protocol.LeaseGrant.Builder, io.marigoldsail.protocol.LeaseGrantOrBuilder>(
+                (io.marigoldsail.protocol.LeaseGrant) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 41;
+      onChanged();
+      return leaseGrantBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.RunOrders, io.marigoldsail.protocol.RunOrders.Builder, io.marigoldsail.protocol.RunOrdersOrBuilder> runOrdersBuilder_;
+    /**
+     * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+     * @return Whether the runOrders field is set.
+     */
+    @java.lang.Override
+    public boolean hasRunOrders() {
+      return bodyCase_ == 42;
+    }
+    /**
+     * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+     * @return The runOrders.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.RunOrders getRunOrders() {
+      if (runOrdersBuilder_ == null) {
+        if (bodyCase_ == 42) {
+          return (io.marigoldsail.protocol.RunOrders) body_;
+        }
+        return io.marigoldsail.protocol.RunOrders.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 42) {
+          return runOrdersBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.RunOrders.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+     */
+    public Builder setRunOrders(io.marigoldsail.protocol.RunOrders value) {
+      if (runOrdersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        runOrdersBuilder_.setMessage(value);
+      }
+      bodyCase_ = 42;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+     */
+    public Builder setRunOrders(
+        io.marigoldsail.protocol.RunOrders.Builder builderForValue) {
+      if (runOrdersBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        runOrdersBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 42;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+     */
+    public Builder mergeRunOrders(io.marigoldsail.protocol.RunOrders value) {
+      if (runOrdersBuilder_ == null) {
+        if (bodyCase_ == 42 &&
+            body_ != io.marigoldsail.protocol.RunOrders.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.RunOrders.newBuilder((io.marigoldsail.protocol.RunOrders) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 42) {
+          runOrdersBuilder_.mergeFrom(value);
+        } else {
+          runOrdersBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 42;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+     */
+    public Builder clearRunOrders() {
+      if (runOrdersBuilder_ == null) {
+        if (bodyCase_ == 42) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 42) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        runOrdersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+     */
+    public io.marigoldsail.protocol.RunOrders.Builder getRunOrdersBuilder() {
+      return internalGetRunOrdersFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.RunOrdersOrBuilder getRunOrdersOrBuilder() {
+      if ((bodyCase_ == 42) && (runOrdersBuilder_ != null)) {
+        return runOrdersBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 42) {
+          return (io.marigoldsail.protocol.RunOrders) body_;
+        }
+        return io.marigoldsail.protocol.RunOrders.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.RunOrders, io.marigoldsail.protocol.RunOrders.Builder, io.marigoldsail.protocol.RunOrdersOrBuilder> 
+        internalGetRunOrdersFieldBuilder() {
+      if (runOrdersBuilder_ == null) {
+        if (!(bodyCase_ == 42)) {
+          body_ = io.marigoldsail.protocol.RunOrders.getDefaultInstance();
+        }
+        runOrdersBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.RunOrders, io.marigoldsail.protocol.RunOrders.Builder, io.marigoldsail.protocol.RunOrdersOrBuilder>(
+                (io.marigoldsail.protocol.RunOrders) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 42;
+      onChanged();
+      return runOrdersBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.OwnerMap, io.marigoldsail.protocol.OwnerMap.Builder, io.marigoldsail.protocol.OwnerMapOrBuilder> ownerMapBuilder_;
+    /**
+     * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+     * @return Whether the ownerMap field is set.
+     */
+    @java.lang.Override
+    public boolean hasOwnerMap() {
+      return bodyCase_ == 43;
+    }
+    /**
+     * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+     * @return The ownerMap.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.OwnerMap getOwnerMap() {
+      if (ownerMapBuilder_ == null) {
+        if (bodyCase_ == 43) {
+          return (io.marigoldsail.protocol.OwnerMap) body_;
+        }
+        return io.marigoldsail.protocol.OwnerMap.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 43) {
+          return ownerMapBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.OwnerMap.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+     */
+    public Builder setOwnerMap(io.marigoldsail.protocol.OwnerMap value) {
+      if (ownerMapBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        ownerMapBuilder_.setMessage(value);
+      }
+      bodyCase_ = 43;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+     */
+    public Builder setOwnerMap(
+        io.marigoldsail.protocol.OwnerMap.Builder builderForValue) {
+      if (ownerMapBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        ownerMapBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 43;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+     */
+    public Builder mergeOwnerMap(io.marigoldsail.protocol.OwnerMap value) {
+      if (ownerMapBuilder_ == null) {
+        if (bodyCase_ == 43 &&
+            body_ != io.marigoldsail.protocol.OwnerMap.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.OwnerMap.newBuilder((io.marigoldsail.protocol.OwnerMap) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 43) {
+          ownerMapBuilder_.mergeFrom(value);
+        } else {
+          ownerMapBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 43;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+     */
+    public Builder clearOwnerMap() {
+      if (ownerMapBuilder_ == null) {
+        if (bodyCase_ == 43) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 43) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        ownerMapBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+     */
+    public io.marigoldsail.protocol.OwnerMap.Builder getOwnerMapBuilder() {
+      return internalGetOwnerMapFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.OwnerMapOrBuilder getOwnerMapOrBuilder() {
+      if ((bodyCase_ == 43) && (ownerMapBuilder_ != null)) {
+        return ownerMapBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 43) {
+          return (io.marigoldsail.protocol.OwnerMap) body_;
+        }
+        return io.marigoldsail.protocol.OwnerMap.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.OwnerMap, io.marigoldsail.protocol.OwnerMap.Builder, io.marigoldsail.protocol.OwnerMapOrBuilder> 
+        internalGetOwnerMapFieldBuilder() {
+      if (ownerMapBuilder_ == null) {
+        if (!(bodyCase_ == 43)) {
+          body_ = io.marigoldsail.protocol.OwnerMap.getDefaultInstance();
+        }
+        ownerMapBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.OwnerMap, io.marigoldsail.protocol.OwnerMap.Builder, io.marigoldsail.protocol.OwnerMapOrBuilder>(
+                (io.marigoldsail.protocol.OwnerMap) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 43;
+      onChanged();
+      return ownerMapBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.WorkflowQuery, io.marigoldsail.protocol.WorkflowQuery.Builder, io.marigoldsail.protocol.WorkflowQueryOrBuilder> workflowQueryBuilder_;
+    /**
+     * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+     * @return Whether the workflowQuery field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkflowQuery() {
+      return bodyCase_ == 44;
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+     * @return The workflowQuery.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.WorkflowQuery getWorkflowQuery() {
+      if (workflowQueryBuilder_ == null) {
+        if (bodyCase_ == 44) {
+          return (io.marigoldsail.protocol.WorkflowQuery) body_;
+        }
+        return io.marigoldsail.protocol.WorkflowQuery.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 44) {
+          return workflowQueryBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.WorkflowQuery.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+     */
+    public Builder setWorkflowQuery(io.marigoldsail.protocol.WorkflowQuery value) {
+      if (workflowQueryBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        workflowQueryBuilder_.setMessage(value);
+      }
+      bodyCase_ = 44;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+     */
+    public Builder setWorkflowQuery(
+        io.marigoldsail.protocol.WorkflowQuery.Builder builderForValue) {
+      if (workflowQueryBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        workflowQueryBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 44;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+     */
+    public Builder mergeWorkflowQuery(io.marigoldsail.protocol.WorkflowQuery value) {
+      if (workflowQueryBuilder_ == null) {
+        if (bodyCase_ == 44 &&
+            body_ != io.marigoldsail.protocol.WorkflowQuery.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.WorkflowQuery.newBuilder((io.marigoldsail.protocol.WorkflowQuery) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 44) {
+          workflowQueryBuilder_.mergeFrom(value);
+        } else {
+          workflowQueryBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 44;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+     */
+    public Builder clearWorkflowQuery() {
+      if (workflowQueryBuilder_ == null) {
+        if (bodyCase_ == 44) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 44) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        workflowQueryBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+     */
+    public io.marigoldsail.protocol.WorkflowQuery.Builder getWorkflowQueryBuilder() {
+      return internalGetWorkflowQueryFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.WorkflowQueryOrBuilder getWorkflowQueryOrBuilder() {
+      if ((bodyCase_ == 44) && (workflowQueryBuilder_ != null)) {
+        return workflowQueryBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 44) {
+          return (io.marigoldsail.protocol.WorkflowQuery) body_;
+        }
+        return io.marigoldsail.protocol.WorkflowQuery.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.WorkflowQuery, io.marigoldsail.protocol.WorkflowQuery.Builder, io.marigoldsail.protocol.WorkflowQueryOrBuilder> 
+        internalGetWorkflowQueryFieldBuilder() {
+      if (workflowQueryBuilder_ == null) {
+        if (!(bodyCase_ == 44)) {
+          body_ = io.marigoldsail.protocol.WorkflowQuery.getDefaultInstance();
+        }
+        workflowQueryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.WorkflowQuery, io.marigoldsail.protocol.WorkflowQuery.Builder, io.marigoldsail.protocol.WorkflowQueryOrBuilder>(
+                (io.marigoldsail.protocol.WorkflowQuery) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 44;
+      onChanged();
+      return workflowQueryBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.WorkflowQueryAnswer, io.marigoldsail.protocol.WorkflowQueryAnswer.Builder, io.marigoldsail.protocol.WorkflowQueryAnswerOrBuilder> workflowQueryAnswerBuilder_;
+    /**
+     * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+     * @return Whether the workflowQueryAnswer field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkflowQueryAnswer() {
+      return bodyCase_ == 45;
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+     * @return The workflowQueryAnswer.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.WorkflowQueryAnswer getWorkflowQueryAnswer() {
+      if (workflowQueryAnswerBuilder_ == null) {
+        if (bodyCase_ == 45) {
+          return (io.marigoldsail.protocol.WorkflowQueryAnswer) body_;
+        }
+        return io.marigoldsail.protocol.WorkflowQueryAnswer.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 45) {
+          return workflowQueryAnswerBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.WorkflowQueryAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+     */
+    public Builder setWorkflowQueryAnswer(io.marigoldsail.protocol.WorkflowQueryAnswer value) {
+      if (workflowQueryAnswerBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        workflowQueryAnswerBuilder_.setMessage(value);
+      }
+      bodyCase_ = 45;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+     */
+    public Builder setWorkflowQueryAnswer(
+        io.marigoldsail.protocol.WorkflowQueryAnswer.Builder builderForValue) {
+      if (workflowQueryAnswerBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        workflowQueryAnswerBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 45;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+     */
+    public Builder mergeWorkflowQueryAnswer(io.marigoldsail.protocol.WorkflowQueryAnswer value) {
+      if (workflowQueryAnswerBuilder_ == null) {
+        if (bodyCase_ == 45 &&
+            body_ != io.marigoldsail.protocol.WorkflowQueryAnswer.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.WorkflowQueryAnswer.newBuilder((io.marigoldsail.protocol.WorkflowQueryAnswer) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 45) {
+          workflowQueryAnswerBuilder_.mergeFrom(value);
+        } else {
+          workflowQueryAnswerBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 45;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+     */
+    public Builder clearWorkflowQueryAnswer() {
+      if (workflowQueryAnswerBuilder_ == null) {
+        if (bodyCase_ == 45) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 45) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        workflowQueryAnswerBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+     */
+    public io.marigoldsail.protocol.WorkflowQueryAnswer.Builder getWorkflowQueryAnswerBuilder() {
+      return internalGetWorkflowQueryAnswerFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.WorkflowQueryAnswerOrBuilder getWorkflowQueryAnswerOrBuilder() {
+      if ((bodyCase_ == 45) && (workflowQueryAnswerBuilder_ != null)) {
+        return workflowQueryAnswerBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 45) {
+          return (io.marigoldsail.protocol.WorkflowQueryAnswer) body_;
+        }
+        return io.marigoldsail.protocol.WorkflowQueryAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.WorkflowQueryAnswer, io.marigoldsail.protocol.WorkflowQueryAnswer.Builder, io.marigoldsail.protocol.WorkflowQueryAnswerOrBuilder> 
+        internalGetWorkflowQueryAnswerFieldBuilder() {
+      if (workflowQueryAnswerBuilder_ == null) {
+        if (!(bodyCase_ == 45)) {
+          body_ = io.marigoldsail.protocol.WorkflowQueryAnswer.getDefaultInstance();
+        }
+        workflowQueryAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.WorkflowQueryAnswer, io.marigoldsail.protocol.WorkflowQueryAnswer.Builder, io.marigoldsail.protocol.WorkflowQueryAnswerOrBuilder>(
+                (io.marigoldsail.protocol.WorkflowQueryAnswer) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 45;
+      onChanged();
+      return workflowQueryAnswerBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.WaitingCounts, io.marigoldsail.protocol.WaitingCounts.Builder, io.marigoldsail.protocol.WaitingCountsOrBuilder> waitingCountsBuilder_;
+    /**
+     * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+     * @return Whether the waitingCounts field is set.
+     */
+    @java.lang.Override
+    public boolean hasWaitingCounts() {
+      return bodyCase_ == 46;
+    }
+    /**
+     * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+     * @return The waitingCounts.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.WaitingCounts getWaitingCounts() {
+      if (waitingCountsBuilder_ == null) {
+        if (bodyCase_ == 46) {
+          return (io.marigoldsail.protocol.WaitingCounts) body_;
+        }
+        return io.marigoldsail.protocol.WaitingCounts.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 46) {
+          return waitingCountsBuilder_.getMessage();
+        }
+        return io.marigoldsail.protocol.WaitingCounts.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+     */
+    public Builder setWaitingCounts(io.marigoldsail.protocol.WaitingCounts value) {
+      if (waitingCountsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        waitingCountsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 46;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+     */
+    public Builder setWaitingCounts(
+        io.marigoldsail.protocol.WaitingCounts.Builder builderForValue) {
+      if (waitingCountsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        waitingCountsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 46;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+     */
+    public Builder mergeWaitingCounts(io.marigoldsail.protocol.WaitingCounts value) {
+      if (waitingCountsBuilder_ == null) {
+        if (bodyCase_ == 46 &&
+            body_ != io.marigoldsail.protocol.WaitingCounts.getDefaultInstance()) {
+          body_ = io.marigoldsail.protocol.WaitingCounts.newBuilder((io.marigoldsail.protocol.WaitingCounts) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 46) {
+          waitingCountsBuilder_.mergeFrom(value);
+        } else {
+          waitingCountsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 46;
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+     */
+    public Builder clearWaitingCounts() {
+      if (waitingCountsBuilder_ == null) {
+        if (bodyCase_ == 46) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 46) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        waitingCountsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+     */
+    public io.marigoldsail.protocol.WaitingCounts.Builder getWaitingCountsBuilder() {
+      return internalGetWaitingCountsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.WaitingCountsOrBuilder getWaitingCountsOrBuilder() {
+      if ((bodyCase_ == 46) && (waitingCountsBuilder_ != null)) {
+        return waitingCountsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 46) {
+          return (io.marigoldsail.protocol.WaitingCounts) body_;
+        }
+        return io.marigoldsail.protocol.WaitingCounts.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.WaitingCounts, io.marigoldsail.protocol.WaitingCounts.Builder, io.marigoldsail.protocol.WaitingCountsOrBuilder> 
+        internalGetWaitingCountsFieldBuilder() {
+      if (waitingCountsBuilder_ == null) {
+        if (!(bodyCase_ == 46)) {
+          body_ = io.marigoldsail.protocol.WaitingCounts.getDefaultInstance();
+        }
+        waitingCountsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.WaitingCounts, io.marigoldsail.protocol.WaitingCounts.Builder, io.marigoldsail.protocol.WaitingCountsOrBuilder>(
+                (io.marigoldsail.protocol.WaitingCounts) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 46;
+      onChanged();
+      return waitingCountsBuilder_;
+    }
+
     private long answersRead_ ;
     /**
      * <pre>
@@ -4622,7 +6064,7 @@
     public Builder setAnswersRead(long value) {
 
       answersRead_ = value;
-      bitField0_ |= 0x00100000;
+      bitField0_ |= 0x08000000;
       onChanged();
       return this;
     }
@@ -4636,7 +6078,7 @@
      * @return This builder for chaining.
      */
     public Builder clearAnswersRead() {
-      bitField0_ = (bitField0_ & ~0x00100000);
+      bitField0_ = (bitField0_ & ~0x08000000);
       answersRead_ = 0L;
       onChanged();
       return this;
@@ -4669,7 +6111,7 @@
     public Builder setStamp(long value) {
 
       stamp_ = value;
-      bitField0_ |= 0x00200000;
+      bitField0_ |= 0x10000000;
       onChanged();
       return this;
     }
@@ -4683,7 +6125,7 @@
      * @return This builder for chaining.
      */
     public Builder clearStamp() {
-      bitField0_ = (bitField0_ & ~0x00200000);
+      bitField0_ = (bitField0_ & ~0x10000000);
       stamp_ = 0L;
       onChanged();
       return this;
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/FrameOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/FrameOrBuilder.java
@@ -310,6 +310,111 @@
    */
   io.marigoldsail.protocol.KeyHandoverResultOrBuilder getKeyHandoverResultOrBuilder();
 
+  /**
+   * <code>.marigoldsail.VmReport vm_report = 40;</code>
+   * @return Whether the vmReport field is set.
+   */
+  boolean hasVmReport();
+  /**
+   * <code>.marigoldsail.VmReport vm_report = 40;</code>
+   * @return The vmReport.
+   */
+  io.marigoldsail.protocol.VmReport getVmReport();
+  /**
+   * <code>.marigoldsail.VmReport vm_report = 40;</code>
+   */
+  io.marigoldsail.protocol.VmReportOrBuilder getVmReportOrBuilder();
+
+  /**
+   * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+   * @return Whether the leaseGrant field is set.
+   */
+  boolean hasLeaseGrant();
+  /**
+   * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+   * @return The leaseGrant.
+   */
+  io.marigoldsail.protocol.LeaseGrant getLeaseGrant();
+  /**
+   * <code>.marigoldsail.LeaseGrant lease_grant = 41;</code>
+   */
+  io.marigoldsail.protocol.LeaseGrantOrBuilder getLeaseGrantOrBuilder();
+
+  /**
+   * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+   * @return Whether the runOrders field is set.
+   */
+  boolean hasRunOrders();
+  /**
+   * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+   * @return The runOrders.
+   */
+  io.marigoldsail.protocol.RunOrders getRunOrders();
+  /**
+   * <code>.marigoldsail.RunOrders run_orders = 42;</code>
+   */
+  io.marigoldsail.protocol.RunOrdersOrBuilder getRunOrdersOrBuilder();
+
+  /**
+   * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+   * @return Whether the ownerMap field is set.
+   */
+  boolean hasOwnerMap();
+  /**
+   * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+   * @return The ownerMap.
+   */
+  io.marigoldsail.protocol.OwnerMap getOwnerMap();
+  /**
+   * <code>.marigoldsail.OwnerMap owner_map = 43;</code>
+   */
+  io.marigoldsail.protocol.OwnerMapOrBuilder getOwnerMapOrBuilder();
+
+  /**
+   * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+   * @return Whether the workflowQuery field is set.
+   */
+  boolean hasWorkflowQuery();
+  /**
+   * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+   * @return The workflowQuery.
+   */
+  io.marigoldsail.protocol.WorkflowQuery getWorkflowQuery();
+  /**
+   * <code>.marigoldsail.WorkflowQuery workflow_query = 44;</code>
+   */
+  io.marigoldsail.protocol.WorkflowQueryOrBuilder getWorkflowQueryOrBuilder();
+
+  /**
+   * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+   * @return Whether the workflowQueryAnswer field is set.
+   */
+  boolean hasWorkflowQueryAnswer();
+  /**
+   * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+   * @return The workflowQueryAnswer.
+   */
+  io.marigoldsail.protocol.WorkflowQueryAnswer getWorkflowQueryAnswer();
+  /**
+   * <code>.marigoldsail.WorkflowQueryAnswer workflow_query_answer = 45;</code>
+   */
+  io.marigoldsail.protocol.WorkflowQueryAnswerOrBuilder getWorkflowQueryAnswerOrBuilder();
+
+  /**
+   * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+   * @return Whether the waitingCounts field is set.
+   */
+  boolean hasWaitingCounts();
+  /**
+   * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+   * @return The waitingCounts.
+   */
+  io.marigoldsail.protocol.WaitingCounts getWaitingCounts();
+  /**
+   * <code>.marigoldsail.WaitingCounts waiting_counts = 46;</code>
+   */
+  io.marigoldsail.protocol.WaitingCountsOrBuilder getWaitingCountsOrBuilder();
+
   /**
    * <pre>
    * Entry to side process: how many whole answers in one frame (AnswerStart with last) were read on
