--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
@@ -176,117 +176,127 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\027marigoldsail/link.proto\022\014marigoldsail\032" +
-      "\027marigoldsail/task.proto\"\336\007\n\005Frame\022*\n\010an" +
-      "nounce\030\001 \001(\0132\026.marigoldsail.AnnounceH\000\0221" +
-      "\n\014announce_ack\030\002 \001(\0132\031.marigoldsail.Anno" +
-      "unceAckH\000\0223\n\rrequest_start\030\003 \001(\0132\032.marig" +
-      "oldsail.RequestStartH\000\0221\n\014request_body\030\004" +
-      " \001(\0132\031.marigoldsail.RequestBodyH\000\0221\n\014ans" +
-      "wer_start\030\005 \001(\0132\031.marigoldsail.AnswerSta" +
-      "rtH\000\022/\n\013answer_body\030\006 \001(\0132\030.marigoldsail" +
-      ".AnswerBodyH\000\022\'\n\007not_run\030\007 \001(\0132\024.marigol" +
-      "dsail.NotRunH\000\022&\n\006failed\030\010 \001(\0132\024.marigol" +
-      "dsail.FailedH\000\022(\n\007resolve\030\t \001(\0132\025.marigo" +
-      "ldsail.ResolveH\000\022.\n\nresolution\030\n \001(\0132\030.m" +
-      "arigoldsail.ResolutionH\000\022\"\n\004ping\030\013 \001(\0132\022" +
-      ".marigoldsail.PingH\000\022\"\n\004pong\030\014 \001(\0132\022.mar" +
-      "igoldsail.PongH\000\022&\n\006cancel\030\r \001(\0132\024.marig" +
-      "oldsail.CancelH\000\022\'\n\007go_away\030\016 \001(\0132\024.mari" +
-      "goldsail.GoAwayH\000\022.\n\013go_away_ack\030\017 \001(\0132\027" +
-      ".marigoldsail.GoAwayAckH\000\022-\n\nkey_leases\030" +
-      "\020 \001(\0132\027.marigoldsail.KeyLeasesH\000\022)\n\004task" +
-      "\030\024 \001(\0132\031.marigoldsail.TaskMessageH\000\0221\n\014k" +
-      "ey_handover\030\025 \001(\0132\031.marigoldsail.KeyHand" +
-      "overH\000\022<\n\022key_handover_taken\030\026 \001(\0132\036.mar" +
-      "igoldsail.KeyHandoverTakenH\000\022>\n\023key_hand" +
-      "over_result\030\027 \001(\0132\037.marigoldsail.KeyHand" +
-      "overResultH\000\022\024\n\014answers_read\030\022 \001(\004\022\r\n\005st" +
-      "amp\030\036 \001(\006B\006\n\004body\"8\n\tRequestId\022\031\n\021entry_" +
-      "incarnation\030\001 \001(\004\022\020\n\010sequence\030\002 \001(\004\"\215\002\n\010" +
-      "Announce\022\n\n\002vm\030\001 \001(\t\022\033\n\023process_incarnat" +
-      "ion\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004rack\030\005 \001(\t\022\017\n" +
-      "\007address\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\r\n\005slots" +
-      "\030\010 \001(\r\022\023\n\013connections\030\t \001(\r\022\017\n\007leaving\030\n" +
-      " \001(\010\022*\n\006report\030\013 \001(\0132\032.marigoldsail.Targ" +
-      "etReport\022\036\n\026configuration_revision\030\014 \001(\004" +
-      "\022\031\n\021operators_address\030\020 \001(\t\"h\n\013AnnounceA" +
-      "ck\022\r\n\005entry\030\001 \001(\t\022\031\n\021entry_incarnation\030\002" +
-      " \001(\004\022\036\n\026configuration_revision\030\003 \001(\004\022\017\n\007" +
-      "entries\030\004 \003(\t\"c\n\014TargetReport\022\r\n\005slots\030\001" +
-      " \001(\r\022\021\n\tin_flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r" +
-      "\022\017\n\007leaving\030\004 \001(\010\022\017\n\007entries\030\005 \001(\r\"%\n\006He" +
-      "ader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\353\002\n\014Re" +
-      "questStart\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Re" +
-      "questId\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n" +
-      "\007headers\030\004 \003(\0132\024.marigoldsail.Header\022\030\n\020" +
-      "remaining_millis\030\005 \001(\004\022\022\n\nidempotent\030\006 \001" +
-      "(\010\022\016\n\006caller\030\007 \001(\t\022\027\n\017idempotency_key\030\010 " +
-      "\001(\t\022\023\n\013body_length\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014" +
-      "\n\004last\030\013 \001(\010\022\r\n\005label\030\014 \001(\t\022\017\n\007sent_at\030\r" +
-      " \001(\020\022)\n\tkey_claim\030\016 \001(\0132\026.marigoldsail.K" +
-      "eyClaim\022\036\n\026target_detects_repeats\030\025 \001(\010\"" +
-      "8\n\010KeyClaim\022\r\n\005shard\030\001 \001(\r\022\016\n\006offset\030\002 \001" +
-      "(\004\022\r\n\005index\030\003 \001(\r\"d\n\tKeyLeases\022\033\n\023proces" +
-      "s_incarnation\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(\004\022" +
-      "&\n\006leases\030\003 \003(\0132\026.marigoldsail.KeyLease\"" +
-      "G\n\010KeyLease\022%\n\005claim\030\001 \001(\0132\026.marigoldsai" +
-      "l.KeyClaim\022\024\n\014quiet_millis\030\002 \001(\004\"n\n\013Hand" +
-      "edShard\022\n\n\002vm\030\001 \001(\t\022\033\n\023process_incarnati" +
-      "on\030\002 \001(\004\022\017\n\007service\030\003 \001(\t\022%\n\005claim\030\004 \001(\013" +
-      "2\026.marigoldsail.KeyClaim\"\214\001\n\013KeyHandover" +
-      "\022(\n\005shard\030\001 \001(\0132\031.marigoldsail.HandedSha" +
-      "rd\022\r\n\005total\030\002 \001(\r\022%\n\004keys\030\003 \003(\0132\027.marigo" +
-      "ldsail.HandedKey\022\035\n\025successor_incarnatio" +
-      "n\030\004 \001(\004\"\242\001\n\tHandedKey\022\013\n\003key\030\001 \001(\t\022\023\n\013fi" +
-      "ngerprint\030\002 \001(\006\022\030\n\020remaining_millis\030\003 \001(" +
-      "\004\022,\n\010answered\030\004 \001(\0132\030.marigoldsail.KeptA" +
-      "nswerH\000\022\016\n\004lost\030\005 \001(\tH\000\022\020\n\006broken\030\006 \001(\tH" +
-      "\000B\t\n\007outcome\"Q\n\nKeptAnswer\022\016\n\006status\030\001 \001" +
-      "(\r\022%\n\007headers\030\002 \003(\0132\024.marigoldsail.Heade" +
-      "r\022\014\n\004body\030\003 \001(\014\"j\n\020KeyHandoverTaken\022(\n\005s" +
-      "hard\030\001 \001(\0132\031.marigoldsail.HandedShard\022\035\n" +
-      "\025successor_incarnation\030\002 \001(\004\022\r\n\005taken\030\003 " +
-      "\001(\010\"L\n\021KeyHandoverResult\022(\n\005shard\030\001 \001(\0132" +
-      "\031.marigoldsail.HandedShard\022\r\n\005moved\030\002 \001(" +
-      "\010\"N\n\013RequestBody\022#\n\002id\030\001 \001(\0132\027.marigolds" +
-      "ail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(" +
-      "\010\"\306\001\n\013AnswerStart\022#\n\002id\030\001 \001(\0132\027.marigold" +
-      "sail.RequestId\022\016\n\006status\030\002 \001(\r\022%\n\007header" +
-      "s\030\003 \003(\0132\024.marigoldsail.Header\022\014\n\004data\030\004 " +
-      "\001(\014\022\014\n\004last\030\005 \001(\010\022*\n\006report\030\006 \001(\0132\032.mari" +
-      "goldsail.TargetReport\022\023\n\013body_length\030\007 \001" +
-      "(\004\"M\n\nAnswerBody\022#\n\002id\030\001 \001(\0132\027.marigolds" +
-      "ail.RequestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(" +
-      "\010\"\231\001\n\006NotRun\022#\n\002id\030\001 \001(\0132\027.marigoldsail." +
-      "RequestId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030" +
-      "\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\004\022*\n\006rep" +
-      "ort\030\005 \001(\0132\032.marigoldsail.TargetReport\"}\n" +
-      "\006Failed\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Reque" +
-      "stId\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t" +
-      "\022*\n\006report\030\004 \001(\0132\032.marigoldsail.TargetRe" +
-      "port\"K\n\007Resolve\022#\n\002id\030\001 \001(\0132\027.marigoldsa" +
-      "il.RequestId\022\033\n\023process_incarnation\030\002 \001(" +
-      "\004\"\251\001\n\nResolution\022#\n\002id\030\001 \001(\0132\027.marigolds" +
-      "ail.RequestId\022-\n\005state\030\002 \001(\0162\036.marigolds" +
-      "ail.Resolution.State\"G\n\005State\022\025\n\021STATE_U" +
-      "NSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r" +
-      "\n\tFORGOTTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.ma" +
-      "rigoldsail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 " +
-      "\001(\004\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\004\"\010\n\006GoAway\"\013\n\t" +
-      "GoAwayAckB\034\n\030io.marigoldsail.protocolP\001b" +
-      "\006proto3"
+      "\027marigoldsail/task.proto\032\033marigoldsail/w" +
+      "orkflow.proto\"\312\n\n\005Frame\022*\n\010announce\030\001 \001(" +
+      "\0132\026.marigoldsail.AnnounceH\000\0221\n\014announce_" +
+      "ack\030\002 \001(\0132\031.marigoldsail.AnnounceAckH\000\0223" +
+      "\n\rrequest_start\030\003 \001(\0132\032.marigoldsail.Req" +
+      "uestStartH\000\0221\n\014request_body\030\004 \001(\0132\031.mari" +
+      "goldsail.RequestBodyH\000\0221\n\014answer_start\030\005" +
+      " \001(\0132\031.marigoldsail.AnswerStartH\000\022/\n\013ans" +
+      "wer_body\030\006 \001(\0132\030.marigoldsail.AnswerBody" +
+      "H\000\022\'\n\007not_run\030\007 \001(\0132\024.marigoldsail.NotRu" +
+      "nH\000\022&\n\006failed\030\010 \001(\0132\024.marigoldsail.Faile" +
+      "dH\000\022(\n\007resolve\030\t \001(\0132\025.marigoldsail.Reso" +
+      "lveH\000\022.\n\nresolution\030\n \001(\0132\030.marigoldsail" +
+      ".ResolutionH\000\022\"\n\004ping\030\013 \001(\0132\022.marigoldsa" +
+      "il.PingH\000\022\"\n\004pong\030\014 \001(\0132\022.marigoldsail.P" +
+      "ongH\000\022&\n\006cancel\030\r \001(\0132\024.marigoldsail.Can" +
+      "celH\000\022\'\n\007go_away\030\016 \001(\0132\024.marigoldsail.Go" +
+      "AwayH\000\022.\n\013go_away_ack\030\017 \001(\0132\027.marigoldsa" +
+      "il.GoAwayAckH\000\022-\n\nkey_leases\030\020 \001(\0132\027.mar" +
+      "igoldsail.KeyLeasesH\000\022)\n\004task\030\024 \001(\0132\031.ma" +
+      "rigoldsail.TaskMessageH\000\0221\n\014key_handover" +
+      "\030\025 \001(\0132\031.marigoldsail.KeyHandoverH\000\022<\n\022k" +
+      "ey_handover_taken\030\026 \001(\0132\036.marigoldsail.K" +
+      "eyHandoverTakenH\000\022>\n\023key_handover_result" +
+      "\030\027 \001(\0132\037.marigoldsail.KeyHandoverResultH" +
+      "\000\022+\n\tvm_report\030( \001(\0132\026.marigoldsail.VmRe" +
+      "portH\000\022/\n\013lease_grant\030) \001(\0132\030.marigoldsa" +
+      "il.LeaseGrantH\000\022-\n\nrun_orders\030* \001(\0132\027.ma" +
+      "rigoldsail.RunOrdersH\000\022+\n\towner_map\030+ \001(" +
+      "\0132\026.marigoldsail.OwnerMapH\000\0225\n\016workflow_" +
+      "query\030, \001(\0132\033.marigoldsail.WorkflowQuery" +
+      "H\000\022B\n\025workflow_query_answer\030- \001(\0132!.mari" +
+      "goldsail.WorkflowQueryAnswerH\000\0225\n\016waitin" +
+      "g_counts\030. \001(\0132\033.marigoldsail.WaitingCou" +
+      "ntsH\000\022\024\n\014answers_read\030\022 \001(\004\022\r\n\005stamp\030\036 \001" +
+      "(\006B\006\n\004body\"8\n\tRequestId\022\031\n\021entry_incarna" +
+      "tion\030\001 \001(\004\022\020\n\010sequence\030\002 \001(\004\"\215\002\n\010Announc" +
+      "e\022\n\n\002vm\030\001 \001(\t\022\033\n\023process_incarnation\030\003 \001" +
+      "(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004rack\030\005 \001(\t\022\017\n\007addres" +
+      "s\030\006 \001(\t\022\017\n\007service\030\007 \001(\t\022\r\n\005slots\030\010 \001(\r\022" +
+      "\023\n\013connections\030\t \001(\r\022\017\n\007leaving\030\n \001(\010\022*\n" +
+      "\006report\030\013 \001(\0132\032.marigoldsail.TargetRepor" +
+      "t\022\036\n\026configuration_revision\030\014 \001(\004\022\031\n\021ope" +
+      "rators_address\030\020 \001(\t\"h\n\013AnnounceAck\022\r\n\005e" +
+      "ntry\030\001 \001(\t\022\031\n\021entry_incarnation\030\002 \001(\004\022\036\n" +
+      "\026configuration_revision\030\003 \001(\004\022\017\n\007entries" +
+      "\030\004 \003(\t\"c\n\014TargetReport\022\r\n\005slots\030\001 \001(\r\022\021\n" +
+      "\tin_flight\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\017\n\007lea" +
+      "ving\030\004 \001(\010\022\017\n\007entries\030\005 \001(\r\"%\n\006Header\022\014\n" +
+      "\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\353\002\n\014RequestSt" +
+      "art\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId" +
+      "\022\016\n\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022%\n\007header" +
+      "s\030\004 \003(\0132\024.marigoldsail.Header\022\030\n\020remaini" +
+      "ng_millis\030\005 \001(\004\022\022\n\nidempotent\030\006 \001(\010\022\016\n\006c" +
+      "aller\030\007 \001(\t\022\027\n\017idempotency_key\030\010 \001(\t\022\023\n\013" +
+      "body_length\030\t \001(\004\022\014\n\004data\030\n \001(\014\022\014\n\004last\030" +
+      "\013 \001(\010\022\r\n\005label\030\014 \001(\t\022\017\n\007sent_at\030\r \001(\020\022)\n" +
+      "\tkey_claim\030\016 \001(\0132\026.marigoldsail.KeyClaim" +
+      "\022\036\n\026target_detects_repeats\030\025 \001(\010\"8\n\010KeyC" +
+      "laim\022\r\n\005shard\030\001 \001(\r\022\016\n\006offset\030\002 \001(\004\022\r\n\005i" +
+      "ndex\030\003 \001(\r\"d\n\tKeyLeases\022\033\n\023process_incar" +
+      "nation\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(\004\022&\n\006leas" +
+      "es\030\003 \003(\0132\026.marigoldsail.KeyLease\"G\n\010KeyL" +
+      "ease\022%\n\005claim\030\001 \001(\0132\026.marigoldsail.KeyCl" +
+      "aim\022\024\n\014quiet_millis\030\002 \001(\004\"n\n\013HandedShard" +
+      "\022\n\n\002vm\030\001 \001(\t\022\033\n\023process_incarnation\030\002 \001(" +
+      "\004\022\017\n\007service\030\003 \001(\t\022%\n\005claim\030\004 \001(\0132\026.mari" +
+      "goldsail.KeyClaim\"\214\001\n\013KeyHandover\022(\n\005sha" +
+      "rd\030\001 \001(\0132\031.marigoldsail.HandedShard\022\r\n\005t" +
+      "otal\030\002 \001(\r\022%\n\004keys\030\003 \003(\0132\027.marigoldsail." +
+      "HandedKey\022\035\n\025successor_incarnation\030\004 \001(\004" +
+      "\"\242\001\n\tHandedKey\022\013\n\003key\030\001 \001(\t\022\023\n\013fingerpri" +
+      "nt\030\002 \001(\006\022\030\n\020remaining_millis\030\003 \001(\004\022,\n\010an" +
+      "swered\030\004 \001(\0132\030.marigoldsail.KeptAnswerH\000" +
+      "\022\016\n\004lost\030\005 \001(\tH\000\022\020\n\006broken\030\006 \001(\tH\000B\t\n\007ou" +
+      "tcome\"Q\n\nKeptAnswer\022\016\n\006status\030\001 \001(\r\022%\n\007h" +
+      "eaders\030\002 \003(\0132\024.marigoldsail.Header\022\014\n\004bo" +
+      "dy\030\003 \001(\014\"j\n\020KeyHandoverTaken\022(\n\005shard\030\001 " +
+      "\001(\0132\031.marigoldsail.HandedShard\022\035\n\025succes" +
+      "sor_incarnation\030\002 \001(\004\022\r\n\005taken\030\003 \001(\010\"L\n\021" +
+      "KeyHandoverResult\022(\n\005shard\030\001 \001(\0132\031.marig" +
+      "oldsail.HandedShard\022\r\n\005moved\030\002 \001(\010\"N\n\013Re" +
+      "questBody\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Req" +
+      "uestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\306\001\n\013A" +
+      "nswerStart\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Re" +
+      "questId\022\016\n\006status\030\002 \001(\r\022%\n\007headers\030\003 \003(\013" +
+      "2\024.marigoldsail.Header\022\014\n\004data\030\004 \001(\014\022\014\n\004" +
+      "last\030\005 \001(\010\022*\n\006report\030\006 \001(\0132\032.marigoldsai" +
+      "l.TargetReport\022\023\n\013body_length\030\007 \001(\004\"M\n\nA" +
+      "nswerBody\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Req" +
+      "uestId\022\014\n\004data\030\002 \001(\014\022\014\n\004last\030\003 \001(\010\"\231\001\n\006N" +
+      "otRun\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Request" +
+      "Id\022\022\n\nerror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\032" +
+      "\n\022retry_after_millis\030\004 \001(\004\022*\n\006report\030\005 \001" +
+      "(\0132\032.marigoldsail.TargetReport\"}\n\006Failed" +
+      "\022#\n\002id\030\001 \001(\0132\027.marigoldsail.RequestId\022\022\n" +
+      "\nerror_kind\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022*\n\006rep" +
+      "ort\030\004 \001(\0132\032.marigoldsail.TargetReport\"K\n" +
+      "\007Resolve\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Requ" +
+      "estId\022\033\n\023process_incarnation\030\002 \001(\004\"\251\001\n\nR" +
+      "esolution\022#\n\002id\030\001 \001(\0132\027.marigoldsail.Req" +
+      "uestId\022-\n\005state\030\002 \001(\0162\036.marigoldsail.Res" +
+      "olution.State\"G\n\005State\022\025\n\021STATE_UNSPECIF" +
+      "IED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r\n\tFORGO" +
+      "TTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.marigolds" +
+      "ail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\004\"\025\n\004" +
+      "Pong\022\r\n\005nonce\030\001 \001(\004\"\010\n\006GoAway\"\013\n\tGoAwayA" +
+      "ckB\034\n\030io.marigoldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
         new com.google.protobuf.Descriptors.FileDescriptor[] {
           io.marigoldsail.protocol.Task.getDescriptor(),
+          io.marigoldsail.protocol.Workflow.getDescriptor(),
         });
     internal_static_marigoldsail_Frame_descriptor =
       getDescriptor().getMessageType(0);
     internal_static_marigoldsail_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Frame_descriptor,
-        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "GoAway", "GoAwayAck", "KeyLeases", "Task", "KeyHandover", "KeyHandoverTaken", "KeyHandoverResult", "AnswersRead", "Stamp", "Body", });
+        new java.lang.String[] { "Announce", "AnnounceAck", "RequestStart", "RequestBody", "AnswerStart", "AnswerBody", "NotRun", "Failed", "Resolve", "Resolution", "Ping", "Pong", "Cancel", "GoAway", "GoAwayAck", "KeyLeases", "Task", "KeyHandover", "KeyHandoverTaken", "KeyHandoverResult", "VmReport", "LeaseGrant", "RunOrders", "OwnerMap", "WorkflowQuery", "WorkflowQueryAnswer", "WaitingCounts", "AnswersRead", "Stamp", "Body", });
     internal_static_marigoldsail_RequestId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_marigoldsail_RequestId_fieldAccessorTable = new
@@ -451,6 +461,7 @@
         new java.lang.String[] { });
     descriptor.resolveAllFeaturesImmutable();
     io.marigoldsail.protocol.Task.getDescriptor();
+    io.marigoldsail.protocol.Workflow.getDescriptor();
   }
 
   // @@protoc_insertion_point(outer_class_scope)
