--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -10,10 +10,12 @@
  * Chooses the VM for a task.
  *
  * <p>Load pattern: small tasks that callers wait for, wide steps of heavy tasks that take only what
- * others leave, and lasting tasks that serve users, all on the same VMs. Without this choice heavy
- * tasks pile up on one VM and take turns there while others idle, and they stand beside tasks whose
- * users feel them. The VM with the most processors left wins, since a task that fills works at the
- * share of its declared processors that is left, and slow VMs count as having less.
+ * others leave, and lasting tasks that serve users, all on the same VMs. A task that fills disturbs
+ * one that serves beside it, and is then slowed down; two that serve do not disturb each other.
+ * Spread evenly, tasks that serve stand on nearly every VM, and what fills is slowed down nearly
+ * everywhere. So tasks that serve are packed on few VMs, small tasks go beside them, and tasks that
+ * fill go where none serves as long as there is room; among equals the VM with the most processors
+ * left wins, since a task that fills works at the share of its processors that is left.
  *
  * <p>Stateless.
  */
@@ -22,10 +24,16 @@
   static final int MIN_FILL_PERCENT = 60;
 
   /**
-   * What a task with a latency target beside counts against a VM for a task that fills, in
-   * thousandths of a processor: about one heavy task, so that idle VMs without such tasks go first.
+   * What the right company counts, in thousandths of a processor: more than any VM has, so that
+   * room decides only among VMs with the same company.
    */
-  static final long SERVING_PENALTY = 2_000;
+  static final long COMPANY = 1_000_000;
+
+  /**
+   * How many times what fills counts against a VM for a task that serves: moving in beside it slows
+   * it down, and the users feel it until then.
+   */
+  static final long FILL_AGAINST_SERVING = 20;
 
   /**
    * What a rack far from a step's data counts, as the factor by which a task takes longer there.
@@ -88,20 +96,27 @@
   }
 
   private static double score(StepSpec step, VmOffer offer) {
-    double left = offer.leftMilliProcessors() - step.sizes().milliProcessors();
-    if (step.nature().fills()) {
-      left -= SERVING_PENALTY * offer.serving();
-    } else if (step.nature().serves()) {
-      left -= SERVING_PENALTY * offer.serving();
-      left -= offer.fillMilliProcessors();
-    }
+    double score = companyScore(step, offer);
     double slowness = offer.slowness();
     String rack = step.placement().preferredRack();
     if (!rack.isEmpty() && !offer.labels().contains(rack)) {
       slowness *= FAR_RACK_FACTOR;
     }
     // A slow VM is worth what its speed leaves of it, whichever sign the rest has.
-    return left - (slowness - 1) * offer.capacity().milliProcessors();
+    return score - (slowness - 1) * (COMPANY + offer.capacity().milliProcessors());
+  }
+
+  private static double companyScore(StepSpec step, VmOffer offer) {
+    double left = offer.leftMilliProcessors() - step.sizes().milliProcessors();
+    boolean besideServing = offer.serving() > 0;
+    if (step.nature().serves()) {
+      double packed = besideServing ? COMPANY : 0;
+      return packed - FILL_AGAINST_SERVING * offer.fillMilliProcessors() - left;
+    }
+    if (step.nature().fills()) {
+      return left - (besideServing ? COMPANY : 0);
+    }
+    return left + (besideServing && left >= 0 ? COMPANY : 0);
   }
 
   /** Returns whether a task of the step could run on the VM if nothing else did. */
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkState;
 import static java.util.Objects.requireNonNull;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * One task of a {@link Workflow}, as its owner knows it.
@@ -24,6 +26,7 @@
   private boolean stopWanted;
   private long notBefore = Long.MIN_VALUE;
   private int refusals;
+  private final Set<String> failedOn = new HashSet<>();
 
   WorkflowTask(Workflow workflow, TaskKey key, StepSpec step) {
     this.workflow = workflow;
@@ -121,6 +124,11 @@
     return refusals;
   }
 
+  /** Returns whether an attempt failed on the VM, as far as this owner saw. */
+  public boolean hasFailedOn(String vm) {
+    return failedOn.contains(vm);
+  }
+
   /** Takes what a worker says of the open attempt. */
   public void observe(String newCheckpoint, int newPercent) {
     started = true;
@@ -142,6 +150,9 @@
   }
 
   void close(RunOutcome outcome, String newCheckpoint) {
+    if (outcome.countsAsFailure()) {
+      failedOn.add(place.vm());
+    }
     place = null;
     started = false;
     stopWanted = false;
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/FillPacerTest.java
@@ -0,0 +1,49 @@
+package io.marigoldsail.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FillPacerTest {
+  private static final long STEP = 500_000_000L;
+
+  /**
+   * A heavy task moves in beside a service, whose tail goes to ten times its target. Its users must
+   * not feel it for more than some two seconds, and once it has gone the next ones get their speed.
+   */
+  @Test
+  void aDisturbedServiceIsRelievedWithinTwoSecondsAndSpeedComesBack() {
+    FillPacer pacer = new FillPacer();
+    long now = 0;
+    int readings = 0;
+    while (pacer.percent() > 0 && readings < 20) {
+      now += STEP;
+      readings++;
+      pacer.observe(List.of(new FillPacer.Reading(1_250, 125)), now);
+    }
+    assertTrue(readings <= 4, readings + " readings until nothing disturbs");
+    while (pacer.percent() < 100 && readings < 30) {
+      now += STEP;
+      readings++;
+      pacer.observe(List.of(new FillPacer.Reading(30, 125)), now);
+    }
+    assertEquals(100, pacer.percent());
+  }
+
+  @Test
+  void withoutServicesNothingIsSlowed() {
+    FillPacer pacer = new FillPacer();
+    pacer.observe(List.of(new FillPacer.Reading(500, 125)), STEP);
+    assertEquals(50, pacer.percent());
+    assertEquals(100, pacer.observe(List.of(), 2 * STEP));
+  }
+
+  @Test
+  void readingsOfTheSameHalfSecondCountOnce() {
+    FillPacer pacer = new FillPacer();
+    pacer.observe(List.of(new FillPacer.Reading(500, 125)), STEP);
+    assertEquals(50, pacer.observe(List.of(new FillPacer.Reading(500, 125)), STEP + 1_000_000));
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/LeaseLedgerTest.java
@@ -0,0 +1,74 @@
+package io.marigoldsail.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+class LeaseLedgerTest {
+  private static final LeaseTermsOfWorker TERMS = LeaseTermsOfWorker.forLongestLease(10_000);
+
+  @Property(tries = 200)
+  void anOwnerWaitsLongerThanAnyRunCanLive(
+      @ForAll @LongRange(min = 1_000, max = 120_000) long longest) {
+    LeaseTermsOfWorker terms = LeaseTermsOfWorker.forLongestLease(longest);
+    assertTrue(terms.boundMillis() <= longest);
+    // The worker's clock is 2% slow: so much real time passes until it shows the bound.
+    assertTrue(terms.takeoverMillis() > terms.boundMillis() / 0.98);
+  }
+
+  @Test
+  void deadlineFollowsTheOldestEvidence() {
+    LeaseLedger ledger = new LeaseLedger(TERMS);
+    ledger.observe(1, 1, 5_000);
+    ledger.observe(2, 1, 3_000);
+    assertEquals(OptionalLong.of(3_000 + TERMS.leaseMillis()), ledger.deadline(Set.of(1, 2)));
+    assertEquals(OptionalLong.empty(), ledger.deadline(Set.of(1, 2, 3)));
+    assertEquals(OptionalLong.empty(), ledger.deadline(Set.of()));
+  }
+
+  /**
+   * A former owner that is cut off from the store still reaches a VM. A new owner has set a higher
+   * epoch, so what the former one sends must neither prolong leases nor start anything.
+   */
+  @Test
+  void aLowerEpochProvesNothing() {
+    LeaseLedger ledger = new LeaseLedger(TERMS);
+    assertTrue(ledger.observe(1, 7, 1_000));
+    assertFalse(ledger.observe(1, 6, 9_000));
+    assertEquals(OptionalLong.of(1_000 + TERMS.leaseMillis()), ledger.deadline(Set.of(1)));
+  }
+
+  /**
+   * Deadlines never shorten and hold for everything on a worker. A run that starts under a deadline
+   * that other partitions moved far ahead would outlive what its own owner waits for, and run
+   * beside its successor.
+   */
+  @Test
+  void nothingStartsUnderADeadlineBeyondWhatItsOwnerWaitsFor() {
+    LeaseLedger ledger = new LeaseLedger(TERMS);
+    ledger.observe(1, 1, 1_000);
+    long bound = 1_000 + TERMS.boundMillis();
+    assertTrue(ledger.mayStart(1, bound, 1_500));
+    assertFalse(ledger.mayStart(1, bound + 1, 1_500));
+    assertFalse(ledger.mayStart(2, bound, 1_500));
+  }
+
+  @Test
+  void runsOfASilentOwnerAreStoppedBeforeTheyHoldTheOthersBack() {
+    LeaseLedger ledger = new LeaseLedger(TERMS);
+    ledger.observe(1, 1, 1_000);
+    ledger.observe(2, 1, 6_000);
+    long late = 1_000 + TERMS.leaseMillis() - LeaseLedger.STOP_AHEAD_MILLIS;
+    assertEquals(List.of(), ledger.overdue(Set.of(1, 2), late - 1));
+    assertEquals(List.of(1), ledger.overdue(Set.of(1, 2), late));
+    assertFalse(ledger.mayStart(1, 1_000 + TERMS.leaseMillis(), late));
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -0,0 +1,115 @@
+package io.marigoldsail.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class VmChooserTest {
+  private static Optional<String> choose(StepSpec step, VmOffer... offers) {
+    return VmChooser.choose(Workflows.spec(step), step, List.of(offers), offer -> 0)
+        .map(offer -> offer.place().vm());
+  }
+
+  private static VmOffer paced(VmOffer offer, int percent, double slowness) {
+    return new VmOffer(
+        offer.place(),
+        offer.service(),
+        offer.labels(),
+        offer.capacity(),
+        offer.free(),
+        offer.fillMilliProcessors(),
+        percent,
+        offer.serving(),
+        slowness);
+  }
+
+  /**
+   * Users of lasting services felt heavy tasks on nearly every VM: the services stood one on each,
+   * the heavy tasks wherever processors were left, and each was slowed down beside a service.
+   * Packed, the services leave most VMs to the heavy tasks.
+   */
+  @Test
+  void servicesArePackedAndHeavyTasksStandElsewhere() {
+    StepSpec service = Workflows.step(1, 3_200, Workflows.lasting(125));
+    StepSpec heavy = Workflows.step(1, 1_800, Workflows.filling());
+    Map<String, VmOffer> offers = new HashMap<>();
+    for (int i = 0; i < 6; i++) {
+      offers.put("vm-" + i, Workflows.offer("vm-" + i, 16_000, 0, 0));
+    }
+    List<String> services = place(service, 8, offers);
+    List<String> fills = place(heavy, 20, offers);
+    assertEquals(2, ImmutableSet.copyOf(services).size());
+    assertTrue(fills.stream().noneMatch(services::contains), "beside a service: " + fills);
+  }
+
+  private static List<String> place(StepSpec step, int count, Map<String, VmOffer> offers) {
+    List<String> placed = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      VmOffer offer =
+          VmChooser.choose(Workflows.spec(step), step, offers.values(), unused -> 0).orElseThrow();
+      placed.add(offer.place().vm());
+      offers.put(offer.place().vm(), offer.after(step));
+    }
+    return placed;
+  }
+
+  @Test
+  void smallTasksGoBesideServicesWhileThereIsRoom() {
+    StepSpec small = Workflows.step(1, 240, StepSpec.Nature.PLAIN);
+    VmOffer idle = Workflows.offer("idle", 16_000, 0, 0);
+    assertEquals(
+        Optional.of("serving"), choose(small, idle, Workflows.offer("serving", 3_000, 0, 2)));
+    assertEquals(Optional.of("idle"), choose(small, idle, Workflows.offer("serving", 300, 200, 2)));
+  }
+
+  @Test
+  void heavyTasksGoBesideServicesOnlyWhenNothingElseHasRoom() {
+    StepSpec heavy = Workflows.step(1, 1_800, Workflows.filling());
+    VmOffer beside = Workflows.offer("serving", 9_000, 0, 1);
+    assertEquals(
+        Optional.of("tight"), choose(heavy, beside, Workflows.offer("tight", 2_000, 0, 0)));
+    assertEquals(
+        Optional.of("serving"), choose(heavy, beside, Workflows.offer("tight", 2_000, 1_000, 0)));
+    assertEquals(Optional.empty(), choose(heavy, paced(beside, 30, 1)));
+  }
+
+  @Test
+  void aSlowVmIsTheLastChoice() {
+    StepSpec small = Workflows.step(1, 240, StepSpec.Nature.PLAIN);
+    VmOffer slow = paced(Workflows.offer("slow", 16_000, 0, 0), 100, 6);
+    assertEquals(Optional.of("full"), choose(small, slow, Workflows.offer("full", 500, 0, 0)));
+    assertEquals(Optional.of("slow"), choose(small, slow));
+  }
+
+  @Test
+  void aVmWithoutRoomLabelOrServiceIsNoChoice() {
+    StepSpec big = Workflows.step(1, 5_000, StepSpec.Nature.PLAIN);
+    assertEquals(Optional.empty(), choose(big, Workflows.offer("vm", 4_999, 0, 0)));
+    StepSpec.Placement labelled = new StepSpec.Placement("rack-b", "", false, 0);
+    StepSpec onlyThere =
+        new StepSpec(1, big.sizes(), 1, ImmutableList.of(), labelled, StepSpec.Nature.PLAIN);
+    VmOffer a = Workflows.offer("a", 9_000, 0, 0);
+    VmOffer b = Workflows.offer("b", 6_000, 0, 0);
+    assertEquals(Optional.of("b"), choose(onlyThere, a, b));
+  }
+
+  @Test
+  void spreadLimitHolds() {
+    StepSpec.Placement spread = new StepSpec.Placement("", "", false, 1);
+    StepSpec plain = Workflows.step(2, 100, StepSpec.Nature.PLAIN);
+    StepSpec step = new StepSpec(2, plain.sizes(), 1, ImmutableList.of(), spread, plain.nature());
+    VmOffer a = Workflows.offer("a", 9_000, 0, 0);
+    VmOffer b = Workflows.offer("b", 6_000, 0, 0);
+    Optional<VmOffer> chosen =
+        VmChooser.choose(Workflows.spec(step), step, List.of(a, b), offer -> offer == a ? 1 : 0);
+    assertEquals("b", chosen.orElseThrow().place().vm());
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/Workflows.java
@@ -0,0 +1,62 @@
+package io.marigoldsail.workflow;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.job.Sizes;
+
+/** Specimens for the tests of this package. */
+final class Workflows {
+  static final long ID = 0x5c0e7a21d94b36f8L;
+  static final Place HERE = new Place("vm-1", "life-1");
+  private static final long MEBIBYTE = 1 << 20;
+
+  private Workflows() {}
+
+  static StepSpec.Nature lasting(long targetMillis) {
+    return new StepSpec.Nature(false, false, false, true, false, "svc", targetMillis, 1);
+  }
+
+  static StepSpec.Nature filling() {
+    return new StepSpec.Nature(false, true, false, false, true, "batch", 0, 0);
+  }
+
+  static StepSpec step(int tasks, long milliProcessors, StepSpec.Nature nature, Integer... after) {
+    return new StepSpec(
+        tasks,
+        new Sizes(milliProcessors, 100 * MEBIBYTE, 0),
+        1_000,
+        ImmutableList.copyOf(after),
+        StepSpec.Placement.ANYWHERE,
+        nature);
+  }
+
+  static WorkflowSpec spec(StepSpec... steps) {
+    return spec(ID, 0, 1_000, WorkflowSpec.Schedule.AT_ONCE, steps);
+  }
+
+  static WorkflowSpec spec(
+      long id, int priority, long accepted, WorkflowSpec.Schedule schedule, StepSpec... steps) {
+    return new WorkflowSpec(
+        id,
+        "queue",
+        new WorkflowSpec.Terms("service", priority, 2, false),
+        "program",
+        ImmutableList.copyOf(steps),
+        schedule,
+        accepted);
+  }
+
+  static VmOffer offer(String vm, long freeMilli, long fillMilli, int serving) {
+    Sizes capacity = new Sizes(16_000, 64_000 * MEBIBYTE, 0);
+    return new VmOffer(
+        new Place(vm, "life-of-" + vm),
+        "service",
+        ImmutableSet.of("a", "rack-" + vm),
+        capacity,
+        new Sizes(freeMilli, 32_000 * MEBIBYTE, 0),
+        fillMilli,
+        100,
+        serving,
+        1.0);
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/SideDispatcher.java
@@ -80,6 +80,7 @@
   private volatile int running;
   private volatile int waitingCount;
   private volatile boolean stopping;
+  private boolean toldOfStop;
   private volatile Runnable leavingListener = () -> {};
   private Future<?> tick;
 
@@ -163,15 +164,20 @@
    */
   public CompletableFuture<Void> beginStop() {
     stopping = true;
-    loop.run(
-        () -> {
-          leavingListener.run();
-          fence.begin();
-          checkDrained();
-        });
+    loop.run(this::tellOfStop);
     return fence.passed();
   }
 
+  private void tellOfStop() {
+    if (toldOfStop) {
+      return;
+    }
+    toldOfStop = true;
+    leavingListener.run();
+    fence.begin();
+    checkDrained();
+  }
+
   /** Ends all connections; what is in progress is lost, so {@link #beginStop} goes first. */
   @Override
   public void close() {
@@ -439,6 +445,10 @@
 
     @Override
     public void received(LinkConnection connection, Frame frame) throws BrokenFrameException {
+      if (stopping) {
+        // A frame that was read before the loop came to the stop: entries hear of it first.
+        tellOfStop();
+      }
       answers.acknowledged(connection, frame.getAnswersRead());
       switch (frame.getBodyCase()) {
         case REQUEST_START -> start(connection, frame.getRequestStart());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -13,9 +13,9 @@
 import io.marigoldsail.workflow.VmOffer;
 import io.marigoldsail.workflow.WaitingOrder;
 import io.marigoldsail.workflow.Workflow;
-import io.marigoldsail.workflow.WorkflowIds;
 import io.marigoldsail.workflow.WorkflowTask;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -43,6 +43,12 @@
 
   private static final int MAX_WAIT_FACTOR = 20;
 
+  /** Where tasks that fill may work at this share of their speed at most, they are moved away. */
+  private static final int SLOWED_PERCENT = 25;
+
+  /** Work that is not saved may be given up while it is at most this far, in percent. */
+  private static final int CHEAP_PERCENT = 25;
+
   private final LinkLoop loop;
   private final LongSupplier wallMillis;
   private final Ownership ownership;
@@ -107,12 +113,7 @@
       if (full.contains(task.step())) {
         continue;
       }
-      Optional<VmOffer> chosen =
-          VmChooser.choose(
-              task.workflow().spec(),
-              task.step(),
-              offers.values(),
-              offer -> vms.ofStepOn(offer.place().vm(), task));
+      Optional<VmOffer> chosen = choose(task, offers.values());
       if (chosen.isEmpty()) {
         full.add(task.step());
         continue;
@@ -123,6 +124,24 @@
     }
   }
 
+  /** A task that failed on a VM goes elsewhere as long as it can: the VM may be what fails. */
+  private Optional<VmOffer> choose(WorkflowTask task, Collection<VmOffer> offers) {
+    List<VmOffer> others =
+        offers.stream().filter(offer -> !task.hasFailedOn(offer.place().vm())).toList();
+    Optional<VmOffer> chosen = chooseAmong(task, others);
+    return chosen.isPresent() || others.size() == offers.size()
+        ? chosen
+        : chooseAmong(task, offers);
+  }
+
+  private Optional<VmOffer> chooseAmong(WorkflowTask task, Collection<VmOffer> offers) {
+    return VmChooser.choose(
+        task.workflow().spec(),
+        task.step(),
+        offers,
+        offer -> vms.ofStepOn(offer.place().vm(), task));
+  }
+
   private List<Waiting> waiting(QueueTable queues) {
     long now = loop.now();
     long wall = wallMillis.getAsLong();
@@ -181,20 +200,36 @@
     vms.ordered(waiting.partition(), task);
   }
 
-  /** Moves what can be moved off VMs whose workers leave. */
+  /** Moves what can be moved off VMs whose workers leave, or where it is slowed down. */
   void evacuate() {
     for (OpenRun run : vms.onDrainingVms()) {
+      boolean movable =
+          run.task().step().nature().lasting() || run.task().step().nature().checkpointable();
+      if (movable) {
+        move(run, "its worker leaves");
+      }
+    }
+    List<VmOffer> free = new ArrayList<>();
+    vms.offers().stream().filter(offer -> offer.serving() == 0).forEach(free::add);
+    for (OpenRun run : vms.slowedDownTo(SLOWED_PERCENT)) {
       WorkflowTask task = run.task();
-      boolean movable = task.step().nature().lasting() || task.step().nature().checkpointable();
-      if (movable && run.isDurable() && task.isStarted() && !task.isStopWanted()) {
-        task.wantStop();
-        LOG.info(
-            LogLine.of("run-evacuated")
-                .with("run", task.openRun())
-                .with("workflow", WorkflowIds.format(task.key().workflow()))
-                .with("reason", "its worker leaves"));
-        vms.stopUnwanted(task.workflow());
+      boolean cheap = task.step().nature().checkpointable() || task.percent() <= CHEAP_PERCENT;
+      Optional<VmOffer> better = cheap ? chooseAmong(task, free) : Optional.empty();
+      if (better.isPresent() && move(run, "it is slowed down beside tasks that serve")) {
+        free.remove(better.get());
+        free.add(better.get().after(task.step()));
       }
     }
   }
+
+  private boolean move(OpenRun run, String reason) {
+    WorkflowTask task = run.task();
+    if (!run.isDurable() || !task.isStarted() || run.isUnwanted()) {
+      return false;
+    }
+    task.wantStop();
+    LOG.info(LogLine.of("run-moved").with("run", task.openRun()).with("reason", reason));
+    vms.stopUnwanted(task.workflow());
+    return true;
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -18,7 +18,10 @@
 import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.VmOffer;
+import io.marigoldsail.workflow.VmSpeed;
+import io.marigoldsail.workflow.VmTrust;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowTask;
 import java.util.ArrayList;
@@ -50,6 +53,9 @@
   /** Between two orders to stop the same run, in nanoseconds. */
   private static final long STOP_REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+  /** Between two looks at the pace of a run, in nanoseconds: reports come about as often. */
+  private static final long PACE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   /** Told what reports change; runs on the loop. */
   interface Listener {
     /** A run ended and its task may wait again. */
@@ -68,6 +74,8 @@
   private final Map<String, VmSession> newest = new LinkedHashMap<>();
   private final Map<String, Map<RunKey, OpenRun>> openRuns = new HashMap<>();
   private final Map<String, Long> lastGrant = new HashMap<>();
+  private final VmTrust trust = new VmTrust();
+  private final VmSpeed speed = new VmSpeed();
   private boolean flushScheduled;
 
   EntryVms(
@@ -166,6 +174,10 @@
               .with("worker", report.getWorker())
               .with("peer", connection));
     } else {
+      if (!session.report().getWorker().equals(report.getWorker())) {
+        trust.renewed(report.getVm());
+        speed.renewed(report.getVm());
+      }
       session.take(report, loop.now());
     }
     if (newest.get(report.getVm()) != session) {
@@ -219,6 +231,7 @@
     if (run.getStarted()) {
       boolean first = !open.task().workflow().hasBegun();
       open.task().observe(run.getCheckpoint(), run.getPercent());
+      samplePace(open, report.getVm(), run.getPercent());
       if (first) {
         open.partition().changed(open.task().workflow());
       }
@@ -233,12 +246,25 @@
     }
   }
 
+  /**
+   * Only of tasks whose pace depends on the VM alone: what fills is slowed by what is beside it.
+   */
+  private void samplePace(OpenRun run, String vm, int percent) {
+    long now = loop.now();
+    StepSpec step = run.task().step();
+    boolean due = run.started(now, PACE_NANOS);
+    if (due && !step.nature().fills() && !step.nature().lasting()) {
+      double worked = step.estimateMillis() * Math.max(percent, 1) / 100.0;
+      speed.sample(vm, worked, TimeUnit.NANOSECONDS.toMillis(run.ranNanos(now)), now);
+    }
+  }
+
   private void stopUnknown(VmSession session, RunKey key, boolean stopping) {
     Optional<OwnedPartition> partition = ownership.active(partitionOf(key));
     if (partition.isEmpty() || !partition.get().isFresh() || stopping) {
       return;
     }
-    LOG.info(LogLine.of("unknown-run-stopped").with("run", key).with("vm", session.vm()));
+    LOG.info(LogLine.of("run-unexpected").with("run", key).with("vm", session.vm()));
     session.addStop(key);
     flushSoon();
   }
@@ -274,6 +300,9 @@
     Place place = task.place().orElseThrow();
     Workflow workflow = task.workflow();
     Optional.ofNullable(openRuns.get(place.vm())).ifPresent(runs -> runs.remove(key));
+    if (outcome.completes() || outcome.countsAsFailure()) {
+      judge(run, place.vm(), outcome);
+    }
     if (!workflow.ended(key, outcome, checkpoint, wallMillis.getAsLong())) {
       return;
     }
@@ -289,6 +318,20 @@
     listener.ended(run.partition(), task, outcome);
   }
 
+  private void judge(OpenRun run, String vm, RunOutcome outcome) {
+    long now = loop.now();
+    boolean restedBefore = trust.rests(vm, now);
+    trust.ended(vm, outcome.countsAsFailure(), now);
+    if (!restedBefore && trust.rests(vm, now)) {
+      LOG.info(LogLine.of("vm-rests").with("vm", vm).with("reason", "what it starts fails"));
+    }
+    StepSpec step = run.task().step();
+    if (outcome.completes() && !step.nature().fills()) {
+      double took = TimeUnit.NANOSECONDS.toMillis(now - run.orderedAt());
+      speed.sample(vm, step.estimateMillis(), took, now);
+    }
+  }
+
   private void grant(VmSession session) {
     session.connection().send(Frame.newBuilder().setLeaseGrant(lease(session)).build());
   }
@@ -370,6 +413,7 @@
           !report.getWorker().isEmpty()
               && !report.getDraining()
               && !report.getUnhealthy()
+              && !trust.rests(report.getVm(), loop.now())
               && loop.now() - session.reportedAt() < SILENT_NANOS;
       if (usable) {
         offers.add(offer(session, report));
@@ -402,7 +446,7 @@
         fill,
         report.getFillPercent(),
         serving,
-        1.0);
+        speed.slowness(report.getVm(), loop.now()));
   }
 
   /** Returns how many open runs of the step and occurrence are on the VM. */
@@ -420,9 +464,20 @@
 
   /** Returns all open runs on VMs whose workers leave. */
   ImmutableList<OpenRun> onDrainingVms() {
+    return runsOn(VmReport::getDraining);
+  }
+
+  /** Returns all open runs that fill on VMs where such tasks may work at the share at most. */
+  ImmutableList<OpenRun> slowedDownTo(int percent) {
+    return runsOn(report -> report.getServing() > 0 && report.getFillPercent() <= percent).stream()
+        .filter(run -> run.task().step().nature().fills())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private ImmutableList<OpenRun> runsOn(java.util.function.Predicate<VmReport> vms) {
     ImmutableList.Builder<OpenRun> runs = ImmutableList.builder();
     for (VmSession session : newest.values()) {
-      if (session.report().getDraining()) {
+      if (vms.test(session.report())) {
         runs.addAll(openRuns.getOrDefault(session.vm(), Map.of()).values());
       }
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
@@ -15,6 +15,8 @@
   private VmSession toldSession;
   private long toldNumber;
   private long stopToldAt = Long.MIN_VALUE;
+  private long startedAt = Long.MIN_VALUE;
+  private long sampledAt = Long.MIN_VALUE;
 
   OpenRun(OwnedPartition partition, WorkflowTask task, long orderedAt, boolean durable) {
     this.partition = partition;
@@ -61,6 +63,25 @@
     return true;
   }
 
+  /** Notes that a worker says that it runs; returns whether its pace is to be looked at again. */
+  boolean started(long now, long spacingNanos) {
+    if (startedAt == Long.MIN_VALUE) {
+      startedAt = now;
+      sampledAt = now;
+      return false;
+    }
+    if (now - sampledAt < spacingNanos) {
+      return false;
+    }
+    sampledAt = now;
+    return true;
+  }
+
+  /** Returns for how long it has run, in nanoseconds; 0 while no worker says so. */
+  long ranNanos(long now) {
+    return startedAt == Long.MIN_VALUE ? 0 : now - startedAt;
+  }
+
   /** Returns whether the run should end although it is the task's open attempt. */
   boolean isUnwanted() {
     return task.isStopWanted() || task.workflow().status().isTerminal();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -473,7 +473,7 @@
     for (SideRun run : new ArrayList<>(runs.values())) {
       if (overdue.contains(run.partition()) && !run.isStopping()) {
         LOG.warning(
-            LogLine.of("run-stopped")
+            LogLine.of("run-overdue")
                 .with("run", run.key())
                 .with("partition", run.partition())
                 .with("reason", "its owner is silent"));
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
@@ -0,0 +1,168 @@
+package io.marigoldsail.daemon.workflow;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.TaskKey;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A worker in memory that keeps the contract of the platform's: a lease on its own clock for all
+ * that runs, ends listed until they are noted, and no attempt that is not higher than one that
+ * ended or was stopped. Fails as it is told. Safe for any thread.
+ */
+final class FakeWorkerGateway implements WorkerGateway {
+  private static final int CLOCK_START = 100_000;
+
+  private record Active(RunKey run, long began) {}
+
+  private final ScheduledExecutorService timer;
+  private final RunHistory history;
+  private final long runMillis;
+  private final long began = System.nanoTime();
+  private final Map<RunKey, Active> running = new LinkedHashMap<>();
+  private final List<Ended> ended = new ArrayList<>();
+  private final Map<TaskKey, Integer> over = new HashMap<>();
+  private String life;
+  private long sequence;
+  private long deadline;
+  private int startsToLose;
+  private long lateMillis;
+
+  FakeWorkerGateway(
+      String life, ScheduledExecutorService timer, RunHistory history, long runMillis) {
+    this.life = life;
+    this.timer = timer;
+    this.history = history;
+    this.runMillis = runMillis;
+  }
+
+  synchronized String life() {
+    return life;
+  }
+
+  /** Ends everything at once; the worker is back as another life. */
+  synchronized void crash(String newLife) {
+    running.keySet().forEach(history::ended);
+    running.clear();
+    ended.clear();
+    over.clear();
+    sequence = 0;
+    life = newLife;
+  }
+
+  /** Leaves the next starts unanswered and carries them out later. */
+  synchronized void answerLate(int starts, long millis) {
+    startsToLose = starts;
+    lateMillis = millis;
+  }
+
+  private long clock() {
+    return CLOCK_START + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+  }
+
+  private <T> CompletableFuture<T> soon(T result) {
+    CompletableFuture<T> future = new CompletableFuture<>();
+    timer.schedule(() -> future.complete(result), 1, TimeUnit.MILLISECONDS);
+    return future;
+  }
+
+  @Override
+  public synchronized CompletableFuture<OrderResult> start(String worker, Start start) {
+    if (startsToLose > 0) {
+      startsToLose--;
+      timer.schedule(() -> carryOut(worker, start), lateMillis, TimeUnit.MILLISECONDS);
+      return soon(new OrderUnknown("told to leave it unanswered"));
+    }
+    return soon(carryOut(worker, start));
+  }
+
+  private synchronized OrderResult carryOut(String worker, Start start) {
+    if (!worker.equals(life)) {
+      return new OtherWorker();
+    }
+    if (running.containsKey(start.run())) {
+      return new Accepted(clock());
+    }
+    if (start.run().attempt() <= over.getOrDefault(start.run().task(), 0)) {
+      return new Refused(Refusal.OLD_ATTEMPT, "old");
+    }
+    if (start.deadline() <= clock()) {
+      return new Refused(Refusal.LATE, "late");
+    }
+    deadline = Math.max(deadline, start.deadline());
+    running.put(start.run(), new Active(start.run(), System.nanoTime()));
+    history.began(start.run());
+    String began = life;
+    timer.schedule(
+        () -> finish(began, start.run(), RunOutcome.DONE), runMillis, TimeUnit.MILLISECONDS);
+    return new Accepted(clock());
+  }
+
+  private synchronized void finish(String of, RunKey run, RunOutcome outcome) {
+    if (life.equals(of) && running.remove(run) != null) {
+      history.ended(run);
+      over.merge(run.task(), run.attempt(), Math::max);
+      ended.add(new Ended(++sequence, run, outcome, ""));
+    }
+  }
+
+  @Override
+  public synchronized CompletableFuture<OrderResult> stop(String worker, RunKey run) {
+    if (!worker.equals(life)) {
+      return soon(new OtherWorker());
+    }
+    over.merge(run.task(), run.attempt(), Math::max);
+    finish(life, run, RunOutcome.STOPPED);
+    return soon(new Accepted(clock()));
+  }
+
+  @Override
+  public CompletableFuture<OrderResult> pace(String worker, RunKey run, int percent) {
+    return soon(new Accepted(clock()));
+  }
+
+  @Override
+  public CompletableFuture<ListingResult> list(
+      String worker, OptionalLong until, long noted, long waitMillis) {
+    synchronized (this) {
+      if (!worker.equals(life)) {
+        return soon(new OtherWorker());
+      }
+      until.ifPresent(wanted -> deadline = Math.max(deadline, wanted));
+      ended.removeIf(end -> end.sequence() <= noted);
+      lapse();
+    }
+    CompletableFuture<ListingResult> future = new CompletableFuture<>();
+    poll(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis), future);
+    return future;
+  }
+
+  private void lapse() {
+    if (clock() > deadline) {
+      for (RunKey run : List.copyOf(running.keySet())) {
+        finish(life, run, RunOutcome.LAPSED);
+      }
+    }
+  }
+
+  private void poll(long until, CompletableFuture<ListingResult> future) {
+    synchronized (this) {
+      if (!ended.isEmpty() || System.nanoTime() - until >= 0) {
+        ImmutableList.Builder<Running> rows = ImmutableList.builder();
+        running.keySet().forEach(run -> rows.add(new Running(run, "", 10, 0)));
+        future.complete(new Listing(clock(), rows.build(), ImmutableList.copyOf(ended)));
+        return;
+      }
+    }
+    timer.schedule(() -> poll(until, future), 2, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -0,0 +1,172 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.marigoldsail.daemon.workflow.WorkflowWorld.RunningEntry;
+import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.TaskKey;
+import java.io.IOException;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class WorkflowFaultsTest {
+  private final WorkflowWorld world = new WorkflowWorld();
+
+  @AfterEach
+  void stop() {
+    world.close();
+  }
+
+  private void start(int entries, int vms, long runMillis) throws IOException {
+    for (int i = 0; i < entries; i++) {
+      world.addEntry();
+    }
+    for (int i = 0; i < vms; i++) {
+      world.addSide("vm-" + i, runMillis);
+    }
+    world.awaitReady();
+  }
+
+  private void submit(int entry, long id, int... widths) {
+    assertInstanceOf(
+        WorkflowStore.Appended.class,
+        world.entry(entry).entry().submit(WorkflowWorld.workflow(id, widths)).join());
+  }
+
+  private void awaitDone(long... ids) {
+    for (long id : ids) {
+      world.await("workflow " + id + " is done", () -> world.status(0, id) == QueryResult.DONE);
+    }
+  }
+
+  private void assertEachRanOnce(long id, int width) {
+    for (int index = 0; index < width; index++) {
+      assertEquals(1, world.history().starts(new TaskKey(id, 0, 0, index)), "task " + index);
+    }
+  }
+
+  private void assertNothingInTwoPlaces() {
+    assertEquals(List.of(), world.history().broken());
+  }
+
+  @Test
+  void stepsRunInOrderAndAnyEntryTellsTheStatus() throws IOException {
+    start(2, 3, 40);
+    for (long id = 1; id <= 8; id++) {
+      submit((int) id % 2, id, 3, 2);
+    }
+    awaitDone(LongStream.rangeClosed(1, 8).toArray());
+    world.await("the other entry says so", () -> world.status(1, 1) == QueryResult.DONE);
+    assertEquals(8 * 5, world.history().totalStarts());
+    assertNothingInTwoPlaces();
+  }
+
+  /**
+   * An entry is killed while tasks that it ordered are at work. Callers ask another entry, which
+   * has to find them, not run them again, and bring the workflows to their end.
+   */
+  @Test
+  void anotherEntryGoesOnWhenTheOwnerIsKilled() throws IOException {
+    start(2, 2, 1_500);
+    submit(0, 11, 2);
+    submit(0, 12, 2);
+    submit(0, 13, 2);
+    world.await("all are at work", () -> world.history().totalStarts() == 6);
+    RunningEntry killed = world.entry(1);
+    world.kill(killed);
+    world.store().drop(killed.memberPrefix());
+    awaitDone(11, 12, 13);
+    assertEachRanOnce(11, 2);
+    assertEachRanOnce(12, 2);
+    assertEachRanOnce(13, 2);
+    assertNothingInTwoPlaces();
+  }
+
+  /**
+   * The store deals all partitions anew at once and tells nobody. Both entries take themselves for
+   * the owner for a while; only the one with the higher epoch may decide.
+   */
+  @Test
+  void aFormerOwnerIsShutOutWhenPartitionsAreDealtAnew() throws IOException {
+    start(2, 2, 300);
+    for (long id = 21; id <= 26; id++) {
+      submit(0, id, 2, 2);
+    }
+    world.store().dealAnew();
+    awaitDone(LongStream.rangeClosed(21, 26).toArray());
+    assertEquals(6 * 4, world.history().totalStarts());
+    assertNothingInTwoPlaces();
+  }
+
+  /**
+   * The store writes and its answers are lost. The same append goes out again, and what was decided
+   * once must be done once.
+   */
+  @Test
+  void lostAnswersOfTheStoreRepeatNothing() throws IOException {
+    start(1, 2, 50);
+    world.store().failAppends(FakeWorkflowStore.AppendFault.ANSWER_LOST, 6);
+    submit(0, 31, 4, 1);
+    awaitDone(31);
+    assertEachRanOnce(31, 4);
+    world.store().failAppends(FakeWorkflowStore.AppendFault.REFUSED, 6);
+    submit(0, 32, 4);
+    awaitDone(32);
+    assertEachRanOnce(32, 4);
+    assertNothingInTwoPlaces();
+  }
+
+  /** A worker crashes and is back as another one: what it ran runs again under higher attempts. */
+  @Test
+  void whatACrashedWorkerRanRunsAgain() throws IOException {
+    start(1, 1, 800);
+    submit(0, 41, 2);
+    world.await("both are at work", () -> world.history().totalStarts() == 2);
+    world.side("vm-0").worker().crash("life-2");
+    awaitDone(41);
+    assertEquals(4, world.history().totalStarts());
+    assertNothingInTwoPlaces();
+  }
+
+  /**
+   * A worker leaves an order unanswered and carries it out seconds later. The task must not be
+   * ordered elsewhere before the worker has promised not to start it any more.
+   */
+  @Test
+  void anOrderCarriedOutLateIsNeverInTwoPlaces() throws IOException {
+    start(1, 2, 700);
+    world.side("vm-0").worker().answerLate(20, 600);
+    world.side("vm-1").worker().answerLate(3, 2_000);
+    submit(0, 51, 6);
+    awaitDone(51);
+    assertNothingInTwoPlaces();
+  }
+
+  /** A side process is killed and another one finds on the worker what it does not know. */
+  @Test
+  void aRestartedSideProcessAdoptsWhatRuns() throws IOException {
+    start(1, 1, 1_200);
+    submit(0, 61, 3);
+    world.await("all are at work", () -> world.history().totalStarts() == 3);
+    world.restartSide("vm-0");
+    awaitDone(61);
+    assertEachRanOnce(61, 3);
+    assertNothingInTwoPlaces();
+  }
+
+  /** A caller cancels; the answer comes once that is durable, and nothing of it runs on. */
+  @Test
+  void aCancelledWorkflowStops() throws IOException {
+    start(2, 1, 30_000);
+    submit(0, 71, 2);
+    world.await("it runs", () -> world.history().totalStarts() == 2);
+    QueryResult told = world.entry(1).entry().query(71, "queue", true).join();
+    assertEquals(QueryResult.CANCELLED, told);
+    submit(0, 72, 8);
+    world.await("its room is free again", () -> world.history().totalStarts() == 10);
+    assertEquals(QueryResult.CANCELLED, world.status(0, 71));
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -0,0 +1,174 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.Queue;
+import io.marigoldsail.workflow.QueueTable;
+import io.marigoldsail.workflow.StepSpec;
+import io.marigoldsail.workflow.WorkflowSpec;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/** Entries and side processes over real links, with a store and workers in memory. */
+final class WorkflowWorld implements AutoCloseable {
+  static final int PARTITIONS = 6;
+  private static final long LONGEST_LEASE_MILLIS = 4_000;
+  private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(40);
+  private static final long BEAT_MILLIS = 150;
+  private static final LeaseTermsOfWorker LEASE =
+      LeaseTermsOfWorker.forLongestLease(LONGEST_LEASE_MILLIS);
+
+  /** An entry with what the test needs to take it down. */
+  record RunningEntry(WorkflowEntry entry, LinkLoop loop, String memberPrefix) {}
+
+  /** A side process with its worker. */
+  record RunningSide(String vm, WorkflowSide side, LinkLoop loop, FakeWorkerGateway worker) {}
+
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+  private final FakeWorkflowStore store = new FakeWorkflowStore(PARTITIONS, timer);
+  private final RunHistory history = new RunHistory();
+  private final List<RunningEntry> entries = new ArrayList<>();
+  private final Map<String, RunningSide> sides = new HashMap<>();
+  private long beats;
+
+  FakeWorkflowStore store() {
+    return store;
+  }
+
+  RunHistory history() {
+    return history;
+  }
+
+  RunningEntry entry(int index) {
+    return entries.get(index);
+  }
+
+  RunningSide side(String vm) {
+    return sides.get(vm);
+  }
+
+  RunningEntry addEntry() throws IOException {
+    int port;
+    try (ServerSocket socket = new ServerSocket(0)) {
+      port = socket.getLocalPort();
+    }
+    LinkLoop loop = new LinkLoop("entry-" + port, MonotonicClock.system());
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+    EntryTerms terms = new EntryTerms(LEASE, 60_000, 1_000);
+    WorkflowEntry entry = new WorkflowEntry(loop, store, address, System::currentTimeMillis, terms);
+    entry.start();
+    WorkflowSpec.Terms queueTerms = new WorkflowSpec.Terms("service", 0, 3, false);
+    entry.configure(
+        new QueueTable(1, ImmutableList.of(new Queue("queue", "", "/", queueTerms, 100, 1_000))));
+    RunningEntry running = new RunningEntry(entry, loop, "127.0.0.1:" + port);
+    entries.add(running);
+    return running;
+  }
+
+  /** Ends an entry as a kill does: without a word to anybody. */
+  void kill(RunningEntry entry) {
+    entry.loop().close();
+    entries.remove(entry);
+  }
+
+  void addSide(String vm, long runMillis) {
+    startSide(vm, new FakeWorkerGateway("life-1-" + vm, timer, history, runMillis));
+  }
+
+  private void startSide(String vm, FakeWorkerGateway worker) {
+    LinkLoop loop = new LinkLoop("side-" + vm, MonotonicClock.system());
+    WorkflowSide side = new WorkflowSide(loop, store, worker, vm, LEASE);
+    side.start();
+    sides.put(vm, new RunningSide(vm, side, loop, worker));
+    timer.scheduleAtFixedRate(() -> beat(vm), 1, BEAT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends a side process as a kill does and starts another one beside the same worker. */
+  void restartSide(String vm) {
+    RunningSide old = sides.get(vm);
+    old.loop().close();
+    startSide(vm, old.worker());
+  }
+
+  private synchronized void beat(String vm) {
+    RunningSide running = sides.get(vm);
+    beats++;
+    running
+        .side()
+        .heartbeat(
+            new WorkerHeartbeat(
+                running.worker().life(),
+                "service",
+                "zone",
+                ImmutableList.of("a", "rack"),
+                new Sizes(4_000, 1L << 33, 0),
+                false,
+                beats));
+  }
+
+  static WorkflowSpec workflow(long id, int... widths) {
+    ImmutableList.Builder<StepSpec> steps = ImmutableList.builder();
+    for (int i = 0; i < widths.length; i++) {
+      steps.add(
+          new StepSpec(
+              widths[i],
+              new Sizes(500, 1 << 20, 0),
+              100,
+              i == 0 ? ImmutableList.of() : ImmutableList.of(i - 1),
+              StepSpec.Placement.ANYWHERE,
+              StepSpec.Nature.PLAIN));
+    }
+    return new WorkflowSpec(
+        id,
+        "queue",
+        new WorkflowSpec.Terms("service", 0, 3, false),
+        "program",
+        steps.build(),
+        WorkflowSpec.Schedule.AT_ONCE,
+        System.currentTimeMillis());
+  }
+
+  QueryResult status(int entry, long id) {
+    return entries.get(entry).entry().query(id, "queue", false).join();
+  }
+
+  /** Waits for the condition; fails after far longer than it can take. */
+  void await(String what, BooleanSupplier condition) {
+    long until = System.nanoTime() + PATIENCE_NANOS;
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < until, "not seen: " + what);
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+    }
+  }
+
+  void awaitReady() {
+    await(
+        "all entries know their partitions",
+        () ->
+            entries.stream().allMatch(each -> each.entry().isReady())
+                && status(0, 1) == QueryResult.UNKNOWN_WORKFLOW);
+  }
+
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    entries.forEach(each -> each.loop().close());
+    sides.values().forEach(each -> each.loop().close());
+  }
+}
