--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/SnapshotSchedule.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/SnapshotSchedule.java
@@ -9,13 +9,21 @@
  * Decides when this process writes a snapshot, so that one of many does, well within retention.
  *
  * <p>A snapshot is due when many records have come since the last one, when that one is old, or
- * when it stands in the older half of what retention has left. Every process finds that out at
- * about the same moment; if each wrote at once, the log would take as many copies of the state as
- * there are processes. So each draws a moment within a span, and gives way to any that began
- * before; if that one dies halfway, the next one's moment comes. Knows neither thread nor clock;
- * confined to one thread.
+ * when it stands in the older half of what retention has left. How long retention is shows only
+ * once something has expired, which is too late for what was written first: so a young stream gets
+ * its first snapshot early, and another whenever it has grown by the factor {@link #GROWTH}. Every
+ * process finds that out at about the same moment; if each wrote at once, the log would take as
+ * many copies of the state as there are processes. So each draws a moment within a span, and gives
+ * way to any that began before; if that one dies halfway, the next one's moment comes. Knows
+ * neither thread nor clock; confined to one thread.
  */
 final class SnapshotSchedule {
+  /** Records after which a stream without a snapshot gets its first. */
+  static final long FIRST_RECORDS = 16;
+
+  /** A stream this many times as long as what its last snapshot covers gets another one. */
+  static final long GROWTH = 8;
+
   private final SnapshotSettings settings;
   private final RandomGenerator random;
   private long lastThrough = -1;
@@ -80,6 +88,16 @@
     boolean old = now - lastSeenAt >= TimeUnit.MILLISECONDS.toNanos(settings.everyMillis());
     long middle = status.firstOffset() + (status.applied() - status.firstOffset()) / 2;
     boolean expiring = status.firstOffset() > 0 && lastThrough < middle;
-    return many || old || expiring;
+    return many || old || expiring || isYoung(status.applied());
+  }
+
+  /**
+   * Guards against a state that nobody can read any more: all processes die after the records of a
+   * young stream expired and before its first snapshot.
+   */
+  private boolean isYoung(long applied) {
+    return lastThrough < 0
+        ? applied >= FIRST_RECORDS
+        : applied >= GROWTH * Math.max(lastThrough, 1);
   }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Queue.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Queue.java
@@ -12,16 +12,10 @@
  * @param host the host name by which callers address it; empty for any
  * @param prefix the start of the paths by which callers address it
  * @param terms for the workflows handed in
- * @param objectiveMillis how long the platform's operator wants a workflow to take beyond its work
  * @param timeoutMillis how long a call may take
  */
 public record Queue(
-    String name,
-    String host,
-    String prefix,
-    WorkflowSpec.Terms terms,
-    long objectiveMillis,
-    long timeoutMillis) {
+    String name, String host, String prefix, WorkflowSpec.Terms terms, long timeoutMillis) {
   /** Checks the components. */
   public Queue {
     checkArgument(!name.isEmpty(), "a queue has no name");
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -245,6 +245,27 @@
     endedMillis = wallMillis;
   }
 
+  /**
+   * Returns the declared run time of the longest chain of steps, in milliseconds.
+   *
+   * @param remaining whether to leave out steps that are done, of the first occurrence
+   */
+  public long chainMillis(boolean remaining) {
+    int steps = spec.steps().size();
+    long[] upTo = new long[steps];
+    long longest = 0;
+    for (int step = 0; step < steps; step++) {
+      long before = 0;
+      for (int earlier : spec.steps().get(step).dependsOn()) {
+        before = Math.max(before, upTo[earlier]);
+      }
+      boolean over = remaining && stepDone(0, step);
+      upTo[step] = before + (over ? 0 : spec.steps().get(step).estimateMillis());
+      longest = Math.max(longest, upTo[step]);
+    }
+    return longest;
+  }
+
   /** Returns the tasks whose last attempt may still run. */
   public List<WorkflowTask> openTasks() {
     return tasks.stream().filter(WorkflowTask::isOpen).toList();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
@@ -34,11 +34,21 @@
    * @param priority 0 comes first
    * @param maxFailures failed runs of one task after which the workflow fails
    * @param advised whether a placement adviser must be asked
+   * @param slackFactor how many times its longest chain of work a workflow may take and be in time
+   * @param objectiveMillis what it may take in addition, in milliseconds
    */
-  public record Terms(String service, int priority, int maxFailures, boolean advised) {
+  public record Terms(
+      String service,
+      int priority,
+      int maxFailures,
+      boolean advised,
+      double slackFactor,
+      long objectiveMillis) {
     /** Checks the components. */
     public Terms {
       requireNonNull(service, "service");
+      checkArgument(slackFactor >= 1, "slackFactor is under 1: %s", slackFactor);
+      checkArgument(objectiveMillis >= 0, "objectiveMillis is negative: %s", objectiveMillis);
       checkArgument(maxFailures >= 1, "maxFailures is not positive: %s", maxFailures);
     }
   }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/log/SnapshotScheduleTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/log/SnapshotScheduleTest.java
@@ -74,6 +74,24 @@
     assertEquals(true, due(schedule, at(50, 5), 30_000));
   }
 
+  /**
+   * A job is accepted on a young stream. Its records expire, and both entries die before the first
+   * snapshot was due: nobody knows of the job any more. What retention keeps cannot be known before
+   * something expired, so the first snapshot must not wait for that.
+   */
+  @Test
+  void coversAYoungStreamBeforeAnythingExpired() {
+    SnapshotSchedule schedule = schedule(1);
+    assertEquals(false, due(schedule, at(15, 0), 0));
+    assertEquals(true, due(schedule, at(16, 0), 10_000));
+    schedule.saw(16, 15_000 * MILLI);
+    assertEquals(false, due(schedule, at(99, 0), 20_000));
+    SnapshotSchedule early = schedule(2);
+    early.saw(4, 0);
+    assertEquals(false, due(early, at(31, 0), 1));
+    assertEquals(true, due(early, at(32, 0), 10_000));
+  }
+
   @Test
   void writesForAQuietStreamToo() {
     SnapshotSchedule schedule = schedule(1);
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/QueueTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/QueueTableTest.java
@@ -4,14 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class QueueTableTest {
-  private static final WorkflowSpec.Terms TERMS = new WorkflowSpec.Terms("service", 0, 1, false);
+  private static final WorkflowSpec.Terms TERMS =
+      new WorkflowSpec.Terms("service", 0, 1, false, 2, 250);
 
   private static Queue queue(String name, String host, String prefix) {
-    return new Queue(name, host, prefix, TERMS, 250, 3_000);
+    return new Queue(name, host, prefix, TERMS, 3_000);
   }
 
   @Test
@@ -28,19 +28,4 @@
     assertTrue(table.find("c.example", "/x/1").isEmpty());
     assertTrue(table.find("a.example", "/1").isEmpty());
   }
-
-  @Test
-  void whoHasPriorityGoesFirstThenWhoWasAcceptedFirst() {
-    StepSpec step = Workflows.step(1, 1, StepSpec.Nature.PLAIN);
-    WorkflowSpec.Schedule once = WorkflowSpec.Schedule.AT_ONCE;
-    List<Workflow> sorted =
-        java.util.stream.Stream.of(
-                Workflow.of(Workflows.spec(1, 2, 10, once, step)),
-                Workflow.of(Workflows.spec(2, 0, 30, once, step)),
-                Workflow.of(Workflows.spec(3, 0, 20, once, step)))
-            .sorted(WaitingOrder.INSTANCE)
-            .toList();
-    assertEquals(
-        List.of(3L, 2L, 1L), sorted.stream().map(workflow -> workflow.spec().id()).toList());
-  }
 }
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WaitingOrderTest.java
@@ -0,0 +1,86 @@
+package io.marigoldsail.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class WaitingOrderTest {
+  private static final long WORK_MILLIS = 1_000;
+
+  private static Workflow workflow(long id, int priority, long accepted) {
+    return Workflow.of(
+        Workflows.spec(
+            id,
+            priority,
+            accepted,
+            WorkflowSpec.Schedule.AT_ONCE,
+            Workflows.step(1, 1, StepSpec.Nature.PLAIN)));
+  }
+
+  private static List<Long> sorted(long wall, Workflow... workflows) {
+    return java.util.Arrays.stream(workflows)
+        .sorted(Comparator.comparing(workflow -> WaitingOrder.rank(workflow, wall)))
+        .map(workflow -> workflow.spec().id())
+        .toList();
+  }
+
+  @Test
+  void whoHasPriorityGoesFirstThenWhoWasAcceptedFirst() {
+    assertEquals(
+        List.of(3L, 2L, 1L),
+        sorted(30, workflow(1, 2, 10), workflow(2, 0, 30), workflow(3, 0, 20)));
+  }
+
+  /** 2 x 1 s of work and 1 s are allowed: after 2 s it will be late, after 8 s it is useless. */
+  @Test
+  void whatCanStillBeInTimeGoesBeforeWhatCannot() {
+    Workflow useless = workflow(1, 0, 0);
+    Workflow late = workflow(2, 0, 5_000);
+    Workflow inTime = workflow(3, 0, 9_000);
+    assertEquals(List.of(3L, 2L, 1L), sorted(10_000, useless, late, inTime));
+    assertEquals(WaitingOrder.Use.LATE, WaitingOrder.rank(useless, 8_000).use());
+    assertEquals(WaitingOrder.Use.NONE, WaitingOrder.rank(useless, 8_001).use());
+  }
+
+  /**
+   * For ten seconds 2.6 times as much work comes as there is room for, then as much as fits. What
+   * callers receive in time must be most of what there was room for; served in the order of arrival
+   * everything after the first seconds is late.
+   */
+  @Test
+  void aBurstMakesSomeWorkLateAndNotAll() {
+    int inOrderOfUse = servedInTime(true);
+    int inOrderOfArrival = servedInTime(false);
+    assertEquals(
+        true, inOrderOfUse >= 3 * inOrderOfArrival, inOrderOfUse + " / " + inOrderOfArrival);
+    assertEquals(true, inOrderOfUse >= 250, "in time: " + inOrderOfUse);
+  }
+
+  /** Ten slots, each a second a workflow, for 40 s. */
+  private static int servedInTime(boolean byUse) {
+    List<Workflow> waiting = new ArrayList<>();
+    int inTime = 0;
+    long id = 0;
+    for (int second = 0; second < 40; second++) {
+      long wall = second * WORK_MILLIS;
+      for (int i = 0; i < (second < 10 ? 26 : 10); i++) {
+        waiting.add(workflow(++id, 0, wall));
+      }
+      waiting.sort(
+          byUse
+              ? Comparator.comparing(workflow -> WaitingOrder.rank(workflow, wall))
+              : Comparator.comparingLong(workflow -> workflow.spec().acceptedMillis()));
+      List<Workflow> served = waiting.subList(0, Math.min(10, waiting.size()));
+      inTime +=
+          (int)
+              served.stream()
+                  .filter(each -> wall + WORK_MILLIS - each.spec().acceptedMillis() <= 3_000)
+                  .count();
+      served.clear();
+    }
+    return inTime;
+  }
+}
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/Workflows.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/Workflows.java
@@ -39,7 +39,7 @@
     return new WorkflowSpec(
         id,
         "queue",
-        new WorkflowSpec.Terms("service", priority, 2, false),
+        new WorkflowSpec.Terms("service", priority, 2, false, 2, 1_000),
         "program",
         ImmutableList.copyOf(steps),
         schedule,
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -16,6 +16,7 @@
 import io.marigoldsail.workflow.WorkflowTask;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -145,17 +146,16 @@
   private List<Waiting> waiting(QueueTable queues) {
     long now = loop.now();
     long wall = wallMillis.getAsLong();
-    record Candidate(OwnedPartition partition, Workflow workflow) {}
+    record Candidate(OwnedPartition partition, Workflow workflow, WaitingOrder.Ranked rank) {}
     List<Candidate> candidates = new ArrayList<>();
     for (OwnedPartition partition : ownership.active()) {
       for (Workflow workflow : partition.workflows()) {
         if (!workflow.status().isTerminal() && queues.uses(workflow.spec().terms().service())) {
-          candidates.add(new Candidate(partition, workflow));
+          candidates.add(new Candidate(partition, workflow, WaitingOrder.rank(workflow, wall)));
         }
       }
     }
-    candidates.sort(
-        (first, second) -> WaitingOrder.INSTANCE.compare(first.workflow(), second.workflow()));
+    candidates.sort(Comparator.comparing(Candidate::rank));
     List<Waiting> waiting = new ArrayList<>();
     for (Candidate candidate : candidates) {
       candidate
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowRecords.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowRecords.java
@@ -42,6 +42,8 @@
             .setPriority(spec.terms().priority())
             .setMaxFailures(spec.terms().maxFailures())
             .setAdvised(spec.terms().advised())
+            .setSlackFactor(spec.terms().slackFactor())
+            .setObjectiveMillis(spec.terms().objectiveMillis())
             .setProgram(spec.program())
             .setOccurrences(spec.schedule().occurrences())
             .setFirstDueMillis(spec.schedule().firstDueMillis())
@@ -91,7 +93,9 @@
               submission.getService(),
               submission.getPriority(),
               submission.getMaxFailures(),
-              submission.getAdvised());
+              submission.getAdvised(),
+              submission.getSlackFactor(),
+              submission.getObjectiveMillis());
       WorkflowSpec.Schedule schedule =
           new WorkflowSpec.Schedule(
               submission.getOccurrences(),
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -73,9 +73,9 @@
     EntryTerms terms = new EntryTerms(LEASE, 60_000, 1_000);
     WorkflowEntry entry = new WorkflowEntry(loop, store, address, System::currentTimeMillis, terms);
     entry.start();
-    WorkflowSpec.Terms queueTerms = new WorkflowSpec.Terms("service", 0, 3, false);
+    WorkflowSpec.Terms queueTerms = new WorkflowSpec.Terms("service", 0, 3, false, 2, 100);
     entry.configure(
-        new QueueTable(1, ImmutableList.of(new Queue("queue", "", "/", queueTerms, 100, 1_000))));
+        new QueueTable(1, ImmutableList.of(new Queue("queue", "", "/", queueTerms, 1_000))));
     RunningEntry running = new RunningEntry(entry, loop, "127.0.0.1:" + port);
     entries.add(running);
     return running;
@@ -137,7 +137,7 @@
     return new WorkflowSpec(
         id,
         "queue",
-        new WorkflowSpec.Terms("service", 0, 3, false),
+        new WorkflowSpec.Terms("service", 0, 3, false, 2, 100),
         "program",
         steps.build(),
         WorkflowSpec.Schedule.AT_ONCE,
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -131,82 +131,83 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\033marigoldsail/workflow.proto\022\014marigolds" +
-      "ail\"\226\002\n\022WorkflowSubmission\022\n\n\002id\030\001 \001(\006\022\r" +
+      "ail\"\306\002\n\022WorkflowSubmission\022\n\n\002id\030\001 \001(\006\022\r" +
       "\n\005queue\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\020\n\010priori" +
       "ty\030\004 \001(\r\022\024\n\014max_failures\030\005 \001(\r\022\017\n\007progra" +
       "m\030\006 \001(\t\022)\n\005steps\030\007 \003(\0132\032.marigoldsail.Wo" +
       "rkflowStep\022\023\n\013occurrences\030\010 \001(\r\022\030\n\020first" +
       "_due_millis\030\t \001(\003\022\027\n\017interval_millis\030\n \001" +
       "(\003\022\027\n\017accepted_millis\030\013 \001(\003\022\017\n\007advised\030\014" +
-      " \001(\010\"\221\003\n\014WorkflowStep\022\r\n\005tasks\030\001 \001(\r\022\030\n\020" +
-      "milli_processors\030\002 \001(\r\022\030\n\020memory_mebibyt" +
-      "es\030\003 \001(\r\022\024\n\014accelerators\030\004 \001(\r\022\027\n\017estima" +
-      "te_millis\030\005 \001(\r\022\022\n\ndepends_on\030\006 \003(\r\022\014\n\004g" +
-      "ang\030\007 \001(\010\022\021\n\tsame_rack\030\010 \001(\010\022\026\n\016required" +
-      "_label\030\t \001(\t\022\026\n\016preferred_rack\030\n \001(\t\022\022\n\n" +
-      "max_per_vm\030\013 \001(\r\022\026\n\016checkpointable\030\014 \001(\010" +
-      "\022\023\n\013speculative\030\r \001(\010\022\017\n\007lasting\030\016 \001(\010\022\r" +
-      "\n\005image\030\017 \001(\t\022\035\n\025latency_target_millis\030\020" +
-      " \001(\r\022\r\n\005fills\030\021 \001(\010\022\033\n\023allowed_unavailab" +
-      "le\030\022 \001(\r\"\237\001\n\020WorkflowProgress\022\021\n\tcancell" +
-      "ed\030\001 \001(\010\022\016\n\006status\030\002 \001(\r\022\'\n\006places\030\003 \003(\013" +
-      "2\027.marigoldsail.PlaceName\022)\n\005tasks\030\004 \003(\013" +
-      "2\032.marigoldsail.TaskProgress\022\024\n\014ended_mi" +
-      "llis\030\005 \001(\003\"\'\n\tPlaceName\022\n\n\002vm\030\001 \001(\t\022\016\n\006w" +
-      "orker\030\002 \001(\t\"h\n\014TaskProgress\022\r\n\005phase\030\001 \001" +
-      "(\r\022\024\n\014last_attempt\030\002 \001(\r\022\020\n\010failures\030\003 \001" +
-      "(\r\022\r\n\005place\030\004 \001(\r\022\022\n\ncheckpoint\030\005 \001(\t\"d\n" +
-      "\016WorkflowTaskId\022\020\n\010workflow\030\001 \001(\006\022\022\n\nocc" +
-      "urrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005index\030\004 \001" +
-      "(\r\022\017\n\007attempt\030\005 \001(\r\"\235\004\n\010VmReport\022\024\n\014work" +
-      "er_clock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n\006worker\030\003 \001" +
-      "(\t\022\017\n\007service\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\022\016\n\006lab" +
-      "els\030\006 \003(\t\022\020\n\010draining\030\007 \001(\010\022\030\n\020milli_pro" +
-      "cessors\030\010 \001(\r\022\030\n\020memory_mebibytes\030\t \001(\r\022" +
-      "\024\n\014accelerators\030\n \001(\r\022\035\n\025free_milli_proc" +
-      "essors\030\013 \001(\r\022\035\n\025free_memory_mebibytes\030\014 " +
-      "\001(\r\022\031\n\021free_accelerators\030\r \001(\r\022\035\n\025fill_m" +
-      "illi_processors\030\016 \001(\r\022\024\n\014fill_percent\030\017 " +
-      "\001(\r\022\023\n\013orders_seen\030\020 \001(\004\022%\n\004runs\030\021 \003(\0132\027" +
-      ".marigoldsail.RunReport\022%\n\004ends\030\022 \003(\0132\027." +
-      "marigoldsail.EndReport\022\023\n\013wants_lease\030\023 " +
-      "\001(\010\022\023\n\013gone_worker\030\024 \001(\t\022\021\n\tunhealthy\030\025 " +
-      "\001(\010\022\017\n\007serving\030\026 \001(\r\022\025\n\rowners_digest\030\027 " +
-      "\001(\007\"\225\001\n\tRunReport\022*\n\004task\030\001 \001(\0132\034.marigo" +
-      "ldsail.WorkflowTaskId\022\017\n\007started\030\002 \001(\010\022\022" +
-      "\n\ncheckpoint\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022\020\n\010s" +
-      "topping\030\005 \001(\010\022\024\n\014size_unknown\030\006 \001(\010\"~\n\tE" +
-      "ndReport\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Wo" +
-      "rkflowTaskId\022\017\n\007outcome\030\002 \001(\r\022\022\n\ncheckpo" +
-      "int\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006reason\030\005 " +
-      "\001(\t\"U\n\nLeaseGrant\022\024\n\014worker_clock\030\001 \001(\022\022" +
-      "1\n\010evidence\030\002 \003(\0132\037.marigoldsail.Partiti" +
-      "onEvidence\"R\n\021PartitionEvidence\022\021\n\tparti" +
-      "tion\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after_repor" +
-      "t_millis\030\003 \001(\021\"\333\001\n\tRunOrders\022\016\n\006number\030\001" +
-      " \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsail.Lease" +
-      "Grant\022&\n\006starts\030\003 \003(\0132\026.marigoldsail.Sta" +
-      "rtRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsail.Work" +
-      "flowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.marigol" +
-      "dsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t\"\370\001\n" +
-      "\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail.W" +
-      "orkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_" +
-      "processors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 \001" +
-      "(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030\006" +
-      " \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_mi" +
-      "llis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_progra" +
-      "m\030\n \001(\010\"\\\n\010OwnerMap\022\022\n\ngeneration\030\001 \001(\004\022" +
-      ",\n\006owners\030\002 \003(\0132\034.marigoldsail.Partition" +
-      "Owner\022\016\n\006digest\030\003 \001(\007\"3\n\016PartitionOwner\022" +
-      "\021\n\tpartition\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWo" +
-      "rkflowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(" +
-      "\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023Work" +
-      "flowQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 " +
-      "\001(\r\"I\n\rWaitingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006" +
-      "queues\030\002 \003(\0132\030.marigoldsail.QueueCount\"," +
-      "\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002" +
-      " \001(\rB\034\n\030io.marigoldsail.protocolP\001b\006prot" +
-      "o3"
+      " \001(\010\022\024\n\014slack_factor\030\r \001(\001\022\030\n\020objective_" +
+      "millis\030\016 \001(\003\"\221\003\n\014WorkflowStep\022\r\n\005tasks\030\001" +
+      " \001(\r\022\030\n\020milli_processors\030\002 \001(\r\022\030\n\020memory" +
+      "_mebibytes\030\003 \001(\r\022\024\n\014accelerators\030\004 \001(\r\022\027" +
+      "\n\017estimate_millis\030\005 \001(\r\022\022\n\ndepends_on\030\006 " +
+      "\003(\r\022\014\n\004gang\030\007 \001(\010\022\021\n\tsame_rack\030\010 \001(\010\022\026\n\016" +
+      "required_label\030\t \001(\t\022\026\n\016preferred_rack\030\n" +
+      " \001(\t\022\022\n\nmax_per_vm\030\013 \001(\r\022\026\n\016checkpointab" +
+      "le\030\014 \001(\010\022\023\n\013speculative\030\r \001(\010\022\017\n\007lasting" +
+      "\030\016 \001(\010\022\r\n\005image\030\017 \001(\t\022\035\n\025latency_target_" +
+      "millis\030\020 \001(\r\022\r\n\005fills\030\021 \001(\010\022\033\n\023allowed_u" +
+      "navailable\030\022 \001(\r\"\237\001\n\020WorkflowProgress\022\021\n" +
+      "\tcancelled\030\001 \001(\010\022\016\n\006status\030\002 \001(\r\022\'\n\006plac" +
+      "es\030\003 \003(\0132\027.marigoldsail.PlaceName\022)\n\005tas" +
+      "ks\030\004 \003(\0132\032.marigoldsail.TaskProgress\022\024\n\014" +
+      "ended_millis\030\005 \001(\003\"\'\n\tPlaceName\022\n\n\002vm\030\001 " +
+      "\001(\t\022\016\n\006worker\030\002 \001(\t\"h\n\014TaskProgress\022\r\n\005p" +
+      "hase\030\001 \001(\r\022\024\n\014last_attempt\030\002 \001(\r\022\020\n\010fail" +
+      "ures\030\003 \001(\r\022\r\n\005place\030\004 \001(\r\022\022\n\ncheckpoint\030" +
+      "\005 \001(\t\"d\n\016WorkflowTaskId\022\020\n\010workflow\030\001 \001(" +
+      "\006\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005i" +
+      "ndex\030\004 \001(\r\022\017\n\007attempt\030\005 \001(\r\"\235\004\n\010VmReport" +
+      "\022\024\n\014worker_clock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n\006wo" +
+      "rker\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\014\n\004zone\030\005 \001(" +
+      "\t\022\016\n\006labels\030\006 \003(\t\022\020\n\010draining\030\007 \001(\010\022\030\n\020m" +
+      "illi_processors\030\010 \001(\r\022\030\n\020memory_mebibyte" +
+      "s\030\t \001(\r\022\024\n\014accelerators\030\n \001(\r\022\035\n\025free_mi" +
+      "lli_processors\030\013 \001(\r\022\035\n\025free_memory_mebi" +
+      "bytes\030\014 \001(\r\022\031\n\021free_accelerators\030\r \001(\r\022\035" +
+      "\n\025fill_milli_processors\030\016 \001(\r\022\024\n\014fill_pe" +
+      "rcent\030\017 \001(\r\022\023\n\013orders_seen\030\020 \001(\004\022%\n\004runs" +
+      "\030\021 \003(\0132\027.marigoldsail.RunReport\022%\n\004ends\030" +
+      "\022 \003(\0132\027.marigoldsail.EndReport\022\023\n\013wants_" +
+      "lease\030\023 \001(\010\022\023\n\013gone_worker\030\024 \001(\t\022\021\n\tunhe" +
+      "althy\030\025 \001(\010\022\017\n\007serving\030\026 \001(\r\022\025\n\rowners_d" +
+      "igest\030\027 \001(\007\"\225\001\n\tRunReport\022*\n\004task\030\001 \001(\0132" +
+      "\034.marigoldsail.WorkflowTaskId\022\017\n\007started" +
+      "\030\002 \001(\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n\007percent\030\004 " +
+      "\001(\r\022\020\n\010stopping\030\005 \001(\010\022\024\n\014size_unknown\030\006 " +
+      "\001(\010\"~\n\tEndReport\022*\n\004task\030\001 \001(\0132\034.marigol" +
+      "dsail.WorkflowTaskId\022\017\n\007outcome\030\002 \001(\r\022\022\n" +
+      "\ncheckpoint\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006r" +
+      "eason\030\005 \001(\t\"U\n\nLeaseGrant\022\024\n\014worker_cloc" +
+      "k\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037.marigoldsail" +
+      ".PartitionEvidence\"R\n\021PartitionEvidence\022" +
+      "\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023aft" +
+      "er_report_millis\030\003 \001(\021\"\333\001\n\tRunOrders\022\016\n\006" +
+      "number\030\001 \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsa" +
+      "il.LeaseGrant\022&\n\006starts\030\003 \003(\0132\026.marigold" +
+      "sail.StartRun\022+\n\005stops\030\004 \003(\0132\034.marigolds" +
+      "ail.WorkflowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034" +
+      ".marigoldsail.WorkflowTaskId\022\016\n\006worker\030\006" +
+      " \001(\t\"\370\001\n\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigo" +
+      "ldsail.WorkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030" +
+      "\n\020milli_processors\030\003 \001(\r\022\030\n\020memory_mebib" +
+      "ytes\030\004 \001(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\nchec" +
+      "kpoint\030\006 \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_t" +
+      "arget_millis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014sam" +
+      "e_program\030\n \001(\010\"\\\n\010OwnerMap\022\022\n\ngeneratio" +
+      "n\030\001 \001(\004\022,\n\006owners\030\002 \003(\0132\034.marigoldsail.P" +
+      "artitionOwner\022\016\n\006digest\030\003 \001(\007\"3\n\016Partiti" +
+      "onOwner\022\021\n\tpartition\030\001 \001(\r\022\016\n\006member\030\002 \001" +
+      "(\t\"L\n\rWorkflowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010workf" +
+      "low\030\002 \001(\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010" +
+      "\"1\n\023WorkflowQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006r" +
+      "esult\030\002 \001(\r\"I\n\rWaitingCounts\022\016\n\006member\030\001" +
+      " \001(\t\022(\n\006queues\030\002 \003(\0132\030.marigoldsail.Queu" +
+      "eCount\",\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007w" +
+      "aiting\030\002 \001(\rB\034\n\030io.marigoldsail.protocol" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -217,7 +218,7 @@
     internal_static_marigoldsail_WorkflowSubmission_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowSubmission_descriptor,
-        new java.lang.String[] { "Id", "Queue", "Service", "Priority", "MaxFailures", "Program", "Steps", "Occurrences", "FirstDueMillis", "IntervalMillis", "AcceptedMillis", "Advised", });
+        new java.lang.String[] { "Id", "Queue", "Service", "Priority", "MaxFailures", "Program", "Steps", "Occurrences", "FirstDueMillis", "IntervalMillis", "AcceptedMillis", "Advised", "SlackFactor", "ObjectiveMillis", });
     internal_static_marigoldsail_WorkflowStep_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_marigoldsail_WorkflowStep_fieldAccessorTable = new
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmission.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmission.java
@@ -319,6 +319,28 @@
     return advised_;
   }
 
+  public static final int SLACK_FACTOR_FIELD_NUMBER = 13;
+  private double slackFactor_ = 0D;
+  /**
+   * <code>double slack_factor = 13;</code>
+   * @return The slackFactor.
+   */
+  @java.lang.Override
+  public double getSlackFactor() {
+    return slackFactor_;
+  }
+
+  public static final int OBJECTIVE_MILLIS_FIELD_NUMBER = 14;
+  private long objectiveMillis_ = 0L;
+  /**
+   * <code>int64 objective_millis = 14;</code>
+   * @return The objectiveMillis.
+   */
+  @java.lang.Override
+  public long getObjectiveMillis() {
+    return objectiveMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -369,6 +391,12 @@
     if (advised_ != false) {
       output.writeBool(12, advised_);
     }
+    if (java.lang.Double.doubleToRawLongBits(slackFactor_) != 0) {
+      output.writeDouble(13, slackFactor_);
+    }
+    if (objectiveMillis_ != 0L) {
+      output.writeInt64(14, objectiveMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -423,6 +451,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(12, advised_);
     }
+    if (java.lang.Double.doubleToRawLongBits(slackFactor_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(13, slackFactor_);
+    }
+    if (objectiveMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(14, objectiveMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -471,6 +507,11 @@
         != other.getAcceptedMillis()) return false;
     if (getAdvised()
         != other.getAdvised()) return false;
+    if (java.lang.Double.doubleToLongBits(getSlackFactor())
+        != java.lang.Double.doubleToLongBits(
+            other.getSlackFactor())) return false;
+    if (getObjectiveMillis()
+        != other.getObjectiveMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -513,6 +554,12 @@
     hash = (37 * hash) + ADVISED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getAdvised());
+    hash = (37 * hash) + SLACK_FACTOR_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getSlackFactor()));
+    hash = (37 * hash) + OBJECTIVE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getObjectiveMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -667,6 +714,8 @@
       intervalMillis_ = 0L;
       acceptedMillis_ = 0L;
       advised_ = false;
+      slackFactor_ = 0D;
+      objectiveMillis_ = 0L;
       return this;
     }
 
@@ -746,6 +795,12 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.advised_ = advised_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.slackFactor_ = slackFactor_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.objectiveMillis_ = objectiveMillis_;
+      }
     }
 
     @java.lang.Override
@@ -825,6 +880,12 @@
       if (other.getAdvised() != false) {
         setAdvised(other.getAdvised());
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getSlackFactor()) != 0) {
+        setSlackFactor(other.getSlackFactor());
+      }
+      if (other.getObjectiveMillis() != 0L) {
+        setObjectiveMillis(other.getObjectiveMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -917,6 +978,16 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 105: {
+              slackFactor_ = input.readDouble();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 105
+            case 112: {
+              objectiveMillis_ = input.readInt64();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1688,6 +1759,70 @@
       return this;
     }
 
+    private double slackFactor_ ;
+    /**
+     * <code>double slack_factor = 13;</code>
+     * @return The slackFactor.
+     */
+    @java.lang.Override
+    public double getSlackFactor() {
+      return slackFactor_;
+    }
+    /**
+     * <code>double slack_factor = 13;</code>
+     * @param value The slackFactor to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSlackFactor(double value) {
+
+      slackFactor_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>double slack_factor = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSlackFactor() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      slackFactor_ = 0D;
+      onChanged();
+      return this;
+    }
+
+    private long objectiveMillis_ ;
+    /**
+     * <code>int64 objective_millis = 14;</code>
+     * @return The objectiveMillis.
+     */
+    @java.lang.Override
+    public long getObjectiveMillis() {
+      return objectiveMillis_;
+    }
+    /**
+     * <code>int64 objective_millis = 14;</code>
+     * @param value The objectiveMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setObjectiveMillis(long value) {
+
+      objectiveMillis_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 objective_millis = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearObjectiveMillis() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      objectiveMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.WorkflowSubmission)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmissionOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmissionOrBuilder.java
@@ -133,4 +133,16 @@
    * @return The advised.
    */
   boolean getAdvised();
+
+  /**
+   * <code>double slack_factor = 13;</code>
+   * @return The slackFactor.
+   */
+  double getSlackFactor();
+
+  /**
+   * <code>int64 objective_millis = 14;</code>
+   * @return The objectiveMillis.
+   */
+  long getObjectiveMillis();
 }
