Keep what an entry learns of the fleet apart; send images' harm with leases

The sum over all VMs did not reach side processes (a replacement in the code had not matched); it does now.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -19,10 +19,7 @@
 import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
-import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.VmOffer;
-import io.marigoldsail.workflow.VmSpeed;
-import io.marigoldsail.workflow.VmTrust;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowTask;
 import java.util.ArrayList;
@@ -54,9 +51,6 @@
   /** Between two orders to stop the same run, in nanoseconds. */
   private static final long STOP_REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
-  /** Between two looks at the pace of a run, in nanoseconds: reports come about as often. */
-  private static final long PACE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
   /** Told what reports change; runs on the loop. */
   interface Listener {
     /** A run ended and its task may wait again. */
@@ -75,10 +69,7 @@
   private final Map<String, VmSession> newest = new LinkedHashMap<>();
   private final Map<String, Map<RunKey, OpenRun>> openRuns = new HashMap<>();
   private final Map<String, Long> lastGrant = new HashMap<>();
-  private final VmTrust trust = new VmTrust();
-  private final VmSpeed speed = new VmSpeed();
-  private final FleetImages images = new FleetImages();
-  private final ImageHarm harm = new ImageHarm();
+  private final FleetKnowledge knowledge = new FleetKnowledge();
   private boolean flushScheduled;
 
   EntryVms(
@@ -178,8 +169,7 @@
               .with("peer", connection));
     } else {
       if (!session.report().getWorker().equals(report.getWorker())) {
-        trust.renewed(report.getVm());
-        speed.renewed(report.getVm());
+        knowledge.renewed(report.getVm());
       }
       session.take(report, loop.now());
     }
@@ -188,8 +178,7 @@
     }
     reconcile(session, report);
     if (report.getWantsLease()) {
-      images.reported(report.getVm(), ImageRecords.decode(report.getImagesList()));
-      harm.others(images.allBut(""));
+      knowledge.imagesSeen(report.getVm(), ImageRecords.decode(report.getImagesList()));
       grant(session);
     }
     listener.roomChanged();
@@ -236,7 +225,7 @@
     if (run.getStarted()) {
       boolean first = !open.task().workflow().hasBegun();
       open.task().observe(run.getCheckpoint(), run.getPercent());
-      samplePace(open, report.getVm(), run.getPercent());
+      knowledge.progressed(open, report.getVm(), run.getPercent(), loop.now());
       if (first) {
         open.partition().changed(open.task().workflow());
       }
@@ -251,19 +240,6 @@
     }
   }
 
-  /**
-   * Only of tasks whose pace depends on the VM alone: what fills is slowed by what is beside it.
-   */
-  private void samplePace(OpenRun run, String vm, int percent) {
-    long now = loop.now();
-    StepSpec step = run.task().step();
-    boolean due = run.started(now, PACE_NANOS);
-    if (due && !step.nature().fills() && !step.nature().lasting()) {
-      double worked = step.estimateMillis() * Math.max(percent, 1) / 100.0;
-      speed.sample(vm, worked, TimeUnit.NANOSECONDS.toMillis(run.ranNanos(now)), now);
-    }
-  }
-
   private void stopUnknown(VmSession session, RunKey key, boolean stopping) {
     Optional<OwnedPartition> partition = ownership.active(partitionOf(key));
     if (partition.isEmpty() || !partition.get().isFresh() || stopping) {
@@ -305,9 +281,7 @@
     Place place = task.place().orElseThrow();
     Workflow workflow = task.workflow();
     Optional.ofNullable(openRuns.get(place.vm())).ifPresent(runs -> runs.remove(key));
-    if (outcome.completes() || outcome.countsAsFailure()) {
-      judge(run, place.vm(), outcome);
-    }
+    knowledge.ended(run, place.vm(), outcome, loop.now());
     if (!workflow.ended(key, outcome, checkpoint, wallMillis.getAsLong())) {
       return;
     }
@@ -323,22 +297,12 @@
     listener.ended(run.partition(), task, outcome);
   }
 
-  private void judge(OpenRun run, String vm, RunOutcome outcome) {
-    long now = loop.now();
-    boolean restedBefore = trust.rests(vm, now);
-    trust.ended(vm, outcome.countsAsFailure(), now);
-    if (!restedBefore && trust.rests(vm, now)) {
-      LOG.info(LogLine.of("vm-rests").with("vm", vm).with("reason", "what it starts fails"));
-    }
-    StepSpec step = run.task().step();
-    if (outcome.completes() && !step.nature().fills()) {
-      double took = TimeUnit.NANOSECONDS.toMillis(now - run.orderedAt());
-      speed.sample(vm, step.estimateMillis(), took, now);
-    }
-  }
-
   private void grant(VmSession session) {
-    session.connection().send(Frame.newBuilder().setLeaseGrant(lease(session)).build());
+    LeaseGrant grant =
+        lease(session).toBuilder()
+            .addAllImages(ImageRecords.encode(knowledge.imagesSeenElsewhere(session.vm())))
+            .build();
+    session.connection().send(Frame.newBuilder().setLeaseGrant(grant).build());
   }
 
   private LeaseGrant lease(VmSession session) {
@@ -418,7 +382,7 @@
           !report.getWorker().isEmpty()
               && !report.getDraining()
               && !report.getUnhealthy()
-              && !trust.rests(report.getVm(), loop.now())
+              && !knowledge.rests(report.getVm(), loop.now())
               && loop.now() - session.reportedAt() < SILENT_NANOS;
       if (usable) {
         offers.add(offer(session, report));
@@ -451,12 +415,12 @@
         fill,
         report.getFillPercent(),
         serving,
-        speed.slowness(report.getVm(), loop.now()));
+        knowledge.slowness(report.getVm(), loop.now()));
   }
 
   /** Returns how harmful the image is believed to be to tasks that serve, from 0 to 1. */
   double harmOf(String image) {
-    return harm.belief(image);
+    return knowledge.harmOf(image);
   }
 
   /** Returns how many open runs of the step and occurrence are on the VM. */
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
@@ -80,7 +80,7 @@
     List<String> all = List.copyOf(members);
     generation++;
     for (int partition = 0; partition < partitions; partition++) {
-      int now = all.indexOf(owners.get(partition));
+      int now = all.indexOf(owners.getOrDefault(partition, ""));
       owners.put(partition, all.get(Math.max(0, now + 1) % all.size()));
     }
   }
