--- a/marigoldsail-core/src/main/java/io/marigoldsail/retry/RetryPolicy.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/retry/RetryPolicy.java
@@ -16,13 +16,24 @@
  *
  * <p>A request that a full side process turned away is another matter: it cost no slot, so it goes
  * back to the queue at once and without budget, up to {@link #MAX_TURNED_AWAY} tries; without that
- * bound a request could circle until its deadline. Not safe for use by several threads.
+ * bound a request could circle until its deadline. After that it is tried again after a back-off
+ * that doubles, as long as its deadline allows. Load pattern: processes that have just started
+ * stand still for a quarter of a second while their first requests come; eight tries pass within
+ * that time, and callers of a nearly idle fleet were refused with most of their time left. Not safe
+ * for use by several threads.
  */
 public final class RetryPolicy {
   static final int MAX_FAILED_TRIES = 3;
   static final int MAX_TURNED_AWAY = 8;
   static final long FIRST_BACK_OFF_NANOS = 10_000_000L;
 
+  /**
+   * What a request waits after its first {@link #MAX_TURNED_AWAY} tries, doubled with each more.
+   */
+  static final long TURNED_AWAY_BACK_OFF_NANOS = 20_000_000L;
+
+  private static final int MAX_DOUBLINGS = 10;
+
   private final RetryBudget budget = new RetryBudget();
   private final RandomGenerator random;
 
@@ -54,7 +65,7 @@
       return OptionalLong.empty();
     }
     if (outcome.refusedByTarget()) {
-      return tries < MAX_TURNED_AWAY ? before(deadline, now) : OptionalLong.empty();
+      return before(deadline, now + turnedAwayBackOff(tries));
     }
     if (queueing || tries >= MAX_FAILED_TRIES) {
       return OptionalLong.empty();
@@ -67,6 +78,11 @@
     return due < deadline ? OptionalLong.of(due) : OptionalLong.empty();
   }
 
+  private static long turnedAwayBackOff(int tries) {
+    int beyond = tries - MAX_TURNED_AWAY;
+    return beyond < 0 ? 0 : TURNED_AWAY_BACK_OFF_NANOS << Math.min(beyond, MAX_DOUBLINGS);
+  }
+
   private long backOff(int tries) {
     long most = FIRST_BACK_OFF_NANOS << (tries - 1);
     return most / 2 + random.nextLong(most / 2);
--- a/marigoldsail-core/src/test/java/io/marigoldsail/dispatch/RequestSchedulerTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/dispatch/RequestSchedulerTest.java
@@ -57,6 +57,49 @@
     assertEquals(ErrorKind.NO_TARGET, refusal(decisions));
   }
 
+  /**
+   * A fleet has just started: for a quarter of a second its side processes load classes, their
+   * slots stay taken and they turn newcomers away. Callers at a sixth of what the fleet can serve,
+   * with seconds to spare, must be served late rather than be told that it is full.
+   */
+  @Test
+  void refusesNobodyWhileANearlyIdleFleetIsYoung() {
+    long stall = SECOND / 4;
+    long spacing = SECOND / 62;
+    scheduler.targetsChanged(
+        List.of(target("vm-0", "parking"), target("vm-1", "parking"), target("vm-2", "parking")),
+        0);
+    java.util.PriorityQueue<long[]> ends =
+        new java.util.PriorityQueue<>(java.util.Comparator.comparingLong((long[] end) -> end[0]));
+    Map<Long, String> vms = new HashMap<>();
+    List<Decision> refused = new ArrayList<>();
+    long arrivals = 0;
+    for (long now = 0; now < 3 * SECOND; now += SECOND / 1_000) {
+      List<Decision> decisions = new ArrayList<>(scheduler.wake(now));
+      if (now / spacing >= arrivals && now < SECOND) {
+        Arrival next = new Arrival(arrivals, "parking", "caller", "", true, now, now + 2 * SECOND);
+        arrivals++;
+        decisions.addAll(scheduler.arrived(next, now));
+      }
+      while (!ends.isEmpty() && ends.peek()[0] <= now) {
+        long[] end = ends.poll();
+        AttemptOutcome outcome = end[2] == 0 ? AttemptOutcome.NOT_RUN : AttemptOutcome.ANSWERED;
+        decisions.addAll(scheduler.attemptEnded(end[1], vms.get(end[1]), outcome, now));
+      }
+      for (Decision decision : decisions) {
+        if (decision instanceof Decision.Send send) {
+          vms.put(send.request(), send.vm());
+          long takes = now < stall ? SECOND / 1_000 : SECOND / 500;
+          ends.add(new long[] {now + takes, send.request(), now < stall ? 0 : 1});
+        } else {
+          refused.add(decision);
+        }
+      }
+    }
+    assertEquals(List.of(), refused);
+    assertTrue(arrivals > 60, "arrivals: " + arrivals);
+  }
+
   @Test
   void keepsServicesApart() {
     scheduler.targetsChanged(List.of(target("vm-0", "parking"), target("vm-1", "alerts")), 0);
