Serve keys whose home is full for a moment; lives of processes never alike

Two causes of bin/demo failing on a nearly idle fleet, found in the time lines of two failed demos: (1) both entries started in the same millisecond, which was their incarnation, so they gave requests the same ids, a side process mixed them up and 38 of 1,000 callers read that their outcome was unknown; the incarnation now has random bits beside the time. (2) A request with an idempotency key was refused at once when its one home had its slots taken for a moment (4 of 1,000, at the start); it is now sent there again with a doubling back-off while it has time (the test failed before with 'all slots and the waiting room'). Ruled out: admission at the entry (no refusal of its own in either time line).

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ProcessBase.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ProcessBase.java
@@ -22,6 +22,7 @@
 import io.marigoldsail.timeline.EventRecorder;
 import io.marigoldsail.timeline.HybridClock;
 import io.prometheus.metrics.instrumentation.jvm.JvmMemoryMetrics;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** What processes of both roles have: clocks, events, metrics, operators' server, configuration. */
 final class ProcessBase implements AutoCloseable {
@@ -59,7 +60,7 @@
     this.events = new CountedEvents(buffer, metrics);
     this.operators = new OperatorServer(settings.operatorsAddress(), metrics);
     this.platform = PlatformClient.start(settings.name());
-    long incarnation = WallClock.system().millis();
+    long incarnation = ProcessIncarnations.next(WallClock.system(), ThreadLocalRandom.current());
     this.shared =
         new StreamClient.Shared(
             new HttpLogService(platform, settings.logService().toString(), LOG_TIMEOUT_MILLIS),
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryDispatcher.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/EntryDispatcher.java
@@ -43,6 +43,11 @@
   private static final System.Logger LOG = System.getLogger(EntryDispatcher.class.getName());
   private static final long FROZEN_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final long NO_HOME_MILLIS = 1_000;
+
+  /** What a request waits after its home was full for the first time, in nanoseconds. */
+  private static final long HOME_BACK_OFF_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
+  private static final int MAX_HOME_DOUBLINGS = 8;
   private static final long NEVER = Long.MAX_VALUE;
 
   private final LinkLoop loop;
@@ -193,8 +198,9 @@
    * Sends a request to the home of its idempotency key.
    *
    * <p>There is no choice of target and so no waiting here: the home's waiting room takes it, or it
-   * is refused. It is never tried again by this entry; the caller may, with the same key. Where its
-   * home is not reached but the target tells repeats apart by itself, any target takes it.
+   * refuses it. A refusal for want of room is tried again here while there is time; after any other
+   * outcome the caller may, with the same key. Where its home is not reached but the target tells
+   * repeats apart by itself, any target takes it.
    */
   private void sendHome(PendingRequest request, KeyShardTable table) {
     String service = request.request().service();
@@ -277,7 +283,9 @@
       Failure failure) {
     request.ended(outcome, answer, failure);
     if (request.isAtHome()) {
-      answer(request);
+      if (!isFull(outcome, failure) || !sendHomeLater(request)) {
+        answer(request);
+      }
       return;
     }
     carryOut(policy.attemptEnded(request.number(), vm, outcome, loop.now()));
@@ -288,6 +296,33 @@
     }
   }
 
+  private static boolean isFull(AttemptOutcome outcome, Failure failure) {
+    return outcome == AttemptOutcome.NOT_RUN && failure.kind() == ErrorKind.OVERLOADED;
+  }
+
+  /**
+   * Sends the request to its home again after a back-off that doubles; returns false if its
+   * deadline passes before.
+   *
+   * <p>Guards against refusals by a nearly idle fleet: a key has one home, and one that has just
+   * started stands still for a moment, while four of 1,000 callers were told that it is full.
+   */
+  private boolean sendHomeLater(PendingRequest request) {
+    int doublings = Math.min(request.triesAtHome() - 1, MAX_HOME_DOUBLINGS);
+    long due = loop.now() + (HOME_BACK_OFF_NANOS << doublings);
+    if (due >= request.request().deadline()) {
+      return false;
+    }
+    loop.schedule(() -> sendHomeAgain(request), due - loop.now());
+    return true;
+  }
+
+  private void sendHomeAgain(PendingRequest request) {
+    if (pending.get(request.number()) == request) {
+      sendHome(request, keys.orElseThrow());
+    }
+  }
+
   /** Hands the outcome of the last attempt on. */
   private void answer(PendingRequest request) {
     if (request.lastAnswer() != null) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/PendingRequest.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/dispatch/PendingRequest.java
@@ -16,6 +16,7 @@
   private Attempt attempt;
   private KeyClaim home;
   private boolean targetDetectsRepeats;
+  private int triesAtHome;
   private String vm = "";
   private boolean mayHaveRun;
   private AttemptOutcome lastOutcome = AttemptOutcome.NOT_RUN;
@@ -128,6 +129,12 @@
   void sentHome(KeyClaim claim, boolean detectsRepeats) {
     home = claim;
     targetDetectsRepeats = detectsRepeats;
+    triesAtHome++;
+  }
+
+  /** Returns how often it was sent to the home of its key. */
+  int triesAtHome() {
+    return triesAtHome;
   }
 
   /** Returns whether its home may run it without knowing what a former home ran. */
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/KeyHomesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/dispatch/KeyHomesTest.java
@@ -170,6 +170,26 @@
     assertEquals(keys, charges().stream().map(TargetRun::idempotencyKey).distinct().count());
   }
 
+  /**
+   * Drivers pay with keys that have one home while its slots are taken for a moment, as when it has
+   * just started. The rest of the fleet is idle, and the drivers have seconds to spare: they must
+   * be served late and once, not be told that the service is full.
+   */
+  @Test
+  void aHomeThatIsFullForAMomentServesItsKeysLate() {
+    int home = homeOf("pay-0");
+    List<CompletableFuture<HttpResponse<byte[]>>> answers = new ArrayList<>();
+    for (int i = 0; answers.size() < 30; i++) {
+      if (homeOf("pay-" + i) == home) {
+        answers.add(first.charge("pay-" + i, "?serviceMillis=100"));
+      }
+    }
+    for (CompletableFuture<HttpResponse<byte[]>> answer : answers) {
+      assertEquals(200, answer.join().statusCode(), () -> text(answer.join()));
+    }
+    assertEquals(answers.size(), charges().size());
+  }
+
   private java.util.function.BooleanSupplier servedAtLast(String key) {
     return () -> second.charge(key, "?serviceMillis=100").join().statusCode() == 200;
   }
