--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
@@ -54,11 +54,6 @@
     return !newest.containsKey(partition);
   }
 
-  /** Forgets all evidence: the worker is another one, with another clock. */
-  public void clear() {
-    newest.clear();
-  }
-
   /**
    * Returns until when the worker may run on, or empty if a partition has no evidence at all.
    *
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RoomLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RoomLedger.java
@@ -58,12 +58,6 @@
     }
   }
 
-  /** Frees everything: the worker is gone. */
-  public void clear() {
-    booked.clear();
-    total = Sizes.NONE;
-  }
-
   /** Returns what is not booked. */
   public Sizes free() {
     return capacity.minus(total);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -138,11 +138,4 @@
     }
     return left + (besideServing && left >= 0 ? COMPANY : 0);
   }
-
-  /** Returns whether a task of the step could run on the VM if nothing else did. */
-  public static boolean couldEverRun(StepSpec step, VmOffer offer) {
-    String label = step.placement().requiredLabel();
-    return step.sizes().fitsIn(offer.capacity())
-        && (label.isEmpty() || offer.labels().contains(label));
-  }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -117,7 +118,7 @@
 
   /** Returns all tasks in the order of occurrence, step and index. */
   public List<WorkflowTask> tasks() {
-    return java.util.Collections.unmodifiableList(tasks);
+    return Collections.unmodifiableList(tasks);
   }
 
   /** Returns the task of the key, or empty if the workflow has none. */
@@ -161,20 +162,6 @@
     }
   }
 
-  /** Returns when the next occurrence falls due after the time; empty if none does. */
-  public Optional<Long> nextDueMillis(long wallMillis) {
-    if (status.isTerminal() || spec.schedule().occurrences() == 0) {
-      return Optional.empty();
-    }
-    for (int round = 0; round < spec.schedule().rounds(); round++) {
-      long due = spec.schedule().dueMillis(round);
-      if (due > wallMillis) {
-        return Optional.of(due);
-      }
-    }
-    return Optional.empty();
-  }
-
   private boolean dependenciesDone(int round, int step) {
     return spec.steps().get(step).dependsOn().stream()
         .allMatch(earlier -> stepDone(round, earlier));
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTest.java
@@ -107,9 +107,7 @@
             Workflows.spec(
                 Workflows.ID, 0, 0, schedule, Workflows.step(1, 100, StepSpec.Nature.PLAIN)));
     assertTrue(ready(workflow, 9_999).isEmpty());
-    assertEquals(10_000L, workflow.nextDueMillis(0).orElseThrow());
     assertEquals(1, ready(workflow, 10_000).size());
-    assertEquals(14_000L, workflow.nextDueMillis(10_000).orElseThrow());
     assertEquals(2, ready(workflow, 14_000).size());
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryTerms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryTerms.java
@@ -11,9 +11,8 @@
  *
  * @param lease the lengths of leases
  * @param keepEndedMillis how long the status of a workflow is told after its end, in milliseconds
- * @param graceMillis how long a planned stop may take, in milliseconds
  */
-public record EntryTerms(LeaseTermsOfWorker lease, long keepEndedMillis, long graceMillis) {
+public record EntryTerms(LeaseTermsOfWorker lease, long keepEndedMillis) {
   /** Checks the components. */
   public EntryTerms {
     requireNonNull(lease, "lease");
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -23,10 +23,12 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * One partition while this process owns it: shut out former owners, read what lasts, then follow
@@ -145,7 +147,7 @@
     KeyedRecord drop = new KeyedRecord(key, ByteString.EMPTY);
     // The submission first: without the progress it would look like a new workflow and run again.
     store
-        .append(Topic.SUBMISSIONS, number, java.util.List.of(drop), Optional.empty())
+        .append(Topic.SUBMISSIONS, number, List.of(drop), Optional.empty())
         .thenAccept(
             result -> {
               if (result instanceof WorkflowStore.Appended) {
@@ -192,8 +194,7 @@
         });
   }
 
-  private void readNewest(
-      Topic topic, Optional<String> after, java.util.function.Consumer<NewestPage> taken) {
+  private void readNewest(Topic topic, Optional<String> after, Consumer<NewestPage> taken) {
     if (closed) {
       return;
     }
@@ -203,10 +204,7 @@
   }
 
   private void newestAnswered(
-      Topic topic,
-      Optional<String> after,
-      java.util.function.Consumer<NewestPage> taken,
-      NewestResult result) {
+      Topic topic, Optional<String> after, Consumer<NewestPage> taken, NewestResult result) {
     if (closed) {
       return;
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
@@ -4,7 +4,6 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,11 +44,9 @@
   private final Set<String> members = new TreeSet<>();
   private final Map<Integer, String> owners = new HashMap<>();
   private final Map<String, Long> acknowledged = new HashMap<>();
-  private final Set<String> cutOff = new HashSet<>();
   private long generation;
   private AppendFault fault = AppendFault.NONE;
   private int faultsLeft;
-  private int fenced;
 
   FakeWorkflowStore(int partitions, ScheduledExecutorService timer) {
     this.partitions = partitions;
@@ -61,11 +58,6 @@
     faultsLeft = times;
   }
 
-  /** Returns how many appends were refused because their epoch was too low. */
-  synchronized int fencedAppends() {
-    return fenced;
-  }
-
   /** Drops a member whose process is gone, as the store does after a while. */
   synchronized void drop(String memberPrefix) {
     if (members.removeIf(member -> member.startsWith(memberPrefix))) {
@@ -85,11 +77,6 @@
     }
   }
 
-  /** Leaves calls about the membership of a process unanswered. */
-  synchronized void cutOff(String memberPrefix) {
-    cutOff.add(memberPrefix);
-  }
-
   private void deal() {
     generation++;
     List<String> all = List.copyOf(members);
@@ -158,7 +145,6 @@
     if (writer.isPresent()) {
       Writer by = writer.get();
       if (by.epoch() < log.epoch) {
-        fenced++;
         return new Fenced();
       }
       if (by.epoch() > log.epoch) {
@@ -221,9 +207,6 @@
 
   @Override
   public synchronized CompletableFuture<JoinResult> join(String member, long known) {
-    if (cutOff.stream().anyMatch(member::startsWith)) {
-      return soon(new NotJoined("cut off"));
-    }
     if (members.add(member)) {
       deal();
     }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskProgress.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskProgress.java
@@ -53,7 +53,7 @@
   private int phase_ = 0;
   /**
    * <pre>
-   * Number of io.marigoldsail.workflow.TaskPhase.
+   * 0 while it waits or runs, 1 once it is done.
    * </pre>
    *
    * <code>uint32 phase = 1;</code>
@@ -531,7 +531,7 @@
     private int phase_ ;
     /**
      * <pre>
-     * Number of io.marigoldsail.workflow.TaskPhase.
+     * 0 while it waits or runs, 1 once it is done.
      * </pre>
      *
      * <code>uint32 phase = 1;</code>
@@ -543,7 +543,7 @@
     }
     /**
      * <pre>
-     * Number of io.marigoldsail.workflow.TaskPhase.
+     * 0 while it waits or runs, 1 once it is done.
      * </pre>
      *
      * <code>uint32 phase = 1;</code>
@@ -559,7 +559,7 @@
     }
     /**
      * <pre>
-     * Number of io.marigoldsail.workflow.TaskPhase.
+     * 0 while it waits or runs, 1 once it is done.
      * </pre>
      *
      * <code>uint32 phase = 1;</code>
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskProgressOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/TaskProgressOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * Number of io.marigoldsail.workflow.TaskPhase.
+   * 0 while it waits or runs, 1 once it is done.
    * </pre>
    *
    * <code>uint32 phase = 1;</code>
