--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
@@ -107,7 +107,7 @@
         LogLine.of("worker-load")
             .with("worker", worker)
             .with("runs", runs.size())
-            .with("fills", fills)
+            .with("filling", fills)
             .with("fill_declared_milli", declared)
             .with("fill_used_milli", used)
             .with("fill_percent", pacer.percent())
