Side processes that restart take no speed for known; what fills is bounded on the VM; short leases leave evidence its time

Also seen: 24 tasks of 43 processors filled one VM of 24, as three owners saw it empty; 1,177 orders went to VMs that refuse all until they know what runs there; in a test world with leases of 4 s runs of calm owners were stopped, as the 1.5 s before the deadline left evidence only 1.1 s. Ruled out: a late order for the speed (the run was listed at 0 for its whole life). WorkflowFaultsTest.whatAKilledSideProcessSlowedDownGoesOn failed with the speed taken for known (the task ran twice, as its lease lapsed).

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
@@ -21,9 +21,6 @@
  * <p>Confined to one thread. Rejects nulls.
  */
 public final class LeaseLedger {
-  /** The least time before the deadline at which runs of a silent owner are stopped. */
-  static final long STOP_AHEAD_MILLIS = 1_500;
-
   private record Evidence(long epoch, long workerClock) {}
 
   private final LeaseTermsOfWorker terms;
@@ -83,7 +80,7 @@
     Evidence evidence = newest.get(partition);
     return evidence != null
         && workerDeadline <= evidence.workerClock() + terms.boundMillis()
-        && evidence.workerClock() + terms.leaseMillis() - STOP_AHEAD_MILLIS > workerClock;
+        && evidence.workerClock() + terms.leaseMillis() - terms.stopAheadMillis() > workerClock;
   }
 
   /** Returns the partitions, of the given ones, whose runs must be stopped now. */
@@ -93,7 +90,7 @@
             partition -> {
               Evidence evidence = newest.get(partition);
               return evidence != null
-                  && evidence.workerClock() + terms.leaseMillis() - STOP_AHEAD_MILLIS
+                  && evidence.workerClock() + terms.leaseMillis() - terms.stopAheadMillis()
                       <= workerClock;
             })
         .toList();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseTermsOfWorker.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseTermsOfWorker.java
@@ -27,6 +27,15 @@
   /** How much slower a worker's clock may run, in percent: 2 by contract, one more for ours. */
   private static final long DRIFT_PERCENT = 3;
 
+  /** The longest time before a deadline at which runs of a silent owner are stopped, in millis. */
+  private static final long MOST_STOP_AHEAD_MILLIS = 1_500;
+
+  /**
+   * The same as a share of the lease, in percent. Evidence is up to two seconds old when it counts,
+   * and a short lease must leave it that, or what runs on calm VMs is stopped.
+   */
+  private static final long STOP_AHEAD_PERCENT = 25;
+
   /** What an owner waits in addition, in milliseconds: timers fire late. */
   private static final long MARGIN_MILLIS = 200;
 
@@ -45,4 +54,12 @@
     long takeover = bound * 100 / (100 - DRIFT_PERCENT) + MARGIN_MILLIS;
     return new LeaseTermsOfWorker(lease, bound, takeover);
   }
+
+  /**
+   * Returns how long before the deadline of evidence the runs that rest on it are stopped, so that
+   * one silent owner does not end the runs of all others.
+   */
+  public long stopAheadMillis() {
+    return Math.min(MOST_STOP_AHEAD_MILLIS, leaseMillis * STOP_AHEAD_PERCENT / 100);
+  }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RoomLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RoomLedger.java
@@ -13,14 +13,39 @@
  * last. All their orders pass through here, so a race costs one of them a refusal and never
  * overbooks the VM. A run is booked from before its order to the worker until the worker has listed
  * its end or is gone: a start without an answer may be carried out later, and what is being stopped
- * still works.
+ * still works. Tasks that fill book no processors, so what they declare is added up here and held
+ * to the bound of {@link VmChooser#FILL_BEYOND}: without it three owners that saw the same empty VM
+ * put 24 such tasks of 43 processors on one of 24.
  *
  * <p>Confined to one thread. Rejects nulls.
  */
 public final class RoomLedger {
-  private final Map<RunKey, Sizes> booked = new HashMap<>();
+  /**
+   * What a run takes.
+   *
+   * @param sizes what it declares
+   * @param fills whether it takes only the processors that others leave
+   */
+  public record Claim(Sizes sizes, boolean fills) {
+    /** Checks the components. */
+    public Claim {
+      requireNonNull(sizes, "sizes");
+    }
+
+    /** Returns what is booked for it: no processors if it fills. */
+    public Sizes booked() {
+      return fills ? new Sizes(0, sizes.memoryBytes(), sizes.accelerators()) : sizes;
+    }
+
+    private long fillMilliProcessors() {
+      return fills ? sizes.milliProcessors() : 0;
+    }
+  }
+
+  private final Map<RunKey, Claim> claims = new HashMap<>();
   private Sizes capacity = Sizes.NONE;
   private Sizes total = Sizes.NONE;
+  private long fillMilliProcessors;
 
   /** Sets what the VM has. */
   public void capacity(Sizes newCapacity) {
@@ -33,31 +58,46 @@
   }
 
   /** Books room for the run if there is; returns whether the run is booked now. */
-  public boolean tryBook(RunKey run, Sizes sizes) {
-    if (booked.containsKey(run)) {
+  public boolean tryBook(RunKey run, Claim claim) {
+    if (claims.containsKey(run)) {
       return true;
     }
-    if (!sizes.fitsIn(free())) {
+    if (!claim.booked().fitsIn(free()) || !hasProcessorsToFill(claim)) {
       return false;
     }
-    book(run, sizes);
+    book(run, claim);
     return true;
   }
 
+  private boolean hasProcessorsToFill(Claim claim) {
+    long left = free().milliProcessors() - fillMilliProcessors;
+    return !claim.fills() || left + VmChooser.FILL_BEYOND >= claim.sizes().milliProcessors();
+  }
+
   /** Books room for a run that is there already, whether or not there is room. */
-  public void book(RunKey run, Sizes sizes) {
-    Sizes before = booked.put(requireNonNull(run, "run"), requireNonNull(sizes, "sizes"));
-    total = (before == null ? total : total.minus(before)).plus(sizes);
+  public void book(RunKey run, Claim claim) {
+    requireNonNull(run, "run");
+    requireNonNull(claim, "claim");
+    release(run);
+    claims.put(run, claim);
+    total = total.plus(claim.booked());
+    fillMilliProcessors += claim.fillMilliProcessors();
   }
 
   /** Frees what the run had. */
   public void release(RunKey run) {
-    Sizes sizes = booked.remove(run);
-    if (sizes != null) {
-      total = total.minus(sizes);
+    Claim claim = claims.remove(run);
+    if (claim != null) {
+      total = total.minus(claim.booked());
+      fillMilliProcessors -= claim.fillMilliProcessors();
     }
   }
 
+  /** Returns what the runs that fill declared, in thousandths of a processor. */
+  public long fillMilliProcessors() {
+    return fillMilliProcessors;
+  }
+
   /** Returns what is not booked. */
   public Sizes free() {
     return capacity.minus(total);
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/LeaseLedgerTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/LeaseLedgerTest.java
@@ -66,9 +66,21 @@
     LeaseLedger ledger = new LeaseLedger(TERMS);
     ledger.observe(1, 1, 1_000);
     ledger.observe(2, 1, 6_000);
-    long late = 1_000 + TERMS.leaseMillis() - LeaseLedger.STOP_AHEAD_MILLIS;
+    long late = 1_000 + TERMS.leaseMillis() - TERMS.stopAheadMillis();
     assertEquals(List.of(), ledger.overdue(Set.of(1, 2), late - 1));
     assertEquals(List.of(1), ledger.overdue(Set.of(1, 2), late));
     assertFalse(ledger.mayStart(1, 1_000 + TERMS.leaseMillis(), late));
   }
+
+  /**
+   * Workers grant short leases. Evidence of a calm owner is renewed and passed on within two
+   * seconds; runs were stopped once it was 1.1 s old, so nothing longer ever came to its end.
+   */
+  @Test
+  void shortLeasesLeaveEvidenceTheTimeItTravels() {
+    LeaseLedger ledger = new LeaseLedger(LeaseTermsOfWorker.forLongestLease(4_000));
+    ledger.observe(1, 1, 10_000);
+    assertEquals(List.of(), ledger.overdue(Set.of(1), 11_900));
+    assertEquals(List.of(1), ledger.overdue(Set.of(1), 12_000));
+  }
 }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/RoomLedgerTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/RoomLedgerTest.java
@@ -12,6 +12,10 @@
     return new RunKey(new TaskKey(1, 0, 0, index), 1);
   }
 
+  private static RoomLedger.Claim plain(long milliProcessors, long memory) {
+    return new RoomLedger.Claim(new Sizes(milliProcessors, memory, 0), false);
+  }
+
   /**
    * Two entries saw the same free processors and ordered at the same moment. Only the side process
    * sees both orders; the second is refused, and told again later it fits.
@@ -20,7 +24,7 @@
   void theSecondOfTwoRacingOrdersIsRefused() {
     RoomLedger room = new RoomLedger();
     room.capacity(new Sizes(1_000, 1_000, 0));
-    Sizes most = new Sizes(600, 100, 0);
+    RoomLedger.Claim most = plain(600, 100);
     assertTrue(room.tryBook(run(1), most));
     assertFalse(room.tryBook(run(2), most));
     room.release(run(1));
@@ -31,8 +35,8 @@
   void aRepeatedOrderBooksOnce() {
     RoomLedger room = new RoomLedger();
     room.capacity(new Sizes(1_000, 1_000, 0));
-    assertTrue(room.tryBook(run(1), new Sizes(600, 100, 0)));
-    assertTrue(room.tryBook(run(1), new Sizes(600, 100, 0)));
+    assertTrue(room.tryBook(run(1), plain(600, 100)));
+    assertTrue(room.tryBook(run(1), plain(600, 100)));
     assertEquals(new Sizes(400, 900, 0), room.free());
     room.release(run(1));
     room.release(run(1));
@@ -43,10 +47,30 @@
   void whatIsThereAlreadyIsBookedEvenBeyondTheCapacity() {
     RoomLedger room = new RoomLedger();
     room.capacity(new Sizes(1_000, 1_000, 0));
-    room.book(run(1), new Sizes(900, 100, 0));
-    room.book(run(2), new Sizes(900, 100, 0));
+    room.book(run(1), plain(900, 100));
+    room.book(run(2), plain(900, 100));
     assertEquals(new Sizes(0, 800, 0), room.free());
     room.release(run(1));
     assertEquals(new Sizes(100, 900, 0), room.free());
   }
+
+  /**
+   * Three entries fill the same empty VM at the same moment. What its tasks declare went to nearly
+   * twice its processors, and all of them came late.
+   */
+  @Test
+  void whatFillsIsBoundedAlsoWhenOwnersRace() {
+    RoomLedger room = new RoomLedger();
+    room.capacity(new Sizes(24_000, 1_000, 0));
+    RoomLedger.Claim fills = new RoomLedger.Claim(new Sizes(2_000, 10, 0), true);
+    int taken = 0;
+    for (int index = 0; index < 24; index++) {
+      taken += room.tryBook(run(index), fills) ? 1 : 0;
+    }
+    assertEquals(15, taken);
+    assertEquals(30_000, room.fillMilliProcessors());
+    assertEquals(new Sizes(24_000, 850, 0), room.free());
+    room.release(run(0));
+    assertTrue(room.tryBook(run(24), fills));
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -382,6 +382,7 @@
           !report.getWorker().isEmpty()
               && !report.getDraining()
               && !report.getUnhealthy()
+              && !session.hasRunsOfUnknownSize()
               && !knowledge.rests(report.getVm(), loop.now())
               && loop.now() - session.reportedAt() < SILENT_NANOS;
       if (usable) {
@@ -395,12 +396,10 @@
     Sizes free = session.free();
     long fill = report.getFillMilliProcessors();
     int serving = report.getServing();
-    Set<RunKey> listed = new HashSet<>();
-    report.getRunsList().forEach(run -> listed.add(WorkflowRecords.decode(run.getTask())));
     for (Map.Entry<RunKey, OpenRun> open :
         openRuns.getOrDefault(report.getVm(), Map.of()).entrySet()) {
       WorkflowTask task = open.getValue().task();
-      if (!listed.contains(open.getKey())) {
+      if (!session.runs().contains(open.getKey())) {
         free = free.minus(task.step().booked());
         fill += task.step().nature().fills() ? task.step().sizes().milliProcessors() : 0;
         serving += task.step().nature().serves() ? 1 : 0;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
@@ -120,10 +120,9 @@
   void pace(SideRun run) {
     boolean harmless = harm.belief(run.image()) <= ImageHarm.HARMLESS;
     int percent = harmless ? pacer.harmlessPercent() : pacer.percent();
-    if (!run.fills() || run.pacedTo() == percent || run.isStopping() || !run.isConfirmed()) {
+    if (!run.fills() || run.isPacedTo(percent) || run.isStopping() || !run.isConfirmed()) {
       return;
     }
-    int before = run.pacedTo();
     run.pacedTo(percent);
     gateway
         .pace(worker, run.key(), percent)
@@ -133,7 +132,7 @@
                     () -> {
                       if (!(result instanceof Accepted)) {
                         // Tried again with the next listing.
-                        run.pacedTo(before);
+                        run.speedBecameUnknown();
                       }
                     }));
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -10,6 +10,12 @@
   /** Listings, sent after an order was confirmed, that may lack a run before it counts as over. */
   private static final int MAX_MISSES = 2;
 
+  /** The speed at which a worker starts a run, in percent. */
+  private static final int FULL_SPEED = 100;
+
+  /** No speed: that of the run is not known here. */
+  private static final int UNKNOWN_SPEED = -1;
+
   private final RunKey key;
   private final int partition;
   private Optional<StartRun> order;
@@ -23,12 +29,14 @@
   private String checkpoint = "";
   private int percent;
   private long gauge;
-  private int pacedTo = 100;
+  private int pacedTo;
 
   SideRun(RunKey key, int partition, Optional<StartRun> order) {
     this.key = key;
     this.partition = partition;
     this.order = order;
+    // The process that started a run found here may have slowed it down, even to nothing.
+    this.pacedTo = order.isPresent() ? FULL_SPEED : UNKNOWN_SPEED;
   }
 
   RunKey key() {
@@ -126,14 +134,20 @@
     return order.map(StartRun::getFills).orElse(false);
   }
 
-  int pacedTo() {
-    return pacedTo;
+  /** Returns whether the worker is known to run it at the speed, in percent. */
+  boolean isPacedTo(int speed) {
+    return pacedTo == speed;
   }
 
   void pacedTo(int newPercent) {
     pacedTo = newPercent;
   }
 
+  /** Notes that an order for another speed was not answered: it may be carried out or not. */
+  void speedBecameUnknown() {
+    pacedTo = UNKNOWN_SPEED;
+  }
+
   RunReport report() {
     return RunReport.newBuilder()
         .setTask(WorkflowRecords.encode(key))
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -6,6 +6,7 @@
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.LeaseGrant;
 import io.marigoldsail.protocol.RunOrders;
+import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.protocol.WorkflowTaskId;
@@ -28,6 +29,7 @@
   private VmReport report;
   private long reportedAt;
   private ImmutableSet<String> labels = ImmutableSet.of();
+  private ImmutableSet<RunKey> runs = ImmutableSet.of();
   private RunOrders.Builder orders = RunOrders.newBuilder();
   private final Set<Long> programsInFrame = new HashSet<>();
   private long lastNumber;
@@ -42,6 +44,10 @@
     if (report == null || !report.getLabelsList().equals(newest.getLabelsList())) {
       labels = ImmutableSet.copyOf(newest.getLabelsList());
     }
+    runs =
+        newest.getRunsList().stream()
+            .map(run -> WorkflowRecords.decode(run.getTask()))
+            .collect(ImmutableSet.toImmutableSet());
     report = newest;
     reportedAt = now;
   }
@@ -63,6 +69,21 @@
     return report.getVm();
   }
 
+  /** Returns the runs of the last report. */
+  ImmutableSet<RunKey> runs() {
+    return runs;
+  }
+
+  /**
+   * Returns whether the last report has runs of which only their owners know what they need.
+   *
+   * <p>Its side process refuses all others until it is told, so they are not offered to it: after
+   * all processes had restarted, entries sent 1,177 orders in vain within three seconds.
+   */
+  boolean hasRunsOfUnknownSize() {
+    return report.getRunsList().stream().anyMatch(RunReport::getSizeUnknown);
+  }
+
   ImmutableSet<String> labels() {
     return labels;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -155,13 +155,6 @@
     return pacing;
   }
 
-  long fillMilliProcessors() {
-    return runs.values().stream()
-        .filter(SideRun::fills)
-        .mapToLong(run -> run.order().orElseThrow().getMilliProcessors())
-        .sum();
-  }
-
   int serving() {
     return (int) runs.values().stream().filter(run -> run.latencyTargetMillis() > 0).count();
   }
@@ -178,11 +171,11 @@
   /** Carries out an order to start, or refuses it at once. */
   void start(RunKey key, StartRun order, String program) {
     SideRun known = runs.get(key);
-    Sizes sizes = booked(order);
+    RoomLedger.Claim claim = claim(order);
     if (known != null) {
       if (known.order().isEmpty()) {
         known.order(order);
-        room.book(key, sizes);
+        room.book(key, claim);
         listener.changed();
       }
       return;
@@ -191,7 +184,7 @@
       return;
     }
     int partition = partitionOf(key);
-    Optional<String> refusal = refusal(key, partition, sizes);
+    Optional<String> refusal = refusal(key, partition, claim);
     if (refusal.isPresent()) {
       finish(key, RunOutcome.REFUSED, "", 0, refusal.get());
       return;
@@ -202,14 +195,14 @@
     sendStart(run);
   }
 
-  private static Sizes booked(StartRun order) {
-    return WorkflowRecords.sizes(
-        order.getFills() ? 0 : order.getMilliProcessors(),
-        order.getMemoryMebibytes(),
-        order.getAccelerators());
+  private static RoomLedger.Claim claim(StartRun order) {
+    Sizes sizes =
+        WorkflowRecords.sizes(
+            order.getMilliProcessors(), order.getMemoryMebibytes(), order.getAccelerators());
+    return new RoomLedger.Claim(sizes, order.getFills());
   }
 
-  private Optional<String> refusal(RunKey key, int partition, Sizes sizes) {
+  private Optional<String> refusal(RunKey key, int partition, RoomLedger.Claim claim) {
     if (heartbeat.draining()) {
       return Optional.of("the worker leaves");
     }
@@ -219,7 +212,7 @@
     if (runs.values().stream().anyMatch(run -> run.order().isEmpty())) {
       return Optional.of("what runs here is not known yet");
     }
-    return room.tryBook(key, sizes) ? Optional.empty() : Optional.of("no room");
+    return room.tryBook(key, claim) ? Optional.empty() : Optional.of("no room");
   }
 
   private void sendStart(SideRun run) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -213,7 +213,7 @@
         .setFreeMilliProcessors((int) free.milliProcessors())
         .setFreeMemoryMebibytes(WorkflowRecords.mebibytes(free))
         .setFreeAccelerators((int) free.accelerators())
-        .setFillMilliProcessors((int) session.fillMilliProcessors())
+        .setFillMilliProcessors((int) session.room().fillMilliProcessors())
         .setFillPercent(session.pacing().percent())
         .setServing(session.serving());
     if (report.getWantsLease()) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
@@ -31,6 +31,7 @@
   private final Map<RunKey, Active> running = new LinkedHashMap<>();
   private final List<Ended> ended = new ArrayList<>();
   private final Map<TaskKey, Integer> over = new HashMap<>();
+  private final Map<RunKey, Integer> speeds = new HashMap<>();
   private String life;
   private long sequence;
   private long deadline;
@@ -101,12 +102,23 @@
     deadline = Math.max(deadline, start.deadline());
     running.put(start.run(), new Active(start.run(), System.nanoTime()));
     history.began(start.run());
-    String began = life;
-    timer.schedule(
-        () -> finish(began, start.run(), RunOutcome.DONE), runMillis, TimeUnit.MILLISECONDS);
+    workOn(life, start.run());
     return new Accepted(clock());
   }
 
+  /** Ends the run when it has worked for its time; one that is slowed to nothing gets no nearer. */
+  private void workOn(String of, RunKey run) {
+    timer.schedule(() -> worked(of, run), runMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized void worked(String of, RunKey run) {
+    if (speeds.getOrDefault(run, 100) == 0) {
+      workOn(of, run);
+    } else {
+      finish(of, run, RunOutcome.DONE);
+    }
+  }
+
   private synchronized void finish(String of, RunKey run, RunOutcome outcome) {
     if (life.equals(of) && running.remove(run) != null) {
       history.ended(run);
@@ -126,7 +138,8 @@
   }
 
   @Override
-  public CompletableFuture<OrderResult> pace(String worker, RunKey run, int percent) {
+  public synchronized CompletableFuture<OrderResult> pace(String worker, RunKey run, int percent) {
+    speeds.put(run, percent);
     return soon(new Accepted(clock()));
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -5,6 +5,8 @@
 
 import io.marigoldsail.daemon.workflow.WorkflowWorld.RunningEntry;
 import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.TaskKey;
 import java.io.IOException;
 import java.util.List;
@@ -157,6 +159,26 @@
     assertNothingInTwoPlaces();
   }
 
+  /**
+   * A side process slows down to nothing what disturbs a service, and is killed. The next one took
+   * what it found for running at full speed, so nobody ever sped it up: its callers waited for
+   * good.
+   */
+  @Test
+  void whatAKilledSideProcessSlowedDownGoesOn() throws IOException {
+    start(1, 1, 600);
+    StepSpec.Nature fills = new StepSpec.Nature(false, false, false, false, true, "image", 0, 0);
+    assertInstanceOf(
+        WorkflowStore.Appended.class,
+        world.entry(0).entry().submit(WorkflowWorld.workflow(65, fills, 1)).join());
+    world.await("it is at work", () -> world.history().totalStarts() == 1);
+    FakeWorkerGateway worker = world.side("vm-0").worker();
+    worker.pace(worker.life(), new RunKey(new TaskKey(65, 0, 0, 0), 1), 0).join();
+    world.restartSide("vm-0");
+    awaitDone(65);
+    assertEachRanOnce(65, 1);
+  }
+
   /** A caller cancels; the answer comes once that is durable, and nothing of it runs on. */
   @Test
   void aCancelledWorkflowStops() throws IOException {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -123,6 +123,10 @@
   }
 
   static WorkflowSpec workflow(long id, int... widths) {
+    return workflow(id, StepSpec.Nature.PLAIN, widths);
+  }
+
+  static WorkflowSpec workflow(long id, StepSpec.Nature nature, int... widths) {
     ImmutableList.Builder<StepSpec> steps = ImmutableList.builder();
     for (int i = 0; i < widths.length; i++) {
       steps.add(
@@ -132,7 +136,7 @@
               100,
               i == 0 ? ImmutableList.of() : ImmutableList.of(i - 1),
               StepSpec.Placement.ANYWHERE,
-              StepSpec.Nature.PLAIN));
+              nature));
     }
     return new WorkflowSpec(
         id,
