Limit what may disturb beside services and pace it by measure

Now an eighth of a VM may be declared by such images beside services; what is beyond is moved (restarted from its checkpoint); the share begins at 24%, falls by the measure of the tail and rises by what is left of it; harmless images are slowed only for tails over the target.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageHarm.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageHarm.java
@@ -23,11 +23,11 @@
   /** What is believed of an image that was never seen: a little over half are harmful. */
   public static final double UNKNOWN = 0.5;
 
-  /** Images believed to be this harmful at most may stand beside tasks that serve. */
+  /** Images believed to be more harmful than this are suspects, see {@link SuspectRoom}. */
   public static final double HARMLESS = 0.25;
 
-  /** Images believed to be this harmful are kept away from tasks that serve. */
-  public static final double HARMFUL = 0.65;
+  /** Images believed to be this harmful certainly disturb. */
+  static final double HARMFUL = 0.65;
 
   /** Observations that the first belief is worth. */
   private static final double PRIOR_WEIGHT = 1.5;
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -20,9 +20,6 @@
  * <p>Stateless.
  */
 public final class VmChooser {
-  /** A task that fills goes only where it may work at this share of its speed at least. */
-  static final int MIN_FILL_PERCENT = 60;
-
   /**
    * By how much tasks that fill may declare more than is left, in thousandths of a processor. They
    * take turns then, and are done sooner than if they waited, since others use less than they
@@ -111,7 +108,10 @@
     if (offer.serving() == 0 || harm <= ImageHarm.HARMLESS) {
       return true;
     }
-    return harm < ImageHarm.HARMFUL && offer.fillPercent() >= MIN_FILL_PERCENT;
+    return SuspectRoom.admits(
+        offer.capacity().milliProcessors(),
+        offer.suspectMilliProcessors(),
+        step.sizes().milliProcessors());
   }
 
   private static double score(StepSpec step, double harm, VmOffer offer) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
@@ -17,7 +17,7 @@
  * @param capacity all that it has
  * @param free what is not booked
  * @param fillMilliProcessors what running tasks that fill declared, in thousandths of a processor
- * @param fillPercent the share of its speed at which a task that fills may work here
+ * @param suspectMilliProcessors the part of that which suspects declared, see {@link SuspectRoom}
  * @param serving how many tasks with a latency target of their own run here
  * @param slowness how many times as long as elsewhere tasks take here; 1 for as long
  */
@@ -28,7 +28,7 @@
     Sizes capacity,
     Sizes free,
     long fillMilliProcessors,
-    int fillPercent,
+    long suspectMilliProcessors,
     int serving,
     double slowness) {
   /** Checks the components. */
@@ -45,12 +45,14 @@
     return free.milliProcessors() - fillMilliProcessors;
   }
 
-  /** Returns this offer after a task of the step was placed here. */
-  public VmOffer after(StepSpec step) {
-    long fill =
-        step.nature().fills()
-            ? fillMilliProcessors + step.sizes().milliProcessors()
-            : fillMilliProcessors;
+  /**
+   * Returns this offer after a task of the step was placed here.
+   *
+   * @param harm how harmful the step's image is believed to be
+   */
+  public VmOffer after(StepSpec step, double harm) {
+    long fills = step.nature().fills() ? step.sizes().milliProcessors() : 0;
+    long suspect = harm > ImageHarm.HARMLESS ? fills : 0;
     int nowServing = step.nature().serves() ? serving + 1 : serving;
     return new VmOffer(
         place,
@@ -58,8 +60,8 @@
         labels,
         capacity,
         free.minus(step.booked()),
-        fill,
-        fillPercent,
+        fillMilliProcessors + fills,
+        suspectMilliProcessors + suspect,
         nowServing,
         slowness);
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -120,11 +120,15 @@
         continue;
       }
       VmOffer offer = chosen.get();
-      offers.put(offer.place().vm(), offer.after(task.step()));
+      offers.put(offer.place().vm(), after(offer, task));
       order(each, offer.place());
     }
   }
 
+  private VmOffer after(VmOffer offer, WorkflowTask task) {
+    return offer.after(task.step(), vms.harmOf(task.step().nature().image()));
+  }
+
   /** A task that failed on a VM goes elsewhere as long as it can: the VM may be what fails. */
   private Optional<VmOffer> choose(WorkflowTask task, Collection<VmOffer> offers) {
     List<VmOffer> others =
@@ -210,19 +214,27 @@
         move(run, "its worker leaves");
       }
     }
+    for (OpenRun run : vms.crowded()) {
+      if (isCheaplyMoved(run.task())) {
+        move(run, "too many that may disturb stand beside services");
+      }
+    }
     List<VmOffer> free = new ArrayList<>();
     vms.offers().stream().filter(offer -> offer.serving() == 0).forEach(free::add);
     for (OpenRun run : vms.slowedDownTo(SLOWED_PERCENT)) {
       WorkflowTask task = run.task();
-      boolean cheap = task.step().nature().checkpointable() || task.percent() <= CHEAP_PERCENT;
-      Optional<VmOffer> better = cheap ? chooseAmong(task, free) : Optional.empty();
+      Optional<VmOffer> better = isCheaplyMoved(task) ? chooseAmong(task, free) : Optional.empty();
       if (better.isPresent() && move(run, "it is slowed down beside tasks that serve")) {
         free.remove(better.get());
-        free.add(better.get().after(task.step()));
+        free.add(after(better.get(), task));
       }
     }
   }
 
+  private static boolean isCheaplyMoved(WorkflowTask task) {
+    return task.step().nature().checkpointable() || task.percent() <= CHEAP_PERCENT;
+  }
+
   private boolean move(OpenRun run, String reason) {
     WorkflowTask task = run.task();
     if (!run.isDurable() || !task.isStarted() || run.isUnwanted()) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -395,13 +395,16 @@
   private VmOffer offer(VmSession session, VmReport report) {
     Sizes free = session.free();
     long fill = report.getFillMilliProcessors();
+    long suspect = report.getSuspectMilliProcessors();
     int serving = report.getServing();
     for (Map.Entry<RunKey, OpenRun> open :
         openRuns.getOrDefault(report.getVm(), Map.of()).entrySet()) {
       WorkflowTask task = open.getValue().task();
       if (!session.runs().contains(open.getKey())) {
         free = free.minus(task.step().booked());
-        fill += task.step().nature().fills() ? task.step().sizes().milliProcessors() : 0;
+        long fills = task.step().nature().fills() ? task.step().sizes().milliProcessors() : 0;
+        fill += fills;
+        suspect += harmOf(task.step().nature().image()) > ImageHarm.HARMLESS ? fills : 0;
         serving += task.step().nature().serves() ? 1 : 0;
       }
     }
@@ -412,7 +415,7 @@
         session.capacity(),
         free,
         fill,
-        report.getFillPercent(),
+        suspect,
         serving,
         knowledge.slowness(report.getVm(), loop.now()));
   }
@@ -440,6 +443,20 @@
     return runsOn(VmReport::getDraining);
   }
 
+  /** Returns the open runs that are too many beside the services of their VMs. */
+  ImmutableList<OpenRun> crowded() {
+    ImmutableList.Builder<OpenRun> crowded = ImmutableList.builder();
+    for (VmSession session : newest.values()) {
+      Map<RunKey, OpenRun> open = openRuns.getOrDefault(session.vm(), Map.of());
+      for (RunReport run : session.report().getRunsList()) {
+        Optional.ofNullable(
+                run.getCrowded() ? open.get(WorkflowRecords.decode(run.getTask())) : null)
+            .ifPresent(crowded::add);
+      }
+    }
+    return crowded.build();
+  }
+
   /** Returns all open runs that fill on VMs where such tasks may work at the share at most. */
   ImmutableList<OpenRun> slowedDownTo(int percent) {
     return runsOn(report -> report.getServing() > 0 && report.getFillPercent() <= percent).stream()
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
@@ -8,6 +8,7 @@
 import io.marigoldsail.daemon.workflow.WorkerGateway.Accepted;
 import io.marigoldsail.workflow.FillPacer;
 import io.marigoldsail.workflow.ImageHarm;
+import io.marigoldsail.workflow.SuspectRoom;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -39,8 +40,42 @@
     return pacer.percent();
   }
 
-  /** Decides anew by what the worker just told; returns whether the share changed. */
-  boolean observe(Collection<SideRun> runs) {
+  /** Returns whether tasks of the image may disturb tasks that serve. */
+  boolean isSuspect(String image) {
+    return harm.belief(image) > ImageHarm.HARMLESS;
+  }
+
+  /** Returns what the suspects among the runs declare, in thousandths of a processor. */
+  long suspectMilliProcessors(Collection<SideRun> runs) {
+    return suspects(runs).stream().mapToLong(SideRun::milliProcessors).sum();
+  }
+
+  private List<SideRun> suspects(Collection<SideRun> runs) {
+    return runs.stream().filter(run -> run.fills() && isSuspect(run.image())).toList();
+  }
+
+  /**
+   * Marks the runs that are too many beside tasks that serve, for their owners to move them.
+   *
+   * @param capacityMilli the processors of the VM, in thousandths
+   */
+  private void markCrowded(Collection<SideRun> runs, long capacityMilli, boolean serving) {
+    runs.forEach(run -> run.crowded(false));
+    if (!serving) {
+      return;
+    }
+    List<SideRun> suspects = suspects(runs);
+    List<Long> declared = suspects.stream().map(SideRun::milliProcessors).toList();
+    SuspectRoom.excess(capacityMilli, declared)
+        .forEach(position -> suspects.get(position).crowded(true));
+  }
+
+  /**
+   * Decides anew by what the worker just told; returns whether the share changed.
+   *
+   * @param capacityMilli the processors of the VM, in thousandths
+   */
+  boolean observe(Collection<SideRun> runs, long capacityMilli) {
     List<FillPacer.Reading> readings = new ArrayList<>();
     for (SideRun run : runs) {
       if (run.latencyTargetMillis() > 0 && run.isListed()) {
@@ -52,7 +87,8 @@
       harm.observe(fillings, FillPacer.worstPercent(readings));
     }
     int before = pacer.percent();
-    int after = pacer.observe(readings, !fillings.isEmpty(), loop.now());
+    int after =
+        pacer.observe(readings, hasAny(fillings, true), hasAny(fillings, false), loop.now());
     if (before != after) {
       LOG.info(
           LogLine.of("fill-paced")
@@ -62,10 +98,15 @@
               .with("readings", readings));
     }
     runs.forEach(this::pace);
+    markCrowded(runs, capacityMilli, !readings.isEmpty());
     tell(runs, readings);
     return before != after;
   }
 
+  private boolean hasAny(List<ImageHarm.Filling> fillings, boolean suspect) {
+    return fillings.stream().anyMatch(each -> isSuspect(each.image()) == suspect);
+  }
+
   private static List<ImageHarm.Filling> fillings(Collection<SideRun> runs) {
     Map<String, Double> worked = new HashMap<>();
     for (SideRun run : runs) {
@@ -118,8 +159,7 @@
 
   /** Sets the speed of a run, if it fills and has another one. */
   void pace(SideRun run) {
-    boolean harmless = harm.belief(run.image()) <= ImageHarm.HARMLESS;
-    int percent = harmless ? pacer.harmlessPercent() : pacer.percent();
+    int percent = isSuspect(run.image()) ? pacer.percent() : pacer.harmlessPercent();
     if (!run.fills() || run.isPacedTo(percent) || run.isStopping() || !run.isConfirmed()) {
       return;
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -30,6 +30,7 @@
   private int percent;
   private long gauge;
   private int pacedTo;
+  private boolean crowded;
 
   SideRun(RunKey key, int partition, Optional<StartRun> order) {
     this.key = key;
@@ -130,6 +131,10 @@
     return order.map(StartRun::getImage).orElse("");
   }
 
+  long milliProcessors() {
+    return order.map(StartRun::getMilliProcessors).orElse(0);
+  }
+
   boolean fills() {
     return order.map(StartRun::getFills).orElse(false);
   }
@@ -148,6 +153,10 @@
     pacedTo = UNKNOWN_SPEED;
   }
 
+  void crowded(boolean isCrowded) {
+    crowded = isCrowded;
+  }
+
   RunReport report() {
     return RunReport.newBuilder()
         .setTask(WorkflowRecords.encode(key))
@@ -156,6 +165,7 @@
         .setPercent(percent)
         .setStopping(stopping)
         .setSizeUnknown(order.isEmpty() && !stopping)
+        .setCrowded(crowded)
         .build();
   }
 }
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartAdmission.java
@@ -0,0 +1,70 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.workflow.RoomLedger;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.SuspectRoom;
+import java.util.Collection;
+import java.util.Optional;
+
+/**
+ * Decides whether one worker is given an order to start: the last word after owners that placed by
+ * what they heard last, each without the others. Confined to the loop's thread.
+ */
+final class StartAdmission {
+  private final WorkerTime time;
+  private final RoomLedger room;
+  private final RunPacing pacing;
+
+  StartAdmission(WorkerTime time, RoomLedger room, RunPacing pacing) {
+    this.time = requireNonNull(time, "time");
+    this.room = requireNonNull(room, "room");
+    this.pacing = requireNonNull(pacing, "pacing");
+  }
+
+  /** Returns what the ordered run takes. */
+  static RoomLedger.Claim claim(StartRun order) {
+    return new RoomLedger.Claim(
+        WorkflowRecords.sizes(
+            order.getMilliProcessors(), order.getMemoryMebibytes(), order.getAccelerators()),
+        order.getFills());
+  }
+
+  /** Returns how many of the runs have a latency target. */
+  static int serving(Collection<SideRun> runs) {
+    return (int) runs.stream().filter(run -> run.latencyTargetMillis() > 0).count();
+  }
+
+  /**
+   * Books room for the run, or returns why it must not start.
+   *
+   * @param draining whether the worker takes nothing new
+   * @param runs all that is on the worker
+   */
+  Optional<String> refusal(
+      RunKey key, int partition, StartRun order, boolean draining, Collection<SideRun> runs) {
+    if (draining) {
+      return Optional.of("the worker leaves");
+    }
+    if (!time.mayStart(partition)) {
+      return Optional.of("the evidence of its owner is too old");
+    }
+    if (runs.stream().anyMatch(run -> run.order().isEmpty())) {
+      return Optional.of("what runs here is not known yet");
+    }
+    if (order.getFills() && serving(runs) > 0 && isTooMuchBeside(order, runs)) {
+      return Optional.of("no room beside services");
+    }
+    return room.tryBook(key, claim(order)) ? Optional.empty() : Optional.of("no room");
+  }
+
+  private boolean isTooMuchBeside(StartRun order, Collection<SideRun> runs) {
+    return pacing.isSuspect(order.getImage())
+        && !SuspectRoom.admits(
+            room.capacity().milliProcessors(),
+            pacing.suspectMilliProcessors(runs),
+            order.getMilliProcessors());
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -15,7 +15,6 @@
 import io.marigoldsail.daemon.workflow.WorkerGateway.Refusal;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Refused;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Running;
-import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.LeaseTermsOfWorker;
@@ -76,6 +75,7 @@
   private final RoomLedger room = new RoomLedger();
   private final WorkerTime time;
   private final RunPacing pacing;
+  private final StartAdmission admission;
   private final EndLedger ends = new EndLedger();
   private final Map<RunKey, SideRun> runs = new LinkedHashMap<>();
   private WorkerHeartbeat heartbeat;
@@ -100,6 +100,7 @@
     this.listener = requireNonNull(listener, "listener");
     this.time = new WorkerTime(loop, terms, first.workerClock());
     this.pacing = new RunPacing(loop, gateway, worker);
+    this.admission = new StartAdmission(time, room, pacing);
     room.capacity(heartbeat.capacity());
     takeListing(first, Set.of());
     adopted = true;
@@ -156,7 +157,7 @@
   }
 
   int serving() {
-    return (int) runs.values().stream().filter(run -> run.latencyTargetMillis() > 0).count();
+    return StartAdmission.serving(runs.values());
   }
 
   /** Takes evidence that an owner held its partition at a time on the worker's clock. */
@@ -171,11 +172,10 @@
   /** Carries out an order to start, or refuses it at once. */
   void start(RunKey key, StartRun order, String program) {
     SideRun known = runs.get(key);
-    RoomLedger.Claim claim = claim(order);
     if (known != null) {
       if (known.order().isEmpty()) {
         known.order(order);
-        room.book(key, claim);
+        room.book(key, StartAdmission.claim(order));
         listener.changed();
       }
       return;
@@ -184,7 +184,8 @@
       return;
     }
     int partition = partitionOf(key);
-    Optional<String> refusal = refusal(key, partition, claim);
+    Optional<String> refusal =
+        admission.refusal(key, partition, order, heartbeat.draining(), runs.values());
     if (refusal.isPresent()) {
       finish(key, RunOutcome.REFUSED, "", 0, refusal.get());
       return;
@@ -195,26 +196,6 @@
     sendStart(run);
   }
 
-  private static RoomLedger.Claim claim(StartRun order) {
-    Sizes sizes =
-        WorkflowRecords.sizes(
-            order.getMilliProcessors(), order.getMemoryMebibytes(), order.getAccelerators());
-    return new RoomLedger.Claim(sizes, order.getFills());
-  }
-
-  private Optional<String> refusal(RunKey key, int partition, RoomLedger.Claim claim) {
-    if (heartbeat.draining()) {
-      return Optional.of("the worker leaves");
-    }
-    if (!time.mayStart(partition)) {
-      return Optional.of("the evidence of its owner is too old");
-    }
-    if (runs.values().stream().anyMatch(run -> run.order().isEmpty())) {
-      return Optional.of("what runs here is not known yet");
-    }
-    return room.tryBook(key, claim) ? Optional.empty() : Optional.of("no room");
-  }
-
   private void sendStart(SideRun run) {
     int tries = run.tried();
     time.extend(held());
@@ -402,7 +383,7 @@
     time.read(shown.workerClock());
     takeListing(shown, confirmed);
     stopOverdue();
-    if (pacing.observe(runs.values())) {
+    if (pacing.observe(runs.values(), room.capacity().milliProcessors())) {
       listener.changed();
     }
     if (ends.isAllNoted()) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -214,6 +214,7 @@
         .setFreeMemoryMebibytes(WorkflowRecords.mebibytes(free))
         .setFreeAccelerators((int) free.accelerators())
         .setFillMilliProcessors((int) session.room().fillMilliProcessors())
+        .setSuspectMilliProcessors((int) session.pacing().suspectMilliProcessors(session.runs()))
         .setFillPercent(session.pacing().percent())
         .setServing(session.serving());
     if (report.getWantsLease()) {
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunReport.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunReport.java
@@ -163,6 +163,21 @@
     return sizeUnknown_;
   }
 
+  public static final int CROWDED_FIELD_NUMBER = 7;
+  private boolean crowded_ = false;
+  /**
+   * <pre>
+   * May disturb the services beside it, and there are too many such runs on its VM.
+   * </pre>
+   *
+   * <code>bool crowded = 7;</code>
+   * @return The crowded.
+   */
+  @java.lang.Override
+  public boolean getCrowded() {
+    return crowded_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -195,6 +210,9 @@
     if (sizeUnknown_ != false) {
       output.writeBool(6, sizeUnknown_);
     }
+    if (crowded_ != false) {
+      output.writeBool(7, crowded_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -222,6 +240,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(6, sizeUnknown_);
     }
+    if (crowded_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, crowded_);
+    }
     return size;
   }
   @java.lang.Override
@@ -261,6 +283,8 @@
         != other.getStopping()) return false;
     if (getSizeUnknown()
         != other.getSizeUnknown()) return false;
+    if (getCrowded()
+        != other.getCrowded()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -289,6 +313,9 @@
     hash = (37 * hash) + SIZE_UNKNOWN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getSizeUnknown());
+    hash = (37 * hash) + CROWDED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCrowded());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -436,6 +463,7 @@
       percent_ = 0;
       stopping_ = false;
       sizeUnknown_ = false;
+      crowded_ = false;
       return this;
     }
 
@@ -491,6 +519,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.sizeUnknown_ = sizeUnknown_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.crowded_ = crowded_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -526,6 +557,9 @@
       if (other.getSizeUnknown() != false) {
         setSizeUnknown(other.getSizeUnknown());
       }
+      if (other.getCrowded() != false) {
+        setCrowded(other.getCrowded());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -582,6 +616,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              crowded_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -930,6 +969,50 @@
       return this;
     }
 
+    private boolean crowded_ ;
+    /**
+     * <pre>
+     * May disturb the services beside it, and there are too many such runs on its VM.
+     * </pre>
+     *
+     * <code>bool crowded = 7;</code>
+     * @return The crowded.
+     */
+    @java.lang.Override
+    public boolean getCrowded() {
+      return crowded_;
+    }
+    /**
+     * <pre>
+     * May disturb the services beside it, and there are too many such runs on its VM.
+     * </pre>
+     *
+     * <code>bool crowded = 7;</code>
+     * @param value The crowded to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCrowded(boolean value) {
+
+      crowded_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * May disturb the services beside it, and there are too many such runs on its VM.
+     * </pre>
+     *
+     * <code>bool crowded = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCrowded() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      crowded_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.RunReport)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunReportOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunReportOrBuilder.java
@@ -64,4 +64,14 @@
    * @return The sizeUnknown.
    */
   boolean getSizeUnknown();
+
+  /**
+   * <pre>
+   * May disturb the services beside it, and there are too many such runs on its VM.
+   * </pre>
+   *
+   * <code>bool crowded = 7;</code>
+   * @return The crowded.
+   */
+  boolean getCrowded();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
@@ -646,6 +646,21 @@
     return images_.get(index);
   }
 
+  public static final int SUSPECT_MILLI_PROCESSORS_FIELD_NUMBER = 25;
+  private int suspectMilliProcessors_ = 0;
+  /**
+   * <pre>
+   * The part of fill_milli_processors that tasks of images which may disturb declared.
+   * </pre>
+   *
+   * <code>uint32 suspect_milli_processors = 25;</code>
+   * @return The suspectMilliProcessors.
+   */
+  @java.lang.Override
+  public int getSuspectMilliProcessors() {
+    return suspectMilliProcessors_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -732,6 +747,9 @@
     for (int i = 0; i < images_.size(); i++) {
       output.writeMessage(24, images_.get(i));
     }
+    if (suspectMilliProcessors_ != 0) {
+      output.writeUInt32(25, suspectMilliProcessors_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -846,6 +864,10 @@
           }
           size += 2 * count;
         }
+    if (suspectMilliProcessors_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(25, suspectMilliProcessors_);
+    }
     return size;
   }
   @java.lang.Override
@@ -918,6 +940,8 @@
         != other.getOwnersDigest()) return false;
     if (!getImagesList()
         .equals(other.getImagesList())) return false;
+    if (getSuspectMilliProcessors()
+        != other.getSuspectMilliProcessors()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -990,6 +1014,8 @@
       hash = (37 * hash) + IMAGES_FIELD_NUMBER;
       hash = (53 * hash) + getImagesList().hashCode();
     }
+    hash = (37 * hash) + SUSPECT_MILLI_PROCESSORS_FIELD_NUMBER;
+    hash = (53 * hash) + getSuspectMilliProcessors();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1168,6 +1194,7 @@
         imagesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00800000);
+      suspectMilliProcessors_ = 0;
       return this;
     }
 
@@ -1296,6 +1323,9 @@
       if (((from_bitField0_ & 0x00400000) != 0)) {
         result.ownersDigest_ = ownersDigest_;
       }
+      if (((from_bitField0_ & 0x01000000) != 0)) {
+        result.suspectMilliProcessors_ = suspectMilliProcessors_;
+      }
     }
 
     @java.lang.Override
@@ -1468,6 +1498,9 @@
           }
         }
       }
+      if (other.getSuspectMilliProcessors() != 0) {
+        setSuspectMilliProcessors(other.getSuspectMilliProcessors());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1636,6 +1669,11 @@
               }
               break;
             } // case 194
+            case 200: {
+              suspectMilliProcessors_ = input.readUInt32();
+              bitField0_ |= 0x01000000;
+              break;
+            } // case 200
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3502,6 +3540,50 @@
       return imagesBuilder_;
     }
 
+    private int suspectMilliProcessors_ ;
+    /**
+     * <pre>
+     * The part of fill_milli_processors that tasks of images which may disturb declared.
+     * </pre>
+     *
+     * <code>uint32 suspect_milli_processors = 25;</code>
+     * @return The suspectMilliProcessors.
+     */
+    @java.lang.Override
+    public int getSuspectMilliProcessors() {
+      return suspectMilliProcessors_;
+    }
+    /**
+     * <pre>
+     * The part of fill_milli_processors that tasks of images which may disturb declared.
+     * </pre>
+     *
+     * <code>uint32 suspect_milli_processors = 25;</code>
+     * @param value The suspectMilliProcessors to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSuspectMilliProcessors(int value) {
+
+      suspectMilliProcessors_ = value;
+      bitField0_ |= 0x01000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The part of fill_milli_processors that tasks of images which may disturb declared.
+     * </pre>
+     *
+     * <code>uint32 suspect_milli_processors = 25;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSuspectMilliProcessors() {
+      bitField0_ = (bitField0_ & ~0x01000000);
+      suspectMilliProcessors_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.VmReport)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
@@ -320,4 +320,14 @@
    */
   io.marigoldsail.protocol.ImageSeenOrBuilder getImagesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The part of fill_milli_processors that tasks of images which may disturb declared.
+   * </pre>
+   *
+   * <code>uint32 suspect_milli_processors = 25;</code>
+   * @return The suspectMilliProcessors.
+   */
+  int getSuspectMilliProcessors();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -164,7 +164,7 @@
       "ures\030\003 \001(\r\022\r\n\005place\030\004 \001(\r\022\022\n\ncheckpoint\030" +
       "\005 \001(\t\"d\n\016WorkflowTaskId\022\020\n\010workflow\030\001 \001(" +
       "\006\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005i" +
-      "ndex\030\004 \001(\r\022\017\n\007attempt\030\005 \001(\r\"\306\004\n\010VmReport" +
+      "ndex\030\004 \001(\r\022\017\n\007attempt\030\005 \001(\r\"\350\004\n\010VmReport" +
       "\022\024\n\014worker_clock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n\006wo" +
       "rker\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\014\n\004zone\030\005 \001(" +
       "\t\022\016\n\006labels\030\006 \003(\t\022\020\n\010draining\030\007 \001(\010\022\030\n\020m" +
@@ -179,43 +179,45 @@
       "lease\030\023 \001(\010\022\023\n\013gone_worker\030\024 \001(\t\022\021\n\tunhe" +
       "althy\030\025 \001(\010\022\017\n\007serving\030\026 \001(\r\022\025\n\rowners_d" +
       "igest\030\027 \001(\007\022\'\n\006images\030\030 \003(\0132\027.marigoldsa" +
-      "il.ImageSeen\"\225\001\n\tRunReport\022*\n\004task\030\001 \001(\013" +
-      "2\034.marigoldsail.WorkflowTaskId\022\017\n\007starte" +
-      "d\030\002 \001(\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n\007percent\030\004" +
-      " \001(\r\022\020\n\010stopping\030\005 \001(\010\022\024\n\014size_unknown\030\006" +
-      " \001(\010\"~\n\tEndReport\022*\n\004task\030\001 \001(\0132\034.marigo" +
-      "ldsail.WorkflowTaskId\022\017\n\007outcome\030\002 \001(\r\022\022" +
-      "\n\ncheckpoint\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006" +
-      "reason\030\005 \001(\t\"~\n\nLeaseGrant\022\024\n\014worker_clo" +
-      "ck\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037.marigoldsai" +
-      "l.PartitionEvidence\022\'\n\006images\030\003 \003(\0132\027.ma" +
-      "rigoldsail.ImageSeen\"9\n\tImageSeen\022\r\n\005ima" +
-      "ge\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006weight\030\003 \001(\002\"" +
-      "R\n\021PartitionEvidence\022\021\n\tpartition\030\001 \001(\r\022" +
-      "\r\n\005epoch\030\002 \001(\004\022\033\n\023after_report_millis\030\003 " +
-      "\001(\021\"\333\001\n\tRunOrders\022\016\n\006number\030\001 \001(\004\022\'\n\005lea" +
-      "se\030\002 \001(\0132\030.marigoldsail.LeaseGrant\022&\n\006st" +
-      "arts\030\003 \003(\0132\026.marigoldsail.StartRun\022+\n\005st" +
-      "ops\030\004 \003(\0132\034.marigoldsail.WorkflowTaskId\022" +
-      "0\n\nnoted_ends\030\005 \003(\0132\034.marigoldsail.Workf" +
-      "lowTaskId\022\016\n\006worker\030\006 \001(\t\"\370\001\n\010StartRun\022*" +
-      "\n\004task\030\001 \001(\0132\034.marigoldsail.WorkflowTask" +
-      "Id\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_processors\030" +
-      "\003 \001(\r\022\030\n\020memory_mebibytes\030\004 \001(\r\022\024\n\014accel" +
-      "erators\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001(\t\022\r\n\005ima" +
-      "ge\030\007 \001(\t\022\035\n\025latency_target_millis\030\010 \001(\r\022" +
-      "\r\n\005fills\030\t \001(\010\022\024\n\014same_program\030\n \001(\010\"\\\n\010" +
-      "OwnerMap\022\022\n\ngeneration\030\001 \001(\004\022,\n\006owners\030\002" +
-      " \003(\0132\034.marigoldsail.PartitionOwner\022\016\n\006di" +
-      "gest\030\003 \001(\007\"3\n\016PartitionOwner\022\021\n\tpartitio" +
-      "n\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkflowQuery" +
-      "\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005queue\030" +
-      "\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023WorkflowQueryAn" +
-      "swer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"I\n\rWait" +
-      "ingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues\030\002 \003(" +
-      "\0132\030.marigoldsail.QueueCount\",\n\nQueueCoun" +
-      "t\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030io." +
-      "marigoldsail.protocolP\001b\006proto3"
+      "il.ImageSeen\022 \n\030suspect_milli_processors" +
+      "\030\031 \001(\r\"\246\001\n\tRunReport\022*\n\004task\030\001 \001(\0132\034.mar" +
+      "igoldsail.WorkflowTaskId\022\017\n\007started\030\002 \001(" +
+      "\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022\020" +
+      "\n\010stopping\030\005 \001(\010\022\024\n\014size_unknown\030\006 \001(\010\022\017" +
+      "\n\007crowded\030\007 \001(\010\"~\n\tEndReport\022*\n\004task\030\001 \001" +
+      "(\0132\034.marigoldsail.WorkflowTaskId\022\017\n\007outc" +
+      "ome\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t\022\020\n\010sequenc" +
+      "e\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\"~\n\nLeaseGrant\022\024\n" +
+      "\014worker_clock\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037." +
+      "marigoldsail.PartitionEvidence\022\'\n\006images" +
+      "\030\003 \003(\0132\027.marigoldsail.ImageSeen\"9\n\tImage" +
+      "Seen\022\r\n\005image\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006we" +
+      "ight\030\003 \001(\002\"R\n\021PartitionEvidence\022\021\n\tparti" +
+      "tion\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after_repor" +
+      "t_millis\030\003 \001(\021\"\333\001\n\tRunOrders\022\016\n\006number\030\001" +
+      " \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsail.Lease" +
+      "Grant\022&\n\006starts\030\003 \003(\0132\026.marigoldsail.Sta" +
+      "rtRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsail.Work" +
+      "flowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.marigol" +
+      "dsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t\"\370\001\n" +
+      "\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail.W" +
+      "orkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_" +
+      "processors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 \001" +
+      "(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030\006" +
+      " \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_mi" +
+      "llis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_progra" +
+      "m\030\n \001(\010\"\\\n\010OwnerMap\022\022\n\ngeneration\030\001 \001(\004\022" +
+      ",\n\006owners\030\002 \003(\0132\034.marigoldsail.Partition" +
+      "Owner\022\016\n\006digest\030\003 \001(\007\"3\n\016PartitionOwner\022" +
+      "\021\n\tpartition\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWo" +
+      "rkflowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(" +
+      "\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023Work" +
+      "flowQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 " +
+      "\001(\r\"I\n\rWaitingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006" +
+      "queues\030\002 \003(\0132\030.marigoldsail.QueueCount\"," +
+      "\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002" +
+      " \001(\rB\034\n\030io.marigoldsail.protocolP\001b\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -262,13 +264,13 @@
     internal_static_marigoldsail_VmReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_VmReport_descriptor,
-        new java.lang.String[] { "WorkerClock", "Vm", "Worker", "Service", "Zone", "Labels", "Draining", "MilliProcessors", "MemoryMebibytes", "Accelerators", "FreeMilliProcessors", "FreeMemoryMebibytes", "FreeAccelerators", "FillMilliProcessors", "FillPercent", "OrdersSeen", "Runs", "Ends", "WantsLease", "GoneWorker", "Unhealthy", "Serving", "OwnersDigest", "Images", });
+        new java.lang.String[] { "WorkerClock", "Vm", "Worker", "Service", "Zone", "Labels", "Draining", "MilliProcessors", "MemoryMebibytes", "Accelerators", "FreeMilliProcessors", "FreeMemoryMebibytes", "FreeAccelerators", "FillMilliProcessors", "FillPercent", "OrdersSeen", "Runs", "Ends", "WantsLease", "GoneWorker", "Unhealthy", "Serving", "OwnersDigest", "Images", "SuspectMilliProcessors", });
     internal_static_marigoldsail_RunReport_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_marigoldsail_RunReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RunReport_descriptor,
-        new java.lang.String[] { "Task", "Started", "Checkpoint", "Percent", "Stopping", "SizeUnknown", });
+        new java.lang.String[] { "Task", "Started", "Checkpoint", "Percent", "Stopping", "SizeUnknown", "Crowded", });
     internal_static_marigoldsail_EndReport_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_marigoldsail_EndReport_fieldAccessorTable = new
