--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/FillPacer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/FillPacer.java
@@ -11,9 +11,9 @@
  * over its target for as long as the heavy tasks last; with shares that jump between all and
  * nothing what fills stands still most of the time and disturbs in between. So the share falls by
  * the measure of a bad reading and rises by the measure of what is left below the target, from a
- * low first share: at the target itself nothing moves. The third reading in a row over the target
- * stops everything that fills: readings come half a second to a second apart, are rough, and users
- * feel what lasts some seconds.
+ * first share: at the target itself nothing moves. The third reading in a row over the target stops
+ * everything that fills: readings come half a second to a second apart, are rough, and users feel
+ * what lasts some seconds.
  *
  * <p>Tasks of images believed to be harmless ({@link ImageHarm}), as opposed to suspects, are
  * slowed only once slowing the suspects did not help, and only for tails over the target. Without
@@ -40,8 +40,11 @@
   /** The same for what is believed to be harmless, whose effect is small. */
   static final int HARMLESS_RISE = 25;
 
-  /** The share at which suspects begin beside a service: a wrong one is felt for one reading. */
-  static final int FIRST_PERCENT = 24;
+  /**
+   * The share at which suspects begin beside a service: so much that tails tell within two seconds
+   * whether their image disturbs, and so little that most services bear it until then.
+   */
+  static final int FIRST_PERCENT = 60;
 
   /** Speeds under this, in percent, are taken as none. */
   static final int LEAST = 4;
