--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/Ownership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/Ownership.java
@@ -35,6 +35,16 @@
    */
   private static final long JOIN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
+  /**
+   * The same while members come and go, in nanoseconds. A partition waits for the next join of its
+   * former owner: after all entries had started anew, one that was dealt all partitions first gave
+   * them back 0.9 s later, in which runs on the workers came near the end of their leases.
+   */
+  private static final long UNSETTLED_JOIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+  /** For how long after a change of members there may be another one, in nanoseconds. */
+  private static final long UNSETTLED_NANOS = TimeUnit.SECONDS.toNanos(3);
+
   /** Between two readings of the owners, in nanoseconds. */
   private static final long OWNERS_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
@@ -55,6 +65,8 @@
   private final Map<Integer, Long> lastEpochs = new HashMap<>();
   private ImmutableSet<Integer> listed = ImmutableSet.of();
   private long generation;
+  private long changedAt;
+  private long joinedAt;
   private boolean leaving;
   private boolean joining;
   private volatile boolean connected;
@@ -69,7 +81,8 @@
   /** Begins to join and to read the owners. */
   void start() {
     store.owners().thenAccept(result -> loop.run(() -> takeFirstOwners(result)));
-    loop.repeat(this::join, JOIN_NANOS);
+    changedAt = loop.now();
+    loop.repeat(this::joinIfDue, UNSETTLED_JOIN_NANOS);
     loop.repeat(this::readOwners, OWNERS_NANOS);
   }
 
@@ -97,11 +110,19 @@
     join();
   }
 
+  private void joinIfDue() {
+    boolean unsettled = loop.now() - changedAt < UNSETTLED_NANOS;
+    if (unsettled || loop.now() - joinedAt >= JOIN_NANOS) {
+      join();
+    }
+  }
+
   private void join() {
     if (leaving || joining) {
       return;
     }
     joining = true;
+    joinedAt = loop.now();
     store
         .join(self.toString(), generation)
         .thenAccept(
@@ -131,6 +152,7 @@
     }
     boolean changed = joined.generation() != generation;
     generation = joined.generation();
+    changedAt = changed ? loop.now() : changedAt;
     listed = joined.partitions();
     for (int partition : ImmutableSet.copyOf(owned.keySet())) {
       if (!listed.contains(partition)) {
