--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -78,6 +78,25 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns whether a task that failed on a VM is to go elsewhere rather than back to it.
+   *
+   * <p>Not if it serves and would be the first to do so on its VM: services fail by themselves now
+   * and then, and one alone on a VM takes that from all tasks that fill. A VM that fails what it
+   * runs is no choice at all for a while ({@link VmTrust}).
+   *
+   * @param elsewhere the best VM on which it has not failed
+   * @param anywhere the best of all VMs
+   */
+  public static boolean isWorthLeaving(
+      StepSpec step, Optional<VmOffer> elsewhere, Optional<VmOffer> anywhere) {
+    if (elsewhere.isEmpty() || anywhere.isEmpty()) {
+      return elsewhere.isPresent();
+    }
+    boolean alone = elsewhere.get().serving() == 0 && anywhere.get().serving() > 0;
+    return !(step.nature().serves() && alone);
+  }
+
   private static boolean admits(
       WorkflowSpec spec,
       StepSpec step,
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.workflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -85,6 +86,25 @@
     assertEquals(Optional.empty(), choose(heavy, with(beside, 201, 1)));
   }
 
+  /**
+   * A lasting task fails by itself; its VM has its room free again, and only the one VM without
+   * services has room besides. It went there, and heavy workflows of all callers came late for the
+   * rest of the day: the VM had done half of their work.
+   */
+  @Test
+  void aServiceThatFailedDoesNotTakeTheVmThatHasNone() {
+    StepSpec service = Workflows.step(1, 3_200, Workflows.lasting(125));
+    VmOffer free = Workflows.offer("free", 16_000, 0, 0);
+    VmOffer former = Workflows.offer("former", 3_300, 0, 4);
+    VmOffer packed = Workflows.offer("packed", 3_300, 0, 3);
+    assertFalse(VmChooser.isWorthLeaving(service, Optional.of(free), Optional.of(former)));
+    assertTrue(VmChooser.isWorthLeaving(service, Optional.of(packed), Optional.of(former)));
+    assertTrue(VmChooser.isWorthLeaving(service, Optional.of(free), Optional.empty()));
+    assertFalse(VmChooser.isWorthLeaving(service, Optional.empty(), Optional.of(former)));
+    StepSpec plain = Workflows.step(1, 240, StepSpec.Nature.PLAIN);
+    assertTrue(VmChooser.isWorthLeaving(plain, Optional.of(free), Optional.of(former)));
+  }
+
   /** What services leave on their VMs is a good part of all room; harmless tasks are to use it. */
   @Test
   void knownImagesStandWhereTheyDoNoHarm() {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -133,10 +133,12 @@
   private Optional<VmOffer> choose(WorkflowTask task, Collection<VmOffer> offers) {
     List<VmOffer> others =
         offers.stream().filter(offer -> !task.hasFailedOn(offer.place().vm())).toList();
-    Optional<VmOffer> chosen = chooseAmong(task, others);
-    return chosen.isPresent() || others.size() == offers.size()
-        ? chosen
-        : chooseAmong(task, offers);
+    Optional<VmOffer> elsewhere = chooseAmong(task, others);
+    if (others.size() == offers.size()) {
+      return elsewhere;
+    }
+    Optional<VmOffer> anywhere = chooseAmong(task, offers);
+    return VmChooser.isWorthLeaving(task.step(), elsewhere, anywhere) ? elsewhere : anywhere;
   }
 
   private Optional<VmOffer> chooseAmong(WorkflowTask task, Collection<VmOffer> offers) {
