Let who is in a hurry wait for full speed, and finish what is nearly done

Now a workflow that can be in time only at full speed holds its tasks back for a VM without services (two seconds at most with nothing at work), and room goes first to what is worth most for the work it still needs.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -53,6 +53,9 @@
    * @param spec the workflow
    * @param step the task's step
    * @param harm how harmful the step's image is believed to be, see {@link ImageHarm}
+   * @param hurried whether the task would come too late if it were slowed down; then a suspect
+   *     waits for a VM without services if there is one at all: beside services it would be late,
+   *     and all tasks that it came with did their work for nothing
    * @param offers the VMs to choose from
    * @param ofStepOn how many tasks of the same step and occurrence are on a VM
    */
@@ -60,13 +63,20 @@
       WorkflowSpec spec,
       StepSpec step,
       double harm,
+      boolean hurried,
       Collection<VmOffer> offers,
       ToIntFunction<VmOffer> ofStepOn) {
     requireNonNull(ofStepOn, "ofStepOn");
+    boolean onlyFree =
+        hurried
+            && step.nature().fills()
+            && harm > ImageHarm.HARMLESS
+            && offers.stream().anyMatch(offer -> offer.serving() == 0);
     VmOffer best = null;
     double bestScore = Double.NEGATIVE_INFINITY;
     for (VmOffer offer : offers) {
-      if (!admits(spec, step, harm, offer, ofStepOn)) {
+      boolean slow = onlyFree && offer.serving() > 0;
+      if (slow || !admits(spec, step, harm, offer, ofStepOn)) {
         continue;
       }
       double score = score(step, harm, offer);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WaitingOrder.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WaitingOrder.java
@@ -8,9 +8,11 @@
  * <p>Load pattern: for some seconds more work than room. First come, first served makes everything
  * late then: each workflow waits behind all that came before it, also behind those that are past
  * saving. Queues of a lower priority number go first, since they may have room that others hold.
- * Within a priority go first those that can still be in time, then those that can still be of some
- * use, then those that come too late for anybody; among equals the one accepted first, so that work
- * begun is finished before more is begun.
+ * Within a priority goes first what is worth most for the work that it still needs: a workflow that
+ * is nearly done before one that has hardly begun, and one that will be late only with so little
+ * left that it is worth it; what comes too late for anybody goes last. Without that, in a burst of
+ * heavy workflows each step of each competes with the first steps of newer ones, all advance and
+ * hardly any is done in time. Among equals the one accepted first.
  *
  * <p>Compares snapshots of the moment given, so the order is consistent while one list is sorted.
  */
@@ -18,32 +20,60 @@
   /** A workflow this many times later than in time is of no use any more. */
   static final long USELESS_FACTOR = 3;
 
+  /** What a late workflow is worth to its callers, as a part of one in time. */
+  private static final double LATE_PART = 0.15;
+
+  /**
+   * How many times as long a task may take that is slowed down beside services: suspects work there
+   * at about a third of their speed.
+   */
+  private static final long SLOWED_FACTOR = 3;
+
+  /**
+   * For how long a workflow with nothing at work waits for a better place, in milliseconds: its
+   * caller must see it get on within some three seconds if there is any room.
+   */
+  private static final long HOLD_MILLIS = 2_000;
+
+  /** Under this part of its work left, a workflow counts as nearly done. */
+  private static final double LEAST_LEFT = 0.02;
+
   private static final Comparator<Ranked> ORDER =
       Comparator.comparingInt((Ranked each) -> each.priority)
-          .thenComparing(each -> each.use)
+          .thenComparing(Comparator.comparingDouble((Ranked each) -> each.density).reversed())
           .thenComparingLong(each -> each.acceptedMillis)
           .thenComparingLong(each -> each.id);
 
   /** What a workflow that waits is still good for. */
   public enum Use {
     /** It can be in time. */
-    IN_TIME,
+    IN_TIME(1),
     /** It will be late. */
-    LATE,
+    LATE(LATE_PART),
     /** It comes too late for anybody. */
-    NONE
+    NONE(0);
+
+    private final double worth;
+
+    Use(double worth) {
+      this.worth = worth;
+    }
   }
 
   /** A workflow with its place in the order at one moment. Immutable. */
   public static final class Ranked implements Comparable<Ranked> {
     private final int priority;
     private final Use use;
+    private final boolean hurried;
+    private final double density;
     private final long acceptedMillis;
     private final long id;
 
-    private Ranked(Workflow workflow, Use use) {
+    private Ranked(Workflow workflow, Use use, boolean hurried) {
       this.priority = workflow.spec().terms().priority();
       this.use = use;
+      this.hurried = hurried;
+      this.density = use.worth / Math.max(LEAST_LEFT, workflow.workLeft());
       this.acceptedMillis = workflow.spec().acceptedMillis();
       this.id = workflow.spec().id();
     }
@@ -53,6 +83,11 @@
       return use;
     }
 
+    /** Returns whether it can be in time, but not where its tasks would be slowed down. */
+    public boolean isHurried() {
+      return hurried;
+    }
+
     @Override
     public int compareTo(Ranked other) {
       return ORDER.compare(this, other);
@@ -73,21 +108,23 @@
 
   /** Returns the workflow's place at a wall clock in milliseconds. */
   public static Ranked rank(Workflow workflow, long wallMillis) {
-    return new Ranked(workflow, use(workflow, wallMillis));
-  }
-
-  private static Use use(Workflow workflow, long wallMillis) {
     WorkflowSpec spec = workflow.spec();
     boolean lasting = spec.steps().stream().anyMatch(step -> step.nature().lasting());
     if (lasting || spec.schedule().occurrences() > 0) {
-      return Use.IN_TIME;
+      return new Ranked(workflow, Use.IN_TIME, false);
     }
     double allowed =
         spec.terms().slackFactor() * workflow.chainMillis(false) + spec.terms().objectiveMillis();
-    long ends = wallMillis - spec.acceptedMillis() + workflow.chainMillis(true);
-    if (ends <= allowed) {
-      return Use.IN_TIME;
+    long age = wallMillis - spec.acceptedMillis();
+    long left = workflow.chainMillis(true);
+    if (age + left > USELESS_FACTOR * allowed) {
+      return new Ranked(workflow, Use.NONE, false);
+    }
+    if (age + left > allowed) {
+      return new Ranked(workflow, Use.LATE, false);
     }
-    return ends <= USELESS_FACTOR * allowed ? Use.LATE : Use.NONE;
+    boolean hurried =
+        age + SLOWED_FACTOR * left > allowed && workflow.idleMillis(wallMillis) < HOLD_MILLIS;
+    return new Ranked(workflow, Use.IN_TIME, hurried);
   }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -30,6 +30,7 @@
   private WorkflowStatus shownStatus = WorkflowStatus.QUEUED;
   private long endedMillis;
   private boolean begun;
+  private long lastRanMillis;
 
   private Workflow(WorkflowSpec spec) {
     this.spec = spec;
@@ -198,6 +199,7 @@
     }
     WorkflowTask task = found.get();
     task.close(outcome, checkpoint);
+    lastRanMillis = outcome.ran() ? Math.max(lastRanMillis, wallMillis) : lastRanMillis;
     if (outcome.ran() && outcome != RunOutcome.LOST) {
       begun();
     }
@@ -253,6 +255,34 @@
     return longest;
   }
 
+  /**
+   * Returns for how long nothing of it has been ordered that may run, in milliseconds.
+   *
+   * @param wallMillis the time of day
+   */
+  public long idleMillis(long wallMillis) {
+    boolean open = tasks.stream().anyMatch(WorkflowTask::isOpen);
+    return open ? 0 : wallMillis - Math.max(lastRanMillis, spec.acceptedMillis());
+  }
+
+  /**
+   * Returns the part of the declared work that is not done, of the first occurrence, from 0 to 1.
+   *
+   * <p>Work is run time times processors; what runs counts as not done.
+   */
+  public double workLeft() {
+    double all = 0;
+    double left = 0;
+    for (int step = 0; step < spec.steps().size(); step++) {
+      StepSpec each = spec.steps().get(step);
+      double ofTask =
+          (double) Math.max(1, each.estimateMillis()) * Math.max(1, each.sizes().milliProcessors());
+      all += ofTask * each.tasks();
+      left += ofTask * (each.tasks() - doneOfStep[step]);
+    }
+    return left / all;
+  }
+
   /** Returns the tasks whose last attempt may still run. */
   public List<WorkflowTask> openTasks() {
     return tasks.stream().filter(WorkflowTask::isOpen).toList();
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -16,7 +16,7 @@
 class VmChooserTest {
   private static Optional<String> choose(StepSpec step, VmOffer... offers) {
     return VmChooser.choose(
-            Workflows.spec(step), step, ImageHarm.UNKNOWN, List.of(offers), offer -> 0)
+            Workflows.spec(step), step, ImageHarm.UNKNOWN, false, List.of(offers), offer -> 0)
         .map(offer -> offer.place().vm());
   }
 
@@ -57,7 +57,12 @@
     for (int i = 0; i < count; i++) {
       VmOffer offer =
           VmChooser.choose(
-                  Workflows.spec(step), step, ImageHarm.UNKNOWN, offers.values(), unused -> 0)
+                  Workflows.spec(step),
+                  step,
+                  ImageHarm.UNKNOWN,
+                  false,
+                  offers.values(),
+                  unused -> 0)
               .orElseThrow();
       placed.add(offer.place().vm());
       offers.put(offer.place().vm(), offer.after(step, ImageHarm.UNKNOWN));
@@ -123,8 +128,30 @@
     assertEquals("serving", choose(heavy, ImageHarm.HARMLESS, withOne).orElseThrow());
   }
 
+  /**
+   * In a burst of heavy workflows half of the tasks of each went beside services, at a third of
+   * their speed, and each workflow was as late as its slowest task. Who can be in time only at full
+   * speed waits for a VM without services; who is late anyway takes what is left.
+   */
+  @Test
+  void whoIsInAHurryIsNotSlowedDown() {
+    StepSpec heavy = Workflows.step(1, 1_800, Workflows.filling());
+    VmOffer serving = Workflows.offer("serving", 3_000, 0, 4);
+    VmOffer full = Workflows.offer("full", 500, 6_000, 0);
+    List<VmOffer> both = List.of(serving, full);
+    assertEquals(Optional.empty(), hurried(heavy, ImageHarm.UNKNOWN, both));
+    assertEquals("serving", choose(heavy, ImageHarm.UNKNOWN, both).orElseThrow());
+    assertEquals("serving", hurried(heavy, ImageHarm.HARMLESS, both).orElseThrow());
+    assertEquals("serving", hurried(heavy, ImageHarm.UNKNOWN, List.of(serving)).orElseThrow());
+  }
+
+  private static Optional<String> hurried(StepSpec step, double harm, List<VmOffer> offers) {
+    return VmChooser.choose(Workflows.spec(step), step, harm, true, offers, offer -> 0)
+        .map(offer -> offer.place().vm());
+  }
+
   private static Optional<String> choose(StepSpec step, double harm, List<VmOffer> offers) {
-    return VmChooser.choose(Workflows.spec(step), step, harm, offers, offer -> 0)
+    return VmChooser.choose(Workflows.spec(step), step, harm, false, offers, offer -> 0)
         .map(offer -> offer.place().vm());
   }
 
@@ -160,6 +187,7 @@
             Workflows.spec(step),
             step,
             0,
+            false,
             List.of(a, b),
             offer -> offer.place().vm().equals("a") ? 1 : 0);
     assertEquals("b", chosen.orElseThrow().place().vm());
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WaitingOrderTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WaitingOrderTest.java
@@ -83,4 +83,48 @@
     }
     return inTime;
   }
+
+  /** 2 x 1 s of work and 1 s are allowed: slowed down it takes 3 s. */
+  @Test
+  void whoHasWaitedIsInAHurryUntilItIsLate() {
+    Workflow workflow = workflow(1, 0, 0);
+    assertEquals(false, WaitingOrder.rank(workflow, 0).isHurried());
+    assertEquals(true, WaitingOrder.rank(workflow, 1).isHurried());
+    assertEquals(true, WaitingOrder.rank(workflow, 1_999).isHurried());
+    // It has waited for two seconds with nothing at work.
+    assertEquals(false, WaitingOrder.rank(workflow, 2_000).isHurried());
+    workflow.order(workflow.tasks().get(0), Workflows.HERE);
+    assertEquals(true, WaitingOrder.rank(workflow, 2_000).isHurried());
+    assertEquals(false, WaitingOrder.rank(workflow, 2_001).isHurried());
+  }
+
+  /**
+   * Two heavy workflows wait, and one of them has little left. The one that came first took the
+   * room for its first step, and both were late.
+   */
+  @Test
+  void whatIsNearlyDoneGoesBeforeWhatHasHardlyBegun() {
+    Workflow first = heavy(1, 0);
+    Workflow begun = heavy(2, 1_000);
+    for (int step = 0; step < 2; step++) {
+      for (WorkflowTask task : begun.tasksOf(0, step)) {
+        begun.ended(begun.order(task, Workflows.HERE), RunOutcome.DONE, "", 1_000);
+      }
+    }
+    assertEquals(List.of(2L, 1L), sorted(1_000, first, begun));
+    // Late, a third of the work left: worth less for it than one that can still be in time.
+    assertEquals(List.of(3L, 2L), sorted(12_000, begun, heavy(3, 11_000)));
+  }
+
+  private static Workflow heavy(long id, long accepted) {
+    return Workflow.of(
+        Workflows.spec(
+            id,
+            0,
+            accepted,
+            WorkflowSpec.Schedule.AT_ONCE,
+            Workflows.step(4, 1_800, Workflows.filling()),
+            Workflows.step(4, 1_800, Workflows.filling(), 0),
+            Workflows.step(4, 1_800, Workflows.filling(), 1)));
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -94,7 +94,7 @@
     soon();
   }
 
-  private record Waiting(OwnedPartition partition, WorkflowTask task) {}
+  private record Waiting(OwnedPartition partition, WorkflowTask task, boolean hurried) {}
 
   private void run() {
     Optional<QueueTable> queues = configuration.get();
@@ -114,7 +114,7 @@
       if (full.contains(task.step())) {
         continue;
       }
-      Optional<VmOffer> chosen = choose(task, offers.values());
+      Optional<VmOffer> chosen = choose(each, offers.values());
       if (chosen.isEmpty()) {
         full.add(task.step());
         continue;
@@ -130,22 +130,26 @@
   }
 
   /** A task that failed on a VM goes elsewhere as long as it can: the VM may be what fails. */
-  private Optional<VmOffer> choose(WorkflowTask task, Collection<VmOffer> offers) {
+  private Optional<VmOffer> choose(Waiting waiting, Collection<VmOffer> offers) {
+    WorkflowTask task = waiting.task();
+    boolean hurried = waiting.hurried();
     List<VmOffer> others =
         offers.stream().filter(offer -> !task.hasFailedOn(offer.place().vm())).toList();
-    Optional<VmOffer> elsewhere = chooseAmong(task, others);
+    Optional<VmOffer> elsewhere = chooseAmong(task, hurried, others);
     if (others.size() == offers.size()) {
       return elsewhere;
     }
-    Optional<VmOffer> anywhere = chooseAmong(task, offers);
+    Optional<VmOffer> anywhere = chooseAmong(task, hurried, offers);
     return VmChooser.isWorthLeaving(task.step(), elsewhere, anywhere) ? elsewhere : anywhere;
   }
 
-  private Optional<VmOffer> chooseAmong(WorkflowTask task, Collection<VmOffer> offers) {
+  private Optional<VmOffer> chooseAmong(
+      WorkflowTask task, boolean hurried, Collection<VmOffer> offers) {
     return VmChooser.choose(
         task.workflow().spec(),
         task.step(),
         vms.harmOf(task.step().nature().image()),
+        hurried,
         offers,
         offer -> vms.ofStepOn(offer.place().vm(), task));
   }
@@ -171,7 +175,8 @@
               wall,
               task -> {
                 if (task.notBefore() <= now && isSupported(task)) {
-                  waiting.add(new Waiting(candidate.partition(), task));
+                  waiting.add(
+                      new Waiting(candidate.partition(), task, candidate.rank().isHurried()));
                 }
               });
     }
@@ -225,7 +230,8 @@
     vms.offers().stream().filter(offer -> offer.serving() == 0).forEach(free::add);
     for (OpenRun run : vms.slowedDownTo(SLOWED_PERCENT)) {
       WorkflowTask task = run.task();
-      Optional<VmOffer> better = isCheaplyMoved(task) ? chooseAmong(task, free) : Optional.empty();
+      Optional<VmOffer> better =
+          isCheaplyMoved(task) ? chooseAmong(task, false, free) : Optional.empty();
       if (better.isPresent() && move(run, "it is slowed down beside tasks that serve")) {
         free.remove(better.get());
         free.add(after(better.get(), task));
