--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
@@ -28,6 +28,7 @@
   private final String worker;
   private final FillPacer pacer = new FillPacer();
   private final ImageHarm harm = new ImageHarm();
+  private final Map<String, Boolean> suspected = new HashMap<>();
   private long toldAt = Long.MIN_VALUE;
 
   RunPacing(LinkLoop loop, WorkerGateway gateway, String worker) {
@@ -86,6 +87,7 @@
     if (!readings.isEmpty()) {
       harm.observe(fillings, FillPacer.worstPercent(readings));
     }
+    tellOfSuspects(fillings);
     int before = pacer.percent();
     int after =
         pacer.observe(readings, hasAny(fillings, true), hasAny(fillings, false), loop.now());
@@ -103,6 +105,22 @@
     return before != after;
   }
 
+  /** Logs what images that are here have come to be believed to disturb, or not to. */
+  private void tellOfSuspects(List<ImageHarm.Filling> fillings) {
+    for (ImageHarm.Filling each : fillings) {
+      boolean suspect = isSuspect(each.image());
+      Boolean before = suspected.put(each.image(), suspect);
+      if (before != null && before != suspect) {
+        LOG.info(
+            LogLine.of(suspect ? "image-suspected" : "image-cleared")
+                .with("worker", worker)
+                .with("image", each.image())
+                .with("harm", harm.belief(each.image()))
+                .with("used_milli", Math.round(each.milliProcessors())));
+      }
+    }
+  }
+
   private boolean hasAny(List<ImageHarm.Filling> fillings, boolean suspect) {
     return fillings.stream().anyMatch(each -> isSuspect(each.image()) == suspect);
   }
