--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/JobFile.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/JobFile.java
@@ -43,7 +43,6 @@
   private static final long MAX_MILLI_PROCESSORS = 1_024_000;
   private static final long MAX_MEBIBYTES = 16L * 1024 * 1024;
   private static final long MAX_ACCELERATORS = 64;
-  private static final long BYTES_PER_MEBIBYTE = 1024 * 1024;
 
   private static final ImmutableSet<String> KEYS =
       ImmutableSet.of(
@@ -134,7 +133,7 @@
         number("sizes", node, "milliProcessors", 1, MAX_MILLI_PROCESSORS, Optional.empty());
     long mebibytes = number("sizes", node, "memoryMebibytes", 1, MAX_MEBIBYTES, Optional.empty());
     long accelerators = number("sizes", node, "accelerators", 0, MAX_ACCELERATORS, Optional.of(0L));
-    return new Sizes(processors, mebibytes * BYTES_PER_MEBIBYTE, accelerators);
+    return new Sizes(processors, mebibytes * Sizes.BYTES_PER_MEBIBYTE, accelerators);
   }
 
   private String name(JsonNode root, String key) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/Sizes.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/Sizes.java
@@ -15,6 +15,9 @@
  * @param accelerators whole accelerators
  */
 public record Sizes(long milliProcessors, long memoryBytes, long accelerators) {
+  /** Bytes in the unit in which memory is declared. */
+  public static final long BYTES_PER_MEBIBYTE = 1 << 20;
+
   /** Nothing at all. */
   public static final Sizes NONE = new Sizes(0, 0, 0);
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ConfiguredPolicies.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/ConfiguredPolicies.java
@@ -16,7 +16,6 @@
 
 /** Turns the configuration in force into what the decision modules take. */
 final class ConfiguredPolicies {
-  private static final long BYTES_PER_MEBIBYTE = 1L << 20;
 
   private ConfiguredPolicies() {}
 
@@ -52,9 +51,9 @@
 
   private static TeamQuota quota(TeamConfiguration team) {
     long memory =
-        team.maxMemoryMebibytes() > Long.MAX_VALUE / BYTES_PER_MEBIBYTE
+        team.maxMemoryMebibytes() > Long.MAX_VALUE / Sizes.BYTES_PER_MEBIBYTE
             ? Long.MAX_VALUE
-            : team.maxMemoryMebibytes() * BYTES_PER_MEBIBYTE;
+            : team.maxMemoryMebibytes() * Sizes.BYTES_PER_MEBIBYTE;
     return new TeamQuota(
         team.share(), new Sizes(team.maxMilliProcessors(), memory, team.maxAccelerators()));
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
@@ -3,7 +3,11 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import io.marigoldsail.error.Result;
+import io.marigoldsail.json.Json;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
@@ -32,7 +36,13 @@
   public sealed interface Exchange permits Answered, NeverSent, AnswerLost, AnswerTooLong {}
 
   /** A whole answer. */
-  public record Answered(int status, byte[] body) implements Exchange {}
+  public record Answered(int status, byte[] body) implements Exchange {
+    /** Returns the body as JSON, or empty if it is none. */
+    public Optional<JsonNode> json() {
+      Result<JsonNode> parsed = Json.parse("the answer", body);
+      return parsed.isOk() ? Optional.of(parsed.value()) : Optional.empty();
+    }
+  }
 
   /** No byte of the request left this process. */
   public record NeverSent(String detail) implements Exchange {}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowRecords.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowRecords.java
@@ -24,7 +24,6 @@
 
 /** Turns workflows into their durable records and frames, and back. Stateless. */
 final class WorkflowRecords {
-  static final long BYTES_PER_MEBIBYTE = 1 << 20;
 
   /** Phases of a task in records; numbers never change. */
   private static final int PHASE_WAITING = 0;
@@ -77,11 +76,11 @@
   }
 
   static int mebibytes(Sizes sizes) {
-    return (int) (sizes.memoryBytes() / BYTES_PER_MEBIBYTE);
+    return (int) (sizes.memoryBytes() / Sizes.BYTES_PER_MEBIBYTE);
   }
 
   static Sizes sizes(int milliProcessors, int memoryMebibytes, int accelerators) {
-    return new Sizes(milliProcessors, memoryMebibytes * BYTES_PER_MEBIBYTE, accelerators);
+    return new Sizes(milliProcessors, memoryMebibytes * Sizes.BYTES_PER_MEBIBYTE, accelerators);
   }
 
   /** Returns the workflow of a submission, or empty if the record is not one. */
