Give a workflow with nothing at work any place

Now such a workflow is held back for 1.2 s at most (not 2 s), then its next task goes wherever its memory fits, past the bounds on what fills, and the last run of a workflow is not moved. Tests: aWorkflowWithNothingAtWorkGetsAnyPlace, whoHasWaitedIsInAHurryUntilItStarvesOrIsLate, RoomLedgerTest.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RoomLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RoomLedger.java
@@ -25,11 +25,14 @@
    *
    * @param sizes what it declares
    * @param fills whether it takes only the processors that others leave
+   * @param urgency how much the place matters; one that starves is not held to the bound of what
+   *     fills
    */
-  public record Claim(Sizes sizes, boolean fills) {
+  public record Claim(Sizes sizes, boolean fills, Urgency urgency) {
     /** Checks the components. */
     public Claim {
       requireNonNull(sizes, "sizes");
+      requireNonNull(urgency, "urgency");
     }
 
     /** Returns what is booked for it: no processors if it fills. */
@@ -71,7 +74,8 @@
 
   private boolean hasProcessorsToFill(Claim claim) {
     long left = free().milliProcessors() - fillMilliProcessors;
-    return !claim.fills() || left + VmChooser.FILL_BEYOND >= claim.sizes().milliProcessors();
+    boolean bound = claim.fills() && claim.urgency() != Urgency.STARVED;
+    return !bound || left + VmChooser.FILL_BEYOND >= claim.sizes().milliProcessors();
   }
 
   /** Books room for a run that is there already, whether or not there is room. */
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/StepSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/StepSpec.java
@@ -94,13 +94,8 @@
     requireNonNull(nature, "nature");
   }
 
-  /** Returns what a task takes on its VM. */
-  public RoomLedger.Claim claim() {
-    return new RoomLedger.Claim(sizes, nature.fills());
-  }
-
   /** Returns what a VM books for a task: processors are not booked for one that fills. */
   public Sizes booked() {
-    return claim().booked();
+    return new RoomLedger.Claim(sizes, nature.fills(), Urgency.ORDINARY).booked();
   }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -53,9 +53,9 @@
    * @param spec the workflow
    * @param step the task's step
    * @param harm how harmful the step's image is believed to be, see {@link ImageHarm}
-   * @param hurried whether the task would come too late if it were slowed down; then a suspect
-   *     waits for a VM without services if there is one at all: beside services it would be late,
-   *     and all tasks that it came with did their work for nothing
+   * @param urgency how much a place matters; a suspect in a hurry waits for a VM without services
+   *     if there is one at all: beside services it would be late, and all tasks that it came with
+   *     did their work for nothing
    * @param offers the VMs to choose from
    * @param ofStepOn how many tasks of the same step and occurrence are on a VM
    */
@@ -63,12 +63,12 @@
       WorkflowSpec spec,
       StepSpec step,
       double harm,
-      boolean hurried,
+      Urgency urgency,
       Collection<VmOffer> offers,
       ToIntFunction<VmOffer> ofStepOn) {
     requireNonNull(ofStepOn, "ofStepOn");
     boolean onlyFree =
-        hurried
+        urgency == Urgency.HURRIED
             && step.nature().fills()
             && harm > ImageHarm.HARMLESS
             && offers.stream().anyMatch(offer -> offer.serving() == 0);
@@ -76,7 +76,7 @@
     double bestScore = Double.NEGATIVE_INFINITY;
     for (VmOffer offer : offers) {
       boolean slow = onlyFree && offer.serving() > 0;
-      if (slow || !admits(spec, step, harm, offer, ofStepOn)) {
+      if (slow || !admits(spec, step, harm, urgency, offer, ofStepOn)) {
         continue;
       }
       double score = score(step, harm, offer);
@@ -111,6 +111,7 @@
       WorkflowSpec spec,
       StepSpec step,
       double harm,
+      Urgency urgency,
       VmOffer offer,
       ToIntFunction<VmOffer> ofStepOn) {
     if (!offer.service().equals(spec.terms().service())) {
@@ -124,7 +125,8 @@
     if (!step.booked().fitsIn(offer.free())) {
       return false;
     }
-    if (step.nature().fills() && !hasRoomToFill(step, harm, offer)) {
+    boolean crowds = step.nature().fills() && !hasRoomToFill(step, harm, offer);
+    if (crowds && urgency != Urgency.STARVED) {
       return false;
     }
     return placement.maxPerVm() == 0 || ofStepOn.applyAsInt(offer) < placement.maxPerVm();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WaitingOrder.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WaitingOrder.java
@@ -31,9 +31,10 @@
 
   /**
    * For how long a workflow with nothing at work waits for a better place, in milliseconds: its
-   * caller must see it get on within some three seconds if there is any room.
+   * caller must see it get on within three seconds if there is any room, and orders, refusals and
+   * starts take up to one and a half.
    */
-  private static final long HOLD_MILLIS = 2_000;
+  static final long HOLD_MILLIS = 1_200;
 
   /** Under this part of its work left, a workflow counts as nearly done. */
   private static final double LEAST_LEFT = 0.02;
@@ -64,15 +65,15 @@
   public static final class Ranked implements Comparable<Ranked> {
     private final int priority;
     private final Use use;
-    private final boolean hurried;
+    private final Urgency urgency;
     private final double density;
     private final long acceptedMillis;
     private final long id;
 
-    private Ranked(Workflow workflow, Use use, boolean hurried) {
+    private Ranked(Workflow workflow, Use use, Urgency urgency) {
       this.priority = workflow.spec().terms().priority();
       this.use = use;
-      this.hurried = hurried;
+      this.urgency = urgency;
       this.density = use.worth / Math.max(LEAST_LEFT, workflow.workLeft());
       this.acceptedMillis = workflow.spec().acceptedMillis();
       this.id = workflow.spec().id();
@@ -83,9 +84,9 @@
       return use;
     }
 
-    /** Returns whether it can be in time, but not where its tasks would be slowed down. */
-    public boolean isHurried() {
-      return hurried;
+    /** Returns how much a place matters to its tasks. */
+    public Urgency urgency() {
+      return urgency;
     }
 
     @Override
@@ -111,20 +112,26 @@
     WorkflowSpec spec = workflow.spec();
     boolean lasting = spec.steps().stream().anyMatch(step -> step.nature().lasting());
     if (lasting || spec.schedule().occurrences() > 0) {
-      return new Ranked(workflow, Use.IN_TIME, false);
+      return new Ranked(workflow, Use.IN_TIME, Urgency.ORDINARY);
     }
     double allowed =
         spec.terms().slackFactor() * workflow.chainMillis(false) + spec.terms().objectiveMillis();
     long age = wallMillis - spec.acceptedMillis();
     long left = workflow.chainMillis(true);
-    if (age + left > USELESS_FACTOR * allowed) {
-      return new Ranked(workflow, Use.NONE, false);
-    }
-    if (age + left > allowed) {
-      return new Ranked(workflow, Use.LATE, false);
+    boolean inTime = age + left <= allowed;
+    boolean afford = age + SLOWED_FACTOR * left <= allowed;
+    Use use = inTime ? Use.IN_TIME : lateness(age + left, allowed);
+    return new Ranked(workflow, use, urgency(workflow, wallMillis, inTime && !afford));
+  }
+
+  private static Use lateness(long ends, double allowed) {
+    return ends <= USELESS_FACTOR * allowed ? Use.LATE : Use.NONE;
+  }
+
+  private static Urgency urgency(Workflow workflow, long wallMillis, boolean hurried) {
+    if (workflow.idleMillis(wallMillis) >= HOLD_MILLIS) {
+      return Urgency.STARVED;
     }
-    boolean hurried =
-        age + SLOWED_FACTOR * left > allowed && workflow.idleMillis(wallMillis) < HOLD_MILLIS;
-    return new Ranked(workflow, Use.IN_TIME, hurried);
+    return hurried ? Urgency.HURRIED : Urgency.ORDINARY;
   }
 }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/RoomLedgerTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/RoomLedgerTest.java
@@ -13,7 +13,7 @@
   }
 
   private static RoomLedger.Claim plain(long milliProcessors, long memory) {
-    return new RoomLedger.Claim(new Sizes(milliProcessors, memory, 0), false);
+    return new RoomLedger.Claim(new Sizes(milliProcessors, memory, 0), false, Urgency.ORDINARY);
   }
 
   /**
@@ -62,7 +62,7 @@
   void whatFillsIsBoundedAlsoWhenOwnersRace() {
     RoomLedger room = new RoomLedger();
     room.capacity(new Sizes(24_000, 1_000, 0));
-    RoomLedger.Claim fills = new RoomLedger.Claim(new Sizes(2_000, 10, 0), true);
+    RoomLedger.Claim fills = new RoomLedger.Claim(new Sizes(2_000, 10, 0), true, Urgency.ORDINARY);
     int taken = 0;
     for (int index = 0; index < 24; index++) {
       taken += room.tryBook(run(index), fills) ? 1 : 0;
@@ -72,5 +72,7 @@
     assertEquals(new Sizes(24_000, 850, 0), room.free());
     room.release(run(0));
     assertTrue(room.tryBook(run(24), fills));
+    assertFalse(room.tryBook(run(25), fills));
+    assertTrue(room.tryBook(run(25), new RoomLedger.Claim(fills.sizes(), true, Urgency.STARVED)));
   }
 }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -16,7 +16,12 @@
 class VmChooserTest {
   private static Optional<String> choose(StepSpec step, VmOffer... offers) {
     return VmChooser.choose(
-            Workflows.spec(step), step, ImageHarm.UNKNOWN, false, List.of(offers), offer -> 0)
+            Workflows.spec(step),
+            step,
+            ImageHarm.UNKNOWN,
+            Urgency.ORDINARY,
+            List.of(offers),
+            offer -> 0)
         .map(offer -> offer.place().vm());
   }
 
@@ -60,7 +65,7 @@
                   Workflows.spec(step),
                   step,
                   ImageHarm.UNKNOWN,
-                  false,
+                  Urgency.ORDINARY,
                   offers.values(),
                   unused -> 0)
               .orElseThrow();
@@ -145,13 +150,28 @@
     assertEquals("serving", hurried(heavy, ImageHarm.UNKNOWN, List.of(serving)).orElseThrow());
   }
 
+  /**
+   * Most of the room was free, but a service stood on each VM, with as much beside it as it bears.
+   * Workflows with nothing at work waited for good; each is to have one task at work somewhere.
+   */
+  @Test
+  void aWorkflowWithNothingAtWorkGetsAnyPlace() {
+    StepSpec heavy = Workflows.step(1, 1_800, Workflows.filling());
+    VmOffer crowded = with(Workflows.offer("crowded", 3_000, 9_000, 1), 9_000, 1);
+    assertEquals(Optional.empty(), choose(heavy, crowded));
+    Optional<VmOffer> starved =
+        VmChooser.choose(
+            Workflows.spec(heavy), heavy, 1, Urgency.STARVED, List.of(crowded), offer -> 0);
+    assertEquals("crowded", starved.orElseThrow().place().vm());
+  }
+
   private static Optional<String> hurried(StepSpec step, double harm, List<VmOffer> offers) {
-    return VmChooser.choose(Workflows.spec(step), step, harm, true, offers, offer -> 0)
+    return VmChooser.choose(Workflows.spec(step), step, harm, Urgency.HURRIED, offers, offer -> 0)
         .map(offer -> offer.place().vm());
   }
 
   private static Optional<String> choose(StepSpec step, double harm, List<VmOffer> offers) {
-    return VmChooser.choose(Workflows.spec(step), step, harm, false, offers, offer -> 0)
+    return VmChooser.choose(Workflows.spec(step), step, harm, Urgency.ORDINARY, offers, offer -> 0)
         .map(offer -> offer.place().vm());
   }
 
@@ -187,7 +207,7 @@
             Workflows.spec(step),
             step,
             0,
-            false,
+            Urgency.ORDINARY,
             List.of(a, b),
             offer -> offer.place().vm().equals("a") ? 1 : 0);
     assertEquals("b", chosen.orElseThrow().place().vm());
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WaitingOrderTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WaitingOrderTest.java
@@ -86,16 +86,16 @@
 
   /** 2 x 1 s of work and 1 s are allowed: slowed down it takes 3 s. */
   @Test
-  void whoHasWaitedIsInAHurryUntilItIsLate() {
+  void whoHasWaitedIsInAHurryUntilItStarvesOrIsLate() {
     Workflow workflow = workflow(1, 0, 0);
-    assertEquals(false, WaitingOrder.rank(workflow, 0).isHurried());
-    assertEquals(true, WaitingOrder.rank(workflow, 1).isHurried());
-    assertEquals(true, WaitingOrder.rank(workflow, 1_999).isHurried());
-    // It has waited for two seconds with nothing at work.
-    assertEquals(false, WaitingOrder.rank(workflow, 2_000).isHurried());
+    assertEquals(Urgency.ORDINARY, WaitingOrder.rank(workflow, 0).urgency());
+    assertEquals(Urgency.HURRIED, WaitingOrder.rank(workflow, 1).urgency());
+    long held = WaitingOrder.HOLD_MILLIS;
+    assertEquals(Urgency.HURRIED, WaitingOrder.rank(workflow, held - 1).urgency());
+    assertEquals(Urgency.STARVED, WaitingOrder.rank(workflow, held).urgency());
     workflow.order(workflow.tasks().get(0), Workflows.HERE);
-    assertEquals(true, WaitingOrder.rank(workflow, 2_000).isHurried());
-    assertEquals(false, WaitingOrder.rank(workflow, 2_001).isHurried());
+    assertEquals(Urgency.HURRIED, WaitingOrder.rank(workflow, 2_000).urgency());
+    assertEquals(Urgency.ORDINARY, WaitingOrder.rank(workflow, 2_001).urgency());
   }
 
   /**
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -9,6 +9,7 @@
 import io.marigoldsail.workflow.QueueTable;
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.StepSpec;
+import io.marigoldsail.workflow.Urgency;
 import io.marigoldsail.workflow.VmChooser;
 import io.marigoldsail.workflow.VmOffer;
 import io.marigoldsail.workflow.WaitingOrder;
@@ -94,7 +95,12 @@
     soon();
   }
 
-  private record Waiting(OwnedPartition partition, WorkflowTask task, boolean hurried) {}
+  private record Waiting(OwnedPartition partition, WorkflowTask task, Urgency urgency) {
+    Waiting calmed() {
+      boolean starved = urgency == Urgency.STARVED;
+      return starved ? new Waiting(partition, task, Urgency.ORDINARY) : this;
+    }
+  }
 
   private void run() {
     Optional<QueueTable> queues = configuration.get();
@@ -109,11 +115,14 @@
     vms.offers().forEach(offer -> offers.put(offer.place().vm(), offer));
     // Once a step found no room, no other task of it will in this pass.
     Set<StepSpec> full = new HashSet<>();
-    for (Waiting each : waiting) {
-      WorkflowTask task = each.task();
+    Set<Workflow> fed = new HashSet<>();
+    for (Waiting candidate : waiting) {
+      WorkflowTask task = candidate.task();
       if (full.contains(task.step())) {
         continue;
       }
+      // One task at work is enough for a workflow not to starve.
+      Waiting each = fed.contains(task.workflow()) ? candidate.calmed() : candidate;
       Optional<VmOffer> chosen = choose(each, offers.values());
       if (chosen.isEmpty()) {
         full.add(task.step());
@@ -122,6 +131,7 @@
       VmOffer offer = chosen.get();
       offers.put(offer.place().vm(), after(offer, task));
       order(each, offer.place());
+      fed.add(task.workflow());
     }
   }
 
@@ -132,24 +142,24 @@
   /** A task that failed on a VM goes elsewhere as long as it can: the VM may be what fails. */
   private Optional<VmOffer> choose(Waiting waiting, Collection<VmOffer> offers) {
     WorkflowTask task = waiting.task();
-    boolean hurried = waiting.hurried();
+    Urgency urgency = waiting.urgency();
     List<VmOffer> others =
         offers.stream().filter(offer -> !task.hasFailedOn(offer.place().vm())).toList();
-    Optional<VmOffer> elsewhere = chooseAmong(task, hurried, others);
+    Optional<VmOffer> elsewhere = chooseAmong(task, urgency, others);
     if (others.size() == offers.size()) {
       return elsewhere;
     }
-    Optional<VmOffer> anywhere = chooseAmong(task, hurried, offers);
+    Optional<VmOffer> anywhere = chooseAmong(task, urgency, offers);
     return VmChooser.isWorthLeaving(task.step(), elsewhere, anywhere) ? elsewhere : anywhere;
   }
 
   private Optional<VmOffer> chooseAmong(
-      WorkflowTask task, boolean hurried, Collection<VmOffer> offers) {
+      WorkflowTask task, Urgency urgency, Collection<VmOffer> offers) {
     return VmChooser.choose(
         task.workflow().spec(),
         task.step(),
         vms.harmOf(task.step().nature().image()),
-        hurried,
+        urgency,
         offers,
         offer -> vms.ofStepOn(offer.place().vm(), task));
   }
@@ -175,8 +185,7 @@
               wall,
               task -> {
                 if (task.notBefore() <= now && isSupported(task)) {
-                  waiting.add(
-                      new Waiting(candidate.partition(), task, candidate.rank().isHurried()));
+                  waiting.add(new Waiting(candidate.partition(), task, candidate.rank().urgency()));
                 }
               });
     }
@@ -208,8 +217,9 @@
             .with("worker", place.worker())
             .with("queue", workflow.spec().queue())
             .with("epoch", waiting.partition().epoch())
+            .with("urgency", waiting.urgency())
             .with("waited_ms", wallMillis.getAsLong() - workflow.spec().acceptedMillis()));
-    vms.ordered(waiting.partition(), task);
+    vms.ordered(waiting.partition(), task, waiting.urgency() == Urgency.STARVED);
   }
 
   /** Moves what can be moved off VMs whose workers leave, or where it is slowed down. */
@@ -231,7 +241,7 @@
     for (OpenRun run : vms.slowedDownTo(SLOWED_PERCENT)) {
       WorkflowTask task = run.task();
       Optional<VmOffer> better =
-          isCheaplyMoved(task) ? chooseAmong(task, false, free) : Optional.empty();
+          isCheaplyStopped(task) ? chooseAmong(task, Urgency.ORDINARY, free) : Optional.empty();
       if (better.isPresent() && move(run, "it is slowed down beside tasks that serve")) {
         free.remove(better.get());
         free.add(after(better.get(), task));
@@ -239,7 +249,12 @@
     }
   }
 
+  /** The last run of a workflow stays, or nothing of it would be at work. */
   private static boolean isCheaplyMoved(WorkflowTask task) {
+    return task.workflow().openTasks().size() > 1 && isCheaplyStopped(task);
+  }
+
+  private static boolean isCheaplyStopped(WorkflowTask task) {
     return task.step().nature().checkpointable() || task.percent() <= CHEAP_PERCENT;
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -88,7 +88,9 @@
   /** Follows the runs that former owners of the partition ordered. */
   void activated(OwnedPartition partition) {
     for (Workflow workflow : partition.workflows()) {
-      workflow.openTasks().forEach(task -> follow(new OpenRun(partition, task, loop.now(), true)));
+      workflow
+          .openTasks()
+          .forEach(task -> follow(new OpenRun(partition, task, loop.now(), true, false)));
     }
   }
 
@@ -103,8 +105,8 @@
   }
 
   /** Follows a run that was just decided on, and orders it once that is durable. */
-  void ordered(OwnedPartition partition, WorkflowTask task) {
-    OpenRun run = new OpenRun(partition, task, loop.now(), false);
+  void ordered(OwnedPartition partition, WorkflowTask task, boolean starved) {
+    OpenRun run = new OpenRun(partition, task, loop.now(), false, starved);
     RunKey key = task.openRun();
     follow(run);
     partition.changed(task.workflow());
@@ -127,7 +129,7 @@
     if (run.isUnwanted()) {
       tellStop(session, run);
     } else {
-      run.told(session, session.addStart(run.task()));
+      run.told(session, session.addStart(run.task(), run.isStarved()));
     }
     flushSoon();
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
@@ -11,6 +11,7 @@
   private final OwnedPartition partition;
   private final WorkflowTask task;
   private final long orderedAt;
+  private final boolean starved;
   private boolean durable;
   private VmSession toldSession;
   private long toldNumber;
@@ -18,11 +19,22 @@
   private long startedAt = Long.MIN_VALUE;
   private long sampledAt = Long.MIN_VALUE;
 
-  OpenRun(OwnedPartition partition, WorkflowTask task, long orderedAt, boolean durable) {
+  OpenRun(
+      OwnedPartition partition,
+      WorkflowTask task,
+      long orderedAt,
+      boolean durable,
+      boolean starved) {
     this.partition = partition;
     this.task = task;
     this.orderedAt = orderedAt;
     this.durable = durable;
+    this.starved = starved;
+  }
+
+  /** Returns whether nothing of its workflow had been at work for some time when it was ordered. */
+  boolean isStarved() {
+    return starved;
   }
 
   OwnedPartition partition() {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartAdmission.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartAdmission.java
@@ -6,6 +6,7 @@
 import io.marigoldsail.workflow.RoomLedger;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.SuspectRoom;
+import io.marigoldsail.workflow.Urgency;
 import java.util.Collection;
 import java.util.Optional;
 
@@ -29,7 +30,8 @@
     return new RoomLedger.Claim(
         WorkflowRecords.sizes(
             order.getMilliProcessors(), order.getMemoryMebibytes(), order.getAccelerators()),
-        order.getFills());
+        order.getFills(),
+        order.getStarved() ? Urgency.STARVED : Urgency.ORDINARY);
   }
 
   /** Returns how many of the runs have a latency target. */
@@ -54,7 +56,8 @@
     if (runs.stream().anyMatch(run -> run.order().isEmpty())) {
       return Optional.of("what runs here is not known yet");
     }
-    if (order.getFills() && serving(runs) > 0 && isTooMuchBeside(order, runs)) {
+    boolean bound = order.getFills() && !order.getStarved();
+    if (bound && serving(runs) > 0 && isTooMuchBeside(order, runs)) {
       return Optional.of("no room beside services");
     }
     return room.tryBook(key, claim(order)) ? Optional.empty() : Optional.of("no room");
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -107,8 +107,12 @@
         report.getFreeAccelerators());
   }
 
-  /** Adds a start to the next frame; returns the frame's number. */
-  long addStart(WorkflowTask task) {
+  /**
+   * Adds a start to the next frame; returns the frame's number.
+   *
+   * @param starved whether nothing of the task's workflow has been at work for some time
+   */
+  long addStart(WorkflowTask task, boolean starved) {
     WorkflowSpec spec = task.workflow().spec();
     StartRun.Builder start =
         StartRun.newBuilder()
@@ -119,7 +123,8 @@
             .setCheckpoint(task.checkpoint())
             .setImage(task.step().nature().image())
             .setLatencyTargetMillis((int) task.step().nature().latencyTargetMillis())
-            .setFills(task.step().nature().fills());
+            .setFills(task.step().nature().fills())
+            .setStarved(starved);
     if (programsInFrame.add(spec.id())) {
       start.setProgram(spec.program());
     } else {
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartRun.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartRun.java
@@ -265,6 +265,21 @@
     return sameProgram_;
   }
 
+  public static final int STARVED_FIELD_NUMBER = 11;
+  private boolean starved_ = false;
+  /**
+   * <pre>
+   * Nothing of its workflow has been at work for some time: it is not held to bounds on what fills.
+   * </pre>
+   *
+   * <code>bool starved = 11;</code>
+   * @return The starved.
+   */
+  @java.lang.Override
+  public boolean getStarved() {
+    return starved_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -309,6 +324,9 @@
     if (sameProgram_ != false) {
       output.writeBool(10, sameProgram_);
     }
+    if (starved_ != false) {
+      output.writeBool(11, starved_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -350,6 +368,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(10, sameProgram_);
     }
+    if (starved_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(11, starved_);
+    }
     return size;
   }
   @java.lang.Override
@@ -397,6 +419,8 @@
         != other.getFills()) return false;
     if (getSameProgram()
         != other.getSameProgram()) return false;
+    if (getStarved()
+        != other.getStarved()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -432,6 +456,9 @@
     hash = (37 * hash) + SAME_PROGRAM_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getSameProgram());
+    hash = (37 * hash) + STARVED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStarved());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -583,6 +610,7 @@
       latencyTargetMillis_ = 0;
       fills_ = false;
       sameProgram_ = false;
+      starved_ = false;
       return this;
     }
 
@@ -650,6 +678,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.sameProgram_ = sameProgram_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.starved_ = starved_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -701,6 +732,9 @@
       if (other.getSameProgram() != false) {
         setSameProgram(other.getSameProgram());
       }
+      if (other.getStarved() != false) {
+        setStarved(other.getStarved());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -777,6 +811,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 88: {
+              starved_ = input.readBool();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1333,6 +1372,50 @@
       return this;
     }
 
+    private boolean starved_ ;
+    /**
+     * <pre>
+     * Nothing of its workflow has been at work for some time: it is not held to bounds on what fills.
+     * </pre>
+     *
+     * <code>bool starved = 11;</code>
+     * @return The starved.
+     */
+    @java.lang.Override
+    public boolean getStarved() {
+      return starved_;
+    }
+    /**
+     * <pre>
+     * Nothing of its workflow has been at work for some time: it is not held to bounds on what fills.
+     * </pre>
+     *
+     * <code>bool starved = 11;</code>
+     * @param value The starved to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStarved(boolean value) {
+
+      starved_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Nothing of its workflow has been at work for some time: it is not held to bounds on what fills.
+     * </pre>
+     *
+     * <code>bool starved = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStarved() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      starved_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.StartRun)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartRunOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartRunOrBuilder.java
@@ -100,4 +100,14 @@
    * @return The sameProgram.
    */
   boolean getSameProgram();
+
+  /**
+   * <pre>
+   * Nothing of its workflow has been at work for some time: it is not held to bounds on what fills.
+   * </pre>
+   *
+   * <code>bool starved = 11;</code>
+   * @return The starved.
+   */
+  boolean getStarved();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -199,25 +199,25 @@
       "Grant\022&\n\006starts\030\003 \003(\0132\026.marigoldsail.Sta" +
       "rtRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsail.Work" +
       "flowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.marigol" +
-      "dsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t\"\370\001\n" +
+      "dsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t\"\211\002\n" +
       "\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail.W" +
       "orkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_" +
       "processors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 \001" +
       "(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030\006" +
       " \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_mi" +
       "llis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_progra" +
-      "m\030\n \001(\010\"\\\n\010OwnerMap\022\022\n\ngeneration\030\001 \001(\004\022" +
-      ",\n\006owners\030\002 \003(\0132\034.marigoldsail.Partition" +
-      "Owner\022\016\n\006digest\030\003 \001(\007\"3\n\016PartitionOwner\022" +
-      "\021\n\tpartition\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWo" +
-      "rkflowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(" +
-      "\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023Work" +
-      "flowQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 " +
-      "\001(\r\"I\n\rWaitingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006" +
-      "queues\030\002 \003(\0132\030.marigoldsail.QueueCount\"," +
-      "\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002" +
-      " \001(\rB\034\n\030io.marigoldsail.protocolP\001b\006prot" +
-      "o3"
+      "m\030\n \001(\010\022\017\n\007starved\030\013 \001(\010\"\\\n\010OwnerMap\022\022\n\n" +
+      "generation\030\001 \001(\004\022,\n\006owners\030\002 \003(\0132\034.marig" +
+      "oldsail.PartitionOwner\022\016\n\006digest\030\003 \001(\007\"3" +
+      "\n\016PartitionOwner\022\021\n\tpartition\030\001 \001(\r\022\016\n\006m" +
+      "ember\030\002 \001(\t\"L\n\rWorkflowQuery\022\n\n\002id\030\001 \001(\004" +
+      "\022\020\n\010workflow\030\002 \001(\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006can" +
+      "cel\030\004 \001(\010\"1\n\023WorkflowQueryAnswer\022\n\n\002id\030\001" +
+      " \001(\004\022\016\n\006result\030\002 \001(\r\"I\n\rWaitingCounts\022\016\n" +
+      "\006member\030\001 \001(\t\022(\n\006queues\030\002 \003(\0132\030.marigold" +
+      "sail.QueueCount\",\n\nQueueCount\022\r\n\005queue\030\001" +
+      " \001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030io.marigoldsail" +
+      ".protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -306,7 +306,7 @@
     internal_static_marigoldsail_StartRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_StartRun_descriptor,
-        new java.lang.String[] { "Task", "Program", "MilliProcessors", "MemoryMebibytes", "Accelerators", "Checkpoint", "Image", "LatencyTargetMillis", "Fills", "SameProgram", });
+        new java.lang.String[] { "Task", "Program", "MilliProcessors", "MemoryMebibytes", "Accelerators", "Checkpoint", "Image", "LatencyTargetMillis", "Fills", "SameProgram", "Starved", });
     internal_static_marigoldsail_OwnerMap_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_marigoldsail_OwnerMap_fieldAccessorTable = new
