Let occurrences starve like any workflow

Found on reading: workflows with occurrences were never held to have nothing at work, so the bounds on what fills could keep them waiting for good. Test: anOccurrenceWithNothingAtWorkStarvesToo (failed before: ORDINARY).

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WaitingOrder.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WaitingOrder.java
@@ -112,16 +112,16 @@
     WorkflowSpec spec = workflow.spec();
     boolean lasting = spec.steps().stream().anyMatch(step -> step.nature().lasting());
     if (lasting || spec.schedule().occurrences() > 0) {
-      return new Ranked(workflow, Use.IN_TIME, Urgency.ORDINARY);
+      return new Ranked(workflow, Use.IN_TIME, urgency(workflow, wallMillis, false));
     }
     double allowed =
         spec.terms().slackFactor() * workflow.chainMillis(false) + spec.terms().objectiveMillis();
     long age = wallMillis - spec.acceptedMillis();
     long left = workflow.chainMillis(true);
     boolean inTime = age + left <= allowed;
-    boolean afford = age + SLOWED_FACTOR * left <= allowed;
+    boolean bearsSlowing = age + SLOWED_FACTOR * left <= allowed;
     Use use = inTime ? Use.IN_TIME : lateness(age + left, allowed);
-    return new Ranked(workflow, use, urgency(workflow, wallMillis, inTime && !afford));
+    return new Ranked(workflow, use, urgency(workflow, wallMillis, inTime && !bearsSlowing));
   }
 
   private static Use lateness(long ends, double allowed) {
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WaitingOrderTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WaitingOrderTest.java
@@ -98,6 +98,21 @@
     assertEquals(Urgency.ORDINARY, WaitingOrder.rank(workflow, 2_001).urgency());
   }
 
+  @Test
+  void anOccurrenceWithNothingAtWorkStarvesToo() {
+    Workflow recurring =
+        Workflow.of(
+            Workflows.spec(
+                1,
+                0,
+                0,
+                new WorkflowSpec.Schedule(2, 0, 10_000),
+                Workflows.step(1, 1_800, Workflows.filling())));
+    assertEquals(Urgency.ORDINARY, WaitingOrder.rank(recurring, 100).urgency());
+    long held = WaitingOrder.HOLD_MILLIS;
+    assertEquals(Urgency.STARVED, WaitingOrder.rank(recurring, held).urgency());
+  }
+
   /**
    * Two heavy workflows wait, and one of them has little left. The one that came first took the
    * room for its first step, and both were late.
