Press starved workflows in only while the fleet is roomy

What has to get on is work beside free room, so the bounds on what fills fall only while two fifths of the processors are not booked. Test: aFleetIsRoomyWhileTwoFifthsAreNotBooked.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import io.marigoldsail.job.Sizes;
+import java.util.Collection;
 
 /**
  * A VM as one that looks for room sees it: what its side process reported, less what was ordered
@@ -31,6 +32,12 @@
     long suspectMilliProcessors,
     int serving,
     double slowness) {
+  /**
+   * Unbooked processors of a roomy fleet, in percent: callers expect work to get on where half is
+   * free, and what entries know of room is up to a second old.
+   */
+  private static final long ROOMY_PERCENT = 40;
+
   /** Checks the components. */
   public VmOffer {
     requireNonNull(place, "place");
@@ -40,6 +47,19 @@
     requireNonNull(free, "free");
   }
 
+  /**
+   * Returns whether a good part of all processors is not booked, so that a workflow with nothing at
+   * work is a fault rather than the price of a burst.
+   *
+   * <p>Guards against both: held to the bounds on what fills, workflows waited for good beside free
+   * room; freed of them in a burst, each pressed in somewhere, and half as many were in time.
+   */
+  public static boolean isRoomy(Collection<VmOffer> offers) {
+    long capacity = offers.stream().mapToLong(each -> each.capacity.milliProcessors()).sum();
+    long free = offers.stream().mapToLong(each -> each.free.milliProcessors()).sum();
+    return free * 100 >= capacity * ROOMY_PERCENT;
+  }
+
   /** Returns what is left of the processors once tasks that fill have what they declared. */
   long leftMilliProcessors() {
     return free.milliProcessors() - fillMilliProcessors;
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -165,6 +165,13 @@
     assertEquals("crowded", starved.orElseThrow().place().vm());
   }
 
+  @Test
+  void aFleetIsRoomyWhileTwoFifthsAreNotBooked() {
+    VmOffer full = Workflows.offer("full", 0, 0, 5);
+    assertTrue(VmOffer.isRoomy(List.of(full, Workflows.offer("free", 12_800, 0, 0))));
+    assertFalse(VmOffer.isRoomy(List.of(full, Workflows.offer("free", 12_700, 0, 0))));
+  }
+
   private static Optional<String> hurried(StepSpec step, double harm, List<VmOffer> offers) {
     return VmChooser.choose(Workflows.spec(step), step, harm, Urgency.HURRIED, offers, offer -> 0)
         .map(offer -> offer.place().vm());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -116,13 +116,15 @@
     // Once a step found no room, no other task of it will in this pass.
     Set<StepSpec> full = new HashSet<>();
     Set<Workflow> fed = new HashSet<>();
+    boolean roomy = VmOffer.isRoomy(offers.values());
     for (Waiting candidate : waiting) {
       WorkflowTask task = candidate.task();
       if (full.contains(task.step())) {
         continue;
       }
       // One task at work is enough for a workflow not to starve.
-      Waiting each = fed.contains(task.workflow()) ? candidate.calmed() : candidate;
+      boolean mayStarve = roomy && !fed.contains(task.workflow());
+      Waiting each = mayStarve ? candidate : candidate.calmed();
       Optional<VmOffer> chosen = choose(each, offers.values());
       if (chosen.isEmpty()) {
         full.add(task.step());
