--- a/marigoldsail-core/src/main/java/io/marigoldsail/job/Sizes.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/job/Sizes.java
@@ -46,6 +46,11 @@
         Math.max(0, accelerators - other.accelerators));
   }
 
+  /** Returns this with no processors. */
+  public Sizes withoutProcessors() {
+    return new Sizes(0, memoryBytes, accelerators);
+  }
+
   /** Returns the larger of this and the other in each component. */
   public Sizes max(Sizes other) {
     requireNonNull(other, "other");
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageHarm.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageHarm.java
@@ -23,8 +23,8 @@
   /** What is believed of an image that was never seen: a little over half are harmful. */
   public static final double UNKNOWN = 0.5;
 
-  /** Images believed to be more harmful than this are suspects, see {@link SuspectRoom}. */
-  public static final double HARMLESS = 0.25;
+  /** Images believed to be more harmful than this are suspects, see {@link #isSuspect}. */
+  static final double HARMLESS = 0.25;
 
   /** Images believed to be this harmful certainly disturb. */
   static final double HARMFUL = 0.65;
@@ -94,6 +94,15 @@
   private final Map<String, Seen> own = new HashMap<>();
   private Map<String, Seen> others = Map.of();
 
+  /**
+   * Returns whether tasks of an image may disturb tasks that serve beside them.
+   *
+   * @param harm how harmful it is believed to be, from 0 to 1
+   */
+  public static boolean isSuspect(double harm) {
+    return harm > HARMLESS;
+  }
+
   /** Replaces what other VMs saw. */
   public void others(Map<String, Seen> seen) {
     others = Map.copyOf(seen);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RoomLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RoomLedger.java
@@ -37,7 +37,7 @@
 
     /** Returns what is booked for it: no processors if it fills. */
     public Sizes booked() {
-      return fills ? new Sizes(0, sizes.memoryBytes(), sizes.accelerators()) : sizes;
+      return fills ? sizes.withoutProcessors() : sizes;
     }
 
     private long fillMilliProcessors() {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/StepSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/StepSpec.java
@@ -96,6 +96,6 @@
 
   /** Returns what a VM books for a task: processors are not booked for one that fills. */
   public Sizes booked() {
-    return new RoomLedger.Claim(sizes, nature.fills(), Urgency.ORDINARY).booked();
+    return nature.fills() ? sizes.withoutProcessors() : sizes;
   }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -70,7 +70,7 @@
     boolean onlyFree =
         urgency == Urgency.HURRIED
             && step.nature().fills()
-            && harm > ImageHarm.HARMLESS
+            && ImageHarm.isSuspect(harm)
             && offers.stream().anyMatch(offer -> offer.serving() == 0);
     VmOffer best = null;
     double bestScore = Double.NEGATIVE_INFINITY;
@@ -136,7 +136,7 @@
     if (offer.leftMilliProcessors() + FILL_BEYOND < step.sizes().milliProcessors()) {
       return false;
     }
-    if (offer.serving() == 0 || harm <= ImageHarm.HARMLESS) {
+    if (offer.serving() == 0 || !ImageHarm.isSuspect(harm)) {
       return true;
     }
     return SuspectRoom.admits(
@@ -164,7 +164,7 @@
       return packed - FILL_AGAINST_SERVING * offer.fillMilliProcessors() - left;
     }
     if (step.nature().fills()) {
-      boolean harmless = harm <= ImageHarm.HARMLESS;
+      boolean harmless = !ImageHarm.isSuspect(harm);
       return left + (besideServing == harmless ? COMPANY : 0);
     }
     return left + (besideServing && left >= 0 ? COMPANY : 0);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
@@ -72,7 +72,7 @@
    */
   public VmOffer after(StepSpec step, double harm) {
     long fills = step.nature().fills() ? step.sizes().milliProcessors() : 0;
-    long suspect = harm > ImageHarm.HARMLESS ? fills : 0;
+    long suspect = ImageHarm.isSuspect(harm) ? fills : 0;
     int nowServing = step.nature().serves() ? serving + 1 : serving;
     return new VmOffer(
         place,
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -261,8 +261,7 @@
    * @param wallMillis the time of day
    */
   public long idleMillis(long wallMillis) {
-    boolean open = tasks.stream().anyMatch(WorkflowTask::isOpen);
-    return open ? 0 : wallMillis - Math.max(lastRanMillis, spec.acceptedMillis());
+    return hasOpenTasks() ? 0 : wallMillis - Math.max(lastRanMillis, spec.acceptedMillis());
   }
 
   /**
@@ -283,6 +282,11 @@
     return left / all;
   }
 
+  /** Returns whether the last attempt of any task may still run. */
+  public boolean hasOpenTasks() {
+    return tasks.stream().anyMatch(WorkflowTask::isOpen);
+  }
+
   /** Returns the tasks whose last attempt may still run. */
   public List<WorkflowTask> openTasks() {
     return tasks.stream().filter(WorkflowTask::isOpen).toList();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
@@ -21,6 +21,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -42,6 +43,11 @@
       Result<JsonNode> parsed = Json.parse("the answer", body);
       return parsed.isOk() ? Optional.of(parsed.value()) : Optional.empty();
     }
+
+    /** Returns the body of a success as JSON, or empty if it is none. */
+    public Optional<JsonNode> okJson() {
+      return status == HttpStatus.OK_200 ? json() : Optional.empty();
+    }
   }
 
   /** No byte of the request left this process. */
@@ -134,15 +140,12 @@
       byte[] body,
       int maxAnswerBytes,
       long timeoutMillis) {
-    checkArgument(timeoutMillis > 0, "timeoutMillis is not positive: %s", timeoutMillis);
     Request request = client.newRequest(uri).method(method);
     headers.forEach((name, value) -> request.headers(fields -> fields.put(name, value)));
     if (body.length > 0) {
       request.body(new BytesRequestContent(type, body));
     }
-    AtomicBoolean begun = new AtomicBoolean();
-    request.onRequestBegin(begins -> begun.set(true));
-    request.timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    AtomicBoolean begun = watched(request, timeoutMillis);
     return new CompletableResponseListener(request, maxAnswerBytes)
         .send()
         .handle(
@@ -156,12 +159,7 @@
   }
 
   private static Exchange exchange(Request request, int maxAnswerBytes, long timeoutMillis) {
-    checkArgument(timeoutMillis > 0, "timeoutMillis is not positive: %s", timeoutMillis);
-    // Begin is called before the first byte is written. Without it a refused or timed out
-    // connection would count as an unknown outcome, and callers would have to look it up.
-    AtomicBoolean begun = new AtomicBoolean();
-    request.onRequestBegin(begins -> begun.set(true));
-    request.timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    AtomicBoolean begun = watched(request, timeoutMillis);
     CompletableFuture<ContentResponse> sent =
         new CompletableResponseListener(request, maxAnswerBytes).send();
     try {
@@ -179,6 +177,17 @@
     }
   }
 
+  /** Bounds the request's time; returns what tells whether a byte of it may have left. */
+  private static AtomicBoolean watched(Request request, long timeoutMillis) {
+    checkArgument(timeoutMillis > 0, "timeoutMillis is not positive: %s", timeoutMillis);
+    // Begin is called before the first byte is written. Without it a refused or timed out
+    // connection would count as an unknown outcome, and callers would have to look it up.
+    AtomicBoolean begun = new AtomicBoolean();
+    request.onRequestBegin(begins -> begun.set(true));
+    request.timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    return begun;
+  }
+
   private static Exchange failed(boolean begun, Throwable cause, int maxAnswerBytes) {
     if (!begun) {
       return new NeverSent(describe(cause));
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -2,13 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
-import com.google.common.collect.ImmutableList;
 import io.marigoldsail.daemon.link.LinkConnection;
-import io.marigoldsail.daemon.link.LinkListener;
 import io.marigoldsail.daemon.link.LinkLoop;
-import io.marigoldsail.daemon.observe.EventLog;
-import io.marigoldsail.daemon.observe.LogLine;
-import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.OwnerMap;
 import io.marigoldsail.protocol.PartitionOwner;
@@ -28,19 +24,13 @@
 /**
  * The other entries: who owns what, questions to them, and how much waits with them.
  *
- * <p>Each entry dials all others and asks on the connections that it dialled. A connection on which
- * nothing comes back is closed and dialled anew, since connections go silent without a reset.
- * Confined to the loop's thread.
+ * <p>Each entry dials all others and asks on the connections that it dialled. Confined to the
+ * loop's thread.
  */
 final class EntryPeers {
-  private static final EventLog LOG = EventLog.of(EntryPeers.class);
-
   /** How long an owner may take to answer a question, in nanoseconds. */
   private static final long QUESTION_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
-  /** A connection that leaves this long something unanswered is given up, in nanoseconds. */
-  private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
-
   /** Counts older than this are of a process that is gone, in nanoseconds. */
   private static final long COUNTS_NANOS = TimeUnit.SECONDS.toNanos(8);
 
@@ -50,8 +40,7 @@
 
   private final LinkLoop loop;
   private final EntryMember self;
-  private final Map<String, LinkConnection> connections = new HashMap<>();
-  private final Set<String> dialling = new HashSet<>();
+  private final MemberLinks links;
   private final Map<Long, Asked> asked = new HashMap<>();
   private final Map<String, Counts> counts = new HashMap<>();
   private final Map<Integer, String> owners = new HashMap<>();
@@ -61,12 +50,12 @@
   EntryPeers(LinkLoop loop, EntryMember self) {
     this.loop = requireNonNull(loop, "loop");
     this.self = requireNonNull(self, "self");
+    this.links = new MemberLinks(loop, new FromLinks());
   }
 
   /** Takes who owns what; returns whether it changed. */
-  boolean owners(long generation, ImmutableList<Owner> newOwners) {
-    Map<Integer, String> newMap = new HashMap<>();
-    newOwners.forEach(owner -> newMap.put(owner.partition(), owner.member()));
+  boolean owners(long generation, Owners newOwners) {
+    Map<Integer, String> newMap = newOwners.byPartition();
     if (newMap.equals(owners)) {
       map = map.toBuilder().setGeneration(Math.max(generation, map.getGeneration())).build();
       return false;
@@ -97,27 +86,7 @@
   private void dialAll() {
     Set<String> members = new HashSet<>(owners.values());
     members.remove(self.toString());
-    for (String member : members) {
-      EntryMember.parse(member).ifPresent(parsed -> dial(member, parsed));
-    }
-    for (String member : Set.copyOf(connections.keySet())) {
-      if (!members.contains(member)) {
-        connections.get(member).close("no owner any more");
-      }
-    }
-  }
-
-  private void dial(String member, EntryMember parsed) {
-    if (connections.containsKey(member) || !dialling.add(member)) {
-      return;
-    }
-    loop.dial(
-        parsed.address(),
-        new Link(member),
-        cause -> {
-          dialling.remove(member);
-          LOG.debug(LogLine.of("entry-unreachable").with("member", member).with("cause", cause));
-        });
+    links.keep(members);
   }
 
   /**
@@ -126,7 +95,7 @@
    * @param told runs on the loop; {@link QueryResult#CANNOT_TELL} if the owner is not reached
    */
   void ask(int partition, WorkflowQuery question, Consumer<QueryResult> told) {
-    LinkConnection connection = owner(partition).map(connections::get).orElse(null);
+    LinkConnection connection = owner(partition).flatMap(links::to).orElse(null);
     if (connection == null) {
       told.accept(QueryResult.CANNOT_TELL);
       return;
@@ -153,11 +122,7 @@
     Frame frame = Frame.newBuilder().setWaitingCounts(told).build();
     Frame ping = Frame.newBuilder().setPing(Ping.getDefaultInstance()).build();
     long now = loop.now();
-    for (LinkConnection connection : Set.copyOf(connections.values())) {
-      if (connection.unansweredNanos(now) > SILENCE_NANOS) {
-        connection.close("silent");
-        continue;
-      }
+    for (LinkConnection connection : links.closeSilent()) {
       connection.send(frame);
       connection.send(ping);
     }
@@ -181,23 +146,13 @@
     return sum;
   }
 
-  /** A connection that this entry dialled. */
-  private final class Link implements LinkListener {
-    private final String member;
-
-    Link(String member) {
-      this.member = member;
-    }
-
+  /** What the other entries send. */
+  private final class FromLinks implements MemberLinks.Listener {
     @Override
-    public void opened(LinkConnection connection) {
-      dialling.remove(member);
-      connections.put(member, connection);
-      LOG.info(LogLine.of("entry-connected").with("member", member));
-    }
+    public void opened(String member, LinkConnection link) {}
 
     @Override
-    public void received(LinkConnection connection, Frame frame) {
+    public void received(String member, Frame frame) {
       if (frame.hasWorkflowQueryAnswer()) {
         answered(
             frame.getWorkflowQueryAnswer().getId(),
@@ -206,11 +161,9 @@
     }
 
     @Override
-    public void closed(LinkConnection connection, String reason) {
-      connections.remove(member, connection);
-      LOG.info(LogLine.of("entry-disconnected").with("member", member).with("reason", reason));
+    public void closed(String member, LinkConnection link) {
       for (Map.Entry<Long, Asked> each : Map.copyOf(asked).entrySet()) {
-        if (each.getValue().connection() == connection) {
+        if (each.getValue().connection() == link) {
           answered(each.getKey(), QueryResult.CANNOT_TELL);
         }
       }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -238,9 +238,16 @@
         move(run, "too many that may disturb stand beside services");
       }
     }
+    moveSlowed(vms.slowedDownTo(SLOWED_PERCENT));
+  }
+
+  private void moveSlowed(List<OpenRun> slowed) {
+    if (slowed.isEmpty()) {
+      return;
+    }
     List<VmOffer> free = new ArrayList<>();
     vms.offers().stream().filter(offer -> offer.serving() == 0).forEach(free::add);
-    for (OpenRun run : vms.slowedDownTo(SLOWED_PERCENT)) {
+    for (OpenRun run : slowed) {
       WorkflowTask task = run.task();
       Optional<VmOffer> better =
           isCheaplyStopped(task) ? chooseAmong(task, Urgency.ORDINARY, free) : Optional.empty();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -406,7 +406,7 @@
         free = free.minus(task.step().booked());
         long fills = task.step().nature().fills() ? task.step().sizes().milliProcessors() : 0;
         fill += fills;
-        suspect += harmOf(task.step().nature().image()) > ImageHarm.HARMLESS ? fills : 0;
+        suspect += isSuspect(task) ? fills : 0;
         serving += task.step().nature().serves() ? 1 : 0;
       }
     }
@@ -427,6 +427,10 @@
     return knowledge.harmOf(image);
   }
 
+  private boolean isSuspect(WorkflowTask task) {
+    return ImageHarm.isSuspect(harmOf(task.step().nature().image()));
+  }
+
   /** Returns how many open runs of the step and occurrence are on the VM. */
   int ofStepOn(String vm, WorkflowTask task) {
     int count = 0;
@@ -451,9 +455,10 @@
     for (VmSession session : newest.values()) {
       Map<RunKey, OpenRun> open = openRuns.getOrDefault(session.vm(), Map.of());
       for (RunReport run : session.report().getRunsList()) {
-        Optional.ofNullable(
-                run.getCrowded() ? open.get(WorkflowRecords.decode(run.getTask())) : null)
-            .ifPresent(crowded::add);
+        OpenRun ours = run.getCrowded() ? open.get(WorkflowRecords.decode(run.getTask())) : null;
+        if (ours != null) {
+          crowded.add(ours);
+        }
       }
     }
     return crowded.build();
@@ -463,7 +468,7 @@
   ImmutableList<OpenRun> slowedDownTo(int percent) {
     return runsOn(report -> report.getServing() > 0 && report.getFillPercent() <= percent).stream()
         .filter(run -> run.task().step().nature().fills())
-        .filter(run -> harmOf(run.task().step().nature().image()) > ImageHarm.HARMLESS)
+        .filter(run -> isSuspect(run.task()))
         .collect(ImmutableList.toImmutableList());
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -171,12 +171,13 @@
           if (page.more().isPresent()) {
             readProgress(page.more());
           } else {
-            readSubmissions(Optional.empty());
+            readSubmissions(Optional.empty(), this::activate);
           }
         });
   }
 
-  private void readSubmissions(Optional<String> after) {
+  /** Takes all submissions, then runs the task. */
+  private void readSubmissions(Optional<String> after, Runnable taken) {
     readNewest(
         Topic.SUBMISSIONS,
         after,
@@ -187,9 +188,9 @@
           }
           page.records().forEach(this::takeSubmission);
           if (page.more().isPresent()) {
-            readSubmissions(page.more());
+            readSubmissions(page.more(), taken);
           } else {
-            activate();
+            taken.run();
           }
         });
   }
@@ -298,7 +299,7 @@
       tail();
     } else if (result instanceof Expired) {
       LOG.info(LogLine.of("submissions-expired").with("partition", number).with("from", tailFrom));
-      rereadSubmissions(Optional.empty());
+      readSubmissions(Optional.empty(), this::tail);
     } else {
       LOG.debug(
           LogLine.of("tail-retried")
@@ -307,21 +308,4 @@
       loop.schedule(this::tail, RETRY_NANOS);
     }
   }
-
-  private void rereadSubmissions(Optional<String> after) {
-    readNewest(
-        Topic.SUBMISSIONS,
-        after,
-        page -> {
-          if (after.isEmpty()) {
-            tailFrom = page.end();
-          }
-          page.records().forEach(this::takeSubmission);
-          if (page.more().isPresent()) {
-            rereadSubmissions(page.more());
-          } else {
-            tail();
-          }
-        });
-  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/Ownership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/Ownership.java
@@ -54,7 +54,7 @@
   /** Told of changes; runs on the loop. */
   interface Listener extends OwnedPartition.Listener {
     /** The store told who owns what, at the generation or later. */
-    void ownersKnown(long asOfGeneration, ImmutableList<Owner> owners);
+    void ownersKnown(long asOfGeneration, Owners owners);
   }
 
   private final WorkflowStore store;
@@ -105,7 +105,7 @@
         LOG.info(LogLine.of("former-life-removed").with("member", member));
         store.leave(member);
       }
-      listener.ownersKnown(0, owners.owners());
+      listener.ownersKnown(0, owners);
     }
     join();
   }
@@ -204,7 +204,7 @@
 
   private void ownersAnswered(long asOf, WorkflowStore.OwnersResult result) {
     if (result instanceof Owners owners) {
-      listener.ownersKnown(asOf, owners.owners());
+      listener.ownersKnown(asOf, owners);
     } else {
       LOG.debug(LogLine.of("owners-unread").with("reason", ((OwnersUnknown) result).reason()));
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
@@ -43,7 +43,7 @@
 
   /** Returns whether tasks of the image may disturb tasks that serve. */
   boolean isSuspect(String image) {
-    return harm.belief(image) > ImageHarm.HARMLESS;
+    return ImageHarm.isSuspect(harm.belief(image));
   }
 
   /** Returns what the suspects among the runs declare, in thousandths of a processor. */
@@ -158,7 +158,7 @@
     for (SideRun run : runs) {
       if (run.fills() && run.isListed()) {
         fills++;
-        declared += run.order().orElseThrow().getMilliProcessors();
+        declared += run.milliProcessors();
         used += run.gauge();
       }
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideEntries.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideEntries.java
@@ -3,11 +3,9 @@
 import static java.util.Objects.requireNonNull;
 
 import io.marigoldsail.daemon.link.LinkConnection;
-import io.marigoldsail.daemon.link.LinkListener;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
-import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
 import io.marigoldsail.daemon.workflow.WorkflowStore.OwnersResult;
 import io.marigoldsail.protocol.Frame;
@@ -27,9 +25,6 @@
 final class SideEntries {
   private static final EventLog LOG = EventLog.of(SideEntries.class);
 
-  /** A connection that leaves this long something unanswered is given up, in nanoseconds. */
-  private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
-
   /** Between two questions to the store, in nanoseconds. */
   private static final long ASK_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
@@ -78,7 +73,7 @@
   private final Listener listener;
   private final Map<Integer, String> owners = new HashMap<>();
   private final Map<String, EntryConnection> connections = new HashMap<>();
-  private final Set<String> dialling = new HashSet<>();
+  private final MemberLinks links;
   private long generation;
   private int digest;
   private long askedAt = Long.MIN_VALUE;
@@ -87,6 +82,7 @@
     this.loop = requireNonNull(loop, "loop");
     this.store = requireNonNull(store, "store");
     this.listener = requireNonNull(listener, "listener");
+    this.links = new MemberLinks(loop, new FromLinks());
   }
 
   Iterable<EntryConnection> connections() {
@@ -106,21 +102,10 @@
   /** Dials entries that are not reached, closes silent connections, asks the store if need be. */
   void tick() {
     long now = loop.now();
-    for (EntryConnection connection : connections()) {
-      if (connection.link().unansweredNanos(now) > SILENCE_NANOS) {
-        connection.link().close("silent");
-      }
-    }
+    links.closeSilent();
     Set<String> members = new HashSet<>(owners.values());
-    for (String member : members) {
-      EntryMember.parse(member).ifPresent(parsed -> dial(member, parsed));
-    }
-    for (EntryConnection connection : connections()) {
-      if (!members.contains(connection.member())) {
-        connection.link().close("no owner any more");
-      }
-    }
-    boolean alone = connections.isEmpty() || connections.size() < members.size();
+    links.keep(members);
+    boolean alone = links.size() == 0 || links.size() < members.size();
     if (alone && (askedAt == Long.MIN_VALUE || now - askedAt > ASK_NANOS)) {
       askedAt = now;
       store.owners().thenAccept(result -> loop.run(() -> ownersRead(result)));
@@ -132,11 +117,7 @@
       LOG.debug(LogLine.of("owners-unread").with("result", result));
       return;
     }
-    Map<Integer, String> newOwners = new HashMap<>();
-    for (Owner owner : read.owners()) {
-      newOwners.put(owner.partition(), owner.member());
-    }
-    replace(newOwners);
+    replace(read.byPartition());
   }
 
   private void told(OwnerMap map) {
@@ -164,50 +145,27 @@
     listener.ownersChanged();
   }
 
-  private void dial(String member, EntryMember parsed) {
-    if (connections.containsKey(member) || !dialling.add(member)) {
-      return;
-    }
-    loop.dial(
-        parsed.address(),
-        new Link(member),
-        cause -> {
-          dialling.remove(member);
-          LOG.debug(LogLine.of("entry-unreachable").with("member", member).with("cause", cause));
-        });
-  }
-
-  /** A connection that this process dialled. */
-  private final class Link implements LinkListener {
-    private final String member;
-    private EntryConnection connection;
-
-    Link(String member) {
-      this.member = member;
-    }
-
+  /** What entries send. */
+  private final class FromLinks implements MemberLinks.Listener {
     @Override
-    public void opened(LinkConnection link) {
-      dialling.remove(member);
-      connection = new EntryConnection(member, link);
+    public void opened(String member, LinkConnection link) {
+      EntryConnection connection = new EntryConnection(member, link);
       connections.put(member, connection);
-      LOG.info(LogLine.of("entry-connected").with("member", member));
       listener.connected(connection);
     }
 
     @Override
-    public void received(LinkConnection link, Frame frame) {
+    public void received(String member, Frame frame) {
       if (frame.hasOwnerMap()) {
         told(frame.getOwnerMap());
       } else {
-        listener.received(connection, frame);
+        listener.received(connections.get(member), frame);
       }
     }
 
     @Override
-    public void closed(LinkConnection link, String reason) {
-      connections.remove(member, connection);
-      LOG.info(LogLine.of("entry-disconnected").with("member", member).with("reason", reason));
+    public void closed(String member, LinkConnection link) {
+      connections.remove(member);
     }
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -13,7 +13,7 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NotAppended;
-import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.Pong;
 import io.marigoldsail.protocol.WorkflowQuery;
@@ -244,17 +244,12 @@
   private void renew() {
     for (OwnedPartition partition : ownership.active()) {
       boolean old = loop.now() - partition.writer().evidence() > RENEW_NANOS;
-      boolean running = partition.workflows().stream().anyMatch(each -> hasOpen(each));
-      if (old && running) {
+      if (old && partition.workflows().stream().anyMatch(Workflow::hasOpenTasks)) {
         partition.writer().renew();
       }
     }
   }
 
-  private static boolean hasOpen(Workflow workflow) {
-    return workflow.tasks().stream().anyMatch(WorkflowTask::isOpen);
-  }
-
   private void sweep() {
     if (!ready && ownership.isConnected()) {
       ready = true;
@@ -269,7 +264,7 @@
     for (OwnedPartition partition : ownership.active()) {
       for (Workflow workflow : ImmutableList.copyOf(partition.workflows())) {
         boolean over = workflow.shownStatus().isTerminal() && workflow.endedMillis() < before;
-        if (over && workflow.openTasks().isEmpty()) {
+        if (over && !workflow.hasOpenTasks()) {
           partition.forget(workflow);
         }
       }
@@ -292,7 +287,7 @@
   /** What changes in the partitions. */
   private final class Changes implements Ownership.Listener {
     @Override
-    public void ownersKnown(long asOfGeneration, ImmutableList<Owner> owners) {
+    public void ownersKnown(long asOfGeneration, Owners owners) {
       if (peers.owners(asOfGeneration, owners)) {
         Frame frame = Frame.newBuilder().setOwnerMap(peers.map()).build();
         vms.connections().forEach(connection -> connection.send(frame));
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowRecords.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowRecords.java
@@ -143,7 +143,6 @@
   static ByteString encode(WorkflowRecordState state) {
     WorkflowProgress.Builder builder =
         WorkflowProgress.newBuilder()
-            .setCancelled(state.status() == WorkflowStatus.CANCELLED)
             .setStatus(state.status().number())
             .setEndedMillis(state.endedMillis());
     Map<Place, Integer> positions = new LinkedHashMap<>();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowStore.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowStore.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import java.util.List;
@@ -112,8 +113,15 @@
   /** Who owns what. */
   sealed interface OwnersResult {}
 
-  /** The owner of each partition that has one, by partition. */
-  record Owners(ImmutableList<Owner> owners) implements OwnersResult {}
+  /** The partitions that have an owner. */
+  record Owners(ImmutableList<Owner> owners) implements OwnersResult {
+    /** Returns the owner of each partition that has one, by partition. */
+    public ImmutableMap<Integer, String> byPartition() {
+      ImmutableMap.Builder<Integer, String> owned = ImmutableMap.builder();
+      owners.forEach(owner -> owned.put(owner.partition(), owner.member()));
+      return owned.buildKeepingLast();
+    }
+  }
 
   /** The owners could not be read. */
   record OwnersUnknown(String reason) implements OwnersResult {}
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -154,70 +154,70 @@
       "le\030\014 \001(\010\022\023\n\013speculative\030\r \001(\010\022\017\n\007lasting" +
       "\030\016 \001(\010\022\r\n\005image\030\017 \001(\t\022\035\n\025latency_target_" +
       "millis\030\020 \001(\r\022\r\n\005fills\030\021 \001(\010\022\033\n\023allowed_u" +
-      "navailable\030\022 \001(\r\"\237\001\n\020WorkflowProgress\022\021\n" +
-      "\tcancelled\030\001 \001(\010\022\016\n\006status\030\002 \001(\r\022\'\n\006plac" +
-      "es\030\003 \003(\0132\027.marigoldsail.PlaceName\022)\n\005tas" +
-      "ks\030\004 \003(\0132\032.marigoldsail.TaskProgress\022\024\n\014" +
-      "ended_millis\030\005 \001(\003\"\'\n\tPlaceName\022\n\n\002vm\030\001 " +
-      "\001(\t\022\016\n\006worker\030\002 \001(\t\"h\n\014TaskProgress\022\r\n\005p" +
-      "hase\030\001 \001(\r\022\024\n\014last_attempt\030\002 \001(\r\022\020\n\010fail" +
-      "ures\030\003 \001(\r\022\r\n\005place\030\004 \001(\r\022\022\n\ncheckpoint\030" +
-      "\005 \001(\t\"d\n\016WorkflowTaskId\022\020\n\010workflow\030\001 \001(" +
-      "\006\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005i" +
-      "ndex\030\004 \001(\r\022\017\n\007attempt\030\005 \001(\r\"\350\004\n\010VmReport" +
-      "\022\024\n\014worker_clock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n\006wo" +
-      "rker\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\014\n\004zone\030\005 \001(" +
-      "\t\022\016\n\006labels\030\006 \003(\t\022\020\n\010draining\030\007 \001(\010\022\030\n\020m" +
-      "illi_processors\030\010 \001(\r\022\030\n\020memory_mebibyte" +
-      "s\030\t \001(\r\022\024\n\014accelerators\030\n \001(\r\022\035\n\025free_mi" +
-      "lli_processors\030\013 \001(\r\022\035\n\025free_memory_mebi" +
-      "bytes\030\014 \001(\r\022\031\n\021free_accelerators\030\r \001(\r\022\035" +
-      "\n\025fill_milli_processors\030\016 \001(\r\022\024\n\014fill_pe" +
-      "rcent\030\017 \001(\r\022\023\n\013orders_seen\030\020 \001(\004\022%\n\004runs" +
-      "\030\021 \003(\0132\027.marigoldsail.RunReport\022%\n\004ends\030" +
-      "\022 \003(\0132\027.marigoldsail.EndReport\022\023\n\013wants_" +
-      "lease\030\023 \001(\010\022\023\n\013gone_worker\030\024 \001(\t\022\021\n\tunhe" +
-      "althy\030\025 \001(\010\022\017\n\007serving\030\026 \001(\r\022\025\n\rowners_d" +
-      "igest\030\027 \001(\007\022\'\n\006images\030\030 \003(\0132\027.marigoldsa" +
-      "il.ImageSeen\022 \n\030suspect_milli_processors" +
-      "\030\031 \001(\r\"\246\001\n\tRunReport\022*\n\004task\030\001 \001(\0132\034.mar" +
-      "igoldsail.WorkflowTaskId\022\017\n\007started\030\002 \001(" +
-      "\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022\020" +
-      "\n\010stopping\030\005 \001(\010\022\024\n\014size_unknown\030\006 \001(\010\022\017" +
-      "\n\007crowded\030\007 \001(\010\"~\n\tEndReport\022*\n\004task\030\001 \001" +
-      "(\0132\034.marigoldsail.WorkflowTaskId\022\017\n\007outc" +
-      "ome\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t\022\020\n\010sequenc" +
-      "e\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\"~\n\nLeaseGrant\022\024\n" +
-      "\014worker_clock\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037." +
-      "marigoldsail.PartitionEvidence\022\'\n\006images" +
-      "\030\003 \003(\0132\027.marigoldsail.ImageSeen\"9\n\tImage" +
-      "Seen\022\r\n\005image\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006we" +
-      "ight\030\003 \001(\002\"R\n\021PartitionEvidence\022\021\n\tparti" +
-      "tion\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after_repor" +
-      "t_millis\030\003 \001(\021\"\333\001\n\tRunOrders\022\016\n\006number\030\001" +
-      " \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsail.Lease" +
-      "Grant\022&\n\006starts\030\003 \003(\0132\026.marigoldsail.Sta" +
-      "rtRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsail.Work" +
-      "flowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.marigol" +
-      "dsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t\"\211\002\n" +
-      "\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail.W" +
-      "orkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_" +
-      "processors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 \001" +
-      "(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030\006" +
-      " \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_mi" +
-      "llis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_progra" +
-      "m\030\n \001(\010\022\017\n\007starved\030\013 \001(\010\"\\\n\010OwnerMap\022\022\n\n" +
-      "generation\030\001 \001(\004\022,\n\006owners\030\002 \003(\0132\034.marig" +
-      "oldsail.PartitionOwner\022\016\n\006digest\030\003 \001(\007\"3" +
-      "\n\016PartitionOwner\022\021\n\tpartition\030\001 \001(\r\022\016\n\006m" +
-      "ember\030\002 \001(\t\"L\n\rWorkflowQuery\022\n\n\002id\030\001 \001(\004" +
-      "\022\020\n\010workflow\030\002 \001(\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006can" +
-      "cel\030\004 \001(\010\"1\n\023WorkflowQueryAnswer\022\n\n\002id\030\001" +
-      " \001(\004\022\016\n\006result\030\002 \001(\r\"I\n\rWaitingCounts\022\016\n" +
-      "\006member\030\001 \001(\t\022(\n\006queues\030\002 \003(\0132\030.marigold" +
-      "sail.QueueCount\",\n\nQueueCount\022\r\n\005queue\030\001" +
-      " \001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030io.marigoldsail" +
-      ".protocolP\001b\006proto3"
+      "navailable\030\022 \001(\r\"\222\001\n\020WorkflowProgress\022\016\n" +
+      "\006status\030\002 \001(\r\022\'\n\006places\030\003 \003(\0132\027.marigold" +
+      "sail.PlaceName\022)\n\005tasks\030\004 \003(\0132\032.marigold" +
+      "sail.TaskProgress\022\024\n\014ended_millis\030\005 \001(\003J" +
+      "\004\010\001\020\002\"\'\n\tPlaceName\022\n\n\002vm\030\001 \001(\t\022\016\n\006worker" +
+      "\030\002 \001(\t\"h\n\014TaskProgress\022\r\n\005phase\030\001 \001(\r\022\024\n" +
+      "\014last_attempt\030\002 \001(\r\022\020\n\010failures\030\003 \001(\r\022\r\n" +
+      "\005place\030\004 \001(\r\022\022\n\ncheckpoint\030\005 \001(\t\"d\n\016Work" +
+      "flowTaskId\022\020\n\010workflow\030\001 \001(\006\022\022\n\noccurren" +
+      "ce\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005index\030\004 \001(\r\022\017\n" +
+      "\007attempt\030\005 \001(\r\"\350\004\n\010VmReport\022\024\n\014worker_cl" +
+      "ock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n\006worker\030\003 \001(\t\022\017\n" +
+      "\007service\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\022\016\n\006labels\030\006" +
+      " \003(\t\022\020\n\010draining\030\007 \001(\010\022\030\n\020milli_processo" +
+      "rs\030\010 \001(\r\022\030\n\020memory_mebibytes\030\t \001(\r\022\024\n\014ac" +
+      "celerators\030\n \001(\r\022\035\n\025free_milli_processor" +
+      "s\030\013 \001(\r\022\035\n\025free_memory_mebibytes\030\014 \001(\r\022\031" +
+      "\n\021free_accelerators\030\r \001(\r\022\035\n\025fill_milli_" +
+      "processors\030\016 \001(\r\022\024\n\014fill_percent\030\017 \001(\r\022\023" +
+      "\n\013orders_seen\030\020 \001(\004\022%\n\004runs\030\021 \003(\0132\027.mari" +
+      "goldsail.RunReport\022%\n\004ends\030\022 \003(\0132\027.marig" +
+      "oldsail.EndReport\022\023\n\013wants_lease\030\023 \001(\010\022\023" +
+      "\n\013gone_worker\030\024 \001(\t\022\021\n\tunhealthy\030\025 \001(\010\022\017" +
+      "\n\007serving\030\026 \001(\r\022\025\n\rowners_digest\030\027 \001(\007\022\'" +
+      "\n\006images\030\030 \003(\0132\027.marigoldsail.ImageSeen\022" +
+      " \n\030suspect_milli_processors\030\031 \001(\r\"\246\001\n\tRu" +
+      "nReport\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Wor" +
+      "kflowTaskId\022\017\n\007started\030\002 \001(\010\022\022\n\ncheckpoi" +
+      "nt\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022\020\n\010stopping\030\005 " +
+      "\001(\010\022\024\n\014size_unknown\030\006 \001(\010\022\017\n\007crowded\030\007 \001" +
+      "(\010\"~\n\tEndReport\022*\n\004task\030\001 \001(\0132\034.marigold" +
+      "sail.WorkflowTaskId\022\017\n\007outcome\030\002 \001(\r\022\022\n\n" +
+      "checkpoint\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006re" +
+      "ason\030\005 \001(\t\"~\n\nLeaseGrant\022\024\n\014worker_clock" +
+      "\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037.marigoldsail." +
+      "PartitionEvidence\022\'\n\006images\030\003 \003(\0132\027.mari" +
+      "goldsail.ImageSeen\"9\n\tImageSeen\022\r\n\005image" +
+      "\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006weight\030\003 \001(\002\"R\n" +
+      "\021PartitionEvidence\022\021\n\tpartition\030\001 \001(\r\022\r\n" +
+      "\005epoch\030\002 \001(\004\022\033\n\023after_report_millis\030\003 \001(" +
+      "\021\"\333\001\n\tRunOrders\022\016\n\006number\030\001 \001(\004\022\'\n\005lease" +
+      "\030\002 \001(\0132\030.marigoldsail.LeaseGrant\022&\n\006star" +
+      "ts\030\003 \003(\0132\026.marigoldsail.StartRun\022+\n\005stop" +
+      "s\030\004 \003(\0132\034.marigoldsail.WorkflowTaskId\0220\n" +
+      "\nnoted_ends\030\005 \003(\0132\034.marigoldsail.Workflo" +
+      "wTaskId\022\016\n\006worker\030\006 \001(\t\"\211\002\n\010StartRun\022*\n\004" +
+      "task\030\001 \001(\0132\034.marigoldsail.WorkflowTaskId" +
+      "\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_processors\030\003 " +
+      "\001(\r\022\030\n\020memory_mebibytes\030\004 \001(\r\022\024\n\014acceler" +
+      "ators\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001(\t\022\r\n\005image" +
+      "\030\007 \001(\t\022\035\n\025latency_target_millis\030\010 \001(\r\022\r\n" +
+      "\005fills\030\t \001(\010\022\024\n\014same_program\030\n \001(\010\022\017\n\007st" +
+      "arved\030\013 \001(\010\"\\\n\010OwnerMap\022\022\n\ngeneration\030\001 " +
+      "\001(\004\022,\n\006owners\030\002 \003(\0132\034.marigoldsail.Parti" +
+      "tionOwner\022\016\n\006digest\030\003 \001(\007\"3\n\016PartitionOw" +
+      "ner\022\021\n\tpartition\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L" +
+      "\n\rWorkflowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030" +
+      "\002 \001(\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023" +
+      "WorkflowQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006resul" +
+      "t\030\002 \001(\r\"I\n\rWaitingCounts\022\016\n\006member\030\001 \001(\t" +
+      "\022(\n\006queues\030\002 \003(\0132\030.marigoldsail.QueueCou" +
+      "nt\",\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiti" +
+      "ng\030\002 \001(\rB\034\n\030io.marigoldsail.protocolP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -240,7 +240,7 @@
     internal_static_marigoldsail_WorkflowProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowProgress_descriptor,
-        new java.lang.String[] { "Cancelled", "Status", "Places", "Tasks", "EndedMillis", });
+        new java.lang.String[] { "Status", "Places", "Tasks", "EndedMillis", });
     internal_static_marigoldsail_PlaceName_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_marigoldsail_PlaceName_fieldAccessorTable = new
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgress.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgress.java
@@ -54,17 +54,6 @@
             io.marigoldsail.protocol.WorkflowProgress.class, io.marigoldsail.protocol.WorkflowProgress.Builder.class);
   }
 
-  public static final int CANCELLED_FIELD_NUMBER = 1;
-  private boolean cancelled_ = false;
-  /**
-   * <code>bool cancelled = 1;</code>
-   * @return The cancelled.
-   */
-  @java.lang.Override
-  public boolean getCancelled() {
-    return cancelled_;
-  }
-
   public static final int STATUS_FIELD_NUMBER = 2;
   private int status_ = 0;
   /**
@@ -231,9 +220,6 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (cancelled_ != false) {
-      output.writeBool(1, cancelled_);
-    }
     if (status_ != 0) {
       output.writeUInt32(2, status_);
     }
@@ -250,10 +236,6 @@
   }
   private int computeSerializedSize_0() {
     int size = 0;
-    if (cancelled_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(1, cancelled_);
-    }
     if (status_ != 0) {
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(2, status_);
@@ -304,8 +286,6 @@
     }
     io.marigoldsail.protocol.WorkflowProgress other = (io.marigoldsail.protocol.WorkflowProgress) obj;
 
-    if (getCancelled()
-        != other.getCancelled()) return false;
     if (getStatus()
         != other.getStatus()) return false;
     if (!getPlacesList()
@@ -325,9 +305,6 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + CANCELLED_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getCancelled());
     hash = (37 * hash) + STATUS_FIELD_NUMBER;
     hash = (53 * hash) + getStatus();
     if (getPlacesCount() > 0) {
@@ -476,7 +453,6 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      cancelled_ = false;
       status_ = 0;
       if (placesBuilder_ == null) {
         places_ = java.util.Collections.emptyList();
@@ -484,14 +460,14 @@
         places_ = null;
         placesBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000002);
       if (tasksBuilder_ == null) {
         tasks_ = java.util.Collections.emptyList();
       } else {
         tasks_ = null;
         tasksBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000004);
       endedMillis_ = 0L;
       return this;
     }
@@ -527,18 +503,18 @@
 
     private void buildPartialRepeatedFields(io.marigoldsail.protocol.WorkflowProgress result) {
       if (placesBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0)) {
+        if (((bitField0_ & 0x00000002) != 0)) {
           places_ = java.util.Collections.unmodifiableList(places_);
-          bitField0_ = (bitField0_ & ~0x00000004);
+          bitField0_ = (bitField0_ & ~0x00000002);
         }
         result.places_ = places_;
       } else {
         result.places_ = placesBuilder_.build();
       }
       if (tasksBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
+        if (((bitField0_ & 0x00000004) != 0)) {
           tasks_ = java.util.Collections.unmodifiableList(tasks_);
-          bitField0_ = (bitField0_ & ~0x00000008);
+          bitField0_ = (bitField0_ & ~0x00000004);
         }
         result.tasks_ = tasks_;
       } else {
@@ -549,12 +525,9 @@
     private void buildPartial0(io.marigoldsail.protocol.WorkflowProgress result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.cancelled_ = cancelled_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
         result.status_ = status_;
       }
-      if (((from_bitField0_ & 0x00000010) != 0)) {
+      if (((from_bitField0_ & 0x00000008) != 0)) {
         result.endedMillis_ = endedMillis_;
       }
     }
@@ -571,9 +544,6 @@
 
     public Builder mergeFrom(io.marigoldsail.protocol.WorkflowProgress other) {
       if (other == io.marigoldsail.protocol.WorkflowProgress.getDefaultInstance()) return this;
-      if (other.getCancelled() != false) {
-        setCancelled(other.getCancelled());
-      }
       if (other.getStatus() != 0) {
         setStatus(other.getStatus());
       }
@@ -581,7 +551,7 @@
         if (!other.places_.isEmpty()) {
           if (places_.isEmpty()) {
             places_ = other.places_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000002);
           } else {
             ensurePlacesIsMutable();
             places_.addAll(other.places_);
@@ -594,7 +564,7 @@
             placesBuilder_.dispose();
             placesBuilder_ = null;
             places_ = other.places_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000002);
             placesBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetPlacesFieldBuilder() : null;
@@ -607,7 +577,7 @@
         if (!other.tasks_.isEmpty()) {
           if (tasks_.isEmpty()) {
             tasks_ = other.tasks_;
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000004);
           } else {
             ensureTasksIsMutable();
             tasks_.addAll(other.tasks_);
@@ -620,7 +590,7 @@
             tasksBuilder_.dispose();
             tasksBuilder_ = null;
             tasks_ = other.tasks_;
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000004);
             tasksBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetTasksFieldBuilder() : null;
@@ -656,14 +626,9 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              cancelled_ = input.readBool();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
             case 16: {
               status_ = input.readUInt32();
-              bitField0_ |= 0x00000002;
+              bitField0_ |= 0x00000001;
               break;
             } // case 16
             case 26: {
@@ -694,7 +659,7 @@
             } // case 34
             case 40: {
               endedMillis_ = input.readInt64();
-              bitField0_ |= 0x00000010;
+              bitField0_ |= 0x00000008;
               break;
             } // case 40
             default: {
@@ -714,38 +679,6 @@
     }
     private int bitField0_;
 
-    private boolean cancelled_ ;
-    /**
-     * <code>bool cancelled = 1;</code>
-     * @return The cancelled.
-     */
-    @java.lang.Override
-    public boolean getCancelled() {
-      return cancelled_;
-    }
-    /**
-     * <code>bool cancelled = 1;</code>
-     * @param value The cancelled to set.
-     * @return This builder for chaining.
-     */
-    public Builder setCancelled(boolean value) {
-
-      cancelled_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>bool cancelled = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearCancelled() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      cancelled_ = false;
-      onChanged();
-      return this;
-    }
-
     private int status_ ;
     /**
      * <pre>
@@ -771,7 +704,7 @@
     public Builder setStatus(int value) {
 
       status_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
@@ -784,7 +717,7 @@
      * @return This builder for chaining.
      */
     public Builder clearStatus() {
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000001);
       status_ = 0;
       onChanged();
       return this;
@@ -793,9 +726,9 @@
     private java.util.List<io.marigoldsail.protocol.PlaceName> places_ =
       java.util.Collections.emptyList();
     private void ensurePlacesIsMutable() {
-      if (!((bitField0_ & 0x00000004) != 0)) {
+      if (!((bitField0_ & 0x00000002) != 0)) {
         places_ = new java.util.ArrayList<io.marigoldsail.protocol.PlaceName>(places_);
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000002;
        }
     }
 
@@ -983,7 +916,7 @@
     public Builder clearPlaces() {
       if (placesBuilder_ == null) {
         places_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000002);
         onChanged();
       } else {
         placesBuilder_.clear();
@@ -1088,7 +1021,7 @@
         placesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             io.marigoldsail.protocol.PlaceName, io.marigoldsail.protocol.PlaceName.Builder, io.marigoldsail.protocol.PlaceNameOrBuilder>(
                 places_,
-                ((bitField0_ & 0x00000004) != 0),
+                ((bitField0_ & 0x00000002) != 0),
                 getParentForChildren(),
                 isClean());
         places_ = null;
@@ -1099,9 +1032,9 @@
     private java.util.List<io.marigoldsail.protocol.TaskProgress> tasks_ =
       java.util.Collections.emptyList();
     private void ensureTasksIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
+      if (!((bitField0_ & 0x00000004) != 0)) {
         tasks_ = new java.util.ArrayList<io.marigoldsail.protocol.TaskProgress>(tasks_);
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000004;
        }
     }
 
@@ -1289,7 +1222,7 @@
     public Builder clearTasks() {
       if (tasksBuilder_ == null) {
         tasks_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
       } else {
         tasksBuilder_.clear();
@@ -1394,7 +1327,7 @@
         tasksBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             io.marigoldsail.protocol.TaskProgress, io.marigoldsail.protocol.TaskProgress.Builder, io.marigoldsail.protocol.TaskProgressOrBuilder>(
                 tasks_,
-                ((bitField0_ & 0x00000008) != 0),
+                ((bitField0_ & 0x00000004) != 0),
                 getParentForChildren(),
                 isClean());
         tasks_ = null;
@@ -1427,7 +1360,7 @@
     public Builder setEndedMillis(long value) {
 
       endedMillis_ = value;
-      bitField0_ |= 0x00000010;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
@@ -1440,7 +1373,7 @@
      * @return This builder for chaining.
      */
     public Builder clearEndedMillis() {
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000008);
       endedMillis_ = 0L;
       onChanged();
       return this;
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgressOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgressOrBuilder.java
@@ -10,12 +10,6 @@
     // @@protoc_insertion_point(interface_extends:marigoldsail.WorkflowProgress)
     com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <code>bool cancelled = 1;</code>
-   * @return The cancelled.
-   */
-  boolean getCancelled();
-
   /**
    * <pre>
    * Number of io.marigoldsail.workflow.WorkflowStatus.
