--- a/marigoldsail-core/src/main/java/io/marigoldsail/log/SnapshotSchedule.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/log/SnapshotSchedule.java
@@ -11,16 +11,19 @@
  * <p>A snapshot is due when many records have come since the last one, when that one is old, or
  * when it stands in the older half of what retention has left. How long retention is shows only
  * once something has expired, which is too late for what was written first: so a young stream gets
- * its first snapshot early, and another whenever it has grown by the factor {@link #GROWTH}. Every
- * process finds that out at about the same moment; if each wrote at once, the log would take as
- * many copies of the state as there are processes. So each draws a moment within a span, and gives
- * way to any that began before; if that one dies halfway, the next one's moment comes. Knows
- * neither thread nor clock; confined to one thread.
+ * its first snapshot after some records or some seconds, and another whenever it has grown by the
+ * factor {@link #GROWTH}. Every process finds that out at about the same moment; if each wrote at
+ * once, the log would take as many copies of the state as there are processes. So each draws a
+ * moment within a span, and gives way to any that began before; if that one dies halfway, the next
+ * one's moment comes. Knows neither thread nor clock; confined to one thread.
  */
 final class SnapshotSchedule {
   /** Records after which a stream without a snapshot gets its first. */
   static final long FIRST_RECORDS = 16;
 
+  /** How long after its first record a stream with fewer gets its first, in milliseconds. */
+  static final long FIRST_MILLIS = 5_000;
+
   /** A stream this many times as long as what its last snapshot covers gets another one. */
   static final long GROWTH = 8;
 
@@ -30,6 +33,7 @@
   private long lastSeenAt;
   private long writeAt = Long.MAX_VALUE;
   private long heldUntil = Long.MIN_VALUE;
+  private long firstSeenAt = Long.MAX_VALUE;
 
   SnapshotSchedule(SnapshotSettings settings, RandomGenerator random, long now) {
     this.settings = requireNonNull(settings, "settings");
@@ -50,6 +54,7 @@
     lastSeenAt = now;
     writeAt = Long.MAX_VALUE;
     heldUntil = Long.MIN_VALUE;
+    firstSeenAt = Long.MAX_VALUE;
   }
 
   /** Tells of a part, of whichever snapshot. */
@@ -59,6 +64,11 @@
 
   /** Returns whether this process writes one now; if so, the next one is at another moment. */
   boolean shouldWrite(StreamStatus status, long now) {
+    if (!status.offering() && !isWhole(status)) {
+      // The moment drawn stays: on a busy stream every few pages are read while more has come, and
+      // drawing anew each time put off the first snapshot until all it was for had expired.
+      return false;
+    }
     if (!status.offering() && !isDue(status, now)) {
       writeAt = Long.MAX_VALUE;
       return false;
@@ -77,27 +87,31 @@
     return now + random.nextLong(TimeUnit.MILLISECONDS.toNanos(settings.spreadMillis()));
   }
 
+  /** A state that passed over records of a newer version is not what newer readers have. */
+  private static boolean isWhole(StreamStatus status) {
+    return status.caughtUp() && status.newerVersions() == 0 && status.applied() > 0;
+  }
+
   private boolean isDue(StreamStatus status, long now) {
-    // A state that passed over records of a newer version is not what newer readers have.
-    boolean whole = status.caughtUp() && status.newerVersions() == 0 && status.applied() > 0;
-    if (!whole) {
-      return false;
-    }
     long since = status.applied() - Math.max(lastThrough, 0);
     boolean many = since >= settings.everyRecords();
     boolean old = now - lastSeenAt >= TimeUnit.MILLISECONDS.toNanos(settings.everyMillis());
     long middle = status.firstOffset() + (status.applied() - status.firstOffset()) / 2;
     boolean expiring = status.firstOffset() > 0 && lastThrough < middle;
-    return many || old || expiring || isYoung(status.applied());
+    return many || old || expiring || isYoung(status.applied(), now);
   }
 
   /**
    * Guards against a state that nobody can read any more: all processes die after the records of a
-   * young stream expired and before its first snapshot.
+   * young stream expired and before its first snapshot. A job of eight tasks is some 13 records, so
+   * their number alone does not tell.
    */
-  private boolean isYoung(long applied) {
-    return lastThrough < 0
-        ? applied >= FIRST_RECORDS
-        : applied >= GROWTH * Math.max(lastThrough, 1);
+  private boolean isYoung(long applied, long now) {
+    if (lastThrough >= 0) {
+      return applied >= GROWTH * Math.max(lastThrough, 1);
+    }
+    firstSeenAt = Math.min(firstSeenAt, now);
+    return applied >= FIRST_RECORDS
+        || now - firstSeenAt >= TimeUnit.MILLISECONDS.toNanos(FIRST_MILLIS);
   }
 }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/log/SnapshotScheduleTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/log/SnapshotScheduleTest.java
@@ -92,6 +92,37 @@
     assertEquals(true, due(early, at(32, 0), 10_000));
   }
 
+  /**
+   * The same with a job so small that its records never reach the number that makes a first
+   * snapshot due: they expired 20 s after they were written, and the job was lost.
+   */
+  @Test
+  void coversAFewRecordsWithinSeconds() {
+    SnapshotSchedule schedule = schedule(1);
+    assertEquals(false, schedule.shouldWrite(at(13, 0), 0));
+    assertEquals(false, schedule.shouldWrite(at(13, 0), 4_999 * MILLI));
+    assertEquals(true, due(schedule, at(13, 0), 5_000));
+    SnapshotSchedule empty = schedule(2);
+    assertEquals(false, due(empty, at(0, 0), 50_000));
+  }
+
+  /**
+   * Tasks report each 100 ms, and every other page is read while one more record has come. The
+   * moment to write was drawn anew each time, and the records of a job expired without a snapshot.
+   */
+  @Test
+  void writesOnABusyStreamWithinTheSpan() {
+    SnapshotSchedule schedule = schedule(1);
+    boolean written = false;
+    for (int page = 0; page <= 41; page++) {
+      long applied = 20 + page;
+      StreamStatus behind = new StreamStatus(applied, applied + 1, 0, false, false, 0, 0, 0, false);
+      long now = page * 100 * MILLI;
+      written |= schedule.shouldWrite(page % 2 == 0 ? at(applied, 0) : behind, now);
+    }
+    assertTrue(written);
+  }
+
   @Test
   void writesForAQuietStreamToo() {
     SnapshotSchedule schedule = schedule(1);
