--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
 
@@ -92,6 +94,19 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns the VMs that have room for the task, the best first.
+   *
+   * @param most how many at most
+   */
+  public ImmutableList<VmOffer> best(PlacementWish wish, Collection<VmOffer> offers, int most) {
+    return offers.stream()
+        .filter(offer -> admits(wish, offer, unused -> 0))
+        .sorted(Comparator.comparingDouble((VmOffer offer) -> score(wish, offer)).reversed())
+        .limit(most)
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /**
    * Returns whether a task that failed on a VM is to go elsewhere rather than back to it.
    *
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
@@ -4,6 +4,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 
 /**
  * What a caller handed in, together with the terms of the queue at that time.
@@ -33,7 +34,7 @@
    * @param service whose workers run the tasks
    * @param priority 0 comes first
    * @param maxFailures failed runs of one task after which the workflow fails
-   * @param advised whether a placement adviser must be asked
+   * @param advice how a placement adviser is asked; empty where none must be
    * @param slackFactor how many times its longest chain of work a workflow may take and be in time
    * @param objectiveMillis what it may take in addition, in milliseconds
    */
@@ -41,12 +42,13 @@
       String service,
       int priority,
       int maxFailures,
-      boolean advised,
+      Optional<AdviceTerms> advice,
       double slackFactor,
       long objectiveMillis) {
     /** Checks the components. */
     public Terms {
       requireNonNull(service, "service");
+      requireNonNull(advice, "advice");
       checkArgument(slackFactor >= 1, "slackFactor is under 1: %s", slackFactor);
       checkArgument(objectiveMillis >= 0, "objectiveMillis is negative: %s", objectiveMillis);
       checkArgument(maxFailures >= 1, "maxFailures is not positive: %s", maxFailures);
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/QueueTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/QueueTableTest.java
@@ -4,11 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class QueueTableTest {
   private static final WorkflowSpec.Terms TERMS =
-      new WorkflowSpec.Terms("service", 0, 1, false, 2, 250);
+      new WorkflowSpec.Terms("service", 0, 1, Optional.empty(), 2, 250);
 
   private static Queue queue(String name, String host, String prefix) {
     return new Queue(name, host, prefix, TERMS, 3_000);
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/Workflows.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/Workflows.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.marigoldsail.job.Sizes;
+import java.util.Optional;
 
 /** Specimens for the tests of this package. */
 final class Workflows {
@@ -57,7 +58,7 @@
     return new WorkflowSpec(
         id,
         "queue",
-        new WorkflowSpec.Terms("service", priority, 2, false, 2, 1_000),
+        new WorkflowSpec.Terms("service", priority, 2, Optional.empty(), 2, 1_000),
         "program",
         ImmutableList.copyOf(steps),
         schedule,
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/AdviceDesk.java
@@ -0,0 +1,132 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.workflow.PlacementAdviser.AdviceResult;
+import io.marigoldsail.daemon.workflow.PlacementAdviser.Advised;
+import io.marigoldsail.daemon.workflow.PlacementAdviser.NotAdvised;
+import io.marigoldsail.workflow.AdviceTerms;
+import io.marigoldsail.workflow.StepAdvice;
+import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.VmOffer;
+import io.marigoldsail.workflow.WorkflowTask;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Asks the placement adviser for the steps that wait, one call at a time.
+ *
+ * <p>The adviser serves the calls of one process in turn anyway; asked one at a time, the step that
+ * is next is the one that is first in the waiting order when the adviser is free, not the one that
+ * came first. Confined to the loop's thread.
+ */
+final class AdviceDesk {
+  private static final EventLog LOG = EventLog.of(AdviceDesk.class);
+
+  /** How many times as long as it should take an answer may take: the adviser has other callers. */
+  private static final int PATIENCE = 4;
+
+  /** Added to that for the way there and back, in milliseconds. */
+  private static final long WAY_MILLIS = 1_000;
+
+  /** After a call that failed, in nanoseconds: the adviser may be overloaded. */
+  private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+  /** Steps beyond which those that have not asked for long are forgotten. */
+  private static final int MOST_STEPS = 4_000;
+
+  private record StepKey(long workflow, int occurrence, int step) {
+    static StepKey of(TaskKey task) {
+      return new StepKey(task.workflow(), task.occurrence(), task.step());
+    }
+  }
+
+  private final LinkLoop loop;
+  private final PlacementAdviser adviser;
+  private final Runnable answered;
+  private final Map<StepKey, StepAdvice> advice = new HashMap<>();
+  private boolean asking;
+  private long notBefore = Long.MIN_VALUE;
+
+  /**
+   * Creates a desk.
+   *
+   * @param answered run when waiting tasks should be looked at again
+   */
+  AdviceDesk(LinkLoop loop, PlacementAdviser adviser, Runnable answered) {
+    this.loop = requireNonNull(loop, "loop");
+    this.adviser = requireNonNull(adviser, "adviser");
+    this.answered = requireNonNull(answered, "answered");
+  }
+
+  /** Returns the offers that tasks of the step may be placed on now. */
+  ImmutableList<VmOffer> allowed(WorkflowTask task, Collection<VmOffer> offers) {
+    return of(task).allowed(offers, loop.now());
+  }
+
+  /** Returns the ticket by which a worker takes the task; empty if there is none. */
+  String ticket(WorkflowTask task, String worker) {
+    return of(task).ticket(worker, loop.now()).orElse("");
+  }
+
+  private StepAdvice of(WorkflowTask task) {
+    if (advice.size() > MOST_STEPS) {
+      advice.clear();
+    }
+    return advice.computeIfAbsent(StepKey.of(task.key()), unused -> new StepAdvice());
+  }
+
+  /**
+   * Asks about the best candidates that were not asked about yet, unless a call is on its way.
+   *
+   * @param candidates VMs with room for the task, the best first
+   */
+  void ask(WorkflowTask task, Collection<VmOffer> candidates) {
+    if (asking || loop.now() < notBefore) {
+      return;
+    }
+    ImmutableList<String> named = of(task).toName(candidates, StepAdvice.MOST_NAMED, loop.now());
+    if (named.isEmpty()) {
+      return;
+    }
+    asking = true;
+    AdviceTerms terms = task.workflow().spec().terms().advice().orElseThrow();
+    long sentAt = loop.now();
+    TaskKey key = task.key();
+    adviser
+        .advise(
+            key.workflow(),
+            key.occurrence(),
+            key.step(),
+            named,
+            PATIENCE * terms.callMillis(named.size()) + WAY_MILLIS)
+        .thenAccept(result -> loop.run(() -> took(task, named, sentAt, result)));
+  }
+
+  private void took(
+      WorkflowTask task, ImmutableList<String> named, long sentAt, AdviceResult result) {
+    asking = false;
+    LogLine line =
+        LogLine.of("placement-advised")
+            .with("task", task.key())
+            .with("named", named.size())
+            .with("ms", TimeUnit.NANOSECONDS.toMillis(loop.now() - sentAt));
+    if (result instanceof Advised told) {
+      AdviceTerms terms = task.workflow().spec().terms().advice().orElseThrow();
+      // Counted from the asking: the adviser's clock for the ticket began after that.
+      long validUntil = sentAt + TimeUnit.MILLISECONDS.toNanos(terms.validMillis());
+      of(task).answered(named, told.tickets(), validUntil);
+      LOG.info(line.with("allowed", told.tickets().size()));
+    } else {
+      notBefore = loop.now() + RETRY_NANOS;
+      LOG.warning(line.with("reason", ((NotAdvised) result).reason()));
+    }
+    answered.run();
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -66,8 +66,8 @@
   private final EntryVms vms;
   private final VmChooser chooser;
   private final GangChooser gangs;
+  private final AdviceDesk advice;
   private final Supplier<Optional<QueueTable>> configuration;
-  private final Set<Long> toldUnsupported = new HashSet<>();
   private boolean scheduled;
 
   EntryScheduler(
@@ -76,6 +76,7 @@
       Ownership ownership,
       EntryVms vms,
       VmChooser chooser,
+      PlacementAdviser adviser,
       Supplier<Optional<QueueTable>> configuration) {
     this.loop = requireNonNull(loop, "loop");
     this.wallMillis = requireNonNull(wallMillis, "wallMillis");
@@ -83,6 +84,7 @@
     this.vms = requireNonNull(vms, "vms");
     this.chooser = requireNonNull(chooser, "chooser");
     this.gangs = GangChooser.of(chooser);
+    this.advice = new AdviceDesk(loop, adviser, this::soon);
     this.configuration = requireNonNull(configuration, "configuration");
   }
 
@@ -146,9 +148,11 @@
       // One task at work is enough for a workflow not to starve.
       boolean mayStarve = roomy && !fed.contains(task.workflow());
       Waiting each = mayStarve ? candidate : candidate.calmed();
-      List<VmOffer> chosen = choose(each, offers.values());
+      List<VmOffer> chosen = chooseAdvised(each, offers.values());
       if (chosen.isEmpty()) {
-        full.add(task.step());
+        if (!isAdvised(task)) {
+          full.add(task.step());
+        }
         continue;
       }
       chosen.forEach(
@@ -162,6 +166,25 @@
     return offer.after(task.step(), vms.harmOf(task.step().nature().image()));
   }
 
+  private static boolean isAdvised(WorkflowTask task) {
+    return task.workflow().spec().terms().advice().isPresent();
+  }
+
+  /**
+   * Asks the adviser where a queue's policy wants that, about more VMs when the allowed are full.
+   */
+  private List<VmOffer> chooseAdvised(Waiting waiting, Collection<VmOffer> offers) {
+    WorkflowTask task = waiting.task();
+    if (!isAdvised(task)) {
+      return choose(waiting, offers);
+    }
+    List<VmOffer> chosen = choose(waiting, advice.allowed(task, offers));
+    if (chosen.isEmpty()) {
+      advice.ask(task, chooser.best(wish(task, waiting.urgency(), ""), offers, offers.size()));
+    }
+    return chosen;
+  }
+
   /**
    * Returns a VM for each member, or none. A task that failed on a VM goes elsewhere as long as it
    * can: the VM may be what fails.
@@ -234,7 +257,7 @@
               wall,
               task -> {
                 Waiting each = new Waiting(candidate.partition(), task, candidate.rank().urgency());
-                if (isFirstOfGang(task) && isDue(each, now) && isSupported(task)) {
+                if (isFirstOfGang(task) && isDue(each, now)) {
                   waiting.add(each);
                 }
               });
@@ -250,19 +273,6 @@
     return waiting.members().stream().allMatch(task -> task.notBefore() <= now);
   }
 
-  private boolean isSupported(WorkflowTask task) {
-    if (!task.workflow().spec().terms().advised()) {
-      return true;
-    }
-    if (toldUnsupported.add(task.key().workflow())) {
-      LOG.warning(
-          LogLine.of("task-left-waiting")
-              .with("task", task.key())
-              .with("reason", "placement advice is not built"));
-    }
-    return false;
-  }
-
   private void order(Waiting waiting, List<Place> places) {
     WorkflowTask first = waiting.task();
     Workflow workflow = first.workflow();
@@ -272,7 +282,16 @@
       workflow.order(first, places.get(0));
     }
     waiting.members().forEach(task -> tellOrdered(waiting, task));
-    vms.ordered(waiting.partition(), waiting.members(), waiting.urgency() == Urgency.STARVED);
+    vms.ordered(
+        waiting.partition(),
+        waiting.members().stream().map(task -> decided(waiting, task)).toList());
+  }
+
+  private OpenRun decided(Waiting waiting, WorkflowTask task) {
+    String worker = task.place().orElseThrow().worker();
+    String ticket = isAdvised(task) ? advice.ticket(task, worker) : "";
+    boolean starved = waiting.urgency() == Urgency.STARVED;
+    return OpenRun.decided(waiting.partition(), task, loop.now(), starved, ticket);
   }
 
   private void tellOrdered(Waiting waiting, WorkflowTask task) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -89,7 +89,7 @@
     for (Workflow workflow : partition.workflows()) {
       workflow
           .openTasks()
-          .forEach(task -> openRuns.add(new OpenRun(partition, task, loop.now(), true, false)));
+          .forEach(task -> openRuns.add(OpenRun.takenOver(partition, task, loop.now())));
     }
   }
 
@@ -99,14 +99,13 @@
   }
 
   /** Follows runs of a workflow that were just decided on, and orders them once that is durable. */
-  void ordered(OwnedPartition partition, List<WorkflowTask> tasks, boolean starved) {
+  void ordered(OwnedPartition partition, List<OpenRun> decided) {
     Map<RunKey, OpenRun> runs = new LinkedHashMap<>();
-    for (WorkflowTask task : tasks) {
-      OpenRun run = new OpenRun(partition, task, loop.now(), false, starved);
+    for (OpenRun run : decided) {
       openRuns.add(run);
-      runs.put(task.openRun(), run);
+      runs.put(run.task().openRun(), run);
     }
-    partition.changed(tasks.get(0).workflow());
+    partition.changed(decided.get(0).task().workflow());
     partition.writer().afterDurable(() -> runs.forEach(this::becameDurable));
   }
 
@@ -126,7 +125,7 @@
     if (run.isUnwanted()) {
       tellStop(session, run);
     } else {
-      run.told(session, session.addStart(run.task(), run.isStarved()));
+      run.told(session, session.addStart(run));
     }
     flushSoon();
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
@@ -12,6 +12,7 @@
   private final WorkflowTask task;
   private final long orderedAt;
   private final boolean starved;
+  private final String ticket;
   private boolean durable;
   private VmSession toldSession;
   private long toldNumber;
@@ -19,17 +20,39 @@
   private long startedAt = Long.MIN_VALUE;
   private long sampledAt = Long.MIN_VALUE;
 
-  OpenRun(
+  private OpenRun(
       OwnedPartition partition,
       WorkflowTask task,
       long orderedAt,
       boolean durable,
-      boolean starved) {
+      boolean starved,
+      String ticket) {
     this.partition = partition;
     this.task = task;
     this.orderedAt = orderedAt;
     this.durable = durable;
     this.starved = starved;
+    this.ticket = ticket;
+  }
+
+  /** Returns a run that a former owner ordered. */
+  static OpenRun takenOver(OwnedPartition partition, WorkflowTask task, long now) {
+    return new OpenRun(partition, task, now, true, false, "");
+  }
+
+  /**
+   * Returns a run that was just decided on.
+   *
+   * @param starved whether nothing of its workflow has been at work for some time
+   * @param ticket by which the worker takes it; empty where none is needed
+   */
+  static OpenRun decided(
+      OwnedPartition partition, WorkflowTask task, long now, boolean starved, String ticket) {
+    return new OpenRun(partition, task, now, false, starved, ticket);
+  }
+
+  String ticket() {
+    return ticket;
   }
 
   /** Returns whether nothing of its workflow had been at work for some time when it was ordered. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -144,12 +144,9 @@
         knowledge.slowness(vm(), now));
   }
 
-  /**
-   * Adds a start to the next frame; returns the frame's number.
-   *
-   * @param starved whether nothing of the task's workflow has been at work for some time
-   */
-  long addStart(WorkflowTask task, boolean starved) {
+  /** Adds a start to the next frame; returns the frame's number. */
+  long addStart(OpenRun run) {
+    WorkflowTask task = run.task();
     WorkflowSpec spec = task.workflow().spec();
     StartRun.Builder start =
         StartRun.newBuilder()
@@ -161,7 +158,8 @@
             .setImage(task.step().nature().image())
             .setLatencyTargetMillis((int) task.step().nature().latencyTargetMillis())
             .setFills(task.step().nature().fills())
-            .setStarved(starved);
+            .setStarved(run.isStarved())
+            .setTicket(run.ticket());
     if (programsInFrame.add(spec.id())) {
       start.setProgram(spec.program());
     } else {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
@@ -87,8 +87,9 @@
    * @param program opaque text
    * @param deadline until when everything on the worker may run, on its clock
    * @param checkpoint where to resume; empty for the beginning
+   * @param ticket of the placement adviser; empty where none is needed
    */
-  record Start(RunKey run, String program, long deadline, String checkpoint) {}
+  record Start(RunKey run, String program, long deadline, String checkpoint, String ticket) {}
 
   /** Starts a run. */
   CompletableFuture<OrderResult> start(String worker, Start start);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -201,7 +201,11 @@
     time.extend(held());
     WorkerGateway.Start start =
         new WorkerGateway.Start(
-            run.key(), run.program(), time.deadline(), run.order().orElseThrow().getCheckpoint());
+            run.key(),
+            run.program(),
+            time.deadline(),
+            run.order().orElseThrow().getCheckpoint(),
+            run.order().orElseThrow().getTicket());
     gateway
         .start(worker, start)
         .thenAccept(result -> loop.run(() -> startAnswered(run, tries, result)));
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -70,6 +70,7 @@
    * @param store where workflows last
    * @param address where side processes and other entries reach this one
    * @param wallMillis the time of day in milliseconds
+   * @param adviser asked where a queue's policy says which VMs may run a step
    * @param terms what the deployment allows
    */
   public WorkflowEntry(
@@ -77,6 +78,7 @@
       WorkflowStore store,
       InetSocketAddress address,
       java.util.function.LongSupplier wallMillis,
+      PlacementAdviser adviser,
       EntryTerms terms) {
     this.loop = requireNonNull(loop, "loop");
     this.terms = requireNonNull(terms, "terms");
@@ -92,6 +94,7 @@
             ownership,
             vms,
             VmChooser.of(terms.farRackFactor()),
+            adviser,
             () -> this.configuration);
     this.submissions = new SubmissionWriter(store, loop);
     this.server = new LinkServer(loop, address, MAX_LINKS, new Incoming());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowRecords.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowRecords.java
@@ -5,11 +5,13 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.PlaceName;
+import io.marigoldsail.protocol.PlacementAdvice;
 import io.marigoldsail.protocol.TaskProgress;
 import io.marigoldsail.protocol.WorkflowProgress;
 import io.marigoldsail.protocol.WorkflowStep;
 import io.marigoldsail.protocol.WorkflowSubmission;
 import io.marigoldsail.protocol.WorkflowTaskId;
+import io.marigoldsail.workflow.AdviceTerms;
 import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.StepSpec;
@@ -40,7 +42,6 @@
             .setService(spec.terms().service())
             .setPriority(spec.terms().priority())
             .setMaxFailures(spec.terms().maxFailures())
-            .setAdvised(spec.terms().advised())
             .setSlackFactor(spec.terms().slackFactor())
             .setObjectiveMillis(spec.terms().objectiveMillis())
             .setProgram(spec.program())
@@ -48,10 +49,28 @@
             .setFirstDueMillis(spec.schedule().firstDueMillis())
             .setIntervalMillis(spec.schedule().intervalMillis())
             .setAcceptedMillis(spec.acceptedMillis());
+    spec.terms().advice().ifPresent(advice -> builder.setAdvice(encode(advice)));
     spec.steps().forEach(step -> builder.addSteps(encode(step)));
     return builder.build().toByteString();
   }
 
+  private static PlacementAdvice encode(AdviceTerms advice) {
+    return PlacementAdvice.newBuilder()
+        .setDecideMillis((int) advice.decideMillis())
+        .setPeriodMillis((int) advice.periodMillis())
+        .setValidMillis((int) advice.validMillis())
+        .build();
+  }
+
+  private static Optional<AdviceTerms> advice(WorkflowSubmission submission) {
+    PlacementAdvice advice = submission.getAdvice();
+    return submission.hasAdvice()
+        ? Optional.of(
+            new AdviceTerms(
+                advice.getDecideMillis(), advice.getPeriodMillis(), advice.getValidMillis()))
+        : Optional.empty();
+  }
+
   private static WorkflowStep encode(StepSpec step) {
     return WorkflowStep.newBuilder()
         .setTasks(step.tasks())
@@ -92,7 +111,7 @@
               submission.getService(),
               submission.getPriority(),
               submission.getMaxFailures(),
-              submission.getAdvised(),
+              advice(submission),
               submission.getSlackFactor(),
               submission.getObjectiveMillis());
       WorkflowSpec.Schedule schedule =
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeAdviser.java
@@ -0,0 +1,43 @@
+package io.marigoldsail.daemon.workflow;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Allows the workers whose names end as told, and can be told to fail. Safe for any thread. */
+final class FakeAdviser implements PlacementAdviser {
+  private final List<String> calls = new ArrayList<>();
+  private String allowedEnd = "";
+  private int failures;
+
+  /** Allows only workers whose names end so. */
+  synchronized void allowOnly(String end) {
+    allowedEnd = end;
+  }
+
+  /** Leaves the next calls without an answer. */
+  synchronized void fail(int next) {
+    failures = next;
+  }
+
+  synchronized List<String> calls() {
+    return List.copyOf(calls);
+  }
+
+  @Override
+  public synchronized CompletableFuture<AdviceResult> advise(
+      long workflow, int occurrence, int step, ImmutableList<String> workers, long timeoutMillis) {
+    calls.add(workflow + "." + occurrence + "." + step);
+    if (failures > 0) {
+      failures--;
+      return CompletableFuture.completedFuture(new NotAdvised("told to fail"));
+    }
+    ImmutableMap.Builder<String, String> tickets = ImmutableMap.builder();
+    workers.stream()
+        .filter(worker -> worker.endsWith(allowedEnd))
+        .forEach(worker -> tickets.put(worker, "ticket-for-" + worker));
+    return CompletableFuture.completedFuture(new Advised(tickets.buildOrThrow()));
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
@@ -32,6 +32,7 @@
   private final List<Ended> ended = new ArrayList<>();
   private final Map<TaskKey, Integer> over = new HashMap<>();
   private final Map<RunKey, Integer> speeds = new HashMap<>();
+  private final List<String> tickets = new ArrayList<>();
   private String life;
   private long sequence;
   private long deadline;
@@ -50,6 +51,11 @@
     return life;
   }
 
+  /** Returns the tickets of all starts that were carried out; empty texts for none. */
+  synchronized List<String> tickets() {
+    return List.copyOf(tickets);
+  }
+
   /** Ends everything at once; the worker is back as another life. */
   synchronized void crash(String newLife) {
     running.keySet().forEach(history::ended);
@@ -102,6 +108,7 @@
     deadline = Math.max(deadline, start.deadline());
     running.put(start.run(), new Active(start.run(), System.nanoTime()));
     history.began(start.run());
+    tickets.add(start.ticket());
     workOn(life, start.run());
     return new Accepted(clock());
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -10,6 +10,7 @@
 import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.TaskKey;
 import java.io.IOException;
+import java.util.Collections;
 import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
@@ -201,6 +202,27 @@
     assertNothingInTwoPlaces();
   }
 
+  /**
+   * A queue's policy lets only some VMs run its steps, and the adviser that knows them fails twice.
+   * The caller's workflow waits for the answer and then runs there only, each step asked about
+   * once.
+   */
+  @Test
+  void whatNeedsAdviceRunsOnlyWhereItIsAllowed() throws IOException {
+    start(1, 3, 40);
+    world.adviser().allowOnly("vm-1");
+    world.adviser().fail(2);
+    assertInstanceOf(
+        WorkflowStore.Appended.class,
+        world.entry(0).entry().submit(WorkflowWorld.advised(67, 3, 2)).join());
+    awaitDone(67);
+    assertEquals(List.of(), world.side("vm-0").worker().tickets());
+    assertEquals(List.of(), world.side("vm-2").worker().tickets());
+    List<String> tickets = world.side("vm-1").worker().tickets();
+    assertEquals(Collections.nCopies(5, "ticket-for-life-1-vm-1"), tickets);
+    assertEquals(List.of("67.0.0", "67.0.0", "67.0.0", "67.0.1"), world.adviser().calls());
+  }
+
   /** A caller cancels; the answer comes once that is durable, and nothing of it runs on. */
   @Test
   void aCancelledWorkflowStops() throws IOException {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -6,6 +6,7 @@
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.workflow.AdviceTerms;
 import io.marigoldsail.workflow.LeaseTermsOfWorker;
 import io.marigoldsail.workflow.QueryResult;
 import io.marigoldsail.workflow.Queue;
@@ -19,6 +20,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -43,10 +45,15 @@
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
   private final FakeWorkflowStore store = new FakeWorkflowStore(PARTITIONS, timer);
   private final RunHistory history = new RunHistory();
+  private final FakeAdviser adviser = new FakeAdviser();
   private final List<RunningEntry> entries = new ArrayList<>();
   private final Map<String, RunningSide> sides = new HashMap<>();
   private long beats;
 
+  FakeAdviser adviser() {
+    return adviser;
+  }
+
   FakeWorkflowStore store() {
     return store;
   }
@@ -71,9 +78,11 @@
     LinkLoop loop = new LinkLoop("entry-" + port, MonotonicClock.system());
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
     EntryTerms terms = new EntryTerms(LEASE, 60_000, 1.5);
-    WorkflowEntry entry = new WorkflowEntry(loop, store, address, System::currentTimeMillis, terms);
+    WorkflowEntry entry =
+        new WorkflowEntry(loop, store, address, System::currentTimeMillis, adviser, terms);
     entry.start();
-    WorkflowSpec.Terms queueTerms = new WorkflowSpec.Terms("service", 0, 3, false, 2, 100);
+    WorkflowSpec.Terms queueTerms =
+        new WorkflowSpec.Terms("service", 0, 3, Optional.empty(), 2, 100);
     entry.configure(
         new QueueTable(1, ImmutableList.of(new Queue("queue", "", "/", queueTerms, 1_000))));
     RunningEntry running = new RunningEntry(entry, loop, "127.0.0.1:" + port);
@@ -128,6 +137,17 @@
   }
 
   static WorkflowSpec workflow(long id, StepSpec.Nature nature, int... widths) {
+    return workflow(id, Optional.empty(), nature, widths);
+  }
+
+  /** Returns a workflow of a queue that wants placement advice. */
+  static WorkflowSpec advised(long id, int... widths) {
+    AdviceTerms advice = new AdviceTerms(1, 1, 60_000);
+    return workflow(id, Optional.of(advice), StepSpec.Nature.PLAIN, widths);
+  }
+
+  private static WorkflowSpec workflow(
+      long id, Optional<AdviceTerms> advice, StepSpec.Nature nature, int... widths) {
     ImmutableList.Builder<StepSpec> steps = ImmutableList.builder();
     for (int i = 0; i < widths.length; i++) {
       steps.add(
@@ -142,7 +162,7 @@
     return new WorkflowSpec(
         id,
         "queue",
-        new WorkflowSpec.Terms("service", 0, 3, false, 2, 100),
+        new WorkflowSpec.Terms("service", 0, 3, advice, 2, 100),
         "program",
         steps.build(),
         WorkflowSpec.Schedule.AT_ONCE,
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_marigoldsail_WorkflowSubmission_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_PlacementAdvice_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_PlacementAdvice_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_marigoldsail_WorkflowStep_descriptor;
   static final 
@@ -136,88 +141,91 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\033marigoldsail/workflow.proto\022\014marigolds" +
-      "ail\"\306\002\n\022WorkflowSubmission\022\n\n\002id\030\001 \001(\006\022\r" +
+      "ail\"\352\002\n\022WorkflowSubmission\022\n\n\002id\030\001 \001(\006\022\r" +
       "\n\005queue\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\020\n\010priori" +
       "ty\030\004 \001(\r\022\024\n\014max_failures\030\005 \001(\r\022\017\n\007progra" +
       "m\030\006 \001(\t\022)\n\005steps\030\007 \003(\0132\032.marigoldsail.Wo" +
       "rkflowStep\022\023\n\013occurrences\030\010 \001(\r\022\030\n\020first" +
       "_due_millis\030\t \001(\003\022\027\n\017interval_millis\030\n \001" +
-      "(\003\022\027\n\017accepted_millis\030\013 \001(\003\022\017\n\007advised\030\014" +
-      " \001(\010\022\024\n\014slack_factor\030\r \001(\001\022\030\n\020objective_" +
-      "millis\030\016 \001(\003\"\221\003\n\014WorkflowStep\022\r\n\005tasks\030\001" +
-      " \001(\r\022\030\n\020milli_processors\030\002 \001(\r\022\030\n\020memory" +
-      "_mebibytes\030\003 \001(\r\022\024\n\014accelerators\030\004 \001(\r\022\027" +
-      "\n\017estimate_millis\030\005 \001(\r\022\022\n\ndepends_on\030\006 " +
-      "\003(\r\022\014\n\004gang\030\007 \001(\010\022\021\n\tsame_rack\030\010 \001(\010\022\026\n\016" +
-      "required_label\030\t \001(\t\022\026\n\016preferred_rack\030\n" +
-      " \001(\t\022\022\n\nmax_per_vm\030\013 \001(\r\022\026\n\016checkpointab" +
-      "le\030\014 \001(\010\022\023\n\013speculative\030\r \001(\010\022\017\n\007lasting" +
-      "\030\016 \001(\010\022\r\n\005image\030\017 \001(\t\022\035\n\025latency_target_" +
-      "millis\030\020 \001(\r\022\r\n\005fills\030\021 \001(\010\022\033\n\023allowed_u" +
-      "navailable\030\022 \001(\r\"\222\001\n\020WorkflowProgress\022\016\n" +
-      "\006status\030\002 \001(\r\022\'\n\006places\030\003 \003(\0132\027.marigold" +
-      "sail.PlaceName\022)\n\005tasks\030\004 \003(\0132\032.marigold" +
-      "sail.TaskProgress\022\024\n\014ended_millis\030\005 \001(\003J" +
-      "\004\010\001\020\002\"\'\n\tPlaceName\022\n\n\002vm\030\001 \001(\t\022\016\n\006worker" +
-      "\030\002 \001(\t\"h\n\014TaskProgress\022\r\n\005phase\030\001 \001(\r\022\024\n" +
-      "\014last_attempt\030\002 \001(\r\022\020\n\010failures\030\003 \001(\r\022\r\n" +
-      "\005place\030\004 \001(\r\022\022\n\ncheckpoint\030\005 \001(\t\"d\n\016Work" +
-      "flowTaskId\022\020\n\010workflow\030\001 \001(\006\022\022\n\noccurren" +
-      "ce\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005index\030\004 \001(\r\022\017\n" +
-      "\007attempt\030\005 \001(\r\"\366\004\n\010VmReport\022\024\n\014worker_cl" +
-      "ock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n\006worker\030\003 \001(\t\022\017\n" +
-      "\007service\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\022\016\n\006labels\030\006" +
-      " \003(\t\022\020\n\010draining\030\007 \001(\010\022\030\n\020milli_processo" +
-      "rs\030\010 \001(\r\022\030\n\020memory_mebibytes\030\t \001(\r\022\024\n\014ac" +
-      "celerators\030\n \001(\r\022\035\n\025free_milli_processor" +
-      "s\030\013 \001(\r\022\035\n\025free_memory_mebibytes\030\014 \001(\r\022\031" +
-      "\n\021free_accelerators\030\r \001(\r\022\035\n\025fill_milli_" +
-      "processors\030\016 \001(\r\022\024\n\014fill_percent\030\017 \001(\r\022\023" +
-      "\n\013orders_seen\030\020 \001(\004\022%\n\004runs\030\021 \003(\0132\027.mari" +
-      "goldsail.RunReport\022%\n\004ends\030\022 \003(\0132\027.marig" +
-      "oldsail.EndReport\022\023\n\013wants_lease\030\023 \001(\010\022\023" +
-      "\n\013gone_worker\030\024 \001(\t\022\021\n\tunhealthy\030\025 \001(\010\022\017" +
-      "\n\007serving\030\026 \001(\r\022\025\n\rowners_digest\030\027 \001(\007\022\'" +
-      "\n\006images\030\030 \003(\0132\027.marigoldsail.ImageSeen\022" +
-      " \n\030suspect_milli_processors\030\031 \001(\r\022\014\n\004rac" +
-      "k\030\032 \001(\t\"\246\001\n\tRunReport\022*\n\004task\030\001 \001(\0132\034.ma" +
-      "rigoldsail.WorkflowTaskId\022\017\n\007started\030\002 \001" +
-      "(\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022" +
-      "\020\n\010stopping\030\005 \001(\010\022\024\n\014size_unknown\030\006 \001(\010\022" +
-      "\017\n\007crowded\030\007 \001(\010\"~\n\tEndReport\022*\n\004task\030\001 " +
-      "\001(\0132\034.marigoldsail.WorkflowTaskId\022\017\n\007out" +
-      "come\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t\022\020\n\010sequen" +
-      "ce\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\"~\n\nLeaseGrant\022\024" +
-      "\n\014worker_clock\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037" +
-      ".marigoldsail.PartitionEvidence\022\'\n\006image" +
-      "s\030\003 \003(\0132\027.marigoldsail.ImageSeen\"9\n\tImag" +
-      "eSeen\022\r\n\005image\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006w" +
-      "eight\030\003 \001(\002\"R\n\021PartitionEvidence\022\021\n\tpart" +
-      "ition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after_repo" +
-      "rt_millis\030\003 \001(\021\"\333\001\n\tRunOrders\022\016\n\006number\030" +
-      "\001 \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsail.Leas" +
-      "eGrant\022&\n\006starts\030\003 \003(\0132\026.marigoldsail.St" +
-      "artRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsail.Wor" +
-      "kflowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.marigo" +
-      "ldsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t\"\231\002" +
-      "\n\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail." +
-      "WorkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli" +
-      "_processors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 " +
-      "\001(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030" +
-      "\006 \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_m" +
-      "illis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_progr" +
-      "am\030\n \001(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014 \001(" +
-      "\t\"\\\n\010OwnerMap\022\022\n\ngeneration\030\001 \001(\004\022,\n\006own" +
-      "ers\030\002 \003(\0132\034.marigoldsail.PartitionOwner\022" +
-      "\016\n\006digest\030\003 \001(\007\"3\n\016PartitionOwner\022\021\n\tpar" +
-      "tition\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkflow" +
-      "Query\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005q" +
-      "ueue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023WorkflowQu" +
-      "eryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"I\n" +
-      "\rWaitingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues" +
-      "\030\002 \003(\0132\030.marigoldsail.QueueCount\",\n\nQueu" +
-      "eCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034" +
-      "\n\030io.marigoldsail.protocolP\001b\006proto3"
+      "(\003\022\027\n\017accepted_millis\030\013 \001(\003\022\024\n\014slack_fac" +
+      "tor\030\r \001(\001\022\030\n\020objective_millis\030\016 \001(\003\022-\n\006a" +
+      "dvice\030\017 \001(\0132\035.marigoldsail.PlacementAdvi" +
+      "ceJ\004\010\014\020\r\"U\n\017PlacementAdvice\022\025\n\rdecide_mi" +
+      "llis\030\001 \001(\r\022\025\n\rperiod_millis\030\002 \001(\r\022\024\n\014val" +
+      "id_millis\030\003 \001(\r\"\221\003\n\014WorkflowStep\022\r\n\005task" +
+      "s\030\001 \001(\r\022\030\n\020milli_processors\030\002 \001(\r\022\030\n\020mem" +
+      "ory_mebibytes\030\003 \001(\r\022\024\n\014accelerators\030\004 \001(" +
+      "\r\022\027\n\017estimate_millis\030\005 \001(\r\022\022\n\ndepends_on" +
+      "\030\006 \003(\r\022\014\n\004gang\030\007 \001(\010\022\021\n\tsame_rack\030\010 \001(\010\022" +
+      "\026\n\016required_label\030\t \001(\t\022\026\n\016preferred_rac" +
+      "k\030\n \001(\t\022\022\n\nmax_per_vm\030\013 \001(\r\022\026\n\016checkpoin" +
+      "table\030\014 \001(\010\022\023\n\013speculative\030\r \001(\010\022\017\n\007last" +
+      "ing\030\016 \001(\010\022\r\n\005image\030\017 \001(\t\022\035\n\025latency_targ" +
+      "et_millis\030\020 \001(\r\022\r\n\005fills\030\021 \001(\010\022\033\n\023allowe" +
+      "d_unavailable\030\022 \001(\r\"\222\001\n\020WorkflowProgress" +
+      "\022\016\n\006status\030\002 \001(\r\022\'\n\006places\030\003 \003(\0132\027.marig" +
+      "oldsail.PlaceName\022)\n\005tasks\030\004 \003(\0132\032.marig" +
+      "oldsail.TaskProgress\022\024\n\014ended_millis\030\005 \001" +
+      "(\003J\004\010\001\020\002\"\'\n\tPlaceName\022\n\n\002vm\030\001 \001(\t\022\016\n\006wor" +
+      "ker\030\002 \001(\t\"h\n\014TaskProgress\022\r\n\005phase\030\001 \001(\r" +
+      "\022\024\n\014last_attempt\030\002 \001(\r\022\020\n\010failures\030\003 \001(\r" +
+      "\022\r\n\005place\030\004 \001(\r\022\022\n\ncheckpoint\030\005 \001(\t\"d\n\016W" +
+      "orkflowTaskId\022\020\n\010workflow\030\001 \001(\006\022\022\n\noccur" +
+      "rence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005index\030\004 \001(\r" +
+      "\022\017\n\007attempt\030\005 \001(\r\"\366\004\n\010VmReport\022\024\n\014worker" +
+      "_clock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n\006worker\030\003 \001(\t" +
+      "\022\017\n\007service\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\022\016\n\006label" +
+      "s\030\006 \003(\t\022\020\n\010draining\030\007 \001(\010\022\030\n\020milli_proce" +
+      "ssors\030\010 \001(\r\022\030\n\020memory_mebibytes\030\t \001(\r\022\024\n" +
+      "\014accelerators\030\n \001(\r\022\035\n\025free_milli_proces" +
+      "sors\030\013 \001(\r\022\035\n\025free_memory_mebibytes\030\014 \001(" +
+      "\r\022\031\n\021free_accelerators\030\r \001(\r\022\035\n\025fill_mil" +
+      "li_processors\030\016 \001(\r\022\024\n\014fill_percent\030\017 \001(" +
+      "\r\022\023\n\013orders_seen\030\020 \001(\004\022%\n\004runs\030\021 \003(\0132\027.m" +
+      "arigoldsail.RunReport\022%\n\004ends\030\022 \003(\0132\027.ma" +
+      "rigoldsail.EndReport\022\023\n\013wants_lease\030\023 \001(" +
+      "\010\022\023\n\013gone_worker\030\024 \001(\t\022\021\n\tunhealthy\030\025 \001(" +
+      "\010\022\017\n\007serving\030\026 \001(\r\022\025\n\rowners_digest\030\027 \001(" +
+      "\007\022\'\n\006images\030\030 \003(\0132\027.marigoldsail.ImageSe" +
+      "en\022 \n\030suspect_milli_processors\030\031 \001(\r\022\014\n\004" +
+      "rack\030\032 \001(\t\"\246\001\n\tRunReport\022*\n\004task\030\001 \001(\0132\034" +
+      ".marigoldsail.WorkflowTaskId\022\017\n\007started\030" +
+      "\002 \001(\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n\007percent\030\004 \001" +
+      "(\r\022\020\n\010stopping\030\005 \001(\010\022\024\n\014size_unknown\030\006 \001" +
+      "(\010\022\017\n\007crowded\030\007 \001(\010\"~\n\tEndReport\022*\n\004task" +
+      "\030\001 \001(\0132\034.marigoldsail.WorkflowTaskId\022\017\n\007" +
+      "outcome\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t\022\020\n\010seq" +
+      "uence\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\"~\n\nLeaseGran" +
+      "t\022\024\n\014worker_clock\030\001 \001(\022\0221\n\010evidence\030\002 \003(" +
+      "\0132\037.marigoldsail.PartitionEvidence\022\'\n\006im" +
+      "ages\030\003 \003(\0132\027.marigoldsail.ImageSeen\"9\n\tI" +
+      "mageSeen\022\r\n\005image\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016" +
+      "\n\006weight\030\003 \001(\002\"R\n\021PartitionEvidence\022\021\n\tp" +
+      "artition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after_r" +
+      "eport_millis\030\003 \001(\021\"\333\001\n\tRunOrders\022\016\n\006numb" +
+      "er\030\001 \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsail.L" +
+      "easeGrant\022&\n\006starts\030\003 \003(\0132\026.marigoldsail" +
+      ".StartRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsail." +
+      "WorkflowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.mar" +
+      "igoldsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t" +
+      "\"\231\002\n\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsa" +
+      "il.WorkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020mi" +
+      "lli_processors\030\003 \001(\r\022\030\n\020memory_mebibytes" +
+      "\030\004 \001(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoi" +
+      "nt\030\006 \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_targe" +
+      "t_millis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_pr" +
+      "ogram\030\n \001(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014" +
+      " \001(\t\"\\\n\010OwnerMap\022\022\n\ngeneration\030\001 \001(\004\022,\n\006" +
+      "owners\030\002 \003(\0132\034.marigoldsail.PartitionOwn" +
+      "er\022\016\n\006digest\030\003 \001(\007\"3\n\016PartitionOwner\022\021\n\t" +
+      "partition\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkf" +
+      "lowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r" +
+      "\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023Workflo" +
+      "wQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r" +
+      "\"I\n\rWaitingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006que" +
+      "ues\030\002 \003(\0132\030.marigoldsail.QueueCount\",\n\nQ" +
+      "ueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(" +
+      "\rB\034\n\030io.marigoldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -228,117 +236,123 @@
     internal_static_marigoldsail_WorkflowSubmission_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowSubmission_descriptor,
-        new java.lang.String[] { "Id", "Queue", "Service", "Priority", "MaxFailures", "Program", "Steps", "Occurrences", "FirstDueMillis", "IntervalMillis", "AcceptedMillis", "Advised", "SlackFactor", "ObjectiveMillis", });
-    internal_static_marigoldsail_WorkflowStep_descriptor =
+        new java.lang.String[] { "Id", "Queue", "Service", "Priority", "MaxFailures", "Program", "Steps", "Occurrences", "FirstDueMillis", "IntervalMillis", "AcceptedMillis", "SlackFactor", "ObjectiveMillis", "Advice", });
+    internal_static_marigoldsail_PlacementAdvice_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_marigoldsail_PlacementAdvice_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_PlacementAdvice_descriptor,
+        new java.lang.String[] { "DecideMillis", "PeriodMillis", "ValidMillis", });
+    internal_static_marigoldsail_WorkflowStep_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_marigoldsail_WorkflowStep_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowStep_descriptor,
         new java.lang.String[] { "Tasks", "MilliProcessors", "MemoryMebibytes", "Accelerators", "EstimateMillis", "DependsOn", "Gang", "SameRack", "RequiredLabel", "PreferredRack", "MaxPerVm", "Checkpointable", "Speculative", "Lasting", "Image", "LatencyTargetMillis", "Fills", "AllowedUnavailable", });
     internal_static_marigoldsail_WorkflowProgress_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_marigoldsail_WorkflowProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowProgress_descriptor,
         new java.lang.String[] { "Status", "Places", "Tasks", "EndedMillis", });
     internal_static_marigoldsail_PlaceName_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_marigoldsail_PlaceName_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_PlaceName_descriptor,
         new java.lang.String[] { "Vm", "Worker", });
     internal_static_marigoldsail_TaskProgress_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_marigoldsail_TaskProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_TaskProgress_descriptor,
         new java.lang.String[] { "Phase", "LastAttempt", "Failures", "Place", "Checkpoint", });
     internal_static_marigoldsail_WorkflowTaskId_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_marigoldsail_WorkflowTaskId_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowTaskId_descriptor,
         new java.lang.String[] { "Workflow", "Occurrence", "Step", "Index", "Attempt", });
     internal_static_marigoldsail_VmReport_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_marigoldsail_VmReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_VmReport_descriptor,
         new java.lang.String[] { "WorkerClock", "Vm", "Worker", "Service", "Zone", "Labels", "Draining", "MilliProcessors", "MemoryMebibytes", "Accelerators", "FreeMilliProcessors", "FreeMemoryMebibytes", "FreeAccelerators", "FillMilliProcessors", "FillPercent", "OrdersSeen", "Runs", "Ends", "WantsLease", "GoneWorker", "Unhealthy", "Serving", "OwnersDigest", "Images", "SuspectMilliProcessors", "Rack", });
     internal_static_marigoldsail_RunReport_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_marigoldsail_RunReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RunReport_descriptor,
         new java.lang.String[] { "Task", "Started", "Checkpoint", "Percent", "Stopping", "SizeUnknown", "Crowded", });
     internal_static_marigoldsail_EndReport_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_marigoldsail_EndReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_EndReport_descriptor,
         new java.lang.String[] { "Task", "Outcome", "Checkpoint", "Sequence", "Reason", });
     internal_static_marigoldsail_LeaseGrant_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_marigoldsail_LeaseGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_LeaseGrant_descriptor,
         new java.lang.String[] { "WorkerClock", "Evidence", "Images", });
     internal_static_marigoldsail_ImageSeen_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_marigoldsail_ImageSeen_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_ImageSeen_descriptor,
         new java.lang.String[] { "Image", "Blame", "Weight", });
     internal_static_marigoldsail_PartitionEvidence_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_marigoldsail_PartitionEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_PartitionEvidence_descriptor,
         new java.lang.String[] { "Partition", "Epoch", "AfterReportMillis", });
     internal_static_marigoldsail_RunOrders_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_marigoldsail_RunOrders_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RunOrders_descriptor,
         new java.lang.String[] { "Number", "Lease", "Starts", "Stops", "NotedEnds", "Worker", });
     internal_static_marigoldsail_StartRun_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_marigoldsail_StartRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_StartRun_descriptor,
         new java.lang.String[] { "Task", "Program", "MilliProcessors", "MemoryMebibytes", "Accelerators", "Checkpoint", "Image", "LatencyTargetMillis", "Fills", "SameProgram", "Starved", "Ticket", });
     internal_static_marigoldsail_OwnerMap_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_marigoldsail_OwnerMap_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_OwnerMap_descriptor,
         new java.lang.String[] { "Generation", "Owners", "Digest", });
     internal_static_marigoldsail_PartitionOwner_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_marigoldsail_PartitionOwner_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_PartitionOwner_descriptor,
         new java.lang.String[] { "Partition", "Member", });
     internal_static_marigoldsail_WorkflowQuery_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_marigoldsail_WorkflowQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowQuery_descriptor,
         new java.lang.String[] { "Id", "Workflow", "Queue", "Cancel", });
     internal_static_marigoldsail_WorkflowQueryAnswer_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_marigoldsail_WorkflowQueryAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowQueryAnswer_descriptor,
         new java.lang.String[] { "Id", "Result", });
     internal_static_marigoldsail_WaitingCounts_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_marigoldsail_WaitingCounts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WaitingCounts_descriptor,
         new java.lang.String[] { "Member", "Queues", });
     internal_static_marigoldsail_QueueCount_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_marigoldsail_QueueCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_QueueCount_descriptor,
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmission.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmission.java
@@ -57,6 +57,7 @@
             io.marigoldsail.protocol.WorkflowSubmission.class, io.marigoldsail.protocol.WorkflowSubmission.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ID_FIELD_NUMBER = 1;
   private long id_ = 0L;
   /**
@@ -304,21 +305,6 @@
     return acceptedMillis_;
   }
 
-  public static final int ADVISED_FIELD_NUMBER = 12;
-  private boolean advised_ = false;
-  /**
-   * <pre>
-   * The queue needs placement advice before a task of it may start.
-   * </pre>
-   *
-   * <code>bool advised = 12;</code>
-   * @return The advised.
-   */
-  @java.lang.Override
-  public boolean getAdvised() {
-    return advised_;
-  }
-
   public static final int SLACK_FACTOR_FIELD_NUMBER = 13;
   private double slackFactor_ = 0D;
   /**
@@ -341,6 +327,44 @@
     return objectiveMillis_;
   }
 
+  public static final int ADVICE_FIELD_NUMBER = 15;
+  private io.marigoldsail.protocol.PlacementAdvice advice_;
+  /**
+   * <pre>
+   * Absent where tasks may start without placement advice.
+   * </pre>
+   *
+   * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+   * @return Whether the advice field is set.
+   */
+  @java.lang.Override
+  public boolean hasAdvice() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Absent where tasks may start without placement advice.
+   * </pre>
+   *
+   * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+   * @return The advice.
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.PlacementAdvice getAdvice() {
+    return advice_ == null ? io.marigoldsail.protocol.PlacementAdvice.getDefaultInstance() : advice_;
+  }
+  /**
+   * <pre>
+   * Absent where tasks may start without placement advice.
+   * </pre>
+   *
+   * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.PlacementAdviceOrBuilder getAdviceOrBuilder() {
+    return advice_ == null ? io.marigoldsail.protocol.PlacementAdvice.getDefaultInstance() : advice_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -388,15 +412,15 @@
     if (acceptedMillis_ != 0L) {
       output.writeInt64(11, acceptedMillis_);
     }
-    if (advised_ != false) {
-      output.writeBool(12, advised_);
-    }
     if (java.lang.Double.doubleToRawLongBits(slackFactor_) != 0) {
       output.writeDouble(13, slackFactor_);
     }
     if (objectiveMillis_ != 0L) {
       output.writeInt64(14, objectiveMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(15, getAdvice());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -447,10 +471,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(11, acceptedMillis_);
     }
-    if (advised_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(12, advised_);
-    }
     if (java.lang.Double.doubleToRawLongBits(slackFactor_) != 0) {
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(13, slackFactor_);
@@ -459,6 +479,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(14, objectiveMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, getAdvice());
+    }
     return size;
   }
   @java.lang.Override
@@ -505,13 +529,16 @@
         != other.getIntervalMillis()) return false;
     if (getAcceptedMillis()
         != other.getAcceptedMillis()) return false;
-    if (getAdvised()
-        != other.getAdvised()) return false;
     if (java.lang.Double.doubleToLongBits(getSlackFactor())
         != java.lang.Double.doubleToLongBits(
             other.getSlackFactor())) return false;
     if (getObjectiveMillis()
         != other.getObjectiveMillis()) return false;
+    if (hasAdvice() != other.hasAdvice()) return false;
+    if (hasAdvice()) {
+      if (!getAdvice()
+          .equals(other.getAdvice())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -551,15 +578,16 @@
     hash = (37 * hash) + ACCEPTED_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAcceptedMillis());
-    hash = (37 * hash) + ADVISED_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getAdvised());
     hash = (37 * hash) + SLACK_FACTOR_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getSlackFactor()));
     hash = (37 * hash) + OBJECTIVE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getObjectiveMillis());
+    if (hasAdvice()) {
+      hash = (37 * hash) + ADVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getAdvice().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -684,13 +712,20 @@
 
     // Construct using io.marigoldsail.protocol.WorkflowSubmission.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetStepsFieldBuilder();
+        internalGetAdviceFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -713,9 +748,13 @@
       firstDueMillis_ = 0L;
       intervalMillis_ = 0L;
       acceptedMillis_ = 0L;
-      advised_ = false;
       slackFactor_ = 0D;
       objectiveMillis_ = 0L;
+      advice_ = null;
+      if (adviceBuilder_ != null) {
+        adviceBuilder_.dispose();
+        adviceBuilder_ = null;
+      }
       return this;
     }
 
@@ -793,14 +832,19 @@
         result.acceptedMillis_ = acceptedMillis_;
       }
       if (((from_bitField0_ & 0x00000800) != 0)) {
-        result.advised_ = advised_;
+        result.slackFactor_ = slackFactor_;
       }
       if (((from_bitField0_ & 0x00001000) != 0)) {
-        result.slackFactor_ = slackFactor_;
+        result.objectiveMillis_ = objectiveMillis_;
       }
+      int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00002000) != 0)) {
-        result.objectiveMillis_ = objectiveMillis_;
+        result.advice_ = adviceBuilder_ == null
+            ? advice_
+            : adviceBuilder_.build();
+        to_bitField0_ |= 0x00000001;
       }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -877,15 +921,15 @@
       if (other.getAcceptedMillis() != 0L) {
         setAcceptedMillis(other.getAcceptedMillis());
       }
-      if (other.getAdvised() != false) {
-        setAdvised(other.getAdvised());
-      }
       if (java.lang.Double.doubleToRawLongBits(other.getSlackFactor()) != 0) {
         setSlackFactor(other.getSlackFactor());
       }
       if (other.getObjectiveMillis() != 0L) {
         setObjectiveMillis(other.getObjectiveMillis());
       }
+      if (other.hasAdvice()) {
+        mergeAdvice(other.getAdvice());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -973,21 +1017,23 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 88
-            case 96: {
-              advised_ = input.readBool();
-              bitField0_ |= 0x00000800;
-              break;
-            } // case 96
             case 105: {
               slackFactor_ = input.readDouble();
-              bitField0_ |= 0x00001000;
+              bitField0_ |= 0x00000800;
               break;
             } // case 105
             case 112: {
               objectiveMillis_ = input.readInt64();
-              bitField0_ |= 0x00002000;
+              bitField0_ |= 0x00001000;
               break;
             } // case 112
+            case 122: {
+              input.readMessage(
+                  internalGetAdviceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 122
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1715,50 +1761,6 @@
       return this;
     }
 
-    private boolean advised_ ;
-    /**
-     * <pre>
-     * The queue needs placement advice before a task of it may start.
-     * </pre>
-     *
-     * <code>bool advised = 12;</code>
-     * @return The advised.
-     */
-    @java.lang.Override
-    public boolean getAdvised() {
-      return advised_;
-    }
-    /**
-     * <pre>
-     * The queue needs placement advice before a task of it may start.
-     * </pre>
-     *
-     * <code>bool advised = 12;</code>
-     * @param value The advised to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAdvised(boolean value) {
-
-      advised_ = value;
-      bitField0_ |= 0x00000800;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * The queue needs placement advice before a task of it may start.
-     * </pre>
-     *
-     * <code>bool advised = 12;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearAdvised() {
-      bitField0_ = (bitField0_ & ~0x00000800);
-      advised_ = false;
-      onChanged();
-      return this;
-    }
-
     private double slackFactor_ ;
     /**
      * <code>double slack_factor = 13;</code>
@@ -1776,7 +1778,7 @@
     public Builder setSlackFactor(double value) {
 
       slackFactor_ = value;
-      bitField0_ |= 0x00001000;
+      bitField0_ |= 0x00000800;
       onChanged();
       return this;
     }
@@ -1785,7 +1787,7 @@
      * @return This builder for chaining.
      */
     public Builder clearSlackFactor() {
-      bitField0_ = (bitField0_ & ~0x00001000);
+      bitField0_ = (bitField0_ & ~0x00000800);
       slackFactor_ = 0D;
       onChanged();
       return this;
@@ -1808,7 +1810,7 @@
     public Builder setObjectiveMillis(long value) {
 
       objectiveMillis_ = value;
-      bitField0_ |= 0x00002000;
+      bitField0_ |= 0x00001000;
       onChanged();
       return this;
     }
@@ -1817,12 +1819,167 @@
      * @return This builder for chaining.
      */
     public Builder clearObjectiveMillis() {
-      bitField0_ = (bitField0_ & ~0x00002000);
+      bitField0_ = (bitField0_ & ~0x00001000);
       objectiveMillis_ = 0L;
       onChanged();
       return this;
     }
 
+    private io.marigoldsail.protocol.PlacementAdvice advice_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.PlacementAdvice, io.marigoldsail.protocol.PlacementAdvice.Builder, io.marigoldsail.protocol.PlacementAdviceOrBuilder> adviceBuilder_;
+    /**
+     * <pre>
+     * Absent where tasks may start without placement advice.
+     * </pre>
+     *
+     * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+     * @return Whether the advice field is set.
+     */
+    public boolean hasAdvice() {
+      return ((bitField0_ & 0x00002000) != 0);
+    }
+    /**
+     * <pre>
+     * Absent where tasks may start without placement advice.
+     * </pre>
+     *
+     * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+     * @return The advice.
+     */
+    public io.marigoldsail.protocol.PlacementAdvice getAdvice() {
+      if (adviceBuilder_ == null) {
+        return advice_ == null ? io.marigoldsail.protocol.PlacementAdvice.getDefaultInstance() : advice_;
+      } else {
+        return adviceBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent where tasks may start without placement advice.
+     * </pre>
+     *
+     * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+     */
+    public Builder setAdvice(io.marigoldsail.protocol.PlacementAdvice value) {
+      if (adviceBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        advice_ = value;
+      } else {
+        adviceBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent where tasks may start without placement advice.
+     * </pre>
+     *
+     * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+     */
+    public Builder setAdvice(
+        io.marigoldsail.protocol.PlacementAdvice.Builder builderForValue) {
+      if (adviceBuilder_ == null) {
+        advice_ = builderForValue.build();
+      } else {
+        adviceBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent where tasks may start without placement advice.
+     * </pre>
+     *
+     * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+     */
+    public Builder mergeAdvice(io.marigoldsail.protocol.PlacementAdvice value) {
+      if (adviceBuilder_ == null) {
+        if (((bitField0_ & 0x00002000) != 0) &&
+          advice_ != null &&
+          advice_ != io.marigoldsail.protocol.PlacementAdvice.getDefaultInstance()) {
+          getAdviceBuilder().mergeFrom(value);
+        } else {
+          advice_ = value;
+        }
+      } else {
+        adviceBuilder_.mergeFrom(value);
+      }
+      if (advice_ != null) {
+        bitField0_ |= 0x00002000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent where tasks may start without placement advice.
+     * </pre>
+     *
+     * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+     */
+    public Builder clearAdvice() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      advice_ = null;
+      if (adviceBuilder_ != null) {
+        adviceBuilder_.dispose();
+        adviceBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent where tasks may start without placement advice.
+     * </pre>
+     *
+     * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+     */
+    public io.marigoldsail.protocol.PlacementAdvice.Builder getAdviceBuilder() {
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return internalGetAdviceFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent where tasks may start without placement advice.
+     * </pre>
+     *
+     * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+     */
+    public io.marigoldsail.protocol.PlacementAdviceOrBuilder getAdviceOrBuilder() {
+      if (adviceBuilder_ != null) {
+        return adviceBuilder_.getMessageOrBuilder();
+      } else {
+        return advice_ == null ?
+            io.marigoldsail.protocol.PlacementAdvice.getDefaultInstance() : advice_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent where tasks may start without placement advice.
+     * </pre>
+     *
+     * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.marigoldsail.protocol.PlacementAdvice, io.marigoldsail.protocol.PlacementAdvice.Builder, io.marigoldsail.protocol.PlacementAdviceOrBuilder> 
+        internalGetAdviceFieldBuilder() {
+      if (adviceBuilder_ == null) {
+        adviceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.marigoldsail.protocol.PlacementAdvice, io.marigoldsail.protocol.PlacementAdvice.Builder, io.marigoldsail.protocol.PlacementAdviceOrBuilder>(
+                getAdvice(),
+                getParentForChildren(),
+                isClean());
+        advice_ = null;
+      }
+      return adviceBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.WorkflowSubmission)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmissionOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmissionOrBuilder.java
@@ -124,16 +124,6 @@
    */
   long getAcceptedMillis();
 
-  /**
-   * <pre>
-   * The queue needs placement advice before a task of it may start.
-   * </pre>
-   *
-   * <code>bool advised = 12;</code>
-   * @return The advised.
-   */
-  boolean getAdvised();
-
   /**
    * <code>double slack_factor = 13;</code>
    * @return The slackFactor.
@@ -145,4 +135,31 @@
    * @return The objectiveMillis.
    */
   long getObjectiveMillis();
+
+  /**
+   * <pre>
+   * Absent where tasks may start without placement advice.
+   * </pre>
+   *
+   * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+   * @return Whether the advice field is set.
+   */
+  boolean hasAdvice();
+  /**
+   * <pre>
+   * Absent where tasks may start without placement advice.
+   * </pre>
+   *
+   * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+   * @return The advice.
+   */
+  io.marigoldsail.protocol.PlacementAdvice getAdvice();
+  /**
+   * <pre>
+   * Absent where tasks may start without placement advice.
+   * </pre>
+   *
+   * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
+   */
+  io.marigoldsail.protocol.PlacementAdviceOrBuilder getAdviceOrBuilder();
 }
