--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -188,14 +188,16 @@
   @Test
   void aGangBeginsAgainAsAWhole() throws IOException {
     start(1, 2, 1_500);
+    // Too many for one VM, so that both have some.
+    int members = 10;
     StepSpec.Nature gang = new StepSpec.Nature(true, false, false, false, false, "", 0, 0);
     assertInstanceOf(
         WorkflowStore.Appended.class,
-        world.entry(0).entry().submit(WorkflowWorld.workflow(66, gang, 6)).join());
-    world.await("all are at work", () -> world.history().totalStarts() == 6);
+        world.entry(0).entry().submit(WorkflowWorld.workflow(66, gang, members)).join());
+    world.await("all are at work", () -> world.history().totalStarts() == members);
     world.side("vm-0").worker().crash("life-2");
     awaitDone(66);
-    for (int index = 0; index < 6; index++) {
+    for (int index = 0; index < members; index++) {
       TaskKey member = new TaskKey(66, 0, 0, index);
       assertTrue(world.history().starts(member) >= 2, member + " did not begin again");
     }
