Count what a worker ran as over once it is silent past its lease

Ruled out: owners (they trust the report), room (free), the killed entry (before it the same). A silent worker is now sent no later deadline, and past the last one by its slowest clock all it ran counts as lapsed. And where a side process was restarted beside a dead worker its reports named none, which kept owners from ever counting the lease as over. Two tests, both failed before (40 s without an end).

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -336,7 +336,9 @@
                 .setAfterReportMillis((int) Math.floorDiv(after, 1_000_000L)));
       }
     }
-    lastGrant.put(session.vm(), loop.now());
+    if (session.place().isPresent()) {
+      lastGrant.put(session.vm(), loop.now());
+    }
     return lease.build();
   }
 
@@ -367,17 +369,20 @@
   }
 
   /**
-   * Counts runs as over on VMs that are out of reach, once every lease that they can have is.
+   * Counts runs as over on VMs that are out of reach or know no worker, once every lease that they
+   * can have is.
    *
    * <p>Guards against a task in two places: a VM that is cut off goes on with what it runs until
    * its worker's deadline, which rests on what this entry last sent it, or a former owner before
-   * this one shut it out.
+   * this one shut it out. A side process that was restarted beside a dead worker hears of none, and
+   * extends no lease.
    */
   void sweep() {
     long now = loop.now();
     for (String vm : openRuns.vms()) {
       VmSession session = newest.get(vm);
-      if (session != null && now - session.reportedAt() < SILENT_NANOS) {
+      boolean tellsOfWorker = session != null && session.place().isPresent();
+      if (tellsOfWorker && now - session.reportedAt() < SILENT_NANOS) {
         continue;
       }
       long granted = lastGrant.getOrDefault(vm, Long.MIN_VALUE);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -81,6 +81,7 @@
   private WorkerHeartbeat heartbeat;
   private long unhealthyUntil = Long.MIN_VALUE;
   private boolean adopted;
+  private boolean silent;
   private boolean listing;
   private boolean closed;
 
@@ -198,7 +199,9 @@
 
   private void sendStart(SideRun run) {
     int tries = run.tried();
-    time.extend(held());
+    if (!silent) {
+      time.extend(held());
+    }
     WorkerGateway.Start start =
         new WorkerGateway.Start(
             run.key(),
@@ -359,7 +362,8 @@
       return;
     }
     listing = true;
-    OptionalLong until = time.extend(held());
+    // A worker that did not answer may have taken the last deadline; it must be able to pass.
+    OptionalLong until = silent ? OptionalLong.empty() : time.extend(held());
     long wait = serving() > 0 ? WAIT_SERVING_MILLIS : WAIT_MILLIS;
     Set<RunKey> confirmed = new HashSet<>();
     runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
@@ -379,10 +383,15 @@
     }
     if (result instanceof NoListing failed) {
       LOG.info(LogLine.of("worker-silent").with("worker", worker).with("reason", failed.reason()));
+      silent = true;
       unhealthy();
+      if (time.isOver()) {
+        leaseIsOver();
+      }
       loop.schedule(this::look, RETRY_NANOS);
       return;
     }
+    silent = false;
     Listing shown = (Listing) result;
     time.read(shown.workerClock());
     takeListing(shown, confirmed);
@@ -397,6 +406,19 @@
     }
   }
 
+  /**
+   * Counts everything as over on a worker that has been silent past every deadline it was given.
+   *
+   * <p>Guards against tasks that are nowhere: a worker that is gone for good and that no other one
+   * replaces answers nothing, so nobody ever tells the end of what it ran. A worker that is only
+   * cut off has ended it by itself by then, and takes no order that was sent before.
+   */
+  private void leaseIsOver() {
+    for (SideRun run : List.copyOf(runs.values())) {
+      finish(run.key(), RunOutcome.LAPSED, "", 0, "the worker is silent and its lease over");
+    }
+  }
+
   private void takeListing(Listing shown, Set<RunKey> confirmed) {
     Set<RunKey> mentioned = new HashSet<>();
     for (Ended end : shown.ended()) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerTime.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerTime.java
@@ -65,6 +65,11 @@
     return deadline;
   }
 
+  /** Returns whether the worker's clock has surely passed the last deadline it may have. */
+  boolean isOver() {
+    return reached() > deadline;
+  }
+
   /** Moves the deadline as far as the partitions' evidence allows; empty if it stays. */
   OptionalLong extend(Set<Integer> partitions) {
     OptionalLong until = lease.deadline(partitions);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
@@ -38,6 +38,7 @@
   private long deadline;
   private int startsToLose;
   private long lateMillis;
+  private boolean silent;
 
   FakeWorkerGateway(
       String life, ScheduledExecutorService timer, RunHistory history, long runMillis) {
@@ -66,6 +67,16 @@
     life = newLife;
   }
 
+  /** Answers nothing from now on; what runs ends with the lease, as it does on a worker cut off. */
+  synchronized void fallSilent() {
+    silent = true;
+    timer.scheduleAtFixedRate(this::lapse, 0, 5, TimeUnit.MILLISECONDS);
+  }
+
+  synchronized boolean isSilent() {
+    return silent;
+  }
+
   /** Leaves the next starts unanswered and carries them out later. */
   synchronized void answerLate(int starts, long millis) {
     startsToLose = starts;
@@ -84,6 +95,9 @@
 
   @Override
   public synchronized CompletableFuture<OrderResult> start(String worker, Start start) {
+    if (silent) {
+      return soon(new OrderUnknown("silent"));
+    }
     if (startsToLose > 0) {
       startsToLose--;
       timer.schedule(() -> carryOut(worker, start), lateMillis, TimeUnit.MILLISECONDS);
@@ -136,6 +150,9 @@
 
   @Override
   public synchronized CompletableFuture<OrderResult> stop(String worker, RunKey run) {
+    if (silent) {
+      return soon(new OrderUnknown("silent"));
+    }
     if (!worker.equals(life)) {
       return soon(new OtherWorker());
     }
@@ -154,6 +171,9 @@
   public CompletableFuture<ListingResult> list(
       String worker, OptionalLong until, long noted, long waitMillis) {
     synchronized (this) {
+      if (silent) {
+        return soon(new NoListing("silent"));
+      }
       if (!worker.equals(life)) {
         return soon(new OtherWorker());
       }
@@ -166,7 +186,7 @@
     return future;
   }
 
-  private void lapse() {
+  private synchronized void lapse() {
     if (clock() > deadline) {
       for (RunKey run : List.copyOf(running.keySet())) {
         finish(life, run, RunOutcome.LAPSED);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -149,6 +149,38 @@
     assertNothingInTwoPlaces();
   }
 
+  /**
+   * A worker loses power for good and is never replaced; its side process lives on. Barriers stayed
+   * shut for the rest of the day: the side process went on to list what had run there, and moved
+   * the lease of a worker that answered nothing, so that nobody ever took its tasks for over.
+   */
+  @Test
+  void whatASilentWorkerRanRunsElsewhereOnceItsLeaseIsOver() throws IOException {
+    start(1, 2, 1_500);
+    submit(0, 55, 10);
+    world.await("all are at work", () -> world.history().totalStarts() == 10);
+    world.side("vm-0").worker().fallSilent();
+    awaitDone(55);
+    assertTrue(world.history().totalStarts() > 10);
+    assertNothingInTwoPlaces();
+  }
+
+  /**
+   * The same, and the side process is killed as well: the next one never hears of a worker, and
+   * says so in each report, which told nobody that the tasks were over.
+   */
+  @Test
+  void whatASilentWorkerRanRunsElsewhereAlsoAfterItsSideProcessDied() throws IOException {
+    start(1, 2, 1_500);
+    submit(0, 56, 10);
+    world.await("all are at work", () -> world.history().totalStarts() == 10);
+    world.side("vm-0").worker().fallSilent();
+    world.restartSide("vm-0");
+    awaitDone(56);
+    assertTrue(world.history().totalStarts() > 10);
+    assertNothingInTwoPlaces();
+  }
+
   /** A side process is killed and another one finds on the worker what it does not know. */
   @Test
   void aRestartedSideProcessAdoptsWhatRuns() throws IOException {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -117,6 +117,9 @@
 
   private synchronized void beat(String vm) {
     RunningSide running = sides.get(vm);
+    if (running.worker().isSilent()) {
+      return;
+    }
     beats++;
     running
         .side()
