--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -247,11 +247,24 @@
     if (partition.isEmpty() || !partition.get().isFresh() || stopping) {
       return;
     }
+    if (hasEndedWithItsGang(partition.get(), key)) {
+      return;
+    }
     LOG.info(LogLine.of("run-unexpected").with("run", key).with("vm", session.vm()));
     session.addStop(key);
     flushSoon();
   }
 
+  /** One member's end was told first; the others' ends are on their way, and need no stop. */
+  private static boolean hasEndedWithItsGang(OwnedPartition partition, RunKey key) {
+    return partition
+        .workflow(key.task().workflow())
+        .flatMap(workflow -> workflow.task(key.task()))
+        .filter(task -> task.step().nature().gang() && task.isDone())
+        .filter(task -> task.lastAttempt() == key.attempt())
+        .isPresent();
+  }
+
   private int partitionOf(RunKey key) {
     return ownership.partitionOf(key.task().workflow());
   }
