--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/ExplainCommand.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/ExplainCommand.java
@@ -3,14 +3,22 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.cli.logs.LogEntry;
+import io.marigoldsail.cli.logs.LogStory;
 import io.marigoldsail.json.Json;
 import io.marigoldsail.timeline.EventFilter;
 import io.marigoldsail.timeline.EventJson;
 import io.marigoldsail.timeline.TimedEvent;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
 @Command(
@@ -22,11 +30,23 @@
 
   @Parameters(
       paramLabel = "SUBJECT",
-      description = "A task as JOB/INDEX, or request:ID for a request.")
+      description =
+          "A task as JOB/INDEX, or request:ID for a request; with --logs the id of a workflow, task"
+              + " or run as in the logs.")
   private String subject;
 
+  @Option(
+      names = "--logs",
+      arity = "1..*",
+      paramLabel = "FILE",
+      description = "Tell it from collected logs of all processes; - is standard input.")
+  private List<String> logs = new ArrayList<>();
+
   @Override
   public Integer call() {
+    if (!logs.isEmpty()) {
+      return tellFromLogs();
+    }
     try (OperatorClient client = connection.connect()) {
       if (subject.startsWith("request:")) {
         String request = subject.substring("request:".length());
@@ -49,6 +69,44 @@
     }
   }
 
+  private int tellFromLogs() {
+    List<LogEntry> entries = new ArrayList<>();
+    logs.forEach(file -> lines(file).forEach(line -> LogEntry.parse(line).ifPresent(entries::add)));
+    ImmutableList<LogEntry> story = LogStory.of(subject, entries);
+    if (story.isEmpty()) {
+      throw new CommandFailure(
+          ExitCode.REFUSED, "none of " + entries.size() + " log lines tells of " + subject);
+    }
+    story.forEach(this::tell);
+    return ExitCode.OK.code();
+  }
+
+  private static Stream<String> lines(String file) {
+    String text =
+        file.equals("-")
+            ? ConnectionOptions.readStandardInput()
+            : new String(ConnectionOptions.readFile(Path.of(file)), StandardCharsets.UTF_8);
+    return text.lines();
+  }
+
+  private void tell(LogEntry entry) {
+    if (connection.json()) {
+      ObjectNode node =
+          Json.object()
+              .put("time", entry.time().toString())
+              .put("process", entry.process())
+              .put("event", entry.event());
+      entry.fields().forEach(node::put);
+      connection.printJson(node);
+      return;
+    }
+    StringBuilder line = new StringBuilder();
+    line.append(entry.time()).append("  ").append(entry.process()).append("  ");
+    line.append(entry.event());
+    entry.fields().forEach((key, value) -> line.append("  ").append(key).append('=').append(value));
+    connection.print(line.toString());
+  }
+
   private List<TimedEvent> events(OperatorClient client, EventFilter filter) {
     return new TimelineReader(client, filter, connection.err()::println).readNew();
   }
