--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/ConnectionOptions.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/ConnectionOptions.java
@@ -99,14 +99,6 @@
     }
   }
 
-  static String readStandardInput() {
-    try {
-      return new String(System.in.readAllBytes(), StandardCharsets.UTF_8);
-    } catch (IOException e) {
-      throw new CommandFailure(ExitCode.USAGE, "standard input cannot be read: " + e);
-    }
-  }
-
   /** Reads a file that has to hold JSON; an error names file, line and column. */
   static JsonNode readJson(Path file) {
     Result<JsonNode> parsed = Json.parse(file.toString(), readFile(file));
--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/ExplainCommand.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/ExplainCommand.java
@@ -10,12 +10,9 @@
 import io.marigoldsail.timeline.EventFilter;
 import io.marigoldsail.timeline.EventJson;
 import io.marigoldsail.timeline.TimedEvent;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -70,8 +67,7 @@
   }
 
   private int tellFromLogs() {
-    List<LogEntry> entries = new ArrayList<>();
-    logs.forEach(file -> lines(file).forEach(line -> LogEntry.parse(line).ifPresent(entries::add)));
+    List<LogEntry> entries = ProfileCommand.read(logs);
     ImmutableList<LogEntry> story = LogStory.of(subject, entries);
     if (story.isEmpty()) {
       throw new CommandFailure(
@@ -81,14 +77,6 @@
     return ExitCode.OK.code();
   }
 
-  private static Stream<String> lines(String file) {
-    String text =
-        file.equals("-")
-            ? ConnectionOptions.readStandardInput()
-            : new String(ConnectionOptions.readFile(Path.of(file)), StandardCharsets.UTF_8);
-    return text.lines();
-  }
-
   private void tell(LogEntry entry) {
     if (connection.json()) {
       ObjectNode node =
--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/MarigoldsailCommand.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/MarigoldsailCommand.java
@@ -24,6 +24,7 @@
       StatusCommand.class,
       TimelineCommand.class,
       ExplainCommand.class,
+      ProfileCommand.class,
       LoadCommand.class,
       AutoComplete.GenerateCompletion.class,
       CommandLine.HelpCommand.class
--- /dev/null
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/ProfileCommand.java
@@ -0,0 +1,60 @@
+package io.marigoldsail.cli;
+
+import io.marigoldsail.cli.logs.LogEntry;
+import io.marigoldsail.cli.logs.LogFiles;
+import io.marigoldsail.cli.logs.LogProfile;
+import io.marigoldsail.cli.logs.LogProfile.QueueProfile;
+import io.marigoldsail.cli.logs.LogProfile.Times;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+@Command(
+    name = "profile",
+    mixinStandardHelpOptions = true,
+    description = "Tells from collected logs where the time of workflows goes, by queue.")
+final class ProfileCommand implements Callable<Integer> {
+  @Parameters(
+      arity = "1..*",
+      paramLabel = "FILE",
+      description = "Logs of all entries; - is standard input.")
+  private List<String> files = new ArrayList<>();
+
+  @Spec private CommandSpec command;
+
+  @Override
+  public Integer call() {
+    List<QueueProfile> profiles = LogProfile.of(read(files));
+    if (profiles.isEmpty()) {
+      throw new CommandFailure(ExitCode.REFUSED, "no log line tells of an order");
+    }
+    PrintWriter out = command.commandLine().getOut();
+    for (QueueProfile queue : profiles) {
+      out.printf("%s: %d workflows, %d tasks%n", queue.name(), queue.workflows(), queue.tasks());
+      print(out, "first order", queue.firstOrder());
+      queue.runs().forEach((outcome, times) -> print(out, "run " + outcome, times));
+    }
+    out.flush();
+    return ExitCode.OK.code();
+  }
+
+  static List<LogEntry> read(List<String> files) {
+    try {
+      return LogFiles.read(files);
+    } catch (IOException e) {
+      throw new CommandFailure(ExitCode.USAGE, "cannot be read: " + e.getMessage());
+    }
+  }
+
+  private static void print(PrintWriter out, String what, Times times) {
+    out.printf(
+        "  %-16s %6d  median %7d ms  p95 %7d ms%n",
+        what, times.count(), times.medianMillis(), times.p95Millis());
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -156,11 +156,20 @@
    */
   @Test
   void whatASilentWorkerRanRunsElsewhereOnceItsLeaseIsOver() throws IOException {
+    beAtWorkUnderASilentWorker(55);
+    assertAllRunsElsewhere(55);
+  }
+
+  private void beAtWorkUnderASilentWorker(long id) throws IOException {
     start(1, 2, 1_500);
-    submit(0, 55, 10);
+    // Too many for one VM, so that both have some.
+    submit(0, id, 10);
     world.await("all are at work", () -> world.history().totalStarts() == 10);
     world.side("vm-0").worker().fallSilent();
-    awaitDone(55);
+  }
+
+  private void assertAllRunsElsewhere(long id) {
+    awaitDone(id);
     assertTrue(world.history().totalStarts() > 10);
     assertNothingInTwoPlaces();
   }
@@ -171,14 +180,9 @@
    */
   @Test
   void whatASilentWorkerRanRunsElsewhereAlsoAfterItsSideProcessDied() throws IOException {
-    start(1, 2, 1_500);
-    submit(0, 56, 10);
-    world.await("all are at work", () -> world.history().totalStarts() == 10);
-    world.side("vm-0").worker().fallSilent();
+    beAtWorkUnderASilentWorker(56);
     world.restartSide("vm-0");
-    awaitDone(56);
-    assertTrue(world.history().totalStarts() > 10);
-    assertNothingInTwoPlaces();
+    assertAllRunsElsewhere(56);
   }
 
   /** A side process is killed and another one finds on the worker what it does not know. */
