--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RefusingStore.java
@@ -0,0 +1,65 @@
+package io.marigoldsail.daemon.workflow;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** A store as one process reaches it: it may turn that process away and serve all others. */
+final class RefusingStore implements WorkflowStore {
+  private static final String REASON = "told to refuse";
+
+  private final WorkflowStore store;
+  private volatile boolean refuses;
+
+  RefusingStore(WorkflowStore store) {
+    this.store = store;
+  }
+
+  void refuse(boolean all) {
+    refuses = all;
+  }
+
+  private static <T> CompletableFuture<T> done(T result) {
+    return CompletableFuture.completedFuture(result);
+  }
+
+  @Override
+  public int partitions() {
+    return store.partitions();
+  }
+
+  @Override
+  public CompletableFuture<AppendResult> append(
+      Topic topic, int partition, List<KeyedRecord> records, Optional<Writer> writer) {
+    return refuses
+        ? done(new NotAppended(REASON))
+        : store.append(topic, partition, records, writer);
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> read(
+      Topic topic, int partition, long from, long waitMillis) {
+    return refuses ? done(new Unreadable(REASON)) : store.read(topic, partition, from, waitMillis);
+  }
+
+  @Override
+  public CompletableFuture<NewestResult> newest(
+      Topic topic, int partition, Optional<String> after) {
+    return refuses ? done(new NoPage(REASON)) : store.newest(topic, partition, after);
+  }
+
+  @Override
+  public CompletableFuture<JoinResult> join(String member, long generation) {
+    return refuses ? done(new NotJoined(REASON)) : store.join(member, generation);
+  }
+
+  @Override
+  public CompletableFuture<Boolean> leave(String member) {
+    return refuses ? done(false) : store.leave(member);
+  }
+
+  @Override
+  public CompletableFuture<OwnersResult> owners() {
+    return refuses ? done(new OwnersUnknown(REASON)) : store.owners();
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -261,6 +261,37 @@
     assertEquals(List.of("67.0.0", "67.0.0", "67.0.0", "67.0.1"), world.adviser().calls());
   }
 
+  /**
+   * The store turns one entry away and serves the other. Callers of the refused entry are told at
+   * once that nothing was taken, the other one goes on with what it owned without running anything
+   * twice, and once the store serves it again it takes callers as before.
+   */
+  @Test
+  void anEntryThatTheStoreTurnsAwayHandsOverAndComesBack() throws IOException {
+    start(2, 2, 1_500);
+    long[] ids = LongStream.rangeClosed(81, 86).toArray();
+    for (long id : ids) {
+      submit(0, id, 2);
+    }
+    world.await("all are at work", () -> world.history().totalStarts() == 12);
+    RunningEntry refused = world.entry(1);
+    refused.store().refuse(true);
+    world.await("it is not ready", () -> !refused.entry().isReady());
+    WorkflowStore.AppendResult told = refused.entry().submit(WorkflowWorld.workflow(87, 1)).join();
+    assertInstanceOf(WorkflowStore.NotAppended.class, told);
+    world.store().drop(refused.memberPrefix());
+    awaitDone(ids);
+    for (long id : ids) {
+      assertEachRanOnce(id, 2);
+    }
+    refused.store().refuse(false);
+    world.await("it is ready again", () -> refused.entry().isReady());
+    submit(1, 88, 1);
+    awaitDone(88);
+    assertEquals(QueryResult.UNKNOWN_WORKFLOW, world.status(0, 87));
+    assertNothingInTwoPlaces();
+  }
+
   /** A caller cancels; the answer comes once that is durable, and nothing of it runs on. */
   @Test
   void aCancelledWorkflowStops() throws IOException {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -37,7 +37,8 @@
       LeaseTermsOfWorker.forLongestLease(LONGEST_LEASE_MILLIS);
 
   /** An entry with what the test needs to take it down. */
-  record RunningEntry(WorkflowEntry entry, LinkLoop loop, String memberPrefix) {}
+  record RunningEntry(
+      WorkflowEntry entry, LinkLoop loop, String memberPrefix, RefusingStore store) {}
 
   /** A side process with its worker. */
   record RunningSide(String vm, WorkflowSide side, LinkLoop loop, FakeWorkerGateway worker) {}
@@ -77,15 +78,16 @@
     }
     LinkLoop loop = new LinkLoop("entry-" + port, MonotonicClock.system());
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+    RefusingStore reached = new RefusingStore(store);
     EntryTerms terms = new EntryTerms(LEASE, 60_000, 1.5);
     WorkflowEntry entry =
-        new WorkflowEntry(loop, store, address, System::currentTimeMillis, adviser, terms);
+        new WorkflowEntry(loop, reached, address, System::currentTimeMillis, adviser, terms);
     entry.start();
     WorkflowSpec.Terms queueTerms =
         new WorkflowSpec.Terms("service", 0, 3, Optional.empty(), 2, 100);
     entry.configure(
         new QueueTable(1, ImmutableList.of(new Queue("queue", "", "/", queueTerms, 1_000))));
-    RunningEntry running = new RunningEntry(entry, loop, "127.0.0.1:" + port);
+    RunningEntry running = new RunningEntry(entry, loop, "127.0.0.1:" + port, reached);
     entries.add(running);
     return running;
   }
