--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/AdviceDesk.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/AdviceDesk.java
@@ -38,7 +38,9 @@
   /** After a call that failed, in nanoseconds: the adviser may be overloaded. */
   private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-  /** Steps beyond which those that have not asked for long are forgotten. */
+  /**
+   * Steps beyond which all that was advised is forgotten, and asked for anew where it is wanted.
+   */
   private static final int MOST_STEPS = 4_000;
 
   private record StepKey(long workflow, int occurrence, int step) {
