Test that an entry hears of VMs it owns nothing on at a bounded pace

Callers of fleets of 67 and 77 VMs got answers of an old configuration five seconds after a newer one was accepted, and lasting tasks came back late.

--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SideReportsTest.java
@@ -0,0 +1,121 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.link.LinkListener;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.link.LinkServer;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.WorkflowIds;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What a side process sends to an entry that none of its runs belongs to. */
+class SideReportsTest {
+  private static final int TASKS = 120;
+
+  /** Between two reports of room to an entry that owns nothing here, at the least. */
+  private static final long ROOM_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+  /** Reports that a side process sends of its own accord, whatever changes, in nanoseconds. */
+  private static final long REGULAR_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  private final WorkflowWorld world = new WorkflowWorld();
+  private final LinkLoop loop = new LinkLoop("bystander", MonotonicClock.system());
+  private final AtomicInteger reports = new AtomicInteger();
+  private String bystander;
+
+  @BeforeEach
+  void start() throws IOException {
+    world.addEntry();
+    world.addSide("vm-0", 5);
+    world.awaitReady();
+    int port;
+    try (ServerSocket socket = new ServerSocket(0)) {
+      port = socket.getLocalPort();
+    }
+    new LinkServer(loop, new InetSocketAddress("127.0.0.1", port), 10, new CountsReports()).start();
+    bystander = new EntryMember("127.0.0.1", port, 1).toString();
+    world.store().join(bystander, Long.MAX_VALUE);
+    world.await(
+        "the bystander owns a part", () -> ownedByBystander() == WorkflowWorld.PARTITIONS / 2);
+    world.await("the side process reaches it", () -> reports.get() > 0);
+  }
+
+  @AfterEach
+  void stop() {
+    loop.close();
+    world.close();
+  }
+
+  private long ownedByBystander() {
+    return LongStream.range(0, WorkflowWorld.PARTITIONS)
+        .filter(partition -> bystander.equals(owner((int) partition)))
+        .count();
+  }
+
+  private String owner(int partition) {
+    WorkflowStore.Owners owners =
+        assertInstanceOf(WorkflowStore.Owners.class, world.store().owners().join());
+    return owners.byPartition().getOrDefault(partition, "");
+  }
+
+  private long idOfTheOther() {
+    return LongStream.iterate(1, id -> id + 1)
+        .filter(id -> !bystander.equals(owner(WorkflowIds.partition(id, WorkflowWorld.PARTITIONS))))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /**
+   * Lasting tasks and new configuration came seconds late, and only where entries had thin links.
+   * Each start and end on any VM was reported to every entry at once, also to those that had
+   * nothing to do with it, and such a link was full of these reports. An entry that owns none of
+   * what runs must hear of room at a bounded pace, however many tasks begin and end.
+   */
+  @Test
+  void anEntryThatOwnsNothingOnTheVmHearsOfItAtABoundedPace() {
+    long id = idOfTheOther();
+    int before = reports.get();
+    long began = System.nanoTime();
+    assertInstanceOf(
+        WorkflowStore.Appended.class,
+        world.entry(0).entry().submit(WorkflowWorld.workflow(id, TASKS)).join());
+    world.await("all are done", () -> world.status(0, id) == QueryResult.DONE);
+    long lasted = System.nanoTime() - began;
+    int heard = reports.get() - before;
+    // Two reports may cross the ends.
+    long bound = lasted / ROOM_NANOS + lasted / REGULAR_NANOS + 2;
+    assertTrue(heard <= bound, heard + " reports, " + bound + " at most");
+  }
+
+  private final class CountsReports implements LinkListener {
+    @Override
+    public void opened(LinkConnection connection) {
+      // Has nothing to say.
+    }
+
+    @Override
+    public void received(LinkConnection connection, Frame frame) {
+      if (frame.hasVmReport()) {
+        reports.incrementAndGet();
+      }
+    }
+
+    @Override
+    public void closed(LinkConnection connection, String reason) {
+      // The test ends.
+    }
+  }
+}
