Report a change at once only to the entry that it concerns

Cause: each start, listing and end on any VM was reported to every entry at once, with the whole state of the VM, so what an entry reads grew with VMs times changes, and what a side process sends with the number of entries. Thin links were full of it, and the configuration, answers of the store and leases came late behind it. Ruled out: the size of a report (some 300 bytes) and the regular ones (1.4 a second from each VM).

Now the owner of what changed hears at once, all others of room in turns, so that a side process sends as many reports to ten entries as to two (ReportPacer). The side process has the last word on room, so a late word of it costs a refusal at most.

--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
@@ -0,0 +1,56 @@
+package io.marigoldsail.daemon.workflow;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static java.util.Objects.requireNonNull;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides when a side process reports a change to an entry.
+ *
+ * <p>Load pattern: under load a VM changes tens of times a second, and a report tells its whole
+ * state. Reports of every change to every entry grow with entries times VMs: a thin link of an
+ * entry was full of them, and the configuration, answers of the store and leases came late behind
+ * them. So a change of a run is told at once only to the entry that owns it. The others place new
+ * work by the room that is left; they are told in turns, so that a side process sends as many
+ * reports a second to ten entries as to two.
+ *
+ * <p>Confined to one thread. Times are monotonic nanoseconds.
+ */
+final class ReportPacer {
+  /**
+   * Between two reports to an entry that no change concerned, for each entry, in nanoseconds. With
+   * three entries room is told sooner than an order and its answer take.
+   */
+  static final long SPACING_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+
+  private final Map<String, Long> reportedAt = new HashMap<>();
+
+  /** Notes that the member is sent a report now. */
+  void reported(String member, long now) {
+    reportedAt.put(requireNonNull(member, "member"), now);
+  }
+
+  /** Forgets a member that is not reached any more. */
+  void forget(String member) {
+    reportedAt.remove(member);
+  }
+
+  /**
+   * Returns when the member is to be told of a change; now, or later.
+   *
+   * @param member of the entries
+   * @param concerned whether it owns a run that changed
+   * @param entries how many entries are reached
+   */
+  long dueAt(String member, boolean concerned, int entries, long now) {
+    checkArgument(entries > 0, "entries is not positive: %s", entries);
+    Long last = reportedAt.get(member);
+    if (concerned || last == null) {
+      return now;
+    }
+    return Math.max(now, last + SPACING_NANOS * entries);
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideEntries.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideEntries.java
@@ -33,6 +33,9 @@
     /** An entry is reached. */
     void connected(EntryConnection connection);
 
+    /** An entry is not reached any more. */
+    void disconnected(EntryConnection connection);
+
     /** An entry sent a frame that is not about owners. */
     void received(EntryConnection connection, Frame frame);
 
@@ -89,6 +92,11 @@
     return Set.copyOf(connections.values());
   }
 
+  /** Returns how many entries are reached. */
+  int reached() {
+    return connections.size();
+  }
+
   /** Returns the digest of the map in use, as an entry told it; 0 if none did. */
   int digest() {
     return digest;
@@ -165,7 +173,10 @@
 
     @Override
     public void closed(String member, LinkConnection link) {
-      connections.remove(member);
+      EntryConnection closed = connections.remove(member);
+      if (closed != null) {
+        listener.disconnected(closed);
+      }
     }
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -60,9 +60,12 @@
 
   /** Told of changes; runs on the loop. */
   interface Listener {
-    /** Something that owners want to know has changed. */
+    /** What all entries want to know of the VM has changed. */
     void changed();
 
+    /** A run of the partition has changed, and with it what is left of the VM. */
+    void changed(int partition);
+
     /** This life of the worker is over. */
     void gone(WorkerSession session);
   }
@@ -177,7 +180,7 @@
       if (known.order().isEmpty()) {
         known.order(order);
         room.book(key, StartAdmission.claim(order));
-        listener.changed();
+        listener.changed(known.partition());
       }
       return;
     }
@@ -222,7 +225,7 @@
       time.read(accepted.workerClock());
       run.confirm();
       pacing.pace(run);
-      listener.changed();
+      listener.changed(run.partition());
     } else if (result instanceof OtherWorker) {
       gone("it answered as another one");
     } else if (result instanceof Refused refused) {
@@ -348,7 +351,7 @@
               .with("reason", reason)
               .with("worker", worker));
     }
-    listener.changed();
+    listener.changed(partitionOf(key));
   }
 
   private Set<Integer> held() {
@@ -425,10 +428,9 @@
       mentioned.add(end.run());
       takeEnd(end);
     }
-    boolean changed = false;
     for (Running row : shown.running()) {
       mentioned.add(row.run());
-      changed |= takeRunning(row);
+      takeRunning(row);
     }
     for (SideRun run : List.copyOf(runs.values())) {
       boolean missing = !mentioned.contains(run.key()) && confirmed.contains(run.key());
@@ -436,9 +438,6 @@
         finish(run.key(), RunOutcome.FORGOTTEN, "", 0, "the worker lists it no more");
       }
     }
-    if (changed) {
-      listener.changed();
-    }
   }
 
   private void takeEnd(Ended end) {
@@ -448,11 +447,11 @@
     finish(end.run(), end.outcome(), end.checkpoint(), end.sequence(), "listed by the worker");
   }
 
-  private boolean takeRunning(Running row) {
+  private void takeRunning(Running row) {
     SideRun run = runs.get(row.run());
     if (run == null) {
       if (ends.has(row.run())) {
-        return false;
+        return;
       }
       LOG.info(
           LogLine.of(adopted ? "run-appeared" : "run-adopted")
@@ -464,7 +463,9 @@
     }
     boolean first = !run.isListed();
     run.listed(row.checkpoint(), row.percent(), row.gauge());
-    return first;
+    if (first) {
+      listener.changed(run.partition());
+    }
   }
 
   /** Stops what belongs to owners that are silent for long, so that it does not end the others. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -20,8 +20,10 @@
 import io.marigoldsail.workflow.LeaseTermsOfWorker;
 import io.marigoldsail.workflow.RunKey;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -48,8 +50,12 @@
   private final SideEntries entries;
   private WorkerSession session;
   private String goneWorker = "";
+  private final ReportPacer pacer = new ReportPacer();
+  private final Set<Integer> changedPartitions = new HashSet<>();
+  private final Set<EntryConnection> owed = new HashSet<>();
   private boolean probing;
   private boolean reportScheduled;
+  private boolean owedScheduled;
 
   /**
    * Creates a side process that does nothing yet.
@@ -159,11 +165,55 @@
       loop.runLater(
           () -> {
             reportScheduled = false;
-            report(false);
+            reportChanges();
           });
     }
   }
 
+  private void reportChanges() {
+    for (EntryConnection connection : entries.connections()) {
+      if (isDue(connection, isConcerned(connection))) {
+        report(connection, false);
+      } else {
+        owed.add(connection);
+      }
+    }
+    changedPartitions.clear();
+    scheduleOwed();
+  }
+
+  private boolean isConcerned(EntryConnection connection) {
+    return changedPartitions.stream()
+        .anyMatch(partition -> entries.owns(connection.member(), partition));
+  }
+
+  private boolean isDue(EntryConnection connection, boolean concerned) {
+    return dueAt(connection, concerned) <= loop.now();
+  }
+
+  private long dueAt(EntryConnection connection, boolean concerned) {
+    return pacer.dueAt(connection.member(), concerned, entries.reached(), loop.now());
+  }
+
+  private void scheduleOwed() {
+    if (owedScheduled || owed.isEmpty()) {
+      return;
+    }
+    owedScheduled = true;
+    long next = owed.stream().mapToLong(each -> dueAt(each, false)).min().getAsLong();
+    loop.schedule(this::reportOwed, next - loop.now());
+  }
+
+  private void reportOwed() {
+    owedScheduled = false;
+    for (EntryConnection connection : Set.copyOf(owed)) {
+      if (isDue(connection, false)) {
+        report(connection, false);
+      }
+    }
+    scheduleOwed();
+  }
+
   private void report(boolean wantsLease) {
     for (EntryConnection connection : entries.connections()) {
       report(connection, wantsLease);
@@ -171,6 +221,8 @@
   }
 
   private void report(EntryConnection connection, boolean wantsLease) {
+    pacer.reported(connection.member(), loop.now());
+    owed.remove(connection);
     VmReport.Builder report =
         VmReport.newBuilder()
             .setVm(vm)
@@ -288,6 +340,12 @@
       report(connection, true);
     }
 
+    @Override
+    public void disconnected(EntryConnection connection) {
+      pacer.forget(connection.member());
+      owed.remove(connection);
+    }
+
     @Override
     public void received(EntryConnection connection, Frame frame) {
       if (frame.hasRunOrders()) {
@@ -311,6 +369,12 @@
       reportSoon();
     }
 
+    @Override
+    public void changed(int partition) {
+      changedPartitions.add(partition);
+      reportSoon();
+    }
+
     @Override
     public void gone(WorkerSession over) {
       if (session == over) {
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ReportPacerTest.java
@@ -0,0 +1,63 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class ReportPacerTest {
+  private static final long CHANGE_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+  private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final ReportPacer pacer = new ReportPacer();
+
+  /** Returns how many reports go out in ten seconds in which a VM changes 25 times a second. */
+  private int reportsOfBusyVm(int entries) {
+    int sent = 0;
+    for (long now = 0; now < 10 * SECOND_NANOS; now += CHANGE_NANOS) {
+      int owner = (int) (now / CHANGE_NANOS) % entries;
+      for (int entry = 0; entry < entries; entry++) {
+        String member = "entry-" + entry;
+        if (pacer.dueAt(member, entry == owner, entries, now) <= now) {
+          pacer.reported(member, now);
+          sent++;
+        }
+      }
+    }
+    return sent;
+  }
+
+  /**
+   * Under load a VM changes 25 times a second. Told to all of twelve entries at once that were
+   * 3,000 reports in ten seconds from each VM, and an entry with a thin link read little else.
+   */
+  @Test
+  void aBusyVmSendsNoMoreToManyEntriesThanToFew() {
+    int toThree = reportsOfBusyVm(3);
+    int toTwelve = new ReportPacerTest().reportsOfBusyVm(12);
+    assertTrue(toTwelve <= toThree * 1.25, toTwelve + " to twelve, " + toThree + " to three");
+  }
+
+  @Test
+  void whomAChangeConcernsIsToldAtOnce() {
+    pacer.reported("owner", 100);
+    assertEquals(101, pacer.dueAt("owner", true, 12, 101));
+  }
+
+  @Test
+  void othersAreToldInTurns() {
+    pacer.reported("other", 100);
+    assertEquals(100 + 12 * ReportPacer.SPACING_NANOS, pacer.dueAt("other", false, 12, 101));
+    long late = 100 + 20 * ReportPacer.SPACING_NANOS;
+    assertEquals(late, pacer.dueAt("other", false, 12, late));
+  }
+
+  @Test
+  void whoIsNewOrWasForgottenIsToldAtOnce() {
+    assertEquals(7, pacer.dueAt("new", false, 3, 7));
+    pacer.reported("back", 7);
+    pacer.forget("back");
+    assertEquals(8, pacer.dueAt("back", false, 3, 8));
+  }
+}
