Add up what VMs saw of images once, not for every report

Cause: each regular report made an entry add up the images of all VMs, once for itself and once for the answer, so that this work grew with the square of the number of VMs. The sum is kept now and what one VM said is taken out of it (ImageSums). Its share of the processor time was not measured alone.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageHarm.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageHarm.java
@@ -67,6 +67,12 @@
       return new Seen(blame + other.blame, weight + other.weight);
     }
 
+    /** Returns this less a part of it; rounding takes it below nothing by no more than itself. */
+    Seen minus(Seen part) {
+      double lessWeight = Math.max(0, weight - part.weight);
+      return new Seen(Math.min(Math.max(0, blame - part.blame), lessWeight), lessWeight);
+    }
+
     private Seen with(double moreBlame, double moreWeight) {
       double keep = Math.min(1, MOST_WEIGHT / (weight + moreWeight));
       double newWeight = (weight + moreWeight) * keep;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/FleetKnowledge.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/FleetKnowledge.java
@@ -3,12 +3,12 @@
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.workflow.ImageHarm;
+import io.marigoldsail.workflow.ImageSums;
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.VmSpeed;
 import io.marigoldsail.workflow.VmTrust;
 import io.marigoldsail.workflow.WorkflowTask;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -27,7 +27,7 @@
   private final VmTrust trust = new VmTrust();
   private final VmSpeed speed = new VmSpeed();
   private final ImageHarm harm = new ImageHarm();
-  private final Map<String, Map<String, ImageHarm.Seen>> imagesByVm = new HashMap<>();
+  private final ImageSums images = new ImageSums();
 
   /** Takes how far a run is; what fills or lasts tells nothing of its VM's pace. */
   void progressed(OpenRun run, String vm, int percent, long now) {
@@ -64,20 +64,13 @@
 
   /** Takes what a VM saw of images. */
   void imagesSeen(String vm, Map<String, ImageHarm.Seen> seen) {
-    imagesByVm.put(vm, seen);
-    harm.others(imagesSeenElsewhere(""));
+    images.saw(vm, seen);
+    harm.others(images.all());
   }
 
-  /** Returns what all VMs but one saw of images; the empty name leaves none out. */
+  /** Returns what all VMs but one saw of images. */
   Map<String, ImageHarm.Seen> imagesSeenElsewhere(String vm) {
-    Map<String, ImageHarm.Seen> sum = new HashMap<>();
-    imagesByVm.forEach(
-        (name, seen) -> {
-          if (!name.equals(vm)) {
-            seen.forEach((image, what) -> sum.merge(image, what, ImageHarm.Seen::plus));
-          }
-        });
-    return sum;
+    return images.elsewhere(vm);
   }
 
   double harmOf(String image) {
