Look at waiting tasks once for the reports of many VMs

Cause: every report made an entry go through all waiting tasks and all VMs, also while nothing was waiting long. Reports that come within 10 ms are served by one look; ends, submissions and refusals are looked at at once as before. Not measured alone.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -52,6 +52,12 @@
   /** What a lasting task that failed waits, times its failures in a row. */
   private static final long FAILED_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+  /**
+   * Between a report and the look at waiting tasks that its room is worth, in nanoseconds: reports
+   * of many VMs come close together, and one look serves all of them.
+   */
+  private static final long ROOM_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
   private static final int MAX_WAIT_FACTOR = 20;
 
   /** Where tasks that fill may work at this share of their speed at most, they are moved away. */
@@ -69,6 +75,7 @@
   private final AdviceDesk advice;
   private final Supplier<Optional<QueueTable>> configuration;
   private boolean scheduled;
+  private boolean roomScheduled;
 
   EntryScheduler(
       LinkLoop loop,
@@ -100,6 +107,19 @@
     }
   }
 
+  /** Has waiting tasks looked at, since a VM may have other room. */
+  void roomChanged() {
+    if (!roomScheduled && !scheduled) {
+      roomScheduled = true;
+      loop.schedule(
+          () -> {
+            roomScheduled = false;
+            soon();
+          },
+          ROOM_WAIT_NANOS);
+    }
+  }
+
   /** Sets how long the task of an ended run waits. */
   void ended(WorkflowTask task, RunOutcome outcome) {
     if (outcome == RunOutcome.REFUSED) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -334,7 +334,7 @@
 
     @Override
     public void roomChanged() {
-      scheduler.soon();
+      scheduler.roomChanged();
     }
   }
 
