Ask a silent worker by one chain of listings, and log a silence seldom

Cause: an end that its owner noted asked for a listing at once, also while one was planned; both went on. Answered listings hid that, since the second chain ended at the first one's listing under way; one that fails at once does not.

Ruled out: leaving out the early listing, which callers of short tasks wait for. The next listing is planned before an answer is taken in, so that one that cannot be taken in does not end the listings and leave owners with what ran last.

WorkerSilence logs the beginning, a line each 5 s with failures and age, and the end. LinkLoop takes its group, so that tests run sessions on virtual time.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -57,11 +57,24 @@
    * @param hybridClock stamps every frame that is sent and observes every one that is read
    */
   public LinkLoop(String name, MonotonicClock clock, HybridClock hybridClock) {
+    this(
+        new MultiThreadIoEventLoopGroup(
+            1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory()),
+        clock,
+        hybridClock);
+  }
+
+  /**
+   * Runs on the only thread of a group.
+   *
+   * @param group its end is this loop's
+   * @param clock the process's monotonic clock
+   * @param hybridClock stamps every frame that is sent and observes every one that is read
+   */
+  public LinkLoop(EventLoopGroup group, MonotonicClock clock, HybridClock hybridClock) {
     this.clock = requireNonNull(clock, "clock");
     this.hybridClock = requireNonNull(hybridClock, "hybridClock");
-    this.group =
-        new MultiThreadIoEventLoopGroup(
-            1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
+    this.group = requireNonNull(group, "group");
     this.loop = group.next();
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -80,9 +80,9 @@
   private final Map<RunKey, SideRun> runs = new LinkedHashMap<>();
   private WorkerHeartbeat heartbeat;
   private long unhealthyUntil = Long.MIN_VALUE;
+  private final ListingTurns turns;
+  private final WorkerSilence silence;
   private boolean adopted;
-  private boolean silent;
-  private boolean listing;
   private boolean closed;
 
   WorkerSession(
@@ -102,17 +102,15 @@
     this.time = new WorkerTime(loop, terms, first.workerClock());
     this.pacing = new RunPacing(loop, gateway, worker);
     this.admission = new StartAdmission(time, room, pacing);
+    this.turns = new ListingTurns(loop, this::look);
+    this.silence = new WorkerSilence(worker);
     room.capacity(heartbeat.capacity());
     takeListing(first, Set.of());
     adopted = true;
   }
 
   void start() {
-    look();
-  }
-
-  void close() {
-    closed = true;
+    turns.now();
   }
 
   String worker() {
@@ -199,7 +197,7 @@
 
   private void sendStart(SideRun run) {
     int tries = run.tried();
-    if (!silent) {
+    if (!silence.lasts()) {
       time.extend(held());
     }
     WorkerGateway.Start start =
@@ -319,11 +317,8 @@
 
   /** Forgets an end that its owner has made durable. */
   void noted(RunKey key) {
-    if (!ends.note(key)) {
-      return;
-    }
-    if (ends.isAllNoted() && !listing) {
-      look();
+    if (ends.note(key) && ends.isAllNoted() && !silence.lasts()) {
+      turns.now();
     }
   }
 
@@ -358,12 +353,8 @@
   }
 
   private void look() {
-    if (closed || listing) {
-      return;
-    }
-    listing = true;
     // A worker that did not answer may have taken the last deadline; it must be able to pass.
-    OptionalLong until = silent ? OptionalLong.empty() : time.extend(held());
+    OptionalLong until = silence.lasts() ? OptionalLong.empty() : time.extend(held());
     long wait = serving() > 0 ? WAIT_SERVING_MILLIS : WAIT_MILLIS;
     Set<RunKey> confirmed = new HashSet<>();
     runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
@@ -373,7 +364,7 @@
   }
 
   private void listed(ListingResult result, Set<RunKey> confirmed) {
-    listing = false;
+    turns.ended();
     if (closed) {
       return;
     }
@@ -381,17 +372,17 @@
       gone("it answered as another one");
       return;
     }
+    // Planned first: without a next listing owners would believe for good that all this runs.
+    turns.after(RETRY_NANOS);
     if (result instanceof NoListing failed) {
-      LOG.info(LogLine.of("worker-silent").with("worker", worker).with("reason", failed.reason()));
-      silent = true;
+      silence.failed(failed.reason(), loop.now()).ifPresent(LOG::info);
       unhealthy();
       if (time.isOver()) {
         leaseIsOver();
       }
-      loop.schedule(this::look, RETRY_NANOS);
       return;
     }
-    silent = false;
+    silence.answered(loop.now()).ifPresent(LOG::info);
     Listing shown = (Listing) result;
     time.read(shown.workerClock());
     takeListing(shown, confirmed);
@@ -400,9 +391,9 @@
       listener.changed();
     }
     if (ends.isAllNoted()) {
-      look();
+      turns.now();
     } else {
-      loop.schedule(this::look, NOTE_WAIT_NANOS);
+      turns.after(NOTE_WAIT_NANOS);
     }
   }
 
@@ -488,6 +479,7 @@
       return;
     }
     closed = true;
+    turns.close();
     LOG.info(
         LogLine.of("worker-gone")
             .with("worker", worker)
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSilence.java
@@ -0,0 +1,59 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.observe.LogLine;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Whether a worker leaves listings unanswered, and what is logged of it: the beginning, from then
+ * on at most one line in five seconds, and the end. Confined to the loop's thread.
+ */
+final class WorkerSilence {
+  /** Between two lines about the same silence, in nanoseconds. */
+  private static final long TELL_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private final String worker;
+  private int failures;
+  private long since;
+  private long tellAgainAt;
+
+  WorkerSilence(String worker) {
+    this.worker = requireNonNull(worker, "worker");
+  }
+
+  /** Returns whether the last listing was not answered. */
+  boolean lasts() {
+    return failures > 0;
+  }
+
+  /** Takes a listing without an answer; returns the line that is due, if one is. */
+  Optional<LogLine> failed(String reason, long now) {
+    failures++;
+    if (failures == 1) {
+      since = now;
+    } else if (now < tellAgainAt) {
+      return Optional.empty();
+    }
+    tellAgainAt = now + TELL_NANOS;
+    return Optional.of(line("worker-silent", now).with("reason", reason));
+  }
+
+  /** Takes an answer; returns the line that is due if it ends a silence. */
+  Optional<LogLine> answered(long now) {
+    if (failures == 0) {
+      return Optional.empty();
+    }
+    LogLine line = line("worker-answers-again", now);
+    failures = 0;
+    return Optional.of(line);
+  }
+
+  private LogLine line(String event, long now) {
+    return LogLine.of(event)
+        .with("worker", worker)
+        .with("failures", failures)
+        .with("silent_ms", TimeUnit.NANOSECONDS.toMillis(now - since));
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -0,0 +1,113 @@
+package io.marigoldsail.daemon.workflow;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.workflow.RunKey;
+import java.util.LinkedHashSet;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A worker on virtual time that answers as it is told; it starts and ends nothing by itself. One
+ * thread.
+ */
+final class ScriptedWorker implements WorkerGateway {
+  private static final long CLOCK_START = 50_000;
+
+  private final VirtualLoop time;
+  private final Set<RunKey> running = new LinkedHashSet<>();
+  private boolean silent;
+  private long failsAfterMillis = 1;
+  private boolean loses;
+  private boolean answersStarts = true;
+  private boolean answersStops = true;
+  private int listings;
+
+  ScriptedWorker(VirtualLoop time) {
+    this.time = time;
+  }
+
+  /** Answers nothing from now on; each listing fails after the time. */
+  void fallSilent(long millis) {
+    silent = true;
+    failsAfterMillis = millis;
+  }
+
+  void answerAgain() {
+    silent = false;
+  }
+
+  /** Leaves starts without an answer; those that it carries out are listed all the same. */
+  void leaveStartsUnanswered(boolean carriesOut) {
+    answersStarts = false;
+    loses = !carriesOut;
+  }
+
+  void leaveStopsUnanswered() {
+    answersStops = false;
+  }
+
+  /** Lists the run no more, and no end of it. */
+  void forget(RunKey run) {
+    running.remove(run);
+  }
+
+  int listings() {
+    return listings;
+  }
+
+  long clock() {
+    return CLOCK_START + time.millis();
+  }
+
+  Listing listing() {
+    ImmutableList.Builder<Running> rows = ImmutableList.builder();
+    running.forEach(run -> rows.add(new Running(run, "", 10, 0)));
+    return new Listing(clock(), rows.build(), ImmutableList.of());
+  }
+
+  private <T> CompletableFuture<T> after(long millis, java.util.function.Supplier<T> result) {
+    CompletableFuture<T> future = new CompletableFuture<>();
+    time.loop()
+        .schedule(() -> future.complete(result.get()), TimeUnit.MILLISECONDS.toNanos(millis));
+    return future;
+  }
+
+  @Override
+  public CompletableFuture<OrderResult> start(String worker, Start start) {
+    if (silent) {
+      return after(1, () -> new OrderUnknown("silent"));
+    }
+    if (!loses) {
+      running.add(start.run());
+    }
+    return after(
+        1, () -> answersStarts ? new Accepted(clock()) : new OrderUnknown("told to be silent"));
+  }
+
+  @Override
+  public CompletableFuture<OrderResult> stop(String worker, RunKey run) {
+    return after(
+        1,
+        () ->
+            silent || !answersStops
+                ? new OrderUnknown("told to be silent")
+                : new Accepted(clock()));
+  }
+
+  @Override
+  public CompletableFuture<OrderResult> pace(String worker, RunKey run, int percent) {
+    return after(1, () -> new Accepted(clock()));
+  }
+
+  @Override
+  public CompletableFuture<ListingResult> list(
+      String worker, OptionalLong deadline, long noted, long waitMillis) {
+    listings++;
+    if (silent) {
+      return after(failsAfterMillis, () -> new NoListing("silent"));
+    }
+    return after(Math.max(1, waitMillis), this::listing);
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -0,0 +1,107 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.protocol.EndReport;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.TaskKey;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class WorkerSessionTest {
+  private static final String WORKER = "life-1";
+  private static final LeaseTermsOfWorker TERMS = LeaseTermsOfWorker.forLongestLease(10_000);
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final ScriptedWorker worker = new ScriptedWorker(time);
+  private final WorkerSession session =
+      new WorkerSession(
+          time.loop(),
+          worker,
+          new WorkerHeartbeat(
+              WORKER,
+              "service",
+              "zone",
+              ImmutableList.of(),
+              "",
+              new Sizes(16_000, 1L << 33, 0),
+              false,
+              1),
+          worker.listing(),
+          1,
+          TERMS,
+          new IgnoringListener());
+
+  private static RunKey run(int index) {
+    return new RunKey(new TaskKey(7, 0, 0, index), 1);
+  }
+
+  private void hearOwner() {
+    session.evidence(0, 1, session.workerClock());
+  }
+
+  private void start(int index) {
+    hearOwner();
+    RunKey key = run(index);
+    session.start(
+        key,
+        StartRun.newBuilder().setTask(WorkflowRecords.encode(key)).setMilliProcessors(500).build(),
+        "program");
+  }
+
+  /** Has time pass with an owner that is heard all the while. */
+  private void pass(long millis) {
+    for (long passed = 0; passed < millis; passed += 100) {
+      hearOwner();
+      time.advance(100);
+    }
+  }
+
+  private List<RunOutcome> outcomes() {
+    return session.ends().stream().map(end -> RunOutcome.forNumber(end.getOutcome())).toList();
+  }
+
+  private void noteAllEnds() {
+    for (EndReport end : List.copyOf(session.ends())) {
+      session.noted(WorkflowRecords.decode(end.getTask()));
+      time.advance(20);
+    }
+  }
+
+  /**
+   * A worker goes for good while it runs five tasks. Their owner notes the five ends one by one,
+   * and from then on the side process asked in vain five times as often as before, for the rest of
+   * the day.
+   */
+  @Test
+  void aSilentWorkerIsAskedByOneChainOfListings() {
+    session.start();
+    for (int index = 0; index < 5; index++) {
+      start(index);
+    }
+    pass(2_000);
+    worker.fallSilent(1);
+    pass(10_000);
+    assertEquals(5, outcomes().size());
+    noteAllEnds();
+    int before = worker.listings();
+    pass(3_000);
+    int asked = worker.listings() - before;
+    assertTrue(9 <= asked && asked <= 11, "asked " + asked + " times in three seconds");
+  }
+
+  /** What changes does not matter here. */
+  private static final class IgnoringListener implements WorkerSession.Listener {
+    @Override
+    public void changed() {}
+
+    @Override
+    public void gone(WorkerSession session) {}
+  }
+}
