Give a silent worker nothing until it answers

A worker that hangs rather than refuses lets each listing fail only after its whole time, 1.8 s. The VM counted as unhealthy for 1.5 s after a failure, so for 0.3 to 0.6 s of each round it was offered, owners ordered tasks to it, and each was held up until its order was given up.

Ruled out: a longer span, since a listing may take any time. Holds since the VM is unhealthy as long as its last listing was not answered.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -136,7 +136,7 @@
   }
 
   boolean isUnhealthy() {
-    return loop.now() < unhealthyUntil;
+    return silence.lasts() || loop.now() < unhealthyUntil;
   }
 
   RoomLedger room() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.daemon.workflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -96,6 +97,26 @@
     assertTrue(9 <= asked && asked <= 11, "asked " + asked + " times in three seconds");
   }
 
+  /**
+   * A worker hangs, so that each listing fails only after its whole time. Between two of them the
+   * VM looked sound, was given tasks, and held each up for seconds, again and again.
+   */
+  @Test
+  void aSilentWorkerIsGivenNothingUntilItAnswers() {
+    session.start();
+    pass(1_000);
+    assertFalse(session.isUnhealthy());
+    worker.fallSilent(2_000);
+    pass(4_000);
+    for (int i = 0; i < 60; i++) {
+      assertTrue(session.isUnhealthy(), "sound at " + time.millis() + " ms");
+      pass(100);
+    }
+    worker.answerAgain();
+    pass(6_000);
+    assertFalse(session.isUnhealthy());
+  }
+
   /** What changes does not matter here. */
   private static final class IgnoringListener implements WorkerSession.Listener {
     @Override
