Take a gang for done when one member says so after another counted as lost

Callers of a gang would see it running for good: the end of one member was never told (its worker crashed right after), so its run counted as lost; the end of another, held up on its way, said done. The gang was then done in part. Ordering the rest threw, with everything that waited behind it on this entry, or, where the first member was done, never took place.

Ruled out: passing over the late end, since it stands for all members by the platform's word and would be run twice. Holds since done of one makes all done, and no later attempt can be open: it waits for the ends of all members.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -270,12 +270,18 @@
     return true;
   }
 
-  /** Members end as done together; any other end of one is the end of the attempt. */
+  /**
+   * Members end as done together; any other end of one is the end of the attempt.
+   *
+   * <p>Guards against a gang that is done in part, of which no attempt is ever ordered: the last
+   * report of a member's worker may be lost, so that its run counts as lost before another member
+   * tells that all were done. No later attempt is open then, since that waits for all ends.
+   */
   private void endedInGang(WorkflowTask task) {
     shareCheckpoint(task);
     for (WorkflowTask other : gangOf(task)) {
-      if (other.isOpen() && task.isDone()) {
-        other.close(RunOutcome.DONE, "");
+      if (task.isDone() && !other.isDone()) {
+        other.doneWithGang();
         doneOfStep[stepSlot(other.key())]++;
       } else if (other.isOpen()) {
         other.wantStop();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
@@ -180,6 +180,14 @@
     }
   }
 
+  /** Takes the word of another member that the attempt of the gang did its work. */
+  void doneWithGang() {
+    if (isOpen()) {
+      close(RunOutcome.DONE, "");
+    }
+    done = true;
+  }
+
   void restore(TaskRecordState state) {
     done = state.done();
     lastAttempt = state.lastAttempt();
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTest.java
@@ -159,6 +159,27 @@
     assertEquals(WorkflowStatus.FAILED, workflow.status());
   }
 
+  /**
+   * A gang did its work on two VMs. The worker of one crashed before its end was told, and counted
+   * as lost; the end of the other, held up on its way, said done. The caller's workflow stayed half
+   * done for good, and ordering the other half failed with everything that waited behind it.
+   */
+  @Test
+  void doneByOneMemberIsDoneByAMemberThatCountedAsLost() {
+    WorkflowSpec spec = Workflows.spec(Workflows.gang(3, 100, false));
+    for (int lost = 0; lost < 3; lost++) {
+      Workflow workflow = Workflow.of(spec);
+      List<RunKey> runs = orderGang(workflow);
+      workflow.ended(runs.get(lost), RunOutcome.LOST, "", WALL);
+      workflow.ended(runs.get((lost + 1) % 3), RunOutcome.DONE, "", WALL);
+      assertEquals(WorkflowStatus.DONE, workflow.status(), "lost: member " + lost);
+      assertTrue(workflow.tasks().stream().allMatch(WorkflowTask::isDone));
+      assertTrue(workflow.openTasks().isEmpty());
+      assertEquals(0.0, workflow.workLeft());
+      assertEquals(WorkflowStatus.DONE, Workflow.restore(spec, workflow.record()).status());
+    }
+  }
+
   /** An owner dies while it stops what is left of a broken gang: the next one stops it. */
   @Test
   void whatIsLeftOfABrokenGangIsStoppedByTheNextOwner() {
