Let a step without room speak only for tasks with the same needs

Tasks that last, and others, waited for good with room for them: in one pass a step that found no room made all equal steps pass for full, also those of another service, of another urgency, and, where VMs take so many tasks of a step only, another step or occurrence of the same workflow. While the first waited, the others were never looked at.

Cause: steps are compared by value, and their value says nothing of the service. Ruled out: keying by workflow and step, which asks VMs anew for each of many equal workflows under load. Holds since Need has all that the chooser lets decide whether there is room.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/AdviceDesk.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/AdviceDesk.java
@@ -43,12 +43,6 @@
    */
   private static final int MOST_STEPS = 4_000;
 
-  private record StepKey(long workflow, int occurrence, int step) {
-    static StepKey of(TaskKey task) {
-      return new StepKey(task.workflow(), task.occurrence(), task.step());
-    }
-  }
-
   private final LinkLoop loop;
   private final PlacementAdviser adviser;
   private final Runnable answered;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -125,6 +125,26 @@
     }
   }
 
+  /**
+   * All that decides whether a task finds room: where equal needs found none, this finds none.
+   *
+   * <p>Guards against tasks that are never ordered though there is room: equal steps are found in
+   * workflows of several services, and one whose service is full would speak for them all.
+   *
+   * @param counted the step, where VMs take so many tasks of each only
+   */
+  private record Need(String service, StepSpec step, Urgency urgency, Optional<StepKey> counted) {
+    static Need of(Waiting waiting) {
+      WorkflowTask task = waiting.task();
+      boolean counts = task.step().placement().maxPerVm() > 0;
+      return new Need(
+          task.workflow().spec().terms().service(),
+          task.step(),
+          waiting.urgency(),
+          counts ? Optional.of(StepKey.of(task.key())) : Optional.empty());
+    }
+  }
+
   private void run() {
     Optional<QueueTable> queues = configuration.get();
     if (queues.isEmpty()) {
@@ -136,22 +156,23 @@
     }
     Map<String, VmOffer> offers = new HashMap<>();
     vms.offers().forEach(offer -> offers.put(offer.place().vm(), offer));
-    // Once a step found no room, no other task of it will in this pass.
-    Set<StepSpec> full = new HashSet<>();
+    // Rooms only fill up in one pass.
+    Set<Need> full = new HashSet<>();
     Set<Workflow> fed = new HashSet<>();
     boolean roomy = VmOffer.isRoomy(offers.values());
     for (Waiting candidate : waiting) {
       WorkflowTask task = candidate.task();
-      if (full.contains(task.step())) {
-        continue;
-      }
       // One task at work is enough for a workflow not to starve.
       boolean mayStarve = roomy && !fed.contains(task.workflow());
       Waiting each = mayStarve ? candidate : candidate.calmed();
+      Need need = Need.of(each);
+      if (full.contains(need)) {
+        continue;
+      }
       List<VmOffer> chosen = chooseAdvised(each, offers.values());
       if (chosen.isEmpty()) {
         if (!isAdvised(task)) {
-          full.add(task.step());
+          full.add(need);
         }
         continue;
       }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -30,6 +30,10 @@
 /** Entries and side processes over real links, with a store and workers in memory. */
 final class WorkflowWorld implements AutoCloseable {
   static final int PARTITIONS = 6;
+
+  /** A service that a queue sends tasks to and that no VM runs. */
+  static final String SERVICE_WITHOUT_VMS = "service-without-vms";
+
   private static final long LONGEST_LEASE_MILLIS = 4_000;
   private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(40);
   private static final long BEAT_MILLIS = 150;
@@ -85,8 +89,14 @@
     entry.start();
     WorkflowSpec.Terms queueTerms =
         new WorkflowSpec.Terms("service", 0, 3, Optional.empty(), 2, 100);
+    WorkflowSpec.Terms idleTerms =
+        new WorkflowSpec.Terms(SERVICE_WITHOUT_VMS, 0, 3, Optional.empty(), 2, 100);
     entry.configure(
-        new QueueTable(1, ImmutableList.of(new Queue("queue", "", "/", queueTerms, 1_000))));
+        new QueueTable(
+            1,
+            ImmutableList.of(
+                new Queue("queue", "", "/", queueTerms, 1_000),
+                new Queue("idle", "", "/idle/", idleTerms, 1_000))));
     RunningEntry running = new RunningEntry(entry, loop, "127.0.0.1:" + port, reached);
     entries.add(running);
     return running;
