Repeat a task of the loop also after it threw

Netty ends the repetition of a task that throws, for good.

Ruled out: ending the process, which its callers would notice more. The loop logs repeated-task-failed as an error and goes on.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -31,6 +31,7 @@
  * may be called from any thread.
  */
 public final class LinkLoop implements AutoCloseable {
+  private static final System.Logger LOG = System.getLogger(LinkLoop.class.getName());
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int ACCEPT_BACKLOG = 512;
 
@@ -107,9 +108,22 @@
     return loop.schedule(task, delayNanos, TimeUnit.NANOSECONDS);
   }
 
-  /** Runs the task on the loop again and again, first after one period. */
+  /** Runs the task on the loop again and again, first after one period, also after it threw. */
   public Future<?> repeat(Runnable task, long periodNanos) {
-    return loop.scheduleWithFixedDelay(task, periodNanos, periodNanos, TimeUnit.NANOSECONDS);
+    return loop.scheduleWithFixedDelay(
+        () -> runGuarded(task), periodNanos, periodNanos, TimeUnit.NANOSECONDS);
+  }
+
+  /**
+   * Guards against a process that lives on without its repeated tasks: an exception would end the
+   * repetition for good, and with it leases, orders, and the ends of runs out of reach.
+   */
+  private static void runGuarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.log(System.Logger.Level.ERROR, "event=repeated-task-failed", e);
+    }
   }
 
   /** Returns whether the calling thread is the loop's. */
