Let a listing that shows a run stand for the answer to its start

A run whose start was left without an answer, and that was listed before the next try, was confirmed by nobody: it was not paced, and had the worker listed neither it nor its end later, its owner would have taken it for running for good.

Ruled out: sending the start again, which confirms it only while it runs. Holds since a run that a listing showed can leave later ones only by its end; a stop still needs its own answer. The test failed before.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -85,8 +85,15 @@
     misses = 0;
   }
 
+  /**
+   * Takes a listing that shows it.
+   *
+   * <p>Guards against a run that is never over: a start without an answer is not sent again once
+   * the run is listed, so no answer would ever confirm it. Only a stop still needs its answer.
+   */
   void listed(String newCheckpoint, int newPercent, long newGauge) {
     listed = true;
+    confirmed |= !stopping;
     misses = 0;
     checkpoint = newCheckpoint;
     percent = newPercent;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -234,8 +234,9 @@
       run.becameUncertain();
       unhealthy();
       if (run.isListed()) {
-        run.confirm();
-      } else if (tries < MAX_START_TRIES) {
+        return;
+      }
+      if (tries < MAX_START_TRIES) {
         loop.schedule(() -> retryStart(run), RETRY_NANOS);
       } else {
         stop(run.key());
@@ -450,7 +451,6 @@
               .with("run", row.run())
               .with("worker", worker));
       run = new SideRun(row.run(), partitionOf(row.run()), Optional.empty());
-      run.confirm();
       runs.put(row.run(), run);
     }
     boolean first = !run.isListed();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -21,6 +21,7 @@
 
   private final VirtualLoop time = new VirtualLoop();
   private final ScriptedWorker worker = new ScriptedWorker(time);
+  private final ThrowingListener listener = new ThrowingListener();
   private final WorkerSession session =
       new WorkerSession(
           time.loop(),
@@ -37,7 +38,7 @@
           worker.listing(),
           1,
           TERMS,
-          new IgnoringListener());
+          listener);
 
   private static RunKey run(int index) {
     return new RunKey(new TaskKey(7, 0, 0, index), 1);
@@ -117,10 +118,56 @@
     assertFalse(session.isUnhealthy());
   }
 
-  /** What changes does not matter here. */
-  private static final class IgnoringListener implements WorkerSession.Listener {
+  /**
+   * A start was left without an answer, and a listing showed the run before the next try. Later the
+   * worker listed it no more, nor an end of it: the owner took it for running for good.
+   */
+  @Test
+  void aRunThatIsListedNoMoreIsOverThoughNoOrderWasAnswered() {
+    session.start();
+    pass(700);
+    worker.leaveStartsUnanswered(true);
+    start(0);
+    pass(2_000);
+    assertTrue(session.runs().iterator().next().isListed());
+    assertEquals(List.of(), outcomes());
+    worker.forget(run(0));
+    pass(6_000);
+    assertEquals(List.of(RunOutcome.FORGOTTEN), outcomes());
+  }
+
+  /**
+   * An answer of the worker could not be taken in, by a fault of ours. The side process never asked
+   * again, and went on to report what ran then.
+   */
+  @Test
+  void anAnswerThatCannotBeTakenInIsNotTheLast() {
+    session.start();
+    pass(1_000);
+    start(0);
+    pass(100);
+    listener.throwOnce();
+    pass(3_000);
+    int before = worker.listings();
+    pass(3_000);
+    assertTrue(worker.listings() > before, "asked no more");
+  }
+
+  /** What changes does not matter here; can be told to throw. */
+  private static final class ThrowingListener implements WorkerSession.Listener {
+    private boolean throwing;
+
+    void throwOnce() {
+      throwing = true;
+    }
+
     @Override
-    public void changed() {}
+    public void changed() {
+      if (throwing) {
+        throwing = false;
+        throw new IllegalStateException("told to throw");
+      }
+    }
 
     @Override
     public void gone(WorkerSession session) {}
