Let the connection that is left speak for its VM

An entry passed over all reports of a VM after an earlier connection of it had been read later than the newer one and then ended: the newer one was not the newest it knew. The VM's tasks got no lease and no orders from that entry until the side process gave the connection up, 1.8 s later, and dialled anew.

Ruled out: ordering connections by a number of the side process's, a field more for the same. Holds since any connection that reports takes the place of none.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -171,6 +171,8 @@
       }
       session.take(report, loop.now());
     }
+    // Its only connection, if the newest of the VM was one from before that was read late.
+    newest.putIfAbsent(report.getVm(), session);
     if (newest.get(report.getVm()) != session) {
       return;
     }
