Give leases to the one life of a worker whose clock they are by

A lease names times on a worker's clock, and a frame of its own named no worker: one that was on its way while the worker changed counted for the next life. Where the former clock was ahead, evidence lay in the future for good. Then no lease on that VM was ever over: what it ran stayed at work to its owners once it was silent, went on without an owner, and no start of any other partition was taken.

Leases now go in the frame of orders, which names the life and is passed over by any other; so nothing can be sent by a clock that is not named. Ruled out: another field for the lease frame, the same word in two places. The frame of its own is sent and taken no more.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -8,7 +8,6 @@
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.protocol.EndReport;
-import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.LeaseGrant;
 import io.marigoldsail.protocol.PartitionEvidence;
 import io.marigoldsail.protocol.RunReport;
@@ -330,12 +329,12 @@
     stopUnwanted(workflow);
   }
 
+  /** Answers a report that asks for a lease, with the orders that wait. */
   private void grant(VmSession session) {
-    LeaseGrant grant =
+    session.flush(
         lease(session).toBuilder()
             .addAllImages(ImageRecords.encode(knowledge.imagesSeenElsewhere(session.vm())))
-            .build();
-    session.connection().send(Frame.newBuilder().setLeaseGrant(grant).build());
+            .build());
   }
 
   private LeaseGrant lease(VmSession session) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -184,7 +184,10 @@
     return pending;
   }
 
-  /** Sends what waits, with the evidence by which the worker may go on. */
+  /**
+   * Sends what waits, if anything does, with the evidence by which the worker may go on; all of it
+   * holds for the life of the worker that the last report named, and for no other.
+   */
   void flush(LeaseGrant lease) {
     orders.setNumber(++lastNumber).setLease(lease).setWorker(report.getWorker());
     connection.send(Frame.newBuilder().setRunOrders(orders).build());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -223,6 +223,13 @@
     }
   }
 
+  /**
+   * Takes a lease and orders, all for one life of the worker.
+   *
+   * <p>Guards against evidence from the future: a lease that was on its way while the worker
+   * changed is by the clock of the one before. Where that clock was ahead, the lease of this one
+   * would never be over, and what it ran would count as at work for good once it is silent.
+   */
   private void obey(EntryConnection connection, RunOrders orders) {
     connection.sawOrders(orders.getNumber());
     if (session == null) {
@@ -239,6 +246,9 @@
       return;
     }
     Map<Integer, Boolean> current = observe(orders.getLease());
+    if (orders.getLease().getImagesCount() > 0) {
+      session.pacing().seenElsewhere(ImageRecords.decode(orders.getLease().getImagesList()));
+    }
     Map<Long, String> programs = new HashMap<>();
     for (StartRun start : orders.getStartsList()) {
       RunKey key = WorkflowRecords.decode(start.getTask());
@@ -292,9 +302,6 @@
     public void received(EntryConnection connection, Frame frame) {
       if (frame.hasRunOrders()) {
         obey(connection, frame.getRunOrders());
-      } else if (frame.hasLeaseGrant() && session != null) {
-        observe(frame.getLeaseGrant());
-        session.pacing().seenElsewhere(ImageRecords.decode(frame.getLeaseGrant().getImagesList()));
       }
     }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
@@ -57,6 +57,11 @@
     return List.copyOf(tickets);
   }
 
+  /** Returns for how long what runs may go on, in milliseconds. */
+  synchronized long leaseLeftMillis() {
+    return deadline - clock();
+  }
+
   /** Ends everything at once; the worker is back as another life. */
   synchronized void crash(String newLife) {
     running.keySet().forEach(history::ended);
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedEntry.java
@@ -0,0 +1,68 @@
+package io.marigoldsail.daemon.workflow;
+
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.link.LinkListener;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.link.LinkServer;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.time.MonotonicClock;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** An entry of which a test plays the part: it hears reports and sends what it is told. */
+final class ScriptedEntry implements AutoCloseable {
+  private final LinkLoop loop = new LinkLoop("scripted-entry", MonotonicClock.system());
+  private final LinkServer server;
+  private final BlockingQueue<LinkConnection> connections = new LinkedBlockingQueue<>();
+  private final BlockingQueue<VmReport> reports = new LinkedBlockingQueue<>();
+
+  ScriptedEntry() throws IOException {
+    server = new LinkServer(loop, new InetSocketAddress("127.0.0.1", 0), 10, new Incoming());
+    server.start();
+  }
+
+  /** Returns its name as a member of the owners. */
+  String member() {
+    return new EntryMember("127.0.0.1", server.port(), 1).toString();
+  }
+
+  /** Waits for the next connection. */
+  LinkConnection connection() throws InterruptedException {
+    return connections.take();
+  }
+
+  /** Waits for the next report. */
+  VmReport report() throws InterruptedException {
+    return reports.take();
+  }
+
+  void send(LinkConnection connection, Frame frame) {
+    loop.run(() -> connection.send(frame));
+  }
+
+  @Override
+  public void close() {
+    server.close();
+    loop.close();
+  }
+
+  private final class Incoming implements LinkListener {
+    @Override
+    public void opened(LinkConnection connection) {
+      connections.add(connection);
+    }
+
+    @Override
+    public void received(LinkConnection connection, Frame frame) {
+      if (frame.hasVmReport()) {
+        reports.add(frame.getVmReport());
+      }
+    }
+
+    @Override
+    public void closed(LinkConnection connection, String reason) {}
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedOwnersStore.java
@@ -0,0 +1,70 @@
+package io.marigoldsail.daemon.workflow;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** A store that is asked for the owners only; a test gives each answer, and when. */
+final class ScriptedOwnersStore implements WorkflowStore {
+  private final int partitions;
+  private final BlockingQueue<CompletableFuture<OwnersResult>> asked = new LinkedBlockingQueue<>();
+
+  ScriptedOwnersStore(int partitions) {
+    this.partitions = partitions;
+  }
+
+  static Owners owners(Map<Integer, String> byPartition) {
+    ImmutableList.Builder<Owner> owners = ImmutableList.builder();
+    byPartition.forEach((partition, member) -> owners.add(new Owner(partition, member)));
+    return new Owners(owners.build());
+  }
+
+  /** Waits for the next question for the owners; the caller answers it. */
+  CompletableFuture<OwnersResult> asked() throws InterruptedException {
+    return asked.take();
+  }
+
+  @Override
+  public int partitions() {
+    return partitions;
+  }
+
+  @Override
+  public CompletableFuture<OwnersResult> owners() {
+    CompletableFuture<OwnersResult> answer = new CompletableFuture<>();
+    asked.add(answer);
+    return answer;
+  }
+
+  @Override
+  public CompletableFuture<AppendResult> append(
+      Topic topic, int partition, List<KeyedRecord> records, Optional<Writer> writer) {
+    throw new UnsupportedOperationException("a side process appends nothing");
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> read(
+      Topic topic, int partition, long from, long waitMillis) {
+    throw new UnsupportedOperationException("a side process reads nothing");
+  }
+
+  @Override
+  public CompletableFuture<NewestResult> newest(
+      Topic topic, int partition, Optional<String> after) {
+    throw new UnsupportedOperationException("a side process reads nothing");
+  }
+
+  @Override
+  public CompletableFuture<JoinResult> join(String member, long generation) {
+    throw new UnsupportedOperationException("a side process owns nothing");
+  }
+
+  @Override
+  public CompletableFuture<Boolean> leave(String member) {
+    throw new UnsupportedOperationException("a side process owns nothing");
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideTest.java
@@ -0,0 +1,124 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.LeaseGrant;
+import io.marigoldsail.protocol.PartitionEvidence;
+import io.marigoldsail.protocol.RunOrders;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.TaskKey;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Waits for reports; where one never comes, the limit ends the test. */
+@Timeout(40)
+class WorkflowSideTest {
+  private static final LeaseTermsOfWorker TERMS = LeaseTermsOfWorker.forLongestLease(10_000);
+  private static final String WORKER = "life-1";
+  private static final RunKey RUN = new RunKey(new TaskKey(7, 0, 0, 0), 1);
+
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+  private final LinkLoop loop = new LinkLoop("side", MonotonicClock.system());
+  private final ScriptedOwnersStore store = new ScriptedOwnersStore(2);
+  private final FakeWorkerGateway worker =
+      new FakeWorkerGateway(WORKER, timer, new RunHistory(), 60_000);
+  private final WorkflowSide side = new WorkflowSide(loop, store, worker, "vm-0", TERMS);
+  private final ScriptedEntry entry;
+
+  WorkflowSideTest() throws IOException {
+    entry = new ScriptedEntry();
+  }
+
+  @AfterEach
+  void stop() {
+    loop.close();
+    entry.close();
+    timer.shutdownNow();
+  }
+
+  private VmReport reportOfWorker() throws InterruptedException {
+    VmReport report = entry.report();
+    while (!report.getWorker().equals(WORKER)) {
+      report = entry.report();
+    }
+    return report;
+  }
+
+  private static LeaseGrant evidence(long workerClock) {
+    LeaseGrant.Builder lease = LeaseGrant.newBuilder().setWorkerClock(workerClock);
+    for (int partition = 0; partition < 2; partition++) {
+      lease.addEvidence(PartitionEvidence.newBuilder().setPartition(partition).setEpoch(1));
+    }
+    return lease.build();
+  }
+
+  private void beat() {
+    side.heartbeat(
+        new WorkerHeartbeat(
+            WORKER,
+            "service",
+            "zone",
+            ImmutableList.of(),
+            "",
+            new Sizes(4_000, 1L << 33, 0),
+            false,
+            1));
+  }
+
+  /**
+   * A VM's worker crashed and was back at once, while leases for the life before were on their way,
+   * by a clock that was ahead. The new worker's lease was never over then: once it was silent, its
+   * tasks stayed at work for good, and no other owner's task could start there.
+   */
+  @Test
+  void aLeaseForAnotherLifeOfTheWorkerCountsForNothing() throws Exception {
+    side.start();
+    store
+        .asked()
+        .complete(ScriptedOwnersStore.owners(Map.of(0, entry.member(), 1, entry.member())));
+    LinkConnection connection = entry.connection();
+    beat();
+    VmReport report = reportOfWorker();
+    LeaseGrant ahead = evidence(report.getWorkerClock() + 1_000_000_000L);
+    entry.send(connection, Frame.newBuilder().setLeaseGrant(ahead).build());
+    entry.send(
+        connection,
+        Frame.newBuilder()
+            .setRunOrders(RunOrders.newBuilder().setNumber(1).setWorker("life-0").setLease(ahead))
+            .build());
+    StartRun start =
+        StartRun.newBuilder()
+            .setTask(WorkflowRecords.encode(RUN))
+            .setProgram("program")
+            .setMilliProcessors(500)
+            .build();
+    entry.send(
+        connection,
+        Frame.newBuilder()
+            .setRunOrders(
+                RunOrders.newBuilder()
+                    .setNumber(2)
+                    .setWorker(WORKER)
+                    .setLease(evidence(report.getWorkerClock()))
+                    .addStarts(start))
+            .build());
+    while (reportOfWorker().getRunsList().stream().noneMatch(run -> run.getStarted())) {
+      // The next one tells.
+    }
+    assertTrue(worker.leaseLeftMillis() <= TERMS.boundMillis(), "" + worker.leaseLeftMillis());
+  }
+}
