Report the digest of the map of owners that is in use

A side process asks the store for the owners while an entry is not reached. An answer that came late could take the place of a newer map that an entry had told, while the digest in reports stayed that of the newer one, so no entry told it again. Owners then never heard of the ends of their tasks on that VM, and took them for running for good, until members changed again.

Ruled out: passing over the store's answers once an entry has told a map; they are what is left when all entries have changed. Holds since the digest is worked out from the map in use. Found by reading; the test failed before (timed out).

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideEntries.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideEntries.java
@@ -75,7 +75,6 @@
   private final Map<String, EntryConnection> connections = new HashMap<>();
   private final MemberLinks links;
   private long generation;
-  private int digest;
   private long askedAt = Long.MIN_VALUE;
 
   SideEntries(LinkLoop loop, WorkflowStore store, Listener listener) {
@@ -89,9 +88,15 @@
     return Set.copyOf(connections.values());
   }
 
-  /** Returns the digest of the map in use, as an entry told it; 0 if none did. */
+  /**
+   * Returns the digest of the map in use, as entries make it; 0 while there is none.
+   *
+   * <p>Guards against reporting for good to a former owner: a late answer of the store can take the
+   * place of a newer map that an entry told, and entries tell theirs again only where digests
+   * differ.
+   */
   int digest() {
-    return digest;
+    return owners.hashCode();
   }
 
   /** Returns whether the member owns the partition, as far as is known here. */
@@ -125,7 +130,6 @@
       return;
     }
     generation = map.getGeneration();
-    digest = map.getDigest();
     Map<Integer, String> newOwners = new HashMap<>();
     map.getOwnersList().forEach(owner -> newOwners.put(owner.getPartition(), owner.getMember()));
     replace(newOwners);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideTest.java
@@ -1,5 +1,7 @@
 package io.marigoldsail.daemon.workflow;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -8,7 +10,9 @@
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.LeaseGrant;
+import io.marigoldsail.protocol.OwnerMap;
 import io.marigoldsail.protocol.PartitionEvidence;
+import io.marigoldsail.protocol.PartitionOwner;
 import io.marigoldsail.protocol.RunOrders;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.VmReport;
@@ -121,4 +125,47 @@
     }
     assertTrue(worker.leaseLeftMillis() <= TERMS.boundMillis(), "" + worker.leaseLeftMillis());
   }
+
+  private Frame map(long generation, Map<Integer, String> owners) {
+    OwnerMap.Builder map =
+        OwnerMap.newBuilder().setGeneration(generation).setDigest(owners.hashCode());
+    owners.forEach(
+        (partition, member) ->
+            map.addOwners(PartitionOwner.newBuilder().setPartition(partition).setMember(member)));
+    return Frame.newBuilder().setOwnerMap(map).build();
+  }
+
+  /**
+   * An entry died, and another one told a side process that it owns everything now. Then an answer
+   * of the store arrived that was from before. The side process went on to report to the dead entry
+   * for good, and told the living one that it had its map: the ends of its tasks were never heard.
+   */
+  @Test
+  void aLateAnswerOfTheStoreIsCorrectedByTheEntries() throws Exception {
+    ScriptedEntry died = new ScriptedEntry();
+    final Map<Integer, String> before = Map.of(0, entry.member(), 1, died.member());
+    final Map<Integer, String> after = Map.of(0, entry.member(), 1, entry.member());
+    side.start();
+    store.asked().complete(ScriptedOwnersStore.owners(before));
+    LinkConnection connection = entry.connection();
+    died.connection();
+    died.close();
+    // Asked since the dead entry is not reached; the answer is on its way for long.
+    var late = store.asked();
+    entry.send(connection, map(5, after));
+    while (entry.report().getOwnersDigest() != after.hashCode()) {
+      // The next one tells.
+    }
+    late.complete(ScriptedOwnersStore.owners(before));
+    while (entry.report().getOwnersDigest() == after.hashCode()) {
+      // The entry hears that it has to tell its map again.
+    }
+    entry.send(connection, map(5, after));
+    int digest = entry.report().getOwnersDigest();
+    while (digest != after.hashCode()) {
+      digest = entry.report().getOwnersDigest();
+    }
+    assertEquals(after.hashCode(), digest);
+    assertNotEquals(before.hashCode(), digest);
+  }
 }
