Refuse orders for a silent worker at once

An order that was on its way when the worker fell silent was sent three times, then stopped, and its task waited up to the end of the lease before it was ordered elsewhere. Nothing of it had been carried out when it came.

Ruled out: refusing by the worker's health, which also falls with one busy answer. Holds since nothing is sent for an order that is refused. The test failed before.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndLedger.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndLedger.java
@@ -2,6 +2,7 @@
 
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -29,10 +30,18 @@
   }
 
   /** Keeps an end; of one that the worker does not list the sequence is 0. */
-  void add(RunKey run, EndReport end) {
-    ends.put(run, end);
-    if (end.getSequence() > 0) {
-      unnoted.put(end.getSequence(), run);
+  void add(RunKey run, RunOutcome outcome, String checkpoint, long sequence, String reason) {
+    ends.put(
+        run,
+        EndReport.newBuilder()
+            .setTask(WorkflowRecords.encode(run))
+            .setOutcome(outcome.number())
+            .setCheckpoint(checkpoint)
+            .setSequence(sequence)
+            .setReason(reason)
+            .build());
+    if (sequence > 0) {
+      unnoted.put(sequence, run);
     }
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -184,7 +184,9 @@
     }
     int partition = partitionOf(key);
     Optional<String> refusal =
-        admission.refusal(key, partition, order, heartbeat.draining(), runs.values());
+        silence.lasts()
+            ? Optional.of("the worker is silent")
+            : admission.refusal(key, partition, order, heartbeat.draining(), runs.values());
     if (refusal.isPresent()) {
       finish(key, RunOutcome.REFUSED, "", 0, refusal.get());
       return;
@@ -327,15 +329,7 @@
       RunKey key, RunOutcome outcome, String checkpoint, long sequence, String reason) {
     runs.remove(key);
     room.release(key);
-    ends.add(
-        key,
-        EndReport.newBuilder()
-            .setTask(WorkflowRecords.encode(key))
-            .setOutcome(outcome.number())
-            .setCheckpoint(checkpoint)
-            .setSequence(sequence)
-            .setReason(reason)
-            .build());
+    ends.add(key, outcome, checkpoint, sequence, reason);
     if (outcome != RunOutcome.DONE) {
       LOG.info(
           LogLine.of("run-over")
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -118,6 +118,17 @@
     assertFalse(session.isUnhealthy());
   }
 
+  /** An order that was on its way when the worker fell silent was held up for seconds. */
+  @Test
+  void anOrderForASilentWorkerIsRefusedAtOnce() {
+    session.start();
+    pass(1_000);
+    worker.fallSilent(1);
+    pass(2_000);
+    start(0);
+    assertEquals(List.of(RunOutcome.REFUSED), outcomes());
+  }
+
   /**
    * A start was left without an answer, and a listing showed the run before the next try. Later the
    * worker listed it no more, nor an end of it: the owner took it for running for good.
