Offer no VM that refuses all since its runs are not known

A restarted side process refuses every start until owners have told what the runs that it found take. Only the owner of such a run left the VM out; to the others it looked empty, the best place for everything that waited. Their tasks were refused there again and again until the run was told or, its owner out of reach, stopped after 3 s, with room on other VMs.

Ruled out: booking a guess for what is not known. Holds since reports say to all owners what the side process goes by itself. The test failed before.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartAdmission.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartAdmission.java
@@ -39,6 +39,11 @@
     return (int) runs.stream().filter(run -> run.latencyTargetMillis() > 0).count();
   }
 
+  /** Returns whether there are runs of which only their owners know what they take. */
+  static boolean isAnyUnknown(Collection<SideRun> runs) {
+    return runs.stream().anyMatch(run -> run.order().isEmpty());
+  }
+
   /**
    * Books room for the run, or returns why it must not start.
    *
@@ -53,7 +58,7 @@
     if (!time.mayStart(partition)) {
       return Optional.of("the evidence of its owner is too old");
     }
-    if (runs.stream().anyMatch(run -> run.order().isEmpty())) {
+    if (isAnyUnknown(runs)) {
       return Optional.of("what runs here is not known yet");
     }
     boolean bound = order.getFills() && !order.getStarved();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -135,8 +135,16 @@
     return time.reached();
   }
 
+  /**
+   * Returns whether the worker is given nothing now.
+   *
+   * <p>Guards against orders in vain: owners that do not own what is unknown here would take the VM
+   * for empty and send it all that waits, while others have room.
+   */
   boolean isUnhealthy() {
-    return silence.lasts() || loop.now() < unhealthyUntil;
+    return silence.lasts()
+        || loop.now() < unhealthyUntil
+        || StartAdmission.isAnyUnknown(runs.values());
   }
 
   RoomLedger room() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -48,6 +48,11 @@
     answersStops = false;
   }
 
+  /** Lists the run, which another life of the side process started. */
+  void run(RunKey run) {
+    running.add(run);
+  }
+
   /** Lists the run no more, and no end of it. */
   void forget(RunKey run) {
     running.remove(run);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -129,6 +129,22 @@
     assertEquals(List.of(RunOutcome.REFUSED), outcomes());
   }
 
+  /**
+   * A side process was restarted, and the owner of what its worker ran was out of reach. To the
+   * other owners the VM looked empty: all that waited was sent there and refused, again and again,
+   * though other VMs had room.
+   */
+  @Test
+  void aVmIsOfferedNothingWhileItsRunsAreNotKnown() {
+    worker.run(run(0));
+    session.start();
+    pass(1_000);
+    assertTrue(session.isUnhealthy());
+    start(0);
+    pass(100);
+    assertFalse(session.isUnhealthy());
+  }
+
   /**
    * A start was left without an answer, and a listing showed the run before the next try. Later the
    * worker listed it no more, nor an end of it: the owner took it for running for good.
