Look at a gang that was often refused again within a second

The wait after a refusal grew with the refusals in a row to 4 s for a gang, in which nobody looked at it, also when room had come: its caller saw nothing at work for longer than the three seconds that waiting may take.

Ruled out: waking it by reports of room, for each one costs all members a start and a stop when owners race. Single tasks waited half a second at most and still do. The test failed before (1,200 ms after six refusals).

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -54,6 +54,12 @@
 
   private static final int MAX_WAIT_FACTOR = 20;
 
+  /**
+   * The longest that a refused task or gang waits. Guards against one that stands still for seconds
+   * after room has come: nobody looks at it before, whatever reports tell.
+   */
+  private static final long MAX_REFUSED_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
   /** Where tasks that fill may work at this share of their speed at most, they are moved away. */
   private static final int SLOWED_PERCENT = 25;
 
@@ -106,7 +112,7 @@
       int factor = Math.min(task.refusals(), MAX_WAIT_FACTOR);
       boolean gang = task.step().nature().gang();
       long once = gang ? GANG_REFUSED_WAIT_NANOS : REFUSED_WAIT_NANOS;
-      task.waitUntil(loop.now() + factor * once);
+      task.waitUntil(loop.now() + Math.min(factor * once, MAX_REFUSED_WAIT_NANOS));
     } else if (outcome == RunOutcome.FAILED && task.step().nature().lasting()) {
       task.waitUntil(loop.now() + FAILED_WAIT_NANOS);
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EntrySchedulerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EntrySchedulerTest.java
@@ -2,15 +2,26 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.job.Sizes;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.QueueTable;
+import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.VmChooser;
+import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowSpec;
+import io.marigoldsail.workflow.WorkflowTask;
 import java.io.IOException;
+import java.util.Collections;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -54,6 +65,66 @@
     assertInstanceOf(WorkflowStore.Appended.class, world.entry(0).entry().submit(spec).join());
   }
 
+  /**
+   * A gang was refused again and again while others raced it for room. When there was room for it
+   * at last, it was not looked at for four seconds more.
+   */
+  @Test
+  void aGangThatWasOftenRefusedIsSoonLookedAtAgain() {
+    LinkLoop loop = new VirtualLoop().loop();
+    EntryMember self = new EntryMember("127.0.0.1", 1, 1);
+    Ownership ownership =
+        new Ownership(new ScriptedOwnersStore(1), loop, self, new IgnoringOwnership());
+    LeaseTermsOfWorker terms = LeaseTermsOfWorker.forLongestLease(10_000);
+    EntryVms vms = new EntryVms(loop, ownership, terms, () -> 0, new IgnoringVms());
+    EntryScheduler scheduler =
+        new EntryScheduler(
+            loop,
+            () -> 0,
+            ownership,
+            vms,
+            VmChooser.of(1.5),
+            new FakeAdviser(),
+            Optional::<QueueTable>empty);
+    StepSpec.Nature gang = new StepSpec.Nature(true, false, false, false, false, "", 0, 0);
+    Workflow workflow = Workflow.of(WorkflowWorld.workflow(94, gang, 2));
+    WorkflowTask member = workflow.tasks().get(0);
+    for (int i = 0; i < 30; i++) {
+      workflow.orderGang(member, Collections.nCopies(2, new Place("vm-0", "life-1")));
+      workflow
+          .openTasks()
+          .forEach(
+              task -> {
+                workflow.ended(task.openRun(), RunOutcome.REFUSED, "", 0);
+                scheduler.ended(task, RunOutcome.REFUSED);
+              });
+      long waits = TimeUnit.NANOSECONDS.toMillis(member.notBefore() - loop.now());
+      assertTrue(waits > 0 && waits <= 1_000, "waits " + waits + " ms after " + (i + 1));
+    }
+  }
+
+  private static final class IgnoringOwnership implements Ownership.Listener {
+    @Override
+    public void ownersKnown(long asOfGeneration, WorkflowStore.Owners owners) {}
+
+    @Override
+    public void activated(OwnedPartition partition) {}
+
+    @Override
+    public void submitted(OwnedPartition partition, Workflow workflow) {}
+
+    @Override
+    public void lost(OwnedPartition partition) {}
+  }
+
+  private static final class IgnoringVms implements EntryVms.Listener {
+    @Override
+    public void ended(OwnedPartition partition, WorkflowTask task, RunOutcome outcome) {}
+
+    @Override
+    public void roomChanged() {}
+  }
+
   /**
    * A workflow waits for a service of which no VM is left. Another one with equal tasks came later,
    * for a service with nothing to do, and did not begin before the first one did.
