--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -31,6 +31,7 @@
  * may be called from any thread.
  */
 public final class LinkLoop implements AutoCloseable {
+  private static final System.Logger LOG = System.getLogger(LinkLoop.class.getName());
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int ACCEPT_BACKLOG = 512;
 
@@ -57,11 +58,24 @@
    * @param hybridClock stamps every frame that is sent and observes every one that is read
    */
   public LinkLoop(String name, MonotonicClock clock, HybridClock hybridClock) {
+    this(
+        new MultiThreadIoEventLoopGroup(
+            1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory()),
+        clock,
+        hybridClock);
+  }
+
+  /**
+   * Runs on the only thread of a group.
+   *
+   * @param group its end is this loop's
+   * @param clock the process's monotonic clock
+   * @param hybridClock stamps every frame that is sent and observes every one that is read
+   */
+  public LinkLoop(EventLoopGroup group, MonotonicClock clock, HybridClock hybridClock) {
     this.clock = requireNonNull(clock, "clock");
     this.hybridClock = requireNonNull(hybridClock, "hybridClock");
-    this.group =
-        new MultiThreadIoEventLoopGroup(
-            1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
+    this.group = requireNonNull(group, "group");
     this.loop = group.next();
   }
 
@@ -94,9 +108,22 @@
     return loop.schedule(task, delayNanos, TimeUnit.NANOSECONDS);
   }
 
-  /** Runs the task on the loop again and again, first after one period. */
+  /** Runs the task on the loop again and again, first after one period, also after it threw. */
   public Future<?> repeat(Runnable task, long periodNanos) {
-    return loop.scheduleWithFixedDelay(task, periodNanos, periodNanos, TimeUnit.NANOSECONDS);
+    return loop.scheduleWithFixedDelay(
+        () -> runGuarded(task), periodNanos, periodNanos, TimeUnit.NANOSECONDS);
+  }
+
+  /**
+   * Guards against a process that lives on without its repeated tasks: an exception would end the
+   * repetition for good, and with it leases, orders, and the ends of runs out of reach.
+   */
+  private static void runGuarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.log(System.Logger.Level.ERROR, "event=repeated-task-failed", e);
+    }
   }
 
   /** Returns whether the calling thread is the loop's. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -83,9 +83,9 @@
   private final Map<RunKey, SideRun> runs = new LinkedHashMap<>();
   private WorkerHeartbeat heartbeat;
   private long unhealthyUntil = Long.MIN_VALUE;
+  private final ListingTurns turns;
+  private final WorkerSilence silence;
   private boolean adopted;
-  private boolean silent;
-  private boolean listing;
   private boolean closed;
 
   WorkerSession(
@@ -105,17 +105,15 @@
     this.time = new WorkerTime(loop, terms, first.workerClock());
     this.pacing = new RunPacing(loop, gateway, worker);
     this.admission = new StartAdmission(time, room, pacing);
+    this.turns = new ListingTurns(loop, this::look);
+    this.silence = new WorkerSilence(worker);
     room.capacity(heartbeat.capacity());
     takeListing(first, Set.of());
     adopted = true;
   }
 
   void start() {
-    look();
-  }
-
-  void close() {
-    closed = true;
+    turns.now();
   }
 
   String worker() {
@@ -140,8 +138,16 @@
     return time.reached();
   }
 
+  /**
+   * Returns whether the worker is given nothing now.
+   *
+   * <p>Guards against orders in vain: owners that do not own what is unknown here would take the VM
+   * for empty and send it all that waits, while others have room.
+   */
   boolean isUnhealthy() {
-    return loop.now() < unhealthyUntil;
+    return silence.lasts()
+        || loop.now() < unhealthyUntil
+        || StartAdmission.isAnyUnknown(runs.values());
   }
 
   RoomLedger room() {
@@ -189,7 +195,9 @@
     }
     int partition = partitionOf(key);
     Optional<String> refusal =
-        admission.refusal(key, partition, order, heartbeat.draining(), runs.values());
+        silence.lasts()
+            ? Optional.of("the worker is silent")
+            : admission.refusal(key, partition, order, heartbeat.draining(), runs.values());
     if (refusal.isPresent()) {
       finish(key, RunOutcome.REFUSED, "", 0, refusal.get());
       return;
@@ -202,7 +210,7 @@
 
   private void sendStart(SideRun run) {
     int tries = run.tried();
-    if (!silent) {
+    if (!silence.lasts()) {
       time.extend(held());
     }
     WorkerGateway.Start start =
@@ -239,8 +247,9 @@
       run.becameUncertain();
       unhealthy();
       if (run.isListed()) {
-        run.confirm();
-      } else if (tries < MAX_START_TRIES) {
+        return;
+      }
+      if (tries < MAX_START_TRIES) {
         loop.schedule(() -> retryStart(run), RETRY_NANOS);
       } else {
         stop(run.key());
@@ -322,11 +331,8 @@
 
   /** Forgets an end that its owner has made durable. */
   void noted(RunKey key) {
-    if (!ends.note(key)) {
-      return;
-    }
-    if (ends.isAllNoted() && !listing) {
-      look();
+    if (ends.note(key) && ends.isAllNoted() && !silence.lasts()) {
+      turns.now();
     }
   }
 
@@ -334,15 +340,7 @@
       RunKey key, RunOutcome outcome, String checkpoint, long sequence, String reason) {
     runs.remove(key);
     room.release(key);
-    ends.add(
-        key,
-        EndReport.newBuilder()
-            .setTask(WorkflowRecords.encode(key))
-            .setOutcome(outcome.number())
-            .setCheckpoint(checkpoint)
-            .setSequence(sequence)
-            .setReason(reason)
-            .build());
+    ends.add(key, outcome, checkpoint, sequence, reason);
     if (outcome != RunOutcome.DONE) {
       LOG.info(
           LogLine.of("run-over")
@@ -361,12 +359,8 @@
   }
 
   private void look() {
-    if (closed || listing) {
-      return;
-    }
-    listing = true;
     // A worker that did not answer may have taken the last deadline; it must be able to pass.
-    OptionalLong until = silent ? OptionalLong.empty() : time.extend(held());
+    OptionalLong until = silence.lasts() ? OptionalLong.empty() : time.extend(held());
     long wait = serving() > 0 ? WAIT_SERVING_MILLIS : WAIT_MILLIS;
     Set<RunKey> confirmed = new HashSet<>();
     runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
@@ -376,7 +370,7 @@
   }
 
   private void listed(ListingResult result, Set<RunKey> confirmed) {
-    listing = false;
+    turns.ended();
     if (closed) {
       return;
     }
@@ -384,17 +378,17 @@
       gone("it answered as another one");
       return;
     }
+    // Planned first: without a next listing owners would believe for good that all this runs.
+    turns.after(RETRY_NANOS);
     if (result instanceof NoListing failed) {
-      LOG.info(LogLine.of("worker-silent").with("worker", worker).with("reason", failed.reason()));
-      silent = true;
+      silence.failed(failed.reason(), loop.now()).ifPresent(LOG::info);
       unhealthy();
       if (time.isOver()) {
         leaseIsOver();
       }
-      loop.schedule(this::look, RETRY_NANOS);
       return;
     }
-    silent = false;
+    silence.answered(loop.now()).ifPresent(LOG::info);
     Listing shown = (Listing) result;
     time.read(shown.workerClock());
     takeListing(shown, confirmed);
@@ -403,9 +397,9 @@
       listener.changed();
     }
     if (ends.isAllNoted()) {
-      look();
+      turns.now();
     } else {
-      loop.schedule(this::look, NOTE_WAIT_NANOS);
+      turns.after(NOTE_WAIT_NANOS);
     }
   }
 
@@ -458,7 +452,6 @@
               .with("run", row.run())
               .with("worker", worker));
       run = new SideRun(row.run(), partitionOf(row.run()), Optional.empty());
-      run.confirm();
       runs.put(row.run(), run);
     }
     boolean first = !run.isListed();
@@ -489,6 +482,7 @@
       return;
     }
     closed = true;
+    turns.close();
     LOG.info(
         LogLine.of("worker-gone")
             .with("worker", worker)
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -0,0 +1,202 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.protocol.EndReport;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.TaskKey;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class WorkerSessionTest {
+  private static final String WORKER = "life-1";
+  private static final LeaseTermsOfWorker TERMS = LeaseTermsOfWorker.forLongestLease(10_000);
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final ScriptedWorker worker = new ScriptedWorker(time);
+  private final ThrowingListener listener = new ThrowingListener();
+  private final WorkerSession session =
+      new WorkerSession(
+          time.loop(),
+          worker,
+          new WorkerHeartbeat(
+              WORKER,
+              "service",
+              "zone",
+              ImmutableList.of(),
+              "",
+              new Sizes(16_000, 1L << 33, 0),
+              false,
+              1),
+          worker.listing(),
+          1,
+          TERMS,
+          listener);
+
+  private static RunKey run(int index) {
+    return new RunKey(new TaskKey(7, 0, 0, index), 1);
+  }
+
+  private void hearOwner() {
+    session.evidence(0, 1, session.workerClock());
+  }
+
+  private void start(int index) {
+    hearOwner();
+    RunKey key = run(index);
+    session.start(
+        key,
+        StartRun.newBuilder().setTask(WorkflowRecords.encode(key)).setMilliProcessors(500).build(),
+        "program");
+  }
+
+  /** Has time pass with an owner that is heard all the while. */
+  private void pass(long millis) {
+    for (long passed = 0; passed < millis; passed += 100) {
+      hearOwner();
+      time.advance(100);
+    }
+  }
+
+  private List<RunOutcome> outcomes() {
+    return session.ends().stream().map(end -> RunOutcome.forNumber(end.getOutcome())).toList();
+  }
+
+  private void noteAllEnds() {
+    for (EndReport end : List.copyOf(session.ends())) {
+      session.noted(WorkflowRecords.decode(end.getTask()));
+      time.advance(20);
+    }
+  }
+
+  /**
+   * A worker goes for good while it runs five tasks. Their owner notes the five ends one by one,
+   * and from then on the side process asked in vain five times as often as before, for the rest of
+   * the day.
+   */
+  @Test
+  void aSilentWorkerIsAskedByOneChainOfListings() {
+    session.start();
+    for (int index = 0; index < 5; index++) {
+      start(index);
+    }
+    pass(2_000);
+    worker.fallSilent(1);
+    pass(10_000);
+    assertEquals(5, outcomes().size());
+    noteAllEnds();
+    int before = worker.listings();
+    pass(3_000);
+    int asked = worker.listings() - before;
+    assertTrue(9 <= asked && asked <= 11, "asked " + asked + " times in three seconds");
+  }
+
+  /**
+   * A worker hangs, so that each listing fails only after its whole time. Between two of them the
+   * VM looked sound, was given tasks, and held each up for seconds, again and again.
+   */
+  @Test
+  void aSilentWorkerIsGivenNothingUntilItAnswers() {
+    session.start();
+    pass(1_000);
+    assertFalse(session.isUnhealthy());
+    worker.fallSilent(2_000);
+    pass(4_000);
+    for (int i = 0; i < 60; i++) {
+      assertTrue(session.isUnhealthy(), "sound at " + time.millis() + " ms");
+      pass(100);
+    }
+    worker.answerAgain();
+    pass(6_000);
+    assertFalse(session.isUnhealthy());
+  }
+
+  /** An order that was on its way when the worker fell silent was held up for seconds. */
+  @Test
+  void anOrderForASilentWorkerIsRefusedAtOnce() {
+    session.start();
+    pass(1_000);
+    worker.fallSilent(1);
+    pass(2_000);
+    start(0);
+    assertEquals(List.of(RunOutcome.REFUSED), outcomes());
+  }
+
+  /**
+   * A side process was restarted, and the owner of what its worker ran was out of reach. To the
+   * other owners the VM looked empty: all that waited was sent there and refused, again and again,
+   * though other VMs had room.
+   */
+  @Test
+  void aVmIsOfferedNothingWhileItsRunsAreNotKnown() {
+    worker.run(run(0));
+    session.start();
+    pass(1_000);
+    assertTrue(session.isUnhealthy());
+    start(0);
+    pass(100);
+    assertFalse(session.isUnhealthy());
+  }
+
+  /**
+   * A start was left without an answer, and a listing showed the run before the next try. Later the
+   * worker listed it no more, nor an end of it: the owner took it for running for good.
+   */
+  @Test
+  void aRunThatIsListedNoMoreIsOverThoughNoOrderWasAnswered() {
+    session.start();
+    pass(700);
+    worker.leaveStartsUnanswered(true);
+    start(0);
+    pass(2_000);
+    assertTrue(session.runs().iterator().next().isListed());
+    assertEquals(List.of(), outcomes());
+    worker.forget(run(0));
+    pass(6_000);
+    assertEquals(List.of(RunOutcome.FORGOTTEN), outcomes());
+  }
+
+  /**
+   * An answer of the worker could not be taken in, by a fault of ours. The side process never asked
+   * again, and went on to report what ran then.
+   */
+  @Test
+  void anAnswerThatCannotBeTakenInIsNotTheLast() {
+    session.start();
+    pass(1_000);
+    start(0);
+    pass(100);
+    listener.throwOnce();
+    pass(3_000);
+    int before = worker.listings();
+    pass(3_000);
+    assertTrue(worker.listings() > before, "asked no more");
+  }
+
+  /** What changes does not matter here; can be told to throw. */
+  private static final class ThrowingListener implements WorkerSession.Listener {
+    private boolean throwing;
+
+    void throwOnce() {
+      throwing = true;
+    }
+
+    @Override
+    public void changed() {
+      if (throwing) {
+        throwing = false;
+        throw new IllegalStateException("told to throw");
+      }
+    }
+
+    @Override
+    public void gone(WorkerSession session) {}
+  }
+}
