Fold a side process's repeated refusals and paces

The first of a kind is written at once, the rest of 1.5 s as one with a count. Runs that may have worked are told one by one as before.

--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunOverLog.java
@@ -0,0 +1,48 @@
+package io.marigoldsail.daemon.workflow;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.FoldedLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Tells of the runs that end on one worker otherwise than done.
+ *
+ * <p>Refusals with the same reason are folded: a full VM refuses many times a second, and each
+ * refusal stands in its owner's log as {@code run-ended} with the reason. A run that may have
+ * worked is always told by itself. Confined to the loop's thread.
+ */
+final class RunOverLog {
+  private static final EventLog LOG = EventLog.of(RunOverLog.class);
+
+  /** How long refusals with the same reason are gathered, in nanoseconds. */
+  private static final long FOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  private final String worker;
+  private final FoldedLog refusals;
+
+  RunOverLog(LinkLoop loop, String worker) {
+    this.worker = worker;
+    this.refusals = new FoldedLog(LOG::info, loop::schedule, FOLD_NANOS);
+  }
+
+  void over(RunKey run, RunOutcome outcome, String reason) {
+    if (outcome == RunOutcome.DONE) {
+      return;
+    }
+    LogLine line =
+        LogLine.of("run-over")
+            .with("run", run)
+            .with("outcome", outcome)
+            .with("reason", reason)
+            .with("worker", worker);
+    if (outcome.ran()) {
+      LOG.info(line);
+    } else {
+      refusals.tell("refused: " + reason, line);
+    }
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
@@ -4,6 +4,7 @@
 
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.FoldedLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Accepted;
 import io.marigoldsail.workflow.FillPacer;
@@ -23,18 +24,23 @@
   /** Between two lines about the load of a worker, in nanoseconds. */
   private static final long TELL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  /** How long changes of the share are gathered before the last is told, in nanoseconds. */
+  private static final long FOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
   private final LinkLoop loop;
   private final WorkerGateway gateway;
   private final String worker;
   private final FillPacer pacer = new FillPacer();
   private final ImageHarm harm = new ImageHarm();
   private final Map<String, Boolean> suspected = new HashMap<>();
+  private final FoldedLog paces;
   private long toldAt = Long.MIN_VALUE;
 
   RunPacing(LinkLoop loop, WorkerGateway gateway, String worker) {
     this.loop = requireNonNull(loop, "loop");
     this.gateway = requireNonNull(gateway, "gateway");
     this.worker = requireNonNull(worker, "worker");
+    this.paces = new FoldedLog(LOG::info, loop::schedule, FOLD_NANOS);
   }
 
   int percent() {
@@ -92,7 +98,8 @@
     int after =
         pacer.observe(readings, hasAny(fillings, true), hasAny(fillings, false), loop.now());
     if (before != after) {
-      LOG.info(
+      paces.tell(
+          "fill-paced",
           LogLine.of("fill-paced")
               .with("worker", worker)
               .with("percent", after)
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -77,6 +77,7 @@
   private final RunPacing pacing;
   private final StartAdmission admission;
   private final EndLedger ends = new EndLedger();
+  private final RunOverLog overs;
   private final Map<RunKey, SideRun> runs = new LinkedHashMap<>();
   private WorkerHeartbeat heartbeat;
   private long unhealthyUntil = Long.MIN_VALUE;
@@ -101,6 +102,7 @@
     this.listener = requireNonNull(listener, "listener");
     this.time = new WorkerTime(loop, terms, first.workerClock());
     this.pacing = new RunPacing(loop, gateway, worker);
+    this.overs = new RunOverLog(loop, worker);
     this.admission = new StartAdmission(time, room, pacing);
     room.capacity(heartbeat.capacity());
     takeListing(first, Set.of());
@@ -340,14 +342,7 @@
             .setSequence(sequence)
             .setReason(reason)
             .build());
-    if (outcome != RunOutcome.DONE) {
-      LOG.info(
-          LogLine.of("run-over")
-              .with("run", key)
-              .with("outcome", outcome)
-              .with("reason", reason)
-              .with("worker", worker));
-    }
+    overs.over(key, outcome, reason);
     listener.changed();
   }
 
