Tell of lasting tasks that nobody sees at work

Users had lasting tasks that ran nowhere for 44 s beside free room, and the logs could not tell whether their owner took them to be at work, found no VM, or whether no owner knew of them. An owner now tells of each such task what it believes and by which reports (task-absent), when it is back (task-back), and each 10 s which partitions it watches (tasks-watched); workflow-submitted names the workflow's partition, so that silence of all owners can be told from a workflow nobody owns. What is told is bounded: one line a task in 5 s, four tasks a look, the rest as a number.

It goes by reports of workers that answer, not by open attempts: a side process goes on naming what ran on a worker that is gone.

EntryVms' judgement on a VM became VmStanding, to be told and not only used; the conditions are the same.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -265,6 +265,35 @@
     return waiting;
   }
 
+  /**
+   * Returns why a ready task has no order out, as if nothing else waited.
+   *
+   * @param offers the VMs that may be given work now
+   */
+  WaitCause causeOf(OwnedPartition partition, WorkflowTask task, Collection<VmOffer> offers) {
+    Optional<QueueTable> queues = configuration.get();
+    if (queues.isEmpty()) {
+      return WaitCause.NO_CONFIGURATION;
+    }
+    if (!queues.get().uses(task.workflow().spec().terms().service())) {
+      return WaitCause.SERVICE_UNUSED;
+    }
+    Urgency urgency = WaitingOrder.rank(task.workflow(), wallMillis.getAsLong()).urgency();
+    Waiting ranked = new Waiting(partition, task, urgency);
+    Waiting waiting = VmOffer.isRoomy(offers) ? ranked : ranked.calmed();
+    if (!isDue(waiting, loop.now())) {
+      return WaitCause.WAITS;
+    }
+    if (offers.isEmpty()) {
+      return WaitCause.NO_VM_OFFERED;
+    }
+    if (choose(waiting, offers).isEmpty()) {
+      return WaitCause.NONE_ADMITS;
+    }
+    boolean unadvised = isAdvised(task) && choose(waiting, advice.allowed(task, offers)).isEmpty();
+    return unadvised ? WaitCause.UNADVISED : WaitCause.ADMITTED;
+  }
+
   private static boolean isFirstOfGang(WorkflowTask task) {
     return !task.step().nature().gang() || task.key().index() == 0;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -44,9 +44,6 @@
 final class EntryVms {
   private static final EventLog LOG = EventLog.of(EntryVms.class);
 
-  /** A VM that was silent for this long gets no new work, in nanoseconds: three reports missed. */
-  private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
-
   /** Between two orders to stop the same run, in nanoseconds. */
   private static final long STOP_REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
@@ -69,6 +66,7 @@
   private final OpenRuns openRuns = new OpenRuns();
   private final Map<String, Long> lastGrant = new HashMap<>();
   private final FleetKnowledge knowledge = new FleetKnowledge();
+  private final VmView view;
   private boolean flushScheduled;
 
   EntryVms(
@@ -82,6 +80,7 @@
     this.terms = requireNonNull(terms, "terms");
     this.wallMillis = requireNonNull(wallMillis, "wallMillis");
     this.listener = requireNonNull(listener, "listener");
+    this.view = new VmView(loop, newest, openRuns, knowledge);
   }
 
   /** Follows the runs that former owners of the partition ordered. */
@@ -395,7 +394,7 @@
     for (String vm : openRuns.vms()) {
       VmSession session = newest.get(vm);
       boolean tellsOfWorker = session != null && session.place().isPresent();
-      if (tellsOfWorker && now - session.reportedAt() < SILENT_NANOS) {
+      if (tellsOfWorker && now - session.reportedAt() < VmStanding.SILENT_NANOS) {
         continue;
       }
       long granted = lastGrant.getOrDefault(vm, Long.MIN_VALUE);
@@ -409,19 +408,15 @@
     }
   }
 
+  VmView view() {
+    return view;
+  }
+
   /** Returns the VMs that may be given work now. */
   List<VmOffer> offers() {
     List<VmOffer> offers = new ArrayList<>();
     for (VmSession session : newest.values()) {
-      VmReport report = session.report();
-      boolean usable =
-          !report.getWorker().isEmpty()
-              && !report.getDraining()
-              && !report.getUnhealthy()
-              && !session.hasRunsOfUnknownSize()
-              && !knowledge.rests(report.getVm(), loop.now())
-              && loop.now() - session.reportedAt() < SILENT_NANOS;
-      if (usable) {
+      if (view.standing(session) == VmStanding.OFFERED) {
         offers.add(session.offer(openRuns.on(session.vm()), knowledge, loop.now()));
       }
     }
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/TaskWatch.java
@@ -0,0 +1,223 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.protocol.RunReport;
+import io.marigoldsail.workflow.AbsenceWatch;
+import io.marigoldsail.workflow.AbsenceWatch.Absence;
+import io.marigoldsail.workflow.AbsenceWatch.Look;
+import io.marigoldsail.workflow.AbsenceWatch.Return;
+import io.marigoldsail.workflow.AbsenceWatch.Sight;
+import io.marigoldsail.workflow.Place;
+import io.marigoldsail.workflow.VmOffer;
+import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowTask;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Tells of lasting tasks of the owned partitions that nobody sees at work, with what this owner
+ * believes of each.
+ *
+ * <p>A task is seen at work by a report that shows its open attempt as started, on the worker that
+ * it was ordered on, while that worker answers its side process: a side process beside a worker
+ * that is gone goes on naming what ran there. Also tells each {@link #SUMMARY_NANOS} which
+ * partitions are owned here, so that a task of which no owner says anything shows too.
+ *
+ * <p>Decides nothing about tasks. Confined to the loop's thread; a look takes time in the number of
+ * tasks of running workflows.
+ */
+final class TaskWatch {
+  private static final EventLog LOG = EventLog.of(TaskWatch.class);
+
+  /** Between two lines on what is watched, in nanoseconds. */
+  static final long SUMMARY_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  private final LinkLoop loop;
+  private final LongSupplier wallMillis;
+  private final Ownership ownership;
+  private final EntryVms vms;
+  private final EntryScheduler scheduler;
+  private final AbsenceWatch watch = new AbsenceWatch();
+  private long summaryAt = Long.MIN_VALUE;
+  private long leftOut;
+
+  TaskWatch(
+      LinkLoop loop,
+      LongSupplier wallMillis,
+      Ownership ownership,
+      EntryVms vms,
+      EntryScheduler scheduler) {
+    this.loop = requireNonNull(loop, "loop");
+    this.wallMillis = requireNonNull(wallMillis, "wallMillis");
+    this.ownership = requireNonNull(ownership, "ownership");
+    this.vms = requireNonNull(vms, "vms");
+    this.scheduler = requireNonNull(scheduler, "scheduler");
+  }
+
+  /** Looks once; to be called about each second. */
+  void look() {
+    Look look = watch.look(sights(), loop.now());
+    look.returns().forEach(this::tellBack);
+    if (!look.absences().isEmpty()) {
+      List<VmOffer> offers = vms.offers();
+      String standings = standings();
+      look.absences().forEach(absence -> tellAbsent(absence, offers, standings));
+    }
+    leftOut += look.absencesLeftOut() + look.returnsLeftOut();
+    summarize(look);
+  }
+
+  private ImmutableList<Sight> sights() {
+    ImmutableList.Builder<Sight> sights = ImmutableList.builder();
+    long wall = wallMillis.getAsLong();
+    for (OwnedPartition partition : ownership.active()) {
+      for (Workflow workflow : partition.workflows()) {
+        if (!workflow.status().isTerminal() && lasts(workflow)) {
+          workflow.openTasks().stream()
+              .filter(TaskWatch::lasts)
+              .forEach(task -> sights.add(sight(task)));
+          workflow.forEachReady(
+              wall,
+              task -> {
+                if (lasts(task)) {
+                  sights.add(new Sight(task, OptionalLong.empty(), OptionalLong.empty()));
+                }
+              });
+        }
+      }
+    }
+    return sights.build();
+  }
+
+  private static boolean lasts(Workflow workflow) {
+    return workflow.spec().steps().stream().anyMatch(step -> step.nature().lasting());
+  }
+
+  private static boolean lasts(WorkflowTask task) {
+    return task.step().nature().lasting();
+  }
+
+  private Sight sight(WorkflowTask task) {
+    Place place = task.place().orElseThrow();
+    Optional<VmSession> session = vms.view().session(place.vm());
+    Optional<RunReport> named = session.flatMap(each -> each.run(task.openRun()));
+    if (named.isEmpty()) {
+      return new Sight(task, OptionalLong.empty(), OptionalLong.empty());
+    }
+    OptionalLong namedAt = OptionalLong.of(session.get().reportedAt());
+    boolean answers =
+        session.get().report().getWorker().equals(place.worker())
+            && !session.get().report().getUnhealthy();
+    boolean seen = answers && named.get().getStarted();
+    return new Sight(task, seen ? namedAt : OptionalLong.empty(), namedAt);
+  }
+
+  private void tellAbsent(Absence absence, List<VmOffer> offers, String standings) {
+    WorkflowTask task = absence.task();
+    long now = loop.now();
+    LogLine line =
+        LogLine.of("task-absent")
+            .with("task", task.key())
+            .with("partition", partitionOf(task).number())
+            .with("absent_ms", TimeUnit.NANOSECONDS.toMillis(now - absence.since()))
+            .with("since", absence.seenBefore() ? "seen at work" : "looked for here")
+            .with("named_ms", age(absence.namedAt()));
+    Optional<Place> place = task.place();
+    LOG.info(
+        place.isPresent()
+            ? withOpenRun(line, task, place.get())
+            : withWait(line, task, offers, standings));
+  }
+
+  private LogLine withOpenRun(LogLine line, WorkflowTask task, Place place) {
+    Optional<VmSession> session = vms.view().session(place.vm());
+    boolean durable = vms.view().openRun(task).map(OpenRun::isDurable).orElse(false);
+    return line.with("belief", "open")
+        .with("run", task.openRun())
+        .with("vm", place.vm())
+        .with("worker", place.worker())
+        .with("durable", durable)
+        .with("started", task.isStarted())
+        .with("stop_wanted", task.isStopWanted())
+        .with("vm_worker", session.map(each -> each.report().getWorker()).orElse(""))
+        .with(
+            "vm_is",
+            session.map(vms.view()::standing).map(VmStanding::toString).orElse("disconnected"))
+        .with(
+            "vm_report_ms",
+            age(session.map(VmSession::reportedAt).map(OptionalLong::of).orElse(noTime())));
+  }
+
+  private LogLine withWait(
+      LogLine line, WorkflowTask task, List<VmOffer> offers, String standings) {
+    return line.with("belief", "ready")
+        .with("reason", scheduler.causeOf(partitionOf(task), task, offers))
+        .with("offered", offers.size())
+        .with("vms", standings)
+        .with("attempts", task.lastAttempt())
+        .with("refusals", task.refusals());
+  }
+
+  private OwnedPartition partitionOf(WorkflowTask task) {
+    int number = ownership.partitionOf(task.key().workflow());
+    return ownership.active(number).orElseThrow();
+  }
+
+  private static OptionalLong noTime() {
+    return OptionalLong.empty();
+  }
+
+  private String age(OptionalLong at) {
+    return at.isEmpty()
+        ? "none"
+        : String.valueOf(TimeUnit.NANOSECONDS.toMillis(loop.now() - at.getAsLong()));
+  }
+
+  /** Returns how many of the connected VMs stand how, such as {@code 3 offered, 1 rests}. */
+  private String standings() {
+    Map<VmStanding, Integer> counts = new EnumMap<>(VmStanding.class);
+    vms.view()
+        .sessions()
+        .forEach(session -> counts.merge(vms.view().standing(session), 1, Integer::sum));
+    List<String> texts = new ArrayList<>();
+    counts.forEach((standing, count) -> texts.add(count + " " + standing));
+    return String.join(", ", texts);
+  }
+
+  private void tellBack(Return back) {
+    WorkflowTask task = back.task();
+    LOG.info(
+        LogLine.of("task-back")
+            .with("task", task.key())
+            .with("away_ms", TimeUnit.NANOSECONDS.toMillis(back.awayNanos()))
+            .with("run", task.openRun())
+            .with("vm", task.place().orElseThrow().vm()));
+  }
+
+  private void summarize(Look look) {
+    boolean due = summaryAt == Long.MIN_VALUE || loop.now() - summaryAt >= SUMMARY_NANOS;
+    if (!due) {
+      return;
+    }
+    summaryAt = loop.now();
+    List<Integer> partitions = ownership.active().stream().map(OwnedPartition::number).toList();
+    LOG.info(
+        LogLine.of("tasks-watched")
+            .with("lasting", look.lasting())
+            .with("absent", look.away())
+            .with("untold", leftOut)
+            .with("partitions", partitions));
+    leftOut = 0;
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.workflow;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.job.Sizes;
@@ -31,7 +32,7 @@
   private VmReport report;
   private long reportedAt;
   private ImmutableSet<String> labels = ImmutableSet.of();
-  private ImmutableSet<RunKey> runs = ImmutableSet.of();
+  private ImmutableMap<RunKey, RunReport> runs = ImmutableMap.of();
   private RunOrders.Builder orders = RunOrders.newBuilder();
   private final Set<Long> programsInFrame = new HashSet<>();
   private long lastNumber;
@@ -46,10 +47,9 @@
     if (report == null || !report.getLabelsList().equals(newest.getLabelsList())) {
       labels = ImmutableSet.copyOf(newest.getLabelsList());
     }
-    runs =
-        newest.getRunsList().stream()
-            .map(run -> WorkflowRecords.decode(run.getTask()))
-            .collect(ImmutableSet.toImmutableSet());
+    ImmutableMap.Builder<RunKey, RunReport> named = ImmutableMap.builder();
+    newest.getRunsList().forEach(run -> named.put(WorkflowRecords.decode(run.getTask()), run));
+    runs = named.buildKeepingLast();
     report = newest;
     reportedAt = now;
   }
@@ -71,9 +71,9 @@
     return report.getVm();
   }
 
-  /** Returns the runs of the last report. */
-  ImmutableSet<RunKey> runs() {
-    return runs;
+  /** Returns what the last report says of the run, or empty if it does not name it. */
+  Optional<RunReport> run(RunKey key) {
+    return Optional.ofNullable(runs.get(key));
   }
 
   /**
@@ -123,7 +123,7 @@
     int serving = report.getServing();
     for (OpenRun run : open) {
       WorkflowTask task = run.task();
-      if (!runs.contains(task.openRun())) {
+      if (!runs.containsKey(task.openRun())) {
         free = free.minus(task.step().booked());
         long fills = task.step().nature().fills() ? task.step().sizes().milliProcessors() : 0;
         fill += fills;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -48,6 +48,7 @@
   private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   private static final long COUNTS_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
   private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(5);
+  private static final long WATCH_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final int MAX_LINKS = 2_000;
 
   private final LinkLoop loop;
@@ -58,6 +59,7 @@
   private final EntryPeers peers;
   private final EntryVms vms;
   private final EntryScheduler scheduler;
+  private final TaskWatch watch;
   private final SubmissionWriter submissions;
   private final LinkServer server;
   private volatile Optional<QueueTable> configuration = Optional.empty();
@@ -96,6 +98,7 @@
             VmChooser.of(terms.farRackFactor()),
             adviser,
             () -> this.configuration);
+    this.watch = new TaskWatch(loop, wallMillis, ownership, vms, scheduler);
     this.submissions = new SubmissionWriter(store, loop);
     this.server = new LinkServer(loop, address, MAX_LINKS, new Incoming());
   }
@@ -111,6 +114,7 @@
     loop.repeat(this::renew, RENEW_NANOS);
     loop.repeat(this::sweep, SWEEP_NANOS);
     loop.repeat(() -> peers.tick(waitingHere()), COUNTS_NANOS);
+    loop.repeat(watch::look, WATCH_NANOS);
     loop.repeat(this::forgetEnded, FORGET_NANOS);
   }
 
@@ -165,6 +169,7 @@
     LOG.info(
         LogLine.of("workflow-submitted")
             .with("workflow", WorkflowIds.format(spec.id()))
+            .with("partition", ownership.partitionOf(spec.id()))
             .with("queue", spec.queue())
             .with("steps", spec.steps().size())
             .with("configuration", configuration.map(QueueTable::version).orElse(0L))
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -33,8 +33,6 @@
   private static final long LONGEST_LEASE_MILLIS = 4_000;
   private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(40);
   private static final long BEAT_MILLIS = 150;
-  private static final LeaseTermsOfWorker LEASE =
-      LeaseTermsOfWorker.forLongestLease(LONGEST_LEASE_MILLIS);
 
   /** An entry with what the test needs to take it down. */
   record RunningEntry(
@@ -49,8 +47,18 @@
   private final FakeAdviser adviser = new FakeAdviser();
   private final List<RunningEntry> entries = new ArrayList<>();
   private final Map<String, RunningSide> sides = new HashMap<>();
+  private final LeaseTermsOfWorker lease;
   private long beats;
 
+  WorkflowWorld() {
+    this(LONGEST_LEASE_MILLIS);
+  }
+
+  /** Creates a world whose workers grant leases of this length at most. */
+  WorkflowWorld(long longestLeaseMillis) {
+    this.lease = LeaseTermsOfWorker.forLongestLease(longestLeaseMillis);
+  }
+
   FakeAdviser adviser() {
     return adviser;
   }
@@ -79,7 +87,7 @@
     LinkLoop loop = new LinkLoop("entry-" + port, MonotonicClock.system());
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
     RefusingStore reached = new RefusingStore(store);
-    EntryTerms terms = new EntryTerms(LEASE, 60_000, 1.5);
+    EntryTerms terms = new EntryTerms(lease, 60_000, 1.5);
     WorkflowEntry entry =
         new WorkflowEntry(loop, reached, address, System::currentTimeMillis, adviser, terms);
     entry.start();
@@ -104,7 +112,7 @@
 
   private void startSide(String vm, FakeWorkerGateway worker) {
     LinkLoop loop = new LinkLoop("side-" + vm, MonotonicClock.system());
-    WorkflowSide side = new WorkflowSide(loop, store, worker, vm, LEASE);
+    WorkflowSide side = new WorkflowSide(loop, store, worker, vm, lease);
     side.start();
     sides.put(vm, new RunningSide(vm, side, loop, worker));
     timer.scheduleAtFixedRate(() -> beat(vm), 1, BEAT_MILLIS, TimeUnit.MILLISECONDS);
