Say of an absent task what each VM and the last report have against it

VmChooser's test is now a verdict with its reason, the choice goes by it as before; task-absent counts the verdicts. An open run says what the last report made of it, and one that is being stopped counts as not seen at work.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/AbsenceWatch.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/AbsenceWatch.java
@@ -77,7 +77,8 @@
    * @param lasting how many tasks were looked for
    * @param away how many of them are away
    * @param absences those away to be told now
-   * @param absencesLeftOut how many more would have been told now but for the bound
+   * @param absencesLeftOut how many more would have been told now but for the bound; they come
+   *     first with the next look
    * @param returns those back to be told now
    * @param returnsLeftOut how many more are back
    */
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -43,6 +43,34 @@
    */
   static final long FILL_AGAINST_SERVING = 20;
 
+  /** Whether a VM may be given a task, or what forbids it. */
+  public enum Verdict {
+    /** It may. */
+    ADMITTED("admit it"),
+    /** It runs tasks of another service. */
+    OTHER_SERVICE("of another service"),
+    /** It lacks the label that the step requires. */
+    NO_LABEL("without its label"),
+    /** What the task books is not free. */
+    NO_ROOM("without room"),
+    /** The task would fill, and too much does already. */
+    CROWDED("filled"),
+    /** As many tasks of the step are on it as may share a VM. */
+    ENOUGH_OF_STEP("with enough of its step");
+
+    private final String text;
+
+    Verdict(String text) {
+      this.text = text;
+    }
+
+    /** Returns the words for logs. */
+    @Override
+    public String toString() {
+      return text;
+    }
+  }
+
   private final double farRackFactor;
 
   private VmChooser(double farRackFactor) {
@@ -128,23 +156,34 @@
 
   private static boolean admits(
       PlacementWish wish, VmOffer offer, ToIntFunction<VmOffer> ofStepOn) {
+    return verdict(wish, offer, ofStepOn) == Verdict.ADMITTED;
+  }
+
+  /**
+   * Returns whether a VM may be given the task, or the first thing that forbids it.
+   *
+   * @param ofStepOn how many tasks of the same step and occurrence are on a VM
+   */
+  public static Verdict verdict(
+      PlacementWish wish, VmOffer offer, ToIntFunction<VmOffer> ofStepOn) {
     if (!offer.service().equals(wish.spec().terms().service())) {
-      return false;
+      return Verdict.OTHER_SERVICE;
     }
     StepSpec step = wish.step();
     StepSpec.Placement placement = step.placement();
     if (!placement.requiredLabel().isEmpty()
         && !offer.labels().contains(placement.requiredLabel())) {
-      return false;
+      return Verdict.NO_LABEL;
     }
     if (!step.booked().fitsIn(offer.free())) {
-      return false;
+      return Verdict.NO_ROOM;
     }
     boolean crowds = step.nature().fills() && !hasRoomToFill(step, wish.harm(), offer);
     if (crowds && wish.urgency() != Urgency.STARVED) {
-      return false;
+      return Verdict.CROWDED;
     }
-    return placement.maxPerVm() == 0 || ofStepOn.applyAsInt(offer) < placement.maxPerVm();
+    boolean spread = placement.maxPerVm() == 0 || ofStepOn.applyAsInt(offer) < placement.maxPerVm();
+    return spread ? Verdict.ADMITTED : Verdict.ENOUGH_OF_STEP;
   }
 
   private static boolean hasRoomToFill(StepSpec step, double harm, VmOffer offer) {
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -6,6 +6,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.workflow.VmChooser.Verdict;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -231,4 +232,29 @@
             offer -> offer.place().vm().equals("a") ? 1 : 0);
     assertEquals("b", chosen.orElseThrow().place().vm());
   }
+
+  private static Verdict verdict(StepSpec step, VmOffer offer, int ofStepOn) {
+    PlacementWish wish = Workflows.wish(step, ImageHarm.UNKNOWN, Urgency.ORDINARY);
+    return VmChooser.verdict(wish, offer, unused -> ofStepOn);
+  }
+
+  private static StepSpec placed(StepSpec step, StepSpec.Placement placement) {
+    return new StepSpec(1, step.sizes(), 1, ImmutableList.of(), placement, step.nature());
+  }
+
+  /** What an engineer reads of a task that no VM admits is what the choice goes by. */
+  @Test
+  void aVmThatIsNoChoiceSaysWhy() {
+    StepSpec plain = Workflows.step(1, 5_000, StepSpec.Nature.PLAIN);
+    StepSpec heavy = Workflows.step(1, 5_000, Workflows.filling());
+    VmOffer free = Workflows.offer("a", 9_000, 0, 0);
+    StepSpec labelled = placed(plain, new StepSpec.Placement("rack-b", "", false, 0));
+    StepSpec spread = placed(plain, new StepSpec.Placement("", "", false, 2));
+    assertEquals(Verdict.ADMITTED, verdict(plain, free, 7));
+    assertEquals(Verdict.NO_LABEL, verdict(labelled, free, 0));
+    assertEquals(Verdict.NO_ROOM, verdict(plain, Workflows.offer("a", 4_999, 0, 0), 0));
+    assertEquals(Verdict.CROWDED, verdict(heavy, Workflows.offer("a", 9_000, 20_000, 0), 0));
+    assertEquals(Verdict.ADMITTED, verdict(spread, free, 1));
+    assertEquals(Verdict.ENOUGH_OF_STEP, verdict(spread, free, 2));
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -2,7 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.EnumMultiset;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Multiset;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -294,6 +296,18 @@
     return unadvised ? WaitCause.UNADVISED : WaitCause.ADMITTED;
   }
 
+  /** Returns what the VMs offered say to a ready task, such as {@code 6 without room}. */
+  String verdictsOn(WorkflowTask task, Collection<VmOffer> offers) {
+    Urgency urgency = WaitingOrder.rank(task.workflow(), wallMillis.getAsLong()).urgency();
+    Multiset<VmChooser.Verdict> verdicts = EnumMultiset.create(VmChooser.Verdict.class);
+    for (VmOffer offer : offers) {
+      verdicts.add(
+          VmChooser.verdict(
+              wish(task, urgency, ""), offer, each -> vms.ofStepOn(each.place().vm(), task)));
+    }
+    return Tallies.text(verdicts);
+  }
+
   private static boolean isFirstOfGang(WorkflowTask task) {
     return !task.step().nature().gang() || task.key().index() == 0;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/TaskWatch.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/TaskWatch.java
@@ -2,7 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.EnumMultiset;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Multiset;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -16,10 +18,7 @@
 import io.marigoldsail.workflow.VmOffer;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowTask;
-import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -29,10 +28,11 @@
  * Tells of lasting tasks of the owned partitions that nobody sees at work, with what this owner
  * believes of each.
  *
- * <p>A task is seen at work by a report that shows its open attempt as started, on the worker that
- * it was ordered on, while that worker answers its side process: a side process beside a worker
- * that is gone goes on naming what ran there. Also tells each {@link #SUMMARY_NANOS} which
- * partitions are owned here, so that a task of which no owner says anything shows too.
+ * <p>A task is seen at work by a report that shows its open attempt as started and not being
+ * stopped, on the worker that it was ordered on, while that worker answers its side process: a side
+ * process beside a worker that is gone goes on naming what ran there. Also tells each {@link
+ * #SUMMARY_NANOS} which partitions are owned here, so that a task of which no owner says anything
+ * shows too.
  *
  * <p>Decides nothing about tasks. Confined to the loop's thread; a look takes time in the number of
  * tasks of running workflows.
@@ -40,7 +40,10 @@
 final class TaskWatch {
   private static final EventLog LOG = EventLog.of(TaskWatch.class);
 
-  /** Between two lines on what is watched, in nanoseconds. */
+  /**
+   * Between two lines on what is watched, in nanoseconds; {@link AbsenceWatch#REPEAT_NANOS} while
+   * more is away than is told.
+   */
   static final long SUMMARY_NANOS = TimeUnit.SECONDS.toNanos(10);
 
   private final LinkLoop loop;
@@ -50,7 +53,7 @@
   private final EntryScheduler scheduler;
   private final AbsenceWatch watch = new AbsenceWatch();
   private long summaryAt = Long.MIN_VALUE;
-  private long leftOut;
+  private long returnsLeftOut;
 
   TaskWatch(
       LinkLoop loop,
@@ -74,7 +77,7 @@
       String standings = standings();
       look.absences().forEach(absence -> tellAbsent(absence, offers, standings));
     }
-    leftOut += look.absencesLeftOut() + look.returnsLeftOut();
+    returnsLeftOut += look.returnsLeftOut();
     summarize(look);
   }
 
@@ -119,7 +122,7 @@
     boolean answers =
         session.get().report().getWorker().equals(place.worker())
             && !session.get().report().getUnhealthy();
-    boolean seen = answers && named.get().getStarted();
+    boolean seen = answers && named.get().getStarted() && !named.get().getStopping();
     return new Sight(task, seen ? namedAt : OptionalLong.empty(), namedAt);
   }
 
@@ -148,7 +151,7 @@
         .with("vm", place.vm())
         .with("worker", place.worker())
         .with("durable", durable)
-        .with("started", task.isStarted())
+        .with("reported", reported(session.flatMap(each -> each.run(task.openRun()))))
         .with("stop_wanted", task.isStopWanted())
         .with("vm_worker", session.map(each -> each.report().getWorker()).orElse(""))
         .with(
@@ -159,11 +162,21 @@
             age(session.map(VmSession::reportedAt).map(OptionalLong::of).orElse(noTime())));
   }
 
+  private static String reported(Optional<RunReport> run) {
+    if (run.isEmpty()) {
+      return "not";
+    }
+    if (run.get().getStopping()) {
+      return "stopping";
+    }
+    return run.get().getStarted() ? "started" : "ordered";
+  }
+
   private LogLine withWait(
       LogLine line, WorkflowTask task, List<VmOffer> offers, String standings) {
     return line.with("belief", "ready")
         .with("reason", scheduler.causeOf(partitionOf(task), task, offers))
-        .with("offered", offers.size())
+        .with("offers", scheduler.verdictsOn(task, offers))
         .with("vms", standings)
         .with("attempts", task.lastAttempt())
         .with("refusals", task.refusals());
@@ -186,13 +199,9 @@
 
   /** Returns how many of the connected VMs stand how, such as {@code 3 offered, 1 rests}. */
   private String standings() {
-    Map<VmStanding, Integer> counts = new EnumMap<>(VmStanding.class);
-    vms.view()
-        .sessions()
-        .forEach(session -> counts.merge(vms.view().standing(session), 1, Integer::sum));
-    List<String> texts = new ArrayList<>();
-    counts.forEach((standing, count) -> texts.add(count + " " + standing));
-    return String.join(", ", texts);
+    Multiset<VmStanding> standings = EnumMultiset.create(VmStanding.class);
+    vms.view().sessions().forEach(each -> standings.add(vms.view().standing(each)));
+    return Tallies.text(standings);
   }
 
   private void tellBack(Return back) {
@@ -206,8 +215,8 @@
   }
 
   private void summarize(Look look) {
-    boolean due = summaryAt == Long.MIN_VALUE || loop.now() - summaryAt >= SUMMARY_NANOS;
-    if (!due) {
+    long spacing = look.absencesLeftOut() > 0 ? AbsenceWatch.REPEAT_NANOS : SUMMARY_NANOS;
+    if (summaryAt != Long.MIN_VALUE && loop.now() - summaryAt < spacing) {
       return;
     }
     summaryAt = loop.now();
@@ -216,8 +225,9 @@
         LogLine.of("tasks-watched")
             .with("lasting", look.lasting())
             .with("absent", look.away())
-            .with("untold", leftOut)
+            .with("untold", look.absencesLeftOut())
+            .with("back_untold", returnsLeftOut)
             .with("partitions", partitions));
-    leftOut = 0;
+    returnsLeftOut = 0;
   }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/TaskWatchTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/TaskWatchTest.java
@@ -90,7 +90,7 @@
         "task-absent",
         71,
         " belief=open ",
-        " vm=vm-0 worker=life-1-vm-0 durable=true started=true ",
+        " vm=vm-0 worker=life-1-vm-0 durable=true reported=started ",
         " vm_worker=life-1-vm-0 vm_is=unhealthy ");
   }
 
@@ -103,7 +103,12 @@
     submit(72, LASTING);
     world.await("it is at work", () -> world.history().totalStarts() == 1);
     world.side("vm-0").loop().close();
-    awaitLine("task-absent", 72, " belief=open ", " vm_is=disconnected vm_report_ms=none");
+    awaitLine(
+        "task-absent",
+        72,
+        " belief=open ",
+        " reported=not ",
+        " vm_is=disconnected vm_report_ms=none");
   }
 
   /** No VM is there; once one is, the task is back, and a task that ends by itself was not told. */
@@ -117,7 +122,7 @@
         "task-absent",
         73,
         " since=\"looked for here\" named_ms=none belief=ready ",
-        " reason=\"no VM is offered\" offered=0 vms=\"\" attempts=0 refusals=0");
+        " reason=\"no VM is offered\" offers=\"\" vms=\"\" attempts=0 refusals=0");
     world.addSide("vm-0", RUN_MILLIS);
     awaitLine("task-back", 73, " vm=vm-0");
     assertTrue(lines.stream().noneMatch(line -> line.contains(WorkflowIds.format(74))));
@@ -142,6 +147,6 @@
                     line ->
                         line.startsWith("event=task-absent ")
                             && line.contains(" reason=\"none of the VMs offered admits it\" ")
-                            && line.contains(" offered=1 vms=\"1 offered\" ")));
+                            && line.contains(" offers=\"1 without room\" vms=\"1 offered\" ")));
   }
 }
