--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -2,7 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.EnumMultiset;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Multiset;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -312,6 +314,47 @@
     return waiting;
   }
 
+  /**
+   * Returns why a ready task has no order out, as if nothing else waited.
+   *
+   * @param offers the VMs that may be given work now
+   */
+  WaitCause causeOf(OwnedPartition partition, WorkflowTask task, Collection<VmOffer> offers) {
+    Optional<QueueTable> queues = configuration.get();
+    if (queues.isEmpty()) {
+      return WaitCause.NO_CONFIGURATION;
+    }
+    if (!queues.get().uses(task.workflow().spec().terms().service())) {
+      return WaitCause.SERVICE_UNUSED;
+    }
+    Urgency urgency = WaitingOrder.rank(task.workflow(), wallMillis.getAsLong()).urgency();
+    Waiting ranked = new Waiting(partition, task, urgency);
+    Waiting waiting = VmOffer.isRoomy(offers) ? ranked : ranked.calmed();
+    if (!isDue(waiting, loop.now())) {
+      return WaitCause.WAITS;
+    }
+    if (offers.isEmpty()) {
+      return WaitCause.NO_VM_OFFERED;
+    }
+    if (choose(waiting, offers).isEmpty()) {
+      return WaitCause.NONE_ADMITS;
+    }
+    boolean unadvised = isAdvised(task) && choose(waiting, advice.allowed(task, offers)).isEmpty();
+    return unadvised ? WaitCause.UNADVISED : WaitCause.ADMITTED;
+  }
+
+  /** Returns what the VMs offered say to a ready task, such as {@code 6 without room}. */
+  String verdictsOn(WorkflowTask task, Collection<VmOffer> offers) {
+    Urgency urgency = WaitingOrder.rank(task.workflow(), wallMillis.getAsLong()).urgency();
+    Multiset<VmChooser.Verdict> verdicts = EnumMultiset.create(VmChooser.Verdict.class);
+    for (VmOffer offer : offers) {
+      verdicts.add(
+          VmChooser.verdict(
+              wish(task, urgency, ""), offer, each -> vms.ofStepOn(each.place().vm(), task)));
+    }
+    return Tallies.text(verdicts);
+  }
+
   private static boolean isFirstOfGang(WorkflowTask task) {
     return !task.step().nature().gang() || task.key().index() == 0;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -80,6 +80,7 @@
   private final RunPacing pacing;
   private final StartAdmission admission;
   private final EndLedger ends = new EndLedger();
+  private final RunOverLog overs;
   private final Map<RunKey, SideRun> runs = new LinkedHashMap<>();
   private WorkerHeartbeat heartbeat;
   private long unhealthyUntil = Long.MIN_VALUE;
@@ -104,6 +105,7 @@
     this.listener = requireNonNull(listener, "listener");
     this.time = new WorkerTime(loop, terms, first.workerClock());
     this.pacing = new RunPacing(loop, gateway, worker);
+    this.overs = new RunOverLog(loop, worker);
     this.admission = new StartAdmission(time, room, pacing);
     this.turns = new ListingTurns(loop, this::look);
     this.silence = new WorkerSilence(worker);
@@ -341,14 +343,7 @@
     runs.remove(key);
     room.release(key);
     ends.add(key, outcome, checkpoint, sequence, reason);
-    if (outcome != RunOutcome.DONE) {
-      LOG.info(
-          LogLine.of("run-over")
-              .with("run", key)
-              .with("outcome", outcome)
-              .with("reason", reason)
-              .with("worker", worker));
-    }
+    overs.over(key, outcome, reason);
     listener.changed(partitionOf(key));
   }
 
