Test budgets, order, ends, cancels, leaving workers and services under trouble

One test fails for a real fault: a start without an answer is sent again to a worker that has said that it leaves (WorkerSession.retryStart does not look).

--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
@@ -33,12 +33,18 @@
   private final Map<TaskKey, Integer> over = new HashMap<>();
   private final Map<RunKey, Integer> speeds = new HashMap<>();
   private final List<String> tickets = new ArrayList<>();
+  private final List<RunKey> askedToStart = new ArrayList<>();
   private String life;
   private long sequence;
   private long deadline;
   private int startsToLose;
+  private int startsToDrop;
   private long lateMillis;
+  private int late;
   private boolean silent;
+  private boolean leaving;
+  private RunOutcome ending = RunOutcome.DONE;
+  private long gauge;
 
   FakeWorkerGateway(
       String life, ScheduledExecutorService timer, RunHistory history, long runMillis) {
@@ -83,6 +89,45 @@
     lateMillis = millis;
   }
 
+  /** Leaves the next starts unanswered and never carries them out. */
+  synchronized void dropStarts(int starts) {
+    startsToDrop = starts;
+  }
+
+  /** Returns all starts that it was asked for, in order, also those that it did not answer. */
+  synchronized List<RunKey> askedToStart() {
+    return List.copyOf(askedToStart);
+  }
+
+  /** Says from now on that it leaves, and goes on with what it runs. */
+  synchronized void leave() {
+    leaving = true;
+  }
+
+  synchronized boolean isLeaving() {
+    return leaving;
+  }
+
+  /** Has all runs end so once they have worked for their time. */
+  synchronized void endAllAs(RunOutcome outcome) {
+    ending = outcome;
+  }
+
+  /** Lists the figure with all that runs: a tail in milliseconds, or processors in use. */
+  synchronized void measure(long figure) {
+    gauge = figure;
+  }
+
+  /** Returns what is at work. */
+  synchronized List<RunKey> atWork() {
+    return List.copyOf(running.keySet());
+  }
+
+  /** Returns the ends that nobody has noted. */
+  synchronized int endsNotNoted() {
+    return ended.size();
+  }
+
   private long clock() {
     return CLOCK_START + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
   }
@@ -95,17 +140,33 @@
 
   @Override
   public synchronized CompletableFuture<OrderResult> start(String worker, Start start) {
+    askedToStart.add(start.run());
     if (silent) {
       return soon(new OrderUnknown("silent"));
     }
+    if (startsToDrop > 0) {
+      startsToDrop--;
+      return soon(new OrderUnknown("told to drop it"));
+    }
     if (startsToLose > 0) {
       startsToLose--;
-      timer.schedule(() -> carryOut(worker, start), lateMillis, TimeUnit.MILLISECONDS);
+      late++;
+      timer.schedule(() -> carryOutLate(worker, start), lateMillis, TimeUnit.MILLISECONDS);
       return soon(new OrderUnknown("told to leave it unanswered"));
     }
     return soon(carryOut(worker, start));
   }
 
+  private synchronized void carryOutLate(String worker, Start start) {
+    late--;
+    carryOut(worker, start);
+  }
+
+  /** Returns whether every start that it left unanswered was carried out by now. */
+  synchronized boolean isNothingLate() {
+    return late == 0;
+  }
+
   private synchronized OrderResult carryOut(String worker, Start start) {
     if (!worker.equals(life)) {
       return new OtherWorker();
@@ -136,13 +197,16 @@
     if (speeds.getOrDefault(run, 100) == 0) {
       workOn(of, run);
     } else {
-      finish(of, run, RunOutcome.DONE);
+      finish(of, run, ending);
     }
   }
 
   private synchronized void finish(String of, RunKey run, RunOutcome outcome) {
     if (life.equals(of) && running.remove(run) != null) {
       history.ended(run);
+      if (outcome == RunOutcome.DONE) {
+        history.done(run);
+      }
       over.merge(run.task(), run.attempt(), Math::max);
       ended.add(new Ended(++sequence, run, outcome, ""));
     }
@@ -198,7 +262,7 @@
     synchronized (this) {
       if (!ended.isEmpty() || System.nanoTime() - until >= 0) {
         ImmutableList.Builder<Running> rows = ImmutableList.builder();
-        running.keySet().forEach(run -> rows.add(new Running(run, "", 10, 0)));
+        running.keySet().forEach(run -> rows.add(new Running(run, "", 10, gauge)));
         future.complete(new Listing(clock(), rows.build(), ImmutableList.copyOf(ended)));
         return;
       }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
@@ -47,6 +47,7 @@
   private long generation;
   private AppendFault fault = AppendFault.NONE;
   private int faultsLeft;
+  private int faultsSeen;
 
   FakeWorkflowStore(int partitions, ScheduledExecutorService timer) {
     this.partitions = partitions;
@@ -58,6 +59,11 @@
     faultsLeft = times;
   }
 
+  /** Returns how many appends failed as told. */
+  synchronized int faultsSeen() {
+    return faultsSeen;
+  }
+
   /** Drops a member whose process is gone, as the store does after a while. */
   synchronized void drop(String memberPrefix) {
     if (members.removeIf(member -> member.startsWith(memberPrefix))) {
@@ -133,6 +139,7 @@
     boolean faulty = topic == Topic.PROGRESS && faultsLeft > 0 && !records.isEmpty();
     if (faulty) {
       faultsLeft--;
+      faultsSeen++;
       if (fault == AppendFault.REFUSED) {
         return soon(new NotAppended("told to refuse"));
       }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunHistory.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunHistory.java
@@ -13,6 +13,8 @@
 final class RunHistory {
   private final Map<TaskKey, Set<RunKey>> active = new HashMap<>();
   private final Map<TaskKey, Integer> starts = new HashMap<>();
+  private final Set<TaskKey> done = new HashSet<>();
+  private final Map<TaskKey, Integer> doneBefore = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
 
   synchronized void began(RunKey run) {
@@ -22,12 +24,29 @@
       broken.add("in two places: " + now);
     }
     starts.merge(run.task(), 1, Integer::sum);
+    doneBefore.putIfAbsent(run.task(), countDone(run.task(), run.task().step() - 1));
   }
 
   synchronized void ended(RunKey run) {
     active.getOrDefault(run.task(), new HashSet<>()).remove(run);
   }
 
+  synchronized void done(RunKey run) {
+    done.add(run.task());
+  }
+
+  private int countDone(TaskKey of, int step) {
+    return (int)
+        done.stream()
+            .filter(task -> task.workflow() == of.workflow() && task.step() == step)
+            .count();
+  }
+
+  /** Returns how many tasks of the step before were done when the task was first at work. */
+  synchronized int doneBefore(TaskKey task) {
+    return doneBefore.getOrDefault(task, 0);
+  }
+
   synchronized List<String> broken() {
     return List.copyOf(broken);
   }
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
@@ -0,0 +1,263 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.daemon.workflow.WorkflowWorld.RunningEntry;
+import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.StepSpec;
+import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.WorkflowSpec;
+import java.io.IOException;
+import java.util.Collections;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What callers and workers may rely on, each under the trouble that would break it. */
+class WorkflowRulesTest {
+  private static final long FOR_GOOD_MILLIS = 60_000;
+  private static final StepSpec.Nature LASTING =
+      new StepSpec.Nature(false, false, false, true, false, "service", 100, 1);
+  private static final StepSpec.Nature FILLS =
+      new StepSpec.Nature(false, true, false, false, true, "batch", 0, 0);
+
+  private final WorkflowWorld world = new WorkflowWorld();
+
+  @AfterEach
+  void stop() {
+    world.close();
+  }
+
+  private void start(int entries, int vms, long runMillis) throws IOException {
+    for (int i = 0; i < entries; i++) {
+      world.addEntry();
+    }
+    for (int i = 0; i < vms; i++) {
+      world.addSide("vm-" + i, runMillis);
+    }
+    world.awaitReady();
+  }
+
+  private void submit(WorkflowSpec workflow) {
+    assertInstanceOf(WorkflowStore.Appended.class, world.entry(0).entry().submit(workflow).join());
+  }
+
+  private void killOneOfTwo() {
+    RunningEntry killed = world.entry(1);
+    world.kill(killed);
+    world.store().drop(killed.memberPrefix());
+  }
+
+  private FakeWorkerGateway worker(String vm) {
+    return world.side(vm).worker();
+  }
+
+  private int starts(long id, int index) {
+    return world.history().starts(new TaskKey(id, 0, 0, index));
+  }
+
+  /**
+   * A caller's task fails wherever it runs, and the entry that decides for it is killed after the
+   * first failures. The next owner has to go on counting where the first one was, and to tell the
+   * caller that it failed after three runs, not after three more.
+   */
+  @Test
+  void aTaskThatAlwaysFailsStartsAsOftenAsAllowedThoughItsOwnerDies() throws IOException {
+    start(2, 3, 300);
+    for (int vm = 0; vm < 3; vm++) {
+      worker("vm-" + vm).endAllAs(RunOutcome.FAILED);
+    }
+    long[] ids = LongStream.rangeClosed(101, 106).toArray();
+    for (long id : ids) {
+      submit(WorkflowWorld.workflow(id, 1));
+    }
+    world.await(
+        "all are at their second run", () -> LongStream.of(ids).allMatch(id -> starts(id, 0) >= 2));
+    killOneOfTwo();
+    for (long id : ids) {
+      world.await("it has failed", () -> world.status(0, id) == QueryResult.FAILED);
+      assertEquals(3, starts(id, 0), "runs of " + id);
+    }
+  }
+
+  /**
+   * An entry is killed while a first step is at work. The next owner knows from the store alone
+   * what was done, and no task of a later step may begin before all of the step before are done.
+   */
+  @Test
+  void laterStepsWaitForAllTasksBeforeThoughTheOwnerDies() throws IOException {
+    start(2, 2, 400);
+    long[] ids = LongStream.rangeClosed(111, 116).toArray();
+    for (long id : ids) {
+      submit(WorkflowWorld.workflow(id, 2, 2, 1));
+    }
+    world.await("half have begun", () -> world.history().totalStarts() >= 15);
+    killOneOfTwo();
+    for (long id : ids) {
+      world.await("it is done", () -> world.status(0, id) == QueryResult.DONE);
+      for (int index = 0; index < 2; index++) {
+        assertEquals(2, world.history().doneBefore(new TaskKey(id, 0, 1, index)));
+      }
+      assertEquals(2, world.history().doneBefore(new TaskKey(id, 0, 2, 0)));
+    }
+    assertEquals(List.of(), world.history().broken());
+  }
+
+  /**
+   * All tasks end while the store takes nothing. Whoever asks must not hear that the workflow is
+   * done: were the entry to die now, the next owner would run the last task again.
+   */
+  @Test
+  void nobodyHearsOfAnEndThatTheStoreDoesNotHave() throws IOException {
+    start(1, 1, 500);
+    submit(WorkflowWorld.workflow(121, 2));
+    world.await("both are at work", () -> world.history().totalStarts() == 2);
+    world.store().failAppends(FakeWorkflowStore.AppendFault.REFUSED, Integer.MAX_VALUE);
+    FakeWorkerGateway worker = worker("vm-0");
+    world.await("both have ended", () -> worker.atWork().isEmpty() && worker.endsNotNoted() == 2);
+    world.await(
+        "the entry has tried to write it several times", () -> world.store().faultsSeen() >= 5);
+    assertNotEquals(QueryResult.DONE, world.status(0, 121));
+    assertEquals(2, worker.endsNotNoted(), "an end was noted that is not durable");
+    world.store().failAppends(FakeWorkflowStore.AppendFault.NONE, 0);
+    world.await("it is done", () -> world.status(0, 121) == QueryResult.DONE);
+    world.await("all ends are noted", () -> worker.endsNotNoted() == 0);
+  }
+
+  /**
+   * No worker is there yet, and callers hand in. Whichever entry the operator asks has to count all
+   * that wait, also those that another entry decides for, and none once they have begun.
+   */
+  @Test
+  void everyEntryCountsAllThatWaits() throws IOException {
+    start(2, 0, 0);
+    for (long id = 131; id <= 142; id++) {
+      submit(WorkflowWorld.workflow(id, 1));
+    }
+    for (int entry = 0; entry < 2; entry++) {
+      WorkflowEntry asked = world.entry(entry).entry();
+      world.await("all are counted", () -> asked.waiting("queue").join() == 12);
+      assertEquals(0, asked.waiting("another queue").join());
+    }
+    world.addSide("vm-0", FOR_GOOD_MILLIS);
+    world.addSide("vm-1", FOR_GOOD_MILLIS);
+    for (int entry = 0; entry < 2; entry++) {
+      WorkflowEntry asked = world.entry(entry).entry();
+      world.await("none waits", () -> asked.waiting("queue").join() == 0);
+    }
+  }
+
+  /**
+   * A worker does not answer an order to start, the caller cancels, and the worker carries the
+   * order out seconds later. By then it must have been told not to: nothing of a cancelled workflow
+   * begins.
+   */
+  @Test
+  void anOrderCarriedOutAfterTheCancelStartsNothing() throws IOException {
+    start(1, 1, FOR_GOOD_MILLIS);
+    FakeWorkerGateway worker = worker("vm-0");
+    worker.answerLate(Integer.MAX_VALUE, 1_500);
+    submit(WorkflowWorld.workflow(151, 2));
+    world.await("both were asked for", () -> worker.askedToStart().size() >= 2);
+    assertEquals(QueryResult.CANCELLED, world.entry(0).entry().query(151, "queue", true).join());
+    world.await("all late orders were carried out", () -> worker.isNothingLate());
+    assertEquals(0, world.history().totalStarts());
+  }
+
+  /**
+   * A worker says that it leaves. What lasts has to be at work elsewhere before it has gone, and
+   * nothing more may begin on it, however much waits.
+   */
+  @Test
+  void aWorkerThatLeavesIsGivenNothingAndItsServicesMove() throws IOException {
+    start(2, 1, FOR_GOOD_MILLIS);
+    submit(WorkflowWorld.workflow(161, LASTING, 3));
+    FakeWorkerGateway leaving = worker("vm-0");
+    world.await("all are at work", () -> leaving.atWork().size() == 3);
+    leaving.leave();
+    world.addSide("vm-1", FOR_GOOD_MILLIS);
+    world.await("all are at work elsewhere", () -> worker("vm-1").atWork().size() == 3);
+    assertEquals(List.of(), leaving.atWork());
+    // As many as the other VM has no room for.
+    submit(WorkflowWorld.workflow(162, 8));
+    world.await("it is full", () -> worker("vm-1").atWork().size() == 8);
+    assertEquals(3, leaving.askedToStart().size());
+    assertEquals(List.of(), world.history().broken());
+  }
+
+  /**
+   * A sick worker does not answer an order to start and then says that it leaves. Asked again it
+   * may well answer, and the task is on a worker that ends it a moment later; it belongs elsewhere.
+   */
+  @Test
+  void aWorkerThatLeavesIsNotAskedAgain() throws IOException {
+    start(1, 1, 200);
+    FakeWorkerGateway leaving = worker("vm-0");
+    leaving.dropStarts(Integer.MAX_VALUE);
+    submit(WorkflowWorld.workflow(171, 1));
+    world.await("it was asked for", () -> !leaving.askedToStart().isEmpty());
+    leaving.leave();
+    world.heartbeat("vm-0");
+    List<RunKey> asked = leaving.askedToStart();
+    world.addSide("vm-1", 200);
+    world.await("it is done", () -> world.status(0, 171) == QueryResult.DONE);
+    assertEquals(asked, leaving.askedToStart());
+  }
+
+  /**
+   * Heavy tasks stand beside a service whose users they disturb, and a VM without services is free.
+   * The heavy ones are slowed down and move there; the service, of which only one task may be away,
+   * is neither stopped nor moved.
+   */
+  @Test
+  void whatDisturbsMovesAndTheServiceStays() throws IOException {
+    start(1, 1, FOR_GOOD_MILLIS);
+    submit(WorkflowWorld.workflow(181, LASTING, 3));
+    FakeWorkerGateway crowded = worker("vm-0");
+    world.await("the service is at work", () -> crowded.atWork().size() == 3);
+    submit(WorkflowWorld.workflow(182, FILLS, 1));
+    world.await("a heavy task is beside it", () -> crowded.atWork().size() == 4);
+    crowded.measure(400);
+    world.addSide("vm-1", FOR_GOOD_MILLIS);
+    world.await("the heavy task has moved", () -> worker("vm-1").atWork().size() == 1);
+    assertEquals(182, worker("vm-1").atWork().get(0).task().workflow());
+    assertEquals(Collections.nCopies(3, 1), startsOf(181, 3));
+    assertEquals(3, crowded.atWork().size());
+  }
+
+  private List<Integer> startsOf(long id, int tasks) {
+    return LongStream.range(0, tasks).mapToObj(index -> starts(id, (int) index)).toList();
+  }
+
+  /**
+   * All entries lose power at once, with workflows waiting and at work. New ones that know nothing
+   * but the store bring every accepted workflow to its end.
+   */
+  @Test
+  void newEntriesGoOnWhenAllHaveDied() throws IOException {
+    start(2, 2, 700);
+    long[] ids = LongStream.rangeClosed(191, 202).toArray();
+    for (long id : ids) {
+      submit(WorkflowWorld.workflow(id, 2, 1));
+    }
+    world.await("some are at work", () -> world.history().totalStarts() >= 8);
+    for (int i = 0; i < 2; i++) {
+      RunningEntry killed = world.entry(0);
+      world.kill(killed);
+      world.store().drop(killed.memberPrefix());
+    }
+    world.addEntry();
+    world.addEntry();
+    for (long id : ids) {
+      world.await("workflow " + id + " is done", () -> world.status(0, id) == QueryResult.DONE);
+    }
+    assertTrue(world.history().totalStarts() >= ids.length * 3);
+    assertEquals(List.of(), world.history().broken());
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -117,13 +118,18 @@
     startSide(vm, old.worker());
   }
 
-  private synchronized void beat(String vm) {
+  /** Has the VM's worker say what it is doing, and waits until its side process has heard it. */
+  void heartbeat(String vm) {
+    assertTrue(beat(vm).join(), "the heartbeat was not taken");
+  }
+
+  private synchronized CompletableFuture<Boolean> beat(String vm) {
     RunningSide running = sides.get(vm);
     if (running.worker().isSilent()) {
-      return;
+      return CompletableFuture.completedFuture(false);
     }
     beats++;
-    running
+    return running
         .side()
         .heartbeat(
             new WorkerHeartbeat(
@@ -133,7 +139,7 @@
                 ImmutableList.of("a", "rack"),
                 "rack",
                 new Sizes(4_000, 1L << 33, 0),
-                false,
+                running.worker().isLeaving(),
                 beats));
   }
 
