Judge runs after a noted end; test a VM's last word and the newest configuration

The history of the in-memory workers now calls a task broken that begins again after an end as done that its owner noted, and the same attempt at work twice. StartAdmission, which has the last word on a VM, had tests over whole processes only. VmChooser's test named the service and did not try it.

--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/QueueTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/QueueTableTest.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.workflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -29,4 +30,11 @@
     assertTrue(table.find("c.example", "/x/1").isEmpty());
     assertTrue(table.find("a.example", "/1").isEmpty());
   }
+
+  @Test
+  void aServiceIsUsedWhileAQueueSendsToIt() {
+    QueueTable table = new QueueTable(1, ImmutableList.of(queue("one", "a.example", "/x/")));
+    assertTrue(table.uses("service"));
+    assertFalse(table.uses("another"));
+  }
 }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -215,6 +215,21 @@
     VmOffer a = Workflows.offer("a", 9_000, 0, 0);
     VmOffer b = Workflows.offer("b", 6_000, 0, 0);
     assertEquals(Optional.of("b"), choose(onlyThere, a, b));
+    assertEquals(Optional.empty(), choose(onlyThere, ofService("another", b)));
+  }
+
+  private static VmOffer ofService(String service, VmOffer offer) {
+    return new VmOffer(
+        offer.place(),
+        service,
+        offer.labels(),
+        offer.rack(),
+        offer.capacity(),
+        offer.free(),
+        offer.fillMilliProcessors(),
+        offer.suspectMilliProcessors(),
+        offer.serving(),
+        offer.slowness());
   }
 
   @Test
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
@@ -45,6 +45,7 @@
   private boolean leaving;
   private RunOutcome ending = RunOutcome.DONE;
   private long gauge;
+  private int listings;
 
   FakeWorkerGateway(
       String life, ScheduledExecutorService timer, RunHistory history, long runMillis) {
@@ -118,6 +119,11 @@
     gauge = figure;
   }
 
+  /** Returns how many listings it was asked for and answers. */
+  synchronized int listings() {
+    return listings;
+  }
+
   /** Returns what is at work. */
   synchronized List<RunKey> atWork() {
     return List.copyOf(running.keySet());
@@ -241,8 +247,9 @@
       if (!worker.equals(life)) {
         return soon(new OtherWorker());
       }
+      listings++;
       until.ifPresent(wanted -> deadline = Math.max(deadline, wanted));
-      ended.removeIf(end -> end.sequence() <= noted);
+      note(noted);
       lapse();
     }
     CompletableFuture<ListingResult> future = new CompletableFuture<>();
@@ -250,6 +257,17 @@
     return future;
   }
 
+  private void note(long sequenceUpTo) {
+    for (Ended end : List.copyOf(ended)) {
+      if (end.sequence() <= sequenceUpTo) {
+        ended.remove(end);
+        if (end.outcome() == RunOutcome.DONE) {
+          history.noted(end.run());
+        }
+      }
+    }
+  }
+
   private synchronized void lapse() {
     if (clock() > deadline) {
       for (RunKey run : List.copyOf(running.keySet())) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunHistory.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunHistory.java
@@ -9,19 +9,27 @@
 import java.util.Map;
 import java.util.Set;
 
-/** What all workers ran, and whether a task was ever in two places. Safe for any thread. */
+/**
+ * What all workers ran, and whether a task was ever in two places or begun after it was done. Safe
+ * for any thread.
+ */
 final class RunHistory {
   private final Map<TaskKey, Set<RunKey>> active = new HashMap<>();
   private final Map<TaskKey, Integer> starts = new HashMap<>();
   private final Set<TaskKey> done = new HashSet<>();
+  private final Set<TaskKey> noted = new HashSet<>();
+  private final Set<TaskKey> again = new HashSet<>();
   private final Map<TaskKey, Integer> doneBefore = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
 
   synchronized void began(RunKey run) {
     Set<RunKey> now = active.computeIfAbsent(run.task(), unused -> new HashSet<>());
-    now.add(run);
-    if (now.size() > 1) {
-      broken.add("in two places: " + now);
+    if (!now.add(run) || now.size() > 1) {
+      broken.add("in two places: " + run + " beside " + now);
+    }
+    if (done.contains(run.task())) {
+      again.add(run.task());
+      judge(run.task());
     }
     starts.merge(run.task(), 1, Integer::sum);
     doneBefore.putIfAbsent(run.task(), countDone(run.task(), run.task().step() - 1));
@@ -35,6 +43,18 @@
     done.add(run.task());
   }
 
+  /** An owner has noted the end as done: what it does not know of may well run again. */
+  synchronized void noted(RunKey run) {
+    noted.add(run.task());
+    judge(run.task());
+  }
+
+  private void judge(TaskKey task) {
+    if (again.contains(task) && noted.contains(task)) {
+      broken.add("again after it was done: " + task);
+    }
+  }
+
   private int countDone(TaskKey of, int step) {
     return (int)
         done.stream()
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/StartAdmissionTest.java
@@ -0,0 +1,95 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.RoomLedger;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.TaskKey;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The last word on a VM. */
+class StartAdmissionTest {
+  private static final int PARTITION = 3;
+  private static final RunKey FIRST = new RunKey(new TaskKey(1, 0, 0, 0), 1);
+  private static final RunKey SECOND = new RunKey(new TaskKey(1, 0, 0, 1), 1);
+  private static final LeaseTermsOfWorker TERMS = LeaseTermsOfWorker.forLongestLease(10_000);
+  private static final long WORKER_CLOCK = 100_000;
+
+  private final LinkLoop loop = new LinkLoop("side", MonotonicClock.system());
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+  private final WorkerTime time = new WorkerTime(loop, TERMS, WORKER_CLOCK);
+  private final RoomLedger room = new RoomLedger();
+  private final StartAdmission admission =
+      new StartAdmission(
+          time,
+          room,
+          new RunPacing(
+              loop, new FakeWorkerGateway("life", timer, new RunHistory(), 1_000), "life"));
+
+  @BeforeEach
+  void give() {
+    room.capacity(new Sizes(1_000, 1L << 30, 0));
+    time.evidence(PARTITION, 1, WORKER_CLOCK);
+  }
+
+  @AfterEach
+  void stop() {
+    timer.shutdownNow();
+    loop.close();
+  }
+
+  private static StartRun order(int milliProcessors) {
+    return StartRun.newBuilder().setMilliProcessors(milliProcessors).setMemoryMebibytes(1).build();
+  }
+
+  private Optional<String> ask(RunKey key, int milliProcessors, boolean draining) {
+    return admission.refusal(key, PARTITION, order(milliProcessors), draining, List.of());
+  }
+
+  /**
+   * A worker says that it leaves while an order is on its way from an entry that does not know yet.
+   * The task would be ended with the worker a moment later.
+   */
+  @Test
+  void aWorkerThatLeavesStartsNothing() {
+    assertEquals(Optional.of("the worker leaves"), ask(FIRST, 500, true));
+    assertEquals(Optional.empty(), ask(FIRST, 500, false));
+  }
+
+  /** Two owners each see room for one more and order at once: the second is refused. */
+  @Test
+  void theSecondOfTwoOwnersIsRefused() {
+    assertEquals(Optional.empty(), ask(FIRST, 600, false));
+    assertEquals(Optional.of("no room"), ask(SECOND, 600, false));
+  }
+
+  /** An order comes from an owner of which nothing was ever heard that proves it to be one. */
+  @Test
+  void anOwnerWithoutEvidenceStartsNothing() {
+    assertEquals(
+        Optional.of("the evidence of its owner is too old"),
+        admission.refusal(FIRST, PARTITION + 1, order(1), false, List.of()));
+  }
+
+  /**
+   * A restarted side process finds a run whose size only its owner knows, and books nothing yet.
+   */
+  @Test
+  void nothingStartsBesideWhatIsNotKnownYet() {
+    SideRun found = new SideRun(SECOND, PARTITION, Optional.empty());
+    assertEquals(
+        Optional.of("what runs here is not known yet"),
+        admission.refusal(FIRST, PARTITION, order(1), false, List.of(found)));
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
@@ -235,6 +235,28 @@
     return LongStream.range(0, tasks).mapToObj(index -> starts(id, (int) index)).toList();
   }
 
+  /**
+   * The operator sends a queue to another service, and a copy of the version before arrives late.
+   * Nothing more of the queue may begin on the former service's workers; what waits goes on once a
+   * newer version sends the queue back.
+   */
+  @Test
+  void aQueueIsServedOnlyWhereTheNewestVersionSendsIt() throws IOException {
+    start(1, 1, FOR_GOOD_MILLIS);
+    FakeWorkerGateway worker = worker("vm-0");
+    WorkflowEntry entry = world.entry(0).entry();
+    submit(WorkflowWorld.workflow(211, 1));
+    world.await("it is at work", () -> worker.atWork().size() == 1);
+    entry.configure(WorkflowWorld.configuration(3, "another"));
+    entry.configure(WorkflowWorld.configuration(2, "service"));
+    submit(WorkflowWorld.workflow(212, 1));
+    int before = worker.listings();
+    world.await("the worker was looked at again", () -> worker.listings() >= before + 3);
+    assertEquals(1, worker.askedToStart().size());
+    entry.configure(WorkflowWorld.configuration(4, "service"));
+    world.await("both are at work", () -> worker.atWork().size() == 2);
+  }
+
   /**
    * All entries lose power at once, with workflows waiting and at work. New ones that know nothing
    * but the store bring every accepted workflow to its end.
@@ -246,7 +268,8 @@
     for (long id : ids) {
       submit(WorkflowWorld.workflow(id, 2, 1));
     }
-    world.await("some are at work", () -> world.history().totalStarts() >= 8);
+    // More than there is room for at once, so that some are done.
+    world.await("some are done", () -> world.history().totalStarts() >= 20);
     for (int i = 0; i < 2; i++) {
       RunningEntry killed = world.entry(0);
       world.kill(killed);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -84,15 +84,18 @@
     WorkflowEntry entry =
         new WorkflowEntry(loop, reached, address, System::currentTimeMillis, adviser, terms);
     entry.start();
-    WorkflowSpec.Terms queueTerms =
-        new WorkflowSpec.Terms("service", 0, 3, Optional.empty(), 2, 100);
-    entry.configure(
-        new QueueTable(1, ImmutableList.of(new Queue("queue", "", "/", queueTerms, 1_000))));
+    entry.configure(configuration(1, "service"));
     RunningEntry running = new RunningEntry(entry, loop, "127.0.0.1:" + port, reached);
     entries.add(running);
     return running;
   }
 
+  /** Returns a configuration whose one queue sends its tasks to the service. */
+  static QueueTable configuration(long version, String service) {
+    WorkflowSpec.Terms terms = new WorkflowSpec.Terms(service, 0, 3, Optional.empty(), 2, 100);
+    return new QueueTable(version, ImmutableList.of(new Queue("queue", "", "/", terms, 1_000)));
+  }
+
   /** Ends an entry as a kill does: without a word to anybody. */
   void kill(RunningEntry entry) {
     entry.loop().close();
