Test that no order leaves before it lasts; let a cancelled task outlast its test

Without EntryVms.ordered's wait for the store no test failed; noWorkerIsAskedBeforeTheStoreHasTheAttempt brings it about. aCancelledWorkflowStops passed with the stops taken out, since its tasks ended by themselves after 30 s of the 40 s that it waits: they run for 120 s now.

--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunHistory.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunHistory.java
@@ -16,9 +16,9 @@
 final class RunHistory {
   private final Map<TaskKey, Set<RunKey>> active = new HashMap<>();
   private final Map<TaskKey, Integer> starts = new HashMap<>();
-  private final Set<TaskKey> done = new HashSet<>();
-  private final Set<TaskKey> noted = new HashSet<>();
-  private final Set<TaskKey> again = new HashSet<>();
+  private final Set<RunKey> done = new HashSet<>();
+  private final Set<RunKey> noted = new HashSet<>();
+  private final Set<RunKey> followed = new HashSet<>();
   private final Map<TaskKey, Integer> doneBefore = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
 
@@ -27,9 +27,11 @@
     if (!now.add(run) || now.size() > 1) {
       broken.add("in two places: " + run + " beside " + now);
     }
-    if (done.contains(run.task())) {
-      again.add(run.task());
-      judge(run.task());
+    for (RunKey earlier : done) {
+      if (earlier.task().equals(run.task())) {
+        followed.add(earlier);
+        judge(earlier);
+      }
     }
     starts.merge(run.task(), 1, Integer::sum);
     doneBefore.putIfAbsent(run.task(), countDone(run.task(), run.task().step() - 1));
@@ -40,25 +42,27 @@
   }
 
   synchronized void done(RunKey run) {
-    done.add(run.task());
+    done.add(run);
   }
 
   /** An owner has noted the end as done: what it does not know of may well run again. */
   synchronized void noted(RunKey run) {
-    noted.add(run.task());
-    judge(run.task());
+    noted.add(run);
+    judge(run);
   }
 
-  private void judge(TaskKey task) {
-    if (again.contains(task) && noted.contains(task)) {
-      broken.add("again after it was done: " + task);
+  private void judge(RunKey run) {
+    if (followed.contains(run) && noted.contains(run)) {
+      broken.add("again after it was done: " + run);
     }
   }
 
   private int countDone(TaskKey of, int step) {
     return (int)
         done.stream()
+            .map(RunKey::task)
             .filter(task -> task.workflow() == of.workflow() && task.step() == step)
+            .distinct()
             .count();
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -295,7 +295,8 @@
   /** A caller cancels; the answer comes once that is durable, and nothing of it runs on. */
   @Test
   void aCancelledWorkflowStops() throws IOException {
-    start(2, 1, 30_000);
+    // Longer than the test waits: nothing ends by itself.
+    start(2, 1, 120_000);
     submit(0, 71, 2);
     world.await("it runs", () -> world.history().totalStarts() == 2);
     QueryResult told = world.entry(1).entry().query(71, "queue", true).join();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
@@ -130,6 +130,22 @@
     world.await("all ends are noted", () -> worker.endsNotNoted() == 0);
   }
 
+  /**
+   * The store takes nothing when the owner decides where tasks go. No worker may be asked yet: were
+   * the owner to die now, the next one would know nothing of the order and run the tasks elsewhere.
+   */
+  @Test
+  void noWorkerIsAskedBeforeTheStoreHasTheAttempt() throws IOException {
+    start(1, 1, 100);
+    world.store().failAppends(FakeWorkflowStore.AppendFault.REFUSED, Integer.MAX_VALUE);
+    submit(WorkflowWorld.workflow(125, 2));
+    world.await(
+        "the entry has tried to write it several times", () -> world.store().faultsSeen() >= 5);
+    assertEquals(List.of(), worker("vm-0").askedToStart());
+    world.store().failAppends(FakeWorkflowStore.AppendFault.NONE, 0);
+    world.await("it is done", () -> world.status(0, 125) == QueryResult.DONE);
+  }
+
   /**
    * No worker is there yet, and callers hand in. Whichever entry the operator asks has to count all
    * that wait, also those that another entry decides for, and none once they have begun.
