--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
@@ -48,6 +48,8 @@
   private AppendFault fault = AppendFault.NONE;
   private int faultsLeft;
   private int faultsSeen;
+  private boolean keepsSubmissions;
+  private int dropsRefused;
 
   FakeWorkflowStore(int partitions, ScheduledExecutorService timer) {
     this.partitions = partitions;
@@ -59,6 +61,16 @@
     faultsLeft = times;
   }
 
+  /** Refuses from now on to drop what callers handed in. */
+  synchronized void refuseDrops() {
+    keepsSubmissions = true;
+  }
+
+  /** Returns how often it refused to drop something. */
+  synchronized int dropsRefused() {
+    return dropsRefused;
+  }
+
   /** Returns how many appends failed as told. */
   synchronized int faultsSeen() {
     return faultsSeen;
@@ -136,6 +148,10 @@
   @Override
   public synchronized CompletableFuture<AppendResult> append(
       Topic topic, int partition, List<KeyedRecord> records, Optional<Writer> writer) {
+    if (keepsSubmissions && topic == Topic.SUBMISSIONS && records.get(0).value().isEmpty()) {
+      dropsRefused++;
+      return soon(new NotAppended("told to keep it"));
+    }
     boolean faulty = topic == Topic.PROGRESS && faultsLeft > 0 && !records.isEmpty();
     if (faulty) {
       faultsLeft--;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
@@ -299,4 +299,38 @@
     assertTrue(world.history().totalStarts() >= ids.length * 3);
     assertEquals(List.of(), world.history().broken());
   }
+
+  /**
+   * An entry can read nothing from the store any more. A caller asks it for a workflow that another
+   * entry may have taken meanwhile; it has to say that it cannot tell, since "unknown" means that
+   * the caller's work is lost.
+   */
+  @Test
+  void anEntryThatReadsNothingCallsNoWorkflowUnknown() throws IOException {
+    start(1, 0, 0);
+    assertEquals(QueryResult.UNKNOWN_WORKFLOW, world.status(0, 221));
+    world.entry(0).store().refuse(true);
+    world.await("it cannot tell", () -> world.status(0, 221) == QueryResult.CANNOT_TELL);
+  }
+
+  /**
+   * A workflow ended long ago and is to be forgotten, but the store does not drop what the caller
+   * handed in. What is known of its end has to stay as well: a new owner that finds the one without
+   * the other takes it for new and runs it again.
+   */
+  @Test
+  void whatIsHalfForgottenDoesNotRunAgain() throws IOException {
+    world.addEntry(0);
+    world.addSide("vm-0", 50);
+    world.awaitReady();
+    world.store().refuseDrops();
+    submit(WorkflowWorld.workflow(231, 2));
+    world.await("it was to be dropped", () -> world.store().dropsRefused() >= 1);
+    RunningEntry killed = world.entry(0);
+    world.kill(killed);
+    world.store().drop(killed.memberPrefix());
+    world.addEntry();
+    world.await("the next one tells", () -> world.status(0, 231) == QueryResult.DONE);
+    assertEquals(2, world.history().totalStarts());
+  }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -73,6 +73,15 @@
   }
 
   RunningEntry addEntry() throws IOException {
+    return addEntry(60_000);
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param keepEndedMillis how long it tells the status of a workflow that has ended
+   */
+  RunningEntry addEntry(long keepEndedMillis) throws IOException {
     int port;
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
@@ -80,7 +89,7 @@
     LinkLoop loop = new LinkLoop("entry-" + port, MonotonicClock.system());
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
     RefusingStore reached = new RefusingStore(store);
-    EntryTerms terms = new EntryTerms(LEASE, 60_000, 1.5);
+    EntryTerms terms = new EntryTerms(LEASE, keepEndedMillis, 1.5);
     WorkflowEntry entry =
         new WorkflowEntry(loop, reached, address, System::currentTimeMillis, adviser, terms);
     entry.start();
