--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
@@ -33,12 +33,19 @@
   private final Map<TaskKey, Integer> over = new HashMap<>();
   private final Map<RunKey, Integer> speeds = new HashMap<>();
   private final List<String> tickets = new ArrayList<>();
+  private final List<RunKey> askedToStart = new ArrayList<>();
   private String life;
   private long sequence;
   private long deadline;
   private int startsToLose;
+  private int startsToDrop;
   private long lateMillis;
+  private int late;
   private boolean silent;
+  private boolean leaving;
+  private RunOutcome ending = RunOutcome.DONE;
+  private long gauge;
+  private int listings;
 
   FakeWorkerGateway(
       String life, ScheduledExecutorService timer, RunHistory history, long runMillis) {
@@ -88,6 +95,50 @@
     lateMillis = millis;
   }
 
+  /** Leaves the next starts unanswered and never carries them out. */
+  synchronized void dropStarts(int starts) {
+    startsToDrop = starts;
+  }
+
+  /** Returns all starts that it was asked for, in order, also those that it did not answer. */
+  synchronized List<RunKey> askedToStart() {
+    return List.copyOf(askedToStart);
+  }
+
+  /** Says from now on that it leaves, and goes on with what it runs. */
+  synchronized void leave() {
+    leaving = true;
+  }
+
+  synchronized boolean isLeaving() {
+    return leaving;
+  }
+
+  /** Has all runs end so once they have worked for their time. */
+  synchronized void endAllAs(RunOutcome outcome) {
+    ending = outcome;
+  }
+
+  /** Lists the figure with all that runs: a tail in milliseconds, or processors in use. */
+  synchronized void measure(long figure) {
+    gauge = figure;
+  }
+
+  /** Returns how many listings it was asked for and answers. */
+  synchronized int listings() {
+    return listings;
+  }
+
+  /** Returns what is at work. */
+  synchronized List<RunKey> atWork() {
+    return List.copyOf(running.keySet());
+  }
+
+  /** Returns the ends that nobody has noted. */
+  synchronized int endsNotNoted() {
+    return ended.size();
+  }
+
   private long clock() {
     return CLOCK_START + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
   }
@@ -100,17 +151,33 @@
 
   @Override
   public synchronized CompletableFuture<OrderResult> start(String worker, Start start) {
+    askedToStart.add(start.run());
     if (silent) {
       return soon(new OrderUnknown("silent"));
     }
+    if (startsToDrop > 0) {
+      startsToDrop--;
+      return soon(new OrderUnknown("told to drop it"));
+    }
     if (startsToLose > 0) {
       startsToLose--;
-      timer.schedule(() -> carryOut(worker, start), lateMillis, TimeUnit.MILLISECONDS);
+      late++;
+      timer.schedule(() -> carryOutLate(worker, start), lateMillis, TimeUnit.MILLISECONDS);
       return soon(new OrderUnknown("told to leave it unanswered"));
     }
     return soon(carryOut(worker, start));
   }
 
+  private synchronized void carryOutLate(String worker, Start start) {
+    late--;
+    carryOut(worker, start);
+  }
+
+  /** Returns whether every start that it left unanswered was carried out by now. */
+  synchronized boolean isNothingLate() {
+    return late == 0;
+  }
+
   private synchronized OrderResult carryOut(String worker, Start start) {
     if (!worker.equals(life)) {
       return new OtherWorker();
@@ -141,13 +208,16 @@
     if (speeds.getOrDefault(run, 100) == 0) {
       workOn(of, run);
     } else {
-      finish(of, run, RunOutcome.DONE);
+      finish(of, run, ending);
     }
   }
 
   private synchronized void finish(String of, RunKey run, RunOutcome outcome) {
     if (life.equals(of) && running.remove(run) != null) {
       history.ended(run);
+      if (outcome == RunOutcome.DONE) {
+        history.done(run);
+      }
       over.merge(run.task(), run.attempt(), Math::max);
       ended.add(new Ended(++sequence, run, outcome, ""));
     }
@@ -182,8 +252,9 @@
       if (!worker.equals(life)) {
         return soon(new OtherWorker());
       }
+      listings++;
       until.ifPresent(wanted -> deadline = Math.max(deadline, wanted));
-      ended.removeIf(end -> end.sequence() <= noted);
+      note(noted);
       lapse();
     }
     CompletableFuture<ListingResult> future = new CompletableFuture<>();
@@ -191,6 +262,17 @@
     return future;
   }
 
+  private void note(long sequenceUpTo) {
+    for (Ended end : List.copyOf(ended)) {
+      if (end.sequence() <= sequenceUpTo) {
+        ended.remove(end);
+        if (end.outcome() == RunOutcome.DONE) {
+          history.noted(end.run());
+        }
+      }
+    }
+  }
+
   private synchronized void lapse() {
     if (clock() > deadline) {
       for (RunKey run : List.copyOf(running.keySet())) {
@@ -203,7 +285,7 @@
     synchronized (this) {
       if (!ended.isEmpty() || System.nanoTime() - until >= 0) {
         ImmutableList.Builder<Running> rows = ImmutableList.builder();
-        running.keySet().forEach(run -> rows.add(new Running(run, "", 10, 0)));
+        running.keySet().forEach(run -> rows.add(new Running(run, "", 10, gauge)));
         future.complete(new Listing(clock(), rows.build(), ImmutableList.copyOf(ended)));
         return;
       }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
@@ -47,6 +47,9 @@
   private long generation;
   private AppendFault fault = AppendFault.NONE;
   private int faultsLeft;
+  private int faultsSeen;
+  private boolean keepsSubmissions;
+  private int dropsRefused;
 
   FakeWorkflowStore(int partitions, ScheduledExecutorService timer) {
     this.partitions = partitions;
@@ -58,6 +61,21 @@
     faultsLeft = times;
   }
 
+  /** Refuses from now on to drop what callers handed in. */
+  synchronized void refuseDrops() {
+    keepsSubmissions = true;
+  }
+
+  /** Returns how often it refused to drop something. */
+  synchronized int dropsRefused() {
+    return dropsRefused;
+  }
+
+  /** Returns how many appends failed as told. */
+  synchronized int faultsSeen() {
+    return faultsSeen;
+  }
+
   /** Drops a member whose process is gone, as the store does after a while. */
   synchronized void drop(String memberPrefix) {
     if (members.removeIf(member -> member.startsWith(memberPrefix))) {
@@ -130,9 +148,14 @@
   @Override
   public synchronized CompletableFuture<AppendResult> append(
       Topic topic, int partition, List<KeyedRecord> records, Optional<Writer> writer) {
+    if (keepsSubmissions && topic == Topic.SUBMISSIONS && records.get(0).value().isEmpty()) {
+      dropsRefused++;
+      return soon(new NotAppended("told to keep it"));
+    }
     boolean faulty = topic == Topic.PROGRESS && faultsLeft > 0 && !records.isEmpty();
     if (faulty) {
       faultsLeft--;
+      faultsSeen++;
       if (fault == AppendFault.REFUSED) {
         return soon(new NotAppended("told to refuse"));
       }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunHistory.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunHistory.java
@@ -9,25 +9,68 @@
 import java.util.Map;
 import java.util.Set;
 
-/** What all workers ran, and whether a task was ever in two places. Safe for any thread. */
+/**
+ * What all workers ran, and whether a task was ever in two places or begun after it was done. Safe
+ * for any thread.
+ */
 final class RunHistory {
   private final Map<TaskKey, Set<RunKey>> active = new HashMap<>();
   private final Map<TaskKey, Integer> starts = new HashMap<>();
+  private final Set<RunKey> done = new HashSet<>();
+  private final Set<RunKey> noted = new HashSet<>();
+  private final Set<RunKey> followed = new HashSet<>();
+  private final Map<TaskKey, Integer> doneBefore = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
 
   synchronized void began(RunKey run) {
     Set<RunKey> now = active.computeIfAbsent(run.task(), unused -> new HashSet<>());
-    now.add(run);
-    if (now.size() > 1) {
-      broken.add("in two places: " + now);
+    if (!now.add(run) || now.size() > 1) {
+      broken.add("in two places: " + run + " beside " + now);
+    }
+    for (RunKey earlier : done) {
+      if (earlier.task().equals(run.task())) {
+        followed.add(earlier);
+        judge(earlier);
+      }
     }
     starts.merge(run.task(), 1, Integer::sum);
+    doneBefore.putIfAbsent(run.task(), countDone(run.task(), run.task().step() - 1));
   }
 
   synchronized void ended(RunKey run) {
     active.getOrDefault(run.task(), new HashSet<>()).remove(run);
   }
 
+  synchronized void done(RunKey run) {
+    done.add(run);
+  }
+
+  /** An owner has noted the end as done: what it does not know of may well run again. */
+  synchronized void noted(RunKey run) {
+    noted.add(run);
+    judge(run);
+  }
+
+  private void judge(RunKey run) {
+    if (followed.contains(run) && noted.contains(run)) {
+      broken.add("again after it was done: " + run);
+    }
+  }
+
+  private int countDone(TaskKey of, int step) {
+    return (int)
+        done.stream()
+            .map(RunKey::task)
+            .filter(task -> task.workflow() == of.workflow() && task.step() == step)
+            .distinct()
+            .count();
+  }
+
+  /** Returns how many tasks of the step before were done when the task was first at work. */
+  synchronized int doneBefore(TaskKey task) {
+    return doneBefore.getOrDefault(task, 0);
+  }
+
   synchronized List<String> broken() {
     return List.copyOf(broken);
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -84,6 +85,15 @@
   }
 
   RunningEntry addEntry() throws IOException {
+    return addEntry(60_000);
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param keepEndedMillis how long it tells the status of a workflow that has ended
+   */
+  RunningEntry addEntry(long keepEndedMillis) throws IOException {
     int port;
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
@@ -91,25 +101,32 @@
     LinkLoop loop = new LinkLoop("entry-" + port, MonotonicClock.system());
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
     RefusingStore reached = new RefusingStore(store);
-    EntryTerms terms = new EntryTerms(lease, 60_000, 1.5);
+    EntryTerms terms = new EntryTerms(lease, keepEndedMillis, 1.5);
     WorkflowEntry entry =
         new WorkflowEntry(loop, reached, address, System::currentTimeMillis, adviser, terms);
     entry.start();
-    WorkflowSpec.Terms queueTerms =
-        new WorkflowSpec.Terms("service", 0, 3, Optional.empty(), 2, 100);
-    WorkflowSpec.Terms idleTerms =
-        new WorkflowSpec.Terms(SERVICE_WITHOUT_VMS, 0, 3, Optional.empty(), 2, 100);
-    entry.configure(
-        new QueueTable(
-            1,
-            ImmutableList.of(
-                new Queue("queue", "", "/", queueTerms, 1_000),
-                new Queue("idle", "", "/idle/", idleTerms, 1_000))));
+    entry.configure(configuration(1, "service"));
     RunningEntry running = new RunningEntry(entry, loop, "127.0.0.1:" + port, reached);
     entries.add(running);
     return running;
   }
 
+  /**
+   * Returns a configuration in which one queue sends its tasks to the service, and another one to a
+   * service that no VM has.
+   */
+  static QueueTable configuration(long version, String service) {
+    return new QueueTable(
+        version,
+        ImmutableList.of(
+            new Queue("queue", "", "/", terms(service), 1_000),
+            new Queue("idle", "", "/idle/", terms(SERVICE_WITHOUT_VMS), 1_000)));
+  }
+
+  private static WorkflowSpec.Terms terms(String service) {
+    return new WorkflowSpec.Terms(service, 0, 3, Optional.empty(), 2, 100);
+  }
+
   /** Ends an entry as a kill does: without a word to anybody. */
   void kill(RunningEntry entry) {
     entry.loop().close();
@@ -135,13 +152,18 @@
     startSide(vm, old.worker());
   }
 
-  private synchronized void beat(String vm) {
+  /** Has the VM's worker say what it is doing, and waits until its side process has heard it. */
+  void heartbeat(String vm) {
+    assertTrue(beat(vm).join(), "the heartbeat was not taken");
+  }
+
+  private synchronized CompletableFuture<Boolean> beat(String vm) {
     RunningSide running = sides.get(vm);
     if (running.worker().isSilent()) {
-      return;
+      return CompletableFuture.completedFuture(false);
     }
     beats++;
-    running
+    return running
         .side()
         .heartbeat(
             new WorkerHeartbeat(
@@ -151,7 +173,7 @@
                 ImmutableList.of("a", "rack"),
                 "rack",
                 new Sizes(4_000, 1L << 33, 0),
-                false,
+                running.worker().isLeaving(),
                 beats));
   }
 
