Ask a leaving worker for nothing a second time

A worker that did not answer an order and then said that it leaves was asked again up to 2.4 s later, over the two seconds in which callers may count on nothing new there; its task was ended a moment after it began. Cause: the retry of a start did not look at what the worker had said since.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -260,9 +260,15 @@
   }
 
   private void retryStart(SideRun run) {
-    if (!closed && runs.get(run.key()) == run && !run.isStopping() && !run.isListed()) {
-      sendStart(run);
+    if (closed || runs.get(run.key()) != run || run.isStopping() || run.isListed()) {
+      return;
     }
+    if (heartbeat.draining()) {
+      // The worker would end a moment later what it takes now; the stop forbids the first order.
+      stop(run.key());
+      return;
+    }
+    sendStart(run);
   }
 
   private void startRefused(SideRun run, Refused refused) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -196,6 +196,11 @@
       }
     }
 
+    @Override
+    public void changed(int partition) {
+      changed();
+    }
+
     @Override
     public void gone(WorkerSession session) {}
   }
