Send nothing to a worker's next life that waited for the one before

Orders wait until the end of a turn and went out under the life reported last. A report of a new life in the same turn made it take a start for the one before, whose run its owner had just counted as lost: the task could be in two places until the side process was told to stop it. Not seen; found while leases were moved into the frame of orders, which sends what waits with each report.

Holds since a report of another life drops what waits: ends are reported again, runs of the former life are over.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -42,7 +42,17 @@
     take(first, now);
   }
 
+  /**
+   * Takes a report.
+   *
+   * <p>Guards against a run in two places: orders wait until the end of a turn and go out under the
+   * life that was reported last. What waits for the life before would start on the next one, after
+   * its owner has counted it as over.
+   */
   void take(VmReport newest, long now) {
+    if (report != null && !report.getWorker().equals(newest.getWorker())) {
+      dropPending();
+    }
     if (report == null || !report.getLabelsList().equals(newest.getLabelsList())) {
       labels = ImmutableSet.copyOf(newest.getLabelsList());
     }
@@ -191,6 +201,10 @@
   void flush(LeaseGrant lease) {
     orders.setNumber(++lastNumber).setLease(lease).setWorker(report.getWorker());
     connection.send(Frame.newBuilder().setRunOrders(orders).build());
+    dropPending();
+  }
+
+  private void dropPending() {
     orders = RunOrders.newBuilder();
     programsInFrame.clear();
     pending = false;
