--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
@@ -11,6 +11,7 @@
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.WorkflowIds;
 import io.marigoldsail.workflow.WorkflowSpec;
 import java.io.IOException;
 import java.util.Collections;
@@ -333,4 +334,27 @@
     world.await("the next one tells", () -> world.status(0, 231) == QueryResult.DONE);
     assertEquals(2, world.history().totalStarts());
   }
+
+  /**
+   * An entry that lost its partitions while it was suspended wakes up, finds runs that it does not
+   * know on a VM, and orders to stop them. The side process has heard from its successor under a
+   * higher epoch and must not obey.
+   */
+  @Test
+  void aFormerOwnerCannotStopWhatItsSuccessorRuns() throws IOException {
+    start(1, 1, FOR_GOOD_MILLIS);
+    submit(WorkflowWorld.workflow(241, 1));
+    world.await("it is at work", () -> worker("vm-0").atWork().size() == 1);
+    try (FormerOwner former = new FormerOwner()) {
+      former.start();
+      world.store().join(former.member(), Long.MAX_VALUE);
+      world.await("the side process knows it", () -> former.report().isPresent());
+      RunKey run = worker("vm-0").atWork().get(0);
+      former.stop(run, WorkflowIds.partition(run.task().workflow(), WorkflowWorld.PARTITIONS));
+      world.await(
+          "the side process has read the order",
+          () -> former.report().orElseThrow().getOrdersSeen() == 1);
+      assertEquals(List.of(run), worker("vm-0").atWork());
+    }
+  }
 }
