Let maps of owners not chase each other through side processes

While partitions move, two entries can hold different maps of one generation: the label says from when on a map holds, not until when. A side process took each in turn and told all entries its whole state each time, past every pace, and was told the other map at once.

An entry now tells one side process again only as often as it reads the owners itself, and passes over an answer of the store that was asked for before the one in use.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -53,8 +53,14 @@
     this.links = new MemberLinks(loop, new FromLinks());
   }
 
-  /** Takes who owns what; returns whether it changed. */
+  /**
+   * Takes who owns what; returns whether it changed. An answer of the store that was asked for
+   * before the one in use, and came later, is passed over.
+   */
   boolean owners(long generation, Owners newOwners) {
+    if (generation < map.getGeneration()) {
+      return false;
+    }
     Map<Integer, String> newMap = newOwners.byPartition();
     if (newMap.equals(owners)) {
       map = map.toBuilder().setGeneration(Math.max(generation, map.getGeneration())).build();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -62,6 +62,7 @@
   private final TaskWatch watch;
   private final SubmissionWriter submissions;
   private final LinkServer server;
+  private final OwnerMapTurns<LinkConnection> turns = new OwnerMapTurns<>();
   private volatile Optional<QueueTable> configuration = Optional.empty();
   private volatile boolean ready;
 
@@ -305,8 +306,7 @@
     @Override
     public void ownersKnown(long asOfGeneration, Owners owners) {
       if (peers.owners(asOfGeneration, owners)) {
-        Frame frame = Frame.newBuilder().setOwnerMap(peers.map()).build();
-        vms.connections().forEach(connection -> connection.send(frame));
+        vms.connections().forEach(WorkflowEntry.this::tellOwners);
       }
     }
 
@@ -347,7 +347,7 @@
   private final class Incoming implements LinkListener {
     @Override
     public void opened(LinkConnection connection) {
-      connection.send(Frame.newBuilder().setOwnerMap(peers.map()).build());
+      tellOwners(connection);
     }
 
     @Override
@@ -370,17 +370,23 @@
 
     @Override
     public void closed(LinkConnection connection, String reason) {
+      turns.forget(connection);
       vms.disconnected(connection, reason);
     }
   }
 
   /** Guards against a side process that missed a change and goes on with a map of its own. */
   private void tellOwners(LinkConnection connection, int digestThere) {
-    if (digestThere != peers.map().getDigest()) {
-      connection.send(Frame.newBuilder().setOwnerMap(peers.map()).build());
+    if (digestThere != peers.map().getDigest() && turns.mayTell(connection, loop.now())) {
+      tellOwners(connection);
     }
   }
 
+  private void tellOwners(LinkConnection connection) {
+    turns.told(connection, loop.now());
+    connection.send(Frame.newBuilder().setOwnerMap(peers.map()).build());
+  }
+
   private void answerPeer(LinkConnection connection, WorkflowQuery question) {
     answer(
         question.getWorkflow(),
