Tell all entries at once that a VM takes nothing, and that it does again

Since room is told in turns, entries that own nothing on a VM heard up to 350 ms late, with fourteen of them, that its worker leaves or does not answer, and their tasks were refused there and waited. Such changes are rare: they go to all at once, and a heartbeat that says nothing new is not told on.

A lasting task that is at work beside runs of unknown size counts as seen. allHearAtOnceThatAVmTakesNothingAndThatItDoesAgain needs the change.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
@@ -11,18 +11,18 @@
  * Decides when a side process reports a change to an entry.
  *
  * <p>Load pattern: under load a VM changes tens of times a second, and a report tells its whole
- * state. Reports of every change to every entry grow with entries times VMs: a thin link of an
- * entry was full of them, and the configuration, answers of the store and leases came late behind
- * them. So a change of a run is told at once only to the entry that owns it. The others place new
- * work by the room that is left; they are told in turns, so that a side process sends as many
- * reports a second to ten entries as to two.
+ * state. Reports of every change to every entry grow with entries times VMs: they fill the thin
+ * link of an entry, and the configuration, answers of the store and leases come late behind them.
+ * So a change of a run is told at once only to the entry that owns it. The others place new work by
+ * the room that is left; they are told in turns, so that a side process sends as many reports a
+ * second to ten entries as to two. That a VM takes nothing more, or takes work again, concerns all.
  *
  * <p>Confined to one thread. Times are monotonic nanoseconds.
  */
 final class ReportPacer {
   /**
-   * Between two reports to an entry that no change concerned, for each entry, in nanoseconds. With
-   * three entries room is told sooner than an order and its answer take.
+   * Between two reports to an entry that no change concerned, for each entry that is reached, in
+   * nanoseconds.
    */
   static final long SPACING_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
@@ -42,7 +42,7 @@
    * Returns when the member is to be told of a change; now, or later.
    *
    * @param member of the entries
-   * @param concerned whether it owns a run that changed
+   * @param concerned whether it owns a run that changed, or must know of the VM at once
    * @param entries how many entries are reached
    */
   long dueAt(String member, boolean concerned, int entries, long now) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/TaskWatch.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/TaskWatch.java
@@ -119,9 +119,9 @@
       return new Sight(task, OptionalLong.empty(), OptionalLong.empty());
     }
     OptionalLong namedAt = OptionalLong.of(session.get().reportedAt());
-    boolean answers =
-        session.get().report().getWorker().equals(place.worker())
-            && !session.get().report().getUnhealthy();
+    // Runs of unknown size make a VM unhealthy to others; its worker listed them all the same.
+    boolean listed = session.get().hasRunsOfUnknownSize() || !session.get().report().getUnhealthy();
+    boolean answers = listed && session.get().report().getWorker().equals(place.worker());
     boolean seen = answers && named.get().getStarted() && !named.get().getStopping();
     return new Sight(task, seen ? namedAt : OptionalLong.empty(), namedAt);
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmStanding.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmStanding.java
@@ -13,7 +13,7 @@
   NO_WORKER("no worker"),
   /** Its worker takes nothing new. */
   LEAVES("leaves"),
-  /** Its worker leaves calls unanswered, or refuses them as busy. */
+  /** Its worker leaves calls unanswered or refuses them, or runs what other owners must size. */
   UNHEALTHY("unhealthy"),
   /** It runs what only the owners know the size of. */
   UNKNOWN_SIZES("runs of unknown size"),
@@ -41,12 +41,12 @@
     if (report.getDraining()) {
       return LEAVES;
     }
-    if (report.getUnhealthy()) {
-      return UNHEALTHY;
-    }
     if (session.hasRunsOfUnknownSize()) {
       return UNKNOWN_SIZES;
     }
+    if (report.getUnhealthy()) {
+      return UNHEALTHY;
+    }
     return knowledge.rests(session.vm(), now) ? RESTS : OFFERED;
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerHeartbeat.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerHeartbeat.java
@@ -38,4 +38,18 @@
     requireNonNull(rack, "rack");
     requireNonNull(capacity, "capacity");
   }
+
+  /** Returns whether both tell the same, whenever they were sent. */
+  boolean saysTheSameAs(WorkerHeartbeat other) {
+    return equals(
+        new WorkerHeartbeat(
+            other.worker,
+            other.service,
+            other.zone,
+            other.labels,
+            other.rack,
+            other.capacity,
+            other.draining,
+            sequence));
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -21,6 +21,7 @@
 import io.marigoldsail.workflow.RoomLedger;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.WorkflowIds;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -55,26 +56,11 @@
   private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
   private static final int MAX_START_TRIES = 3;
 
-  /** How long a worker that refuses or does not answer gets no new work, in nanoseconds. */
-  private static final long UNHEALTHY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
-  /** Told of changes; runs on the loop. */
-  interface Listener {
-    /** What all entries want to know of the VM has changed. */
-    void changed();
-
-    /** A run of the partition has changed, and with it what is left of the VM. */
-    void changed(int partition);
-
-    /** This life of the worker is over. */
-    void gone(WorkerSession session);
-  }
-
   private final LinkLoop loop;
   private final WorkerGateway gateway;
   private final String worker;
   private final int partitions;
-  private final Listener listener;
+  private final WorkerListener listener;
   private final RoomLedger room = new RoomLedger();
   private final WorkerTime time;
   private final RunPacing pacing;
@@ -83,9 +69,8 @@
   private final RunOverLog overs;
   private final Map<RunKey, SideRun> runs = new LinkedHashMap<>();
   private WorkerHeartbeat heartbeat;
-  private long unhealthyUntil = Long.MIN_VALUE;
+  private final WorkerHealth health;
   private final ListingTurns turns;
-  private final WorkerSilence silence;
   private boolean adopted;
   private boolean closed;
 
@@ -96,7 +81,7 @@
       Listing first,
       int partitions,
       LeaseTermsOfWorker terms,
-      Listener listener) {
+      WorkerListener listener) {
     this.loop = requireNonNull(loop, "loop");
     this.gateway = requireNonNull(gateway, "gateway");
     this.heartbeat = requireNonNull(heartbeat, "heartbeat");
@@ -108,7 +93,7 @@
     this.overs = new RunOverLog(loop, worker);
     this.admission = new StartAdmission(time, room, pacing);
     this.turns = new ListingTurns(loop, this::look);
-    this.silence = new WorkerSilence(worker);
+    this.health = new WorkerHealth(worker);
     room.capacity(heartbeat.capacity());
     takeListing(first, Set.of());
     adopted = true;
@@ -127,12 +112,15 @@
   }
 
   void heartbeat(WorkerHeartbeat newest) {
-    if (newest.draining() && !heartbeat.draining()) {
-      LOG.info(LogLine.of("worker-leaves").with("worker", worker).with("runs", runs.size()));
-    }
+    WorkerHeartbeat before = heartbeat;
     heartbeat = newest;
     room.capacity(newest.capacity());
-    listener.changed();
+    if (newest.draining() && !before.draining()) {
+      LOG.info(LogLine.of("worker-leaves").with("worker", worker).with("runs", runs.size()));
+      listener.standingChanged();
+    } else if (!newest.saysTheSameAs(before)) {
+      listener.roomChanged();
+    }
   }
 
   /** Returns a time that the worker's clock has surely reached, in milliseconds. */
@@ -147,9 +135,7 @@
    * for empty and send it all that waits, while others have room.
    */
   boolean isUnhealthy() {
-    return silence.lasts()
-        || loop.now() < unhealthyUntil
-        || StartAdmission.isAnyUnknown(runs.values());
+    return health.isBad(loop.now()) || StartAdmission.isAnyUnknown(runs.values());
   }
 
   RoomLedger room() {
@@ -178,7 +164,7 @@
   }
 
   int partitionOf(RunKey key) {
-    return io.marigoldsail.workflow.WorkflowIds.partition(key.task().workflow(), partitions);
+    return WorkflowIds.partition(key.task().workflow(), partitions);
   }
 
   /** Carries out an order to start, or refuses it at once. */
@@ -188,7 +174,7 @@
       if (known.order().isEmpty()) {
         known.order(order);
         room.book(key, StartAdmission.claim(order));
-        listener.changed(known.partition());
+        listener.runChanged(known.partition());
       }
       return;
     }
@@ -197,7 +183,7 @@
     }
     int partition = partitionOf(key);
     Optional<String> refusal =
-        silence.lasts()
+        health.isSilent()
             ? Optional.of("the worker is silent")
             : admission.refusal(key, partition, order, heartbeat.draining(), runs.values());
     if (refusal.isPresent()) {
@@ -212,7 +198,7 @@
 
   private void sendStart(SideRun run) {
     int tries = run.tried();
-    if (!silence.lasts()) {
+    if (!health.isSilent()) {
       time.extend(held());
     }
     WorkerGateway.Start start =
@@ -235,7 +221,7 @@
       time.read(accepted.workerClock());
       run.confirm();
       pacing.pace(run);
-      listener.changed(run.partition());
+      listener.runChanged(run.partition());
     } else if (result instanceof OtherWorker) {
       gone("it answered as another one");
     } else if (result instanceof Refused refused) {
@@ -288,9 +274,15 @@
     finish(run.key(), RunOutcome.REFUSED, "", 0, refused.detail());
   }
 
+  private void tellStanding() {
+    if (health.changes(isUnhealthy())) {
+      listener.standingChanged();
+    }
+  }
+
   private void unhealthy() {
-    unhealthyUntil = loop.now() + UNHEALTHY_NANOS;
-    listener.changed();
+    health.failed(loop.now());
+    tellStanding();
   }
 
   /** Stops a run, also one that is not known here: a late order for it must not be carried out. */
@@ -339,7 +331,7 @@
 
   /** Forgets an end that its owner has made durable. */
   void noted(RunKey key) {
-    if (ends.note(key) && ends.isAllNoted() && !silence.lasts()) {
+    if (ends.note(key) && ends.isAllNoted() && !health.isSilent()) {
       turns.now();
     }
   }
@@ -350,7 +342,7 @@
     room.release(key);
     ends.add(key, outcome, checkpoint, sequence, reason);
     overs.over(key, outcome, reason);
-    listener.changed(partitionOf(key));
+    listener.runChanged(partitionOf(key));
   }
 
   private Set<Integer> held() {
@@ -361,7 +353,7 @@
 
   private void look() {
     // A worker that did not answer may have taken the last deadline; it must be able to pass.
-    OptionalLong until = silence.lasts() ? OptionalLong.empty() : time.extend(held());
+    OptionalLong until = health.isSilent() ? OptionalLong.empty() : time.extend(held());
     long wait = serving() > 0 ? WAIT_SERVING_MILLIS : WAIT_MILLIS;
     Set<RunKey> confirmed = new HashSet<>();
     runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
@@ -382,20 +374,21 @@
     // Planned first: without a next listing owners would believe for good that all this runs.
     turns.after(RETRY_NANOS);
     if (result instanceof NoListing failed) {
-      silence.failed(failed.reason(), loop.now()).ifPresent(LOG::info);
-      unhealthy();
+      health.unanswered(failed.reason(), loop.now()).ifPresent(LOG::info);
+      tellStanding();
       if (time.isOver()) {
         leaseIsOver();
       }
       return;
     }
-    silence.answered(loop.now()).ifPresent(LOG::info);
+    health.answered(loop.now()).ifPresent(LOG::info);
     Listing shown = (Listing) result;
     time.read(shown.workerClock());
     takeListing(shown, confirmed);
+    tellStanding();
     stopOverdue();
     if (pacing.observe(runs.values(), room.capacity().milliProcessors())) {
-      listener.changed();
+      listener.roomChanged();
     }
     if (ends.isAllNoted()) {
       turns.now();
@@ -458,7 +451,7 @@
     boolean first = !run.isListed();
     run.listed(row.checkpoint(), row.percent(), row.gauge());
     if (first) {
-      listener.changed(run.partition());
+      listener.runChanged(run.partition());
     }
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -56,6 +56,7 @@
   private boolean probing;
   private boolean reportScheduled;
   private boolean owedScheduled;
+  private boolean standingChanged;
 
   /**
    * Creates a side process that does nothing yet.
@@ -179,12 +180,14 @@
       }
     }
     changedPartitions.clear();
+    standingChanged = false;
     scheduleOwed();
   }
 
   private boolean isConcerned(EntryConnection connection) {
-    return changedPartitions.stream()
-        .anyMatch(partition -> entries.owns(connection.member(), partition));
+    return standingChanged
+        || changedPartitions.stream()
+            .anyMatch(partition -> entries.owns(connection.member(), partition));
   }
 
   private boolean isDue(EntryConnection connection, boolean concerned) {
@@ -370,14 +373,20 @@
   }
 
   /** What the worker does. */
-  private final class FromWorker implements WorkerSession.Listener {
+  private final class FromWorker implements WorkerListener {
     @Override
-    public void changed() {
+    public void standingChanged() {
+      standingChanged = true;
       reportSoon();
     }
 
     @Override
-    public void changed(int partition) {
+    public void roomChanged() {
+      reportSoon();
+    }
+
+    @Override
+    public void runChanged(int partition) {
       changedPartitions.add(partition);
       reportSoon();
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -175,32 +175,61 @@
     pass(100);
     listener.throwOnce();
     pass(3_000);
+    assertFalse(listener.throwing, "nothing was thrown");
     int before = worker.listings();
     pass(3_000);
     assertTrue(worker.listings() > before, "asked no more");
   }
 
+  /**
+   * A worker fell silent, and entries that owned nothing on its VM went on to order work there
+   * until their turn to be told came. That a VM takes nothing, and that it takes work again, goes
+   * to all entries at once, each time once.
+   */
+  @Test
+  void allHearAtOnceThatAVmTakesNothingAndThatItDoesAgain() {
+    session.start();
+    pass(1_000);
+    assertEquals(0, listener.standings);
+    worker.fallSilent(1);
+    pass(4_000);
+    assertEquals(1, listener.standings);
+    worker.answerAgain();
+    pass(6_000);
+    assertEquals(2, listener.standings);
+  }
+
   /** What changes does not matter here; can be told to throw. */
-  private static final class ThrowingListener implements WorkerSession.Listener {
+  private static final class ThrowingListener implements WorkerListener {
     private boolean throwing;
+    private int standings;
 
     void throwOnce() {
       throwing = true;
     }
 
     @Override
-    public void changed() {
+    public void standingChanged() {
+      standings++;
+    }
+
+    @Override
+    public void roomChanged() {
+      throwIfTold();
+    }
+
+    @Override
+    public void runChanged(int partition) {
+      throwIfTold();
+    }
+
+    private void throwIfTold() {
       if (throwing) {
         throwing = false;
         throw new IllegalStateException("told to throw");
       }
     }
 
-    @Override
-    public void changed(int partition) {
-      changed();
-    }
-
     @Override
     public void gone(WorkerSession session) {}
   }
