Ask a worker for its listing again after one that threw

One exception while a worker was asked for what it runs ended its listings for good: its tasks counted as at work for ever, were never ended nor ordered elsewhere, and the VM went on to be offered orders. A listing was marked as under way before it was asked for, and only an answer took the mark away; an answer that was an exception took nothing away.

Holds since the turn itself ends and plans the next one where asking throws, and since a listing that throws or ends with an exception is one without an answer: its worker is silent, and what it ran is over once its lease is, which is past every deadline that was sent.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -365,8 +365,8 @@
     long wait = serving() > 0 ? WAIT_SERVING_MILLIS : WAIT_MILLIS;
     Set<RunKey> confirmed = new HashSet<>();
     runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
-    gateway
-        .list(worker, until, ends.noted(), ends.isAllNoted() ? wait : 0)
+    long waits = ends.isAllNoted() ? wait : 0;
+    ListingTurns.answer(worker, () -> gateway.list(worker, until, ends.noted(), waits))
         .thenAccept(result -> loop.run(() -> listed(result, confirmed)));
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -22,6 +22,8 @@
   private boolean loses;
   private boolean answersStarts = true;
   private boolean answersStops = true;
+  private boolean listingsThrow;
+  private boolean listingsBreak;
   private int listings;
 
   ScriptedWorker(VirtualLoop time) {
@@ -34,8 +36,20 @@
     failsAfterMillis = millis;
   }
 
+  /** Throws when it is asked for a listing from now on. */
+  void throwOnListings() {
+    listingsThrow = true;
+  }
+
+  /** Ends each listing with an exception from now on. */
+  void breakListings() {
+    listingsBreak = true;
+  }
+
   void answerAgain() {
     silent = false;
+    listingsThrow = false;
+    listingsBreak = false;
   }
 
   /** Leaves starts without an answer; those that it carries out are listed all the same. */
@@ -110,6 +124,12 @@
   public CompletableFuture<ListingResult> list(
       String worker, OptionalLong deadline, long noted, long waitMillis) {
     listings++;
+    if (listingsThrow) {
+      throw new IllegalStateException("told to throw");
+    }
+    if (listingsBreak) {
+      return CompletableFuture.failedFuture(new IllegalStateException("told to break"));
+    }
     if (silent) {
       return after(failsAfterMillis, () -> new NoListing("silent"));
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -180,6 +180,40 @@
     assertTrue(worker.listings() > before, "asked no more");
   }
 
+  /**
+   * Asking a worker for what it runs threw. It was never asked again: what it ran then counted as
+   * at work for the rest of the day, also after the worker was gone.
+   */
+  @Test
+  void aListingThatThrowsIsNotTheLast() {
+    session.start();
+    pass(1_000);
+    start(0);
+    worker.throwOnListings();
+    pass(20_000);
+    assertEquals(List.of(RunOutcome.LAPSED), outcomes());
+    worker.answerAgain();
+    pass(6_000);
+    assertFalse(session.isUnhealthy());
+  }
+
+  /**
+   * The connection to a worker broke in a way that nobody had thought of, and a listing ended with
+   * an exception. The worker was never asked again, and its task never found over.
+   */
+  @Test
+  void aListingThatEndsWithAnExceptionIsOneWithoutAnAnswer() {
+    session.start();
+    pass(1_000);
+    start(0);
+    worker.breakListings();
+    pass(20_000);
+    assertEquals(List.of(RunOutcome.LAPSED), outcomes());
+    worker.answerAgain();
+    pass(6_000);
+    assertFalse(session.isUnhealthy());
+  }
+
   /** What changes does not matter here; can be told to throw. */
   private static final class ThrowingListener implements WorkerSession.Listener {
     private boolean throwing;
