Run each effect of an append, whatever the one before did

One effect that threw took the later effects of its append along. A run that became durable with that append was never told so: it was not ordered and not swept, its task waited for good, and its room stayed booked. The next append went out only once something else changed.

Holds since each effect runs guarded on its own, in the order as before; all of them follow from records that are durable, so none needs another's success. The exception is logged as an error. The loop's guard of repeated tasks is used; its caller now says what to log.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -111,18 +111,28 @@
   /** Runs the task on the loop again and again, first after one period, also after it threw. */
   public Future<?> repeat(Runnable task, long periodNanos) {
     return loop.scheduleWithFixedDelay(
-        () -> runGuarded(task), periodNanos, periodNanos, TimeUnit.NANOSECONDS);
+        () ->
+            runGuarded(
+                task, e -> LOG.log(System.Logger.Level.ERROR, "event=repeated-task-failed", e)),
+        periodNanos,
+        periodNanos,
+        TimeUnit.NANOSECONDS);
   }
 
   /**
-   * Guards against a process that lives on without its repeated tasks: an exception would end the
-   * repetition for good, and with it leases, orders, and the ends of runs out of reach.
+   * Runs the task now and goes on also after it threw.
+   *
+   * <p>Guards against a process that lives on without what comes after the task: an exception would
+   * end a repetition or a chain for good, and with it leases, orders, and the ends of runs out of
+   * reach.
+   *
+   * @param failed told of the exception, to log it
    */
-  private static void runGuarded(Runnable task) {
+  public static void runGuarded(Runnable task, Consumer<RuntimeException> failed) {
     try {
       task.run();
     } catch (RuntimeException e) {
-      LOG.log(System.Logger.Level.ERROR, "event=repeated-task-failed", e);
+      failed.accept(e);
     }
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
@@ -188,7 +188,7 @@
     if (result instanceof Appended) {
       inFlight = false;
       evidence = batch.firstSent();
-      batch.effects().forEach(Runnable::run);
+      batch.effects().forEach(this::runEffect);
       flush();
     } else if (result instanceof Fenced) {
       giveUp("another owner has a higher epoch");
@@ -201,6 +201,23 @@
     }
   }
 
+  /**
+   * Runs what follows from an append, whatever the effect before did.
+   *
+   * <p>Guards against runs that are durable and never told so: with the effects after one that
+   * threw they would be lost, never ordered and never swept, and the tasks wait for good.
+   */
+  private void runEffect(Runnable effect) {
+    LinkLoop.runGuarded(
+        effect,
+        e ->
+            LOG.error(
+                LogLine.of("append-effect-failed")
+                    .with("partition", partition)
+                    .with("epoch", epoch)
+                    .withError(e)));
+  }
+
   private void retry(Batch batch, String reason) {
     LOG.debug(LogLine.of("append-retried").with("partition", partition).with("reason", reason));
     loop.schedule(() -> send(batch), RETRY_NANOS);
