Read submissions on after one that cannot be taken

One exception while a submission was taken, or while a partition was taken up, ended the reading of submissions for good: what callers handed in afterwards was accepted and never ordered, or the partition never became active, under this owner and each one after it. The next reading was asked for only after all records of the one before had been taken.

Holds since each record is taken on its own, and one that throws is logged with its key and passed over; the reading begins also where the listener throws at the activation. A workflow that could not be made out of its records is not made later by the same owner: its progress is gone from memory by then, and it would begin anew under attempts that were ordered before. No test covers that last part, since no record is known for which making it throws.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -23,10 +23,12 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -70,6 +72,13 @@
   private final PartitionWriter writer;
   private final Map<Long, Workflow> workflows = new HashMap<>();
   private final Map<Long, WorkflowRecordState> progress = new HashMap<>();
+
+  /**
+   * Workflows that could not be made out of their records. Read again they would begin anew, since
+   * their progress is gone from memory, under attempts that were ordered before.
+   */
+  private final Set<Long> untaken = new HashSet<>();
+
   private boolean active;
   private boolean closed;
   private long tailFrom;
@@ -186,7 +195,7 @@
             // Pages are no snapshot: what is written while they are read comes again from here.
             tailFrom = page.end();
           }
-          page.records().forEach(this::takeSubmission);
+          page.records().forEach(this::takeOrPassOver);
           if (page.more().isPresent()) {
             readSubmissions(page.more(), taken);
           } else {
@@ -231,6 +240,23 @@
     progress.put(id.getAsLong(), state.get());
   }
 
+  /**
+   * Takes one submission, and goes on also if that throws.
+   *
+   * <p>Guards against one record that ends the reading: nothing handed in afterwards would ever be
+   * ordered, or the partition would never become active, for it and for each owner after it.
+   */
+  private void takeOrPassOver(KeyedRecord keyed) {
+    LinkLoop.runGuarded(
+        () -> takeSubmission(keyed),
+        e ->
+            LOG.error(
+                LogLine.of("submission-not-taken")
+                    .with("partition", number)
+                    .with("key", keyed.key())
+                    .withError(e)));
+  }
+
   private void takeSubmission(KeyedRecord keyed) {
     if (keyed.value().isEmpty()) {
       return;
@@ -254,12 +280,13 @@
 
   /** Takes a workflow that was accepted durably; handed in again it stays the first one. */
   void add(WorkflowSpec spec) {
-    if (closed || workflows.containsKey(spec.id())) {
+    if (closed || workflows.containsKey(spec.id()) || !untaken.add(spec.id())) {
       return;
     }
     WorkflowRecordState state = progress.remove(spec.id());
     Workflow workflow = state == null ? Workflow.of(spec) : Workflow.restore(spec, state);
     workflows.put(spec.id(), workflow);
+    untaken.remove(spec.id());
     if (active) {
       listener.submitted(this, workflow);
     }
@@ -275,7 +302,16 @@
             .with("epoch", epoch())
             .with("workflows", workflows.size())
             .with("submissions_end", tailFrom));
-    listener.activated(this);
+    // Guarded, since the partition counts as active already: without the reading nothing that is
+    // handed in from now on would ever be ordered.
+    LinkLoop.runGuarded(
+        () -> listener.activated(this),
+        e ->
+            LOG.error(
+                LogLine.of("activation-failed")
+                    .with("partition", number)
+                    .with("epoch", epoch())
+                    .withError(e)));
     tail();
   }
 
@@ -295,7 +331,7 @@
     if (result instanceof Records records) {
       tailFreshAt = loop.now();
       tailFrom = records.next();
-      records.records().forEach(this::takeSubmission);
+      records.records().forEach(this::takeOrPassOver);
       tail();
     } else if (result instanceof Expired) {
       LOG.info(LogLine.of("submissions-expired").with("partition", number).with("from", tailFrom));
