--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SideReportsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SideReportsTest.java
@@ -13,7 +13,6 @@
 import io.marigoldsail.workflow.WorkflowIds;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.LongStream;
@@ -34,6 +33,7 @@
   private final WorkflowWorld world = new WorkflowWorld();
   private final LinkLoop loop = new LinkLoop("bystander", MonotonicClock.system());
   private final AtomicInteger reports = new AtomicInteger();
+  private LinkServer server;
   private String bystander;
 
   @BeforeEach
@@ -41,12 +41,9 @@
     world.addEntry();
     world.addSide("vm-0", 5);
     world.awaitReady();
-    int port;
-    try (ServerSocket socket = new ServerSocket(0)) {
-      port = socket.getLocalPort();
-    }
-    new LinkServer(loop, new InetSocketAddress("127.0.0.1", port), 10, new CountsReports()).start();
-    bystander = new EntryMember("127.0.0.1", port, 1).toString();
+    server = new LinkServer(loop, new InetSocketAddress("127.0.0.1", 0), 10, new CountsReports());
+    server.start();
+    bystander = new EntryMember("127.0.0.1", server.port(), 1).toString();
     world.store().join(bystander, Long.MAX_VALUE);
     world.await(
         "the bystander owns a part", () -> ownedByBystander() == WorkflowWorld.PARTITIONS / 2);
@@ -55,6 +52,9 @@
 
   @AfterEach
   void stop() {
+    if (server != null) {
+      server.close();
+    }
     loop.close();
     world.close();
   }
