Drop images that no VM tells of any more from the sums

They were kept at a weight of nothing for ever, and a VM was told of images that only it had seen. ImageHarm: say plainly why minus cuts at zero.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageHarm.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageHarm.java
@@ -67,7 +67,7 @@
       return new Seen(blame + other.blame, weight + other.weight);
     }
 
-    /** Returns this less a part of it; rounding takes it below nothing by no more than itself. */
+    /** Returns this less a part of it, cut at zero: sums of doubles may fall just below. */
     Seen minus(Seen part) {
       double lessWeight = Math.max(0, weight - part.weight);
       return new Seen(Math.min(Math.max(0, blame - part.blame), lessWeight), lessWeight);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageSums.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageSums.java
@@ -15,6 +15,9 @@
  * <p>Confined to one thread. Rejects nulls.
  */
 public final class ImageSums {
+  /** Rounding leaves no more than this, and a belief does not feel what weighs as little. */
+  private static final double NOTHING_WEIGHT = 1e-6;
+
   private final Map<String, Map<String, ImageHarm.Seen>> byVm = new HashMap<>();
   private final Map<String, ImageHarm.Seen> sum = new HashMap<>();
 
@@ -22,9 +25,26 @@
   public void saw(String vm, Map<String, ImageHarm.Seen> seen) {
     Map<String, ImageHarm.Seen> before = byVm.put(requireNonNull(vm, "vm"), Map.copyOf(seen));
     if (before != null) {
-      before.forEach((image, what) -> sum.computeIfPresent(image, (key, all) -> all.minus(what)));
+      takeOut(before, sum);
     }
-    seen.forEach((image, what) -> sum.merge(image, what, ImageHarm.Seen::plus));
+    seen.forEach(
+        (image, what) -> {
+          if (what.weight() > NOTHING_WEIGHT) {
+            sum.merge(image, what, ImageHarm.Seen::plus);
+          }
+        });
+  }
+
+  /** Takes a part out of sums; what is left of an image that was seen nowhere else is dropped. */
+  private static void takeOut(Map<String, ImageHarm.Seen> part, Map<String, ImageHarm.Seen> from) {
+    part.forEach(
+        (image, what) ->
+            from.computeIfPresent(
+                image,
+                (key, all) -> {
+                  ImageHarm.Seen left = all.minus(what);
+                  return left.weight() > NOTHING_WEIGHT ? left : null;
+                }));
   }
 
   /** Returns what all VMs saw; a view that later words change. */
@@ -35,8 +55,7 @@
   /** Returns what all VMs but the one saw, as it is now. */
   public Map<String, ImageHarm.Seen> elsewhere(String vm) {
     Map<String, ImageHarm.Seen> others = new HashMap<>(sum);
-    byVm.getOrDefault(vm, Map.of())
-        .forEach((image, what) -> others.computeIfPresent(image, (key, all) -> all.minus(what)));
+    takeOut(byVm.getOrDefault(vm, Map.of()), others);
     return others;
   }
 }
