--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RoomLooksTest.java
@@ -0,0 +1,138 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.daemon.workflow.FakeWorkflowStore.AppendFault;
+import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
+import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.QueueTable;
+import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.VmChooser;
+import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowIds;
+import io.marigoldsail.workflow.WorkflowTask;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** When an entry looks at waiting tasks after reports of room, on virtual time. */
+class RoomLooksTest {
+  private static final long ID = 95;
+  private static final long ROOM_WAIT_MILLIS = 10;
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final FakeWorkflowStore store = new FakeWorkflowStore(1, time.timer());
+  private final Ownership ownership =
+      new Ownership(
+          store, time.loop(), new EntryMember("127.0.0.1", 1, 1), new IgnoringOwnership());
+  private final EntryVms vms =
+      new EntryVms(
+          time.loop(),
+          ownership,
+          LeaseTermsOfWorker.forLongestLease(10_000),
+          () -> 0,
+          new LooksAtRoom());
+  private final EntryScheduler scheduler =
+      new EntryScheduler(
+          time.loop(),
+          () -> 0,
+          ownership,
+          vms,
+          VmChooser.of(1.5),
+          new FakeAdviser(),
+          this::configuration);
+  private int looks;
+
+  /** Each look asks for the configuration once. */
+  private Optional<QueueTable> configuration() {
+    looks++;
+    return Optional.of(WorkflowWorld.configuration(1, "service"));
+  }
+
+  @BeforeEach
+  void submit() {
+    KeyedRecord submission =
+        new KeyedRecord(
+            WorkflowIds.format(ID), WorkflowRecords.encode(WorkflowWorld.workflow(ID, 1)));
+    store.append(Topic.SUBMISSIONS, 0, List.of(submission), Optional.empty());
+    ownership.start();
+    time.advance(500);
+    assertEquals(1, ownership.active().size());
+    // So no order is durable, and none is sent.
+    store.failAppends(AppendFault.REFUSED, Integer.MAX_VALUE);
+  }
+
+  private void report() {
+    vms.reported(
+        null,
+        VmReport.newBuilder()
+            .setVm("vm-0")
+            .setWorker("life-1")
+            .setService("service")
+            .setMilliProcessors(4_000)
+            .setMemoryMebibytes(8_192)
+            .setFreeMilliProcessors(4_000)
+            .setFreeMemoryMebibytes(8_192)
+            .build());
+  }
+
+  private boolean isOrdered() {
+    Workflow workflow = ownership.active().get(0).workflow(ID).orElseThrow();
+    return !workflow.openTasks().isEmpty();
+  }
+
+  @Test
+  void aWaitingTaskIsOrderedSoonAfterAReportOfRoom() {
+    assertFalse(isOrdered());
+    report();
+    time.advance(ROOM_WAIT_MILLIS);
+    time.settle();
+    assertTrue(isOrdered());
+  }
+
+  /**
+   * Each report of a VM made its entry go through all waiting tasks and all VMs. Many VMs report
+   * together, and the entry was busy with looks that found what the one before had found.
+   */
+  @Test
+  void reportsThatComeTogetherCauseOneLook() {
+    for (int i = 0; i < ROOM_WAIT_MILLIS - 1; i++) {
+      report();
+      report();
+      time.advance(1);
+    }
+    assertEquals(0, looks);
+    time.advance(ROOM_WAIT_MILLIS);
+    assertEquals(1, looks);
+    assertTrue(isOrdered());
+  }
+
+  private final class LooksAtRoom implements EntryVms.Listener {
+    @Override
+    public void ended(OwnedPartition partition, WorkflowTask task, RunOutcome outcome) {}
+
+    @Override
+    public void roomChanged() {
+      scheduler.roomChanged();
+    }
+  }
+
+  private static final class IgnoringOwnership implements Ownership.Listener {
+    @Override
+    public void ownersKnown(long asOfGeneration, WorkflowStore.Owners owners) {}
+
+    @Override
+    public void activated(OwnedPartition partition) {}
+
+    @Override
+    public void submitted(OwnedPartition partition, Workflow workflow) {}
+
+    @Override
+    public void lost(OwnedPartition partition) {}
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
@@ -4,6 +4,7 @@
 import io.marigoldsail.time.WallClock;
 import io.marigoldsail.timeline.HybridClock;
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 /** A loop on virtual time: what is scheduled runs only while a test advances it. One thread. */
@@ -23,6 +24,11 @@
     return loop;
   }
 
+  /** Returns what runs tasks on the same time, for fakes that answer late. */
+  ScheduledExecutorService timer() {
+    return timer.eventLoop();
+  }
+
   /** Returns how much time has passed, in milliseconds. */
   long millis() {
     return TimeUnit.NANOSECONDS.toMillis(nanos);
@@ -36,4 +42,9 @@
       timer.runPendingTasks();
     }
   }
+
+  /** Runs what was put on the loop by what ran last, while no time passes. */
+  void settle() {
+    timer.runPendingTasks();
+  }
 }
