--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -89,8 +89,8 @@
   /**
    * Returns whether the last report has runs of which only their owners know what they need.
    *
-   * <p>Its side process refuses all others until it is told, so they are not offered to it: after
-   * all processes had restarted, entries sent 1,177 orders in vain within three seconds.
+   * <p>Its side process refuses all others until it is told, so they are not offered to it. Guards
+   * against orders in vain after a restart of all processes, when each VM looks empty at first.
    */
   boolean hasRunsOfUnknownSize() {
     return report.getRunsList().stream().anyMatch(RunReport::getSizeUnknown);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -25,16 +25,6 @@
     world.close();
   }
 
-  private void start(int entries, int vms, long runMillis) throws IOException {
-    for (int i = 0; i < entries; i++) {
-      world.addEntry();
-    }
-    for (int i = 0; i < vms; i++) {
-      world.addSide("vm-" + i, runMillis);
-    }
-    world.awaitReady();
-  }
-
   private void submit(int entry, long id, int... widths) {
     assertInstanceOf(
         WorkflowStore.Appended.class,
@@ -59,7 +49,7 @@
 
   @Test
   void stepsRunInOrderAndAnyEntryTellsTheStatus() throws IOException {
-    start(2, 3, 40);
+    world.start(2, 3, 40);
     for (long id = 1; id <= 8; id++) {
       submit((int) id % 2, id, 3, 2);
     }
@@ -75,7 +65,7 @@
    */
   @Test
   void anotherEntryGoesOnWhenTheOwnerIsKilled() throws IOException {
-    start(2, 2, 1_500);
+    world.start(2, 2, 1_500);
     submit(0, 11, 2);
     submit(0, 12, 2);
     submit(0, 13, 2);
@@ -96,7 +86,7 @@
    */
   @Test
   void aFormerOwnerIsShutOutWhenPartitionsAreDealtAnew() throws IOException {
-    start(2, 2, 300);
+    world.start(2, 2, 300);
     for (long id = 21; id <= 26; id++) {
       submit(0, id, 2, 2);
     }
@@ -112,7 +102,7 @@
    */
   @Test
   void lostAnswersOfTheStoreRepeatNothing() throws IOException {
-    start(1, 2, 50);
+    world.start(1, 2, 50);
     world.store().failAppends(FakeWorkflowStore.AppendFault.ANSWER_LOST, 6);
     submit(0, 31, 4, 1);
     awaitDone(31);
@@ -127,7 +117,7 @@
   /** A worker crashes and is back as another one: what it ran runs again under higher attempts. */
   @Test
   void whatACrashedWorkerRanRunsAgain() throws IOException {
-    start(1, 1, 800);
+    world.start(1, 1, 800);
     submit(0, 41, 2);
     world.await("both are at work", () -> world.history().totalStarts() == 2);
     world.side("vm-0").worker().crash("life-2");
@@ -142,7 +132,7 @@
    */
   @Test
   void anOrderCarriedOutLateIsNeverInTwoPlaces() throws IOException {
-    start(1, 2, 700);
+    world.start(1, 2, 700);
     world.side("vm-0").worker().answerLate(20, 600);
     world.side("vm-1").worker().answerLate(3, 2_000);
     submit(0, 51, 6);
@@ -162,7 +152,7 @@
   }
 
   private void beAtWorkUnderASilentWorker(long id) throws IOException {
-    start(1, 2, 1_500);
+    world.start(1, 2, 1_500);
     // Too many for one VM, so that both have some.
     submit(0, id, 10);
     world.await("all are at work", () -> world.history().totalStarts() == 10);
@@ -189,7 +179,7 @@
   /** A side process is killed and another one finds on the worker what it does not know. */
   @Test
   void aRestartedSideProcessAdoptsWhatRuns() throws IOException {
-    start(1, 1, 1_200);
+    world.start(1, 1, 1_200);
     submit(0, 61, 3);
     world.await("all are at work", () -> world.history().totalStarts() == 3);
     world.restartSide("vm-0");
@@ -205,7 +195,7 @@
    */
   @Test
   void whatAKilledSideProcessSlowedDownGoesOn() throws IOException {
-    start(1, 1, 600);
+    world.start(1, 1, 600);
     StepSpec.Nature fills = new StepSpec.Nature(false, false, false, false, true, "image", 0, 0);
     assertInstanceOf(
         WorkflowStore.Appended.class,
@@ -224,7 +214,7 @@
    */
   @Test
   void aGangBeginsAgainAsAWhole() throws IOException {
-    start(1, 2, 1_500);
+    world.start(1, 2, 1_500);
     // Too many for one VM, so that both have some.
     int members = 10;
     StepSpec.Nature gang = new StepSpec.Nature(true, false, false, false, false, "", 0, 0);
@@ -248,7 +238,7 @@
    */
   @Test
   void whatNeedsAdviceRunsOnlyWhereItIsAllowed() throws IOException {
-    start(1, 3, 40);
+    world.start(1, 3, 40);
     world.adviser().allowOnly("vm-1");
     world.adviser().fail(2);
     assertInstanceOf(
@@ -269,7 +259,7 @@
    */
   @Test
   void aVmThatComesLaterIsAskedAboutByItself() throws IOException {
-    start(1, 1, 40);
+    world.start(1, 1, 40);
     world.adviser().allowOnly("vm-1");
     assertInstanceOf(
         WorkflowStore.Appended.class,
@@ -293,7 +283,7 @@
    */
   @Test
   void anEntryThatTheStoreTurnsAwayHandsOverAndComesBack() throws IOException {
-    start(2, 2, 1_500);
+    world.start(2, 2, 1_500);
     long[] ids = LongStream.rangeClosed(81, 86).toArray();
     for (long id : ids) {
       submit(0, id, 2);
@@ -321,7 +311,7 @@
   @Test
   void aCancelledWorkflowStops() throws IOException {
     // Longer than the test waits: nothing ends by itself.
-    start(2, 1, 120_000);
+    world.start(2, 1, 120_000);
     submit(0, 71, 2);
     world.await("it runs", () -> world.history().totalStarts() == 2);
     QueryResult told = world.entry(1).entry().query(71, "queue", true).join();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
@@ -35,16 +35,6 @@
     world.close();
   }
 
-  private void start(int entries, int vms, long runMillis) throws IOException {
-    for (int i = 0; i < entries; i++) {
-      world.addEntry();
-    }
-    for (int i = 0; i < vms; i++) {
-      world.addSide("vm-" + i, runMillis);
-    }
-    world.awaitReady();
-  }
-
   private void submit(WorkflowSpec workflow) {
     assertInstanceOf(WorkflowStore.Appended.class, world.entry(0).entry().submit(workflow).join());
   }
@@ -70,7 +60,7 @@
    */
   @Test
   void aTaskThatAlwaysFailsStartsAsOftenAsAllowedThoughItsOwnerDies() throws IOException {
-    start(2, 3, 300);
+    world.start(2, 3, 300);
     for (int vm = 0; vm < 3; vm++) {
       worker("vm-" + vm).endAllAs(RunOutcome.FAILED);
     }
@@ -93,7 +83,7 @@
    */
   @Test
   void laterStepsWaitForAllTasksBeforeThoughTheOwnerDies() throws IOException {
-    start(2, 2, 400);
+    world.start(2, 2, 400);
     long[] ids = LongStream.rangeClosed(111, 116).toArray();
     for (long id : ids) {
       submit(WorkflowWorld.workflow(id, 2, 2, 1));
@@ -116,7 +106,7 @@
    */
   @Test
   void nobodyHearsOfAnEndThatTheStoreDoesNotHave() throws IOException {
-    start(1, 1, 500);
+    world.start(1, 1, 500);
     submit(WorkflowWorld.workflow(121, 2));
     world.await("both are at work", () -> world.history().totalStarts() == 2);
     world.store().failAppends(FakeWorkflowStore.AppendFault.REFUSED, Integer.MAX_VALUE);
@@ -137,7 +127,7 @@
    */
   @Test
   void noWorkerIsAskedBeforeTheStoreHasTheAttempt() throws IOException {
-    start(1, 1, 100);
+    world.start(1, 1, 100);
     world.store().failAppends(FakeWorkflowStore.AppendFault.REFUSED, Integer.MAX_VALUE);
     submit(WorkflowWorld.workflow(125, 2));
     world.await(
@@ -153,7 +143,7 @@
    */
   @Test
   void everyEntryCountsAllThatWaits() throws IOException {
-    start(2, 0, 0);
+    world.start(2, 0, 0);
     for (long id = 131; id <= 142; id++) {
       submit(WorkflowWorld.workflow(id, 1));
     }
@@ -177,7 +167,7 @@
    */
   @Test
   void anOrderCarriedOutAfterTheCancelStartsNothing() throws IOException {
-    start(1, 1, FOR_GOOD_MILLIS);
+    world.start(1, 1, FOR_GOOD_MILLIS);
     FakeWorkerGateway worker = worker("vm-0");
     worker.answerLate(Integer.MAX_VALUE, 1_500);
     submit(WorkflowWorld.workflow(151, 2));
@@ -193,7 +183,7 @@
    */
   @Test
   void aWorkerThatLeavesIsGivenNothingAndItsServicesMove() throws IOException {
-    start(2, 1, FOR_GOOD_MILLIS);
+    world.start(2, 1, FOR_GOOD_MILLIS);
     submit(WorkflowWorld.workflow(161, LASTING, 3));
     FakeWorkerGateway leaving = worker("vm-0");
     world.await("all are at work", () -> leaving.atWork().size() == 3);
@@ -214,7 +204,7 @@
    */
   @Test
   void aWorkerThatLeavesIsNotAskedAgain() throws IOException {
-    start(1, 1, 200);
+    world.start(1, 1, 200);
     FakeWorkerGateway leaving = worker("vm-0");
     leaving.dropStarts(Integer.MAX_VALUE);
     submit(WorkflowWorld.workflow(171, 1));
@@ -234,7 +224,7 @@
    */
   @Test
   void whatDisturbsMovesAndTheServiceStays() throws IOException {
-    start(1, 1, FOR_GOOD_MILLIS);
+    world.start(1, 1, FOR_GOOD_MILLIS);
     submit(WorkflowWorld.workflow(181, LASTING, 3));
     FakeWorkerGateway crowded = worker("vm-0");
     world.await("the service is at work", () -> crowded.atWork().size() == 3);
@@ -259,7 +249,7 @@
    */
   @Test
   void aQueueIsServedOnlyWhereTheNewestVersionSendsIt() throws IOException {
-    start(1, 1, FOR_GOOD_MILLIS);
+    world.start(1, 1, FOR_GOOD_MILLIS);
     FakeWorkerGateway worker = worker("vm-0");
     WorkflowEntry entry = world.entry(0).entry();
     submit(WorkflowWorld.workflow(211, 1));
@@ -280,7 +270,7 @@
    */
   @Test
   void newEntriesGoOnWhenAllHaveDied() throws IOException {
-    start(2, 2, 700);
+    world.start(2, 2, 700);
     long[] ids = LongStream.rangeClosed(191, 202).toArray();
     for (long id : ids) {
       submit(WorkflowWorld.workflow(id, 2, 1));
@@ -308,7 +298,7 @@
    */
   @Test
   void anEntryThatReadsNothingCallsNoWorkflowUnknown() throws IOException {
-    start(1, 0, 0);
+    world.start(1, 0, 0);
     assertEquals(QueryResult.UNKNOWN_WORKFLOW, world.status(0, 221));
     world.entry(0).store().refuse(true);
     world.await("it cannot tell", () -> world.status(0, 221) == QueryResult.CANNOT_TELL);
@@ -342,7 +332,7 @@
    */
   @Test
   void aFormerOwnerCannotStopWhatItsSuccessorRuns() throws IOException {
-    start(1, 1, FOR_GOOD_MILLIS);
+    world.start(1, 1, FOR_GOOD_MILLIS);
     submit(WorkflowWorld.workflow(241, 1));
     world.await("it is at work", () -> worker("vm-0").atWork().size() == 1);
     try (FormerOwner former = new FormerOwner()) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowWorld.java
@@ -127,6 +127,21 @@
     return new WorkflowSpec.Terms(service, 0, 3, Optional.empty(), 2, 100);
   }
 
+  /**
+   * Starts entries, and VMs called {@code vm-0} and so on, and waits until partitions have owners.
+   *
+   * @param runMillis how long each task works
+   */
+  void start(int entryCount, int vms, long runMillis) throws IOException {
+    for (int i = 0; i < entryCount; i++) {
+      addEntry();
+    }
+    for (int i = 0; i < vms; i++) {
+      addSide("vm-" + i, runMillis);
+    }
+    awaitReady();
+  }
+
   /** Ends an entry as a kill does: without a word to anybody. */
   void kill(RunningEntry entry) {
     entry.loop().close();
