--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EntrySchedulerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EntrySchedulerTest.java
@@ -103,20 +103,6 @@
     }
   }
 
-  private static final class IgnoringOwnership implements Ownership.Listener {
-    @Override
-    public void ownersKnown(long asOfGeneration, WorkflowStore.Owners owners) {}
-
-    @Override
-    public void activated(OwnedPartition partition) {}
-
-    @Override
-    public void submitted(OwnedPartition partition, Workflow workflow) {}
-
-    @Override
-    public void lost(OwnedPartition partition) {}
-  }
-
   private static final class IgnoringVms implements EntryVms.Listener {
     @Override
     public void ended(OwnedPartition partition, WorkflowTask task, RunOutcome outcome) {}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/IgnoringOwnership.java
@@ -0,0 +1,18 @@
+package io.marigoldsail.daemon.workflow;
+
+import io.marigoldsail.workflow.Workflow;
+
+/** Takes what becomes of partitions and does nothing about it. */
+final class IgnoringOwnership implements Ownership.Listener {
+  @Override
+  public void ownersKnown(long asOfGeneration, WorkflowStore.Owners owners) {}
+
+  @Override
+  public void activated(OwnedPartition partition) {}
+
+  @Override
+  public void submitted(OwnedPartition partition, Workflow workflow) {}
+
+  @Override
+  public void lost(OwnedPartition partition) {}
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RoomLooksTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RoomLooksTest.java
@@ -121,18 +121,4 @@
       scheduler.roomChanged();
     }
   }
-
-  private static final class IgnoringOwnership implements Ownership.Listener {
-    @Override
-    public void ownersKnown(long asOfGeneration, WorkflowStore.Owners owners) {}
-
-    @Override
-    public void activated(OwnedPartition partition) {}
-
-    @Override
-    public void submitted(OwnedPartition partition, Workflow workflow) {}
-
-    @Override
-    public void lost(OwnedPartition partition) {}
-  }
 }
