Keep an entry that leaves from saying again that it is ready

Ruled out: the door (it answers what the entry says), a store that is away (it went away 2.3 s after the stop began).

Before: the new test fails (ready after the leave). Now readiness is worked out from the store, the configuration and whether the entry leaves, and nothing sets it again. WorkflowFaultsTest, WorkflowRulesTest and the other Workflow tests of the daemon pass.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -64,7 +64,7 @@
   private final LinkServer server;
   private final OwnerMapTurns<LinkConnection> turns = new OwnerMapTurns<>();
   private volatile Optional<QueueTable> configuration = Optional.empty();
-  private volatile boolean ready;
+  private volatile boolean leaving;
 
   /**
    * Creates an entry that does nothing yet.
@@ -140,7 +140,7 @@
 
   /** Returns whether this entry should be given callers. */
   public boolean isReady() {
-    return ready && ownership.isConnected() && configuration.isPresent();
+    return !leaving && ownership.isConnected() && configuration.isPresent();
   }
 
   /**
@@ -268,9 +268,6 @@
   }
 
   private void sweep() {
-    if (!ready && ownership.isConnected()) {
-      ready = true;
-    }
     vms.sweep();
     scheduler.evacuate();
     scheduler.soon();
@@ -290,7 +287,7 @@
 
   /** Gives all partitions back and stops deciding; callers are still answered by other owners. */
   public CompletableFuture<Boolean> leave() {
-    ready = false;
+    leaving = true;
     CompletableFuture<Boolean> left = new CompletableFuture<>();
     loop.run(() -> ownership.leave().thenAccept(left::complete));
     return left;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.daemon.workflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -307,6 +308,20 @@
     assertNothingInTwoPlaces();
   }
 
+  /**
+   * An entry leaves in a planned stop while callers still ask it. Guards against one that says
+   * again that it is ready, so that the balancer goes on sending it connections until it is gone.
+   */
+  @Test
+  void anEntryThatLeavesIsNotReadyAgain() throws IOException {
+    world.start(2, 1, 1_500);
+    WorkflowEntry leaving = world.entry(1).entry();
+    leaving.leave().join();
+    submit(0, 89, 1);
+    awaitDone(89);
+    assertFalse(leaving.isReady());
+  }
+
   /** A caller cancels; the answer comes once that is durable, and nothing of it runs on. */
   @Test
   void aCancelledWorkflowStops() throws IOException {
