Let what fills count on processors that services book and leave idle

Hypothesis: on the Tallinn deployment services book four fifths of all processors and stand on every VM; heavy tasks may declare 6 processors beyond what is not booked, so a burst waits beside processors that nobody uses. Change: a side process counts a part of what is booked as idle, more while what fills gets what it asks for, less while it does not or a service is over its target (Overcommit), and reports it; owners place by it. OvercommitTest replays the burst; targeted tests of core and daemon pass, one logged listing-broke comes from a fake's timer that a test had closed.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RoomLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RoomLedger.java
@@ -14,8 +14,8 @@
  * overbooks the VM. A run is booked from before its order to the worker until the worker has listed
  * its end or is gone: a start without an answer may be carried out later, and what is being stopped
  * still works. Tasks that fill book no processors, so what they declare is added up here and held
- * to the bound of {@link VmChooser#FILL_BEYOND}: without it three owners that saw the same empty VM
- * put 24 such tasks of 43 processors on one of 24.
+ * to the bound of {@link Overcommit}: without it three owners that saw the same empty VM put 24
+ * such tasks of 43 processors on one of 24.
  *
  * <p>Confined to one thread. Rejects nulls.
  */
@@ -46,10 +46,16 @@
   }
 
   private final Map<RunKey, Claim> claims = new HashMap<>();
+  private final Overcommit overcommit;
   private Sizes capacity = Sizes.NONE;
   private Sizes total = Sizes.NONE;
   private long fillMilliProcessors;
 
+  /** Returns a ledger in which nothing is booked. */
+  public RoomLedger(Overcommit overcommit) {
+    this.overcommit = requireNonNull(overcommit, "overcommit");
+  }
+
   /** Sets what the VM has. */
   public void capacity(Sizes newCapacity) {
     capacity = requireNonNull(newCapacity, "newCapacity");
@@ -75,7 +81,7 @@
   private boolean hasProcessorsToFill(Claim claim) {
     long left = free().milliProcessors() - fillMilliProcessors;
     boolean bound = claim.fills() && claim.urgency() != Urgency.STARVED;
-    return !bound || left + VmChooser.FILL_BEYOND >= claim.sizes().milliProcessors();
+    return !bound || left + overcommitMilliProcessors() >= claim.sizes().milliProcessors();
   }
 
   /** Books room for a run that is there already, whether or not there is room. */
@@ -102,6 +108,11 @@
     return fillMilliProcessors;
   }
 
+  /** Returns what such runs may declare beyond what is left, in thousandths of a processor. */
+  public long overcommitMilliProcessors() {
+    return overcommit.milliProcessors(total.milliProcessors());
+  }
+
   /** Returns what is not booked. */
   public Sizes free() {
     return capacity.minus(total);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -23,14 +23,6 @@
  * <p>Immutable, and safe for any thread.
  */
 public final class VmChooser {
-  /**
-   * By how much tasks that fill may declare more than is left, in thousandths of a processor. They
-   * take turns then, and are done sooner than if they waited, since others use less than they
-   * booked: of 28 heavy workflows of a calm day 25 were in time with this, 15 without (one run
-   * each).
-   */
-  static final long FILL_BEYOND = 6_000;
-
   /**
    * What the right company counts, in thousandths of a processor: more than any VM has, so that
    * room decides only among VMs with the same company.
@@ -187,7 +179,7 @@
   }
 
   private static boolean hasRoomToFill(StepSpec step, double harm, VmOffer offer) {
-    if (offer.leftMilliProcessors() + FILL_BEYOND < step.sizes().milliProcessors()) {
+    if (offer.leftToFillMilli() < step.sizes().milliProcessors()) {
       return false;
     }
     if (offer.serving() == 0 || !ImageHarm.isSuspect(harm)) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
@@ -20,6 +20,8 @@
  * @param free what is not booked
  * @param fillMilliProcessors what running tasks that fill declared, in thousandths of a processor
  * @param suspectMilliProcessors the part of that which suspects declared, see {@link SuspectRoom}
+ * @param overcommitMilliProcessors what tasks that fill may declare beyond what is left, see {@link
+ *     Overcommit}
  * @param serving how many tasks with a latency target of their own run here
  * @param slowness how many times as long as elsewhere tasks take here; 1 for as long
  */
@@ -32,6 +34,7 @@
     Sizes free,
     long fillMilliProcessors,
     long suspectMilliProcessors,
+    long overcommitMilliProcessors,
     int serving,
     double slowness) {
   /**
@@ -68,6 +71,11 @@
     return free.milliProcessors() - fillMilliProcessors;
   }
 
+  /** Returns what tasks that fill may still declare here, in thousandths of a processor. */
+  long leftToFillMilli() {
+    return leftMilliProcessors() + overcommitMilliProcessors;
+  }
+
   /**
    * Returns this offer after a task of the step was placed here.
    *
@@ -86,6 +94,7 @@
         free.minus(step.booked()),
         fillMilliProcessors + fills,
         suspectMilliProcessors + suspect,
+        overcommitMilliProcessors,
         nowServing,
         slowness);
   }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/GangChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/GangChooserTest.java
@@ -27,6 +27,7 @@
         0,
         0,
         0,
+        0,
         1);
   }
 
--- /dev/null
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/OvercommitTest.java
@@ -0,0 +1,91 @@
+package io.marigoldsail.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.job.Sizes;
+import org.junit.jupiter.api.Test;
+
+class OvercommitTest {
+  private static final long BOOKED_MILLI = 26_000;
+
+  private static int taken(RoomLedger room) {
+    RoomLedger.Claim fills = new RoomLedger.Claim(new Sizes(3_500, 10, 0), true, Urgency.ORDINARY);
+    int taken = 0;
+    while (room.tryBook(new RunKey(new TaskKey(2, 0, 0, taken), 1), fills)) {
+      taken++;
+    }
+    return taken;
+  }
+
+  private static RoomLedger withServices(Overcommit overcommit) {
+    RoomLedger room = new RoomLedger(overcommit);
+    room.capacity(new Sizes(32_000, 1_000, 0));
+    RunKey services = new RunKey(new TaskKey(1, 0, 0, 0), 1);
+    room.book(
+        services, new RoomLedger.Claim(new Sizes(BOOKED_MILLI, 100, 0), false, Urgency.ORDINARY));
+    return room;
+  }
+
+  /**
+   * A burst of heavy workflows meets a fleet on which services book most processors and use half of
+   * them. Guards against heavy tasks that wait beside idle processors until they are late.
+   */
+  @Test
+  void whatServicesLeaveIdleIsRoomInABurst() {
+    Overcommit overcommit = new Overcommit();
+    for (int reading = 0; reading < 5; reading++) {
+      overcommit.observe(10_000, 9_000, 60);
+    }
+    assertEquals(7, taken(withServices(overcommit)));
+  }
+
+  /**
+   * Services use all that they book. Guards against ever more heavy tasks that share nothing, each
+   * slower than the one before.
+   */
+  @Test
+  void whatIsNotIdleIsCountedOnNoMore() {
+    Overcommit overcommit = new Overcommit();
+    for (int reading = 0; reading < 8; reading++) {
+      overcommit.observe(10_000, 3_000, 60);
+    }
+    assertEquals(Overcommit.BASE_MILLI, overcommit.milliProcessors(BOOKED_MILLI));
+    assertEquals(3, taken(withServices(overcommit)));
+  }
+
+  /**
+   * Many heavy tasks that were found to disturb nobody stand beside a service, and together they
+   * do. Guards against still more of them.
+   */
+  @Test
+  void aServiceOverItsTargetForbidsMore() {
+    Overcommit overcommit = new Overcommit();
+    long before = overcommit.milliProcessors(BOOKED_MILLI);
+    overcommit.observe(10_000, 9_000, 120);
+    assertTrue(overcommit.milliProcessors(BOOKED_MILLI) < before);
+  }
+
+  @Test
+  void whatIsIdleAgainIsCountedOnAgain() {
+    Overcommit overcommit = new Overcommit();
+    overcommit.observe(10_000, 3_000, 60);
+    long lacking = overcommit.milliProcessors(BOOKED_MILLI);
+    overcommit.observe(10_000, 9_000, 60);
+    assertTrue(overcommit.milliProcessors(BOOKED_MILLI) > lacking);
+    for (int reading = 0; reading < 20; reading++) {
+      overcommit.observe(10_000, 9_000, 60);
+    }
+    assertEquals(
+        Overcommit.BASE_MILLI + BOOKED_MILLI * Overcommit.MOST_PERCENT / 100,
+        overcommit.milliProcessors(BOOKED_MILLI));
+  }
+
+  @Test
+  void fewWorkingTasksTellNothing() {
+    Overcommit overcommit = new Overcommit();
+    overcommit.observe(500, 0, 60);
+    assertEquals(
+        new Overcommit().milliProcessors(BOOKED_MILLI), overcommit.milliProcessors(BOOKED_MILLI));
+  }
+}
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/RoomLedgerTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/RoomLedgerTest.java
@@ -22,7 +22,7 @@
    */
   @Test
   void theSecondOfTwoRacingOrdersIsRefused() {
-    RoomLedger room = new RoomLedger();
+    RoomLedger room = new RoomLedger(new Overcommit());
     room.capacity(new Sizes(1_000, 1_000, 0));
     RoomLedger.Claim most = plain(600, 100);
     assertTrue(room.tryBook(run(1), most));
@@ -33,7 +33,7 @@
 
   @Test
   void aRepeatedOrderBooksOnce() {
-    RoomLedger room = new RoomLedger();
+    RoomLedger room = new RoomLedger(new Overcommit());
     room.capacity(new Sizes(1_000, 1_000, 0));
     assertTrue(room.tryBook(run(1), plain(600, 100)));
     assertTrue(room.tryBook(run(1), plain(600, 100)));
@@ -45,7 +45,7 @@
 
   @Test
   void whatIsThereAlreadyIsBookedEvenBeyondTheCapacity() {
-    RoomLedger room = new RoomLedger();
+    RoomLedger room = new RoomLedger(new Overcommit());
     room.capacity(new Sizes(1_000, 1_000, 0));
     room.book(run(1), plain(900, 100));
     room.book(run(2), plain(900, 100));
@@ -60,7 +60,7 @@
    */
   @Test
   void whatFillsIsBoundedAlsoWhenOwnersRace() {
-    RoomLedger room = new RoomLedger();
+    RoomLedger room = new RoomLedger(new Overcommit());
     room.capacity(new Sizes(24_000, 1_000, 0));
     RoomLedger.Claim fills = new RoomLedger.Claim(new Sizes(2_000, 10, 0), true, Urgency.ORDINARY);
     int taken = 0;
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -32,6 +32,7 @@
         offer.free(),
         offer.fillMilliProcessors(),
         suspectMilli,
+        offer.overcommitMilliProcessors(),
         offer.serving(),
         slowness);
   }
@@ -229,6 +230,7 @@
         offer.free(),
         offer.fillMilliProcessors(),
         offer.suspectMilliProcessors(),
+        offer.overcommitMilliProcessors(),
         offer.serving(),
         offer.slowness());
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
@@ -9,6 +9,7 @@
 import io.marigoldsail.daemon.workflow.WorkerGateway.Accepted;
 import io.marigoldsail.workflow.FillPacer;
 import io.marigoldsail.workflow.ImageHarm;
+import io.marigoldsail.workflow.Overcommit;
 import io.marigoldsail.workflow.SuspectRoom;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -30,16 +31,18 @@
   private final LinkLoop loop;
   private final WorkerGateway gateway;
   private final String worker;
+  private final Overcommit overcommit;
   private final FillPacer pacer = new FillPacer();
   private final ImageHarm harm = new ImageHarm();
   private final Map<String, Boolean> suspected = new HashMap<>();
   private final FoldedLog paces;
   private long toldAt = Long.MIN_VALUE;
 
-  RunPacing(LinkLoop loop, WorkerGateway gateway, String worker) {
+  RunPacing(LinkLoop loop, WorkerGateway gateway, String worker, Overcommit overcommit) {
     this.loop = requireNonNull(loop, "loop");
     this.gateway = requireNonNull(gateway, "gateway");
     this.worker = requireNonNull(worker, "worker");
+    this.overcommit = requireNonNull(overcommit, "overcommit");
     this.paces = new FoldedLog(LOG::info, loop::schedule, FOLD_NANOS);
   }
 
@@ -93,6 +96,7 @@
     if (!readings.isEmpty()) {
       harm.observe(fillings, FillPacer.worstPercent(readings));
     }
+    observeAttained(runs, FillPacer.worstPercent(readings));
     tellOfSuspects(fillings);
     int before = pacer.percent();
     int after =
@@ -112,6 +116,19 @@
     return before != after;
   }
 
+  /** Compares what tasks that fill work on with what they would, given the processors for it. */
+  private void observeAttained(Collection<SideRun> runs, double worstPercent) {
+    double asked = 0;
+    double used = 0;
+    for (SideRun run : runs) {
+      if (run.fills() && run.isListed() && run.gauge() > 0 && run.pacedTo() > 0) {
+        asked += run.milliProcessors() * run.pacedTo() / 100.0;
+        used += run.gauge();
+      }
+    }
+    overcommit.observe(asked, used, worstPercent);
+  }
+
   /** Logs what images that are here have come to be believed to disturb, or not to. */
   private void tellOfSuspects(List<ImageHarm.Filling> fillings) {
     for (ImageHarm.Filling each : fillings) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -151,6 +151,11 @@
     return pacedTo == speed;
   }
 
+  /** Returns the speed that the worker was last told, in percent; negative if not known. */
+  int pacedTo() {
+    return pacedTo;
+  }
+
   void pacedTo(int newPercent) {
     pacedTo = newPercent;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -150,6 +150,7 @@
         free,
         fill,
         suspect,
+        report.getOvercommitMilliProcessors(),
         serving,
         knowledge.slowness(vm(), now));
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -18,6 +18,7 @@
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.Overcommit;
 import io.marigoldsail.workflow.RoomLedger;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
@@ -61,7 +62,8 @@
   private final String worker;
   private final int partitions;
   private final WorkerListener listener;
-  private final RoomLedger room = new RoomLedger();
+  private final Overcommit overcommit = new Overcommit();
+  private final RoomLedger room = new RoomLedger(overcommit);
   private final WorkerTime time;
   private final RunPacing pacing;
   private final StartAdmission admission;
@@ -89,7 +91,7 @@
     this.partitions = partitions;
     this.listener = requireNonNull(listener, "listener");
     this.time = new WorkerTime(loop, terms, first.workerClock());
-    this.pacing = new RunPacing(loop, gateway, worker);
+    this.pacing = new RunPacing(loop, gateway, worker, overcommit);
     this.overs = new RunOverLog(loop, worker);
     this.admission = new StartAdmission(time, room, pacing);
     this.turns = new ListingTurns(loop, this::look);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -271,6 +271,7 @@
         .setFreeAccelerators((int) free.accelerators())
         .setFillMilliProcessors((int) session.room().fillMilliProcessors())
         .setSuspectMilliProcessors((int) session.pacing().suspectMilliProcessors(session.runs()))
+        .setOvercommitMilliProcessors((int) session.room().overcommitMilliProcessors())
         .setFillPercent(session.pacing().percent())
         .setServing(session.serving());
     if (report.getWantsLease()) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/StartAdmissionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/StartAdmissionTest.java
@@ -7,6 +7,7 @@
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.Overcommit;
 import io.marigoldsail.workflow.RoomLedger;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.TaskKey;
@@ -29,13 +30,17 @@
   private final LinkLoop loop = new LinkLoop("side", MonotonicClock.system());
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
   private final WorkerTime time = new WorkerTime(loop, TERMS, WORKER_CLOCK);
-  private final RoomLedger room = new RoomLedger();
+  private final Overcommit overcommit = new Overcommit();
+  private final RoomLedger room = new RoomLedger(overcommit);
   private final StartAdmission admission =
       new StartAdmission(
           time,
           room,
           new RunPacing(
-              loop, new FakeWorkerGateway("life", timer, new RunHistory(), 1_000), "life"));
+              loop,
+              new FakeWorkerGateway("life", timer, new RunHistory(), 1_000),
+              "life",
+              overcommit));
 
   @BeforeEach
   void give() {
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
@@ -709,6 +709,21 @@
     }
   }
 
+  public static final int OVERCOMMIT_MILLI_PROCESSORS_FIELD_NUMBER = 27;
+  private int overcommitMilliProcessors_ = 0;
+  /**
+   * <pre>
+   * Processors that tasks which fill may declare here beyond what is left.
+   * </pre>
+   *
+   * <code>uint32 overcommit_milli_processors = 27;</code>
+   * @return The overcommitMilliProcessors.
+   */
+  @java.lang.Override
+  public int getOvercommitMilliProcessors() {
+    return overcommitMilliProcessors_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -801,6 +816,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(rack_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 26, rack_);
     }
+    if (overcommitMilliProcessors_ != 0) {
+      output.writeUInt32(27, overcommitMilliProcessors_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -922,6 +940,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(rack_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(26, rack_);
     }
+    if (overcommitMilliProcessors_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(27, overcommitMilliProcessors_);
+    }
     return size;
   }
   @java.lang.Override
@@ -998,6 +1020,8 @@
         != other.getSuspectMilliProcessors()) return false;
     if (!getRack()
         .equals(other.getRack())) return false;
+    if (getOvercommitMilliProcessors()
+        != other.getOvercommitMilliProcessors()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1074,6 +1098,8 @@
     hash = (53 * hash) + getSuspectMilliProcessors();
     hash = (37 * hash) + RACK_FIELD_NUMBER;
     hash = (53 * hash) + getRack().hashCode();
+    hash = (37 * hash) + OVERCOMMIT_MILLI_PROCESSORS_FIELD_NUMBER;
+    hash = (53 * hash) + getOvercommitMilliProcessors();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1254,6 +1280,7 @@
       bitField0_ = (bitField0_ & ~0x00800000);
       suspectMilliProcessors_ = 0;
       rack_ = "";
+      overcommitMilliProcessors_ = 0;
       return this;
     }
 
@@ -1388,6 +1415,9 @@
       if (((from_bitField0_ & 0x02000000) != 0)) {
         result.rack_ = rack_;
       }
+      if (((from_bitField0_ & 0x04000000) != 0)) {
+        result.overcommitMilliProcessors_ = overcommitMilliProcessors_;
+      }
     }
 
     @java.lang.Override
@@ -1568,6 +1598,9 @@
         bitField0_ |= 0x02000000;
         onChanged();
       }
+      if (other.getOvercommitMilliProcessors() != 0) {
+        setOvercommitMilliProcessors(other.getOvercommitMilliProcessors());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1746,6 +1779,11 @@
               bitField0_ |= 0x02000000;
               break;
             } // case 210
+            case 216: {
+              overcommitMilliProcessors_ = input.readUInt32();
+              bitField0_ |= 0x04000000;
+              break;
+            } // case 216
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3748,6 +3786,50 @@
       return this;
     }
 
+    private int overcommitMilliProcessors_ ;
+    /**
+     * <pre>
+     * Processors that tasks which fill may declare here beyond what is left.
+     * </pre>
+     *
+     * <code>uint32 overcommit_milli_processors = 27;</code>
+     * @return The overcommitMilliProcessors.
+     */
+    @java.lang.Override
+    public int getOvercommitMilliProcessors() {
+      return overcommitMilliProcessors_;
+    }
+    /**
+     * <pre>
+     * Processors that tasks which fill may declare here beyond what is left.
+     * </pre>
+     *
+     * <code>uint32 overcommit_milli_processors = 27;</code>
+     * @param value The overcommitMilliProcessors to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOvercommitMilliProcessors(int value) {
+
+      overcommitMilliProcessors_ = value;
+      bitField0_ |= 0x04000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Processors that tasks which fill may declare here beyond what is left.
+     * </pre>
+     *
+     * <code>uint32 overcommit_milli_processors = 27;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOvercommitMilliProcessors() {
+      bitField0_ = (bitField0_ & ~0x04000000);
+      overcommitMilliProcessors_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.VmReport)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
@@ -350,4 +350,14 @@
    */
   com.google.protobuf.ByteString
       getRackBytes();
+
+  /**
+   * <pre>
+   * Processors that tasks which fill may declare here beyond what is left.
+   * </pre>
+   *
+   * <code>uint32 overcommit_milli_processors = 27;</code>
+   * @return The overcommitMilliProcessors.
+   */
+  int getOvercommitMilliProcessors();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -172,7 +172,7 @@
       "\022\r\n\005place\030\004 \001(\r\022\022\n\ncheckpoint\030\005 \001(\t\"d\n\016W" +
       "orkflowTaskId\022\020\n\010workflow\030\001 \001(\006\022\022\n\noccur" +
       "rence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005index\030\004 \001(\r" +
-      "\022\017\n\007attempt\030\005 \001(\r\"\366\004\n\010VmReport\022\024\n\014worker" +
+      "\022\017\n\007attempt\030\005 \001(\r\"\233\005\n\010VmReport\022\024\n\014worker" +
       "_clock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n\006worker\030\003 \001(\t" +
       "\022\017\n\007service\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\022\016\n\006label" +
       "s\030\006 \003(\t\022\020\n\010draining\030\007 \001(\010\022\030\n\020milli_proce" +
@@ -188,44 +188,45 @@
       "\010\022\017\n\007serving\030\026 \001(\r\022\025\n\rowners_digest\030\027 \001(" +
       "\007\022\'\n\006images\030\030 \003(\0132\027.marigoldsail.ImageSe" +
       "en\022 \n\030suspect_milli_processors\030\031 \001(\r\022\014\n\004" +
-      "rack\030\032 \001(\t\"\246\001\n\tRunReport\022*\n\004task\030\001 \001(\0132\034" +
-      ".marigoldsail.WorkflowTaskId\022\017\n\007started\030" +
-      "\002 \001(\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n\007percent\030\004 \001" +
-      "(\r\022\020\n\010stopping\030\005 \001(\010\022\024\n\014size_unknown\030\006 \001" +
-      "(\010\022\017\n\007crowded\030\007 \001(\010\"~\n\tEndReport\022*\n\004task" +
-      "\030\001 \001(\0132\034.marigoldsail.WorkflowTaskId\022\017\n\007" +
-      "outcome\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t\022\020\n\010seq" +
-      "uence\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\"~\n\nLeaseGran" +
-      "t\022\024\n\014worker_clock\030\001 \001(\022\0221\n\010evidence\030\002 \003(" +
-      "\0132\037.marigoldsail.PartitionEvidence\022\'\n\006im" +
-      "ages\030\003 \003(\0132\027.marigoldsail.ImageSeen\"9\n\tI" +
-      "mageSeen\022\r\n\005image\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016" +
-      "\n\006weight\030\003 \001(\002\"R\n\021PartitionEvidence\022\021\n\tp" +
-      "artition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after_r" +
-      "eport_millis\030\003 \001(\021\"\333\001\n\tRunOrders\022\016\n\006numb" +
-      "er\030\001 \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsail.L" +
-      "easeGrant\022&\n\006starts\030\003 \003(\0132\026.marigoldsail" +
-      ".StartRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsail." +
-      "WorkflowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.mar" +
-      "igoldsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t" +
-      "\"\231\002\n\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsa" +
-      "il.WorkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020mi" +
-      "lli_processors\030\003 \001(\r\022\030\n\020memory_mebibytes" +
-      "\030\004 \001(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoi" +
-      "nt\030\006 \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_targe" +
-      "t_millis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_pr" +
-      "ogram\030\n \001(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014" +
-      " \001(\t\"\\\n\010OwnerMap\022\022\n\ngeneration\030\001 \001(\004\022,\n\006" +
-      "owners\030\002 \003(\0132\034.marigoldsail.PartitionOwn" +
-      "er\022\016\n\006digest\030\003 \001(\007\"3\n\016PartitionOwner\022\021\n\t" +
-      "partition\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkf" +
-      "lowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r" +
-      "\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023Workflo" +
-      "wQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r" +
-      "\"I\n\rWaitingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006que" +
-      "ues\030\002 \003(\0132\030.marigoldsail.QueueCount\",\n\nQ" +
-      "ueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(" +
-      "\rB\034\n\030io.marigoldsail.protocolP\001b\006proto3"
+      "rack\030\032 \001(\t\022#\n\033overcommit_milli_processor" +
+      "s\030\033 \001(\r\"\246\001\n\tRunReport\022*\n\004task\030\001 \001(\0132\034.ma" +
+      "rigoldsail.WorkflowTaskId\022\017\n\007started\030\002 \001" +
+      "(\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022" +
+      "\020\n\010stopping\030\005 \001(\010\022\024\n\014size_unknown\030\006 \001(\010\022" +
+      "\017\n\007crowded\030\007 \001(\010\"~\n\tEndReport\022*\n\004task\030\001 " +
+      "\001(\0132\034.marigoldsail.WorkflowTaskId\022\017\n\007out" +
+      "come\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t\022\020\n\010sequen" +
+      "ce\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\"~\n\nLeaseGrant\022\024" +
+      "\n\014worker_clock\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037" +
+      ".marigoldsail.PartitionEvidence\022\'\n\006image" +
+      "s\030\003 \003(\0132\027.marigoldsail.ImageSeen\"9\n\tImag" +
+      "eSeen\022\r\n\005image\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006w" +
+      "eight\030\003 \001(\002\"R\n\021PartitionEvidence\022\021\n\tpart" +
+      "ition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after_repo" +
+      "rt_millis\030\003 \001(\021\"\333\001\n\tRunOrders\022\016\n\006number\030" +
+      "\001 \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsail.Leas" +
+      "eGrant\022&\n\006starts\030\003 \003(\0132\026.marigoldsail.St" +
+      "artRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsail.Wor" +
+      "kflowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.marigo" +
+      "ldsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t\"\231\002" +
+      "\n\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail." +
+      "WorkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli" +
+      "_processors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 " +
+      "\001(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030" +
+      "\006 \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_m" +
+      "illis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_progr" +
+      "am\030\n \001(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014 \001(" +
+      "\t\"\\\n\010OwnerMap\022\022\n\ngeneration\030\001 \001(\004\022,\n\006own" +
+      "ers\030\002 \003(\0132\034.marigoldsail.PartitionOwner\022" +
+      "\016\n\006digest\030\003 \001(\007\"3\n\016PartitionOwner\022\021\n\tpar" +
+      "tition\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkflow" +
+      "Query\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005q" +
+      "ueue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023WorkflowQu" +
+      "eryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"I\n" +
+      "\rWaitingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues" +
+      "\030\002 \003(\0132\030.marigoldsail.QueueCount\",\n\nQueu" +
+      "eCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034" +
+      "\n\030io.marigoldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -278,7 +279,7 @@
     internal_static_marigoldsail_VmReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_VmReport_descriptor,
-        new java.lang.String[] { "WorkerClock", "Vm", "Worker", "Service", "Zone", "Labels", "Draining", "MilliProcessors", "MemoryMebibytes", "Accelerators", "FreeMilliProcessors", "FreeMemoryMebibytes", "FreeAccelerators", "FillMilliProcessors", "FillPercent", "OrdersSeen", "Runs", "Ends", "WantsLease", "GoneWorker", "Unhealthy", "Serving", "OwnersDigest", "Images", "SuspectMilliProcessors", "Rack", });
+        new java.lang.String[] { "WorkerClock", "Vm", "Worker", "Service", "Zone", "Labels", "Draining", "MilliProcessors", "MemoryMebibytes", "Accelerators", "FreeMilliProcessors", "FreeMemoryMebibytes", "FreeAccelerators", "FillMilliProcessors", "FillPercent", "OrdersSeen", "Runs", "Ends", "WantsLease", "GoneWorker", "Unhealthy", "Serving", "OwnersDigest", "Images", "SuspectMilliProcessors", "Rack", "OvercommitMilliProcessors", });
     internal_static_marigoldsail_RunReport_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_marigoldsail_RunReport_fieldAccessorTable = new
