Bound what suspects work on together in processors, not in speed

Hypothesis: beside services at three fifths of their target by their own load, the speed of suspects rises by a few percent a second: once slowed down they crawl. Change: FillPacer keeps the number of processors that suspects may work on together: an eighth of the VM at first, cut by the measure of a bad reading, risen by the square of what is left below 80 percent of the target. Tasks that join share it.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunPacing.java
@@ -99,8 +99,7 @@
     observeAttained(runs, FillPacer.worstPercent(readings));
     tellOfSuspects(fillings);
     int before = pacer.percent();
-    int after =
-        pacer.observe(readings, hasAny(fillings, true), hasAny(fillings, false), loop.now());
+    int after = pacer.observe(readings, filling(runs, capacityMilli), loop.now());
     if (before != after) {
       paces.tell(
           "fill-paced",
@@ -145,8 +144,17 @@
     }
   }
 
-  private boolean hasAny(List<ImageHarm.Filling> fillings, boolean suspect) {
-    return fillings.stream().anyMatch(each -> isSuspect(each.image()) == suspect);
+  private FillPacer.Filling filling(Collection<SideRun> runs, long capacityMilli) {
+    long suspect = 0;
+    long harmless = 0;
+    for (SideRun run : runs) {
+      if (run.fills() && run.isListed()) {
+        boolean suspected = isSuspect(run.image());
+        suspect += suspected ? run.milliProcessors() : 0;
+        harmless += suspected ? 0 : run.milliProcessors();
+      }
+    }
+    return new FillPacer.Filling(suspect, harmless, capacityMilli);
   }
 
   private static List<ImageHarm.Filling> fillings(Collection<SideRun> runs) {
