--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -29,6 +29,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * The VMs as an entry knows them, and the runs that it owns on them.
@@ -59,7 +61,7 @@
   private final Ownership ownership;
   private final LeaseTermsOfWorker terms;
   private final Listener listener;
-  private final java.util.function.LongSupplier wallMillis;
+  private final LongSupplier wallMillis;
   private final Map<LinkConnection, VmSession> sessions = new HashMap<>();
   private final Map<String, VmSession> newest = new LinkedHashMap<>();
   private final OpenRuns openRuns = new OpenRuns();
@@ -72,7 +74,7 @@
       LinkLoop loop,
       Ownership ownership,
       LeaseTermsOfWorker terms,
-      java.util.function.LongSupplier wallMillis,
+      LongSupplier wallMillis,
       Listener listener) {
     this.loop = requireNonNull(loop, "loop");
     this.ownership = requireNonNull(ownership, "ownership");
@@ -471,7 +473,7 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  private ImmutableList<OpenRun> runsOn(java.util.function.Predicate<VmReport> vms) {
+  private ImmutableList<OpenRun> runsOn(Predicate<VmReport> vms) {
     ImmutableList.Builder<OpenRun> runs = ImmutableList.builder();
     for (VmSession session : newest.values()) {
       if (vms.test(session.report())) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/Ownership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/Ownership.java
@@ -12,12 +12,14 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
 import io.marigoldsail.daemon.workflow.WorkflowStore.OwnersUnknown;
+import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowIds;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -233,7 +235,7 @@
   }
 
   /** Gives everything back, so that others go on at once; stops deciding. */
-  java.util.concurrent.CompletableFuture<Boolean> leave() {
+  CompletableFuture<Boolean> leave() {
     leaving = true;
     for (int partition : ImmutableSet.copyOf(owned.keySet())) {
       release(partition);
@@ -249,7 +251,7 @@
     }
 
     @Override
-    public void submitted(OwnedPartition partition, io.marigoldsail.workflow.Workflow workflow) {
+    public void submitted(OwnedPartition partition, Workflow workflow) {
       listener.submitted(partition, workflow);
     }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -34,6 +34,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * An entry's part in workflows: accepts them, answers for them, and decides for those whose
@@ -54,7 +55,7 @@
   private final LinkLoop loop;
   private final EntryTerms terms;
   private final EntryMember self;
-  private final java.util.function.LongSupplier wallMillis;
+  private final LongSupplier wallMillis;
   private final Ownership ownership;
   private final EntryPeers peers;
   private final EntryVms vms;
@@ -80,7 +81,7 @@
       LinkLoop loop,
       WorkflowStore store,
       InetSocketAddress address,
-      java.util.function.LongSupplier wallMillis,
+      LongSupplier wallMillis,
       PlacementAdviser adviser,
       EntryTerms terms) {
     this.loop = requireNonNull(loop, "loop");
