--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Overcommit.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Overcommit.java
@@ -12,8 +12,8 @@
  * <p>Confined to one thread.
  */
 public final class Overcommit {
-  /** The least that may be declared beyond what is left: few tasks work all the time. */
-  static final long LEAST_MILLI = 6_000;
+  /** What may be declared beyond what is left even where nothing is idle: few work all the time. */
+  static final long BASE_MILLI = 6_000;
 
   /** The most of what is booked that counts as idle, in percent. */
   static final int MOST_PERCENT = 50;
@@ -66,6 +66,6 @@
    * @param bookedMilli what others have booked
    */
   public long milliProcessors(long bookedMilli) {
-    return Math.max(LEAST_MILLI, bookedMilli * idlePercent / 100);
+    return BASE_MILLI + bookedMilli * idlePercent / 100;
   }
 }
