--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetRun.java
@@ -0,0 +1,358 @@
+package io.marigoldsail.testlib.interference;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.workflow.ImageHarm;
+import io.marigoldsail.workflow.ImageSums;
+import io.marigoldsail.workflow.Place;
+import io.marigoldsail.workflow.PlacementWish;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.StepSpec;
+import io.marigoldsail.workflow.Urgency;
+import io.marigoldsail.workflow.VmChooser;
+import io.marigoldsail.workflow.VmOffer;
+import io.marigoldsail.workflow.VmSpeed;
+import io.marigoldsail.workflow.WaitingOrder;
+import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowSpec;
+import io.marigoldsail.workflow.WorkflowTask;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** Plays one day under one policy on virtual time. Confined to one thread; deterministic. */
+final class FleetRun {
+  /** The wall clock at the beginning of a day, in milliseconds. */
+  static final long EPOCH_MILLIS = 1_000_000;
+
+  private static final long TICK_MILLIS = 50;
+  private static final long IMAGES_MILLIS = 700;
+  private static final long WINDOW_MILLIS = 2_000;
+  private static final long TAKEOVER_MILLIS = 8_200;
+  private static final double FAR_RACK_FACTOR = 1.5;
+
+  /** A workflow that was handed in. */
+  private record Open(Arrival arrival, Workflow workflow) {}
+
+  /** A run whose end the owner does not know yet. */
+  private record Ended(ModelRun run, RunOutcome outcome, long knownMillis) {}
+
+  /** All that decides whether a task finds room. */
+  private record Need(StepSpec step, Urgency urgency, long counted) {}
+
+  private final FleetDay day;
+  private final FleetPolicy policy;
+  private final List<ModelVm> vms = new ArrayList<>();
+  private final List<Open> open = new ArrayList<>();
+  private final List<Ended> ends = new ArrayList<>();
+  private final Map<Long, double[]> windows = new HashMap<>();
+  private final Map<Long, Double> took = new HashMap<>();
+  private final ImageHarm harm = new ImageHarm();
+  private final ImageSums images = new ImageSums();
+  private final VmSpeed speed = new VmSpeed();
+  private final VmChooser chooser = VmChooser.of(FAR_RACK_FACTOR);
+  private final FleetScore score = new FleetScore();
+  private int arrived;
+
+  private FleetRun(FleetDay day, FleetPolicy policy) {
+    this.day = requireNonNull(day, "day");
+    this.policy = requireNonNull(policy, "policy");
+    for (int i = 0; i < FleetShape.VMS; i++) {
+      vms.add(new ModelVm(day, policy, i));
+    }
+  }
+
+  /** Plays the day; takes some milliseconds to a tenth of a second. */
+  static FleetScore play(FleetDay day, FleetPolicy policy) {
+    return new FleetRun(day, policy).play();
+  }
+
+  private FleetScore play() {
+    for (long now = 0; now < FleetDay.END_MILLIS; now += TICK_MILLIS) {
+      take(now);
+      loseVms(now);
+      for (ModelVm vm : vms) {
+        vm.work(now, TICK_MILLIS);
+        vm.decide(now);
+        finish(vm, now);
+      }
+      if (now % IMAGES_MILLIS == 0) {
+        shareImages();
+      }
+      if (!day.isUndecided(now)) {
+        noteEnds(now);
+        place(now);
+      }
+      watchServices(now);
+    }
+    settle();
+    return score;
+  }
+
+  private void take(long now) {
+    List<Arrival> arrivals = day.arrivals();
+    while (arrived < arrivals.size() && arrivals.get(arrived).atMillis() <= now) {
+      Arrival next = arrivals.get(arrived++);
+      open.add(new Open(next, Workflow.of(spec(next))));
+    }
+  }
+
+  private WorkflowSpec spec(Arrival arrival) {
+    if (!policy.knowsEffects()) {
+      return arrival.declared();
+    }
+    WorkflowSpec declared = arrival.declared();
+    List<StepSpec> steps = new ArrayList<>();
+    for (int i = 0; i < declared.steps().size(); i++) {
+      StepSpec step = declared.steps().get(i);
+      double longest =
+          arrival.lengthsMillis().get(i).stream().mapToDouble(Double::doubleValue).max().orElse(0);
+      steps.add(
+          new StepSpec(
+              step.tasks(),
+              step.sizes(),
+              Math.round(longest),
+              step.dependsOn(),
+              step.placement(),
+              step.nature()));
+    }
+    return new WorkflowSpec(
+        declared.id(),
+        declared.queue(),
+        declared.terms(),
+        declared.program(),
+        ImmutableList.copyOf(steps),
+        declared.schedule(),
+        declared.acceptedMillis());
+  }
+
+  private void loseVms(long now) {
+    for (ModelVm vm : vms) {
+      if (day.isLost(vm.number(), now)) {
+        for (ModelRun run : vm.runs()) {
+          vm.end(run);
+          ends.add(new Ended(run, RunOutcome.LOST, now + TAKEOVER_MILLIS));
+        }
+      }
+    }
+  }
+
+  private void finish(ModelVm vm, long now) {
+    for (ModelRun run : vm.runs()) {
+      if (run.isDone()) {
+        vm.end(run);
+        ends.add(new Ended(run, RunOutcome.DONE, now));
+        sample(vm, run, now);
+      } else {
+        run.task().observe("", run.progressPercent());
+      }
+    }
+  }
+
+  private void sample(ModelVm vm, ModelRun run, long now) {
+    if (!run.nature().fills()) {
+      long nanos = TimeUnit.MILLISECONDS.toNanos(now);
+      speed.sample(vm.place().vm(), run.task().step().estimateMillis(), run.ranMillis(now), nanos);
+    }
+  }
+
+  private void shareImages() {
+    for (ModelVm vm : vms) {
+      images.saw(vm.place().vm(), vm.harm().own());
+    }
+    harm.others(images.all());
+    for (ModelVm vm : vms) {
+      vm.harm().others(images.elsewhere(vm.place().vm()));
+    }
+  }
+
+  private void noteEnds(long now) {
+    for (Ended end : List.copyOf(ends)) {
+      if (end.knownMillis() <= now) {
+        ends.remove(end);
+        WorkflowTask task = end.run().task();
+        Workflow workflow = task.workflow();
+        workflow.ended(end.run().key(), end.outcome(), "", EPOCH_MILLIS + now);
+        if (workflow.status().isTerminal()) {
+          took.putIfAbsent(
+              workflow.spec().id(), (double) EPOCH_MILLIS + now - workflow.spec().acceptedMillis());
+        }
+      }
+    }
+    open.removeIf(each -> each.workflow().status().isTerminal());
+  }
+
+  private double harmOf(String image, long now) {
+    if (image.isEmpty()) {
+      return 0;
+    }
+    if (policy.knowsEffects()) {
+      return day.pressure(image, now) > 0.3 ? 1 : 0;
+    }
+    return policy.learnsImages() ? harm.belief(image) : ImageHarm.UNKNOWN;
+  }
+
+  /** A task that may start, with how much its place matters. */
+  private record Waiting(Open of, WorkflowTask task, Urgency urgency) {}
+
+  private void place(long now) {
+    List<Waiting> waiting = waiting(now);
+    if (waiting.isEmpty()) {
+      return;
+    }
+    List<VmOffer> offers = offers(now);
+    Set<Need> full = new HashSet<>();
+    Set<Workflow> fed = new HashSet<>();
+    boolean roomy = VmOffer.isRoomy(offers);
+    for (Waiting each : waiting) {
+      Workflow workflow = each.of().workflow();
+      boolean mayStarve = roomy && !fed.contains(workflow);
+      boolean calmed = each.urgency() == Urgency.STARVED && !mayStarve;
+      Urgency urgency = calmed ? Urgency.ORDINARY : each.urgency();
+      Need need = need(each.task(), urgency);
+      if (full.contains(need)) {
+        continue;
+      }
+      Optional<VmOffer> chosen = choose(each.task(), urgency, offers, now);
+      if (chosen.isPresent() && start(each.of(), each.task(), urgency, chosen.get().place(), now)) {
+        fed.add(workflow);
+        offers.remove(chosen.get());
+        String image = each.task().step().nature().image();
+        offers.add(chosen.get().after(each.task().step(), harmOf(image, now)));
+      } else {
+        full.add(need);
+      }
+    }
+  }
+
+  private List<Waiting> waiting(long now) {
+    record Ordered(Open open, WaitingOrder.Ranked rank) {}
+    long wall = EPOCH_MILLIS + now;
+    List<Ordered> ordered = new ArrayList<>();
+    for (Open each : open) {
+      ordered.add(new Ordered(each, WaitingOrder.rank(each.workflow(), wall)));
+    }
+    if (policy.ordersByWorth()) {
+      ordered.sort(Comparator.comparing(Ordered::rank));
+    }
+    List<Waiting> waiting = new ArrayList<>();
+    for (Ordered each : ordered) {
+      Urgency urgency = each.rank().urgency();
+      each.open()
+          .workflow()
+          .forEachReady(wall, task -> waiting.add(new Waiting(each.open(), task, urgency)));
+    }
+    return waiting;
+  }
+
+  private static Need need(WorkflowTask task, Urgency urgency) {
+    boolean counts = task.step().placement().maxPerVm() > 0;
+    return new Need(task.step(), urgency, counts ? task.key().workflow() : 0);
+  }
+
+  private List<VmOffer> offers(long now) {
+    List<VmOffer> offers = new ArrayList<>();
+    long nanos = TimeUnit.MILLISECONDS.toNanos(now);
+    for (ModelVm vm : vms) {
+      if (!day.isLost(vm.number(), now)) {
+        offers.add(vm.offer(speed.slowness(vm.place().vm(), nanos), now));
+      }
+    }
+    return offers;
+  }
+
+  private Optional<VmOffer> choose(
+      WorkflowTask task, Urgency urgency, List<VmOffer> offers, long now) {
+    double belief = harmOf(task.step().nature().image(), now);
+    PlacementWish wish =
+        new PlacementWish(task.workflow().spec(), task.step(), belief, urgency, "");
+    if (task.step().nature().serves() && !policy.packsServices()) {
+      return offers.stream()
+          .filter(
+              offer ->
+                  VmChooser.verdict(wish, offer, each -> ofStepOn(each, task))
+                      == VmChooser.Verdict.ADMITTED)
+          .max(Comparator.comparingLong(offer -> offer.free().milliProcessors()));
+    }
+    return chooser.choose(wish, offers, offer -> ofStepOn(offer, task));
+  }
+
+  private int ofStepOn(VmOffer offer, WorkflowTask task) {
+    return (int)
+        vm(offer.place()).runs().stream()
+            .map(ModelRun::key)
+            .map(RunKey::task)
+            .filter(key -> key.workflow() == task.key().workflow())
+            .filter(key -> key.step() == task.key().step())
+            .count();
+  }
+
+  private ModelVm vm(Place place) {
+    return vms.get(Integer.parseInt(place.vm().substring("vm-".length())));
+  }
+
+  private boolean start(Open of, WorkflowTask task, Urgency urgency, Place place, long now) {
+    of.workflow().order(task, place);
+    double length = of.arrival().lengthsMillis().get(task.key().step()).get(task.key().index());
+    ModelRun run = new ModelRun(task, length, now);
+    if (vm(place).start(run, urgency, now)) {
+      return true;
+    }
+    of.workflow().ended(run.key(), RunOutcome.REFUSED, "", EPOCH_MILLIS + now);
+    return false;
+  }
+
+  private void watchServices(long now) {
+    if (now < FleetDay.LEAD_MILLIS || now >= FleetDay.LAST_ARRIVAL_MILLIS) {
+      return;
+    }
+    for (ModelVm vm : vms) {
+      for (ModelRun run : vm.runs()) {
+        if (run.nature().serves()) {
+          double[] window = windows.computeIfAbsent(run.key().task().workflow(), id -> empty());
+          window[0] += TICK_MILLIS;
+          window[1] += run.isOver() ? TICK_MILLIS : 0;
+          score.over(run.isOver() ? TICK_MILLIS / 1_000.0 : 0);
+        }
+      }
+    }
+    if (now % WINDOW_MILLIS == WINDOW_MILLIS - TICK_MILLIS) {
+      for (Open each : open) {
+        if (each.arrival().kind() == WorkKind.LASTING) {
+          double[] window = windows.getOrDefault(each.workflow().spec().id(), empty());
+          double all = (double) each.workflow().tasks().size() * WINDOW_MILLIS;
+          score.service(window[0] / all, window[1] / all);
+        }
+      }
+      windows.clear();
+    }
+  }
+
+  private static double[] empty() {
+    return new double[2];
+  }
+
+  private void settle() {
+    Map<WorkKind, Double> work = new HashMap<>();
+    Map<WorkKind, Integer> count = new HashMap<>();
+    for (Arrival arrival : day.arrivals()) {
+      work.merge(arrival.kind(), arrival.work(), Double::sum);
+      count.merge(arrival.kind(), 1, Integer::sum);
+    }
+    for (Arrival arrival : day.arrivals()) {
+      if (arrival.kind() != WorkKind.LASTING) {
+        double mean = work.get(arrival.kind()) / count.get(arrival.kind());
+        score.workflow(
+            arrival, took.getOrDefault(arrival.declared().id(), Double.POSITIVE_INFINITY), mean);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/PolicyTable.java
@@ -0,0 +1,102 @@
+package io.marigoldsail.testlib.interference;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.LongStream;
+import org.apache.commons.math3.distribution.TDistribution;
+import org.apache.commons.math3.stat.descriptive.SummaryStatistics;
+
+/**
+ * Policies on the same days, as a page: means, and differences from the product with 95% intervals.
+ *
+ * <p>Immutable.
+ */
+final class PolicyTable {
+  private static final double CONFIDENCE = 0.95;
+
+  private final FleetShape shape;
+  private final int days;
+  private final Map<FleetPolicy, List<FleetScore>> scores;
+
+  private PolicyTable(FleetShape shape, int days, Map<FleetPolicy, List<FleetScore>> scores) {
+    this.shape = shape;
+    this.days = days;
+    this.scores = scores;
+  }
+
+  /**
+   * Plays days on all processors.
+   *
+   * @param days how many, two at least
+   * @param seed of the first; the others follow
+   */
+  static PolicyTable play(FleetShape shape, int days, long seed) {
+    Map<FleetPolicy, List<FleetScore>> scores = new EnumMap<>(FleetPolicy.class);
+    for (FleetPolicy policy : FleetPolicy.values()) {
+      scores.put(
+          policy,
+          LongStream.range(seed, seed + days)
+              .parallel()
+              .mapToObj(each -> FleetRun.play(FleetDay.of(shape, each), policy))
+              .toList());
+    }
+    return new PolicyTable(shape, days, scores);
+  }
+
+  /** Returns the page's part as Markdown. */
+  List<String> lines() {
+    List<String> lines = new ArrayList<>();
+    lines.add(String.format(Locale.ROOT, "## %s, %d days", shape, days));
+    lines.add("");
+    lines.add(
+        "| policy | worth | small | heavy | lasting | over target, s | to the product, 95% |"
+            + " of the oracle |");
+    lines.add("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    double oracle = worth(FleetPolicy.ORACLE).getMean();
+    for (FleetPolicy policy : FleetPolicy.values()) {
+      lines.add(line(policy, oracle));
+    }
+    lines.add("");
+    return lines;
+  }
+
+  private String line(FleetPolicy policy, double oracle) {
+    List<FleetScore> of = scores.get(policy);
+    double over = of.stream().mapToDouble(FleetScore::overSeconds).average().orElse(0);
+    SummaryStatistics difference = new SummaryStatistics();
+    for (int i = 0; i < days; i++) {
+      difference.addValue(of.get(i).worth() - scores.get(FleetPolicy.PRODUCT).get(i).worth());
+    }
+    return String.format(
+        Locale.ROOT,
+        "| %s | %.3f | %.3f | %.3f | %.3f | %.0f | %+.3f ± %.3f | %.0f%% |",
+        policy.text(),
+        worth(policy).getMean(),
+        share(policy, WorkKind.SMALL),
+        share(policy, WorkKind.HEAVY),
+        share(policy, WorkKind.LASTING),
+        over,
+        difference.getMean(),
+        halfInterval(difference),
+        100 * worth(policy).getMean() / oracle);
+  }
+
+  private SummaryStatistics worth(FleetPolicy policy) {
+    SummaryStatistics worth = new SummaryStatistics();
+    scores.get(policy).forEach(score -> worth.addValue(score.worth()));
+    return worth;
+  }
+
+  private double share(FleetPolicy policy, WorkKind kind) {
+    return scores.get(policy).stream().mapToDouble(score -> score.share(kind)).average().orElse(0);
+  }
+
+  private static double halfInterval(SummaryStatistics difference) {
+    TDistribution distribution = new TDistribution(difference.getN() - 1.0);
+    double quantile = distribution.inverseCumulativeProbability((1 + CONFIDENCE) / 2);
+    return quantile * difference.getStandardDeviation() / Math.sqrt(difference.getN());
+  }
+}
