--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetDay.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetDay.java
@@ -226,7 +226,7 @@
               lasting,
               kind == WorkKind.HEAVY,
               image,
-              lasting ? ModelVm.TARGET_MILLIS : 0,
+              lasting ? FleetVm.TARGET_MILLIS : 0,
               lasting ? 1 : 0);
       int maxPerVm = lasting && draws.chance(0.5) ? 2 : 0;
       return new StepSpec(
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetRun.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetRun.java
@@ -43,14 +43,14 @@
   private record Open(Arrival arrival, Workflow workflow) {}
 
   /** A run whose end the owner does not know yet. */
-  private record Ended(ModelRun run, RunOutcome outcome, long knownMillis) {}
+  private record Ended(FleetTask run, RunOutcome outcome, long knownMillis) {}
 
   /** All that decides whether a task finds room. */
   private record Need(StepSpec step, Urgency urgency, long counted) {}
 
   private final FleetDay day;
   private final FleetPolicy policy;
-  private final List<ModelVm> vms = new ArrayList<>();
+  private final List<FleetVm> vms = new ArrayList<>();
   private final List<Open> open = new ArrayList<>();
   private final List<Ended> ends = new ArrayList<>();
   private final Map<Long, double[]> windows = new HashMap<>();
@@ -66,7 +66,7 @@
     this.day = requireNonNull(day, "day");
     this.policy = requireNonNull(policy, "policy");
     for (int i = 0; i < FleetShape.VMS; i++) {
-      vms.add(new ModelVm(day, policy, i));
+      vms.add(new FleetVm(day, policy, i));
     }
   }
 
@@ -79,7 +79,7 @@
     for (long now = 0; now < FleetDay.END_MILLIS; now += TICK_MILLIS) {
       take(now);
       loseVms(now);
-      for (ModelVm vm : vms) {
+      for (FleetVm vm : vms) {
         vm.work(now, TICK_MILLIS);
         vm.decide(now);
         finish(vm, now);
@@ -135,9 +135,9 @@
   }
 
   private void loseVms(long now) {
-    for (ModelVm vm : vms) {
+    for (FleetVm vm : vms) {
       if (day.isLost(vm.number(), now)) {
-        for (ModelRun run : vm.runs()) {
+        for (FleetTask run : vm.runs()) {
           vm.end(run);
           ends.add(new Ended(run, RunOutcome.LOST, now + TAKEOVER_MILLIS));
         }
@@ -145,8 +145,8 @@
     }
   }
 
-  private void finish(ModelVm vm, long now) {
-    for (ModelRun run : vm.runs()) {
+  private void finish(FleetVm vm, long now) {
+    for (FleetTask run : vm.runs()) {
       if (run.isDone()) {
         vm.end(run);
         ends.add(new Ended(run, RunOutcome.DONE, now));
@@ -157,7 +157,7 @@
     }
   }
 
-  private void sample(ModelVm vm, ModelRun run, long now) {
+  private void sample(FleetVm vm, FleetTask run, long now) {
     if (!run.nature().fills()) {
       long nanos = TimeUnit.MILLISECONDS.toNanos(now);
       speed.sample(vm.place().vm(), run.task().step().estimateMillis(), run.ranMillis(now), nanos);
@@ -165,11 +165,11 @@
   }
 
   private void shareImages() {
-    for (ModelVm vm : vms) {
+    for (FleetVm vm : vms) {
       images.saw(vm.place().vm(), vm.harm().own());
     }
     harm.others(images.all());
-    for (ModelVm vm : vms) {
+    for (FleetVm vm : vms) {
       vm.harm().others(images.elsewhere(vm.place().vm()));
     }
   }
@@ -261,7 +261,7 @@
   private List<VmOffer> offers(long now) {
     List<VmOffer> offers = new ArrayList<>();
     long nanos = TimeUnit.MILLISECONDS.toNanos(now);
-    for (ModelVm vm : vms) {
+    for (FleetVm vm : vms) {
       if (!day.isLost(vm.number(), now)) {
         offers.add(vm.offer(speed.slowness(vm.place().vm(), nanos), now));
       }
@@ -288,21 +288,21 @@
   private int ofStepOn(VmOffer offer, WorkflowTask task) {
     return (int)
         vm(offer.place()).runs().stream()
-            .map(ModelRun::key)
+            .map(FleetTask::key)
             .map(RunKey::task)
             .filter(key -> key.workflow() == task.key().workflow())
             .filter(key -> key.step() == task.key().step())
             .count();
   }
 
-  private ModelVm vm(Place place) {
+  private FleetVm vm(Place place) {
     return vms.get(Integer.parseInt(place.vm().substring("vm-".length())));
   }
 
   private boolean start(Open of, WorkflowTask task, Urgency urgency, Place place, long now) {
     of.workflow().order(task, place);
     double length = of.arrival().lengthsMillis().get(task.key().step()).get(task.key().index());
-    ModelRun run = new ModelRun(task, length, now);
+    FleetTask run = new FleetTask(task, length, now);
     if (vm(place).start(run, urgency, now)) {
       return true;
     }
@@ -314,8 +314,8 @@
     if (now < FleetDay.LEAD_MILLIS || now >= FleetDay.LAST_ARRIVAL_MILLIS) {
       return;
     }
-    for (ModelVm vm : vms) {
-      for (ModelRun run : vm.runs()) {
+    for (FleetVm vm : vms) {
+      for (FleetTask run : vm.runs()) {
         if (run.nature().serves()) {
           double[] window = windows.computeIfAbsent(run.key().task().workflow(), id -> empty());
           window[0] += TICK_MILLIS;
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/ModelRun.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetTask.java
@@ -7,7 +7,7 @@
 import io.marigoldsail.workflow.WorkflowTask;
 
 /** A task at work on a VM of the model. Confined to one thread. */
-final class ModelRun {
+final class FleetTask {
   private final WorkflowTask task;
   private final RunKey key;
   private final double lengthMillis;
@@ -18,7 +18,7 @@
   private double tailMillis;
   private double tailNowMillis;
 
-  ModelRun(WorkflowTask task, double lengthMillis, long beganMillis) {
+  FleetTask(WorkflowTask task, double lengthMillis, long beganMillis) {
     this.task = requireNonNull(task, "task");
     this.key = task.openRun();
     this.lengthMillis = lengthMillis;
@@ -89,7 +89,7 @@
 
   /** Returns whether users wait for longer than they are promised now. */
   boolean isOver() {
-    return tailNowMillis > ModelVm.TARGET_MILLIS;
+    return tailNowMillis > FleetVm.TARGET_MILLIS;
   }
 
   /** Returns the tail as it is measured, in milliseconds. */
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/ModelVm.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetVm.java
@@ -27,7 +27,7 @@
  * <p>A service answers within {@link #IDLE_TAIL_MILLIS} divided by the part of its capacity that
  * neither its own load nor the pressure beside it takes. Confined to one thread.
  */
-final class ModelVm {
+final class FleetVm {
   /** What the users of each service are promised, in milliseconds. */
   static final long TARGET_MILLIS = 50;
 
@@ -51,10 +51,10 @@
   private final Pacing pacing;
   private final ImageHarm harm = new ImageHarm();
   private final Draws noise;
-  private final Map<String, ModelRun> runs = new LinkedHashMap<>();
+  private final Map<String, FleetTask> runs = new LinkedHashMap<>();
   private long listedMillis;
 
-  ModelVm(FleetDay day, FleetPolicy policy, int number) {
+  FleetVm(FleetDay day, FleetPolicy policy, int number) {
     this.day = requireNonNull(day, "day");
     this.policy = requireNonNull(policy, "policy");
     this.number = number;
@@ -73,7 +73,7 @@
     return new Place("vm-" + number, "life");
   }
 
-  List<ModelRun> runs() {
+  List<FleetTask> runs() {
     return List.copyOf(runs.values());
   }
 
@@ -92,7 +92,7 @@
     return (long)
         runs.values().stream()
             .filter(run -> run.nature().fills() && isSuspect(run.image(), millis))
-            .mapToDouble(ModelRun::declaredMilli)
+            .mapToDouble(FleetTask::declaredMilli)
             .sum();
   }
 
@@ -117,7 +117,7 @@
   }
 
   /** Starts the run, or returns false for want of room. */
-  boolean start(ModelRun run, Urgency urgency, long millis) {
+  boolean start(FleetTask run, Urgency urgency, long millis) {
     StepSpec step = run.task().step();
     boolean bound = run.nature().fills() && urgency != Urgency.STARVED && policy.boundsSuspects();
     if (bound && serving() > 0 && isSuspect(run.image(), millis)) {
@@ -138,7 +138,7 @@
   }
 
   /** Ends the run. */
-  void end(ModelRun run) {
+  void end(FleetTask run) {
     runs.remove(run.key().toString());
     room.release(run.key());
   }
@@ -148,7 +148,7 @@
     double serviceUse = 0;
     double plainUse = 0;
     double asked = 0;
-    for (ModelRun run : runs.values()) {
+    for (FleetTask run : runs.values()) {
       if (run.nature().serves()) {
         serviceUse += run.declaredMilli() * load(run, millis);
       } else if (run.nature().fills()) {
@@ -162,7 +162,7 @@
     double slowness = day.slowness(number, millis);
     double weight = Math.min(1, forMillis / READING_MILLIS);
     double pressure = 0;
-    for (ModelRun run : runs.values()) {
+    for (FleetTask run : runs.values()) {
       if (run.nature().fills()) {
         double used = askedMilli(run) * share;
         pressure += day.pressure(run.image(), millis) * used / capacityMilli;
@@ -176,7 +176,7 @@
   }
 
   private void answer(long millis, double pressure, double weight) {
-    for (ModelRun run : runs.values()) {
+    for (FleetTask run : runs.values()) {
       if (run.nature().serves()) {
         double left = Math.max(LEAST_LEFT, 1 - load(run, millis) - pressure);
         run.answers(IDLE_TAIL_MILLIS / left, weight);
@@ -184,11 +184,11 @@
     }
   }
 
-  private double load(ModelRun run, long millis) {
+  private double load(FleetTask run, long millis) {
     return day.load(run.key().task().workflow() * 37 + run.key().task().index(), millis);
   }
 
-  private static double askedMilli(ModelRun run) {
+  private static double askedMilli(FleetTask run) {
     return run.declaredMilli() * run.percent() / 100 * USED_OF_DECLARED;
   }
 
@@ -210,7 +210,7 @@
     }
     observeAttained(worst);
     pacing.observe(readings, filling(millis), TimeUnit.MILLISECONDS.toNanos(millis));
-    for (ModelRun run : runs.values()) {
+    for (FleetTask run : runs.values()) {
       if (run.nature().fills()) {
         run.pace(pacing.percent(isSuspect(run.image(), millis)));
       }
@@ -219,7 +219,7 @@
 
   private List<FillPacer.Reading> readings() {
     List<FillPacer.Reading> readings = new ArrayList<>();
-    for (ModelRun run : runs.values()) {
+    for (FleetTask run : runs.values()) {
       if (run.nature().serves()) {
         double rough = noise.logNormal(1, READING_SPREAD, 2);
         readings.add(new FillPacer.Reading(Math.round(run.tailMillis() * rough), TARGET_MILLIS));
@@ -230,7 +230,7 @@
 
   private List<ImageHarm.Filling> fillings() {
     Map<String, Double> worked = new HashMap<>();
-    for (ModelRun run : runs.values()) {
+    for (FleetTask run : runs.values()) {
       if (run.nature().fills()) {
         worked.merge(run.image(), run.usedMilli(), Double::sum);
       }
@@ -247,7 +247,7 @@
     }
     double asked = 0;
     double used = 0;
-    for (ModelRun run : runs.values()) {
+    for (FleetTask run : runs.values()) {
       if (run.nature().fills() && run.usedMilli() > 0 && run.percent() > 0) {
         asked += run.declaredMilli() * run.percent() / 100;
         used += run.usedMilli();
@@ -265,15 +265,15 @@
   /** Gives what services can bear now to the images that press least. */
   private void paceByEffects(long millis) {
     double bearable = 100;
-    for (ModelRun run : runs.values()) {
+    for (FleetTask run : runs.values()) {
       if (run.nature().serves()) {
         bearable = Math.min(bearable, ORACLE_USED - load(run, millis));
       }
     }
-    List<ModelRun> fills = new ArrayList<>(runs.values());
+    List<FleetTask> fills = new ArrayList<>(runs.values());
     fills.removeIf(run -> !run.nature().fills());
     fills.sort(Comparator.comparingDouble(run -> day.pressure(run.image(), millis)));
-    for (ModelRun run : fills) {
+    for (FleetTask run : fills) {
       double full =
           day.pressure(run.image(), millis)
               * run.declaredMilli()
