--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetDay.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetDay.java
@@ -31,6 +31,7 @@
 
   private static final int HEAVY_IMAGES = 9;
   private static final double PRESSING_SHARE = 0.6;
+  private static final double LEAST_FELT_PRESSURE = 0.3;
   private static final double LOAD = 0.45;
   private static final double LOAD_SWING = 0.5;
   private static final double LOAD_PERIOD_MILLIS = 14_000;
@@ -112,6 +113,11 @@
     return images.get(Integer.parseInt(image.substring("heavy-".length()))).pressureAt(millis);
   }
 
+  /** Returns whether an image presses on services so much that they feel a single task. */
+  boolean presses(String image, long millis) {
+    return pressure(image, millis) > LEAST_FELT_PRESSURE;
+  }
+
   /** Returns the part of what it booked that a task of a service uses. */
   double load(long task, long millis) {
     double phase = (task * 0.61803 % 1) * 2 * Math.PI;
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetRun.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetRun.java
@@ -195,7 +195,7 @@
       return 0;
     }
     if (policy.knowsEffects()) {
-      return day.pressure(image, now) > 0.3 ? 1 : 0;
+      return day.presses(image, now) ? 1 : 0;
     }
     return policy.learnsImages() ? harm.belief(image) : ImageHarm.UNKNOWN;
   }
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetVm.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetVm.java
@@ -83,7 +83,7 @@
 
   private boolean isSuspect(String image, long millis) {
     if (policy.knowsEffects()) {
-      return day.pressure(image, millis) > 0.3;
+      return day.presses(image, millis);
     }
     return ImageHarm.isSuspect(policy.learnsImages() ? harm.belief(image) : ImageHarm.UNKNOWN);
   }
