Log whose note of an end counts, and where maps of owners come from

Logs could not tell by which entry and epoch an end was noted, what that owner knew of the run, and where a side process has its map of owners from. Now end-unknown (owner, folded by partition), end-noted-by-former-owner (side) and the source in owners-changed tell the hypotheses of the incident apart. No decision changes; EndNotes holds the decision when an end is noted.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
@@ -74,6 +74,11 @@
     return new RunKey(key, lastAttempt);
   }
 
+  /** Returns whether the attempt was ordered and cannot run any more. */
+  public boolean hasEnded(int attempt) {
+    return attempt < lastAttempt || (attempt == lastAttempt && place == null);
+  }
+
   /** Returns the highest attempt ever ordered; 0 for none. */
   public int lastAttempt() {
     return lastAttempt;
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndNotes.java
@@ -0,0 +1,67 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.FoldedLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.workflow.RunKey;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides when the VM of an ended run is told that its owner has noted the end.
+ *
+ * <p>Confined to the loop's thread.
+ */
+final class EndNotes {
+  private static final EventLog LOG = EventLog.of(EndNotes.class);
+
+  /** How long ends that are unknown in the same partition are gathered, in nanoseconds. */
+  private static final long FOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  private final LinkLoop loop;
+  private final FoldedLog unknownEnds;
+
+  EndNotes(LinkLoop loop) {
+    this.loop = requireNonNull(loop, "loop");
+    this.unknownEnds = new FoldedLog(LOG::info, loop::schedule, FOLD_NANOS);
+  }
+
+  /**
+   * Runs the note once it may be told.
+   *
+   * <p>Takes also an end that was told before: what it changed may not be durable yet.
+   *
+   * @param partition the run's partition, which this process takes for its own
+   * @param vm the VM that reports the end
+   */
+  void take(OwnedPartition partition, RunKey run, String vm, Runnable note) {
+    if (!isOver(partition, run)) {
+      tellUnknown(partition, run, vm);
+    }
+    partition.writer().afterDurable(note);
+  }
+
+  /** Returns whether the partition's records say that the run is over. */
+  private static boolean isOver(OwnedPartition partition, RunKey run) {
+    return partition
+        .workflow(run.task().workflow())
+        .flatMap(workflow -> workflow.task(run.task()))
+        .filter(task -> task.hasEnded(run.attempt()))
+        .isPresent();
+  }
+
+  private void tellUnknown(OwnedPartition partition, RunKey run, String vm) {
+    PartitionWriter writer = partition.writer();
+    long evidenceNanos = loop.now() - writer.evidence();
+    unknownEnds.tell(
+        "partition " + partition.number(),
+        LogLine.of("end-unknown")
+            .with("run", run)
+            .with("vm", vm)
+            .with("partition", partition.number())
+            .with("epoch", partition.epoch())
+            .with("evidence_ms", TimeUnit.NANOSECONDS.toMillis(evidenceNanos)));
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -68,6 +68,7 @@
   private final Map<String, Long> lastGrant = new HashMap<>();
   private final FleetKnowledge knowledge = new FleetKnowledge();
   private final VmView view;
+  private final EndNotes endNotes;
   private boolean flushScheduled;
 
   EntryVms(
@@ -82,6 +83,7 @@
     this.wallMillis = requireNonNull(wallMillis, "wallMillis");
     this.listener = requireNonNull(listener, "listener");
     this.view = new VmView(loop, newest, openRuns, knowledge);
+    this.endNotes = new EndNotes(loop);
   }
 
   /** Follows the runs that former owners of the partition ordered. */
@@ -288,14 +290,14 @@
                     RunOutcome.forNumber(end.getOutcome()),
                     end.getCheckpoint(),
                     end.getReason()));
-    // Also for one seen before: it may have changed what is not durable yet.
-    partition
-        .writer()
-        .afterDurable(
-            () -> {
-              session.addNotedEnd(end.getTask());
-              flushSoon();
-            });
+    endNotes.take(
+        partition,
+        key,
+        session.vm(),
+        () -> {
+          session.addNotedEnd(end.getTask());
+          flushSoon();
+        });
   }
 
   private void close(OpenRun run, RunOutcome outcome, String checkpoint, String reason) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideEntries.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideEntries.java
@@ -130,20 +130,20 @@
       LOG.debug(LogLine.of("owners-unread").with("result", result));
       return;
     }
-    replace(read.byPartition());
+    replace(read.byPartition(), "the store");
   }
 
-  private void told(OwnerMap map) {
+  private void told(String member, OwnerMap map) {
     if (map.getOwnersCount() == 0 || map.getGeneration() < generation) {
       return;
     }
     generation = map.getGeneration();
     Map<Integer, String> newOwners = new HashMap<>();
     map.getOwnersList().forEach(owner -> newOwners.put(owner.getPartition(), owner.getMember()));
-    replace(newOwners);
+    replace(newOwners, member);
   }
 
-  private void replace(Map<Integer, String> newOwners) {
+  private void replace(Map<Integer, String> newOwners, String source) {
     if (newOwners.isEmpty() || newOwners.equals(owners)) {
       return;
     }
@@ -152,7 +152,8 @@
     LOG.info(
         LogLine.of("owners-changed")
             .with("members", new HashSet<>(owners.values()))
-            .with("generation", generation));
+            .with("generation", generation)
+            .with("source", source));
     tick();
     listener.ownersChanged();
   }
@@ -169,7 +170,7 @@
     @Override
     public void received(String member, Frame frame) {
       if (frame.hasOwnerMap()) {
-        told(frame.getOwnerMap());
+        told(member, frame.getOwnerMap());
       } else {
         listener.received(connections.get(member), frame);
       }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -322,10 +322,20 @@
       }
     }
     for (WorkflowTaskId noted : orders.getNotedEndsList()) {
-      session.noted(WorkflowRecords.decode(noted));
+      noted(connection, current, WorkflowRecords.decode(noted));
     }
   }
 
+  private void noted(EntryConnection connection, Map<Integer, Boolean> current, RunKey key) {
+    if (!current.getOrDefault(session.partitionOf(key), false)) {
+      LOG.info(
+          LogLine.of("end-noted-by-former-owner")
+              .with("run", key)
+              .with("member", connection.member()));
+    }
+    session.noted(key);
+  }
+
   private boolean isCurrent(Map<Integer, Boolean> current, RunKey key) {
     boolean taken = current.getOrDefault(session.partitionOf(key), false);
     if (!taken) {
