Tests of ends that a former owner notes, failing

What callers saw: a task ran again after it had ended as done and the worker had been told that this was noted.

--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndNotesTest.java
@@ -0,0 +1,66 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.Iterables;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Writer;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.TaskKey;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** When an owner notes ends of runs that it has no record of, on virtual time. */
+class EndNotesTest {
+  private static final RunKey UNKNOWN = new RunKey(new TaskKey(7, 0, 0, 0), 1);
+  private static final long SUCCESSOR_EPOCH = 1_000_000;
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final FakeWorkflowStore store = new FakeWorkflowStore(1, time.timer());
+  private final RefusingStore reached = new RefusingStore(store);
+  private final Ownership ownership =
+      new Ownership(
+          reached, time.loop(), new EntryMember("127.0.0.1", 1, 1), new IgnoringOwnership());
+  private final EndNotes notes = new EndNotes(time.loop());
+  private final List<RunKey> noted = new ArrayList<>();
+
+  @BeforeEach
+  void ownPartition() {
+    ownership.start();
+    time.advance(500);
+  }
+
+  private void hearOfEnd(RunKey run) {
+    OwnedPartition partition = Iterables.getOnlyElement(ownership.active());
+    notes.take(partition, run, "vm-0", () -> noted.add(run));
+  }
+
+  /** Guards against a task that runs again: its owner never hears of an end that another noted. */
+  @Test
+  void aFormerOwnerDoesNotNoteTheEndOfWhatItsSuccessorOrdered() {
+    store.append(Topic.PROGRESS, 0, List.of(), Optional.of(new Writer(SUCCESSOR_EPOCH, 0)));
+    hearOfEnd(UNKNOWN);
+    time.advance(100);
+    assertEquals(List.of(), noted);
+  }
+
+  /** Guards against the same while the former owner cannot reach the store. */
+  @Test
+  void anOwnerThatIsCutOffFromTheStoreNotesNoEndThatItDoesNotKnow() {
+    reached.refuse(true);
+    hearOfEnd(UNKNOWN);
+    time.advance(5_000);
+    assertEquals(List.of(), noted);
+  }
+
+  /** Guards against a worker that keeps ends for good whose workflows are forgotten. */
+  @Test
+  void theOwnerNotesAnEndThatItDoesNotKnow() {
+    hearOfEnd(UNKNOWN);
+    time.advance(100);
+    assertEquals(List.of(UNKNOWN), noted);
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FormerOwner.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FormerOwner.java
@@ -43,7 +43,16 @@
   }
 
   /** Orders to stop the run, as the owner of its partition would. */
-  synchronized void stop(RunKey run, int partition) {
+  void stop(RunKey run, int partition) {
+    order(partition, RunOrders.newBuilder().addStops(WorkflowRecords.encode(run)));
+  }
+
+  /** Says that the run's end is durable, as the owner of its partition would. */
+  void note(RunKey run, int partition) {
+    order(partition, RunOrders.newBuilder().addNotedEnds(WorkflowRecords.encode(run)));
+  }
+
+  private synchronized void order(int partition, RunOrders.Builder orders) {
     PartitionEvidence evidence =
         PartitionEvidence.newBuilder().setPartition(partition).setEpoch(FIRST_EPOCH).build();
     LeaseGrant lease =
@@ -51,13 +60,7 @@
             .setWorkerClock(report.getWorkerClock())
             .addEvidence(evidence)
             .build();
-    RunOrders orders =
-        RunOrders.newBuilder()
-            .setNumber(1)
-            .setLease(lease)
-            .setWorker(report.getWorker())
-            .addStops(WorkflowRecords.encode(run))
-            .build();
+    orders.setNumber(1).setLease(lease).setWorker(report.getWorker());
     LinkConnection to = side;
     loop.run(() -> to.send(Frame.newBuilder().setRunOrders(orders).build()));
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
@@ -347,4 +347,37 @@
       assertEquals(List.of(run), worker("vm-0").atWork());
     }
   }
+
+  /** Guards against a task that runs again, since a former owner noted an end for its successor. */
+  @Test
+  void aFormerOwnerCannotNoteTheEndOfWhatItsSuccessorRan() throws IOException {
+    world.start(1, 1, 1_000);
+    submit(WorkflowWorld.workflow(242, 1));
+    world.await("it is at work", () -> worker("vm-0").atWork().size() == 1);
+    RunKey run = worker("vm-0").atWork().get(0);
+    world.store().failAppends(FakeWorkflowStore.AppendFault.REFUSED, Integer.MAX_VALUE);
+    world.await("it has ended", () -> worker("vm-0").endsNotNoted() == 1);
+    try (FormerOwner former = new FormerOwner()) {
+      former.start();
+      world.store().join(former.member(), Long.MAX_VALUE);
+      world.await("the side process knows it", () -> former.report().isPresent());
+      former.note(run, WorkflowIds.partition(run.task().workflow(), WorkflowWorld.PARTITIONS));
+      world.await(
+          "the side process has read the note",
+          () -> former.report().orElseThrow().getOrdersSeen() == 1);
+      world.store().drop(former.member());
+    }
+    replaceOnlyEntry();
+    world.await("the next one tells", () -> world.status(0, 242) == QueryResult.DONE);
+    assertEquals(1, world.history().totalStarts());
+    assertEquals(List.of(), world.history().broken());
+  }
+
+  private void replaceOnlyEntry() throws IOException {
+    RunningEntry killed = world.entry(0);
+    world.kill(killed);
+    world.store().drop(killed.memberPrefix());
+    world.store().failAppends(FakeWorkflowStore.AppendFault.NONE, 0);
+    world.addEntry();
+  }
 }
