Note an end only as the owner of its partition

What callers saw: tasks ran again after they had ended as done, and the worker had been told that their ends were noted.

Cause: of the three things that owners tell a side process, starts and stops are carried out only under the highest epoch heard for the partition, but notes of ends were taken from anybody; and an owner noted ends of runs that it had no record of at once when nothing of that partition waited to be written. An entry that is cut off from the store takes itself for the owner of idle partitions until it reaches the store again. Told the end of a run that its successor had ordered, it noted it; the side process forgot it; the successor ordered the attempt again, the worker refused it as old, and three listings later attempt 2 began.

Fix: a note is checked against the epoch like a start or a stop, and an owner notes the end of a run that its records lack only after an append under its epoch has succeeded, which a former owner's does not. Where a side process has not heard the successor yet, the second holds by itself; ends of forgotten workflows are still noted. The end of a run that counts as open is never noted.

Ruled out: a successor that reads before its predecessor's last write (the epoch is set first: aFormerOwnerIsShutOutWhenPartitionsAreDealtAnew); a side process that loses a listed end (EndLedger keeps it until noted).

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndNotes.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndNotes.java
@@ -7,6 +7,8 @@
 import io.marigoldsail.daemon.observe.FoldedLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.WorkflowTask;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -31,25 +33,26 @@
   /**
    * Runs the note once it may be told.
    *
-   * <p>Takes also an end that was told before: what it changed may not be durable yet.
+   * <p>Takes also an end that was told before: what it changed may not be durable yet. A run of
+   * which the partition's records say nothing may be one that a later owner has ordered, so it is
+   * noted only after an append has shown that there is none. The end of a run that still counts as
+   * open is not noted.
    *
    * @param partition the run's partition, which this process takes for its own
    * @param vm the VM that reports the end
    */
   void take(OwnedPartition partition, RunKey run, String vm, Runnable note) {
-    if (!isOver(partition, run)) {
+    Optional<WorkflowTask> task =
+        partition
+            .workflow(run.task().workflow())
+            .flatMap(workflow -> workflow.task(run.task()))
+            .filter(known -> known.lastAttempt() >= run.attempt());
+    if (task.isEmpty()) {
       tellUnknown(partition, run, vm);
+      partition.writer().afterRenewal(note);
+    } else if (task.get().hasEnded(run.attempt())) {
+      partition.writer().afterDurable(note);
     }
-    partition.writer().afterDurable(note);
-  }
-
-  /** Returns whether the partition's records say that the run is over. */
-  private static boolean isOver(OwnedPartition partition, RunKey run) {
-    return partition
-        .workflow(run.task().workflow())
-        .flatMap(workflow -> workflow.task(run.task()))
-        .filter(task -> task.hasEnded(run.attempt()))
-        .isPresent();
   }
 
   private void tellUnknown(OwnedPartition partition, RunKey run, String vm) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
@@ -117,6 +117,16 @@
     flushSoon();
   }
 
+  /**
+   * Runs the effect once an append that is sent from now on has succeeded, which shows that no
+   * other owner had shut this writer out before.
+   */
+  void afterRenewal(Runnable effect) {
+    renewalDue = true;
+    effects.add(effect);
+    flushSoon();
+  }
+
   /** Appends nothing, for evidence, unless an append is on its way. */
   void renew() {
     if (!inFlight) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -322,18 +322,11 @@
       }
     }
     for (WorkflowTaskId noted : orders.getNotedEndsList()) {
-      noted(connection, current, WorkflowRecords.decode(noted));
-    }
-  }
-
-  private void noted(EntryConnection connection, Map<Integer, Boolean> current, RunKey key) {
-    if (!current.getOrDefault(session.partitionOf(key), false)) {
-      LOG.info(
-          LogLine.of("end-noted-by-former-owner")
-              .with("run", key)
-              .with("member", connection.member()));
+      RunKey key = WorkflowRecords.decode(noted);
+      if (isCurrent(current, key)) {
+        session.noted(key);
+      }
     }
-    session.noted(key);
   }
 
   private boolean isCurrent(Map<Integer, Boolean> current, RunKey key) {
