Tell side processes under which generation the owners are

Cause: a map carries the generation that its entry knew when it asked for the owners. An entry that read the new owners before its next join told them under the old generation, and once it learned the new one it told nothing, since the owners were the same. So the old map of the entry without the store had the same generation and took the new one's place.

Fix: an entry that reads other owners joins at once, which tells the generation and reads the owners again, and a higher generation is told to side processes though the owners are the same. A side process that has it passes over maps of lower ones, as before. Not changed: for the two round trips in between both maps have one generation.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -54,8 +54,11 @@
   }
 
   /**
-   * Takes who owns what; returns whether it changed. An answer of the store that was asked for
-   * before the one in use, and came later, is passed over.
+   * Takes who owns what; returns whether side processes have to be told. An answer of the store
+   * that was asked for before the one in use, and came later, is passed over.
+   *
+   * <p>A higher generation is told though the owners are the same: side processes that have it pass
+   * over the older map of an entry that does not reach the store.
    */
   boolean owners(long generation, Owners newOwners) {
     if (generation < map.getGeneration()) {
@@ -63,8 +66,9 @@
     }
     Map<Integer, String> newMap = newOwners.byPartition();
     if (newMap.equals(owners)) {
-      map = map.toBuilder().setGeneration(Math.max(generation, map.getGeneration())).build();
-      return false;
+      boolean rose = generation > map.getGeneration();
+      map = map.toBuilder().setGeneration(generation).build();
+      return rose;
     }
     owners.clear();
     owners.putAll(newMap);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/Ownership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/Ownership.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -66,6 +67,7 @@
   private final Map<Integer, OwnedPartition> owned = new HashMap<>();
   private final Map<Integer, Long> lastEpochs = new HashMap<>();
   private ImmutableSet<Integer> listed = ImmutableSet.of();
+  private ImmutableMap<Integer, String> dealt = ImmutableMap.of();
   private long generation;
   private long changedAt;
   private long joinedAt;
@@ -205,10 +207,15 @@
   }
 
   private void ownersAnswered(long asOf, WorkflowStore.OwnersResult result) {
-    if (result instanceof Owners owners) {
-      listener.ownersKnown(asOf, owners);
-    } else {
+    if (!(result instanceof Owners owners)) {
       LOG.debug(LogLine.of("owners-unread").with("reason", ((OwnersUnknown) result).reason()));
+      return;
+    }
+    listener.ownersKnown(asOf, owners);
+    if (!owners.byPartition().equals(dealt)) {
+      dealt = owners.byPartition();
+      // Tells the generation of the new owners, without which nobody knows which map is newer.
+      join();
     }
   }
 
