Answer a cancel that cannot become durable

What callers saw: a cancel at an owner that is cut off from the store, or that loses the partition meanwhile, had no answer until the caller's own deadline: the answer waited for an append that never succeeded, or was dropped with the partition's writer. Found by looking for what else a former owner does; questions from another entry had a bound, those at the owner itself had none.

Fix: after 0.9 s the caller is told that nobody can tell now, with when to come back, as for an owner that is not reached. A cancel that becomes durable later stays: asking again tells it.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -50,6 +50,10 @@
   private static final long COUNTS_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
   private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(5);
   private static final long WATCH_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** How long a cancel may take to become durable before its caller is told to ask again. */
+  private static final long CANCEL_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+
   private static final int MAX_LINKS = 2_000;
 
   private final LinkLoop loop;
@@ -224,19 +228,27 @@
       told.accept(QueryResult.of(workflow.shownStatus()));
       return;
     }
+    cancelOwn(own, workflow).thenAccept(told);
+  }
+
+  private CompletableFuture<QueryResult> cancelOwn(OwnedPartition own, Workflow workflow) {
     if (workflow.cancel(wallMillis.getAsLong())) {
       LOG.info(
           LogLine.of("workflow-cancelled")
-              .with("workflow", WorkflowIds.format(id))
+              .with("workflow", WorkflowIds.format(workflow.spec().id()))
               .with("open_runs", workflow.openTasks().size()));
       own.changed(workflow);
     }
+    CompletableFuture<QueryResult> told = new CompletableFuture<>();
     own.writer()
         .afterDurable(
             () -> {
               vms.stopUnwanted(workflow);
-              told.accept(QueryResult.of(workflow.shownStatus()));
+              told.complete(QueryResult.of(workflow.shownStatus()));
             });
+    // The partition may have another owner, or the store may be out of reach.
+    loop.schedule(() -> told.complete(QueryResult.CANNOT_TELL), CANCEL_NANOS);
+    return told;
   }
 
   /** Returns how many accepted workflows of the queue have no task begun; completes on the loop. */
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -373,6 +374,20 @@
     assertEquals(List.of(), world.history().broken());
   }
 
+  /** Guards against a cancel without an answer, since its owner cannot make it durable. */
+  @Test
+  void aCancelThatCannotBecomeDurableIsAnsweredThatNobodyCanTell() throws IOException {
+    world.start(1, 1, FOR_GOOD_MILLIS);
+    submit(WorkflowWorld.workflow(243, 1));
+    world.await("it is at work", () -> worker("vm-0").atWork().size() == 1);
+    world.entry(0).store().refuse(true);
+    CompletableFuture<QueryResult> told = world.entry(0).entry().query(243, "queue", true);
+    world.await("it is answered", told::isDone);
+    assertEquals(QueryResult.CANNOT_TELL, told.join());
+    world.entry(0).store().refuse(false);
+    world.await("it is cancelled", () -> world.status(0, 243) == QueryResult.CANCELLED);
+  }
+
   private void replaceOnlyEntry() throws IOException {
     RunningEntry killed = world.entry(0);
     world.kill(killed);
