Start the platform's client without reading the trust store

Cause: the HTTP client makes and starts a TLS context, with the trust store of the runtime, although the platform is called without TLS.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
@@ -23,6 +23,7 @@
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -96,6 +97,7 @@
     ClientConnector connector = new ClientConnector();
     connector.setSelectors(1);
     connector.setExecutor(threads);
+    connector.setSslContextFactory(new NoTls());
     HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
     client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     client.setMaxConnectionsPerDestination(connections);
@@ -203,6 +205,15 @@
     return cause.getClass().getSimpleName() + ": " + cause.getMessage();
   }
 
+  /** Reads no trust store: the platform is called without TLS, and the store takes long to read. */
+  private static final class NoTls extends SslContextFactory.Client {
+    @Override
+    protected void doStart() {}
+
+    @Override
+    protected void doStop() {}
+  }
+
   @Override
   public void close() {
     try {
