Make threads of HTTP pools without method handles

Cause: Jetty's own thread factory looks up the runtime's access control by method handles, which spins some 20 classes at each start.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/http/package-info.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/http/package-info.java
@@ -1,5 +1,6 @@
 /**
- * What every HTTP server of a process does with the bodies of requests.
+ * What every HTTP server of a process does with the bodies of requests, and the threads of HTTP
+ * clients and servers.
  *
  * <p>Reach for {@link io.marigoldsail.daemon.http.WholeBody} to read a short body, and for {@link
  * io.marigoldsail.daemon.http.RestOfBody} before a request is refused whose body is still coming.
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
@@ -4,6 +4,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.marigoldsail.daemon.http.HttpThreads;
 import io.marigoldsail.error.Result;
 import io.marigoldsail.json.Json;
 import java.util.Map;
@@ -65,6 +66,7 @@
   private static final int CONNECTIONS = 16;
   private static final int MAX_THREADS = 12;
   private static final int MIN_THREADS = 2;
+  private static final int THREAD_IDLE_MILLIS = 60_000;
   private static final int QUEUED = 64;
 
   private final HttpClient client;
@@ -91,9 +93,9 @@
    * @throws IllegalStateException if it cannot start
    */
   public static PlatformClient start(String name, int connections) {
-    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
-    threads.setName(requireNonNull(name, "name"));
-    threads.setDaemon(true);
+    QueuedThreadPool threads =
+        HttpThreads.pool(
+            requireNonNull(name, "name"), MAX_THREADS, MIN_THREADS, THREAD_IDLE_MILLIS, true);
     ClientConnector connector = new ClientConnector();
     connector.setSelectors(1);
     connector.setExecutor(threads);
