Take no run for forgotten that a cut listing has no place for

What callers would see: a task that ran again after it had ended. A worker lists 500 ends at a time; a run whose end was the 501st stood in neither list, and after three listings it counted as forgotten, attempt 2 began, and then its end was listed and noted. Fix: a listing that holds as many ends as one may says nothing of runs that it lacks.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
@@ -53,13 +53,21 @@
   /** What a worker says of itself. */
   sealed interface ListingResult {}
 
+  /** The most ends that one listing holds; the others come once these are noted. */
+  int MAX_LISTED_ENDS = 500;
+
   /**
-   * All that runs, and ends that were not yet noted.
+   * All that runs, and the oldest {@link #MAX_LISTED_ENDS} ends that were not yet noted.
    *
    * @param workerClock the worker's clock in milliseconds when it answered
    */
   record Listing(long workerClock, ImmutableList<Running> running, ImmutableList<Ended> ended)
-      implements ListingResult {}
+      implements ListingResult {
+    /** Returns whether the worker may have ends that the listing does not hold. */
+    public boolean isCut() {
+      return ended.size() >= MAX_LISTED_ENDS;
+    }
+  }
 
   /** The worker did not answer. */
   record NoListing(String reason) implements ListingResult {}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -422,6 +422,9 @@
       mentioned.add(row.run());
       takeRunning(row);
     }
+    if (shown.isCut()) {
+      return;
+    }
     for (SideRun run : List.copyOf(runs.values())) {
       boolean missing = !mentioned.contains(run.key()) && confirmed.contains(run.key());
       if (missing && run.missedTooOften()) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -2,7 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -17,6 +20,8 @@
 
   private final VirtualLoop time;
   private final Set<RunKey> running = new LinkedHashSet<>();
+  private final List<Ended> ended = new ArrayList<>();
+  private long sequence;
   private boolean silent;
   private long failsAfterMillis = 1;
   private boolean loses;
@@ -72,6 +77,12 @@
     running.remove(run);
   }
 
+  /** Ends the run as done; listed until it is noted, with the oldest ends first. */
+  void end(RunKey run) {
+    running.remove(run);
+    ended.add(new Ended(++sequence, run, RunOutcome.DONE, ""));
+  }
+
   int listings() {
     return listings;
   }
@@ -83,7 +94,10 @@
   Listing listing() {
     ImmutableList.Builder<Running> rows = ImmutableList.builder();
     running.forEach(run -> rows.add(new Running(run, "", 10, 0)));
-    return new Listing(clock(), rows.build(), ImmutableList.of());
+    return new Listing(
+        clock(),
+        rows.build(),
+        ended.stream().limit(MAX_LISTED_ENDS).collect(ImmutableList.toImmutableList()));
   }
 
   private <T> CompletableFuture<T> after(long millis, java.util.function.Supplier<T> result) {
@@ -133,6 +147,7 @@
     if (silent) {
       return after(failsAfterMillis, () -> new NoListing("silent"));
     }
+    ended.removeIf(end -> end.sequence() <= noted);
     return after(Math.max(1, waitMillis), this::listing);
   }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -12,6 +12,7 @@
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.TaskKey;
+import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -49,11 +50,18 @@
   }
 
   private void start(int index) {
+    start(index, 500);
+  }
+
+  private void start(int index, int milliProcessors) {
     hearOwner();
     RunKey key = run(index);
     session.start(
         key,
-        StartRun.newBuilder().setTask(WorkflowRecords.encode(key)).setMilliProcessors(500).build(),
+        StartRun.newBuilder()
+            .setTask(WorkflowRecords.encode(key))
+            .setMilliProcessors(milliProcessors)
+            .build(),
         "program");
   }
 
@@ -233,6 +241,25 @@
     assertFalse(session.isUnhealthy());
   }
 
+  /** Guards against a task that runs again, since its end is beyond what one listing holds. */
+  @Test
+  void anEndThatTheListingHasNoPlaceForIsNotForgotten() {
+    int runs = WorkerGateway.MAX_LISTED_ENDS + 2;
+    session.start();
+    for (int index = 0; index < runs; index++) {
+      start(index, 1);
+    }
+    pass(1_000);
+    for (int index = 0; index < runs; index++) {
+      worker.end(run(index));
+    }
+    pass(3_000);
+    assertEquals(Collections.nCopies(WorkerGateway.MAX_LISTED_ENDS, RunOutcome.DONE), outcomes());
+    noteAllEnds();
+    pass(1_000);
+    assertEquals(List.of(RunOutcome.DONE, RunOutcome.DONE), outcomes());
+  }
+
   /** What changes does not matter here; can be told to throw. */
   private static final class ThrowingListener implements WorkerListener {
     private boolean throwing;
