--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideTest.java
@@ -168,4 +168,32 @@
     assertEquals(after.hashCode(), digest);
     assertNotEquals(before.hashCode(), digest);
   }
+
+  /** Guards against ends that are told to an entry that has lost the store and its partitions. */
+  @Test
+  void aMapOfALowerGenerationIsPassedOver() throws Exception {
+    ScriptedEntry former = new ScriptedEntry();
+    final Map<Integer, String> before = Map.of(0, entry.member(), 1, former.member());
+    final Map<Integer, String> after = Map.of(0, entry.member(), 1, entry.member());
+    side.start();
+    store.asked().complete(ScriptedOwnersStore.owners(before));
+    LinkConnection connection = entry.connection();
+    former.connection();
+    entry.send(connection, map(6, after));
+    while (entry.report().getOwnersDigest() != after.hashCode()) {
+      // The next one tells.
+    }
+    beat();
+    reportOfWorker();
+    entry.send(connection, map(5, before));
+    // Orders for another life of the worker are answered by a report.
+    RunOrders orders = RunOrders.newBuilder().setNumber(1).setWorker("life-0").build();
+    entry.send(connection, Frame.newBuilder().setRunOrders(orders).build());
+    VmReport report = entry.report();
+    while (report.getOrdersSeen() != 1) {
+      report = entry.report();
+    }
+    assertEquals(after.hashCode(), report.getOwnersDigest());
+    former.close();
+  }
 }
