Tell of an end that its workflow did not take; test each way in which ends are noted

The workflow is told first now, and an end of a run that stays open is an error in the log. An end is taken for the attempt that it names only. A writer that is closed runs no effect: what it would follow from was dropped. Tests for guards that could be removed without a failure: the end of an open run, of an earlier attempt, of a later one, of a released partition.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndNotes.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndNotes.java
@@ -52,6 +52,13 @@
       partition.writer().afterRenewal(note);
     } else if (task.get().hasEnded(run.attempt())) {
       partition.writer().afterDurable(note);
+    } else {
+      LOG.error(
+          LogLine.of("end-not-taken")
+              .with("run", run)
+              .with("vm", vm)
+              .with("partition", partition.number())
+              .with("place", task.get().place().orElseThrow()));
     }
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryVms.java
@@ -282,7 +282,7 @@
     OwnedPartition partition = found.get();
     openRuns
         .find(session.vm(), key)
-        .filter(run -> run.task().isOpen())
+        .filter(run -> run.task().isOpen() && run.task().openRun().equals(key))
         .ifPresent(
             run ->
                 close(
@@ -305,9 +305,11 @@
     RunKey key = task.openRun();
     Place place = task.place().orElseThrow();
     Workflow workflow = task.workflow();
+    // First of all: a run that stays open in its workflow would never be ordered or noted again.
+    boolean ended = workflow.ended(key, outcome, checkpoint, wallMillis.getAsLong());
     openRuns.remove(place.vm(), key);
     knowledge.ended(run, place.vm(), outcome, loop.now());
-    if (!workflow.ended(key, outcome, checkpoint, wallMillis.getAsLong())) {
+    if (!ended) {
       return;
     }
     LOG.info(
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
@@ -107,8 +107,11 @@
     flushSoon();
   }
 
-  /** Runs the effect once everything written so far is durable. */
+  /** Runs the effect once everything written so far is durable; never on a closed writer. */
   void afterDurable(Runnable effect) {
+    if (closed) {
+      return;
+    }
     if (changed.isEmpty() && !inFlight && !renewalDue) {
       effect.run();
       return;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndNotesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndNotesTest.java
@@ -5,8 +5,11 @@
 import com.google.common.collect.Iterables;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Writer;
+import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.Workflow;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -56,6 +59,61 @@
     assertEquals(List.of(), noted);
   }
 
+  private Workflow ownWorkflow() {
+    OwnedPartition partition = Iterables.getOnlyElement(ownership.active());
+    partition.add(WorkflowWorld.workflow(UNKNOWN.task().workflow(), 1));
+    return partition.workflow(UNKNOWN.task().workflow()).orElseThrow();
+  }
+
+  private static RunKey order(Workflow workflow) {
+    return workflow.order(workflow.tasks().get(0), new Place("vm-0", "life-1"));
+  }
+
+  /** Guards against a task that runs again: its workflow has not taken the end that is noted. */
+  @Test
+  void theEndOfARunThatCountsAsOpenIsNotNoted() {
+    RunKey open = order(ownWorkflow());
+    hearOfEnd(open);
+    time.advance(100);
+    assertEquals(List.of(), noted);
+  }
+
+  /** Guards against a worker that keeps ends for good of attempts that were followed by others. */
+  @Test
+  void theEndOfAnEarlierAttemptIsNoted() {
+    Workflow workflow = ownWorkflow();
+    RunKey first = order(workflow);
+    workflow.ended(first, RunOutcome.LOST, "", 0);
+    order(workflow);
+    hearOfEnd(first);
+    time.advance(100);
+    assertEquals(List.of(first), noted);
+  }
+
+  /** Guards against a task that runs again: a later owner has ordered an attempt not known here. */
+  @Test
+  void aFormerOwnerDoesNotNoteTheEndOfALaterAttempt() {
+    Workflow workflow = ownWorkflow();
+    RunKey first = order(workflow);
+    workflow.ended(first, RunOutcome.LOST, "", 0);
+    store.append(Topic.PROGRESS, 0, List.of(), Optional.of(new Writer(SUCCESSOR_EPOCH, 0)));
+    hearOfEnd(new RunKey(first.task(), first.attempt() + 1));
+    time.advance(100);
+    assertEquals(List.of(), noted);
+  }
+
+  /** Guards against ends that are noted though what they changed was dropped with the ownership. */
+  @Test
+  void aReleasedPartitionNotesNothing() {
+    OwnedPartition partition = Iterables.getOnlyElement(ownership.active());
+    RunKey run = order(ownWorkflow());
+    partition.workflow(run.task().workflow()).orElseThrow().ended(run, RunOutcome.DONE, "", 0);
+    partition.close();
+    notes.take(partition, run, "vm-0", () -> noted.add(run));
+    time.advance(100);
+    assertEquals(List.of(), noted);
+  }
+
   /** Guards against a worker that keeps ends for good whose workflows are forgotten. */
   @Test
   void theOwnerNotesAnEndThatItDoesNotKnow() {
