Tell entries of a VM's room only what they were not told last, and several in one turn

Each start, first listing and pacing of a run was owed to every entry, also where the report said of the VM what the entry had been told last; each of these reports had its own timer and computed the room anew. Now the state that all entries are told alike is computed once, compared with what each was told, and those that fall due within a quarter of a turn are told together.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
@@ -26,6 +26,9 @@
    */
   static final long SPACING_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
+  /** The part of a turn for which those that fall due are gathered. */
+  private static final int GATHERED_PART = 4;
+
   private final Map<String, Long> reportedAt = new HashMap<>();
 
   /** Notes that the member is sent a report now. */
@@ -51,6 +54,19 @@
     if (concerned || last == null) {
       return now;
     }
-    return Math.max(now, last + SPACING_NANOS * entries);
+    return Math.max(now, last + turnNanos(entries));
+  }
+
+  /**
+   * Returns how long after the first member fell due those are told that did so by then, in
+   * nanoseconds: one timer and one look at the room serve all of them, and the next time they fall
+   * due together.
+   */
+  static long gatherNanos(int entries) {
+    return turnNanos(entries) / GATHERED_PART;
+  }
+
+  private static long turnNanos(int entries) {
+    return SPACING_NANOS * entries;
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -51,6 +51,7 @@
   private WorkerSession session;
   private String goneWorker = "";
   private final ReportPacer pacer = new ReportPacer();
+  private final ToldStates told = new ToldStates();
   private final Set<Integer> changedPartitions = new HashSet<>();
   private final Set<EntryConnection> owed = new HashSet<>();
   private boolean probing;
@@ -172,9 +173,13 @@
   }
 
   private void reportChanges() {
+    VmReport state = state();
     for (EntryConnection connection : entries.connections()) {
-      if (isDue(connection, isConcerned(connection))) {
-        report(connection, false);
+      boolean concerned = isConcerned(connection);
+      if (!concerned && told.knows(connection.member(), state)) {
+        owed.remove(connection);
+      } else if (isDue(connection, concerned)) {
+        report(connection, state, false);
       } else {
         owed.add(connection);
       }
@@ -204,37 +209,48 @@
     }
     owedScheduled = true;
     long next = owed.stream().mapToLong(each -> dueAt(each, false)).min().getAsLong();
-    loop.schedule(this::reportOwed, next - loop.now());
+    long gathered = ReportPacer.gatherNanos(entries.reached());
+    loop.schedule(this::reportOwed, next + gathered - loop.now());
   }
 
   private void reportOwed() {
     owedScheduled = false;
+    VmReport state = state();
     for (EntryConnection connection : Set.copyOf(owed)) {
-      if (isDue(connection, false)) {
-        report(connection, false);
+      if (told.knows(connection.member(), state)) {
+        owed.remove(connection);
+      } else if (isDue(connection, false)) {
+        report(connection, state, false);
       }
     }
     scheduleOwed();
   }
 
   private void report(boolean wantsLease) {
+    VmReport state = state();
     for (EntryConnection connection : entries.connections()) {
-      report(connection, wantsLease);
+      report(connection, state, wantsLease);
     }
   }
 
   private void report(EntryConnection connection, boolean wantsLease) {
+    report(connection, state(), wantsLease);
+  }
+
+  private void report(EntryConnection connection, VmReport state, boolean wantsLease) {
     pacer.reported(connection.member(), loop.now());
+    told.told(connection.member(), state);
     owed.remove(connection);
     VmReport.Builder report =
-        VmReport.newBuilder()
-            .setVm(vm)
-            .setGoneWorker(goneWorker)
+        state.toBuilder()
             .setOrdersSeen(connection.ordersSeen())
             .setOwnersDigest(entries.digest())
             .setWantsLease(wantsLease);
     if (session != null) {
-      describe(report);
+      report.setWorkerClock(session.workerClock());
+      if (wantsLease) {
+        report.addAllImages(ImageRecords.encode(session.pacing().seen()));
+      }
       for (SideRun run : session.runs()) {
         if (entries.owns(connection.member(), run.partition())) {
           report.addRuns(run.report());
@@ -250,12 +266,20 @@
     connection.link().send(Frame.newBuilder().setVmReport(report).build());
   }
 
-  private void describe(VmReport.Builder report) {
+  /** Returns what reports say to all entries alike, but for the worker's clock and the images. */
+  private VmReport state() {
+    VmReport.Builder state = VmReport.newBuilder().setVm(vm).setGoneWorker(goneWorker);
+    if (session != null) {
+      describe(state);
+    }
+    return state.build();
+  }
+
+  private void describe(VmReport.Builder state) {
     WorkerHeartbeat heartbeat = session.heartbeat();
     Sizes capacity = heartbeat.capacity();
     Sizes free = session.room().free();
-    report
-        .setWorkerClock(session.workerClock())
+    state
         .setWorker(session.worker())
         .setService(heartbeat.service())
         .setZone(heartbeat.zone())
@@ -274,9 +298,6 @@
         .setOvercommitMilliProcessors((int) session.room().overcommitMilliProcessors())
         .setFillPercent(session.pacing().percent())
         .setServing(session.serving());
-    if (report.getWantsLease()) {
-      report.addAllImages(ImageRecords.encode(session.pacing().seen()));
-    }
   }
 
   /**
@@ -357,6 +378,7 @@
     @Override
     public void disconnected(EntryConnection connection) {
       pacer.forget(connection.member());
+      told.forget(connection.member());
       owed.remove(connection);
     }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SideReportsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SideReportsTest.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.workflow;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,6 +9,7 @@
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.link.LinkServer;
 import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.workflow.QueryResult;
 import io.marigoldsail.workflow.WorkflowIds;
@@ -23,6 +25,7 @@
 /** What a side process sends to an entry that none of its runs belongs to. */
 class SideReportsTest {
   private static final int TASKS = 120;
+  private static final int ROUNDS = 6;
 
   /** Between two reports of room to an entry that owns nothing here, at the least. */
   private static final long ROOM_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
@@ -33,6 +36,7 @@
   private final WorkflowWorld world = new WorkflowWorld();
   private final LinkLoop loop = new LinkLoop("bystander", MonotonicClock.system());
   private final AtomicInteger reports = new AtomicInteger();
+  private final AtomicInteger repeated = new AtomicInteger();
   private LinkServer server;
   private String bystander;
 
@@ -71,8 +75,8 @@
     return owners.byPartition().getOrDefault(partition, "");
   }
 
-  private long idOfTheOther() {
-    return LongStream.iterate(1, id -> id + 1)
+  private long idOfTheOther(long from) {
+    return LongStream.iterate(from, id -> id + 1)
         .filter(id -> !bystander.equals(owner(WorkflowIds.partition(id, WorkflowWorld.PARTITIONS))))
         .findFirst()
         .orElseThrow();
@@ -86,7 +90,7 @@
    */
   @Test
   void anEntryThatOwnsNothingOnTheVmHearsOfItAtABoundedPace() {
-    long id = idOfTheOther();
+    long id = idOfTheOther(1);
     int before = reports.get();
     long began = System.nanoTime();
     assertInstanceOf(
@@ -100,7 +104,28 @@
     assertTrue(heard <= bound, heard + " reports, " + bound + " at most");
   }
 
+  /**
+   * Most of what entries read were reports that said of a VM what they had been told last, since a
+   * run that was listed or paced changed nothing for them: reading these took the processor time of
+   * large fleets.
+   */
+  @Test
+  void anEntryThatOwnsNothingOnTheVmIsNotToldTheSameAgain() {
+    long id = 0;
+    for (int i = 0; i < ROUNDS; i++) {
+      id = idOfTheOther(id + 1);
+      long submitted = id;
+      assertInstanceOf(
+          WorkflowStore.Appended.class,
+          world.entry(0).entry().submit(WorkflowWorld.workflow(id, TASKS)).join());
+      world.await("all are done", () -> world.status(0, submitted) == QueryResult.DONE);
+    }
+    assertEquals(0, repeated.get(), "reports of changes that told none");
+  }
+
   private final class CountsReports implements LinkListener {
+    private VmReport last = VmReport.getDefaultInstance();
+
     @Override
     public void opened(LinkConnection connection) {
       // Has nothing to say.
@@ -110,9 +135,25 @@
     public void received(LinkConnection connection, Frame frame) {
       if (frame.hasVmReport()) {
         reports.incrementAndGet();
+        VmReport state = state(frame.getVmReport());
+        if (!frame.getVmReport().getWantsLease() && state.equals(last)) {
+          repeated.incrementAndGet();
+        }
+        last = state;
       }
     }
 
+    /** Returns what the report says of the VM, without what belongs to the moment or the link. */
+    private VmReport state(VmReport report) {
+      return report.toBuilder()
+          .clearWorkerClock()
+          .clearOrdersSeen()
+          .clearOwnersDigest()
+          .clearWantsLease()
+          .clearImages()
+          .build();
+    }
+
     @Override
     public void closed(LinkConnection connection, String reason) {
       // The test ends.
