Send the regular report to entries that own nothing on a VM in each second turn

Each of 77 side processes sent each of 14 entries its whole state each 0.7 s and was sent a lease, though a VM has runs of few entries at a time. Entries with runs or ends there, or that ordered something since, go on as before; others are told in each second turn (1.4 s; a VM counts as silent after 2.5 s). Reports that ask for no lease no longer start the span after which a link counts as silent, since nothing answers them; otherwise the longer turn would have left 0.4 s for an answer.

Worked out at 14 entries of which 5 own something: 20 regular reports and answers a second a side process become 14; with none, 10.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
@@ -35,6 +35,16 @@
     write(frame);
   }
 
+  /**
+   * Sends a frame that nothing answers; without effect on a closed connection.
+   *
+   * <p>Guards against a sound connection that is taken for silent: what is sent between two frames
+   * that ask for an answer says nothing of the peer.
+   */
+  public void tell(Frame frame) {
+    writeStamped(frame);
+  }
+
   /** Sends the frames one after another while the peer takes them. */
   public void sendAll(FrameStream frames) {
     if (!channel.isActive()) {
@@ -120,6 +130,10 @@
       unanswered = true;
       unansweredSince = loop.now();
     }
+    writeStamped(frame);
+  }
+
+  private void writeStamped(Frame frame) {
     Frame stamped =
         frame.toBuilder().setStamp(loop.hybridClock().now()).setAnswersRead(answersRead).build();
     channel.writeAndFlush(stamped, channel.voidPromise());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
@@ -29,16 +29,47 @@
   /** The part of a turn for which those that fall due are gathered. */
   private static final int GATHERED_PART = 4;
 
+  /**
+   * Between two regular reports to an entry that owns nothing on the VM, in regular turns: few
+   * enough for the VM not to count as silent there where a report comes late.
+   */
+  static final int QUIET_TURNS = 2;
+
   private final Map<String, Long> reportedAt = new HashMap<>();
+  private final Map<String, Long> regularIn = new HashMap<>();
+  private long turn;
 
   /** Notes that the member is sent a report now. */
   void reported(String member, long now) {
     reportedAt.put(requireNonNull(member, "member"), now);
   }
 
+  /** Begins the next turn of regular reports. */
+  void nextTurn() {
+    turn++;
+  }
+
+  /** Notes that the member is sent a report now that asks for a lease. */
+  void reportedRegularly(String member, long now) {
+    reported(member, now);
+    regularIn.put(member, turn);
+  }
+
+  /**
+   * Returns whether the member is sent a regular report in this turn.
+   *
+   * @param member of the entries
+   * @param owns whether it has runs or ends on the VM, or ordered some
+   */
+  boolean isRegularDue(String member, boolean owns) {
+    Long last = regularIn.get(member);
+    return owns || last == null || turn - last >= QUIET_TURNS;
+  }
+
   /** Forgets a member that is not reached any more. */
   void forget(String member) {
     reportedAt.remove(member);
+    regularIn.remove(member);
   }
 
   /**
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -37,8 +37,8 @@
 public final class WorkflowSide {
   private static final EventLog LOG = EventLog.of(WorkflowSide.class);
 
-  /** Between two reports that ask for a lease, in nanoseconds. */
-  private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+  /** Between two reports that ask for a lease, to an entry that owns runs here, in nanoseconds. */
+  static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
   private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -54,6 +54,10 @@
   private final ToldStates told = new ToldStates();
   private final Set<Integer> changedPartitions = new HashSet<>();
   private final Set<EntryConnection> owed = new HashSet<>();
+
+  /** Those that ordered something since their last regular report. */
+  private final Set<EntryConnection> ordered = new HashSet<>();
+
   private boolean probing;
   private boolean reportScheduled;
   private boolean owedScheduled;
@@ -86,7 +90,7 @@
   public void start() {
     loop.run(entries::tick);
     loop.repeat(entries::tick, TICK_NANOS);
-    loop.repeat(() -> report(true), REPORT_NANOS);
+    loop.repeat(this::reportRegularly, REPORT_NANOS);
   }
 
   /**
@@ -226,6 +230,31 @@
     scheduleOwed();
   }
 
+  private void reportRegularly() {
+    pacer.nextTurn();
+    VmReport state = state();
+    for (EntryConnection connection : entries.connections()) {
+      boolean owns = ordered.contains(connection) || ownsAny(connection);
+      if (pacer.isRegularDue(connection.member(), owns)) {
+        report(connection, state, true);
+      }
+    }
+  }
+
+  private boolean ownsAny(EntryConnection connection) {
+    return session != null
+        && (session.runs().stream().anyMatch(run -> owns(connection, run.partition()))
+            || session.ends().stream().anyMatch(end -> owns(connection, partitionOf(end))));
+  }
+
+  private boolean owns(EntryConnection connection, int partition) {
+    return entries.owns(connection.member(), partition);
+  }
+
+  private int partitionOf(EndReport end) {
+    return session.partitionOf(WorkflowRecords.decode(end.getTask()));
+  }
+
   private void report(boolean wantsLease) {
     VmReport state = state();
     for (EntryConnection connection : entries.connections()) {
@@ -238,7 +267,12 @@
   }
 
   private void report(EntryConnection connection, VmReport state, boolean wantsLease) {
-    pacer.reported(connection.member(), loop.now());
+    if (wantsLease) {
+      pacer.reportedRegularly(connection.member(), loop.now());
+      ordered.remove(connection);
+    } else {
+      pacer.reported(connection.member(), loop.now());
+    }
     told.told(connection.member(), state);
     owed.remove(connection);
     VmReport.Builder report =
@@ -252,18 +286,22 @@
         report.addAllImages(ImageRecords.encode(session.pacing().seen()));
       }
       for (SideRun run : session.runs()) {
-        if (entries.owns(connection.member(), run.partition())) {
+        if (owns(connection, run.partition())) {
           report.addRuns(run.report());
         }
       }
       for (EndReport end : session.ends()) {
-        int partition = session.partitionOf(WorkflowRecords.decode(end.getTask()));
-        if (entries.owns(connection.member(), partition)) {
+        if (owns(connection, partitionOf(end))) {
           report.addEnds(end);
         }
       }
     }
-    connection.link().send(Frame.newBuilder().setVmReport(report).build());
+    Frame frame = Frame.newBuilder().setVmReport(report).build();
+    if (wantsLease) {
+      connection.link().send(frame);
+    } else {
+      connection.link().tell(frame);
+    }
   }
 
   /** Returns what reports say to all entries alike, but for the worker's clock and the images. */
@@ -380,12 +418,17 @@
       pacer.forget(connection.member());
       told.forget(connection.member());
       owed.remove(connection);
+      ordered.remove(connection);
     }
 
     @Override
     public void received(EntryConnection connection, Frame frame) {
       if (frame.hasRunOrders()) {
-        obey(connection, frame.getRunOrders());
+        RunOrders orders = frame.getRunOrders();
+        if (orders.getStartsCount() + orders.getStopsCount() > 0) {
+          ordered.add(connection);
+        }
+        obey(connection, orders);
       }
     }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ReportPacerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ReportPacerTest.java
@@ -53,6 +53,32 @@
     assertEquals(late, pacer.dueAt("other", false, 12, late));
   }
 
+  /**
+   * Every VM sent every entry its whole state in each regular turn and was sent a lease for it,
+   * also where the entry had nothing at work there: in a large fleet that was most of what entries
+   * read and wrote. But one that is told too seldom gives the VM no work, as if it were cut off.
+   */
+  @Test
+  void whoOwnsNothingIsToldInEachSecondTurnAndLongBeforeTheVmCountsAsSilent() {
+    int owner = 0;
+    int other = 0;
+    for (int turn = 0; turn < 20; turn++) {
+      pacer.nextTurn();
+      if (pacer.isRegularDue("owner", true)) {
+        pacer.reportedRegularly("owner", turn);
+        owner++;
+      }
+      if (pacer.isRegularDue("other", false)) {
+        pacer.reportedRegularly("other", turn);
+        other++;
+      }
+    }
+    assertEquals(20, owner);
+    assertEquals(10, other);
+    long between = ReportPacer.QUIET_TURNS * WorkflowSide.REPORT_NANOS;
+    assertTrue(between < VmStanding.SILENT_NANOS * 2 / 3, between + " ns");
+  }
+
   @Test
   void whoIsNewOrWasForgottenIsToldAtOnce() {
     assertEquals(7, pacer.dueAt("new", false, 3, 7));
