Write log lines without streams over their characters, and make the time of a second once

An entry logs each order and each end. Each key and each value of a line was checked by a stream over its characters, each line was quoted once more as a message that was then thrown away unless it was no event, and the time was formatted anew. Ruled out: writing lines on another thread, since a process that is killed would lose the last ones.

The lines are the same, character by character.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/KeyValueFormatter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/KeyValueFormatter.java
@@ -1,7 +1,6 @@
 package io.marigoldsail.daemon.observe;
 
 import java.time.Instant;
-import java.time.temporal.ChronoUnit;
 import java.util.Locale;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
@@ -12,28 +11,35 @@
  * <p>Safe for any thread.
  */
 public final class KeyValueFormatter extends Formatter {
+  private static final int NANOS_A_MILLI = 1_000_000;
+
+  /** Characters of a line before its event, about. */
+  private static final int USUAL_HEAD = 160;
+
+  private record Second(long epochSecond, String text) {}
+
   private final String process;
+  private volatile Second lastSecond = new Second(Long.MIN_VALUE, "");
 
   /** Creates a formatter that names the given process on every line. */
   public KeyValueFormatter(String process) {
-    this.process = process;
+    this.process = LogLine.quoted(process);
   }
 
   @Override
   public String format(LogRecord logRecord) {
     String message = formatMessage(logRecord);
     boolean event = message.startsWith("event=") && message.indexOf('\n') < 0;
-    String time = logRecord.getInstant().truncatedTo(ChronoUnit.MILLIS).toString();
-    LogLine line = LogLine.of("log").with("message", message);
-    String body = event ? message : line.toString();
+    String body = event ? message : LogLine.of("log").with("message", message).toString();
     StringBuilder text =
-        new StringBuilder()
+        new StringBuilder(body.length() + USUAL_HEAD)
             .append("time=")
-            .append(withMillis(time, logRecord.getInstant()))
+            .append(second(logRecord.getInstant().getEpochSecond()))
+            .append(millis(logRecord.getInstant().getNano()))
             .append(" level=")
             .append(level(logRecord))
             .append(" process=")
-            .append(LogLine.quoted(process))
+            .append(process)
             .append(" logger=")
             .append(LogLine.quoted(String.valueOf(logRecord.getLoggerName())))
             .append(' ')
@@ -45,10 +51,21 @@
     return text.append('\n').toString();
   }
 
+  /** Returns the date and time of a second, which many lines share. */
+  private String second(long epochSecond) {
+    Second known = lastSecond;
+    if (known.epochSecond() != epochSecond) {
+      String text = Instant.ofEpochSecond(epochSecond).toString();
+      known = new Second(epochSecond, text.substring(0, text.length() - 1));
+      lastSecond = known;
+    }
+    return known.text();
+  }
+
   /** {@link Instant#toString} leaves out zero milliseconds; columns stay aligned with them. */
-  private static String withMillis(String time, Instant instant) {
-    boolean whole = instant.truncatedTo(ChronoUnit.MILLIS).getNano() == 0;
-    return whole ? time.replace("Z", ".000Z") : time;
+  private static String millis(int nanos) {
+    int beyondThousand = 1_000 + nanos / NANOS_A_MILLI;
+    return '.' + Integer.toString(beyondThousand).substring(1) + 'Z';
   }
 
   private static String level(LogRecord logRecord) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/LogLine.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/LogLine.java
@@ -17,6 +17,9 @@
 public final class LogLine {
   private static final int LONGEST_VALUE = 2000;
 
+  /** The last character of ASCII that is shown. */
+  private static final int LAST_PRINTABLE = '~';
+
   private final String text;
 
   private LogLine(String text) {
@@ -31,13 +34,25 @@
   /** Returns this line with one more pair. */
   public LogLine with(String key, Object value) {
     checkArgument(isKey(key), "not a key: %s", key);
-    return new LogLine(text + " " + key + "=" + quoted(String.valueOf(value)));
+    return withShown(key, quoted(String.valueOf(value)));
   }
 
   /** Returns this line with one more pair. */
   public LogLine with(String key, long value) {
     checkArgument(isKey(key), "not a key: %s", key);
-    return new LogLine(text + " " + key + "=" + value);
+    return withShown(key, Long.toString(value));
+  }
+
+  private LogLine withShown(String key, String shown) {
+    int length = text.length() + key.length() + shown.length() + 2;
+    return new LogLine(
+        new StringBuilder(length)
+            .append(text)
+            .append(' ')
+            .append(key)
+            .append('=')
+            .append(shown)
+            .toString());
   }
 
   /** Returns this line with what an exception tells, and where it was thrown. */
@@ -55,8 +70,13 @@
   }
 
   private static boolean isKey(String key) {
-    return !key.isEmpty()
-        && key.chars().allMatch(c -> c == '_' || c == '.' || Character.isLetterOrDigit(c));
+    for (int i = 0; i < key.length(); i++) {
+      char c = key.charAt(i);
+      if (c != '_' && c != '.' && !Character.isLetterOrDigit(c)) {
+        return false;
+      }
+    }
+    return !key.isEmpty();
   }
 
   /** Returns the value as it stands after the equals sign. */
@@ -65,7 +85,7 @@
     if (shown.length() > LONGEST_VALUE) {
       shown = shown.substring(0, LONGEST_VALUE) + "...";
     }
-    if (!shown.isEmpty() && shown.chars().allMatch(LogLine::isPlain)) {
+    if (!shown.isEmpty() && isPlain(shown)) {
       return shown;
     }
     StringBuilder quoted = new StringBuilder(shown.length() + 2).append('"');
@@ -75,12 +95,25 @@
     return quoted.append('"').toString();
   }
 
+  /** A loop and not a stream: each value of each line comes by here. */
+  private static boolean isPlain(String value) {
+    for (int i = 0; i < value.length(); i++) {
+      if (!isPlain(value.charAt(i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private static boolean isPlain(int c) {
     return c > ' ' && c != '"' && c != '=' && c != '\\' && !isControl(c);
   }
 
   /** Line and paragraph separators end a line for some readers, as control characters do. */
   private static boolean isControl(int c) {
+    if (c >= ' ' && c <= LAST_PRINTABLE) {
+      return c == ' ';
+    }
     int type = Character.getType(c);
     return Character.isISOControl(c)
         || type == Character.LINE_SEPARATOR
