--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSide.java
@@ -37,8 +37,8 @@
 public final class WorkflowSide {
   private static final EventLog LOG = EventLog.of(WorkflowSide.class);
 
-  /** Between two reports that ask for a lease, in nanoseconds. */
-  private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+  /** Between two reports that ask for a lease, to an entry that owns runs here, in nanoseconds. */
+  static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
   private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -51,8 +51,13 @@
   private WorkerSession session;
   private String goneWorker = "";
   private final ReportPacer pacer = new ReportPacer();
+  private final ToldStates told = new ToldStates();
   private final Set<Integer> changedPartitions = new HashSet<>();
   private final Set<EntryConnection> owed = new HashSet<>();
+
+  /** Those that ordered something since their last regular report. */
+  private final Set<EntryConnection> ordered = new HashSet<>();
+
   private boolean probing;
   private boolean reportScheduled;
   private boolean owedScheduled;
@@ -85,7 +90,7 @@
   public void start() {
     loop.run(entries::tick);
     loop.repeat(entries::tick, TICK_NANOS);
-    loop.repeat(() -> report(true), REPORT_NANOS);
+    loop.repeat(this::reportRegularly, REPORT_NANOS);
   }
 
   /**
@@ -172,9 +177,13 @@
   }
 
   private void reportChanges() {
+    VmReport state = state();
     for (EntryConnection connection : entries.connections()) {
-      if (isDue(connection, isConcerned(connection))) {
-        report(connection, false);
+      boolean concerned = isConcerned(connection);
+      if (!concerned && told.knows(connection.member(), state)) {
+        owed.remove(connection);
+      } else if (isDue(connection, concerned)) {
+        report(connection, state, false);
       } else {
         owed.add(connection);
       }
@@ -204,58 +213,111 @@
     }
     owedScheduled = true;
     long next = owed.stream().mapToLong(each -> dueAt(each, false)).min().getAsLong();
-    loop.schedule(this::reportOwed, next - loop.now());
+    long gathered = ReportPacer.gatherNanos(entries.reached());
+    loop.schedule(this::reportOwed, next + gathered - loop.now());
   }
 
   private void reportOwed() {
     owedScheduled = false;
+    VmReport state = state();
     for (EntryConnection connection : Set.copyOf(owed)) {
-      if (isDue(connection, false)) {
-        report(connection, false);
+      if (told.knows(connection.member(), state)) {
+        owed.remove(connection);
+      } else if (isDue(connection, false)) {
+        report(connection, state, false);
       }
     }
     scheduleOwed();
   }
 
+  private void reportRegularly() {
+    pacer.nextTurn();
+    VmReport state = state();
+    for (EntryConnection connection : entries.connections()) {
+      boolean owns = ordered.contains(connection) || ownsAny(connection);
+      if (pacer.isRegularDue(connection.member(), owns)) {
+        report(connection, state, true);
+      }
+    }
+  }
+
+  private boolean ownsAny(EntryConnection connection) {
+    return session != null
+        && (session.runs().stream().anyMatch(run -> owns(connection, run.partition()))
+            || session.ends().stream().anyMatch(end -> owns(connection, partitionOf(end))));
+  }
+
+  private boolean owns(EntryConnection connection, int partition) {
+    return entries.owns(connection.member(), partition);
+  }
+
+  private int partitionOf(EndReport end) {
+    return session.partitionOf(WorkflowRecords.decode(end.getTask()));
+  }
+
   private void report(boolean wantsLease) {
+    VmReport state = state();
     for (EntryConnection connection : entries.connections()) {
-      report(connection, wantsLease);
+      report(connection, state, wantsLease);
     }
   }
 
   private void report(EntryConnection connection, boolean wantsLease) {
-    pacer.reported(connection.member(), loop.now());
+    report(connection, state(), wantsLease);
+  }
+
+  private void report(EntryConnection connection, VmReport state, boolean wantsLease) {
+    if (wantsLease) {
+      pacer.reportedRegularly(connection.member(), loop.now());
+      ordered.remove(connection);
+    } else {
+      pacer.reported(connection.member(), loop.now());
+    }
+    told.told(connection.member(), state);
     owed.remove(connection);
     VmReport.Builder report =
-        VmReport.newBuilder()
-            .setVm(vm)
-            .setGoneWorker(goneWorker)
+        state.toBuilder()
             .setOrdersSeen(connection.ordersSeen())
             .setOwnersDigest(entries.digest())
             .setWantsLease(wantsLease);
     if (session != null) {
-      describe(report);
+      report.setWorkerClock(session.workerClock());
+      if (wantsLease) {
+        report.addAllImages(ImageRecords.encode(session.pacing().seen()));
+      }
       for (SideRun run : session.runs()) {
-        if (entries.owns(connection.member(), run.partition())) {
+        if (owns(connection, run.partition())) {
           report.addRuns(run.report());
         }
       }
       for (EndReport end : session.ends()) {
-        int partition = session.partitionOf(WorkflowRecords.decode(end.getTask()));
-        if (entries.owns(connection.member(), partition)) {
+        if (owns(connection, partitionOf(end))) {
           report.addEnds(end);
         }
       }
     }
-    connection.link().send(Frame.newBuilder().setVmReport(report).build());
+    Frame frame = Frame.newBuilder().setVmReport(report).build();
+    if (wantsLease) {
+      connection.link().send(frame);
+    } else {
+      connection.link().tell(frame);
+    }
   }
 
-  private void describe(VmReport.Builder report) {
+  /** Returns what reports say to all entries alike, but for the worker's clock and the images. */
+  private VmReport state() {
+    VmReport.Builder state = VmReport.newBuilder().setVm(vm).setGoneWorker(goneWorker);
+    if (session != null) {
+      describe(state);
+    }
+    return state.build();
+  }
+
+  private void describe(VmReport.Builder state) {
     WorkerHeartbeat heartbeat = session.heartbeat();
     Sizes capacity = heartbeat.capacity();
     Sizes free = session.room().free();
-    report
-        .setWorkerClock(session.workerClock())
+    state
         .setWorker(session.worker())
         .setService(heartbeat.service())
         .setZone(heartbeat.zone())
@@ -274,9 +336,6 @@
         .setOvercommitMilliProcessors((int) session.room().overcommitMilliProcessors())
         .setFillPercent(session.pacing().percent())
         .setServing(session.serving());
-    if (report.getWantsLease()) {
-      report.addAllImages(ImageRecords.encode(session.pacing().seen()));
-    }
   }
 
   /**
@@ -360,13 +419,19 @@
     @Override
     public void disconnected(EntryConnection connection) {
       pacer.forget(connection.member());
+      told.forget(connection.member());
       owed.remove(connection);
+      ordered.remove(connection);
     }
 
     @Override
     public void received(EntryConnection connection, Frame frame) {
       if (frame.hasRunOrders()) {
-        obey(connection, frame.getRunOrders());
+        RunOrders orders = frame.getRunOrders();
+        if (orders.getStartsCount() + orders.getStopsCount() > 0) {
+          ordered.add(connection);
+        }
+        obey(connection, orders);
       }
     }
 
