Write the log from a thread of its own, so that nobody waits for standard output

Cause: the log handler formatted and flushed each line on the thread that logged, most often the loop; a standard output that nobody reads stopped the process.

LogWriter queues records (LogQueue: 4,096 lines, 2 MiB) and one thread formats and writes them, up to 64 with one write, flushed when the queue is empty. What finds no room is dropped, info first, errors last, counted by level, and told by one log-lines-dropped where lines are missing. Times are those of the logging. Info waits up to 100 ms for more lines; warnings and errors are written at once. A planned stop, of both programs, closes the writer: 500 ms at most. Main.refuse needs nothing: no log is open then and it writes to standard error itself.

Ruled out: dropping the oldest, which leaves several gaps; a bounded queue of the library, which knows no ranks; formatting on the thread that logs, half of what it paid.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/Main.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/Main.java
@@ -3,6 +3,7 @@
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.observe.LogSetup;
+import io.marigoldsail.daemon.observe.LogWriter;
 import io.marigoldsail.daemon.observe.PatientLogManager;
 import io.marigoldsail.error.Failure;
 import io.marigoldsail.error.Result;
@@ -64,29 +65,35 @@
       System.out.println(settingsFile + ": correct settings of " + settings.role());
       return 0;
     }
-    LogSetup.install(settings.name(), System.err);
-    return run(create(settings));
+    LogWriter log = LogSetup.install(settings.name(), System.err);
+    try {
+      return run(create(settings), log);
+    } finally {
+      log.close();
+    }
   }
 
-  private int run(DaemonProcess process) throws InterruptedException {
+  private int run(DaemonProcess process, LogWriter log) throws InterruptedException {
     Result<Boolean> started = process.start();
     if (started instanceof Result.Failed<Boolean> failed) {
       return refuse(failed.failure());
     }
     CountDownLatch ended = new CountDownLatch(1);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process, ended), "planned-stop"));
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> stop(process, log, ended), "planned-stop"));
     ended.await();
     return 0;
   }
 
   /**
    * Runs on the signal. The virtual machine halts once this returns, so the stop is done here and
-   * not in the main thread; logs are flushed line by line and need no hook of their own.
+   * not in the main thread, the rest of the log included.
    */
-  private static void stop(DaemonProcess process, CountDownLatch ended) {
+  private static void stop(DaemonProcess process, LogWriter log, CountDownLatch ended) {
     LOG.info(LogLine.of("planned-stop-began"));
     process.close();
     LOG.info(LogLine.of("planned-stop-ended"));
+    log.close();
     ended.countDown();
     Runtime.getRuntime().halt(0);
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/KeyValueFormatter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/KeyValueFormatter.java
@@ -21,28 +21,52 @@
 
   @Override
   public String format(LogRecord logRecord) {
-    String message = formatMessage(logRecord);
-    boolean event = message.startsWith("event=") && message.indexOf('\n') < 0;
     String time = logRecord.getInstant().truncatedTo(ChronoUnit.MILLIS).toString();
-    LogLine line = LogLine.of("log").with("message", message);
-    String body = event ? message : line.toString();
-    StringBuilder text =
-        new StringBuilder()
-            .append("time=")
-            .append(withMillis(time, logRecord.getInstant()))
-            .append(" level=")
-            .append(level(logRecord))
-            .append(" process=")
-            .append(LogLine.quoted(process))
-            .append(" logger=")
-            .append(LogLine.quoted(String.valueOf(logRecord.getLoggerName())))
-            .append(' ')
-            .append(body);
+    return new StringBuilder()
+        .append("time=")
+        .append(withMillis(time, logRecord.getInstant()))
+        .append(" level=")
+        .append(level(logRecord))
+        .append(" process=")
+        .append(LogLine.quoted(process))
+        .append(" logger=")
+        .append(LogLine.quoted(String.valueOf(logRecord.getLoggerName())))
+        .append(' ')
+        .append(body(logRecord))
+        .append('\n')
+        .toString();
+  }
+
+  /**
+   * Returns a record that is formatted to the same line, whatever becomes of what the given one
+   * refers to: its parameters and what was thrown.
+   */
+  LogRecord settled(LogRecord logRecord) {
+    if (isSettled(logRecord)) {
+      return logRecord;
+    }
+    LogRecord settled = new LogRecord(logRecord.getLevel(), body(logRecord));
+    settled.setLoggerName(logRecord.getLoggerName());
+    settled.setInstant(logRecord.getInstant());
+    return settled;
+  }
+
+  private static boolean isSettled(LogRecord logRecord) {
+    return logRecord.getParameters() == null
+        && logRecord.getThrown() == null
+        && logRecord.getResourceBundle() == null
+        && logRecord.getMessage() != null;
+  }
+
+  private String body(LogRecord logRecord) {
+    String message = String.valueOf(formatMessage(logRecord));
+    boolean event = message.startsWith("event=") && message.indexOf('\n') < 0;
+    String body = event ? message : LogLine.of("log").with("message", message).toString();
     Throwable thrown = logRecord.getThrown();
-    if (thrown != null) {
-      text.append(LogLine.of("x").withError(thrown).toString().substring("event=x".length()));
+    if (thrown == null) {
+      return body;
     }
-    return text.append('\n').toString();
+    return body + LogLine.of("x").withError(thrown).toString().substring("event=x".length());
   }
 
   /** {@link Instant#toString} leaves out zero milliseconds; columns stay aligned with them. */
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/LogQueue.java
@@ -0,0 +1,179 @@
+package io.marigoldsail.daemon.observe;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+
+/**
+ * The records that wait to be written: bounded in lines and in bytes, in the order they came.
+ *
+ * <p>A record that has no room takes that of the youngest record of a lower rank, errors before
+ * warnings before the rest; without one it is dropped itself. What is dropped is counted by rank
+ * and told by one record, which {@link #take} returns in the place of the first that is missing.
+ *
+ * <p>Not safe for threads. Rejects nulls.
+ */
+final class LogQueue {
+  /** Counted for each record beside its text: the record itself and its place here, in bytes. */
+  static final int BYTES_A_RECORD = 128;
+
+  private static final int BYTES_A_CHARACTER = 2;
+
+  /** What is dropped last comes first. */
+  enum Rank {
+    /** What an operator must look at. */
+    ERROR,
+    /** What the system got over. */
+    WARNING,
+    /** All else. */
+    INFO;
+
+    static Rank of(LogRecord logRecord) {
+      int level = logRecord.getLevel().intValue();
+      if (level >= Level.SEVERE.intValue()) {
+        return ERROR;
+      }
+      return level >= Level.WARNING.intValue() ? WARNING : INFO;
+    }
+  }
+
+  private record Queued(long sequence, LogRecord logRecord, int bytes) {}
+
+  /** What is missing between two records that were taken. */
+  private static final class Gap {
+    private final int[] dropped = new int[Rank.values().length];
+    private long firstSequence = Long.MAX_VALUE;
+    private Instant since = Instant.MAX;
+    private Instant until = Instant.MIN;
+
+    void add(Queued missing) {
+      dropped[Rank.of(missing.logRecord()).ordinal()]++;
+      firstSequence = Math.min(firstSequence, missing.sequence());
+      Instant time = missing.logRecord().getInstant();
+      since = time.isBefore(since) ? time : since;
+      until = time.isAfter(until) ? time : until;
+    }
+
+    LogRecord told() {
+      LogLine line =
+          LogLine.of("log-lines-dropped")
+              .with("error", dropped[Rank.ERROR.ordinal()])
+              .with("warning", dropped[Rank.WARNING.ordinal()])
+              .with("info", dropped[Rank.INFO.ordinal()])
+              .with("since", since);
+      LogRecord told = new LogRecord(Level.WARNING, line.toString());
+      told.setLoggerName(LogWriter.class.getName());
+      told.setInstant(until);
+      return told;
+    }
+  }
+
+  private final int mostLines;
+  private final int mostBytes;
+  private final List<ArrayDeque<Queued>> byRank;
+  private Gap gap;
+  private long nextSequence;
+  private int lines;
+  private int bytes;
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param mostLines how many records wait at most
+   * @param mostBytes how much memory they take at most, by {@link #bytes}
+   */
+  LogQueue(int mostLines, int mostBytes) {
+    checkArgument(mostLines > 0, "mostLines is not positive: %s", mostLines);
+    checkArgument(mostBytes > 0, "mostBytes is not positive: %s", mostBytes);
+    this.mostLines = mostLines;
+    this.mostBytes = mostBytes;
+    this.byRank = ImmutableList.of(new ArrayDeque<>(), new ArrayDeque<>(), new ArrayDeque<>());
+  }
+
+  /** Returns the memory that a record is counted with, in bytes. */
+  static int bytes(LogRecord logRecord) {
+    return BYTES_A_RECORD + BYTES_A_CHARACTER * logRecord.getMessage().length();
+  }
+
+  /** Adds a record behind all others, or drops it, or drops others for it. */
+  void add(LogRecord logRecord) {
+    Queued added = new Queued(nextSequence++, logRecord, bytes(logRecord));
+    Rank rank = Rank.of(logRecord);
+    while (lines + 1 > mostLines || added.bytes() > mostBytes - bytes) {
+      if (added.bytes() > mostBytes || !dropBelow(rank)) {
+        drop(added);
+        return;
+      }
+    }
+    byRank.get(rank.ordinal()).addLast(added);
+    lines++;
+    bytes += added.bytes();
+  }
+
+  private boolean dropBelow(Rank rank) {
+    for (int lower = Rank.INFO.ordinal(); lower > rank.ordinal(); lower--) {
+      if (!byRank.get(lower).isEmpty()) {
+        drop(counted(byRank.get(lower).removeLast()));
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void drop(Queued dropped) {
+    if (gap == null) {
+      gap = new Gap();
+    }
+    gap.add(dropped);
+  }
+
+  /** Returns the oldest records, at most so many, and removes them. */
+  List<LogRecord> take(int most) {
+    List<LogRecord> taken = new ArrayList<>(Math.min(most, lines + 1));
+    while (taken.size() < most && !isEmpty()) {
+      taken.add(takeOne());
+    }
+    return taken;
+  }
+
+  private LogRecord takeOne() {
+    ArrayDeque<Queued> oldest = null;
+    for (ArrayDeque<Queued> queue : byRank) {
+      if (!queue.isEmpty() && (oldest == null || first(queue) < first(oldest))) {
+        oldest = queue;
+      }
+    }
+    if (gap != null && (oldest == null || gap.firstSequence < first(oldest))) {
+      LogRecord told = gap.told();
+      gap = null;
+      return told;
+    }
+    return counted(oldest.removeFirst()).logRecord();
+  }
+
+  private static long first(ArrayDeque<Queued> queue) {
+    return queue.getFirst().sequence();
+  }
+
+  private Queued counted(Queued removed) {
+    lines--;
+    bytes -= removed.bytes();
+    return removed;
+  }
+
+  /** Returns whether there is nothing to take. */
+  boolean isEmpty() {
+    return lines == 0 && gap == null;
+  }
+
+  /** Returns whether half of the room is taken. */
+  boolean isHalfFull() {
+    return lines >= mostLines / 2 || bytes >= mostBytes / 2;
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/LogSetup.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/LogSetup.java
@@ -1,11 +1,9 @@
 package io.marigoldsail.daemon.observe;
 
 import java.io.PrintStream;
-import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
-import java.util.logging.StreamHandler;
 
 /** Sends all logs of the process to one stream, one line an event. */
 public final class LogSetup {
@@ -15,28 +13,22 @@
    * Replaces the platform's log handlers. Call once, before anything logs.
    *
    * @param process the process's name
-   * @param out where the lines go, flushed after each
+   * @param out where the lines go; a stream that blocks delays nobody
+   * @return what writes the lines, to be closed before the process halts
    */
-  public static void install(String process, PrintStream out) {
+  public static LogWriter install(String process, PrintStream out) {
     LogManager manager = LogManager.getLogManager();
     if (manager instanceof PatientLogManager patient) {
       patient.resetOnce();
     } else {
       manager.reset();
     }
-    Handler handler =
-        new StreamHandler(out, new KeyValueFormatter(process)) {
-          @Override
-          public synchronized void publish(java.util.logging.LogRecord logRecord) {
-            super.publish(logRecord);
-            flush();
-          }
-        };
-    handler.setLevel(Level.ALL);
+    LogWriter writer = LogWriter.start(process, out);
     Logger root = Logger.getLogger("");
-    root.addHandler(handler);
+    root.addHandler(writer);
     root.setLevel(Level.INFO);
     libraries().setLevel(Level.WARNING);
+    return writer;
   }
 
   /** Kept in a field, since the log manager holds loggers weakly and would forget the level. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/PatientLogManager.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/PatientLogManager.java
@@ -7,7 +7,7 @@
  *
  * <p>The usual one closes all handlers in a shutdown hook of its own, which runs beside ours: the
  * lines of a planned stop are lost, which shows as a log that ends at the signal. This one ignores
- * that reset; lines are flushed one by one, so nothing is left to close.
+ * that reset; whoever ends the process closes the {@link LogWriter}.
  */
 public final class PatientLogManager extends LogManager {
   private volatile boolean patient;
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowLoggingTest.java
@@ -0,0 +1,58 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.daemon.observe.BlockedStream;
+import io.marigoldsail.daemon.observe.LogWriter;
+import io.marigoldsail.workflow.QueryResult;
+import java.io.IOException;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class WorkflowLoggingTest {
+  private final WorkflowWorld world = new WorkflowWorld();
+  private final BlockedStream stream = new BlockedStream();
+  private final LogWriter writer = LogWriter.start("all", stream.printed());
+  private final Logger logger = Logger.getLogger("io.marigoldsail");
+
+  @BeforeEach
+  void logToTheStream() {
+    logger.addHandler(writer);
+    logger.setUseParentHandlers(false);
+    logger.setLevel(Level.INFO);
+  }
+
+  @AfterEach
+  void stop() {
+    stream.release();
+    world.close();
+    logger.setLevel(null);
+    logger.setUseParentHandlers(true);
+    logger.removeHandler(writer);
+  }
+
+  /** Guards against a standard output that nobody reads and that stops the loop of a process. */
+  @Test
+  void aBlockedStandardOutputDelaysNoWorkflow() throws IOException {
+    world.start(2, 2, 20);
+    assertTrue(stream.awaitReached());
+    assertInstanceOf(
+        WorkflowStore.Appended.class,
+        world.entry(0).entry().submit(WorkflowWorld.workflow(41, 3, 2)).join());
+    world.await("it is done", () -> world.status(0, 41) == QueryResult.DONE);
+    assertEquals(5, world.history().totalStarts());
+    assertEquals(List.of(), stream.lines());
+    assertFalse(stream.isPatienceLost());
+    stream.release();
+    world.await(
+        "its lines are written",
+        () -> stream.lines().stream().anyMatch(line -> line.contains("event=workflow-submitted")));
+  }
+}
