--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/KeyValueFormatter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/observe/KeyValueFormatter.java
@@ -28,27 +28,53 @@
 
   @Override
   public String format(LogRecord logRecord) {
-    String message = formatMessage(logRecord);
+    String body = body(logRecord);
+    return new StringBuilder(body.length() + USUAL_HEAD)
+        .append("time=")
+        .append(second(logRecord.getInstant().getEpochSecond()))
+        .append(millis(logRecord.getInstant().getNano()))
+        .append(" level=")
+        .append(level(logRecord))
+        .append(" process=")
+        .append(process)
+        .append(" logger=")
+        .append(LogLine.quoted(String.valueOf(logRecord.getLoggerName())))
+        .append(' ')
+        .append(body)
+        .append('\n')
+        .toString();
+  }
+
+  /**
+   * Returns a record that is formatted to the same line, whatever becomes of what the given one
+   * refers to: its parameters and what was thrown.
+   */
+  LogRecord settled(LogRecord logRecord) {
+    if (isSettled(logRecord)) {
+      return logRecord;
+    }
+    LogRecord settled = new LogRecord(logRecord.getLevel(), body(logRecord));
+    settled.setLoggerName(logRecord.getLoggerName());
+    settled.setInstant(logRecord.getInstant());
+    return settled;
+  }
+
+  private static boolean isSettled(LogRecord logRecord) {
+    return logRecord.getParameters() == null
+        && logRecord.getThrown() == null
+        && logRecord.getResourceBundle() == null
+        && logRecord.getMessage() != null;
+  }
+
+  private String body(LogRecord logRecord) {
+    String message = String.valueOf(formatMessage(logRecord));
     boolean event = message.startsWith("event=") && message.indexOf('\n') < 0;
     String body = event ? message : LogLine.of("log").with("message", message).toString();
-    StringBuilder text =
-        new StringBuilder(body.length() + USUAL_HEAD)
-            .append("time=")
-            .append(second(logRecord.getInstant().getEpochSecond()))
-            .append(millis(logRecord.getInstant().getNano()))
-            .append(" level=")
-            .append(level(logRecord))
-            .append(" process=")
-            .append(process)
-            .append(" logger=")
-            .append(LogLine.quoted(String.valueOf(logRecord.getLoggerName())))
-            .append(' ')
-            .append(body);
     Throwable thrown = logRecord.getThrown();
-    if (thrown != null) {
-      text.append(LogLine.of("x").withError(thrown).toString().substring("event=x".length()));
+    if (thrown == null) {
+      return body;
     }
-    return text.append('\n').toString();
+    return body + LogLine.of("x").withError(thrown).toString().substring("event=x".length());
   }
 
   /** Returns the date and time of a second, which many lines share. */
