Two further ways in which a task may run twice, as failing tests

An owner that does not reach a VM counts a run as lost after the takeover and orders the next attempt; where another owner reaches that VM, the worker's lease goes on, and once the first owner is back the end of the first attempt is noted. Counting partitions of ends that nobody has noted in the lease would end all other runs there; keeping such an end would hold up all later ones: to be weighed. A restarted side process refuses an order that its life before may have sent without an answer, and the worker may still carry that out beside the next attempt. A stop before each such refusal would cost seconds for every order after a restart; the order has to say that it was given before. Also: tests share the fake that ignores what becomes of partitions.

--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/IgnoringOwnership.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/IgnoringOwnership.java
@@ -3,7 +3,7 @@
 import io.marigoldsail.workflow.Workflow;
 
 /** Takes what becomes of partitions and does nothing about it. */
-final class IgnoringOwnership implements Ownership.Listener {
+class IgnoringOwnership implements Ownership.Listener {
   @Override
   public void ownersKnown(long asOfGeneration, WorkflowStore.Owners owners) {}
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnersOrderTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnersOrderTest.java
@@ -6,7 +6,6 @@
 import com.google.common.collect.ImmutableList;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
-import io.marigoldsail.workflow.Workflow;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -53,7 +52,7 @@
   }
 
   /** Keeps what was told last of the owners. */
-  private static final class LastOwners implements Ownership.Listener {
+  private static final class LastOwners extends IgnoringOwnership {
     private long generation;
     private Owners owners = new Owners(ImmutableList.of());
 
@@ -62,14 +61,5 @@
       generation = asOfGeneration;
       owners = newest;
     }
-
-    @Override
-    public void activated(OwnedPartition partition) {}
-
-    @Override
-    public void submitted(OwnedPartition partition, Workflow workflow) {}
-
-    @Override
-    public void lost(OwnedPartition partition) {}
   }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -21,7 +21,11 @@
   private final VirtualLoop time;
   private final Set<RunKey> running = new LinkedHashSet<>();
   private final List<Ended> ended = new ArrayList<>();
+  private final List<RunKey> stopped = new ArrayList<>();
   private long sequence;
+  private long noted;
+  private long deadline = Long.MAX_VALUE;
+  private boolean lapsed;
   private boolean silent;
   private long failsAfterMillis = 1;
   private boolean loses;
@@ -83,6 +87,26 @@
     ended.add(new Ended(++sequence, run, RunOutcome.DONE, ""));
   }
 
+  /** Returns the runs that it was told to stop. */
+  List<RunKey> stopped() {
+    return List.copyOf(stopped);
+  }
+
+  /** Returns the number up to which its ends were noted. */
+  long noted() {
+    return noted;
+  }
+
+  /** Returns whether it was given a later deadline only after the one before had passed. */
+  boolean isLapsed() {
+    return lapsed;
+  }
+
+  private void extend(long until) {
+    lapsed |= clock() > deadline;
+    deadline = deadline == Long.MAX_VALUE ? until : Math.max(deadline, until);
+  }
+
   int listings() {
     return listings;
   }
@@ -113,6 +137,7 @@
       return after(1, () -> new OrderUnknown("silent"));
     }
     if (!loses) {
+      extend(start.deadline());
       running.add(start.run());
     }
     return after(
@@ -121,6 +146,7 @@
 
   @Override
   public CompletableFuture<OrderResult> stop(String worker, RunKey run) {
+    stopped.add(run);
     return after(
         1,
         () ->
@@ -136,7 +162,7 @@
 
   @Override
   public CompletableFuture<ListingResult> list(
-      String worker, OptionalLong deadline, long noted, long waitMillis) {
+      String worker, OptionalLong until, long notedUpTo, long waitMillis) {
     listings++;
     if (listingsThrow) {
       throw new IllegalStateException("told to throw");
@@ -147,6 +173,8 @@
     if (silent) {
       return after(failsAfterMillis, () -> new NoListing("silent"));
     }
+    until.ifPresent(this::extend);
+    noted = notedUpTo;
     ended.removeIf(end -> end.sequence() <= noted);
     return after(Math.max(1, waitMillis), this::listing);
   }
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
@@ -0,0 +1,114 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import io.marigoldsail.job.Sizes;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.workflow.LeaseTermsOfWorker;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.WorkflowIds;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/** A worker that runs tasks of two owners, on virtual time. */
+class WorkerSessionOwnersTest {
+  private static final LeaseTermsOfWorker TERMS = LeaseTermsOfWorker.forLongestLease(10_000);
+  private static final int PARTITIONS = 2;
+  private static final long STEP_MILLIS = 100;
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final ScriptedWorker worker = new ScriptedWorker(time);
+
+  private WorkerSession session() {
+    WorkerSession session =
+        new WorkerSession(
+            time.loop(),
+            worker,
+            new WorkerHeartbeat(
+                "life-1",
+                "service",
+                "zone",
+                ImmutableList.of(),
+                "",
+                new Sizes(16_000, 1L << 33, 0),
+                false,
+                1),
+            worker.listing(),
+            PARTITIONS,
+            TERMS,
+            new IgnoringListener());
+    session.start();
+    return session;
+  }
+
+  private static RunKey runOf(int partition) {
+    long workflow =
+        LongStream.iterate(1, id -> id + 1)
+            .filter(id -> WorkflowIds.partition(id, PARTITIONS) == partition)
+            .findFirst()
+            .getAsLong();
+    return new RunKey(new TaskKey(workflow, 0, 0, 0), 1);
+  }
+
+  private static void hear(WorkerSession session, int partition) {
+    session.evidence(partition, 1, session.workerClock());
+  }
+
+  private static void start(WorkerSession session, RunKey run) {
+    session.start(
+        run,
+        StartRun.newBuilder().setTask(WorkflowRecords.encode(run)).setMilliProcessors(1).build(),
+        "program");
+  }
+
+  /** Guards against a task that runs again beside an end that is noted once its owner is back. */
+  @Test
+  void anEndIsNotNotedOnceItsOwnerMayHaveOrderedAnotherAttempt() {
+    WorkerSession session = session();
+    hear(session, 0);
+    hear(session, 1);
+    start(session, runOf(0));
+    start(session, runOf(1));
+    time.advance(500);
+    hear(session, 0);
+    worker.end(runOf(0));
+    for (long silent = 0; silent < TERMS.takeoverMillis() + 1_000; silent += STEP_MILLIS) {
+      hear(session, 1);
+      time.advance(STEP_MILLIS);
+    }
+    hear(session, 0);
+    session.noted(runOf(0));
+    time.advance(1_000);
+    assertTrue(worker.isLapsed() || worker.noted() == 0, "noted " + worker.noted());
+  }
+
+  /** Guards against a task in two places: an order of the life before is carried out late. */
+  @Test
+  void aRunThatIsRefusedAfterARestartIsForbiddenToTheWorker() {
+    worker.run(runOf(1));
+    WorkerSession session = session();
+    hear(session, 0);
+    start(session, runOf(0));
+    time.advance(300);
+    assertEquals(List.of(runOf(0)), worker.stopped());
+  }
+
+  /** What changes does not matter here. */
+  private static final class IgnoringListener implements WorkerListener {
+    @Override
+    public void standingChanged() {}
+
+    @Override
+    public void roomChanged() {}
+
+    @Override
+    public void runChanged(int partition) {}
+
+    @Override
+    public void gone(WorkerSession session) {}
+  }
+}
