--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.daemon.workflow;
 
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.job.Sizes;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
 import java.util.ArrayList;
@@ -39,6 +40,19 @@
     this.time = time;
   }
 
+  /** Returns the first heartbeat of a worker with room for many runs. */
+  static WorkerHeartbeat heartbeat(String worker) {
+    return new WorkerHeartbeat(
+        worker,
+        "service",
+        "zone",
+        ImmutableList.of(),
+        "",
+        new Sizes(16_000, 1L << 33, 0),
+        false,
+        1);
+  }
+
   /** Answers nothing from now on; each listing fails after the time. */
   void fallSilent(long millis) {
     silent = true;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.common.collect.ImmutableList;
-import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.LeaseTermsOfWorker;
 import io.marigoldsail.workflow.RunKey;
@@ -28,15 +26,7 @@
         new WorkerSession(
             time.loop(),
             worker,
-            new WorkerHeartbeat(
-                "life-1",
-                "service",
-                "zone",
-                ImmutableList.of(),
-                "",
-                new Sizes(16_000, 1L << 33, 0),
-                false,
-                1),
+            ScriptedWorker.heartbeat("life-1"),
             worker.listing(),
             PARTITIONS,
             TERMS,
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -4,8 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.common.collect.ImmutableList;
-import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.LeaseTermsOfWorker;
@@ -27,15 +25,7 @@
       new WorkerSession(
           time.loop(),
           worker,
-          new WorkerHeartbeat(
-              WORKER,
-              "service",
-              "zone",
-              ImmutableList.of(),
-              "",
-              new Sizes(16_000, 1L << 33, 0),
-              false,
-              1),
+          ScriptedWorker.heartbeat(WORKER),
           worker.listing(),
           1,
           TERMS,
