Withhold the end of a run whose owner may have ordered another attempt

What callers see: a task that is done runs a second time (TWICE), or a task fails after more attempts than it may have (BUDGET).

Hypotheses, before anything was changed: 1. An acknowledgement counts by its epoch alone, however old the evidence of the partition was between the end and the acknowledgement. 2. The lease, whose expiry the owner waits for, outlives the owner's evidence, since only partitions with active runs limit it: an ended run does not. 3.

Counting unacknowledged ends among the partitions that limit the lease would mend 2, and was not chosen: one owner out of reach would then end the runs of all others on the VM, which stopping its runs ahead of the deadline exists to prevent.

Now the ledger records when the evidence of a partition was older than the lease, which is shorter than the takeover time by more than clocks may differ. An end that completes a task or counts as a failure, of a run ordered before such an interruption, is taken from the reports once its owner has recorded it, but the worker keeps it until its lease has expired; after that it counts as never recorded. Its owner is not held up, and later ends reach their owners. A worker lists 500 ends; at 250 kept ones the VM takes no new runs and lets the lease expire, so that later ends are never hidden.

Stops move to StopSender, as WorkerSession grows.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
@@ -25,6 +25,7 @@
 
   private final WorkerLeaseTerms terms;
   private final Map<Integer, Evidence> latestByPartition = new HashMap<>();
+  private final Map<Integer, Long> interruptions = new HashMap<>();
 
   /** Creates a ledger without evidence. */
   public LeaseLedger(WorkerLeaseTerms terms) {
@@ -49,6 +50,35 @@
     return true;
   }
 
+  /**
+   * Records that the partition is interrupted if its evidence is older than the lease at the given
+   * time. Call this before each {@link #observe}, which replaces the evidence.
+   *
+   * @param workerClock the current time, on the worker's clock in milliseconds
+   */
+  public void recordInterruption(int partition, long workerClock) {
+    Evidence evidence = latestByPartition.get(partition);
+    if (evidence != null && evidence.workerClock() + terms.leaseMillis() < workerClock) {
+      interruptions.put(partition, workerClock);
+    }
+  }
+
+  /**
+   * Returns whether an owner of the partition may have considered a run of it as lost.
+   *
+   * <p>An owner does so {@link WorkerLeaseTerms#takeoverMillis} after the last evidence that it can
+   * have sent, so not while evidence keeps arriving before the previous one is older than the
+   * lease, which is shorter.
+   *
+   * @param since when the run was ordered, on the worker's clock in milliseconds
+   * @param workerClock the current time, on the worker's clock in milliseconds
+   */
+  public boolean mayHaveTakenOver(int partition, long since, long workerClock) {
+    recordInterruption(partition, workerClock);
+    return hasNoEvidence(partition)
+        || interruptions.getOrDefault(partition, Long.MIN_VALUE) >= since;
+  }
+
   /** Returns whether no evidence of an owner of the partition was ever received. */
   public boolean hasNoEvidence(int partition) {
     return !latestByPartition.containsKey(partition);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RunOutcome.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RunOutcome.java
@@ -46,6 +46,11 @@
     return this == FAILED;
   }
 
+  /** Returns whether it limits later attempts: none follows completion, few follow failures. */
+  public boolean limitsAttempts() {
+    return completes() || countsAsFailure();
+  }
+
   /** Returns whether the task may have run. */
   public boolean mayHaveRun() {
     return this != REFUSED;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -24,6 +24,7 @@
 
   private final RunKey key;
   private final int partition;
+  private WorkerLease.Mark orderedAt;
   private Optional<StartRun> order;
   private String program = "";
   private boolean listed;
@@ -38,9 +39,10 @@
   private int throttlePercent;
   private boolean excess;
 
-  SideRun(RunKey key, int partition, Optional<StartRun> order) {
+  SideRun(RunKey key, int partition, Optional<StartRun> order, WorkerLease.Mark orderedAt) {
     this.key = key;
     this.partition = partition;
+    this.orderedAt = orderedAt;
     this.order = order;
     // A run found on the worker may have been throttled, even to zero, before the restart.
     this.throttlePercent = order.isPresent() ? FULL_PERCENT : UNKNOWN_PERCENT;
@@ -54,6 +56,18 @@
     return partition;
   }
 
+  /**
+   * Returns when the run was first ordered or found; its lapses are those before its last start.
+   */
+  WorkerLease.Mark orderedAt() {
+    return orderedAt;
+  }
+
+  /** Records that the start order is sent, or sent again, after the given number of lapses. */
+  void startSent(long lapses) {
+    orderedAt = new WorkerLease.Mark(orderedAt.workerClock(), lapses);
+  }
+
   /** Returns the start order; empty for a run found on the worker after a restart. */
   Optional<StartRun> order() {
     return order;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/UnacknowledgedEnds.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/UnacknowledgedEnds.java
@@ -1,5 +1,7 @@
 package io.marigoldsail.daemon.workflow;
 
+import com.google.common.collect.Collections2;
+import com.google.common.collect.ImmutableList;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
@@ -7,18 +9,38 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * The ends of runs on one worker incarnation that their owners have not yet acknowledged as
  * durable.
  *
  * <p>A worker discards ends in the order of their sequence numbers, so the acknowledged number
- * stays below the oldest unacknowledged end. Confined to one thread.
+ * stays below the oldest unacknowledged end. A withheld end is no longer reported, and the worker
+ * keeps it until it is released. Confined to one thread.
  */
 final class UnacknowledgedEnds {
-  private final Map<RunKey, EndReport> ends = new LinkedHashMap<>();
+  /**
+   * An end that has not been acknowledged.
+   *
+   * @param orderedAt when the run was ordered
+   */
+  record End(EndReport report, WorkerLease.Mark orderedAt) {
+    /** Returns whether the worker lists the end, so that it discards it on acknowledgement. */
+    boolean isListed() {
+      return report.getSequence() > 0;
+    }
+
+    RunOutcome outcome() {
+      return RunOutcome.forNumber(report.getOutcome());
+    }
+  }
+
+  private final Map<RunKey, End> ends = new LinkedHashMap<>();
+  private final Map<RunKey, End> withheld = new LinkedHashMap<>();
   private final TreeMap<Long, RunKey> unacknowledged = new TreeMap<>();
   private final Set<Long> seenSequences = new HashSet<>();
   private long acknowledgedUpTo;
@@ -34,32 +56,70 @@
    * Adds an end.
    *
    * @param sequence the worker's sequence number of the end; 0 if the worker does not list it
+   * @param orderedAt when the run was ordered
    */
-  void add(RunKey run, RunOutcome outcome, String checkpoint, long sequence, String reason) {
-    ends.put(
-        run,
+  void add(
+      RunKey run,
+      RunOutcome outcome,
+      String checkpoint,
+      long sequence,
+      String reason,
+      WorkerLease.Mark orderedAt) {
+    EndReport report =
         EndReport.newBuilder()
             .setTask(WorkflowCodec.encode(run))
             .setOutcome(outcome.number())
             .setCheckpoint(checkpoint)
             .setSequence(sequence)
             .setReason(reason)
-            .build());
+            .build();
+    ends.put(run, new End(report, orderedAt));
     if (sequence > 0) {
       unacknowledged.put(sequence, run);
     }
   }
 
+  Optional<End> find(RunKey run) {
+    return Optional.ofNullable(ends.get(run));
+  }
+
   /** Removes an end that its owner has made durable; returns whether it was present. */
   boolean acknowledge(RunKey run) {
-    EndReport end = ends.remove(run);
+    End end = ends.remove(run);
     if (end == null) {
       return false;
     }
-    unacknowledged.remove(end.getSequence());
+    discard(end);
+    return true;
+  }
+
+  private void discard(End end) {
+    unacknowledged.remove(end.report().getSequence());
     acknowledgedUpTo = unacknowledged.isEmpty() ? highestSequence : unacknowledged.firstKey() - 1;
     seenSequences.removeIf(sequence -> sequence <= acknowledgedUpTo);
-    return true;
+  }
+
+  /** Stops reporting an end that the worker lists, but keeps it and all later ones there. */
+  void withhold(RunKey run) {
+    withheld.put(run, ends.remove(run));
+  }
+
+  /** Lets the worker discard the withheld ends of runs ordered at matching times. */
+  ImmutableList<RunKey> releaseWithheld(Predicate<WorkerLease.Mark> orderedAt) {
+    ImmutableList.Builder<RunKey> released = ImmutableList.builder();
+    for (Map.Entry<RunKey, End> each : Map.copyOf(withheld).entrySet()) {
+      if (orderedAt.test(each.getValue().orderedAt())) {
+        withheld.remove(each.getKey());
+        discard(each.getValue());
+        released.add(each.getKey());
+      }
+    }
+    return released.build();
+  }
+
+  /** Returns how many ends the worker keeps because of withheld ones; 0 if none is withheld. */
+  long keptCount() {
+    return withheld.isEmpty() ? 0 : highestSequence - acknowledgedUpTo;
   }
 
   boolean contains(RunKey run) {
@@ -67,7 +127,7 @@
   }
 
   Collection<EndReport> all() {
-    return ends.values();
+    return Collections2.transform(ends.values(), End::report);
   }
 
   /** Returns the sequence number up to which the worker may discard ends. */
@@ -75,8 +135,13 @@
     return acknowledgedUpTo;
   }
 
-  /** Returns whether the owners have acknowledged every end that the worker lists. */
+  /** Returns whether the worker may discard every end that it lists. */
   boolean isAllAcknowledged() {
     return unacknowledged.isEmpty();
   }
+
+  /** Returns whether an end that the worker lists awaits the response of its owner. */
+  boolean isAwaitingOwners() {
+    return unacknowledged.size() > withheld.size();
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
@@ -33,6 +33,15 @@
   private long clock;
   private long readAt;
   private long deadline;
+  private long lapses;
+
+  /**
+   * A moment in the life of the lease.
+   *
+   * @param workerClock the lower bound of the worker's clock, in milliseconds
+   * @param lapses how often the lease had certainly expired until then
+   */
+  record Mark(long workerClock, long lapses) {}
 
   WorkerLease(LinkLoop loop, WorkerLeaseTerms terms, long firstReading) {
     this.loop = requireNonNull(loop, "loop");
@@ -60,6 +69,7 @@
    * whether its epoch is the highest so far.
    */
   boolean recordEvidence(int partition, long epoch, long workerClock) {
+    evidenceLedger.recordInterruption(partition, clockLowerBound());
     return evidenceLedger.observe(partition, epoch, workerClock);
   }
 
@@ -88,10 +98,30 @@
     if (newDeadline.isEmpty() || newDeadline.getAsLong() <= deadline) {
       return OptionalLong.empty();
     }
+    lapses = lapses();
     deadline = newDeadline.getAsLong();
     return newDeadline;
   }
 
+  /** Returns the current moment. */
+  Mark mark() {
+    return new Mark(clockLowerBound(), lapses());
+  }
+
+  private long lapses() {
+    return isExpired() ? lapses + 1 : lapses;
+  }
+
+  /** Returns whether the lease has certainly expired since, which ended all runs of that time. */
+  boolean hasLapsedSince(Mark mark) {
+    return lapses() > mark.lapses();
+  }
+
+  /** Returns whether an owner of the partition may have considered a run of that time as lost. */
+  boolean mayHaveTakenOver(int partition, Mark mark) {
+    return evidenceLedger.mayHaveTakenOver(partition, mark.workerClock(), clockLowerBound());
+  }
+
   /**
    * Returns the partitions whose runs must be stopped because their evidence is too old or missing.
    */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -69,11 +69,13 @@
   private final RunThrottler throttler;
   private final StartAdmission admission;
   private final UnacknowledgedEnds ends = new UnacknowledgedEnds();
+  private final EndRetention retention;
   private final RunEndLog endLog;
   private final Map<RunKey, SideRun> runs = new LinkedHashMap<>();
   private WorkerHeartbeat heartbeat;
   private final WorkerHealth health;
   private final ListingScheduler listings;
+  private final StopSender stops;
   private boolean initialized;
   private boolean closed;
 
@@ -93,9 +95,11 @@
     this.listener = requireNonNull(listener, "listener");
     this.lease = new WorkerLease(loop, terms, first.workerClock());
     this.throttler = new RunThrottler(loop, gateway, worker, overcommit);
+    this.retention = new EndRetention(worker, lease, ends);
     this.endLog = new RunEndLog(loop, worker);
     this.admission = new StartAdmission(lease, resources, throttler);
     this.listings = new ListingScheduler(loop, this::requestListing);
+    this.stops = new StopSender(loop, gateway, worker, new StopListener());
     this.health = new WorkerHealth(worker);
     resources.capacity(heartbeat.capacity());
     applyListing(first, Set.of());
@@ -139,7 +143,9 @@
    * while other VMs have free capacity.
    */
   boolean isUnhealthy() {
-    return health.isUnhealthy(loop.now()) || StartAdmission.hasUnknownSizes(runs.values());
+    return health.isUnhealthy(loop.now())
+        || retention.mustLeaseExpire()
+        || StartAdmission.hasUnknownSizes(runs.values());
   }
 
   ResourceLedger resources() {
@@ -186,25 +192,31 @@
       return;
     }
     int partition = partitionOf(key);
-    Optional<String> refusal =
-        health.isUnresponsive()
-            ? Optional.of("the worker is not responding")
-            : admission.reserveOrRefuse(key, partition, order, heartbeat.draining(), runs.values());
+    Optional<String> refusal = reserveOrRefuse(key, partition, order);
     if (refusal.isPresent()) {
       recordEnd(key, RunOutcome.REFUSED, "", 0, refusal.get());
       return;
     }
-    SideRun run = new SideRun(key, partition, Optional.of(order));
+    SideRun run = new SideRun(key, partition, Optional.of(order), lease.mark());
     run.program(program);
     runs.put(key, run);
     sendStart(run);
   }
 
+  private Optional<String> reserveOrRefuse(RunKey key, int partition, StartRun order) {
+    if (health.isUnresponsive()) {
+      return Optional.of("the worker is not responding");
+    }
+    if (retention.mustLeaseExpire()) {
+      return Optional.of("the worker's lease is about to expire");
+    }
+    return admission.reserveOrRefuse(key, partition, order, heartbeat.draining(), runs.values());
+  }
+
   private void sendStart(SideRun run) {
     int tries = run.countStartTry();
-    if (!health.isUnresponsive()) {
-      lease.extend(activePartitions());
-    }
+    extendLease();
+    run.startSent(lease.mark().lapses());
     WorkerGateway.StartOrder start =
         new WorkerGateway.StartOrder(
             run.key(),
@@ -296,55 +308,40 @@
     }
     SideRun run = runs.get(key);
     if (run == null) {
-      run = new SideRun(key, partitionOf(key), Optional.empty());
+      run = new SideRun(key, partitionOf(key), Optional.empty(), lease.mark());
       runs.put(key, run);
     }
     if (run.isStopping()) {
       return;
     }
     run.markStopping();
-    sendStop(run);
-  }
-
-  private void sendStop(SideRun run) {
-    gateway.stop(worker, run.key()).thenAccept(result -> loop.run(() -> onStopResult(run, result)));
+    stops.send(run);
   }
 
-  private void onStopResult(SideRun run, OrderResult result) {
-    if (closed || runs.get(run.key()) != run) {
+  /** Drops an end that its owner has made durable, unless it is withheld from the worker. */
+  void acknowledgeEnd(RunKey key) {
+    if (!ends.contains(key)) {
       return;
     }
-    if (result instanceof IncarnationMismatch) {
-      end("another incarnation of the worker responded");
-    } else if (result instanceof Accepted accepted) {
-      lease.recordClock(accepted.workerClock());
-      run.confirm();
-    } else if (result instanceof Refused refused && refused.refusal() == Refusal.STALE_ATTEMPT) {
-      run.confirm();
-    } else {
-      LOG.info(LogLine.of("stop-retried").with("run", run.key()).with("result", result));
-      loop.schedule(
-          () -> {
-            if (!closed && runs.get(run.key()) == run) {
-              sendStop(run);
-            }
-          },
-          RETRY_DELAY_NANOS);
+    retention.acknowledge(key, partitionOf(key));
+    if (!ends.isAwaitingOwners() && !health.isUnresponsive()) {
+      listings.requestNow();
     }
   }
 
-  /** Drops an end that its owner has made durable. */
-  void acknowledgeEnd(RunKey key) {
-    if (ends.acknowledge(key) && ends.isAllAcknowledged() && !health.isUnresponsive()) {
-      listings.requestNow();
-    }
+  private OptionalLong extendLease() {
+    // An unresponsive worker may still receive the last deadline; its lease must be able to expire.
+    return health.isUnresponsive() || retention.mustLeaseExpire()
+        ? OptionalLong.empty()
+        : lease.extend(activePartitions());
   }
 
   private void recordEnd(
       RunKey key, RunOutcome outcome, String checkpoint, long sequence, String reason) {
-    runs.remove(key);
+    Optional<SideRun> run = Optional.ofNullable(runs.remove(key));
     resources.release(key);
-    ends.add(key, outcome, checkpoint, sequence, reason);
+    WorkerLease.Mark orderedAt = run.map(SideRun::orderedAt).orElseGet(lease::mark);
+    ends.add(key, outcome, checkpoint, sequence, reason, orderedAt);
     endLog.runEnded(key, outcome, reason);
     listener.runChanged(partitionOf(key));
   }
@@ -356,13 +353,12 @@
   }
 
   private void requestListing() {
-    // An unresponsive worker may still receive the last deadline; its lease must be able to expire.
-    OptionalLong newDeadline =
-        health.isUnresponsive() ? OptionalLong.empty() : lease.extend(activePartitions());
+    retention.releaseAfterExpiry();
+    OptionalLong newDeadline = extendLease();
     long maxWait = serviceTaskCount() > 0 ? SERVICE_LISTING_WAIT_MILLIS : LISTING_WAIT_MILLIS;
     Set<RunKey> confirmed = new HashSet<>();
     runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
-    long wait = ends.isAllAcknowledged() ? maxWait : 0;
+    long wait = ends.isAwaitingOwners() ? 0 : maxWait;
     ListingScheduler.resultOf(
             worker, () -> gateway.list(worker, newDeadline, ends.acknowledgedUpTo(), wait))
         .thenAccept(result -> loop.run(() -> onListingResult(result, confirmed)));
@@ -454,7 +450,7 @@
           LogLine.of(initialized ? "run-appeared" : "run-adopted")
               .with("run", active.run())
               .with("worker", worker));
-      run = new SideRun(active.run(), partitionOf(active.run()), Optional.empty());
+      run = new SideRun(active.run(), partitionOf(active.run()), Optional.empty(), lease.mark());
       runs.put(active.run(), run);
     }
     boolean first = !run.isListed();
@@ -493,4 +489,22 @@
             .with("reason", reason));
     listener.sessionEnded(this);
   }
+
+  /** Applies the results of stops. */
+  private final class StopListener implements StopSender.Listener {
+    @Override
+    public boolean isCurrent(SideRun run) {
+      return !closed && runs.get(run.key()) == run;
+    }
+
+    @Override
+    public void stopExecuted(long workerClock) {
+      lease.recordClock(workerClock);
+    }
+
+    @Override
+    public void incarnationChanged() {
+      end("another incarnation of the worker responded");
+    }
+  }
 }
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/NoOpSessionListener.java
@@ -0,0 +1,16 @@
+package io.marigoldsail.daemon.workflow;
+
+/** Ignores all changes of a worker session. */
+final class NoOpSessionListener implements WorkerSessionListener {
+  @Override
+  public void availabilityChanged() {}
+
+  @Override
+  public void capacityChanged() {}
+
+  @Override
+  public void runChanged(int partition) {}
+
+  @Override
+  public void sessionEnded(WorkerSession session) {}
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -97,8 +97,13 @@
 
   /** Ends the run as done; the end is listed until it is acknowledged, oldest ends first. */
   void endRun(RunKey run) {
+    endRun(run, RunOutcome.DONE);
+  }
+
+  /** Ends the run; the end is listed until it is acknowledged, oldest ends first. */
+  void endRun(RunKey run, RunOutcome outcome) {
     running.remove(run);
-    ended.add(new EndedRun(++sequence, run, RunOutcome.DONE, ""));
+    ended.add(new EndedRun(++sequence, run, outcome, ""));
   }
 
   /** Returns the runs for which a stop was ordered. */
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/StartAdmissionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/StartAdmissionTest.java
@@ -93,7 +93,7 @@
    */
   @Test
   void refusesStartsWhileTheSizeOfARunIsUnknown() {
-    SideRun found = new SideRun(SECOND, PARTITION, Optional.empty());
+    SideRun found = new SideRun(SECOND, PARTITION, Optional.empty(), new WorkerLease.Mark(0, 0));
     assertEquals(
         Optional.of("the resource sizes of some runs on the worker are not known yet"),
         admission.reserveOrRefuse(FIRST, PARTITION, order(1), false, List.of(found)));
