Stop a run before refusing it if a predecessor may have ordered it

What callers see: a task runs in two places at once (TWICE), after a side process was restarted.

Hypotheses, before anything was changed: 1. A restarted side process concludes from its empty memory that an order it refuses was never sent to the worker. 2. The worker refuses the order and so has forgotten the earlier copy. 3. The owner sends an order again that it should not send again. 1: the session refuses in StartAdmission, before anything is sent; the worker is not asked. 3 is as intended: the owner cannot know whether the order arrived. The same assumption stood in a second place: a start that the worker refuses for lack of capacity was reported as refused unless this incarnation had an unanswered copy of it. `refusal-deferred` shows both.

Now an owner says whether it, or a former owner, may have sent a start before. A start that may have been sent, and that the worker may still execute (the deadlines of the predecessor have not certainly passed), is stopped before it is reported as refused; it is reported after one listing that was requested after the stop, not after three. An order that was never sent before is refused at once as before, also right after a restart. Without the owner's word (an older version) an order counts as sent before if the first listing shows that a predecessor was at work.

Rejected: stopping every refused run for the length of a lease after a restart; WorkerSessionTest#startOnAnUnresponsiveWorkerIsRefusedAtOnce shows what that costs (a new order waits for a worker that does not answer).

Tests: PredecessorOrdersTest, OwnerOrdersTest.

Seen once in a run of the whole package on this code and not again so far: WorkflowRulesTest#newEntriesTakeOverWhenAllHaveDied timed out waiting for one workflow (112 runs of the test alone, 4 of its class and 2 of the package passed, on the same classes). Not traced yet.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
@@ -14,6 +14,7 @@
   private final boolean starved;
   private final String ticket;
   private boolean durable;
+  private boolean mayHaveBeenOrdered;
   private VmSession orderSession;
   private long orderFrameNumber;
   private long stopSentAt = Long.MIN_VALUE;
@@ -37,7 +38,9 @@
 
   /** Returns a durable run that a former owner ordered. */
   static OpenRun takenOver(OwnedPartition partition, WorkflowTask task, long now) {
-    return new OpenRun(partition, task, now, true, false, "");
+    OpenRun run = new OpenRun(partition, task, now, true, false, "");
+    run.mayHaveBeenOrdered = true;
+    return run;
   }
 
   /**
@@ -92,10 +95,16 @@
 
   /** Records that an order was added to the numbered frame of the session. */
   void orderSent(VmSession session, long number) {
+    mayHaveBeenOrdered = true;
     orderSession = session;
     orderFrameNumber = number;
   }
 
+  /** Returns whether this or a former owner may have sent a start of this run. */
+  boolean mayHaveBeenOrdered() {
+    return mayHaveBeenOrdered;
+  }
+
   /**
    * Returns whether a stop may be sent now, and if so records it as sent.
    *
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -31,6 +31,7 @@
   private boolean confirmed;
   private boolean startOutcomeUnknown;
   private boolean stopping;
+  private String refusal = "";
   private int startTries;
   private int missedListings;
   private String checkpoint = "";
@@ -147,6 +148,21 @@
     return stopping;
   }
 
+  /** Records that the run is to be reported as refused once the worker cannot start it any more. */
+  void refuse(String reason) {
+    refusal = reason;
+  }
+
+  /** Returns whether the run has been stopped in order to be reported as refused. */
+  boolean isRefused() {
+    return !refusal.isEmpty();
+  }
+
+  /** Returns the reason of the refusal; empty if the run is not refused. */
+  String refusal() {
+    return refusal;
+  }
+
   /** Returns the measurement of the last listing, see {@link WorkerGateway.ActiveRun}. */
   long measurement() {
     return measurement;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -172,7 +172,9 @@
             .setLatencyTargetMillis((int) task.step().traits().latencyTargetMillis())
             .setFills(task.step().traits().bestEffort())
             .setStarved(run.isStarved())
-            .setTicket(run.ticket());
+            .setTicket(run.ticket())
+            .setDelivery(
+                run.mayHaveBeenOrdered() ? StartRun.Delivery.REPEATED : StartRun.Delivery.FIRST);
     if (workflowsInFrame.add(spec.id())) {
       start.setProgram(spec.program());
     } else {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
@@ -30,6 +30,7 @@
   private final LinkLoop loop;
   private final LeaseLedger evidenceLedger;
   private final long firstReading;
+  private final long predecessorDeadline;
   private long clock;
   private long readAt;
   private long deadline;
@@ -49,7 +50,8 @@
     this.firstReading = firstReading;
     recordClock(firstReading);
     // An earlier incarnation of this process may have extended the lease just before it ended.
-    this.deadline = firstReading + terms.leaseMillis();
+    this.predecessorDeadline = firstReading + terms.leaseMillis();
+    this.deadline = predecessorDeadline;
   }
 
   /** Records the worker's clock as read from a response. */
@@ -83,6 +85,14 @@
     return deadline;
   }
 
+  /**
+   * Returns whether the worker may still execute starts that an earlier incarnation of this process
+   * sent: it refuses them once their deadline has passed.
+   */
+  boolean mayExecutePredecessorStarts() {
+    return clockLowerBound() <= predecessorDeadline;
+  }
+
   /** Returns whether the worker's clock has certainly passed the latest deadline. */
   boolean isExpired() {
     return clockLowerBound() > deadline;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -5,14 +5,12 @@
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
-import io.marigoldsail.daemon.workflow.WorkerGateway.Accepted;
 import io.marigoldsail.daemon.workflow.WorkerGateway.ActiveRun;
 import io.marigoldsail.daemon.workflow.WorkerGateway.EndedRun;
 import io.marigoldsail.daemon.workflow.WorkerGateway.IncarnationMismatch;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Listing;
 import io.marigoldsail.daemon.workflow.WorkerGateway.ListingFailed;
 import io.marigoldsail.daemon.workflow.WorkerGateway.ListingResult;
-import io.marigoldsail.daemon.workflow.WorkerGateway.OrderResult;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Refusal;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Refused;
 import io.marigoldsail.protocol.EndReport;
@@ -56,7 +54,6 @@
   private static final long ACKNOWLEDGEMENT_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
   private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-  private static final int MAX_START_TRIES = 3;
 
   private final LinkLoop loop;
   private final WorkerGateway gateway;
@@ -75,7 +72,8 @@
   private WorkerHeartbeat heartbeat;
   private final WorkerHealth health;
   private final ListingScheduler listings;
-  private final StopSender stops;
+  private final OrderSender orders;
+  private final PredecessorOrders predecessorOrders;
   private boolean initialized;
   private boolean closed;
 
@@ -99,8 +97,9 @@
     this.endLog = new RunEndLog(loop, worker);
     this.admission = new StartAdmission(lease, resources, throttler);
     this.listings = new ListingScheduler(loop, this::requestListing);
-    this.stops = new StopSender(loop, gateway, worker, new StopListener());
+    this.orders = new OrderSender(loop, gateway, worker, lease, new OrderListener());
     this.health = new WorkerHealth(worker);
+    this.predecessorOrders = new PredecessorOrders(lease, first);
     resources.capacity(heartbeat.capacity());
     applyListing(first, Set.of());
     initialized = true;
@@ -194,100 +193,50 @@
     int partition = partitionOf(key);
     Optional<String> refusal = reserveOrRefuse(key, partition, order);
     if (refusal.isPresent()) {
-      recordEnd(key, RunOutcome.REFUSED, "", 0, refusal.get());
+      refuse(key, order, refusal.get());
       return;
     }
     SideRun run = new SideRun(key, partition, Optional.of(order), lease.mark());
     run.program(program);
-    runs.put(key, run);
-    sendStart(run);
-  }
-
-  private Optional<String> reserveOrRefuse(RunKey key, int partition, StartRun order) {
-    if (health.isUnresponsive()) {
-      return Optional.of("the worker is not responding");
-    }
-    if (retention.mustLeaseExpire()) {
-      return Optional.of("the worker's lease is about to expire");
+    if (predecessorOrders.mayInclude(order)) {
+      run.markStartOutcomeUnknown();
     }
-    return admission.reserveOrRefuse(key, partition, order, heartbeat.draining(), runs.values());
+    runs.put(key, run);
+    orders.sendStart(run);
   }
 
-  private void sendStart(SideRun run) {
-    int tries = run.countStartTry();
-    extendLease();
-    run.startSent(lease.mark().lapses());
-    WorkerGateway.StartOrder start =
-        new WorkerGateway.StartOrder(
-            run.key(),
-            run.program(),
-            lease.deadline(),
-            run.order().orElseThrow().getCheckpoint(),
-            run.order().orElseThrow().getTicket());
-    gateway
-        .start(worker, start)
-        .thenAccept(result -> loop.run(() -> onStartResult(run, tries, result)));
-  }
-
-  private void onStartResult(SideRun run, int tries, OrderResult result) {
-    if (closed || runs.get(run.key()) != run || run.isStopping()) {
+  private void refuse(RunKey key, StartRun order, String reason) {
+    if (!predecessorOrders.mayInclude(order)) {
+      recordEnd(key, RunOutcome.REFUSED, "", 0, reason);
       return;
     }
-    if (result instanceof Accepted accepted) {
-      lease.recordClock(accepted.workerClock());
-      run.confirm();
-      throttler.throttle(run);
-      listener.runChanged(run.partition());
-    } else if (result instanceof IncarnationMismatch) {
-      end("another incarnation of the worker responded");
-    } else if (result instanceof Refused refused) {
-      startRefused(run, refused);
-    } else {
-      LOG.info(
-          LogLine.of("start-unanswered")
-              .with("run", run.key())
-              .with("tries", tries)
-              .with("reason", ((WorkerGateway.OrderOutcomeUnknown) result).reason()));
-      run.markStartOutcomeUnknown();
-      recordFailure();
-      if (run.isListed()) {
-        return;
-      }
-      if (tries < MAX_START_TRIES) {
-        loop.schedule(() -> retryStart(run), RETRY_DELAY_NANOS);
-      } else {
-        stop(run.key());
-      }
-    }
+    // Without an order it would count as a run of unknown size.
+    SideRun run =
+        new SideRun(
+            key, partitionOf(key), Optional.of(StartRun.getDefaultInstance()), lease.mark());
+    runs.put(key, run);
+    refuseOnceStopped(run, reason);
   }
 
-  private void retryStart(SideRun run) {
-    if (closed || runs.get(run.key()) != run || run.isStopping() || run.isListed()) {
-      return;
-    }
-    if (heartbeat.draining()) {
-      // A draining worker would end the run shortly; the stop invalidates the first start order.
-      stop(run.key());
-      return;
-    }
-    sendStart(run);
+  /** Reports a run as refused only when the worker can no longer execute any copy of its start. */
+  private void refuseOnceStopped(SideRun run, String reason) {
+    LOG.info(
+        LogLine.of("refusal-deferred")
+            .with("run", run.key())
+            .with("worker", worker)
+            .with("reason", reason));
+    run.refuse(reason);
+    stop(run.key());
   }
 
-  private void startRefused(SideRun run, Refused refused) {
-    if (refused.refusal() == Refusal.UNAVAILABLE) {
-      recordFailure();
-    }
-    if (refused.refusal() == Refusal.STALE_ATTEMPT) {
-      // The attempt ended or was stopped; its end is listed or already acknowledged.
-      run.confirm();
-      return;
+  private Optional<String> reserveOrRefuse(RunKey key, int partition, StartRun order) {
+    if (health.isUnresponsive()) {
+      return Optional.of("the worker is not responding");
     }
-    if (run.isStartOutcomeUnknown()) {
-      // An earlier copy of the order may still be executed; the stop prevents that.
-      stop(run.key());
-      return;
+    if (retention.mustLeaseExpire()) {
+      return Optional.of("the worker's lease is about to expire");
     }
-    recordEnd(run.key(), RunOutcome.REFUSED, "", 0, refused.detail());
+    return admission.reserveOrRefuse(key, partition, order, heartbeat.draining(), runs.values());
   }
 
   private void notifyAvailability() {
@@ -315,7 +264,7 @@
       return;
     }
     run.markStopping();
-    stops.send(run);
+    orders.sendStop(run);
   }
 
   /** Drops an end that its owner has made durable, unless it is withheld from the worker. */
@@ -358,7 +307,8 @@
     long maxWait = serviceTaskCount() > 0 ? SERVICE_LISTING_WAIT_MILLIS : LISTING_WAIT_MILLIS;
     Set<RunKey> confirmed = new HashSet<>();
     runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
-    long wait = ends.isAwaitingOwners() ? 0 : maxWait;
+    boolean urgent = ends.isAwaitingOwners() || runs.values().stream().anyMatch(SideRun::isRefused);
+    long wait = urgent ? 0 : maxWait;
     ListingScheduler.resultOf(
             worker, () -> gateway.list(worker, newDeadline, ends.acknowledgedUpTo(), wait))
         .thenAccept(result -> loop.run(() -> onListingResult(result, confirmed)));
@@ -427,7 +377,9 @@
     }
     for (SideRun run : List.copyOf(runs.values())) {
       boolean missing = !listed.contains(run.key()) && confirmed.contains(run.key());
-      if (missing && run.countMissedListing()) {
+      if (missing && run.isRefused() && !run.isListed()) {
+        recordEnd(run.key(), RunOutcome.REFUSED, "", 0, run.refusal());
+      } else if (missing && run.countMissedListing()) {
         recordEnd(run.key(), RunOutcome.FORGOTTEN, "", 0, "the worker no longer lists the run");
       }
     }
@@ -490,16 +442,53 @@
     listener.sessionEnded(this);
   }
 
-  /** Applies the results of stops. */
-  private final class StopListener implements StopSender.Listener {
+  /** Applies the results of orders. */
+  private final class OrderListener implements OrderSender.Listener {
     @Override
     public boolean isCurrent(SideRun run) {
       return !closed && runs.get(run.key()) == run;
     }
 
     @Override
-    public void stopExecuted(long workerClock) {
-      lease.recordClock(workerClock);
+    public long extendedDeadline() {
+      extendLease();
+      return lease.deadline();
+    }
+
+    @Override
+    public boolean isDraining() {
+      return heartbeat.draining();
+    }
+
+    @Override
+    public void startExecuted(SideRun run) {
+      throttler.throttle(run);
+      listener.runChanged(run.partition());
+    }
+
+    @Override
+    public void startRefused(SideRun run, Refused refused) {
+      if (refused.refusal() == Refusal.UNAVAILABLE) {
+        recordFailure();
+      }
+      if (refused.refusal() == Refusal.STALE_ATTEMPT) {
+        // The attempt ended or was stopped; its end is listed or already acknowledged.
+        run.confirm();
+      } else if (run.isStartOutcomeUnknown()) {
+        refuseOnceStopped(run, refused.detail());
+      } else {
+        recordEnd(run.key(), RunOutcome.REFUSED, "", 0, refused.detail());
+      }
+    }
+
+    @Override
+    public void startUnanswered() {
+      recordFailure();
+    }
+
+    @Override
+    public void startAbandoned(SideRun run) {
+      stop(run.key());
     }
 
     @Override
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerOrdersTest.java
@@ -0,0 +1,80 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.protocol.StartRun.Delivery;
+import io.marigoldsail.time.MonotonicClock;
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What an owner tells the side process of a VM, over a real link. */
+class OwnerOrdersTest {
+  private static final long WORKFLOW = 7;
+
+  private final WorkflowTestCluster cluster = new WorkflowTestCluster();
+  private final LinkLoop loop = new LinkLoop("vm", MonotonicClock.system());
+
+  @BeforeEach
+  void startEntry() throws IOException {
+    cluster.addEntry();
+    cluster.awaitReady();
+  }
+
+  @AfterEach
+  void stop() {
+    loop.close();
+    cluster.close();
+  }
+
+  private ScriptedVm connect() {
+    return new ScriptedVm(loop, cluster.entry(0).memberPrefix());
+  }
+
+  private void submit() {
+    assertInstanceOf(
+        WorkflowStore.Appended.class,
+        cluster.entry(0).entry().submit(WorkflowTestCluster.workflow(WORKFLOW, 1)).join());
+  }
+
+  private StartRun awaitStart(ScriptedVm vm) {
+    cluster.await(
+        "the task is ordered",
+        () -> {
+          vm.report();
+          return !vm.starts().isEmpty();
+        });
+    return vm.starts().get(0);
+  }
+
+  /**
+   * The side process dies with the order, which its worker may have received. Its successor must
+   * learn that the order is a repeated one, or it refuses a run that then starts nevertheless.
+   */
+  @Test
+  void startIsMarkedAsRepeatedAfterARestartOfTheSideProcess() {
+    submit();
+    ScriptedVm before = connect();
+    assertEquals(Delivery.FIRST, awaitStart(before).getDelivery());
+    before.close();
+    assertEquals(Delivery.REPEATED, awaitStart(connect()).getDelivery());
+  }
+
+  /** A former owner may have sent the order, so the new one must not call it the first. */
+  @Test
+  void startOfARunTakenOverIsMarkedAsRepeated() throws IOException {
+    submit();
+    ScriptedVm before = connect();
+    awaitStart(before);
+    WorkflowTestCluster.RunningEntry killed = cluster.entry(0);
+    cluster.kill(killed);
+    cluster.store().drop(killed.memberPrefix());
+    cluster.addEntry();
+    cluster.awaitReady();
+    assertEquals(Delivery.REPEATED, awaitStart(connect()).getDelivery());
+  }
+}
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedVm.java
@@ -0,0 +1,99 @@
+package io.marigoldsail.daemon.workflow;
+
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.link.LinkListener;
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.protocol.EndReport;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.RunOrders;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+
+/** A side process that a test controls: it sends reports and collects orders. Thread-safe. */
+final class ScriptedVm implements LinkListener {
+  static final String VM = "vm-0";
+  static final String WORKER = "incarnation-1";
+
+  private final LinkLoop loop;
+  private final CompletableFuture<LinkConnection> opened = new CompletableFuture<>();
+  private final List<RunOrders> orders = new ArrayList<>();
+
+  /** Dials the entry with the given {@code host:port} address. */
+  ScriptedVm(LinkLoop loop, String entry) {
+    this.loop = loop;
+    int colon = entry.indexOf(':');
+    InetSocketAddress address =
+        new InetSocketAddress(
+            entry.substring(0, colon), Integer.parseInt(entry.substring(colon + 1)));
+    loop.dial(address, this, opened::completeExceptionally);
+  }
+
+  /** Reports an idle VM with the given ends, and requests a lease. */
+  void report(EndReport... ends) {
+    VmReport.Builder report =
+        VmReport.newBuilder()
+            .setVm(VM)
+            .setWorker(WORKER)
+            .setService("service")
+            .setWantsLease(true)
+            .setMilliProcessors(4_000)
+            .setMemoryMebibytes(8_192)
+            .setFreeMilliProcessors(4_000)
+            .setFreeMemoryMebibytes(8_192)
+            .setOrdersSeen(received().mapToLong(RunOrders::getNumber).max().orElse(0));
+    report.addAllEnds(List.of(ends));
+    LinkConnection connection = opened.join();
+    loop.run(() -> connection.send(Frame.newBuilder().setVmReport(report).build()));
+  }
+
+  static EndReport end(RunKey run, RunOutcome outcome) {
+    return EndReport.newBuilder()
+        .setTask(WorkflowCodec.encode(run))
+        .setOutcome(outcome.number())
+        .setSequence(1)
+        .build();
+  }
+
+  void close() {
+    LinkConnection connection = opened.join();
+    loop.run(() -> connection.close("closed by the test"));
+  }
+
+  private synchronized Stream<RunOrders> received() {
+    return List.copyOf(orders).stream();
+  }
+
+  List<StartRun> starts() {
+    return received().flatMap(each -> each.getStartsList().stream()).toList();
+  }
+
+  /** Returns the runs whose ends the entry has acknowledged. */
+  List<RunKey> acknowledged() {
+    return received()
+        .flatMap(each -> each.getNotedEndsList().stream())
+        .map(WorkflowCodec::decode)
+        .toList();
+  }
+
+  @Override
+  public void opened(LinkConnection connection) {
+    opened.complete(connection);
+  }
+
+  @Override
+  public synchronized void received(LinkConnection connection, Frame frame) {
+    if (frame.hasRunOrders()) {
+      orders.add(frame.getRunOrders());
+    }
+  }
+
+  @Override
+  public void closed(LinkConnection connection, String reason) {}
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -32,6 +32,7 @@
   private boolean dropsStarts;
   private boolean answersStarts = true;
   private boolean answersStops = true;
+  private boolean refusesStarts;
   private boolean listingCallThrows;
   private boolean listingFutureFails;
   private int listings;
@@ -85,6 +86,15 @@
     answersStops = false;
   }
 
+  void answerStops() {
+    answersStops = true;
+  }
+
+  /** Refuses each start for lack of capacity. */
+  void refuseStarts() {
+    refusesStarts = true;
+  }
+
   /** Adds an active run that an earlier incarnation of the side process started. */
   void addActiveRun(RunKey run) {
     running.add(run);
@@ -155,6 +165,9 @@
     if (unresponsive) {
       return after(1, () -> new OrderOutcomeUnknown("injected: no answer"));
     }
+    if (refusesStarts) {
+      return after(1, () -> new Refused(Refusal.INSUFFICIENT_CAPACITY, "injected: no capacity"));
+    }
     if (!dropsStarts) {
       extend(start.deadline());
       running.add(start.run());
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartRun.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartRun.java
@@ -32,6 +32,7 @@
     checkpoint_ = "";
     image_ = "";
     ticket_ = "";
+    delivery_ = 0;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -52,6 +53,156 @@
             io.marigoldsail.protocol.StartRun.class, io.marigoldsail.protocol.StartRun.Builder.class);
   }
 
+  /**
+   * Protobuf enum {@code marigoldsail.StartRun.Delivery}
+   */
+  public enum Delivery
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <pre>
+     * The sender is of a version that does not tell.
+     * </pre>
+     *
+     * <code>DELIVERY_UNSPECIFIED = 0;</code>
+     */
+    DELIVERY_UNSPECIFIED(0),
+    /**
+     * <pre>
+     * No owner has sent this order before.
+     * </pre>
+     *
+     * <code>FIRST = 1;</code>
+     */
+    FIRST(1),
+    /**
+     * <pre>
+     * This or a former owner may have sent it before, so that a worker may execute an earlier copy.
+     * </pre>
+     *
+     * <code>REPEATED = 2;</code>
+     */
+    REPEATED(2),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Delivery");
+    }
+    /**
+     * <pre>
+     * The sender is of a version that does not tell.
+     * </pre>
+     *
+     * <code>DELIVERY_UNSPECIFIED = 0;</code>
+     */
+    public static final int DELIVERY_UNSPECIFIED_VALUE = 0;
+    /**
+     * <pre>
+     * No owner has sent this order before.
+     * </pre>
+     *
+     * <code>FIRST = 1;</code>
+     */
+    public static final int FIRST_VALUE = 1;
+    /**
+     * <pre>
+     * This or a former owner may have sent it before, so that a worker may execute an earlier copy.
+     * </pre>
+     *
+     * <code>REPEATED = 2;</code>
+     */
+    public static final int REPEATED_VALUE = 2;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static Delivery valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static Delivery forNumber(int value) {
+      switch (value) {
+        case 0: return DELIVERY_UNSPECIFIED;
+        case 1: return FIRST;
+        case 2: return REPEATED;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<Delivery>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        Delivery> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<Delivery>() {
+            public Delivery findValueByNumber(int number) {
+              return Delivery.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValue(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return io.marigoldsail.protocol.StartRun.getDescriptor().getEnumType(0);
+    }
+
+    private static final Delivery[] VALUES = values();
+
+    public static Delivery valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private Delivery(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:marigoldsail.StartRun.Delivery)
+  }
+
   private int bitField0_;
   public static final int TASK_FIELD_NUMBER = 1;
   private io.marigoldsail.protocol.WorkflowTaskId task_;
@@ -328,6 +479,24 @@
     }
   }
 
+  public static final int DELIVERY_FIELD_NUMBER = 13;
+  private int delivery_ = 0;
+  /**
+   * <code>.marigoldsail.StartRun.Delivery delivery = 13;</code>
+   * @return The enum numeric value on the wire for delivery.
+   */
+  @java.lang.Override public int getDeliveryValue() {
+    return delivery_;
+  }
+  /**
+   * <code>.marigoldsail.StartRun.Delivery delivery = 13;</code>
+   * @return The delivery.
+   */
+  @java.lang.Override public io.marigoldsail.protocol.StartRun.Delivery getDelivery() {
+    io.marigoldsail.protocol.StartRun.Delivery result = io.marigoldsail.protocol.StartRun.Delivery.forNumber(delivery_);
+    return result == null ? io.marigoldsail.protocol.StartRun.Delivery.UNRECOGNIZED : result;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -378,6 +547,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(ticket_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 12, ticket_);
     }
+    if (delivery_ != io.marigoldsail.protocol.StartRun.Delivery.DELIVERY_UNSPECIFIED.getNumber()) {
+      output.writeEnum(13, delivery_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -426,6 +598,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(ticket_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(12, ticket_);
     }
+    if (delivery_ != io.marigoldsail.protocol.StartRun.Delivery.DELIVERY_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(13, delivery_);
+    }
     return size;
   }
   @java.lang.Override
@@ -477,6 +653,7 @@
         != other.getStarved()) return false;
     if (!getTicket()
         .equals(other.getTicket())) return false;
+    if (delivery_ != other.delivery_) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -517,6 +694,8 @@
         getStarved());
     hash = (37 * hash) + TICKET_FIELD_NUMBER;
     hash = (53 * hash) + getTicket().hashCode();
+    hash = (37 * hash) + DELIVERY_FIELD_NUMBER;
+    hash = (53 * hash) + delivery_;
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -670,6 +849,7 @@
       sameProgram_ = false;
       starved_ = false;
       ticket_ = "";
+      delivery_ = 0;
       return this;
     }
 
@@ -743,6 +923,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.ticket_ = ticket_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.delivery_ = delivery_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -802,6 +985,9 @@
         bitField0_ |= 0x00000800;
         onChanged();
       }
+      if (other.delivery_ != 0) {
+        setDeliveryValue(other.getDeliveryValue());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -888,6 +1074,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 98
+            case 104: {
+              delivery_ = input.readEnum();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1580,6 +1771,58 @@
       return this;
     }
 
+    private int delivery_ = 0;
+    /**
+     * <code>.marigoldsail.StartRun.Delivery delivery = 13;</code>
+     * @return The enum numeric value on the wire for delivery.
+     */
+    @java.lang.Override public int getDeliveryValue() {
+      return delivery_;
+    }
+    /**
+     * <code>.marigoldsail.StartRun.Delivery delivery = 13;</code>
+     * @param value The enum numeric value on the wire for delivery to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDeliveryValue(int value) {
+      delivery_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.StartRun.Delivery delivery = 13;</code>
+     * @return The delivery.
+     */
+    @java.lang.Override
+    public io.marigoldsail.protocol.StartRun.Delivery getDelivery() {
+      io.marigoldsail.protocol.StartRun.Delivery result = io.marigoldsail.protocol.StartRun.Delivery.forNumber(delivery_);
+      return result == null ? io.marigoldsail.protocol.StartRun.Delivery.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.marigoldsail.StartRun.Delivery delivery = 13;</code>
+     * @param value The delivery to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setDelivery(io.marigoldsail.protocol.StartRun.Delivery value) {
+      java.util.Objects.requireNonNull(value);
+      bitField0_ |= 0x00001000;
+      delivery_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.marigoldsail.StartRun.Delivery delivery = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDelivery() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      delivery_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.StartRun)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartRunOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/StartRunOrBuilder.java
@@ -130,4 +130,15 @@
    */
   com.google.protobuf.ByteString
       getTicketBytes();
+
+  /**
+   * <code>.marigoldsail.StartRun.Delivery delivery = 13;</code>
+   * @return The enum numeric value on the wire for delivery.
+   */
+  int getDeliveryValue();
+  /**
+   * <code>.marigoldsail.StartRun.Delivery delivery = 13;</code>
+   * @return The delivery.
+   */
+  io.marigoldsail.protocol.StartRun.Delivery getDelivery();
 }
