--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -269,6 +269,32 @@
     if (outcome.mayHaveRun() && outcome != RunOutcome.LOST) {
       started();
     }
+    afterEnd(task, wallMillis);
+    return true;
+  }
+
+  /**
+   * Records that the last attempt of a task completed, though it was considered over before.
+   *
+   * @return whether this changed anything; an attempt that another one has followed is ignored
+   */
+  public boolean recordLateCompletion(RunKey run, String checkpoint, long wallMillis) {
+    Optional<WorkflowTask> found =
+        task(run.task())
+            .filter(task -> !task.isOpen() && !task.isDone())
+            .filter(task -> !task.step().traits().longRunning())
+            .filter(task -> task.lastAttempt() == run.attempt());
+    if (found.isEmpty()) {
+      return false;
+    }
+    found.get().completeLate(checkpoint);
+    lastRanMillis = Math.max(lastRanMillis, wallMillis);
+    started();
+    afterEnd(found.get(), wallMillis);
+    return true;
+  }
+
+  private void afterEnd(WorkflowTask task, long wallMillis) {
     if (task.isDone()) {
       doneTasksOfStep[stepIndex(task.key())]++;
     }
@@ -278,7 +304,6 @@
     if (!status.isTerminal()) {
       updateStatus(task, wallMillis);
     }
-    return true;
   }
 
   /**
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
@@ -28,6 +28,7 @@
   private long notBefore = Long.MIN_VALUE;
   private int refusals;
   private final Set<String> failedOn = new HashSet<>();
+  private final Set<Integer> endedWithoutReport = new HashSet<>();
 
   WorkflowTask(Workflow workflow, TaskKey key, StepSpec step) {
     this.workflow = workflow;
@@ -80,6 +81,22 @@
     return attempt < lastAttempt || (attempt == lastAttempt && place == null);
   }
 
+  /**
+   * Returns whether the owner recorded another outcome for an ended attempt than its worker reports
+   * later, so that the task may run more often than the reported outcome permits.
+   *
+   * <p>A restored task does not know of failures that its former owner has not recorded.
+   */
+  public boolean isSuperseded(int attempt, RunOutcome reported) {
+    if (step.traits().longRunning() || !hasEnded(attempt)) {
+      return false;
+    }
+    if (reported.completes()) {
+      return !done || attempt != lastAttempt;
+    }
+    return reported.countsAsFailure() && endedWithoutReport.contains(attempt);
+  }
+
   /** Returns the number of the last attempt; 0 for none. */
   public int lastAttempt() {
     return lastAttempt;
@@ -189,6 +206,18 @@
     if (outcome.countsAsFailure()) {
       failures++;
     }
+    if (!outcome.limitsAttempts()) {
+      endedWithoutReport.add(lastAttempt);
+    }
+  }
+
+  /** Completes the task although its last attempt was considered over. */
+  void completeLate(String newCheckpoint) {
+    checkState(place == null && !done, "task %s is done or has an open attempt", key);
+    done = true;
+    if (!newCheckpoint.isEmpty()) {
+      checkpoint = newCheckpoint;
+    }
   }
 
   /** Completes the task because another member reported that the gang's attempt completed. */
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTest.java
@@ -60,6 +60,69 @@
     assertEquals(WorkflowStatus.DONE, workflow.status());
   }
 
+  private static Workflow oneTask() {
+    return Workflow.of(
+        WorkflowFixtures.spec(WorkflowFixtures.step(1, 100, StepSpec.TaskTraits.PLAIN)));
+  }
+
+  private static boolean isSuperseded(Workflow workflow, RunKey run, RunOutcome reported) {
+    return workflow.task(run.task()).orElseThrow().isSuperseded(run.attempt(), reported);
+  }
+
+  /** A task that is done must not run again because its owner heard of the end too late. */
+  @Test
+  void lateCompletionOfTheLastAttemptEndsTheWorkflow() {
+    Workflow workflow = oneTask();
+    RunKey run = run(workflow, 0, 0);
+    workflow.recordEnd(run, RunOutcome.LOST, "", WALL);
+    assertTrue(isSuperseded(workflow, run, RunOutcome.DONE));
+    assertTrue(workflow.recordLateCompletion(run, "", WALL));
+    assertEquals(WorkflowStatus.DONE, workflow.status());
+    assertEquals(List.of(), ready(workflow, WALL));
+    assertFalse(isSuperseded(workflow, run, RunOutcome.DONE));
+    assertFalse(workflow.recordLateCompletion(run, "", WALL));
+  }
+
+  /** Two attempts would both count as the one that completed. */
+  @Test
+  void completionOfAnEarlierAttemptIsSuperseded() {
+    Workflow workflow = oneTask();
+    RunKey first = run(workflow, 0, 0);
+    workflow.recordEnd(first, RunOutcome.LOST, "", WALL);
+    RunKey second = run(workflow, 0, 0);
+    assertFalse(workflow.recordLateCompletion(first, "", WALL));
+    assertTrue(isSuperseded(workflow, first, RunOutcome.DONE));
+    assertFalse(isSuperseded(workflow, second, RunOutcome.DONE), "the open attempt");
+    workflow.recordEnd(second, RunOutcome.DONE, "", WALL);
+    assertTrue(isSuperseded(workflow, first, RunOutcome.DONE));
+    assertFalse(isSuperseded(workflow, second, RunOutcome.DONE));
+  }
+
+  /** A failure that was not counted would let the task run more often than permitted. */
+  @Test
+  void failureOfALostAttemptIsSuperseded() {
+    Workflow workflow = oneTask();
+    RunKey lost = run(workflow, 0, 0);
+    workflow.recordEnd(lost, RunOutcome.LOST, "", WALL);
+    RunKey failed = run(workflow, 0, 0);
+    workflow.recordEnd(failed, RunOutcome.FAILED, "", WALL);
+    assertTrue(isSuperseded(workflow, lost, RunOutcome.FAILED));
+    assertFalse(isSuperseded(workflow, failed, RunOutcome.FAILED));
+    assertFalse(isSuperseded(workflow, lost, RunOutcome.STOPPED));
+  }
+
+  /** A long-running task starts again after every end, so none of its ends is superseded. */
+  @Test
+  void endsOfLongRunningTasksAreNeverSuperseded() {
+    Workflow workflow =
+        Workflow.of(
+            WorkflowFixtures.spec(WorkflowFixtures.step(1, 100, WorkflowFixtures.longRunning(50))));
+    RunKey run = run(workflow, 0, 0);
+    workflow.recordEnd(run, RunOutcome.LOST, "", WALL);
+    assertFalse(workflow.recordLateCompletion(run, "", WALL));
+    assertFalse(isSuperseded(workflow, run, RunOutcome.DONE));
+  }
+
   @Test
   void aTaskMayNotHaveTwoOpenAttempts() {
     Workflow workflow =
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndRetention.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndRetention.java
@@ -34,28 +34,39 @@
   /** Drops or withholds the end of a run of the partition; does nothing if it is not present. */
   void acknowledge(RunKey run, int partition) {
     Optional<UnacknowledgedEnds.End> end = ends.find(run);
-    if (end.isPresent() && mayHaveBeenRepeated(end.get(), partition)) {
-      withhold(run, "its owner may have ordered another attempt");
+    if (end.isPresent() && lease.mayHaveTakenOver(partition, end.get().orderedAt())) {
+      supersede(run);
     } else {
       ends.acknowledge(run);
     }
   }
 
-  private boolean mayHaveBeenRepeated(UnacknowledgedEnds.End end, int partition) {
+  /**
+   * Withholds the end of a run after which another attempt may have been ordered; drops the end if
+   * it limits no attempt, or if the lease has expired since.
+   */
+  void supersede(RunKey run) {
+    if (ends.find(run).filter(this::mustBeKept).isPresent()) {
+      withhold(run);
+    } else {
+      ends.acknowledge(run);
+    }
+  }
+
+  private boolean mustBeKept(UnacknowledgedEnds.End end) {
     return end.isListed()
         && end.outcome().limitsAttempts()
-        && lease.mayHaveTakenOver(partition, end.orderedAt())
         && !lease.hasLapsedSince(end.orderedAt());
   }
 
-  private void withhold(RunKey run, String reason) {
+  private void withhold(RunKey run) {
     ends.withhold(run);
     LOG.warning(
         LogLine.of("end-withheld")
             .with("run", run)
             .with("worker", worker)
             .with("kept_ends", ends.keptCount())
-            .with("reason", reason));
+            .with("reason", "its owner may have ordered another attempt"));
   }
 
   /** Releases the withheld ends of runs that the expiry of the lease has ended. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ListingScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ListingScheduler.java
@@ -24,6 +24,12 @@
 final class ListingScheduler {
   private static final EventLog LOG = EventLog.of(ListingScheduler.class);
 
+  /** How long a request waits at the worker for a run to end, in milliseconds. */
+  private static final long WAIT_MILLIS = 900;
+
+  /** The wait while service tasks run: their tail latency is measured every half second. */
+  private static final long SERVICE_WAIT_MILLIS = 450;
+
   /** Delay before the next request after one that threw, in nanoseconds. */
   private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -86,6 +92,11 @@
             });
   }
 
+  /** Returns how long a request may wait at the worker for a run to end, in milliseconds. */
+  static long waitMillis(boolean hasServiceTasks) {
+    return hasServiceTasks ? SERVICE_WAIT_MILLIS : WAIT_MILLIS;
+  }
+
   /** Schedules the next request and cancels the one scheduled before. */
   void scheduleAfter(long delayNanos) {
     if (closed) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -15,11 +15,13 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.ReadResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Records;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
+import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowIds;
 import io.marigoldsail.workflow.WorkflowRecordState;
 import io.marigoldsail.workflow.WorkflowSpec;
 import io.marigoldsail.workflow.WorkflowStatus;
+import io.marigoldsail.workflow.WorkflowTask;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -134,6 +136,10 @@
     return Optional.ofNullable(workflows.get(id));
   }
 
+  Optional<WorkflowTask> task(TaskKey key) {
+    return workflow(key.workflow()).flatMap(workflow -> workflow.task(key));
+  }
+
   /** Returns whether all submissions accepted more than {@link #CAUGHT_UP_NANOS} ago are known. */
   boolean isCaughtUp() {
     return active && loop.now() - lastTailAt < CAUGHT_UP_NANOS;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndAcknowledger.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndAcknowledger.java
@@ -6,7 +6,9 @@
 import io.marigoldsail.daemon.observe.AggregatingLog;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.WorkflowTask;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +32,49 @@
     this.unknownEnds = new AggregatingLog(LOG::info, loop::schedule, AGGREGATION_NANOS);
   }
 
+  /**
+   * Responds to a reported end once that is safe: acknowledges it, or tells the VM that it is
+   * superseded, so that its worker must not discard it while another attempt may have started.
+   *
+   * @param partition the run's partition, of which this process considers itself the owner
+   * @param session the VM that reports the end
+   * @param flush sends what was added to the session; runs on the loop
+   */
+  void respondWhenSafe(OwnedPartition partition, VmSession session, EndReport end, Runnable flush) {
+    RunKey run = WorkflowCodec.decode(end.getTask());
+    RunOutcome outcome = RunOutcome.forNumber(end.getOutcome());
+    boolean superseded =
+        partition
+            .task(run.task())
+            .filter(task -> task.isSuperseded(run.attempt(), outcome))
+            .isPresent();
+    if (!superseded) {
+      acknowledgeWhenSafe(
+          partition,
+          run,
+          session.vm(),
+          () -> {
+            session.addAcknowledgedEnd(end.getTask());
+            flush.run();
+          });
+      return;
+    }
+    LOG.warning(
+        LogLine.of("end-superseded")
+            .with("run", run)
+            .with("vm", session.vm())
+            .with("outcome", outcome)
+            .with("partition", partition.number()));
+    // A later owner may have recorded the end; the VM must not withhold it from that owner.
+    partition
+        .writer()
+        .afterRenewal(
+            () -> {
+              session.addSupersededEnd(end.getTask());
+              flush.run();
+            });
+  }
+
   /**
    * Runs the acknowledgement once the end is durable; never runs it for a run that is still open.
    *
@@ -44,10 +89,7 @@
   void acknowledgeWhenSafe(
       OwnedPartition partition, RunKey run, String vm, Runnable acknowledgement) {
     Optional<WorkflowTask> task =
-        partition
-            .workflow(run.task().workflow())
-            .flatMap(workflow -> workflow.task(run.task()))
-            .filter(found -> found.lastAttempt() >= run.attempt());
+        partition.task(run.task()).filter(found -> found.lastAttempt() >= run.attempt());
     if (task.isEmpty()) {
       logUnknownEnd(partition, run, vm);
       partition.writer().afterRenewal(acknowledgement);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -195,6 +195,11 @@
     ordersPending = true;
   }
 
+  void addSupersededEnd(WorkflowTaskId end) {
+    orders.addSupersededEnds(end);
+    ordersPending = true;
+  }
+
   boolean hasPendingOrders() {
     return ordersPending;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -263,8 +263,7 @@
   /** Returns whether the run's gang has completed: its other members need no stop to end. */
   private static boolean hasGangCompleted(OwnedPartition partition, RunKey key) {
     return partition
-        .workflow(key.task().workflow())
-        .flatMap(workflow -> workflow.task(key.task()))
+        .task(key.task())
         .filter(task -> task.step().traits().gang() && task.isDone())
         .filter(task -> task.lastAttempt() == key.attempt())
         .isPresent();
@@ -276,29 +275,31 @@
 
   private void handleEnd(VmSession session, EndReport end) {
     RunKey key = WorkflowCodec.decode(end.getTask());
-    Optional<OwnedPartition> found = ownership.active(partitionOf(key));
-    if (found.isEmpty()) {
+    Optional<OwnedPartition> partition = ownership.active(partitionOf(key));
+    if (partition.isEmpty()) {
       return;
     }
-    OwnedPartition partition = found.get();
+    RunOutcome outcome = RunOutcome.forNumber(end.getOutcome());
     openRuns
         .find(session.vm(), key)
         .filter(run -> run.task().isOpen() && run.task().openRun().equals(key))
-        .ifPresent(
-            run ->
-                closeRun(
-                    run,
-                    RunOutcome.forNumber(end.getOutcome()),
-                    end.getCheckpoint(),
-                    end.getReason()));
-    endAcknowledger.acknowledgeWhenSafe(
-        partition,
-        key,
-        session.vm(),
-        () -> {
-          session.addAcknowledgedEnd(end.getTask());
-          scheduleFlush();
-        });
+        .ifPresentOrElse(
+            run -> closeRun(run, outcome, end.getCheckpoint(), end.getReason()),
+            () -> recordLateEnd(partition.get(), session.vm(), key, end));
+    endAcknowledger.respondWhenSafe(partition.get(), session, end, this::scheduleFlush);
+  }
+
+  /** Completes a task whose last attempt was considered over, unless another one was ordered. */
+  private void recordLateEnd(OwnedPartition partition, String vm, RunKey key, EndReport end) {
+    Optional<WorkflowTask> task = partition.task(key.task());
+    long now = wallMillis.getAsLong();
+    if (task.isPresent()
+        && RunOutcome.forNumber(end.getOutcome()).completes()
+        && task.get().workflow().recordLateCompletion(key, end.getCheckpoint(), now)) {
+      LOG.info(LogLine.of("run-completed-late").with("run", key).with("vm", vm));
+      partition.persist(task.get().workflow());
+      listener.runEnded(partition, task.get(), RunOutcome.DONE);
+    }
   }
 
   private void closeRun(OpenRun run, RunOutcome outcome, String checkpoint, String reason) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -44,12 +44,6 @@
 final class WorkerSession {
   private static final EventLog LOG = EventLog.of(WorkerSession.class);
 
-  /** How long a listing request waits at the worker for a run to end, in milliseconds. */
-  private static final long LISTING_WAIT_MILLIS = 900;
-
-  /** The wait while service tasks run: their tail latency is measured every half second. */
-  private static final long SERVICE_LISTING_WAIT_MILLIS = 450;
-
   /** Maximum delay of the next listing to await acknowledgements of ends, in nanoseconds. */
   private static final long ACKNOWLEDGEMENT_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
@@ -269,10 +263,19 @@
 
   /** Drops an end that its owner has made durable, unless it is withheld from the worker. */
   void acknowledgeEnd(RunKey key) {
+    respondToEnd(key, () -> retention.acknowledge(key, partitionOf(key)));
+  }
+
+  /** Withholds an end from the worker because its owner may have ordered another attempt before. */
+  void supersedeEnd(RunKey key) {
+    respondToEnd(key, () -> retention.supersede(key));
+  }
+
+  private void respondToEnd(RunKey key, Runnable response) {
     if (!ends.contains(key)) {
       return;
     }
-    retention.acknowledge(key, partitionOf(key));
+    response.run();
     if (!ends.isAwaitingOwners() && !health.isUnresponsive()) {
       listings.requestNow();
     }
@@ -304,11 +307,10 @@
   private void requestListing() {
     retention.releaseAfterExpiry();
     OptionalLong newDeadline = extendLease();
-    long maxWait = serviceTaskCount() > 0 ? SERVICE_LISTING_WAIT_MILLIS : LISTING_WAIT_MILLIS;
     Set<RunKey> confirmed = new HashSet<>();
     runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
     boolean urgent = ends.isAwaitingOwners() || runs.values().stream().anyMatch(SideRun::isRefused);
-    long wait = urgent ? 0 : maxWait;
+    long wait = urgent ? 0 : ListingScheduler.waitMillis(serviceTaskCount() > 0);
     ListingScheduler.resultOf(
             worker, () -> gateway.list(worker, newDeadline, ends.acknowledgedUpTo(), wait))
         .thenAccept(result -> loop.run(() -> onListingResult(result, confirmed)));
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -389,6 +389,12 @@
         session.stop(key);
       }
     }
+    for (WorkflowTaskId superseded : orders.getSupersededEndsList()) {
+      RunKey key = WorkflowCodec.decode(superseded);
+      if (isFromOwner(fromOwner, key)) {
+        session.supersedeEnd(key);
+      }
+    }
     for (WorkflowTaskId acknowledged : orders.getNotedEndsList()) {
       RunKey key = WorkflowCodec.decode(acknowledged);
       if (isFromOwner(fromOwner, key)) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
@@ -138,6 +138,30 @@
     assertEquals(0, worker.acknowledgedUpTo());
   }
 
+  /**
+   * A restarted side process does not know of an earlier interruption; the owner, which ordered
+   * another attempt, does.
+   */
+  @Test
+  void endThatItsOwnerCallsSupersededIsWithheld() {
+    worker.endRun(run(0, 0));
+    advance(1_500, 0, 1);
+    session.supersedeEnd(run(0, 0));
+    advance(1_500, 0, 1);
+    assertEquals(0, worker.acknowledgedUpTo());
+    assertEquals(List.of(), outcomes());
+  }
+
+  /** A superseded end that limits no attempt must not fill the listings. */
+  @Test
+  void supersededEndThatLimitsNoAttemptIsDropped() {
+    worker.endRun(run(0, 0), RunOutcome.LAPSED);
+    advance(1_500, 0, 1);
+    session.supersedeEnd(run(0, 0));
+    advance(1_500, 0, 1);
+    assertEquals(1, worker.acknowledgedUpTo());
+  }
+
   /** A run ordered after the interruption has one owner; its end is not withheld. */
   @Test
   void endOfLaterRunReachesItsOwnerBesideAWithheldEnd() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerOrdersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerOrdersTest.java
@@ -2,12 +2,17 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.StartRun.Delivery;
 import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
 import java.io.IOException;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,7 +37,11 @@
   }
 
   private ScriptedVm connect() {
-    return new ScriptedVm(loop, cluster.entry(0).memberPrefix());
+    return connect("vm-0");
+  }
+
+  private ScriptedVm connect(String vm) {
+    return new ScriptedVm(loop, cluster.entry(0).memberPrefix(), vm);
   }
 
   private void submit() {
@@ -77,4 +86,36 @@
     cluster.awaitReady();
     assertEquals(Delivery.REPEATED, awaitStart(connect()).getDelivery());
   }
+
+  /**
+   * A run was considered lost and its end arrives before another attempt is ordered: the task is
+   * done, and running it again would only delay its workflow.
+   */
+  @Test
+  void lateCompletionEndsTheTask() {
+    submit();
+    ScriptedVm vm = connect();
+    RunKey first = WorkflowCodec.decode(awaitStart(vm).getTask());
+    vm.reportWorkerGone();
+    vm.report(ScriptedVm.end(first, RunOutcome.DONE));
+    cluster.await("the end is acknowledged", () -> vm.acknowledged().contains(first));
+    assertEquals(QueryResult.DONE, cluster.status(0, WORKFLOW));
+    assertEquals(List.of(), vm.superseded());
+    assertTrue(
+        vm.starts().stream().allMatch(start -> start.getTask().getAttempt() == first.attempt()));
+  }
+
+  /** The end of a first attempt must not be acknowledged once another one was ordered. */
+  @Test
+  void completionBeforeAnotherAttemptIsSuperseded() {
+    submit();
+    ScriptedVm vm = connect();
+    RunKey first = WorkflowCodec.decode(awaitStart(vm).getTask());
+    vm.reportWorkerGone();
+    ScriptedVm other = connect("vm-1");
+    assertEquals(first.attempt() + 1, awaitStart(other).getTask().getAttempt());
+    vm.report(ScriptedVm.end(first, RunOutcome.DONE));
+    cluster.await("the end is called superseded", () -> vm.superseded().contains(first));
+    assertEquals(List.of(), vm.acknowledged());
+  }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunEndAcknowledgerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunEndAcknowledgerTest.java
@@ -1,10 +1,13 @@
 package io.marigoldsail.daemon.workflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.Iterables;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Writer;
+import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
@@ -130,4 +133,39 @@
     time.advance(100);
     assertEquals(List.of(UNKNOWN), acknowledged);
   }
+
+  private VmSession respondToEnd(RunKey run, RunOutcome outcome) {
+    VmReport report = VmReport.newBuilder().setVm("vm-0").setWorker("incarnation-1").build();
+    VmSession session = new VmSession(null, report, 0);
+    OwnedPartition partition = Iterables.getOnlyElement(ownership.active());
+    acknowledger.respondWhenSafe(
+        partition, session, ScriptedVm.end(run, outcome), () -> acknowledged.add(run));
+    time.advance(100);
+    return session;
+  }
+
+  private RunKey orderAfterLostAttempt(Workflow workflow) {
+    RunKey first = order(workflow);
+    workflow.recordEnd(first, RunOutcome.LOST, "", 0);
+    order(workflow);
+    return first;
+  }
+
+  /** The VM must be told that the end is superseded, or it reports the end again and again. */
+  @Test
+  void ownerRespondsToASupersededEnd() {
+    RunKey first = orderAfterLostAttempt(ownWorkflow());
+    assertTrue(respondToEnd(first, RunOutcome.DONE).hasPendingOrders());
+  }
+
+  /**
+   * A former owner ordered another attempt that is not durable. Its successor needs the end, which
+   * the VM stops reporting once it is called superseded.
+   */
+  @Test
+  void formerOwnerDoesNotCallAnEndSuperseded() {
+    RunKey first = orderAfterLostAttempt(ownWorkflow());
+    store.append(Topic.PROGRESS, 0, List.of(), Optional.of(new Writer(SUCCESSOR_EPOCH, 0)));
+    assertFalse(respondToEnd(first, RunOutcome.DONE).hasPendingOrders());
+  }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedVm.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedVm.java
@@ -18,16 +18,17 @@
 
 /** A side process that a test controls: it sends reports and collects orders. Thread-safe. */
 final class ScriptedVm implements LinkListener {
-  static final String VM = "vm-0";
   static final String WORKER = "incarnation-1";
 
   private final LinkLoop loop;
+  private final String vm;
   private final CompletableFuture<LinkConnection> opened = new CompletableFuture<>();
   private final List<RunOrders> orders = new ArrayList<>();
 
-  /** Dials the entry with the given {@code host:port} address. */
-  ScriptedVm(LinkLoop loop, String entry) {
+  /** Dials the entry with the given {@code host:port} address, as the VM of the name. */
+  ScriptedVm(LinkLoop loop, String entry, String vm) {
     this.loop = loop;
+    this.vm = vm;
     int colon = entry.indexOf(':');
     InetSocketAddress address =
         new InetSocketAddress(
@@ -37,18 +38,26 @@
 
   /** Reports an idle VM with the given ends, and requests a lease. */
   void report(EndReport... ends) {
-    VmReport.Builder report =
-        VmReport.newBuilder()
-            .setVm(VM)
-            .setWorker(WORKER)
+    send(VmReport.newBuilder().setWorker(WORKER).addAllEnds(List.of(ends)));
+  }
+
+  /** Reports that the worker is gone, so that the entry considers its runs as lost. */
+  void reportWorkerGone() {
+    send(VmReport.newBuilder().setGoneWorker(WORKER));
+  }
+
+  private void send(VmReport.Builder state) {
+    VmReport report =
+        state
+            .setVm(vm)
             .setService("service")
             .setWantsLease(true)
             .setMilliProcessors(4_000)
             .setMemoryMebibytes(8_192)
             .setFreeMilliProcessors(4_000)
             .setFreeMemoryMebibytes(8_192)
-            .setOrdersSeen(received().mapToLong(RunOrders::getNumber).max().orElse(0));
-    report.addAllEnds(List.of(ends));
+            .setOrdersSeen(received().mapToLong(RunOrders::getNumber).max().orElse(0))
+            .build();
     LinkConnection connection = opened.join();
     loop.run(() -> connection.send(Frame.newBuilder().setVmReport(report).build()));
   }
@@ -82,6 +91,14 @@
         .toList();
   }
 
+  /** Returns the runs whose ends the entry has called superseded. */
+  List<RunKey> superseded() {
+    return received()
+        .flatMap(each -> each.getSupersededEndsList().stream())
+        .map(WorkflowCodec::decode)
+        .toList();
+  }
+
   @Override
   public void opened(LinkConnection connection) {
     opened.complete(connection);
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrders.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrders.java
@@ -32,6 +32,7 @@
     stops_ = java.util.Collections.emptyList();
     notedEnds_ = java.util.Collections.emptyList();
     worker_ = "";
+    supersededEnds_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -252,6 +253,67 @@
     }
   }
 
+  public static final int SUPERSEDED_ENDS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private java.util.List<io.marigoldsail.protocol.WorkflowTaskId> supersededEnds_;
+  /**
+   * <pre>
+   * Ends that their owner heard of only after it may have ordered another attempt.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.marigoldsail.protocol.WorkflowTaskId> getSupersededEndsList() {
+    return supersededEnds_;
+  }
+  /**
+   * <pre>
+   * Ends that their owner heard of only after it may have ordered another attempt.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.marigoldsail.protocol.WorkflowTaskIdOrBuilder> 
+      getSupersededEndsOrBuilderList() {
+    return supersededEnds_;
+  }
+  /**
+   * <pre>
+   * Ends that their owner heard of only after it may have ordered another attempt.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+   */
+  @java.lang.Override
+  public int getSupersededEndsCount() {
+    return supersededEnds_.size();
+  }
+  /**
+   * <pre>
+   * Ends that their owner heard of only after it may have ordered another attempt.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.WorkflowTaskId getSupersededEnds(int index) {
+    return supersededEnds_.get(index);
+  }
+  /**
+   * <pre>
+   * Ends that their owner heard of only after it may have ordered another attempt.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.WorkflowTaskIdOrBuilder getSupersededEndsOrBuilder(
+      int index) {
+    return supersededEnds_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -284,6 +346,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(worker_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, worker_);
     }
+    for (int i = 0; i < supersededEnds_.size(); i++) {
+      output.writeMessage(7, supersededEnds_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -326,6 +391,15 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(worker_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, worker_);
     }
+
+        {
+          final int count = supersededEnds_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(supersededEnds_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -365,6 +439,8 @@
         .equals(other.getNotedEndsList())) return false;
     if (!getWorker()
         .equals(other.getWorker())) return false;
+    if (!getSupersededEndsList()
+        .equals(other.getSupersededEndsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -397,6 +473,10 @@
     }
     hash = (37 * hash) + WORKER_FIELD_NUMBER;
     hash = (53 * hash) + getWorker().hashCode();
+    if (getSupersededEndsCount() > 0) {
+      hash = (37 * hash) + SUPERSEDED_ENDS_FIELD_NUMBER;
+      hash = (53 * hash) + getSupersededEndsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -531,6 +611,7 @@
         internalGetStartsFieldBuilder();
         internalGetStopsFieldBuilder();
         internalGetNotedEndsFieldBuilder();
+        internalGetSupersededEndsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -565,6 +646,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000010);
       worker_ = "";
+      if (supersededEndsBuilder_ == null) {
+        supersededEnds_ = java.util.Collections.emptyList();
+      } else {
+        supersededEnds_ = null;
+        supersededEndsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -625,6 +713,15 @@
       } else {
         result.notedEnds_ = notedEndsBuilder_.build();
       }
+      if (supersededEndsBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          supersededEnds_ = java.util.Collections.unmodifiableList(supersededEnds_);
+          bitField0_ = (bitField0_ & ~0x00000040);
+        }
+        result.supersededEnds_ = supersededEnds_;
+      } else {
+        result.supersededEnds_ = supersededEndsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.marigoldsail.protocol.RunOrders result) {
@@ -746,6 +843,32 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (supersededEndsBuilder_ == null) {
+        if (!other.supersededEnds_.isEmpty()) {
+          if (supersededEnds_.isEmpty()) {
+            supersededEnds_ = other.supersededEnds_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensureSupersededEndsIsMutable();
+            supersededEnds_.addAll(other.supersededEnds_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.supersededEnds_.isEmpty()) {
+          if (supersededEndsBuilder_.isEmpty()) {
+            supersededEndsBuilder_.dispose();
+            supersededEndsBuilder_ = null;
+            supersededEnds_ = other.supersededEnds_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            supersededEndsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSupersededEndsFieldBuilder() : null;
+          } else {
+            supersededEndsBuilder_.addAllMessages(other.supersededEnds_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -826,6 +949,19 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 58: {
+              io.marigoldsail.protocol.WorkflowTaskId m =
+                  input.readMessage(
+                      io.marigoldsail.protocol.WorkflowTaskId.parser(),
+                      extensionRegistry);
+              if (supersededEndsBuilder_ == null) {
+                ensureSupersededEndsIsMutable();
+                supersededEnds_.add(m);
+              } else {
+                supersededEndsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1768,6 +1904,312 @@
       return this;
     }
 
+    private java.util.List<io.marigoldsail.protocol.WorkflowTaskId> supersededEnds_ =
+      java.util.Collections.emptyList();
+    private void ensureSupersededEndsIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        supersededEnds_ = new java.util.ArrayList<io.marigoldsail.protocol.WorkflowTaskId>(supersededEnds_);
+        bitField0_ |= 0x00000040;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.WorkflowTaskId, io.marigoldsail.protocol.WorkflowTaskId.Builder, io.marigoldsail.protocol.WorkflowTaskIdOrBuilder> supersededEndsBuilder_;
+
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.WorkflowTaskId> getSupersededEndsList() {
+      if (supersededEndsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(supersededEnds_);
+      } else {
+        return supersededEndsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public int getSupersededEndsCount() {
+      if (supersededEndsBuilder_ == null) {
+        return supersededEnds_.size();
+      } else {
+        return supersededEndsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public io.marigoldsail.protocol.WorkflowTaskId getSupersededEnds(int index) {
+      if (supersededEndsBuilder_ == null) {
+        return supersededEnds_.get(index);
+      } else {
+        return supersededEndsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public Builder setSupersededEnds(
+        int index, io.marigoldsail.protocol.WorkflowTaskId value) {
+      if (supersededEndsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSupersededEndsIsMutable();
+        supersededEnds_.set(index, value);
+        onChanged();
+      } else {
+        supersededEndsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public Builder setSupersededEnds(
+        int index, io.marigoldsail.protocol.WorkflowTaskId.Builder builderForValue) {
+      if (supersededEndsBuilder_ == null) {
+        ensureSupersededEndsIsMutable();
+        supersededEnds_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        supersededEndsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public Builder addSupersededEnds(io.marigoldsail.protocol.WorkflowTaskId value) {
+      if (supersededEndsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSupersededEndsIsMutable();
+        supersededEnds_.add(value);
+        onChanged();
+      } else {
+        supersededEndsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public Builder addSupersededEnds(
+        int index, io.marigoldsail.protocol.WorkflowTaskId value) {
+      if (supersededEndsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSupersededEndsIsMutable();
+        supersededEnds_.add(index, value);
+        onChanged();
+      } else {
+        supersededEndsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public Builder addSupersededEnds(
+        io.marigoldsail.protocol.WorkflowTaskId.Builder builderForValue) {
+      if (supersededEndsBuilder_ == null) {
+        ensureSupersededEndsIsMutable();
+        supersededEnds_.add(builderForValue.build());
+        onChanged();
+      } else {
+        supersededEndsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public Builder addSupersededEnds(
+        int index, io.marigoldsail.protocol.WorkflowTaskId.Builder builderForValue) {
+      if (supersededEndsBuilder_ == null) {
+        ensureSupersededEndsIsMutable();
+        supersededEnds_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        supersededEndsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public Builder addAllSupersededEnds(
+        java.lang.Iterable<? extends io.marigoldsail.protocol.WorkflowTaskId> values) {
+      if (supersededEndsBuilder_ == null) {
+        ensureSupersededEndsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, supersededEnds_);
+        onChanged();
+      } else {
+        supersededEndsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public Builder clearSupersededEnds() {
+      if (supersededEndsBuilder_ == null) {
+        supersededEnds_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+      } else {
+        supersededEndsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public Builder removeSupersededEnds(int index) {
+      if (supersededEndsBuilder_ == null) {
+        ensureSupersededEndsIsMutable();
+        supersededEnds_.remove(index);
+        onChanged();
+      } else {
+        supersededEndsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public io.marigoldsail.protocol.WorkflowTaskId.Builder getSupersededEndsBuilder(
+        int index) {
+      return internalGetSupersededEndsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public io.marigoldsail.protocol.WorkflowTaskIdOrBuilder getSupersededEndsOrBuilder(
+        int index) {
+      if (supersededEndsBuilder_ == null) {
+        return supersededEnds_.get(index);  } else {
+        return supersededEndsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public java.util.List<? extends io.marigoldsail.protocol.WorkflowTaskIdOrBuilder> 
+         getSupersededEndsOrBuilderList() {
+      if (supersededEndsBuilder_ != null) {
+        return supersededEndsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(supersededEnds_);
+      }
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public io.marigoldsail.protocol.WorkflowTaskId.Builder addSupersededEndsBuilder() {
+      return internalGetSupersededEndsFieldBuilder().addBuilder(
+          io.marigoldsail.protocol.WorkflowTaskId.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public io.marigoldsail.protocol.WorkflowTaskId.Builder addSupersededEndsBuilder(
+        int index) {
+      return internalGetSupersededEndsFieldBuilder().addBuilder(
+          index, io.marigoldsail.protocol.WorkflowTaskId.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Ends that their owner heard of only after it may have ordered another attempt.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.WorkflowTaskId.Builder> 
+         getSupersededEndsBuilderList() {
+      return internalGetSupersededEndsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.WorkflowTaskId, io.marigoldsail.protocol.WorkflowTaskId.Builder, io.marigoldsail.protocol.WorkflowTaskIdOrBuilder> 
+        internalGetSupersededEndsFieldBuilder() {
+      if (supersededEndsBuilder_ == null) {
+        supersededEndsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.marigoldsail.protocol.WorkflowTaskId, io.marigoldsail.protocol.WorkflowTaskId.Builder, io.marigoldsail.protocol.WorkflowTaskIdOrBuilder>(
+                supersededEnds_,
+                ((bitField0_ & 0x00000040) != 0),
+                getParentForChildren(),
+                isClean());
+        supersededEnds_ = null;
+      }
+      return supersededEndsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.RunOrders)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrdersOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrdersOrBuilder.java
@@ -114,4 +114,48 @@
    */
   com.google.protobuf.ByteString
       getWorkerBytes();
+
+  /**
+   * <pre>
+   * Ends that their owner heard of only after it may have ordered another attempt.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+   */
+  java.util.List<io.marigoldsail.protocol.WorkflowTaskId> 
+      getSupersededEndsList();
+  /**
+   * <pre>
+   * Ends that their owner heard of only after it may have ordered another attempt.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+   */
+  io.marigoldsail.protocol.WorkflowTaskId getSupersededEnds(int index);
+  /**
+   * <pre>
+   * Ends that their owner heard of only after it may have ordered another attempt.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+   */
+  int getSupersededEndsCount();
+  /**
+   * <pre>
+   * Ends that their owner heard of only after it may have ordered another attempt.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+   */
+  java.util.List<? extends io.marigoldsail.protocol.WorkflowTaskIdOrBuilder> 
+      getSupersededEndsOrBuilderList();
+  /**
+   * <pre>
+   * Ends that their owner heard of only after it may have ordered another attempt.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.WorkflowTaskId superseded_ends = 7;</code>
+   */
+  io.marigoldsail.protocol.WorkflowTaskIdOrBuilder getSupersededEndsOrBuilder(
+      int index);
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -203,33 +203,35 @@
       "eSeen\022\r\n\005image\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006w" +
       "eight\030\003 \001(\002\"R\n\021PartitionEvidence\022\021\n\tpart" +
       "ition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after_repo" +
-      "rt_millis\030\003 \001(\021\"\333\001\n\tRunOrders\022\016\n\006number\030" +
+      "rt_millis\030\003 \001(\021\"\222\002\n\tRunOrders\022\016\n\006number\030" +
       "\001 \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsail.Leas" +
       "eGrant\022&\n\006starts\030\003 \003(\0132\026.marigoldsail.St" +
       "artRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsail.Wor" +
       "kflowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.marigo" +
-      "ldsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t\"\213\003" +
-      "\n\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail." +
-      "WorkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli" +
-      "_processors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 " +
-      "\001(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030" +
-      "\006 \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_m" +
-      "illis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_progr" +
-      "am\030\n \001(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014 \001(" +
-      "\t\0221\n\010delivery\030\r \001(\0162\037.marigoldsail.Start" +
-      "Run.Delivery\"=\n\010Delivery\022\030\n\024DELIVERY_UNS" +
-      "PECIFIED\020\000\022\t\n\005FIRST\020\001\022\014\n\010REPEATED\020\002\"\\\n\010O" +
-      "wnerMap\022\022\n\ngeneration\030\001 \001(\004\022,\n\006owners\030\002 " +
-      "\003(\0132\034.marigoldsail.PartitionOwner\022\016\n\006dig" +
-      "est\030\003 \001(\007\"3\n\016PartitionOwner\022\021\n\tpartition" +
-      "\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkflowQuery\022" +
-      "\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005queue\030\003" +
-      " \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023WorkflowQueryAns" +
-      "wer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"I\n\rWaiti" +
-      "ngCounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues\030\002 \003(\013" +
-      "2\030.marigoldsail.QueueCount\",\n\nQueueCount" +
-      "\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030io.m" +
-      "arigoldsail.protocolP\001b\006proto3"
+      "ldsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t\0225\n" +
+      "\017superseded_ends\030\007 \003(\0132\034.marigoldsail.Wo" +
+      "rkflowTaskId\"\213\003\n\010StartRun\022*\n\004task\030\001 \001(\0132" +
+      "\034.marigoldsail.WorkflowTaskId\022\017\n\007program" +
+      "\030\002 \001(\t\022\030\n\020milli_processors\030\003 \001(\r\022\030\n\020memo" +
+      "ry_mebibytes\030\004 \001(\r\022\024\n\014accelerators\030\005 \001(\r" +
+      "\022\022\n\ncheckpoint\030\006 \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025l" +
+      "atency_target_millis\030\010 \001(\r\022\r\n\005fills\030\t \001(" +
+      "\010\022\024\n\014same_program\030\n \001(\010\022\017\n\007starved\030\013 \001(\010" +
+      "\022\016\n\006ticket\030\014 \001(\t\0221\n\010delivery\030\r \001(\0162\037.mar" +
+      "igoldsail.StartRun.Delivery\"=\n\010Delivery\022" +
+      "\030\n\024DELIVERY_UNSPECIFIED\020\000\022\t\n\005FIRST\020\001\022\014\n\010" +
+      "REPEATED\020\002\"\\\n\010OwnerMap\022\022\n\ngeneration\030\001 \001" +
+      "(\004\022,\n\006owners\030\002 \003(\0132\034.marigoldsail.Partit" +
+      "ionOwner\022\016\n\006digest\030\003 \001(\007\"3\n\016PartitionOwn" +
+      "er\022\021\n\tpartition\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n" +
+      "\rWorkflowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002" +
+      " \001(\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023W" +
+      "orkflowQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result" +
+      "\030\002 \001(\r\"I\n\rWaitingCounts\022\016\n\006member\030\001 \001(\t\022" +
+      "(\n\006queues\030\002 \003(\0132\030.marigoldsail.QueueCoun" +
+      "t\",\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waitin" +
+      "g\030\002 \001(\rB\034\n\030io.marigoldsail.protocolP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -318,7 +320,7 @@
     internal_static_marigoldsail_RunOrders_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RunOrders_descriptor,
-        new java.lang.String[] { "Number", "Lease", "Starts", "Stops", "NotedEnds", "Worker", });
+        new java.lang.String[] { "Number", "Lease", "Starts", "Stops", "NotedEnds", "Worker", "SupersededEnds", });
     internal_static_marigoldsail_StartRun_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_marigoldsail_StartRun_fieldAccessorTable = new
