Drop guards that rule out nothing; test the side process's half of superseded ends

A listed sequence and missing evidence cannot be otherwise where they were checked, and a start cannot be sent again after a lapse: the run's partition holds the deadline back, so the run is stopped as overdue or counts as lapsed before. The check of an expired lease has a test of its own now.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
@@ -75,8 +75,7 @@
    */
   public boolean mayHaveTakenOver(int partition, long since, long workerClock) {
     recordInterruption(partition, workerClock);
-    return hasNoEvidence(partition)
-        || interruptions.getOrDefault(partition, Long.MIN_VALUE) >= since;
+    return interruptions.getOrDefault(partition, Long.MIN_VALUE) >= since;
   }
 
   /** Returns whether no evidence of an owner of the partition was ever received. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndRetention.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndRetention.java
@@ -54,9 +54,7 @@
   }
 
   private boolean mustBeKept(UnacknowledgedEnds.End end) {
-    return end.isListed()
-        && end.outcome().limitsAttempts()
-        && !lease.hasLapsedSince(end.orderedAt());
+    return end.outcome().limitsAttempts() && !lease.hasLapsedSince(end.orderedAt());
   }
 
   private void withhold(RunKey run) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OrderSender.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OrderSender.java
@@ -69,7 +69,6 @@
   void sendStart(SideRun run) {
     int tries = run.countStartTry();
     long deadline = listener.extendedDeadline();
-    run.startSent(lease.mark().lapses());
     WorkerGateway.StartOrder start =
         new WorkerGateway.StartOrder(
             run.key(),
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -24,7 +24,7 @@
 
   private final RunKey key;
   private final int partition;
-  private WorkerLease.Mark orderedAt;
+  private final WorkerLease.Mark orderedAt;
   private Optional<StartRun> order;
   private String program = "";
   private boolean listed;
@@ -57,18 +57,11 @@
     return partition;
   }
 
-  /**
-   * Returns when the run was first ordered or found; its lapses are those before its last start.
-   */
+  /** Returns when the run was ordered or found. */
   WorkerLease.Mark orderedAt() {
     return orderedAt;
   }
 
-  /** Records that the start order is sent, or sent again, after the given number of lapses. */
-  void startSent(long lapses) {
-    orderedAt = new WorkerLease.Mark(orderedAt.workerClock(), lapses);
-  }
-
   /** Returns the start order; empty for a run found on the worker after a restart. */
   Optional<StartRun> order() {
     return order;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/UnacknowledgedEnds.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/UnacknowledgedEnds.java
@@ -29,11 +29,6 @@
    * @param orderedAt when the run was ordered
    */
   record End(EndReport report, WorkerLease.Mark orderedAt) {
-    /** Returns whether the worker lists the end, so that it discards it on acknowledgement. */
-    boolean isListed() {
-      return report.getSequence() > 0;
-    }
-
     RunOutcome outcome() {
       return RunOutcome.forNumber(report.getOutcome());
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
@@ -226,4 +226,18 @@
     advance(500, 0, 1);
     assertEquals(List.of(), outcomes());
   }
+
+  /** After an outage of all owners every lease has expired; nothing is to be kept then. */
+  @Test
+  void endIsDroppedAtOnceIfTheLeaseHasExpiredSince() {
+    WorkerLease lease = new WorkerLease(time.loop(), TERMS, 0);
+    UnacknowledgedEnds ends = new UnacknowledgedEnds();
+    EndRetention retention = new EndRetention("worker-1", lease, ends);
+    ends.recordSequence(1);
+    ends.add(run(0, 0), RunOutcome.DONE, "", 1, "", lease.mark());
+    time.advance(TERMS.leaseMillis() * 2);
+    retention.supersede(run(0, 0));
+    assertEquals(0, ends.keptCount());
+    assertEquals(1, ends.acknowledgedUpTo());
+  }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkerGateway.java
@@ -213,6 +213,11 @@
     }
   }
 
+  /** Ends an active run now. */
+  synchronized void end(RunKey run, RunOutcome outcome) {
+    finish(incarnation, run, outcome);
+  }
+
   private synchronized void finish(String startedOn, RunKey run, RunOutcome outcome) {
     if (incarnation.equals(startedOn) && running.remove(run) != null) {
       history.runEnded(run);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
@@ -18,6 +18,7 @@
 import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import java.io.IOException;
@@ -202,4 +203,41 @@
     assertEquals(after.hashCode(), report.getOwnersDigest());
     former.close();
   }
+
+  private void sendOrders(LinkConnection connection, VmReport report, RunOrders.Builder orders) {
+    orders.setWorker(WORKER).setLease(evidence(report.getWorkerClock()));
+    entry.send(connection, Frame.newBuilder().setRunOrders(orders).build());
+  }
+
+  /** An acknowledgement instead would let the worker discard the end, and the task runs again. */
+  @Test
+  void workerKeepsAnEndThatItsOwnerCallsSuperseded() throws Exception {
+    side.start();
+    store
+        .nextRequest()
+        .complete(ScriptedOwnersStore.owners(Map.of(0, entry.member(), 1, entry.member())));
+    LinkConnection connection = entry.awaitConnection();
+    sendHeartbeat();
+    StartRun start =
+        StartRun.newBuilder().setTask(WorkflowCodec.encode(RUN)).setMilliProcessors(500).build();
+    sendOrders(connection, awaitReportOfWorker(), RunOrders.newBuilder().addStarts(start));
+    while (awaitReportOfWorker().getRunsList().stream().noneMatch(run -> run.getStarted())) {
+      // Keeps waiting.
+    }
+    worker.end(RUN, RunOutcome.DONE);
+    VmReport report = awaitReportOfWorker();
+    while (report.getEndsCount() == 0) {
+      report = awaitReportOfWorker();
+    }
+    sendOrders(
+        connection, report, RunOrders.newBuilder().addSupersededEnds(WorkflowCodec.encode(RUN)));
+    while (awaitReportOfWorker().getEndsCount() > 0) {
+      // Waits until the end is no longer reported.
+    }
+    int before = worker.listings();
+    while (worker.listings() < before + 2) {
+      sendOrders(connection, awaitReportOfWorker(), RunOrders.newBuilder());
+    }
+    assertEquals(1, worker.unacknowledgedEnds());
+  }
 }
