Do not begin a workflow anew whose progress cannot be read

What callers see: tasks that are done run a second time (TWICE), or 410 for an accepted job.

"Suspected only" in the postmortem of tasks that ran again after their end. A progress record that this version cannot decode (a newer version may have written it) was passed over, and the submission of the same workflow then began it from attempt 1.

Such a workflow is now treated like one whose restore failed: nothing of it is ordered, and its status is unavailable, not unknown. What remains: it waits until a version that can read the record owns its partition.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -76,9 +76,8 @@
   private final Map<Long, WorkflowRecordState> unclaimedProgress = new HashMap<>();
 
   /**
-   * Workflows that could not be restored from their records. They are not restored when read again:
-   * their progress is no longer in memory, so they would start over and reuse attempt numbers that
-   * were already ordered.
+   * Workflows whose progress cannot be restored. They are not added: their progress is not in
+   * memory, so they would start over and reuse attempt numbers that were already ordered.
    */
   private final Set<Long> failedRestores = new HashSet<>();
 
@@ -136,6 +135,11 @@
     return Optional.ofNullable(workflows.get(id));
   }
 
+  /** Returns whether the workflow may exist although it is not known, so that nothing runs it. */
+  boolean isUnrestorable(long id) {
+    return failedRestores.contains(id);
+  }
+
   Optional<WorkflowTask> task(TaskKey key) {
     return workflow(key.workflow()).flatMap(workflow -> workflow.task(key));
   }
@@ -242,6 +246,7 @@
     Optional<WorkflowRecordState> state = WorkflowCodec.decodeProgress(keyed.value());
     if (id.isEmpty() || state.isEmpty()) {
       logUnreadable(Topic.PROGRESS, keyed.key());
+      id.ifPresent(failedRestores::add);
       return;
     }
     unclaimedProgress.put(id.getAsLong(), state.get());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -230,7 +230,8 @@
       OwnedPartition owned, long id, boolean cancel, Consumer<QueryResult> onResult) {
     Optional<Workflow> found = owned.workflow(id);
     if (found.isEmpty()) {
-      onResult.accept(owned.isCaughtUp() ? QueryResult.UNKNOWN_WORKFLOW : QueryResult.UNAVAILABLE);
+      boolean unknown = owned.isCaughtUp() && !owned.isUnrestorable(id);
+      onResult.accept(unknown ? QueryResult.UNKNOWN_WORKFLOW : QueryResult.UNAVAILABLE);
       return;
     }
     Workflow workflow = found.get();
