Respond to one end of a run, not to the run

What callers see: a task that is done runs a second time (TWICE).

An acknowledgement named a run. One that was meant for a run that counted as forgotten, and so freed its owner to order another attempt, acknowledged also the end that the worker listed of the same run meanwhile, which the owner had never heard of. WorkflowSideProcessTest#responseToAnotherEndOfTheRunIsIgnored shows the order of events.

An end and the responses to it now carry where the worker lists it. An entry of an older version repeats the field unread, since it repeats the whole task id. FormerOwner names the first end, as an owner would: the test that uses it would otherwise pass for another reason than before.

--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTest.java
@@ -93,7 +93,9 @@
     assertFalse(workflow.recordLateCompletion(first, "", WALL));
     assertTrue(isSuperseded(workflow, first, RunOutcome.DONE));
     assertFalse(isSuperseded(workflow, second, RunOutcome.DONE), "the open attempt");
-    workflow.recordEnd(second, RunOutcome.DONE, "", WALL);
+    workflow.recordEnd(second, RunOutcome.LOST, "", WALL);
+    assertFalse(workflow.recordLateCompletion(first, "", WALL), "the second attempt may have run");
+    assertTrue(workflow.recordLateCompletion(second, "", WALL));
     assertTrue(isSuperseded(workflow, first, RunOutcome.DONE));
     assertFalse(isSuperseded(workflow, second, RunOutcome.DONE));
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndRetention.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndRetention.java
@@ -31,6 +31,16 @@
     this.ends = requireNonNull(ends, "ends");
   }
 
+  /**
+   * Returns whether the end at the sequence number is the one that is kept for the run.
+   *
+   * <p>An owner may respond to an end that the worker does not list, such as that of a forgotten
+   * run, after the worker has listed another end of the run.
+   */
+  boolean isCurrent(RunKey run, long sequence) {
+    return ends.find(run).filter(end -> end.report().getSequence() == sequence).isPresent();
+  }
+
   /** Drops or withholds the end of a run of the partition; does nothing if it is not present. */
   void acknowledge(RunKey run, int partition) {
     Optional<UnacknowledgedEnds.End> end = ends.find(run);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -3,7 +3,10 @@
 import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.RunKey;
+import java.util.Collection;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * A run that is active, or may become active, on the worker of this VM. Mutable; confined to the
@@ -49,6 +52,11 @@
     this.throttlePercent = order.isPresent() ? FULL_PERCENT : UNKNOWN_PERCENT;
   }
 
+  /** Returns the partitions of the runs. */
+  static Set<Integer> partitions(Collection<SideRun> runs) {
+    return runs.stream().map(SideRun::partition).collect(Collectors.toSet());
+  }
+
   RunKey key() {
     return key;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/UnacknowledgedEnds.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/UnacknowledgedEnds.java
@@ -62,7 +62,7 @@
       WorkerLease.Mark orderedAt) {
     EndReport report =
         EndReport.newBuilder()
-            .setTask(WorkflowCodec.encode(run))
+            .setTask(WorkflowCodec.encode(run).toBuilder().setEndSequence(sequence))
             .setOutcome(outcome.number())
             .setCheckpoint(checkpoint)
             .setSequence(sequence)
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -153,6 +153,10 @@
     return ends.all();
   }
 
+  EndRetention retention() {
+    return retention;
+  }
+
   RunThrottler throttler() {
     return throttler;
   }
@@ -285,7 +289,7 @@
     // An unresponsive worker may still receive the last deadline; its lease must be able to expire.
     return health.isUnresponsive() || retention.mustLeaseExpire()
         ? OptionalLong.empty()
-        : lease.extend(activePartitions());
+        : lease.extend(SideRun.partitions(runs.values()));
   }
 
   private void recordEnd(
@@ -298,12 +302,6 @@
     listener.runChanged(partitionOf(key));
   }
 
-  private Set<Integer> activePartitions() {
-    Set<Integer> active = new HashSet<>();
-    runs.values().forEach(run -> active.add(run.partition()));
-    return active;
-  }
-
   private void requestListing() {
     retention.releaseAfterExpiry();
     OptionalLong newDeadline = extendLease();
@@ -416,7 +414,7 @@
 
   /** Stops runs whose outdated evidence would let the worker's lease expire for all its runs. */
   private void stopRunsOfUnresponsiveOwners() {
-    Set<Integer> overdue = lease.overduePartitions(activePartitions());
+    Set<Integer> overdue = lease.overduePartitions(SideRun.partitions(runs.values()));
     for (SideRun run : new ArrayList<>(runs.values())) {
       if (overdue.contains(run.partition()) && !run.isStopping()) {
         LOG.warning(
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -391,18 +391,22 @@
     }
     for (WorkflowTaskId superseded : orders.getSupersededEndsList()) {
       RunKey key = WorkflowCodec.decode(superseded);
-      if (isFromOwner(fromOwner, key)) {
+      if (isFromOwner(fromOwner, key) && isForCurrentEnd(superseded)) {
         session.supersedeEnd(key);
       }
     }
     for (WorkflowTaskId acknowledged : orders.getNotedEndsList()) {
       RunKey key = WorkflowCodec.decode(acknowledged);
-      if (isFromOwner(fromOwner, key)) {
+      if (isFromOwner(fromOwner, key) && isForCurrentEnd(acknowledged)) {
         session.acknowledgeEnd(key);
       }
     }
   }
 
+  private boolean isForCurrentEnd(WorkflowTaskId end) {
+    return session.retention().isCurrent(WorkflowCodec.decode(end), end.getEndSequence());
+  }
+
   private boolean isFromOwner(Map<Integer, Boolean> fromOwner, RunKey key) {
     boolean valid = fromOwner.getOrDefault(session.partitionOf(key), false);
     if (!valid) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FormerOwner.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FormerOwner.java
@@ -9,6 +9,7 @@
 import io.marigoldsail.protocol.PartitionEvidence;
 import io.marigoldsail.protocol.RunOrders;
 import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.protocol.WorkflowTaskId;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.workflow.RunKey;
 import java.io.IOException;
@@ -23,6 +24,9 @@
   private static final long FIRST_EPOCH = 1;
   private static final int MAX_LINKS = 10;
 
+  /** Where a worker lists the first end of a run. */
+  private static final long FIRST_END_SEQUENCE = 1;
+
   private final LinkLoop loop = new LinkLoop("former-owner", MonotonicClock.system());
   private final LinkServer server =
       new LinkServer(loop, new InetSocketAddress("127.0.0.1", 0), MAX_LINKS, this);
@@ -47,9 +51,11 @@
     order(partition, RunOrders.newBuilder().addStops(WorkflowCodec.encode(run)));
   }
 
-  /** Acknowledges the run's end, as the owner of its partition would. */
+  /** Acknowledges the first end on the worker, of the run, as the owner of its partition would. */
   void acknowledge(RunKey run, int partition) {
-    order(partition, RunOrders.newBuilder().addNotedEnds(WorkflowCodec.encode(run)));
+    WorkflowTaskId end =
+        WorkflowCodec.encode(run).toBuilder().setEndSequence(FIRST_END_SEQUENCE).build();
+    order(partition, RunOrders.newBuilder().addNotedEnds(end));
   }
 
   private synchronized void order(int partition, RunOrders.Builder orders) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorOrdersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorOrdersTest.java
@@ -115,6 +115,18 @@
     assertEquals(List.of(RunOutcome.STOPPED), outcomes(session));
   }
 
+  /** It may have run, so that its owner must not count it among the refusals. */
+  @Test
+  void runThatStartedAndIsNoLongerListedIsNotReportedAsRefused() {
+    WorkerSession session = restartBesideRunOfUnknownSize();
+    order(session, Delivery.REPEATED, 1);
+    worker.addActiveRun(ORDERED);
+    advance(session, 2_000);
+    worker.removeActiveRun(ORDERED);
+    advance(session, 4_000);
+    assertEquals(List.of(RunOutcome.FORGOTTEN), outcomes(session));
+  }
+
   /** A run awaiting its refusal must not make the VM refuse all other runs. */
   @Test
   void deferredRefusalDoesNotCountAsRunOfUnknownSize() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
@@ -16,6 +16,7 @@
 import io.marigoldsail.protocol.RunOrders;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.protocol.WorkflowTaskId;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
@@ -209,14 +210,8 @@
     entry.send(connection, Frame.newBuilder().setRunOrders(orders).build());
   }
 
-  /** An acknowledgement instead would let the worker discard the end, and the task runs again. */
-  @Test
-  void workerKeepsAnEndThatItsOwnerCallsSuperseded() throws Exception {
-    side.start();
-    store
-        .nextRequest()
-        .complete(ScriptedOwnersStore.owners(Map.of(0, entry.member(), 1, entry.member())));
-    LinkConnection connection = entry.awaitConnection();
+  /** Starts the run and ends it as done; returns the first report of its end. */
+  private VmReport awaitEnd(LinkConnection connection) throws Exception {
     sendHeartbeat();
     StartRun start =
         StartRun.newBuilder().setTask(WorkflowCodec.encode(RUN)).setMilliProcessors(500).build();
@@ -229,15 +224,61 @@
     while (report.getEndsCount() == 0) {
       report = awaitReportOfWorker();
     }
+    return report;
+  }
+
+  private LinkConnection connectAsOwner() throws Exception {
+    side.start();
+    store
+        .nextRequest()
+        .complete(ScriptedOwnersStore.owners(Map.of(0, entry.member(), 1, entry.member())));
+    return entry.awaitConnection();
+  }
+
+  private void awaitTwoListings(LinkConnection connection) throws Exception {
+    int before = worker.listings();
+    while (worker.listings() < before + 2) {
+      sendOrders(connection, awaitReportOfWorker(), RunOrders.newBuilder());
+    }
+  }
+
+  /** An acknowledgement instead would let the worker discard the end, and the task runs again. */
+  @Test
+  void workerKeepsAnEndThatItsOwnerCallsSuperseded() throws Exception {
+    LinkConnection connection = connectAsOwner();
+    VmReport report = awaitEnd(connection);
     sendOrders(
-        connection, report, RunOrders.newBuilder().addSupersededEnds(WorkflowCodec.encode(RUN)));
+        connection, report, RunOrders.newBuilder().addSupersededEnds(report.getEnds(0).getTask()));
     while (awaitReportOfWorker().getEndsCount() > 0) {
       // Waits until the end is no longer reported.
     }
-    int before = worker.listings();
-    while (worker.listings() < before + 2) {
-      sendOrders(connection, awaitReportOfWorker(), RunOrders.newBuilder());
+    awaitTwoListings(connection);
+    assertEquals(1, worker.unacknowledgedEnds());
+  }
+
+  /**
+   * A run counted as forgotten, and then the worker lists its end. The response to the first end
+   * must not be taken for one to the second, which the owner has not heard of.
+   */
+  @Test
+  void responseToAnotherEndOfTheRunIsIgnored() throws Exception {
+    LinkConnection connection = connectAsOwner();
+    VmReport report = awaitEnd(connection);
+    WorkflowTaskId notListed = WorkflowCodec.encode(RUN);
+    sendOrders(
+        connection,
+        report,
+        RunOrders.newBuilder().setNumber(9).addNotedEnds(notListed).addSupersededEnds(notListed));
+    VmReport next = awaitReportOfWorker();
+    while (next.getOrdersSeen() < 9) {
+      next = awaitReportOfWorker();
     }
+    assertEquals(1, next.getEndsCount());
+    awaitTwoListings(connection);
     assertEquals(1, worker.unacknowledgedEnds());
+    sendOrders(connection, next, RunOrders.newBuilder().addNotedEnds(next.getEnds(0).getTask()));
+    while (worker.unacknowledgedEnds() > 0) {
+      awaitReportOfWorker();
+    }
   }
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -169,69 +169,69 @@
       "(\003J\004\010\001\020\002\"\'\n\tPlaceName\022\n\n\002vm\030\001 \001(\t\022\016\n\006wor" +
       "ker\030\002 \001(\t\"h\n\014TaskProgress\022\r\n\005phase\030\001 \001(\r" +
       "\022\024\n\014last_attempt\030\002 \001(\r\022\020\n\010failures\030\003 \001(\r" +
-      "\022\r\n\005place\030\004 \001(\r\022\022\n\ncheckpoint\030\005 \001(\t\"d\n\016W" +
+      "\022\r\n\005place\030\004 \001(\r\022\022\n\ncheckpoint\030\005 \001(\t\"z\n\016W" +
       "orkflowTaskId\022\020\n\010workflow\030\001 \001(\006\022\022\n\noccur" +
       "rence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005index\030\004 \001(\r" +
-      "\022\017\n\007attempt\030\005 \001(\r\"\233\005\n\010VmReport\022\024\n\014worker" +
-      "_clock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n\006worker\030\003 \001(\t" +
-      "\022\017\n\007service\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\022\016\n\006label" +
-      "s\030\006 \003(\t\022\020\n\010draining\030\007 \001(\010\022\030\n\020milli_proce" +
-      "ssors\030\010 \001(\r\022\030\n\020memory_mebibytes\030\t \001(\r\022\024\n" +
-      "\014accelerators\030\n \001(\r\022\035\n\025free_milli_proces" +
-      "sors\030\013 \001(\r\022\035\n\025free_memory_mebibytes\030\014 \001(" +
-      "\r\022\031\n\021free_accelerators\030\r \001(\r\022\035\n\025fill_mil" +
-      "li_processors\030\016 \001(\r\022\024\n\014fill_percent\030\017 \001(" +
-      "\r\022\023\n\013orders_seen\030\020 \001(\004\022%\n\004runs\030\021 \003(\0132\027.m" +
-      "arigoldsail.RunReport\022%\n\004ends\030\022 \003(\0132\027.ma" +
-      "rigoldsail.EndReport\022\023\n\013wants_lease\030\023 \001(" +
-      "\010\022\023\n\013gone_worker\030\024 \001(\t\022\021\n\tunhealthy\030\025 \001(" +
-      "\010\022\017\n\007serving\030\026 \001(\r\022\025\n\rowners_digest\030\027 \001(" +
-      "\007\022\'\n\006images\030\030 \003(\0132\027.marigoldsail.ImageSe" +
-      "en\022 \n\030suspect_milli_processors\030\031 \001(\r\022\014\n\004" +
-      "rack\030\032 \001(\t\022#\n\033overcommit_milli_processor" +
-      "s\030\033 \001(\r\"\246\001\n\tRunReport\022*\n\004task\030\001 \001(\0132\034.ma" +
-      "rigoldsail.WorkflowTaskId\022\017\n\007started\030\002 \001" +
-      "(\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022" +
-      "\020\n\010stopping\030\005 \001(\010\022\024\n\014size_unknown\030\006 \001(\010\022" +
-      "\017\n\007crowded\030\007 \001(\010\"~\n\tEndReport\022*\n\004task\030\001 " +
-      "\001(\0132\034.marigoldsail.WorkflowTaskId\022\017\n\007out" +
-      "come\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t\022\020\n\010sequen" +
-      "ce\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\"~\n\nLeaseGrant\022\024" +
-      "\n\014worker_clock\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037" +
-      ".marigoldsail.PartitionEvidence\022\'\n\006image" +
-      "s\030\003 \003(\0132\027.marigoldsail.ImageSeen\"9\n\tImag" +
-      "eSeen\022\r\n\005image\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006w" +
-      "eight\030\003 \001(\002\"R\n\021PartitionEvidence\022\021\n\tpart" +
-      "ition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after_repo" +
-      "rt_millis\030\003 \001(\021\"\222\002\n\tRunOrders\022\016\n\006number\030" +
-      "\001 \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsail.Leas" +
-      "eGrant\022&\n\006starts\030\003 \003(\0132\026.marigoldsail.St" +
-      "artRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsail.Wor" +
-      "kflowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.marigo" +
-      "ldsail.WorkflowTaskId\022\016\n\006worker\030\006 \001(\t\0225\n" +
-      "\017superseded_ends\030\007 \003(\0132\034.marigoldsail.Wo" +
-      "rkflowTaskId\"\213\003\n\010StartRun\022*\n\004task\030\001 \001(\0132" +
-      "\034.marigoldsail.WorkflowTaskId\022\017\n\007program" +
-      "\030\002 \001(\t\022\030\n\020milli_processors\030\003 \001(\r\022\030\n\020memo" +
-      "ry_mebibytes\030\004 \001(\r\022\024\n\014accelerators\030\005 \001(\r" +
-      "\022\022\n\ncheckpoint\030\006 \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025l" +
-      "atency_target_millis\030\010 \001(\r\022\r\n\005fills\030\t \001(" +
-      "\010\022\024\n\014same_program\030\n \001(\010\022\017\n\007starved\030\013 \001(\010" +
-      "\022\016\n\006ticket\030\014 \001(\t\0221\n\010delivery\030\r \001(\0162\037.mar" +
-      "igoldsail.StartRun.Delivery\"=\n\010Delivery\022" +
-      "\030\n\024DELIVERY_UNSPECIFIED\020\000\022\t\n\005FIRST\020\001\022\014\n\010" +
-      "REPEATED\020\002\"\\\n\010OwnerMap\022\022\n\ngeneration\030\001 \001" +
-      "(\004\022,\n\006owners\030\002 \003(\0132\034.marigoldsail.Partit" +
-      "ionOwner\022\016\n\006digest\030\003 \001(\007\"3\n\016PartitionOwn" +
-      "er\022\021\n\tpartition\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n" +
-      "\rWorkflowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002" +
-      " \001(\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023W" +
-      "orkflowQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result" +
-      "\030\002 \001(\r\"I\n\rWaitingCounts\022\016\n\006member\030\001 \001(\t\022" +
-      "(\n\006queues\030\002 \003(\0132\030.marigoldsail.QueueCoun" +
-      "t\",\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waitin" +
-      "g\030\002 \001(\rB\034\n\030io.marigoldsail.protocolP\001b\006p" +
-      "roto3"
+      "\022\017\n\007attempt\030\005 \001(\r\022\024\n\014end_sequence\030\006 \001(\004\"" +
+      "\233\005\n\010VmReport\022\024\n\014worker_clock\030\001 \001(\022\022\n\n\002vm" +
+      "\030\002 \001(\t\022\016\n\006worker\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022" +
+      "\014\n\004zone\030\005 \001(\t\022\016\n\006labels\030\006 \003(\t\022\020\n\010drainin" +
+      "g\030\007 \001(\010\022\030\n\020milli_processors\030\010 \001(\r\022\030\n\020mem" +
+      "ory_mebibytes\030\t \001(\r\022\024\n\014accelerators\030\n \001(" +
+      "\r\022\035\n\025free_milli_processors\030\013 \001(\r\022\035\n\025free" +
+      "_memory_mebibytes\030\014 \001(\r\022\031\n\021free_accelera" +
+      "tors\030\r \001(\r\022\035\n\025fill_milli_processors\030\016 \001(" +
+      "\r\022\024\n\014fill_percent\030\017 \001(\r\022\023\n\013orders_seen\030\020" +
+      " \001(\004\022%\n\004runs\030\021 \003(\0132\027.marigoldsail.RunRep" +
+      "ort\022%\n\004ends\030\022 \003(\0132\027.marigoldsail.EndRepo" +
+      "rt\022\023\n\013wants_lease\030\023 \001(\010\022\023\n\013gone_worker\030\024" +
+      " \001(\t\022\021\n\tunhealthy\030\025 \001(\010\022\017\n\007serving\030\026 \001(\r" +
+      "\022\025\n\rowners_digest\030\027 \001(\007\022\'\n\006images\030\030 \003(\0132" +
+      "\027.marigoldsail.ImageSeen\022 \n\030suspect_mill" +
+      "i_processors\030\031 \001(\r\022\014\n\004rack\030\032 \001(\t\022#\n\033over" +
+      "commit_milli_processors\030\033 \001(\r\"\246\001\n\tRunRep" +
+      "ort\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Workflo" +
+      "wTaskId\022\017\n\007started\030\002 \001(\010\022\022\n\ncheckpoint\030\003" +
+      " \001(\t\022\017\n\007percent\030\004 \001(\r\022\020\n\010stopping\030\005 \001(\010\022" +
+      "\024\n\014size_unknown\030\006 \001(\010\022\017\n\007crowded\030\007 \001(\010\"~" +
+      "\n\tEndReport\022*\n\004task\030\001 \001(\0132\034.marigoldsail" +
+      ".WorkflowTaskId\022\017\n\007outcome\030\002 \001(\r\022\022\n\nchec" +
+      "kpoint\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006reason" +
+      "\030\005 \001(\t\"~\n\nLeaseGrant\022\024\n\014worker_clock\030\001 \001" +
+      "(\022\0221\n\010evidence\030\002 \003(\0132\037.marigoldsail.Part" +
+      "itionEvidence\022\'\n\006images\030\003 \003(\0132\027.marigold" +
+      "sail.ImageSeen\"9\n\tImageSeen\022\r\n\005image\030\001 \001" +
+      "(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006weight\030\003 \001(\002\"R\n\021Par" +
+      "titionEvidence\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epo" +
+      "ch\030\002 \001(\004\022\033\n\023after_report_millis\030\003 \001(\021\"\222\002" +
+      "\n\tRunOrders\022\016\n\006number\030\001 \001(\004\022\'\n\005lease\030\002 \001" +
+      "(\0132\030.marigoldsail.LeaseGrant\022&\n\006starts\030\003" +
+      " \003(\0132\026.marigoldsail.StartRun\022+\n\005stops\030\004 " +
+      "\003(\0132\034.marigoldsail.WorkflowTaskId\0220\n\nnot" +
+      "ed_ends\030\005 \003(\0132\034.marigoldsail.WorkflowTas" +
+      "kId\022\016\n\006worker\030\006 \001(\t\0225\n\017superseded_ends\030\007" +
+      " \003(\0132\034.marigoldsail.WorkflowTaskId\"\213\003\n\010S" +
+      "tartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Wor" +
+      "kflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_pr" +
+      "ocessors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 \001(\r" +
+      "\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001" +
+      "(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_mill" +
+      "is\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_program\030" +
+      "\n \001(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014 \001(\t\0221" +
+      "\n\010delivery\030\r \001(\0162\037.marigoldsail.StartRun" +
+      ".Delivery\"=\n\010Delivery\022\030\n\024DELIVERY_UNSPEC" +
+      "IFIED\020\000\022\t\n\005FIRST\020\001\022\014\n\010REPEATED\020\002\"\\\n\010Owne" +
+      "rMap\022\022\n\ngeneration\030\001 \001(\004\022,\n\006owners\030\002 \003(\013" +
+      "2\034.marigoldsail.PartitionOwner\022\016\n\006digest" +
+      "\030\003 \001(\007\"3\n\016PartitionOwner\022\021\n\tpartition\030\001 " +
+      "\001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkflowQuery\022\n\n\002" +
+      "id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005queue\030\003 \001(" +
+      "\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023WorkflowQueryAnswer" +
+      "\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"I\n\rWaitingC" +
+      "ounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues\030\002 \003(\0132\030." +
+      "marigoldsail.QueueCount\",\n\nQueueCount\022\r\n" +
+      "\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030io.mari" +
+      "goldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -278,7 +278,7 @@
     internal_static_marigoldsail_WorkflowTaskId_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowTaskId_descriptor,
-        new java.lang.String[] { "Workflow", "Occurrence", "Step", "Index", "Attempt", });
+        new java.lang.String[] { "Workflow", "Occurrence", "Step", "Index", "Attempt", "EndSequence", });
     internal_static_marigoldsail_VmReport_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_marigoldsail_VmReport_fieldAccessorTable = new
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowTaskId.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowTaskId.java
@@ -103,6 +103,22 @@
     return attempt_;
   }
 
+  public static final int END_SEQUENCE_FIELD_NUMBER = 6;
+  private long endSequence_ = 0L;
+  /**
+   * <pre>
+   * In ends and the responses to them, which repeat it: where the worker lists the end that is
+   * meant; 0 if the worker does not list it.
+   * </pre>
+   *
+   * <code>uint64 end_sequence = 6;</code>
+   * @return The endSequence.
+   */
+  @java.lang.Override
+  public long getEndSequence() {
+    return endSequence_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -132,6 +148,9 @@
     if (attempt_ != 0) {
       output.writeUInt32(5, attempt_);
     }
+    if (endSequence_ != 0L) {
+      output.writeUInt64(6, endSequence_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -156,6 +175,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, attempt_);
     }
+    if (endSequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, endSequence_);
+    }
     return size;
   }
   @java.lang.Override
@@ -190,6 +213,8 @@
         != other.getIndex()) return false;
     if (getAttempt()
         != other.getAttempt()) return false;
+    if (getEndSequence()
+        != other.getEndSequence()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -212,6 +237,9 @@
     hash = (53 * hash) + getIndex();
     hash = (37 * hash) + ATTEMPT_FIELD_NUMBER;
     hash = (53 * hash) + getAttempt();
+    hash = (37 * hash) + END_SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEndSequence());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -348,6 +376,7 @@
       step_ = 0;
       index_ = 0;
       attempt_ = 0;
+      endSequence_ = 0L;
       return this;
     }
 
@@ -396,6 +425,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.attempt_ = attempt_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.endSequence_ = endSequence_;
+      }
     }
 
     @java.lang.Override
@@ -425,6 +457,9 @@
       if (other.getAttempt() != 0) {
         setAttempt(other.getAttempt());
       }
+      if (other.getEndSequence() != 0L) {
+        setEndSequence(other.getEndSequence());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -474,6 +509,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              endSequence_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -651,6 +691,53 @@
       return this;
     }
 
+    private long endSequence_ ;
+    /**
+     * <pre>
+     * In ends and the responses to them, which repeat it: where the worker lists the end that is
+     * meant; 0 if the worker does not list it.
+     * </pre>
+     *
+     * <code>uint64 end_sequence = 6;</code>
+     * @return The endSequence.
+     */
+    @java.lang.Override
+    public long getEndSequence() {
+      return endSequence_;
+    }
+    /**
+     * <pre>
+     * In ends and the responses to them, which repeat it: where the worker lists the end that is
+     * meant; 0 if the worker does not list it.
+     * </pre>
+     *
+     * <code>uint64 end_sequence = 6;</code>
+     * @param value The endSequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEndSequence(long value) {
+
+      endSequence_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In ends and the responses to them, which repeat it: where the worker lists the end that is
+     * meant; 0 if the worker does not list it.
+     * </pre>
+     *
+     * <code>uint64 end_sequence = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEndSequence() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      endSequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.WorkflowTaskId)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowTaskIdOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowTaskIdOrBuilder.java
@@ -39,4 +39,15 @@
    * @return The attempt.
    */
   int getAttempt();
+
+  /**
+   * <pre>
+   * In ends and the responses to them, which repeat it: where the worker lists the end that is
+   * meant; 0 if the worker does not list it.
+   * </pre>
+   *
+   * <code>uint64 end_sequence = 6;</code>
+   * @return The endSequence.
+   */
+  long getEndSequence();
 }
