Ignore a repeated start until its owner proves itself after a restart

What callers see: a task runs in two places at once (TWICE).

"Suspected only" in the postmortem of tasks that ran again after their end: a restarted side process has heard no epoch, so a former owner's start counts until its successor is heard. The order of events that does harm: the former owner orders a run; its successor takes the partition up, is refused the run by the side process and orders the task elsewhere; the side process restarts; the former owner, which was suspended meanwhile, sends its start again.

A start that may have been sent before is now ignored until the partition has evidence from after the restart: a later owner has not reached the predecessor then. A first start is not held. A stop of a former owner still counts; the run it stops is run again by its owner, which is no second run at a time.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
@@ -78,6 +78,12 @@
     return interruptions.getOrDefault(partition, Long.MIN_VALUE) >= since;
   }
 
+  /** Returns whether an owner has held the partition at the given time or later. */
+  public boolean hasEvidenceSince(int partition, long workerClock) {
+    Evidence evidence = latestByPartition.get(partition);
+    return evidence != null && evidence.workerClock() >= workerClock;
+  }
+
   /** Returns whether no evidence of an owner of the partition was ever received. */
   public boolean hasNoEvidence(int partition) {
     return !latestByPartition.containsKey(partition);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
@@ -93,6 +93,11 @@
     return clockLowerBound() <= predecessorDeadline;
   }
 
+  /** Returns whether an owner has held the partition since this process found the worker. */
+  boolean hasEvidenceSinceFirstReading(int partition) {
+    return evidenceLedger.hasEvidenceSince(partition, firstReading);
+  }
+
   /** Returns whether the worker's clock has certainly passed the latest deadline. */
   boolean isExpired() {
     return clockLowerBound() > deadline;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -185,10 +185,10 @@
       }
       return;
     }
-    if (ends.contains(key)) {
+    int partition = partitionOf(key);
+    if (ends.contains(key) || predecessorOrders.mayBeOutdated(key, partition, order)) {
       return;
     }
-    int partition = partitionOf(key);
     Optional<String> refusal = reserveOrRefuse(key, partition, order);
     if (refusal.isPresent()) {
       refuse(key, order, refusal.get());
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorOrdersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorOrdersTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.StartRun.Delivery;
@@ -30,6 +31,12 @@
   }
 
   private WorkerSession restart() {
+    WorkerSession session = restartWithoutEvidence();
+    recordEvidence(session);
+    return session;
+  }
+
+  private WorkerSession restartWithoutEvidence() {
     WorkerSession session =
         new WorkerSession(
             time.loop(),
@@ -40,7 +47,6 @@
             TERMS,
             new NoOpSessionListener());
     session.start();
-    recordEvidence(session);
     return session;
   }
 
@@ -188,4 +194,45 @@
     assertEquals(List.of(), worker.stopped());
     assertEquals(List.of(RunOutcome.REFUSED), outcomes(session));
   }
+
+  private static List<RunKey> runs(WorkerSession session) {
+    return session.runs().stream().map(SideRun::key).toList();
+  }
+
+  /**
+   * A former owner repeats a start that the predecessor refused to its successor, which then
+   * ordered the task elsewhere. The restarted side process has not heard the successor's epoch yet.
+   */
+  @Test
+  void startOfAFormerOwnerIsIgnoredAfterARestart() {
+    time.advance(500);
+    WorkerSession session = restartWithoutEvidence();
+    session.recordEvidence(0, 1, worker.clock() - 200);
+    order(session, Delivery.REPEATED, 1);
+    assertEquals(List.of(), runs(session));
+    assertEquals(List.of(), outcomes(session));
+  }
+
+  /** A lost answer and a restart must still end in one run, as soon as the owner proves itself. */
+  @Test
+  void repeatedStartIsSentOnceItsOwnerHasEvidenceFromAfterTheRestart() {
+    WorkerSession session = restartWithoutEvidence();
+    session.recordEvidence(0, 1, worker.clock() - 200);
+    order(session, Delivery.REPEATED, 1);
+    time.advance(100);
+    recordEvidence(session);
+    order(session, Delivery.REPEATED, 1);
+    assertEquals(List.of(ORDERED), runs(session));
+    time.advance(1_500);
+    assertTrue(session.runs().iterator().next().isListed());
+  }
+
+  /** An order that was never sent before cannot be outdated; it does not wait for evidence. */
+  @Test
+  void firstStartDoesNotWaitForEvidenceFromAfterTheRestart() {
+    WorkerSession session = restartWithoutEvidence();
+    session.recordEvidence(0, 1, worker.clock() - 200);
+    order(session, Delivery.FIRST, 1);
+    assertEquals(List.of(ORDERED), runs(session));
+  }
 }
