--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerOrdersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerOrdersTest.java
@@ -5,14 +5,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.workflow.WorkflowStore.NewestPage;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.StartRun.Delivery;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.workflow.QueryResult;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.WorkflowIds;
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -50,6 +54,16 @@
         cluster.entry(0).entry().submit(WorkflowTestCluster.workflow(WORKFLOW, 1)).join());
   }
 
+  private boolean isAttemptOpen() {
+    int partition = WorkflowIds.partition(WORKFLOW, WorkflowTestCluster.PARTITIONS);
+    NewestPage page =
+        (NewestPage) cluster.store().readNewest(Topic.PROGRESS, partition, Optional.empty()).join();
+    return page.records().stream()
+        .flatMap(
+            keyed -> WorkflowCodec.decodeProgress(keyed.value()).orElseThrow().tasks().stream())
+        .anyMatch(task -> task.place().isPresent());
+  }
+
   private StartRun awaitStart(ScriptedVm vm) {
     cluster.await(
         "the task is ordered",
@@ -97,6 +111,7 @@
     ScriptedVm vm = connect();
     RunKey first = WorkflowCodec.decode(awaitStart(vm).getTask());
     vm.reportWorkerGone();
+    cluster.await("the loss is durable", () -> !isAttemptOpen());
     vm.report(ScriptedVm.end(first, RunOutcome.DONE));
     cluster.await("the end is acknowledged", () -> vm.acknowledged().contains(first));
     assertEquals(QueryResult.DONE, cluster.status(0, WORKFLOW));
