--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FormerOwner.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FormerOwner.java
@@ -53,9 +53,16 @@
 
   /** Acknowledges the first end on the worker, of the run, as the owner of its partition would. */
   void acknowledge(RunKey run, int partition) {
-    WorkflowTaskId end =
-        WorkflowCodec.encode(run).toBuilder().setEndSequence(FIRST_END_SEQUENCE).build();
-    order(partition, RunOrders.newBuilder().addNotedEnds(end));
+    order(partition, RunOrders.newBuilder().addNotedEnds(firstEnd(run)));
+  }
+
+  /** Calls the first end on the worker, of the run, superseded. */
+  void supersede(RunKey run, int partition) {
+    order(partition, RunOrders.newBuilder().addSupersededEnds(firstEnd(run)));
+  }
+
+  private static WorkflowTaskId firstEnd(RunKey run) {
+    return WorkflowCodec.encode(run).toBuilder().setEndSequence(FIRST_END_SEQUENCE).build();
   }
 
   private synchronized void order(int partition, RunOrders.Builder orders) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowRulesTest.java
@@ -364,8 +364,24 @@
    */
   @Test
   void formerOwnerCannotAcknowledgeEndForItsSuccessor() throws IOException {
+    assertFormerOwnerCannotRespondToEnd(242, FormerOwner::acknowledge);
+  }
+
+  /** The end would no longer be reported to the successor, which would run the task again. */
+  @Test
+  void formerOwnerCannotSupersedeEndForItsSuccessor() throws IOException {
+    assertFormerOwnerCannotRespondToEnd(244, FormerOwner::supersede);
+  }
+
+  /** A response of a former owner to the end of a run. */
+  private interface EndResponse {
+    void send(FormerOwner owner, RunKey run, int partition);
+  }
+
+  private void assertFormerOwnerCannotRespondToEnd(long id, EndResponse response)
+      throws IOException {
     cluster.start(1, 1, 1_000);
-    submit(WorkflowTestCluster.workflow(242, 1));
+    submit(WorkflowTestCluster.workflow(id, 1));
     cluster.await("the task is running", () -> worker("vm-0").activeRuns().size() == 1);
     RunKey run = worker("vm-0").activeRuns().get(0);
     cluster.store().failAppends(FakeWorkflowStore.AppendFault.REFUSED, Integer.MAX_VALUE);
@@ -375,16 +391,18 @@
       cluster.store().join(former.member(), Long.MAX_VALUE);
       cluster.await(
           "the side process has connected to the former owner", () -> former.report().isPresent());
-      former.acknowledge(
-          run, WorkflowIds.partition(run.task().workflow(), WorkflowTestCluster.PARTITIONS));
+      response.send(
+          former,
+          run,
+          WorkflowIds.partition(run.task().workflow(), WorkflowTestCluster.PARTITIONS));
       cluster.await(
-          "the side process has handled the acknowledgement",
+          "the side process has handled the response",
           () -> former.report().orElseThrow().getOrdersSeen() == 1);
       cluster.store().drop(former.member());
     }
     replaceOnlyEntry();
     cluster.await(
-        "the new entry reports it as done", () -> cluster.status(0, 242) == QueryResult.DONE);
+        "the new entry reports it as done", () -> cluster.status(0, id) == QueryResult.DONE);
     assertEquals(1, cluster.history().totalStarts());
     assertEquals(List.of(), cluster.history().violations());
   }
