Do not withhold ends of runs ordered after an idle time

Cause: the evidence of an idle partition is not renewed, so its next order comes with the recording of an interruption, in the same millisecond.

Interruptions are counted now, and a run remembers the count at its order: clocks that stand still or step back (the bound of the worker's clock may) play no part. Besides, an owner of this version has itself said which completions are superseded, so an interruption alone withholds only failures and what owners of older versions acknowledge: a takeover that takes longer than a lease would have withheld ends whose task nobody had ordered again.

Tests: endOfRunOrderedAfterAnIdleTimeIsAcknowledged, settledCompletionIsDroppedAfterAnInterruption, settledFailureIsWithheldAfterAnInterruption.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/LeaseLedger.java
@@ -25,7 +25,7 @@
 
   private final WorkerLeaseTerms terms;
   private final Map<Integer, Evidence> latestByPartition = new HashMap<>();
-  private final Map<Integer, Long> interruptions = new HashMap<>();
+  private final Map<Integer, Integer> interruptions = new HashMap<>();
 
   /** Creates a ledger without evidence. */
   public LeaseLedger(WorkerLeaseTerms terms) {
@@ -59,23 +59,20 @@
   public void recordInterruption(int partition, long workerClock) {
     Evidence evidence = latestByPartition.get(partition);
     if (evidence != null && evidence.workerClock() + terms.leaseMillis() < workerClock) {
-      interruptions.put(partition, workerClock);
+      interruptions.merge(partition, 1, Integer::sum);
     }
   }
 
   /**
-   * Returns whether an owner of the partition may have considered a run of it as lost.
+   * Returns how often the partition has been interrupted; it rises with each recording.
    *
-   * <p>An owner does so {@link WorkerLeaseTerms#takeoverMillis} after the last evidence that it can
-   * have sent, so not while evidence keeps arriving before the previous one is older than the
-   * lease, which is shorter.
-   *
-   * @param since when the run was ordered, on the worker's clock in milliseconds
-   * @param workerClock the current time, on the worker's clock in milliseconds
+   * <p>An owner considers a run lost {@link WorkerLeaseTerms#takeoverMillis} after the last
+   * evidence that it can have sent, so not while evidence keeps arriving before the previous one is
+   * older than the lease, which is shorter. A run ordered at the present count is not considered
+   * lost before the count rises.
    */
-  public boolean mayHaveTakenOver(int partition, long since, long workerClock) {
-    recordInterruption(partition, workerClock);
-    return interruptions.getOrDefault(partition, Long.MIN_VALUE) >= since;
+  public int interruptions(int partition) {
+    return interruptions.getOrDefault(partition, 0);
   }
 
   /** Returns whether an owner has held the partition at the given time or later. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndRetention.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EndRetention.java
@@ -51,6 +51,18 @@
     }
   }
 
+  /**
+   * Like {@link #acknowledge}, of an owner that calls completions superseded where they are. Its
+   * record does not tell of each failure whether it was counted.
+   */
+  void settle(RunKey run, int partition) {
+    if (ends.find(run).filter(end -> end.outcome().completes()).isPresent()) {
+      ends.acknowledge(run);
+    } else {
+      acknowledge(run, partition);
+    }
+  }
+
   /**
    * Withholds the end of a run after which another attempt may have been ordered; drops the end if
    * it limits no attempt, or if the lease has expired since.
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -209,7 +209,11 @@
    * worker incarnation of the last report.
    */
   void flush(LeaseGrant lease) {
-    orders.setNumber(++lastFrameNumber).setLease(lease).setWorker(report.getWorker());
+    orders
+        .setNumber(++lastFrameNumber)
+        .setLease(lease)
+        .setWorker(report.getWorker())
+        .setTellsSupersededEnds(true);
     connection.send(Frame.newBuilder().setRunOrders(orders).build());
     dropPending();
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
@@ -37,12 +37,12 @@
   private long lapses;
 
   /**
-   * A moment in the life of the lease.
+   * When a run of a partition was ordered, in terms of what may have ended it since.
    *
-   * @param workerClock the lower bound of the worker's clock, in milliseconds
-   * @param lapses how often the lease had certainly expired until then
+   * @param interruptions how often the partition's evidence had been interrupted
+   * @param lapses how often the lease had certainly expired
    */
-  record Mark(long workerClock, long lapses) {}
+  record Mark(int interruptions, long lapses) {}
 
   WorkerLease(LinkLoop loop, WorkerLeaseTerms terms, long firstReading) {
     this.loop = requireNonNull(loop, "loop");
@@ -118,9 +118,9 @@
     return newDeadline;
   }
 
-  /** Returns the current moment. */
-  Mark mark() {
-    return new Mark(clockLowerBound(), lapses());
+  /** Returns the mark of a run of the partition that is ordered now. */
+  Mark mark(int partition) {
+    return new Mark(evidenceLedger.interruptions(partition), lapses());
   }
 
   private long lapses() {
@@ -134,7 +134,8 @@
 
   /** Returns whether an owner of the partition may have considered a run of that time as lost. */
   boolean mayHaveTakenOver(int partition, Mark mark) {
-    return evidenceLedger.mayHaveTakenOver(partition, mark.workerClock(), clockLowerBound());
+    evidenceLedger.recordInterruption(partition, clockLowerBound());
+    return evidenceLedger.interruptions(partition) > mark.interruptions();
   }
 
   /**
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -194,7 +194,7 @@
       refuse(key, order, refusal.get());
       return;
     }
-    SideRun run = new SideRun(key, partition, Optional.of(order), lease.mark());
+    SideRun run = new SideRun(key, partition, Optional.of(order), lease.mark(partition));
     run.program(program);
     if (predecessorOrders.mayInclude(order)) {
       run.markStartOutcomeUnknown();
@@ -211,7 +211,10 @@
     // Without an order it would count as a run of unknown size.
     SideRun run =
         new SideRun(
-            key, partitionOf(key), Optional.of(StartRun.getDefaultInstance()), lease.mark());
+            key,
+            partitionOf(key),
+            Optional.of(StartRun.getDefaultInstance()),
+            lease.mark(partitionOf(key)));
     runs.put(key, run);
     refuseOnceStopped(run, reason);
   }
@@ -255,7 +258,7 @@
     }
     SideRun run = runs.get(key);
     if (run == null) {
-      run = new SideRun(key, partitionOf(key), Optional.empty(), lease.mark());
+      run = newRunWithoutOrder(key);
       runs.put(key, run);
     }
     if (run.isStopping()) {
@@ -270,6 +273,11 @@
     respondToEnd(key, () -> retention.acknowledge(key, partitionOf(key)));
   }
 
+  /** Drops an end that its owner has made durable, knowing whether it ordered another attempt. */
+  void settleEnd(RunKey key) {
+    respondToEnd(key, () -> retention.settle(key, partitionOf(key)));
+  }
+
   /** Withholds an end from the worker because its owner may have ordered another attempt before. */
   void supersedeEnd(RunKey key) {
     respondToEnd(key, () -> retention.supersede(key));
@@ -292,11 +300,17 @@
         : lease.extend(SideRun.partitions(runs.values()));
   }
 
+  private SideRun newRunWithoutOrder(RunKey key) {
+    int partition = partitionOf(key);
+    return new SideRun(key, partition, Optional.empty(), lease.mark(partition));
+  }
+
   private void recordEnd(
       RunKey key, RunOutcome outcome, String checkpoint, long sequence, String reason) {
     Optional<SideRun> run = Optional.ofNullable(runs.remove(key));
     resources.release(key);
-    WorkerLease.Mark orderedAt = run.map(SideRun::orderedAt).orElseGet(lease::mark);
+    WorkerLease.Mark orderedAt =
+        run.map(SideRun::orderedAt).orElseGet(() -> lease.mark(partitionOf(key)));
     ends.add(key, outcome, checkpoint, sequence, reason, orderedAt);
     endLog.runEnded(key, outcome, reason);
     listener.runChanged(partitionOf(key));
@@ -402,7 +416,7 @@
           LogLine.of(initialized ? "run-appeared" : "run-adopted")
               .with("run", active.run())
               .with("worker", worker));
-      run = new SideRun(active.run(), partitionOf(active.run()), Optional.empty(), lease.mark());
+      run = newRunWithoutOrder(active.run());
       runs.put(active.run(), run);
     }
     boolean first = !run.isListed();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -398,7 +398,11 @@
     for (WorkflowTaskId acknowledged : orders.getNotedEndsList()) {
       RunKey key = WorkflowCodec.decode(acknowledged);
       if (isFromOwner(fromOwner, key) && isForCurrentEnd(acknowledged)) {
-        session.acknowledgeEnd(key);
+        if (orders.getTellsSupersededEnds()) {
+          session.settleEnd(key);
+        } else {
+          session.acknowledgeEnd(key);
+        }
       }
     }
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
@@ -128,6 +128,46 @@
     assertTrue(worker.isExtendedAfterExpiry());
   }
 
+  /**
+   * A partition without runs anywhere has old evidence, which is renewed with its next order. That
+   * interruption is older than the run; withholding its end would keep all ends of the VM.
+   */
+  @Test
+  void endOfRunOrderedAfterAnIdleTimeIsAcknowledged() {
+    worker.endRun(run(0, 0), RunOutcome.STOPPED);
+    advance(1_500, 0, 1);
+    session.acknowledgeEnd(run(0, 0));
+    advance(TERMS.leaseMillis() + 2_000, 1);
+    recordEvidence(0);
+    start(run(0, 1));
+    advance(500, 0, 1);
+    worker.endRun(run(0, 1));
+    advance(1_500, 0, 1);
+    session.acknowledgeEnd(run(0, 1));
+    advance(1_500, 0, 1);
+    assertEquals(2, worker.acknowledgedUpTo());
+  }
+
+  /** An owner that tells superseded ends apart has ordered nothing else after a completion. */
+  @Test
+  void settledCompletionIsDroppedAfterAnInterruption() {
+    worker.endRun(run(0, 0));
+    interruptPartition0();
+    session.settleEnd(run(0, 0));
+    advance(1_000, 0, 1);
+    assertEquals(1, worker.acknowledgedUpTo());
+  }
+
+  /** Its record may lack a failure of a run that a former owner considered lost. */
+  @Test
+  void settledFailureIsWithheldAfterAnInterruption() {
+    worker.endRun(run(0, 0), RunOutcome.FAILED);
+    interruptPartition0();
+    session.settleEnd(run(0, 0));
+    advance(1_000, 0, 1);
+    assertEquals(0, worker.acknowledgedUpTo());
+  }
+
   /** An acknowledgement itself may arrive after the interruption, without newer evidence before. */
   @Test
   void acknowledgementDuringAnInterruptionIsWithheld() {
@@ -234,7 +274,7 @@
     UnacknowledgedEnds ends = new UnacknowledgedEnds();
     EndRetention retention = new EndRetention("worker-1", lease, ends);
     ends.recordSequence(1);
-    ends.add(run(0, 0), RunOutcome.DONE, "", 1, "", lease.mark());
+    ends.add(run(0, 0), RunOutcome.DONE, "", 1, "", lease.mark(0));
     time.advance(TERMS.leaseMillis() * 2);
     retention.supersede(run(0, 0));
     assertEquals(0, ends.keptCount());
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrders.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrders.java
@@ -314,6 +314,22 @@
     return supersededEnds_.get(index);
   }
 
+  public static final int TELLS_SUPERSEDED_ENDS_FIELD_NUMBER = 8;
+  private boolean tellsSupersededEnds_ = false;
+  /**
+   * <pre>
+   * The sender is of a version that calls completions superseded where another attempt may have
+   * been ordered; it has not ordered another attempt after the completions in noted_ends.
+   * </pre>
+   *
+   * <code>bool tells_superseded_ends = 8;</code>
+   * @return The tellsSupersededEnds.
+   */
+  @java.lang.Override
+  public boolean getTellsSupersededEnds() {
+    return tellsSupersededEnds_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -349,6 +365,9 @@
     for (int i = 0; i < supersededEnds_.size(); i++) {
       output.writeMessage(7, supersededEnds_.get(i));
     }
+    if (tellsSupersededEnds_ != false) {
+      output.writeBool(8, tellsSupersededEnds_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -400,6 +419,10 @@
           }
           size += 1 * count;
         }
+    if (tellsSupersededEnds_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(8, tellsSupersededEnds_);
+    }
     return size;
   }
   @java.lang.Override
@@ -441,6 +464,8 @@
         .equals(other.getWorker())) return false;
     if (!getSupersededEndsList()
         .equals(other.getSupersededEndsList())) return false;
+    if (getTellsSupersededEnds()
+        != other.getTellsSupersededEnds()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -477,6 +502,9 @@
       hash = (37 * hash) + SUPERSEDED_ENDS_FIELD_NUMBER;
       hash = (53 * hash) + getSupersededEndsList().hashCode();
     }
+    hash = (37 * hash) + TELLS_SUPERSEDED_ENDS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getTellsSupersededEnds());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -653,6 +681,7 @@
         supersededEndsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000040);
+      tellsSupersededEnds_ = false;
       return this;
     }
 
@@ -739,6 +768,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.worker_ = worker_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.tellsSupersededEnds_ = tellsSupersededEnds_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -869,6 +901,9 @@
           }
         }
       }
+      if (other.getTellsSupersededEnds() != false) {
+        setTellsSupersededEnds(other.getTellsSupersededEnds());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -962,6 +997,11 @@
               }
               break;
             } // case 58
+            case 64: {
+              tellsSupersededEnds_ = input.readBool();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2210,6 +2250,53 @@
       return supersededEndsBuilder_;
     }
 
+    private boolean tellsSupersededEnds_ ;
+    /**
+     * <pre>
+     * The sender is of a version that calls completions superseded where another attempt may have
+     * been ordered; it has not ordered another attempt after the completions in noted_ends.
+     * </pre>
+     *
+     * <code>bool tells_superseded_ends = 8;</code>
+     * @return The tellsSupersededEnds.
+     */
+    @java.lang.Override
+    public boolean getTellsSupersededEnds() {
+      return tellsSupersededEnds_;
+    }
+    /**
+     * <pre>
+     * The sender is of a version that calls completions superseded where another attempt may have
+     * been ordered; it has not ordered another attempt after the completions in noted_ends.
+     * </pre>
+     *
+     * <code>bool tells_superseded_ends = 8;</code>
+     * @param value The tellsSupersededEnds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTellsSupersededEnds(boolean value) {
+
+      tellsSupersededEnds_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender is of a version that calls completions superseded where another attempt may have
+     * been ordered; it has not ordered another attempt after the completions in noted_ends.
+     * </pre>
+     *
+     * <code>bool tells_superseded_ends = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTellsSupersededEnds() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      tellsSupersededEnds_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.RunOrders)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrdersOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrdersOrBuilder.java
@@ -158,4 +158,15 @@
    */
   io.marigoldsail.protocol.WorkflowTaskIdOrBuilder getSupersededEndsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The sender is of a version that calls completions superseded where another attempt may have
+   * been ordered; it has not ordered another attempt after the completions in noted_ends.
+   * </pre>
+   *
+   * <code>bool tells_superseded_ends = 8;</code>
+   * @return The tellsSupersededEnds.
+   */
+  boolean getTellsSupersededEnds();
 }
