--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -256,11 +256,7 @@
     if (ends.contains(key)) {
       return;
     }
-    SideRun run = runs.get(key);
-    if (run == null) {
-      run = newRunWithoutOrder(key);
-      runs.put(key, run);
-    }
+    SideRun run = runs.computeIfAbsent(key, this::newRunWithoutOrder);
     if (run.isStopping()) {
       return;
     }
@@ -270,24 +266,15 @@
 
   /** Drops an end that its owner has made durable, unless it is withheld from the worker. */
   void acknowledgeEnd(RunKey key) {
-    respondToEnd(key, () -> retention.acknowledge(key, partitionOf(key)));
-  }
-
-  /** Drops an end that its owner has made durable, knowing whether it ordered another attempt. */
-  void settleEnd(RunKey key) {
-    respondToEnd(key, () -> retention.settle(key, partitionOf(key)));
-  }
-
-  /** Withholds an end from the worker because its owner may have ordered another attempt before. */
-  void supersedeEnd(RunKey key) {
-    respondToEnd(key, () -> retention.supersede(key));
+    respondToEnd(key, EndResponse.ACKNOWLEDGED);
   }
 
-  private void respondToEnd(RunKey key, Runnable response) {
+  /** Applies the response of an owner to an end; does nothing if the end is not kept. */
+  void respondToEnd(RunKey key, EndResponse response) {
     if (!ends.contains(key)) {
       return;
     }
-    response.run();
+    response.apply(retention, key, partitionOf(key));
     if (!ends.isAwaitingOwners() && !health.isUnresponsive()) {
       listings.requestNow();
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -21,6 +21,7 @@
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -389,20 +390,19 @@
         session.stop(key);
       }
     }
-    for (WorkflowTaskId superseded : orders.getSupersededEndsList()) {
-      RunKey key = WorkflowCodec.decode(superseded);
-      if (isFromOwner(fromOwner, key) && isForCurrentEnd(superseded)) {
-        session.supersedeEnd(key);
-      }
-    }
-    for (WorkflowTaskId acknowledged : orders.getNotedEndsList()) {
-      RunKey key = WorkflowCodec.decode(acknowledged);
-      if (isFromOwner(fromOwner, key) && isForCurrentEnd(acknowledged)) {
-        if (orders.getTellsSupersededEnds()) {
-          session.settleEnd(key);
-        } else {
-          session.acknowledgeEnd(key);
-        }
+    respondToEnds(fromOwner, orders.getSupersededEndsList(), EndResponse.SUPERSEDED);
+    respondToEnds(
+        fromOwner,
+        orders.getNotedEndsList(),
+        orders.getTellsSupersededEnds() ? EndResponse.SETTLED : EndResponse.ACKNOWLEDGED);
+  }
+
+  private void respondToEnds(
+      Map<Integer, Boolean> fromOwner, List<WorkflowTaskId> ends, EndResponse response) {
+    for (WorkflowTaskId end : ends) {
+      RunKey key = WorkflowCodec.decode(end);
+      if (isFromOwner(fromOwner, key) && isForCurrentEnd(end)) {
+        session.respondToEnd(key, response);
       }
     }
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
@@ -153,7 +153,7 @@
   void settledCompletionIsDroppedAfterAnInterruption() {
     worker.endRun(run(0, 0));
     interruptPartition0();
-    session.settleEnd(run(0, 0));
+    session.respondToEnd(run(0, 0), EndResponse.SETTLED);
     advance(1_000, 0, 1);
     assertEquals(1, worker.acknowledgedUpTo());
   }
@@ -163,7 +163,7 @@
   void settledFailureIsWithheldAfterAnInterruption() {
     worker.endRun(run(0, 0), RunOutcome.FAILED);
     interruptPartition0();
-    session.settleEnd(run(0, 0));
+    session.respondToEnd(run(0, 0), EndResponse.SETTLED);
     advance(1_000, 0, 1);
     assertEquals(0, worker.acknowledgedUpTo());
   }
@@ -186,7 +186,7 @@
   void endThatItsOwnerCallsSupersededIsWithheld() {
     worker.endRun(run(0, 0));
     advance(1_500, 0, 1);
-    session.supersedeEnd(run(0, 0));
+    session.respondToEnd(run(0, 0), EndResponse.SUPERSEDED);
     advance(1_500, 0, 1);
     assertEquals(0, worker.acknowledgedUpTo());
     assertEquals(List.of(), outcomes());
@@ -197,7 +197,7 @@
   void supersededEndThatLimitsNoAttemptIsDropped() {
     worker.endRun(run(0, 0), RunOutcome.LAPSED);
     advance(1_500, 0, 1);
-    session.supersedeEnd(run(0, 0));
+    session.respondToEnd(run(0, 0), EndResponse.SUPERSEDED);
     advance(1_500, 0, 1);
     assertEquals(1, worker.acknowledgedUpTo());
   }
