Announce in a test's server that it closes each connection

RawResponseServer closed each connection after a response with HTTP/1.1 and a right length, and did not announce it, so the client kept the connection for its next call. A POST that meets the close is rightly an unknown outcome. The server says "Connection: close" now; every check stays. Read from the trace and the stand-in's code, not shown by repeating the race.

--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/platform/RawResponseServer.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/platform/RawResponseServer.java
@@ -34,7 +34,9 @@
 
   /** Sets a response with status 200, a body, and the given Content-Length, which may be wrong. */
   void respond(byte[] body, int contentLength) {
-    String head = "HTTP/1.1 200 OK\r\nContent-Length: " + contentLength + "\r\n\r\n";
+    // The server closes each connection; a client that is not told may reuse it and lose its call.
+    String head =
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + contentLength + "\r\n\r\n";
     ByteArrayOutputStream all = new ByteArrayOutputStream();
     all.writeBytes(head.getBytes(StandardCharsets.US_ASCII));
     all.writeBytes(body);
