Look queues up without scanning them

Each scheduling pass asks for each workflow whether a queue uses its service, and each call of a caller for its queue; both scanned the list.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/QueueTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/QueueTable.java
@@ -3,21 +3,57 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
+import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * All queues of one version of the configuration.
  *
- * <p>Immutable. Rejects nulls.
- *
- * @param version increases with every change
- * @param queues the queues, with unique names
+ * <p>Immutable. Rejects nulls. A configuration may have more than a thousand queues, and each
+ * scheduling pass asks for the service of each workflow; so look-ups do not scan them.
  */
-public record QueueTable(long version, ImmutableList<Queue> queues) {
-  /** Checks the components. */
-  public QueueTable {
-    requireNonNull(queues, "queues");
+public final class QueueTable {
+  private final long version;
+  private final ImmutableList<Queue> queues;
+  private final ImmutableSet<String> services;
+  private final ImmutableListMultimap<String, Queue> byHost;
+
+  /**
+   * Creates a table.
+   *
+   * @param version increases with every change
+   * @param queues the queues, with unique names
+   */
+  public QueueTable(long version, ImmutableList<Queue> queues) {
+    this.version = version;
+    this.queues = requireNonNull(queues, "queues");
+    this.services =
+        queues.stream()
+            .map(queue -> queue.policy().service())
+            .collect(ImmutableSet.toImmutableSet());
+    this.byHost =
+        queues.stream()
+            .collect(
+                ImmutableListMultimap.toImmutableListMultimap(
+                    queue -> normalized(queue.host()), queue -> queue));
+  }
+
+  private static String normalized(String host) {
+    return host.toLowerCase(Locale.ROOT);
+  }
+
+  /** Returns the number of the version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the queues. */
+  public ImmutableList<Queue> queues() {
+    return queues;
   }
 
   /**
@@ -25,18 +61,16 @@
    * does.
    */
   public Optional<Queue> find(String host, String path) {
-    return queues.stream()
+    String calledHost = normalized(host);
+    Stream<Queue> ofHost = byHost.get(calledHost).stream();
+    Stream<Queue> ofAnyHost = calledHost.isEmpty() ? Stream.of() : byHost.get("").stream();
+    return Stream.concat(ofHost, ofAnyHost)
         .filter(queue -> queue.matches(host, path))
         .max(Comparator.comparingInt(queue -> queue.prefix().length()));
   }
 
-  /** Returns the queue with the name, or empty if this version has none. */
-  public Optional<Queue> findByName(String name) {
-    return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
-  }
-
   /** Returns whether the tasks of any queue run on the service. */
   public boolean usesService(String service) {
-    return queues.stream().anyMatch(queue -> queue.policy().service().equals(service));
+    return services.contains(service);
   }
 }
