Write out equals and hashCode of the keys of runs

The generated methods of a record are linked at run time by method handles, which the class archive cannot hold.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RunKey.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RunKey.java
@@ -18,6 +18,18 @@
     checkArgument(attempt >= 1, "attempt is not positive: %s", attempt);
   }
 
+  // Written out because keys of maps are compared often; the generated methods are linked at run
+  // time, which costs each starting process much of its first second.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof RunKey that && attempt == that.attempt && task.equals(that.task);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * task.hashCode() + attempt;
+  }
+
   /** Returns the text form, such as {@code 5c0e7a21d94b36f8.0.1.17#2}, used in logs. */
   @Override
   public String toString() {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskKey.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskKey.java
@@ -20,6 +20,21 @@
     checkArgument(index >= 0, "index is negative: %s", index);
   }
 
+  // Written out for the same reason as in RunKey.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TaskKey that
+        && workflow == that.workflow
+        && occurrence == that.occurrence
+        && step == that.step
+        && index == that.index;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * (31 * (31 * Long.hashCode(workflow) + occurrence) + step) + index;
+  }
+
   /** Returns the text form, such as {@code 5c0e7a21d94b36f8.0.1.17}, also used in logs. */
   @Override
   public String toString() {
