Report capacity rarely to entries where no task waits for it

At 80 VMs and 15 entries each change of a VM's capacity went to each entry, each 0.375 s, though in a fleet with free capacity such a report places nothing.

An entry now says with each frame to a side process whether a task found no capacity within the last three seconds. While none did, changes of capacity reach it at four times the interval; periodic reports and changes of its own runs come as before. When the first task finds none, all VMs are notified at once and report what changed. Entries of an older version do not say, and are reported to as before; older side processes ignore the field.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.ImmutableSet;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -11,7 +12,6 @@
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.OwnerMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -48,6 +48,7 @@
     private final String member;
     private final LinkConnection link;
     private long ordersSeen;
+    private boolean needsCapacity = true;
 
     EntryConnection(String member, LinkConnection link) {
       this.member = member;
@@ -66,7 +67,16 @@
       return ordersSeen;
     }
 
-    void recordOrders(long number) {
+    /** Returns whether tasks wait for capacity at the entry, as far as it has sent. */
+    boolean needsCapacity() {
+      return needsCapacity;
+    }
+
+    /** Records the number of the orders received, and whether tasks wait for capacity. */
+    void recordOrders(long number, boolean needsCapacityNow) {
+      if (number > ordersSeen) {
+        needsCapacity = needsCapacityNow;
+      }
       ordersSeen = Math.max(ordersSeen, number);
     }
   }
@@ -75,6 +85,7 @@
   private final WorkflowStore store;
   private final Listener listener;
   private final Map<Integer, String> owners = new HashMap<>();
+  private ImmutableSet<String> members = ImmutableSet.of();
   private final Map<String, EntryConnection> connections = new HashMap<>();
   private final MemberLinks links;
   private long generation;
@@ -119,7 +130,6 @@
   void maintain() {
     long now = loop.now();
     links.closeUnresponsive();
-    Set<String> members = new HashSet<>(owners.values());
     links.setMembers(members);
     boolean incomplete = links.size() == 0 || links.size() < members.size();
     if (incomplete
@@ -154,9 +164,10 @@
     }
     owners.clear();
     owners.putAll(newOwners);
+    members = ImmutableSet.copyOf(owners.values());
     LOG.info(
         LogLine.of("owners-changed")
-            .with("members", new HashSet<>(owners.values()))
+            .with("members", members)
             .with("generation", generation)
             .with("source", source));
     maintain();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -206,6 +206,7 @@
         if (!needsAdvice(task)) {
           unplaceable.add(requirements);
         }
+        vms.recordUnplaced();
         continue;
       }
       chosen.forEach(
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/MemberLinks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/MemberLinks.java
@@ -77,7 +77,9 @@
   /** Dials the given members that are not connected and closes the connections to all others. */
   void setMembers(Set<String> members) {
     for (String member : members) {
-      EntryMember.parse(member).ifPresent(parsed -> dial(member, parsed));
+      if (!links.containsKey(member) && !dialling.contains(member)) {
+        EntryMember.parse(member).ifPresent(parsed -> dial(member, parsed));
+      }
     }
     for (String member : Set.copyOf(links.keySet())) {
       if (!members.contains(member)) {
@@ -87,9 +89,7 @@
   }
 
   private void dial(String member, EntryMember parsed) {
-    if (links.containsKey(member) || !dialling.add(member)) {
-      return;
-    }
+    dialling.add(member);
     loop.dial(
         parsed.address(),
         new Link(member),
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
@@ -13,8 +13,8 @@
  * <p>A change of a run is reported at once only to the entry that owns the run. The other entries
  * need only the free capacity, by which they place new runs, and are reported to at an interval
  * that grows with the number of entries, so that a side process sends as many reports a second to
- * ten entries as to two. A change of whether the VM accepts work is reported to all entries at
- * once.
+ * ten entries as to two, and that is longer while no task waits for capacity there. A change of
+ * whether the VM accepts work is reported to all entries at once.
  *
  * <p>Under load a VM changes tens of times a second, and each report carries its whole state. If
  * every change went to every entry, the traffic would grow with entries times VMs and saturate an
@@ -29,6 +29,9 @@
    */
   static final long SPACING_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
+  /** Factor of the minimum interval for entries at which no task waits for capacity. */
+  static final int UNNEEDED_FACTOR = 4;
+
   /** Reports that become due within this fraction of the minimum interval are coalesced. */
   private static final int COALESCING_DIVISOR = 4;
 
@@ -80,16 +83,18 @@
    *
    * @param member the entry
    * @param affected whether the entry owns a changed run, or the change is urgent for all entries
+   * @param needsCapacity whether tasks wait for capacity at the entry
    * @param entries the number of connected entries; positive
    * @throws IllegalArgumentException if {@code entries} is not positive
    */
-  long dueAt(String member, boolean affected, int entries, long now) {
+  long dueAt(String member, boolean affected, boolean needsCapacity, int entries, long now) {
     checkArgument(entries > 0, "entries is not positive: %s", entries);
     Long last = lastSentAt.get(member);
     if (affected || last == null) {
       return now;
     }
-    return Math.max(now, last + minIntervalNanos(entries));
+    long interval = minIntervalNanos(entries) * (needsCapacity ? 1 : UNNEEDED_FACTOR);
+    return Math.max(now, last + interval);
   }
 
   /**
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -207,11 +207,14 @@
   /**
    * Sends a frame with the lease and the pending orders, if any; all of it applies only to the
    * worker incarnation of the last report.
+   *
+   * @param capacityNeeded whether tasks wait for capacity, so that changes are to be reported soon
    */
-  void flush(LeaseGrant lease) {
+  void flush(LeaseGrant lease, boolean capacityNeeded) {
     orders
         .setNumber(++lastFrameNumber)
         .setLease(lease)
+        .setCapacityUnneeded(!capacityNeeded)
         .setWorker(report.getWorker())
         .setTellsSupersededEnds(true);
     connection.send(Frame.newBuilder().setRunOrders(orders).build());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -8,8 +8,6 @@
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.protocol.EndReport;
-import io.marigoldsail.protocol.LeaseGrant;
-import io.marigoldsail.protocol.PartitionEvidence;
 import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.workflow.Place;
@@ -60,15 +58,16 @@
   private final LinkLoop loop;
   private final PartitionOwnership ownership;
   private final WorkerLeaseTerms leaseTerms;
+  private final LeaseGranter granter;
   private final Listener listener;
   private final LongSupplier wallMillis;
   private final Map<LinkConnection, VmSession> sessions = new HashMap<>();
   private final Map<String, VmSession> sessionsByVm = new LinkedHashMap<>();
   private final OpenRuns openRuns = new OpenRuns();
-  private final Map<String, Long> lastLeaseGrantAt = new HashMap<>();
   private final FleetStatistics fleet = new FleetStatistics();
   private final VmView view;
   private final RunEndAcknowledger endAcknowledger;
+  private final CapacityDemand demand = new CapacityDemand();
   private boolean flushScheduled;
 
   VmTracker(
@@ -84,6 +83,7 @@
     this.listener = requireNonNull(listener, "listener");
     this.view = new VmView(loop, sessionsByVm, openRuns, fleet);
     this.endAcknowledger = new RunEndAcknowledger(loop);
+    this.granter = new LeaseGranter(loop, ownership, demand);
   }
 
   /** Starts to track the runs that former owners of the partition ordered. */
@@ -339,29 +339,15 @@
 
   /** Responds to a report that requests a lease with the lease and the pending orders. */
   private void grantLease(VmSession session) {
-    session.flush(
-        leaseGrant(session).toBuilder()
-            .addAllImages(ImageEvidenceCodec.encode(fleet.imageEvidenceOfOtherVms(session.vm())))
-            .build());
-  }
-
-  private LeaseGrant leaseGrant(VmSession session) {
-    LeaseGrant.Builder lease =
-        LeaseGrant.newBuilder().setWorkerClock(session.report().getWorkerClock());
-    for (OwnedPartition partition : ownership.active()) {
-      if (partition.writer().hasEvidence()) {
-        long after = partition.writer().evidenceAt() - session.reportedAt();
-        lease.addEvidence(
-            PartitionEvidence.newBuilder()
-                .setPartition(partition.number())
-                .setEpoch(partition.epoch())
-                .setAfterReportMillis((int) Math.floorDiv(after, 1_000_000L)));
-      }
-    }
-    if (session.place().isPresent()) {
-      lastLeaseGrantAt.put(session.vm(), loop.now());
+    granter.grantWithImages(
+        session, ImageEvidenceCodec.encode(fleet.imageEvidenceOfOtherVms(session.vm())));
+  }
+
+  /** Records that a task waits for capacity; VMs then report changes of theirs soon. */
+  void recordUnplaced() {
+    if (demand.recordUnplaced(loop.now())) {
+      sessions.values().forEach(granter::grant);
     }
-    return lease.build();
   }
 
   private void scheduleFlush() {
@@ -375,7 +361,7 @@
     flushScheduled = false;
     for (VmSession session : sessions.values()) {
       if (session.hasPendingOrders()) {
-        session.flush(leaseGrant(session));
+        granter.grant(session);
       }
     }
   }
@@ -407,7 +393,7 @@
       if (reportsWorker && now - session.reportedAt() < VmAvailability.UNRESPONSIVE_NANOS) {
         continue;
       }
-      long granted = lastLeaseGrantAt.getOrDefault(vm, Long.MIN_VALUE);
+      long granted = granter.grantedAt(vm);
       for (OpenRun run : openRuns.onVm(vm)) {
         long since = Math.max(granted, run.partition().writer().openedAt());
         long expiresAt = since + TimeUnit.MILLISECONDS.toNanos(leaseTerms.takeoverMillis());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -8,7 +8,6 @@
 import io.marigoldsail.daemon.workflow.EntryConnections.EntryConnection;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Listing;
 import io.marigoldsail.daemon.workflow.WorkerGateway.ListingResult;
-import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.LeaseGrant;
@@ -210,7 +209,12 @@
   }
 
   private long dueAt(EntryConnection connection, boolean affected) {
-    return pacer.dueAt(connection.member(), affected, entries.connectedCount(), loop.now());
+    return pacer.dueAt(
+        connection.member(),
+        affected,
+        connection.needsCapacity(),
+        entries.connectedCount(),
+        loop.now());
   }
 
   private void schedulePending() {
@@ -314,37 +318,11 @@
   private VmReport vmState() {
     VmReport.Builder state = VmReport.newBuilder().setVm(vm).setGoneWorker(goneWorker);
     if (session != null) {
-      describe(state);
+      VmStateEncoder.encode(session, state);
     }
     return state.build();
   }
 
-  private void describe(VmReport.Builder state) {
-    WorkerHeartbeat heartbeat = session.heartbeat();
-    Sizes capacity = heartbeat.capacity();
-    Sizes free = session.resources().free();
-    state
-        .setWorker(session.worker())
-        .setService(heartbeat.service())
-        .setZone(heartbeat.zone())
-        .addAllLabels(heartbeat.labels())
-        .setRack(heartbeat.rack())
-        .setDraining(heartbeat.draining())
-        .setUnhealthy(session.isUnhealthy())
-        .setMilliProcessors((int) capacity.milliProcessors())
-        .setMemoryMebibytes(WorkflowCodec.mebibytes(capacity))
-        .setAccelerators((int) capacity.accelerators())
-        .setFreeMilliProcessors((int) free.milliProcessors())
-        .setFreeMemoryMebibytes(WorkflowCodec.mebibytes(free))
-        .setFreeAccelerators((int) free.accelerators())
-        .setFillMilliProcessors((int) session.resources().bestEffortMilliProcessors())
-        .setSuspectMilliProcessors(
-            (int) session.throttler().interferingMilliProcessors(session.runs()))
-        .setOvercommitMilliProcessors((int) session.resources().overcommitMilliProcessors())
-        .setFillPercent(session.throttler().interferingPercent())
-        .setServing(session.serviceTaskCount());
-  }
-
   /**
    * Handles a lease and orders, which are valid for one worker incarnation only.
    *
@@ -354,7 +332,11 @@
    * incarnation are ignored.
    */
   private void handleOrders(EntryConnection connection, RunOrders orders) {
-    connection.recordOrders(orders.getNumber());
+    boolean neededBefore = connection.needsCapacity();
+    connection.recordOrders(orders.getNumber(), !orders.getCapacityUnneeded());
+    if (connection.needsCapacity() && !neededBefore) {
+      scheduleReport();
+    }
     if (session == null) {
       // The next report names the worker at that time, and owners then send missing orders again.
       return;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ReportPacerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ReportPacerTest.java
@@ -13,13 +13,13 @@
   private final ReportPacer pacer = new ReportPacer();
 
   /** Returns the number of reports sent in ten seconds while a VM changes 25 times a second. */
-  private int reportsOfBusyVm(int entries) {
+  private int reportsOfBusyVm(int entries, boolean needsCapacity) {
     int sent = 0;
     for (long now = 0; now < 10 * SECOND_NANOS; now += CHANGE_NANOS) {
       int owner = (int) (now / CHANGE_NANOS) % entries;
       for (int entry = 0; entry < entries; entry++) {
         String member = "entry-" + entry;
-        if (pacer.dueAt(member, entry == owner, entries, now) <= now) {
+        if (pacer.dueAt(member, entry == owner, needsCapacity, entries, now) <= now) {
           pacer.reportSent(member, now);
           sent++;
         }
@@ -35,25 +35,40 @@
    */
   @Test
   void reportRateDoesNotGrowWithTheNumberOfEntries() {
-    int toThree = reportsOfBusyVm(3);
-    int toTwelve = new ReportPacerTest().reportsOfBusyVm(12);
+    int toThree = reportsOfBusyVm(3, true);
+    int toTwelve = new ReportPacerTest().reportsOfBusyVm(12, true);
     assertTrue(
         toTwelve <= toThree * 1.25,
         toTwelve + " reports to twelve entries, " + toThree + " to three");
   }
 
+  /**
+   * Guards against a calm fleet that spends its processor time on reports of capacity that place
+   * nothing.
+   */
+  @Test
+  void entriesThatNeedNoCapacityGetFewReports() {
+    int needed = reportsOfBusyVm(15, true);
+    int unneeded = new ReportPacerTest().reportsOfBusyVm(15, false);
+    int ofChangedRuns = (int) (10 * SECOND_NANOS / CHANGE_NANOS);
+    assertTrue(
+        unneeded - ofChangedRuns <= (needed - ofChangedRuns) / 2,
+        unneeded + " reports, " + needed + " while capacity is needed");
+  }
+
   @Test
   void affectedEntryIsReportedToAtOnce() {
     pacer.reportSent("owner", 100);
-    assertEquals(101, pacer.dueAt("owner", true, 12, 101));
+    assertEquals(101, pacer.dueAt("owner", true, true, 12, 101));
+    assertEquals(101, pacer.dueAt("owner", true, false, 12, 101));
   }
 
   @Test
   void otherEntriesAreReportedToAtTheMinimumInterval() {
     pacer.reportSent("other", 100);
-    assertEquals(100 + 12 * ReportPacer.SPACING_NANOS, pacer.dueAt("other", false, 12, 101));
+    assertEquals(100 + 12 * ReportPacer.SPACING_NANOS, pacer.dueAt("other", false, true, 12, 101));
     long late = 100 + 20 * ReportPacer.SPACING_NANOS;
-    assertEquals(late, pacer.dueAt("other", false, 12, late));
+    assertEquals(late, pacer.dueAt("other", false, true, 12, late));
   }
 
   /**
@@ -85,9 +100,9 @@
 
   @Test
   void newOrRemovedEntryIsReportedToAtOnce() {
-    assertEquals(7, pacer.dueAt("new", false, 3, 7));
+    assertEquals(7, pacer.dueAt("new", false, true, 3, 7));
     pacer.reportSent("returning", 7);
     pacer.remove("returning");
-    assertEquals(8, pacer.dueAt("returning", false, 3, 8));
+    assertEquals(8, pacer.dueAt("returning", false, true, 3, 8));
   }
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrders.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrders.java
@@ -330,6 +330,22 @@
     return tellsSupersededEnds_;
   }
 
+  public static final int CAPACITY_UNNEEDED_FIELD_NUMBER = 9;
+  private boolean capacityUnneeded_ = false;
+  /**
+   * <pre>
+   * No task waits at the sender for capacity, so reports of changed capacity may be rare. Not set by
+   * older versions, which are reported to as if tasks waited.
+   * </pre>
+   *
+   * <code>bool capacity_unneeded = 9;</code>
+   * @return The capacityUnneeded.
+   */
+  @java.lang.Override
+  public boolean getCapacityUnneeded() {
+    return capacityUnneeded_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -368,6 +384,9 @@
     if (tellsSupersededEnds_ != false) {
       output.writeBool(8, tellsSupersededEnds_);
     }
+    if (capacityUnneeded_ != false) {
+      output.writeBool(9, capacityUnneeded_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -423,6 +442,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(8, tellsSupersededEnds_);
     }
+    if (capacityUnneeded_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, capacityUnneeded_);
+    }
     return size;
   }
   @java.lang.Override
@@ -466,6 +489,8 @@
         .equals(other.getSupersededEndsList())) return false;
     if (getTellsSupersededEnds()
         != other.getTellsSupersededEnds()) return false;
+    if (getCapacityUnneeded()
+        != other.getCapacityUnneeded()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -505,6 +530,9 @@
     hash = (37 * hash) + TELLS_SUPERSEDED_ENDS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getTellsSupersededEnds());
+    hash = (37 * hash) + CAPACITY_UNNEEDED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCapacityUnneeded());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -682,6 +710,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000040);
       tellsSupersededEnds_ = false;
+      capacityUnneeded_ = false;
       return this;
     }
 
@@ -771,6 +800,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.tellsSupersededEnds_ = tellsSupersededEnds_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.capacityUnneeded_ = capacityUnneeded_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -904,6 +936,9 @@
       if (other.getTellsSupersededEnds() != false) {
         setTellsSupersededEnds(other.getTellsSupersededEnds());
       }
+      if (other.getCapacityUnneeded() != false) {
+        setCapacityUnneeded(other.getCapacityUnneeded());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1002,6 +1037,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 72: {
+              capacityUnneeded_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2297,6 +2337,53 @@
       return this;
     }
 
+    private boolean capacityUnneeded_ ;
+    /**
+     * <pre>
+     * No task waits at the sender for capacity, so reports of changed capacity may be rare. Not set by
+     * older versions, which are reported to as if tasks waited.
+     * </pre>
+     *
+     * <code>bool capacity_unneeded = 9;</code>
+     * @return The capacityUnneeded.
+     */
+    @java.lang.Override
+    public boolean getCapacityUnneeded() {
+      return capacityUnneeded_;
+    }
+    /**
+     * <pre>
+     * No task waits at the sender for capacity, so reports of changed capacity may be rare. Not set by
+     * older versions, which are reported to as if tasks waited.
+     * </pre>
+     *
+     * <code>bool capacity_unneeded = 9;</code>
+     * @param value The capacityUnneeded to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCapacityUnneeded(boolean value) {
+
+      capacityUnneeded_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * No task waits at the sender for capacity, so reports of changed capacity may be rare. Not set by
+     * older versions, which are reported to as if tasks waited.
+     * </pre>
+     *
+     * <code>bool capacity_unneeded = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCapacityUnneeded() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      capacityUnneeded_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.RunOrders)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrdersOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunOrdersOrBuilder.java
@@ -169,4 +169,15 @@
    * @return The tellsSupersededEnds.
    */
   boolean getTellsSupersededEnds();
+
+  /**
+   * <pre>
+   * No task waits at the sender for capacity, so reports of changed capacity may be rare. Not set by
+   * older versions, which are reported to as if tasks waited.
+   * </pre>
+   *
+   * <code>bool capacity_unneeded = 9;</code>
+   * @return The capacityUnneeded.
+   */
+  boolean getCapacityUnneeded();
 }
