Pause between listings while a refusal awaits its stop

A start that a predecessor may have sent is stopped before it is refused; until the stop is answered, listings do not wait at the worker, and a listing after which no end awaits its owner requests the next one at once. So listings follow each other without a pause: 2,102 in three seconds of virtual time while a stop is unanswered, on the platform as calls by HTTP. A worker that answers before the call returns, as the test's fake does, is asked recursively until the stack overflows; the error ends in a future that nobody reads, and the listing counts as in flight for good. Ruled out: the store's group (the former owners' members are gone, the partitions owned), links (reports arrive), the new owners.

Both new tests failed before: 2,102 listings; neither end reported.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -57,6 +57,11 @@
     return runs.stream().map(SideRun::partition).collect(Collectors.toSet());
   }
 
+  /** Returns whether one of the runs is reported as refused once it is stopped. */
+  static boolean anyRefused(Collection<SideRun> runs) {
+    return runs.stream().anyMatch(SideRun::isRefused);
+  }
+
   RunKey key() {
     return key;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -308,7 +308,7 @@
     OptionalLong newDeadline = extendLease();
     Set<RunKey> confirmed = new HashSet<>();
     runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
-    boolean urgent = ends.isAwaitingOwners() || runs.values().stream().anyMatch(SideRun::isRefused);
+    boolean urgent = ends.isAwaitingOwners() || SideRun.anyRefused(runs.values());
     long wait = urgent ? 0 : ListingScheduler.waitMillis(serviceTaskCount() > 0);
     ListingScheduler.resultOf(
             worker, () -> gateway.list(worker, newDeadline, ends.acknowledgedUpTo(), wait))
@@ -343,8 +343,8 @@
     if (throttler.observe(runs.values(), resources.capacity().milliProcessors())) {
       listener.capacityChanged();
     }
-    if (ends.isAllAcknowledged()) {
-      listings.requestNow();
+    if (ends.isAllAcknowledged() && !SideRun.anyRefused(runs.values())) {
+      listings.scheduleAfter(0);
     } else {
       listings.scheduleAfter(ACKNOWLEDGEMENT_WAIT_NANOS);
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorOrdersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorOrdersTest.java
@@ -106,6 +106,36 @@
     assertEquals(List.of(RunOutcome.REFUSED), outcomes(session));
   }
 
+  /** Guards against listings in an endless loop while a stop is unanswered. */
+  @Test
+  void listingsAreNotRequestedWithoutPauseUntilTheStopIsAnswered() {
+    WorkerSession session = restart();
+    worker.leaveStopsUnanswered();
+    order(session, Delivery.REPEATED, Integer.MAX_VALUE);
+    int before = worker.listings();
+    advance(session, 3_000);
+    assertTrue(worker.listings() - before <= 30, worker.listings() + " listings");
+  }
+
+  /**
+   * Guards against a session that hears of no end any more after a refusal, because the worker
+   * answers a listing before the call returns.
+   */
+  @Test
+  void endsAreReportedAfterARefusalBesideAWorkerThatAnswersInTheCall() {
+    worker.answerListingsInCall();
+    worker.addActiveRun(FOUND);
+    WorkerSession session = restart();
+    worker.leaveStopsUnanswered();
+    order(session, Delivery.REPEATED, Integer.MAX_VALUE);
+    advance(session, 2_000);
+    worker.answerStops();
+    advance(session, MAX_REFUSAL_MILLIS);
+    worker.endRun(FOUND);
+    advance(session, MAX_REFUSAL_MILLIS);
+    assertEquals(List.of(RunOutcome.REFUSED, RunOutcome.DONE), outcomes(session));
+  }
+
   /**
    * The predecessor's copy starts before the stop; the run is over only when the worker says so.
    */
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -35,6 +35,7 @@
   private boolean refusesStarts;
   private boolean listingCallThrows;
   private boolean listingFutureFails;
+  private boolean answersListingsInCall;
   private int listings;
 
   ScriptedWorker(VirtualLoop time) {
@@ -90,6 +91,11 @@
     answersStops = true;
   }
 
+  /** Completes a listing that need not wait before the call returns. */
+  void answerListingsInCall() {
+    answersListingsInCall = true;
+  }
+
   /** Refuses each start for lack of capacity. */
   void refuseStarts() {
     refusesStarts = true;
@@ -210,6 +216,9 @@
     newDeadline.ifPresent(this::extend);
     acknowledgedUpTo = acknowledged;
     ended.removeIf(end -> end.sequence() <= acknowledgedUpTo);
+    if (answersListingsInCall && waitMillis == 0) {
+      return CompletableFuture.completedFuture(listing());
+    }
     return after(Math.max(1, waitMillis), this::listing);
   }
 }
