Run no scheduling pass on a report while no task waits

Each report of a VM schedules a pass over all workflows of the entry, at most each 10 ms.

reportsCauseNoPassWhileNothingWaits failed before (11 passes, not 1).

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -87,6 +87,9 @@
   private boolean passScheduled;
   private boolean capacityPassScheduled;
 
+  /** Whether the last pass left a ready task without a VM, or there was none yet. */
+  private boolean tasksWait = true;
+
   EntryScheduler(
       LinkLoop loop,
       LongSupplier wallMillis,
@@ -117,9 +120,12 @@
     }
   }
 
-  /** Schedules a delayed pass because the capacity of a VM may have changed. */
+  /**
+   * Schedules a delayed pass because the capacity of a VM may have changed; does nothing while no
+   * task waits. A task that becomes ready schedules a pass itself.
+   */
   void capacityChanged() {
-    if (!capacityPassScheduled && !passScheduled) {
+    if (tasksWait && !capacityPassScheduled && !passScheduled) {
       capacityPassScheduled = true;
       loop.schedule(
           () -> {
@@ -182,16 +188,23 @@
     if (queues.isEmpty()) {
       return;
     }
+    tasksWait = false;
     List<WaitingTask> waiting = waitingTasks(queues.get());
     if (waiting.isEmpty()) {
       return;
     }
+    tasksWait = !placeAll(waiting) || tasksWait;
+  }
+
+  /** Orders the tasks that can be placed; returns whether all of them could. */
+  private boolean placeAll(List<WaitingTask> waiting) {
     Map<String, VmOffer> offersByVm = new HashMap<>();
     vms.offers().forEach(offer -> offersByVm.put(offer.place().vm(), offer));
     // Free capacity only shrinks during a pass: a task that does not fit now will not fit later.
     Set<Requirements> unplaceable = new HashSet<>();
     Set<Workflow> served = new HashSet<>();
     boolean hasSpareCapacity = VmOffer.hasSpareCapacity(offersByVm.values());
+    boolean allPlaced = true;
     for (WaitingTask candidate : waiting) {
       WorkflowTask task = candidate.task();
       // A workflow with one running task no longer starves.
@@ -199,6 +212,7 @@
       WaitingTask each = mayStarve ? candidate : candidate.withoutStarvation();
       Requirements requirements = Requirements.of(each);
       if (unplaceable.contains(requirements)) {
+        allPlaced = false;
         continue;
       }
       List<VmOffer> chosen = chooseWithAdvice(each, offersByVm.values());
@@ -207,6 +221,7 @@
           unplaceable.add(requirements);
         }
         vms.recordUnplaced();
+        allPlaced = false;
         continue;
       }
       chosen.forEach(
@@ -216,6 +231,7 @@
       order(each, chosen.stream().map(VmOffer::place).toList());
       served.add(task.workflow());
     }
+    return allPlaced;
   }
 
   private VmOffer offerAfter(VmOffer offer, WorkflowTask task) {
@@ -301,6 +317,7 @@
         task.workflow().spec(), task.step(), interference, urgency, siblingRack);
   }
 
+  /** Returns the tasks to place now; notes in {@link #tasksWait} whether others have to wait. */
   private List<WaitingTask> waitingTasks(QueueTable queues) {
     long now = loop.now();
     long wallNow = wallMillis.getAsLong();
@@ -326,6 +343,8 @@
                     new WaitingTask(candidate.partition(), task, candidate.rank().urgency());
                 if (isFirstOfGang(task) && isDue(each, now)) {
                   waiting.add(each);
+                } else {
+                  tasksWait = true;
                 }
               });
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SchedulingPassTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SchedulingPassTest.java
@@ -112,6 +112,31 @@
     assertTrue(isOrdered());
   }
 
+  /** Guards against an entry of a large calm fleet that is busy with passes that place nothing. */
+  @Test
+  void reportsCauseNoPassWhileNothingWaits() {
+    report();
+    time.advance(2 * PASS_DELAY_MILLIS);
+    assertTrue(isOrdered());
+    int before = passes;
+    for (int i = 0; i < 10; i++) {
+      report();
+      time.advance(2 * PASS_DELAY_MILLIS);
+    }
+    assertEquals(before, passes);
+  }
+
+  /** Guards against a task without a VM that is not looked at again when a VM reports. */
+  @Test
+  void taskThatFoundNoVmIsOrderedAfterALaterReport() {
+    scheduler.schedulePass();
+    time.advance(2 * PASS_DELAY_MILLIS);
+    assertFalse(isOrdered());
+    report();
+    time.advance(2 * PASS_DELAY_MILLIS);
+    assertTrue(isOrdered());
+  }
+
   private final class PassScheduler implements VmTracker.Listener {
     @Override
     public void runEnded(OwnedPartition partition, WorkflowTask task, RunOutcome outcome) {}
