--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RunKey.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RunKey.java
@@ -18,8 +18,8 @@
     checkArgument(attempt >= 1, "attempt is not positive: %s", attempt);
   }
 
-  // Written out because keys of maps are compared often; the generated methods are linked at run
-  // time, which costs each starting process much of its first second.
+  // Written out because the generated methods are linked at run time, which costs each starting
+  // process much of its first second.
   @Override
   public boolean equals(Object other) {
     return other instanceof RunKey that && attempt == that.attempt && task.equals(that.task);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskKey.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskKey.java
@@ -20,7 +20,8 @@
     checkArgument(index >= 0, "index is negative: %s", index);
   }
 
-  // Written out for the same reason as in RunKey.
+  // Written out because the generated methods are linked at run time, which costs each starting
+  // process much of its first second.
   @Override
   public boolean equals(Object other) {
     return other instanceof TaskKey that
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
@@ -64,8 +64,9 @@
   public record ResponseTooLarge(int maxBytes) implements ExchangeResult {}
 
   /**
-   * When an exchange is given up. On a thin link a large response takes long while it progresses,
-   * and a second attempt would start from its first byte; so these are bounded by their idle time.
+   * The timeouts of an exchange with a large response. Over a low-bandwidth link such a response
+   * takes long although it progresses, and another attempt would begin at the first byte; so the
+   * timeout without progress is short, and that of the whole exchange long.
    *
    * @param totalMillis the longest time from the request to the end of the response
    * @param idleMillis the longest time without a byte sent or received
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/CapacityDemand.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/CapacityDemand.java
@@ -16,7 +16,7 @@
   static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(3);
 
   private boolean everUnplaced;
-  private long lastUnplacedAt;
+  private long endsAt;
 
   /**
    * Records that a task waits for capacity.
@@ -26,12 +26,12 @@
   boolean recordUnplaced(long now) {
     boolean begins = !isPresent(now);
     everUnplaced = true;
-    lastUnplacedAt = now;
+    endsAt = now + HOLD_NANOS;
     return begins;
   }
 
   /** Returns whether a task found no capacity recently. */
   boolean isPresent(long now) {
-    return everUnplaced && now - lastUnplacedAt < HOLD_NANOS;
+    return everUnplaced && now - endsAt < 0;
   }
 }
