Look at a refused task at the end of its backoff

Found by reading. A refused task waits 25 ms and more, and was looked at again by the pass of the next report of any VM. A pass now requests the next one for the earliest end of a backoff.

A refusal also counts as demand for capacity, since it shows that the capacity known here is outdated. How long to back off stands apart in StartBackoff. refusedTaskIsOrderedAgainAtTheEndOfItsBackoffWithoutAReport fails without the request.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -42,34 +42,12 @@
 final class EntryScheduler {
   private static final EventLog LOG = EventLog.of(EntryScheduler.class);
 
-  /** Backoff of a refused task, multiplied by its consecutive refusals. */
-  private static final long REFUSED_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
-
-  /**
-   * Backoff of a refused gang, multiplied by its consecutive refusals. Longer than that of a single
-   * task because each refusal costs all other members a start and a stop. A report with the VM's
-   * actual capacity arrives within this time.
-   */
-  private static final long GANG_REFUSED_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-
-  /** Backoff of a failed long-running task. */
-  private static final long FAILED_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
   /**
    * Delay between a report of capacity and the scheduling pass that it causes, in nanoseconds.
    * Reports of many VMs arrive together, and one pass serves all of them.
    */
   private static final long CAPACITY_PASS_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
-  private static final int MAX_BACKOFF_FACTOR = 20;
-
-  /**
-   * Longest backoff of a refused task or gang, in nanoseconds. Reports of free capacity do not end
-   * a backoff early, so a longer one would leave the task waiting for seconds although there is
-   * free capacity.
-   */
-  private static final long MAX_REFUSED_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
-
   /** Best-effort runs throttled to this share of their speed or less are moved, in percent. */
   private static final int THROTTLED_PERCENT = 25;
 
@@ -84,6 +62,7 @@
   private final GangChooser gangChooser;
   private final PlacementAdviceClient adviceClient;
   private final Supplier<Optional<QueueTable>> configuration;
+  private final EarliestTimer backoffTimer;
   private boolean passScheduled;
   private boolean capacityPassScheduled;
 
@@ -106,6 +85,7 @@
     this.gangChooser = GangChooser.of(chooser);
     this.adviceClient = new PlacementAdviceClient(loop, adviser, this::schedulePass);
     this.configuration = requireNonNull(configuration, "configuration");
+    this.backoffTimer = new EarliestTimer(loop, this::schedulePass);
   }
 
   /** Schedules a pass over the waiting tasks after the current task of the loop. */
@@ -138,13 +118,10 @@
 
   /** Sets the backoff of the task of an ended run and schedules a pass. */
   void runEnded(WorkflowTask task, RunOutcome outcome) {
+    StartBackoff.of(task, outcome).ifPresent(nanos -> task.deferUntil(loop.now() + nanos));
     if (outcome == RunOutcome.REFUSED) {
-      int factor = Math.min(task.refusals(), MAX_BACKOFF_FACTOR);
-      boolean gang = task.step().traits().gang();
-      long base = gang ? GANG_REFUSED_BACKOFF_NANOS : REFUSED_BACKOFF_NANOS;
-      task.deferUntil(loop.now() + Math.min(factor * base, MAX_REFUSED_BACKOFF_NANOS));
-    } else if (outcome == RunOutcome.FAILED && task.step().traits().longRunning()) {
-      task.deferUntil(loop.now() + FAILED_BACKOFF_NANOS);
+      // The capacity known here is outdated.
+      vms.recordUnplaced();
     }
     schedulePass();
   }
@@ -346,6 +323,9 @@
                 } else {
                   tasksWait = true;
                 }
+                if (task.notBefore() > now) {
+                  backoffTimer.request(task.notBefore());
+                }
               });
     }
     return waiting;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SchedulingPassTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SchedulingPassTest.java
@@ -4,12 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.daemon.link.FakeLinks;
+import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.workflow.FakeWorkflowStore.AppendFault;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
+import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.workflow.QueueTable;
+import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.VmChooser;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import io.marigoldsail.workflow.Workflow;
@@ -24,6 +29,7 @@
 class SchedulingPassTest {
   private static final long ID = 95;
   private static final long PASS_DELAY_MILLIS = 10;
+  private static final long REFUSED_BACKOFF_MILLIS = 25;
 
   private final VirtualLoop time = new VirtualLoop();
   private final FakeWorkflowStore store = new FakeWorkflowStore(1, time.timer());
@@ -46,6 +52,7 @@
           VmChooser.of(1.5),
           new FakeAdviser(),
           this::configuration);
+  private final LinkConnection side = FakeLinks.withoutPeer(time.loop());
   private int passes;
 
   /** Counts the scheduling passes, each of which reads the configuration once. */
@@ -68,17 +75,18 @@
   }
 
   private void report() {
-    vms.handleReport(
-        null,
-        VmReport.newBuilder()
-            .setVm("vm-0")
-            .setWorker("incarnation-1")
-            .setService("service")
-            .setMilliProcessors(4_000)
-            .setMemoryMebibytes(8_192)
-            .setFreeMilliProcessors(4_000)
-            .setFreeMemoryMebibytes(8_192)
-            .build());
+    vms.handleReport(side, vmReport().build());
+  }
+
+  private static VmReport.Builder vmReport() {
+    return VmReport.newBuilder()
+        .setVm("vm-0")
+        .setWorker("incarnation-1")
+        .setService("service")
+        .setMilliProcessors(4_000)
+        .setMemoryMebibytes(8_192)
+        .setFreeMilliProcessors(4_000)
+        .setFreeMemoryMebibytes(8_192);
   }
 
   private boolean isOrdered() {
@@ -137,9 +145,40 @@
     assertTrue(isOrdered());
   }
 
+  /**
+   * Guards against a refused task that is looked at again only when some VM reports, though it may
+   * be placed at the end of its backoff.
+   */
+  @Test
+  void refusedTaskIsOrderedAgainAtTheEndOfItsBackoffWithoutAReport() {
+    report();
+    time.advance(2 * PASS_DELAY_MILLIS);
+    WorkflowTask task = onlyTask();
+    RunKey refused = task.openRun();
+    vms.handleReport(
+        side,
+        vmReport()
+            .addEnds(
+                EndReport.newBuilder()
+                    .setTask(WorkflowCodec.encode(refused))
+                    .setOutcome(RunOutcome.REFUSED.number()))
+            .build());
+    time.runPending();
+    assertFalse(isOrdered());
+    time.advance(2 * REFUSED_BACKOFF_MILLIS);
+    assertTrue(isOrdered());
+    assertEquals(refused.attempt() + 1, task.openRun().attempt());
+  }
+
+  private WorkflowTask onlyTask() {
+    return ownership.active().get(0).task(new TaskKey(ID, 0, 0, 0)).orElseThrow();
+  }
+
   private final class PassScheduler implements VmTracker.Listener {
     @Override
-    public void runEnded(OwnedPartition partition, WorkflowTask task, RunOutcome outcome) {}
+    public void runEnded(OwnedPartition partition, WorkflowTask task, RunOutcome outcome) {
+      scheduler.runEnded(task, outcome);
+    }
 
     @Override
     public void capacityChanged() {
