Handle the platform's responses on the thread that reads them

By default the HTTP client hands each response from the thread that reads it to another one of its pool. Its handlers only complete futures, whose dependents decode and go on to the loop; so the handing over bought nothing.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/platform/PlatformClient.java
@@ -25,6 +25,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
+import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -119,7 +120,10 @@
     connector.setSelectors(1);
     connector.setExecutor(threads);
     connector.setSslContextFactory(new NoTls());
-    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+    // Responses complete futures only, so the selector's thread need not hand them to another one.
+    transport.setInvocationType(Invocable.InvocationType.NON_BLOCKING);
+    HttpClient client = new HttpClient(transport);
     client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     client.setMaxConnectionsPerDestination(connections);
     client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_REQUESTS);
@@ -145,7 +149,8 @@
   }
 
   /**
-   * Sends a request without blocking.
+   * Sends a request without blocking. Dependents of the future that are not asynchronous must not
+   * block either, since they run on the thread that reads all responses.
    *
    * @param method the HTTP method
    * @param uri the request URI
