Saturate the age of evidence that an entry sends

Callers would see a task run twice at the same time: the age of the evidence of a partition is sent as 32 bits of milliseconds, and the evidence of a partition that was idle for 25 days or more wrapped around into the future. A side process takes the newest evidence, so it extended the lease of later runs of that partition for weeks without their owner, which takes them over after seconds.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/LeaseGranter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/LeaseGranter.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.primitives.Ints;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.protocol.ImageSeen;
 import io.marigoldsail.protocol.LeaseGrant;
@@ -17,6 +18,8 @@
  * loop's thread.
  */
 final class LeaseGranter {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   private final LinkLoop loop;
   private final PartitionOwnership ownership;
   private final CapacityDemand demand;
@@ -52,12 +55,8 @@
         LeaseGrant.newBuilder().setWorkerClock(session.report().getWorkerClock());
     for (OwnedPartition partition : ownership.active()) {
       if (partition.writer().hasEvidence()) {
-        long after = partition.writer().evidenceAt() - session.reportedAt();
-        lease.addEvidence(
-            PartitionEvidence.newBuilder()
-                .setPartition(partition.number())
-                .setEpoch(partition.epoch())
-                .setAfterReportMillis((int) Math.floorDiv(after, 1_000_000L)));
+        long afterReport = partition.writer().evidenceAt() - session.reportedAt();
+        lease.addEvidence(evidence(partition.number(), partition.epoch(), afterReport));
       }
     }
     if (session.place().isPresent()) {
@@ -65,4 +64,20 @@
     }
     return lease;
   }
+
+  /**
+   * Returns evidence that the partition was owned under the epoch.
+   *
+   * @param afterReportNanos time from the report to the evidence, in nanoseconds; negative if the
+   *     evidence is older
+   */
+  static PartitionEvidence evidence(int partition, long epoch, long afterReportNanos) {
+    // The field has 32 bits, and the evidence of an idle partition may be older than that.
+    int afterReportMillis = Ints.saturatedCast(Math.floorDiv(afterReportNanos, NANOS_PER_MILLI));
+    return PartitionEvidence.newBuilder()
+        .setPartition(partition)
+        .setEpoch(epoch)
+        .setAfterReportMillis(afterReportMillis)
+        .build();
+  }
 }
