Count a suspension in the age of an owner's evidence

As seen by callers: two runs of a task at the same time (TWICE), after the machine of an entry was suspended for longer than the takeover time.

Cause: the time of evidence, and of the report that it is told relative to, were times of the monotonic clock, which does not count a suspension. An entry that read a report after it dated evidence from before it seconds too late. A run that it had decided on was ordered when the response to the append was handled, after its successor had fenced it, waited and ordered another attempt.

Change: evidence is a reading of both clocks (ClockReading), whose age is the greater one by the two. Since evidence that is sent was not followed by a divergence, the difference to the time of the report needs no wall clock: a report read before a suspension, with evidence from after it, dates the evidence too early, which is safe.

The same assumption stood in two more places. An owner told callers that a workflow does not exist, by a read from before the suspension. A side process that was suspended recorded no interruption, since it compared the evidence with its own lower bound of the worker's clock; newer evidence shows more.

Ruled out: ageing by the wall clock alone (steps back make evidence newer); voiding by the difference since the evidence (drift of idle partitions); /proc/uptime (not known to be simulated). Not covered: a step back by about the length of a suspension between two readings, which are at most 200 ms apart.

The periodic renewal moves from WorkflowEntry to PartitionOwnership unchanged. Tests pass the virtual wall clock to PartitionOwnership, OwnedPartition and PartitionWriter; their assertions are unchanged.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/time/WallClock.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/time/WallClock.java
@@ -3,8 +3,8 @@
 /**
  * Milliseconds since the Unix epoch according to this VM; may jump and may differ from other VMs.
  *
- * <p>Used only for display and for the event timeline, never to decide which process may run a
- * task. Safe for any thread.
+ * <p>Used only for display and for the event timeline, and never alone to decide which process may
+ * run a task; see {@link ClockReading}. Safe for any thread.
  */
 @FunctionalInterface
 public interface WallClock {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/LeaseGranter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/LeaseGranter.java
@@ -6,21 +6,29 @@
 import io.marigoldsail.protocol.ImageSeen;
 import io.marigoldsail.protocol.LeaseGrant;
 import io.marigoldsail.protocol.PartitionEvidence;
+import io.marigoldsail.time.ClockReading;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Sends leases to side processes, each with the orders pending for it, and remembers when.
  *
- * <p>A lease is the evidence of ownership of each partition that this entry owns. Confined to the
- * loop's thread.
+ * <p>A lease is the evidence of ownership of each partition that this entry owns. A lease without
+ * the evidence of some partition is sent again once that evidence is renewed; a VM ignores orders
+ * for partitions without evidence. Confined to the loop's thread.
  */
 final class LeaseGranter {
   private final LinkLoop loop;
   private final PartitionOwnership ownership;
   private final CapacityDemand demand;
   private final Map<String, Long> grantedAt = new HashMap<>();
+  private final Set<VmSession> incomplete = new LinkedHashSet<>();
+  private final Set<OwnedPartition> renewing = new HashSet<>();
 
   LeaseGranter(LinkLoop loop, PartitionOwnership ownership, CapacityDemand demand) {
     this.loop = requireNonNull(loop, "loop");
@@ -50,9 +58,13 @@
   private LeaseGrant.Builder lease(VmSession session) {
     LeaseGrant.Builder lease =
         LeaseGrant.newBuilder().setWorkerClock(session.report().getWorkerClock());
+    ClockReading now = ownership.readClocks();
     for (OwnedPartition partition : ownership.active()) {
-      if (partition.writer().hasEvidence()) {
-        long after = partition.writer().evidenceAt() - session.reportedAt();
+      OptionalLong age = partition.writer().evidenceAgeNanos(now);
+      if (age.isEmpty()) {
+        grantAfterRenewal(session, partition);
+      } else {
+        long after = now.steadyNanos() - age.getAsLong() - session.reportedAt();
         lease.addEvidence(
             PartitionEvidence.newBuilder()
                 .setPartition(partition.number())
@@ -65,4 +77,19 @@
     }
     return lease;
   }
+
+  private void grantAfterRenewal(VmSession session, OwnedPartition partition) {
+    incomplete.add(session);
+    renewing.removeIf(each -> !each.isActive());
+    if (renewing.add(partition)) {
+      partition.writer().afterRenewal(() -> handleRenewed(partition));
+    }
+  }
+
+  private void handleRenewed(OwnedPartition partition) {
+    renewing.remove(partition);
+    List<VmSession> again = List.copyOf(incomplete);
+    incomplete.clear();
+    again.stream().filter(session -> session.connection().isOpen()).forEach(this::grant);
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -15,6 +15,8 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.ReadResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Records;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
+import io.marigoldsail.time.ClockPair;
+import io.marigoldsail.time.ClockReading;
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowIds;
@@ -69,6 +71,7 @@
 
   private final WorkflowStore store;
   private final LinkLoop loop;
+  private final ClockPair clocks;
   private final int number;
   private final Listener listener;
   private final PartitionWriter writer;
@@ -84,14 +87,21 @@
   private boolean active;
   private boolean closed;
   private long tailOffset;
-  private long lastTailAt = Long.MIN_VALUE;
-
-  OwnedPartition(WorkflowStore store, LinkLoop loop, int number, long epoch, Listener listener) {
+  private Optional<ClockReading> caughtUpAt = Optional.empty();
+
+  OwnedPartition(
+      WorkflowStore store,
+      LinkLoop loop,
+      ClockPair clocks,
+      int number,
+      long epoch,
+      Listener listener) {
     this.store = requireNonNull(store, "store");
     this.loop = requireNonNull(loop, "loop");
+    this.clocks = requireNonNull(clocks, "clocks");
     this.number = number;
     this.listener = requireNonNull(listener, "listener");
-    this.writer = new PartitionWriter(store, loop, number, epoch, this::handleLost);
+    this.writer = new PartitionWriter(store, loop, clocks, number, epoch, this::handleLost);
   }
 
   /** Starts loading; the listener is notified once the partition is active. */
@@ -146,7 +156,16 @@
 
   /** Returns whether all submissions accepted more than {@link #CAUGHT_UP_NANOS} ago are known. */
   boolean isCaughtUp() {
-    return active && loop.now() - lastTailAt < CAUGHT_UP_NANOS;
+    return active
+        && caughtUpAt.filter(at -> at.ageNanos(clocks.read()) < CAUGHT_UP_NANOS).isPresent();
+  }
+
+  /** Returns the age of the ownership evidence in milliseconds, as a text for logs. */
+  String evidenceAge() {
+    OptionalLong nanos = writer.evidenceAgeNanos(clocks.read());
+    return nanos.isEmpty()
+        ? "none"
+        : String.valueOf(TimeUnit.NANOSECONDS.toMillis(nanos.getAsLong()));
   }
 
   /** Writes the workflow's state; callers see the new status once it is durable. */
@@ -307,7 +326,7 @@
   private void activate() {
     unclaimedProgress.clear();
     active = true;
-    lastTailAt = loop.now();
+    caughtUpAt = Optional.of(clocks.read());
     LOG.info(
         LogLine.of("partition-owned")
             .with("partition", number)
@@ -331,17 +350,22 @@
     if (closed) {
       return;
     }
+    ClockReading sent = clocks.read();
+    // Callers that ask for unknown workflows wait for this read.
+    long waitMillis = isCaughtUp() ? TAIL_WAIT_MILLIS : 0;
     store
-        .read(Topic.SUBMISSIONS, number, tailOffset, TAIL_WAIT_MILLIS)
-        .thenAccept(result -> loop.run(() -> handleTail(result)));
+        .read(Topic.SUBMISSIONS, number, tailOffset, waitMillis)
+        .thenAccept(result -> loop.run(() -> handleTail(sent, result)));
   }
 
-  private void handleTail(ReadResult result) {
+  private void handleTail(ClockReading sent, ReadResult result) {
     if (closed) {
       return;
     }
     if (result instanceof Records records) {
-      lastTailAt = loop.now();
+      ClockReading now = clocks.read();
+      // After a suspension the response may be as old as the request.
+      caughtUpAt = Optional.of(sent.isContinuousUntil(now) ? now : sent);
       tailOffset = records.nextOffset();
       records.records().forEach(this::addOrSkip);
       tail();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
@@ -13,15 +13,21 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
 import io.marigoldsail.daemon.workflow.WorkflowStore.OwnersUnavailable;
+import io.marigoldsail.time.ClockPair;
+import io.marigoldsail.time.ClockReading;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowIds;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 
 /**
  * Keeps this entry a member of the group of owners; acquires and releases partitions.
@@ -51,6 +57,12 @@
   /** Time after a membership change in which another one is likely, in nanoseconds. */
   private static final long REBALANCE_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /** Interval of renewals of the evidence of partitions with open tasks, in nanoseconds. */
+  private static final long EVIDENCE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+  /** Interval at which the clocks are compared, in nanoseconds. */
+  private static final long CLOCK_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   /** Interval of reads of the owners, in nanoseconds. */
   private static final long OWNERS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
@@ -68,6 +80,7 @@
 
   private final WorkflowStore store;
   private final LinkLoop loop;
+  private final ClockPair clocks;
   private final EntryMember self;
   private final Listener listener;
   private final Map<Integer, OwnedPartition> owned = new HashMap<>();
@@ -81,9 +94,15 @@
   private boolean joining;
   private volatile boolean connected;
 
-  PartitionOwnership(WorkflowStore store, LinkLoop loop, EntryMember self, Listener listener) {
+  PartitionOwnership(
+      WorkflowStore store,
+      LinkLoop loop,
+      LongSupplier wallMillis,
+      EntryMember self,
+      Listener listener) {
     this.store = requireNonNull(store, "store");
     this.loop = requireNonNull(loop, "loop");
+    this.clocks = new ClockPair(loop::now, wallMillis::getAsLong, this::handleDivergence);
     this.self = requireNonNull(self, "self");
     this.listener = requireNonNull(listener, "listener");
   }
@@ -94,6 +113,56 @@
     generationChangedAt = loop.now();
     loop.repeat(this::joinIfDue, REBALANCE_JOIN_INTERVAL_NANOS);
     loop.repeat(this::readOwners, OWNERS_INTERVAL_NANOS);
+    loop.repeat(this::renewOldEvidence, EVIDENCE_INTERVAL_NANOS);
+    loop.repeat(this::renewMissingEvidence, CLOCK_CHECK_INTERVAL_NANOS);
+  }
+
+  private void renewOldEvidence() {
+    ClockReading now = clocks.read();
+    for (OwnedPartition partition : active()) {
+      OptionalLong age = partition.writer().evidenceAgeNanos(now);
+      boolean due = age.isEmpty() || age.getAsLong() > EVIDENCE_INTERVAL_NANOS;
+      if (due && partition.workflows().stream().anyMatch(Workflow::hasOpenTasks)) {
+        partition.writer().renewEvidence();
+      }
+    }
+  }
+
+  private void renewMissingEvidence() {
+    withoutEvidence().forEach(partition -> partition.writer().renewEvidence());
+  }
+
+  private List<OwnedPartition> withoutEvidence() {
+    ClockReading now = clocks.read();
+    return active().stream()
+        .filter(partition -> partition.writer().evidenceAgeNanos(now).isEmpty())
+        .toList();
+  }
+
+  /** Handles a suspension or a clock step, which has made all evidence void. */
+  private void handleDivergence(long steadyNanos, long wallNanos) {
+    loop.runLater(
+        () -> {
+          List<OwnedPartition> voided = withoutEvidence();
+          LOG.warning(
+              LogLine.of("clocks-diverged")
+                  .with("steady_ms", TimeUnit.NANOSECONDS.toMillis(steadyNanos))
+                  .with("wall_ms", TimeUnit.NANOSECONDS.toMillis(wallNanos))
+                  .with("generation", generation)
+                  .with("evidence_voided", partitionsWithEpochs(voided)));
+          renewMissingEvidence();
+        });
+  }
+
+  private static String partitionsWithEpochs(List<OwnedPartition> partitions) {
+    return partitions.stream()
+        .map(partition -> partition.number() + "@" + partition.epoch())
+        .collect(Collectors.joining(","));
+  }
+
+  /** Reads the clocks by which the age of evidence is determined. */
+  ClockReading readClocks() {
+    return clocks.read();
   }
 
   /**
@@ -189,7 +258,7 @@
     long epoch = Math.max(floor, lastEpochs.getOrDefault(partition, 0L) + 1);
     lastEpochs.put(partition, epoch);
     OwnedPartition acquired =
-        new OwnedPartition(store, loop, partition, epoch, new PartitionListener());
+        new OwnedPartition(store, loop, clocks, partition, epoch, new PartitionListener());
     owned.put(partition, acquired);
     acquired.open();
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
@@ -15,11 +15,14 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.OutOfSequence;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Writer;
+import io.marigoldsail.time.ClockPair;
+import io.marigoldsail.time.ClockReading;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -30,7 +33,8 @@
  * <p>An append whose response was lost is resent unchanged, so that the store can detect the
  * repeat; nothing else is sent before its result is known. Effects run only after the append that
  * contains their cause is durable. The time at which a successful append was first sent is the
- * evidence that this process owned the partition at that time.
+ * evidence that this process owned the partition at that time. It is void once the clocks have
+ * diverged since: the machine may have been suspended, and the partition may have another owner.
  *
  * <p>Confined to the loop's thread.
  */
@@ -47,6 +51,7 @@
 
   private final WorkflowStore store;
   private final LinkLoop loop;
+  private final ClockPair clocks;
   private final int partition;
   private final long epoch;
   private final Runnable onLost;
@@ -56,12 +61,19 @@
   private boolean inFlight;
   private boolean closed;
   private boolean renewalDue;
-  private long evidenceAt = Long.MIN_VALUE;
+  private Optional<ClockReading> evidence = Optional.empty();
   private long openedAt;
 
-  PartitionWriter(WorkflowStore store, LinkLoop loop, int partition, long epoch, Runnable onLost) {
+  PartitionWriter(
+      WorkflowStore store,
+      LinkLoop loop,
+      ClockPair clocks,
+      int partition,
+      long epoch,
+      Runnable onLost) {
     this.store = requireNonNull(store, "store");
     this.loop = requireNonNull(loop, "loop");
+    this.clocks = requireNonNull(clocks, "clocks");
     this.partition = partition;
     this.epoch = epoch;
     this.onLost = requireNonNull(onLost, "onLost");
@@ -88,15 +100,17 @@
   }
 
   /**
-   * Returns the last time at which this writer is known to have owned the partition, in the loop's
-   * nanoseconds; {@link Long#MIN_VALUE} if there is none.
+   * Returns how long ago this writer is last known to have owned the partition, in nanoseconds;
+   * empty if that is not known or the evidence is void.
    */
-  long evidenceAt() {
-    return evidenceAt;
+  OptionalLong evidenceAgeNanos(ClockReading now) {
+    return evidence.isPresent() && evidence.get().isContinuousUntil(now)
+        ? OptionalLong.of(evidence.get().ageNanos(now))
+        : OptionalLong.empty();
   }
 
-  boolean hasEvidence() {
-    return evidenceAt != Long.MIN_VALUE;
+  private boolean hasEvidence() {
+    return evidenceAgeNanos(clocks.read()).isPresent();
   }
 
   /**
@@ -110,12 +124,15 @@
     scheduleFlush();
   }
 
-  /** Runs the effect once everything written so far is durable; does nothing on a closed writer. */
+  /**
+   * Runs the effect once everything written so far is durable and the evidence is not void; does
+   * nothing on a closed writer.
+   */
   void afterDurable(Runnable effect) {
     if (closed) {
       return;
     }
-    if (pendingValues.isEmpty() && !inFlight && !renewalDue) {
+    if (pendingValues.isEmpty() && !inFlight && !renewalDue && hasEvidence()) {
       effect.run();
       return;
     }
@@ -182,11 +199,11 @@
     inFlight = true;
     // An empty append sets the epoch and does not advance the sequence.
     long number = records.isEmpty() ? sequence : sequence++;
-    send(new Batch(records, new Writer(epoch, number), batchEffects, loop.now()));
+    send(new Batch(records, new Writer(epoch, number), batchEffects, clocks.read()));
   }
 
   private record Batch(
-      List<KeyedRecord> records, Writer writer, List<Runnable> effects, long firstSent) {}
+      List<KeyedRecord> records, Writer writer, List<Runnable> effects, ClockReading firstSent) {}
 
   private void send(Batch batch) {
     if (closed) {
@@ -203,8 +220,12 @@
     }
     if (result instanceof Appended) {
       inFlight = false;
-      evidenceAt = batch.firstSent();
-      batch.effects().forEach(this::runEffect);
+      evidence = Optional.of(batch.firstSent());
+      if (hasEvidence()) {
+        batch.effects().forEach(this::runEffect);
+      } else {
+        runAfterNextAppend(batch.effects());
+      }
       flush();
     } else if (result instanceof Fenced) {
       relinquish("another owner has a higher epoch");
@@ -217,6 +238,20 @@
     }
   }
 
+  /**
+   * Another owner may have ordered other attempts during a suspension; the effects, such as orders,
+   * need an append from after it.
+   */
+  private void runAfterNextAppend(List<Runnable> delayed) {
+    LOG.info(
+        LogLine.of("append-evidence-void")
+            .with("partition", partition)
+            .with("epoch", epoch)
+            .with("effects", delayed.size()));
+    renewalDue = true;
+    effects.addAll(0, delayed);
+  }
+
   /**
    * Runs one effect of an append; logs an exception and continues.
    *
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndAcknowledger.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndAcknowledger.java
@@ -106,8 +106,6 @@
   }
 
   private void logUnknownEnd(OwnedPartition partition, RunKey run, String vm) {
-    PartitionWriter writer = partition.writer();
-    long evidenceNanos = loop.now() - writer.evidenceAt();
     unknownEnds.log(
         "partition " + partition.number(),
         LogLine.of("end-unknown")
@@ -115,6 +113,6 @@
             .with("vm", vm)
             .with("partition", partition.number())
             .with("epoch", partition.epoch())
-            .with("evidence_ms", TimeUnit.NANOSECONDS.toMillis(evidenceNanos)));
+            .with("evidence_ms", partition.evidenceAge()));
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
@@ -71,7 +71,9 @@
    * whether its epoch is the highest so far.
    */
   boolean recordEvidence(int partition, long epoch, long workerClock) {
-    evidenceLedger.recordInterruption(partition, clockLowerBound());
+    // After a suspension of this machine, evidence may be newer than the lower bound.
+    long reached = Math.max(clockLowerBound(), workerClock);
+    evidenceLedger.recordInterruption(partition, reached);
     return evidenceLedger.observe(partition, epoch, workerClock);
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -45,7 +45,6 @@
 public final class WorkflowEntry {
   private static final EventLog LOG = EventLog.of(WorkflowEntry.class);
 
-  private static final long EVIDENCE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
   private static final long SWEEP_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   static final long COUNTS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
   private static final long EVICTION_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
@@ -92,7 +91,7 @@
     this.parameters = requireNonNull(parameters, "parameters");
     this.wallMillis = requireNonNull(wallMillis, "wallMillis");
     this.self = new EntryMember(address.getHostString(), address.getPort(), wallMillis.getAsLong());
-    this.ownership = new PartitionOwnership(store, loop, self, new OwnershipListener());
+    this.ownership = new PartitionOwnership(store, loop, wallMillis, self, new OwnershipListener());
     this.peers = new EntryPeers(loop, self);
     this.vms = new VmTracker(loop, ownership, parameters.lease(), wallMillis, new VmListener());
     this.scheduler =
@@ -117,7 +116,6 @@
   public void start() throws IOException {
     server.start();
     loop.run(ownership::start);
-    loop.repeat(this::renewEvidence, EVIDENCE_INTERVAL_NANOS);
     loop.repeat(this::sweep, SWEEP_INTERVAL_NANOS);
     loop.repeat(() -> peers.tick(waitingLocally()), COUNTS_INTERVAL_NANOS);
     loop.repeat(taskMonitor::check, MONITOR_INTERVAL_NANOS);
@@ -288,15 +286,6 @@
     return waiting;
   }
 
-  private void renewEvidence() {
-    for (OwnedPartition partition : ownership.active()) {
-      boolean due = loop.now() - partition.writer().evidenceAt() > EVIDENCE_INTERVAL_NANOS;
-      if (due && partition.workflows().stream().anyMatch(Workflow::hasOpenTasks)) {
-        partition.writer().renewEvidence();
-      }
-    }
-  }
-
   private void sweep() {
     vms.closeExpiredRuns();
     scheduler.evacuateRuns();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
@@ -97,6 +97,22 @@
     assertEquals(0, worker.acknowledgedUpTo());
   }
 
+  /**
+   * A side process that was suspended does not count the time without evidence. Evidence that is
+   * newer than its own clock shows that another attempt may have been ordered meanwhile.
+   */
+  @Test
+  void failureIsWithheldAfterAnInterruptionDuringASuspensionOfTheSideProcess() {
+    worker.endRun(run(0, 0), RunOutcome.FAILED);
+    advance(2_000, 0, 1);
+    assertEquals(List.of(RunOutcome.FAILED), outcomes());
+    long afterTakeover = session.workerClockLowerBound() + TERMS.takeoverMillis();
+    session.recordEvidence(0, 1, afterTakeover);
+    session.acknowledgeEnd(run(0, 0));
+    advance(1_000, 1);
+    assertEquals(0, worker.acknowledgedUpTo());
+  }
+
   /** A lapsed or stopped run limits no later attempt; its end must not fill the listings. */
   @Test
   void endThatLimitsNoAttemptIsAcknowledgedAfterAnInterruption() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EntrySchedulerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EntrySchedulerTest.java
@@ -74,7 +74,8 @@
     LinkLoop loop = new VirtualLoop().loop();
     EntryMember self = new EntryMember("127.0.0.1", 1, 1);
     PartitionOwnership ownership =
-        new PartitionOwnership(new ScriptedOwnersStore(1), loop, self, new NoOpOwnershipListener());
+        new PartitionOwnership(
+            new ScriptedOwnersStore(1), loop, () -> 0, self, new NoOpOwnershipListener());
     WorkerLeaseTerms terms = WorkerLeaseTerms.forMaxLease(10_000);
     VmTracker vms = new VmTracker(loop, ownership, terms, () -> 0, new NoOpVmListener());
     EntryScheduler scheduler =
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerMapOrderTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerMapOrderTest.java
@@ -39,7 +39,8 @@
   void newOwnersAreSoonReadUnderTheirGeneration(int afterMillis) {
     FakeWorkflowStore store = new FakeWorkflowStore(2, time.timer());
     LastOwnersListener last = new LastOwnersListener();
-    PartitionOwnership ownership = new PartitionOwnership(store, time.loop(), SELF, last);
+    PartitionOwnership ownership =
+        new PartitionOwnership(store, time.loop(), time::wallMillis, SELF, last);
     store.join(OTHER, Long.MAX_VALUE);
     ownership.start();
     time.advance(SETTLED_MILLIS + afterMillis);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PartitionExceptionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PartitionExceptionTest.java
@@ -28,7 +28,8 @@
   @Test
   void throwingEffectDoesNotSkipLaterEffects() {
     List<String> ran = new ArrayList<>();
-    PartitionWriter writer = new PartitionWriter(store, time.loop(), 0, 1, () -> ran.add("lost"));
+    PartitionWriter writer =
+        new PartitionWriter(store, time.loop(), time.clocks(), 0, 1, () -> ran.add("lost"));
     writer.write(
         "a",
         () -> ByteString.copyFromUtf8("a"),
@@ -53,7 +54,8 @@
   @Test
   void throwingSubmissionDoesNotStopTailing() {
     ThrowingListener listener = new ThrowingListener(2);
-    OwnedPartition partition = new OwnedPartition(store, time.loop(), 0, 1, listener);
+    OwnedPartition partition =
+        new OwnedPartition(store, time.loop(), time.clocks(), 0, 1, listener);
     partition.open();
     time.advance(20);
     assertTrue(partition.isActive());
@@ -74,7 +76,8 @@
   @Test
   void throwingSubmissionDoesNotStopRereading() {
     ThrowingListener listener = new ThrowingListener(2);
-    OwnedPartition partition = new OwnedPartition(store, time.loop(), 0, 1, listener);
+    OwnedPartition partition =
+        new OwnedPartition(store, time.loop(), time.clocks(), 0, 1, listener);
     partition.open();
     time.advance(20);
     store.submit(submission(2));
@@ -94,7 +97,8 @@
   void throwingActivationDoesNotStopTailing() {
     ThrowingListener listener = new ThrowingListener(0);
     listener.throwsOnActivation = true;
-    OwnedPartition partition = new OwnedPartition(store, time.loop(), 0, 1, listener);
+    OwnedPartition partition =
+        new OwnedPartition(store, time.loop(), time.clocks(), 0, 1, listener);
     partition.open();
     time.advance(20);
     store.submit(submission(1));
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunEndAcknowledgerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunEndAcknowledgerTest.java
@@ -31,6 +31,7 @@
       new PartitionOwnership(
           storeOfOwner,
           time.loop(),
+          time::wallMillis,
           new EntryMember("127.0.0.1", 1, 1),
           new NoOpOwnershipListener());
   private final RunEndAcknowledger acknowledger = new RunEndAcknowledger(time.loop());
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SchedulingPassTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SchedulingPassTest.java
@@ -35,7 +35,11 @@
   private final FakeWorkflowStore store = new FakeWorkflowStore(1, time.timer());
   private final PartitionOwnership ownership =
       new PartitionOwnership(
-          store, time.loop(), new EntryMember("127.0.0.1", 1, 1), new NoOpOwnershipListener());
+          store,
+          time.loop(),
+          time::wallMillis,
+          new EntryMember("127.0.0.1", 1, 1),
+          new NoOpOwnershipListener());
   private final VmTracker vms =
       new VmTracker(
           time.loop(),
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.daemon.workflow;
 
 import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.time.ClockPair;
 import io.marigoldsail.time.WallClock;
 import io.marigoldsail.timeline.HybridClock;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -10,10 +11,12 @@
 /** A loop on virtual time: scheduled tasks run only while a test advances it. One thread. */
 final class VirtualLoop {
   private static final long STEP_MILLIS = 1;
+  private static final long WALL_START_MILLIS = 1_000_000_000;
 
   private final EmbeddedChannel timer = new EmbeddedChannel();
   private final LinkLoop loop;
   private long nanos;
+  private long wallShiftMillis;
 
   VirtualLoop() {
     timer.freezeTime();
@@ -34,6 +37,24 @@
     return TimeUnit.NANOSECONDS.toMillis(nanos);
   }
 
+  /** Returns the wall clock, in milliseconds. */
+  long wallMillis() {
+    return WALL_START_MILLIS + millis() + wallShiftMillis;
+  }
+
+  /** Returns both clocks, without a listener. */
+  ClockPair clocks() {
+    return new ClockPair(loop::now, this::wallMillis, (steadyNanos, wallNanos) -> {});
+  }
+
+  /**
+   * Shifts the wall clock alone, as a suspension of the machine does for its length, or a step;
+   * negative to step it back.
+   */
+  void shiftWallClock(long millis) {
+    wallShiftMillis += millis;
+  }
+
   /** Advances the time and runs all tasks that become due, in order. */
   void advance(long millis) {
     for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualStore.java
@@ -2,8 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -14,6 +16,9 @@
 
   private final VirtualLoop time;
   private final List<KeyedRecord> submissions = new ArrayList<>();
+  private final Set<Long> readWaits = new HashSet<>();
+  private final List<Runnable> heldReads = new ArrayList<>();
+  private boolean holdsReads;
   private boolean expires;
 
   VirtualStore(VirtualLoop time) {
@@ -30,6 +35,23 @@
     expires = true;
   }
 
+  /** Holds the responses to reads, which contain what was submitted when they were due. */
+  void holdReads() {
+    holdsReads = true;
+  }
+
+  /** Delivers the held responses. */
+  void releaseReads() {
+    holdsReads = false;
+    heldReads.forEach(Runnable::run);
+    heldReads.clear();
+  }
+
+  /** Returns how long the reads so far were to wait for a record, in milliseconds. */
+  Set<Long> readWaits() {
+    return Set.copyOf(readWaits);
+  }
+
   private <T> CompletableFuture<T> completeLater(Supplier<T> result) {
     CompletableFuture<T> future = new CompletableFuture<>();
     time.loop()
@@ -51,15 +73,27 @@
   @Override
   public CompletableFuture<ReadResult> read(
       Topic topic, int partition, long from, long waitMillis) {
-    return completeLater(
-        () -> {
-          if (expires) {
-            expires = false;
-            return new Expired();
-          }
-          List<KeyedRecord> newer = submissions.subList((int) from, submissions.size());
-          return new Records(ImmutableList.copyOf(newer), submissions.size());
-        });
+    readWaits.add(waitMillis);
+    CompletableFuture<ReadResult> future = new CompletableFuture<>();
+    completeLater(() -> result(from))
+        .thenAccept(
+            result -> {
+              if (holdsReads) {
+                heldReads.add(() -> future.complete(result));
+              } else {
+                future.complete(result);
+              }
+            });
+    return future;
+  }
+
+  private ReadResult result(long from) {
+    if (expires) {
+      expires = false;
+      return new Expired();
+    }
+    List<KeyedRecord> newer = submissions.subList((int) from, submissions.size());
+    return new Records(ImmutableList.copyOf(newer), submissions.size());
   }
 
   @Override
