Never set the lower bound of a worker's clock back

Callers of tasks that fail could see more attempts than permitted: a side process stands still for longer than the takeover time, its owners order other attempts, and the end of the first one is acknowledged to the worker as if nothing had happened in between.

Cause: the clock was replaced by each reading, also by one in a response that had waited in this process while it stood still, or that another one had overtaken.

Fix: a reading counts only if it is above the bound. The bound stays valid, as each of its parts is; it can only be tighter. Expired leases are seen earlier by it, never before the worker's clock is there.

Not covered: a machine whose steady clock stood still too. The bound is too low then until the next reading, which only delays conclusions.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerLease.java
@@ -49,17 +49,23 @@
     this.loop = requireNonNull(loop, "loop");
     this.evidenceLedger = new LeaseLedger(terms);
     this.firstReading = firstReading;
-    recordClock(firstReading);
+    this.clock = firstReading;
+    this.readAt = loop.now();
     // An earlier incarnation of this process may have extended the lease just before it ended.
     this.predecessorDeadline = firstReading + terms.leaseMillis();
     this.deadline = predecessorDeadline;
     this.sentDeadline = firstReading;
   }
 
-  /** Records the worker's clock as read from a response. */
+  /**
+   * Records the worker's clock as read from a response. One that was overtaken, or that waited
+   * while this process was suspended, must not set the lower bound back.
+   */
   void recordClock(long reading) {
-    clock = reading;
-    readAt = loop.now();
+    if (reading > clockLowerBound()) {
+      clock = reading;
+      readAt = loop.now();
+    }
   }
 
   /** Returns a time that the worker's clock has certainly reached. */
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerLeaseTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerLeaseTest.java
@@ -16,6 +16,28 @@
   private final VirtualLoop time = new VirtualLoop();
   private final WorkerLease lease = new WorkerLease(time.loop(), TERMS, FIRST_READING);
 
+  /**
+   * This process stands still for longer than the takeover time, and then reads a listing from
+   * before. With its clock set back, it would miss that the owner may have ordered another attempt.
+   */
+  @Test
+  void interruptionIsSeenThoughAnOldResponseIsReadAfterIt() {
+    lease.recordEvidence(PARTITION, 1, FIRST_READING);
+    WorkerLease.Mark ordered = lease.mark(PARTITION);
+    time.advance(TERMS.takeoverMillis() + 500);
+    lease.recordClock(FIRST_READING + 100);
+    lease.recordEvidence(PARTITION, 1, FIRST_READING + TERMS.takeoverMillis() + 500);
+    assertTrue(lease.mayHaveTakenOver(PARTITION, ordered));
+  }
+
+  /** A response that a newer one overtook must not make an expired lease count as running. */
+  @Test
+  void clockIsNotSetBackByAnOvertakenResponse() {
+    lease.recordClock(FIRST_READING + 5_000);
+    lease.recordClock(FIRST_READING + 4_000);
+    assertEquals(FIRST_READING + 5_000, lease.clockLowerBound());
+  }
+
   /** The worker may hold less than the predecessor may have sent, so it is sent the difference. */
   @Test
   void deadlineBelowThePredecessorsIsSentAndNoneBeyondTheEvidence() {
