Do not send a start again after an interruption of its partition

As seen by callers: two runs of a task at the same time, if the machine of a side process is suspended while a start is unanswered.

Cause: a start that is sent again carries the deadline that the partition's evidence allows by then. After a suspension longer than the takeover time that is the evidence of an owner, the same or a later one, that may have ordered another attempt; the worker accepts the start, since its deadline is new. It was considered safe because the partition limits the deadline while the run is kept, which holds only while its evidence is not renewed.

Change: a start whose partition was interrupted since it was ordered is abandoned, as on a draining worker: it is stopped, so that the worker refuses the earlier copies, too. An unanswered start without an interruption is sent again as before (unansweredStartIsSentAgainWhileItsOwnerWaits).

Ruled out: without a suspension of the side process three tries end before the takeover time only as long as the calls to the worker time out in time; the check does not depend on it.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OrderSender.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OrderSender.java
@@ -120,8 +120,15 @@
     if (!listener.isCurrent(run) || run.isStopping() || run.isListed()) {
       return;
     }
-    if (listener.isDraining()) {
-      // A draining worker would end the run shortly; a stop invalidates the first start order.
+    boolean interrupted = lease.mayHaveTakenOver(run.partition(), run.orderedAt());
+    if (interrupted || listener.isDraining()) {
+      // Its owner may have ordered another attempt, or a draining worker would end the run shortly;
+      // a stop invalidates the first start order.
+      LOG.info(
+          LogLine.of("start-abandoned")
+              .with("run", run.key())
+              .with("worker", worker)
+              .with("interrupted", interrupted));
       listener.startAbandoned(run);
     } else {
       sendStart(run);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
@@ -81,6 +81,39 @@
         "acknowledged up to " + worker.acknowledgedUpTo());
   }
 
+  /**
+   * A start went unanswered before the side process was suspended. Its owner, or a later one, may
+   * have ordered another attempt meanwhile; its new evidence must not let the start be sent again.
+   */
+  @Test
+  void startIsNotSentAgainOnceItsOwnerMayHaveOrderedAnotherAttempt() {
+    WorkerSession session = session();
+    recordEvidence(session, 0);
+    worker.leaveStartsUnanswered(false);
+    start(session, runOf(0));
+    time.advance(50);
+    session.recordEvidence(0, 2, session.workerClockLowerBound() + TERMS.takeoverMillis());
+    worker.leaveStartsUnanswered(true);
+    time.advance(2_000);
+    assertEquals(List.of(), worker.listing().running());
+    assertEquals(List.of(runOf(0)), worker.stopped());
+  }
+
+  /** Guards against starts that are given up because of one lost response. */
+  @Test
+  void unansweredStartIsSentAgainWhileItsOwnerWaits() {
+    WorkerSession session = session();
+    recordEvidence(session, 0);
+    worker.leaveStartsUnanswered(false);
+    start(session, runOf(0));
+    time.advance(50);
+    recordEvidence(session, 0);
+    worker.leaveStartsUnanswered(true);
+    time.advance(500);
+    assertEquals(1, worker.listing().running().size());
+    assertEquals(List.of(), worker.stopped());
+  }
+
   /**
    * A refused run must also be stopped on the worker: a start order sent before the restart of the
    * side process may be executed late, and the task would run in two places.
