--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -424,19 +424,19 @@
    * work stay.
    */
   void evacuateRuns() {
-    for (OpenRun run : vms.runsOnDrainingVms()) {
+    for (OpenRun run : vms.view().runsOnDrainingVms()) {
       boolean movable =
           run.task().step().traits().longRunning() || run.task().step().traits().checkpointable();
       if (movable) {
         move(run, "worker is draining");
       }
     }
-    for (OpenRun run : vms.excessRuns()) {
+    for (OpenRun run : vms.view().excessRuns()) {
       if (isCheapToMove(run.task())) {
         move(run, "too many interfering runs beside service tasks");
       }
     }
-    moveThrottled(vms.runsThrottledTo(THROTTLED_PERCENT));
+    moveThrottled(vms.view().runsThrottledTo(THROTTLED_PERCENT));
   }
 
   private void moveThrottled(List<OpenRun> throttled) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import com.google.common.collect.ImmutableList;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -28,7 +27,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 
 /**
  * Tracks the VMs that report to this entry and reconciles the runs that it owns with the reports.
@@ -440,41 +438,6 @@
         .orElse("");
   }
 
-  /** Returns all open runs on VMs whose workers are draining. */
-  ImmutableList<OpenRun> runsOnDrainingVms() {
-    return runsOn(VmReport::getDraining);
-  }
-
-  /** Returns the open runs that exceed their VM's capacity for interfering runs. */
-  ImmutableList<OpenRun> excessRuns() {
-    ImmutableList.Builder<OpenRun> excess = ImmutableList.builder();
-    for (VmSession session : sessionsByVm.values()) {
-      session.report().getRunsList().stream()
-          .filter(RunReport::getCrowded)
-          .flatMap(run -> openRuns.find(session.vm(), WorkflowCodec.decode(run.getTask())).stream())
-          .forEach(excess::add);
-    }
-    return excess.build();
-  }
-
-  /** Returns the open interfering runs on VMs that throttle such runs to the share or less. */
-  ImmutableList<OpenRun> runsThrottledTo(int percent) {
-    return runsOn(report -> report.getServing() > 0 && report.getFillPercent() <= percent).stream()
-        .filter(run -> run.task().step().traits().bestEffort())
-        .filter(run -> fleet.isInterfering(run.task()))
-        .collect(ImmutableList.toImmutableList());
-  }
-
-  private ImmutableList<OpenRun> runsOn(Predicate<VmReport> predicate) {
-    ImmutableList.Builder<OpenRun> runs = ImmutableList.builder();
-    for (VmSession session : sessionsByVm.values()) {
-      if (predicate.test(session.report())) {
-        runs.addAll(openRuns.onVm(session.vm()));
-      }
-    }
-    return runs.build();
-  }
-
   /** Returns the connections of all side processes. */
   Set<LinkConnection> connections() {
     return sessions.keySet();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmView.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmView.java
@@ -2,12 +2,16 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.ImmutableList;
 import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.protocol.RunReport;
+import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.workflow.WorkflowTask;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * A read-only view of {@link VmTracker}; each call returns the current state. Confined to the
@@ -50,4 +54,39 @@
   Optional<OpenRun> openRun(WorkflowTask task) {
     return task.place().flatMap(place -> openRuns.find(place.vm(), task.openRun()));
   }
+
+  /** Returns all open runs on VMs whose workers are draining. */
+  ImmutableList<OpenRun> runsOnDrainingVms() {
+    return runsOn(VmReport::getDraining);
+  }
+
+  /** Returns the open runs that exceed their VM's capacity for interfering runs. */
+  ImmutableList<OpenRun> excessRuns() {
+    ImmutableList.Builder<OpenRun> excess = ImmutableList.builder();
+    for (VmSession session : sessions.values()) {
+      session.report().getRunsList().stream()
+          .filter(RunReport::getCrowded)
+          .flatMap(run -> openRuns.find(session.vm(), WorkflowCodec.decode(run.getTask())).stream())
+          .forEach(excess::add);
+    }
+    return excess.build();
+  }
+
+  /** Returns the open interfering runs on VMs that throttle such runs to the share or less. */
+  ImmutableList<OpenRun> runsThrottledTo(int percent) {
+    return runsOn(report -> report.getServing() > 0 && report.getFillPercent() <= percent).stream()
+        .filter(run -> run.task().step().traits().bestEffort())
+        .filter(run -> fleet.isInterfering(run.task()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private ImmutableList<OpenRun> runsOn(Predicate<VmReport> predicate) {
+    ImmutableList.Builder<OpenRun> runs = ImmutableList.builder();
+    for (VmSession session : sessions.values()) {
+      if (predicate.test(session.report())) {
+        runs.addAll(openRuns.onVm(session.vm()));
+      }
+    }
+    return runs.build();
+  }
 }
