--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/link/FakeLinks.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/link/FakeLinks.java
@@ -27,4 +27,22 @@
   public static LinkConnection withoutPeer(LinkLoop loop) {
     return new LinkConnection(new EmbeddedChannel(), loop);
   }
+
+  /** Returns an open connection whose peer is the consumer, which receives each frame at once. */
+  public static LinkConnection to(LinkLoop loop, Consumer<Frame> peer) {
+    return new LinkConnection(new EmbeddedChannel(new Receiver(peer)), loop);
+  }
+
+  private static final class Receiver extends ChannelOutboundHandlerAdapter {
+    private final Consumer<Frame> peer;
+
+    Receiver(Consumer<Frame> peer) {
+      this.peer = peer;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+      peer.accept((Frame) message);
+    }
+  }
 }
