Take a deregistration for an announcement, not for the worker's end

Callers would see a task run in two places at once, and service tasks and batch work that was begun anew. A worker sends DELETE and runs on until it has the response; if the response is lost, for seconds more. The side process reported the worker as gone when it handled the request, so the owners ordered its runs elsewhere at once.

WorkflowSideProcessTest: "expected: <> but was: <worker-1>", the worker was reported as gone before any end.

Ruled out: the other three places that end a session. Each rests on a response of another incarnation to a call that names the former one, or on the first listing of the next one, and both come after the former's end.

Now the deregistration stops all runs, refuses starts, shows the worker as draining whatever heartbeats arrive late, and no longer extends the lease. It is answered once all runs have ended and the worker has the acknowledgements, after 700 ms at the latest. The session ends, and the worker is reported as gone, once every run has ended or can no longer start and the owners have responded, or once its lease has expired, or when another incarnation responds. After a restart of the side process the deadline of the predecessor's starts must have passed as well.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -52,6 +52,19 @@
     this.throttlePercent = order.isPresent() ? FULL_PERCENT : UNKNOWN_PERCENT;
   }
 
+  /**
+   * Returns a run that is only stopped, so that no copy of its start is executed. Without an order
+   * it would count as a run of unknown size.
+   */
+  static SideRun toBeRefused(RunKey key, int partition, WorkerLease.Mark orderedAt) {
+    return new SideRun(key, partition, Optional.of(StartRun.getDefaultInstance()), orderedAt);
+  }
+
+  /** Returns the confirmed ones of the runs. */
+  static Set<RunKey> confirmed(Collection<SideRun> runs) {
+    return runs.stream().filter(SideRun::isConfirmed).map(SideRun::key).collect(Collectors.toSet());
+  }
+
   /** Returns the partitions of the runs. */
   static Set<Integer> partitions(Collection<SideRun> runs) {
     return runs.stream().map(SideRun::partition).collect(Collectors.toSet());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartAdmission.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartAdmission.java
@@ -43,6 +43,9 @@
   /**
    * Returns whether some runs have unknown resource sizes, as runs found on the worker after a
    * restart have until their owner sends the order again.
+   *
+   * <p>Entries that do not own these runs would otherwise consider the VM idle and send it all
+   * waiting tasks, only to be refused, while other VMs have free capacity.
    */
   static boolean hasUnknownSizes(Collection<SideRun> runs) {
     return runs.stream().anyMatch(run -> run.order().isEmpty());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerHeartbeat.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerHeartbeat.java
@@ -39,6 +39,11 @@
     requireNonNull(capacity, "capacity");
   }
 
+  /** Returns the heartbeat of the same worker while it is draining. */
+  WorkerHeartbeat asDraining() {
+    return new WorkerHeartbeat(worker, service, zone, labels, rack, capacity, true, sequence);
+  }
+
   /** Returns whether both are equal except for the sequence number. */
   boolean equalsIgnoringSequence(WorkerHeartbeat other) {
     return worker.equals(other.worker)
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -21,7 +21,6 @@
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import io.marigoldsail.workflow.WorkflowIds;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -30,6 +29,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -68,6 +68,7 @@
   private final ListingScheduler listings;
   private final OrderSender orders;
   private final PredecessorOrders predecessorOrders;
+  private final WorkerDeparture departure;
   private boolean initialized;
   private boolean closed;
 
@@ -94,6 +95,7 @@
     this.orders = new OrderSender(loop, gateway, worker, lease, new OrderListener());
     this.health = new WorkerHealth(worker);
     this.predecessorOrders = new PredecessorOrders(lease, first);
+    this.departure = new WorkerDeparture(loop, this, lease, ends);
     resources.capacity(heartbeat.capacity());
     applyListing(first, Set.of());
     initialized = true;
@@ -111,7 +113,8 @@
     return heartbeat;
   }
 
-  void heartbeat(WorkerHeartbeat newest) {
+  void heartbeat(WorkerHeartbeat received) {
+    WorkerHeartbeat newest = departure.applyTo(received);
     WorkerHeartbeat before = heartbeat;
     heartbeat = newest;
     resources.capacity(newest.capacity());
@@ -123,18 +126,17 @@
     }
   }
 
+  /** Handles a deregistration, see {@link WorkerDeparture#announce}. */
+  CompletableFuture<Boolean> deregister() {
+    return departure.announce();
+  }
+
   /** Returns a time that the worker's clock has certainly reached, in milliseconds. */
   long workerClockLowerBound() {
     return lease.clockLowerBound();
   }
 
-  /**
-   * Returns whether the worker must not get new work now.
-   *
-   * <p>This includes a worker with runs of unknown resource sizes. Entries that do not own these
-   * runs would otherwise consider the VM idle and send it all waiting tasks, only to be refused,
-   * while other VMs have free capacity.
-   */
+  /** Returns whether the worker must not get new work now. */
   boolean isUnhealthy() {
     return health.isUnhealthy(loop.now())
         || retention.mustLeaseExpire()
@@ -208,13 +210,8 @@
       recordEnd(key, RunOutcome.REFUSED, "", 0, reason);
       return;
     }
-    // Without an order it would count as a run of unknown size.
-    SideRun run =
-        new SideRun(
-            key,
-            partitionOf(key),
-            Optional.of(StartRun.getDefaultInstance()),
-            lease.mark(partitionOf(key)));
+    int partition = partitionOf(key);
+    SideRun run = SideRun.toBeRefused(key, partition, lease.mark(partition));
     runs.put(key, run);
     refuseOnceStopped(run, reason);
   }
@@ -231,6 +228,9 @@
   }
 
   private Optional<String> reserveOrRefuse(RunKey key, int partition, StartRun order) {
+    if (departure.isAnnounced()) {
+      return Optional.of("the worker has deregistered");
+    }
     if (health.isUnresponsive()) {
       return Optional.of("the worker is not responding");
     }
@@ -281,8 +281,9 @@
   }
 
   private OptionalLong extendLease() {
-    // An unresponsive worker may still receive the last deadline; its lease must be able to expire.
-    return health.isUnresponsive() || retention.mustLeaseExpire()
+    // A worker that is unresponsive or ends may still receive the last deadline; its lease must be
+    // able to expire.
+    return health.isUnresponsive() || retention.mustLeaseExpire() || departure.isAnnounced()
         ? OptionalLong.empty()
         : lease.extend(SideRun.partitions(runs.values()));
   }
@@ -306,22 +307,27 @@
   private void requestListing() {
     retention.releaseAfterExpiry();
     OptionalLong newDeadline = extendLease();
-    Set<RunKey> confirmed = new HashSet<>();
-    runs.values().stream().filter(SideRun::isConfirmed).forEach(run -> confirmed.add(run.key()));
-    boolean urgent = ends.isAwaitingOwners() || SideRun.anyRefused(runs.values());
+    Set<RunKey> confirmed = SideRun.confirmed(runs.values());
+    boolean urgent = ends.isAwaitingOwners() || awaitsProof();
     long wait = urgent ? 0 : ListingScheduler.waitMillis(serviceTaskCount() > 0);
+    departure.listingRequested(ends.acknowledgedUpTo());
     ListingScheduler.resultOf(
             worker, () -> gateway.list(worker, newDeadline, ends.acknowledgedUpTo(), wait))
         .thenAccept(result -> loop.run(() -> onListingResult(result, confirmed)));
   }
 
+  /** Returns whether something waits for the next listing, not only for the end of a run. */
+  private boolean awaitsProof() {
+    return SideRun.anyRefused(runs.values()) || departure.isAnnounced();
+  }
+
   private void onListingResult(ListingResult result, Set<RunKey> confirmed) {
     listings.completed();
     if (closed) {
       return;
     }
     if (result instanceof IncarnationMismatch) {
-      end("another incarnation of the worker responded");
+      end("another incarnation of the worker responded", "the response to a listing");
       return;
     }
     // Scheduled first: without another listing, owners would consider the runs active forever.
@@ -330,8 +336,9 @@
       health.recordListingFailure(failed.reason(), loop.now()).ifPresent(LOG::info);
       notifyAvailability();
       if (lease.isExpired()) {
-        recordLapsedRuns();
+        lapseRuns("the unresponsive worker's lease expired");
       }
+      departure.listingCompleted(false);
       return;
     }
     health.recordListing(loop.now()).ifPresent(LOG::info);
@@ -339,27 +346,25 @@
     lease.recordClock(listing.workerClock());
     applyListing(listing, confirmed);
     notifyAvailability();
-    stopRunsOfUnresponsiveOwners();
+    OverdueRuns.find(lease, runs.values()).forEach(run -> stop(run.key()));
     if (throttler.observe(runs.values(), resources.capacity().milliProcessors())) {
       listener.capacityChanged();
     }
-    if (ends.isAllAcknowledged() && !SideRun.anyRefused(runs.values())) {
-      listings.scheduleAfter(0);
-    } else {
-      listings.scheduleAfter(ACKNOWLEDGEMENT_WAIT_NANOS);
-    }
+    boolean pause = !ends.isAllAcknowledged() || awaitsProof();
+    listings.scheduleAfter(pause ? ACKNOWLEDGEMENT_WAIT_NANOS : 0);
+    departure.listingCompleted(true);
   }
 
   /**
-   * Records all runs as lapsed once the lease of an unresponsive worker has expired.
+   * Records all runs as lapsed: the lease of a worker that is unresponsive or ends has expired.
    *
    * <p>A worker that has failed permanently and is not replaced never lists the ends of its runs,
    * so their tasks would count as active forever. A worker that is only disconnected has ended its
    * runs by then, and refuses start orders whose deadline has passed.
    */
-  private void recordLapsedRuns() {
+  void lapseRuns(String reason) {
     for (SideRun run : List.copyOf(runs.values())) {
-      recordEnd(run.key(), RunOutcome.LAPSED, "", 0, "the unresponsive worker's lease expired");
+      recordEnd(run.key(), RunOutcome.LAPSED, "", 0, reason);
     }
   }
 
@@ -413,23 +418,12 @@
     }
   }
 
-  /** Stops runs whose outdated evidence would let the worker's lease expire for all its runs. */
-  private void stopRunsOfUnresponsiveOwners() {
-    Set<Integer> overdue = lease.overduePartitions(SideRun.partitions(runs.values()));
-    for (SideRun run : new ArrayList<>(runs.values())) {
-      if (overdue.contains(run.partition()) && !run.isStopping()) {
-        LOG.warning(
-            LogLine.of("run-overdue")
-                .with("run", run.key())
-                .with("partition", run.partition())
-                .with("reason", "no recent ownership evidence for the partition"));
-        stop(run.key());
-      }
-    }
-  }
-
-  /** Ends the session: the worker incarnation has ended, and all its runs with it. */
-  void end(String reason) {
+  /**
+   * Ends the session: the worker incarnation has ended, and all its runs with it.
+   *
+   * @param evidence what proves that none of its runs is active or can start
+   */
+  void end(String reason, String evidence) {
     if (closed) {
       return;
     }
@@ -439,7 +433,9 @@
         LogLine.of("worker-gone")
             .with("worker", worker)
             .with("runs", runs.size())
-            .with("reason", reason));
+            .with("reason", reason)
+            .with("evidence", evidence));
+    departure.close();
     listener.sessionEnded(this);
   }
 
@@ -494,7 +490,7 @@
 
     @Override
     public void incarnationChanged() {
-      end("another incarnation of the worker responded");
+      end("another incarnation of the worker responded", "the response to an order");
     }
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -53,6 +53,7 @@
   private final EntryConnections entries;
   private WorkerSession session;
   private String goneWorker = "";
+  private String deregisteredWorker = "";
   private final ReportPacer pacer = new ReportPacer();
   private final ReportedStates reportedStates = new ReportedStates();
   private final Set<Integer> changedPartitions = new HashSet<>();
@@ -141,7 +142,7 @@
       return;
     }
     if (session != null) {
-      session.end("another incarnation of the worker replaced it");
+      session.end("another incarnation of the worker replaced it", "its first listing");
     }
     session =
         new WorkerSession(
@@ -154,23 +155,37 @@
             .with("running", listing.running().size())
             .with("draining", heartbeat.draining()));
     session.start();
+    if (heartbeat.worker().equals(deregisteredWorker)) {
+      session.deregister();
+    }
     report(true);
     accepted.complete(true);
   }
 
-  /** Handles the deregistration of a worker; the result completes on the loop with {@code true}. */
+  /**
+   * Handles the deregistration of a worker, which may still be up and run on; it may be repeated.
+   *
+   * @return completes on the loop with {@code true}, soon and once no run is active if possible
+   */
   public CompletableFuture<Boolean> workerDeregistered(String worker) {
     CompletableFuture<Boolean> handled = new CompletableFuture<>();
-    loop.run(
-        () -> {
-          if (session != null && session.worker().equals(worker)) {
-            session.end("the worker deregistered");
-          }
-          handled.complete(true);
-        });
+    loop.run(() -> deregister(worker).thenAccept(handled::complete));
     return handled;
   }
 
+  private CompletableFuture<Boolean> deregister(String worker) {
+    deregisteredWorker = worker;
+    if (session != null && session.worker().equals(worker)) {
+      return session.deregister();
+    }
+    LOG.info(
+        LogLine.of("deregistration-passed-over")
+            .with("worker", worker)
+            .with("current", session == null ? "" : session.worker())
+            .with("reason", "the worker has no session"));
+    return CompletableFuture.completedFuture(true);
+  }
+
   private void scheduleReport() {
     if (!reportScheduled) {
       reportScheduled = true;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -36,6 +36,7 @@
   private boolean listingCallThrows;
   private boolean listingFutureFails;
   private boolean answersListingsInCall;
+  private boolean executesStops;
   private int listings;
 
   ScriptedWorker(VirtualLoop time) {
@@ -91,6 +92,11 @@
     answersStops = true;
   }
 
+  /** Ends a running run as stopped once a stop of it arrives; a listing then stops waiting. */
+  void executeStops() {
+    executesStops = true;
+  }
+
   /** Completes a listing that need not wait before the call returns. */
   void answerListingsInCall() {
     answersListingsInCall = true;
@@ -187,6 +193,9 @@
   @Override
   public CompletableFuture<OrderResult> stop(String worker, RunKey run) {
     stopped.add(run);
+    if (executesStops && running.contains(run)) {
+      endRun(run, RunOutcome.STOPPED);
+    }
     return after(
         1,
         () ->
@@ -219,6 +228,15 @@
     if (answersListingsInCall && waitMillis == 0) {
       return CompletableFuture.completedFuture(listing());
     }
-    return after(Math.max(1, waitMillis), this::listing);
+    return executesStops
+        ? listingOnceEnded(time.millis() + Math.max(1, waitMillis))
+        : after(Math.max(1, waitMillis), this::listing);
+  }
+
+  private CompletableFuture<ListingResult> listingOnceEnded(long respondBy) {
+    return after(1, () -> !ended.isEmpty() || time.millis() >= respondBy)
+        .thenCompose(
+            due ->
+                due ? CompletableFuture.completedFuture(listing()) : listingOnceEnded(respondBy));
   }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowFaultsTest.java
@@ -341,4 +341,21 @@
         () -> cluster.history().totalStarts() == 10);
     assertEquals(QueryResult.CANCELLED, cluster.status(0, 71));
   }
+
+  /**
+   * A worker that deregisters is up until it has the response. The tasks that it still runs must
+   * run elsewhere, and not before they have ended here.
+   */
+  @Test
+  void runsOfADeregisteredWorkerMoveOnceTheyHaveEnded() throws IOException {
+    cluster.start(1, 1, 400);
+    submit(0, 95, 4);
+    cluster.await("all tasks have started", () -> cluster.history().totalStarts() == 4);
+    cluster.addSide("vm-1", 400);
+    FakeWorkerGateway worker = cluster.side("vm-0").worker();
+    cluster.side("vm-0").side().workerDeregistered(worker.incarnation()).join();
+    awaitDone(95);
+    assertNoConcurrentRuns();
+    assertEquals(8, cluster.history().totalStarts());
+  }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
@@ -24,6 +24,7 @@
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import java.io.IOException;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.AfterEach;
@@ -210,8 +211,7 @@
     entry.send(connection, Frame.newBuilder().setRunOrders(orders).build());
   }
 
-  /** Starts the run and ends it as done; returns the first report of its end. */
-  private VmReport awaitEnd(LinkConnection connection) throws Exception {
+  private void startRun(LinkConnection connection) throws Exception {
     sendHeartbeat();
     StartRun start =
         StartRun.newBuilder().setTask(WorkflowCodec.encode(RUN)).setMilliProcessors(500).build();
@@ -219,6 +219,11 @@
     while (awaitReportOfWorker().getRunsList().stream().noneMatch(run -> run.getStarted())) {
       // Keeps waiting.
     }
+  }
+
+  /** Starts the run and ends it as done; returns the first report of its end. */
+  private VmReport awaitEnd(LinkConnection connection) throws Exception {
+    startRun(connection);
     worker.end(RUN, RunOutcome.DONE);
     VmReport report = awaitReportOfWorker();
     while (report.getEndsCount() == 0) {
@@ -281,4 +286,26 @@
       awaitReportOfWorker();
     }
   }
+
+  /**
+   * Guards against two runs of a task: the worker still runs it when it deregisters, and an owner
+   * that is told that the worker is gone orders it elsewhere.
+   */
+  @Test
+  void deregisteredWorkerIsReportedAsGoneOnlyAfterTheEndsOfItsRuns() throws Exception {
+    LinkConnection connection = connectAsOwner();
+    startRun(connection);
+    CompletableFuture<Boolean> response = side.workerDeregistered(WORKER);
+    VmReport report = entry.awaitReport();
+    while (report.getEndsCount() == 0 && report.getGoneWorker().isEmpty()) {
+      report = entry.awaitReport();
+    }
+    assertEquals("", report.getGoneWorker());
+    assertTrue(report.getDraining());
+    assertEquals(RunOutcome.STOPPED.number(), report.getEnds(0).getOutcome());
+    sendOrders(
+        connection, report, RunOrders.newBuilder().addNotedEnds(report.getEnds(0).getTask()));
+    assertTrue(response.get());
+    assertEquals(0, worker.unacknowledgedEnds());
+  }
 }
