--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -51,6 +51,7 @@
   private boolean answersListingsInCall;
   private boolean listsAsOfRequest;
   private int clockPercent = 100;
+  private boolean executesStops;
   private int listings;
 
   ScriptedWorker(VirtualLoop time) {
@@ -130,6 +131,11 @@
     answersStops = true;
   }
 
+  /** Ends a running run as stopped once a stop of it arrives; a listing then stops waiting. */
+  void executeStops() {
+    executesStops = true;
+  }
+
   /** Completes a listing that need not wait before the call returns. */
   void answerListingsInCall() {
     answersListingsInCall = true;
@@ -292,7 +298,9 @@
       long sentUnder = fence;
       after(stopDelayMillis, () -> sentUnder < fence || executeStop(run, true));
     } else if (!unresponsive && answersStops) {
-      executeStop(run, endsStoppedRuns);
+      executeStop(run, endsStoppedRuns || executesStops);
+    } else if (executesStops && running.contains(run)) {
+      endRun(run, RunOutcome.STOPPED);
     }
     return after(
         1,
@@ -345,6 +353,15 @@
       return CompletableFuture.completedFuture(listing());
     }
     Listing asOfRequest = listing();
-    return after(Math.max(1, waitMillis), () -> listsAsOfRequest ? asOfRequest : listing());
+    return executesStops
+        ? listingOnceEnded(time.millis() + Math.max(1, waitMillis))
+        : after(Math.max(1, waitMillis), () -> listsAsOfRequest ? asOfRequest : listing());
+  }
+
+  private CompletableFuture<ListingResult> listingOnceEnded(long respondBy) {
+    return after(1, () -> !ended.isEmpty() || time.millis() >= respondBy)
+        .thenCompose(
+            due ->
+                due ? CompletableFuture.completedFuture(listing()) : listingOnceEnded(respondBy));
   }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerGoneTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerGoneTest.java
@@ -61,7 +61,11 @@
   private final FakeWorkflowStore store = new FakeWorkflowStore(1, time.timer());
   private final PartitionOwnership ownership =
       new PartitionOwnership(
-          store, time.loop(), new EntryMember("127.0.0.1", 1, 1), new ActivationListener());
+          store,
+          time.loop(),
+          time::wallMillis,
+          new EntryMember("127.0.0.1", 1, 1),
+          new ActivationListener());
   private final VmTracker vms =
       new VmTracker(time.loop(), ownership, TERMS, () -> 0, new NoOpVmListener());
   private final Side side = new Side();
