--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedWorkerCalls.java
@@ -0,0 +1,134 @@
+package io.marigoldsail.daemon.workflow;
+
+import io.marigoldsail.workflow.RunKey;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/** The calls of one incarnation of a side process to its worker, with faults. One thread. */
+final class SimulatedWorkerCalls implements WorkerGateway {
+  private static final long TIMEOUT_MILLIS = 900;
+  private static final int MAX_LATENCY_MILLIS = 4;
+  private static final int MAX_SLOW_LATENCY_MILLIS = 400;
+  private static final long MIN_LATE_MILLIS = 2_000;
+  private static final long MAX_LATE_MILLIS = 12_000;
+
+  private final SimulatedTime time;
+  private final SplittableRandom random;
+  private final SimulatedWorker worker;
+  private final CallFaults faults;
+  private final RunOracle oracle;
+  private final Consumer<Runnable> caller;
+
+  /**
+   * Creates the calls.
+   *
+   * @param caller runs what a response causes, unless the side process has died
+   */
+  SimulatedWorkerCalls(
+      SimulatedTime time,
+      SplittableRandom random,
+      SimulatedWorker worker,
+      CallFaults faults,
+      RunOracle oracle,
+      Consumer<Runnable> caller) {
+    this.time = time;
+    this.random = random;
+    this.worker = worker;
+    this.faults = faults;
+    this.oracle = oracle;
+    this.caller = caller;
+  }
+
+  private long latency() {
+    return random.nextInt(30) == 0
+        ? random.nextLong(MAX_SLOW_LATENCY_MILLIS)
+        : 1 + random.nextLong(MAX_LATENCY_MILLIS);
+  }
+
+  private <T> CompletableFuture<T> call(
+      CallFaults.Fate fate,
+      long timeoutMillis,
+      T unanswered,
+      T refused,
+      Consumer<Consumer<T>> execution) {
+    CompletableFuture<T> future = new CompletableFuture<>();
+    Consumer<T> respond = result -> caller.accept(() -> future.complete(result));
+    long unansweredAfter = timeoutMillis;
+    switch (fate) {
+      case ANSWERED ->
+          execute(
+              latency(), execution, result -> time.after(latency(), () -> respond.accept(result)));
+      case RESPONSE_LOST -> execute(latency(), execution, result -> {});
+      case EXECUTED_LATE ->
+          execute(random.nextLong(MIN_LATE_MILLIS, MAX_LATE_MILLIS), execution, result -> {});
+      case REFUSED -> time.after(latency(), () -> respond.accept(refused));
+      case RESET -> {}
+    }
+    if (fate != CallFaults.Fate.ANSWERED && random.nextBoolean()) {
+      unansweredAfter = random.nextLong(1, timeoutMillis);
+    }
+    time.after(unansweredAfter, () -> respond.accept(unanswered));
+    return future;
+  }
+
+  private <T> void execute(long delay, Consumer<Consumer<T>> execution, Consumer<T> response) {
+    time.after(
+        delay,
+        () -> {
+          if (worker.isUp()) {
+            execution.accept(response);
+          }
+        });
+  }
+
+  private CallFaults.Fate draw(CallFaults.Call call) {
+    return faults.draw(call, time.now(), worker.isSilent(), random);
+  }
+
+  private void note(CallFaults.Call call, RunKey run, CallFaults.Fate fate) {
+    oracle.note(
+        run.task(), () -> "side of " + worker.name() + " sends " + call + " " + run + " " + fate);
+  }
+
+  @Override
+  public CompletableFuture<OrderResult> start(String name, StartOrder start) {
+    CallFaults.Fate fate = draw(CallFaults.Call.START);
+    note(CallFaults.Call.START, start.run(), fate);
+    return call(
+        fate,
+        TIMEOUT_MILLIS,
+        new OrderOutcomeUnknown("injected"),
+        new Refused(Refusal.UNAVAILABLE, "injected"),
+        response -> response.accept(worker.start(name, start)));
+  }
+
+  @Override
+  public CompletableFuture<OrderResult> stop(String name, RunKey run) {
+    CallFaults.Fate fate = draw(CallFaults.Call.STOP);
+    note(CallFaults.Call.STOP, run, fate);
+    return call(
+        fate,
+        TIMEOUT_MILLIS,
+        new OrderOutcomeUnknown("injected"),
+        new Refused(Refusal.UNAVAILABLE, "injected"),
+        response -> response.accept(worker.stop(name, run)));
+  }
+
+  @Override
+  public CompletableFuture<OrderResult> throttle(String name, RunKey run, int percent) {
+    return CompletableFuture.completedFuture(new OrderOutcomeUnknown("not modelled"));
+  }
+
+  @Override
+  public CompletableFuture<ListingResult> list(
+      String name, OptionalLong deadline, long acknowledged, long waitMillis) {
+    return call(
+        draw(CallFaults.Call.LIST),
+        TIMEOUT_MILLIS + waitMillis,
+        new ListingFailed("injected"),
+        new ListingFailed("injected: refused"),
+        response -> worker.list(name, deadline, acknowledged, waitMillis, response));
+  }
+}
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
@@ -43,6 +43,13 @@
     }
   }
 
+  /** Advances the time at once, as for a process that stood still: tasks due meanwhile run late. */
+  void skip(long millis) {
+    nanos += TimeUnit.MILLISECONDS.toNanos(millis);
+    timer.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    timer.runPendingTasks();
+  }
+
   /** Runs the tasks that are due without advancing the time. */
   void runPending() {
     timer.runPendingTasks();
