Add the seeds in which a second restart lets a run outlive the takeover

Seeds 6984 and 8949 break the rule on the unchanged code with a worker that answers and without a late stop: each restart of the side process begins another grace time of 3 s in which the run of an owner out of reach is not stopped, while the lease was extended for other owners in between. In seed 8949:

--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/TakeoverSimulationTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/TakeoverSimulationTest.java
@@ -50,6 +50,15 @@
     assertNoViolation(LongStream.of(1047, 1651, 2496, 3369, 3773, 4454, 4997));
   }
 
+  /**
+   * Guards against the same after two restarts: the second one postpones the stop of the run, which
+   * neither late stops nor an unresponsive worker need to do.
+   */
+  @Test
+  void startOfAnEarlierPredecessorDoesNotOutliveTheTakeover() {
+    assertNoViolation(LongStream.of(6984, 8949));
+  }
+
   private static void assertNoViolation(LongStream seeds) {
     List<String> violations = new ArrayList<>();
     seeds.forEach(
