--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedSideProcess.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedSideProcess.java
@@ -15,7 +15,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -173,9 +172,7 @@
       return;
     }
     probeInFlight = true;
-    gateway
-        .list(heartbeat.worker(), OptionalLong.empty(), 0, 0)
-        .thenAccept(result -> handleProbeResult(heartbeat, result));
+    gateway.takeOver(heartbeat.worker()).thenAccept(result -> handleProbeResult(heartbeat, result));
   }
 
   private void handleProbeResult(WorkerHeartbeat heartbeat, WorkerGateway.ListingResult result) {
@@ -184,7 +181,7 @@
       return;
     }
     if (session != null) {
-      session.end("another incarnation of the worker replaced it");
+      session.end("another incarnation of the worker replaced it", "it responded");
     }
     session =
         new WorkerSession(
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedWorker.java
@@ -19,7 +19,8 @@
  * The worker of one VM, as strict as its contract: one deadline for all runs on its own clock,
  * which is up to two percent slow; a deadline never shortens; an attempt starts only if it is
  * higher than each one that ended or was stopped, also beside a higher one that runs; ends are
- * listed until they are acknowledged; a new incarnation knows nothing. One thread.
+ * listed until they are acknowledged; a call with a lower fence than the highest one seen does
+ * nothing; a new incarnation knows nothing. One thread.
  */
 final class SimulatedWorker {
   /** The longest lease that it grants, in milliseconds of its clock. */
@@ -53,6 +54,7 @@
   private long lapses;
   private long sequence;
   private long silentUntil;
+  private long fence;
 
   SimulatedWorker(String vm, SimulatedTime time, SplittableRandom random, RunOracle oracle) {
     this.vm = vm;
@@ -71,6 +73,7 @@
     deadline = firstClock;
     lapsed = true;
     sequence = 0;
+    fence = 0;
     oracle.note(() -> "WORKER " + name() + " begins");
   }
 
@@ -115,10 +118,16 @@
         time.now() + 1);
   }
 
-  private long clock() {
+  /** Returns its clock, in milliseconds; it tells it also in response to a refused call. */
+  long clock() {
     return firstClock + (time.now() - bootedAt) * (1_000 - slowPerMille) / 1_000;
   }
 
+  private boolean isFencedOff(long sentFence) {
+    fence = Math.max(fence, sentFence);
+    return sentFence < fence;
+  }
+
   private void extend(long wanted) {
     long granted = Math.min(wanted, clock() + MAX_LEASE_MILLIS);
     if (granted > deadline) {
@@ -127,10 +136,13 @@
     }
   }
 
-  WorkerGateway.OrderResult start(String worker, WorkerGateway.StartOrder start) {
+  WorkerGateway.OrderResult start(String worker, long sentFence, WorkerGateway.StartOrder start) {
     if (!worker.equals(name())) {
       return new WorkerGateway.IncarnationMismatch();
     }
+    if (isFencedOff(sentFence)) {
+      return new WorkerGateway.Refused(WorkerGateway.Refusal.INVALID, "fence");
+    }
     endLapsed();
     RunKey run = start.run();
     if (running.contains(run)) {
@@ -163,10 +175,13 @@
     return kind < 85 ? random.nextLong(1_500, 6_000) : random.nextLong(6_000, 14_000);
   }
 
-  WorkerGateway.OrderResult stop(String worker, RunKey run) {
+  WorkerGateway.OrderResult stop(String worker, long sentFence, RunKey run) {
     if (!worker.equals(name())) {
       return new WorkerGateway.IncarnationMismatch();
     }
+    if (isFencedOff(sentFence)) {
+      return new WorkerGateway.Refused(WorkerGateway.Refusal.INVALID, "fence");
+    }
     endLapsed();
     over.merge(run.task(), run.attempt(), Math::max);
     oracle.note(run.task(), () -> "WORKER " + name() + " executes stop of " + run);
@@ -178,6 +193,7 @@
 
   void list(
       String worker,
+      long sentFence,
       OptionalLong newDeadline,
       long acknowledged,
       long waitMillis,
@@ -186,6 +202,10 @@
       listener.accept(new WorkerGateway.IncarnationMismatch());
       return;
     }
+    if (isFencedOff(sentFence)) {
+      listener.accept(new WorkerGateway.ListingFailed("fence"));
+      return;
+    }
     endLapsed();
     newDeadline.ifPresent(this::extend);
     for (End end : List.copyOf(ended)) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedWorkerCalls.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedWorkerCalls.java
@@ -14,12 +14,16 @@
   private static final long MIN_LATE_MILLIS = 2_000;
   private static final long MAX_LATE_MILLIS = 12_000;
 
+  /** Difference of a fence and the worker's clock when it is read. */
+  private static final long FENCE_OFFSET = 2;
+
   private final SimulatedTime time;
   private final SplittableRandom random;
   private final SimulatedWorker worker;
   private final CallFaults faults;
   private final RunOracle oracle;
   private final Consumer<Runnable> caller;
+  private long fence;
 
   /**
    * Creates the calls.
@@ -96,24 +100,26 @@
   public CompletableFuture<OrderResult> start(String name, StartOrder start) {
     CallFaults.Fate fate = draw(CallFaults.Call.START);
     note(CallFaults.Call.START, start.run(), fate);
+    long sentFence = fence;
     return call(
         fate,
         TIMEOUT_MILLIS,
         new OrderOutcomeUnknown("injected"),
         new Refused(Refusal.UNAVAILABLE, "injected"),
-        response -> response.accept(worker.start(name, start)));
+        response -> response.accept(worker.start(name, sentFence, start)));
   }
 
   @Override
   public CompletableFuture<OrderResult> stop(String name, RunKey run) {
     CallFaults.Fate fate = draw(CallFaults.Call.STOP);
     note(CallFaults.Call.STOP, run, fate);
+    long sentFence = fence;
     return call(
         fate,
         TIMEOUT_MILLIS,
         new OrderOutcomeUnknown("injected"),
         new Refused(Refusal.UNAVAILABLE, "injected"),
-        response -> response.accept(worker.stop(name, run)));
+        response -> response.accept(worker.stop(name, sentFence, run)));
   }
 
   @Override
@@ -121,14 +127,43 @@
     return CompletableFuture.completedFuture(new OrderOutcomeUnknown("not modelled"));
   }
 
+  @Override
+  public CompletableFuture<ListingResult> takeOver(String name) {
+    return this.<OptionalLong>call(
+            draw(CallFaults.Call.LIST),
+            TIMEOUT_MILLIS,
+            OptionalLong.empty(),
+            OptionalLong.empty(),
+            response -> response.accept(OptionalLong.of(worker.clock())))
+        .thenCompose(
+            clock ->
+                clock.isPresent()
+                    ? takeOver(name, clock.getAsLong() + FENCE_OFFSET)
+                    : CompletableFuture.completedFuture(new ListingFailed("injected")));
+  }
+
+  private CompletableFuture<ListingResult> takeOver(String name, long newFence) {
+    return list(name, newFence, OptionalLong.empty(), 0, 0)
+        .thenApply(
+            result -> {
+              fence = result instanceof Listing ? newFence : fence;
+              return result;
+            });
+  }
+
   @Override
   public CompletableFuture<ListingResult> list(
       String name, OptionalLong deadline, long acknowledged, long waitMillis) {
+    return list(name, fence, deadline, acknowledged, waitMillis);
+  }
+
+  private CompletableFuture<ListingResult> list(
+      String name, long sentFence, OptionalLong deadline, long acknowledged, long waitMillis) {
     return call(
         draw(CallFaults.Call.LIST),
         TIMEOUT_MILLIS + waitMillis,
         new ListingFailed("injected"),
         new ListingFailed("injected: refused"),
-        response -> worker.list(name, deadline, acknowledged, waitMillis, response));
+        response -> worker.list(name, sentFence, deadline, acknowledged, waitMillis, response));
   }
 }
