--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorStartsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorStartsTest.java
@@ -130,6 +130,21 @@
     return session;
   }
 
+  /**
+   * Guards against a second restart that postpones the stop of a run without evidence, under a
+   * lease that the first successor has extended for other partitions.
+   */
+  @Test
+  void lateStartAfterTwoRestartsIsOverAtTheTakeover() {
+    sendLateStart(6_000);
+    WorkerSession first = restartAndRunOther();
+    advance(first, 3_500);
+    first.end("the process was killed", "none");
+    WorkerSession second = restart();
+    recordEvidence(second, REACHABLE);
+    assertOverAtTakeover(second);
+  }
+
   /** Its stop is executed late as well, so that it outlives its owner's takeover. */
   @Test
   void lateStartWithALateStopIsOverAtTheTakeover() {
