Test two guards that no test held; terms of the fence and the question

From the review: each guard could be removed without a test failing. The comment of repeatedClockStepsDoNotStopLeases says what it assumes: appends that are answered faster than the clock is set.

--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SuspendedOwnerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SuspendedOwnerTest.java
@@ -26,6 +26,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -228,6 +229,17 @@
     assertEquals(1, worker.listing().running().size());
   }
 
+  /** Guards against a former owner that answers a cancel: no append of its own would fail. */
+  @Test
+  void effectOnAnIdlePartitionWaitsForAnAppendAfterASuspension() {
+    AtomicBoolean done = new AtomicBoolean();
+    suspendOwner();
+    fenceOwner();
+    ownership.active(0).orElseThrow().writer().afterDurable(() -> done.set(true));
+    advance(RENEWAL_MILLIS);
+    assertFalse(done.get(), "an effect of a former owner");
+  }
+
   /** Guards against a lease that expires because its owner, once woken, waits with the renewal. */
   @Test
   void evidenceIsRenewedAtOnceAfterASuspension() {
@@ -309,7 +321,10 @@
     assertTrue(lastEvidenceAt() >= stepped, "evidence at " + lastEvidenceAt());
   }
 
-  /** Guards against a clock that is set again and again, so that leases expire. */
+  /**
+   * Guards against a clock that is set again and again, so that leases expire; appends are answered
+   * faster than the clock is set.
+   */
   @Test
   void repeatedClockStepsDoNotStopLeases() {
     report();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerDepartureSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerDepartureSessionTest.java
@@ -118,6 +118,21 @@
     assertTrue(response.isDone());
   }
 
+  /** Guards against a VM that waits for the lease of a worker that has died without any run. */
+  @Test
+  void workerThatDiesAfterItsLastEndIsGoneOnceAnswered() {
+    worker.executeStops();
+    begin();
+    order(RUN);
+    advance(1_000);
+    session.deregister();
+    advance(MAX_STOP_MILLIS);
+    worker.becomeUnresponsive(1);
+    session.acknowledgeEnd(RUN);
+    advance(MAX_RESPONSE_MILLIS);
+    assertTrue(gone);
+  }
+
   /** Guards against a worker that is held up by an owner that does not respond. */
   @Test
   void responseDoesNotWaitLongForAnUnresponsiveOwner() {
