--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PredecessorOrders.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PredecessorOrders.java
@@ -12,8 +12,9 @@
  * The starts that an earlier incarnation of this side process may have sent to the worker, and that
  * the worker may still execute: a call without a response may be executed seconds later.
  *
- * <p>Refusing such a start is not enough to keep the run from starting. Confined to the loop's
- * thread.
+ * <p>Refusing such a start is not enough to keep the run from starting. A worker that keeps fences
+ * ignores it since {@link WorkerGateway#takeOver}; this class does not rely on that. Confined to
+ * the loop's thread.
  */
 final class PredecessorOrders {
   private static final EventLog LOG = EventLog.of(PredecessorOrders.class);
