Tell incarnations of a worker apart that share its id

A worker may start again under the id that it had; its runs, the numbers of its ends and its clock then start anew, and only the time of its start tells. So far the id was the incarnation: a heartbeat of the new one with a lower sequence was taken for an old one, ends were skipped up to the number acknowledged before, and the header that names the expected worker could not keep a late start from the new one.

WorkerIncarnation names id and birth (ID@MILLIS); without a birth the id alone, as before. Fences contain the birth, so that a call for an earlier incarnation is ignored once the present one is taken over. A listing with another birth is SucceededBy: the session ends only after the successor is fenced and runs nothing that an order for its predecessor started (WorkerSuccession), since owners order the next attempt as soon as they hear that the earlier one is gone. Runs that a restarted side process finds are reported to all entries where workers tell births. A deregistration, which names the id only, counts only for a worker that drains. A birth, capacity or sequence that is not a whole number names no worker.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/IncarnationHistory.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/IncarnationHistory.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.marigoldsail.daemon.workflow.LossEvidence.Kind;
 import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.workflow.WorkerIncarnation;
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -18,11 +19,11 @@
  * The worker incarnations that one connection of a side process named, and those that the owner
  * asked for on it. Tells which of them are gone.
  *
- * <p>A VM has one worker at a time, and no incarnation returns. So an incarnation is gone once the
- * side process names another one at a later time. Reports of one connection are in order, but a
- * report may be older than an incarnation that the owner knows from elsewhere: from another
- * connection or from a former owner. A report that counts a frame which was sent after the owner
- * knew the incarnation is not.
+ * <p>A VM has one worker at a time, and no incarnation returns; a worker that starts again under
+ * its id is another incarnation. So an incarnation is gone once the side process names another one
+ * at a later time. Reports of one connection are in order, but a report may be older than an
+ * incarnation that the owner knows from elsewhere: from another connection or from a former owner.
+ * A report that counts a frame which was sent after the owner knew the incarnation is not.
  *
  * <p>Confined to one thread. Times are monotonic nanoseconds.
  */
@@ -63,7 +64,7 @@
     if (worker.equals(newest.getGoneWorker())) {
       return Optional.of(LossEvidence.of(Kind.GONE_REPORTED));
     }
-    if (newest.getWorker().isEmpty() || newest.getWorker().equals(worker)) {
+    if (newest.getWorker().isEmpty() || WorkerIncarnation.mayBeSame(newest.getWorker(), worker)) {
       return Optional.empty();
     }
     if (named.contains(worker)) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/LongRunningTaskMonitor.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/LongRunningTaskMonitor.java
@@ -16,6 +16,7 @@
 import io.marigoldsail.workflow.AbsenceDetector.Recovery;
 import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.VmOffer;
+import io.marigoldsail.workflow.WorkerIncarnation;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowTask;
 import java.util.List;
@@ -125,7 +126,8 @@
         session.get().hasRunsOfUnknownSize()
             || vms.view().isEvacuated(session.get())
             || !session.get().report().getUnhealthy();
-    boolean responds = listed && session.get().report().getWorker().equals(place.worker());
+    boolean responds =
+        listed && WorkerIncarnation.mayBeSame(session.get().report().getWorker(), place.worker());
     boolean running = responds && report.get().getStarted() && !report.get().getStopping();
     return new Observation(task, running ? reportedAt : OptionalLong.empty(), reportedAt);
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -13,6 +13,7 @@
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.VmOffer;
+import io.marigoldsail.workflow.WorkerIncarnation;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowTask;
@@ -124,7 +125,8 @@
 
   private void sendOrder(OpenRun run, Place place) {
     VmSession session = sessionsByVm.get(place.vm());
-    if (session == null || !session.report().getWorker().equals(place.worker())) {
+    if (session == null
+        || !WorkerIncarnation.mayBeSame(session.report().getWorker(), place.worker())) {
       return;
     }
     if (run.shouldStop()) {
@@ -225,7 +227,7 @@
     Optional<LossEvidence> lost = session.evidenceOfLoss(place.worker(), loop.now());
     if (lost.isPresent()) {
       closeLostRun(run, lost.get());
-    } else if (!place.worker().equals(session.report().getWorker())) {
+    } else if (!WorkerIncarnation.mayBeSame(place.worker(), session.report().getWorker())) {
       askForWorker(session, run, place);
     } else if (run.isDurable() && run.isOrderHandled(session, session.report().getOrdersSeen())) {
       sendOrder(run, place);
@@ -273,7 +275,10 @@
   }
 
   private static boolean isOnWorker(OpenRun run, String worker) {
-    return run.task().place().filter(place -> place.worker().equals(worker)).isPresent();
+    return run.task()
+        .place()
+        .filter(place -> WorkerIncarnation.mayBeSame(place.worker(), worker))
+        .isPresent();
   }
 
   private void stopUnknownRun(VmSession session, RunKey key, boolean stopping) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
@@ -12,8 +12,10 @@
  * Client of the worker on a VM.
  *
  * <p>Calls never block; futures complete on any thread and never exceptionally. Every call names
- * the worker incarnation that it is meant for; another incarnation ignores the call and responds
- * with {@link IncarnationMismatch}.
+ * the worker incarnation that it is meant for, see {@link
+ * io.marigoldsail.workflow.WorkerIncarnation#name}. A worker with another id ignores the call and
+ * responds with {@link IncarnationMismatch}. One that started again under its id cannot tell that
+ * an order was meant for an earlier incarnation; only its listings tell, by {@link SucceededBy}.
  */
 public interface WorkerGateway {
   /** The result of an order. */
@@ -77,6 +79,19 @@
     }
   }
 
+  /**
+   * The worker has started again under its id: another incarnation responded and may have executed
+   * earlier calls that were meant for this one.
+   *
+   * @param successor the name of the incarnation that responded
+   */
+  record SucceededBy(String successor) implements ListingResult {
+    /** Checks the component. */
+    public SucceededBy {
+      requireNonNull(successor, "successor");
+    }
+  }
+
   /** The worker did not respond to a listing request. */
   record ListingFailed(String reason) implements ListingResult {}
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerHeartbeat.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerHeartbeat.java
@@ -11,7 +11,8 @@
  *
  * <p>Immutable. Rejects nulls.
  *
- * @param worker identifies this incarnation of the worker; not empty
+ * @param worker the name of this incarnation of the worker, see {@link
+ *     io.marigoldsail.workflow.WorkerIncarnation#name}; not empty
  * @param service the service whose tasks the worker runs
  * @param zone the availability zone of the VM
  * @param labels the kind and the rack of the VM
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -13,6 +13,7 @@
 import io.marigoldsail.daemon.workflow.WorkerGateway.ListingResult;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Refusal;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Refused;
+import io.marigoldsail.daemon.workflow.WorkerGateway.SucceededBy;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.Overcommit;
@@ -126,6 +127,11 @@
     }
   }
 
+  /** Returns whether the worker has deregistered. */
+  boolean isDeregistered() {
+    return departure.isAnnounced();
+  }
+
   /** Handles a deregistration, see {@link WorkerDeparture#announce}. */
   CompletableFuture<Boolean> deregister() {
     return departure.announce();
@@ -336,8 +342,14 @@
     }
     // Scheduled first: without another listing, owners would consider the runs active forever.
     listings.scheduleAfter(RETRY_DELAY_NANOS);
-    if (result instanceof ListingFailed failed) {
-      health.recordListingFailure(failed.reason(), loop.now()).ifPresent(LOG::info);
+    if (result instanceof SucceededBy succeeded) {
+      listener.workerSucceeded(this, succeeded.successor());
+      if (closed) {
+        return;
+      }
+    }
+    if (!(result instanceof Listing listing)) {
+      health.recordListingFailure(failureOf(result), loop.now()).ifPresent(LOG::info);
       notifyAvailability();
       if (lease.isExpired()) {
         lapseRuns("the unresponsive worker's lease expired");
@@ -346,7 +358,6 @@
       return;
     }
     health.recordListing(loop.now()).ifPresent(LOG::info);
-    Listing listing = (Listing) result;
     lease.recordClock(listing.workerClock());
     applyListing(listing, confirmed);
     notifyAvailability();
@@ -359,6 +370,10 @@
     departure.listingCompleted(true);
   }
 
+  private static String failureOf(ListingResult result) {
+    return result instanceof ListingFailed failed ? failed.reason() : result.toString();
+  }
+
   /**
    * Records all runs as lapsed: the lease of a worker that is unresponsive or ends has expired.
    *
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSessionListener.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSessionListener.java
@@ -14,6 +14,9 @@
   /** Returns whether no run may start in the zone because it is evacuated. */
   boolean isEvacuated(String zone);
 
+  /** The worker has started again under its id as the given incarnation. */
+  void workerSucceeded(WorkerSession session, String successor);
+
   /** The worker incarnation of the session has ended. */
   void sessionEnded(WorkerSession session);
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -17,6 +17,7 @@
 import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.protocol.WorkflowTaskId;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.WorkerIncarnation;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -63,6 +64,7 @@
   /** Connections that sent start or stop orders since the last periodic report to them. */
   private final Set<EntryConnection> orderedSinceReport = new HashSet<>();
 
+  private final WorkerSuccession succession;
   private boolean probeInFlight;
   private boolean reportScheduled;
   private boolean availabilityChanged;
@@ -88,6 +90,7 @@
     this.partitions = store.partitions();
     this.terms = requireNonNull(terms, "terms");
     this.entries = new EntryConnections(loop, store, new EntryListener());
+    this.succession = new WorkerSuccession(loop, gateway);
     this.pendingTimer = new EarliestTimer(loop, this::reportPending);
   }
 
@@ -124,6 +127,30 @@
       return;
     }
     probeInFlight = true;
+    if (succeedsKnownIncarnation(heartbeat.worker())) {
+      succession
+          .clear(heartbeat.worker())
+          .thenAccept(
+              cleared -> {
+                if (cleared) {
+                  probe(heartbeat, accepted);
+                } else {
+                  probeInFlight = false;
+                  accepted.complete(false);
+                }
+              });
+      return;
+    }
+    probe(heartbeat, accepted);
+  }
+
+  /** Returns whether calls for an earlier incarnation may have been executed by this one. */
+  private boolean succeedsKnownIncarnation(String worker) {
+    return WorkerIncarnation.areSuccessive(goneWorker, worker)
+        || (session != null && WorkerIncarnation.areSuccessive(session.worker(), worker));
+  }
+
+  private void probe(WorkerHeartbeat heartbeat, CompletableFuture<Boolean> accepted) {
     gateway
         .takeOver(heartbeat.worker())
         .thenAccept(result -> loop.run(() -> handleProbeResult(heartbeat, result, accepted)));
@@ -155,7 +182,7 @@
             .with("running", listing.running().size())
             .with("draining", heartbeat.draining()));
     session.start();
-    if (heartbeat.worker().equals(deregisteredWorker)) {
+    if (isDeregistered(heartbeat)) {
       session.deregister();
     }
     report(true);
@@ -173,19 +200,40 @@
     return handled;
   }
 
+  /**
+   * Returns whether the worker has deregistered. A deregistration names the id only, which a later
+   * incarnation may share; a worker that ends as planned drains first.
+   */
+  private boolean isDeregistered(WorkerHeartbeat heartbeat) {
+    return heartbeat.worker().equals(deregisteredWorker)
+        || (WorkerIncarnation.idOf(heartbeat.worker()).equals(deregisteredWorker)
+            && heartbeat.draining());
+  }
+
   private CompletableFuture<Boolean> deregister(String worker) {
     deregisteredWorker = worker;
-    if (session != null && session.worker().equals(worker)) {
+    if (session != null && isDeregistered(session.heartbeat())) {
+      deregisteredWorker = session.worker();
       return session.deregister();
     }
     LOG.info(
         LogLine.of("deregistration-passed-over")
             .with("worker", worker)
             .with("current", session == null ? "" : session.worker())
-            .with("reason", "the worker has no session"));
+            .with("reason", "the worker has no session, or it does not drain"));
     return CompletableFuture.completedFuture(true);
   }
 
+  /** Returns the incarnation of the present session; empty if there is none. On the loop. */
+  String currentWorker() {
+    return session == null ? "" : session.worker();
+  }
+
+  /** Returns whether the present worker has deregistered. On the loop. */
+  boolean isWorkerDeregistered() {
+    return session != null && session.isDeregistered();
+  }
+
   private void scheduleReport() {
     if (!reportScheduled) {
       reportScheduled = true;
@@ -305,7 +353,7 @@
         report.addAllImages(ImageEvidenceCodec.encode(session.throttler().localEvidence()));
       }
       for (SideRun run : session.runs()) {
-        if (owns(connection, run.partition())) {
+        if (owns(connection, run.partition()) || isOfUnknownIncarnation(run)) {
           report.addRuns(run.report());
         }
       }
@@ -323,6 +371,15 @@
     }
   }
 
+  /**
+   * Returns whether the run may have been ordered for an earlier incarnation of the worker. All
+   * entries are told of it: one that is not known as the owner yet would conclude from the
+   * incarnation alone that the run is over.
+   */
+  private boolean isOfUnknownIncarnation(SideRun run) {
+    return run.order().isEmpty() && WorkerIncarnation.parse(session.worker()).birth().isPresent();
+  }
+
   /** Returns the fields of a report that are equal for all entries, but not clock and images. */
   private VmReport vmState() {
     VmReport.Builder state =
@@ -485,6 +542,18 @@
       scheduleReport();
     }
 
+    @Override
+    public void workerSucceeded(WorkerSession succeeded, String successor) {
+      succession
+          .clear(successor)
+          .thenAccept(
+              cleared -> {
+                if (cleared) {
+                  succeeded.end("the worker started again under its id", "its successor's listing");
+                }
+              });
+    }
+
     @Override
     public void sessionEnded(WorkerSession ended) {
       if (session == ended) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/NoOpSessionListener.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/NoOpSessionListener.java
@@ -16,6 +16,9 @@
   @Override
   public void runChanged(int partition) {}
 
+  @Override
+  public void workerSucceeded(WorkerSession session, String successor) {}
+
   @Override
   public void sessionEnded(WorkerSession session) {}
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -5,6 +5,7 @@
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.WorkerIncarnation;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -53,6 +54,7 @@
   private int clockPercent = 100;
   private boolean executesStops;
   private int listings;
+  private String incarnation = "";
 
   ScriptedWorker(VirtualLoop time) {
     this.time = time;
@@ -141,6 +143,19 @@
     answersListingsInCall = true;
   }
 
+  /** Starts anew under its id, as the named incarnation; runs and fences are forgotten. */
+  void restart(String newIncarnation) {
+    incarnation = newIncarnation;
+    running.clear();
+    ended.clear();
+    endedAttempts.clear();
+    fence = 0;
+  }
+
+  private boolean isSucceeded(String worker) {
+    return !incarnation.isEmpty() && WorkerIncarnation.areSuccessive(worker, incarnation);
+  }
+
   /** Refuses each start for lack of capacity. */
   void refuseStarts() {
     refusesStarts = true;
@@ -326,7 +341,7 @@
 
   @Override
   public CompletableFuture<ListingResult> takeOver(String worker) {
-    if (!unresponsive) {
+    if (!unresponsive && !isSucceeded(worker)) {
       fence++;
     }
     return list(worker, OptionalLong.empty(), 0, 0);
@@ -345,6 +360,9 @@
     if (unresponsive) {
       return after(failureDelayMillis, () -> new ListingFailed("injected: no answer"));
     }
+    if (isSucceeded(worker)) {
+      return after(1, () -> new SucceededBy(incarnation));
+    }
     recordLapse();
     newDeadline.ifPresent(this::extend);
     acknowledgedUpTo = acknowledged;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedSideProcess.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedSideProcess.java
@@ -312,6 +312,9 @@
       scheduleReport();
     }
 
+    @Override
+    public void workerSucceeded(WorkerSession session, String successor) {}
+
     @Override
     public void sessionEnded(WorkerSession ended) {
       if (session == ended) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerDepartureSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerDepartureSessionTest.java
@@ -250,6 +250,9 @@
     @Override
     public void runChanged(int partition) {}
 
+    @Override
+    public void workerSucceeded(WorkerSession session, String successor) {}
+
     @Override
     public void sessionEnded(WorkerSession ended) {
       gone = true;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerGoneTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerGoneTest.java
@@ -300,6 +300,36 @@
     assertContains(lineOf("run-ended"), "evidence=GONE_REPORTED", "epoch=" + partition().epoch());
   }
 
+  /**
+   * Guards against a second run of a task: the worker started again under its id, and its successor
+   * executed a late copy of the start. A restarted side process cannot tell whom it was meant for.
+   */
+  @Test
+  void runListedByASuccessorUnderTheSameIdStaysOpenUntilItHasEnded() {
+    becomeOwner();
+    side.report("i-1@1000");
+    order(RUN, "i-1@1000");
+    side.report(VmReport.newBuilder().setWorker("i-1@2000").addRuns(started(RUN)));
+    assertTrue(isOpen(), "the run is open");
+    time.advance(1);
+    assertEquals(
+        List.of(WorkflowCodec.encode(RUN)),
+        side.framesTo("i-1@2000").stream().flatMap(each -> each.getStopsList().stream()).toList());
+    side.report("i-1@2000");
+    assertFalse(isOpen(), "the run is open");
+  }
+
+  /** Guards against a run that is lost because the side process was replaced by a newer version. */
+  @Test
+  void nameWithoutBirthDoesNotEndARunOfTheSameWorker() {
+    takeOver("i-1");
+    side.report(VmReport.newBuilder().setWorker("i-1@1000").addRuns(started(RUN)));
+    assertTrue(isOpen(), "the run is open");
+    side.reportHavingHandledAll("i-1@1000");
+    assertTrue(isOpen(), "the run is open");
+    assertEquals(1, side.framesTo("i-1@1000").stream().mapToInt(RunOrders::getStartsCount).sum());
+  }
+
   /** Guards against one more frame with each report of a busy VM. */
   @Test
   void questionIsRepeatedOnlyAfterAPause() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
@@ -144,6 +144,9 @@
     @Override
     public void runChanged(int partition) {}
 
+    @Override
+    public void workerSucceeded(WorkerSession session, String successor) {}
+
     @Override
     public void sessionEnded(WorkerSession session) {}
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -290,6 +290,9 @@
       }
     }
 
+    @Override
+    public void workerSucceeded(WorkerSession session, String successor) {}
+
     @Override
     public void sessionEnded(WorkerSession session) {}
   }
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
@@ -0,0 +1,158 @@
+package io.marigoldsail.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.marigoldsail.daemon.workflow.WorkerGateway.StartOrder;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.WorkerLeaseTerms;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** A worker that starts again under its id, as its side process sees it, on virtual time. */
+class WorkerSuccessionTest {
+  private static final String FIRST = "i-1@1000";
+  private static final String SECOND = "i-1@2000";
+  private static final String THIRD = "i-1@3000";
+  private static final RunKey RUN = new RunKey(new TaskKey(7, 0, 0, 0), 1);
+  private static final long FAR_DEADLINE = 1_000_000;
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final ScriptedWorker worker = new ScriptedWorker(time);
+  private final WorkflowSideProcess side =
+      new WorkflowSideProcess(
+          time.loop(),
+          new ScriptedOwnersStore(1),
+          worker,
+          "vm-0",
+          WorkerLeaseTerms.forMaxLease(10_000));
+
+  private boolean acceptsHeartbeatOf(String incarnation) {
+    CompletableFuture<Boolean> accepted = side.heartbeat(ScriptedWorker.heartbeat(incarnation));
+    time.advance(2);
+    for (int tries = 0; tries < 50 && !accepted.isDone(); tries++) {
+      time.advance(20);
+    }
+    return accepted.getNow(false);
+  }
+
+  private void findFirst() {
+    worker.restart(FIRST);
+    assertTrue(acceptsHeartbeatOf(FIRST));
+  }
+
+  @Test
+  void heartbeatOfASuccessorWithALowerSequenceIsInEffect() {
+    findFirst();
+    worker.restart(SECOND);
+    assertTrue(acceptsHeartbeatOf(SECOND));
+    assertEquals(SECOND, side.currentWorker());
+  }
+
+  /** The heartbeat arrives after its sender has ended and the successor has been found. */
+  @Test
+  void lateHeartbeatOfAnEarlierIncarnationIsRefused() {
+    findFirst();
+    worker.restart(SECOND);
+    assertTrue(acceptsHeartbeatOf(SECOND));
+    assertFalse(acceptsHeartbeatOf(FIRST));
+    assertEquals(SECOND, side.currentWorker());
+    worker.restart(THIRD);
+    assertTrue(acceptsHeartbeatOf(THIRD));
+    assertFalse(acceptsHeartbeatOf(FIRST));
+    assertFalse(acceptsHeartbeatOf(SECOND));
+    assertEquals(THIRD, side.currentWorker());
+  }
+
+  /** The listing that the side process asks for anyway shows the restart before any heartbeat. */
+  @Test
+  void restartSeenByAListingEndsTheSession() {
+    findFirst();
+    worker.restart(SECOND);
+    time.advance(3_000);
+    assertEquals("", side.currentWorker());
+    assertTrue(acceptsHeartbeatOf(SECOND));
+  }
+
+  /**
+   * A start for the earlier incarnation is executed late by its successor. Reported as gone before
+   * that run has ended, the owner would order the next attempt beside it.
+   */
+  @Test
+  void successorIsReportedOnceItRunsNothingOfItsPredecessor() {
+    findFirst();
+    worker.restart(SECOND);
+    worker.start(FIRST, new StartOrder(RUN, "", FAR_DEADLINE, "", ""));
+    time.advance(2_000);
+    assertEquals(FIRST, side.currentWorker());
+    assertEquals(RUN, worker.stopped().get(0));
+    worker.removeActiveRun(RUN);
+    time.advance(1_000);
+    assertEquals("", side.currentWorker());
+    assertTrue(acceptsHeartbeatOf(SECOND));
+    assertEquals(SECOND, side.currentWorker());
+  }
+
+  /** The same, seen by the heartbeat of the successor first. */
+  @Test
+  void heartbeatOfASuccessorWaitsForRunsOfItsPredecessor() {
+    findFirst();
+    worker.restart(SECOND);
+    worker.start(FIRST, new StartOrder(RUN, "", FAR_DEADLINE, "", ""));
+    CompletableFuture<Boolean> accepted = side.heartbeat(ScriptedWorker.heartbeat(SECOND));
+    time.advance(300);
+    assertFalse(accepted.isDone());
+    worker.removeActiveRun(RUN);
+    time.advance(300);
+    assertTrue(accepted.getNow(false));
+    assertEquals(List.of(RUN), worker.stopped().stream().distinct().toList());
+  }
+
+  /** A deregistration names the id only; the worker that it was for has ended and been replaced. */
+  @Test
+  void lateDeregistrationOfAnEarlierIncarnationIsIgnored() {
+    findFirst();
+    worker.restart(SECOND);
+    assertTrue(acceptsHeartbeatOf(SECOND));
+    side.workerDeregistered("i-1");
+    time.advance(100);
+    assertFalse(side.isWorkerDeregistered());
+  }
+
+  @Test
+  void deregistrationOfADrainingWorkerIsInEffect() {
+    findFirst();
+    side.heartbeat(ScriptedWorker.heartbeat(FIRST).asDraining());
+    time.advance(100);
+    side.workerDeregistered("i-1");
+    time.advance(1);
+    assertTrue(side.isWorkerDeregistered());
+  }
+
+  /** The worker deregisters, ends, and starts again under its id. */
+  @Test
+  void successorOfADeregisteredWorkerIsUsed() {
+    findFirst();
+    side.heartbeat(ScriptedWorker.heartbeat(FIRST).asDraining());
+    time.advance(100);
+    side.workerDeregistered("i-1");
+    worker.restart(SECOND);
+    assertTrue(acceptsHeartbeatOf(SECOND));
+    assertFalse(side.isWorkerDeregistered());
+  }
+
+  /** The successor does not respond: nothing shows what it runs, so the session goes on. */
+  @Test
+  void unresponsiveSuccessorDoesNotEndTheSession() {
+    findFirst();
+    worker.restart(SECOND);
+    worker.becomeUnresponsive(1);
+    assertFalse(acceptsHeartbeatOf(SECOND));
+    assertEquals(FIRST, side.currentWorker());
+    worker.recover();
+    assertTrue(acceptsHeartbeatOf(SECOND));
+  }
+}
