Move registration of workers out of the side process

Heartbeats, deregistrations, the session of the present incarnation and its successors are one duty; the side process keeps reports and orders. RunEndAcknowledger's tests use respondToEnd, which production code uses.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
@@ -93,7 +93,13 @@
   }
 
   /** The worker did not respond to a listing request. */
-  record ListingFailed(String reason) implements ListingResult {}
+  record ListingFailed(String reason) implements ListingResult {
+    /** Returns the reason for logs. */
+    @Override
+    public String toString() {
+      return reason;
+    }
+  }
 
   /**
    * An active run.
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -9,7 +9,6 @@
 import io.marigoldsail.daemon.workflow.WorkerGateway.EndedRun;
 import io.marigoldsail.daemon.workflow.WorkerGateway.IncarnationMismatch;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Listing;
-import io.marigoldsail.daemon.workflow.WorkerGateway.ListingFailed;
 import io.marigoldsail.daemon.workflow.WorkerGateway.ListingResult;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Refusal;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Refused;
@@ -127,11 +126,6 @@
     }
   }
 
-  /** Returns whether the worker has deregistered. */
-  boolean isDeregistered() {
-    return departure.isAnnounced();
-  }
-
   /** Handles a deregistration, see {@link WorkerDeparture#announce}. */
   CompletableFuture<Boolean> deregister() {
     return departure.announce();
@@ -274,11 +268,6 @@
     orders.sendStop(run);
   }
 
-  /** Drops an end that its owner has made durable, unless it is withheld from the worker. */
-  void acknowledgeEnd(RunKey key) {
-    respondToEnd(key, EndResponse.ACKNOWLEDGED);
-  }
-
   /** Applies the response of an owner to an end; does nothing if the end is not kept. */
   void respondToEnd(RunKey key, EndResponse response) {
     if (!ends.contains(key)) {
@@ -344,12 +333,9 @@
     listings.scheduleAfter(RETRY_DELAY_NANOS);
     if (result instanceof SucceededBy succeeded) {
       listener.workerSucceeded(this, succeeded.successor());
-      if (closed) {
-        return;
-      }
     }
     if (!(result instanceof Listing listing)) {
-      health.recordListingFailure(failureOf(result), loop.now()).ifPresent(LOG::info);
+      health.recordListingFailure(result.toString(), loop.now()).ifPresent(LOG::info);
       notifyAvailability();
       if (lease.isExpired()) {
         lapseRuns("the unresponsive worker's lease expired");
@@ -370,10 +356,6 @@
     departure.listingCompleted(true);
   }
 
-  private static String failureOf(ListingResult result) {
-    return result instanceof ListingFailed failed ? failed.reason() : result.toString();
-  }
-
   /**
    * Records all runs as lapsed: the lease of a worker that is unresponsive or ends has expired.
    *
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -6,8 +6,6 @@
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.workflow.EntryConnections.EntryConnection;
-import io.marigoldsail.daemon.workflow.WorkerGateway.Listing;
-import io.marigoldsail.daemon.workflow.WorkerGateway.ListingResult;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.LeaseGrant;
@@ -46,15 +44,9 @@
   private static final long TICK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
   private final LinkLoop loop;
-  private final WorkerGateway gateway;
   private final String vm;
-  private final int partitions;
-  private final WorkerLeaseTerms terms;
   private final EntryConnections entries;
-  private WorkerSession session;
   final KnownEvacuations evacuations = new KnownEvacuations();
-  private String goneWorker = "";
-  private String deregisteredWorker = "";
   private final ReportPacer pacer = new ReportPacer();
   private final ReportedStates reportedStates = new ReportedStates();
   private final Set<Integer> changedPartitions = new HashSet<>();
@@ -64,8 +56,7 @@
   /** Connections that sent start or stop orders since the last periodic report to them. */
   private final Set<EntryConnection> orderedSinceReport = new HashSet<>();
 
-  private final WorkerSuccession succession;
-  private boolean probeInFlight;
+  private final WorkerRegistration registration;
   private boolean reportScheduled;
   private boolean availabilityChanged;
 
@@ -85,12 +76,11 @@
       String vm,
       WorkerLeaseTerms terms) {
     this.loop = requireNonNull(loop, "loop");
-    this.gateway = requireNonNull(gateway, "gateway");
     this.vm = requireNonNull(vm, "vm");
-    this.partitions = store.partitions();
-    this.terms = requireNonNull(terms, "terms");
     this.entries = new EntryConnections(loop, store, new EntryListener());
-    this.succession = new WorkerSuccession(loop, gateway);
+    this.registration =
+        new WorkerRegistration(
+            loop, gateway, store.partitions(), terms, new SessionListener(), () -> report(true));
     this.pendingTimer = new EarliestTimer(loop, this::reportPending);
   }
 
@@ -109,86 +99,10 @@
    */
   public CompletableFuture<Boolean> heartbeat(WorkerHeartbeat heartbeat) {
     CompletableFuture<Boolean> accepted = new CompletableFuture<>();
-    loop.run(() -> handleHeartbeat(heartbeat, accepted));
+    loop.run(() -> registration.heartbeat(heartbeat, accepted));
     return accepted;
   }
 
-  private void handleHeartbeat(WorkerHeartbeat heartbeat, CompletableFuture<Boolean> accepted) {
-    if (session != null && session.worker().equals(heartbeat.worker())) {
-      if (heartbeat.sequence() >= session.heartbeat().sequence()) {
-        session.heartbeat(heartbeat);
-      }
-      accepted.complete(true);
-      return;
-    }
-    if (heartbeat.worker().equals(goneWorker) || probeInFlight) {
-      // A heartbeat may arrive long after its sender has ended; a live worker sends another one.
-      accepted.complete(false);
-      return;
-    }
-    probeInFlight = true;
-    if (succeedsKnownIncarnation(heartbeat.worker())) {
-      succession
-          .clear(heartbeat.worker())
-          .thenAccept(
-              cleared -> {
-                if (cleared) {
-                  probe(heartbeat, accepted);
-                } else {
-                  probeInFlight = false;
-                  accepted.complete(false);
-                }
-              });
-      return;
-    }
-    probe(heartbeat, accepted);
-  }
-
-  /** Returns whether calls for an earlier incarnation may have been executed by this one. */
-  private boolean succeedsKnownIncarnation(String worker) {
-    return WorkerIncarnation.areSuccessive(goneWorker, worker)
-        || (session != null && WorkerIncarnation.areSuccessive(session.worker(), worker));
-  }
-
-  private void probe(WorkerHeartbeat heartbeat, CompletableFuture<Boolean> accepted) {
-    gateway
-        .takeOver(heartbeat.worker())
-        .thenAccept(result -> loop.run(() -> handleProbeResult(heartbeat, result, accepted)));
-  }
-
-  private void handleProbeResult(
-      WorkerHeartbeat heartbeat, ListingResult result, CompletableFuture<Boolean> accepted) {
-    probeInFlight = false;
-    if (!(result instanceof Listing listing)) {
-      LOG.info(
-          LogLine.of("heartbeat-passed-over")
-              .with("worker", heartbeat.worker())
-              .with("sequence", heartbeat.sequence())
-              .with("reason", result));
-      accepted.complete(false);
-      return;
-    }
-    if (session != null) {
-      session.end("another incarnation of the worker replaced it", "its first listing");
-    }
-    session =
-        new WorkerSession(
-            loop, gateway, heartbeat, listing, partitions, terms, new SessionListener());
-    LOG.info(
-        LogLine.of("worker-found")
-            .with("worker", heartbeat.worker())
-            .with("service", heartbeat.service())
-            .with("labels", heartbeat.labels())
-            .with("running", listing.running().size())
-            .with("draining", heartbeat.draining()));
-    session.start();
-    if (isDeregistered(heartbeat)) {
-      session.deregister();
-    }
-    report(true);
-    accepted.complete(true);
-  }
-
   /**
    * Handles the deregistration of a worker, which may still be up and run on; it may be repeated.
    *
@@ -196,42 +110,12 @@
    */
   public CompletableFuture<Boolean> workerDeregistered(String worker) {
     CompletableFuture<Boolean> handled = new CompletableFuture<>();
-    loop.run(() -> deregister(worker).thenAccept(handled::complete));
+    loop.run(() -> registration.deregister(worker).thenAccept(handled::complete));
     return handled;
   }
 
-  /**
-   * Returns whether the worker has deregistered. A deregistration names the id only, which a later
-   * incarnation may share; a worker that ends as planned drains first.
-   */
-  private boolean isDeregistered(WorkerHeartbeat heartbeat) {
-    return heartbeat.worker().equals(deregisteredWorker)
-        || (WorkerIncarnation.idOf(heartbeat.worker()).equals(deregisteredWorker)
-            && heartbeat.draining());
-  }
-
-  private CompletableFuture<Boolean> deregister(String worker) {
-    deregisteredWorker = worker;
-    if (session != null && isDeregistered(session.heartbeat())) {
-      deregisteredWorker = session.worker();
-      return session.deregister();
-    }
-    LOG.info(
-        LogLine.of("deregistration-passed-over")
-            .with("worker", worker)
-            .with("current", session == null ? "" : session.worker())
-            .with("reason", "the worker has no session, or it does not drain"));
-    return CompletableFuture.completedFuture(true);
-  }
-
-  /** Returns the incarnation of the present session; empty if there is none. On the loop. */
-  String currentWorker() {
-    return session == null ? "" : session.worker();
-  }
-
-  /** Returns whether the present worker has deregistered. On the loop. */
-  boolean isWorkerDeregistered() {
-    return session != null && session.isDeregistered();
+  private WorkerSession session() {
+    return registration.session();
   }
 
   private void scheduleReport() {
@@ -313,9 +197,9 @@
   }
 
   private boolean ownsAny(EntryConnection connection) {
-    return session != null
-        && (session.runs().stream().anyMatch(run -> owns(connection, run.partition()))
-            || session.ends().stream().anyMatch(end -> owns(connection, partitionOf(end))));
+    return session() != null
+        && (session().runs().stream().anyMatch(run -> owns(connection, run.partition()))
+            || session().ends().stream().anyMatch(end -> owns(connection, partitionOf(end))));
   }
 
   private boolean owns(EntryConnection connection, int partition) {
@@ -323,7 +207,7 @@
   }
 
   private int partitionOf(EndReport end) {
-    return session.partitionOf(WorkflowCodec.decode(end.getTask()));
+    return session().partitionOf(WorkflowCodec.decode(end.getTask()));
   }
 
   private void report(boolean wantsLease) {
@@ -347,17 +231,17 @@
             .setOrdersSeen(connection.ordersSeen())
             .setOwnersDigest(entries.ownersDigest())
             .setWantsLease(wantsLease);
-    if (session != null) {
-      report.setWorkerClock(session.workerClockLowerBound());
+    if (session() != null) {
+      report.setWorkerClock(session().workerClockLowerBound());
       if (wantsLease) {
-        report.addAllImages(ImageEvidenceCodec.encode(session.throttler().localEvidence()));
+        report.addAllImages(ImageEvidenceCodec.encode(session().throttler().localEvidence()));
       }
-      for (SideRun run : session.runs()) {
+      for (SideRun run : session().runs()) {
         if (owns(connection, run.partition()) || isOfUnknownIncarnation(run)) {
           report.addRuns(run.report());
         }
       }
-      for (EndReport end : session.ends()) {
+      for (EndReport end : session().ends()) {
         if (owns(connection, partitionOf(end))) {
           report.addEnds(end);
         }
@@ -377,15 +261,18 @@
    * incarnation alone that the run is over.
    */
   private boolean isOfUnknownIncarnation(SideRun run) {
-    return run.order().isEmpty() && WorkerIncarnation.parse(session.worker()).birth().isPresent();
+    return run.order().isEmpty() && WorkerIncarnation.parse(session().worker()).birth().isPresent();
   }
 
   /** Returns the fields of a report that are equal for all entries, but not clock and images. */
   private VmReport vmState() {
     VmReport.Builder state =
-        VmReport.newBuilder().setVm(vm).setGoneWorker(goneWorker).setReadsMemberLists(true);
-    if (session != null) {
-      VmStateEncoder.encode(session, state);
+        VmReport.newBuilder()
+            .setVm(vm)
+            .setGoneWorker(registration.goneWorker())
+            .setReadsMemberLists(true);
+    if (session() != null) {
+      VmStateEncoder.encode(session(), state);
     }
     return state.build();
   }
@@ -408,22 +295,22 @@
       availabilityChanged = true;
       scheduleReport();
     }
-    if (session == null) {
+    if (session() == null) {
       // The next report names the worker at that time, and owners then send missing orders again.
       return;
     }
-    if (!orders.getWorker().equals(session.worker())) {
+    if (!orders.getWorker().equals(session().worker())) {
       LOG.info(
           LogLine.of("orders-passed-over")
               .with("member", connection.member())
               .with("worker", orders.getWorker())
-              .with("current", session.worker()));
+              .with("current", session().worker()));
       report(connection, vmState(), false);
       return;
     }
     Map<Integer, Boolean> fromOwner = recordEvidence(orders.getLease());
     if (orders.getLease().getImagesCount() > 0) {
-      session
+      session()
           .throttler()
           .setRemoteEvidence(ImageEvidenceCodec.decode(orders.getLease().getImagesList()));
     }
@@ -434,13 +321,13 @@
         programs.put(key.task().workflow(), start.getProgram());
       }
       if (isFromOwner(fromOwner, key)) {
-        session.start(key, start, programs.getOrDefault(key.task().workflow(), ""));
+        session().start(key, start, programs.getOrDefault(key.task().workflow(), ""));
       }
     }
     for (WorkflowTaskId stop : orders.getStopsList()) {
       RunKey key = WorkflowCodec.decode(stop);
       if (isFromOwner(fromOwner, key)) {
-        session.stop(key);
+        session().stop(key);
       }
     }
     respondToEnds(fromOwner, orders.getSupersededEndsList(), EndResponse.SUPERSEDED);
@@ -455,17 +342,17 @@
     for (WorkflowTaskId end : ends) {
       RunKey key = WorkflowCodec.decode(end);
       if (isFromOwner(fromOwner, key) && isForCurrentEnd(end)) {
-        session.respondToEnd(key, response);
+        session().respondToEnd(key, response);
       }
     }
   }
 
   private boolean isForCurrentEnd(WorkflowTaskId end) {
-    return session.retention().isCurrent(WorkflowCodec.decode(end), end.getEndSequence());
+    return session().retention().isCurrent(WorkflowCodec.decode(end), end.getEndSequence());
   }
 
   private boolean isFromOwner(Map<Integer, Boolean> fromOwner, RunKey key) {
-    boolean valid = fromOwner.getOrDefault(session.partitionOf(key), false);
+    boolean valid = fromOwner.getOrDefault(session().partitionOf(key), false);
     if (!valid) {
       LOG.info(
           LogLine.of("order-passed-over")
@@ -480,7 +367,7 @@
     Map<Integer, Boolean> fromOwner = new HashMap<>();
     for (PartitionEvidence evidence : grant.getEvidenceList()) {
       long at = grant.getWorkerClock() + evidence.getAfterReportMillis();
-      boolean newest = session.recordEvidence(evidence.getPartition(), evidence.getEpoch(), at);
+      boolean newest = session().recordEvidence(evidence.getPartition(), evidence.getEpoch(), at);
       fromOwner.put(evidence.getPartition(), newest);
     }
     return fromOwner;
@@ -544,21 +431,12 @@
 
     @Override
     public void workerSucceeded(WorkerSession succeeded, String successor) {
-      succession
-          .clear(successor)
-          .thenAccept(
-              cleared -> {
-                if (cleared) {
-                  succeeded.end("the worker started again under its id", "its successor's listing");
-                }
-              });
+      registration.succeeded(succeeded, successor);
     }
 
     @Override
     public void sessionEnded(WorkerSession ended) {
-      if (session == ended) {
-        goneWorker = ended.worker();
-        session = null;
+      if (registration.ended(ended)) {
         report(true);
       }
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
@@ -86,7 +86,7 @@
   private void endDuringInterruption(RunOutcome outcome) {
     worker.endRun(run(0, 0), outcome);
     interruptPartition0();
-    session.acknowledgeEnd(run(0, 0));
+    session.respondToEnd(run(0, 0), EndResponse.ACKNOWLEDGED);
     advance(1_000, 0, 1);
   }
 
@@ -108,7 +108,7 @@
     assertEquals(List.of(RunOutcome.FAILED), outcomes());
     long afterTakeover = session.workerClockLowerBound() + TERMS.takeoverMillis();
     session.recordEvidence(0, 1, afterTakeover);
-    session.acknowledgeEnd(run(0, 0));
+    session.respondToEnd(run(0, 0), EndResponse.ACKNOWLEDGED);
     advance(1_000, 1);
     assertEquals(0, worker.acknowledgedUpTo());
   }
@@ -126,7 +126,7 @@
     worker.endRun(run(0, 0));
     advance(TERMS.leaseMillis() - 500, 1);
     recordEvidence(0);
-    session.acknowledgeEnd(run(0, 0));
+    session.respondToEnd(run(0, 0), EndResponse.ACKNOWLEDGED);
     advance(1_000, 0, 1);
     assertEquals(1, worker.acknowledgedUpTo());
   }
@@ -138,7 +138,7 @@
     interruptPartition0();
     worker.endRun(run(0, 0));
     advance(1_500, 0, 1);
-    session.acknowledgeEnd(run(0, 0));
+    session.respondToEnd(run(0, 0), EndResponse.ACKNOWLEDGED);
     advance(1_500, 0, 1);
     assertEquals(1, worker.acknowledgedUpTo());
     assertTrue(worker.isExtendedAfterExpiry());
@@ -152,14 +152,14 @@
   void endOfRunOrderedAfterAnIdleTimeIsAcknowledged() {
     worker.endRun(run(0, 0), RunOutcome.STOPPED);
     advance(1_500, 0, 1);
-    session.acknowledgeEnd(run(0, 0));
+    session.respondToEnd(run(0, 0), EndResponse.ACKNOWLEDGED);
     advance(TERMS.leaseMillis() + 2_000, 1);
     recordEvidence(0);
     start(run(0, 1));
     advance(500, 0, 1);
     worker.endRun(run(0, 1));
     advance(1_500, 0, 1);
-    session.acknowledgeEnd(run(0, 1));
+    session.respondToEnd(run(0, 1), EndResponse.ACKNOWLEDGED);
     advance(1_500, 0, 1);
     assertEquals(2, worker.acknowledgedUpTo());
   }
@@ -189,7 +189,7 @@
   void acknowledgementDuringAnInterruptionIsWithheld() {
     worker.endRun(run(0, 0));
     advance(TERMS.leaseMillis() + 500, 1);
-    session.acknowledgeEnd(run(0, 0));
+    session.respondToEnd(run(0, 0), EndResponse.ACKNOWLEDGED);
     advance(1_000, 0, 1);
     assertEquals(0, worker.acknowledgedUpTo());
   }
@@ -228,7 +228,7 @@
     worker.endRun(run(1, 1));
     advance(500, 0, 1);
     assertEquals(List.of(RunOutcome.DONE), outcomes());
-    session.acknowledgeEnd(run(1, 1));
+    session.respondToEnd(run(1, 1), EndResponse.ACKNOWLEDGED);
     advance(500, 0, 1);
     assertEquals(List.of(), outcomes());
     assertFalse(session.isUnhealthy());
@@ -250,7 +250,7 @@
     endDuringInterruption(RunOutcome.DONE);
     worker.endRun(run(1, 0));
     advance(1_500, 0, 1);
-    session.acknowledgeEnd(run(1, 0));
+    session.respondToEnd(run(1, 0), EndResponse.ACKNOWLEDGED);
     advance(TERMS.leaseMillis() + 2_000, 0, 1);
     assertEquals(2, worker.acknowledgedUpTo());
   }
@@ -274,7 +274,10 @@
     start(run(1, EndRetention.MAX_KEPT_ENDS + 1));
     assertTrue(outcomes().contains(RunOutcome.REFUSED));
     List.copyOf(session.ends())
-        .forEach(end -> session.acknowledgeEnd(WorkflowCodec.decode(end.getTask())));
+        .forEach(
+            end ->
+                session.respondToEnd(
+                    WorkflowCodec.decode(end.getTask()), EndResponse.ACKNOWLEDGED));
     advance(TERMS.leaseMillis() + 2_000, 0, 1);
     assertEquals(EndRetention.MAX_KEPT_ENDS + 1, worker.acknowledgedUpTo());
     assertFalse(session.isUnhealthy());
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/LateCopiesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/LateCopiesTest.java
@@ -71,7 +71,7 @@
 
   private void acknowledgeAllEnds() {
     for (EndReport end : List.copyOf(session.ends())) {
-      session.acknowledgeEnd(WorkflowCodec.decode(end.getTask()));
+      session.respondToEnd(WorkflowCodec.decode(end.getTask()), EndResponse.ACKNOWLEDGED);
     }
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerDepartureSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerDepartureSessionTest.java
@@ -92,7 +92,7 @@
     advance(MAX_STOP_MILLIS);
     assertEquals(List.of(RunOutcome.STOPPED), outcomes());
     assertFalse(response.isDone(), "answered before the end is acknowledged");
-    session.acknowledgeEnd(RUN);
+    session.respondToEnd(RUN, EndResponse.ACKNOWLEDGED);
     advance(2 * STEP_MILLIS + 150);
     assertEquals(1, worker.acknowledgedUpTo());
     assertTrue(response.isDone());
@@ -109,7 +109,7 @@
     CompletableFuture<Boolean> response = session.deregister();
     advance(MAX_STOP_MILLIS);
     worker.becomeUnresponsive(1);
-    session.acknowledgeEnd(RUN);
+    session.respondToEnd(RUN, EndResponse.ACKNOWLEDGED);
     advance(200);
     assertFalse(response.isDone(), "answered before the acknowledgement has arrived");
     worker.recover();
@@ -128,7 +128,7 @@
     session.deregister();
     advance(MAX_STOP_MILLIS);
     worker.becomeUnresponsive(1);
-    session.acknowledgeEnd(RUN);
+    session.respondToEnd(RUN, EndResponse.ACKNOWLEDGED);
     advance(MAX_RESPONSE_MILLIS);
     assertTrue(gone);
   }
@@ -167,7 +167,7 @@
     assertEquals(List.of(), outcomes());
     advance(EXPIRY_MILLIS - TERMS.leaseMillis() + 1_000);
     assertEquals(List.of(RunOutcome.LAPSED), outcomes());
-    session.acknowledgeEnd(RUN);
+    session.respondToEnd(RUN, EndResponse.ACKNOWLEDGED);
     advance(200);
     assertTrue(gone);
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
@@ -74,7 +74,7 @@
       time.advance(STEP_MILLIS);
     }
     recordEvidence(session, 0);
-    session.acknowledgeEnd(runOf(0));
+    session.respondToEnd(runOf(0), EndResponse.ACKNOWLEDGED);
     time.advance(1_000);
     assertTrue(
         worker.isExtendedAfterExpiry() || worker.acknowledgedUpTo() == 0,
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -69,7 +69,7 @@
 
   private void acknowledgeAllEnds() {
     for (EndReport end : List.copyOf(session.ends())) {
-      session.acknowledgeEnd(WorkflowCodec.decode(end.getTask()));
+      session.respondToEnd(WorkflowCodec.decode(end.getTask()), EndResponse.ACKNOWLEDGED);
       time.advance(20);
     }
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
@@ -18,20 +18,65 @@
   private static final String SECOND = "i-1@2000";
   private static final String THIRD = "i-1@3000";
   private static final RunKey RUN = new RunKey(new TaskKey(7, 0, 0, 0), 1);
+  private static final long DEPARTURE_MILLIS = 20_000;
   private static final long FAR_DEADLINE = 1_000_000;
 
   private final VirtualLoop time = new VirtualLoop();
   private final ScriptedWorker worker = new ScriptedWorker(time);
-  private final WorkflowSideProcess side =
-      new WorkflowSideProcess(
+  private final WorkerRegistration side =
+      new WorkerRegistration(
           time.loop(),
-          new ScriptedOwnersStore(1),
           worker,
-          "vm-0",
-          WorkerLeaseTerms.forMaxLease(10_000));
+          1,
+          WorkerLeaseTerms.forMaxLease(10_000),
+          new SessionListener(),
+          () -> {});
+
+  /** Passes the events of sessions on, as a side process does. */
+  private final class SessionListener implements WorkerSessionListener {
+    @Override
+    public void availabilityChanged() {}
+
+    @Override
+    public void capacityChanged() {}
+
+    @Override
+    public void runChanged(int partition) {}
+
+    @Override
+    public boolean isEvacuated(String zone) {
+      return false;
+    }
+
+    @Override
+    public void workerSucceeded(WorkerSession succeeded, String successor) {
+      side.succeeded(succeeded, successor);
+    }
+
+    @Override
+    public void sessionEnded(WorkerSession ended) {
+      side.ended(ended);
+    }
+  }
+
+  private CompletableFuture<Boolean> heartbeat(WorkerHeartbeat heartbeat) {
+    CompletableFuture<Boolean> accepted = new CompletableFuture<>();
+    side.heartbeat(heartbeat, accepted);
+    return accepted;
+  }
+
+  private String currentWorker() {
+    return side.session() == null ? "" : side.session().worker();
+  }
+
+  /** The session of a deregistered worker ends once nothing can start on it any more. */
+  private boolean endsSoon() {
+    time.advance(DEPARTURE_MILLIS);
+    return side.session() == null;
+  }
 
   private boolean acceptsHeartbeatOf(String incarnation) {
-    CompletableFuture<Boolean> accepted = side.heartbeat(ScriptedWorker.heartbeat(incarnation));
+    CompletableFuture<Boolean> accepted = heartbeat(ScriptedWorker.heartbeat(incarnation));
     time.advance(2);
     for (int tries = 0; tries < 50 && !accepted.isDone(); tries++) {
       time.advance(20);
@@ -49,7 +94,7 @@
     findFirst();
     worker.restart(SECOND);
     assertTrue(acceptsHeartbeatOf(SECOND));
-    assertEquals(SECOND, side.currentWorker());
+    assertEquals(SECOND, currentWorker());
   }
 
   /** The heartbeat arrives after its sender has ended and the successor has been found. */
@@ -59,12 +104,12 @@
     worker.restart(SECOND);
     assertTrue(acceptsHeartbeatOf(SECOND));
     assertFalse(acceptsHeartbeatOf(FIRST));
-    assertEquals(SECOND, side.currentWorker());
+    assertEquals(SECOND, currentWorker());
     worker.restart(THIRD);
     assertTrue(acceptsHeartbeatOf(THIRD));
     assertFalse(acceptsHeartbeatOf(FIRST));
     assertFalse(acceptsHeartbeatOf(SECOND));
-    assertEquals(THIRD, side.currentWorker());
+    assertEquals(THIRD, currentWorker());
   }
 
   /** The listing that the side process asks for anyway shows the restart before any heartbeat. */
@@ -73,7 +118,7 @@
     findFirst();
     worker.restart(SECOND);
     time.advance(3_000);
-    assertEquals("", side.currentWorker());
+    assertEquals("", currentWorker());
     assertTrue(acceptsHeartbeatOf(SECOND));
   }
 
@@ -87,13 +132,13 @@
     worker.restart(SECOND);
     worker.start(FIRST, new StartOrder(RUN, "", FAR_DEADLINE, "", ""));
     time.advance(2_000);
-    assertEquals(FIRST, side.currentWorker());
+    assertEquals(FIRST, currentWorker());
     assertEquals(RUN, worker.stopped().get(0));
     worker.removeActiveRun(RUN);
     time.advance(1_000);
-    assertEquals("", side.currentWorker());
+    assertEquals("", currentWorker());
     assertTrue(acceptsHeartbeatOf(SECOND));
-    assertEquals(SECOND, side.currentWorker());
+    assertEquals(SECOND, currentWorker());
   }
 
   /** The same, seen by the heartbeat of the successor first. */
@@ -102,7 +147,7 @@
     findFirst();
     worker.restart(SECOND);
     worker.start(FIRST, new StartOrder(RUN, "", FAR_DEADLINE, "", ""));
-    CompletableFuture<Boolean> accepted = side.heartbeat(ScriptedWorker.heartbeat(SECOND));
+    CompletableFuture<Boolean> accepted = heartbeat(ScriptedWorker.heartbeat(SECOND));
     time.advance(300);
     assertFalse(accepted.isDone());
     worker.removeActiveRun(RUN);
@@ -117,31 +162,29 @@
     findFirst();
     worker.restart(SECOND);
     assertTrue(acceptsHeartbeatOf(SECOND));
-    side.workerDeregistered("i-1");
-    time.advance(100);
-    assertFalse(side.isWorkerDeregistered());
+    side.deregister("i-1");
+    assertFalse(endsSoon());
   }
 
   @Test
   void deregistrationOfADrainingWorkerIsInEffect() {
     findFirst();
-    side.heartbeat(ScriptedWorker.heartbeat(FIRST).asDraining());
+    heartbeat(ScriptedWorker.heartbeat(FIRST).asDraining());
     time.advance(100);
-    side.workerDeregistered("i-1");
-    time.advance(1);
-    assertTrue(side.isWorkerDeregistered());
+    side.deregister("i-1");
+    assertTrue(endsSoon());
   }
 
   /** The worker deregisters, ends, and starts again under its id. */
   @Test
   void successorOfADeregisteredWorkerIsUsed() {
     findFirst();
-    side.heartbeat(ScriptedWorker.heartbeat(FIRST).asDraining());
+    heartbeat(ScriptedWorker.heartbeat(FIRST).asDraining());
     time.advance(100);
-    side.workerDeregistered("i-1");
+    side.deregister("i-1");
     worker.restart(SECOND);
     assertTrue(acceptsHeartbeatOf(SECOND));
-    assertFalse(side.isWorkerDeregistered());
+    assertFalse(endsSoon());
   }
 
   /** The successor does not respond: nothing shows what it runs, so the session goes on. */
@@ -151,7 +194,7 @@
     worker.restart(SECOND);
     worker.becomeUnresponsive(1);
     assertFalse(acceptsHeartbeatOf(SECOND));
-    assertEquals(FIRST, side.currentWorker());
+    assertEquals(FIRST, currentWorker());
     worker.recover();
     assertTrue(acceptsHeartbeatOf(SECOND));
   }
