--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/ImagePair.java
@@ -0,0 +1,17 @@
+package io.marigoldsail.colocation;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * An image of best-effort tasks and an image of service tasks. Immutable. Rejects nulls.
+ *
+ * @param bestEffort the image of the tasks that interfere
+ * @param service the image of the tasks that they interfere with
+ */
+public record ImagePair(String bestEffort, String service) {
+  /** Checks the components. */
+  public ImagePair {
+    requireNonNull(bestEffort, "bestEffort");
+    requireNonNull(service, "service");
+  }
+}
--- /dev/null
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/PairEvidenceAggregator.java
@@ -0,0 +1,43 @@
+package io.marigoldsail.colocation;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Sums the evidence on pairs of images over all VMs of a fleet.
+ *
+ * <p>The sum is formed anew at intervals rather than with each report, of which there are many.
+ *
+ * <p>Confined to one thread. Rejects nulls. Times are monotonic nanoseconds.
+ */
+public final class PairEvidenceAggregator {
+  /** Minimum time between two sums, in nanoseconds. */
+  static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final Map<String, ImmutableMap<ImagePair, PairEvidence>> byVm = new HashMap<>();
+  private ImmutableMap<ImagePair, PairEvidence> total = ImmutableMap.of();
+  private long summedAt = Long.MIN_VALUE;
+
+  /** Replaces the evidence of a VM; returns whether the total was formed anew. */
+  public boolean update(String vm, Map<ImagePair, PairEvidence> evidence, long now) {
+    byVm.put(requireNonNull(vm, "vm"), ImmutableMap.copyOf(evidence));
+    if (summedAt != Long.MIN_VALUE && now - summedAt < INTERVAL_NANOS) {
+      return false;
+    }
+    summedAt = now;
+    Map<ImagePair, PairEvidence> sum = new HashMap<>();
+    byVm.values()
+        .forEach(each -> each.forEach((pair, seen) -> sum.merge(pair, seen, PairEvidence::plus)));
+    total = ImmutableMap.copyOf(sum);
+    return true;
+  }
+
+  /** Returns the sum over all VMs as of the last time that it was formed. */
+  public ImmutableMap<ImagePair, PairEvidence> total() {
+    return total;
+  }
+}
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -44,6 +44,12 @@
    */
   static final long BEST_EFFORT_PENALTY = 20;
 
+  /**
+   * Weight of services of the same image, in thousandths of a processor: a best-effort image harms
+   * services of some images only, so a VM with few service images is free for more of them.
+   */
+  static final long SAME_IMAGE_WEIGHT = 100_000;
+
   private static final double HASH_RANGE = 1L << Integer.SIZE;
 
   /**
@@ -139,15 +145,15 @@
   public Optional<VmOffer> choose(
       TaskPlacementRequest request, Collection<VmOffer> offers, ToIntFunction<VmOffer> ofStepOn) {
     requireNonNull(ofStepOn, "ofStepOn");
+    boolean hurried = request.urgency() == Urgency.HURRIED && request.step().traits().bestEffort();
     boolean onlyWithoutServices =
-        request.urgency() == Urgency.HURRIED
-            && request.step().traits().bestEffort()
+        hurried
             && ImageInterference.isInterfering(request.interference())
             && offers.stream().anyMatch(offer -> offer.serviceTasks() == 0);
     VmOffer best = null;
     double bestScore = Double.NEGATIVE_INFINITY;
     for (VmOffer offer : offers) {
-      boolean excluded = onlyWithoutServices && offer.serviceTasks() > 0;
+      boolean excluded = onlyWithoutServices && offer.serviceTasks() > 0 && offer.rooms().isEmpty();
       if (excluded || !admits(request, offer, ofStepOn)) {
         continue;
       }
@@ -237,6 +243,9 @@
     if (offer.bestEffortHeadroomMilli() < step.sizes().milliProcessors()) {
       return false;
     }
+    if (offer.rooms().isPresent()) {
+      return offer.rooms().get().fits(step.traits().image(), offer.shareOf(step));
+    }
     if (offer.serviceTasks() == 0 || !ImageInterference.isInterfering(interference)) {
       return true;
     }
@@ -267,11 +276,17 @@
     boolean hasServices = offer.serviceTasks() > 0;
     if (step.traits().isService()) {
       double colocation = hasServices ? COLOCATION_WEIGHT : 0;
+      boolean alike = offer.rooms().filter(rooms -> rooms.hosts(step.traits().image())).isPresent();
+      colocation += alike ? SAME_IMAGE_WEIGHT : 0;
       return colocation - BEST_EFFORT_PENALTY * offer.bestEffortMilliProcessors() - remaining;
     }
     if (step.traits().bestEffort()) {
-      boolean benign = !ImageInterference.isInterfering(interference);
-      return remaining + (hasServices == benign ? COLOCATION_WEIGHT : 0);
+      boolean benign = !offer.isInterfering(step, interference);
+      long colocation = hasServices == benign ? COLOCATION_WEIGHT : 0;
+      // VMs without services are left to the tasks that have no other place.
+      boolean leavesOthersFree = hasServices && benign && offer.rooms().isPresent();
+      boolean idle = remaining + offer.overcommitMilliProcessors() / 2.0 >= 0;
+      return remaining + colocation + (leavesOthersFree && idle ? COLOCATION_WEIGHT / 2 : 0);
     }
     return remaining + (hasServices && remaining >= 0 ? COLOCATION_WEIGHT : 0);
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
@@ -3,8 +3,10 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.colocation.ServiceRooms;
 import io.marigoldsail.job.Sizes;
 import java.util.Collection;
+import java.util.Optional;
 
 /**
  * Resources of a VM as seen by a scheduler: the last report of its side process, less the runs
@@ -25,6 +27,8 @@
  *     unbooked ones, see {@link Overcommit}
  * @param serviceTasks number of running service tasks
  * @param slowdown how many times longer tasks take here than on other VMs; 1 for no difference
+ * @param rooms the room for best-effort tasks beside the services; empty where the side process
+ *     does not tell it, so that the limits by image hold
  */
 public record VmOffer(
     Place place,
@@ -37,7 +41,8 @@
     long interferingMilliProcessors,
     long overcommitMilliProcessors,
     int serviceTasks,
-    double slowdown) {
+    double slowdown,
+    Optional<ServiceRooms> rooms) {
   /**
    * Unbooked processors of a fleet with spare capacity, in percent: callers expect progress where
    * half is free, and the knowledge of entries is up to a second old.
@@ -52,6 +57,35 @@
     requireNonNull(rack, "rack");
     requireNonNull(capacity, "capacity");
     requireNonNull(free, "free");
+    requireNonNull(rooms, "rooms");
+  }
+
+  /** Creates an offer whose side process does not tell the room beside its services. */
+  public VmOffer(
+      Place place,
+      String service,
+      ImmutableSet<String> labels,
+      String rack,
+      Sizes capacity,
+      Sizes free,
+      long bestEffortMilliProcessors,
+      long interferingMilliProcessors,
+      long overcommitMilliProcessors,
+      int serviceTasks,
+      double slowdown) {
+    this(
+        place,
+        service,
+        labels,
+        rack,
+        capacity,
+        free,
+        bestEffortMilliProcessors,
+        interferingMilliProcessors,
+        overcommitMilliProcessors,
+        serviceTasks,
+        slowdown,
+        Optional.empty());
   }
 
   /**
@@ -68,6 +102,18 @@
     return free * 100 >= capacity * SPARE_CAPACITY_PERCENT;
   }
 
+  /** Returns the processors that a task of the step declares, as a fraction of the VM's. */
+  double shareOf(StepSpec step) {
+    return (double) step.sizes().milliProcessors() / Math.max(1, capacity.milliProcessors());
+  }
+
+  /** Returns whether best-effort tasks of the step would slow service tasks here down. */
+  boolean isInterfering(StepSpec step, double interference) {
+    return rooms.isPresent()
+        ? rooms.get().isInterfering(step.traits().image(), shareOf(step))
+        : ImageInterference.isInterfering(interference);
+  }
+
   /** Returns the processors that remain after booked and best-effort tasks; may be negative. */
   long remainingMilliProcessors() {
     return free.milliProcessors() - bestEffortMilliProcessors;
@@ -99,6 +145,9 @@
         interferingMilliProcessors + interferingMilli,
         overcommitMilliProcessors,
         newServiceTasks,
-        slowdown);
+        slowdown,
+        step.traits().bestEffort()
+            ? rooms.map(each -> each.after(step.traits().image(), shareOf(step)))
+            : rooms);
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/FleetStatistics.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/FleetStatistics.java
@@ -1,5 +1,10 @@
 package io.marigoldsail.daemon.workflow;
 
+import io.marigoldsail.colocation.ImageEffects;
+import io.marigoldsail.colocation.ImagePair;
+import io.marigoldsail.colocation.InterferenceModel;
+import io.marigoldsail.colocation.PairEvidence;
+import io.marigoldsail.colocation.PairEvidenceAggregator;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.workflow.ImageEvidenceAggregator;
@@ -28,6 +33,8 @@
   private final VmSlowdownEstimator slowdowns = new VmSlowdownEstimator();
   private final ImageInterference interference = new ImageInterference();
   private final ImageEvidenceAggregator imageEvidence = new ImageEvidenceAggregator();
+  private final PairEvidenceAggregator pairEvidence = new PairEvidenceAggregator();
+  private final InterferenceModel pairs = new InterferenceModel();
 
   /**
    * Records the progress of a run. Best-effort and long-running runs are ignored: their progress
@@ -80,6 +87,23 @@
     return imageEvidence.totalExcluding(vm);
   }
 
+  /** Replaces the evidence on pairs of images from a VM. */
+  void recordPairEvidence(String vm, Map<ImagePair, PairEvidence> evidence, long now) {
+    if (pairEvidence.update(vm, evidence, now)) {
+      pairs.setRemoteEvidence(pairEvidence.total());
+    }
+  }
+
+  /** Returns the evidence of all VMs on pairs of images, as of some time ago. */
+  Map<ImagePair, PairEvidence> pairEvidence() {
+    return pairEvidence.total();
+  }
+
+  /** Returns the estimated effects of best-effort images on service images, as a live view. */
+  ImageEffects effects() {
+    return pairs;
+  }
+
   /** Returns the estimated interference of the image with service tasks, from 0 to 1. */
   double interferenceOf(String image) {
     return interference.belief(image);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/LeaseGranter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/LeaseGranter.java
@@ -4,7 +4,6 @@
 
 import com.google.common.primitives.Ints;
 import io.marigoldsail.daemon.link.LinkLoop;
-import io.marigoldsail.protocol.ImageSeen;
 import io.marigoldsail.protocol.LeaseGrant;
 import io.marigoldsail.protocol.PartitionEvidence;
 import io.marigoldsail.time.ClockReading;
@@ -53,9 +52,9 @@
     flush(session, lease(session));
   }
 
-  /** Sends a lease, the evidence on images of the other VMs, and the pending orders. */
-  void grantWithImages(VmSession session, List<ImageSeen> images) {
-    flush(session, lease(session).addAllImages(images));
+  /** Sends a lease with more evidence, and the pending orders. */
+  void grant(VmSession session, LeaseGrant evidence) {
+    flush(session, lease(session).mergeFrom(evidence));
   }
 
   /** Sends the pending questions, which contain no lease; no orders may be pending. */
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PairEvidenceCodec.java
@@ -0,0 +1,71 @@
+package io.marigoldsail.daemon.workflow;
+
+import io.marigoldsail.colocation.ImagePair;
+import io.marigoldsail.colocation.PairEvidence;
+import io.marigoldsail.protocol.PairSeen;
+import io.marigoldsail.protocol.ServiceRoom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** Converts the evidence on pairs of images, and rooms, to frames and back. Stateless. */
+final class PairEvidenceCodec {
+  /** Evidence of less work changes no estimate. */
+  private static final double MIN_WORK = 1e-3;
+
+  private PairEvidenceCodec() {}
+
+  /** Returns the evidence on the pairs whose service image matches. */
+  static List<PairSeen> encode(
+      Map<ImagePair, PairEvidence> evidence, Predicate<String> serviceImage) {
+    List<PairSeen> encoded = new ArrayList<>();
+    evidence.forEach(
+        (pair, each) -> {
+          if (each.work() >= MIN_WORK && serviceImage.test(pair.service())) {
+            encoded.add(
+                PairSeen.newBuilder()
+                    .setBestEffort(pair.bestEffort())
+                    .setService(pair.service())
+                    .setWork((float) each.work())
+                    .setEffect((float) each.effect())
+                    .build());
+          }
+        });
+    return encoded;
+  }
+
+  /** Returns the evidence; figures that are no sums of squares count as none. */
+  static Map<ImagePair, PairEvidence> decode(List<PairSeen> encoded) {
+    Map<ImagePair, PairEvidence> evidence = new HashMap<>();
+    for (PairSeen each : encoded) {
+      boolean valid =
+          each.getWork() >= 0 && Float.isFinite(each.getWork()) && Float.isFinite(each.getEffect());
+      if (valid) {
+        evidence.put(
+            new ImagePair(each.getBestEffort(), each.getService()),
+            new PairEvidence(each.getWork(), each.getEffect()));
+      }
+    }
+    return evidence;
+  }
+
+  static List<ServiceRoom> encodeRooms(Map<String, Double> rooms) {
+    List<ServiceRoom> encoded = new ArrayList<>();
+    rooms.forEach(
+        (image, headroom) ->
+            encoded.add(
+                ServiceRoom.newBuilder()
+                    .setImage(image)
+                    .setHeadroom(headroom.floatValue())
+                    .build()));
+    return encoded;
+  }
+
+  static Map<String, Double> decodeRooms(List<ServiceRoom> encoded) {
+    Map<String, Double> rooms = new HashMap<>();
+    encoded.forEach(each -> rooms.put(each.getImage(), (double) each.getHeadroom()));
+    return rooms;
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunThrottler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunThrottler.java
@@ -2,6 +2,12 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.ImmutableMap;
+import io.marigoldsail.colocation.Colocation;
+import io.marigoldsail.colocation.ImagePair;
+import io.marigoldsail.colocation.InterferenceModel;
+import io.marigoldsail.colocation.InterferenceScope;
+import io.marigoldsail.colocation.PairEvidence;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.AggregatingLog;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -16,6 +22,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -28,6 +35,14 @@
   /** Interval between two log lines about the load of a worker, in nanoseconds. */
   private static final long LOAD_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  private static final int FULL_PERCENT = 100;
+
+  /** A run at this share of its speed or less does better on another VM, in percent. */
+  private static final int SLOW_PERCENT = 25;
+
+  /** Consecutive listings at that share after which the run is to be moved. */
+  private static final int MAX_SLOW_READINGS = 3;
+
   /** How long changes of the CPU share are aggregated into one log line, in nanoseconds. */
   private static final long AGGREGATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -39,19 +54,65 @@
   private final ImageInterference interference = new ImageInterference();
   private final Map<String, Boolean> loggedAsInterfering = new HashMap<>();
   private final AggregatingLog throttleLog;
+  private final InterferenceModel pairs = new InterferenceModel();
+  private final Optional<Colocation> colocation;
   private long loggedAt = Long.MIN_VALUE;
 
-  RunThrottler(LinkLoop loop, WorkerGateway gateway, String worker, Overcommit overcommit) {
+  RunThrottler(
+      LinkLoop loop,
+      WorkerGateway gateway,
+      String worker,
+      Overcommit overcommit,
+      InterferenceScope scope) {
     this.loop = requireNonNull(loop, "loop");
     this.gateway = requireNonNull(gateway, "gateway");
     this.worker = requireNonNull(worker, "worker");
     this.overcommit = requireNonNull(overcommit, "overcommit");
+    this.colocation =
+        scope == InterferenceScope.PER_PAIR ? Optional.of(new Colocation(pairs)) : Optional.empty();
     this.throttleLog = new AggregatingLog(LOG::info, loop::schedule, AGGREGATION_NANOS);
   }
 
-  /** Returns the CPU share that an interfering run gets, 0 to 100 percent. */
+  /**
+   * Returns the CPU share that an interfering run gets, 0 to 100 percent; 100 where each image has
+   * its own.
+   */
   int interferingPercent() {
-    return bestEffortThrottler.interferingPercent();
+    return colocation.isPresent() ? FULL_PERCENT : bestEffortThrottler.interferingPercent();
+  }
+
+  /** Returns the room beside the services by their image; empty where it is not predicted. */
+  Map<String, Double> rooms() {
+    return colocation.map(each -> each.rooms().asMap()).orElse(ImmutableMap.of());
+  }
+
+  /** Returns the evidence of this VM on pairs of images. */
+  Map<ImagePair, PairEvidence> localPairEvidence() {
+    return pairs.localEvidence();
+  }
+
+  /** Replaces the evidence of the fleet on pairs of images. */
+  void setRemotePairEvidence(Map<ImagePair, PairEvidence> evidence) {
+    pairs.setRemoteEvidence(evidence);
+  }
+
+  /**
+   * Returns whether a best-effort run fits beside the service tasks.
+   *
+   * @param milli processors that the run declares, in thousandths
+   * @param capacityMilli those of the VM
+   */
+  boolean admits(Collection<SideRun> runs, String image, long milli, long capacityMilli) {
+    if (colocation.isEmpty()) {
+      return !isInterfering(image)
+          || InterferenceBudget.admits(capacityMilli, interferingMilliProcessors(runs), milli);
+    }
+    double share = (double) milli / Math.max(1, capacityMilli);
+    boolean fits = colocation.get().rooms().fits(image, share);
+    if (fits) {
+      colocation.get().recordAdmitted(image, share);
+    }
+    return fits;
   }
 
   /** Returns whether the image is believed to interfere with service tasks. */
@@ -81,12 +142,20 @@
     if (!hasServiceTasks) {
       return;
     }
+    if (colocation.isPresent()) {
+      runs.stream().filter(SideRun::isBestEffort).forEach(this::markSlow);
+      return;
+    }
     List<SideRun> interfering = interferingRuns(runs);
     List<Long> declared = interfering.stream().map(SideRun::milliProcessors).toList();
     InterferenceBudget.excess(capacityMilli, declared)
         .forEach(position -> interfering.get(position).excess(true));
   }
 
+  private void markSlow(SideRun run) {
+    run.excess(run.countSlowReading(percentOf(run) <= SLOW_PERCENT) >= MAX_SLOW_READINGS);
+  }
+
   /**
    * Applies the measurements of the newest listing; returns whether the CPU share of interfering
    * runs changed.
@@ -119,10 +188,40 @@
               .with("before", before)
               .with("readings", readings));
     }
+    boolean pacesChanged = colocation.isPresent() && observePairs(runs, capacityMilli);
     runs.forEach(this::throttle);
     markExcessRuns(runs, capacityMilli, !readings.isEmpty());
     logLoad(runs, readings);
-    return before != after;
+    return colocation.isPresent() ? pacesChanged : before != after;
+  }
+
+  private boolean observePairs(Collection<SideRun> runs, long capacityMilli) {
+    List<Colocation.ServiceReading> services = new ArrayList<>();
+    List<Colocation.BestEffortReading> bestEffort = new ArrayList<>();
+    double capacity = Math.max(1, capacityMilli);
+    for (SideRun run : runs) {
+      if (run.latencyTargetMillis() > 0 && run.isListed() && run.measurement() > 0) {
+        services.add(
+            Colocation.ServiceReading.of(
+                run.key().toString(), run.image(), run.measurement(), run.latencyTargetMillis()));
+      } else if (run.isBestEffort()) {
+        bestEffort.add(
+            new Colocation.BestEffortReading(
+                run.image(), run.measurement() / capacity, run.milliProcessors() / capacity));
+      }
+    }
+    boolean changed = colocation.get().observe(services, bestEffort, loop.now());
+    if (changed) {
+      throttleLog.log(
+          "images-paced",
+          LogLine.of("images-paced")
+              .with("worker", worker)
+              .with("percents", colocation.get().percents())
+              .with("rooms", colocation.get().rooms())
+              .with("over", colocation.get().consecutiveOver())
+              .with("services", services.size()));
+    }
+    return changed;
   }
 
   /** Compares the processors that best-effort tasks use with those that they were granted. */
@@ -224,12 +323,18 @@
                 readings.stream().map(BestEffortThrottler.TailReading::tailMillis).toList()));
   }
 
+  private int percentOf(SideRun run) {
+    if (colocation.isPresent()) {
+      return colocation.get().percent(run.image());
+    }
+    return isInterfering(run.image())
+        ? bestEffortThrottler.interferingPercent()
+        : bestEffortThrottler.benignPercent();
+  }
+
   /** Throttles a best-effort run to the current CPU share, unless the worker already applies it. */
   void throttle(SideRun run) {
-    int percent =
-        isInterfering(run.image())
-            ? bestEffortThrottler.interferingPercent()
-            : bestEffortThrottler.benignPercent();
+    int percent = percentOf(run);
     if (!run.isBestEffort()
         || run.isThrottledTo(percent)
         || run.isStopping()
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -42,6 +42,7 @@
   private long measurement;
   private int throttlePercent;
   private boolean excess;
+  private int slowReadings;
 
   SideRun(RunKey key, int partition, Optional<StartRun> order, WorkerLease.Mark orderedAt) {
     this.key = key;
@@ -105,6 +106,12 @@
     program = text;
   }
 
+  /** Counts consecutive listings at a low CPU share; returns how many there were up to now. */
+  int countSlowReading(boolean slow) {
+    slowReadings = slow ? slowReadings + 1 : 0;
+    return slowReadings;
+  }
+
   /** Counts a try to start the run; returns the number of tries so far. */
   int countStartTry() {
     return ++startTries;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartAdmission.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartAdmission.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import io.marigoldsail.protocol.StartRun;
-import io.marigoldsail.workflow.InterferenceBudget;
 import io.marigoldsail.workflow.ResourceLedger;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.Urgency;
@@ -79,10 +78,7 @@
   }
 
   private boolean exceedsInterferingLimit(StartRun order, Collection<SideRun> runs) {
-    return throttler.isInterfering(order.getImage())
-        && !InterferenceBudget.admits(
-            resources.capacity().milliProcessors(),
-            throttler.interferingMilliProcessors(runs),
-            order.getMilliProcessors());
+    return !throttler.admits(
+        runs, order.getImage(), order.getMilliProcessors(), resources.capacity().milliProcessors());
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.colocation.ServiceRooms;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.Frame;
@@ -154,6 +155,7 @@
     long bestEffort = report.getFillMilliProcessors();
     long interfering = report.getSuspectMilliProcessors();
     int serviceTasks = report.getServing();
+    Optional<ServiceRooms> rooms = rooms(fleet);
     for (OpenRun run : open) {
       WorkflowTask task = run.task();
       if (!runs.containsKey(task.openRun())) {
@@ -162,6 +164,10 @@
             task.step().traits().bestEffort() ? task.step().sizes().milliProcessors() : 0;
         bestEffort += declared;
         interfering += fleet.isInterfering(task) ? declared : 0;
+        if (declared > 0) {
+          double share = (double) declared / Math.max(1, report.getMilliProcessors());
+          rooms = rooms.map(each -> each.after(task.step().traits().image(), share));
+        }
         serviceTasks += task.step().traits().isService() ? 1 : 0;
       }
     }
@@ -176,7 +182,26 @@
         interfering,
         report.getOvercommitMilliProcessors(),
         serviceTasks,
-        fleet.slowdown(vm(), now));
+        fleet.slowdown(vm(), now),
+        rooms);
+  }
+
+  private Optional<ServiceRooms> rooms(FleetStatistics fleet) {
+    return report.getServiceRoomsCount() == 0
+        ? Optional.empty()
+        : Optional.of(
+            ServiceRooms.of(
+                PairEvidenceCodec.decodeRooms(report.getServiceRoomsList()), fleet.effects()));
+  }
+
+  /** Returns whether the side process tells the room beside the services of the VM. */
+  boolean tellsRooms() {
+    return report.getServiceRoomsCount() > 0;
+  }
+
+  /** Returns whether services of the image run on the VM. */
+  boolean hostsService(String image) {
+    return report.getServiceRoomsList().stream().anyMatch(room -> room.getImage().equals(image));
   }
 
   /** Adds a start to the next frame and returns the number of that frame. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmStateEncoder.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmStateEncoder.java
@@ -30,6 +30,7 @@
         .setSuspectMilliProcessors(
             (int) session.throttler().interferingMilliProcessors(session.runs()))
         .setOvercommitMilliProcessors((int) session.resources().overcommitMilliProcessors())
+        .addAllServiceRooms(PairEvidenceCodec.encodeRooms(session.throttler().rooms()))
         .setFillPercent(session.throttler().interferingPercent())
         .setServing(session.serviceTaskCount());
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -68,6 +68,7 @@
   private final Map<String, VmSession> sessionsByVm = new LinkedHashMap<>();
   private final OpenRuns openRuns = new OpenRuns();
   private final FleetStatistics fleet = new FleetStatistics();
+  private final InterferenceExchange interference = new InterferenceExchange(fleet);
   private final VmView view;
   private final RunEndAcknowledger endAcknowledger;
   private final CapacityDemand demand = new CapacityDemand();
@@ -197,8 +198,8 @@
     }
     reconcile(session, report);
     if (report.getWantsLease()) {
-      fleet.recordImageEvidence(report.getVm(), ImageEvidenceCodec.decode(report.getImagesList()));
-      grantLease(session);
+      interference.record(report, loop.now());
+      granter.grant(session, interference.evidenceFor(session, loop.now()));
     }
     listener.capacityChanged();
   }
@@ -387,16 +388,6 @@
     stopUnwanted(workflow);
   }
 
-  /** Responds to a report that requests a lease with the lease and the pending orders. */
-  private void grantLease(VmSession session) {
-    if (session.areImagesDue(loop.now())) {
-      granter.grantWithImages(
-          session, ImageEvidenceCodec.encode(fleet.imageEvidenceOfOtherVms(session.vm())));
-    } else {
-      granter.grant(session);
-    }
-  }
-
   /** Records that a task waits for capacity; VMs then report changes of theirs soon. */
   void recordUnplaced() {
     if (demand.recordUnplaced(loop.now())) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerRegistration.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerRegistration.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -22,6 +23,7 @@
   private final WorkerGateway gateway;
   private final int partitions;
   private final WorkerLeaseTerms terms;
+  private final InterferenceScope scope;
   private final WorkerSessionListener listener;
   private final Runnable sessionFound;
   private final WorkerSuccession succession;
@@ -41,12 +43,14 @@
       WorkerGateway gateway,
       int partitions,
       WorkerLeaseTerms terms,
+      InterferenceScope scope,
       WorkerSessionListener listener,
       Runnable sessionFound) {
     this.loop = requireNonNull(loop, "loop");
     this.gateway = requireNonNull(gateway, "gateway");
     this.partitions = partitions;
     this.terms = requireNonNull(terms, "terms");
+    this.scope = requireNonNull(scope, "scope");
     this.listener = requireNonNull(listener, "listener");
     this.sessionFound = requireNonNull(sessionFound, "sessionFound");
     this.succession = new WorkerSuccession(loop, gateway);
@@ -121,7 +125,8 @@
     if (session != null) {
       session.end("another incarnation of the worker replaced it", "its first listing");
     }
-    session = new WorkerSession(loop, gateway, heartbeat, listing, partitions, terms, listener);
+    session =
+        new WorkerSession(loop, gateway, heartbeat, listing, partitions, terms, scope, listener);
     LOG.info(
         LogLine.of("worker-found")
             .with("worker", heartbeat.worker())
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -79,6 +80,7 @@
       Listing first,
       int partitions,
       WorkerLeaseTerms terms,
+      InterferenceScope scope,
       WorkerSessionListener listener) {
     this.loop = requireNonNull(loop, "loop");
     this.gateway = requireNonNull(gateway, "gateway");
@@ -87,7 +89,7 @@
     this.partitions = partitions;
     this.listener = requireNonNull(listener, "listener");
     this.lease = new WorkerLease(loop, terms, first.workerClock());
-    this.throttler = new RunThrottler(loop, gateway, worker, overcommit);
+    this.throttler = new RunThrottler(loop, gateway, worker, overcommit, scope);
     this.retention = new EndRetention(worker, lease, ends);
     this.endLog = new RunEndLog(loop, worker);
     this.admission = new StartAdmission(lease, resources, throttler);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -41,6 +42,9 @@
    */
   static final long REPORT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+  /** Interval of the evidence on pairs of images to an entry, in nanoseconds. */
+  private static final long PAIRS_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(3);
+
   private static final long TICK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
   private final LinkLoop loop;
@@ -49,6 +53,7 @@
   final KnownEvacuations evacuations = new KnownEvacuations();
   private final ReportPacer pacer = new ReportPacer();
   private final ReportedStates reportedStates = new ReportedStates();
+  private final MemberRateLimiter pairReports = new MemberRateLimiter(PAIRS_INTERVAL_NANOS);
   private final Set<Integer> changedPartitions = new HashSet<>();
   private final Set<EntryConnection> pendingReports = new HashSet<>();
   private final EarliestTimer pendingTimer;
@@ -68,19 +73,27 @@
    * @param gateway the client of the worker
    * @param vm the name of the VM
    * @param terms the durations of leases
+   * @param scope how far a belief about the interference of a best-effort image extends
    */
   public WorkflowSideProcess(
       LinkLoop loop,
       WorkflowStore store,
       WorkerGateway gateway,
       String vm,
-      WorkerLeaseTerms terms) {
+      WorkerLeaseTerms terms,
+      InterferenceScope scope) {
     this.loop = requireNonNull(loop, "loop");
     this.vm = requireNonNull(vm, "vm");
     this.entries = new EntryConnections(loop, store, new EntryListener());
     this.registration =
         new WorkerRegistration(
-            loop, gateway, store.partitions(), terms, new SessionListener(), () -> report(true));
+            loop,
+            gateway,
+            store.partitions(),
+            terms,
+            scope,
+            new SessionListener(),
+            () -> report(true));
     this.pendingTimer = new EarliestTimer(loop, this::reportPending);
   }
 
@@ -233,6 +246,10 @@
             .setWantsLease(wantsLease);
     if (session() != null) {
       report.setWorkerClock(session().workerClockLowerBound());
+      if (wantsLease && pairReports.tryAcquire(connection.member(), loop.now())) {
+        report.addAllPairs(
+            PairEvidenceCodec.encode(session().throttler().localPairEvidence(), image -> true));
+      }
       if (wantsLease) {
         report.addAllImages(ImageEvidenceCodec.encode(session().throttler().localEvidence()));
       }
@@ -314,6 +331,11 @@
           .throttler()
           .setRemoteEvidence(ImageEvidenceCodec.decode(orders.getLease().getImagesList()));
     }
+    if (orders.getLease().getPairsCount() > 0) {
+      session()
+          .throttler()
+          .setRemotePairEvidence(PairEvidenceCodec.decode(orders.getLease().getPairsList()));
+    }
     Map<Long, String> programs = new HashMap<>();
     for (StartRun start : orders.getStartsList()) {
       RunKey key = WorkflowCodec.decode(start.getTask());
@@ -383,6 +405,7 @@
     @Override
     public void disconnected(EntryConnection connection) {
       pacer.remove(connection.member());
+      pairReports.remove(connection.member());
       reportedStates.remove(connection.member());
       pendingReports.remove(connection);
       orderedSinceReport.remove(connection);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EndRetentionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
@@ -34,6 +35,7 @@
           worker.listing(),
           PARTITIONS,
           TERMS,
+          InterferenceScope.PER_IMAGE,
           listener);
 
   private static RunKey run(int partition, int index) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/LateCopiesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/LateCopiesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.StartRun.Delivery;
@@ -37,6 +38,7 @@
           worker.listing(),
           1,
           TERMS,
+          InterferenceScope.PER_IMAGE,
           new NoOpSessionListener());
 
   private void advance(long millis) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorOrdersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorOrdersTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.StartRun.Delivery;
 import io.marigoldsail.workflow.RunKey;
@@ -45,6 +46,7 @@
             worker.listing(),
             1,
             TERMS,
+            InterferenceScope.PER_IMAGE,
             new NoOpSessionListener());
     session.start();
     return session;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorStartsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PredecessorStartsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.workflow.WorkerGateway.Listing;
 import io.marigoldsail.daemon.workflow.WorkerGateway.ListingResult;
 import io.marigoldsail.daemon.workflow.WorkerGateway.StartOrder;
@@ -81,6 +82,7 @@
             (Listing) first.join(),
             PARTITIONS,
             TERMS,
+            InterferenceScope.PER_IMAGE,
             new NoOpSessionListener());
     session.start();
     return session;
@@ -176,7 +178,8 @@
   void lateStartIsNotExecutedOnceTheProcessHasAcceptedTheWorker() {
     sendLateStart(4_000);
     WorkflowSideProcess side =
-        new WorkflowSideProcess(time.loop(), new VirtualStore(time), worker, "vm", TERMS);
+        new WorkflowSideProcess(
+            time.loop(), new VirtualStore(time), worker, "vm", TERMS, InterferenceScope.PER_IMAGE);
     CompletableFuture<Boolean> accepted = side.heartbeat(ScriptedWorker.heartbeat("worker-1"));
     time.advance(RESTART_AFTER_MILLIS);
     assertTrue(accepted.join());
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedSideProcess.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SimulatedSideProcess.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.workflow;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.LeaseGrant;
 import io.marigoldsail.protocol.PartitionEvidence;
@@ -185,7 +186,14 @@
     }
     session =
         new WorkerSession(
-            loop.loop(), gateway, heartbeat, listing, partitions, terms, new SessionListener());
+            loop.loop(),
+            gateway,
+            heartbeat,
+            listing,
+            partitions,
+            terms,
+            InterferenceScope.PER_IMAGE,
+            new SessionListener());
     oracle.note(
         () -> "SIDE " + vm + " finds " + heartbeat.worker() + " running " + listing.running());
     session.start();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/StartAdmissionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/StartAdmissionTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.StartRun;
@@ -40,7 +41,8 @@
               loop,
               new FakeWorkerGateway("worker-1", timer, new RunHistory(), 1_000),
               "worker-1",
-              overcommit));
+              overcommit,
+              InterferenceScope.PER_IMAGE));
 
   @BeforeEach
   void setUp() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SuspendedOwnerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/SuspendedOwnerTest.java
@@ -6,6 +6,7 @@
 
 import com.google.common.collect.Iterables;
 import com.google.common.collect.Lists;
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.link.FakeLinks;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
@@ -88,6 +89,7 @@
           worker.listing(),
           1,
           TERMS,
+          InterferenceScope.PER_IMAGE,
           new NoOpSessionListener());
   private final List<RunOrders> frames = new ArrayList<>();
   private final LinkConnection side = FakeLinks.sendingTo(this::receive, time.loop());
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerDepartureSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerDepartureSessionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
@@ -48,6 +49,7 @@
           worker.listing(),
           1,
           TERMS,
+          InterferenceScope.PER_IMAGE,
           new EndListener());
 
   private static RunKey run(int index) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerDepartureTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerDepartureTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
@@ -33,7 +34,13 @@
   private final VirtualLoop time = new VirtualLoop();
   private final ScriptedWorker worker = new ScriptedWorker(time);
   private final WorkflowSideProcess side =
-      new WorkflowSideProcess(time.loop(), new ScriptedOwnersStore(1), worker, "vm-0", TERMS);
+      new WorkflowSideProcess(
+          time.loop(),
+          new ScriptedOwnersStore(1),
+          worker,
+          "vm-0",
+          TERMS,
+          InterferenceScope.PER_IMAGE);
 
   private boolean acceptsHeartbeat(String name) {
     CompletableFuture<Boolean> accepted = side.heartbeat(ScriptedWorker.heartbeat(name));
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionOwnersTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.TaskKey;
@@ -30,6 +31,7 @@
             worker.listing(),
             PARTITIONS,
             TERMS,
+            InterferenceScope.PER_IMAGE,
             new IgnoringListener());
     session.start();
     return session;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.RunKey;
@@ -29,6 +30,7 @@
           worker.listing(),
           1,
           TERMS,
+          InterferenceScope.PER_IMAGE,
           listener);
 
   private static RunKey run(int index) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.workflow.WorkerGateway.StartOrder;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.TaskKey;
@@ -29,6 +30,7 @@
           worker,
           1,
           WorkerLeaseTerms.forMaxLease(10_000),
+          InterferenceScope.PER_IMAGE,
           new SessionListener(),
           () -> {});
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.job.Sizes;
@@ -44,7 +45,7 @@
   private final FakeWorkerGateway worker =
       new FakeWorkerGateway(WORKER, timer, new RunHistory(), 60_000);
   private final WorkflowSideProcess side =
-      new WorkflowSideProcess(loop, store, worker, "vm-0", TERMS);
+      new WorkflowSideProcess(loop, store, worker, "vm-0", TERMS, InterferenceScope.PER_IMAGE);
   private final ScriptedEntry entry;
 
   WorkflowSideProcessTest() throws IOException {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowTestCluster.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowTestCluster.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.time.ClockReading;
@@ -201,7 +202,8 @@
 
   private void startSide(String vm, String zone, FakeWorkerGateway worker) {
     LinkLoop loop = new LinkLoop("side-" + vm, MonotonicClock.system());
-    WorkflowSideProcess side = new WorkflowSideProcess(loop, store, worker, vm, lease);
+    WorkflowSideProcess side =
+        new WorkflowSideProcess(loop, store, worker, vm, lease, InterferenceScope.PER_IMAGE);
     side.start();
     sides.put(vm, new RunningSide(vm, zone, side, loop, worker));
     timer.scheduleAtFixedRate(
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/LeaseGrant.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/LeaseGrant.java
@@ -34,6 +34,7 @@
   private LeaseGrant() {
     evidence_ = java.util.Collections.emptyList();
     images_ = java.util.Collections.emptyList();
+    pairs_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -167,6 +168,67 @@
     return images_.get(index);
   }
 
+  public static final int PAIRS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<io.marigoldsail.protocol.PairSeen> pairs_;
+  /**
+   * <pre>
+   * What all VMs saw of the effects of best-effort images on the services of this one.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.marigoldsail.protocol.PairSeen> getPairsList() {
+    return pairs_;
+  }
+  /**
+   * <pre>
+   * What all VMs saw of the effects of best-effort images on the services of this one.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.marigoldsail.protocol.PairSeenOrBuilder> 
+      getPairsOrBuilderList() {
+    return pairs_;
+  }
+  /**
+   * <pre>
+   * What all VMs saw of the effects of best-effort images on the services of this one.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+   */
+  @java.lang.Override
+  public int getPairsCount() {
+    return pairs_.size();
+  }
+  /**
+   * <pre>
+   * What all VMs saw of the effects of best-effort images on the services of this one.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.PairSeen getPairs(int index) {
+    return pairs_.get(index);
+  }
+  /**
+   * <pre>
+   * What all VMs saw of the effects of best-effort images on the services of this one.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.PairSeenOrBuilder getPairsOrBuilder(
+      int index) {
+    return pairs_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -190,6 +252,9 @@
     for (int i = 0; i < images_.size(); i++) {
       output.writeMessage(3, images_.get(i));
     }
+    for (int i = 0; i < pairs_.size(); i++) {
+      output.writeMessage(4, pairs_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -216,6 +281,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = pairs_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(pairs_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -246,6 +320,8 @@
         .equals(other.getEvidenceList())) return false;
     if (!getImagesList()
         .equals(other.getImagesList())) return false;
+    if (!getPairsList()
+        .equals(other.getPairsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -268,6 +344,10 @@
       hash = (37 * hash) + IMAGES_FIELD_NUMBER;
       hash = (53 * hash) + getImagesList().hashCode();
     }
+    if (getPairsCount() > 0) {
+      hash = (37 * hash) + PAIRS_FIELD_NUMBER;
+      hash = (53 * hash) + getPairsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -418,6 +498,13 @@
         imagesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      if (pairsBuilder_ == null) {
+        pairs_ = java.util.Collections.emptyList();
+      } else {
+        pairs_ = null;
+        pairsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
       return this;
     }
 
@@ -469,6 +556,15 @@
       } else {
         result.images_ = imagesBuilder_.build();
       }
+      if (pairsBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          pairs_ = java.util.Collections.unmodifiableList(pairs_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.pairs_ = pairs_;
+      } else {
+        result.pairs_ = pairsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.marigoldsail.protocol.LeaseGrant result) {
@@ -545,6 +641,32 @@
           }
         }
       }
+      if (pairsBuilder_ == null) {
+        if (!other.pairs_.isEmpty()) {
+          if (pairs_.isEmpty()) {
+            pairs_ = other.pairs_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensurePairsIsMutable();
+            pairs_.addAll(other.pairs_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.pairs_.isEmpty()) {
+          if (pairsBuilder_.isEmpty()) {
+            pairsBuilder_.dispose();
+            pairsBuilder_ = null;
+            pairs_ = other.pairs_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            pairsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPairsFieldBuilder() : null;
+          } else {
+            pairsBuilder_.addAllMessages(other.pairs_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -600,6 +722,19 @@
               }
               break;
             } // case 26
+            case 34: {
+              io.marigoldsail.protocol.PairSeen m =
+                  input.readMessage(
+                      io.marigoldsail.protocol.PairSeen.parser(),
+                      extensionRegistry);
+              if (pairsBuilder_ == null) {
+                ensurePairsIsMutable();
+                pairs_.add(m);
+              } else {
+                pairsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1189,6 +1324,312 @@
       return imagesBuilder_;
     }
 
+    private java.util.List<io.marigoldsail.protocol.PairSeen> pairs_ =
+      java.util.Collections.emptyList();
+    private void ensurePairsIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        pairs_ = new java.util.ArrayList<io.marigoldsail.protocol.PairSeen>(pairs_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.PairSeen, io.marigoldsail.protocol.PairSeen.Builder, io.marigoldsail.protocol.PairSeenOrBuilder> pairsBuilder_;
+
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.PairSeen> getPairsList() {
+      if (pairsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(pairs_);
+      } else {
+        return pairsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public int getPairsCount() {
+      if (pairsBuilder_ == null) {
+        return pairs_.size();
+      } else {
+        return pairsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public io.marigoldsail.protocol.PairSeen getPairs(int index) {
+      if (pairsBuilder_ == null) {
+        return pairs_.get(index);
+      } else {
+        return pairsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public Builder setPairs(
+        int index, io.marigoldsail.protocol.PairSeen value) {
+      if (pairsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePairsIsMutable();
+        pairs_.set(index, value);
+        onChanged();
+      } else {
+        pairsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public Builder setPairs(
+        int index, io.marigoldsail.protocol.PairSeen.Builder builderForValue) {
+      if (pairsBuilder_ == null) {
+        ensurePairsIsMutable();
+        pairs_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        pairsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public Builder addPairs(io.marigoldsail.protocol.PairSeen value) {
+      if (pairsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePairsIsMutable();
+        pairs_.add(value);
+        onChanged();
+      } else {
+        pairsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public Builder addPairs(
+        int index, io.marigoldsail.protocol.PairSeen value) {
+      if (pairsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePairsIsMutable();
+        pairs_.add(index, value);
+        onChanged();
+      } else {
+        pairsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public Builder addPairs(
+        io.marigoldsail.protocol.PairSeen.Builder builderForValue) {
+      if (pairsBuilder_ == null) {
+        ensurePairsIsMutable();
+        pairs_.add(builderForValue.build());
+        onChanged();
+      } else {
+        pairsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public Builder addPairs(
+        int index, io.marigoldsail.protocol.PairSeen.Builder builderForValue) {
+      if (pairsBuilder_ == null) {
+        ensurePairsIsMutable();
+        pairs_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        pairsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public Builder addAllPairs(
+        java.lang.Iterable<? extends io.marigoldsail.protocol.PairSeen> values) {
+      if (pairsBuilder_ == null) {
+        ensurePairsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, pairs_);
+        onChanged();
+      } else {
+        pairsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public Builder clearPairs() {
+      if (pairsBuilder_ == null) {
+        pairs_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        pairsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public Builder removePairs(int index) {
+      if (pairsBuilder_ == null) {
+        ensurePairsIsMutable();
+        pairs_.remove(index);
+        onChanged();
+      } else {
+        pairsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public io.marigoldsail.protocol.PairSeen.Builder getPairsBuilder(
+        int index) {
+      return internalGetPairsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public io.marigoldsail.protocol.PairSeenOrBuilder getPairsOrBuilder(
+        int index) {
+      if (pairsBuilder_ == null) {
+        return pairs_.get(index);  } else {
+        return pairsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public java.util.List<? extends io.marigoldsail.protocol.PairSeenOrBuilder> 
+         getPairsOrBuilderList() {
+      if (pairsBuilder_ != null) {
+        return pairsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(pairs_);
+      }
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public io.marigoldsail.protocol.PairSeen.Builder addPairsBuilder() {
+      return internalGetPairsFieldBuilder().addBuilder(
+          io.marigoldsail.protocol.PairSeen.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public io.marigoldsail.protocol.PairSeen.Builder addPairsBuilder(
+        int index) {
+      return internalGetPairsFieldBuilder().addBuilder(
+          index, io.marigoldsail.protocol.PairSeen.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What all VMs saw of the effects of best-effort images on the services of this one.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.PairSeen.Builder> 
+         getPairsBuilderList() {
+      return internalGetPairsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.PairSeen, io.marigoldsail.protocol.PairSeen.Builder, io.marigoldsail.protocol.PairSeenOrBuilder> 
+        internalGetPairsFieldBuilder() {
+      if (pairsBuilder_ == null) {
+        pairsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.marigoldsail.protocol.PairSeen, io.marigoldsail.protocol.PairSeen.Builder, io.marigoldsail.protocol.PairSeenOrBuilder>(
+                pairs_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        pairs_ = null;
+      }
+      return pairsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.LeaseGrant)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/LeaseGrantOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/LeaseGrantOrBuilder.java
@@ -83,4 +83,48 @@
    */
   io.marigoldsail.protocol.ImageSeenOrBuilder getImagesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * What all VMs saw of the effects of best-effort images on the services of this one.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+   */
+  java.util.List<io.marigoldsail.protocol.PairSeen> 
+      getPairsList();
+  /**
+   * <pre>
+   * What all VMs saw of the effects of best-effort images on the services of this one.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+   */
+  io.marigoldsail.protocol.PairSeen getPairs(int index);
+  /**
+   * <pre>
+   * What all VMs saw of the effects of best-effort images on the services of this one.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+   */
+  int getPairsCount();
+  /**
+   * <pre>
+   * What all VMs saw of the effects of best-effort images on the services of this one.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+   */
+  java.util.List<? extends io.marigoldsail.protocol.PairSeenOrBuilder> 
+      getPairsOrBuilderList();
+  /**
+   * <pre>
+   * What all VMs saw of the effects of best-effort images on the services of this one.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 4;</code>
+   */
+  io.marigoldsail.protocol.PairSeenOrBuilder getPairsOrBuilder(
+      int index);
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
@@ -43,6 +43,8 @@
     goneWorker_ = "";
     images_ = java.util.Collections.emptyList();
     rack_ = "";
+    serviceRooms_ = java.util.Collections.emptyList();
+    pairs_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -739,6 +741,133 @@
     return readsMemberLists_;
   }
 
+  public static final int SERVICE_ROOMS_FIELD_NUMBER = 29;
+  @SuppressWarnings("serial")
+  private java.util.List<io.marigoldsail.protocol.ServiceRoom> serviceRooms_;
+  /**
+   * <pre>
+   * The headroom that more best-effort work may take from the services here, by their image.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.marigoldsail.protocol.ServiceRoom> getServiceRoomsList() {
+    return serviceRooms_;
+  }
+  /**
+   * <pre>
+   * The headroom that more best-effort work may take from the services here, by their image.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.marigoldsail.protocol.ServiceRoomOrBuilder> 
+      getServiceRoomsOrBuilderList() {
+    return serviceRooms_;
+  }
+  /**
+   * <pre>
+   * The headroom that more best-effort work may take from the services here, by their image.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+   */
+  @java.lang.Override
+  public int getServiceRoomsCount() {
+    return serviceRooms_.size();
+  }
+  /**
+   * <pre>
+   * The headroom that more best-effort work may take from the services here, by their image.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.ServiceRoom getServiceRooms(int index) {
+    return serviceRooms_.get(index);
+  }
+  /**
+   * <pre>
+   * The headroom that more best-effort work may take from the services here, by their image.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.ServiceRoomOrBuilder getServiceRoomsOrBuilder(
+      int index) {
+    return serviceRooms_.get(index);
+  }
+
+  public static final int PAIRS_FIELD_NUMBER = 30;
+  @SuppressWarnings("serial")
+  private java.util.List<io.marigoldsail.protocol.PairSeen> pairs_;
+  /**
+   * <pre>
+   * What was seen here of the effects of best-effort images on services; with the evidence on
+   * images only.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.marigoldsail.protocol.PairSeen> getPairsList() {
+    return pairs_;
+  }
+  /**
+   * <pre>
+   * What was seen here of the effects of best-effort images on services; with the evidence on
+   * images only.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.marigoldsail.protocol.PairSeenOrBuilder> 
+      getPairsOrBuilderList() {
+    return pairs_;
+  }
+  /**
+   * <pre>
+   * What was seen here of the effects of best-effort images on services; with the evidence on
+   * images only.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+   */
+  @java.lang.Override
+  public int getPairsCount() {
+    return pairs_.size();
+  }
+  /**
+   * <pre>
+   * What was seen here of the effects of best-effort images on services; with the evidence on
+   * images only.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.PairSeen getPairs(int index) {
+    return pairs_.get(index);
+  }
+  /**
+   * <pre>
+   * What was seen here of the effects of best-effort images on services; with the evidence on
+   * images only.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.PairSeenOrBuilder getPairsOrBuilder(
+      int index) {
+    return pairs_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -837,6 +966,12 @@
     if (readsMemberLists_ != false) {
       output.writeBool(28, readsMemberLists_);
     }
+    for (int i = 0; i < serviceRooms_.size(); i++) {
+      output.writeMessage(29, serviceRooms_.get(i));
+    }
+    for (int i = 0; i < pairs_.size(); i++) {
+      output.writeMessage(30, pairs_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -966,6 +1101,24 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(28, readsMemberLists_);
     }
+
+        {
+          final int count = serviceRooms_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(serviceRooms_.get(i));
+          }
+          size += 2 * count;
+        }
+
+        {
+          final int count = pairs_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(pairs_.get(i));
+          }
+          size += 2 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -1046,6 +1199,10 @@
         != other.getOvercommitMilliProcessors()) return false;
     if (getReadsMemberLists()
         != other.getReadsMemberLists()) return false;
+    if (!getServiceRoomsList()
+        .equals(other.getServiceRoomsList())) return false;
+    if (!getPairsList()
+        .equals(other.getPairsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1127,6 +1284,14 @@
     hash = (37 * hash) + READS_MEMBER_LISTS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getReadsMemberLists());
+    if (getServiceRoomsCount() > 0) {
+      hash = (37 * hash) + SERVICE_ROOMS_FIELD_NUMBER;
+      hash = (53 * hash) + getServiceRoomsList().hashCode();
+    }
+    if (getPairsCount() > 0) {
+      hash = (37 * hash) + PAIRS_FIELD_NUMBER;
+      hash = (53 * hash) + getPairsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1309,6 +1474,20 @@
       rack_ = "";
       overcommitMilliProcessors_ = 0;
       readsMemberLists_ = false;
+      if (serviceRoomsBuilder_ == null) {
+        serviceRooms_ = java.util.Collections.emptyList();
+      } else {
+        serviceRooms_ = null;
+        serviceRoomsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x10000000);
+      if (pairsBuilder_ == null) {
+        pairs_ = java.util.Collections.emptyList();
+      } else {
+        pairs_ = null;
+        pairsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x20000000);
       return this;
     }
 
@@ -1369,6 +1548,24 @@
       } else {
         result.images_ = imagesBuilder_.build();
       }
+      if (serviceRoomsBuilder_ == null) {
+        if (((bitField0_ & 0x10000000) != 0)) {
+          serviceRooms_ = java.util.Collections.unmodifiableList(serviceRooms_);
+          bitField0_ = (bitField0_ & ~0x10000000);
+        }
+        result.serviceRooms_ = serviceRooms_;
+      } else {
+        result.serviceRooms_ = serviceRoomsBuilder_.build();
+      }
+      if (pairsBuilder_ == null) {
+        if (((bitField0_ & 0x20000000) != 0)) {
+          pairs_ = java.util.Collections.unmodifiableList(pairs_);
+          bitField0_ = (bitField0_ & ~0x20000000);
+        }
+        result.pairs_ = pairs_;
+      } else {
+        result.pairs_ = pairsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.marigoldsail.protocol.VmReport result) {
@@ -1635,6 +1832,58 @@
       if (other.getReadsMemberLists() != false) {
         setReadsMemberLists(other.getReadsMemberLists());
       }
+      if (serviceRoomsBuilder_ == null) {
+        if (!other.serviceRooms_.isEmpty()) {
+          if (serviceRooms_.isEmpty()) {
+            serviceRooms_ = other.serviceRooms_;
+            bitField0_ = (bitField0_ & ~0x10000000);
+          } else {
+            ensureServiceRoomsIsMutable();
+            serviceRooms_.addAll(other.serviceRooms_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.serviceRooms_.isEmpty()) {
+          if (serviceRoomsBuilder_.isEmpty()) {
+            serviceRoomsBuilder_.dispose();
+            serviceRoomsBuilder_ = null;
+            serviceRooms_ = other.serviceRooms_;
+            bitField0_ = (bitField0_ & ~0x10000000);
+            serviceRoomsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetServiceRoomsFieldBuilder() : null;
+          } else {
+            serviceRoomsBuilder_.addAllMessages(other.serviceRooms_);
+          }
+        }
+      }
+      if (pairsBuilder_ == null) {
+        if (!other.pairs_.isEmpty()) {
+          if (pairs_.isEmpty()) {
+            pairs_ = other.pairs_;
+            bitField0_ = (bitField0_ & ~0x20000000);
+          } else {
+            ensurePairsIsMutable();
+            pairs_.addAll(other.pairs_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.pairs_.isEmpty()) {
+          if (pairsBuilder_.isEmpty()) {
+            pairsBuilder_.dispose();
+            pairsBuilder_ = null;
+            pairs_ = other.pairs_;
+            bitField0_ = (bitField0_ & ~0x20000000);
+            pairsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPairsFieldBuilder() : null;
+          } else {
+            pairsBuilder_.addAllMessages(other.pairs_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1823,6 +2072,32 @@
               bitField0_ |= 0x08000000;
               break;
             } // case 224
+            case 234: {
+              io.marigoldsail.protocol.ServiceRoom m =
+                  input.readMessage(
+                      io.marigoldsail.protocol.ServiceRoom.parser(),
+                      extensionRegistry);
+              if (serviceRoomsBuilder_ == null) {
+                ensureServiceRoomsIsMutable();
+                serviceRooms_.add(m);
+              } else {
+                serviceRoomsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 234
+            case 242: {
+              io.marigoldsail.protocol.PairSeen m =
+                  input.readMessage(
+                      io.marigoldsail.protocol.PairSeen.parser(),
+                      extensionRegistry);
+              if (pairsBuilder_ == null) {
+                ensurePairsIsMutable();
+                pairs_.add(m);
+              } else {
+                pairsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 242
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3913,6 +4188,636 @@
       return this;
     }
 
+    private java.util.List<io.marigoldsail.protocol.ServiceRoom> serviceRooms_ =
+      java.util.Collections.emptyList();
+    private void ensureServiceRoomsIsMutable() {
+      if (!((bitField0_ & 0x10000000) != 0)) {
+        serviceRooms_ = new java.util.ArrayList<io.marigoldsail.protocol.ServiceRoom>(serviceRooms_);
+        bitField0_ |= 0x10000000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.ServiceRoom, io.marigoldsail.protocol.ServiceRoom.Builder, io.marigoldsail.protocol.ServiceRoomOrBuilder> serviceRoomsBuilder_;
+
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.ServiceRoom> getServiceRoomsList() {
+      if (serviceRoomsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(serviceRooms_);
+      } else {
+        return serviceRoomsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public int getServiceRoomsCount() {
+      if (serviceRoomsBuilder_ == null) {
+        return serviceRooms_.size();
+      } else {
+        return serviceRoomsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public io.marigoldsail.protocol.ServiceRoom getServiceRooms(int index) {
+      if (serviceRoomsBuilder_ == null) {
+        return serviceRooms_.get(index);
+      } else {
+        return serviceRoomsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public Builder setServiceRooms(
+        int index, io.marigoldsail.protocol.ServiceRoom value) {
+      if (serviceRoomsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureServiceRoomsIsMutable();
+        serviceRooms_.set(index, value);
+        onChanged();
+      } else {
+        serviceRoomsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public Builder setServiceRooms(
+        int index, io.marigoldsail.protocol.ServiceRoom.Builder builderForValue) {
+      if (serviceRoomsBuilder_ == null) {
+        ensureServiceRoomsIsMutable();
+        serviceRooms_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        serviceRoomsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public Builder addServiceRooms(io.marigoldsail.protocol.ServiceRoom value) {
+      if (serviceRoomsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureServiceRoomsIsMutable();
+        serviceRooms_.add(value);
+        onChanged();
+      } else {
+        serviceRoomsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public Builder addServiceRooms(
+        int index, io.marigoldsail.protocol.ServiceRoom value) {
+      if (serviceRoomsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureServiceRoomsIsMutable();
+        serviceRooms_.add(index, value);
+        onChanged();
+      } else {
+        serviceRoomsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public Builder addServiceRooms(
+        io.marigoldsail.protocol.ServiceRoom.Builder builderForValue) {
+      if (serviceRoomsBuilder_ == null) {
+        ensureServiceRoomsIsMutable();
+        serviceRooms_.add(builderForValue.build());
+        onChanged();
+      } else {
+        serviceRoomsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public Builder addServiceRooms(
+        int index, io.marigoldsail.protocol.ServiceRoom.Builder builderForValue) {
+      if (serviceRoomsBuilder_ == null) {
+        ensureServiceRoomsIsMutable();
+        serviceRooms_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        serviceRoomsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public Builder addAllServiceRooms(
+        java.lang.Iterable<? extends io.marigoldsail.protocol.ServiceRoom> values) {
+      if (serviceRoomsBuilder_ == null) {
+        ensureServiceRoomsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, serviceRooms_);
+        onChanged();
+      } else {
+        serviceRoomsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public Builder clearServiceRooms() {
+      if (serviceRoomsBuilder_ == null) {
+        serviceRooms_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x10000000);
+        onChanged();
+      } else {
+        serviceRoomsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public Builder removeServiceRooms(int index) {
+      if (serviceRoomsBuilder_ == null) {
+        ensureServiceRoomsIsMutable();
+        serviceRooms_.remove(index);
+        onChanged();
+      } else {
+        serviceRoomsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public io.marigoldsail.protocol.ServiceRoom.Builder getServiceRoomsBuilder(
+        int index) {
+      return internalGetServiceRoomsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public io.marigoldsail.protocol.ServiceRoomOrBuilder getServiceRoomsOrBuilder(
+        int index) {
+      if (serviceRoomsBuilder_ == null) {
+        return serviceRooms_.get(index);  } else {
+        return serviceRoomsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public java.util.List<? extends io.marigoldsail.protocol.ServiceRoomOrBuilder> 
+         getServiceRoomsOrBuilderList() {
+      if (serviceRoomsBuilder_ != null) {
+        return serviceRoomsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(serviceRooms_);
+      }
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public io.marigoldsail.protocol.ServiceRoom.Builder addServiceRoomsBuilder() {
+      return internalGetServiceRoomsFieldBuilder().addBuilder(
+          io.marigoldsail.protocol.ServiceRoom.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public io.marigoldsail.protocol.ServiceRoom.Builder addServiceRoomsBuilder(
+        int index) {
+      return internalGetServiceRoomsFieldBuilder().addBuilder(
+          index, io.marigoldsail.protocol.ServiceRoom.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The headroom that more best-effort work may take from the services here, by their image.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.ServiceRoom.Builder> 
+         getServiceRoomsBuilderList() {
+      return internalGetServiceRoomsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.ServiceRoom, io.marigoldsail.protocol.ServiceRoom.Builder, io.marigoldsail.protocol.ServiceRoomOrBuilder> 
+        internalGetServiceRoomsFieldBuilder() {
+      if (serviceRoomsBuilder_ == null) {
+        serviceRoomsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.marigoldsail.protocol.ServiceRoom, io.marigoldsail.protocol.ServiceRoom.Builder, io.marigoldsail.protocol.ServiceRoomOrBuilder>(
+                serviceRooms_,
+                ((bitField0_ & 0x10000000) != 0),
+                getParentForChildren(),
+                isClean());
+        serviceRooms_ = null;
+      }
+      return serviceRoomsBuilder_;
+    }
+
+    private java.util.List<io.marigoldsail.protocol.PairSeen> pairs_ =
+      java.util.Collections.emptyList();
+    private void ensurePairsIsMutable() {
+      if (!((bitField0_ & 0x20000000) != 0)) {
+        pairs_ = new java.util.ArrayList<io.marigoldsail.protocol.PairSeen>(pairs_);
+        bitField0_ |= 0x20000000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.PairSeen, io.marigoldsail.protocol.PairSeen.Builder, io.marigoldsail.protocol.PairSeenOrBuilder> pairsBuilder_;
+
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.PairSeen> getPairsList() {
+      if (pairsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(pairs_);
+      } else {
+        return pairsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public int getPairsCount() {
+      if (pairsBuilder_ == null) {
+        return pairs_.size();
+      } else {
+        return pairsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public io.marigoldsail.protocol.PairSeen getPairs(int index) {
+      if (pairsBuilder_ == null) {
+        return pairs_.get(index);
+      } else {
+        return pairsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public Builder setPairs(
+        int index, io.marigoldsail.protocol.PairSeen value) {
+      if (pairsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePairsIsMutable();
+        pairs_.set(index, value);
+        onChanged();
+      } else {
+        pairsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public Builder setPairs(
+        int index, io.marigoldsail.protocol.PairSeen.Builder builderForValue) {
+      if (pairsBuilder_ == null) {
+        ensurePairsIsMutable();
+        pairs_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        pairsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public Builder addPairs(io.marigoldsail.protocol.PairSeen value) {
+      if (pairsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePairsIsMutable();
+        pairs_.add(value);
+        onChanged();
+      } else {
+        pairsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public Builder addPairs(
+        int index, io.marigoldsail.protocol.PairSeen value) {
+      if (pairsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePairsIsMutable();
+        pairs_.add(index, value);
+        onChanged();
+      } else {
+        pairsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public Builder addPairs(
+        io.marigoldsail.protocol.PairSeen.Builder builderForValue) {
+      if (pairsBuilder_ == null) {
+        ensurePairsIsMutable();
+        pairs_.add(builderForValue.build());
+        onChanged();
+      } else {
+        pairsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public Builder addPairs(
+        int index, io.marigoldsail.protocol.PairSeen.Builder builderForValue) {
+      if (pairsBuilder_ == null) {
+        ensurePairsIsMutable();
+        pairs_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        pairsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public Builder addAllPairs(
+        java.lang.Iterable<? extends io.marigoldsail.protocol.PairSeen> values) {
+      if (pairsBuilder_ == null) {
+        ensurePairsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, pairs_);
+        onChanged();
+      } else {
+        pairsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public Builder clearPairs() {
+      if (pairsBuilder_ == null) {
+        pairs_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x20000000);
+        onChanged();
+      } else {
+        pairsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public Builder removePairs(int index) {
+      if (pairsBuilder_ == null) {
+        ensurePairsIsMutable();
+        pairs_.remove(index);
+        onChanged();
+      } else {
+        pairsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public io.marigoldsail.protocol.PairSeen.Builder getPairsBuilder(
+        int index) {
+      return internalGetPairsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public io.marigoldsail.protocol.PairSeenOrBuilder getPairsOrBuilder(
+        int index) {
+      if (pairsBuilder_ == null) {
+        return pairs_.get(index);  } else {
+        return pairsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public java.util.List<? extends io.marigoldsail.protocol.PairSeenOrBuilder> 
+         getPairsOrBuilderList() {
+      if (pairsBuilder_ != null) {
+        return pairsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(pairs_);
+      }
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public io.marigoldsail.protocol.PairSeen.Builder addPairsBuilder() {
+      return internalGetPairsFieldBuilder().addBuilder(
+          io.marigoldsail.protocol.PairSeen.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public io.marigoldsail.protocol.PairSeen.Builder addPairsBuilder(
+        int index) {
+      return internalGetPairsFieldBuilder().addBuilder(
+          index, io.marigoldsail.protocol.PairSeen.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What was seen here of the effects of best-effort images on services; with the evidence on
+     * images only.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.PairSeen.Builder> 
+         getPairsBuilderList() {
+      return internalGetPairsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.PairSeen, io.marigoldsail.protocol.PairSeen.Builder, io.marigoldsail.protocol.PairSeenOrBuilder> 
+        internalGetPairsFieldBuilder() {
+      if (pairsBuilder_ == null) {
+        pairsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.marigoldsail.protocol.PairSeen, io.marigoldsail.protocol.PairSeen.Builder, io.marigoldsail.protocol.PairSeenOrBuilder>(
+                pairs_,
+                ((bitField0_ & 0x20000000) != 0),
+                getParentForChildren(),
+                isClean());
+        pairs_ = null;
+      }
+      return pairsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.VmReport)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
@@ -370,4 +370,97 @@
    * @return The readsMemberLists.
    */
   boolean getReadsMemberLists();
+
+  /**
+   * <pre>
+   * The headroom that more best-effort work may take from the services here, by their image.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+   */
+  java.util.List<io.marigoldsail.protocol.ServiceRoom> 
+      getServiceRoomsList();
+  /**
+   * <pre>
+   * The headroom that more best-effort work may take from the services here, by their image.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+   */
+  io.marigoldsail.protocol.ServiceRoom getServiceRooms(int index);
+  /**
+   * <pre>
+   * The headroom that more best-effort work may take from the services here, by their image.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+   */
+  int getServiceRoomsCount();
+  /**
+   * <pre>
+   * The headroom that more best-effort work may take from the services here, by their image.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+   */
+  java.util.List<? extends io.marigoldsail.protocol.ServiceRoomOrBuilder> 
+      getServiceRoomsOrBuilderList();
+  /**
+   * <pre>
+   * The headroom that more best-effort work may take from the services here, by their image.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.ServiceRoom service_rooms = 29;</code>
+   */
+  io.marigoldsail.protocol.ServiceRoomOrBuilder getServiceRoomsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * What was seen here of the effects of best-effort images on services; with the evidence on
+   * images only.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+   */
+  java.util.List<io.marigoldsail.protocol.PairSeen> 
+      getPairsList();
+  /**
+   * <pre>
+   * What was seen here of the effects of best-effort images on services; with the evidence on
+   * images only.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+   */
+  io.marigoldsail.protocol.PairSeen getPairs(int index);
+  /**
+   * <pre>
+   * What was seen here of the effects of best-effort images on services; with the evidence on
+   * images only.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+   */
+  int getPairsCount();
+  /**
+   * <pre>
+   * What was seen here of the effects of best-effort images on services; with the evidence on
+   * images only.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+   */
+  java.util.List<? extends io.marigoldsail.protocol.PairSeenOrBuilder> 
+      getPairsOrBuilderList();
+  /**
+   * <pre>
+   * What was seen here of the effects of best-effort images on services; with the evidence on
+   * images only.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.PairSeen pairs = 30;</code>
+   */
+  io.marigoldsail.protocol.PairSeenOrBuilder getPairsOrBuilder(
+      int index);
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -66,6 +66,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_marigoldsail_VmReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_ServiceRoom_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_ServiceRoom_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldsail_PairSeen_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldsail_PairSeen_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_marigoldsail_RunReport_descriptor;
   static final 
@@ -178,7 +188,7 @@
       "orkflowTaskId\022\020\n\010workflow\030\001 \001(\006\022\022\n\noccur" +
       "rence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005index\030\004 \001(\r" +
       "\022\017\n\007attempt\030\005 \001(\r\022\024\n\014end_sequence\030\006 \001(\004\"" +
-      "\267\005\n\010VmReport\022\024\n\014worker_clock\030\001 \001(\022\022\n\n\002vm" +
+      "\220\006\n\010VmReport\022\024\n\014worker_clock\030\001 \001(\022\022\n\n\002vm" +
       "\030\002 \001(\t\022\016\n\006worker\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022" +
       "\014\n\004zone\030\005 \001(\t\022\016\n\006labels\030\006 \003(\t\022\020\n\010drainin" +
       "g\030\007 \001(\010\022\030\n\020milli_processors\030\010 \001(\r\022\030\n\020mem" +
@@ -195,54 +205,60 @@
       "\027.marigoldsail.ImageSeen\022 \n\030suspect_mill" +
       "i_processors\030\031 \001(\r\022\014\n\004rack\030\032 \001(\t\022#\n\033over" +
       "commit_milli_processors\030\033 \001(\r\022\032\n\022reads_m" +
-      "ember_lists\030\034 \001(\010\"\246\001\n\tRunReport\022*\n\004task\030" +
-      "\001 \001(\0132\034.marigoldsail.WorkflowTaskId\022\017\n\007s" +
-      "tarted\030\002 \001(\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n\007perc" +
-      "ent\030\004 \001(\r\022\020\n\010stopping\030\005 \001(\010\022\024\n\014size_unkn" +
-      "own\030\006 \001(\010\022\017\n\007crowded\030\007 \001(\010\"~\n\tEndReport\022" +
-      "*\n\004task\030\001 \001(\0132\034.marigoldsail.WorkflowTas" +
-      "kId\022\017\n\007outcome\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t" +
-      "\022\020\n\010sequence\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\"~\n\nLe" +
-      "aseGrant\022\024\n\014worker_clock\030\001 \001(\022\0221\n\010eviden" +
-      "ce\030\002 \003(\0132\037.marigoldsail.PartitionEvidenc" +
-      "e\022\'\n\006images\030\003 \003(\0132\027.marigoldsail.ImageSe" +
-      "en\"9\n\tImageSeen\022\r\n\005image\030\001 \001(\t\022\r\n\005blame\030" +
-      "\002 \001(\002\022\016\n\006weight\030\003 \001(\002\"R\n\021PartitionEviden" +
-      "ce\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023" +
-      "after_report_millis\030\003 \001(\021\"\374\002\n\tRunOrders\022" +
-      "\016\n\006number\030\001 \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigol" +
-      "dsail.LeaseGrant\022&\n\006starts\030\003 \003(\0132\026.marig" +
-      "oldsail.StartRun\022+\n\005stops\030\004 \003(\0132\034.marigo" +
-      "ldsail.WorkflowTaskId\0220\n\nnoted_ends\030\005 \003(" +
-      "\0132\034.marigoldsail.WorkflowTaskId\022\016\n\006worke" +
-      "r\030\006 \001(\t\0225\n\017superseded_ends\030\007 \003(\0132\034.marig" +
-      "oldsail.WorkflowTaskId\022\035\n\025tells_supersed" +
-      "ed_ends\030\010 \001(\010\022\031\n\021capacity_unneeded\030\t \001(\010" +
-      "\022.\n\013evacuations\030\n \001(\0132\031.marigoldsail.Eva" +
-      "cuations\".\n\013Evacuations\022\020\n\010revision\030\001 \001(" +
-      "\004\022\r\n\005zones\030\002 \003(\t\"\213\003\n\010StartRun\022*\n\004task\030\001 " +
-      "\001(\0132\034.marigoldsail.WorkflowTaskId\022\017\n\007pro" +
-      "gram\030\002 \001(\t\022\030\n\020milli_processors\030\003 \001(\r\022\030\n\020" +
-      "memory_mebibytes\030\004 \001(\r\022\024\n\014accelerators\030\005" +
-      " \001(\r\022\022\n\ncheckpoint\030\006 \001(\t\022\r\n\005image\030\007 \001(\t\022" +
-      "\035\n\025latency_target_millis\030\010 \001(\r\022\r\n\005fills\030" +
-      "\t \001(\010\022\024\n\014same_program\030\n \001(\010\022\017\n\007starved\030\013" +
-      " \001(\010\022\016\n\006ticket\030\014 \001(\t\0221\n\010delivery\030\r \001(\0162\037" +
-      ".marigoldsail.StartRun.Delivery\"=\n\010Deliv" +
-      "ery\022\030\n\024DELIVERY_UNSPECIFIED\020\000\022\t\n\005FIRST\020\001" +
-      "\022\014\n\010REPEATED\020\002\"\206\001\n\010OwnerMap\022\022\n\ngeneratio" +
-      "n\030\001 \001(\004\022,\n\006owners\030\002 \003(\0132\034.marigoldsail.P" +
-      "artitionOwner\022\016\n\006digest\030\003 \001(\007\022\017\n\007members" +
-      "\030\004 \003(\t\022\027\n\017owner_positions\030\005 \003(\r\"3\n\016Parti" +
-      "tionOwner\022\021\n\tpartition\030\001 \001(\r\022\016\n\006member\030\002" +
-      " \001(\t\"L\n\rWorkflowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010wor" +
-      "kflow\030\002 \001(\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001" +
-      "(\010\"1\n\023WorkflowQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n" +
-      "\006result\030\002 \001(\r\"I\n\rWaitingCounts\022\016\n\006member" +
-      "\030\001 \001(\t\022(\n\006queues\030\002 \003(\0132\030.marigoldsail.Qu" +
-      "eueCount\",\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n" +
-      "\007waiting\030\002 \001(\rB\034\n\030io.marigoldsail.protoc" +
-      "olP\001b\006proto3"
+      "ember_lists\030\034 \001(\010\0220\n\rservice_rooms\030\035 \003(\013" +
+      "2\031.marigoldsail.ServiceRoom\022%\n\005pairs\030\036 \003" +
+      "(\0132\026.marigoldsail.PairSeen\".\n\013ServiceRoo" +
+      "m\022\r\n\005image\030\001 \001(\t\022\020\n\010headroom\030\002 \001(\002\"N\n\010Pa" +
+      "irSeen\022\023\n\013best_effort\030\001 \001(\t\022\017\n\007service\030\002" +
+      " \001(\t\022\014\n\004work\030\003 \001(\002\022\016\n\006effect\030\004 \001(\002\"\246\001\n\tR" +
+      "unReport\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Wo" +
+      "rkflowTaskId\022\017\n\007started\030\002 \001(\010\022\022\n\ncheckpo" +
+      "int\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022\020\n\010stopping\030\005" +
+      " \001(\010\022\024\n\014size_unknown\030\006 \001(\010\022\017\n\007crowded\030\007 " +
+      "\001(\010\"~\n\tEndReport\022*\n\004task\030\001 \001(\0132\034.marigol" +
+      "dsail.WorkflowTaskId\022\017\n\007outcome\030\002 \001(\r\022\022\n" +
+      "\ncheckpoint\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006r" +
+      "eason\030\005 \001(\t\"\245\001\n\nLeaseGrant\022\024\n\014worker_clo" +
+      "ck\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037.marigoldsai" +
+      "l.PartitionEvidence\022\'\n\006images\030\003 \003(\0132\027.ma" +
+      "rigoldsail.ImageSeen\022%\n\005pairs\030\004 \003(\0132\026.ma" +
+      "rigoldsail.PairSeen\"9\n\tImageSeen\022\r\n\005imag" +
+      "e\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006weight\030\003 \001(\002\"R" +
+      "\n\021PartitionEvidence\022\021\n\tpartition\030\001 \001(\r\022\r" +
+      "\n\005epoch\030\002 \001(\004\022\033\n\023after_report_millis\030\003 \001" +
+      "(\021\"\374\002\n\tRunOrders\022\016\n\006number\030\001 \001(\004\022\'\n\005leas" +
+      "e\030\002 \001(\0132\030.marigoldsail.LeaseGrant\022&\n\006sta" +
+      "rts\030\003 \003(\0132\026.marigoldsail.StartRun\022+\n\005sto" +
+      "ps\030\004 \003(\0132\034.marigoldsail.WorkflowTaskId\0220" +
+      "\n\nnoted_ends\030\005 \003(\0132\034.marigoldsail.Workfl" +
+      "owTaskId\022\016\n\006worker\030\006 \001(\t\0225\n\017superseded_e" +
+      "nds\030\007 \003(\0132\034.marigoldsail.WorkflowTaskId\022" +
+      "\035\n\025tells_superseded_ends\030\010 \001(\010\022\031\n\021capaci" +
+      "ty_unneeded\030\t \001(\010\022.\n\013evacuations\030\n \001(\0132\031" +
+      ".marigoldsail.Evacuations\".\n\013Evacuations" +
+      "\022\020\n\010revision\030\001 \001(\004\022\r\n\005zones\030\002 \003(\t\"\213\003\n\010St" +
+      "artRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Work" +
+      "flowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_pro" +
+      "cessors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 \001(\r\022" +
+      "\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001(" +
+      "\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_milli" +
+      "s\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_program\030\n" +
+      " \001(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014 \001(\t\0221\n" +
+      "\010delivery\030\r \001(\0162\037.marigoldsail.StartRun." +
+      "Delivery\"=\n\010Delivery\022\030\n\024DELIVERY_UNSPECI" +
+      "FIED\020\000\022\t\n\005FIRST\020\001\022\014\n\010REPEATED\020\002\"\206\001\n\010Owne" +
+      "rMap\022\022\n\ngeneration\030\001 \001(\004\022,\n\006owners\030\002 \003(\013" +
+      "2\034.marigoldsail.PartitionOwner\022\016\n\006digest" +
+      "\030\003 \001(\007\022\017\n\007members\030\004 \003(\t\022\027\n\017owner_positio" +
+      "ns\030\005 \003(\r\"3\n\016PartitionOwner\022\021\n\tpartition\030" +
+      "\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkflowQuery\022\n" +
+      "\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005queue\030\003 " +
+      "\001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023WorkflowQueryAnsw" +
+      "er\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"I\n\rWaitin" +
+      "gCounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues\030\002 \003(\0132" +
+      "\030.marigoldsail.QueueCount\",\n\nQueueCount\022" +
+      "\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030io.ma" +
+      "rigoldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -295,87 +311,99 @@
     internal_static_marigoldsail_VmReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_VmReport_descriptor,
-        new java.lang.String[] { "WorkerClock", "Vm", "Worker", "Service", "Zone", "Labels", "Draining", "MilliProcessors", "MemoryMebibytes", "Accelerators", "FreeMilliProcessors", "FreeMemoryMebibytes", "FreeAccelerators", "FillMilliProcessors", "FillPercent", "OrdersSeen", "Runs", "Ends", "WantsLease", "GoneWorker", "Unhealthy", "Serving", "OwnersDigest", "Images", "SuspectMilliProcessors", "Rack", "OvercommitMilliProcessors", "ReadsMemberLists", });
-    internal_static_marigoldsail_RunReport_descriptor =
+        new java.lang.String[] { "WorkerClock", "Vm", "Worker", "Service", "Zone", "Labels", "Draining", "MilliProcessors", "MemoryMebibytes", "Accelerators", "FreeMilliProcessors", "FreeMemoryMebibytes", "FreeAccelerators", "FillMilliProcessors", "FillPercent", "OrdersSeen", "Runs", "Ends", "WantsLease", "GoneWorker", "Unhealthy", "Serving", "OwnersDigest", "Images", "SuspectMilliProcessors", "Rack", "OvercommitMilliProcessors", "ReadsMemberLists", "ServiceRooms", "Pairs", });
+    internal_static_marigoldsail_ServiceRoom_descriptor =
       getDescriptor().getMessageType(8);
+    internal_static_marigoldsail_ServiceRoom_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_ServiceRoom_descriptor,
+        new java.lang.String[] { "Image", "Headroom", });
+    internal_static_marigoldsail_PairSeen_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_marigoldsail_PairSeen_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldsail_PairSeen_descriptor,
+        new java.lang.String[] { "BestEffort", "Service", "Work", "Effect", });
+    internal_static_marigoldsail_RunReport_descriptor =
+      getDescriptor().getMessageType(10);
     internal_static_marigoldsail_RunReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RunReport_descriptor,
         new java.lang.String[] { "Task", "Started", "Checkpoint", "Percent", "Stopping", "SizeUnknown", "Crowded", });
     internal_static_marigoldsail_EndReport_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_marigoldsail_EndReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_EndReport_descriptor,
         new java.lang.String[] { "Task", "Outcome", "Checkpoint", "Sequence", "Reason", });
     internal_static_marigoldsail_LeaseGrant_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(12);
     internal_static_marigoldsail_LeaseGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_LeaseGrant_descriptor,
-        new java.lang.String[] { "WorkerClock", "Evidence", "Images", });
+        new java.lang.String[] { "WorkerClock", "Evidence", "Images", "Pairs", });
     internal_static_marigoldsail_ImageSeen_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(13);
     internal_static_marigoldsail_ImageSeen_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_ImageSeen_descriptor,
         new java.lang.String[] { "Image", "Blame", "Weight", });
     internal_static_marigoldsail_PartitionEvidence_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_marigoldsail_PartitionEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_PartitionEvidence_descriptor,
         new java.lang.String[] { "Partition", "Epoch", "AfterReportMillis", });
     internal_static_marigoldsail_RunOrders_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_marigoldsail_RunOrders_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_RunOrders_descriptor,
         new java.lang.String[] { "Number", "Lease", "Starts", "Stops", "NotedEnds", "Worker", "SupersededEnds", "TellsSupersededEnds", "CapacityUnneeded", "Evacuations", });
     internal_static_marigoldsail_Evacuations_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_marigoldsail_Evacuations_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Evacuations_descriptor,
         new java.lang.String[] { "Revision", "Zones", });
     internal_static_marigoldsail_StartRun_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_marigoldsail_StartRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_StartRun_descriptor,
         new java.lang.String[] { "Task", "Program", "MilliProcessors", "MemoryMebibytes", "Accelerators", "Checkpoint", "Image", "LatencyTargetMillis", "Fills", "SameProgram", "Starved", "Ticket", "Delivery", });
     internal_static_marigoldsail_OwnerMap_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_marigoldsail_OwnerMap_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_OwnerMap_descriptor,
         new java.lang.String[] { "Generation", "Owners", "Digest", "Members", "OwnerPositions", });
     internal_static_marigoldsail_PartitionOwner_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_marigoldsail_PartitionOwner_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_PartitionOwner_descriptor,
         new java.lang.String[] { "Partition", "Member", });
     internal_static_marigoldsail_WorkflowQuery_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_marigoldsail_WorkflowQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowQuery_descriptor,
         new java.lang.String[] { "Id", "Workflow", "Queue", "Cancel", });
     internal_static_marigoldsail_WorkflowQueryAnswer_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_marigoldsail_WorkflowQueryAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowQueryAnswer_descriptor,
         new java.lang.String[] { "Id", "Result", });
     internal_static_marigoldsail_WaitingCounts_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_marigoldsail_WaitingCounts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WaitingCounts_descriptor,
         new java.lang.String[] { "Member", "Queues", });
     internal_static_marigoldsail_QueueCount_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_marigoldsail_QueueCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_QueueCount_descriptor,
