Look effects of images up once for each estimate

Owners look an effect up for each VM, service image and waiting task in each pass; each look-up allocated a pair and a sum. Estimates are kept until their evidence changes, and rooms are decoded once a report.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/InterferenceModel.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/InterferenceModel.java
@@ -46,9 +46,13 @@
   private final Map<ImagePair, PairEvidence> local = new HashMap<>();
   private Map<ImagePair, PairEvidence> remote = Map.of();
 
+  /** Estimates by best-effort image and service image, as far as they were asked for. */
+  private final Map<String, Map<String, Double>> effects = new HashMap<>();
+
   /** Replaces the evidence of the fleet. */
   public void setRemoteEvidence(Map<ImagePair, PairEvidence> evidence) {
     remote = Map.copyOf(evidence);
+    effects.clear();
   }
 
   /** Returns the evidence of this VM, as a copy. */
@@ -56,8 +60,16 @@
     return Map.copyOf(local);
   }
 
-  /** Returns the estimated effect of the pair, from 0 to {@link #MAX_EFFECT}. */
-  public double effect(ImagePair pair) {
+  /** Returns the estimated effect of the image, from 0 to {@link #MAX_EFFECT}. */
+  @Override
+  public double effect(String bestEffort, String service) {
+    // Owners look effects up for each VM and waiting task.
+    return effects
+        .computeIfAbsent(bestEffort, unused -> new HashMap<>())
+        .computeIfAbsent(service, unused -> estimate(new ImagePair(bestEffort, service)));
+  }
+
+  private double estimate(ImagePair pair) {
     PairEvidence sum =
         local
             .getOrDefault(pair, PairEvidence.NONE)
@@ -66,11 +78,6 @@
     return Math.min(MAX_EFFECT, Math.max(0, effect));
   }
 
-  @Override
-  public double effect(String bestEffort, String service) {
-    return effect(new ImagePair(bestEffort, service));
-  }
-
   /**
    * Records two successive readings of one service task.
    *
@@ -83,10 +90,10 @@
   public void observe(String service, double before, double after, Map<String, Double> changes) {
     double loss = Math.min(MAX_HEADROOM, before) - Math.min(MAX_HEADROOM, after);
     double predicted = 0;
-    Map<String, Double> effects = new HashMap<>();
+    Map<String, Double> estimates = new HashMap<>();
     for (Map.Entry<String, Double> change : changes.entrySet()) {
       double effect = effect(change.getKey(), service);
-      effects.put(change.getKey(), effect);
+      estimates.put(change.getKey(), effect);
       predicted += effect * limited(change.getValue());
     }
     boolean saturated = Math.min(before, after) < SATURATED_HEADROOM;
@@ -98,12 +105,13 @@
       if (Math.abs(work) < MIN_CHANGE) {
         continue;
       }
-      double unexplained = loss - predicted + effects.get(change.getKey()) * work;
+      double unexplained = loss - predicted + estimates.get(change.getKey()) * work;
       PairEvidence seen = new PairEvidence(work * work, work * unexplained);
       local.merge(
           new ImagePair(change.getKey(), service),
           seen,
           (sum, more) -> sum.plus(more).atMost(MAX_WORK));
+      effects.remove(change.getKey());
     }
   }
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/ServiceRooms.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/ServiceRooms.java
@@ -49,8 +49,12 @@
 
   /** Returns whether a task takes headroom that counts from a service here. */
   public boolean isInterfering(String image, double share) {
-    return rooms.keySet().stream()
-        .anyMatch(service -> loss(image, share, service) > NEGLIGIBLE_LOSS);
+    for (String service : rooms.keySet()) {
+      if (loss(image, share, service) > NEGLIGIBLE_LOSS) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
@@ -60,10 +64,12 @@
    * @param share processors that the task declares, as a fraction of the VM's
    */
   public boolean fits(String image, double share) {
-    return rooms.entrySet().stream()
-        .allMatch(
-            room ->
-                loss(image, share, room.getKey()) <= Math.max(room.getValue(), NEGLIGIBLE_LOSS));
+    for (Map.Entry<String, Double> room : rooms.entrySet()) {
+      if (loss(image, share, room.getKey()) > Math.max(room.getValue(), NEGLIGIBLE_LOSS)) {
+        return false;
+      }
+    }
+    return true;
   }
 
   /** Returns the rooms that are left beside one more task, see {@link #fits}. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PairEvidenceCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PairEvidenceCodec.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.workflow;
 
+import com.google.common.collect.ImmutableMap;
 import io.marigoldsail.colocation.ImagePair;
 import io.marigoldsail.colocation.PairEvidence;
 import io.marigoldsail.protocol.PairSeen;
@@ -63,9 +64,9 @@
     return encoded;
   }
 
-  static Map<String, Double> decodeRooms(List<ServiceRoom> encoded) {
-    Map<String, Double> rooms = new HashMap<>();
+  static ImmutableMap<String, Double> decodeRooms(List<ServiceRoom> encoded) {
+    ImmutableMap.Builder<String, Double> rooms = ImmutableMap.builder();
     encoded.forEach(each -> rooms.put(each.getImage(), (double) each.getHeadroom()));
-    return rooms;
+    return rooms.buildKeepingLast();
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -41,6 +41,10 @@
   private VmReport report;
   private long reportedAt;
   private ImmutableSet<String> labels = ImmutableSet.of();
+
+  /** The room beside the services by their image; empty if the side process tells none. */
+  private ImmutableMap<String, Double> rooms = ImmutableMap.of();
+
   private ImmutableMap<RunKey, RunReport> runs = ImmutableMap.of();
   private RunOrders.Builder orders = RunOrders.newBuilder();
   private final Set<Long> workflowsInFrame = new HashSet<>();
@@ -67,6 +71,9 @@
     if (report == null || !report.getLabelsList().equals(newest.getLabelsList())) {
       labels = ImmutableSet.copyOf(newest.getLabelsList());
     }
+    if (report == null || !report.getServiceRoomsList().equals(newest.getServiceRoomsList())) {
+      rooms = PairEvidenceCodec.decodeRooms(newest.getServiceRoomsList());
+    }
     ImmutableMap.Builder<RunKey, RunReport> reported = ImmutableMap.builder();
     newest.getRunsList().forEach(run -> reported.put(WorkflowCodec.decode(run.getTask()), run));
     runs = reported.buildKeepingLast();
@@ -187,21 +194,19 @@
   }
 
   private Optional<ServiceRooms> rooms(FleetStatistics fleet) {
-    return report.getServiceRoomsCount() == 0
+    return rooms.isEmpty()
         ? Optional.empty()
-        : Optional.of(
-            ServiceRooms.of(
-                PairEvidenceCodec.decodeRooms(report.getServiceRoomsList()), fleet.effects()));
+        : Optional.of(ServiceRooms.of(rooms, fleet.effects()));
   }
 
   /** Returns whether the side process tells the room beside the services of the VM. */
   boolean tellsRooms() {
-    return report.getServiceRoomsCount() > 0;
+    return !rooms.isEmpty();
   }
 
   /** Returns whether services of the image run on the VM. */
   boolean hostsService(String image) {
-    return report.getServiceRoomsList().stream().anyMatch(room -> room.getImage().equals(image));
+    return rooms.containsKey(image);
   }
 
   /** Adds a start to the next frame and returns the number of that frame. */
