Read a few assigned partitions at a time

After a loss of all power on a small twin (four entries of 0.12 cores), the first entry to join was assigned all 48 partitions, read them at once and handled its next join only 2.3 s later; until then the other three had none, as the store reassigns a partition at the next join of its owner. At most 8 are read at the same time now; one that takes over a second no longer delays others.

PartitionOpeningTest fails without the limit: 48 activated at once.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
@@ -57,6 +57,15 @@
   /** Time after a membership change in which another one is likely, in nanoseconds. */
   private static final long REBALANCE_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /**
+   * Partitions that are read at the same time. After a restart of all entries, the first one is
+   * assigned all partitions; it must notice that others have joined before it has read them all.
+   */
+  static final int MAX_OPENING = 8;
+
+  /** Time after which a partition that is still being read no longer delays others. */
+  private static final long MAX_OPENING_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   /** Interval of renewals of the evidence of partitions with open tasks, in nanoseconds. */
   private static final long EVIDENCE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
@@ -85,6 +94,10 @@
   private final Listener listener;
   private final Map<Integer, OwnedPartition> owned = new HashMap<>();
   private final Map<Integer, Long> lastEpochs = new HashMap<>();
+
+  /** When the partitions that are not active yet began to be read. */
+  private final Map<Integer, Long> openingSince = new HashMap<>();
+
   private ImmutableSet<Integer> assigned = ImmutableSet.of();
   private ImmutableMap<Integer, String> lastOwners = ImmutableMap.of();
   private long generation;
@@ -238,7 +251,7 @@
         release(partition);
       }
     }
-    assigned.forEach(this::acquire);
+    acquireAssigned();
     if (changed) {
       LOG.info(
           LogLine.of("membership-changed")
@@ -250,10 +263,29 @@
     }
   }
 
+  /** Begins to read assigned partitions, as many at a time as allowed. */
+  private void acquireAssigned() {
+    if (leaving) {
+      return;
+    }
+    for (int partition : assigned) {
+      if (countOpening() >= MAX_OPENING) {
+        return;
+      }
+      acquire(partition);
+    }
+  }
+
+  private long countOpening() {
+    long now = loop.now();
+    return openingSince.values().stream().filter(since -> now - since < MAX_OPENING_NANOS).count();
+  }
+
   private void acquire(int partition) {
     if (owned.containsKey(partition)) {
       return;
     }
+    openingSince.put(partition, loop.now());
     long floor = generation * EPOCHS_PER_GENERATION;
     long epoch = Math.max(floor, lastEpochs.getOrDefault(partition, 0L) + 1);
     lastEpochs.put(partition, epoch);
@@ -265,6 +297,7 @@
 
   private void release(int partition) {
     OwnedPartition released = owned.remove(partition);
+    openingSince.remove(partition);
     released.close();
     LOG.info(
         LogLine.of("partition-released")
@@ -334,7 +367,9 @@
   private final class PartitionListener implements OwnedPartition.Listener {
     @Override
     public void activated(OwnedPartition partition) {
+      openingSince.remove(partition.number());
       listener.activated(partition);
+      acquireAssigned();
     }
 
     @Override
@@ -345,6 +380,7 @@
     @Override
     public void lost(OwnedPartition partition) {
       owned.remove(partition.number(), partition);
+      openingSince.remove(partition.number());
       listener.lost(partition);
       // The next join acquires it again if the store still assigns it to this entry.
     }
