Exchange evidence on images at intervals where pairs are used

Evidence by image went with each report that asks for a lease, to each entry, and back with leases; VMs that decide by pairs need neither. It now goes with the evidence on pairs, each 3 s, and not back to such VMs.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/Colocation.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/Colocation.java
@@ -43,13 +43,13 @@
   /**
    * Reading of a service task.
    *
-   * @param task identifies the task
+   * @param task identifies the task; readings of a task have equal identities
    * @param image its image
    * @param headroom its target divided by its tail latency
    */
-  public record ServiceReading(String task, String image, double headroom) {
+  public record ServiceReading(Object task, String image, double headroom) {
     /** Returns the reading of a tail, both in milliseconds. */
-    public static ServiceReading of(String task, String image, long tail, long target) {
+    public static ServiceReading of(Object task, String image, long tail, long target) {
       return new ServiceReading(task, image, (double) target / Math.max(1, tail));
     }
 
@@ -80,7 +80,7 @@
   }
 
   private final InterferenceModel model;
-  private final Map<String, Service> services = new HashMap<>();
+  private final Map<Object, Service> services = new HashMap<>();
   private Map<String, Double> used = Map.of();
   private Map<String, Double> demand = Map.of();
   private ImmutableMap<String, Double> paces = ImmutableMap.of();
@@ -134,7 +134,7 @@
   private void learn(List<ServiceReading> readings, Map<String, Double> usedNow, long now) {
     Map<String, Double> changes = new HashMap<>(usedNow);
     used.forEach((image, before) -> changes.merge(image, -before, Double::sum));
-    Set<String> present = new HashSet<>();
+    Set<Object> present = new HashSet<>();
     for (ServiceReading reading : readings) {
       present.add(reading.task());
       Service service = services.get(reading.task());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/InterferenceExchange.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/InterferenceExchange.java
@@ -27,7 +27,9 @@
 
   /** Records the evidence in a report that asks for a lease. */
   void record(VmReport report, long now) {
-    fleet.recordImageEvidence(report.getVm(), ImageEvidenceCodec.decode(report.getImagesList()));
+    if (report.getImagesCount() > 0) {
+      fleet.recordImageEvidence(report.getVm(), ImageEvidenceCodec.decode(report.getImagesList()));
+    }
     if (report.getPairsCount() > 0) {
       fleet.recordPairEvidence(
           report.getVm(), PairEvidenceCodec.decode(report.getPairsList()), now);
@@ -37,7 +39,7 @@
   /** Returns a lease without ownership evidence that holds what is to be sent to the VM now. */
   LeaseGrant evidenceFor(VmSession session, long now) {
     LeaseGrant.Builder evidence = LeaseGrant.newBuilder();
-    if (session.areImagesDue(now)) {
+    if (!session.tellsRooms() && session.areImagesDue(now)) {
       evidence.addAllImages(ImageEvidenceCodec.encode(fleet.imageEvidenceOfOtherVms(session.vm())));
     }
     if (session.tellsRooms() && pairGrants.tryAcquire(session.vm(), now)) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunThrottler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunThrottler.java
@@ -203,7 +203,7 @@
       if (run.latencyTargetMillis() > 0 && run.isListed() && run.measurement() > 0) {
         services.add(
             Colocation.ServiceReading.of(
-                run.key().toString(), run.image(), run.measurement(), run.latencyTargetMillis()));
+                run.key(), run.image(), run.measurement(), run.latencyTargetMillis()));
       } else if (run.isBestEffort()) {
         bestEffort.add(
             new Colocation.BestEffortReading(
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -45,6 +45,9 @@
   /** Interval of the evidence on pairs of images to an entry, in nanoseconds. */
   private static final long PAIRS_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /** The same for evidence by image, which goes with each report that requests a lease. */
+  private static final long IMAGES_INTERVAL_NANOS = 0;
+
   private static final long TICK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
   private final LinkLoop loop;
@@ -53,7 +56,7 @@
   final KnownEvacuations evacuations = new KnownEvacuations();
   private final ReportPacer pacer = new ReportPacer();
   private final ReportedStates reportedStates = new ReportedStates();
-  private final MemberRateLimiter pairReports = new MemberRateLimiter(PAIRS_INTERVAL_NANOS);
+  private final MemberRateLimiter interferenceReports;
   private final Set<Integer> changedPartitions = new HashSet<>();
   private final Set<EntryConnection> pendingReports = new HashSet<>();
   private final EarliestTimer pendingTimer;
@@ -94,6 +97,9 @@
             scope,
             new SessionListener(),
             () -> report(true));
+    this.interferenceReports =
+        new MemberRateLimiter(
+            scope == InterferenceScope.PER_PAIR ? PAIRS_INTERVAL_NANOS : IMAGES_INTERVAL_NANOS);
     this.pendingTimer = new EarliestTimer(loop, this::reportPending);
   }
 
@@ -246,11 +252,9 @@
             .setWantsLease(wantsLease);
     if (session() != null) {
       report.setWorkerClock(session().workerClockLowerBound());
-      if (wantsLease && pairReports.tryAcquire(connection.member(), loop.now())) {
+      if (wantsLease && interferenceReports.tryAcquire(connection.member(), loop.now())) {
         report.addAllPairs(
             PairEvidenceCodec.encode(session().throttler().localPairEvidence(), image -> true));
-      }
-      if (wantsLease) {
         report.addAllImages(ImageEvidenceCodec.encode(session().throttler().localEvidence()));
       }
       for (SideRun run : session().runs()) {
@@ -405,7 +409,7 @@
     @Override
     public void disconnected(EntryConnection connection) {
       pacer.remove(connection.member());
-      pairReports.remove(connection.member());
+      interferenceReports.remove(connection.member());
       reportedStates.remove(connection.member());
       pendingReports.remove(connection);
       orderedSinceReport.remove(connection);
