Move slow best-effort runs by time, not by listings

Listings follow each other at once while ends are listed, so three of them may cover a tenth of a second. A run is marked after 1.2 s at a quarter of its speed or less. The pace by image is no longer decided, nor logged, where pairs are used.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunThrottler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunThrottler.java
@@ -40,8 +40,8 @@
   /** A run at this share of its speed or less does better on another VM, in percent. */
   private static final int SLOW_PERCENT = 25;
 
-  /** Consecutive listings at that share after which the run is to be moved. */
-  private static final int MAX_SLOW_READINGS = 3;
+  /** How long a run may work at that share before it is to be moved, in nanoseconds. */
+  private static final long MAX_SLOW_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
 
   /** How long changes of the CPU share are aggregated into one log line, in nanoseconds. */
   private static final long AGGREGATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
@@ -153,7 +153,8 @@
   }
 
   private void markSlow(SideRun run) {
-    run.excess(run.countSlowReading(percentOf(run) <= SLOW_PERCENT) >= MAX_SLOW_READINGS);
+    run.recordSpeed(percentOf(run) <= SLOW_PERCENT, loop.now());
+    run.excess(run.slowNanos(loop.now()) >= MAX_SLOW_NANOS);
   }
 
   /**
@@ -176,6 +177,20 @@
     }
     observeCpuUse(runs, BestEffortThrottler.worstPercent(readings));
     logClassificationChanges(loads);
+    boolean changed =
+        colocation.isPresent()
+            ? observePairs(colocation.get(), runs, capacityMilli)
+            : observeByImage(runs, readings, capacityMilli);
+    runs.forEach(this::throttle);
+    markExcessRuns(runs, capacityMilli, !readings.isEmpty());
+    logLoad(runs, readings);
+    return changed;
+  }
+
+  private boolean observeByImage(
+      Collection<SideRun> runs,
+      List<BestEffortThrottler.TailReading> readings,
+      long capacityMilli) {
     int before = bestEffortThrottler.interferingPercent();
     int after =
         bestEffortThrottler.observe(readings, bestEffortLoad(runs, capacityMilli), loop.now());
@@ -188,14 +203,10 @@
               .with("before", before)
               .with("readings", readings));
     }
-    boolean pacesChanged = colocation.isPresent() && observePairs(runs, capacityMilli);
-    runs.forEach(this::throttle);
-    markExcessRuns(runs, capacityMilli, !readings.isEmpty());
-    logLoad(runs, readings);
-    return colocation.isPresent() ? pacesChanged : before != after;
+    return before != after;
   }
 
-  private boolean observePairs(Collection<SideRun> runs, long capacityMilli) {
+  private boolean observePairs(Colocation colocated, Collection<SideRun> runs, long capacityMilli) {
     List<Colocation.ServiceReading> services = new ArrayList<>();
     List<Colocation.BestEffortReading> bestEffort = new ArrayList<>();
     double capacity = Math.max(1, capacityMilli);
@@ -210,15 +221,15 @@
                 run.image(), run.measurement() / capacity, run.milliProcessors() / capacity));
       }
     }
-    boolean changed = colocation.get().observe(services, bestEffort, loop.now());
+    boolean changed = colocated.observe(services, bestEffort, loop.now());
     if (changed) {
       throttleLog.log(
           "images-paced",
           LogLine.of("images-paced")
               .with("worker", worker)
-              .with("percents", colocation.get().percents())
-              .with("rooms", colocation.get().rooms())
-              .with("over", colocation.get().consecutiveOver())
+              .with("percents", colocated.percents())
+              .with("rooms", colocated.rooms())
+              .with("over", colocated.consecutiveOver())
               .with("services", services.size()));
     }
     return changed;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -5,6 +5,7 @@
 import io.marigoldsail.workflow.RunKey;
 import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -42,7 +43,7 @@
   private long measurement;
   private int throttlePercent;
   private boolean excess;
-  private int slowReadings;
+  private OptionalLong slowSince = OptionalLong.empty();
 
   SideRun(RunKey key, int partition, Optional<StartRun> order, WorkerLease.Mark orderedAt) {
     this.key = key;
@@ -106,10 +107,14 @@
     program = text;
   }
 
-  /** Counts consecutive listings at a low CPU share; returns how many there were up to now. */
-  int countSlowReading(boolean slow) {
-    slowReadings = slow ? slowReadings + 1 : 0;
-    return slowReadings;
+  /** Records whether the run has a low CPU share now; times are monotonic nanoseconds. */
+  void recordSpeed(boolean slow, long now) {
+    slowSince = slow ? OptionalLong.of(slowSince.orElse(now)) : OptionalLong.empty();
+  }
+
+  /** Returns for how long the run has had a low CPU share, in nanoseconds; 0 if it has not. */
+  long slowNanos(long now) {
+    return slowSince.isPresent() ? now - slowSince.getAsLong() : 0;
   }
 
   /** Counts a try to start the run; returns the number of tries so far. */
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunThrottlerPairsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunThrottlerPairsTest.java
@@ -84,9 +84,10 @@
   void runPacedToNothingIsMarkedForItsOwner() {
     settle();
     for (int i = 0; i < 3; i++) {
-      assertFalse(heavy.report().getCrowded());
       observe(49, 0);
+      assertFalse(heavy.report().getCrowded());
     }
+    observe(49, 0);
     assertTrue(heavy.report().getCrowded());
     assertFalse(light.report().getCrowded());
   }
