--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -311,9 +311,10 @@
     Set<RunKey> confirmed = SideRun.confirmed(runs.values());
     boolean urgent = ends.isAwaitingOwners() || awaitsProof();
     long wait = urgent ? 0 : ListingScheduler.waitMillis(serviceTaskCount() > 0);
-    departure.listingRequested(ends.acknowledgedUpTo());
-    ListingScheduler.resultOf(
-            worker, () -> gateway.list(worker, newDeadline, ends.acknowledgedUpTo(), wait))
+    // After a failure another incarnation may respond, which numbers its ends anew.
+    long acknowledged = health.isUnresponsive() ? 0 : ends.acknowledgedUpTo();
+    departure.listingRequested(acknowledged);
+    ListingScheduler.resultOf(worker, () -> gateway.list(worker, newDeadline, acknowledged, wait))
         .thenAccept(result -> loop.run(() -> onListingResult(result, confirmed)));
   }
 
