Report evidence on pairs as it changes

Worked out for 13 entries: up to 90 pairs of some 32 bytes, each 3 s to each entry, are 12 KB a second, as much as control may cost a node. A pair is sent again only when its sums have changed; after the first half minute that is what the images at work there touch.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/PairEvidenceAggregator.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/PairEvidenceAggregator.java
@@ -18,13 +18,16 @@
   /** Minimum time between two sums, in nanoseconds. */
   static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  private final Map<String, ImmutableMap<ImagePair, PairEvidence>> byVm = new HashMap<>();
+  private final Map<String, Map<ImagePair, PairEvidence>> byVm = new HashMap<>();
   private ImmutableMap<ImagePair, PairEvidence> total = ImmutableMap.of();
   private long summedAt = Long.MIN_VALUE;
 
-  /** Replaces the evidence of a VM; returns whether the total was formed anew. */
+  /**
+   * Replaces the evidence of a VM on the given pairs and keeps the rest; returns whether the total
+   * was formed anew.
+   */
   public boolean update(String vm, Map<ImagePair, PairEvidence> evidence, long now) {
-    byVm.put(requireNonNull(vm, "vm"), ImmutableMap.copyOf(evidence));
+    byVm.computeIfAbsent(requireNonNull(vm, "vm"), unused -> new HashMap<>()).putAll(evidence);
     if (summedAt != Long.MIN_VALUE && now - summedAt < INTERVAL_NANOS) {
       return false;
     }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/colocation/PairEvidenceAggregatorTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/colocation/PairEvidenceAggregatorTest.java
@@ -25,6 +25,17 @@
     assertEquals(0.5, aggregator.total().get(PAIR).work(), 1e-9);
   }
 
+  /** Guards against pairs that are forgotten because a VM reports only what has changed. */
+  @Test
+  void pairsThatAreNotReportedAgainAreKept() {
+    update("vm-0", 0.1, 0);
+    ImagePair other = new ImagePair("light", "s");
+    aggregator.update(
+        "vm-0", Map.of(other, new PairEvidence(0.2, 0)), PairEvidenceAggregator.INTERVAL_NANOS);
+    assertEquals(0.1, aggregator.total().get(PAIR).work(), 1e-9);
+    assertEquals(0.2, aggregator.total().get(other).work(), 1e-9);
+  }
+
   /** Guards against sums over the fleet that are formed with each of many reports. */
   @Test
   void totalIsFormedAtIntervals() {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -56,7 +56,7 @@
   final KnownEvacuations evacuations = new KnownEvacuations();
   private final ReportPacer pacer = new ReportPacer();
   private final ReportedStates reportedStates = new ReportedStates();
-  private final MemberRateLimiter interferenceReports;
+  private final PairReports interferenceReports;
   private final Set<Integer> changedPartitions = new HashSet<>();
   private final Set<EntryConnection> pendingReports = new HashSet<>();
   private final EarliestTimer pendingTimer;
@@ -98,7 +98,7 @@
             new SessionListener(),
             () -> report(true));
     this.interferenceReports =
-        new MemberRateLimiter(
+        new PairReports(
             scope == InterferenceScope.PER_PAIR ? PAIRS_INTERVAL_NANOS : IMAGES_INTERVAL_NANOS);
     this.pendingTimer = new EarliestTimer(loop, this::reportPending);
   }
@@ -254,7 +254,10 @@
       report.setWorkerClock(session().workerClockLowerBound());
       if (wantsLease && interferenceReports.tryAcquire(connection.member(), loop.now())) {
         report.addAllPairs(
-            PairEvidenceCodec.encode(session().throttler().localPairEvidence(), image -> true));
+            PairEvidenceCodec.encode(
+                interferenceReports.changes(
+                    connection.member(), session().throttler().localPairEvidence()),
+                image -> true));
         report.addAllImages(ImageEvidenceCodec.encode(session().throttler().localEvidence()));
       }
       for (SideRun run : session().runs()) {
