--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkerIncarnation.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkerIncarnation.java
@@ -23,6 +23,9 @@
  *     it does not tell
  */
 public record WorkerIncarnation(String id, OptionalLong birth) {
+  /** The latest birth, in milliseconds since 1970: names have at most 18 digits of it. */
+  public static final long MAX_BIRTH = 999_999_999_999_999_999L;
+
   private static final String SEPARATOR = "@";
   private static final Pattern WITH_BIRTH = Pattern.compile("([^@]+)@(\\d{1,18})");
 
@@ -31,7 +34,11 @@
     requireNonNull(birth, "birth");
     checkArgument(!id.isEmpty(), "the worker id is empty");
     checkArgument(!id.contains(SEPARATOR), "the worker id contains %s: %s", SEPARATOR, id);
-    checkArgument(birth.orElse(0) >= 0, "birth is negative: %s", birth);
+    checkArgument(
+        birth.orElse(0) >= 0 && birth.orElse(0) <= MAX_BIRTH,
+        "birth is not from 0 to %s: %s",
+        MAX_BIRTH,
+        birth);
   }
 
   /** Returns the incarnation of a worker that tells no time of its start. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerRegistration.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerRegistration.java
@@ -105,8 +105,7 @@
   }
 
   private void probe(WorkerHeartbeat heartbeat, CompletableFuture<Boolean> accepted) {
-    gateway
-        .takeOver(heartbeat.worker())
+    ListingScheduler.resultOf(heartbeat.worker(), () -> gateway.takeOver(heartbeat.worker()))
         .thenAccept(result -> loop.run(() -> handleProbeResult(heartbeat, result, accepted)));
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
@@ -189,6 +189,15 @@
     assertFalse(endsSoon());
   }
 
+  /** Guards against a worker that is never looked at again after a call that throws. */
+  @Test
+  void workerIsFoundAfterACallThatThrows() {
+    worker.throwOnListingCall();
+    assertFalse(acceptsHeartbeatOf(FIRST));
+    worker.recover();
+    assertTrue(acceptsHeartbeatOf(FIRST));
+  }
+
   /** The successor does not respond: nothing shows what it runs, so the session goes on. */
   @Test
   void unresponsiveSuccessorDoesNotEndTheSession() {
