--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -134,9 +134,9 @@
   /**
    * Returns the best VM with capacity for the task, or empty if there is none.
    *
-   * <p>A hurried interfering task waits for a VM without services as long as there is one:
-   * throttled beside services it would be late, and the work of all tasks of its workflow would be
-   * wasted.
+   * <p>Where VMs do not tell the room beside their services, a hurried interfering task waits for a
+   * VM without services as long as there is one: throttled beside services it would be late, and
+   * the work of all tasks of its workflow would be wasted.
    *
    * @param request the request of the task
    * @param offers the VMs to choose from
@@ -145,9 +145,9 @@
   public Optional<VmOffer> choose(
       TaskPlacementRequest request, Collection<VmOffer> offers, ToIntFunction<VmOffer> ofStepOn) {
     requireNonNull(ofStepOn, "ofStepOn");
-    boolean hurried = request.urgency() == Urgency.HURRIED && request.step().traits().bestEffort();
     boolean onlyWithoutServices =
-        hurried
+        request.urgency() == Urgency.HURRIED
+            && request.step().traits().bestEffort()
             && ImageInterference.isInterfering(request.interference())
             && offers.stream().anyMatch(offer -> offer.serviceTasks() == 0);
     VmOffer best = null;
