Read other partitions when the first assigned ones cannot be owned

With the limit on partitions that are read at the same time, each join began with the same ones. A partition lost since the last join is passed over until the next one, as before the limit, and its place goes to the next partition.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
@@ -98,6 +98,9 @@
   /** When the partitions that are not active yet began to be read. */
   private final Map<Integer, Long> openingSince = new HashMap<>();
 
+  /** Partitions that were lost since the last join; only the next one acquires them again. */
+  private final Set<Integer> lostSinceJoin = new HashSet<>();
+
   private ImmutableSet<Integer> assigned = ImmutableSet.of();
   private ImmutableMap<Integer, String> lastOwners = ImmutableMap.of();
   private long generation;
@@ -251,6 +254,7 @@
         release(partition);
       }
     }
+    lostSinceJoin.clear();
     acquireAssigned();
     if (changed) {
       LOG.info(
@@ -272,7 +276,9 @@
       if (countOpening() >= MAX_OPENING) {
         return;
       }
-      acquire(partition);
+      if (!lostSinceJoin.contains(partition)) {
+        acquire(partition);
+      }
     }
   }
 
@@ -383,6 +389,8 @@
       openingSince.remove(partition.number());
       listener.lost(partition);
       // The next join acquires it again if the store still assigns it to this entry.
+      lostSinceJoin.add(partition.number());
+      acquireAssigned();
     }
   }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PartitionOpeningTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PartitionOpeningTest.java
@@ -3,6 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Writer;
+import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 /** How entries acquire the partitions that are assigned to them, on virtual time. */
@@ -42,4 +46,23 @@
     assertEquals(PARTITIONS, ownership.active().size());
     assertTrue(most <= PartitionOwnership.MAX_OPENING, "activated at once: " + most);
   }
+
+  /** Guards against partitions without an owner because others have a writer of a later epoch. */
+  @Test
+  void partitionsThatCannotBeOwnedDoNotKeepOthersFromBeingRead() {
+    for (int partition = 0; partition <= PartitionOwnership.MAX_OPENING; partition++) {
+      store.append(
+          Topic.PROGRESS, partition, List.of(), Optional.of(new Writer(Long.MAX_VALUE / 2, 0)));
+    }
+    PartitionOwnership ownership =
+        new PartitionOwnership(
+            store,
+            time.loop(),
+            time::wallMillis,
+            new EntryMember("127.0.0.1", 1, 1),
+            new NoOpOwnershipListener());
+    ownership.start();
+    time.advance(SETTLED_MILLIS);
+    assertEquals(PARTITIONS - PartitionOwnership.MAX_OPENING - 1, ownership.active().size());
+  }
 }
