Do not report runs as lapsed that a worker's successor runs

The lease of an earlier incarnation says nothing of its successor under the same id. While that one responded and still ran a late start, the side process reported the run as lapsed once the earlier lease had expired, and the owner would have ordered the next attempt beside it. runsOfAnEarlierIncarnationDoNotLapseWhileItsSuccessorRunsThem failed (one end, lapsed). The runs wait now until the successor is cleared; one that stops responding lapses as before. A run that takes long to stop is logged once, not at each look at it.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -340,7 +340,8 @@
     if (!(result instanceof Listing listing)) {
       health.recordListingFailure(result.toString(), loop.now()).ifPresent(LOG::info);
       notifyAvailability();
-      if (lease.isExpired()) {
+      // A successor that responds may still run what was ordered here, until it is cleared.
+      if (lease.isExpired() && !(result instanceof SucceededBy)) {
         lapseRuns("the unresponsive worker's lease expired");
       }
       departure.listingCompleted(false);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSuccession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSuccession.java
@@ -10,7 +10,9 @@
 import io.marigoldsail.daemon.workflow.WorkerGateway.ListingResult;
 import io.marigoldsail.workflow.RunKey;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -32,6 +34,7 @@
   private final LinkLoop loop;
   private final WorkerGateway gateway;
   private final List<CompletableFuture<Boolean>> waiting = new ArrayList<>();
+  private final Set<RunKey> logged = new HashSet<>();
   private String successor = "";
 
   WorkerSuccession(LinkLoop loop, WorkerGateway gateway) {
@@ -53,6 +56,7 @@
     waiting.add(cleared);
     if (waiting.size() == 1) {
       successor = worker;
+      logged.clear();
       takeOver();
     }
     return cleared;
@@ -75,7 +79,9 @@
   }
 
   private void stop(RunKey run) {
-    LOG.info(LogLine.of("predecessor-run-found").with("run", run).with("worker", successor));
+    if (logged.add(run)) {
+      LOG.info(LogLine.of("predecessor-run-found").with("run", run).with("worker", successor));
+    }
     gateway.stop(successor, run);
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
@@ -6,11 +6,17 @@
 
 import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.workflow.WorkerGateway.StartOrder;
+import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 
 /** A worker that starts again under its id, as its side process sees it, on virtual time. */
@@ -34,6 +40,26 @@
           new SessionListener(),
           () -> {});
 
+  /** Collects log lines. */
+  private static final class CollectingHandler extends Handler {
+    private final List<String> lines;
+
+    CollectingHandler(List<String> lines) {
+      this.lines = lines;
+    }
+
+    @Override
+    public void publish(LogRecord line) {
+      lines.add(line.getMessage());
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {}
+  }
+
   /** Passes the events of sessions on, as a side process does. */
   private final class SessionListener implements WorkerSessionListener {
     @Override
@@ -143,6 +169,45 @@
     assertEquals(SECOND, currentWorker());
   }
 
+  /**
+   * The successor executes stops only after the lease of the earlier incarnation has expired.
+   * Reported as lapsed, the run would be followed by the next attempt beside the late start.
+   */
+  @Test
+  void runsOfAnEarlierIncarnationDoNotLapseWhileItsSuccessorRunsThem() {
+    findFirst();
+    WorkerSession session = side.session();
+    session.recordEvidence(0, 1, session.workerClockLowerBound());
+    session.start(RUN, StartRun.newBuilder().setTask(WorkflowCodec.encode(RUN)).build(), "");
+    time.advance(10);
+    worker.restart(SECOND);
+    worker.start(FIRST, new StartOrder(RUN, "", FAR_DEADLINE, "", ""));
+    time.advance(DEPARTURE_MILLIS);
+    assertEquals(List.of(), List.copyOf(session.ends()));
+    worker.removeActiveRun(RUN);
+    time.advance(1_000);
+    assertEquals("", currentWorker());
+  }
+
+  /** Guards against a line for each look at a run that takes long to stop. */
+  @Test
+  void eachRunOfAnEarlierIncarnationIsLoggedOnce() {
+    List<String> lines = new ArrayList<>();
+    Handler collector = new CollectingHandler(lines);
+    Logger logger = Logger.getLogger(WorkerSuccession.class.getName());
+    Level before = logger.getLevel();
+    logger.setLevel(Level.INFO);
+    logger.addHandler(collector);
+    findFirst();
+    worker.restart(SECOND);
+    worker.start(FIRST, new StartOrder(RUN, "", FAR_DEADLINE, "", ""));
+    time.advance(3_000);
+    logger.removeHandler(collector);
+    logger.setLevel(before);
+    assertEquals(
+        1, lines.stream().filter(line -> line.contains("event=predecessor-run-found")).count());
+  }
+
   /** The same, seen by the heartbeat of the successor first. */
   @Test
   void heartbeatOfASuccessorWaitsForRunsOfItsPredecessor() {
