--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -433,7 +433,7 @@
     }
     for (OpenRun run : vms.view().excessRuns()) {
       if (isCheapToMove(run.task())) {
-        move(run, "too many interfering runs beside service tasks");
+        move(run, "the service tasks beside it leave it too little");
       }
     }
     moveThrottled(vms.view().runsThrottledTo(THROTTLED_PERCENT));
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/InterferenceExchange.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/InterferenceExchange.java
@@ -39,10 +39,10 @@
   /** Returns a lease without ownership evidence that holds what is to be sent to the VM now. */
   LeaseGrant evidenceFor(VmSession session, long now) {
     LeaseGrant.Builder evidence = LeaseGrant.newBuilder();
-    if (!session.tellsRooms() && session.areImagesDue(now)) {
+    if (!session.reportsRooms() && session.areImagesDue(now)) {
       evidence.addAllImages(ImageEvidenceCodec.encode(fleet.imageEvidenceOfOtherVms(session.vm())));
     }
-    if (session.tellsRooms() && pairGrants.tryAcquire(session.vm(), now)) {
+    if (session.reportsRooms() && pairGrants.tryAcquire(session.vm(), now)) {
       evidence.addAllPairs(PairEvidenceCodec.encode(fleet.pairEvidence(), session::hostsService));
     }
     return evidence.build();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunThrottler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunThrottler.java
@@ -180,7 +180,6 @@
       interference.observe(loads, BestEffortThrottler.worstPercent(readings));
     }
     observeCpuUse(runs, BestEffortThrottler.worstPercent(readings));
-    logClassificationChanges(loads);
     boolean changed =
         colocation.isPresent()
             ? observePairs(colocation.get(), runs, capacityMilli)
@@ -195,6 +194,7 @@
       Collection<SideRun> runs,
       List<BestEffortThrottler.TailReading> readings,
       long capacityMilli) {
+    logClassificationChanges(imageLoads(runs));
     int before = bestEffortThrottler.interferingPercent();
     int after =
         bestEffortThrottler.observe(readings, bestEffortLoad(runs, capacityMilli), loop.now());
@@ -228,10 +228,11 @@
     boolean changed = colocated.observe(services, bestEffort, loop.now());
     if (changed) {
       throttleLog.log(
-          "images-paced",
-          LogLine.of("images-paced")
+          "images-throttled",
+          LogLine.of("images-throttled")
               .with("worker", worker)
               .with("percents", colocated.percents())
+              .with("effects", colocated.largestEffects())
               .with("rooms", colocated.rooms())
               .with("over", colocated.consecutiveOver())
               .with("services", services.size()));
@@ -330,7 +331,7 @@
             .with("filling", bestEffort)
             .with("fill_declared_milli", declared)
             .with("fill_used_milli", used)
-            .with("fill_percent", bestEffortThrottler.interferingPercent())
+            .with("fill_percent", lowestPercent())
             .with("harmless_percent", bestEffortThrottler.benignPercent())
             .with("serving", readings.size())
             .with(
@@ -338,6 +339,12 @@
                 readings.stream().map(BestEffortThrottler.TailReading::tailMillis).toList()));
   }
 
+  private int lowestPercent() {
+    return colocation
+        .map(each -> each.percents().values().stream().min(Integer::compare).orElse(FULL_PERCENT))
+        .orElseGet(bestEffortThrottler::interferingPercent);
+  }
+
   private int percentOf(SideRun run) {
     if (colocation.isPresent()) {
       return colocation.get().percent(run.image());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -200,7 +200,7 @@
   }
 
   /** Returns whether the side process tells the room beside the services of the VM. */
-  boolean tellsRooms() {
+  boolean reportsRooms() {
     return !rooms.isEmpty();
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -397,10 +397,9 @@
   }
 
   private void applyEnd(EndedRun end) {
-    if (!ends.recordSequence(end.sequence())) {
-      return;
+    if (ends.recordSequence(end.sequence())) {
+      recordEnd(end.run(), end.outcome(), end.checkpoint(), end.sequence(), "listed by the worker");
     }
-    recordEnd(end.run(), end.outcome(), end.checkpoint(), end.sequence(), "listed by the worker");
   }
 
   private void applyActiveRun(ActiveRun active) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunThrottlerPairsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RunThrottlerPairsTest.java
@@ -16,7 +16,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
-/** Best-effort runs beside a service, paced by pairs of images, on virtual time. */
+/** Best-effort runs beside a service, throttled by pairs of images, on virtual time. */
 class RunThrottlerPairsTest {
   private static final long CAPACITY = 16_000;
   private static final int DECLARED = 1_600;
@@ -72,7 +72,7 @@
    * Guards against harmless work that is slowed down for the sake of a service it does not harm.
    */
   @Test
-  void onlyTheHarmfulImageIsPaced() {
+  void onlyTheHarmfulImageIsSlowedDown() {
     settle();
     observe(60, DECLARED);
     assertFalse(heavy.isThrottledTo(100));
@@ -81,7 +81,7 @@
 
   /** Guards against runs that stay for good where they hardly work. */
   @Test
-  void runPacedToNothingIsMarkedForItsOwner() {
+  void runThrottledToNothingIsMarkedForItsOwner() {
     settle();
     for (int i = 0; i < 3; i++) {
       observe(49, 0);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSessionTest.java
@@ -76,6 +76,32 @@
     }
   }
 
+  /**
+   * A listing fails, and another incarnation under the same id may answer the next one: its ends
+   * have the numbers of ends that were acknowledged, and it would discard them.
+   */
+  @Test
+  void firstListingAfterAFailureAcknowledgesNoEnds() {
+    session.start();
+    start(0);
+    advanceWithEvidence(500);
+    worker.endRun(run(0));
+    advanceWithEvidence(500);
+    acknowledgeAllEnds();
+    advanceWithEvidence(1_000);
+    assertEquals(1, worker.acknowledgedUpTo());
+    worker.becomeUnresponsive(1);
+    advanceWithEvidence(1_000);
+    worker.recover();
+    int listings = worker.listings();
+    while (worker.listings() == listings) {
+      time.advance(1);
+    }
+    assertEquals(0, worker.acknowledgedUpTo());
+    advanceWithEvidence(2_000);
+    assertEquals(1, worker.acknowledgedUpTo());
+  }
+
   /**
    * A worker fails permanently while it runs five tasks, and their owner acknowledges the five ends
    * one by one. Each acknowledgement must not start another chain of listing requests, or the
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessReportsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessReportsTest.java
@@ -8,18 +8,22 @@
 import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.workflow.WorkerGateway.StartOrder;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.LeaseGrant;
 import io.marigoldsail.protocol.PartitionEvidence;
 import io.marigoldsail.protocol.RunOrders;
+import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.protocol.WorkflowTaskId;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import io.marigoldsail.workflow.WorkflowIds;
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -83,7 +87,7 @@
                 Map.of(OWNED, owner.member(), 1 - OWNED, nonOwner.member())));
     ownerLink = owner.awaitConnection();
     nonOwner.awaitConnection();
-    assertTrue(side.heartbeat(heartbeat(1_000)).join());
+    assertTrue(side.heartbeat(heartbeat(worker.incarnation(), 1_000)).join());
   }
 
   @AfterEach
@@ -95,8 +99,12 @@
   }
 
   private static WorkerHeartbeat heartbeat(int milliProcessors) {
+    return heartbeat(WORKER, milliProcessors);
+  }
+
+  private static WorkerHeartbeat heartbeat(String incarnation, int milliProcessors) {
     return new WorkerHeartbeat(
-        WORKER,
+        incarnation,
         "service",
         "zone",
         ImmutableList.of(),
@@ -234,4 +242,24 @@
     assertEquals(WORKER, answer.getWorker());
     assertFalse(answer.getWantsLease(), "the report is periodic");
   }
+
+  /**
+   * Guards against an entry that is not known as the owner yet and hears of a new incarnation
+   * without the run that it executes: it would take the run for lost and order the next attempt.
+   */
+  @Test
+  void runFoundOnAnIncarnationWithABirthIsReportedToAllEntries() throws Exception {
+    worker.crash("worker@17");
+    worker.start("worker@17", new StartOrder(RUN, "", Long.MAX_VALUE / 2, "", "")).join();
+    start();
+    VmReport report = nonOwner.awaitReport();
+    while (report.getWorker().isEmpty()) {
+      report = nonOwner.awaitReport();
+    }
+    assertEquals(List.of(WorkflowCodec.encode(RUN)), tasksOf(report));
+  }
+
+  private static List<WorkflowTaskId> tasksOf(VmReport report) {
+    return report.getRunsList().stream().map(RunReport::getTask).toList();
+  }
 }
