--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/Colocation.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/Colocation.java
@@ -20,8 +20,8 @@
  * <p>Answers bursts of heavy best-effort work on a fleet whose processors are booked by services
  * that leave half of them idle. Work that costs the services of this VM nothing gets all idle
  * processors; other work is admitted as far as the predicted headroom of each service allows, and
- * is paced down when a service comes near its target all the same. Three readings in a row over the
- * target stop all best-effort tasks, since users notice a tail that lasts seconds.
+ * is slowed down when a service comes near its target all the same. Three readings in a row over
+ * the target stop all best-effort tasks, since users notice a tail that lasts seconds.
  *
  * <p>Confined to one thread. Rejects nulls. Times are monotonic nanoseconds.
  */
@@ -38,7 +38,9 @@
   /** Time after its start for which the tail of a service is not used, in nanoseconds. */
   private static final long SETTLING_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-  /** Room is told in steps of this much headroom, so that it does not change with each reading. */
+  /**
+   * Room is reported in steps of this much headroom, so that it does not change with each reading.
+   */
   private static final double ROOM_STEP = 0.25;
 
   /**
@@ -93,7 +95,7 @@
   private final Map<Object, Service> services = new HashMap<>();
   private Map<String, Double> used = Map.of();
   private Map<String, Double> demand = Map.of();
-  private ImmutableMap<String, Double> paces = ImmutableMap.of();
+  private ImmutableMap<String, Double> speeds = ImmutableMap.of();
   private ServiceRooms rooms;
   private int consecutiveOver;
   private long observedAt = Long.MIN_VALUE;
@@ -111,7 +113,7 @@
   /**
    * Records the readings of all tasks of the VM; ignores readings that follow too soon.
    *
-   * @return whether the paces have changed
+   * @return whether the speeds have changed
    */
   public boolean observe(
       List<ServiceReading> serviceReadings, List<BestEffortReading> bestEffort, long now) {
@@ -126,10 +128,10 @@
     boolean over =
         !bestEffort.isEmpty() && serviceReadings.stream().anyMatch(ServiceReading::isOver);
     consecutiveOver = over ? consecutiveOver + 1 : 0;
-    ImmutableMap<String, Double> before = paces;
-    paces = decidePaces(serviceReadings);
+    ImmutableMap<String, Double> before = speeds;
+    speeds = decideSpeeds(serviceReadings);
     rooms = decideRooms();
-    return !paces.equals(before);
+    return !speeds.equals(before);
   }
 
   private static Map<String, Double> sum(List<BestEffortReading> readings, boolean atFullSpeed) {
@@ -176,20 +178,20 @@
         .sum();
   }
 
-  private ImmutableMap<String, Double> decidePaces(List<ServiceReading> readings) {
+  private ImmutableMap<String, Double> decideSpeeds(List<ServiceReading> readings) {
     if (consecutiveOver >= MAX_CONSECUTIVE_OVER) {
       ImmutableMap.Builder<String, Double> stopped = ImmutableMap.builder();
       demand.keySet().forEach(image -> stopped.put(image, 0.0));
       return stopped.buildOrThrow();
     }
-    List<BestEffortPacer.Service> states = new ArrayList<>();
+    List<HeadroomAllocator.Service> states = new ArrayList<>();
     for (ServiceReading reading : readings) {
       Service service = services.get(reading.task());
       double spare = service.forecast.present() - MARGIN;
       boolean stillOver = consecutiveOver > 1 && reading.isOver();
-      states.add(new BestEffortPacer.Service(service.image, spare, stillOver));
+      states.add(new HeadroomAllocator.Service(service.image, spare, stillOver));
     }
-    return ImmutableMap.copyOf(BestEffortPacer.pace(states, demand, model::effect));
+    return ImmutableMap.copyOf(HeadroomAllocator.speeds(states, demand, model::effect));
   }
 
   private ServiceRooms decideRooms() {
@@ -204,16 +206,30 @@
   /** Returns the speed at which tasks of the image may work, in percent of their full speed. */
   public int percent(String image) {
     double initial = consecutiveOver >= MAX_CONSECUTIVE_OVER ? 0 : 1;
-    return (int) Math.round(100 * paces.getOrDefault(image, initial));
+    return (int) Math.round(100 * speeds.getOrDefault(image, initial));
   }
 
   /** Returns the speeds of all images that work here, in percent, see {@link #percent}. */
   public ImmutableMap<String, Integer> percents() {
     ImmutableMap.Builder<String, Integer> percents = ImmutableMap.builder();
-    paces.keySet().forEach(image -> percents.put(image, percent(image)));
+    speeds.keySet().forEach(image -> percents.put(image, percent(image)));
     return percents.buildOrThrow();
   }
 
+  /** Returns the largest effect of each image that works here on a service here. */
+  public ImmutableMap<String, Double> largestEffects() {
+    ImmutableMap.Builder<String, Double> effects = ImmutableMap.builder();
+    for (String image : speeds.keySet()) {
+      double largest =
+          services.values().stream()
+              .mapToDouble(service -> model.effect(image, service.image))
+              .max()
+              .orElse(0);
+      effects.put(image, Math.round(largest * 10) / 10.0);
+    }
+    return effects.buildOrThrow();
+  }
+
   /** Returns for how many consecutive readings a service has been over its target. */
   public int consecutiveOver() {
     return consecutiveOver;
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -134,8 +134,8 @@
   /**
    * Returns the best VM with capacity for the task, or empty if there is none.
    *
-   * <p>Where VMs do not tell the room beside their services, a hurried interfering task waits for a
-   * VM without services as long as there is one: throttled beside services it would be late, and
+   * <p>Where VMs do not report the room beside their services, a hurried interfering task waits for
+   * a VM without services as long as there is one: throttled beside services it would be late, and
    * the work of all tasks of its workflow would be wasted.
    *
    * @param request the request of the task
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmOffer.java
@@ -28,7 +28,7 @@
  * @param serviceTasks number of running service tasks
  * @param slowdown how many times longer tasks take here than on other VMs; 1 for no difference
  * @param rooms the room for best-effort tasks beside the services; empty where the side process
- *     does not tell it, so that the limits by image hold
+ *     does not report it, so that the limits by image hold
  */
 public record VmOffer(
     Place place,
@@ -60,34 +60,6 @@
     requireNonNull(rooms, "rooms");
   }
 
-  /** Creates an offer whose side process does not tell the room beside its services. */
-  public VmOffer(
-      Place place,
-      String service,
-      ImmutableSet<String> labels,
-      String rack,
-      Sizes capacity,
-      Sizes free,
-      long bestEffortMilliProcessors,
-      long interferingMilliProcessors,
-      long overcommitMilliProcessors,
-      int serviceTasks,
-      double slowdown) {
-    this(
-        place,
-        service,
-        labels,
-        rack,
-        capacity,
-        free,
-        bestEffortMilliProcessors,
-        interferingMilliProcessors,
-        overcommitMilliProcessors,
-        serviceTasks,
-        slowdown,
-        Optional.empty());
-  }
-
   /**
    * Returns whether the fleet has spare capacity, so that a workflow without running tasks is a
    * fault rather than the result of a burst.
--- a/marigoldsail-core/src/test/java/io/marigoldsail/colocation/ColocationTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/colocation/ColocationTest.java
@@ -66,7 +66,7 @@
     assertEquals(100, colocation.percent("light"));
   }
 
-  /** Guards against paces that are decided again on the same measurements. */
+  /** Guards against speeds that are decided again on the same measurements. */
   @Test
   void readingsThatFollowTooSoonAreIgnored() {
     settle(20);
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/ConcurrentOwnersTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/ConcurrentOwnersTest.java
@@ -157,7 +157,8 @@
           offer.interferingMilliProcessors(),
           offer.overcommitMilliProcessors(),
           offer.serviceTasks(),
-          offer.slowdown());
+          offer.slowdown(),
+          Optional.empty());
     }
 
     private void retry(Waiting task, long now) {
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/GangChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/GangChooserTest.java
@@ -28,7 +28,8 @@
         0,
         0,
         0,
-        1);
+        1,
+        Optional.empty());
   }
 
   /**
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/RoomsBesideServicesTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/RoomsBesideServicesTest.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
-/** Placement on VMs that tell the room beside their services. */
+/** Placement on VMs that report the room beside their services. */
 class RoomsBesideServicesTest {
   private static final StepSpec HEAVY =
       WorkflowFixtures.step(1, 1_600, WorkflowFixtures.bestEffort());
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -36,7 +36,8 @@
         interferingMilli,
         offer.overcommitMilliProcessors(),
         offer.serviceTasks(),
-        slowness);
+        slowness,
+        Optional.empty());
   }
 
   /**
@@ -260,7 +261,8 @@
         offer.interferingMilliProcessors(),
         offer.overcommitMilliProcessors(),
         offer.serviceTasks(),
-        offer.slowdown());
+        offer.slowdown(),
+        Optional.empty());
   }
 
   @Test
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowFixtures.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowFixtures.java
@@ -83,6 +83,7 @@
         0,
         Overcommit.BASE_MILLI_PROCESSORS,
         serviceTasks,
-        1.0);
+        1.0,
+        Optional.empty());
   }
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunReport.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunReport.java
@@ -167,7 +167,7 @@
   private boolean crowded_ = false;
   /**
    * <pre>
-   * May disturb the services beside it, and there are too many such runs on its VM.
+   * The services beside it leave it too little; its owner may move it.
    * </pre>
    *
    * <code>bool crowded = 7;</code>
@@ -972,7 +972,7 @@
     private boolean crowded_ ;
     /**
      * <pre>
-     * May disturb the services beside it, and there are too many such runs on its VM.
+     * The services beside it leave it too little; its owner may move it.
      * </pre>
      *
      * <code>bool crowded = 7;</code>
@@ -984,7 +984,7 @@
     }
     /**
      * <pre>
-     * May disturb the services beside it, and there are too many such runs on its VM.
+     * The services beside it leave it too little; its owner may move it.
      * </pre>
      *
      * <code>bool crowded = 7;</code>
@@ -1000,7 +1000,7 @@
     }
     /**
      * <pre>
-     * May disturb the services beside it, and there are too many such runs on its VM.
+     * The services beside it leave it too little; its owner may move it.
      * </pre>
      *
      * <code>bool crowded = 7;</code>
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunReportOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/RunReportOrBuilder.java
@@ -67,7 +67,7 @@
 
   /**
    * <pre>
-   * May disturb the services beside it, and there are too many such runs on its VM.
+   * The services beside it leave it too little; its owner may move it.
    * </pre>
    *
    * <code>bool crowded = 7;</code>
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetVm.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetVm.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -116,7 +117,8 @@
         policy.limitsInterference() ? interferingMilli(millis) : 0,
         ledger.overcommitMilliProcessors(),
         serviceTaskCount(),
-        slowdown);
+        slowdown,
+        Optional.empty());
   }
 
   /** Starts the run, or returns false if capacity is insufficient. */
