Report the capacity of VMs less often in fleets of more than three entries

Cause: reports of capacity were most of what a side process sends. A report was sent every 25 ms to some entry as long as any entry had had a task without a VM within 3 s. Now every 50 ms with more than three entries, 400 ms to one entry at the latest, and the demand holds for 1 s after the last such task; a task that still waits renews it at each pass. Up to three entries the spacing is unchanged.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/CapacityDemand.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/CapacityDemand.java
@@ -13,7 +13,7 @@
  */
 final class CapacityDemand {
   /** How long the demand lasts after the last task that found no capacity, in nanoseconds. */
-  static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(3);
+  static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private boolean everUnplaced;
   private long endsAt;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ReportPacer.java
@@ -12,9 +12,10 @@
  *
  * <p>A change of a run is reported at once only to the entry that owns the run. The other entries
  * need only the free capacity, by which they place new runs, and are reported to at an interval
- * that grows with the number of entries, so that a side process sends as many reports a second to
- * ten entries as to two, and that is longer while no task waits for capacity there. A change of
- * whether the VM accepts work is reported to all entries at once.
+ * that grows with the number of entries, so that a side process sends no more reports a second to
+ * ten entries than to two, and that is longer while no task waits for capacity there. More entries
+ * serve more VMs, so that the capacity of one VM may be known later there. A change of whether the
+ * VM accepts work is reported to all entries at once.
  *
  * <p>Under load a VM changes tens of times a second, and each report carries its whole state. If
  * every change went to every entry, the traffic would grow with entries times VMs and saturate an
@@ -29,6 +30,15 @@
    */
   static final long SPACING_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
+  /** The same with more than {@link #FEW_ENTRIES} entries. */
+  static final long WIDE_SPACING_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+  /** Number of entries up to which reports are spaced by {@link #SPACING_NANOS}. */
+  static final int FEW_ENTRIES = 3;
+
+  /** Largest minimum interval, in nanoseconds; older reports lead to refused starts. */
+  static final long MAX_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
   /** Factor of the minimum interval for entries at which no task waits for capacity. */
   static final int UNNEEDED_FACTOR = 4;
 
@@ -119,6 +129,8 @@
   }
 
   private static long minIntervalNanos(int entries) {
-    return SPACING_NANOS * entries;
+    return entries <= FEW_ENTRIES
+        ? SPACING_NANOS * entries
+        : Math.min(WIDE_SPACING_NANOS * entries, MAX_INTERVAL_NANOS);
   }
 }
