Let entries with few processors stand by where faster ones own the partitions

Cause: entries of the grown deployments have 0.36 or 1.5 cores and 10 or 200 Mbit/s, and each got the same number of partitions; each owner costs each VM a connection, reports and leases. Not measured yet.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryParameters.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryParameters.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.marigoldsail.workflow.WorkerLeaseTerms;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -17,16 +18,20 @@
  * @param maxEvacuationsAgeMillis for how long runs may be ordered after the evacuations of zones
  *     were last known to be the newest ones, in milliseconds; empty where zones are not evacuated
  * @param farRackFactor slowdown factor of a task that runs on another rack than its data
+ * @param ownerProcessorsMilli the processors of this entry, in thousandths, where entries with few
+ *     processors stand by; empty where every entry owns partitions
  */
 public record EntryParameters(
     WorkerLeaseTerms lease,
     long endedRetentionMillis,
     long maxConfigurationAgeMillis,
     OptionalLong maxEvacuationsAgeMillis,
-    double farRackFactor) {
+    double farRackFactor,
+    OptionalInt ownerProcessorsMilli) {
   /** Checks the components. */
   public EntryParameters {
     requireNonNull(lease, "lease");
     requireNonNull(maxEvacuationsAgeMillis, "maxEvacuationsAgeMillis");
+    requireNonNull(ownerProcessorsMilli, "ownerProcessorsMilli");
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -24,8 +24,9 @@
  * Tracks the other entries: the owners of partitions, queries to them, and their numbers of waiting
  * workflows.
  *
- * <p>Each entry dials all owners and sends its queries on the connections that it dialled. Confined
- * to the loop's thread.
+ * <p>Each entry dials all owners and sends its queries on the connections that it dialled. An entry
+ * that stands by owns nothing and is not dialled; it receives the numbers of the owners on the
+ * connections on which it sends its own. Confined to the loop's thread.
  */
 final class EntryPeers {
   /** Timeout of a query, in nanoseconds. */
@@ -43,6 +44,10 @@
   private final MemberLinks links;
   private final Map<Long, PendingQuery> pendingQueries = new HashMap<>();
   private final Map<String, PeerCounts> counts = new HashMap<>();
+
+  /** Connections that entries which own nothing have dialled. */
+  private final Set<LinkConnection> standbyConnections = new HashSet<>();
+
   private final WaitingCountsSchedule countsSchedule = new WaitingCountsSchedule();
   private final Map<Integer, String> ownersByPartition = new HashMap<>();
   private OwnerMap ownerMap = OwnerMap.getDefaultInstance();
@@ -153,12 +158,27 @@
       }
       connection.send(ping);
     }
+    if (sendCounts) {
+      standbyConnections.forEach(connection -> connection.sendOneWay(frame));
+    }
     counts.values().removeIf(count -> now - count.receivedAt() > COUNTS_TTL_NANOS);
     dialOwners();
   }
 
-  /** Replaces the counts of another entry. */
-  void updateCounts(WaitingCounts received) {
+  /** Replaces the counts of another entry, received on a connection that it dialled. */
+  void updateCounts(LinkConnection from, WaitingCounts received) {
+    if (!ownersByPartition.containsValue(received.getMember()) && standbyConnections.add(from)) {
+      countsSchedule.peerConnected();
+    }
+    updateCounts(received);
+  }
+
+  /** Forgets a connection that another process dialled. */
+  void disconnected(LinkConnection connection) {
+    standbyConnections.remove(connection);
+  }
+
+  private void updateCounts(WaitingCounts received) {
     Map<String, Integer> waiting = new HashMap<>();
     received.getQueuesList().forEach(queue -> waiting.put(queue.getQueue(), queue.getWaiting()));
     counts.put(received.getMember(), new PeerCounts(waiting, loop.now()));
@@ -186,6 +206,8 @@
         completeQuery(
             frame.getWorkflowQueryAnswer().getId(),
             QueryResult.forNumber(frame.getWorkflowQueryAnswer().getResult()));
+      } else if (frame.hasWaitingCounts()) {
+        updateCounts(frame.getWaitingCounts());
       }
     }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.workflow;
 
+import static com.google.common.collect.ImmutableList.toImmutableList;
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
@@ -15,6 +16,7 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.OwnersUnavailable;
 import io.marigoldsail.time.ClockPair;
 import io.marigoldsail.time.ClockReading;
+import io.marigoldsail.workflow.OwnerSelection;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowIds;
 import java.util.HashMap;
@@ -22,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -34,8 +37,9 @@
  *
  * <p>The assignment that the store reports may be stale, and the store may reassign all partitions
  * without a reason. It only determines which entry tries to own a partition; the epoch of the
- * partition's writer, derived from the store's generation, determines the owner. Confined to the
- * loop's thread.
+ * partition's writer, derived from the store's generation, determines the owner. An entry that
+ * {@link OwnerSelection} does not need as an owner stands by: it is no member, and only reads the
+ * owners. Confined to the loop's thread.
  */
 final class PartitionOwnership {
   private static final EventLog LOG = EventLog.of(PartitionOwnership.class);
@@ -106,6 +110,8 @@
   private long generation;
   private long generationChangedAt;
   private long joinedAt;
+  private final Optional<OwnerSelection> selection;
+  private boolean standingBy;
   private boolean leaving;
   private boolean joining;
   private volatile boolean connected;
@@ -120,6 +126,10 @@
     this.loop = requireNonNull(loop, "loop");
     this.clocks = new ClockPair(loop::now, wallMillis::getAsLong, this::handleDivergence);
     this.self = requireNonNull(self, "self");
+    this.selection =
+        self.processorsMilli().isPresent()
+            ? Optional.of(OwnerSelection.of(self.processorsMilli().getAsInt()))
+            : Optional.empty();
     this.listener = requireNonNull(listener, "listener");
   }
 
@@ -201,10 +211,58 @@
         store.leave(member);
       }
       listener.ownersRead(0, owners);
+      select(owners);
     }
     join();
   }
 
+  /** Stands by or owns partitions, as {@link OwnerSelection} decides by the owners. */
+  private void select(Owners owners) {
+    if (selection.isEmpty() || leaving) {
+      return;
+    }
+    Set<String> others = new HashSet<>(owners.byPartition().values());
+    boolean listed = others.remove(self.toString());
+    others.removeIf(name -> EntryMember.parse(name).filter(self::isAtAddressOf).isPresent());
+    ImmutableList<OptionalInt> processors =
+        others.stream().map(PartitionOwnership::processorsOf).collect(toImmutableList());
+    boolean owning = selection.get().update(processors, loop.now());
+    if (owning == standingBy) {
+      logSelection(owning, processors);
+    }
+    if (!owning && (!standingBy || listed)) {
+      // A join that was sent before may be executed after the store has removed this member.
+      standBy();
+    } else if (owning && standingBy) {
+      standingBy = false;
+      join();
+    }
+  }
+
+  private void standBy() {
+    standingBy = true;
+    connected = true;
+    assigned = ImmutableSet.of();
+    ImmutableSet.copyOf(owned.keySet()).forEach(this::release);
+    store.leave(self.toString());
+  }
+
+  private void logSelection(boolean owning, ImmutableList<OptionalInt> processors) {
+    LOG.info(
+        LogLine.of(owning ? "owner-needed" : "standing-by")
+            .with("processors_milli", self.processorsMilli().getAsInt())
+            .with("other_owners", processors.size())
+            .with(
+                "others_processors_milli",
+                processors.stream().mapToInt(each -> each.orElse(0)).sum())
+            .with("generation", generation)
+            .with("partitions", owned.size()));
+  }
+
+  private static OptionalInt processorsOf(String name) {
+    return EntryMember.parse(name).map(EntryMember::processorsMilli).orElse(OptionalInt.empty());
+  }
+
   private void joinIfDue() {
     boolean rebalancing = loop.now() - generationChangedAt < REBALANCE_WINDOW_NANOS;
     if (rebalancing || loop.now() - joinedAt >= JOIN_INTERVAL_NANOS) {
@@ -213,7 +271,7 @@
   }
 
   private void join() {
-    if (leaving || joining) {
+    if (leaving || joining || standingBy) {
       return;
     }
     joining = true;
@@ -230,21 +288,15 @@
   }
 
   private void handleJoin(WorkflowStore.JoinResult result) {
-    if (leaving) {
+    if (leaving || standingBy) {
       return;
     }
     if (result instanceof JoinFailed failed) {
-      if (connected) {
-        connected = false;
-        LOG.warning(LogLine.of("store-lost").with("reason", failed.reason()));
-      }
+      storeFailed(failed.reason());
       return;
     }
     Joined joined = (Joined) result;
-    if (!connected) {
-      connected = true;
-      LOG.info(LogLine.of("store-regained").with("generation", joined.generation()));
-    }
+    storeResponded(joined.generation());
     boolean changed = joined.generation() != generation;
     generation = joined.generation();
     generationChangedAt = changed ? loop.now() : generationChangedAt;
@@ -267,6 +319,20 @@
     }
   }
 
+  private void storeFailed(String reason) {
+    if (connected) {
+      connected = false;
+      LOG.warning(LogLine.of("store-lost").with("reason", reason));
+    }
+  }
+
+  private void storeResponded(long asOfGeneration) {
+    if (!connected) {
+      connected = true;
+      LOG.info(LogLine.of("store-regained").with("generation", asOfGeneration));
+    }
+  }
+
   /** Begins to read assigned partitions, as many at a time as allowed. */
   private void acquireAssigned() {
     if (leaving) {
@@ -323,10 +389,18 @@
 
   private void handleOwners(long asOf, WorkflowStore.OwnersResult result) {
     if (!(result instanceof Owners owners)) {
-      LOG.debug(LogLine.of("owners-unread").with("reason", ((OwnersUnavailable) result).reason()));
+      String reason = ((OwnersUnavailable) result).reason();
+      LOG.debug(LogLine.of("owners-unread").with("reason", reason));
+      if (standingBy) {
+        storeFailed(reason);
+      }
       return;
     }
+    if (standingBy) {
+      storeResponded(asOf);
+    }
     listener.ownersRead(asOf, owners);
+    select(owners);
     if (!owners.byPartition().equals(lastOwners)) {
       lastOwners = owners.byPartition();
       // The response contains the generation of the new owners, which orders the owner maps.
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -95,7 +95,12 @@
     this.loop = requireNonNull(loop, "loop");
     this.parameters = requireNonNull(parameters, "parameters");
     this.wallMillis = requireNonNull(wallMillis, "wallMillis");
-    this.self = new EntryMember(address.getHostString(), address.getPort(), wallMillis.getAsLong());
+    this.self =
+        new EntryMember(
+            address.getHostString(),
+            address.getPort(),
+            wallMillis.getAsLong(),
+            parameters.ownerProcessorsMilli());
     this.ownership = new PartitionOwnership(store, loop, wallMillis, self, new OwnershipListener());
     this.peers = new EntryPeers(loop, self);
     this.vms = new VmTracker(loop, ownership, parameters.lease(), wallMillis, new VmListener());
@@ -439,7 +444,7 @@
           sendOwnerMapIfNeeded(connection, frame.getVmReport().getOwnersDigest());
         }
         case WORKFLOW_QUERY -> handlePeerQuery(connection, frame.getWorkflowQuery());
-        case WAITING_COUNTS -> peers.updateCounts(frame.getWaitingCounts());
+        case WAITING_COUNTS -> peers.updateCounts(connection, frame.getWaitingCounts());
         case PING -> connection.send(Frame.newBuilder().setPong(Pong.getDefaultInstance()).build());
         default ->
             LOG.warning(
@@ -452,6 +457,7 @@
     @Override
     public void closed(LinkConnection connection, String reason) {
       ownerMapLimiter.remove(connection);
+      peers.disconnected(connection);
       vms.disconnected(connection, reason);
     }
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowTestCluster.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowTestCluster.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -104,6 +105,16 @@
    * @param endedRetentionMillis how long the entry retains the status of an ended workflow
    */
   RunningEntry addEntry(long endedRetentionMillis) throws IOException {
+    return addEntry(endedRetentionMillis, OptionalInt.empty());
+  }
+
+  /** Starts an entry that owns partitions as its processors decide, in thousandths. */
+  RunningEntry addEntryWithProcessors(int processorsMilli) throws IOException {
+    return addEntry(60_000, OptionalInt.of(processorsMilli));
+  }
+
+  private RunningEntry addEntry(long endedRetentionMillis, OptionalInt processorsMilli)
+      throws IOException {
     int port;
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
@@ -117,7 +128,8 @@
             endedRetentionMillis,
             MAX_CONFIGURATION_AGE_MILLIS,
             OptionalLong.of(MAX_CONFIGURATION_AGE_MILLIS),
-            1.5);
+            1.5,
+            processorsMilli);
     WorkflowEntry entry =
         new WorkflowEntry(
             loop, storeOfEntry, address, System::currentTimeMillis, adviser, parameters);
