Place by an owner's preference among VMs that have enough processors left

Cause: owners preferred the VM with the most processors left, by up to an eighth of a VM's, so that all sent tasks to the same VMs. Where several owners choose, processors beyond those of the task and of another one no longer count for tasks other than services.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -26,7 +26,8 @@
  *
  * <p>Many owners choose at the same time, each by reports that the choices of the others have
  * overtaken. If all preferred the same VM, most of them would be refused there while others have
- * capacity. So each owner prefers VMs of its own among those that are nearly equal.
+ * capacity. So each owner prefers VMs of its own among those that are nearly equal, and for a task
+ * other than a service all VMs with enough remaining processors are equal.
  *
  * <p>Immutable, and safe for any thread.
  */
@@ -58,6 +59,12 @@
    */
   static final double MAX_PREFERENCE_MILLI = 125;
 
+  /**
+   * Remaining processors that are enough for a task where several owners choose, as a multiple of
+   * the task's: it works at full speed, and so does the next one. More do not make a VM better.
+   */
+  private static final double ENOUGH_REMAINING_FACTOR = 1;
+
   /** Whether a VM may be given a task, or the reason against it. */
   public enum Verdict {
     /** The VM may be given the task. */
@@ -256,7 +263,8 @@
   }
 
   private double score(TaskPlacementRequest request, VmOffer offer) {
-    double score = colocationScore(request.step(), request.interference(), offer);
+    double score =
+        colocationScore(request.step(), request.interference(), offer, preference.isPresent());
     double slowness = offer.slowdown();
     String dataRack = request.step().placement().preferredRack();
     if (!dataRack.isEmpty() && !offer.labels().contains(dataRack)) {
@@ -271,8 +279,17 @@
         - (slowness - 1) * (COLOCATION_WEIGHT + offer.capacity().milliProcessors());
   }
 
-  private static double colocationScore(StepSpec step, double interference, VmOffer offer) {
+  /**
+   * Returns the score of a VM without what slows the task down there.
+   *
+   * @param shared whether other owners choose at the same time
+   */
+  private static double colocationScore(
+      StepSpec step, double interference, VmOffer offer, boolean shared) {
     double remaining = offer.remainingMilliProcessors() - step.sizes().milliProcessors();
+    if (shared && !step.traits().isService()) {
+      remaining = Math.min(remaining, step.sizes().milliProcessors() * ENOUGH_REMAINING_FACTOR);
+    }
     boolean hasServices = offer.serviceTasks() > 0;
     if (step.traits().isService()) {
       double colocation = hasServices ? COLOCATION_WEIGHT : 0;
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/ConcurrentOwnersTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/ConcurrentOwnersTest.java
@@ -14,15 +14,11 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Replays steps of short tasks and wide steps of heavy ones that twelve owners place at the same
- * time on 69 VMs, most of whose processors services have booked, each by reports of its own time.
+ * Replays steps of short tasks and wide steps of heavy ones that several owners place at the same
+ * time on VMs most of whose processors services have booked, each by reports of its own time.
  */
 class ConcurrentOwnersTest {
-  private static final int OWNERS = 12;
-  private static final int VMS = 69;
-  private static final long CAPACITY_MILLI = 64_000;
   private static final int SERVICES_PER_VM = 4;
-  private static final long BOOKED_MILLI = 46_000;
   private static final long REPORT_INTERVAL_MILLIS = 300;
   private static final long RETRY_MILLIS = 50;
   private static final long DAY_MILLIS = 30_000;
@@ -32,10 +28,34 @@
   /** A kind of step and how often one arrives. */
   private record Arrivals(StepSpec step, long runMillis, long intervalMillis) {}
 
-  private static final List<Arrivals> ARRIVALS =
-      List.of(
-          new Arrivals(WorkflowFixtures.step(10, 1_400, StepSpec.TaskTraits.PLAIN), 1_430, 90),
-          new Arrivals(WorkflowFixtures.step(4, 13_000, StepSpec.TaskTraits.PLAIN), 2_000, 400));
+  /**
+   * A deployment under load.
+   *
+   * @param freeMilli mean of the processors of a VM that services have not booked
+   */
+  private record Load(
+      int owners, int vms, long capacityMilli, long freeMilli, List<Arrivals> arrivals) {}
+
+  private static final Load SHORT_AND_HEAVY =
+      new Load(
+          12,
+          69,
+          64_000,
+          18_000,
+          List.of(
+              new Arrivals(WorkflowFixtures.step(10, 1_400, StepSpec.TaskTraits.PLAIN), 1_430, 90),
+              new Arrivals(
+                  WorkflowFixtures.step(4, 13_000, StepSpec.TaskTraits.PLAIN), 2_000, 400)));
+
+  /** A burst of small tasks on a fleet that services have booked but for some processors a VM. */
+  private static final Load BURST_OF_SMALL =
+      new Load(
+          8,
+          71,
+          32_000,
+          4_000,
+          List.of(
+              new Arrivals(WorkflowFixtures.step(10, 820, StepSpec.TaskTraits.PLAIN), 970, 45)));
 
   /** A step's task that waits at its owner. */
   private record Waiting(long atMillis, long number, int owner, Arrivals kind)
@@ -56,10 +76,11 @@
   }
 
   private static final class Day {
+    private final Load load;
     private final IntFunction<VmChooser> choosers;
     private final SplittableRandom random = new SplittableRandom(SEED);
     private final PriorityQueue<Waiting> waiting = new PriorityQueue<>();
-    private final long[] free = new long[VMS];
+    private final long[] free;
     private final List<Map<String, VmOffer>> known = new ArrayList<>();
     private final PriorityQueue<long[]> ends =
         new PriorityQueue<>((a, b) -> Long.compare(a[0], b[0]));
@@ -67,20 +88,22 @@
     private int orders;
     private int refused;
 
-    Day(IntFunction<VmChooser> choosers) {
+    Day(Load load, IntFunction<VmChooser> choosers) {
+      this.load = load;
       this.choosers = choosers;
-      for (int vm = 0; vm < VMS; vm++) {
-        free[vm] = CAPACITY_MILLI - BOOKED_MILLI + random.nextLong(-4_000, 4_000);
+      free = new long[load.vms()];
+      for (int vm = 0; vm < load.vms(); vm++) {
+        free[vm] = load.freeMilli() + random.nextLong(-4_000, 4_000);
       }
-      for (int owner = 0; owner < OWNERS; owner++) {
+      for (int owner = 0; owner < load.owners(); owner++) {
         known.add(new HashMap<>());
       }
     }
 
     Outcome play() {
-      for (Arrivals kind : ARRIVALS) {
+      for (Arrivals kind : load.arrivals()) {
         for (long at = 0; at < DAY_MILLIS; at += kind.intervalMillis()) {
-          int owner = random.nextInt(OWNERS);
+          int owner = random.nextInt(load.owners());
           for (int task = 0; task < kind.step().tasks(); task++) {
             waiting.add(new Waiting(at, numbers++, owner, kind));
           }
@@ -105,8 +128,8 @@
 
     /** Each VM reports to each owner at its own time. */
     private void report(long now) {
-      for (int vm = 0; vm < VMS; vm++) {
-        for (int owner = 0; owner < OWNERS; owner++) {
+      for (int vm = 0; vm < load.vms(); vm++) {
+        for (int owner = 0; owner < load.owners(); owner++) {
           if ((now + 31L * vm + 7L * owner) % REPORT_INTERVAL_MILLIS == 0 || now == 0) {
             String name = "vm-" + vm;
             known.get(owner).put(name, offer(vm));
@@ -151,7 +174,7 @@
           offer.service(),
           offer.labels(),
           offer.rack(),
-          new Sizes(CAPACITY_MILLI, offer.capacity().memoryBytes(), 0),
+          new Sizes(load.capacityMilli(), offer.capacity().memoryBytes(), 0),
           offer.free(),
           offer.bestEffortMilliProcessors(),
           offer.interferingMilliProcessors(),
@@ -166,16 +189,32 @@
     }
   }
 
-  /** Guards against owners that all choose the same VM, which refuses most of them. */
-  @Test
-  void ownersWithPreferencesAreRefusedLessOften() {
+  private static Outcome playWithoutPreferences(Load load) {
     VmChooser same = VmChooser.of(FAR_RACK_FACTOR);
-    Outcome without = new Day(owner -> same).play();
+    return new Day(load, owner -> same).play();
+  }
+
+  private static Outcome play(Load load) {
     List<VmChooser> own = new ArrayList<>();
-    for (int owner = 0; owner < OWNERS; owner++) {
+    for (int owner = 0; owner < load.owners(); owner++) {
       own.add(VmChooser.forOwner(FAR_RACK_FACTOR, "owner-" + owner));
     }
-    Outcome with = new Day(own::get).play();
+    return new Day(load, own::get).play();
+  }
+
+  /** Guards against owners that all choose the same VM, which refuses most of them. */
+  @Test
+  void ownersWithPreferencesAreRefusedLessOften() {
+    Outcome without = playWithoutPreferences(SHORT_AND_HEAVY);
+    Outcome with = play(SHORT_AND_HEAVY);
     assertTrue(with.refusedShare() < 0.6 * without.refusedShare(), with + " instead of " + without);
   }
+
+  /** Guards against small tasks that all owners send to the VM with the most processors left. */
+  @Test
+  void burstOfSmallTasksIsSpreadOverTheVmsThatHaveEnough() {
+    Outcome without = playWithoutPreferences(BURST_OF_SMALL);
+    Outcome with = play(BURST_OF_SMALL);
+    assertTrue(with.refusedShare() < 0.5 * without.refusedShare(), with + " instead of " + without);
+  }
 }
