Keep a VM from best-effort images that it has refused until it reports more room

Ruled out: the backoff of the task, which also keeps it from other VMs. RefusedBestEffortTest fails without the filter of the scheduler. Workflows that starve are placed as before.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -242,8 +242,9 @@
    * Returns a VM for each member, or none. VMs on which a member has failed are avoided where
    * possible, since the VM may be the cause of the failure; see {@link VmChooser#prefersOtherVm}.
    */
-  private List<VmOffer> choose(WaitingTask waiting, Collection<VmOffer> offers) {
+  private List<VmOffer> choose(WaitingTask waiting, Collection<VmOffer> allOffers) {
     List<WorkflowTask> members = waiting.members();
+    Collection<VmOffer> offers = withoutRefusals(waiting, allOffers);
     List<VmOffer> withoutFailure =
         offers.stream()
             .filter(offer -> members.stream().noneMatch(each -> hasFailedOn(each, offer)))
@@ -263,6 +264,17 @@
     return avoid ? elsewhere : anywhere;
   }
 
+  /** Returns the VMs that have not refused the task's image; all for a workflow that starves. */
+  private Collection<VmOffer> withoutRefusals(WaitingTask waiting, Collection<VmOffer> offers) {
+    StepSpec.TaskTraits traits = waiting.task().step().traits();
+    if (!traits.bestEffort() || waiting.urgency() == Urgency.STARVED) {
+      return offers;
+    }
+    return offers.stream()
+        .filter(offer -> !vms.view().hasRefused(offer.place().vm(), traits.image()))
+        .toList();
+  }
+
   private static boolean hasFailedOn(WorkflowTask task, VmOffer offer) {
     return task.hasFailedOn(offer.place().vm());
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -4,8 +4,11 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.colocation.RefusedImages;
 import io.marigoldsail.colocation.ServiceRooms;
 import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.LeaseGrant;
@@ -33,6 +36,8 @@
  * number of the last frame that it takes into account. Confined to the loop's thread.
  */
 final class VmSession {
+  private static final EventLog LOG = EventLog.of(VmSession.class);
+
   /** Minimum interval between two frames with the evidence on images, in nanoseconds. */
   static final long IMAGES_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -45,6 +50,7 @@
   /** The room beside the services by their image; empty if the side process tells none. */
   private ImmutableMap<String, Double> rooms = ImmutableMap.of();
 
+  private final RefusedImages refusedImages = new RefusedImages();
   private ImmutableMap<RunKey, RunReport> runs = ImmutableMap.of();
   private RunOrders.Builder orders = RunOrders.newBuilder();
   private final Set<Long> workflowsInFrame = new HashSet<>();
@@ -74,6 +80,7 @@
     if (report == null || !report.getServiceRoomsList().equals(newest.getServiceRoomsList())) {
       rooms = PairEvidenceCodec.decodeRooms(newest.getServiceRoomsList());
     }
+    refusedImages.recordReport(rooms, newest.getFillMilliProcessors());
     ImmutableMap.Builder<RunKey, RunReport> reported = ImmutableMap.builder();
     newest.getRunsList().forEach(run -> reported.put(WorkflowCodec.decode(run.getTask()), run));
     runs = reported.buildKeepingLast();
@@ -199,6 +206,29 @@
         : Optional.of(ServiceRooms.of(rooms, fleet.effects()));
   }
 
+  /**
+   * Records that the VM has refused the task, if it is a best-effort one and the VM tells the room
+   * beside its services.
+   */
+  void recordRefusal(WorkflowTask task, long now) {
+    String image = task.step().traits().image();
+    boolean limited = task.step().traits().bestEffort() && reportsRooms() && !image.isEmpty();
+    if (limited && refusedImages.recordRefusal(image, now)) {
+      LOG.info(
+          LogLine.of("image-refused")
+              .with("vm", vm())
+              .with("image", image)
+              .with("task", task.key())
+              .with("rooms", rooms)
+              .with("best_effort_milli", report.getFillMilliProcessors()));
+    }
+  }
+
+  /** Returns whether the VM has lately refused a task of the best-effort image. */
+  boolean hasRefused(String image, long now) {
+    return refusedImages.isRefused(image, now);
+  }
+
   /** Returns whether the side process tells the room beside the services of the VM. */
   boolean reportsRooms() {
     return !rooms.isEmpty();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -364,6 +364,9 @@
     boolean ended = workflow.recordEnd(key, outcome, checkpoint, wallMillis.getAsLong());
     openRuns.remove(place.vm(), key);
     fleet.recordEnd(run, place.vm(), outcome, loop.now());
+    if (outcome == RunOutcome.REFUSED && sessionsByVm.containsKey(place.vm())) {
+      sessionsByVm.get(place.vm()).recordRefusal(task, loop.now());
+    }
     if (!ended) {
       return;
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmView.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmView.java
@@ -54,6 +54,12 @@
     return evacuations.includes(session.report().getZone());
   }
 
+  /** Returns whether the VM has lately refused a task of the best-effort image. */
+  boolean hasRefused(String vm, String image) {
+    VmSession session = sessions.get(vm);
+    return session != null && session.hasRefused(image, loop.now());
+  }
+
   /** Returns the number of open runs of the task's step and occurrence on the VM. */
   int openRunsOfStep(String vm, WorkflowTask task) {
     return openRuns.countOfStep(vm, task);
