--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/MarigoldsailCommand.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/MarigoldsailCommand.java
@@ -25,6 +25,7 @@
       TimelineCommand.class,
       ExplainCommand.class,
       ProfileCommand.class,
+      StartsCommand.class,
       LoadCommand.class,
       AutoComplete.GenerateCompletion.class,
       CommandLine.HelpCommand.class
