Begin a new outage after some seconds without a refusal

A single refusal counted as the beginning of an outage until the next submission, however late, whose caller was then told to stay away for three seconds. refusalLongAfterTheLastOneBeginsAnew failed before.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/OutageRetryAfter.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/OutageRetryAfter.java
@@ -24,9 +24,16 @@
   /** Longest time before the spread, in seconds; an estimate justifies no longer absence. */
   static final int MAX_SECONDS = 3;
 
+  /**
+   * Time without a refusal after which another one begins a new outage, in nanoseconds: all callers
+   * that were refused have returned by then.
+   */
+  static final long QUIET_NANOS = TimeUnit.SECONDS.toNanos(MAX_SECONDS + 2);
+
   private final RandomGenerator random;
   private boolean down;
   private long downSince;
+  private long refusedAt;
 
   /** Creates the state of a store that is up. */
   public OutageRetryAfter(RandomGenerator random) {
@@ -43,10 +50,11 @@
    * retry-after time of its caller, in seconds.
    */
   public synchronized int recordFailure(long now) {
-    if (!down) {
+    if (!down || now - refusedAt > QUIET_NANOS) {
       down = true;
       downSince = now;
     }
+    refusedAt = now;
     long age = TimeUnit.NANOSECONDS.toSeconds(now - downSince);
     if (age <= MIN_SECONDS) {
       return MIN_SECONDS;
--- a/marigoldsail-core/src/test/java/io/marigoldsail/admission/OutageRetryAfterTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/admission/OutageRetryAfterTest.java
@@ -34,6 +34,13 @@
     assertEquals(1, retryAfter.recordFailure(seconds(5)));
   }
 
+  /** Guards against a single refusal that counts as an outage until the next submission. */
+  @Test
+  void refusalLongAfterTheLastOneBeginsAnew() {
+    retryAfter.recordFailure(0);
+    assertEquals(1, retryAfter.recordFailure(OutageRetryAfter.QUIET_NANOS + 1));
+  }
+
   /** Guards against callers that have used up their retries before the store is back. */
   @Test
   void callersOutlastAnOutageOfSeconds() {
@@ -52,7 +59,9 @@
   /** Guards against callers of a long outage that return together. */
   @Test
   void callersOfALongOutageAreSpread() {
-    retryAfter.recordFailure(0);
+    for (int second = 0; second < 60; second++) {
+      retryAfter.recordFailure(seconds(second));
+    }
     Set<Integer> times = new HashSet<>();
     for (int caller = 0; caller < 50; caller++) {
       times.add(retryAfter.recordFailure(seconds(60)));
