--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -26,8 +26,8 @@
  *
  * <p>Many owners choose at the same time, each by reports that the choices of the others have
  * overtaken. If all preferred the same VM, most of them would be refused there while others have
- * capacity. So each owner prefers VMs of its own among those that are nearly equal, and for a task
- * other than a service all VMs with enough remaining processors are equal.
+ * capacity. So each owner prefers VMs of its own among those that are nearly equal; where there are
+ * many VMs, all with enough remaining processors are equal for a task other than a service.
  *
  * <p>Immutable, and safe for any thread.
  */
@@ -60,11 +60,18 @@
   static final double MAX_PREFERENCE_MILLI = 125;
 
   /**
-   * Remaining processors that are enough for a task where several owners choose, as a multiple of
-   * the task's: it works at full speed, and so does the next one. More do not make a VM better.
+   * Remaining processors that are enough for a task where several owners choose among many VMs, as
+   * a multiple of the task's: it works at full speed, and so does the next one. More do not make a
+   * VM better.
    */
   private static final double ENOUGH_REMAINING_FACTOR = 1;
 
+  /**
+   * Number of VMs from which those with enough processors are equal. On fewer VMs the preferences
+   * of a few owners would fill some and leave others idle.
+   */
+  static final int MANY_VMS = 24;
+
   /** Whether a VM may be given a task, or the reason against it. */
   public enum Verdict {
     /** The VM may be given the task. */
@@ -164,7 +171,7 @@
       if (excluded || !admits(request, offer, ofStepOn)) {
         continue;
       }
-      double score = score(request, offer);
+      double score = score(request, offer, isShared(offers));
       if (score > bestScore) {
         best = offer;
         bestScore = score;
@@ -182,9 +189,11 @@
    */
   public ImmutableList<VmOffer> rankedOffers(
       TaskPlacementRequest request, Collection<VmOffer> offers, int limit) {
+    boolean shared = isShared(offers);
     return offers.stream()
         .filter(offer -> admits(request, offer, unused -> 0))
-        .sorted(Comparator.comparingDouble((VmOffer offer) -> score(request, offer)).reversed())
+        .sorted(
+            Comparator.comparingDouble((VmOffer offer) -> score(request, offer, shared)).reversed())
         .limit(limit)
         .collect(ImmutableList.toImmutableList());
   }
@@ -262,9 +271,13 @@
         step.sizes().milliProcessors());
   }
 
-  private double score(TaskPlacementRequest request, VmOffer offer) {
-    double score =
-        colocationScore(request.step(), request.interference(), offer, preference.isPresent());
+  /** Returns whether several owners choose among many VMs at the same time. */
+  private boolean isShared(Collection<VmOffer> offers) {
+    return preference.isPresent() && offers.size() >= MANY_VMS;
+  }
+
+  private double score(TaskPlacementRequest request, VmOffer offer, boolean shared) {
+    double score = colocationScore(request.step(), request.interference(), offer, shared);
     double slowness = offer.slowdown();
     String dataRack = request.step().placement().preferredRack();
     if (!dataRack.isEmpty() && !offer.labels().contains(dataRack)) {
@@ -282,7 +295,7 @@
   /**
    * Returns the score of a VM without what slows the task down there.
    *
-   * @param shared whether other owners choose at the same time
+   * @param shared whether other owners choose among many VMs at the same time
    */
   private static double colocationScore(
       StepSpec step, double interference, VmOffer offer, boolean shared) {
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -310,4 +310,24 @@
     assertEquals(Verdict.ADMITTED, verdict(spread, free, 1));
     assertEquals(Verdict.PER_VM_LIMIT, verdict(spread, free, 2));
   }
+
+  /**
+   * Guards against a small fleet in which the tasks of an owner fill the VMs that it prefers while
+   * others are idle.
+   */
+  @Test
+  void ownerOfASmallFleetPrefersTheVmWithTheMostProcessorsLeft() {
+    StepSpec step = WorkflowFixtures.step(1, 250, StepSpec.TaskTraits.PLAIN);
+    for (int owner = 0; owner < 20; owner++) {
+      VmChooser chooser = VmChooser.forOwner(1.5, "owner-" + owner);
+      Optional<VmOffer> chosen =
+          chooser.choose(
+              WorkflowFixtures.request(step, ImageInterference.PRIOR_BELIEF, Urgency.ORDINARY),
+              List.of(
+                  WorkflowFixtures.offer("busy", 2_000, 0, 0),
+                  WorkflowFixtures.offer("idle", 12_000, 0, 0)),
+              unused -> 0);
+      assertEquals("idle", chosen.orElseThrow().place().vm());
+    }
+  }
 }
