--- a/marigoldsail-core/src/main/java/io/marigoldsail/admission/OutageRetryAfter.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/admission/OutageRetryAfter.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
@@ -28,7 +27,10 @@
    * Time without a refusal after which another one begins a new outage, in nanoseconds: all callers
    * that were refused have returned by then.
    */
-  static final long QUIET_NANOS = TimeUnit.SECONDS.toNanos(MAX_SECONDS + 2);
+  static final long QUIET_NANOS = 5_000_000_000L;
+
+  private static final long NANOS_PER_SECOND = 1_000_000_000;
+  private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final RandomGenerator random;
   private boolean down;
@@ -55,7 +57,7 @@
       downSince = now;
     }
     refusedAt = now;
-    long age = TimeUnit.NANOSECONDS.toSeconds(now - downSince);
+    long age = (now - downSince) / NANOS_PER_SECOND;
     if (age <= MIN_SECONDS) {
       return MIN_SECONDS;
     }
@@ -64,6 +66,6 @@
 
   /** Returns how long the store has taken nothing, in milliseconds; 0 if it is up. */
   public synchronized long ageMillis(long now) {
-    return down ? TimeUnit.NANOSECONDS.toMillis(now - downSince) : 0;
+    return down ? (now - downSince) / NANOS_PER_MILLI : 0;
   }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/RefusedImages.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/RefusedImages.java
@@ -21,7 +21,7 @@
  * <p>Confined to one thread. Rejects nulls. Times are monotonic nanoseconds.
  */
 public final class RefusedImages {
-  /** Time after which the VM may be tried again although it has reported no more room. */
+  /** Time after which the VM is offered again although it has reported no more room. */
   static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final Map<String, Long> retryAt = new HashMap<>();
