End the refusals of a VM with the incarnation of its worker that refused

Found by reading: the session of a VM outlives its worker, so images that one incarnation had refused were kept from the next one for up to a second, although the design note says that this state is lost with the worker. refusalsEndWithTheIncarnationThatRefused failed before.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -50,7 +50,7 @@
   /** The room beside the services by their image; empty if the side process tells none. */
   private ImmutableMap<String, Double> rooms = ImmutableMap.of();
 
-  private final RefusedImages refusedImages = new RefusedImages();
+  private RefusedImages refusedImages = new RefusedImages();
   private ImmutableMap<RunKey, RunReport> runs = ImmutableMap.of();
   private RunOrders.Builder orders = RunOrders.newBuilder();
   private final Set<Long> workflowsInFrame = new HashSet<>();
@@ -73,6 +73,7 @@
   void update(VmReport newest, long now) {
     if (report != null && !report.getWorker().equals(newest.getWorker())) {
       dropPending();
+      refusedImages = new RefusedImages();
     }
     if (report == null || !report.getLabelsList().equals(newest.getLabelsList())) {
       labels = ImmutableSet.copyOf(newest.getLabelsList());
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VmSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VmSessionTest.java
@@ -3,9 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.protocol.ServiceRoom;
 import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowTask;
 import org.junit.jupiter.api.Test;
 
 class VmSessionTest {
@@ -37,4 +41,24 @@
     session.update(report("incarnation-2"), 2);
     assertFalse(session.hasPendingOrders());
   }
+
+  /** Guards against a worker that gets no tasks of an image that its predecessor refused. */
+  @Test
+  void refusalsEndWithTheIncarnationThatRefused() {
+    StepSpec.TaskTraits bestEffort =
+        new StepSpec.TaskTraits(false, true, false, false, true, "heavy", 0, 0);
+    WorkflowTask task = Workflow.of(WorkflowTestCluster.workflow(7, bestEffort, 1)).tasks().get(0);
+    VmSession session = new VmSession(null, reportWithRoom("incarnation-1"), 0);
+    session.recordRefusal(task, 1);
+    session.update(reportWithRoom("incarnation-1"), 2);
+    assertTrue(session.hasRefused("heavy", 2));
+    session.update(reportWithRoom("incarnation-2"), 3);
+    assertFalse(session.hasRefused("heavy", 3));
+  }
+
+  private static VmReport reportWithRoom(String worker) {
+    return report(worker).toBuilder()
+        .addServiceRooms(ServiceRoom.newBuilder().setImage("service").setHeadroom(1))
+        .build();
+  }
 }
