--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -37,6 +37,7 @@
   private final Map<String, List<Worker.Run>> gangs = new HashMap<>();
   private final Map<String, Boolean> present = new HashMap<>();
 
+  private volatile boolean guards = true;
   private volatile double lateShare;
   private volatile Adviser adviser;
 
@@ -49,6 +50,15 @@
     specs.put(id, spec);
   }
 
+  /** Lets the workers start whatever they are told to, beyond their capacity. */
+  void unguarded() {
+    guards = false;
+  }
+
+  boolean guards() {
+    return guards;
+  }
+
   /** Sets the share of starts and stops that get no answer and are carried out late. */
   void lateShare(double share) {
     lateShare = share;
