--- a/review/standins/CancelAnswered410.java
+++ b/review/standins/CancelAnswered410.java
@@ -35,7 +35,7 @@
   private CancelAnswered410() {}
 
   public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    boolean trouble = !arguments[1].equals("0");
     int result = 2;
     Rig rig = new Rig(3, 4);
     try (rig) {
--- a/review/standins/ManyWatches.java
+++ b/review/standins/ManyWatches.java
@@ -24,7 +24,7 @@
   private ManyWatches() {}
 
   public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    boolean trouble = !arguments[1].equals("0");
     int result = 2;
     Rig rig = new Rig(3, 11);
     try (rig) {
