Review: sides keep a stale map of owners after partitions are dealt anew

Seen: after one deal 12 of 24 accepted jobs stand still, since the digest of the new map of owners equals that of the old one.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 exec timeout 118 java -Xmx256m -Dsun.net.http.allowRestrictedHeaders=true \
   -Dsun.net.http.retryPost=false -Dsun.net.httpserver.nodelay=true \
-  -cp target/review-2:target/run/marigoldsail.jar CancelCase review/5
+  -cp target/review-2:target/run/marigoldsail.jar GangCase review/5
--- a/review/stand-ins-2/Deployment.java
+++ b/review/stand-ins-2/Deployment.java
@@ -11,6 +11,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -73,8 +74,14 @@
     }
   }
 
-  /** Starts entries, side processes and executors, and waits until all are ready. */
-  boolean start(int entries, int sides, int cpu) throws IOException, InterruptedException {
+  /**
+   * Starts entries, side processes and executors, and waits until all are ready.
+   *
+   * @param cuttable whether a proxy stands between each side process and each entry: entries then
+   *     have a name in place of an address, which each process resolves by a file of its own
+   */
+  boolean start(int entries, int sides, int cpu, boolean cuttable)
+      throws IOException, InterruptedException {
     store.operatorWrites("config", configuration());
     List<Integer> readyPorts = new ArrayList<>();
     for (int i = 0; i < entries; i++) {
@@ -82,13 +89,11 @@
       fronts.add(freePort());
       readyPorts.add(freePort());
       Map<String, String> names = new LinkedHashMap<>();
-      for (int each = 0; each <= i; each++) {
+      for (int each = 0; cuttable && each < entries; each++) {
         names.put("entry-" + each, "127.0.0.1");
       }
-      for (int each = i + 1; each < entries; each++) {
-        names.put("entry-" + each, "127.0.0.1");
-      }
-      ObjectNode fields = fields("edge-" + i, "entry", "entry-" + i, linkPorts.get(i));
+      String ip = cuttable ? "entry-" + i : "127.0.0.1";
+      ObjectNode fields = fields("edge-" + i, "entry", ip, linkPorts.get(i));
       fields.putObject("listen").put("front", "127.0.0.1:" + fronts.get(i))
           .put("ready", "127.0.0.1:" + readyPorts.get(i));
       startProcess("edge-" + i, "entry", fields, names);
@@ -97,7 +102,7 @@
       String side = "side-" + i;
       Map<String, String> names = new LinkedHashMap<>();
       List<Cut> proxies = new ArrayList<>();
-      for (int each = 0; each < entries; each++) {
+      for (int each = 0; cuttable && each < entries; each++) {
         String address = "127.0." + (i + 1) + "." + (each + 2);
         names.put("entry-" + each, address);
         proxies.add(new Cut(address, linkPorts.get(each), linkPorts.get(each)));
@@ -167,14 +172,16 @@
       String node, String role, ObjectNode fields, Map<String, String> names) throws IOException {
     Path file = folder.resolve(node + ".conf");
     Files.writeString(file, settings(fields));
-    Path hosts = folder.resolve(node + ".hosts");
-    StringBuilder lines = new StringBuilder();
-    names.forEach((name, address) -> lines.append(address).append(' ').append(name).append('\n'));
-    Files.writeString(hosts, lines.toString());
     ProcessBuilder builder = new ProcessBuilder(commands.get(role));
     builder.directory(home.toFile());
     builder.environment().put("MARIGOLDSAIL_BOOT", file.toString());
-    builder.environment().put("JAVA_TOOL_OPTIONS", "-Djdk.net.hosts.file=" + hosts);
+    if (!names.isEmpty()) {
+      Path hosts = folder.resolve(node + ".hosts");
+      StringBuilder lines = new StringBuilder();
+      names.forEach((name, address) -> lines.append(address).append(' ').append(name).append('\n'));
+      Files.writeString(hosts, lines.toString());
+      builder.environment().put("JAVA_TOOL_OPTIONS", "-Djdk.net.hosts.file=" + hosts);
+    }
     builder.redirectErrorStream(true);
     builder.redirectOutput(folder.resolve(node + ".log").toFile());
     processes.put(node, builder.start());
@@ -244,6 +251,26 @@
     String body =
         "{\"spec\":\"(text)\",\"phases\":[{\"count\":" + step.count() + ",\"cpu\":" + step.cpu()
             + ",\"mem_mb\":100,\"est_ms\":" + step.millis() + more + "}]}";
+    return post(entry, id, body);
+  }
+
+  /** Submits a job of equal steps, each of which depends on the one before. */
+  boolean submitChain(int entry, String id, Executor.Step step, int steps)
+      throws InterruptedException {
+    synchronized (work) {
+      work.jobs.put(id, Collections.nCopies(steps, step));
+    }
+    StringBuilder phases = new StringBuilder();
+    for (int i = 0; i < steps; i++) {
+      phases.append(i == 0 ? "" : ",").append("{\"count\":").append(step.count());
+      phases.append(",\"cpu\":").append(step.cpu()).append(",\"mem_mb\":100,\"est_ms\":");
+      phases.append(step.millis()).append(i == 0 ? "" : ",\"depends_on\":[" + (i - 1) + "]");
+      phases.append('}');
+    }
+    return post(entry, id, "{\"spec\":\"(text)\",\"phases\":[" + phases + "]}");
+  }
+
+  private boolean post(int entry, String id, String body) throws InterruptedException {
     for (int tries = 0; tries < 4; tries++) {
       if (client("POST", (entry + tries) % fronts.size(), id, body).startsWith("2")) {
         return true;
--- a/review/stand-ins-2/Executor.java
+++ b/review/stand-ins-2/Executor.java
@@ -55,6 +55,21 @@
       return executors.stream().anyMatch(each -> each.running.keySet().stream().anyMatch(t -> t.startsWith(id + ".")));
     }
 
+    /** Returns whether all tasks of the job have ended done. */
+    synchronized boolean isDone(String id) {
+      List<Step> steps = jobs.get(id);
+      int done = 0;
+      int all = 0;
+      for (int step = 0; step < steps.size(); step++) {
+        all += steps.get(step).count();
+        for (int index = 0; index < steps.get(step).count(); index++) {
+          List<String> ended = ends.get(id + ".0." + step + "." + index);
+          done += ended != null && ended.get(ended.size() - 1).endsWith("done") ? 1 : 0;
+        }
+      }
+      return done == all;
+    }
+
     synchronized boolean hasStarted(String id) {
       return starts.keySet().stream().anyMatch(task -> task.startsWith(id + "."));
     }
--- a/review/stand-ins-2/GangCase.java
+++ b/review/stand-ins-2/GangCase.java
@@ -27,7 +27,7 @@
 
   private static int run(Deployment deployment, boolean trouble) throws Exception {
     Recorder recorder = deployment.recorder;
-    if (!deployment.start(2, 3, 16_000)) {
+    if (!deployment.start(2, 3, 16_000, true)) {
       recorder.write("the deployment did not get ready");
       return 2;
     }
--- a/review/stand-ins-2/Store.java
+++ b/review/stand-ins-2/Store.java
@@ -393,6 +393,19 @@
     }
   }
 
+  /**
+   * Deals all partitions anew at once, without any request: one after the other to the members in
+   * this order of their names, so that each gets as many as before.
+   */
+  synchronized void dealAnew(int... order) {
+    generation++;
+    List<String> names = new ArrayList<>(members.keySet());
+    for (int part = 0; part < parts; part++) {
+      assigned.put(part, names.get(order[part % order.length]));
+      holders.put(part, names.get(order[part % order.length]));
+    }
+  }
+
   private Reply leave(JsonNode body) throws IOException {
     expire();
     remove(body.path("member").asText());
