--- a/review/stand-ins-2/Deployment.java
+++ b/review/stand-ins-2/Deployment.java
@@ -43,6 +43,7 @@
   final Map<String, Process> processes = new LinkedHashMap<>();
   final List<Integer> fronts = new ArrayList<>();
   final List<Integer> linkPorts = new ArrayList<>();
+  final List<Integer> controls = new ArrayList<>();
   private final Path home;
   private final Path folder;
   private final Map<String, String[]> commands = new HashMap<>();
@@ -112,6 +113,7 @@
           new Executor("executor-" + i, "i-" + (100 + i), work, cpu, "r1-" + i, threads);
       executors.add(executor);
       int control = freePort();
+      controls.add(control);
       ObjectNode fields = fields(side, "side", "127.0.0.1", freePort());
       fields.putObject("listen").put("control", "127.0.0.1:" + control);
       fields.put("app", executor.address());
