--- a/review/stand-ins-2/Cut.java
+++ b/review/stand-ins-2/Cut.java
@@ -25,6 +25,9 @@
   }
 
   synchronized void heal() throws IOException {
+    if (listener != null && !listener.isClosed()) {
+      return;
+    }
     ServerSocket bound = new ServerSocket();
     bound.setReuseAddress(true);
     bound.bind(from);
@@ -35,8 +38,10 @@
   synchronized void cut() throws IOException {
     listener.close();
     for (Socket socket : open) {
-      socket.setSoLinger(true, 0);
-      socket.close();
+      if (!socket.isClosed()) {
+        socket.setSoLinger(true, 0);
+        socket.close();
+      }
     }
     open.clear();
   }
