Review: accepted jobs stand still when their queue is sent to another service

Case 8 changes the service of a queue while its jobs run. Seen: none of 8 accepted jobs starts its next step; without the change all are done.

--- a/review/stand-ins-2/Deployment.java
+++ b/review/stand-ins-2/Deployment.java
@@ -84,7 +84,13 @@
    */
   boolean start(int entries, int sides, int cpu, boolean cuttable)
       throws IOException, InterruptedException {
-    store.operatorWrites("config", configuration());
+    return start(entries, sides, 0, cpu, cuttable);
+  }
+
+  /** Like the other, with some of the executors, the last ones, of a second service. */
+  boolean start(int entries, int sides, int others, int cpu, boolean cuttable)
+      throws IOException, InterruptedException {
+    configure(7, "review-service");
     List<Integer> readyPorts = new ArrayList<>();
     for (int i = 0; i < entries; i++) {
       linkPorts.add(freePort());
@@ -119,7 +125,7 @@
       fields.putObject("listen").put("control", "127.0.0.1:" + control);
       fields.put("app", executor.address());
       startProcess(side, "side", fields, names);
-      executor.start("127.0.0.1:" + control, "review-service");
+      executor.start("127.0.0.1:" + control, i < sides - others ? "review-service" : "second-service");
     }
     for (int tries = 0; tries < 300; tries++) {
       boolean ready = true;
@@ -135,11 +141,18 @@
     return false;
   }
 
-  private static String configuration() {
-    return "{\"version\":7,\"routes\":[{\"name\":\"review-queue\",\"host\":\"" + HOST
-        + "\",\"prefix\":\"" + PREFIX + "\",\"service\":\"review-service\",\"timeout_ms\":3000,"
+  /** Writes a configuration whose only queue sends to the service. */
+  void configure(int version, String service) {
+    recorder.write("configuration " + version + ": " + PREFIX + " sends to " + service);
+    store.operatorWrites("config", configuration(version, service));
+  }
+
+  private static String configuration(int version, String service) {
+    return "{\"version\":" + version + ",\"routes\":[{\"name\":\"review-queue\",\"host\":\"" + HOST
+        + "\",\"prefix\":\"" + PREFIX + "\",\"service\":\"" + service + "\",\"timeout_ms\":3000,"
         + "\"priority\":0,\"attempts\":4,\"slack_factor\":3,\"goal_ms\":1000}],"
-        + "\"services\":[{\"name\":\"review-service\",\"admission_check\":true}],\"limits\":{}}";
+        + "\"services\":[{\"name\":\"review-service\",\"admission_check\":true},"
+        + "{\"name\":\"second-service\",\"admission_check\":true}],\"limits\":{}}";
   }
 
   /** The platform's fields, with the bounds of the small deployments. */
