--- a/review/stand-ins-2/Deployment.java
+++ b/review/stand-ins-2/Deployment.java
@@ -40,7 +40,7 @@
   final List<Executor> executors = new ArrayList<>();
   final Map<String, Store.Gate> gates = new LinkedHashMap<>();
   final Map<String, List<Cut>> cuts = new LinkedHashMap<>();
-  final Map<String, Process> processes = new LinkedHashMap<>();
+  final Map<String, Process> processes = Collections.synchronizedMap(new LinkedHashMap<>());
   private final Map<String, ProcessBuilder> starts = new HashMap<>();
   final List<Integer> fronts = new ArrayList<>();
   final List<Integer> linkPorts = new ArrayList<>();
@@ -58,6 +58,9 @@
 
   Deployment(Recorder recorder) throws IOException {
     this.recorder = recorder;
+    // Ends the processes also where the time of the script is over.
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> processes.values().forEach(Process::destroyForcibly)));
     this.home = Path.of("").toAbsolutePath();
     this.folder = Files.createTempDirectory("review");
     this.store = new Store(PARTITIONS, threads);
