--- a/review/stand-ins-2/Deployment.java
+++ b/review/stand-ins-2/Deployment.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +34,7 @@
   static final String HOST = "review.example";
   static final String PREFIX = "/jobs/";
   private static final int PARTITIONS = 24;
+  private static final Random RANDOM = new Random();
 
   final Recorder recorder;
   final Store store;
@@ -73,9 +75,15 @@
     }
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+  /** Returns a free port below those that the system gives to outgoing connections. */
+  static int freePort() {
+    while (true) {
+      int port = 20_000 + RANDOM.nextInt(12_000);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        // Taken; the next one is tried.
+      }
     }
   }
 
