Log the owner maps of entries and side processes with their fingerprints

Whether a side process uses the map that the entries use could not be read from the logs: entries logged no map, and side processes the members alone. Both now log each change with its generation and a fingerprint of the owners, and a map passed over for its generation is a line of level debug.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
@@ -150,6 +150,11 @@
 
   private void ownerMapReceived(String member, OwnerMap map) {
     if (OwnerMapCodec.isEmpty(map) || map.getGeneration() < generation) {
+      LOG.debug(
+          LogLine.of("owner-map-passed-over")
+              .with("member", member)
+              .with("generation", map.getGeneration())
+              .with("known_generation", generation));
       return;
     }
     generation = map.getGeneration();
@@ -169,6 +174,7 @@
         LogLine.of("owners-changed")
             .with("members", members)
             .with("generation", generation)
+            .with("fingerprint", OwnerMapCodec.formatFingerprint(owners))
             .with("source", source));
     maintain();
     listener.ownersChanged();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -4,6 +4,8 @@
 
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.OwnerMap;
@@ -29,6 +31,8 @@
  * connections on which it sends its own. Confined to the loop's thread.
  */
 final class EntryPeers {
+  private static final EventLog LOG = EventLog.of(EntryPeers.class);
+
   /** Timeout of a query, in nanoseconds. */
   private static final long QUERY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
@@ -80,6 +84,11 @@
     ownersByPartition.clear();
     ownersByPartition.putAll(newMap);
     ownerMap = OwnerMapCodec.encodeWithMemberList(newMap, generation);
+    LOG.info(
+        LogLine.of("owner-map-changed")
+            .with("generation", generation)
+            .with("fingerprint", OwnerMapCodec.formatFingerprint(newMap))
+            .with("members", Set.copyOf(newMap.values())));
     dialOwners();
     return true;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnerMapCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnerMapCodec.java
@@ -1,6 +1,9 @@
 package io.marigoldsail.daemon.workflow;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
 import io.marigoldsail.protocol.OwnerMap;
 import io.marigoldsail.protocol.PartitionOwner;
 import java.util.LinkedHashMap;
@@ -47,6 +50,27 @@
     return OwnerMap.newBuilder().setGeneration(generation).setDigest(owners.hashCode());
   }
 
+  /**
+   * Returns a hash of the owners; equal for equal owners in all processes, and different for
+   * different ones but for a chance of 2^-64.
+   *
+   * <p>Unlike {@link Map#hashCode}, which adds up the entries: there the owners of two partitions
+   * can often be exchanged without a change of the sum.
+   */
+  static long fingerprint(Map<Integer, String> owners) {
+    Hasher hasher = Hashing.murmur3_128().newHasher();
+    ImmutableSortedMap.copyOf(owners)
+        .forEach(
+            (partition, member) ->
+                hasher.putInt(partition).putInt(member.length()).putUnencodedChars(member));
+    return hasher.hash().asLong();
+  }
+
+  /** Returns the fingerprint of the owners, as a text for logs. */
+  static String formatFingerprint(Map<Integer, String> owners) {
+    return Long.toHexString(fingerprint(owners));
+  }
+
   /** Returns whether the map names no owner. */
   static boolean isEmpty(OwnerMap map) {
     return map.getOwnersCount() == 0 && map.getMembersCount() == 0;
