Side processes apply each new owner map, and report a fingerprint of theirs

Cause: a side process passed over an owner map whose digest equals that of its own map, and entries sent theirs again only to a side process that reported another digest. The digest was the hash code of the map from partition to member, which is a sum over the entries: if members exchange partitions, it often stays the same. The side process went on to report runs and ends to the former owners, and the new ones never learned that a run had ended.

Now a side process compares the maps themselves, and reports a 64-bit hash over the sorted owners (owners_fingerprint); entries send their map again to whoever reports another one. With older versions: entries that know no fingerprint still get the digest; reports without a fingerprint are compared by digest as before; and maps bear a digest that is not that of their owners, so that an older side process, which compares the digest alone, applies them too.

OwnerOrdersTest compared the digest inside the map; it compares the owners now, which is at least as strict.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
@@ -85,6 +85,7 @@
   private final WorkflowStore store;
   private final Listener listener;
   private final Map<Integer, String> owners = new HashMap<>();
+  private long ownersFingerprint = OwnerMapCodec.fingerprint(owners);
   private ImmutableSet<String> members = ImmutableSet.of();
   private final Map<String, EntryConnection> connections = new HashMap<>();
   private final MemberLinks links;
@@ -108,14 +109,19 @@
   }
 
   /**
-   * Returns the digest of the owner map in use, computed as the entries do; 0 without a map.
+   * Returns the fingerprint of the owner map in use, computed as the entries do.
    *
    * <p>A late response of the store can replace a newer map that an entry sent. Entries send their
-   * map again if the reported digest differs from theirs; without it the side process would report
-   * to a former owner forever.
+   * map again if the reported fingerprint differs from theirs; without it the side process would
+   * report to a former owner forever.
    */
-  int ownersDigest() {
-    return owners.hashCode();
+  long ownersFingerprint() {
+    return ownersFingerprint;
+  }
+
+  /** Returns the digest of the owner map in use, for entries that read no fingerprints. */
+  int legacyOwnersDigest() {
+    return OwnerMapCodec.legacyDigest(owners);
   }
 
   /** Returns whether the member owns the partition according to the owner map in use. */
@@ -158,9 +164,7 @@
       return;
     }
     generation = map.getGeneration();
-    if (map.getDigest() != ownersDigest()) {
-      replaceOwners(OwnerMapCodec.decode(map), member);
-    }
+    replaceOwners(OwnerMapCodec.decode(map), member);
   }
 
   private void replaceOwners(Map<Integer, String> newOwners, String source) {
@@ -169,12 +173,13 @@
     }
     owners.clear();
     owners.putAll(newOwners);
+    ownersFingerprint = OwnerMapCodec.fingerprint(owners);
     members = ImmutableSet.copyOf(owners.values());
     LOG.info(
         LogLine.of("owners-changed")
             .with("members", members)
             .with("generation", generation)
-            .with("fingerprint", OwnerMapCodec.formatFingerprint(owners))
+            .with("fingerprint", Long.toHexString(ownersFingerprint))
             .with("source", source));
     maintain();
     listener.ownersChanged();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -11,6 +11,7 @@
 import io.marigoldsail.protocol.OwnerMap;
 import io.marigoldsail.protocol.Ping;
 import io.marigoldsail.protocol.QueueCount;
+import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.protocol.WaitingCounts;
 import io.marigoldsail.protocol.WorkflowQuery;
 import io.marigoldsail.workflow.QueryResult;
@@ -54,6 +55,7 @@
 
   private final WaitingCountsSchedule countsSchedule = new WaitingCountsSchedule();
   private final Map<Integer, String> ownersByPartition = new HashMap<>();
+  private long ownersFingerprint = OwnerMapCodec.fingerprint(ownersByPartition);
   private OwnerMap ownerMap = OwnerMap.getDefaultInstance();
   private long lastQueryId;
 
@@ -83,19 +85,25 @@
     }
     ownersByPartition.clear();
     ownersByPartition.putAll(newMap);
+    ownersFingerprint = OwnerMapCodec.fingerprint(newMap);
     ownerMap = OwnerMapCodec.encodeWithMemberList(newMap, generation);
     LOG.info(
         LogLine.of("owner-map-changed")
             .with("generation", generation)
-            .with("fingerprint", OwnerMapCodec.formatFingerprint(newMap))
+            .with("fingerprint", Long.toHexString(ownersFingerprint))
             .with("members", Set.copyOf(newMap.values())));
     dialOwners();
     return true;
   }
 
-  /** Returns the digest of the owner map to be sent to side processes. */
-  int ownersDigest() {
-    return ownerMap.getDigest();
+  /**
+   * Returns whether the side process uses other owners than those known here, as far as its report
+   * tells; reports of older versions have a digest alone, which different owners may share.
+   */
+  boolean usesOtherOwners(VmReport report) {
+    return report.getOwnersFingerprint() == 0
+        ? report.getOwnersDigest() != OwnerMapCodec.legacyDigest(ownersByPartition)
+        : report.getOwnersFingerprint() != ownersFingerprint;
   }
 
   /**
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnerMapCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnerMapCodec.java
@@ -46,8 +46,14 @@
     return map.addAllMembers(positions.keySet()).build();
   }
 
+  /** Sets a digest that no side process of an older version takes for that of its own map. */
   private static OwnerMap.Builder header(Map<Integer, String> owners, long generation) {
-    return OwnerMap.newBuilder().setGeneration(generation).setDigest(owners.hashCode());
+    return OwnerMap.newBuilder().setGeneration(generation).setDigest(~legacyDigest(owners));
+  }
+
+  /** Returns the digest that processes of versions without fingerprints compute for the owners. */
+  static int legacyDigest(Map<Integer, String> owners) {
+    return owners.hashCode();
   }
 
   /**
@@ -66,11 +72,6 @@
     return hasher.hash().asLong();
   }
 
-  /** Returns the fingerprint of the owners, as a text for logs. */
-  static String formatFingerprint(Map<Integer, String> owners) {
-    return Long.toHexString(fingerprint(owners));
-  }
-
   /** Returns whether the map names no owner. */
   static boolean isEmpty(OwnerMap map) {
     return map.getOwnersCount() == 0 && map.getMembersCount() == 0;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -17,6 +17,7 @@
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.OwnerMap;
 import io.marigoldsail.protocol.Pong;
+import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.protocol.WorkflowQuery;
 import io.marigoldsail.protocol.WorkflowQueryAnswer;
 import io.marigoldsail.time.ClockReading;
@@ -441,7 +442,7 @@
       switch (frame.getBodyCase()) {
         case VM_REPORT -> {
           vms.handleReport(connection, frame.getVmReport());
-          sendOwnerMapIfNeeded(connection, frame.getVmReport().getOwnersDigest());
+          sendOwnerMapIfNeeded(connection, frame.getVmReport());
         }
         case WORKFLOW_QUERY -> handlePeerQuery(connection, frame.getWorkflowQuery());
         case WAITING_COUNTS -> peers.updateCounts(connection, frame.getWaitingCounts());
@@ -467,9 +468,9 @@
    * if it has received none on this connection: it may have read the owners from the store, without
    * the generation by which it ignores older maps.
    */
-  private void sendOwnerMapIfNeeded(LinkConnection connection, int digest) {
+  private void sendOwnerMapIfNeeded(LinkConnection connection, VmReport report) {
     boolean stale =
-        digest != peers.ownersDigest() && ownerMapLimiter.maySend(connection, loop.now());
+        peers.usesOtherOwners(report) && ownerMapLimiter.maySend(connection, loop.now());
     if (stale || !ownerMapLimiter.hasSent(connection)) {
       sendOwnerMap(connection);
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -248,7 +248,8 @@
     VmReport.Builder report =
         state.toBuilder()
             .setOrdersSeen(connection.ordersSeen())
-            .setOwnersDigest(entries.ownersDigest())
+            .setOwnersFingerprint(entries.ownersFingerprint())
+            .setOwnersDigest(entries.legacyOwnersDigest())
             .setWantsLease(wantsLease);
     if (session() != null) {
       report.setWorkerClock(session().workerClockLowerBound());
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
@@ -95,6 +95,26 @@
     }
   }
 
+  /**
+   * Reassigns all partitions at once, without waiting for a join of their owners.
+   *
+   * @param newOwners prefixes of members, one for each partition
+   */
+  synchronized void reassign(List<String> newOwners) {
+    generation++;
+    for (int partition = 0; partition < partitions; partition++) {
+      String prefix = newOwners.get(partition);
+      owners.put(
+          partition,
+          members.stream().filter(member -> member.startsWith(prefix)).findFirst().orElseThrow());
+    }
+  }
+
+  /** Returns the epoch of the last writer of the partition's progress. */
+  synchronized long epoch(int partition) {
+    return log(Topic.PROGRESS, partition).epoch;
+  }
+
   private void rebalance() {
     generation++;
     List<String> all = List.copyOf(members);
@@ -130,6 +150,15 @@
     generation += changed ? 1 : 0;
   }
 
+  private boolean haveAllJoinedAgain() {
+    return members.stream().allMatch(each -> acknowledged.getOrDefault(each, 0L) >= generation);
+  }
+
+  /** Returns whether all partitions are owned and all members know the generation. */
+  synchronized boolean isBalanced() {
+    return owners.size() == partitions && haveAllJoinedAgain();
+  }
+
   private synchronized Log log(Topic topic, int partition) {
     return logs.computeIfAbsent(topic + "/" + partition, unused -> new Log());
   }
@@ -234,9 +263,7 @@
       rebalance();
     }
     acknowledged.put(member, knownGeneration);
-    boolean all =
-        members.stream().allMatch(each -> acknowledged.getOrDefault(each, 0L) >= generation);
-    if (all) {
+    if (haveAllJoinedAgain()) {
       assignUnowned();
     }
     return completeLater(new Joined(generation, ImmutableSet.copyOf(owned(member))));
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerOrdersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerOrdersTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.Maps;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NewestPage;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
@@ -17,6 +19,7 @@
 import io.marigoldsail.workflow.WorkflowIds;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -67,11 +70,49 @@
     OwnerMap map = first.ownerMaps().get(0);
     assertTrue(map.getGeneration() > 0);
     ScriptedVm second = connect("vm-1");
-    second.reportOwners(map.getDigest());
+    second.reportOwners(OwnerMapCodec.decode(map));
     cluster.await("the second VM has a map", () -> !second.ownerMaps().isEmpty());
     assertEquals(map.getGeneration(), second.ownerMaps().get(0).getGeneration());
   }
 
+  /** Sends reports of owners until the entry has sent its map twice. */
+  private void awaitSecondMap(ScriptedVm vm, Runnable report) {
+    report.run();
+    cluster.await("the VM has a map", () -> !vm.ownerMaps().isEmpty());
+    cluster.await(
+        "the map is sent again",
+        () -> {
+          report.run();
+          return vm.ownerMaps().size() > 1;
+        });
+  }
+
+  /**
+   * Guards against a side process that goes on with owners it read late from the store, because
+   * their digest is that of the entry's owners.
+   */
+  @Test
+  void ownerMapIsSentAgainThoughOtherOwnersHaveTheSameDigest() {
+    ScriptedVm first = connect("vm-0");
+    first.report();
+    cluster.await("the first VM has a map", () -> !first.ownerMaps().isEmpty());
+    Map<Integer, String> owners = OwnerMapCodec.decode(first.ownerMaps().get(0));
+    // "0Q" and the "12" of "127.0.0.1" have the same hash code.
+    Map<Integer, String> stale =
+        Maps.transformValues(owners, member -> "0Q" + member.substring("12".length()));
+    assertNotEquals(owners, stale);
+    assertEquals(OwnerMapCodec.legacyDigest(owners), OwnerMapCodec.legacyDigest(stale));
+    ScriptedVm second = connect("vm-1");
+    awaitSecondMap(second, () -> second.reportOwners(stale));
+  }
+
+  /** Guards against a side process of an older version that is never sent a newer map. */
+  @Test
+  void ownerMapIsSentAgainToASideProcessWithoutFingerprints() {
+    ScriptedVm vm = connect("vm-0");
+    awaitSecondMap(vm, () -> vm.reportOwnersByDigest(Map.of(0, "127.0.0.1:1@1")));
+  }
+
   private boolean isAttemptOpen() {
     int partition = WorkflowIds.partition(WORKFLOW, WorkflowTestCluster.PARTITIONS);
     NewestPage page =
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedVm.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedVm.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 
@@ -50,9 +51,21 @@
     send(VmReport.newBuilder().setWorker(WORKER).addAllEnds(List.of(ends)));
   }
 
-  /** Reports an idle VM that uses the owner map of the digest, and requests a lease. */
-  void reportOwners(int digest) {
-    send(VmReport.newBuilder().setWorker(WORKER).setOwnersDigest(digest));
+  /** Reports an idle VM that uses the owners, and requests a lease. */
+  void reportOwners(Map<Integer, String> owners) {
+    send(
+        VmReport.newBuilder()
+            .setWorker(WORKER)
+            .setOwnersDigest(OwnerMapCodec.legacyDigest(owners))
+            .setOwnersFingerprint(OwnerMapCodec.fingerprint(owners)));
+  }
+
+  /** Reports an idle VM that uses the owners, as a side process without fingerprints does. */
+  void reportOwnersByDigest(Map<Integer, String> owners) {
+    send(
+        VmReport.newBuilder()
+            .setWorker(WORKER)
+            .setOwnersDigest(OwnerMapCodec.legacyDigest(owners)));
   }
 
   /** Reports that the worker is gone, so that the entry considers its runs as lost. */
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
@@ -176,6 +176,28 @@
     assertNotEquals(before.hashCode(), digest);
   }
 
+  /**
+   * Guards against reports to former owners: an entry, also one of an older version, sends a map
+   * whose digest is that of the map in use, though the owners differ.
+   */
+  @Test
+  void ownerMapWithTheDigestOfTheMapInUseIsApplied() throws Exception {
+    ScriptedEntry other = new ScriptedEntry();
+    final Map<Integer, String> before =
+        Map.of(0, entry.member(), 1, other.member(), 2, other.member(), 3, entry.member());
+    final Map<Integer, String> after =
+        Map.of(0, other.member(), 1, entry.member(), 2, entry.member(), 3, other.member());
+    assertEquals(before.hashCode(), after.hashCode());
+    side.start();
+    store.nextRequest().complete(ScriptedOwnersStore.owners(before));
+    LinkConnection connection = entry.awaitConnection();
+    entry.send(connection, ownerMapFrame(5, after));
+    while (entry.awaitReport().getOwnersFingerprint() != OwnerMapCodec.fingerprint(after)) {
+      // Keeps waiting.
+    }
+    other.close();
+  }
+
   /**
    * Guards against reports to an entry that has lost its partitions, and that sends an outdated map
    * because it is disconnected from the store.
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/OwnerMap.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/OwnerMap.java
@@ -116,7 +116,8 @@
   private int digest_ = 0;
   /**
    * <pre>
-   * The same for maps of the same owners.
+   * Not read any more. Side processes of older versions pass over a map whose digest is that of the
+   * map in use there, though the owners may differ; so it is one that their map does not have.
    * </pre>
    *
    * <code>fixed32 digest = 3;</code>
@@ -993,7 +994,8 @@
     private int digest_ ;
     /**
      * <pre>
-     * The same for maps of the same owners.
+     * Not read any more. Side processes of older versions pass over a map whose digest is that of the
+     * map in use there, though the owners may differ; so it is one that their map does not have.
      * </pre>
      *
      * <code>fixed32 digest = 3;</code>
@@ -1005,7 +1007,8 @@
     }
     /**
      * <pre>
-     * The same for maps of the same owners.
+     * Not read any more. Side processes of older versions pass over a map whose digest is that of the
+     * map in use there, though the owners may differ; so it is one that their map does not have.
      * </pre>
      *
      * <code>fixed32 digest = 3;</code>
@@ -1021,7 +1024,8 @@
     }
     /**
      * <pre>
-     * The same for maps of the same owners.
+     * Not read any more. Side processes of older versions pass over a map whose digest is that of the
+     * map in use there, though the owners may differ; so it is one that their map does not have.
      * </pre>
      *
      * <code>fixed32 digest = 3;</code>
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/OwnerMapOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/OwnerMapOrBuilder.java
@@ -46,7 +46,8 @@
 
   /**
    * <pre>
-   * The same for maps of the same owners.
+   * Not read any more. Side processes of older versions pass over a map whose digest is that of the
+   * map in use there, though the owners may differ; so it is one that their map does not have.
    * </pre>
    *
    * <code>fixed32 digest = 3;</code>
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
@@ -577,7 +577,8 @@
   private int ownersDigest_ = 0;
   /**
    * <pre>
-   * Digest of the map of owners in use here; an entry that has another one sends its own.
+   * For entries of versions that do not read owners_fingerprint. Different maps of the same members
+   * often have the same digest.
    * </pre>
    *
    * <code>fixed32 owners_digest = 23;</code>
@@ -868,6 +869,22 @@
     return pairs_.get(index);
   }
 
+  public static final int OWNERS_FINGERPRINT_FIELD_NUMBER = 31;
+  private long ownersFingerprint_ = 0L;
+  /**
+   * <pre>
+   * Fingerprint of the map of owners in use here; an entry that has another one sends its own. Not
+   * set by older versions.
+   * </pre>
+   *
+   * <code>fixed64 owners_fingerprint = 31;</code>
+   * @return The ownersFingerprint.
+   */
+  @java.lang.Override
+  public long getOwnersFingerprint() {
+    return ownersFingerprint_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -972,6 +989,9 @@
     for (int i = 0; i < pairs_.size(); i++) {
       output.writeMessage(30, pairs_.get(i));
     }
+    if (ownersFingerprint_ != 0L) {
+      output.writeFixed64(31, ownersFingerprint_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1119,6 +1139,10 @@
           }
           size += 2 * count;
         }
+    if (ownersFingerprint_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(31, ownersFingerprint_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1203,6 +1227,8 @@
         .equals(other.getServiceRoomsList())) return false;
     if (!getPairsList()
         .equals(other.getPairsList())) return false;
+    if (getOwnersFingerprint()
+        != other.getOwnersFingerprint()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1292,6 +1318,9 @@
       hash = (37 * hash) + PAIRS_FIELD_NUMBER;
       hash = (53 * hash) + getPairsList().hashCode();
     }
+    hash = (37 * hash) + OWNERS_FINGERPRINT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getOwnersFingerprint());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1488,6 +1517,7 @@
         pairsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x20000000);
+      ownersFingerprint_ = 0L;
       return this;
     }
 
@@ -1646,6 +1676,9 @@
       if (((from_bitField0_ & 0x08000000) != 0)) {
         result.readsMemberLists_ = readsMemberLists_;
       }
+      if (((from_bitField0_ & 0x40000000) != 0)) {
+        result.ownersFingerprint_ = ownersFingerprint_;
+      }
     }
 
     @java.lang.Override
@@ -1884,6 +1917,9 @@
           }
         }
       }
+      if (other.getOwnersFingerprint() != 0L) {
+        setOwnersFingerprint(other.getOwnersFingerprint());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2098,6 +2134,11 @@
               }
               break;
             } // case 242
+            case 249: {
+              ownersFingerprint_ = input.readFixed64();
+              bitField0_ |= 0x40000000;
+              break;
+            } // case 249
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3617,7 +3658,8 @@
     private int ownersDigest_ ;
     /**
      * <pre>
-     * Digest of the map of owners in use here; an entry that has another one sends its own.
+     * For entries of versions that do not read owners_fingerprint. Different maps of the same members
+     * often have the same digest.
      * </pre>
      *
      * <code>fixed32 owners_digest = 23;</code>
@@ -3629,7 +3671,8 @@
     }
     /**
      * <pre>
-     * Digest of the map of owners in use here; an entry that has another one sends its own.
+     * For entries of versions that do not read owners_fingerprint. Different maps of the same members
+     * often have the same digest.
      * </pre>
      *
      * <code>fixed32 owners_digest = 23;</code>
@@ -3645,7 +3688,8 @@
     }
     /**
      * <pre>
-     * Digest of the map of owners in use here; an entry that has another one sends its own.
+     * For entries of versions that do not read owners_fingerprint. Different maps of the same members
+     * often have the same digest.
      * </pre>
      *
      * <code>fixed32 owners_digest = 23;</code>
@@ -4818,6 +4862,53 @@
       return pairsBuilder_;
     }
 
+    private long ownersFingerprint_ ;
+    /**
+     * <pre>
+     * Fingerprint of the map of owners in use here; an entry that has another one sends its own. Not
+     * set by older versions.
+     * </pre>
+     *
+     * <code>fixed64 owners_fingerprint = 31;</code>
+     * @return The ownersFingerprint.
+     */
+    @java.lang.Override
+    public long getOwnersFingerprint() {
+      return ownersFingerprint_;
+    }
+    /**
+     * <pre>
+     * Fingerprint of the map of owners in use here; an entry that has another one sends its own. Not
+     * set by older versions.
+     * </pre>
+     *
+     * <code>fixed64 owners_fingerprint = 31;</code>
+     * @param value The ownersFingerprint to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOwnersFingerprint(long value) {
+
+      ownersFingerprint_ = value;
+      bitField0_ |= 0x40000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Fingerprint of the map of owners in use here; an entry that has another one sends its own. Not
+     * set by older versions.
+     * </pre>
+     *
+     * <code>fixed64 owners_fingerprint = 31;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOwnersFingerprint() {
+      bitField0_ = (bitField0_ & ~0x40000000);
+      ownersFingerprint_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.VmReport)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
@@ -269,7 +269,8 @@
 
   /**
    * <pre>
-   * Digest of the map of owners in use here; an entry that has another one sends its own.
+   * For entries of versions that do not read owners_fingerprint. Different maps of the same members
+   * often have the same digest.
    * </pre>
    *
    * <code>fixed32 owners_digest = 23;</code>
@@ -463,4 +464,15 @@
    */
   io.marigoldsail.protocol.PairSeenOrBuilder getPairsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Fingerprint of the map of owners in use here; an entry that has another one sends its own. Not
+   * set by older versions.
+   * </pre>
+   *
+   * <code>fixed64 owners_fingerprint = 31;</code>
+   * @return The ownersFingerprint.
+   */
+  long getOwnersFingerprint();
 }
