A gang that completes late closes the runs of all its members

Cause: both VMs of a gang are cut off. The owner counts the first member as lost, and the other one stays open. Then the first VM comes back and reports that the gang is done. VmTracker.recordLateEnd completed the whole gang in the workflow, but unlike closeRun it left the run of the other member in OpenRuns; as an OpenRun took its attempt from its task, VmSession.offer threw as soon as that VM was offered again.

Now a late completion closes the runs of all members as a reported end does. An OpenRun names its attempt and its place itself, and tells whether it is still the task's open attempt; so no other path that ends several tasks at once can make a pass throw or reserve capacity. All uses of the task's attempt on behalf of a run were changed: orders, stops, reconciliation, expiry and offers. Expiry and the reports of a VM could also have taken a later attempt of the task for the run.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
@@ -1,15 +1,20 @@
 package io.marigoldsail.daemon.workflow;
 
+import io.marigoldsail.workflow.Place;
+import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.WorkflowTask;
 
 /**
  * The owner's view of a run that may be active on a VM.
  *
- * <p>The run is not ordered before it is durable. Mutable, confined to the loop's thread.
+ * <p>Names its attempt itself: the task may end without a report of this run, or have a later
+ * attempt. The run is not ordered before it is durable. Mutable, confined to the loop's thread.
  */
 final class OpenRun {
   private final OwnedPartition partition;
   private final WorkflowTask task;
+  private final RunKey key;
+  private final Place place;
   private final long orderedAt;
   private final boolean starved;
   private final String ticket;
@@ -30,13 +35,15 @@
       String ticket) {
     this.partition = partition;
     this.task = task;
+    this.key = task.openRun();
+    this.place = task.place().orElseThrow();
     this.orderedAt = orderedAt;
     this.durable = durable;
     this.starved = starved;
     this.ticket = ticket;
   }
 
-  /** Returns a durable run that a former owner ordered. */
+  /** Returns the open attempt of the task, which a former owner ordered, as a durable run. */
   static OpenRun takenOver(OwnedPartition partition, WorkflowTask task, long now) {
     OpenRun run = new OpenRun(partition, task, now, true, false, "");
     run.mayHaveBeenOrdered = true;
@@ -44,7 +51,7 @@
   }
 
   /**
-   * Returns a new run, which is not durable yet.
+   * Returns the open attempt of the task as a new run, which is not durable yet.
    *
    * @param starved whether no task of its workflow has been running for some time
    * @param ticket placement ticket that the worker requires; empty if it requires none
@@ -71,6 +78,19 @@
     return task;
   }
 
+  RunKey key() {
+    return key;
+  }
+
+  Place place() {
+    return place;
+  }
+
+  /** Returns whether this is the task's open attempt, rather than one that has ended. */
+  boolean isOpen() {
+    return task.isOpen() && task.lastAttempt() == key.attempt();
+  }
+
   long orderedAt() {
     return orderedAt;
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRuns.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRuns.java
@@ -1,7 +1,5 @@
 package io.marigoldsail.daemon.workflow;
 
-import static java.util.Objects.requireNonNull;
-
 import com.google.common.collect.ImmutableSet;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.Workflow;
@@ -17,11 +15,9 @@
 final class OpenRuns {
   private final Map<String, Map<RunKey, OpenRun>> byVm = new HashMap<>();
 
-  /** Adds a run under the VM that its task is assigned to. */
+  /** Adds a run under the VM that it is assigned to. */
   void add(OpenRun run) {
-    String vm = run.task().place().orElseThrow().vm();
-    byVm.computeIfAbsent(vm, unused -> new LinkedHashMap<>())
-        .put(run.task().openRun(), requireNonNull(run, "run"));
+    byVm.computeIfAbsent(run.place().vm(), unused -> new LinkedHashMap<>()).put(run.key(), run);
   }
 
   /** Returns all VMs that had an open run at some time; some may have none now. */
@@ -38,8 +34,8 @@
     return Optional.ofNullable(byVm.getOrDefault(vm, Map.of()).get(key));
   }
 
-  void remove(String vm, RunKey key) {
-    byVm.getOrDefault(vm, new HashMap<>()).remove(key);
+  void remove(OpenRun run) {
+    byVm.getOrDefault(run.place().vm(), new HashMap<>()).remove(run.key());
   }
 
   /** Removes the runs of a partition that another process owns. */
@@ -47,13 +43,12 @@
     runMaps().forEach(runs -> runs.values().removeIf(run -> run.partition() == partition));
   }
 
-  /** Removes the runs of the workflow whose tasks are no longer open. */
+  /** Removes the runs of the workflow that have ended. */
   void removeEnded(Workflow workflow) {
     runMaps()
         .forEach(
             runs ->
-                runs.values()
-                    .removeIf(run -> run.task().workflow() == workflow && !run.task().isOpen()));
+                runs.values().removeIf(run -> run.task().workflow() == workflow && !run.isOpen()));
   }
 
   private Collection<Map<RunKey, OpenRun>> runMaps() {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -173,7 +173,7 @@
     Optional<ServiceRooms> rooms = rooms(fleet);
     for (OpenRun run : open) {
       WorkflowTask task = run.task();
-      if (!runs.containsKey(task.openRun())) {
+      if (run.isOpen() && !runs.containsKey(run.key())) {
         free = free.minus(task.step().booked());
         long declared =
             task.step().traits().bestEffort() ? task.step().sizes().milliProcessors() : 0;
@@ -246,7 +246,7 @@
     WorkflowSpec spec = task.workflow().spec();
     StartRun.Builder start =
         StartRun.newBuilder()
-            .setTask(WorkflowCodec.encode(task.openRun()))
+            .setTask(WorkflowCodec.encode(run.key()))
             .setMilliProcessors((int) task.step().sizes().milliProcessors())
             .setMemoryMebibytes(WorkflowCodec.mebibytes(task.step().sizes()))
             .setAccelerators((int) task.step().sizes().accelerators())
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -107,24 +107,20 @@
 
   /** Tracks new runs of one workflow, at least one; orders them once the decision is durable. */
   void addOrdered(OwnedPartition partition, List<OpenRun> decided) {
-    Map<RunKey, OpenRun> runs = new LinkedHashMap<>();
-    for (OpenRun run : decided) {
-      openRuns.add(run);
-      runs.put(run.task().openRun(), run);
-    }
+    decided.forEach(openRuns::add);
     partition.persist(decided.get(0).task().workflow());
-    partition.writer().afterDurable(() -> runs.forEach(this::orderDurable));
+    partition.writer().afterDurable(() -> decided.forEach(this::orderDurable));
   }
 
-  private void orderDurable(RunKey key, OpenRun run) {
+  private void orderDurable(OpenRun run) {
     run.markDurable();
-    WorkflowTask task = run.task();
-    if (task.isOpen() && task.openRun().equals(key)) {
-      sendOrder(run, task.place().orElseThrow());
+    if (run.isOpen()) {
+      sendOrder(run);
     }
   }
 
-  private void sendOrder(OpenRun run, Place place) {
+  private void sendOrder(OpenRun run) {
+    Place place = run.place();
     VmSession session = sessionsByVm.get(place.vm());
     if (session == null
         || !WorkerIncarnation.mayBeSame(session.report().getWorker(), place.worker())) {
@@ -144,7 +140,7 @@
 
   private void sendStop(VmSession session, OpenRun run) {
     if (run.tryMarkStopSent(loop.now(), STOP_RESEND_NANOS)) {
-      session.addStop(run.task().openRun());
+      session.addStop(run.key());
       scheduleFlush();
     }
   }
@@ -215,33 +211,33 @@
       reconcileRun(session, report, openRuns.find(report.getVm(), key), key, run);
     }
     for (OpenRun run : openRuns.onVm(report.getVm())) {
-      if (!run.task().isOpen() || mentioned.contains(run.task().openRun())) {
-        continue;
+      if (run.isOpen() && !mentioned.contains(run.key())) {
+        reconcileMissingRun(session, run);
       }
-      reconcileMissingRun(session, run);
     }
   }
 
   /** Handles an open run that the session's last report does not contain. */
   private void reconcileMissingRun(VmSession session, OpenRun run) {
-    Place place = run.task().place().orElseThrow();
+    Place place = run.place();
     Optional<LossEvidence> lost = session.evidenceOfLoss(place.worker(), loop.now());
     if (lost.isPresent()) {
       closeLostRun(run, lost.get());
     } else if (!WorkerIncarnation.mayBeSame(place.worker(), session.report().getWorker())) {
-      askForWorker(session, run, place);
+      askForWorker(session, run);
     } else if (run.isDurable() && run.isOrderHandled(session, session.report().getOrdersSeen())) {
-      sendOrder(run, place);
+      sendOrder(run);
     }
   }
 
   /** Asks whether the run's worker is gone: the report may be older than that incarnation. */
-  private void askForWorker(VmSession session, OpenRun run, Place place) {
+  private void askForWorker(VmSession session, OpenRun run) {
+    Place place = run.place();
     String reported = session.report().getWorker();
     if (!reported.isEmpty() && session.tryAsk(place.worker(), loop.now())) {
       LOG.info(
           LogLine.of("worker-queried")
-              .with("run", run.task().openRun())
+              .with("run", run.key())
               .with("vm", place.vm())
               .with("worker", place.worker())
               .with("reported", reported)
@@ -276,10 +272,7 @@
   }
 
   private static boolean isOnWorker(OpenRun run, String worker) {
-    return run.task()
-        .place()
-        .filter(place -> WorkerIncarnation.mayBeSame(place.worker(), worker))
-        .isPresent();
+    return run.isOpen() && WorkerIncarnation.mayBeSame(run.place().worker(), worker);
   }
 
   private void stopUnknownRun(VmSession session, RunKey key, boolean stopping) {
@@ -317,7 +310,6 @@
     RunOutcome outcome = RunOutcome.forNumber(end.getOutcome());
     openRuns
         .find(session.vm(), key)
-        .filter(run -> run.task().isOpen() && run.task().openRun().equals(key))
         .filter(run -> isOnWorker(run, session.report().getWorker()))
         .ifPresentOrElse(
             run -> closeReportedRun(run, outcome, end),
@@ -332,8 +324,13 @@
     if (task.isPresent()
         && RunOutcome.forNumber(end.getOutcome()).completes()
         && task.get().workflow().recordLateCompletion(key, end.getCheckpoint(), now)) {
-      LOG.info(LogLine.of("run-completed-late").with("run", key).with("vm", vm));
+      LOG.info(
+          LogLine.of("run-completed-late")
+              .with("run", key)
+              .with("vm", vm)
+              .with("epoch", partition.epoch()));
       partition.persist(task.get().workflow());
+      endGangAttempt(task.get());
       listener.runEnded(partition, task.get(), RunOutcome.DONE);
     }
   }
@@ -356,13 +353,13 @@
   private void closeRun(
       OpenRun run, RunOutcome outcome, String checkpoint, UnaryOperator<LogLine> cause) {
     WorkflowTask task = run.task();
-    RunKey key = task.openRun();
-    Place place = task.place().orElseThrow();
+    RunKey key = run.key();
+    Place place = run.place();
     Workflow workflow = task.workflow();
     // Comes first, in case a later step throws: a run that stays open in its workflow would never
     // be ordered or acknowledged again.
     boolean ended = workflow.recordEnd(key, outcome, checkpoint, wallMillis.getAsLong());
-    openRuns.remove(place.vm(), key);
+    openRuns.remove(run);
     fleet.recordEnd(run, place.vm(), outcome, loop.now());
     if (outcome == RunOutcome.REFUSED && sessionsByVm.containsKey(place.vm())) {
       sessionsByVm.get(place.vm()).recordRefusal(task, loop.now());
@@ -378,17 +375,19 @@
             .with("ms", TimeUnit.NANOSECONDS.toMillis(loop.now() - run.orderedAt()))
             .with("status", workflow.status()));
     run.partition().persist(workflow);
-    if (task.step().traits().gang()) {
-      endGangAttempt(task);
-    }
+    endGangAttempt(task);
     listener.runEnded(run.partition(), task, outcome);
   }
 
-  /** Ends the attempt for all members: it has completed, or is useless without the ended one. */
+  /**
+   * Ends the attempt for all members if the task is in a gang: it has completed, or is useless
+   * without the ended one.
+   */
   private void endGangAttempt(WorkflowTask ended) {
-    Workflow workflow = ended.workflow();
-    openRuns.removeEnded(workflow);
-    stopUnwanted(workflow);
+    if (ended.step().traits().gang()) {
+      openRuns.removeEnded(ended.workflow());
+      stopUnwanted(ended.workflow());
+    }
   }
 
   /** Records that a task waits for capacity; VMs then report changes of theirs soon. */
@@ -448,7 +447,7 @@
       for (OpenRun run : openRuns.onVm(vm)) {
         long since = Math.max(granted, run.partition().writer().openedAt());
         long expiresAt = since + TimeUnit.MILLISECONDS.toNanos(leaseTerms.takeoverMillis());
-        if (run.task().isOpen() && now > Math.max(expiresAt, run.orderedAt())) {
+        if (run.isOpen() && now > Math.max(expiresAt, run.orderedAt())) {
           closeLostRun(run, LossEvidence.of(LossEvidence.Kind.EXPIRED, now - since));
         }
       }
--- /dev/null
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
@@ -0,0 +1,177 @@
+package io.marigoldsail.daemon.workflow;
+
+import io.marigoldsail.daemon.link.FakeLinks;
+import io.marigoldsail.daemon.link.LinkConnection;
+import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
+import io.marigoldsail.protocol.EndReport;
+import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.RunReport;
+import io.marigoldsail.protocol.StartRun;
+import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.workflow.QueueTable;
+import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.VmChooser;
+import io.marigoldsail.workflow.WorkerLeaseTerms;
+import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowIds;
+import io.marigoldsail.workflow.WorkflowSpec;
+import io.marigoldsail.workflow.WorkflowTask;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The scheduling of an entry that owns the only partition, on virtual time, with VMs that the test
+ * controls. One thread.
+ */
+final class VirtualEntry {
+  private static final long SETTLED_MILLIS = 500;
+  private static final long SWEEP_INTERVAL_MILLIS = 200;
+  private static final int VM_MILLI_PROCESSORS = 4_000;
+  private static final int VM_MEBIBYTES = 8_192;
+
+  /** A VM that reports to the entry while it is connected. */
+  final class Vm {
+    private final String name;
+    private final String service;
+    private final List<StartRun> starts = new ArrayList<>();
+    private Optional<LinkConnection> link = Optional.empty();
+
+    private Vm(String name, String service) {
+      this.name = name;
+      this.service = service;
+    }
+
+    /** Reports the runs as started and the ends, on a new connection if there is none. */
+    void report(List<RunKey> running, EndReport... ends) {
+      if (link.isEmpty()) {
+        link = Optional.of(FakeLinks.sendingTo(this::receive, time.loop()));
+      }
+      VmReport.Builder report =
+          VmReport.newBuilder()
+              .setVm(name)
+              .setWorker("incarnation-1-" + name)
+              .setService(service)
+              .setMilliProcessors(VM_MILLI_PROCESSORS)
+              .setMemoryMebibytes(VM_MEBIBYTES)
+              .setFreeMilliProcessors(VM_MILLI_PROCESSORS)
+              .setFreeMemoryMebibytes(VM_MEBIBYTES)
+              .setWantsLease(true)
+              .addAllEnds(List.of(ends));
+      for (RunKey run : running) {
+        report.addRuns(RunReport.newBuilder().setTask(WorkflowCodec.encode(run)).setStarted(true));
+      }
+      vms.handleReport(link.get(), report.build());
+    }
+
+    private void receive(Frame frame) {
+      starts.addAll(frame.getRunOrders().getStartsList());
+    }
+
+    /** Returns the runs that the entry has ordered here. */
+    List<RunKey> ordered() {
+      return starts.stream().map(start -> WorkflowCodec.decode(start.getTask())).toList();
+    }
+
+    /** Returns the tickets of the runs that the entry has ordered here. */
+    List<String> tickets() {
+      return starts.stream().map(StartRun::getTicket).toList();
+    }
+
+    /** Ends the connection, as an interruption does. */
+    void disconnect() {
+      vms.disconnected(link.orElseThrow(), "interrupted by the test");
+      link = Optional.empty();
+    }
+  }
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final FakeWorkflowStore store = new FakeWorkflowStore(1, time.timer());
+  private final FakeAdviser adviser = new FakeAdviser();
+  private final PartitionOwnership ownership =
+      new PartitionOwnership(
+          store,
+          time.loop(),
+          time::wallMillis,
+          new EntryMember("127.0.0.1", 1, 1),
+          new NoOpOwnershipListener());
+  private final VmTracker vms;
+  private final EntryScheduler scheduler;
+  private QueueTable configuration;
+
+  /** Starts the entry and waits until it owns the partition. */
+  VirtualEntry(WorkerLeaseTerms terms, QueueTable configuration) {
+    this.configuration = configuration;
+    this.vms = new VmTracker(time.loop(), ownership, terms, time::wallMillis, new VmListener());
+    this.scheduler =
+        new EntryScheduler(
+            time.loop(),
+            time::wallMillis,
+            ownership,
+            vms,
+            VmChooser.of(1.5),
+            adviser,
+            () -> Optional.of(this.configuration));
+    time.loop().repeat(this::sweep, SWEEP_INTERVAL_MILLIS * 1_000_000);
+    ownership.start();
+    time.advance(SETTLED_MILLIS);
+  }
+
+  private void sweep() {
+    vms.closeExpiredRuns();
+    scheduler.moveRuns();
+    scheduler.schedulePass();
+  }
+
+  /** Adds a VM that is not connected yet. */
+  Vm addVm(String name, String service) {
+    return new Vm(name, service);
+  }
+
+  void advance(long millis) {
+    time.advance(millis);
+  }
+
+  FakeAdviser adviser() {
+    return adviser;
+  }
+
+  /** Puts a configuration in force. */
+  void configure(QueueTable newest) {
+    configuration = newest;
+    scheduler.schedulePass();
+  }
+
+  /** Submits a workflow and waits until the entry has read it. */
+  Workflow submit(WorkflowSpec spec) {
+    KeyedRecord submission =
+        new KeyedRecord(WorkflowIds.format(spec.id()), WorkflowCodec.encode(spec));
+    store.append(Topic.SUBMISSIONS, 0, List.of(submission), Optional.empty());
+    time.advance(SWEEP_INTERVAL_MILLIS);
+    return workflow(spec.id());
+  }
+
+  Workflow workflow(long id) {
+    return ownership.active(0).orElseThrow().workflow(id).orElseThrow();
+  }
+
+  /** Passes the ends of runs to the scheduler, as an entry does. */
+  private final class VmListener implements VmTracker.Listener {
+    @Override
+    public void runEnded(OwnedPartition partition, WorkflowTask task, RunOutcome outcome) {
+      scheduler.runEnded(task, outcome);
+    }
+
+    @Override
+    public void capacityChanged() {
+      scheduler.capacityChanged();
+    }
+
+    @Override
+    public boolean mayOrder() {
+      return true;
+    }
+  }
+}
