--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -48,12 +48,6 @@
    */
   private static final long CAPACITY_PASS_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
-  /** Best-effort runs throttled to this share of their speed or less are moved, in percent. */
-  private static final int THROTTLED_PERCENT = 25;
-
-  /** A run without checkpoints may be restarted up to this progress, in percent. */
-  private static final int CHEAP_RESTART_PERCENT = 25;
-
   private final LinkLoop loop;
   private final LongSupplier wallMillis;
   private final PartitionOwnership ownership;
@@ -63,6 +57,7 @@
   private final PlacementAdviceClient adviceClient;
   private final Supplier<Optional<QueueTable>> configuration;
   private final EarliestTimer backoffTimer;
+  private final RunMover mover;
   private boolean passScheduled;
   private boolean capacityPassScheduled;
 
@@ -86,6 +81,7 @@
     this.adviceClient = new PlacementAdviceClient(loop, adviser, this::schedulePass);
     this.configuration = requireNonNull(configuration, "configuration");
     this.backoffTimer = new EarliestTimer(loop, this::schedulePass);
+    this.mover = new RunMover(vms, (task, offers) -> chooseAmong(task, Urgency.ORDINARY, offers));
   }
 
   /** Schedules a pass over the waiting tasks after the current task of the loop. */
@@ -204,17 +200,13 @@
       chosen.forEach(
           offer ->
               offersByVm.computeIfPresent(
-                  offer.place().vm(), (vm, left) -> offerAfter(left, task)));
+                  offer.place().vm(), (vm, left) -> vms.view().offerAfter(left, task)));
       order(each, chosen.stream().map(VmOffer::place).toList());
       served.add(task.workflow());
     }
     return allPlaced;
   }
 
-  private VmOffer offerAfter(VmOffer offer, WorkflowTask task) {
-    return offer.afterPlacing(task.step(), vms.interferenceOf(task.step().traits().image()));
-  }
-
   private static boolean needsAdvice(WorkflowTask task) {
     return task.workflow().spec().policy().advice().isPresent();
   }
@@ -430,63 +422,8 @@
             .with("waited_ms", wallMillis.getAsLong() - workflow.spec().acceptedMillis()));
   }
 
-  /**
-   * Moves runs off VMs whose workers drain, whose service tasks share the VM with too many
-   * interfering runs, or on which the runs are throttled; runs whose restart would lose too much
-   * work stay.
-   */
+  /** Moves runs to better VMs, see {@link RunMover}; runs whose restart would cost much stay. */
   void moveRuns() {
-    for (OpenRun run : vms.view().runsOnDrainingVms()) {
-      boolean movable =
-          run.task().step().traits().longRunning() || run.task().step().traits().checkpointable();
-      if (movable) {
-        move(run, "worker is draining");
-      }
-    }
-    for (OpenRun run : vms.view().excessRuns()) {
-      if (isCheapToMove(run.task())) {
-        move(run, "the service tasks beside it leave it too little");
-      }
-    }
-    moveThrottled(vms.view().runsThrottledTo(THROTTLED_PERCENT));
-  }
-
-  private void moveThrottled(List<OpenRun> throttled) {
-    if (throttled.isEmpty()) {
-      return;
-    }
-    List<VmOffer> withoutServices = new ArrayList<>();
-    vms.offers().stream().filter(offer -> offer.serviceTasks() == 0).forEach(withoutServices::add);
-    for (OpenRun run : throttled) {
-      WorkflowTask task = run.task();
-      Optional<VmOffer> better =
-          isCheapToStop(task)
-              ? chooseAmong(task, Urgency.ORDINARY, withoutServices)
-              : Optional.empty();
-      if (better.isPresent() && move(run, "throttled beside service tasks")) {
-        withoutServices.remove(better.get());
-        withoutServices.add(offerAfter(better.get(), task));
-      }
-    }
-  }
-
-  /** Returns false also for the only run of a workflow, which would make no progress without it. */
-  private static boolean isCheapToMove(WorkflowTask task) {
-    return task.workflow().openTasks().size() > 1 && isCheapToStop(task);
-  }
-
-  private static boolean isCheapToStop(WorkflowTask task) {
-    return task.step().traits().checkpointable() || task.percent() <= CHEAP_RESTART_PERCENT;
-  }
-
-  private boolean move(OpenRun run, String reason) {
-    WorkflowTask task = run.task();
-    if (!run.isDurable() || !task.isStarted() || run.shouldStop()) {
-      return false;
-    }
-    task.requestStop();
-    LOG.info(LogLine.of("run-moved").with("run", task.openRun()).with("reason", reason));
-    vms.stopUnwanted(task.workflow());
-    return true;
+    mover.moveRuns();
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmView.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmView.java
@@ -6,6 +6,7 @@
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.workflow.VmOffer;
 import io.marigoldsail.workflow.WorkflowTask;
 import io.marigoldsail.workflow.ZoneEvacuations;
 import java.util.Collection;
@@ -76,6 +77,11 @@
         .orElse("");
   }
 
+  /** Returns what the VM offers once the task has been placed there. */
+  VmOffer offerAfter(VmOffer offer, WorkflowTask task) {
+    return offer.afterPlacing(task.step(), fleet.interferenceOf(task.step().traits().image()));
+  }
+
   /** Returns the evacuations of zones in force. */
   ZoneEvacuations evacuations() {
     return evacuations.newest();
