Accepted workflows follow their queue to another service

Cause: service and placement advice of a workflow were those of its queue at acceptance, for good. The scheduler passed over each workflow whose service no queue of the newest configuration named, and a workflow whose former service was still named would have gone on there. By reading, from the same cause: a queue that begins to require advice leaves accepted workflows with starts that workers refuse for want of a ticket, one that ends to require it leaves them waiting for the adviser, and a removed queue stops its accepted workflows.

Now each pass lets a workflow follow its queue by the configuration in force (Workflow.follow): further attempts start on the service, and with the advice, that the queue has now; attempts that run go on. A workflow whose queue was removed goes on where it was sent last, which the progress record keeps for later owners (WorkflowProgress.service; older versions drop it and fall back to the service at acceptance, as before). A change is logged for each workflow (workflow-rerouted).

Tests whose set-up contradicted itself were corrected, with the same assertions: workflows for the service without VMs were handed to a queue of another service (EntrySchedulerTest), and workflows that require advice to a queue that requires none (WorkflowTestCluster). usesServicesOfItsQueues tested a method that is gone; findsQueuesByName tests the one that takes its place.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/QueueTable.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/QueueTable.java
@@ -4,7 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
-import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableMap;
 import java.util.Comparator;
 import java.util.Locale;
 import java.util.Optional;
@@ -14,12 +14,12 @@
  * All queues of one version of the configuration.
  *
  * <p>Immutable. Rejects nulls. A configuration may have more than a thousand queues, and each
- * scheduling pass asks for the service of each workflow; so look-ups do not scan them.
+ * scheduling pass asks for the queue of each workflow; so look-ups do not scan them.
  */
 public final class QueueTable {
   private final long version;
   private final ImmutableList<Queue> queues;
-  private final ImmutableSet<String> services;
+  private final ImmutableMap<String, Queue> byName;
   private final ImmutableListMultimap<String, Queue> byHost;
 
   /**
@@ -31,10 +31,9 @@
   public QueueTable(long version, ImmutableList<Queue> queues) {
     this.version = version;
     this.queues = requireNonNull(queues, "queues");
-    this.services =
-        queues.stream()
-            .map(queue -> queue.policy().service())
-            .collect(ImmutableSet.toImmutableSet());
+    ImmutableMap.Builder<String, Queue> named = ImmutableMap.builder();
+    queues.forEach(queue -> named.put(queue.name(), queue));
+    this.byName = named.buildKeepingLast();
     this.byHost =
         queues.stream()
             .collect(
@@ -69,8 +68,8 @@
         .max(Comparator.comparingInt(queue -> queue.prefix().length()));
   }
 
-  /** Returns whether the tasks of any queue run on the service. */
-  public boolean usesService(String service) {
-    return services.contains(service);
+  /** Returns the queue with the name, or empty if there is none. */
+  public Optional<Queue> queue(String name) {
+    return Optional.ofNullable(byName.get(name));
   }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskPlacementRequest.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskPlacementRequest.java
@@ -7,7 +7,7 @@
  *
  * <p>Immutable. Rejects nulls.
  *
- * @param spec the workflow
+ * @param service the service whose workers may run the task
  * @param step the task's step
  * @param interference the believed interference of the step's image, from 0 to 1, see {@link
  *     ImageInterference}
@@ -16,10 +16,10 @@
  *     else empty
  */
 public record TaskPlacementRequest(
-    WorkflowSpec spec, StepSpec step, double interference, Urgency urgency, String siblingRack) {
+    String service, StepSpec step, double interference, Urgency urgency, String siblingRack) {
   /** Checks the components. */
   public TaskPlacementRequest {
-    requireNonNull(spec, "spec");
+    requireNonNull(service, "service");
     requireNonNull(step, "step");
     requireNonNull(urgency, "urgency");
     requireNonNull(siblingRack, "siblingRack");
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/VmChooser.java
@@ -233,7 +233,7 @@
    */
   public static Verdict verdict(
       TaskPlacementRequest request, VmOffer offer, ToIntFunction<VmOffer> ofStepOn) {
-    if (!offer.service().equals(request.spec().policy().service())) {
+    if (!offer.service().equals(request.service())) {
       return Verdict.OTHER_SERVICE;
     }
     StepSpec step = request.step();
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -31,9 +31,11 @@
   private long endedMillis;
   private boolean started;
   private long lastRanMillis;
+  private WorkflowSpec.QueuePolicy placementPolicy;
 
   private Workflow(WorkflowSpec spec) {
     this.spec = spec;
+    this.placementPolicy = spec.policy();
     int stepCount = spec.steps().size();
     this.firstTaskOfStep = new int[stepCount];
     int first = 0;
@@ -67,6 +69,9 @@
     workflow.status = state.status();
     workflow.durableStatus = state.status();
     workflow.endedMillis = state.endedMillis();
+    if (!state.service().isEmpty()) {
+      workflow.placementPolicy = spec.policy().withService(state.service());
+    }
     workflow.stopBrokenGangs();
     workflow.started = state.status() != WorkflowStatus.QUEUED;
     return workflow;
@@ -87,6 +92,33 @@
     return spec;
   }
 
+  /**
+   * Lets further attempts start where the workflow's queue sends its tasks by the configuration;
+   * leaves them where they are if the configuration does not contain the queue any more.
+   *
+   * <p>Attempts that run go on. Priority, failure limit and objective remain those at acceptance.
+   *
+   * @return whether the service changed
+   */
+  public boolean follow(QueueTable configuration) {
+    String before = service();
+    configuration
+        .queue(spec.queue())
+        .map(Queue::policy)
+        .ifPresent(policy -> placementPolicy = policy);
+    return !service().equals(before);
+  }
+
+  /** Returns the service whose workers run further attempts. */
+  public String service() {
+    return placementPolicy.service();
+  }
+
+  /** Returns the timing of the placement adviser for further attempts; empty if they need none. */
+  public Optional<AdviserTiming> advice() {
+    return placementPolicy.advice();
+  }
+
   /** Returns the current status, durable or not; callers see {@link #durableStatus}. */
   public WorkflowStatus status() {
     return status;
@@ -416,6 +448,7 @@
         tasks.subList(0, last).stream()
             .map(WorkflowTask::record)
             .collect(ImmutableList.toImmutableList());
-    return new WorkflowRecordState(status, states, endedMillis);
+    String service = service().equals(spec.policy().service()) ? "" : service();
+    return new WorkflowRecordState(status, states, endedMillis, service);
   }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
@@ -13,7 +13,8 @@
  *
  * @param id chosen by the caller
  * @param queue the name of the queue
- * @param policy the policy of the queue when the workflow was accepted
+ * @param policy the policy of the queue when the workflow was accepted; service and advice follow
+ *     the queue, see {@link Workflow#follow}
  * @param program opaque text for the worker
  * @param steps at least one
  * @param schedule when it runs
@@ -53,6 +54,12 @@
       checkArgument(objectiveMillis >= 0, "objectiveMillis is negative: %s", objectiveMillis);
       checkArgument(maxFailures >= 1, "maxFailures is not positive: %s", maxFailures);
     }
+
+    /** Returns this policy with another service. */
+    QueuePolicy withService(String newService) {
+      return new QueuePolicy(
+          newService, priority, maxFailures, advice, slackFactor, objectiveMillis);
+    }
   }
 
   /**
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/QueueTableTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/QueueTableTest.java
@@ -1,7 +1,6 @@
 package io.marigoldsail.workflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -32,9 +31,10 @@
   }
 
   @Test
-  void usesServicesOfItsQueues() {
-    QueueTable table = new QueueTable(1, ImmutableList.of(queue("one", "a.example", "/x/")));
-    assertTrue(table.usesService("service"));
-    assertFalse(table.usesService("another"));
+  void findsQueuesByName() {
+    Queue one = queue("one", "a.example", "/x/");
+    QueueTable table = new QueueTable(1, ImmutableList.of(one, queue("two", "", "/y/")));
+    assertEquals(Optional.of(one), table.queue("one"));
+    assertEquals(Optional.empty(), table.queue("three"));
   }
 }
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/VmChooserTest.java
@@ -217,7 +217,11 @@
     StepSpec small = WorkflowFixtures.step(1, 240, StepSpec.TaskTraits.PLAIN);
     TaskPlacementRequest request =
         new TaskPlacementRequest(
-            WorkflowFixtures.spec(small), small, 0, Urgency.ORDINARY, "rack-busy");
+            WorkflowFixtures.spec(small).policy().service(),
+            small,
+            0,
+            Urgency.ORDINARY,
+            "rack-busy");
     VmOffer idle = WorkflowFixtures.offer("idle", 16_000, 0, 0);
     VmOffer busy = WorkflowFixtures.offer("busy", 300, 0, 0);
     Optional<VmOffer> both =
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowFixtures.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowFixtures.java
@@ -17,7 +17,7 @@
   private WorkflowFixtures() {}
 
   static TaskPlacementRequest request(StepSpec step, double interference, Urgency urgency) {
-    return new TaskPlacementRequest(spec(step), step, interference, urgency, "");
+    return new TaskPlacementRequest(spec(step).policy().service(), step, interference, urgency, "");
   }
 
   static StepSpec.TaskTraits longRunning(long targetMillis) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -8,6 +8,7 @@
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.workflow.AdviserTiming;
 import io.marigoldsail.workflow.GangChooser;
 import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.QueueTable;
@@ -19,6 +20,7 @@
 import io.marigoldsail.workflow.VmOffer;
 import io.marigoldsail.workflow.WaitingOrder;
 import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowIds;
 import io.marigoldsail.workflow.WorkflowTask;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -149,7 +151,7 @@
       WorkflowTask task = waiting.task();
       boolean counts = task.step().placement().maxPerVm() > 0;
       return new Requirements(
-          task.workflow().spec().policy().service(),
+          task.workflow().service(),
           task.step(),
           waiting.urgency(),
           counts ? Optional.of(StepKey.of(task.key())) : Optional.empty());
@@ -208,7 +210,7 @@
   }
 
   private static boolean needsAdvice(WorkflowTask task) {
-    return task.workflow().spec().policy().advice().isPresent();
+    return task.workflow().advice().isPresent();
   }
 
   /**
@@ -217,13 +219,15 @@
    */
   private List<VmOffer> chooseWithAdvice(WaitingTask waiting, Collection<VmOffer> offers) {
     WorkflowTask task = waiting.task();
-    if (!needsAdvice(task)) {
+    Optional<AdviserTiming> advice = task.workflow().advice();
+    if (advice.isEmpty()) {
       return choose(waiting, offers);
     }
     List<VmOffer> chosen = choose(waiting, adviceClient.allowed(task, offers));
     if (chosen.isEmpty()) {
       adviceClient.request(
           task,
+          advice.get(),
           chooser.rankedOffers(
               placementRequest(task, waiting.urgency(), ""), offers, offers.size()));
     }
@@ -295,7 +299,7 @@
       WorkflowTask task, Urgency urgency, String siblingRack) {
     double interference = vms.interferenceOf(task.step().traits().image());
     return new TaskPlacementRequest(
-        task.workflow().spec(), task.step(), interference, urgency, siblingRack);
+        task.workflow().service(), task.step(), interference, urgency, siblingRack);
   }
 
   /** Returns the tasks to place now; notes in {@link #tasksWait} whether others have to wait. */
@@ -306,8 +310,8 @@
     List<Candidate> candidates = new ArrayList<>();
     for (OwnedPartition partition : ownership.active()) {
       for (Workflow workflow : partition.workflows()) {
-        if (!workflow.status().isTerminal()
-            && queues.usesService(workflow.spec().policy().service())) {
+        if (!workflow.status().isTerminal()) {
+          follow(workflow, queues);
           candidates.add(new Candidate(partition, workflow, WaitingOrder.rank(workflow, wallNow)));
         }
       }
@@ -335,19 +339,30 @@
     return waiting;
   }
 
+  /** Lets the workflow's further attempts start where its queue sends tasks now. */
+  private static void follow(Workflow workflow, QueueTable queues) {
+    String before = workflow.service();
+    if (workflow.follow(queues)) {
+      LOG.info(
+          LogLine.of("workflow-rerouted")
+              .with("workflow", WorkflowIds.format(workflow.spec().id()))
+              .with("queue", workflow.spec().queue())
+              .with("from", before)
+              .with("to", workflow.service())
+              .with("configuration", queues.version())
+              .with("open_runs", workflow.openTasks().size()));
+    }
+  }
+
   /**
    * Returns why a ready task has not been ordered, as if no other task waited.
    *
    * @param offers the VMs that may be given work now
    */
   WaitCause waitCause(OwnedPartition partition, WorkflowTask task, Collection<VmOffer> offers) {
-    Optional<QueueTable> queues = configuration.get();
-    if (queues.isEmpty()) {
+    if (configuration.get().isEmpty()) {
       return WaitCause.NO_CONFIGURATION;
     }
-    if (!queues.get().usesService(task.workflow().spec().policy().service())) {
-      return WaitCause.SERVICE_UNUSED;
-    }
     Urgency urgency = WaitingOrder.rank(task.workflow(), wallMillis.getAsLong()).urgency();
     WaitingTask ranked = new WaitingTask(partition, task, urgency);
     WaitingTask waiting = VmOffer.hasSpareCapacity(offers) ? ranked : ranked.withoutStarvation();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PlacementAdviceClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PlacementAdviceClient.java
@@ -83,9 +83,10 @@
    * Requests advice on the best candidates without a cached result; does nothing while a call is in
    * flight or for a short time after a failed call.
    *
+   * @param timing the timing of the adviser
    * @param candidates VMs that admit the task, best first
    */
-  void request(WorkflowTask task, Collection<VmOffer> candidates) {
+  void request(WorkflowTask task, AdviserTiming timing, Collection<VmOffer> candidates) {
     if (callInFlight || loop.now() < retryAt) {
       return;
     }
@@ -95,7 +96,6 @@
       return;
     }
     callInFlight = true;
-    AdviserTiming timing = task.workflow().spec().policy().advice().orElseThrow();
     long sentAt = loop.now();
     TaskKey key = task.key();
     adviser
@@ -105,11 +105,15 @@
             key.step(),
             workers,
             TIMEOUT_FACTOR * timing.callMillis(workers.size()) + ROUND_TRIP_MILLIS)
-        .thenAccept(result -> loop.run(() -> handleResult(task, workers, sentAt, result)));
+        .thenAccept(result -> loop.run(() -> handleResult(task, timing, workers, sentAt, result)));
   }
 
   private void handleResult(
-      WorkflowTask task, ImmutableList<String> workers, long sentAt, AdviceResult result) {
+      WorkflowTask task,
+      AdviserTiming timing,
+      ImmutableList<String> workers,
+      long sentAt,
+      AdviceResult result) {
     callInFlight = false;
     LogLine line =
         LogLine.of("placement-advised")
@@ -117,7 +121,6 @@
             .with("named", workers.size())
             .with("ms", TimeUnit.NANOSECONDS.toMillis(loop.now() - sentAt));
     if (result instanceof Advised advised) {
-      AdviserTiming timing = task.workflow().spec().policy().advice().orElseThrow();
       // Counted from the request, which precedes the start of the validity at the adviser.
       long validUntil = sentAt + TimeUnit.MILLISECONDS.toNanos(timing.validMillis());
       adviceFor(task).recordAnswer(workers, advised.tickets(), validUntil);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WaitCause.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WaitCause.java
@@ -4,8 +4,6 @@
 enum WaitCause {
   /** No configuration has been received. */
   NO_CONFIGURATION("no configuration is in force"),
-  /** The configuration in force does not contain the service of its queue. */
-  SERVICE_UNUSED("the configuration does not use its service"),
   /** Its last attempt was refused or failed, and its backoff has not ended. */
   BACKING_OFF("backing off after its last attempt"),
   /** No VM may be given work. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
@@ -178,7 +178,8 @@
     WorkflowProgress.Builder builder =
         WorkflowProgress.newBuilder()
             .setStatus(state.status().number())
-            .setEndedMillis(state.endedMillis());
+            .setEndedMillis(state.endedMillis())
+            .setService(state.service());
     Map<Place, Integer> positions = new LinkedHashMap<>();
     for (TaskRecordState task : state.tasks()) {
       TaskProgress.Builder progress =
@@ -218,7 +219,8 @@
           new WorkflowRecordState(
               WorkflowStatus.forNumber(progress.getStatus()),
               tasks.build(),
-              progress.getEndedMillis()));
+              progress.getEndedMillis(),
+              progress.getService()));
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EntrySchedulerTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EntrySchedulerTest.java
@@ -52,11 +52,11 @@
         traits);
   }
 
-  private void submit(long id, String service, int priority, StepSpec... steps) {
+  private void submit(long id, String queue, String service, int priority, StepSpec... steps) {
     WorkflowSpec spec =
         new WorkflowSpec(
             id,
-            "queue",
+            queue,
             new WorkflowSpec.QueuePolicy(service, priority, 3, Optional.empty(), 2, 100),
             "program",
             ImmutableList.copyOf(steps),
@@ -126,8 +126,13 @@
   @Test
   void workflowWithoutCapacityDoesNotBlockEqualOneOfAnotherService() throws IOException {
     start(40);
-    submit(91, WorkflowTestCluster.SERVICE_WITHOUT_VMS, 0, step(2, 0, StepSpec.TaskTraits.PLAIN));
-    submit(92, "service", 1, step(2, 0, StepSpec.TaskTraits.PLAIN));
+    submit(
+        91,
+        "idle",
+        WorkflowTestCluster.SERVICE_WITHOUT_VMS,
+        0,
+        step(2, 0, StepSpec.TaskTraits.PLAIN));
+    submit(92, "queue", "service", 1, step(2, 0, StepSpec.TaskTraits.PLAIN));
     cluster.await("the other workflow is done", () -> cluster.status(0, 92) == QueryResult.DONE);
     assertEquals(0, cluster.history().starts(new TaskKey(91, 0, 0, 0)));
   }
@@ -139,7 +144,7 @@
   @Test
   void stepWithoutCapacityDoesNotBlockEqualStepOfItsWorkflow() throws IOException {
     start(60_000);
-    submit(93, "service", 0, step(2, 1, LONG_RUNNING), step(2, 1, LONG_RUNNING));
+    submit(93, "queue", "service", 0, step(2, 1, LONG_RUNNING), step(2, 1, LONG_RUNNING));
     cluster.await("one task of each step has started", () -> cluster.history().totalStarts() == 2);
     assertEquals(1, cluster.history().starts(new TaskKey(93, 0, 0, 0)));
     assertEquals(1, cluster.history().starts(new TaskKey(93, 0, 1, 0)));
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowTestCluster.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowTestCluster.java
@@ -43,6 +43,7 @@
   /** The zone of VMs for which a test names none. */
   static final String ZONE = "zone";
 
+  private static final AdviserTiming ADVICE = new AdviserTiming(1, 1, 60_000);
   private static final long MAX_LEASE_MILLIS = 4_000;
   private static final long TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(40);
   private static final long HEARTBEAT_INTERVAL_MILLIS = 150;
@@ -140,17 +141,21 @@
     return running;
   }
 
-  /** Returns a configuration with one queue for the service and one for a service without VMs. */
+  /**
+   * Returns a configuration with a queue for the service, one for it that requires placement
+   * advice, and one for a service without VMs.
+   */
   static QueueTable configuration(long version, String service) {
     return new QueueTable(
         version,
         ImmutableList.of(
-            new Queue("queue", "", "/", policy(service), 1_000),
-            new Queue("idle", "", "/idle/", policy(SERVICE_WITHOUT_VMS), 1_000)));
+            new Queue("queue", "", "/", policy(service, Optional.empty()), 1_000),
+            new Queue("advised", "", "/advised/", policy(service, Optional.of(ADVICE)), 1_000),
+            new Queue("idle", "", "/idle/", policy(SERVICE_WITHOUT_VMS, Optional.empty()), 1_000)));
   }
 
-  private static WorkflowSpec.QueuePolicy policy(String service) {
-    return new WorkflowSpec.QueuePolicy(service, 0, 3, Optional.empty(), 2, 100);
+  private static WorkflowSpec.QueuePolicy policy(String service, Optional<AdviserTiming> advice) {
+    return new WorkflowSpec.QueuePolicy(service, 0, 3, advice, 2, 100);
   }
 
   /**
@@ -264,8 +269,7 @@
 
   /** Returns a workflow of a queue that requires placement advice. */
   static WorkflowSpec workflowWithAdvice(long id, int... widths) {
-    AdviserTiming advice = new AdviserTiming(1, 1, 60_000);
-    return workflow(id, Optional.of(advice), StepSpec.TaskTraits.PLAIN, widths);
+    return workflow(id, Optional.of(ADVICE), StepSpec.TaskTraits.PLAIN, widths);
   }
 
   private static WorkflowSpec workflow(
@@ -283,8 +287,8 @@
     }
     return new WorkflowSpec(
         id,
-        "queue",
-        new WorkflowSpec.QueuePolicy("service", 0, 3, advice, 2, 100),
+        advice.isPresent() ? "advised" : "queue",
+        policy("service", advice),
         "program",
         steps.build(),
         WorkflowSpec.Schedule.IMMEDIATE,
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -177,89 +177,89 @@
       "table\030\014 \001(\010\022\023\n\013speculative\030\r \001(\010\022\017\n\007last" +
       "ing\030\016 \001(\010\022\r\n\005image\030\017 \001(\t\022\035\n\025latency_targ" +
       "et_millis\030\020 \001(\r\022\r\n\005fills\030\021 \001(\010\022\033\n\023allowe" +
-      "d_unavailable\030\022 \001(\r\"\222\001\n\020WorkflowProgress" +
+      "d_unavailable\030\022 \001(\r\"\243\001\n\020WorkflowProgress" +
       "\022\016\n\006status\030\002 \001(\r\022\'\n\006places\030\003 \003(\0132\027.marig" +
       "oldsail.PlaceName\022)\n\005tasks\030\004 \003(\0132\032.marig" +
       "oldsail.TaskProgress\022\024\n\014ended_millis\030\005 \001" +
-      "(\003J\004\010\001\020\002\"\'\n\tPlaceName\022\n\n\002vm\030\001 \001(\t\022\016\n\006wor" +
-      "ker\030\002 \001(\t\"h\n\014TaskProgress\022\r\n\005phase\030\001 \001(\r" +
-      "\022\024\n\014last_attempt\030\002 \001(\r\022\020\n\010failures\030\003 \001(\r" +
-      "\022\r\n\005place\030\004 \001(\r\022\022\n\ncheckpoint\030\005 \001(\t\"z\n\016W" +
-      "orkflowTaskId\022\020\n\010workflow\030\001 \001(\006\022\022\n\noccur" +
-      "rence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005index\030\004 \001(\r" +
-      "\022\017\n\007attempt\030\005 \001(\r\022\024\n\014end_sequence\030\006 \001(\004\"" +
-      "\254\006\n\010VmReport\022\024\n\014worker_clock\030\001 \001(\022\022\n\n\002vm" +
-      "\030\002 \001(\t\022\016\n\006worker\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022" +
-      "\014\n\004zone\030\005 \001(\t\022\016\n\006labels\030\006 \003(\t\022\020\n\010drainin" +
-      "g\030\007 \001(\010\022\030\n\020milli_processors\030\010 \001(\r\022\030\n\020mem" +
-      "ory_mebibytes\030\t \001(\r\022\024\n\014accelerators\030\n \001(" +
-      "\r\022\035\n\025free_milli_processors\030\013 \001(\r\022\035\n\025free" +
-      "_memory_mebibytes\030\014 \001(\r\022\031\n\021free_accelera" +
-      "tors\030\r \001(\r\022\035\n\025fill_milli_processors\030\016 \001(" +
-      "\r\022\024\n\014fill_percent\030\017 \001(\r\022\023\n\013orders_seen\030\020" +
-      " \001(\004\022%\n\004runs\030\021 \003(\0132\027.marigoldsail.RunRep" +
-      "ort\022%\n\004ends\030\022 \003(\0132\027.marigoldsail.EndRepo" +
-      "rt\022\023\n\013wants_lease\030\023 \001(\010\022\023\n\013gone_worker\030\024" +
-      " \001(\t\022\021\n\tunhealthy\030\025 \001(\010\022\017\n\007serving\030\026 \001(\r" +
-      "\022\025\n\rowners_digest\030\027 \001(\007\022\'\n\006images\030\030 \003(\0132" +
-      "\027.marigoldsail.ImageSeen\022 \n\030suspect_mill" +
-      "i_processors\030\031 \001(\r\022\014\n\004rack\030\032 \001(\t\022#\n\033over" +
-      "commit_milli_processors\030\033 \001(\r\022\032\n\022reads_m" +
-      "ember_lists\030\034 \001(\010\0220\n\rservice_rooms\030\035 \003(\013" +
-      "2\031.marigoldsail.ServiceRoom\022%\n\005pairs\030\036 \003" +
-      "(\0132\026.marigoldsail.PairSeen\022\032\n\022owners_fin" +
-      "gerprint\030\037 \001(\006\".\n\013ServiceRoom\022\r\n\005image\030\001" +
-      " \001(\t\022\020\n\010headroom\030\002 \001(\002\"N\n\010PairSeen\022\023\n\013be" +
-      "st_effort\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\014\n\004work" +
-      "\030\003 \001(\002\022\016\n\006effect\030\004 \001(\002\"\246\001\n\tRunReport\022*\n\004" +
-      "task\030\001 \001(\0132\034.marigoldsail.WorkflowTaskId" +
-      "\022\017\n\007started\030\002 \001(\010\022\022\n\ncheckpoint\030\003 \001(\t\022\017\n" +
-      "\007percent\030\004 \001(\r\022\020\n\010stopping\030\005 \001(\010\022\024\n\014size" +
-      "_unknown\030\006 \001(\010\022\017\n\007crowded\030\007 \001(\010\"~\n\tEndRe" +
-      "port\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Workfl" +
-      "owTaskId\022\017\n\007outcome\030\002 \001(\r\022\022\n\ncheckpoint\030" +
-      "\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t\"" +
-      "\245\001\n\nLeaseGrant\022\024\n\014worker_clock\030\001 \001(\022\0221\n\010" +
-      "evidence\030\002 \003(\0132\037.marigoldsail.PartitionE" +
-      "vidence\022\'\n\006images\030\003 \003(\0132\027.marigoldsail.I" +
-      "mageSeen\022%\n\005pairs\030\004 \003(\0132\026.marigoldsail.P" +
-      "airSeen\"9\n\tImageSeen\022\r\n\005image\030\001 \001(\t\022\r\n\005b" +
-      "lame\030\002 \001(\002\022\016\n\006weight\030\003 \001(\002\"R\n\021PartitionE" +
-      "vidence\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(" +
-      "\004\022\033\n\023after_report_millis\030\003 \001(\021\"\374\002\n\tRunOr" +
-      "ders\022\016\n\006number\030\001 \001(\004\022\'\n\005lease\030\002 \001(\0132\030.ma" +
-      "rigoldsail.LeaseGrant\022&\n\006starts\030\003 \003(\0132\026." +
-      "marigoldsail.StartRun\022+\n\005stops\030\004 \003(\0132\034.m" +
-      "arigoldsail.WorkflowTaskId\0220\n\nnoted_ends" +
-      "\030\005 \003(\0132\034.marigoldsail.WorkflowTaskId\022\016\n\006" +
-      "worker\030\006 \001(\t\0225\n\017superseded_ends\030\007 \003(\0132\034." +
-      "marigoldsail.WorkflowTaskId\022\035\n\025tells_sup" +
-      "erseded_ends\030\010 \001(\010\022\031\n\021capacity_unneeded\030" +
-      "\t \001(\010\022.\n\013evacuations\030\n \001(\0132\031.marigoldsai" +
-      "l.Evacuations\".\n\013Evacuations\022\020\n\010revision" +
-      "\030\001 \001(\004\022\r\n\005zones\030\002 \003(\t\"\213\003\n\010StartRun\022*\n\004ta" +
-      "sk\030\001 \001(\0132\034.marigoldsail.WorkflowTaskId\022\017" +
-      "\n\007program\030\002 \001(\t\022\030\n\020milli_processors\030\003 \001(" +
-      "\r\022\030\n\020memory_mebibytes\030\004 \001(\r\022\024\n\014accelerat" +
-      "ors\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001(\t\022\r\n\005image\030\007" +
-      " \001(\t\022\035\n\025latency_target_millis\030\010 \001(\r\022\r\n\005f" +
-      "ills\030\t \001(\010\022\024\n\014same_program\030\n \001(\010\022\017\n\007star" +
-      "ved\030\013 \001(\010\022\016\n\006ticket\030\014 \001(\t\0221\n\010delivery\030\r " +
-      "\001(\0162\037.marigoldsail.StartRun.Delivery\"=\n\010" +
-      "Delivery\022\030\n\024DELIVERY_UNSPECIFIED\020\000\022\t\n\005FI" +
-      "RST\020\001\022\014\n\010REPEATED\020\002\"\206\001\n\010OwnerMap\022\022\n\ngene" +
-      "ration\030\001 \001(\004\022,\n\006owners\030\002 \003(\0132\034.marigolds" +
-      "ail.PartitionOwner\022\016\n\006digest\030\003 \001(\007\022\017\n\007me" +
-      "mbers\030\004 \003(\t\022\027\n\017owner_positions\030\005 \003(\r\"3\n\016" +
-      "PartitionOwner\022\021\n\tpartition\030\001 \001(\r\022\016\n\006mem" +
-      "ber\030\002 \001(\t\"L\n\rWorkflowQuery\022\n\n\002id\030\001 \001(\004\022\020" +
-      "\n\010workflow\030\002 \001(\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cance" +
-      "l\030\004 \001(\010\"1\n\023WorkflowQueryAnswer\022\n\n\002id\030\001 \001" +
-      "(\004\022\016\n\006result\030\002 \001(\r\"I\n\rWaitingCounts\022\016\n\006m" +
-      "ember\030\001 \001(\t\022(\n\006queues\030\002 \003(\0132\030.marigoldsa" +
-      "il.QueueCount\",\n\nQueueCount\022\r\n\005queue\030\001 \001" +
-      "(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030io.marigoldsail.p" +
-      "rotocolP\001b\006proto3"
+      "(\003\022\017\n\007service\030\006 \001(\tJ\004\010\001\020\002\"\'\n\tPlaceName\022\n" +
+      "\n\002vm\030\001 \001(\t\022\016\n\006worker\030\002 \001(\t\"h\n\014TaskProgre" +
+      "ss\022\r\n\005phase\030\001 \001(\r\022\024\n\014last_attempt\030\002 \001(\r\022" +
+      "\020\n\010failures\030\003 \001(\r\022\r\n\005place\030\004 \001(\r\022\022\n\nchec" +
+      "kpoint\030\005 \001(\t\"z\n\016WorkflowTaskId\022\020\n\010workfl" +
+      "ow\030\001 \001(\006\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001" +
+      "(\r\022\r\n\005index\030\004 \001(\r\022\017\n\007attempt\030\005 \001(\r\022\024\n\014en" +
+      "d_sequence\030\006 \001(\004\"\254\006\n\010VmReport\022\024\n\014worker_" +
+      "clock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n\006worker\030\003 \001(\t\022" +
+      "\017\n\007service\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\022\016\n\006labels" +
+      "\030\006 \003(\t\022\020\n\010draining\030\007 \001(\010\022\030\n\020milli_proces" +
+      "sors\030\010 \001(\r\022\030\n\020memory_mebibytes\030\t \001(\r\022\024\n\014" +
+      "accelerators\030\n \001(\r\022\035\n\025free_milli_process" +
+      "ors\030\013 \001(\r\022\035\n\025free_memory_mebibytes\030\014 \001(\r" +
+      "\022\031\n\021free_accelerators\030\r \001(\r\022\035\n\025fill_mill" +
+      "i_processors\030\016 \001(\r\022\024\n\014fill_percent\030\017 \001(\r" +
+      "\022\023\n\013orders_seen\030\020 \001(\004\022%\n\004runs\030\021 \003(\0132\027.ma" +
+      "rigoldsail.RunReport\022%\n\004ends\030\022 \003(\0132\027.mar" +
+      "igoldsail.EndReport\022\023\n\013wants_lease\030\023 \001(\010" +
+      "\022\023\n\013gone_worker\030\024 \001(\t\022\021\n\tunhealthy\030\025 \001(\010" +
+      "\022\017\n\007serving\030\026 \001(\r\022\025\n\rowners_digest\030\027 \001(\007" +
+      "\022\'\n\006images\030\030 \003(\0132\027.marigoldsail.ImageSee" +
+      "n\022 \n\030suspect_milli_processors\030\031 \001(\r\022\014\n\004r" +
+      "ack\030\032 \001(\t\022#\n\033overcommit_milli_processors" +
+      "\030\033 \001(\r\022\032\n\022reads_member_lists\030\034 \001(\010\0220\n\rse" +
+      "rvice_rooms\030\035 \003(\0132\031.marigoldsail.Service" +
+      "Room\022%\n\005pairs\030\036 \003(\0132\026.marigoldsail.PairS" +
+      "een\022\032\n\022owners_fingerprint\030\037 \001(\006\".\n\013Servi" +
+      "ceRoom\022\r\n\005image\030\001 \001(\t\022\020\n\010headroom\030\002 \001(\002\"" +
+      "N\n\010PairSeen\022\023\n\013best_effort\030\001 \001(\t\022\017\n\007serv" +
+      "ice\030\002 \001(\t\022\014\n\004work\030\003 \001(\002\022\016\n\006effect\030\004 \001(\002\"" +
+      "\246\001\n\tRunReport\022*\n\004task\030\001 \001(\0132\034.marigoldsa" +
+      "il.WorkflowTaskId\022\017\n\007started\030\002 \001(\010\022\022\n\nch" +
+      "eckpoint\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022\020\n\010stopp" +
+      "ing\030\005 \001(\010\022\024\n\014size_unknown\030\006 \001(\010\022\017\n\007crowd" +
+      "ed\030\007 \001(\010\"~\n\tEndReport\022*\n\004task\030\001 \001(\0132\034.ma" +
+      "rigoldsail.WorkflowTaskId\022\017\n\007outcome\030\002 \001" +
+      "(\r\022\022\n\ncheckpoint\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004" +
+      "\022\016\n\006reason\030\005 \001(\t\"\245\001\n\nLeaseGrant\022\024\n\014worke" +
+      "r_clock\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037.marigo" +
+      "ldsail.PartitionEvidence\022\'\n\006images\030\003 \003(\013" +
+      "2\027.marigoldsail.ImageSeen\022%\n\005pairs\030\004 \003(\013" +
+      "2\026.marigoldsail.PairSeen\"9\n\tImageSeen\022\r\n" +
+      "\005image\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006weight\030\003 " +
+      "\001(\002\"R\n\021PartitionEvidence\022\021\n\tpartition\030\001 " +
+      "\001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after_report_milli" +
+      "s\030\003 \001(\021\"\374\002\n\tRunOrders\022\016\n\006number\030\001 \001(\004\022\'\n" +
+      "\005lease\030\002 \001(\0132\030.marigoldsail.LeaseGrant\022&" +
+      "\n\006starts\030\003 \003(\0132\026.marigoldsail.StartRun\022+" +
+      "\n\005stops\030\004 \003(\0132\034.marigoldsail.WorkflowTas" +
+      "kId\0220\n\nnoted_ends\030\005 \003(\0132\034.marigoldsail.W" +
+      "orkflowTaskId\022\016\n\006worker\030\006 \001(\t\0225\n\017superse" +
+      "ded_ends\030\007 \003(\0132\034.marigoldsail.WorkflowTa" +
+      "skId\022\035\n\025tells_superseded_ends\030\010 \001(\010\022\031\n\021c" +
+      "apacity_unneeded\030\t \001(\010\022.\n\013evacuations\030\n " +
+      "\001(\0132\031.marigoldsail.Evacuations\".\n\013Evacua" +
+      "tions\022\020\n\010revision\030\001 \001(\004\022\r\n\005zones\030\002 \003(\t\"\213" +
+      "\003\n\010StartRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail" +
+      ".WorkflowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020mill" +
+      "i_processors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004" +
+      " \001(\r\022\024\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint" +
+      "\030\006 \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_" +
+      "millis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_prog" +
+      "ram\030\n \001(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014 \001" +
+      "(\t\0221\n\010delivery\030\r \001(\0162\037.marigoldsail.Star" +
+      "tRun.Delivery\"=\n\010Delivery\022\030\n\024DELIVERY_UN" +
+      "SPECIFIED\020\000\022\t\n\005FIRST\020\001\022\014\n\010REPEATED\020\002\"\206\001\n" +
+      "\010OwnerMap\022\022\n\ngeneration\030\001 \001(\004\022,\n\006owners\030" +
+      "\002 \003(\0132\034.marigoldsail.PartitionOwner\022\016\n\006d" +
+      "igest\030\003 \001(\007\022\017\n\007members\030\004 \003(\t\022\027\n\017owner_po" +
+      "sitions\030\005 \003(\r\"3\n\016PartitionOwner\022\021\n\tparti" +
+      "tion\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkflowQu" +
+      "ery\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005que" +
+      "ue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023WorkflowQuer" +
+      "yAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"I\n\rW" +
+      "aitingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues\030\002" +
+      " \003(\0132\030.marigoldsail.QueueCount\",\n\nQueueC" +
+      "ount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030" +
+      "io.marigoldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -288,7 +288,7 @@
     internal_static_marigoldsail_WorkflowProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowProgress_descriptor,
-        new java.lang.String[] { "Status", "Places", "Tasks", "EndedMillis", });
+        new java.lang.String[] { "Status", "Places", "Tasks", "EndedMillis", "Service", });
     internal_static_marigoldsail_PlaceName_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_marigoldsail_PlaceName_fieldAccessorTable = new
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgress.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgress.java
@@ -34,6 +34,7 @@
   private WorkflowProgress() {
     places_ = java.util.Collections.emptyList();
     tasks_ = java.util.Collections.emptyList();
+    service_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -206,6 +207,55 @@
     return endedMillis_;
   }
 
+  public static final int SERVICE_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object service_ = "";
+  /**
+   * <pre>
+   * The service on which its tasks start, if another than that of the submission; older versions
+   * drop it.
+   * </pre>
+   *
+   * <code>string service = 6;</code>
+   * @return The service.
+   */
+  @java.lang.Override
+  public java.lang.String getService() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      service_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The service on which its tasks start, if another than that of the submission; older versions
+   * drop it.
+   * </pre>
+   *
+   * <code>string service = 6;</code>
+   * @return The bytes for service.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServiceBytes() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      service_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -232,6 +282,9 @@
     if (endedMillis_ != 0L) {
       output.writeInt64(5, endedMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, service_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -262,6 +315,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(5, endedMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, service_);
+    }
     return size;
   }
   @java.lang.Override
@@ -294,6 +350,8 @@
         .equals(other.getTasksList())) return false;
     if (getEndedMillis()
         != other.getEndedMillis()) return false;
+    if (!getService()
+        .equals(other.getService())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -318,6 +376,8 @@
     hash = (37 * hash) + ENDED_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEndedMillis());
+    hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+    hash = (53 * hash) + getService().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -469,6 +529,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000004);
       endedMillis_ = 0L;
+      service_ = "";
       return this;
     }
 
@@ -530,6 +591,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.endedMillis_ = endedMillis_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.service_ = service_;
+      }
     }
 
     @java.lang.Override
@@ -602,6 +666,11 @@
       if (other.getEndedMillis() != 0L) {
         setEndedMillis(other.getEndedMillis());
       }
+      if (!other.getService().isEmpty()) {
+        service_ = other.service_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -662,6 +731,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 40
+            case 50: {
+              service_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1379,6 +1453,103 @@
       return this;
     }
 
+    private java.lang.Object service_ = "";
+    /**
+     * <pre>
+     * The service on which its tasks start, if another than that of the submission; older versions
+     * drop it.
+     * </pre>
+     *
+     * <code>string service = 6;</code>
+     * @return The service.
+     */
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The service on which its tasks start, if another than that of the submission; older versions
+     * drop it.
+     * </pre>
+     *
+     * <code>string service = 6;</code>
+     * @return The bytes for service.
+     */
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The service on which its tasks start, if another than that of the submission; older versions
+     * drop it.
+     * </pre>
+     *
+     * <code>string service = 6;</code>
+     * @param value The service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setService(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      service_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The service on which its tasks start, if another than that of the submission; older versions
+     * drop it.
+     * </pre>
+     *
+     * <code>string service = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearService() {
+      service_ = getDefaultInstance().getService();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The service on which its tasks start, if another than that of the submission; older versions
+     * drop it.
+     * </pre>
+     *
+     * <code>string service = 6;</code>
+     * @param value The bytes for service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      service_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.WorkflowProgress)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgressOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgressOrBuilder.java
@@ -117,4 +117,26 @@
    * @return The endedMillis.
    */
   long getEndedMillis();
+
+  /**
+   * <pre>
+   * The service on which its tasks start, if another than that of the submission; older versions
+   * drop it.
+   * </pre>
+   *
+   * <code>string service = 6;</code>
+   * @return The service.
+   */
+  java.lang.String getService();
+  /**
+   * <pre>
+   * The service on which its tasks start, if another than that of the submission; older versions
+   * drop it.
+   * </pre>
+   *
+   * <code>string service = 6;</code>
+   * @return The bytes for service.
+   */
+  com.google.protobuf.ByteString
+      getServiceBytes();
 }
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetRun.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetRun.java
@@ -275,7 +275,7 @@
       WorkflowTask task, Urgency urgency, List<VmOffer> offers, long now) {
     double belief = interferenceBelief(task.step().traits().image(), now);
     TaskPlacementRequest request =
-        new TaskPlacementRequest(task.workflow().spec(), task.step(), belief, urgency, "");
+        new TaskPlacementRequest(task.workflow().service(), task.step(), belief, urgency, "");
     if (task.step().traits().isService() && !policy.packsServices()) {
       return offers.stream()
           .filter(
