--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
@@ -6,6 +6,7 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.Frame;
+import io.marigoldsail.protocol.RunOrders;
 import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.VmReport;
@@ -37,6 +38,8 @@
     private final String name;
     private final String service;
     private final List<StartRun> starts = new ArrayList<>();
+    private final List<RunOrders> orders = new ArrayList<>();
+    private long ordersSeen;
     private Optional<LinkConnection> link = Optional.empty();
 
     private Vm(String name, String service) {
@@ -44,8 +47,13 @@
       this.service = service;
     }
 
-    /** Reports the runs as started and the ends, on a new connection if there is none. */
+    /** Reports the runs as started and the ends, with all capacity free. */
     void report(List<RunKey> running, EndReport... ends) {
+      report(VM_MILLI_PROCESSORS, running, List.of(ends));
+    }
+
+    /** Reports the runs as started and the ends, on a new connection if there is none. */
+    void report(int freeMilliProcessors, List<RunKey> running, List<EndReport> ends) {
       if (link.isEmpty()) {
         link = Optional.of(FakeLinks.sendingTo(this::receive, time.loop()));
       }
@@ -56,10 +64,11 @@
               .setService(service)
               .setMilliProcessors(VM_MILLI_PROCESSORS)
               .setMemoryMebibytes(VM_MEBIBYTES)
-              .setFreeMilliProcessors(VM_MILLI_PROCESSORS)
+              .setFreeMilliProcessors(freeMilliProcessors)
               .setFreeMemoryMebibytes(VM_MEBIBYTES)
               .setWantsLease(true)
-              .addAllEnds(List.of(ends));
+              .setOrdersSeen(ordersSeen)
+              .addAllEnds(ends);
       for (RunKey run : running) {
         report.addRuns(RunReport.newBuilder().setTask(WorkflowCodec.encode(run)).setStarted(true));
       }
@@ -67,7 +76,26 @@
     }
 
     private void receive(Frame frame) {
-      starts.addAll(frame.getRunOrders().getStartsList());
+      if (frame.hasRunOrders()) {
+        ordersSeen = frame.getRunOrders().getNumber();
+        starts.addAll(frame.getRunOrders().getStartsList());
+        orders.add(frame.getRunOrders());
+      }
+    }
+
+    /** Returns the frames of orders received since the last call. */
+    List<RunOrders> takeOrders() {
+      List<RunOrders> taken = List.copyOf(orders);
+      orders.clear();
+      return taken;
+    }
+
+    String name() {
+      return name;
+    }
+
+    boolean isConnected() {
+      return link.isPresent();
     }
 
     /** Returns the runs that the entry has ordered here. */
@@ -80,10 +108,12 @@
       return starts.stream().map(StartRun::getTicket).toList();
     }
 
-    /** Ends the connection, as an interruption does. */
+    /** Ends the connection, as an interruption does; frames that were not taken are lost. */
     void disconnect() {
       vms.disconnected(link.orElseThrow(), "interrupted by the test");
       link = Optional.empty();
+      ordersSeen = 0;
+      orders.clear();
     }
   }
 
@@ -134,6 +164,15 @@
     time.advance(millis);
   }
 
+  long millis() {
+    return time.millis();
+  }
+
+  /** Throws the first exception that a task of the loop has thrown since the last call, if any. */
+  void rethrowFailure() {
+    time.rethrowFailure();
+  }
+
   FakeAdviser adviser() {
     return adviser;
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
@@ -71,6 +71,11 @@
     timer.runPendingTasks();
   }
 
+  /** Throws the first exception that a task has thrown since the last call, if any. */
+  void rethrowFailure() {
+    timer.checkException();
+  }
+
   /** Runs the tasks that are due without advancing the time. */
   void runPending() {
     timer.runPendingTasks();
