--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
@@ -52,27 +52,34 @@
       report(VM_MILLI_PROCESSORS, running, List.of(ends));
     }
 
-    /** Reports the runs as started and the ends, on a new connection if there is none. */
+    /** Reports the runs as started and the ends. */
     void report(int freeMilliProcessors, List<RunKey> running, List<EndReport> ends) {
-      if (link.isEmpty()) {
-        link = Optional.of(FakeLinks.sendingTo(this::receive, time.loop()));
-      }
-      VmReport.Builder report =
-          VmReport.newBuilder()
-              .setVm(name)
-              .setWorker("incarnation-1-" + name)
-              .setService(service)
-              .setMilliProcessors(VM_MILLI_PROCESSORS)
-              .setMemoryMebibytes(VM_MEBIBYTES)
-              .setFreeMilliProcessors(freeMilliProcessors)
-              .setFreeMemoryMebibytes(VM_MEBIBYTES)
-              .setWantsLease(true)
-              .setOrdersSeen(ordersSeen)
-              .addAllEnds(ends);
+      VmReport.Builder report = idle().setFreeMilliProcessors(freeMilliProcessors).addAllEnds(ends);
       for (RunKey run : running) {
         report.addRuns(RunReport.newBuilder().setTask(WorkflowCodec.encode(run)).setStarted(true));
       }
-      vms.handleReport(link.get(), report.build());
+      send(report);
+    }
+
+    /** Returns a report of the VM without runs and ends. */
+    VmReport.Builder idle() {
+      return VmReport.newBuilder()
+          .setVm(name)
+          .setWorker("incarnation-1-" + name)
+          .setService(service)
+          .setMilliProcessors(VM_MILLI_PROCESSORS)
+          .setMemoryMebibytes(VM_MEBIBYTES)
+          .setFreeMilliProcessors(VM_MILLI_PROCESSORS)
+          .setFreeMemoryMebibytes(VM_MEBIBYTES)
+          .setWantsLease(true);
+    }
+
+    /** Sends a report, on a new connection if there is none. */
+    void send(VmReport.Builder report) {
+      if (link.isEmpty()) {
+        link = Optional.of(FakeLinks.sendingTo(this::receive, time.loop()));
+      }
+      vms.handleReport(link.get(), report.setOrdersSeen(ordersSeen).build());
     }
 
     private void receive(Frame frame) {
