--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VmSessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VmSessionTest.java
@@ -1,15 +1,19 @@
 package io.marigoldsail.daemon.workflow;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.marigoldsail.protocol.ServiceRoom;
 import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowTask;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class VmSessionTest {
@@ -42,6 +46,37 @@
     assertFalse(session.hasPendingOrders());
   }
 
+  /**
+   * Guards against a scheduling pass that ends at a VM whose run has ended without a report, and
+   * against capacity reserved for such a run or for a later attempt elsewhere.
+   */
+  @Test
+  void runThatIsNotTheOpenAttemptReservesNothing() {
+    Workflow workflow = Workflow.of(WorkflowTestCluster.workflow(8, 1));
+    WorkflowTask task = workflow.tasks().get(0);
+    workflow.startAttempt(task, new Place("vm-0", "incarnation-1"));
+    OpenRun run = OpenRun.create(null, task, 0, false, "");
+    VmReport idle =
+        report("incarnation-1").toBuilder()
+            .setFreeMilliProcessors(4_000)
+            .setFreeMemoryMebibytes(8_192)
+            .build();
+    VmSession session = new VmSession(null, idle, 0);
+    long whenOpen = freeMilliProcessors(session, run);
+    workflow.recordEnd(run.key(), RunOutcome.LOST, "", 0);
+    assertFalse(run.isOpen());
+    long whenEnded = freeMilliProcessors(session, run);
+    assertEquals(whenOpen + task.step().booked().milliProcessors(), whenEnded);
+    workflow.startAttempt(task, new Place("vm-1", "incarnation-1"));
+    assertFalse(run.isOpen());
+    assertEquals(1, run.key().attempt());
+    assertEquals(whenEnded, freeMilliProcessors(session, run));
+  }
+
+  private static long freeMilliProcessors(VmSession session, OpenRun run) {
+    return session.offer(List.of(run), new FleetStatistics(), 1).free().milliProcessors();
+  }
+
   /** Guards against a worker that gets no tasks of an image that its predecessor refused. */
   @Test
   void refusalsEndWithTheIncarnationThatRefused() {
