workflow-rerouted names the partition's epoch; RunMover's Javadoc says which runs it stops

The line tells of a decision of an owner, and did not say under which epoch. No other change of behaviour; VmSessionTest, QueueRoutingTest, GangLateEndTest and EntrySchedulerTest pass.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -311,7 +311,7 @@
     for (OwnedPartition partition : ownership.active()) {
       for (Workflow workflow : partition.workflows()) {
         if (!workflow.status().isTerminal()) {
-          follow(workflow, queues);
+          follow(partition, workflow, queues);
           candidates.add(new Candidate(partition, workflow, WaitingOrder.rank(workflow, wallNow)));
         }
       }
@@ -340,7 +340,7 @@
   }
 
   /** Lets the workflow's further attempts start where its queue sends tasks now. */
-  private static void follow(Workflow workflow, QueueTable queues) {
+  private static void follow(OwnedPartition partition, Workflow workflow, QueueTable queues) {
     String before = workflow.service();
     if (workflow.follow(queues)) {
       LOG.info(
@@ -350,6 +350,7 @@
               .with("from", before)
               .with("to", workflow.service())
               .with("configuration", queues.version())
+              .with("epoch", partition.epoch())
               .with("open_runs", workflow.openTasks().size()));
     }
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunMover.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunMover.java
@@ -12,7 +12,8 @@
 import java.util.Optional;
 
 /**
- * Stops runs on VMs that are bad for them or for which they are bad, so that they run elsewhere.
+ * Stops runs that should run elsewhere: on draining workers, beside services that they crowd, or on
+ * VMs that throttle them.
  *
  * <p>Confined to the loop's thread.
  */
