--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -37,7 +37,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -54,9 +53,6 @@
   private static final long EVICTION_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
   private static final long MONITOR_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** Time after which a cancel that is not durable yet counts as unavailable, in nanoseconds. */
-  private static final long CANCEL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
-
   private static final int MAX_LINKS = 2_000;
 
   private final LinkLoop loop;
@@ -69,6 +65,7 @@
   private final EntryScheduler scheduler;
   private final LongRunningTaskMonitor taskMonitor;
   private final SubmissionWriter submissions;
+  private final WorkflowQueries queries;
   private final LinkServer server;
   private final ConfigurationFreshness freshness;
   private final OwnerMapRateLimiter<LinkConnection> ownerMapLimiter = new OwnerMapRateLimiter<>();
@@ -119,6 +116,7 @@
         new ConfigurationFreshness(
             parameters.maxConfigurationAgeMillis(), parameters.maxEvacuationsAgeMillis());
     this.submissions = new SubmissionWriter(store, loop);
+    this.queries = new WorkflowQueries(loop, wallMillis, ownership, peers, vms);
     this.server = new LinkServer(loop, address, MAX_LINKS, new IncomingLinkListener());
   }
 
@@ -242,71 +240,10 @@
    */
   public CompletableFuture<QueryResult> query(long workflow, String queue, boolean cancel) {
     CompletableFuture<QueryResult> future = new CompletableFuture<>();
-    loop.run(() -> handleQuery(workflow, queue, cancel, true, future::complete));
+    loop.run(() -> queries.query(workflow, queue, cancel, future::complete));
     return future;
   }
 
-  private void handleQuery(
-      long workflow,
-      String queue,
-      boolean cancel,
-      boolean mayForward,
-      Consumer<QueryResult> onResult) {
-    int partition = ownership.partitionOf(workflow);
-    Optional<OwnedPartition> owned = ownership.active(partition);
-    if (owned.isPresent()) {
-      queryOwned(owned.get(), workflow, cancel, onResult);
-    } else if (mayForward) {
-      WorkflowQuery forwarded =
-          WorkflowQuery.newBuilder()
-              .setWorkflow(workflow)
-              .setQueue(queue)
-              .setCancel(cancel)
-              .build();
-      peers.query(partition, forwarded, onResult);
-    } else {
-      onResult.accept(QueryResult.UNAVAILABLE);
-    }
-  }
-
-  private void queryOwned(
-      OwnedPartition owned, long id, boolean cancel, Consumer<QueryResult> onResult) {
-    Optional<Workflow> found = owned.workflow(id);
-    if (found.isEmpty()) {
-      boolean unknown = owned.isCaughtUp() && !owned.isUnrestorable(id);
-      onResult.accept(unknown ? QueryResult.UNKNOWN_WORKFLOW : QueryResult.UNAVAILABLE);
-      return;
-    }
-    Workflow workflow = found.get();
-    if (!cancel) {
-      onResult.accept(QueryResult.of(workflow.durableStatus()));
-      return;
-    }
-    cancelOwned(owned, workflow).thenAccept(onResult);
-  }
-
-  private CompletableFuture<QueryResult> cancelOwned(OwnedPartition owned, Workflow workflow) {
-    if (workflow.cancel(wallMillis.getAsLong())) {
-      LOG.info(
-          LogLine.of("workflow-cancelled")
-              .with("workflow", WorkflowIds.format(workflow.spec().id()))
-              .with("open_runs", workflow.openTasks().size()));
-      owned.persist(workflow);
-    }
-    CompletableFuture<QueryResult> cancelled = new CompletableFuture<>();
-    owned
-        .writer()
-        .afterDurable(
-            () -> {
-              vms.stopUnwanted(workflow);
-              cancelled.complete(QueryResult.of(workflow.durableStatus()));
-            });
-    // The cancel may never become durable if the partition has another owner or the store is
-    // unreachable.
-    loop.schedule(() -> cancelled.complete(QueryResult.UNAVAILABLE), CANCEL_TIMEOUT_NANOS);
-    return cancelled;
-  }
-
   /**
    * Returns the number of accepted workflows of the queue of which no task has started, at all
    * entries; completes on the loop. The numbers of other entries may be some seconds old.
@@ -483,11 +420,9 @@
   }
 
   private void handlePeerQuery(LinkConnection connection, WorkflowQuery query) {
-    handleQuery(
+    queries.queryAsOwner(
         query.getWorkflow(),
-        query.getQueue(),
         query.getCancel(),
-        false,
         result ->
             connection.send(
                 Frame.newBuilder()
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
@@ -0,0 +1,116 @@
+package io.marigoldsail.daemon.workflow;
+
+import static java.util.Objects.requireNonNull;
+
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.protocol.WorkflowQuery;
+import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowIds;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/**
+ * Answers queries about workflows, and cancels them first where the caller asks for it.
+ *
+ * <p>The owner of a workflow's partition decides; any other entry forwards the query to it.
+ * Confined to the loop's thread.
+ */
+final class WorkflowQueries {
+  private static final EventLog LOG = EventLog.of(WorkflowQueries.class);
+
+  /** Time after which a cancel that is not durable yet counts as unavailable, in nanoseconds. */
+  private static final long CANCEL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+
+  private final LinkLoop loop;
+  private final LongSupplier wallMillis;
+  private final PartitionOwnership ownership;
+  private final EntryPeers peers;
+  private final VmTracker vms;
+
+  WorkflowQueries(
+      LinkLoop loop,
+      LongSupplier wallMillis,
+      PartitionOwnership ownership,
+      EntryPeers peers,
+      VmTracker vms) {
+    this.loop = requireNonNull(loop, "loop");
+    this.wallMillis = requireNonNull(wallMillis, "wallMillis");
+    this.ownership = requireNonNull(ownership, "ownership");
+    this.peers = requireNonNull(peers, "peers");
+    this.vms = requireNonNull(vms, "vms");
+  }
+
+  /**
+   * Answers the query of a caller, through the owner if that is another entry.
+   *
+   * @param onResult runs on the loop, once
+   */
+  void query(long workflow, String queue, boolean cancel, Consumer<QueryResult> onResult) {
+    int partition = ownership.partitionOf(workflow);
+    if (ownership.active(partition).isPresent()) {
+      queryAsOwner(workflow, cancel, onResult);
+      return;
+    }
+    WorkflowQuery forwarded =
+        WorkflowQuery.newBuilder().setWorkflow(workflow).setQueue(queue).setCancel(cancel).build();
+    peers.query(partition, forwarded, onResult);
+  }
+
+  /**
+   * Answers a query if this entry owns the partition, else {@link QueryResult#UNAVAILABLE}.
+   *
+   * @param onResult runs on the loop, once
+   */
+  void queryAsOwner(long workflow, boolean cancel, Consumer<QueryResult> onResult) {
+    Optional<OwnedPartition> owned = ownership.active(ownership.partitionOf(workflow));
+    if (owned.isEmpty()) {
+      onResult.accept(QueryResult.UNAVAILABLE);
+      return;
+    }
+    queryOwned(owned.get(), workflow, cancel, onResult);
+  }
+
+  private void queryOwned(
+      OwnedPartition owned, long id, boolean cancel, Consumer<QueryResult> onResult) {
+    Optional<Workflow> found = owned.workflow(id);
+    if (found.isEmpty()) {
+      boolean unknown = owned.isCaughtUp() && !owned.isUnrestorable(id);
+      onResult.accept(unknown ? QueryResult.UNKNOWN_WORKFLOW : QueryResult.UNAVAILABLE);
+      return;
+    }
+    Workflow workflow = found.get();
+    if (!cancel) {
+      onResult.accept(QueryResult.of(workflow.durableStatus()));
+      return;
+    }
+    cancelOwned(owned, workflow).thenAccept(onResult);
+  }
+
+  private CompletableFuture<QueryResult> cancelOwned(OwnedPartition owned, Workflow workflow) {
+    if (workflow.cancel(wallMillis.getAsLong())) {
+      LOG.info(
+          LogLine.of("workflow-cancelled")
+              .with("workflow", WorkflowIds.format(workflow.spec().id()))
+              .with("open_runs", workflow.openTasks().size()));
+      owned.persist(workflow);
+    }
+    CompletableFuture<QueryResult> cancelled = new CompletableFuture<>();
+    owned
+        .writer()
+        .afterDurable(
+            () -> {
+              vms.stopUnwanted(workflow);
+              cancelled.complete(QueryResult.of(workflow.durableStatus()));
+            });
+    // The cancel may never become durable if the partition has another owner or the store is
+    // unreachable.
+    loop.schedule(() -> cancelled.complete(QueryResult.UNAVAILABLE), CANCEL_TIMEOUT_NANOS);
+    return cancelled;
+  }
+}
