--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -160,6 +160,13 @@
         && caughtUpAt.filter(at -> at.ageNanos(clocks.read()) < CAUGHT_UP_NANOS).isPresent();
   }
 
+  /** Returns the age of the last read of submissions in milliseconds, as a text for logs. */
+  String readAge() {
+    return caughtUpAt
+        .map(at -> String.valueOf(TimeUnit.NANOSECONDS.toMillis(at.ageNanos(clocks.read()))))
+        .orElse("none");
+  }
+
   /** Returns the age of the ownership evidence in milliseconds, as a text for logs. */
   String evidenceAge() {
     OptionalLong nanos = writer.evidenceAgeNanos(clocks.read());
@@ -319,6 +326,13 @@
     workflows.put(spec.id(), workflow);
     failedRestores.remove(spec.id());
     if (active) {
+      LOG.info(
+          LogLine.of("workflow-taken-up")
+              .with("workflow", WorkflowIds.format(spec.id()))
+              .with("partition", number)
+              .with("epoch", epoch())
+              .with("accepted_ms", spec.acceptedMillis())
+              .with("status", workflow.status()));
       listener.submitted(this, workflow);
     }
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
@@ -81,7 +81,9 @@
     Optional<Workflow> found = owned.workflow(id);
     if (found.isEmpty()) {
       boolean unknown = owned.isCaughtUp() && !owned.isUnrestorable(id);
-      onResult.accept(unknown ? QueryResult.UNKNOWN_WORKFLOW : QueryResult.UNAVAILABLE);
+      QueryResult result = unknown ? QueryResult.UNKNOWN_WORKFLOW : QueryResult.UNAVAILABLE;
+      logUnknown(owned, id, cancel, result);
+      onResult.accept(result);
       return;
     }
     Workflow workflow = found.get();
@@ -92,11 +94,26 @@
     cancelOwned(owned, workflow).thenAccept(onResult);
   }
 
+  private static void logUnknown(
+      OwnedPartition owned, long id, boolean cancel, QueryResult result) {
+    LOG.info(
+        LogLine.of("workflow-not-known")
+            .with("workflow", WorkflowIds.format(id))
+            .with("cancel", cancel)
+            .with("partition", owned.number())
+            .with("epoch", owned.epoch())
+            .with("read_age_ms", owned.readAge())
+            .with("evidence_age_ms", owned.evidenceAge())
+            .with("result", result));
+  }
+
   private CompletableFuture<QueryResult> cancelOwned(OwnedPartition owned, Workflow workflow) {
     if (workflow.cancel(wallMillis.getAsLong())) {
       LOG.info(
           LogLine.of("workflow-cancelled")
               .with("workflow", WorkflowIds.format(workflow.spec().id()))
+              .with("partition", owned.number())
+              .with("epoch", owned.epoch())
               .with("open_runs", workflow.openTasks().size()));
       owned.persist(workflow);
     }
