--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
@@ -30,8 +30,11 @@
     REFUSED
   }
 
+  private record WaitingRead(long from, CompletableFuture<ReadResult> future) {}
+
   private static final class Log {
     private final List<KeyedRecord> records = new ArrayList<>();
+    private final List<WaitingRead> waitingReads = new ArrayList<>();
     private final Map<String, KeyedRecord> newest = new TreeMap<>();
     private long epoch = -1;
     private long sequence;
@@ -224,28 +227,34 @@
         log.newest.put(keyed.key(), keyed);
       }
     }
+    for (WaitingRead waiting : log.waitingReads) {
+      timer.schedule(() -> answer(log, waiting), 1, TimeUnit.MILLISECONDS);
+    }
+    log.waitingReads.clear();
     return new Appended();
   }
 
   @Override
-  public CompletableFuture<ReadResult> read(
+  public synchronized CompletableFuture<ReadResult> read(
       Topic topic, int partition, long from, long waitMillis) {
-    CompletableFuture<ReadResult> future = new CompletableFuture<>();
-    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
-    poll(log(topic, partition), from, deadline, future);
-    return future;
+    Log log = log(topic, partition);
+    if (waitMillis == 0 || log.records.size() > from) {
+      return CompletableFuture.completedFuture(newer(log, from));
+    }
+    WaitingRead waiting = new WaitingRead(from, new CompletableFuture<>());
+    log.waitingReads.add(waiting);
+    timer.schedule(() -> answer(log, waiting), waitMillis, TimeUnit.MILLISECONDS);
+    return waiting.future();
   }
 
-  private void poll(Log log, long from, long deadline, CompletableFuture<ReadResult> future) {
-    synchronized (this) {
-      if (log.records.size() > from || System.nanoTime() - deadline > 0) {
-        List<KeyedRecord> newer =
-            log.records.subList((int) Math.min(from, log.records.size()), log.records.size());
-        future.complete(new Records(ImmutableList.copyOf(newer), from + newer.size()));
-        return;
-      }
-    }
-    timer.schedule(() -> poll(log, from, deadline, future), 2, TimeUnit.MILLISECONDS);
+  private void answer(Log log, WaitingRead waiting) {
+    waiting.future().complete(newer(log, waiting.from()));
+  }
+
+  private synchronized Records newer(Log log, long from) {
+    List<KeyedRecord> newer =
+        log.records.subList((int) Math.min(from, log.records.size()), log.records.size());
+    return new Records(ImmutableList.copyOf(newer), from + newer.size());
   }
 
   @Override
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
@@ -1,9 +1,11 @@
 package io.marigoldsail.daemon.workflow;
 
 import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.daemon.link.VirtualLinks;
 import io.marigoldsail.time.ClockPair;
 import io.marigoldsail.time.WallClock;
 import io.marigoldsail.timeline.HybridClock;
+import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -23,6 +25,12 @@
     loop = new LinkLoop(timer.eventLoop(), () -> nanos, new HybridClock(WallClock.system()));
   }
 
+  /** Creates the loop of a process with links to others. */
+  VirtualLoop(VirtualLinks links) {
+    timer.freezeTime();
+    loop = links.loop(timer.eventLoop(), () -> nanos);
+  }
+
   LinkLoop loop() {
     return loop;
   }
@@ -32,6 +40,11 @@
     return timer.eventLoop();
   }
 
+  /** Returns the event loop of the process, as known to its links. */
+  EventLoop eventLoop() {
+    return timer.eventLoop();
+  }
+
   /** Returns the elapsed virtual time, in milliseconds. */
   long millis() {
     return TimeUnit.NANOSECONDS.toMillis(nanos);
