An owner denies a workflow only after a read that began after the question

What callers saw: a DELETE sent milliseconds after its POST had been accepted was answered 410, and the job ran all the same, a lasting one without end.

Cause: an owner said that a workflow did not exist whenever its last read of the submissions had been answered less than 2.2 s before. Such a read begins before the question and tells nothing about what another entry has appended since. The cancel was kept nowhere, so the submission was read a little later and ran. The same acted on a GET, and on a submission that the store executes, or the caller repeats, after the DELETE.

Now an owner that does not know the workflow reads the submissions once more, after the question; one read serves all questions that wait at the partition, at most one each 40 ms. If the workflow is unknown even then, its cancel is made durable under the workflow's key and the owner's epoch before the answer 410, and is kept as long as ended workflows: whichever owner reads a later submission adds it as cancelled. At most 1,000 such cancels are kept a partition; beyond that, and while the store does not answer this entry, the answer is 503 with the time to come back.

--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/CancelTombstones.java
@@ -0,0 +1,57 @@
+package io.marigoldsail.daemon.workflow;
+
+import com.google.common.collect.ImmutableList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * The cancels of one partition whose workflows were unknown when they were cancelled.
+ *
+ * <p>Bounded, as callers may cancel any id. Confined to the loop's thread.
+ */
+final class CancelTombstones {
+  /** Maximum number of cancels that are accepted. */
+  static final int MAX_TOMBSTONES = 1_000;
+
+  private final Map<Long, Long> cancelledMillisById = new LinkedHashMap<>();
+
+  int size() {
+    return cancelledMillisById.size();
+  }
+
+  boolean contains(long id) {
+    return cancelledMillisById.containsKey(id);
+  }
+
+  /** Adds a cancel, unless there are too many; returns whether it is contained. */
+  boolean add(long id, long wallMillis) {
+    if (cancelledMillisById.size() >= MAX_TOMBSTONES) {
+      return contains(id);
+    }
+    cancelledMillisById.putIfAbsent(id, wallMillis);
+    return true;
+  }
+
+  /** Adds a cancel that a former owner accepted. */
+  void restore(long id, long wallMillis) {
+    cancelledMillisById.put(id, wallMillis);
+  }
+
+  /** Removes the cancel and returns its wall clock in milliseconds, or empty if there is none. */
+  OptionalLong remove(long id) {
+    Long cancelledMillis = cancelledMillisById.remove(id);
+    return cancelledMillis == null ? OptionalLong.empty() : OptionalLong.of(cancelledMillis);
+  }
+
+  /** Removes the cancels that are older than the time, in milliseconds, and returns their ids. */
+  ImmutableList<Long> removeOlderThan(long wallMillis) {
+    ImmutableList<Long> removed =
+        cancelledMillisById.entrySet().stream()
+            .filter(entry -> entry.getValue() < wallMillis)
+            .map(Map.Entry::getKey)
+            .collect(ImmutableList.toImmutableList());
+    removed.forEach(cancelledMillisById::remove);
+    return removed;
+  }
+}
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -2,21 +2,17 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
-import io.marigoldsail.daemon.workflow.WorkflowStore.Expired;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NewestPage;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NewestResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NewestUnavailable;
-import io.marigoldsail.daemon.workflow.WorkflowStore.ReadFailed;
-import io.marigoldsail.daemon.workflow.WorkflowStore.ReadResult;
-import io.marigoldsail.daemon.workflow.WorkflowStore.Records;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
 import io.marigoldsail.time.ClockPair;
-import io.marigoldsail.time.ClockReading;
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowIds;
@@ -33,6 +29,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -48,15 +45,6 @@
   private static final EventLog LOG = EventLog.of(OwnedPartition.class);
   private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
-  /** How long a read of submissions waits for a record, in milliseconds. */
-  private static final long TAIL_WAIT_MILLIS = 1_500;
-
-  /**
-   * Maximum age of the last successful read, in nanoseconds, at which this process may report that
-   * a workflow does not exist; slightly longer than a read waits.
-   */
-  private static final long CAUGHT_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(TAIL_WAIT_MILLIS + 700);
-
   /** Notified of changes of the partition; runs on the loop. */
   interface Listener {
     /** Called when the durable state has been loaded. */
@@ -75,6 +63,8 @@
   private final int number;
   private final Listener listener;
   private final PartitionWriter writer;
+  private final SubmissionTail tail;
+  private final CancelTombstones tombstones = new CancelTombstones();
   private final Map<Long, Workflow> workflows = new HashMap<>();
   private final Map<Long, WorkflowRecordState> unclaimedProgress = new HashMap<>();
 
@@ -86,8 +76,6 @@
 
   private boolean active;
   private boolean closed;
-  private long tailOffset;
-  private Optional<ClockReading> caughtUpAt = Optional.empty();
 
   OwnedPartition(
       WorkflowStore store,
@@ -102,6 +90,8 @@
     this.number = number;
     this.listener = requireNonNull(listener, "listener");
     this.writer = new PartitionWriter(store, loop, clocks, number, epoch, this::handleLost);
+    this.tail =
+        new SubmissionTail(store, loop, clocks, number, this::addOrSkip, this::readSubmissions);
   }
 
   /** Starts loading; the listener is notified once the partition is active. */
@@ -114,6 +104,7 @@
     closed = true;
     active = false;
     writer.close();
+    tail.close();
   }
 
   private void handleLost() {
@@ -154,17 +145,25 @@
     return workflow(key.workflow()).flatMap(workflow -> workflow.task(key));
   }
 
-  /** Returns whether all submissions accepted more than {@link #CAUGHT_UP_NANOS} ago are known. */
+  /** Returns whether the submissions accepted until shortly before are known. */
   boolean isCaughtUp() {
-    return active
-        && caughtUpAt.filter(at -> at.ageNanos(clocks.read()) < CAUGHT_UP_NANOS).isPresent();
+    return active && tail.isCaughtUp();
+  }
+
+  /**
+   * Reads the submissions that are durable now.
+   *
+   * @param deadline when the caller gives up, in the loop's nanoseconds
+   * @return completes on the loop: with true once all of them have been added, with false if they
+   *     could not be read by the deadline
+   */
+  CompletableFuture<Boolean> confirmSubmissions(long deadline) {
+    return tail.confirm(deadline);
   }
 
   /** Returns the age of the last read of submissions in milliseconds, as a text for logs. */
   String readAge() {
-    return caughtUpAt
-        .map(at -> String.valueOf(TimeUnit.NANOSECONDS.toMillis(at.ageNanos(clocks.read()))))
-        .orElse("none");
+    return tail.readAge();
   }
 
   /** Returns the age of the ownership evidence in milliseconds, as a text for logs. */
@@ -217,25 +216,28 @@
           if (page.continueAfter().isPresent()) {
             readProgress(page.continueAfter());
           } else {
-            readSubmissions(Optional.empty(), this::activate);
+            readSubmissions(this::activate);
           }
         });
   }
 
   /** Reads and adds all submissions, then runs the callback. */
-  private void readSubmissions(Optional<String> after, Runnable onComplete) {
+  private void readSubmissions(Runnable onComplete) {
+    readSubmissions(Optional.empty(), 0, onComplete);
+  }
+
+  private void readSubmissions(Optional<String> after, long firstPageEnd, Runnable onComplete) {
     readNewest(
         Topic.SUBMISSIONS,
         after,
         page -> {
-          if (after.isEmpty()) {
-            // Pages are no snapshot: records written while the pages are read are tailed from here.
-            tailOffset = page.endOffset();
-          }
+          // Pages are no snapshot: records written while the pages are read are tailed from here.
+          long end = after.isEmpty() ? page.endOffset() : firstPageEnd;
           page.records().forEach(this::addOrSkip);
           if (page.continueAfter().isPresent()) {
-            readSubmissions(page.continueAfter(), onComplete);
+            readSubmissions(page.continueAfter(), end, onComplete);
           } else {
+            tail.skipTo(end);
             onComplete.run();
           }
         });
@@ -316,15 +318,23 @@
             .with("reason", "record cannot be decoded or its key does not match its id"));
   }
 
-  /** Adds a workflow whose submission is durable; does nothing if it was added before. */
+  /**
+   * Adds a workflow whose submission is durable; does nothing if it was added before. A workflow
+   * that was cancelled before its submission was read is added as cancelled.
+   */
   void add(WorkflowSpec spec) {
     if (closed || workflows.containsKey(spec.id()) || !failedRestores.add(spec.id())) {
       return;
     }
     WorkflowRecordState state = unclaimedProgress.remove(spec.id());
     Workflow workflow = state == null ? Workflow.of(spec) : Workflow.restore(spec, state);
+    OptionalLong cancelledMillis = tombstones.remove(spec.id());
+    boolean cancelled = cancelledMillis.isPresent() && workflow.cancel(cancelledMillis.getAsLong());
     workflows.put(spec.id(), workflow);
     failedRestores.remove(spec.id());
+    if (cancelled) {
+      persist(workflow);
+    }
     if (active) {
       LOG.info(
           LogLine.of("workflow-taken-up")
@@ -337,16 +347,45 @@
     }
   }
 
+  /**
+   * Writes the cancel of a workflow of which no submission is known, so that one that the store
+   * takes later is read as cancelled by this owner and its successors.
+   *
+   * @param wallMillis wall clock in milliseconds
+   * @return false if there are too many such cancels; nothing is written then
+   */
+  boolean cancelUnknown(long id, long wallMillis) {
+    if (tombstones.contains(id)) {
+      return true;
+    }
+    if (!tombstones.add(id, wallMillis)) {
+      return false;
+    }
+    ByteString record =
+        WorkflowCodec.encode(
+            new WorkflowRecordState(WorkflowStatus.CANCELLED, ImmutableList.of(), wallMillis, ""));
+    writer.write(WorkflowIds.format(id), () -> record, () -> {});
+    return true;
+  }
+
+  /** Drops the cancels of unknown workflows that are older than the time, in milliseconds. */
+  void dropTombstones(long cancelledBefore) {
+    for (long id : tombstones.removeOlderThan(cancelledBefore)) {
+      writer.write(WorkflowIds.format(id), () -> ByteString.EMPTY, () -> {});
+    }
+  }
+
   private void activate() {
+    unclaimedProgress.forEach(this::restoreTombstone);
     unclaimedProgress.clear();
     active = true;
-    caughtUpAt = Optional.of(clocks.read());
     LOG.info(
         LogLine.of("partition-owned")
             .with("partition", number)
             .with("epoch", epoch())
             .with("workflows", workflows.size())
-            .with("submissions_end", tailOffset));
+            .with("tombstones", tombstones.size())
+            .with("submissions_end", tail.nextOffset()));
     // An exception must not prevent tailing: the partition is already active, and without tailing
     // no later submission would ever be ordered.
     LinkLoop.runGuarded(
@@ -357,42 +396,14 @@
                     .with("partition", number)
                     .with("epoch", epoch())
                     .withError(e)));
-    tail();
-  }
-
-  private void tail() {
-    if (closed) {
-      return;
+    if (!closed) {
+      tail.start();
     }
-    ClockReading sent = clocks.read();
-    // Callers that ask for unknown workflows wait for this read.
-    long waitMillis = isCaughtUp() ? TAIL_WAIT_MILLIS : 0;
-    store
-        .read(Topic.SUBMISSIONS, number, tailOffset, waitMillis)
-        .thenAccept(result -> loop.run(() -> handleTail(sent, result)));
   }
 
-  private void handleTail(ClockReading sent, ReadResult result) {
-    if (closed) {
-      return;
-    }
-    if (result instanceof Records records) {
-      ClockReading now = clocks.read();
-      // After a suspension the response may be as old as the request.
-      caughtUpAt = Optional.of(sent.isContinuousUntil(now) ? now : sent);
-      tailOffset = records.nextOffset();
-      records.records().forEach(this::addOrSkip);
-      tail();
-    } else if (result instanceof Expired) {
-      LOG.info(
-          LogLine.of("submissions-expired").with("partition", number).with("from", tailOffset));
-      readSubmissions(Optional.empty(), this::tail);
-    } else {
-      LOG.debug(
-          LogLine.of("tail-retried")
-              .with("partition", number)
-              .with("reason", ((ReadFailed) result).reason()));
-      loop.schedule(this::tail, RETRY_DELAY_NANOS);
+  private void restoreTombstone(long id, WorkflowRecordState state) {
+    if (state.status() == WorkflowStatus.CANCELLED) {
+      tombstones.restore(id, state.endedMillis());
     }
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -292,6 +292,7 @@
   private void evictEnded() {
     long endedBefore = wallMillis.getAsLong() - parameters.endedRetentionMillis();
     for (OwnedPartition partition : ownership.active()) {
+      partition.dropTombstones(endedBefore);
       for (Workflow workflow : ImmutableList.copyOf(partition.workflows())) {
         boolean expired =
             workflow.durableStatus().isTerminal() && workflow.endedMillis() < endedBefore;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
@@ -24,8 +24,8 @@
 final class WorkflowQueries {
   private static final EventLog LOG = EventLog.of(WorkflowQueries.class);
 
-  /** Time after which a cancel that is not durable yet counts as unavailable, in nanoseconds. */
-  private static final long CANCEL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+  /** Time in which the owner reads submissions, or makes a cancel durable, in nanoseconds. */
+  private static final long TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
   private final LinkLoop loop;
   private final LongSupplier wallMillis;
@@ -79,32 +79,40 @@
   private void queryOwned(
       OwnedPartition owned, long id, boolean cancel, Consumer<QueryResult> onResult) {
     Optional<Workflow> found = owned.workflow(id);
-    if (found.isEmpty()) {
-      boolean unknown = owned.isCaughtUp() && !owned.isUnrestorable(id);
-      QueryResult result = unknown ? QueryResult.UNKNOWN_WORKFLOW : QueryResult.UNAVAILABLE;
-      logUnknown(owned, id, cancel, result);
-      onResult.accept(result);
+    if (found.isPresent()) {
+      answerKnown(owned, found.get(), cancel, onResult);
       return;
     }
-    Workflow workflow = found.get();
-    if (!cancel) {
-      onResult.accept(QueryResult.of(workflow.durableStatus()));
-      return;
-    }
-    cancelOwned(owned, workflow).thenAccept(onResult);
+    // The submission may have been accepted by another entry and not have been read yet.
+    long askedAt = loop.now();
+    long deadline = askedAt + TIMEOUT_NANOS;
+    owned
+        .confirmSubmissions(deadline)
+        .thenAccept(
+            confirmed -> {
+              Optional<Workflow> read = owned.workflow(id).filter(unused -> owned.isActive());
+              if (read.isPresent()) {
+                answerKnown(owned, read.get(), cancel, onResult);
+                return;
+              }
+              boolean unknown = confirmed && owned.isActive() && !owned.isUnrestorable(id);
+              if (unknown && cancel) {
+                cancelUnknown(owned, id, askedAt, onResult);
+                return;
+              }
+              QueryResult result = unknown ? QueryResult.UNKNOWN_WORKFLOW : QueryResult.UNAVAILABLE;
+              logNotKnown(owned, id, cancel, askedAt, result);
+              onResult.accept(result);
+            });
   }
 
-  private static void logUnknown(
-      OwnedPartition owned, long id, boolean cancel, QueryResult result) {
-    LOG.info(
-        LogLine.of("workflow-not-known")
-            .with("workflow", WorkflowIds.format(id))
-            .with("cancel", cancel)
-            .with("partition", owned.number())
-            .with("epoch", owned.epoch())
-            .with("read_age_ms", owned.readAge())
-            .with("evidence_age_ms", owned.evidenceAge())
-            .with("result", result));
+  private void answerKnown(
+      OwnedPartition owned, Workflow workflow, boolean cancel, Consumer<QueryResult> onResult) {
+    if (cancel) {
+      cancelOwned(owned, workflow).thenAccept(onResult);
+    } else {
+      onResult.accept(QueryResult.of(workflow.durableStatus()));
+    }
   }
 
   private CompletableFuture<QueryResult> cancelOwned(OwnedPartition owned, Workflow workflow) {
@@ -127,7 +135,51 @@
             });
     // The cancel may never become durable if the partition has another owner or the store is
     // unreachable.
-    loop.schedule(() -> cancelled.complete(QueryResult.UNAVAILABLE), CANCEL_TIMEOUT_NANOS);
+    loop.schedule(() -> cancelled.complete(QueryResult.UNAVAILABLE), TIMEOUT_NANOS);
     return cancelled;
   }
+
+  /**
+   * Reports that the workflow does not exist once its cancel is durable: the store may still take a
+   * submission that it received before, or one that the caller repeats.
+   */
+  private void cancelUnknown(
+      OwnedPartition owned, long id, long askedAt, Consumer<QueryResult> onResult) {
+    CompletableFuture<QueryResult> answered = new CompletableFuture<>();
+    answered.thenAccept(
+        result -> {
+          logNotKnown(owned, id, true, askedAt, result);
+          onResult.accept(result);
+        });
+    if (!owned.cancelUnknown(id, wallMillis.getAsLong())) {
+      answered.complete(QueryResult.UNAVAILABLE);
+      return;
+    }
+    owned
+        .writer()
+        .afterDurable(
+            () -> {
+              Optional<Workflow> submitted = owned.workflow(id);
+              if (submitted.isPresent()) {
+                cancelOwned(owned, submitted.get()).thenAccept(answered::complete);
+              } else {
+                answered.complete(QueryResult.UNKNOWN_WORKFLOW);
+              }
+            });
+    loop.schedule(() -> answered.complete(QueryResult.UNAVAILABLE), TIMEOUT_NANOS);
+  }
+
+  private void logNotKnown(
+      OwnedPartition owned, long id, boolean cancel, long askedAt, QueryResult result) {
+    LOG.info(
+        LogLine.of("workflow-not-known")
+            .with("workflow", WorkflowIds.format(id))
+            .with("cancel", cancel)
+            .with("partition", owned.number())
+            .with("epoch", owned.epoch())
+            .with("waited_ms", TimeUnit.NANOSECONDS.toMillis(loop.now() - askedAt))
+            .with("read_age_ms", owned.readAge())
+            .with("evidence_age_ms", owned.evidenceAge())
+            .with("result", result));
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowStore.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowStore.java
@@ -73,8 +73,16 @@
    * Records in the order of their offsets.
    *
    * @param nextOffset the offset of the next read
+   * @param endOffset the offset after the newest record when the store answered; greater than the
+   *     next offset if the response had no room for all records
    */
-  record Records(ImmutableList<KeyedRecord> records, long nextOffset) implements ReadResult {}
+  record Records(ImmutableList<KeyedRecord> records, long nextOffset, long endOffset)
+      implements ReadResult {
+    /** Creates the result of a read that reached the end of the partition. */
+    public Records(ImmutableList<KeyedRecord> records, long nextOffset) {
+      this(records, nextOffset, nextOffset);
+    }
+  }
 
   /** The requested offset has expired; the remaining records are read by {@link #readNewest}. */
   record Expired() implements ReadResult {}
