Side processes pass over starts whose frame does not name the program

A frame names the program of a workflow at its first start there. A start whose program is missing was sent to the worker with an empty one.

Evidence: WorkflowSideProcessTest#startWithoutItsProgramIsNotSentToTheWorker failed before: the worker was told to start the run.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -350,8 +350,8 @@
       if (!start.getSameProgram()) {
         programs.put(key.task().workflow(), start.getProgram());
       }
-      if (isFromOwner(fromOwner, key)) {
-        session().start(key, start, programs.getOrDefault(key.task().workflow(), ""));
+      if (isFromOwner(fromOwner, key) && hasProgram(programs, key)) {
+        session().start(key, start, programs.get(key.task().workflow()));
       }
     }
     for (WorkflowTaskId stop : orders.getStopsList()) {
@@ -392,6 +392,18 @@
     return valid;
   }
 
+  /** Returns whether the frame names the program of the run; without it, another one would start. */
+  private static boolean hasProgram(Map<Long, String> programs, RunKey key) {
+    boolean named = programs.containsKey(key.task().workflow());
+    if (!named) {
+      LOG.warning(
+          LogLine.of("order-passed-over")
+              .with("run", key)
+              .with("reason", "its frame does not name the program"));
+    }
+    return named;
+  }
+
   /** Records the evidence; returns for each partition whether it has the highest epoch so far. */
   private Map<Integer, Boolean> recordEvidence(LeaseGrant grant) {
     Map<Integer, Boolean> fromOwner = new HashMap<>();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowSideProcessTest.java
@@ -24,6 +24,7 @@
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -331,4 +332,39 @@
     assertTrue(response.get());
     assertEquals(0, worker.unacknowledgedEnds());
   }
+
+  /**
+   * Guards against a run that starts with an empty program: the frame says that an earlier start of
+   * it names the program, and none does.
+   */
+  @Test
+  void startWithoutItsProgramIsNotSentToTheWorker() throws Exception {
+    side.start();
+    store
+        .nextRequest()
+        .complete(ScriptedOwnersStore.owners(Map.of(0, entry.member(), 1, entry.member())));
+    LinkConnection connection = entry.awaitConnection();
+    sendHeartbeat();
+    VmReport report = awaitReportOfWorker();
+    RunKey complete = new RunKey(new TaskKey(8, 0, 0, 0), 1);
+    entry.send(
+        connection,
+        Frame.newBuilder()
+            .setRunOrders(
+                RunOrders.newBuilder()
+                    .setNumber(1)
+                    .setWorker(WORKER)
+                    .setLease(evidence(report.getWorkerClock()))
+                    .addStarts(startOf(RUN).setSameProgram(true))
+                    .addStarts(startOf(complete).setProgram("program")))
+            .build());
+    while (awaitReportOfWorker().getRunsList().stream().noneMatch(run -> run.getStarted())) {
+      // Keeps waiting.
+    }
+    assertEquals(List.of(complete), worker.startRequests());
+  }
+
+  private static StartRun.Builder startOf(RunKey run) {
+    return StartRun.newBuilder().setTask(WorkflowCodec.encode(run)).setMilliProcessors(500);
+  }
 }
