Names of members that no entry can have are passed over

What callers saw: another program that joined the owners' group as 127.0.0.1:70000/5 made each reading of the owners by an entry throw in MemberLinks.dial, so that the rest of it was skipped and side processes did not get the map; each side process closed its link to a sound entry, whose map named the odd member.

Cause: EntryMember took any positive port, and any host, for a name that any program may choose. MemberLinks logs a name that is none once and dials the others.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/MemberLinks.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/MemberLinks.java
@@ -44,6 +44,7 @@
   private final Listener listener;
   private final Map<String, LinkConnection> links = new HashMap<>();
   private final Set<String> dialling = new HashSet<>();
+  private final Set<String> passedOver = new HashSet<>();
 
   MemberLinks(LinkLoop loop, Listener listener) {
     this.loop = requireNonNull(loop, "loop");
@@ -74,11 +75,16 @@
     return alive.build();
   }
 
-  /** Dials the given members that are not connected and closes the connections to all others. */
+  /**
+   * Dials the given members that are not connected and closes the connections to all others; names
+   * that are no member names are logged once and passed over.
+   */
   void setMembers(Set<String> members) {
+    passedOver.retainAll(members);
     for (String member : members) {
       if (!links.containsKey(member) && !dialling.contains(member)) {
-        EntryMember.parse(member).ifPresent(parsed -> dial(member, parsed));
+        EntryMember.parse(member)
+            .ifPresentOrElse(parsed -> dial(member, parsed), () -> passOver(member));
       }
     }
     for (String member : Set.copyOf(links.keySet())) {
@@ -88,6 +94,15 @@
     }
   }
 
+  private void passOver(String member) {
+    if (passedOver.add(member)) {
+      LOG.warning(
+          LogLine.of("member-passed-over")
+              .with("member", member)
+              .with("reason", "it is not the name of an entry"));
+    }
+  }
+
   private void dial(String member, EntryMember parsed) {
     dialling.add(member);
     loop.dial(
