The limit on the tasks of a workflow holds for counts whose product overflows

What callers saw: nothing at once. A job of three steps of 2,147,483,647 tasks, run 2,147,483,647 times, was accepted, from a caller or from another writer of the submissions, because the product of its counts is negative as a long. Its owner then asked for an array of 2,147,483,645 numbers: OutOfMemoryError in the reading of the partition, under this owner and all later ones.

WorkflowSpec now multiplies with saturation. It also bounds the lengths of texts, which go into start orders: a program or image above the length of a frame closed the link to each VM that the task was placed on. A repeated dependency of a step is kept once, since each pass looks at all of them.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/StepSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/StepSpec.java
@@ -4,6 +4,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.marigoldsail.job.Sizes;
 
 /**
@@ -14,7 +15,7 @@
  * @param tasks the number of tasks
  * @param sizes the resources that each task needs
  * @param estimateMillis the declared run time of a task, in milliseconds; often far off
- * @param dependsOn positions of earlier steps whose tasks must all be done first
+ * @param dependsOn positions of earlier steps whose tasks must all be done first, each once
  * @param placement where the tasks may run
  * @param traits how the tasks behave
  */
@@ -43,6 +44,8 @@
     public Placement {
       requireNonNull(requiredLabel, "requiredLabel");
       requireNonNull(preferredRack, "preferredRack");
+      WorkflowSpec.checkLength("requiredLabel", requiredLabel, WorkflowSpec.MAX_TEXT_LENGTH);
+      WorkflowSpec.checkLength("preferredRack", preferredRack, WorkflowSpec.MAX_TEXT_LENGTH);
       checkArgument(maxPerVm >= 0, "maxPerVm is negative: %s", maxPerVm);
     }
   }
@@ -77,6 +80,7 @@
     /** Checks the components. */
     public TaskTraits {
       requireNonNull(image, "image");
+      WorkflowSpec.checkLength("image", image, WorkflowSpec.MAX_TEXT_LENGTH);
       checkArgument(
           latencyTargetMillis >= 0, "latencyTargetMillis is negative: %s", latencyTargetMillis);
       checkArgument(maxUnavailable >= 0, "maxUnavailable is negative: %s", maxUnavailable);
@@ -91,12 +95,12 @@
     }
   }
 
-  /** Checks the components. */
+  /** Checks the components, and leaves out repeated dependencies. */
   public StepSpec {
     checkArgument(tasks >= 1, "tasks is not positive: %s", tasks);
     requireNonNull(sizes, "sizes");
     checkArgument(estimateMillis >= 0, "estimateMillis is negative: %s", estimateMillis);
-    requireNonNull(dependsOn, "dependsOn");
+    dependsOn = ImmutableSet.copyOf(dependsOn).asList();
     requireNonNull(placement, "placement");
     requireNonNull(traits, "traits");
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
@@ -4,6 +4,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.math.LongMath;
 import java.util.Optional;
 
 /**
@@ -96,12 +97,24 @@
   /** Maximum number of tasks of a workflow over all its occurrences. */
   public static final int MAX_TASKS = 20_000;
 
+  /**
+   * Maximum length of a program, in characters; a start order with it fits in a frame several
+   * times.
+   */
+  public static final int MAX_PROGRAM_LENGTH = 16_000;
+
+  /** Maximum length of every other text in a workflow, in characters. */
+  public static final int MAX_TEXT_LENGTH = 1_000;
+
   /** Checks the components, and that steps depend only on earlier ones. */
   public WorkflowSpec {
     requireNonNull(queue, "queue");
     requireNonNull(policy, "policy");
     requireNonNull(program, "program");
     requireNonNull(schedule, "schedule");
+    checkLength("queue", queue, MAX_TEXT_LENGTH);
+    checkLength("service", policy.service(), MAX_TEXT_LENGTH);
+    checkLength("program", program, MAX_PROGRAM_LENGTH);
     checkArgument(!steps.isEmpty(), "workflow has no steps");
     long tasks = 0;
     for (int i = 0; i < steps.size(); i++) {
@@ -112,8 +125,13 @@
           step);
       tasks += steps.get(i).tasks();
     }
-    long total = tasks * schedule.occurrenceCount();
+    // Counts that any program may have declared: the product of the largest ones overflows.
+    long total = LongMath.saturatedMultiply(tasks, schedule.occurrenceCount());
     checkArgument(
         total <= MAX_TASKS, "workflow has %s tasks, more than the maximum of %s", total, MAX_TASKS);
   }
+
+  static void checkLength(String name, String text, int maxLength) {
+    checkArgument(text.length() <= maxLength, "%s is longer than %s characters", name, maxLength);
+  }
 }
