Records that no owner writes are read as undecodable, with bounded memory

Callers of sound workflows waited for ever where another writer had left one odd record in their partition: an open task without an attempt made the activation of the partition skip the runs after it; a last attempt or a number of failures of 2^31 - 1 overflowed, and the owner could not write the progress of the partition any more.

WorkflowCodec counts the fields of a record before it parses it and drops unknown ones (an empty message of two bytes takes over a hundred in memory), and checks the numbers; TaskRecordState refuses a task that is open without an attempt, or open and done.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskRecordState.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskRecordState.java
@@ -13,7 +13,8 @@
  * @param done whether a run completed
  * @param lastAttempt the number of the last attempt; 0 for none
  * @param failures the number of failed attempts
- * @param place where the last attempt is, while it may still run
+ * @param place where the last attempt is, while it may still run; empty if there is none or the
+ *     task is done
  * @param checkpoint the latest checkpoint; empty for none
  */
 public record TaskRecordState(
@@ -26,6 +27,8 @@
     checkArgument(lastAttempt >= 0, "lastAttempt is negative: %s", lastAttempt);
     checkArgument(failures >= 0, "failures is negative: %s", failures);
     requireNonNull(place, "place");
+    checkArgument(
+        place.isEmpty() || (lastAttempt > 0 && !done), "a task is open without an attempt");
     requireNonNull(checkpoint, "checkpoint");
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
@@ -1,9 +1,13 @@
 package io.marigoldsail.daemon.workflow;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.DiscardUnknownFieldsParser;
+import com.google.protobuf.Parser;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.Evacuations;
 import io.marigoldsail.protocol.PlaceName;
@@ -23,12 +27,33 @@
 import io.marigoldsail.workflow.WorkflowSpec;
 import io.marigoldsail.workflow.WorkflowStatus;
 import io.marigoldsail.workflow.ZoneEvacuations;
+import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
-/** Encodes and decodes workflows as durable records and as frames. Stateless. */
+/**
+ * Encodes and decodes workflows as durable records and as frames. Stateless.
+ *
+ * <p>Any program may have written a record: one that no version of this program writes cannot be
+ * decoded. Decoding takes memory in proportion to {@link WorkflowSpec#MAX_TASKS} and to the length
+ * of the texts, whatever the record declares.
+ */
 final class WorkflowCodec {
+  /**
+   * Maximum number of fields of a record, those of nested messages excluded: tasks, and places or
+   * steps, of which there are at most as many.
+   */
+  private static final int MAX_FIELDS = 2 * WorkflowSpec.MAX_TASKS + 100;
+
+  /** Maximum number of an attempt; far more than a task can have, and that many can follow. */
+  private static final int MAX_ATTEMPT = 1_000_000_000;
+
+  private static final Parser<WorkflowSubmission> SUBMISSION_PARSER =
+      DiscardUnknownFieldsParser.wrap(WorkflowSubmission.parser());
+
+  private static final Parser<WorkflowProgress> PROGRESS_PARSER =
+      DiscardUnknownFieldsParser.wrap(WorkflowProgress.parser());
 
   /** Phases of a task in durable records; the numbers must never change. */
   private static final int PHASE_WAITING = 0;
@@ -120,7 +145,7 @@
   /** Returns the workflow of a submission record, or empty if it cannot be decoded. */
   static Optional<WorkflowSpec> decodeSubmission(ByteString bytes) {
     try {
-      WorkflowSubmission submission = WorkflowSubmission.parseFrom(bytes);
+      WorkflowSubmission submission = parse(SUBMISSION_PARSER, bytes);
       WorkflowSpec.QueuePolicy policy =
           new WorkflowSpec.QueuePolicy(
               submission.getService(),
@@ -147,12 +172,29 @@
               steps,
               schedule,
               submission.getAcceptedMillis()));
-    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+    } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
   }
 
+  private static <T> T parse(Parser<T> parser, ByteString bytes) throws IOException {
+    // A message takes many times the memory of the two bytes that are enough for an empty one.
+    checkArgument(countFields(bytes) <= MAX_FIELDS, "record has too many fields");
+    return parser.parseFrom(bytes);
+  }
+
+  private static int countFields(ByteString bytes) throws IOException {
+    CodedInputStream input = bytes.newCodedInput();
+    int count = 0;
+    for (int tag = input.readTag(); tag != 0 && input.skipField(tag); tag = input.readTag()) {
+      count++;
+    }
+    return count;
+  }
+
   private static StepSpec decode(WorkflowStep step) {
+    checkArgument(
+        step.getDependsOnCount() <= WorkflowSpec.MAX_TASKS, "step has too many dependencies");
     return new StepSpec(
         step.getTasks(),
         sizes(step.getMilliProcessors(), step.getMemoryMebibytes(), step.getAccelerators()),
@@ -204,9 +246,11 @@
   /** Returns the state of a progress record, or empty if it cannot be decoded. */
   static Optional<WorkflowRecordState> decodeProgress(ByteString bytes) {
     try {
-      WorkflowProgress progress = WorkflowProgress.parseFrom(bytes);
+      WorkflowProgress progress = parse(PROGRESS_PARSER, bytes);
       ImmutableList.Builder<TaskRecordState> tasks = ImmutableList.builder();
       for (TaskProgress task : progress.getTasksList()) {
+        checkArgument(task.getLastAttempt() <= MAX_ATTEMPT, "attempt is too large");
+        checkArgument(task.getFailures() <= task.getLastAttempt(), "more failures than attempts");
         tasks.add(
             new TaskRecordState(
                 task.getPhase() == PHASE_DONE,
@@ -221,7 +265,7 @@
               tasks.build(),
               progress.getEndedMillis(),
               progress.getService()));
-    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+    } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
   }
@@ -244,7 +288,12 @@
         .build();
   }
 
-  /** Returns the run. Frames of this system always contain a valid one. */
+  /**
+   * Returns the run.
+   *
+   * @throws IllegalArgumentException if the frame contains none that an owner can have ordered;
+   *     those of this system always contain one
+   */
   static RunKey decode(WorkflowTaskId id) {
     TaskKey task = new TaskKey(id.getWorkflow(), id.getOccurrence(), id.getStep(), id.getIndex());
     return new RunKey(task, id.getAttempt());
