Owners stop unexpected runs of known workflows while submissions are unread

What callers would see: a task of a cancelled workflow runs on. Its VM was cut off until the owner considered the run lost, and comes back while the owner cannot read new submissions, for instance since the store turns this entry away; the owner left the run alone until it could.

Cause: a run without a record may belong to a submission that is not read yet, so runs were stopped only after a recent read. That holds for unknown workflows alone. Of a known one the owner has each attempt on record, and side processes ignore owners that have been superseded.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -275,12 +275,17 @@
     return run.isOpen() && WorkerIncarnation.mayBeSame(run.place().worker(), worker);
   }
 
+  /**
+   * Stops a run that is not the open attempt of its task. A workflow that is not known may have
+   * been submitted since the last read of submissions; its runs are left alone until the next one.
+   */
   private void stopUnknownRun(VmSession session, RunKey key, boolean stopping) {
     Optional<OwnedPartition> partition = ownership.active(partitionOf(key));
-    if (partition.isEmpty() || !partition.get().isCaughtUp() || stopping) {
+    if (partition.isEmpty() || stopping || hasGangCompleted(partition.get(), key)) {
       return;
     }
-    if (hasGangCompleted(partition.get(), key)) {
+    Optional<Workflow> workflow = partition.get().workflow(key.task().workflow());
+    if (workflow.isEmpty() && !partition.get().isCaughtUp()) {
       return;
     }
     LOG.info(LogLine.of("run-unexpected").with("run", key).with("vm", session.vm()));
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
@@ -28,6 +28,7 @@
  * controls. One thread.
  */
 final class VirtualEntry {
+  private static final String HOST = "127.0.0.1";
   private static final long SETTLED_MILLIS = 500;
   private static final long SWEEP_INTERVAL_MILLIS = 200;
   private static final int VM_MILLI_PROCESSORS = 4_000;
@@ -38,6 +39,7 @@
     private final String name;
     private final String service;
     private final List<StartRun> starts = new ArrayList<>();
+    private final List<RunKey> stopped = new ArrayList<>();
     private final List<RunOrders> orders = new ArrayList<>();
     private long ordersSeen;
     private Optional<LinkConnection> link = Optional.empty();
@@ -86,6 +88,7 @@
       if (frame.hasRunOrders()) {
         ordersSeen = frame.getRunOrders().getNumber();
         starts.addAll(frame.getRunOrders().getStartsList());
+        frame.getRunOrders().getStopsList().forEach(run -> stopped.add(WorkflowCodec.decode(run)));
         orders.add(frame.getRunOrders());
       }
     }
@@ -110,6 +113,11 @@
       return starts.stream().map(start -> WorkflowCodec.decode(start.getTask())).toList();
     }
 
+    /** Returns the runs that the entry has told to stop here, each as often as it was. */
+    List<RunKey> stopped() {
+      return List.copyOf(stopped);
+    }
+
     /** Returns the tickets of the runs that the entry has ordered here. */
     List<String> tickets() {
       return starts.stream().map(StartRun::getTicket).toList();
@@ -124,23 +132,41 @@
     }
   }
 
-  private final VirtualLoop time = new VirtualLoop();
-  private final FakeWorkflowStore store = new FakeWorkflowStore(1, time.timer());
+  private final VirtualLoop time;
+  private final FakeWorkflowStore store;
+  private final int port;
   private final FakeAdviser adviser = new FakeAdviser();
-  private final PartitionOwnership ownership =
-      new PartitionOwnership(
-          store,
-          time.loop(),
-          time::wallMillis,
-          new EntryMember("127.0.0.1", 1, 1),
-          new NoOpOwnershipListener());
+  private final PartitionOwnership ownership;
   private final VmTracker vms;
   private final EntryScheduler scheduler;
   private QueueTable configuration;
 
   /** Starts the entry and waits until it owns the partition. */
   VirtualEntry(WorkerLeaseTerms terms, QueueTable configuration) {
+    this(terms, configuration, new VirtualLoop());
+  }
+
+  private VirtualEntry(WorkerLeaseTerms terms, QueueTable configuration, VirtualLoop time) {
+    this(terms, configuration, time, new FakeWorkflowStore(1, time.timer()), 1);
+  }
+
+  private VirtualEntry(
+      WorkerLeaseTerms terms,
+      QueueTable configuration,
+      VirtualLoop time,
+      FakeWorkflowStore store,
+      int port) {
+    this.time = time;
+    this.store = store;
+    this.port = port;
     this.configuration = configuration;
+    this.ownership =
+        new PartitionOwnership(
+            store,
+            time.loop(),
+            time::wallMillis,
+            new EntryMember(HOST, port, 1),
+            new OwnershipListener());
     this.vms = new VmTracker(time.loop(), ownership, terms, time::wallMillis, new VmListener());
     this.scheduler =
         new EntryScheduler(
@@ -156,6 +182,14 @@
     time.advance(SETTLED_MILLIS);
   }
 
+  /** Starts an entry that takes the partition over from this one, and waits until it owns it. */
+  VirtualEntry successor(WorkerLeaseTerms terms) {
+    VirtualEntry next = new VirtualEntry(terms, configuration, time, store, port + 1);
+    store.reassign(List.of(HOST + ":" + next.port));
+    time.advance(2 * SETTLED_MILLIS);
+    return next;
+  }
+
   private void sweep() {
     vms.closeExpiredRuns();
     scheduler.moveRuns();
@@ -199,10 +233,37 @@
     return workflow(spec.id());
   }
 
+  /** Returns whether the entry has read all recent submissions; reads wait in real time here. */
+  boolean isCaughtUp() {
+    return ownership.active(0).orElseThrow().isCaughtUp();
+  }
+
+  /** Cancels the workflow, as an entry does for a caller. */
+  void cancel(Workflow workflow) {
+    OwnedPartition partition = ownership.active(0).orElseThrow();
+    workflow.cancel(time.wallMillis());
+    partition.persist(workflow);
+    partition.writer().afterDurable(() -> vms.stopUnwanted(workflow));
+  }
+
   Workflow workflow(long id) {
     return ownership.active(0).orElseThrow().workflow(id).orElseThrow();
   }
 
+  /** Tracks the runs of the partition while it is owned, as an entry does. */
+  private final class OwnershipListener extends NoOpOwnershipListener {
+    @Override
+    public void activated(OwnedPartition partition) {
+      vms.partitionActivated(partition);
+      scheduler.schedulePass();
+    }
+
+    @Override
+    public void lost(OwnedPartition partition) {
+      vms.partitionLost(partition);
+    }
+  }
+
   /** Passes the ends of runs to the scheduler, as an entry does. */
   private final class VmListener implements VmTracker.Listener {
     @Override
