--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -392,7 +392,9 @@
     return valid;
   }
 
-  /** Returns whether the frame names the program of the run; without it, another one would start. */
+  /**
+   * Returns whether the frame names the program of the run; without it, another one would start.
+   */
   private static boolean hasProgram(Map<Long, String> programs, RunKey key) {
     boolean named = programs.containsKey(key.task().workflow());
     if (!named) {
