A workflow keeps the submission that was accepted first under its id

What callers would see: tasks of a job start with a text and steps that its caller did not send with it, and with checkpoints of other tasks, after the job's id was submitted again with other content.

Cause: a repeated submission replaces the first one in the keyed topic. The owner goes on with the first, but its successor reads the newest and puts the progress of the first onto it, by position. An owner that reads a submission which differs from that of a known workflow now writes the first one again, and says so (submission-differs). Repeats of the same request are not written again. An owner that dies in between leaves the second: that remains.

Evidence: RepeatedSubmissionTest#nextOwnerRunsTheWorkflowThatWasAcceptedFirst failed before; its other test, on repeats of a cancelled workflow, passed before and after.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
@@ -134,4 +134,16 @@
   static void checkLength(String name, String text, int maxLength) {
     checkArgument(text.length() <= maxLength, "%s is longer than %s characters", name, maxLength);
   }
+
+  /**
+   * Returns whether the other one asks for the same, whatever the policy of the queue was at its
+   * acceptance, and whenever that was.
+   */
+  public boolean isSameRequest(WorkflowSpec other) {
+    return id == other.id
+        && queue.equals(other.queue)
+        && program.equals(other.program)
+        && steps.equals(other.steps)
+        && schedule.equals(other.schedule);
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -7,6 +7,8 @@
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
+import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NewestPage;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NewestResult;
@@ -74,6 +76,9 @@
    */
   private final Set<Long> failedRestores = new HashSet<>();
 
+  /** Workflows whose submission was written again, once by each owner. */
+  private final Set<Long> restoredSubmissions = new HashSet<>();
+
   private boolean active;
   private boolean closed;
 
@@ -195,7 +200,7 @@
         .append(Topic.SUBMISSIONS, number, List.of(drop), Optional.empty())
         .thenAccept(
             result -> {
-              if (result instanceof WorkflowStore.Appended) {
+              if (result instanceof Appended) {
                 loop.run(() -> dropProgress(workflow, key));
               }
             });
@@ -203,6 +208,7 @@
 
   private void dropProgress(Workflow workflow, String key) {
     if (!closed && workflows.remove(workflow.spec().id()) != null) {
+      restoredSubmissions.remove(workflow.spec().id());
       writer.write(key, () -> ByteString.EMPTY, () -> {});
     }
   }
@@ -306,7 +312,43 @@
       logUnreadable(Topic.SUBMISSIONS, keyed.key());
       return;
     }
-    add(spec.get());
+    Workflow known = workflows.get(spec.get().id());
+    if (known == null) {
+      add(spec.get());
+    } else if (!known.spec().isSameRequest(spec.get())) {
+      restoreSubmission(known.spec());
+    }
+  }
+
+  /**
+   * Writes the submission of a workflow again after another one was submitted under its id. The
+   * store keeps the newest only: the next owner would run it with the progress of the first.
+   */
+  private void restoreSubmission(WorkflowSpec first) {
+    boolean restores = active && restoredSubmissions.add(first.id());
+    LOG.warning(
+        LogLine.of("submission-differs")
+            .with("workflow", WorkflowIds.format(first.id()))
+            .with("partition", number)
+            .with("epoch", epoch())
+            .with("restored", restores));
+    if (restores) {
+      KeyedRecord submission =
+          new KeyedRecord(WorkflowIds.format(first.id()), WorkflowCodec.encode(first));
+      store
+          .append(Topic.SUBMISSIONS, number, List.of(submission), Optional.empty())
+          .thenAccept(result -> loop.run(() -> retryUnlessRestored(first, result)));
+    }
+  }
+
+  private void retryUnlessRestored(WorkflowSpec first, AppendResult result) {
+    if (closed || result instanceof Appended) {
+      return;
+    }
+    restoredSubmissions.remove(first.id());
+    loop.schedule(
+        () -> workflow(first.id()).ifPresent(unused -> restoreSubmission(first)),
+        RETRY_DELAY_NANOS);
   }
 
   private void logUnreadable(Topic topic, String key) {
