--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelledRunsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelledRunsTest.java
@@ -211,6 +211,7 @@
     while (workflow.hasOpenTasks()) {
       entry.advance(PASS_MILLIS);
     }
+    entry.refuseReads();
     entry.advance(CANCEL_MILLIS);
     assertFalse(entry.isCaughtUp());
     vm.report(List.of(run));
@@ -225,7 +226,8 @@
     RunKey unknown = new RunKey(new TaskKey(WORKFLOW + 1, 0, 0, 0), 1);
     assertFalse(workflow.status().isTerminal());
     vm.report(vm.ordered(), ScriptedVm.end(vm.ordered().get(0), RunOutcome.DONE));
-    entry.advance(CANCEL_MILLIS);
+    entry.refuseReads();
+    entry.advance(2 * CANCEL_MILLIS);
     assertFalse(entry.isCaughtUp());
     vm.send(
         vm.idle()
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RefusingStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RefusingStore.java
@@ -10,6 +10,7 @@
 
   private final WorkflowStore store;
   private volatile boolean refusing;
+  private volatile boolean refusingReads;
   private volatile int refusedBelow;
 
   RefusingStore(WorkflowStore store) {
@@ -21,6 +22,11 @@
     refusedBelow = partition;
   }
 
+  /** Refuses reads of records from now on. */
+  void refuseReads() {
+    refusingReads = true;
+  }
+
   void setRefusing(boolean refuse) {
     refusing = refuse;
   }
@@ -45,7 +51,9 @@
   @Override
   public CompletableFuture<ReadResult> read(
       Topic topic, int partition, long from, long waitMillis) {
-    return refusing ? done(new ReadFailed(REASON)) : store.read(topic, partition, from, waitMillis);
+    return refusing || refusingReads
+        ? done(new ReadFailed(REASON))
+        : store.read(topic, partition, from, waitMillis);
   }
 
   @Override
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
@@ -134,6 +134,7 @@
 
   private final VirtualLoop time;
   private final FakeWorkflowStore store;
+  private final RefusingStore calls;
   private final int port;
   private final FakeAdviser adviser = new FakeAdviser();
   private final PartitionOwnership ownership;
@@ -158,11 +159,12 @@
       int port) {
     this.time = time;
     this.store = store;
+    this.calls = new RefusingStore(store);
     this.port = port;
     this.configuration = configuration;
     this.ownership =
         new PartitionOwnership(
-            store,
+            calls,
             time.loop(),
             time::wallMillis,
             new EntryMember(HOST, port, 1),
@@ -233,7 +235,12 @@
     return workflow(spec.id());
   }
 
-  /** Returns whether the entry has read all recent submissions; reads wait in real time here. */
+  /** Lets the store refuse to read records to this entry from now on. */
+  void refuseReads() {
+    calls.refuseReads();
+  }
+
+  /** Returns whether the entry has read all recent submissions. */
   boolean isCaughtUp() {
     return ownership.active(0).orElseThrow().isCaughtUp();
   }
