--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OddRecordsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OddRecordsTest.java
@@ -25,11 +25,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.UnaryOperator;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Records of another program among those of the workflows of one partition. */
 @Timeout(60)
@@ -248,6 +251,30 @@
     assertEquals(QueryResult.DONE, cluster.status(0, before));
   }
 
+  static Set<String> namesOfOddProgress() {
+    return oddProgress().keySet();
+  }
+
+  /** Guards against runs that a new owner does not track, and progress that it cannot write. */
+  @ParameterizedTest
+  @MethodSource("namesOfOddProgress")
+  void openRunsAreFollowedByTheNextOwner(String name) throws IOException {
+    cluster.start(1, 2, 500);
+    List<Long> running = LongStream.range(0, 4).map(i -> submit()).boxed().toList();
+    long odd = ids.next();
+    append(Topic.PROGRESS, WorkflowIds.format(odd), oddProgress().get(name));
+    append(Topic.SUBMISSIONS, WorkflowIds.format(odd), sound(odd).toByteString());
+    cluster.await("all tasks run", () -> cluster.history().totalStarts() >= 2 * running.size());
+    WorkflowTestCluster.RunningEntry old = cluster.entry(0);
+    cluster.kill(old);
+    cluster.addEntry();
+    cluster.store().drop(old.memberPrefix());
+    cluster.awaitReady();
+    cluster.entry(0).entry().query(odd, "queue", true).join();
+    running.forEach(this::assertIsDone);
+    assertIsDone(submit());
+  }
+
   @Test
   void oddRecordsAreReadAsNone() {
     oddSubmissions()
