A report with numbers out of range ends its own connection alone

What callers saw: while one VM reported a negative size (a uint32 above 2^31), each scheduling pass of the entry ended with an exception in VmTracker.offers, so that no workflow of this entry was started on any VM. Evidence on images that is no finite number was summed up for the whole fleet or closed the link.

VmSession checks a report, the ids of its runs and ends included, before it changes anything; the exception closes the connection that the report came on. Figures that are no finite numbers count as none.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ImageEvidenceCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ImageEvidenceCodec.java
@@ -18,19 +18,26 @@
             encoded.add(
                 ImageSeen.newBuilder()
                     .setImage(image)
-                    .setBlame((float) imageEvidence.blame())
-                    .setWeight((float) imageEvidence.weight())
+                    .setBlame(toFloat(imageEvidence.blame()))
+                    .setWeight(toFloat(imageEvidence.weight()))
                     .build()));
     return encoded;
   }
 
+  /** Returns the evidence; figures that are no finite numbers count as none. */
   static Map<String, ImageInterference.Evidence> decode(List<ImageSeen> encoded) {
     Map<String, ImageInterference.Evidence> evidence = new HashMap<>();
     for (ImageSeen each : encoded) {
-      double weight = Math.max(0, each.getWeight());
-      double blame = Math.min(weight, Math.max(0, each.getBlame()));
-      evidence.put(each.getImage(), new ImageInterference.Evidence(blame, weight));
+      if (Float.isFinite(each.getWeight()) && Float.isFinite(each.getBlame())) {
+        double weight = Math.max(0, each.getWeight());
+        double blame = Math.min(weight, Math.max(0, each.getBlame()));
+        evidence.put(each.getImage(), new ImageInterference.Evidence(blame, weight));
+      }
     }
     return evidence;
   }
+
+  private static float toFloat(double value) {
+    return (float) Math.min(value, Float.MAX_VALUE);
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PairEvidenceCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PairEvidenceCodec.java
@@ -64,9 +64,13 @@
     return encoded;
   }
 
+  /** Returns the headroom by image; a headroom that is no finite number counts as none. */
   static ImmutableMap<String, Double> decodeRooms(List<ServiceRoom> encoded) {
     ImmutableMap.Builder<String, Double> rooms = ImmutableMap.builder();
-    encoded.forEach(each -> rooms.put(each.getImage(), (double) each.getHeadroom()));
+    for (ServiceRoom each : encoded) {
+      double headroom = Float.isFinite(each.getHeadroom()) ? each.getHeadroom() : -1;
+      rooms.put(each.getImage(), headroom);
+    }
     return rooms.buildKeepingLast();
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -1,9 +1,11 @@
 package io.marigoldsail.daemon.workflow;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkState;
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.Ints;
 import io.marigoldsail.colocation.RefusedImages;
 import io.marigoldsail.colocation.ServiceRooms;
 import io.marigoldsail.daemon.link.LinkConnection;
@@ -69,8 +71,12 @@
    * <p>Pending orders are sent to the incarnation that was reported last. Orders for an earlier
    * incarnation would start runs on the new one after their owner has closed them, and the same
    * task could run twice at the same time.
+   *
+   * @throws IllegalArgumentException if the report contains a number out of range; this session
+   *     does not change
    */
   void update(VmReport newest, long now) {
+    ImmutableMap<RunKey, RunReport> newestRuns = checkReport(newest);
     if (report != null && !report.getWorker().equals(newest.getWorker())) {
       dropPending();
       refusedImages = new RefusedImages();
@@ -82,14 +88,34 @@
       rooms = PairEvidenceCodec.decodeRooms(newest.getServiceRoomsList());
     }
     refusedImages.recordReport(rooms, newest.getFillMilliProcessors());
-    ImmutableMap.Builder<RunKey, RunReport> reported = ImmutableMap.builder();
-    newest.getRunsList().forEach(run -> reported.put(WorkflowCodec.decode(run.getTask()), run));
-    runs = reported.buildKeepingLast();
+    runs = newestRuns;
     incarnations.recordReport(newest);
     report = newest;
     reportedAt = now;
   }
 
+  /** Checks the numbers of the report, with which passes over all VMs calculate. */
+  private static ImmutableMap<RunKey, RunReport> checkReport(VmReport report) {
+    WorkflowCodec.sizes(
+        report.getMilliProcessors(), report.getMemoryMebibytes(), report.getAccelerators());
+    WorkflowCodec.sizes(
+        report.getFreeMilliProcessors(),
+        report.getFreeMemoryMebibytes(),
+        report.getFreeAccelerators());
+    int least =
+        Ints.min(
+            report.getFillMilliProcessors(),
+            report.getFillPercent(),
+            report.getSuspectMilliProcessors(),
+            report.getOvercommitMilliProcessors(),
+            report.getServing());
+    checkArgument(least >= 0, "report contains a number out of range: %s", least);
+    report.getEndsList().forEach(end -> WorkflowCodec.decode(end.getTask()));
+    ImmutableMap.Builder<RunKey, RunReport> reported = ImmutableMap.builder();
+    report.getRunsList().forEach(run -> reported.put(WorkflowCodec.decode(run.getTask()), run));
+    return reported.buildKeepingLast();
+  }
+
   /**
    * Returns whether the evidence on images of other VMs is to be sent with the next lease, and if
    * so records it as sent. All entries send the same evidence, so a VM receives it more often.
