A process connects once to an address, however many names the group has for it

What callers saw: with a second name at the address of an entry among the owners (an earlier incarnation, or another program's), each side process held two connections to the entry. The entry takes the reports of a VM from the newer one alone and leaves the other unanswered, so a link to a sound entry was closed as silent and dialled again about every two seconds. An entry that saw such a name for its own address dialled itself and counted its waiting workflows twice.

A side process now connects under the newest incarnation at an address, and takes all names at it for that process; names of partitions that do not exist, and names of no entry, are not connected to. An entry leaves out its own address.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
@@ -2,7 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -11,6 +13,8 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.OwnersResult;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.OwnerMap;
+import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -85,6 +89,10 @@
   private final WorkflowStore store;
   private final Listener listener;
   private final Map<Integer, String> owners = new HashMap<>();
+
+  /** The name under which the process is connected that a member name in the owner map denotes. */
+  private ImmutableMap<String, String> connectedNames = ImmutableMap.of();
+
   private long ownersFingerprint = OwnerMapCodec.fingerprint(owners);
   private ImmutableSet<String> members = ImmutableSet.of();
   private final Map<String, EntryConnection> connections = new HashMap<>();
@@ -124,9 +132,13 @@
     return OwnerMapCodec.legacyDigest(owners);
   }
 
-  /** Returns whether the member owns the partition according to the owner map in use. */
+  /**
+   * Returns whether the member owns the partition according to the owner map in use, under whatever
+   * incarnation.
+   */
   boolean owns(String member, int partition) {
-    return member.equals(owners.get(partition));
+    String owner = owners.get(partition);
+    return owner != null && member.equals(connectedNames.get(owner));
   }
 
   /**
@@ -174,7 +186,8 @@
     owners.clear();
     owners.putAll(newOwners);
     ownersFingerprint = OwnerMapCodec.fingerprint(owners);
-    members = ImmutableSet.copyOf(owners.values());
+    connectedNames = connectedNames(Maps.filterKeys(owners, this::isPartition).values());
+    members = ImmutableSet.copyOf(connectedNames.values());
     LOG.info(
         LogLine.of("owners-changed")
             .with("members", members)
@@ -185,6 +198,30 @@
     listener.ownersChanged();
   }
 
+  private boolean isPartition(int number) {
+    return 0 <= number && number < store.partitions();
+  }
+
+  /**
+   * Returns the name to connect under for each name, which is the newest incarnation at its
+   * address.
+   *
+   * <p>With two connections, an entry would take the VM's reports from one alone, and the other one
+   * would look unresponsive. Names of no entry are left out.
+   */
+  private static ImmutableMap<String, String> connectedNames(Collection<String> names) {
+    Map<InetSocketAddress, EntryMember> newestByAddress = new HashMap<>();
+    Map<String, EntryMember> members = new HashMap<>();
+    for (String name : ImmutableSet.copyOf(names)) {
+      EntryMember.parse(name).ifPresent(member -> members.put(name, member));
+    }
+    for (EntryMember member : members.values()) {
+      newestByAddress.merge(member.address(), member, EntryMember::newest);
+    }
+    return ImmutableMap.copyOf(
+        Maps.transformValues(members, member -> newestByAddress.get(member.address()).toString()));
+  }
+
   /** Passes link events on to the connections and to the listener. */
   private final class MemberLinkListener implements MemberLinks.Listener {
     @Override
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryMember.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryMember.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.base.CharMatcher;
+import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -24,6 +26,9 @@
   /** The number of processors in a name is below this, in thousandths. */
   static final int PROCESSORS_RANGE = 100_000;
 
+  private static final Comparator<EntryMember> ORDER =
+      Comparator.comparingLong(EntryMember::incarnation).thenComparing(EntryMember::toString);
+
   private static final int MAX_PORT = 65_535;
   private static final int MAX_HOST_LENGTH = 253;
   private static final CharMatcher HOST_CHARACTERS =
@@ -92,8 +97,16 @@
     return host.equals(other.host) && port == other.port;
   }
 
+  /** Returns the later incarnation; of two of the same time always the same one. */
+  static EntryMember newest(EntryMember one, EntryMember other) {
+    return ORDER.compare(one, other) < 0 ? other : one;
+  }
+
+  /** Returns the address of the link server; unresolved if the host is a name. */
   InetSocketAddress address() {
-    return new InetSocketAddress(host, port);
+    return InetAddresses.isInetAddress(host)
+        ? new InetSocketAddress(InetAddresses.forString(host), port)
+        : InetSocketAddress.createUnresolved(host, port);
   }
 
   @Override
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -124,7 +124,8 @@
 
   private void dialOwners() {
     Set<String> members = new HashSet<>(ownersByPartition.values());
-    members.remove(self.toString());
+    // Whatever incarnation a name tells, this process is at its own address.
+    members.removeIf(name -> EntryMember.parse(name).filter(self::isAtAddressOf).isPresent());
     links.setMembers(members);
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OddMembersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OddMembersTest.java
@@ -1,14 +1,20 @@
 package io.marigoldsail.daemon.workflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.marigoldsail.colocation.InterferenceScope;
+import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
+import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.WorkerLeaseTerms;
 import java.io.IOException;
 import java.util.Map;
 import java.util.stream.LongStream;
@@ -95,4 +101,78 @@
         "the odd member owns partitions", () -> workflowWith(QueryResult.UNAVAILABLE) > 0);
     assertIsDone(workflowWith(QueryResult.UNKNOWN_WORKFLOW));
   }
+
+  /**
+   * Guards against a VM with two connections to one entry, which takes reports from one of them
+   * alone: the other one was closed as silent and dialled again, every two seconds.
+   */
+  @Test
+  void entryUnderASecondNameIsDialledOnce() throws Exception {
+    LinkLoop loop = new LinkLoop("side", MonotonicClock.system());
+    ScriptedOwnersStore store = new ScriptedOwnersStore(3);
+    try (ScriptedEntry entry = new ScriptedEntry();
+        ScriptedEntry other = new ScriptedEntry()) {
+      String alias = entry.member() + "0";
+      WorkflowSideProcess side =
+          new WorkflowSideProcess(
+              loop,
+              store,
+              new ScriptedWorker(new VirtualLoop()),
+              "vm-0",
+              WorkerLeaseTerms.forMaxLease(10_000),
+              InterferenceScope.PER_IMAGE);
+      side.start();
+      store
+          .nextRequest()
+          .complete(
+              ScriptedOwnersStore.owners(
+                  ImmutableMap.of(0, entry.member(), 1, alias, 2, other.member())));
+      entry.awaitConnection();
+      other.awaitConnection();
+      entry.awaitReport();
+      other.awaitReport();
+      other.awaitReport();
+      assertFalse(entry.hasFurtherConnection());
+    } finally {
+      loop.close();
+    }
+  }
+
+  /** Guards against partitions that nobody serves once the second name has left. */
+  @ParameterizedTest
+  @ValueSource(strings = {"/5", "/9000000000000", "/900000000000000360"})
+  void entryUnderASecondNameIsServedAsBefore(String incarnation) throws IOException {
+    cluster.start(1, 1, 20);
+    String alias = cluster.entry(0).memberPrefix() + incarnation;
+    cluster.store().join(alias, Long.MAX_VALUE);
+    cluster.await(
+        "the second name owns partitions", () -> workflowWith(QueryResult.UNAVAILABLE) > 0);
+    for (int i = 0; i < 3; i++) {
+      assertIsDone(workflowWith(QueryResult.UNKNOWN_WORKFLOW));
+    }
+    cluster.restartSide("vm-0");
+    assertIsDone(workflowWith(QueryResult.UNKNOWN_WORKFLOW));
+    long ofAlias = workflowWith(QueryResult.UNAVAILABLE);
+    cluster.store().leave(alias).join();
+    cluster.await(
+        "the partitions of the second name are owned",
+        () -> cluster.status(0, ofAlias) == QueryResult.UNKNOWN_WORKFLOW);
+    assertIsDone(ofAlias);
+  }
+
+  /** Guards against an entry that dials itself and counts its waiting workflows twice. */
+  @Test
+  void entryDoesNotDialItsOwnAddressUnderAnotherName() throws IOException {
+    WorkflowTestCluster.RunningEntry entry = cluster.addEntry();
+    cluster.store().join(entry.memberPrefix() + "/5", Long.MAX_VALUE);
+    cluster.await("partitions are owned", () -> workflowWith(QueryResult.UNKNOWN_WORKFLOW) > 0);
+    long waiting = workflowWith(QueryResult.UNKNOWN_WORKFLOW);
+    assertInstanceOf(
+        Appended.class, entry.entry().submit(WorkflowTestCluster.workflow(waiting, 1)).join());
+    cluster.addEntry();
+    cluster.await(
+        "both entries tell the number of waiting workflows",
+        () -> cluster.entry(1).entry().waitingWorkflows("queue").join() >= 1);
+    assertEquals(1, entry.entry().waitingWorkflows("queue").join());
+  }
 }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedEntry.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedEntry.java
@@ -36,6 +36,11 @@
     return connections.take();
   }
 
+  /** Returns whether there was a connection that the test has not awaited. */
+  boolean hasFurtherConnection() {
+    return !connections.isEmpty();
+  }
+
   /** Waits for the next report. */
   VmReport awaitReport() throws InterruptedException {
     return reports.take();
