Host names of members are looked up away from the loop

The address of a member whose host is a name was looked up on the loop, which reads all links and schedules: a name that another program chose could hold it up for as long as the look-up takes, at each dial.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -18,6 +18,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -37,6 +38,7 @@
 
   private final MonotonicClock clock;
   private final HybridClock hybridClock;
+  private final HostResolver resolver;
   private final EventLoopGroup group;
   private final EventLoop loop;
 
@@ -73,6 +75,12 @@
    * @param hybridClock timestamps sent frames and is advanced by the timestamps of received ones
    */
   public LinkLoop(EventLoopGroup group, MonotonicClock clock, HybridClock hybridClock) {
+    this(group, clock, hybridClock, new HostResolver(InetAddress::getByName));
+  }
+
+  LinkLoop(
+      EventLoopGroup group, MonotonicClock clock, HybridClock hybridClock, HostResolver resolver) {
+    this.resolver = requireNonNull(resolver, "resolver");
     this.clock = requireNonNull(clock, "clock");
     this.hybridClock = requireNonNull(hybridClock, "hybridClock");
     this.group = requireNonNull(group, "group");
@@ -147,11 +155,24 @@
   /**
    * Opens a connection.
    *
-   * @param address the address to connect to
+   * @param address the address to connect to; if it is unresolved, its host is looked up on another
+   *     thread
    * @param listener receives the connection's events, on the loop
    * @param failed receives the cause if the connection cannot be opened, on the loop
    */
   public void dial(InetSocketAddress address, LinkListener listener, Consumer<Throwable> failed) {
+    if (address.isUnresolved()) {
+      resolver.resolve(
+          address,
+          resolved -> loop.execute(() -> connect(resolved, listener, failed)),
+          cause -> loop.execute(() -> failed.accept(cause)));
+    } else {
+      connect(address, listener, failed);
+    }
+  }
+
+  private void connect(
+      InetSocketAddress address, LinkListener listener, Consumer<Throwable> failed) {
     Bootstrap bootstrap =
         new Bootstrap()
             .group(group)
@@ -207,6 +228,7 @@
   /** Stops the thread and waits for its end. Tasks that have not run are discarded. */
   @Override
   public void close() {
+    resolver.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 }
