--- a/marigoldsail-core/src/main/java/io/marigoldsail/json/Json.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/json/Json.java
@@ -13,6 +13,7 @@
 import io.marigoldsail.error.Result;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.OptionalLong;
 
 /**
  * Reads and writes JSON for the whole system.
@@ -89,6 +90,17 @@
     }
   }
 
+  /**
+   * Returns the value of a whole number within the range; empty for any other node, also for a
+   * number with a fraction or an exponent, and for a missing one.
+   */
+  public static OptionalLong wholeNumber(JsonNode node, long min, long max) {
+    boolean fits = node.isIntegralNumber() && node.canConvertToLong();
+    return fits && min <= node.longValue() && node.longValue() <= max
+        ? OptionalLong.of(node.longValue())
+        : OptionalLong.empty();
+  }
+
   private static String oneLine(JsonProcessingException e) {
     JsonLocation location = e.getLocation();
     String message = e.getOriginalMessage().lines().findFirst().orElse("");
