--- a/marigoldsail-cli/src/main/java/io/marigoldsail/cli/logs/CausalLogSorter.java
+++ b/marigoldsail-cli/src/main/java/io/marigoldsail/cli/logs/CausalLogSorter.java
@@ -34,7 +34,13 @@
       return switch (event) {
         case "workflow-submitted" -> Optional.of(ACCEPTED);
         case "run-ordered" -> Optional.of(ORDERED);
-        case "start-unanswered", "stop-retried", "run-overdue", "run-over" -> Optional.of(ON_VM);
+        case "start-unanswered",
+            "start-overtaken",
+            "stop-retried",
+            "stop-executed",
+            "run-overdue",
+            "run-over" ->
+            Optional.of(ON_VM);
         case "run-ended" -> Optional.of(ENDED);
         default -> Optional.empty();
       };
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRun.java
@@ -23,6 +23,7 @@
   private VmSession orderSession;
   private long orderFrameNumber;
   private long stopSentAt = Long.MIN_VALUE;
+  private int stopsSent;
   private long startedAt = Long.MIN_VALUE;
   private long sampledAt = Long.MIN_VALUE;
 
@@ -135,9 +136,15 @@
       return false;
     }
     stopSentAt = now;
+    stopsSent++;
     return true;
   }
 
+  /** Returns how many stops were sent, including one that has just been recorded. */
+  int stopsSent() {
+    return stopsSent;
+  }
+
   /**
    * Records that a report shows the run as started; returns whether its speed is to be sampled.
    *
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OrderSender.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OrderSender.java
@@ -82,7 +82,16 @@
   }
 
   private void onStartResult(SideRun run, int tries, OrderResult result) {
-    if (!listener.isCurrent(run) || run.isStopping()) {
+    if (!listener.isCurrent(run)) {
+      return;
+    }
+    if (run.isStopping()) {
+      LOG.info(
+          LogLine.of("start-overtaken")
+              .with("run", run.key())
+              .with("worker", worker)
+              .with("tries", tries)
+              .with("result", result));
       return;
     }
     if (result instanceof Accepted accepted) {
@@ -137,29 +146,46 @@
 
   /** Sends a stop of the run and confirms the run once the worker has executed it. */
   void sendStop(SideRun run) {
-    gateway.stop(worker, run.key()).thenAccept(result -> loop.run(() -> onStopResult(run, result)));
+    sendStop(run, 1, loop.now());
+  }
+
+  private void sendStop(SideRun run, int tries, long firstSentAt) {
+    gateway
+        .stop(worker, run.key())
+        .thenAccept(result -> loop.run(() -> onStopResult(run, tries, firstSentAt, result)));
   }
 
-  private void onStopResult(SideRun run, OrderResult result) {
+  private void onStopResult(SideRun run, int tries, long firstSentAt, OrderResult result) {
     if (!listener.isCurrent(run)) {
       return;
     }
     if (result instanceof IncarnationMismatch) {
       listener.incarnationChanged();
-    } else if (result instanceof Accepted accepted) {
+      return;
+    }
+    boolean stale = result instanceof Refused refused && refused.refusal() == Refusal.STALE_ATTEMPT;
+    boolean executed = result instanceof Accepted || stale;
+    LOG.info(
+        LogLine.of(executed ? "stop-executed" : "stop-retried")
+            .with("run", run.key())
+            .with("worker", worker)
+            .with("tries", tries)
+            .with("ms", TimeUnit.NANOSECONDS.toMillis(loop.now() - firstSentAt))
+            .with("listed", run.isListed())
+            .with("result", result));
+    if (result instanceof Accepted accepted) {
       lease.recordClock(accepted.workerClock());
-      run.confirm();
-    } else if (result instanceof Refused refused && refused.refusal() == Refusal.STALE_ATTEMPT) {
+    }
+    if (executed) {
       run.confirm();
     } else {
-      LOG.info(LogLine.of("stop-retried").with("run", run.key()).with("result", result));
-      loop.schedule(() -> retryStop(run), RETRY_DELAY_NANOS);
+      loop.schedule(() -> retryStop(run, tries + 1, firstSentAt), RETRY_DELAY_NANOS);
     }
   }
 
-  private void retryStop(SideRun run) {
+  private void retryStop(SideRun run, int tries, long firstSentAt) {
     if (listener.isCurrent(run)) {
-      sendStop(run);
+      sendStop(run, tries, firstSentAt);
     }
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -71,6 +71,7 @@
   private final InterferenceExchange interference = new InterferenceExchange(fleet);
   private final VmView view;
   private final RunEndAcknowledger endAcknowledger;
+  private final OwnerOrderLog orderLog;
   private final CapacityDemand demand = new CapacityDemand();
   private final KnownEvacuations evacuations = new KnownEvacuations();
   private boolean flushScheduled;
@@ -88,6 +89,7 @@
     this.listener = requireNonNull(listener, "listener");
     this.view = new VmView(loop, sessionsByVm, openRuns, fleet, evacuations);
     this.endAcknowledger = new RunEndAcknowledger(loop);
+    this.orderLog = new OwnerOrderLog(loop);
     this.granter = new LeaseGranter(loop, ownership, demand, evacuations);
   }
 
@@ -134,17 +136,23 @@
   }
 
   private void sendStart(VmSession session, OpenRun run) {
+    orderLog.startSent(run, session);
     run.orderSent(session, session.addStart(run));
     scheduleFlush();
   }
 
   private void sendStop(VmSession session, OpenRun run) {
     if (run.tryMarkStopSent(loop.now(), STOP_RESEND_NANOS)) {
+      orderLog.stopSent(run, session);
       session.addStop(run.key());
       scheduleFlush();
     }
   }
 
+  private void sendStopOrDefer(Optional<VmSession> session, OpenRun run) {
+    session.ifPresentOrElse(each -> sendStop(each, run), () -> orderLog.stopDeferred(run));
+  }
+
   /** Puts newer evacuations of zones in force and passes them on to the side processes. */
   void evacuate(ZoneEvacuations newest) {
     if (evacuations.update(newest, "the operator")) {
@@ -156,11 +164,11 @@
   void stopUnwanted(Workflow workflow) {
     for (WorkflowTask task : workflow.openTasks()) {
       Place place = task.place().orElseThrow();
-      VmSession session = sessionsByVm.get(place.vm());
+      Optional<VmSession> session = Optional.ofNullable(sessionsByVm.get(place.vm()));
       openRuns
           .find(place.vm(), task.openRun())
-          .filter(run -> run.isDurable() && run.shouldStop() && session != null)
-          .ifPresent(run -> sendStop(session, run));
+          .filter(run -> run.isDurable() && run.shouldStop())
+          .ifPresent(run -> sendStopOrDefer(session, run));
     }
   }
 
@@ -275,10 +283,7 @@
     return run.isOpen() && WorkerIncarnation.mayBeSame(run.place().worker(), worker);
   }
 
-  /**
-   * Stops a run that is not the open attempt of its task. A workflow that is not known may have
-   * been submitted since the last read of submissions; its runs are left alone until the next one.
-   */
+  /** Stops a run that is not its task's open attempt, unless its workflow may be unread yet. */
   private void stopUnknownRun(VmSession session, RunKey key, boolean stopping) {
     Optional<OwnedPartition> partition = ownership.active(partitionOf(key));
     if (partition.isEmpty() || stopping || hasGangCompleted(partition.get(), key)) {
@@ -286,9 +291,10 @@
     }
     Optional<Workflow> workflow = partition.get().workflow(key.task().workflow());
     if (workflow.isEmpty() && !partition.get().isCaughtUp()) {
+      orderLog.unexpectedRunLeft(key, session, partition.get());
       return;
     }
-    LOG.info(LogLine.of("run-unexpected").with("run", key).with("vm", session.vm()));
+    orderLog.unexpectedRunStopped(key, session, partition.get(), workflow);
     session.addStop(key);
     scheduleFlush();
   }
