Passes isolate their items: an exception for one workflow or run skips no other

With a state that throws each time, nothing behind it was handled again.

ItemGuard runs each item by itself and logs a failing one once (workflow-not-scheduled, run-not-reconciled). The start of a gang checks all members before it changes one, so that a refused start leaves no member open without a run. A percentage of progress out of range counts as 0 or 100.

ThrowingItemsTest: a gang that is done in part, and a run whose end throws, beside sound ones.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -251,6 +251,7 @@
         places.size() == members.size(),
         "number of places differs from the number of gang members: %s",
         places.size());
+    members.forEach(WorkflowTask::checkMayStart);
     int attempt = members.stream().mapToInt(WorkflowTask::lastAttempt).max().orElse(0) + 1;
     // A failed attempt counts once for the gang, however many members report the failure.
     int failures = members.stream().mapToInt(WorkflowTask::failures).max().orElse(0);
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
@@ -175,8 +175,17 @@
     checkpoint = saved;
   }
 
-  void startAttempt(Place newPlace, int attempt, int failuresBefore) {
+  /**
+   * Checks that an attempt may start.
+   *
+   * @throws IllegalStateException if an attempt may still run, or the task is done
+   */
+  void checkMayStart() {
     checkState(place == null && !done, "task %s is done or has an open attempt", key);
+  }
+
+  void startAttempt(Place newPlace, int attempt, int failuresBefore) {
+    checkMayStart();
     place = requireNonNull(newPlace, "place");
     lastAttempt = attempt;
     failures = failuresBefore;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -60,6 +60,7 @@
   private final Supplier<Optional<QueueTable>> configuration;
   private final EarliestTimer backoffTimer;
   private final RunMover mover;
+  private final ItemGuard guard = new ItemGuard(LOG, "workflow-not-scheduled");
   private boolean passScheduled;
   private boolean capacityPassScheduled;
 
@@ -173,14 +174,30 @@
 
   /** Orders the tasks that can be placed; returns whether all of them could. */
   private boolean placeAll(List<WaitingTask> waiting) {
-    Map<String, VmOffer> offersByVm = new HashMap<>();
-    vms.offers().forEach(offer -> offersByVm.put(offer.place().vm(), offer));
-    // Free capacity only shrinks during a pass: a task that does not fit now will not fit later.
-    Set<Requirements> unplaceable = new HashSet<>();
-    Set<Workflow> served = new HashSet<>();
-    boolean hasSpareCapacity = VmOffer.hasSpareCapacity(offersByVm.values());
-    boolean allPlaced = true;
+    Placement placement = new Placement();
     for (WaitingTask candidate : waiting) {
+      guard.run(candidate.task().key()::toString, () -> placement.place(candidate));
+    }
+    return placement.allPlaced;
+  }
+
+  /** The placement of the waiting tasks of one pass. */
+  private final class Placement {
+    private final Map<String, VmOffer> offersByVm = new HashMap<>();
+
+    /** Free capacity only shrinks during a pass: a task that does not fit now never will. */
+    private final Set<Requirements> unplaceable = new HashSet<>();
+
+    private final Set<Workflow> served = new HashSet<>();
+    private final boolean hasSpareCapacity;
+    private boolean allPlaced = true;
+
+    Placement() {
+      vms.offers().forEach(offer -> offersByVm.put(offer.place().vm(), offer));
+      hasSpareCapacity = VmOffer.hasSpareCapacity(offersByVm.values());
+    }
+
+    void place(WaitingTask candidate) {
       WorkflowTask task = candidate.task();
       // A workflow with one running task no longer starves.
       boolean mayStarve = hasSpareCapacity && !served.contains(task.workflow());
@@ -188,7 +205,7 @@
       Requirements requirements = Requirements.of(each);
       if (unplaceable.contains(requirements)) {
         allPlaced = false;
-        continue;
+        return;
       }
       List<VmOffer> chosen = chooseWithAdvice(each, offersByVm.values());
       if (chosen.isEmpty()) {
@@ -197,7 +214,7 @@
         }
         vms.recordUnplaced();
         allPlaced = false;
-        continue;
+        return;
       }
       chosen.forEach(
           offer ->
@@ -206,7 +223,6 @@
       order(each, chosen.stream().map(VmOffer::place).toList());
       served.add(task.workflow());
     }
-    return allPlaced;
   }
 
   private static boolean needsAdvice(WorkflowTask task) {
@@ -306,39 +322,52 @@
   private List<WaitingTask> waitingTasks(QueueTable queues) {
     long now = loop.now();
     long wallNow = wallMillis.getAsLong();
-    record Candidate(OwnedPartition partition, Workflow workflow, WaitingOrder.Rank rank) {}
     List<Candidate> candidates = new ArrayList<>();
     for (OwnedPartition partition : ownership.active()) {
       for (Workflow workflow : partition.workflows()) {
         if (!workflow.status().isTerminal()) {
-          follow(partition, workflow, queues);
-          candidates.add(new Candidate(partition, workflow, WaitingOrder.rank(workflow, wallNow)));
+          guard.run(
+              () -> WorkflowIds.format(workflow.spec().id()),
+              () -> {
+                follow(partition, workflow, queues);
+                candidates.add(
+                    new Candidate(partition, workflow, WaitingOrder.rank(workflow, wallNow)));
+              });
         }
       }
     }
     candidates.sort(Comparator.comparing(Candidate::rank));
     List<WaitingTask> waiting = new ArrayList<>();
     for (Candidate candidate : candidates) {
-      candidate
-          .workflow()
-          .forEachReady(
-              wallNow,
-              task -> {
-                WaitingTask each =
-                    new WaitingTask(candidate.partition(), task, candidate.rank().urgency());
-                if (isFirstOfGang(task) && isDue(each, now)) {
-                  waiting.add(each);
-                } else {
-                  tasksWait = true;
-                }
-                if (task.notBefore() > now) {
-                  backoffTimer.request(task.notBefore());
-                }
-              });
+      guard.run(
+          () -> WorkflowIds.format(candidate.workflow().spec().id()),
+          () -> addReadyTasks(candidate, wallNow, now, waiting));
     }
     return waiting;
   }
 
+  private record Candidate(OwnedPartition partition, Workflow workflow, WaitingOrder.Rank rank) {}
+
+  private void addReadyTasks(
+      Candidate candidate, long wallNow, long now, List<WaitingTask> waiting) {
+    candidate
+        .workflow()
+        .forEachReady(
+            wallNow,
+            task -> {
+              WaitingTask each =
+                  new WaitingTask(candidate.partition(), task, candidate.rank().urgency());
+              if (isFirstOfGang(task) && isDue(each, now)) {
+                waiting.add(each);
+              } else {
+                tasksWait = true;
+              }
+              if (task.notBefore() > now) {
+                backoffTimer.request(task.notBefore());
+              }
+            });
+  }
+
   /** Lets the workflow's further attempts start where its queue sends tasks now. */
   private static void follow(OwnedPartition partition, Workflow workflow, QueueTable queues) {
     String before = workflow.service();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.primitives.Ints;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -46,6 +47,8 @@
   /** Minimum interval between two orders to stop the same run, in nanoseconds. */
   private static final long STOP_RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+  private static final int MAX_PERCENT = 100;
+
   /** Notified of changes that reports cause, and asked before starts; runs on the loop. */
   interface Listener {
     /** Called when a run has ended; its task may be waiting again. */
@@ -74,6 +77,7 @@
   private final OwnerOrderLog orderLog;
   private final CapacityDemand demand = new CapacityDemand();
   private final KnownEvacuations evacuations = new KnownEvacuations();
+  private final ItemGuard guard = new ItemGuard(LOG, "run-not-reconciled");
   private boolean flushScheduled;
 
   VmTracker(
@@ -96,9 +100,11 @@
   /** Starts to track the runs that former owners of the partition ordered. */
   void partitionActivated(OwnedPartition partition) {
     for (Workflow workflow : partition.workflows()) {
-      workflow
-          .openTasks()
-          .forEach(task -> openRuns.add(OpenRun.takenOver(partition, task, loop.now())));
+      for (WorkflowTask task : workflow.openTasks()) {
+        guard.run(
+            task.key()::toString,
+            () -> openRuns.add(OpenRun.takenOver(partition, task, loop.now())));
+      }
     }
   }
 
@@ -211,16 +217,18 @@
   private void reconcile(VmSession session, VmReport report) {
     Set<RunKey> mentioned = new HashSet<>();
     for (EndReport end : report.getEndsList()) {
-      handleEnd(session, end);
+      RunKey key = WorkflowCodec.decode(end.getTask());
+      guard.run(key::toString, () -> handleEnd(session, key, end));
     }
     for (RunReport run : report.getRunsList()) {
       RunKey key = WorkflowCodec.decode(run.getTask());
       mentioned.add(key);
-      reconcileRun(session, report, openRuns.find(report.getVm(), key), key, run);
+      Optional<OpenRun> found = openRuns.find(report.getVm(), key);
+      guard.run(key::toString, () -> reconcileRun(session, report, found, key, run));
     }
     for (OpenRun run : openRuns.onVm(report.getVm())) {
       if (run.isOpen() && !mentioned.contains(run.key())) {
-        reconcileMissingRun(session, run);
+        guard.run(run.key()::toString, () -> reconcileMissingRun(session, run));
       }
     }
   }
@@ -263,8 +271,9 @@
     OpenRun open = found.get();
     if (reported.getStarted()) {
       boolean first = !open.task().workflow().hasStarted();
-      open.task().recordProgress(reported.getCheckpoint(), reported.getPercent());
-      fleet.recordProgress(open, report.getVm(), reported.getPercent(), loop.now());
+      int percent = Ints.constrainToRange(reported.getPercent(), 0, MAX_PERCENT);
+      open.task().recordProgress(reported.getCheckpoint(), percent);
+      fleet.recordProgress(open, report.getVm(), percent, loop.now());
       if (first) {
         open.partition().persist(open.task().workflow());
       }
@@ -312,8 +321,7 @@
     return ownership.partitionOf(key.task().workflow());
   }
 
-  private void handleEnd(VmSession session, EndReport end) {
-    RunKey key = WorkflowCodec.decode(end.getTask());
+  private void handleEnd(VmSession session, RunKey key, EndReport end) {
     Optional<OwnedPartition> partition = ownership.active(partitionOf(key));
     if (partition.isEmpty()) {
       return;
@@ -459,7 +467,8 @@
         long since = Math.max(granted, run.partition().writer().openedAt());
         long expiresAt = since + TimeUnit.MILLISECONDS.toNanos(leaseTerms.takeoverMillis());
         if (run.isOpen() && now > Math.max(expiresAt, run.orderedAt())) {
-          closeLostRun(run, LossEvidence.of(LossEvidence.Kind.EXPIRED, now - since));
+          LossEvidence expired = LossEvidence.of(LossEvidence.Kind.EXPIRED, now - since);
+          guard.run(run.key()::toString, () -> closeLostRun(run, expired));
         }
       }
     }
