A repeated task runs again after an error, as after an exception

A StackOverflowError in a periodic task of the loop ended its repetition for good while the process stayed up.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -117,17 +117,21 @@
   }
 
   /**
-   * Runs the task on the loop periodically, first after one period. An exception of the task is
-   * logged and does not stop the repetition.
+   * Runs the task on the loop periodically, first after one period. An exception or error of the
+   * task is logged and does not stop the repetition.
    */
   public Future<?> repeat(Runnable task, long periodNanos) {
     return loop.scheduleWithFixedDelay(
-        () ->
-            runGuarded(
-                task, e -> LOG.log(System.Logger.Level.ERROR, "event=repeated-task-failed", e)),
-        periodNanos,
-        periodNanos,
-        TimeUnit.NANOSECONDS);
+        () -> runRepeated(task), periodNanos, periodNanos, TimeUnit.NANOSECONDS);
+  }
+
+  private static void runRepeated(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException | Error e) {
+      // An error, such as a stack overflow, would end the repetition as silently as an exception.
+      LOG.log(System.Logger.Level.ERROR, "event=repeated-task-failed", e);
+    }
   }
 
   /**
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/link/LinkLoopTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/link/LinkLoopTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.google.common.base.Throwables;
 import io.marigoldsail.time.WallClock;
 import io.marigoldsail.timeline.HybridClock;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -17,10 +18,20 @@
    */
   @Test
   void repeatedTaskRunsAgainAfterException() {
+    assertRunsAgainAfter(new IllegalStateException("thrown by the test"));
+  }
+
+  /** The same for an error, which an odd input may cause as well. */
+  @Test
+  void repeatedTaskRunsAgainAfterStackOverflow() {
+    assertRunsAgainAfter(new StackOverflowError("thrown by the test"));
+  }
+
+  private void assertRunsAgainAfter(Throwable thrown) {
     EmbeddedChannel timer = new EmbeddedChannel();
     timer.freezeTime();
     LinkLoop loop = new LinkLoop(timer.eventLoop(), () -> 0, new HybridClock(WallClock.system()));
-    loop.repeat(this::throwOnce, TimeUnit.MILLISECONDS.toNanos(10));
+    loop.repeat(() -> throwOnce(thrown), TimeUnit.MILLISECONDS.toNanos(10));
     for (int i = 0; i < 3; i++) {
       timer.advanceTimeBy(10, TimeUnit.MILLISECONDS);
       timer.runScheduledPendingTasks();
@@ -28,10 +39,10 @@
     assertEquals(3, runs);
   }
 
-  private void throwOnce() {
+  private void throwOnce(Throwable thrown) {
     runs++;
     if (runs == 1) {
-      throw new IllegalStateException("thrown by the test");
+      Throwables.throwIfUnchecked(thrown);
     }
   }
 }
