Frames of no process of this system: numbers that cannot exist are not kept

An owner map of generation 2^63 - 1 made a side process ignore all later ones, evidence of such an epoch made it pass over the orders of the owner, and counts of waiting workflows could overflow, of any number of invented members. Generations and epochs that no owner can number are ignored now, and so is evidence of partitions that do not exist; counts of no entry close their connection, and their sum is bounded. The reason logged with a broken link no longer quotes up to 192 KiB of what the peer sent.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkHandler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkHandler.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.link;
 
+import com.google.common.base.Ascii;
 import io.marigoldsail.protocol.Frame;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -9,6 +10,8 @@
 final class LinkHandler extends SimpleChannelInboundHandler<Frame> {
   private static final System.Logger LOG = System.getLogger(LinkHandler.class.getName());
 
+  private static final int MAX_REASON_LENGTH = 300;
+
   private final LinkLoop loop;
   private final LinkListener listener;
   private LinkConnection connection;
@@ -55,7 +58,10 @@
   /** Logs an invalid frame and closes its connection; other connections are not affected. */
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    String reason = cause.getClass().getSimpleName() + ": " + cause.getMessage();
+    // The message may quote what the peer sent.
+    String reason =
+        Ascii.truncate(
+            cause.getClass().getSimpleName() + ": " + cause.getMessage(), MAX_REASON_LENGTH, "...");
     if (connection != null && connection.isOpen()) {
       System.Logger.Level level =
           cause instanceof IOException ? System.Logger.Level.INFO : System.Logger.Level.WARNING;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
@@ -167,7 +167,9 @@
   }
 
   private void ownerMapReceived(String member, OwnerMap map) {
-    if (OwnerMapCodec.isEmpty(map) || map.getGeneration() < generation) {
+    if (OwnerMapCodec.isEmpty(map)
+        || map.getGeneration() < generation
+        || map.getGeneration() > PartitionOwnership.MAX_GENERATION) {
       LOG.debug(
           LogLine.of("owner-map-passed-over")
               .with("member", member)
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.workflow;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
 import io.marigoldsail.daemon.link.LinkConnection;
@@ -40,6 +41,9 @@
   /** Age above which counts are dropped, in nanoseconds; their entry is presumed gone. */
   static final long COUNTS_TTL_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+  /** Far more workflows than can wait; the number of local ones can be added to it. */
+  static final int MAX_WAITING = 1_000_000_000;
+
   private record PendingQuery(LinkConnection connection, Consumer<QueryResult> onResult) {}
 
   private record PeerCounts(Map<String, Integer> waiting, long receivedAt) {}
@@ -183,12 +187,16 @@
     dialOwners();
   }
 
-  /** Replaces the counts of another entry, received on a connection that it dialled. */
+  /**
+   * Replaces the counts of another entry, received on a connection that it dialled.
+   *
+   * @throws IllegalArgumentException if no entry sends such counts
+   */
   void updateCounts(LinkConnection from, WaitingCounts received) {
+    updateCounts(received);
     if (!ownersByPartition.containsValue(received.getMember()) && standbyConnections.add(from)) {
       countsSchedule.peerConnected();
     }
-    updateCounts(received);
   }
 
   /** Forgets a connection that another process dialled. */
@@ -197,18 +205,28 @@
   }
 
   private void updateCounts(WaitingCounts received) {
+    checkArgument(
+        EntryMember.parse(received.getMember()).isPresent(),
+        "not the name of an entry: %s",
+        received.getMember());
     Map<String, Integer> waiting = new HashMap<>();
-    received.getQueuesList().forEach(queue -> waiting.put(queue.getQueue(), queue.getWaiting()));
+    for (QueueCount queue : received.getQueuesList()) {
+      checkArgument(queue.getWaiting() >= 0, "count is out of range: %s", queue.getWaiting());
+      waiting.put(queue.getQueue(), queue.getWaiting());
+    }
     counts.put(received.getMember(), new PeerCounts(waiting, loop.now()));
   }
 
-  /** Returns the number of workflows of the queue that wait at the other entries. */
+  /**
+   * Returns the number of workflows of the queue that wait at the other entries, at most {@link
+   * #MAX_WAITING}.
+   */
   int waitingAtPeers(String queue) {
-    int sum = 0;
+    long sum = 0;
     for (PeerCounts peerCounts : counts.values()) {
       sum += peerCounts.waiting().getOrDefault(queue, 0);
     }
-    return sum;
+    return (int) Math.min(sum, MAX_WAITING);
   }
 
   /** Handles frames and ends of the links to other entries. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
@@ -85,6 +85,12 @@
    */
   private static final long EPOCHS_PER_GENERATION = 1_000;
 
+  /** The highest generation whose epochs can be numbered; no store comes near it. */
+  static final long MAX_GENERATION = 1_000_000_000_000_000L;
+
+  /** The highest epoch of a writer. */
+  static final long MAX_EPOCH = (MAX_GENERATION + 1) * EPOCHS_PER_GENERATION - 1;
+
   /** Notified of changes; runs on the loop. */
   interface Listener extends OwnedPartition.Listener {
     /** Called with the owners of the partitions as of the generation or a later one. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -52,6 +52,7 @@
 
   private final LinkLoop loop;
   private final String vm;
+  private final int partitions;
   private final EntryConnections entries;
   final KnownEvacuations evacuations = new KnownEvacuations();
   private final ReportPacer pacer = new ReportPacer();
@@ -87,6 +88,7 @@
       InterferenceScope scope) {
     this.loop = requireNonNull(loop, "loop");
     this.vm = requireNonNull(vm, "vm");
+    this.partitions = store.partitions();
     this.entries = new EntryConnections(loop, store, new EntryListener());
     this.registration =
         new WorkerRegistration(
@@ -406,10 +408,19 @@
     return named;
   }
 
-  /** Records the evidence; returns for each partition whether it has the highest epoch so far. */
+  /**
+   * Records the evidence; returns for each partition whether it has the highest epoch so far.
+   * Evidence of a partition or an epoch that cannot exist is ignored.
+   */
   private Map<Integer, Boolean> recordEvidence(LeaseGrant grant) {
     Map<Integer, Boolean> fromOwner = new HashMap<>();
     for (PartitionEvidence evidence : grant.getEvidenceList()) {
+      if (evidence.getPartition() < 0
+          || evidence.getPartition() >= partitions
+          || evidence.getEpoch() < 0
+          || evidence.getEpoch() > PartitionOwnership.MAX_EPOCH) {
+        continue;
+      }
       long at = grant.getWorkerClock() + evidence.getAfterReportMillis();
       boolean newest = session().recordEvidence(evidence.getPartition(), evidence.getEpoch(), at);
       fromOwner.put(evidence.getPartition(), newest);
