--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OddRecordsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OddRecordsTest.java
@@ -270,8 +270,8 @@
     cluster.addEntry();
     cluster.store().drop(old.memberPrefix());
     cluster.awaitReady();
-    cluster.entry(0).entry().query(odd, "queue", true).join();
     running.forEach(this::assertIsDone);
+    cluster.entry(0).entry().query(odd, "queue", true).join();
     assertIsDone(submit());
   }
 
