An entry stands by beside owners alone that it is connected to

Cause: any program that reaches the store can join the group and choose the number. An entry now counts only owners that it is connected to; one that does not own yet, or stands by, allows for 4 s without a connection, so that neither a start nor a short interruption moves partitions.

PartitionOwnership.Listener#isConnected defaults to true; WorkflowEntry's listener has to ask EntryPeers#isConnected for this to take effect.

EntryStandingByTest#entriesDoNotStandByBesideAMemberThatIsNoEntry, #shortInterruptionEndsNoStandby.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -126,6 +126,11 @@
     return Optional.ofNullable(ownersByPartition.get(partition));
   }
 
+  /** Returns whether a connection to the member is open. */
+  boolean isConnected(String member) {
+    return links.linkTo(member).isPresent();
+  }
+
   private void dialOwners() {
     Set<String> members = new HashSet<>(ownersByPartition.values());
     // Whatever incarnation a name tells, this process is at its own address.
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
@@ -79,6 +79,9 @@
   /** Interval of reads of the owners, in nanoseconds. */
   private static final long OWNERS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+  /** Time after which an owner without a connection does not count: any program can be a member. */
+  private static final long UNREACHABLE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
   /**
    * Epochs per generation: a partition that is acquired again under the same generation needs a
    * higher epoch.
@@ -95,6 +98,11 @@
   interface Listener extends OwnedPartition.Listener {
     /** Called with the owners of the partitions as of the generation or a later one. */
     void ownersRead(long asOfGeneration, Owners owners);
+
+    /** Returns whether this process is connected to another owner. */
+    default boolean isConnected(String member) {
+      return true;
+    }
   }
 
   private final WorkflowStore store;
@@ -117,6 +125,7 @@
   private long generationChangedAt;
   private long joinedAt;
   private final Optional<OwnerSelection> selection;
+  private final Map<String, Long> disconnectedSince = new HashMap<>();
   private boolean standingBy;
   private boolean leaving;
   private boolean joining;
@@ -230,6 +239,8 @@
     Set<String> others = new HashSet<>(owners.byPartition().values());
     boolean listed = others.remove(self.toString());
     others.removeIf(name -> EntryMember.parse(name).filter(self::isAtAddressOf).isPresent());
+    disconnectedSince.keySet().retainAll(others);
+    others.removeIf(this::isUnreachable);
     ImmutableList<OptionalInt> processors =
         others.stream().map(PartitionOwnership::processorsOf).collect(toImmutableList());
     boolean owning = selection.get().update(processors, loop.now());
@@ -245,6 +256,17 @@
     }
   }
 
+  /** Returns whether the owner has not been connected for some time, or now if this entry owns. */
+  private boolean isUnreachable(String owner) {
+    if (listener.isConnected(owner)) {
+      disconnectedSince.remove(owner);
+      return false;
+    }
+    boolean owning = !standingBy && generation > 0;
+    long since = disconnectedSince.computeIfAbsent(owner, unused -> loop.now());
+    return owning || loop.now() - since > UNREACHABLE_NANOS;
+  }
+
   private void standBy() {
     standingBy = true;
     connected = true;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EntryStandingByTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EntryStandingByTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.OptionalInt;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 
 /** Entries with few processors beside faster ones, on virtual time. */
@@ -134,4 +135,67 @@
     time.advance(SETTLED_MILLIS);
     assertEquals(PARTITIONS, restarted.active().size());
   }
+
+  /**
+   * Guards against partitions without an owner because another program is a member, with more
+   * processors in its name than all entries together.
+   */
+  @Test
+  void entriesDoNotStandByBesideAMemberThatIsNoEntry() {
+    String odd = "127.0.0.1:1/" + (WALL_MILLIS * EntryMember.PROCESSORS_RANGE + 99_999);
+    PartitionOwnership first = startDisconnectedFrom(1, odd);
+    time.advance(SETTLED_MILLIS);
+    store.join(odd, Long.MAX_VALUE);
+    for (int i = 0; i < SETTLED_MILLIS; i++) {
+      time.advance(1);
+      assertFalse(first.active().isEmpty());
+    }
+    PartitionOwnership second = startDisconnectedFrom(3, odd);
+    time.advance(3 * SETTLED_MILLIS);
+    assertFalse(first.active().isEmpty());
+    assertFalse(second.active().isEmpty());
+    store.leave(odd);
+    time.advance(SETTLED_MILLIS);
+    assertEquals(PARTITIONS, first.active().size() + second.active().size());
+  }
+
+  /** Guards against an entry that owns for a moment at each interruption of a connection. */
+  @Test
+  void shortInterruptionEndsNoStandby() {
+    startFast(1);
+    time.advance(SETTLED_MILLIS);
+    boolean[] connected = {true};
+    PartitionOwnership slow = startWith(2, OptionalInt.of(100), unused -> connected[0]);
+    time.advance(SETTLED_MILLIS);
+    connected[0] = false;
+    time.advance(2_000);
+    connected[0] = true;
+    time.advance(SETTLED_MILLIS);
+    assertEquals(0, slow.active().size());
+    connected[0] = false;
+    time.advance(2 * SETTLED_MILLIS);
+    assertFalse(slow.active().isEmpty());
+  }
+
+  private PartitionOwnership startDisconnectedFrom(int number, String odd) {
+    return startWith(number, OptionalInt.of(750), member -> !member.equals(odd));
+  }
+
+  private PartitionOwnership startWith(
+      int number, OptionalInt processors, Predicate<String> connected) {
+    PartitionOwnership ownership =
+        new PartitionOwnership(
+            store,
+            time.loop(),
+            time::wallMillis,
+            member(number, processors),
+            new NoOpOwnershipListener() {
+              @Override
+              public boolean isConnected(String member) {
+                return connected.test(member);
+              }
+            });
+    ownership.start();
+    return ownership;
+  }
 }
