Records under a key or in a partition of another writer's choice are passed over

What callers would see: a copy of a submission in another partition is run by two owners, which order the same attempts; an unreadable record of progress under another spelling of a workflow's key keeps that workflow from ever running, and a readable one replaces its progress.

Cause: an owner took any submission whose key matches its id, in whatever partition it lay, and any key of progress that parses as an id, also in upper case. Both must be exactly what entries write, now.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -15,6 +15,7 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.NewestUnavailable;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
 import io.marigoldsail.time.ClockPair;
+import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowIds;
@@ -150,6 +151,14 @@
     return workflow(key.workflow()).flatMap(workflow -> workflow.task(key));
   }
 
+  /** Returns whether the run's gang has completed: its other members need no stop to end. */
+  boolean hasGangCompleted(RunKey run) {
+    return task(run.task())
+        .filter(task -> task.step().traits().gang() && task.isDone())
+        .filter(task -> task.lastAttempt() == run.attempt())
+        .isPresent();
+  }
+
   /** Returns whether the submissions accepted until shortly before are known. */
   boolean isCaughtUp() {
     return active && tail.isCaughtUp();
@@ -278,9 +287,13 @@
   private void loadProgress(KeyedRecord keyed) {
     OptionalLong id = WorkflowIds.parse(keyed.key());
     Optional<WorkflowRecordState> state = WorkflowCodec.decodeProgress(keyed.value());
-    if (id.isEmpty() || state.isEmpty()) {
+    if (id.isEmpty() || !isKeyOf(id.getAsLong(), keyed.key())) {
       logUnreadable(Topic.PROGRESS, keyed.key());
-      id.ifPresent(failedRestores::add);
+      return;
+    }
+    if (state.isEmpty()) {
+      logUnreadable(Topic.PROGRESS, keyed.key());
+      failedRestores.add(id.getAsLong());
       return;
     }
     unclaimedProgress.put(id.getAsLong(), state.get());
@@ -308,7 +321,7 @@
       return;
     }
     Optional<WorkflowSpec> spec = WorkflowCodec.decodeSubmission(keyed.value());
-    if (spec.isEmpty() || !WorkflowIds.format(spec.get().id()).equals(keyed.key())) {
+    if (spec.isEmpty() || !isKeyOf(spec.get().id(), keyed.key())) {
       logUnreadable(Topic.SUBMISSIONS, keyed.key());
       return;
     }
@@ -351,6 +364,12 @@
         RETRY_DELAY_NANOS);
   }
 
+  /** Returns whether entries write records of the workflow under the key and in this partition. */
+  private boolean isKeyOf(long id, String key) {
+    return WorkflowIds.format(id).equals(key)
+        && WorkflowIds.partition(id, store.partitions()) == number;
+  }
+
   private void logUnreadable(Topic topic, String key) {
     LOG.warning(
         LogLine.of("record-passed-over")
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -251,13 +251,7 @@
     Place place = run.place();
     String reported = session.report().getWorker();
     if (!reported.isEmpty() && session.tryAsk(place.worker(), loop.now())) {
-      LOG.info(
-          LogLine.of("worker-queried")
-              .with("run", run.key())
-              .with("vm", place.vm())
-              .with("worker", place.worker())
-              .with("reported", reported)
-              .with("epoch", run.partition().epoch()));
+      orderLog.workerQueried(run, reported);
       scheduleFlush();
     }
   }
@@ -295,7 +289,7 @@
   /** Stops a run that is not its task's open attempt, unless its workflow may be unread yet. */
   private void stopUnknownRun(VmSession session, RunKey key, boolean stopping) {
     Optional<OwnedPartition> partition = ownership.active(partitionOf(key));
-    if (partition.isEmpty() || stopping || hasGangCompleted(partition.get(), key)) {
+    if (partition.isEmpty() || stopping || partition.get().hasGangCompleted(key)) {
       return;
     }
     Optional<Workflow> workflow = partition.get().workflow(key.task().workflow());
@@ -308,15 +302,6 @@
     scheduleFlush();
   }
 
-  /** Returns whether the run's gang has completed: its other members need no stop to end. */
-  private static boolean hasGangCompleted(OwnedPartition partition, RunKey key) {
-    return partition
-        .task(key.task())
-        .filter(task -> task.step().traits().gang() && task.isDone())
-        .filter(task -> task.lastAttempt() == key.attempt())
-        .isPresent();
-  }
-
   private int partitionOf(RunKey key) {
     return ownership.partitionOf(key.task().workflow());
   }
