--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -345,6 +345,11 @@
     public void lost(OwnedPartition partition) {
       vms.partitionLost(partition);
     }
+
+    @Override
+    public boolean isConnected(String member) {
+      return peers.isConnected(member);
+    }
   }
 
   /** Handles changes on the VMs. */
