--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OddFramesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OddFramesTest.java
@@ -37,6 +37,7 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -69,7 +70,7 @@
     return WorkflowTaskId.newBuilder().setStep(number).setAttempt(number).build();
   }
 
-  private static ImmutableList<Frame> oddFrames() {
+  private static ImmutableList<Frame> oddOrders() {
     LeaseGrant.Builder lease =
         LeaseGrant.newBuilder()
             .setWorkerClock(Long.MAX_VALUE)
@@ -89,7 +90,6 @@
             .build();
     StartRun start = StartRun.newBuilder().setTask(task(1)).build();
     return ImmutableList.of(
-        Frame.getDefaultInstance(),
         Frame.newBuilder().setRunOrders(orders).build(),
         Frame.newBuilder().setRunOrders(orders.toBuilder().addStarts(start)).build(),
         Frame.newBuilder()
@@ -103,7 +103,12 @@
         Frame.newBuilder()
             .setRunOrders(
                 orders.toBuilder().setEvacuations(Evacuations.newBuilder().setRevision(-1)))
-            .build(),
+            .build());
+  }
+
+  private static ImmutableList<Frame> oddFrames() {
+    return ImmutableList.of(
+        Frame.getDefaultInstance(),
         Frame.newBuilder()
             .setOwnerMap(
                 OwnerMap.newBuilder()
@@ -157,7 +162,7 @@
     bytes.add(new byte[] {0, 0});
     bytes.add(ByteBuffer.allocate(14).putInt(100).array());
     bytes.add(framed(nested));
-    oddFrames().stream()
+    Stream.concat(oddOrders().stream(), oddFrames().stream())
         .map(MessageLite::toByteArray)
         .map(OddFramesTest::framed)
         .forEach(bytes::add);
