--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelOfUnreadSubmissionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelOfUnreadSubmissionTest.java
@@ -8,12 +8,14 @@
 
 import io.marigoldsail.daemon.workflow.VirtualStoreClient.Call;
 import io.marigoldsail.daemon.workflow.VirtualStoreClient.Fate;
+import io.marigoldsail.daemon.workflow.VirtualStoreClient.ReadContent;
 import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.AppendUnknown;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.workflow.QueryResult;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.WorkflowIds;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -68,12 +70,16 @@
   }
 
   private CompletableFuture<AppendResult> submit(VirtualCluster.Entry entry) {
+    return submit(entry, ID);
+  }
+
+  private static CompletableFuture<AppendResult> submit(VirtualCluster.Entry entry, long id) {
     CompletableFuture<AppendResult> submitted = new CompletableFuture<>();
     entry.execute(
         () ->
             entry
                 .entry()
-                .submit(WorkflowTestCluster.workflow(ID, 1))
+                .submit(WorkflowTestCluster.workflow(id, 1))
                 .thenAccept(submitted::complete));
     return submitted;
   }
@@ -145,6 +151,47 @@
     assertCancelled(third);
   }
 
+  /** The answer to the owner's read has room for the other submissions of the partition only. */
+  @Test
+  void cancelOfASubmissionBehindOthers() {
+    owner.store.setFates(
+        call ->
+            call == Call.READ
+                ? Fate.after(1, SLOW_ANSWER_MILLIS).withContent(ReadContent.FIRST_RECORD)
+                : Fate.ANSWERED);
+    cluster.advance(2_000);
+    long other = ID + 1;
+    while (WorkflowIds.partition(other, VirtualCluster.PARTITIONS)
+        != WorkflowIds.partition(ID, VirtualCluster.PARTITIONS)) {
+      other++;
+    }
+    assertInstanceOf(Appended.class, cluster.await(submit(third, other), APPEND_MILLIS));
+    submitAccepted();
+    assertCancelled(owner);
+  }
+
+  @Test
+  void cancelWhileReadOffsetsExpire() {
+    owner.store.setFates(
+        call -> Fate.after(1, SLOW_ANSWER_MILLIS / 3).withContent(ReadContent.EXPIRED));
+    cluster.advance(2_000);
+    submitAccepted();
+    assertCancelled(owner);
+  }
+
+  /** One read that fails is no reason to send the caller away. */
+  @Test
+  void cancelWhileTheStoreRefusesARead() {
+    delayReadsOfOwner();
+    submitAccepted();
+    owner.store.setFates(call -> call == Call.READ ? Fate.REFUSED : Fate.ANSWERED);
+    CompletableFuture<QueryResult> answer = query(accepting, true);
+    cluster.advance(50);
+    owner.store.setFate(Fate.ANSWERED);
+    assertEquals(QueryResult.CANCELLED, cluster.await(answer, QUERY_TIMEOUT_MILLIS));
+    assertNeverStarts();
+  }
+
   @Test
   void cancelWhileTheStoreRefusesTheOwner() {
     owner.store.setFate(Fate.REFUSED);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -191,6 +191,12 @@
     return running.contains(run) && !lapsed.contains(run);
   }
 
+  /** Returns whether a run of the workflow is active. */
+  boolean isRunning(long workflow) {
+    return List.copyOf(running).stream()
+        .anyMatch(run -> run.task().workflow() == workflow && isActive(run));
+  }
+
   /** Returns the deadline of the lease; {@link Long#MAX_VALUE} if none was ever set. */
   long deadline() {
     return deadline;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualCluster.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualCluster.java
@@ -4,6 +4,7 @@
 import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.link.VirtualLinks;
 import io.marigoldsail.job.Sizes;
+import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import io.marigoldsail.workflow.WorkflowIds;
 import java.io.IOException;
@@ -11,12 +12,15 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * A cluster of entries and side processes on virtual time: the real ones, with a store, workers and
@@ -27,6 +31,7 @@
 
   private static final int FIRST_PORT = 7_000;
   private static final long MEMBER_TTL_MILLIS = 2_000;
+  private static final long MEMBER_CHECK_INTERVAL_MILLIS = 100;
   private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
   private static final WorkerLeaseTerms TERMS = WorkerLeaseTerms.forMaxLease(10_000);
 
@@ -37,6 +42,7 @@
         new VirtualStoreClient(sharedStore, network, time, this::memberJoined);
     private long stoppedMillis;
     private long resumesAt;
+    private boolean suspended;
 
     Process() {
       time.skip(network.millis());
@@ -52,15 +58,29 @@
       resumesAt = Math.max(resumesAt, network.millis() + millis);
     }
 
-    private void advanceOne() {
+    /** Suspends the process's machine: its monotonic clock stands still for the time. */
+    void suspend(long millis) {
+      pause(millis);
+      suspended = true;
+    }
+
+    private long idleMillis() {
+      return network.millis() < resumesAt ? resumesAt - network.millis() : time.idleMillis();
+    }
+
+    private void advance(long millis) {
       if (network.millis() < resumesAt) {
-        stoppedMillis++;
+        stoppedMillis += millis;
+        return;
+      }
+      if (suspended) {
+        time.shiftWallClock(stoppedMillis);
       } else if (stoppedMillis > 0) {
-        time.skip(stoppedMillis + 1);
-        stoppedMillis = 0;
-      } else {
-        time.advance(1);
+        time.skip(stoppedMillis);
       }
+      stoppedMillis = 0;
+      suspended = false;
+      time.skip(millis);
     }
 
     /** Runs the task in the process, once it does not stand still. */
@@ -115,6 +135,7 @@
   /** A side process with its worker. */
   final class Side extends Process {
     private final ScriptedWorker worker = new ScriptedWorker(time);
+    private final StartRecorder recorder = new StartRecorder(worker);
     private final WorkflowSideProcess side;
     private long heartbeats;
 
@@ -122,7 +143,7 @@
       worker.endStoppedRuns();
       side =
           new WorkflowSideProcess(
-              time.loop(), store, worker, vm, TERMS, InterferenceScope.PER_IMAGE);
+              time.loop(), store, recorder, vm, TERMS, InterferenceScope.PER_IMAGE);
       side.start();
       heartbeat(vm);
       time.loop()
@@ -145,6 +166,56 @@
     ScriptedWorker worker() {
       return worker;
     }
+
+    /** Passes each run that starts on the worker to the consumer. */
+    void onStart(Consumer<RunKey> consumer) {
+      recorder.onStart = consumer;
+    }
+  }
+
+  /** Passes the calls to the worker, and tells which runs have started. */
+  private static final class StartRecorder implements WorkerGateway {
+    private final WorkerGateway worker;
+    private final Set<RunKey> started = new HashSet<>();
+    private Consumer<RunKey> onStart = run -> {};
+
+    StartRecorder(WorkerGateway worker) {
+      this.worker = worker;
+    }
+
+    @Override
+    public CompletableFuture<OrderResult> start(String incarnation, StartOrder start) {
+      return worker
+          .start(incarnation, start)
+          .thenApply(
+              result -> {
+                if (result instanceof Accepted && started.add(start.run())) {
+                  onStart.accept(start.run());
+                }
+                return result;
+              });
+    }
+
+    @Override
+    public CompletableFuture<OrderResult> stop(String incarnation, RunKey run) {
+      return worker.stop(incarnation, run);
+    }
+
+    @Override
+    public CompletableFuture<OrderResult> throttle(String incarnation, RunKey run, int percent) {
+      return worker.throttle(incarnation, run, percent);
+    }
+
+    @Override
+    public CompletableFuture<ListingResult> takeOver(String incarnation) {
+      return worker.takeOver(incarnation);
+    }
+
+    @Override
+    public CompletableFuture<ListingResult> list(
+        String incarnation, OptionalLong deadline, long acknowledged, long waitMillis) {
+      return worker.list(incarnation, deadline, acknowledged, waitMillis);
+    }
   }
 
   private final VirtualLinks links = new VirtualLinks();
@@ -153,6 +224,13 @@
   private final List<Process> processes = new ArrayList<>();
   private final Map<String, Long> joinedAt = new HashMap<>();
 
+  VirtualCluster() {
+    network
+        .loop()
+        .repeat(
+            this::dropSilentMembers, TimeUnit.MILLISECONDS.toNanos(MEMBER_CHECK_INTERVAL_MILLIS));
+  }
+
   /** Returns the store without the faults of the processes' calls. */
   FakeWorkflowStore store() {
     return sharedStore;
@@ -173,6 +251,17 @@
     return new Side(vm);
   }
 
+  /** Runs the task after the delay; it belongs to no process. */
+  void after(long millis, Runnable task) {
+    network.loop().schedule(task, TimeUnit.MILLISECONDS.toNanos(millis));
+  }
+
+  /** Throws the first exception that a task has thrown since the last call, if any. */
+  void rethrowFailure() {
+    network.rethrowFailure();
+    processes.forEach(process -> process.time.rethrowFailure());
+  }
+
   /** Returns the virtual time, in milliseconds. */
   long millis() {
     return network.millis();
@@ -185,10 +274,12 @@
 
   /** Advances the time of all processes. */
   void advance(long millis) {
-    for (long passed = 0; passed < millis; passed++) {
-      network.advance(1);
-      dropSilentMembers();
-      List.copyOf(processes).forEach(Process::advanceOne);
+    long until = network.millis() + millis;
+    while (network.millis() < until) {
+      long idle = processes.stream().mapToLong(Process::idleMillis).min().orElse(Long.MAX_VALUE);
+      long step = Math.min(until - network.millis(), Math.min(idle, network.idleMillis()));
+      network.skip(step);
+      List.copyOf(processes).forEach(process -> process.advance(step));
     }
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualLoop.java
@@ -13,6 +13,7 @@
 /** A loop on virtual time: scheduled tasks run only while a test advances it. One thread. */
 final class VirtualLoop {
   private static final long STEP_MILLIS = 1;
+  private static final long NANOS_PER_MILLI = 1_000_000;
   private static final long WALL_START_MILLIS = 1_000_000_000;
 
   private final EmbeddedChannel timer = new EmbeddedChannel();
@@ -84,6 +85,14 @@
     timer.runPendingTasks();
   }
 
+  /** Returns how long no task is due, in milliseconds, rounded up; at least 1. */
+  long idleMillis() {
+    long nextNanos = timer.hasPendingTasks() ? 0 : timer.runScheduledPendingTasks();
+    return nextNanos < 0
+        ? Long.MAX_VALUE
+        : Math.max(1, (nextNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
+  }
+
   /** Throws the first exception that a task has thrown since the last call, if any. */
   void rethrowFailure() {
     timer.checkException();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualStoreClient.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualStoreClient.java
@@ -22,6 +22,15 @@
     GROUP
   }
 
+  /** What the answer to a read contains. */
+  enum ReadContent {
+    ALL,
+    /** The first record; the answer has no room for others. */
+    FIRST_RECORD,
+    /** The offset has expired. */
+    EXPIRED
+  }
+
   /**
    * What happens to a call. A call that is not answered within the client's timeout fails, whether
    * the store executes it or not.
@@ -29,18 +38,22 @@
    * @param refused whether the store refuses it and does nothing
    * @param requestMillis when the store executes it, in milliseconds from its start
    * @param answerMillis how long the answer takes, in milliseconds
-   * @param expired whether a read is answered with {@link Expired}
+   * @param content what the answer to a read contains
    */
-  record Fate(boolean refused, long requestMillis, long answerMillis, boolean expired) {
+  record Fate(boolean refused, long requestMillis, long answerMillis, ReadContent content) {
     /** The call is answered after a round trip. */
     static final Fate ANSWERED = after(1, 1);
 
-    static final Fate REFUSED = new Fate(true, 1, 1, false);
+    static final Fate REFUSED = new Fate(true, 1, 1, ReadContent.ALL);
     static final Fate REQUEST_LOST = after(Long.MAX_VALUE, 1);
     static final Fate ANSWER_LOST = after(1, Long.MAX_VALUE);
 
     static Fate after(long requestMillis, long answerMillis) {
-      return new Fate(false, requestMillis, answerMillis, false);
+      return new Fate(false, requestMillis, answerMillis, ReadContent.ALL);
+    }
+
+    Fate withContent(ReadContent newContent) {
+      return new Fate(refused, requestMillis, answerMillis, newContent);
     }
   }
 
@@ -126,9 +139,19 @@
         new ReadFailed("refused by the test"),
         new ReadFailed("unanswered"),
         () ->
-            fate.expired()
+            fate.content() == ReadContent.EXPIRED
                 ? CompletableFuture.completedFuture(new Expired())
-                : store.read(topic, partition, from, waitMillis));
+                : store
+                    .read(topic, partition, from, waitMillis)
+                    .thenApply(result -> limit(result, from, fate.content())));
+  }
+
+  private static ReadResult limit(ReadResult result, long from, ReadContent content) {
+    return content == ReadContent.FIRST_RECORD
+            && result instanceof Records records
+            && records.records().size() > 1
+        ? new Records(records.records().subList(0, 1), from + 1, records.endOffset())
+        : result;
   }
 
   @Override
