A former owner without the store stops no run of its successor

What callers would see: a run of a job that nobody cancelled is stopped. The store turns an owner away, another entry takes over and orders the next attempt, the side process restarts and reports the run to both; the former owner knows the workflow, but not this attempt.

The stop now waits for an append that proves that there is no successor, one for each run.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -75,6 +75,7 @@
   private final VmView view;
   private final RunEndAcknowledger endAcknowledger;
   private final OwnerOrderLog orderLog;
+  private final UnexpectedRuns unexpectedRuns;
   private final CapacityDemand demand = new CapacityDemand();
   private final KnownEvacuations evacuations = new KnownEvacuations();
   private final ItemGuard guard = new ItemGuard(LOG, "run-not-reconciled");
@@ -94,6 +95,7 @@
     this.view = new VmView(loop, sessionsByVm, openRuns, fleet, evacuations);
     this.endAcknowledger = new RunEndAcknowledger(loop);
     this.orderLog = new OwnerOrderLog(loop);
+    this.unexpectedRuns = new UnexpectedRuns(orderLog, this::scheduleFlush);
     this.granter = new LeaseGranter(loop, ownership, demand, evacuations);
   }
 
@@ -110,6 +112,7 @@
 
   /** Stops tracking the runs of a partition that another process owns. */
   void partitionLost(OwnedPartition partition) {
+    unexpectedRuns.partitionLost(partition);
     openRuns.removePartition(partition);
   }
 
@@ -286,20 +289,12 @@
     return run.isOpen() && WorkerIncarnation.mayBeSame(run.place().worker(), worker);
   }
 
-  /** Stops a run that is not its task's open attempt, unless its workflow may be unread yet. */
   private void stopUnknownRun(VmSession session, RunKey key, boolean stopping) {
-    Optional<OwnedPartition> partition = ownership.active(partitionOf(key));
-    if (partition.isEmpty() || stopping || partition.get().hasGangCompleted(key)) {
-      return;
+    if (!stopping) {
+      ownership
+          .active(partitionOf(key))
+          .ifPresent(partition -> unexpectedRuns.handle(session, key, partition));
     }
-    Optional<Workflow> workflow = partition.get().workflow(key.task().workflow());
-    if (workflow.isEmpty() && !partition.get().isCaughtUp()) {
-      orderLog.unexpectedRunLeft(key, session, partition.get());
-      return;
-    }
-    orderLog.unexpectedRunStopped(key, session, partition.get(), workflow);
-    session.addStop(key);
-    scheduleFlush();
   }
 
   private int partitionOf(RunKey key) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualEntry.java
@@ -240,6 +240,11 @@
     calls.refuseReads();
   }
 
+  /** Lets the store refuse all calls of this entry from now on. */
+  void refuseCalls() {
+    calls.setRefusing(true);
+  }
+
   /** Returns whether the entry has read all recent submissions. */
   boolean isCaughtUp() {
     return ownership.active(0).orElseThrow().isCaughtUp();
