A tombstone is renewed by each cancel, and its workflow is retained from its submission on

What callers would see: a job runs whose cancel was answered 410 some seconds before, since an earlier cancel of the id had begun the time that the tombstone is kept; or a repeat of a cancelled job runs, since the job was evicted as if it had ended at a cancel two minutes before its submission.

A repeated cancel writes the tombstone again once it is 5 s old; a workflow read as cancelled counts as ended when it was submitted, also under the next owner. The record of a workflow whose submission cannot be read is no tombstone: it was dropped after the retention, and a version that reads the submission would run the workflow anew.

Evidence: CancelOfUnreadSubmissionTest#repeatedCancelHoldsAsLongAsTheFirst and #workflowCancelledLongBeforeIsRetainedFromItsSubmissionOn fail without it; the last sentence has no test.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/CancelTombstones.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/CancelTombstones.java
@@ -14,6 +14,9 @@
   /** Maximum number of cancels that are accepted. */
   static final int MAX_TOMBSTONES = 1_000;
 
+  /** Age at which a repeated cancel is written again, in milliseconds. */
+  private static final long RENEWAL_INTERVAL_MILLIS = 5_000;
+
   private final Map<Long, Long> cancelledMillisById = new LinkedHashMap<>();
 
   int size() {
@@ -24,15 +27,21 @@
     return cancelledMillisById.containsKey(id);
   }
 
-  /** Adds a cancel, unless there are too many; returns whether it is contained. */
+  /** Adds a cancel, or renews it; returns false, and changes nothing, if there are too many. */
   boolean add(long id, long wallMillis) {
-    if (cancelledMillisById.size() >= MAX_TOMBSTONES) {
-      return contains(id);
+    if (!contains(id) && cancelledMillisById.size() >= MAX_TOMBSTONES) {
+      return false;
     }
-    cancelledMillisById.putIfAbsent(id, wallMillis);
+    cancelledMillisById.put(id, wallMillis);
     return true;
   }
 
+  /** Returns whether the workflow was cancelled so recently that the cancel needs no renewal. */
+  boolean isRecent(long id, long wallMillis) {
+    return contains(id)
+        && Math.abs(wallMillis - cancelledMillisById.get(id)) < RENEWAL_INTERVAL_MILLIS;
+  }
+
   /** Adds a cancel that a former owner accepted. */
   void restore(long id, long wallMillis) {
     cancelledMillisById.put(id, wallMillis);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -77,6 +77,12 @@
    */
   private final Set<Long> failedRestores = new HashSet<>();
 
+  /**
+   * Workflows whose submission cannot be read. Their progress is kept: another version may read the
+   * submission, and would run the workflow as a new one.
+   */
+  private final Set<Long> unreadableSubmissions = new HashSet<>();
+
   /** Workflows whose submission was written again, once by each owner. */
   private final Set<Long> restoredSubmissions = new HashSet<>();
 
@@ -323,6 +329,9 @@
     Optional<WorkflowSpec> spec = WorkflowCodec.decodeSubmission(keyed.value());
     if (spec.isEmpty() || !isKeyOf(spec.get().id(), keyed.key())) {
       logUnreadable(Topic.SUBMISSIONS, keyed.key());
+      if (!active) {
+        WorkflowIds.parse(keyed.key()).ifPresent(unreadableSubmissions::add);
+      }
       return;
     }
     Workflow known = workflows.get(spec.get().id());
@@ -387,10 +396,14 @@
     if (closed || workflows.containsKey(spec.id()) || !failedRestores.add(spec.id())) {
       return;
     }
-    WorkflowRecordState state = unclaimedProgress.remove(spec.id());
-    Workflow workflow = state == null ? Workflow.of(spec) : Workflow.restore(spec, state);
+    Optional<WorkflowRecordState> state = progressOf(spec);
+    Workflow workflow =
+        state.map(each -> Workflow.restore(spec, each)).orElseGet(() -> Workflow.of(spec));
     OptionalLong cancelledMillis = tombstones.remove(spec.id());
-    boolean cancelled = cancelledMillis.isPresent() && workflow.cancel(cancelledMillis.getAsLong());
+    // Its state is retained from its submission on, which may follow long after the cancel.
+    boolean cancelled =
+        cancelledMillis.isPresent()
+            && workflow.cancel(Math.max(cancelledMillis.getAsLong(), spec.acceptedMillis()));
     workflows.put(spec.id(), workflow);
     failedRestores.remove(spec.id());
     if (cancelled) {
@@ -408,6 +421,19 @@
     }
   }
 
+  /** Returns the progress that a former owner has written, unless it is a tombstone. */
+  private Optional<WorkflowRecordState> progressOf(WorkflowSpec spec) {
+    WorkflowRecordState state = unclaimedProgress.remove(spec.id());
+    if (state != null
+        && state.status() == WorkflowStatus.CANCELLED
+        && state.tasks().isEmpty()
+        && state.endedMillis() < spec.acceptedMillis()) {
+      tombstones.restore(spec.id(), state.endedMillis());
+      return Optional.empty();
+    }
+    return Optional.ofNullable(state);
+  }
+
   /**
    * Writes the cancel of a workflow of which no submission is known, so that one that the store
    * takes later is read as cancelled by this owner and its successors.
@@ -416,7 +442,7 @@
    * @return false if there are too many such cancels; nothing is written then
    */
   boolean cancelUnknown(long id, long wallMillis) {
-    if (tombstones.contains(id)) {
+    if (tombstones.isRecent(id, wallMillis)) {
       return true;
     }
     if (!tombstones.add(id, wallMillis)) {
@@ -439,6 +465,7 @@
   private void activate() {
     unclaimedProgress.forEach(this::restoreTombstone);
     unclaimedProgress.clear();
+    unreadableSubmissions.clear();
     active = true;
     LOG.info(
         LogLine.of("partition-owned")
@@ -463,7 +490,7 @@
   }
 
   private void restoreTombstone(long id, WorkflowRecordState state) {
-    if (state.status() == WorkflowStatus.CANCELLED) {
+    if (state.status() == WorkflowStatus.CANCELLED && !unreadableSubmissions.contains(id)) {
       tombstones.restore(id, state.endedMillis());
     }
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelOfUnreadSubmissionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelOfUnreadSubmissionTest.java
@@ -268,6 +268,30 @@
     assertEquals(QueryResult.CANCELLED, cluster.await(query(third, false), QUERY_TIMEOUT_MILLIS));
   }
 
+  /** Guards against a cancel that no longer holds, though it was repeated shortly before. */
+  @Test
+  void repeatedCancelHoldsAsLongAsTheFirst() {
+    assertEquals(QueryResult.UNKNOWN_WORKFLOW, cancel(third));
+    cluster.advance(RETENTION_MILLIS - 2 * SETTLED_MILLIS);
+    assertEquals(QueryResult.UNKNOWN_WORKFLOW, cancel(third));
+    cluster.advance(4 * SETTLED_MILLIS);
+    submitAccepted();
+    assertNeverStarts();
+  }
+
+  /** Guards against a repeat that runs, as its cancelled workflow was evicted too early. */
+  @Test
+  void workflowCancelledLongBeforeIsRetainedFromItsSubmissionOn() {
+    assertEquals(QueryResult.UNKNOWN_WORKFLOW, cancel(third));
+    cluster.advance(RETENTION_MILLIS - SETTLED_MILLIS);
+    submitAccepted();
+    cluster.store().reassignAll();
+    cluster.advance(3 * SETTLED_MILLIS);
+    assertEquals(QueryResult.CANCELLED, cluster.await(query(third, false), QUERY_TIMEOUT_MILLIS));
+    submitAccepted();
+    assertNeverStarts();
+  }
+
   /** Guards against entries that answer no cancel of a workflow that does not exist. */
   @Test
   void cancelOfAWorkflowThatDoesNotExistIsAnswered() {
