One deadline for all steps of an answer about a workflow

An owner that read the submissions and then wrote a cancel could take 0.9 s for each step, while the entry that had forwarded the question gave up after 0.9 s: the caller was told 503 for a cancel that held. All steps share one deadline now, and the forwarding entry waits slightly longer. An owner whose last join failed says so at once where it does not know the workflow. A read whose response was cut short no longer counts as up to date.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -35,8 +35,8 @@
 final class EntryPeers {
   private static final EventLog LOG = EventLog.of(EntryPeers.class);
 
-  /** Timeout of a query, in nanoseconds. */
-  private static final long QUERY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+  /** Timeout of a query, in nanoseconds; slightly longer than an owner takes at most. */
+  private static final long QUERY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(950);
 
   /** Age above which counts are dropped, in nanoseconds; their entry is presumed gone. */
   static final long COUNTS_TTL_NANOS = TimeUnit.SECONDS.toNanos(8);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SubmissionTail.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SubmissionTail.java
@@ -260,7 +260,9 @@
   private void accept(ClockReading sent, long from, Records records) {
     ClockReading now = clocks.read();
     // After a suspension the response may be as old as the request.
-    caughtUpAt = Optional.of(sent.isContinuousUntil(now) ? now : sent);
+    if (records.nextOffset() >= records.endOffset()) {
+      caughtUpAt = Optional.of(sent.isContinuousUntil(now) ? now : sent);
+    }
     long alreadyRead = Math.max(0, nextOffset - from);
     nextOffset = Math.max(nextOffset, records.nextOffset());
     records.records().stream().skip(alreadyRead).forEach(onRecord);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
@@ -24,7 +24,7 @@
 final class WorkflowQueries {
   private static final EventLog LOG = EventLog.of(WorkflowQueries.class);
 
-  /** Time in which the owner reads submissions, or makes a cancel durable, in nanoseconds. */
+  /** Time in which the owner reads submissions and makes a cancel durable, in nanoseconds. */
   private static final long TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
   private final LinkLoop loop;
@@ -78,26 +78,31 @@
 
   private void queryOwned(
       OwnedPartition owned, long id, boolean cancel, Consumer<QueryResult> onResult) {
+    long askedAt = loop.now();
+    long deadline = askedAt + TIMEOUT_NANOS;
     Optional<Workflow> found = owned.workflow(id);
     if (found.isPresent()) {
-      answerKnown(owned, found.get(), cancel, onResult);
+      answerKnown(owned, found.get(), cancel, deadline, onResult);
+      return;
+    }
+    if (!ownership.isConnected()) {
+      logNotKnown(owned, id, cancel, askedAt, QueryResult.UNAVAILABLE);
+      onResult.accept(QueryResult.UNAVAILABLE);
       return;
     }
     // The submission may have been accepted by another entry and not have been read yet.
-    long askedAt = loop.now();
-    long deadline = askedAt + TIMEOUT_NANOS;
     owned
         .confirmSubmissions(deadline)
         .thenAccept(
             confirmed -> {
               Optional<Workflow> read = owned.workflow(id).filter(unused -> owned.isActive());
               if (read.isPresent()) {
-                answerKnown(owned, read.get(), cancel, onResult);
+                answerKnown(owned, read.get(), cancel, deadline, onResult);
                 return;
               }
               boolean unknown = confirmed && owned.isActive() && !owned.isUnrestorable(id);
               if (unknown && cancel) {
-                cancelUnknown(owned, id, askedAt, onResult);
+                cancelUnknown(owned, id, askedAt, deadline, onResult);
                 return;
               }
               QueryResult result = unknown ? QueryResult.UNKNOWN_WORKFLOW : QueryResult.UNAVAILABLE;
@@ -107,15 +112,20 @@
   }
 
   private void answerKnown(
-      OwnedPartition owned, Workflow workflow, boolean cancel, Consumer<QueryResult> onResult) {
+      OwnedPartition owned,
+      Workflow workflow,
+      boolean cancel,
+      long deadline,
+      Consumer<QueryResult> onResult) {
     if (cancel) {
-      cancelOwned(owned, workflow).thenAccept(onResult);
+      cancelOwned(owned, workflow, deadline).thenAccept(onResult);
     } else {
       onResult.accept(QueryResult.of(workflow.durableStatus()));
     }
   }
 
-  private CompletableFuture<QueryResult> cancelOwned(OwnedPartition owned, Workflow workflow) {
+  private CompletableFuture<QueryResult> cancelOwned(
+      OwnedPartition owned, Workflow workflow, long deadline) {
     if (workflow.cancel(wallMillis.getAsLong())) {
       LOG.info(
           LogLine.of("workflow-cancelled")
@@ -135,7 +145,7 @@
             });
     // The cancel may never become durable if the partition has another owner or the store is
     // unreachable.
-    loop.schedule(() -> cancelled.complete(QueryResult.UNAVAILABLE), TIMEOUT_NANOS);
+    loop.schedule(() -> cancelled.complete(QueryResult.UNAVAILABLE), deadline - loop.now());
     return cancelled;
   }
 
@@ -144,7 +154,7 @@
    * submission that it received before, or one that the caller repeats.
    */
   private void cancelUnknown(
-      OwnedPartition owned, long id, long askedAt, Consumer<QueryResult> onResult) {
+      OwnedPartition owned, long id, long askedAt, long deadline, Consumer<QueryResult> onResult) {
     CompletableFuture<QueryResult> answered = new CompletableFuture<>();
     answered.thenAccept(
         result -> {
@@ -161,12 +171,12 @@
             () -> {
               Optional<Workflow> submitted = owned.workflow(id);
               if (submitted.isPresent()) {
-                cancelOwned(owned, submitted.get()).thenAccept(answered::complete);
+                cancelOwned(owned, submitted.get(), deadline).thenAccept(answered::complete);
               } else {
                 answered.complete(QueryResult.UNKNOWN_WORKFLOW);
               }
             });
-    loop.schedule(() -> answered.complete(QueryResult.UNAVAILABLE), TIMEOUT_NANOS);
+    loop.schedule(() -> answered.complete(QueryResult.UNAVAILABLE), deadline - loop.now());
   }
 
   private void logNotKnown(
