--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelOfUnreadSubmissionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelOfUnreadSubmissionTest.java
@@ -88,9 +88,14 @@
     assertInstanceOf(Appended.class, cluster.await(submit(accepting), APPEND_MILLIS));
   }
 
-  private CompletableFuture<QueryResult> query(VirtualCluster.Entry entry, boolean cancel) {
+  private static CompletableFuture<QueryResult> query(VirtualCluster.Entry entry, boolean cancel) {
+    return query(entry, ID, cancel);
+  }
+
+  private static CompletableFuture<QueryResult> query(
+      VirtualCluster.Entry entry, long id, boolean cancel) {
     CompletableFuture<QueryResult> answer = new CompletableFuture<>();
-    entry.execute(() -> entry.entry().query(ID, "queue", cancel).thenAccept(answer::complete));
+    entry.execute(() -> entry.entry().query(id, "queue", cancel).thenAccept(answer::complete));
     return answer;
   }
 
@@ -98,6 +103,16 @@
     return cluster.await(query(entry, true), QUERY_TIMEOUT_MILLIS);
   }
 
+  /** Returns another workflow of the same partition. */
+  private static long otherOfThePartition() {
+    long other = ID + 1;
+    while (WorkflowIds.partition(other, VirtualCluster.PARTITIONS)
+        != WorkflowIds.partition(ID, VirtualCluster.PARTITIONS)) {
+      other++;
+    }
+    return other;
+  }
+
   private void delayReadsOfOwner() {
     owner.store.setFates(
         call -> call == Call.READ ? Fate.after(1, SLOW_ANSWER_MILLIS) : Fate.ANSWERED);
@@ -151,6 +166,17 @@
     assertCancelled(third);
   }
 
+  /** The read for an earlier question began before the submission was accepted. */
+  @Test
+  void cancelWhileTheOwnerReadsForAnotherQuestion() {
+    delayReadsOfOwner();
+    CompletableFuture<QueryResult> other = query(owner, otherOfThePartition(), false);
+    cluster.advance(50);
+    submitAccepted();
+    assertCancelled(owner);
+    assertEquals(QueryResult.UNKNOWN_WORKFLOW, other.join());
+  }
+
   /** The answer to the owner's read has room for the other submissions of the partition only. */
   @Test
   void cancelOfASubmissionBehindOthers() {
@@ -160,12 +186,8 @@
                 ? Fate.after(1, SLOW_ANSWER_MILLIS).withContent(ReadContent.FIRST_RECORD)
                 : Fate.ANSWERED);
     cluster.advance(2_000);
-    long other = ID + 1;
-    while (WorkflowIds.partition(other, VirtualCluster.PARTITIONS)
-        != WorkflowIds.partition(ID, VirtualCluster.PARTITIONS)) {
-      other++;
-    }
-    assertInstanceOf(Appended.class, cluster.await(submit(third, other), APPEND_MILLIS));
+    assertInstanceOf(
+        Appended.class, cluster.await(submit(third, otherOfThePartition()), APPEND_MILLIS));
     submitAccepted();
     assertCancelled(owner);
   }
@@ -209,7 +231,9 @@
     cluster.advance(1_600);
     submitAccepted();
     CompletableFuture<QueryResult> answer = query(third, true);
+    CompletableFuture<QueryResult> answerOfOwner = query(owner, true);
     assertEquals(QueryResult.UNAVAILABLE, cluster.await(answer, QUERY_TIMEOUT_MILLIS));
+    assertEquals(QueryResult.UNAVAILABLE, answerOfOwner.getNow(QueryResult.RUNNING));
     owner.store.setFate(Fate.ANSWERED);
     assertCancelledInTheEnd(query(owner, true));
   }
