--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/AdviserTiming.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/AdviserTiming.java
@@ -5,7 +5,7 @@
 /**
  * Timing of a placement adviser, which decides which VMs may run a step.
  *
- * <p>Immutable.
+ * <p>Immutable. No time is over {@link Integer#MAX_VALUE} milliseconds, as durable records hold.
  *
  * @param decideMillis time per call, in milliseconds, however many VMs the call names
  * @param periodMillis additional time per named VM, in milliseconds
@@ -14,9 +14,14 @@
 public record AdviserTiming(long decideMillis, long periodMillis, long validMillis) {
   /** Checks the components. */
   public AdviserTiming {
-    checkArgument(decideMillis >= 0, "decideMillis is negative: %s", decideMillis);
-    checkArgument(periodMillis >= 0, "periodMillis is negative: %s", periodMillis);
-    checkArgument(validMillis >= 0, "validMillis is negative: %s", validMillis);
+    checkRange("decideMillis", decideMillis);
+    checkRange("periodMillis", periodMillis);
+    checkRange("validMillis", validMillis);
+  }
+
+  private static void checkRange(String component, long millis) {
+    checkArgument(
+        millis >= 0 && millis <= Integer.MAX_VALUE, "%s is out of range: %s", component, millis);
   }
 
   /** Returns the duration of a call that names this many VMs, without queueing, in milliseconds. */
