--- a/marigoldsail-core/src/main/java/io/marigoldsail/json/Json.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/json/Json.java
@@ -1,7 +1,9 @@
 package io.marigoldsail.json;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -19,11 +21,19 @@
  * Reads and writes JSON for the whole system.
  *
  * <p>Parsing is strict: duplicate keys and trailing content are errors, because accepting the last
- * of two values would hide an operator's mistake. Safe for any thread.
+ * of two values would hide an operator's mistake. So is nesting deeper than {@value #MAX_DEPTH}.
+ * Safe for any thread.
  */
 public final class Json {
+  /** Deeper documents are rejected: reading or writing one may exhaust the stack of a thread. */
+  static final int MAX_DEPTH = 128;
+
   private static final ObjectMapper MAPPER =
-      JsonMapper.builder()
+      JsonMapper.builder(
+              JsonFactory.builder()
+                  .streamReadConstraints(
+                      StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
+                  .build())
           .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .build();
