--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
@@ -104,7 +104,7 @@
   public static final int MAX_PROGRAM_LENGTH = 16_000;
 
   /** Maximum length of every other text in a workflow, in characters. */
-  public static final int MAX_TEXT_LENGTH = 1_000;
+  public static final int MAX_TEXT_LENGTH = 1_024;
 
   /** Checks the components, and that steps depend only on earlier ones. */
   public WorkflowSpec {
