CancelledRunsLogTest: the store refuses reads where the test needs submissions unread

The fake store now answers waiting reads on virtual time, so the owner had read the submissions 1.5 s before and stopped the run: the test failed.

--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelledRunsLogTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelledRunsLogTest.java
@@ -26,7 +26,7 @@
   private static final WorkerLeaseTerms TERMS = WorkerLeaseTerms.forMaxLease(4_000);
   private static final long PASS_MILLIS = 300;
   private static final long REPORT_MILLIS = 800;
-  private static final long UNREAD_MILLIS = 3_000;
+  private static final long UNREAD_MILLIS = 5_000;
 
   private final List<Logger> loggers =
       List.of(
@@ -118,6 +118,7 @@
   @Test
   void ownerLogsRunsThatItLeavesAloneAtMostOncePerWindow() {
     entry.submit(WorkflowTestCluster.workflow(WORKFLOW + 1, 1));
+    entry.refuseReads();
     entry.advance(UNREAD_MILLIS);
     for (int i = 0; i < 10; i++) {
       vm.report(List.of(RUN));
