--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelOfUnreadSubmissionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelOfUnreadSubmissionTest.java
@@ -324,6 +324,13 @@
     }
   }
 
+  /** Guards against a caller that is never answered, as its cancel cannot be kept. */
+  @Test
+  void cancelThatCannotBeKeptIsAnswered() {
+    owner.store.setFates(call -> call == Call.APPEND ? Fate.REQUEST_LOST : Fate.ANSWERED);
+    assertEquals(QueryResult.UNAVAILABLE, cancel(owner));
+  }
+
   /** Guards against accepted workflows that never start. */
   @Test
   void workflowThatNobodyCancelsStarts() {
