--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnerOrderLog.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnerOrderLog.java
@@ -34,7 +34,7 @@
   /** A stop is sent; the side process has a start of the run unless none was ever sent. */
   void stopSent(OpenRun run, VmSession session) {
     LOG.info(
-        line("run-stop-sent", run)
+        line("stop-sent", run)
             .with("worker", session.report().getWorker())
             .with("status", run.task().workflow().status())
             .with("may_have_started", run.mayHaveBeenOrdered())
@@ -43,14 +43,14 @@
 
   /** A stop is due, but the VM is not connected; it is sent after the VM's next report. */
   void stopDeferred(OpenRun run) {
-    LOG.info(line("run-stop-deferred", run).with("status", run.task().workflow().status()));
+    LOG.info(line("stop-deferred", run).with("status", run.task().workflow().status()));
   }
 
   /** A start is sent; logged unless it is the first one, which the scheduler logs as ordered. */
   void startSent(OpenRun run, VmSession session) {
     if (run.mayHaveBeenOrdered()) {
       LOG.info(
-          line("run-start-repeated", run)
+          line("start-repeated", run)
               .with("worker", session.report().getWorker())
               .with("reported", session.run(run.key()).isPresent()));
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelledRunsLogTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/CancelledRunsLogTest.java
@@ -99,14 +99,13 @@
     entry.advance(1);
     String vmAndWorker = " vm=vm-0 worker=incarnation-1-vm-0 ";
     assertEquals(
-        List.of("event=run-start-repeated run=" + RUN + vmAndWorker + "reported=false"),
-        takeLines());
+        List.of("event=start-repeated run=" + RUN + vmAndWorker + "reported=false"), takeLines());
     vm.disconnect();
     entry.cancel(workflow);
     entry.advance(PASS_MILLIS);
     assertEquals(
-        List.of("event=run-stop-deferred run=" + RUN + " vm=vm-0 status=CANCELLED"), takeLines());
-    String stop = "event=run-stop-sent run=" + RUN + vmAndWorker + "status=CANCELLED ";
+        List.of("event=stop-deferred run=" + RUN + " vm=vm-0 status=CANCELLED"), takeLines());
+    String stop = "event=stop-sent run=" + RUN + vmAndWorker + "status=CANCELLED ";
     for (int stops = 1; stops <= 2; stops++) {
       vm.report(List.of(RUN));
       entry.advance(REPORT_MILLIS);
