--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnerOrderLog.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnerOrderLog.java
@@ -56,17 +56,6 @@
     }
   }
 
-  /** A VM reports another worker than the run's, which it is asked about. */
-  void workerQueried(OpenRun run, String reportedWorker) {
-    LOG.info(
-        LogLine.of("worker-queried")
-            .with("run", run.key())
-            .with("vm", run.place().vm())
-            .with("worker", run.place().worker())
-            .with("reported", reportedWorker)
-            .with("epoch", run.partition().epoch()));
-  }
-
   private LogLine line(String event, OpenRun run) {
     return LogLine.of(event)
         .with("run", run.key())
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -254,7 +254,13 @@
     Place place = run.place();
     String reported = session.report().getWorker();
     if (!reported.isEmpty() && session.tryAsk(place.worker(), loop.now())) {
-      orderLog.workerQueried(run, reported);
+      LOG.info(
+          LogLine.of("worker-queried")
+              .with("run", run.key())
+              .with("vm", place.vm())
+              .with("worker", place.worker())
+              .with("reported", reported)
+              .with("epoch", run.partition().epoch()));
       scheduleFlush();
     }
   }
