--- a/review/stand-ins-3/Deployment.java
+++ b/review/stand-ins-3/Deployment.java
@@ -135,13 +135,18 @@
     return node;
   }
 
-  @Override
-  public void close() throws InterruptedException {
+  /** Kills what is still up; also if the case itself is ended. */
+  void killAll() {
     for (Node node : nodes) {
       if (node.process != null) {
         node.process.destroyForcibly();
       }
     }
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    killAll();
     for (Node node : nodes) {
       if (node.process != null) {
         node.process.waitFor(5, TimeUnit.SECONDS);
--- a/review/stand-ins-3/Http.java
+++ b/review/stand-ins-3/Http.java
@@ -119,6 +119,15 @@
     threads.shutdownNow();
   }
 
+  /** Returns the state in the answer on a job. */
+  static String state(String body) {
+    try {
+      return JSON.readTree(body).path("state").asText();
+    } catch (IOException e) {
+      return "unreadable";
+    }
+  }
+
   static ObjectNode object() {
     return JSON.createObjectNode();
   }
