--- a/review/stand-ins-3/Worker.java
+++ b/review/stand-ins-3/Worker.java
@@ -15,8 +15,32 @@
 
 /** An executor with its machine, as PROTOCOL.md says. What a task needs is told by the case. */
 final class Worker {
-  /** What a task does. */
-  record Behaviour(int cpu, int memory, long workMillis, boolean lasts, String checkpointPrefix) {}
+  /**
+   * What a task does.
+   *
+   * @param tailMillis the tail latency of a task that serves; 0 for others, which use their cpu
+   * @param fills whether its cpu isn't counted against the capacity
+   */
+  record Behaviour(
+      int cpu,
+      int memory,
+      long workMillis,
+      boolean lasts,
+      String checkpointPrefix,
+      int tailMillis,
+      boolean fills) {
+    Behaviour(int cpu, int memory, long workMillis, boolean lasts, String checkpointPrefix) {
+      this(cpu, memory, workMillis, lasts, checkpointPrefix, 0, false);
+    }
+
+    int counted() {
+      return fills ? 0 : cpu;
+    }
+
+    int figure() {
+      return tailMillis > 0 ? tailMillis : cpu;
+    }
+  }
 
   /** Knows the tasks of the jobs that the clients hand in. */
   interface Work {
@@ -223,9 +247,9 @@
     if (attempt <= over.getOrDefault(task, 0) || known != null) {
       return refuse("old");
     }
-    int usedCpu = running.values().stream().mapToInt(run -> run.behaviour().cpu()).sum();
+    int usedCpu = running.values().stream().mapToInt(run -> run.behaviour().counted()).sum();
     int usedMemory = running.values().stream().mapToInt(run -> run.behaviour().memory()).sum();
-    if (usedCpu + behaviour.cpu() > cpu || usedMemory + behaviour.memory() > memory) {
+    if (usedCpu + behaviour.counted() > cpu || usedMemory + behaviour.memory() > memory) {
       return refuse("room");
     }
     running.put(task, new Run(task, attempt, behaviour, clock()));
@@ -257,8 +281,10 @@
     ObjectNode answer = Http.object().put("clock_ms", clock());
     ArrayNode active = answer.putArray("running");
     for (Run run : running.values()) {
-      int percent = (int) Math.min(100, 100 * (clock() - run.began()) / run.behaviour().workMillis());
-      active.addArray().add(run.task()).add(run.attempt()).add(saved(run)).add(percent).add(1);
+      long worked = 100 * (clock() - run.began()) / run.behaviour().workMillis();
+      int percent = run.behaviour().lasts() ? 100 : (int) Math.min(100, worked);
+      active.addArray().add(run.task()).add(run.attempt()).add(saved(run)).add(percent);
+      ((ArrayNode) active.get(active.size() - 1)).add(run.behaviour().figure());
     }
     ArrayNode finished = answer.putArray("finished");
     for (End end : ends.subList(0, Math.min(LISTED_ENDS, ends.size()))) {
@@ -280,7 +306,7 @@
 
   /** Returns the processors in use, in thousandths of a core. */
   synchronized int used() {
-    return running.values().stream().mapToInt(run -> run.behaviour().cpu()).sum();
+    return running.values().stream().mapToInt(run -> run.behaviour().counted()).sum();
   }
 
   int cpu() {
