--- a/review/stand-ins-3/Worker.java
+++ b/review/stand-ins-3/Worker.java
@@ -237,7 +237,7 @@
     }
     Behaviour behaviour = work.of(task, body.path("spec").asText());
     if (behaviour == null) {
-      record.say("%s: told to start %s, which no client sent", id, task);
+      record.line("%s: told to start %s, which no client sent", id, task);
       return Http.Reply.of(400);
     }
     if (body.path("deadline_ms").asLong() <= clock()) {
