--- a/review/stand-ins-3/Deployment.java
+++ b/review/stand-ins-3/Deployment.java
@@ -83,7 +83,11 @@
   private final Map<String, List<String>> commands = new LinkedHashMap<>();
   final List<Node> nodes = new ArrayList<>();
 
-  Deployment(Path folder, int storePort, Recorder record) throws IOException {
+  /** The address of the adviser; empty for none. */
+  private final String adviser;
+
+  Deployment(Path folder, int storePort, String adviser, Recorder record) throws IOException {
+    this.adviser = adviser;
     this.folder = folder;
     this.storePort = storePort;
     this.record = record;
@@ -109,6 +113,7 @@
     fields.put("ip", "127.0.0.1");
     fields.put("port_range.0", Integer.toString(Http.freePort()));
     fields.put("platform.addr", "127.0.0.1:" + storePort);
+    fields.put("advice", adviser);
     fields.put("platform.parts", "24");
     fields.put("bounds.max_hold_ms", "10000");
     fields.put("bounds.status_s", "120");
--- a/review/stand-ins-3/Setup.java
+++ b/review/stand-ins-3/Setup.java
@@ -25,12 +25,22 @@
   final List<Worker> workers = new ArrayList<>();
   final Client client;
 
-  private Setup(Recorder record, Path scratch, Worker.Work work) throws IOException {
+  /** The platform's adviser, and what the configuration says of it. */
+  record Advice(Http.Handler handler, String route) {
+    static final Advice NONE = new Advice(call -> Http.Reply.of(404), "");
+  }
+
+  private final Http adviser;
+
+  private Setup(Recorder record, Path scratch, Worker.Work work, Advice advice)
+      throws IOException {
     this.record = record;
     store = new Store(new Store.Limits(24, RECORD_BYTES, 2_097_152, 20_000), record);
     int storePort = store.start();
-    store.operator("config", configuration().getBytes(StandardCharsets.UTF_8));
-    deployment = new Deployment(scratch, storePort, record);
+    store.operator("config", configuration(advice.route()).getBytes(StandardCharsets.UTF_8));
+    int adviserPort = Http.freePort();
+    adviser = Http.start(adviserPort, advice.handler());
+    deployment = new Deployment(scratch, storePort, "127.0.0.1:" + adviserPort, record);
     for (int i = 1; i <= 3; i++) {
       entries.add(deployment.entry("edge-" + i));
     }
@@ -50,12 +60,18 @@
 
   /** Runs the case and exits with its status. */
   static void main(String[] arguments, Worker.Work work, Case each) throws Exception {
+    main(arguments, work, Advice.NONE, each);
+  }
+
+  /** Runs the case in a deployment with an adviser and exits with its status. */
+  static void main(String[] arguments, Worker.Work work, Advice advice, Case each)
+      throws Exception {
     Path folder = Path.of(arguments[0]);
     boolean trouble = !arguments[1].equals("0");
     Path scratch = Files.createTempDirectory("review-3-");
     int exit = 2;
     try (Recorder record = new Recorder(folder.resolve("record.txt"))) {
-      try (Setup setup = new Setup(record, scratch, work)) {
+      try (Setup setup = new Setup(record, scratch, work, advice)) {
         for (Deployment.Node node : setup.deployment.nodes) {
           node.start();
         }
@@ -94,10 +110,10 @@
     return false;
   }
 
-  private static String configuration() {
+  private static String configuration(String advice) {
     return "{\"version\":1,\"routes\":[{\"name\":\"r-1\",\"host\":\"127.0.0.1\",\"prefix\":\"/q/\","
         + "\"kind\":\"unsafe\",\"timeout_ms\":3000,\"goal_ms\":250,\"priority\":0,"
-        + "\"service\":\"parkhub\",\"attempts\":3,\"slack_factor\":1.5}],\"services\":[{\"name\":"
+        + "\"service\":\"parkhub\",\"attempts\":3,\"slack_factor\":1.5" + advice + "}],\"services\":[{\"name\":"
         + "\"parkhub\",\"health_path\":\"/healthz\",\"max_conns\":64,\"protocol\":\"h1\",\"tls\":"
         + "false,\"admission_check\":true,\"standby\":false}],\"limits\":{\"max_header_bytes\":16384,"
         + "\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
@@ -112,6 +128,7 @@
   public void close() throws InterruptedException {
     deployment.close();
     workers.forEach(Worker::stop);
+    adviser.stop();
     store.stop();
   }
 }
--- a/review/stand-ins-3/Worker.java
+++ b/review/stand-ins-3/Worker.java
@@ -46,6 +46,11 @@
   interface Work {
     /** Returns what the task does, or null if no client sent it. */
     Behaviour of(String task, String spec);
+
+    /** Returns whether the executor may start the task with the ticket. */
+    default boolean allows(String worker, String task, String ticket) {
+      return true;
+    }
   }
 
   /** A run that began here. */
@@ -247,6 +252,9 @@
     if (attempt <= over.getOrDefault(task, 0) || known != null) {
       return refuse("old");
     }
+    if (!work.allows(id, task, body.path("ticket").asText(""))) {
+      return refuse("ticket");
+    }
     int usedCpu = running.values().stream().mapToInt(run -> run.behaviour().counted()).sum();
     int usedMemory = running.values().stream().mapToInt(run -> run.behaviour().memory()).sum();
     if (usedCpu + behaviour.counted() > cpu || usedMemory + behaviour.memory() > memory) {
