Add review case 9: an executor that starts again under its id is never taken over

Seen: 4 of 32 tasks that last are absent for 40 s after one executor of eight crashed and came back; none without the crash. The other cases move up.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Runs case 10 in the root of the repository, after review/build-3.sh. TROUBLE=0 hands in a tenth of the tasks.
+# Runs case 10 in the root of the repository, after review/build-3.sh. TROUBLE=0 hands in short schedules.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/review-3/WideJobCase.class ] || { echo "run review/build-3.sh first"; exit 2; }
+[ -f target/review-3/ScheduledJobsCase.class ] || { echo "run review/build-3.sh first"; exit 2; }
 timeout --kill-after=5 115 java -Xmx512m -cp target/review-3:target/run/marigoldsail.jar \
-  WideJobCase review/10 "${TROUBLE:-1}"
+  ScheduledJobsCase review/10 "${TROUBLE:-1}"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Runs case 11 in the root of the repository, after review/build-3.sh. TROUBLE=0 leaves the kill out.
+# Runs case 11 in the root of the repository, after review/build-3.sh. TROUBLE=0 hands in a tenth of the tasks.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/review-3/ManyImagesCase.class ] || { echo "run review/build-3.sh first"; exit 2; }
+[ -f target/review-3/WideJobCase.class ] || { echo "run review/build-3.sh first"; exit 2; }
 timeout --kill-after=5 115 java -Xmx512m -cp target/review-3:target/run/marigoldsail.jar \
-  ManyImagesCase review/11 "${TROUBLE:-1}"
+  WideJobCase review/11 "${TROUBLE:-1}"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
--- a/review/stand-ins-3/Deployment.java
+++ b/review/stand-ins-3/Deployment.java
@@ -82,12 +82,7 @@
   private final int storePort;
   private final Map<String, List<String>> commands = new LinkedHashMap<>();
   final List<Node> nodes = new ArrayList<>();
-
-  /** The address of the adviser; empty for none. */
-  private final String adviser;
-
-  Deployment(Path folder, int storePort, String adviser, Recorder record) throws IOException {
-    this.adviser = adviser;
+  Deployment(Path folder, int storePort, Recorder record) throws IOException {
     this.folder = folder;
     this.storePort = storePort;
     this.record = record;
@@ -113,7 +108,6 @@
     fields.put("ip", "127.0.0.1");
     fields.put("port_range.0", Integer.toString(Http.freePort()));
     fields.put("platform.addr", "127.0.0.1:" + storePort);
-    fields.put("advice", adviser);
     fields.put("platform.parts", "24");
     fields.put("bounds.max_hold_ms", "10000");
     fields.put("bounds.status_s", "120");
--- a/review/stand-ins-3/Http.java
+++ b/review/stand-ins-3/Http.java
@@ -4,6 +4,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** A small HTTP server on loopback for the stand-ins of the cases. */
 final class Http {
@@ -132,9 +134,21 @@
     return JSON.createObjectNode();
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+  private static int nextPort = 20_000 + ThreadLocalRandom.current().nextInt(8_000);
+
+  /**
+   * Returns a free port, each once, below those that systems give to outgoing connections: such a
+   * connection could take the port before the process that is to listen on it starts.
+   */
+  static synchronized int freePort() throws IOException {
+    for (int tries = 0; tries < 2_000; tries++) {
+      int port = nextPort++;
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // In use.
+      }
     }
+    throw new IOException("no free port");
   }
 }
--- a/review/stand-ins-3/Setup.java
+++ b/review/stand-ins-3/Setup.java
@@ -6,7 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 
-/** A small deployment: three entries, three side processes with their executors, and the store. */
+/** A small deployment: three entries, side processes with their executors, and the store. */
 final class Setup implements AutoCloseable {
   static final String SERVICE = "parkhub";
   static final int RECORD_BYTES = 262_144;
@@ -24,33 +24,23 @@
   final List<Deployment.Node> sides = new ArrayList<>();
   final List<Worker> workers = new ArrayList<>();
   final Client client;
+  private final Worker.Work work;
 
-  /** The platform's adviser, and what the configuration says of it. */
-  record Advice(Http.Handler handler, String route) {
-    static final Advice NONE = new Advice(call -> Http.Reply.of(404), "");
-  }
-
-  private final Http adviser;
-
-  private Setup(Recorder record, Path scratch, Worker.Work work, Advice advice)
-      throws IOException {
+  private Setup(Recorder record, Path scratch, Worker.Work work) throws IOException {
     this.record = record;
+    this.work = work;
     store = new Store(new Store.Limits(24, RECORD_BYTES, 2_097_152, 20_000), record);
     int storePort = store.start();
-    store.operator("config", configuration(advice.route()).getBytes(StandardCharsets.UTF_8));
-    int adviserPort = Http.freePort();
-    adviser = Http.start(adviserPort, advice.handler());
-    deployment = new Deployment(scratch, storePort, "127.0.0.1:" + adviserPort, record);
+    store.operator("config", configuration().getBytes(StandardCharsets.UTF_8));
+    deployment = new Deployment(scratch, storePort, record);
     for (int i = 1; i <= 3; i++) {
       entries.add(deployment.entry("edge-" + i));
     }
-    for (int i = 1; i <= 3; i++) {
+    for (int i = 1; i <= machines; i++) {
       int port = Http.freePort();
       Deployment.Node side = deployment.side("side-" + i, port);
       sides.add(side);
-      List<String> labels = List.of(i == 1 ? "b" : "a", "r1-" + i);
-      Worker worker =
-          new Worker("i-" + i, SERVICE, labels, 16_000, 64_000, 10_000, 400, work, record);
+      Worker worker = worker(i - 1);
       worker.start(port, side.port("listen.control"));
       workers.add(worker);
     }
@@ -58,20 +48,44 @@
     Runtime.getRuntime().addShutdownHook(new Thread(deployment::killAll));
   }
 
-  /** Runs the case and exits with its status. */
-  static void main(String[] arguments, Worker.Work work, Case each) throws Exception {
-    main(arguments, work, Advice.NONE, each);
+  /** Returns a new executor on the machine, with the id of each that was there. */
+  private Worker worker(int machine) {
+    List<String> labels = List.of(machine == 0 ? "b" : "a", "r1-" + (machine + 1));
+    String id = "i-" + (machine + 1);
+    Worker worker = new Worker(id, SERVICE, labels, 16_000, 64_000, 10_000, 400, work, record);
+    return tellsBirths ? worker.telling(System.currentTimeMillis(), 0) : worker;
+  }
+
+  /** Starts an executor again on its machine, under its id. */
+  void restartWorker(int machine, long firstBeatMillis) throws IOException {
+    Worker worker = worker(machine).telling(System.currentTimeMillis(), firstBeatMillis);
+    Deployment.Node side = sides.get(machine);
+    worker.start(side.port("app"), side.port("listen.control"));
+    workers.set(machine, worker);
+    record.say("i-%d: started again under its id", machine + 1);
   }
 
-  /** Runs the case in a deployment with an adviser and exits with its status. */
-  static void main(String[] arguments, Worker.Work work, Advice advice, Case each)
+  /** Whether executors tell the time of their start. */
+  private static boolean tellsBirths;
+
+  private static int machines = 3;
+
+  /** Runs the case with that many executors, which start again under their ids. */
+  static void mainWithBirths(int executors, String[] arguments, Worker.Work work, Case each)
       throws Exception {
+    tellsBirths = true;
+    machines = executors;
+    main(arguments, work, each);
+  }
+
+  /** Runs the case and exits with its status. */
+  static void main(String[] arguments, Worker.Work work, Case each) throws Exception {
     Path folder = Path.of(arguments[0]);
     boolean trouble = !arguments[1].equals("0");
     Path scratch = Files.createTempDirectory("review-3-");
     int exit = 2;
     try (Recorder record = new Recorder(folder.resolve("record.txt"))) {
-      try (Setup setup = new Setup(record, scratch, work, advice)) {
+      try (Setup setup = new Setup(record, scratch, work)) {
         for (Deployment.Node node : setup.deployment.nodes) {
           node.start();
         }
@@ -110,10 +124,10 @@
     return false;
   }
 
-  private static String configuration(String advice) {
+  private static String configuration() {
     return "{\"version\":1,\"routes\":[{\"name\":\"r-1\",\"host\":\"127.0.0.1\",\"prefix\":\"/q/\","
         + "\"kind\":\"unsafe\",\"timeout_ms\":3000,\"goal_ms\":250,\"priority\":0,"
-        + "\"service\":\"parkhub\",\"attempts\":3,\"slack_factor\":1.5" + advice + "}],\"services\":[{\"name\":"
+        + "\"service\":\"parkhub\",\"attempts\":3,\"slack_factor\":1.5}],\"services\":[{\"name\":"
         + "\"parkhub\",\"health_path\":\"/healthz\",\"max_conns\":64,\"protocol\":\"h1\",\"tls\":"
         + "false,\"admission_check\":true,\"standby\":false}],\"limits\":{\"max_header_bytes\":16384,"
         + "\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
@@ -128,7 +142,6 @@
   public void close() throws InterruptedException {
     deployment.close();
     workers.forEach(Worker::stop);
-    adviser.stop();
     store.stop();
   }
 }
--- a/review/stand-ins-3/Worker.java
+++ b/review/stand-ins-3/Worker.java
@@ -46,11 +46,6 @@
   interface Work {
     /** Returns what the task does, or null if no client sent it. */
     Behaviour of(String task, String spec);
-
-    /** Returns whether the executor may start the task with the ticket. */
-    default boolean allows(String worker, String task, String ticket) {
-      return true;
-    }
   }
 
   /** A run that began here. */
@@ -80,8 +75,13 @@
   private long deadline;
   private long lastEnd;
   private long sequence;
-  private boolean closed;
+  private volatile boolean closed;
   private Http http;
+
+  /** The time of the start, told where executors start again under their ids; 0 if it isn't told. */
+  private long born;
+
+  private long firstBeatMillis;
   long starts;
 
   Worker(
@@ -105,6 +105,13 @@
     this.record = record;
   }
 
+  /** Lets the executor tell the time of its start, and when it sends its first heartbeat. */
+  Worker telling(long bornMillis, long firstBeatAfterMillis) {
+    born = bornMillis;
+    firstBeatMillis = firstBeatAfterMillis;
+    return this;
+  }
+
   void start(int port, int controlPort) throws IOException {
     http = Http.start(port, this::handle);
     thread(() -> beat(port, controlPort));
@@ -117,11 +124,16 @@
     thread.start();
   }
 
+  private ObjectNode tellBirth(ObjectNode body) {
+    return born > 0 ? body.put("born", born) : body;
+  }
+
   private long clock() {
     return System.nanoTime() / 1_000_000 - bornAt;
   }
 
   private void beat(int port, int controlPort) {
+    pause(firstBeatMillis);
     while (!closed) {
       try {
         ObjectNode body = Http.object();
@@ -131,6 +143,7 @@
         ArrayNode named = body.putArray("labels");
         labels.forEach(named::add);
         body.put("clock_ms", clock()).put("seq", ++sequence);
+        tellBirth(body);
         client.send(
             HttpRequest.newBuilder(
                     URI.create("http://127.0.0.1:" + controlPort + "/api/executors/" + id))
@@ -252,9 +265,6 @@
     if (attempt <= over.getOrDefault(task, 0) || known != null) {
       return refuse("old");
     }
-    if (!work.allows(id, task, body.path("ticket").asText(""))) {
-      return refuse("ticket");
-    }
     int usedCpu = running.values().stream().mapToInt(run -> run.behaviour().counted()).sum();
     int usedMemory = running.values().stream().mapToInt(run -> run.behaviour().memory()).sum();
     if (usedCpu + behaviour.counted() > cpu || usedMemory + behaviour.memory() > memory) {
@@ -286,7 +296,7 @@
     while (ends.isEmpty() && clock() < until) {
       wait(Math.max(1, until - clock()));
     }
-    ObjectNode answer = Http.object().put("clock_ms", clock());
+    ObjectNode answer = tellBirth(Http.object().put("clock_ms", clock()));
     ArrayNode active = answer.putArray("running");
     for (Run run : running.values()) {
       long worked = 100 * (clock() - run.began()) / run.behaviour().workMillis();
@@ -321,6 +331,16 @@
     return cpu;
   }
 
+  /** Ends without a word, with all that runs here. */
+  void crash() {
+    closed = true;
+    synchronized (this) {
+      running.clear();
+      record.say("%s: crash", id);
+    }
+    http.stop();
+  }
+
   void stop() {
     closed = true;
     http.stop();
