--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
@@ -92,8 +92,22 @@
     }
   }
 
-  /** The worker did not respond to a listing request. */
-  record ListingFailed(String reason) implements ListingResult {
+  /**
+   * The worker did not respond to a listing request, or did not do what it asks for.
+   *
+   * @param fenced whether it ignores this process, as another one has taken it over
+   */
+  record ListingFailed(String reason, boolean fenced) implements ListingResult {
+    /** Creates the result of a worker that does not respond. */
+    public ListingFailed(String reason) {
+      this(reason, false);
+    }
+
+    /** Returns the result of a worker that another process has taken over. */
+    public static ListingFailed fencedByAnother() {
+      return new ListingFailed("the fence of another process is higher", true);
+    }
+
     /** Returns the reason for logs. */
     @Override
     public String toString() {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerHealth.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerHealth.java
@@ -1,6 +1,8 @@
 package io.marigoldsail.daemon.workflow;
 
 import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.workflow.WorkerGateway.ListingFailed;
+import io.marigoldsail.daemon.workflow.WorkerGateway.ListingResult;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -16,6 +18,7 @@
   private final ListingOutage outage;
   private long backoffUntil = Long.MIN_VALUE;
   private boolean reportedUnhealthy;
+  private boolean fenced;
 
   WorkerHealth(String worker) {
     this.outage = new ListingOutage(worker);
@@ -26,14 +29,21 @@
     backoffUntil = now + BACKOFF_NANOS;
   }
 
-  /** Records an unanswered listing; returns the log line to write, if any. */
-  Optional<LogLine> recordListingFailure(String reason, long now) {
+  /** Records a listing that failed; returns the log line to write, if any. */
+  Optional<LogLine> recordListingFailure(ListingResult result, long now) {
     recordFailure(now);
-    return outage.recordFailure(reason, now);
+    fenced = result instanceof ListingFailed failed && failed.fenced();
+    return outage.recordFailure(result.toString(), now);
+  }
+
+  /** Returns whether the last listing was refused, as another process has fenced the worker. */
+  boolean isFenced() {
+    return fenced;
   }
 
   /** Records an answered listing; returns a log line if this ends an outage. */
   Optional<LogLine> recordListing(long now) {
+    fenced = false;
     return outage.recordSuccess(now);
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerRegistration.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerRegistration.java
@@ -72,6 +72,9 @@
       if (heartbeat.sequence() >= session.heartbeat().sequence()) {
         session.heartbeat(heartbeat);
       }
+      if (session.health().isFenced()) {
+        regain(heartbeat.worker());
+      }
       accepted.complete(true);
       return;
     }
@@ -98,6 +101,29 @@
     probe(heartbeat, accepted);
   }
 
+  /**
+   * Takes over again the worker of the session, which ignores its calls since one of an earlier
+   * side process, with a higher fence, was executed late. The heartbeats show that this process is
+   * the present one; the session goes on with its next listing.
+   */
+  private void regain(String worker) {
+    if (probeInFlight) {
+      return;
+    }
+    probeInFlight = true;
+    ListingScheduler.resultOf(worker, () -> gateway.takeOver(worker))
+        .thenAccept(
+            result ->
+                loop.run(
+                    () -> {
+                      probeInFlight = false;
+                      LOG.info(
+                          LogLine.of("worker-regained")
+                              .with("worker", worker)
+                              .with("regained", result instanceof Listing));
+                    }));
+  }
+
   /** Returns whether calls for an earlier incarnation may have been executed by this one. */
   private boolean succeedsKnownIncarnation(String worker) {
     return WorkerIncarnation.areSuccessive(goneWorker, worker)
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -166,6 +166,10 @@
     return throttler;
   }
 
+  WorkerHealth health() {
+    return health;
+  }
+
   int serviceTaskCount() {
     return StartAdmission.serviceTaskCount(runs.values());
   }
@@ -338,7 +342,7 @@
       listener.workerSucceeded(this, succeeded.successor());
     }
     if (!(result instanceof Listing listing)) {
-      health.recordListingFailure(result.toString(), loop.now()).ifPresent(LOG::info);
+      health.recordListingFailure(result, loop.now()).ifPresent(LOG::info);
       notifyAvailability();
       // A successor that responds may still run what was ordered here, until it is cleared.
       if (lease.isExpired() && !(result instanceof SucceededBy)) {
@@ -377,7 +381,9 @@
     Set<RunKey> listed = new HashSet<>();
     for (EndedRun end : listing.ended()) {
       listed.add(end.run());
-      applyEnd(end);
+      if (ends.recordSequence(end.sequence())) {
+        recordEnd(end.run(), end.outcome(), end.checkpoint(), end.sequence(), "listed");
+      }
     }
     for (ActiveRun active : listing.running()) {
       listed.add(active.run());
@@ -396,12 +402,6 @@
     }
   }
 
-  private void applyEnd(EndedRun end) {
-    if (ends.recordSequence(end.sequence())) {
-      recordEnd(end.run(), end.outcome(), end.checkpoint(), end.sequence(), "listed by the worker");
-    }
-  }
-
   private void applyActiveRun(ActiveRun active) {
     SideRun run = runs.get(active.run());
     if (run == null) {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -38,6 +38,7 @@
   private long deadline = Long.MAX_VALUE;
   private boolean extendedAfterExpiry;
   private boolean unresponsive;
+  private boolean fencedByAnother;
   private long failureDelayMillis = 1;
   private boolean dropsStarts;
   private boolean answersStarts = true;
@@ -79,6 +80,11 @@
     failureDelayMillis = millis;
   }
 
+  /** Ignores this process from now on, as if another one had taken it over, until it does again. */
+  void becomeFencedByAnother() {
+    fencedByAnother = true;
+  }
+
   /** Makes each listing call throw from now on. */
   void throwOnListingCall() {
     listingCallThrows = true;
@@ -349,6 +355,7 @@
   public CompletableFuture<ListingResult> takeOver(String worker) {
     if (!unresponsive && !isSucceeded(worker)) {
       fence++;
+      fencedByAnother = false;
     }
     return list(worker, OptionalLong.empty(), 0, 0);
   }
@@ -369,6 +376,9 @@
     if (isSucceeded(worker)) {
       return after(1, () -> new SucceededBy(incarnation));
     }
+    if (fencedByAnother) {
+      return after(1, ListingFailed::fencedByAnother);
+    }
     recordLapse();
     newDeadline.ifPresent(this::extend);
     acknowledgedUpTo = acknowledged;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkerSuccessionTest.java
@@ -263,6 +263,22 @@
     assertTrue(acceptsHeartbeatOf(FIRST));
   }
 
+  /**
+   * Guards against a session that its worker ignores for good, as a late call of an earlier side
+   * process has raised the fence: the heartbeats go on, and nothing is ever started there again.
+   */
+  @Test
+  void workerThatAnotherProcessFencedIsTakenOverWithItsNextHeartbeat() {
+    findFirst();
+    worker.becomeFencedByAnother();
+    time.advance(1_000);
+    assertTrue(side.session().isUnhealthy());
+    assertTrue(acceptsHeartbeatOf(FIRST));
+    time.advance(3_000);
+    assertFalse(side.session().isUnhealthy());
+    assertEquals(FIRST, currentWorker());
+  }
+
   /** The successor does not respond: nothing shows what it runs, so the session goes on. */
   @Test
   void unresponsiveSuccessorDoesNotEndTheSession() {
