Tasks of a workflow cost what has happened to them, and owners are given what fits

Cause: an object of some 240 bytes for each task of each occurrence from the submission on, and no bound over all workflows.

Tasks without an attempt and tasks that are done are no objects any more; a pass looks at no more than 256 new tasks of a step. Owners tell the others what they keep, and a submission beyond a fifth of the owner's heap is answered 503 at once. A process out of memory ends: the deploy file's commands had no flag for it (DeployFileTest).

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -3,11 +3,10 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
-import com.google.common.collect.ImmutableList;
-import java.util.ArrayList;
-import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -18,14 +17,11 @@
  * only. So a new owner that restores the last record knows every start order that may be in flight.
  *
  * <p>Confined to one thread. Rejects nulls. Every operation takes time at most linear in the number
- * of tasks.
+ * of tasks that are due. An occurrence that is not due takes no memory.
  */
 public final class Workflow {
   private final WorkflowSpec spec;
-  private final List<WorkflowTask> tasks = new ArrayList<>();
-  private final int tasksPerOccurrence;
-  private final int[] firstTaskOfStep;
-  private final int[] doneTasksOfStep;
+  private final WorkflowTasks tasks;
   private WorkflowStatus status = WorkflowStatus.QUEUED;
   private WorkflowStatus durableStatus = WorkflowStatus.QUEUED;
   private long endedMillis;
@@ -36,18 +32,7 @@
   private Workflow(WorkflowSpec spec) {
     this.spec = spec;
     this.placementPolicy = spec.policy();
-    int stepCount = spec.steps().size();
-    this.firstTaskOfStep = new int[stepCount];
-    int first = 0;
-    for (int step = 0; step < stepCount; step++) {
-      firstTaskOfStep[step] = first;
-      first += spec.steps().get(step).tasks();
-    }
-    this.tasksPerOccurrence = first;
-    this.doneTasksOfStep = new int[stepCount * spec.schedule().occurrenceCount()];
-    for (int occurrence = 0; occurrence < spec.schedule().occurrenceCount(); occurrence++) {
-      addOccurrence(occurrence);
-    }
+    this.tasks = new WorkflowTasks(this, spec);
   }
 
   /** Returns a workflow without attempts. */
@@ -58,13 +43,9 @@
   /** Returns a workflow restored from its durable record. */
   public static Workflow restore(WorkflowSpec spec, WorkflowRecordState state) {
     Workflow workflow = of(spec);
-    int known = Math.min(state.tasks().size(), workflow.tasks.size());
+    int known = Math.min(state.tasks().size(), workflow.tasks.blocks().size());
     for (int i = 0; i < known; i++) {
-      WorkflowTask task = workflow.tasks.get(i);
-      task.restore(state.tasks().get(i));
-      if (task.isDone()) {
-        workflow.doneTasksOfStep[workflow.stepIndex(task.key())]++;
-      }
+      workflow.tasks.restore(i, state.tasks().get(i));
     }
     workflow.status = state.status();
     workflow.durableStatus = state.status();
@@ -77,16 +58,6 @@
     return workflow;
   }
 
-  private void addOccurrence(int occurrence) {
-    for (int step = 0; step < spec.steps().size(); step++) {
-      StepSpec stepSpec = spec.steps().get(step);
-      for (int index = 0; index < stepSpec.tasks(); index++) {
-        tasks.add(
-            new WorkflowTask(this, new TaskKey(spec.id(), occurrence, step, index), stepSpec));
-      }
-    }
-  }
-
   /** Returns the workflow as submitted. */
   public WorkflowSpec spec() {
     return spec;
@@ -153,75 +124,29 @@
 
   /** Returns all tasks in the order of occurrence, step and index. */
   public List<WorkflowTask> tasks() {
-    return Collections.unmodifiableList(tasks);
+    return tasks.all();
   }
 
   /** Returns the task with the key, or empty if the workflow has none. */
   public Optional<WorkflowTask> task(TaskKey key) {
-    if (key.workflow() != spec.id()
-        || key.occurrence() >= spec.schedule().occurrenceCount()
-        || key.step() >= spec.steps().size()
-        || key.index() >= spec.steps().get(key.step()).tasks()) {
-      return Optional.empty();
-    }
-    int position =
-        key.occurrence() * tasksPerOccurrence + firstTaskOfStep[key.step()] + key.index();
-    return Optional.of(tasks.get(position));
+    return tasks.contains(key) ? Optional.of(tasks.get(key)) : Optional.empty();
   }
 
   /** Returns the tasks of one step of one occurrence. */
   public List<WorkflowTask> tasksOf(int occurrence, int step) {
-    int first = occurrence * tasksPerOccurrence + firstTaskOfStep[step];
-    return tasks.subList(first, first + spec.steps().get(step).tasks());
+    return tasks.of(occurrence, step);
   }
 
   /**
-   * Passes each task that may start now to the consumer, in order.
+   * Passes tasks that may start now to the consumer, in order: all that had an attempt, and the
+   * first of the others.
    *
    * @param wallMillis wall clock in milliseconds, which decides which occurrences are due
    * @param consumer receives the tasks
+   * @return whether further tasks may start now
    */
-  public void forEachReady(long wallMillis, Consumer<WorkflowTask> consumer) {
-    if (status.isTerminal()) {
-      return;
-    }
-    for (int occurrence = 0; occurrence < spec.schedule().occurrenceCount(); occurrence++) {
-      if (spec.schedule().occurrences() > 0 && spec.schedule().dueMillis(occurrence) > wallMillis) {
-        return;
-      }
-      for (int step = 0; step < spec.steps().size(); step++) {
-        if (dependenciesDone(occurrence, step) && !stepDone(occurrence, step)) {
-          forEachReady(occurrence, step, consumer);
-        }
-      }
-    }
-  }
-
-  private void forEachReady(int occurrence, int step, Consumer<WorkflowTask> consumer) {
-    List<WorkflowTask> stepTasks = tasksOf(occurrence, step);
-    // Members share an attempt number: the next attempt waits for the ends of all runs of the last.
-    boolean mustWait = isGang(step) && stepTasks.stream().anyMatch(WorkflowTask::isOpen);
-    if (!mustWait) {
-      stepTasks.stream().filter(task -> !task.isOpen() && !task.isDone()).forEach(consumer);
-    }
-  }
-
-  private boolean isGang(int step) {
-    return spec.steps().get(step).traits().gang();
-  }
-
-  private boolean dependenciesDone(int occurrence, int step) {
-    return spec.steps().get(step).dependsOn().stream()
-        .allMatch(earlier -> stepDone(occurrence, earlier));
-  }
-
-  private boolean stepDone(int occurrence, int step) {
-    return doneTasksOfStep[occurrence * spec.steps().size() + step]
-        == spec.steps().get(step).tasks();
-  }
-
-  private int stepIndex(TaskKey key) {
-    return key.occurrence() * spec.steps().size() + key.step();
+  public boolean forEachReady(long wallMillis, Consumer<WorkflowTask> consumer) {
+    return !status.isTerminal() && new ReadyTasks(spec, tasks, consumer).passAll(wallMillis);
   }
 
   /**
@@ -279,9 +204,14 @@
    * <p>Members that wait for one that has ended hold their resources in vain until they give up.
    */
   private void stopBrokenGangs() {
-    for (WorkflowTask task : tasks) {
-      if (!task.isOpen() && !task.isDone() && task.step().traits().gang()) {
-        gangMembers(task).stream().filter(WorkflowTask::isOpen).forEach(WorkflowTask::requestStop);
+    Set<WorkflowTask> seen = new HashSet<>();
+    for (WorkflowTask task : tasks.open()) {
+      if (task.step().traits().gang() && !seen.contains(task)) {
+        List<WorkflowTask> members = gangMembers(task);
+        seen.addAll(members);
+        if (members.stream().anyMatch(each -> !each.isOpen() && !each.isDone())) {
+          members.stream().filter(WorkflowTask::isOpen).forEach(WorkflowTask::requestStop);
+        }
       }
     }
   }
@@ -329,7 +259,7 @@
 
   private void afterEnd(WorkflowTask task, long wallMillis) {
     if (task.isDone()) {
-      doneTasksOfStep[stepIndex(task.key())]++;
+      tasks.completed(task);
     }
     if (task.step().traits().gang()) {
       recordGangMemberEnd(task);
@@ -351,7 +281,7 @@
     for (WorkflowTask other : gangMembers(task)) {
       if (task.isDone() && !other.isDone()) {
         other.completeWithGang();
-        doneTasksOfStep[stepIndex(other.key())]++;
+        tasks.completed(other);
       } else if (other.isOpen()) {
         other.requestStop();
       }
@@ -361,7 +291,7 @@
   private void updateStatus(WorkflowTask task, long wallMillis) {
     if (task.failures() >= spec.policy().maxFailures()) {
       end(WorkflowStatus.FAILED, wallMillis);
-    } else if (task.isDone() && tasks.stream().allMatch(WorkflowTask::isDone)) {
+    } else if (task.isDone() && tasks.allDone()) {
       end(WorkflowStatus.DONE, wallMillis);
     }
   }
@@ -394,7 +324,7 @@
       for (int earlier : spec.steps().get(step).dependsOn()) {
         before = Math.max(before, upTo[earlier]);
       }
-      boolean done = remaining && stepDone(0, step);
+      boolean done = remaining && tasks.isStepDone(0, step);
       upTo[step] = before + (done ? 0 : spec.steps().get(step).estimateMillis());
       longest = Math.max(longest, upTo[step]);
     }
@@ -424,32 +354,47 @@
       double taskWork =
           (double) Math.max(1, each.estimateMillis()) * Math.max(1, each.sizes().milliProcessors());
       total += taskWork * each.tasks();
-      remainingWork += taskWork * (each.tasks() - doneTasksOfStep[step]);
+      remainingWork += taskWork * (each.tasks() - tasks.doneTasks(0, step));
     }
     return remainingWork / total;
   }
 
   /** Returns whether the last attempt of any task may still run. */
   public boolean hasOpenTasks() {
-    return tasks.stream().anyMatch(WorkflowTask::isOpen);
+    return tasks.hasOpen();
   }
 
   /** Returns the tasks whose last attempt may still run. */
   public List<WorkflowTask> openTasks() {
-    return tasks.stream().filter(WorkflowTask::isOpen).toList();
+    return tasks.open();
+  }
+
+  /** Returns the tasks of one step of one occurrence whose last attempt may still run. */
+  public List<WorkflowTask> openTasksOf(int occurrence, int step) {
+    return tasks.openOf(occurrence, step);
+  }
+
+  /** Returns the estimated memory that the workflow takes now, in bytes. */
+  public long footprintBytes() {
+    return spec.footprintBytes() + tasks.footprintBytes();
   }
 
   /** Returns the current state, which must be made durable. */
   public WorkflowRecordState record() {
-    int last = tasks.size();
-    while (last > 0 && tasks.get(last - 1).isNew()) {
-      last--;
-    }
-    ImmutableList<TaskRecordState> states =
-        tasks.subList(0, last).stream()
-            .map(WorkflowTask::record)
-            .collect(ImmutableList.toImmutableList());
     String service = service().equals(spec.policy().service()) ? "" : service();
-    return new WorkflowRecordState(status, states, endedMillis, service);
+    return new WorkflowRecordState(
+        status, tasks.record(0, tasks.blocks().size()), endedMillis, service);
+  }
+
+  void changed(WorkflowTask task) {
+    tasks.changed(task);
+  }
+
+  void attemptOpened(WorkflowTask task) {
+    tasks.opened(task);
+  }
+
+  void attemptClosed(WorkflowTask task) {
+    tasks.closed(task);
   }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
@@ -106,6 +106,12 @@
   /** Maximum length of every other text in a workflow, in characters. */
   public static final int MAX_TEXT_LENGTH = 1_024;
 
+  /** Estimated memory of a specification and its workflow without texts and steps, in bytes. */
+  private static final int SPEC_BYTES = 900;
+
+  /** Estimated memory of a step without its texts, in bytes. */
+  private static final int STEP_BYTES = 220;
+
   /** Checks the components, and that steps depend only on earlier ones. */
   public WorkflowSpec {
     requireNonNull(queue, "queue");
@@ -131,6 +137,20 @@
         total <= MAX_TASKS, "workflow has %s tasks, more than the maximum of %s", total, MAX_TASKS);
   }
 
+  /** Returns the estimated memory of the specification, in bytes. */
+  public long footprintBytes() {
+    long bytes = SPEC_BYTES + queue.length() + (long) Character.BYTES * program.length();
+    for (StepSpec step : steps) {
+      bytes +=
+          STEP_BYTES
+              + (long) Integer.BYTES * step.dependsOn().size()
+              + step.traits().image().length()
+              + step.placement().requiredLabel().length()
+              + step.placement().preferredRack().length();
+    }
+    return bytes;
+  }
+
   static void checkLength(String name, String text, int maxLength) {
     checkArgument(text.length() <= maxLength, "%s is longer than %s characters", name, maxLength);
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
@@ -27,8 +27,8 @@
   private boolean stopRequested;
   private long notBefore = Long.MIN_VALUE;
   private int refusals;
-  private final Set<String> failedOn = new HashSet<>();
-  private final Set<Integer> endedWithoutReport = new HashSet<>();
+  private Set<String> failedOn = Set.of();
+  private Set<Integer> endedWithoutReport = Set.of();
 
   WorkflowTask(Workflow workflow, TaskKey key, StepSpec step) {
     this.workflow = workflow;
@@ -163,6 +163,7 @@
     refusals = 0;
     percent = newPercent;
     if (!newCheckpoint.isEmpty() && !newCheckpoint.equals(checkpoint)) {
+      workflow.changed(this);
       checkpoint = newCheckpoint;
       if (step.traits().gang()) {
         workflow.shareCheckpoint(this);
@@ -172,7 +173,10 @@
   }
 
   void resumeFrom(String saved) {
-    checkpoint = saved;
+    if (!done && !saved.equals(checkpoint)) {
+      workflow.changed(this);
+      checkpoint = saved;
+    }
   }
 
   /**
@@ -186,7 +190,9 @@
 
   void startAttempt(Place newPlace, int attempt, int failuresBefore) {
     checkMayStart();
-    place = requireNonNull(newPlace, "place");
+    requireNonNull(newPlace, "place");
+    workflow.attemptOpened(this);
+    place = newPlace;
     lastAttempt = attempt;
     failures = failuresBefore;
     started = false;
@@ -196,8 +202,10 @@
 
   void endAttempt(RunOutcome outcome, String newCheckpoint) {
     if (outcome.countsAsFailure()) {
+      failedOn = mutable(failedOn);
       failedOn.add(place.vm());
     }
+    workflow.attemptClosed(this);
     place = null;
     started = false;
     stopRequested = false;
@@ -216,10 +224,16 @@
       failures++;
     }
     if (!outcome.limitsAttempts()) {
+      endedWithoutReport = mutable(endedWithoutReport);
       endedWithoutReport.add(lastAttempt);
     }
   }
 
+  /** Most tasks never need their sets, so these are created by the first addition. */
+  private static <T> Set<T> mutable(Set<T> set) {
+    return set.isEmpty() ? new HashSet<>(2) : set;
+  }
+
   /** Completes the task although its last attempt was considered over. */
   void completeLate(String newCheckpoint) {
     checkState(place == null && !done, "task %s is done or has an open attempt", key);
@@ -231,6 +245,7 @@
 
   /** Completes the task because another member reported that the gang's attempt completed. */
   void completeWithGang() {
+    workflow.changed(this);
     if (isOpen()) {
       endAttempt(RunOutcome.DONE, "");
     }
@@ -245,11 +260,20 @@
     checkpoint = state.checkpoint();
   }
 
+  /** Restores a task that is done and of which nothing but its last attempt is kept. */
+  void restoreDone(int attempt) {
+    done = true;
+    lastAttempt = attempt;
+  }
+
   TaskRecordState record() {
-    return new TaskRecordState(done, lastAttempt, failures, place(), checkpoint);
+    return done
+        ? new TaskRecordState(true, lastAttempt, failures, Optional.empty(), "")
+        : new TaskRecordState(false, lastAttempt, failures, place(), checkpoint);
   }
 
-  boolean isNew() {
-    return lastAttempt == 0;
+  /** Returns whether the last attempt is all that matters of a task that is done. */
+  boolean isReplaceableByDone() {
+    return done && lastAttempt > 0 && endedWithoutReport.isEmpty();
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkHandler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkHandler.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.daemon.link;
 
 import com.google.common.base.Ascii;
+import io.marigoldsail.daemon.capacity.OutOfMemory;
 import io.marigoldsail.protocol.Frame;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -58,6 +59,7 @@
   /** Logs an invalid frame and closes its connection; other connections are not affected. */
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    OutOfMemory.exitIfCause(cause);
     // The message may quote what the peer sent.
     String reason =
         Ascii.truncate(
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkLoop.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.daemon.capacity.OutOfMemory;
 import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.time.WallClock;
 import io.marigoldsail.timeline.HybridClock;
@@ -129,6 +130,7 @@
     try {
       task.run();
     } catch (RuntimeException | Error e) {
+      OutOfMemory.exitIfCause(e);
       // An error, such as a stack overflow, would end the repetition as silently as an exception.
       LOG.log(System.Logger.Level.ERROR, "event=repeated-task-failed", e);
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryParameters.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryParameters.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.workflow;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
 import io.marigoldsail.workflow.WorkerLeaseTerms;
@@ -20,6 +21,8 @@
  * @param farRackFactor slowdown factor of a task that runs on another rack than its data
  * @param ownerProcessorsMilli the processors of this entry, in thousandths, where entries with few
  *     processors stand by; empty where every entry owns partitions
+ * @param maxRetainedBytes the estimated memory of the workflows that an entry may be given, in
+ *     bytes
  */
 public record EntryParameters(
     WorkerLeaseTerms lease,
@@ -27,11 +30,13 @@
     long maxConfigurationAgeMillis,
     OptionalLong maxEvacuationsAgeMillis,
     double farRackFactor,
-    OptionalInt ownerProcessorsMilli) {
+    OptionalInt ownerProcessorsMilli,
+    long maxRetainedBytes) {
   /** Checks the components. */
   public EntryParameters {
     requireNonNull(lease, "lease");
     requireNonNull(maxEvacuationsAgeMillis, "maxEvacuationsAgeMillis");
     requireNonNull(ownerProcessorsMilli, "ownerProcessorsMilli");
+    checkArgument(maxRetainedBytes > 0, "maxRetainedBytes is not positive: %s", maxRetainedBytes);
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.Sets;
+import io.marigoldsail.daemon.capacity.RetainedWork;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -57,14 +59,16 @@
   /** Connections that entries which own nothing have dialled. */
   private final Set<LinkConnection> standbyConnections = new HashSet<>();
 
+  private final RetainedWork retained;
   private final WaitingCountsSchedule countsSchedule = new WaitingCountsSchedule();
   private final Map<Integer, String> ownersByPartition = new HashMap<>();
   private long ownersFingerprint = OwnerMapCodec.fingerprint(ownersByPartition);
   private OwnerMap ownerMap = OwnerMap.getDefaultInstance();
   private long lastQueryId;
 
-  EntryPeers(LinkLoop loop, EntryMember self) {
+  EntryPeers(LinkLoop loop, EntryMember self, RetainedWork retained) {
     this.loop = requireNonNull(loop, "loop");
+    this.retained = requireNonNull(retained, "retained");
     this.self = requireNonNull(self, "self");
     this.links = new MemberLinks(loop, new PeerLinkListener());
   }
@@ -171,7 +175,10 @@
    * @param waiting number of waiting workflows by queue
    */
   void tick(Map<String, Integer> waiting) {
-    WaitingCounts.Builder localCounts = WaitingCounts.newBuilder().setMember(self.toString());
+    WaitingCounts.Builder localCounts =
+        WaitingCounts.newBuilder()
+            .setMember(self.toString())
+            .setRetainedBytes(retained.bytes(self.toString()));
     waiting.forEach(
         (queue, count) ->
             localCounts.addQueues(QueueCount.newBuilder().setQueue(queue).setWaiting(count)));
@@ -189,6 +196,7 @@
       standbyConnections.forEach(connection -> connection.sendOneWay(frame));
     }
     counts.values().removeIf(count -> now - count.receivedAt() > COUNTS_TTL_NANOS);
+    retained.retainOwners(Sets.union(counts.keySet(), Set.of(self.toString())));
     dialOwners();
   }
 
@@ -220,6 +228,7 @@
       waiting.put(queue.getQueue(), queue.getWaiting());
     }
     counts.put(received.getMember(), new PeerCounts(waiting, loop.now()));
+    retained.update(received.getMember(), Math.max(0, received.getRetainedBytes()));
   }
 
   /**
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -67,6 +67,9 @@
   /** Whether the last pass left a ready task without a VM, or there was none yet. */
   private boolean tasksWait = true;
 
+  /** Whether the last pass left out ready tasks that are like others which it looked at. */
+  private boolean tasksOmitted;
+
   EntryScheduler(
       LinkLoop loop,
       LongSupplier wallMillis,
@@ -165,11 +168,16 @@
       return;
     }
     tasksWait = false;
+    tasksOmitted = false;
     List<WaitingTask> waiting = waitingTasks(queues.get());
     if (waiting.isEmpty()) {
       return;
     }
-    tasksWait = !placeAll(waiting) || tasksWait;
+    boolean allPlaced = placeAll(waiting);
+    if (allPlaced && tasksOmitted) {
+      schedulePass();
+    }
+    tasksWait = !allPlaced || tasksWait;
   }
 
   /** Orders the tasks that can be placed; returns whether all of them could. */
@@ -350,22 +358,24 @@
 
   private void addReadyTasks(
       Candidate candidate, long wallNow, long now, List<WaitingTask> waiting) {
-    candidate
-        .workflow()
-        .forEachReady(
-            wallNow,
-            task -> {
-              WaitingTask each =
-                  new WaitingTask(candidate.partition(), task, candidate.rank().urgency());
-              if (isFirstOfGang(task) && isDue(each, now)) {
-                waiting.add(each);
-              } else {
-                tasksWait = true;
-              }
-              if (task.notBefore() > now) {
-                backoffTimer.request(task.notBefore());
-              }
-            });
+    boolean omitted =
+        candidate
+            .workflow()
+            .forEachReady(
+                wallNow,
+                task -> {
+                  WaitingTask each =
+                      new WaitingTask(candidate.partition(), task, candidate.rank().urgency());
+                  if (isFirstOfGang(task) && isDue(each, now)) {
+                    waiting.add(each);
+                  } else {
+                    tasksWait = true;
+                  }
+                  if (task.notBefore() > now) {
+                    backoffTimer.request(task.notBefore());
+                  }
+                });
+    tasksOmitted |= omitted;
   }
 
   /** Lets the workflow's further attempts start where its queue sends tasks now. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmView.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmView.java
@@ -68,7 +68,7 @@
 
   /** Returns a rack on which tasks of the step and occurrence run, or an empty string. */
   String rackOfStep(WorkflowTask task) {
-    return task.workflow().tasksOf(task.key().occurrence(), task.key().step()).stream()
+    return task.workflow().openTasksOf(task.key().occurrence(), task.key().step()).stream()
         .flatMap(sibling -> sibling.place().stream())
         .map(place -> sessions.get(place.vm()))
         .filter(Objects::nonNull)
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.capacity.RetainedWork;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkListener;
 import io.marigoldsail.daemon.link.LinkLoop;
@@ -13,6 +14,7 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NotAppended;
+import io.marigoldsail.daemon.workflow.WorkflowStore.OwnerFull;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.OwnerMap;
@@ -60,6 +62,7 @@
   private final EntryMember self;
   private final LongSupplier wallMillis;
   private final PartitionOwnership ownership;
+  private final RetainedWork retained;
   private final EntryPeers peers;
   private final VmTracker vms;
   private final EntryScheduler scheduler;
@@ -100,7 +103,8 @@
             wallMillis.getAsLong(),
             parameters.ownerProcessorsMilli());
     this.ownership = new PartitionOwnership(store, loop, wallMillis, self, new OwnershipListener());
-    this.peers = new EntryPeers(loop, self);
+    this.retained = RetainedWork.ofMaximum(parameters.maxRetainedBytes());
+    this.peers = new EntryPeers(loop, self, retained);
     this.vms = new VmTracker(loop, ownership, parameters.lease(), wallMillis, new VmListener());
     this.scheduler =
         new EntryScheduler(
@@ -129,7 +133,7 @@
     server.start();
     loop.run(ownership::start);
     loop.repeat(this::sweep, SWEEP_INTERVAL_NANOS);
-    loop.repeat(() -> peers.tick(waitingLocally()), COUNTS_INTERVAL_NANOS);
+    loop.repeat(this::exchangeCounts, COUNTS_INTERVAL_NANOS);
     loop.repeat(taskMonitor::check, MONITOR_INTERVAL_NANOS);
     loop.repeat(this::evictEnded, EVICTION_INTERVAL_NANOS);
   }
@@ -194,7 +198,8 @@
   /**
    * Writes a workflow durably.
    *
-   * @return completes on the loop with the result of the append
+   * @return completes on the loop with the result of the append; {@link OwnerFull} if none was made
+   *     since its owner would keep more than fits into its memory
    */
   public CompletableFuture<AppendResult> submit(WorkflowSpec spec) {
     CompletableFuture<AppendResult> appended = new CompletableFuture<>();
@@ -207,6 +212,10 @@
             return;
           }
           int partition = ownership.partitionOf(spec.id());
+          if (!retained.tryAdd(peers.ownerOf(partition).orElse(""), spec.footprintBytes())) {
+            completeSubmission(spec, new OwnerFull(), appended);
+            return;
+          }
           String key = WorkflowIds.format(spec.id());
           KeyedRecord submission = new KeyedRecord(key, WorkflowCodec.encode(spec));
           submissions.write(
@@ -256,6 +265,16 @@
     return count;
   }
 
+  private void exchangeCounts() {
+    long bytes =
+        ownership.active().stream()
+            .flatMap(partition -> partition.workflows().stream())
+            .mapToLong(Workflow::footprintBytes)
+            .sum();
+    retained.update(self.toString(), bytes);
+    peers.tick(waitingLocally());
+  }
+
   private Map<String, Integer> waitingLocally() {
     Map<String, Integer> waiting = new HashMap<>();
     for (OwnedPartition partition : ownership.active()) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowStore.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowStore.java
@@ -63,6 +63,9 @@
   /** Nothing was written. */
   record NotAppended(String reason) implements AppendResult {}
 
+  /** Nothing was written, since the owner of the partition can keep no more workflows now. */
+  record OwnerFull() implements AppendResult {}
+
   /** The records may have been written, or may still be written. */
   record AppendUnknown(String reason) implements AppendResult {}
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OddMembersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OddMembersTest.java
@@ -8,6 +8,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.marigoldsail.colocation.InterferenceScope;
+import io.marigoldsail.daemon.capacity.RetainedWork;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
@@ -42,7 +43,7 @@
   @Test
   void ownersBesideAnOddOneAreSentToSideProcesses() {
     VirtualLoop time = new VirtualLoop();
-    EntryPeers peers = new EntryPeers(time.loop(), SELF);
+    EntryPeers peers = new EntryPeers(time.loop(), SELF, RetainedWork.ofMaximum(1 << 20));
     ImmutableList.Builder<Owner> owners = ImmutableList.builder();
     owners.add(new Owner(0, ODD)).add(new Owner(1, OTHER)).add(new Owner(2, SELF.toString()));
     assertTrue(peers.updateOwners(1, new Owners(owners.build())));
@@ -175,7 +176,9 @@
     LinkLoop loop = new LinkLoop("entry", MonotonicClock.system());
     try (ScriptedEntry own = new ScriptedEntry();
         ScriptedEntry other = new ScriptedEntry()) {
-      EntryPeers peers = new EntryPeers(loop, EntryMember.parse(own.member()).orElseThrow());
+      EntryPeers peers =
+          new EntryPeers(
+              loop, EntryMember.parse(own.member()).orElseThrow(), RetainedWork.ofMaximum(1 << 20));
       ImmutableList<Owner> owners =
           ImmutableList.of(
               new Owner(0, own.member()),
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerMapOrderTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/OwnerMapOrderTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.capacity.RetainedWork;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owner;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
 import org.junit.jupiter.api.Test;
@@ -24,7 +25,7 @@
    */
   @Test
   void higherGenerationIsSentThoughOwnersAreTheSame() {
-    EntryPeers peers = new EntryPeers(time.loop(), SELF);
+    EntryPeers peers = new EntryPeers(time.loop(), SELF, RetainedWork.ofMaximum(1 << 20));
     Owners owners = new Owners(ImmutableList.of(new Owner(0, SELF.toString())));
     assertTrue(peers.updateOwners(8, owners));
     assertFalse(peers.updateOwners(8, owners));
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualCluster.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualCluster.java
@@ -110,7 +110,8 @@
               Long.MAX_VALUE / 2,
               OptionalLong.empty(),
               1.5,
-              OptionalInt.empty());
+              OptionalInt.empty(),
+              1L << 30);
       entry =
           new WorkflowEntry(
               time.loop(), store, address, time::wallMillis, new FakeAdviser(), parameters);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowTestCluster.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowTestCluster.java
@@ -130,7 +130,8 @@
             MAX_CONFIGURATION_AGE_MILLIS,
             OptionalLong.of(MAX_CONFIGURATION_AGE_MILLIS),
             1.5,
-            processorsMilli);
+            processorsMilli,
+            1L << 30);
     WorkflowEntry entry =
         new WorkflowEntry(
             loop, storeOfEntry, address, System::currentTimeMillis, adviser, parameters);
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WaitingCounts.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WaitingCounts.java
@@ -134,6 +134,21 @@
     return queues_.get(index);
   }
 
+  public static final int RETAINED_BYTES_FIELD_NUMBER = 3;
+  private long retainedBytes_ = 0L;
+  /**
+   * <pre>
+   * Estimated memory of all workflows that the entry owns.
+   * </pre>
+   *
+   * <code>uint64 retained_bytes = 3;</code>
+   * @return The retainedBytes.
+   */
+  @java.lang.Override
+  public long getRetainedBytes() {
+    return retainedBytes_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -154,6 +169,9 @@
     for (int i = 0; i < queues_.size(); i++) {
       output.writeMessage(2, queues_.get(i));
     }
+    if (retainedBytes_ != 0L) {
+      output.writeUInt64(3, retainedBytes_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -170,6 +188,10 @@
           }
           size += 1 * count;
         }
+    if (retainedBytes_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, retainedBytes_);
+    }
     return size;
   }
   @java.lang.Override
@@ -198,6 +220,8 @@
         .equals(other.getMember())) return false;
     if (!getQueuesList()
         .equals(other.getQueuesList())) return false;
+    if (getRetainedBytes()
+        != other.getRetainedBytes()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -215,6 +239,9 @@
       hash = (37 * hash) + QUEUES_FIELD_NUMBER;
       hash = (53 * hash) + getQueuesList().hashCode();
     }
+    hash = (37 * hash) + RETAINED_BYTES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRetainedBytes());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -358,6 +385,7 @@
         queuesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      retainedBytes_ = 0L;
       return this;
     }
 
@@ -407,6 +435,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.member_ = member_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.retainedBytes_ = retainedBytes_;
+      }
     }
 
     @java.lang.Override
@@ -452,6 +483,9 @@
           }
         }
       }
+      if (other.getRetainedBytes() != 0L) {
+        setRetainedBytes(other.getRetainedBytes());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -494,6 +528,11 @@
               }
               break;
             } // case 18
+            case 24: {
+              retainedBytes_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -817,6 +856,50 @@
       return queuesBuilder_;
     }
 
+    private long retainedBytes_ ;
+    /**
+     * <pre>
+     * Estimated memory of all workflows that the entry owns.
+     * </pre>
+     *
+     * <code>uint64 retained_bytes = 3;</code>
+     * @return The retainedBytes.
+     */
+    @java.lang.Override
+    public long getRetainedBytes() {
+      return retainedBytes_;
+    }
+    /**
+     * <pre>
+     * Estimated memory of all workflows that the entry owns.
+     * </pre>
+     *
+     * <code>uint64 retained_bytes = 3;</code>
+     * @param value The retainedBytes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetainedBytes(long value) {
+
+      retainedBytes_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Estimated memory of all workflows that the entry owns.
+     * </pre>
+     *
+     * <code>uint64 retained_bytes = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetainedBytes() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      retainedBytes_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.WaitingCounts)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WaitingCountsOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WaitingCountsOrBuilder.java
@@ -45,4 +45,14 @@
    */
   io.marigoldsail.protocol.QueueCountOrBuilder getQueuesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Estimated memory of all workflows that the entry owns.
+   * </pre>
+   *
+   * <code>uint64 retained_bytes = 3;</code>
+   * @return The retainedBytes.
+   */
+  long getRetainedBytes();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -255,11 +255,12 @@
       "tion\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkflowQu" +
       "ery\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005que" +
       "ue\030\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023WorkflowQuer" +
-      "yAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"I\n\rW" +
+      "yAnswer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"a\n\rW" +
       "aitingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues\030\002" +
-      " \003(\0132\030.marigoldsail.QueueCount\",\n\nQueueC" +
-      "ount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030" +
-      "io.marigoldsail.protocolP\001b\006proto3"
+      " \003(\0132\030.marigoldsail.QueueCount\022\026\n\016retain" +
+      "ed_bytes\030\003 \001(\004\",\n\nQueueCount\022\r\n\005queue\030\001 " +
+      "\001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030io.marigoldsail." +
+      "protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -402,7 +403,7 @@
     internal_static_marigoldsail_WaitingCounts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WaitingCounts_descriptor,
-        new java.lang.String[] { "Member", "Queues", });
+        new java.lang.String[] { "Member", "Queues", "RetainedBytes", });
     internal_static_marigoldsail_QueueCount_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_marigoldsail_QueueCount_fieldAccessorTable = new
