Limits of the store are read from the settings, and progress is written in parts that fit

Cause: one record for all tasks and their checkpoints, and a limit that only the store knew; a refusal for size counted as a passing one.

Progress is written in parts of 64 tasks, of which only changed ones are sent; batches fill a call and no more; what the store does not take is sent record by record, and dropped alone; a submission that no record holds is answered 400 at once. A repeated submission of accepted work is not refused while its owner is full. Records of earlier versions are read.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskBlocks.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskBlocks.java
@@ -69,10 +69,6 @@
     return size;
   }
 
-  int blockCount() {
-    return blocks.length;
-  }
-
   static int blockOf(int position) {
     return position / BLOCK_TASKS;
   }
@@ -163,6 +159,15 @@
     return changed;
   }
 
+  /** Returns the blocks of which any task has or had an attempt. */
+  BitSet used() {
+    BitSet used = new BitSet();
+    for (int block = 0; block < blocks.length; block++) {
+      used.set(block, blocks[block] != null);
+    }
+    return used;
+  }
+
   /** Returns the estimated memory of the tasks, in bytes. */
   long footprintBytes() {
     return (long) blocks.length * REFERENCE_BYTES
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskRecordState.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/TaskRecordState.java
@@ -31,4 +31,9 @@
         place.isEmpty() || (lastAttempt > 0 && !done), "a task is open without an attempt");
     requireNonNull(checkpoint, "checkpoint");
   }
+
+  /** Returns this state without its checkpoint. */
+  TaskRecordState withoutCheckpoint() {
+    return new TaskRecordState(done, lastAttempt, failures, place, "");
+  }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.workflow.WorkflowTasks.StepOccurrence;
+import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -20,6 +22,9 @@
  * of tasks that are due. An occurrence that is not due takes no memory.
  */
 public final class Workflow {
+  /** The number of tasks whose states are recorded together. */
+  public static final int TASKS_PER_PART = TaskBlocks.BLOCK_TASKS;
+
   private final WorkflowSpec spec;
   private final WorkflowTasks tasks;
   private WorkflowStatus status = WorkflowStatus.QUEUED;
@@ -381,9 +386,64 @@
 
   /** Returns the current state, which must be made durable. */
   public WorkflowRecordState record() {
+    return record(0, tasks.blocks().size());
+  }
+
+  /**
+   * Returns the current state of one part of the tasks, with the status of the workflow. Parts are
+   * independent of each other: whichever of them are durable, {@link #reconcile} finds what to do.
+   */
+  public WorkflowRecordState recordOfPart(int part) {
+    return record(part * TASKS_PER_PART, tasks.blocks().endOf(part));
+  }
+
+  private WorkflowRecordState record(int first, int end) {
     String service = service().equals(spec.policy().service()) ? "" : service();
-    return new WorkflowRecordState(
-        status, tasks.record(0, tasks.blocks().size()), endedMillis, service);
+    return new WorkflowRecordState(status, tasks.record(first, end), endedMillis, service);
+  }
+
+  int partOf(TaskKey key) {
+    return TaskBlocks.blockOf(tasks.position(key));
+  }
+
+  /** Returns the parts whose tasks have changed since this was last called. */
+  public BitSet takeChangedParts() {
+    return tasks.blocks().takeChanged();
+  }
+
+  /** Returns the parts of which any task has or had an attempt. */
+  public BitSet usedParts() {
+    return tasks.blocks().used();
+  }
+
+  /**
+   * Completes what a restored workflow lacks because its former owner made only some parts durable:
+   * gangs that are done in part, and the end of a workflow whose tasks are all done.
+   *
+   * @param wallMillis wall clock in milliseconds
+   * @return whether this changed anything, so that the state must be made durable
+   */
+  public boolean reconcile(long wallMillis) {
+    if (status.isTerminal()) {
+      return false;
+    }
+    boolean changed = false;
+    for (StepOccurrence step : tasks.stepsDoneInPart()) {
+      if (spec.steps().get(step.step()).traits().gang()) {
+        for (WorkflowTask member : tasks.of(step.occurrence(), step.step())) {
+          if (!member.isDone()) {
+            member.completeWithGang();
+            tasks.completed(member);
+            changed = true;
+          }
+        }
+      }
+    }
+    if (tasks.allDone()) {
+      end(WorkflowStatus.DONE, wallMillis);
+      changed = true;
+    }
+    return changed;
   }
 
   void changed(WorkflowTask task) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowRecordState.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowRecordState.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.base.Utf8;
 import com.google.common.collect.ImmutableList;
 
 /**
@@ -26,4 +27,28 @@
     requireNonNull(tasks, "tasks");
     requireNonNull(service, "service");
   }
+
+  /** Returns this state without the checkpoints that are longer than the given number of bytes. */
+  public WorkflowRecordState withCheckpointsUpTo(int maxBytes) {
+    return new WorkflowRecordState(
+        status,
+        tasks.stream()
+            .map(
+                task ->
+                    Utf8.encodedLength(task.checkpoint()) <= Math.max(0, maxBytes)
+                        ? task
+                        : task.withoutCheckpoint())
+            .collect(ImmutableList.toImmutableList()),
+        endedMillis,
+        service);
+  }
+
+  /**
+   * Returns whether this is the cancel of a workflow that was not known, as it was accepted later.
+   *
+   * @param acceptedMillis when it was accepted, as wall clock in milliseconds
+   */
+  public boolean isCancelOfUnknown(long acceptedMillis) {
+    return status == WorkflowStatus.CANCELLED && tasks.isEmpty() && endedMillis < acceptedMillis;
+  }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTasks.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTasks.java
@@ -21,6 +21,9 @@
   /** Estimated memory of what is known of an occurrence that is done in part, in bytes. */
   private static final int OCCURRENCE_BYTES = 80;
 
+  /** A step of one occurrence. */
+  record StepOccurrence(int occurrence, int step) {}
+
   private final Workflow workflow;
   private final WorkflowSpec spec;
   private final TaskBlocks blocks;
@@ -191,6 +194,20 @@
     return counts == null ? 0 : counts[step];
   }
 
+  /** Returns the steps of which some tasks are done and others are not. */
+  ImmutableList<StepOccurrence> stepsDoneInPart() {
+    ImmutableList.Builder<StepOccurrence> steps = ImmutableList.builder();
+    doneTasksOfStep.forEach(
+        (occurrence, counts) -> {
+          for (int step = 0; step < counts.length; step++) {
+            if (counts[step] > 0 && counts[step] < spec.steps().get(step).tasks()) {
+              steps.add(new StepOccurrence(occurrence, step));
+            }
+          }
+        });
+    return steps.build();
+  }
+
   boolean allDone() {
     return doneTasks == blocks.size();
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/capacity/RetainedWork.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/capacity/RetainedWork.java
@@ -88,4 +88,10 @@
     byOwner.put(owner, new Kept(kept.toldBytes(), kept.addedBytes() + bytes));
     return true;
   }
+
+  /** Takes back what was added to the owner, as it was not accepted after all. */
+  public void remove(String owner, long bytes) {
+    Kept kept = kept(owner);
+    byOwner.put(owner, new Kept(kept.toldBytes(), Math.max(0, kept.addedBytes() - bytes)));
+  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -7,6 +7,9 @@
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.progress.ProgressKey;
+import io.marigoldsail.daemon.progress.ProgressWriter;
+import io.marigoldsail.daemon.progress.UnclaimedProgress;
 import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
@@ -66,10 +69,12 @@
   private final int number;
   private final Listener listener;
   private final PartitionWriter writer;
+  private final ProgressWriter progress;
   private final SubmissionTail tail;
   private final CancelTombstones tombstones = new CancelTombstones();
   private final Map<Long, Workflow> workflows = new HashMap<>();
-  private final Map<Long, WorkflowRecordState> unclaimedProgress = new HashMap<>();
+  private final UnclaimedProgress unclaimedProgress =
+      new UnclaimedProgress(WorkflowCodec::decodeProgress);
 
   /**
    * Workflows whose progress cannot be restored. They are not added: their progress is not in
@@ -102,6 +107,7 @@
     this.number = number;
     this.listener = requireNonNull(listener, "listener");
     this.writer = new PartitionWriter(store, loop, clocks, number, epoch, this::handleLost);
+    this.progress = new ProgressWriter(writer::write, store.limits(), WorkflowCodec::encode);
     this.tail =
         new SubmissionTail(store, loop, clocks, number, this::addOrSkip, this::readSubmissions);
   }
@@ -196,14 +202,13 @@
 
   /** Writes the workflow's state; callers see the new status once it is durable. */
   void persist(Workflow workflow) {
-    WorkflowStatus[] written = new WorkflowStatus[1];
-    writer.write(
-        WorkflowIds.format(workflow.spec().id()),
-        () -> {
-          written[0] = workflow.status();
-          return WorkflowCodec.encode(workflow.record());
-        },
-        () -> workflow.setDurableStatus(written[0]));
+    progress.write(WorkflowIds.format(workflow.spec().id()), workflow);
+  }
+
+  /** Returns whether the store has taken the state of the task, once all that was written is. */
+  boolean isDurable(WorkflowTask task) {
+    String id = WorkflowIds.format(task.key().workflow());
+    return !writer.isRejected(new ProgressKey(id, task.part()).toString());
   }
 
   /** Removes an ended workflow from memory and from the store. */
@@ -224,7 +229,7 @@
   private void dropProgress(Workflow workflow, String key) {
     if (!closed && workflows.remove(workflow.spec().id()) != null) {
       restoredSubmissions.remove(workflow.spec().id());
-      writer.write(key, () -> ByteString.EMPTY, () -> {});
+      progress.drop(key, workflow);
     }
   }
 
@@ -291,18 +296,15 @@
   }
 
   private void loadProgress(KeyedRecord keyed) {
-    OptionalLong id = WorkflowIds.parse(keyed.key());
-    Optional<WorkflowRecordState> state = WorkflowCodec.decodeProgress(keyed.value());
-    if (id.isEmpty() || !isKeyOf(id.getAsLong(), keyed.key())) {
+    Optional<ProgressKey> key = ProgressKey.parse(keyed.key());
+    OptionalLong id =
+        key.isPresent() ? WorkflowIds.parse(key.get().workflow()) : OptionalLong.empty();
+    if (id.isEmpty() || !isKeyOf(id.getAsLong(), key.get().workflow())) {
       logUnreadable(Topic.PROGRESS, keyed.key());
-      return;
-    }
-    if (state.isEmpty()) {
+    } else if (!unclaimedProgress.add(id.getAsLong(), key.get().part(), keyed.value())) {
       logUnreadable(Topic.PROGRESS, keyed.key());
       failedRestores.add(id.getAsLong());
-      return;
     }
-    unclaimedProgress.put(id.getAsLong(), state.get());
   }
 
   /**
@@ -404,9 +406,10 @@
     boolean cancelled =
         cancelledMillis.isPresent()
             && workflow.cancel(Math.max(cancelledMillis.getAsLong(), spec.acceptedMillis()));
+    boolean changed = cancelled || workflow.reconcile(clocks.read().wallMillis());
     workflows.put(spec.id(), workflow);
     failedRestores.remove(spec.id());
-    if (cancelled) {
+    if (changed) {
       persist(workflow);
     }
     if (active) {
@@ -423,15 +426,12 @@
 
   /** Returns the progress that a former owner has written, unless it is a tombstone. */
   private Optional<WorkflowRecordState> progressOf(WorkflowSpec spec) {
-    WorkflowRecordState state = unclaimedProgress.remove(spec.id());
-    if (state != null
-        && state.status() == WorkflowStatus.CANCELLED
-        && state.tasks().isEmpty()
-        && state.endedMillis() < spec.acceptedMillis()) {
-      tombstones.restore(spec.id(), state.endedMillis());
+    Optional<WorkflowRecordState> state = unclaimedProgress.remove(spec.id());
+    if (state.filter(each -> each.isCancelOfUnknown(spec.acceptedMillis())).isPresent()) {
+      tombstones.restore(spec.id(), state.get().endedMillis());
       return Optional.empty();
     }
-    return Optional.ofNullable(state);
+    return state;
   }
 
   /**
@@ -463,8 +463,7 @@
   }
 
   private void activate() {
-    unclaimedProgress.forEach(this::restoreTombstone);
-    unclaimedProgress.clear();
+    unclaimedProgress.drain(this::restoreTombstone);
     unreadableSubmissions.clear();
     active = true;
     LOG.info(
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.protobuf.ByteString;
+import io.marigoldsail.daemon.capacity.StoreLimits;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -17,12 +18,16 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.Writer;
 import io.marigoldsail.time.ClockPair;
 import io.marigoldsail.time.ClockReading;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -44,11 +49,15 @@
   /** Delay before an append is retried, in nanoseconds; spares a store that fails. */
   private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
 
-  /** Size at which a batch is closed, in bytes; well below 2 MB, the smallest limit of a store. */
+  /**
+   * Size that a batch does not exceed by another record, in bytes; less if the store takes less.
+   */
   private static final int MAX_BATCH_BYTES = 512 * 1024;
 
   private record PendingValue(Supplier<ByteString> value, Runnable onDurable) {}
 
+  private record BatchRecord(KeyedRecord record, Runnable onDurable) {}
+
   private final WorkflowStore store;
   private final LinkLoop loop;
   private final ClockPair clocks;
@@ -56,6 +65,11 @@
   private final long epoch;
   private final Runnable onLost;
   private final Map<String, PendingValue> pendingValues = new LinkedHashMap<>();
+
+  /** Records of a batch that was rejected, which are sent one by one before all others. */
+  private final Deque<BatchRecord> divided = new ArrayDeque<>();
+
+  private final Set<String> rejectedKeys = new HashSet<>();
   private List<Runnable> effects = new ArrayList<>();
   private long sequence;
   private boolean inFlight;
@@ -132,7 +146,7 @@
     if (closed) {
       return;
     }
-    if (pendingValues.isEmpty() && !inFlight && !renewalDue && hasEvidence()) {
+    if (isIdle() && !renewalDue && hasEvidence()) {
       effect.run();
       return;
     }
@@ -162,12 +176,13 @@
   void close() {
     closed = true;
     pendingValues.clear();
+    divided.clear();
     effects.clear();
   }
 
   /** Returns whether everything written is durable. */
   boolean isIdle() {
-    return closed || (!inFlight && pendingValues.isEmpty());
+    return closed || (!inFlight && pendingValues.isEmpty() && divided.isEmpty());
   }
 
   private void scheduleFlush() {
@@ -176,23 +191,13 @@
   }
 
   private void flush() {
-    if (closed || inFlight || (pendingValues.isEmpty() && !renewalDue && effects.isEmpty())) {
+    if (closed || inFlight || (isIdle() && !renewalDue && effects.isEmpty())) {
       return;
     }
-    List<KeyedRecord> records = new ArrayList<>();
-    List<Runnable> batchEffects = new ArrayList<>();
-    int bytes = 0;
-    var entries = pendingValues.entrySet().iterator();
-    while (entries.hasNext() && bytes < MAX_BATCH_BYTES) {
-      Map.Entry<String, PendingValue> entry = entries.next();
-      ByteString value = entry.getValue().value().get();
-      records.add(new KeyedRecord(entry.getKey(), value));
-      batchEffects.add(entry.getValue().onDurable());
-      bytes += value.size();
-      entries.remove();
-    }
-    if (pendingValues.isEmpty()) {
-      batchEffects.addAll(effects);
+    List<BatchRecord> records = divided.isEmpty() ? takePending() : List.of(divided.remove());
+    List<Runnable> batchEffects = List.of();
+    if (pendingValues.isEmpty() && divided.isEmpty()) {
+      batchEffects = effects;
       effects = new ArrayList<>();
     }
     renewalDue = false;
@@ -202,15 +207,46 @@
     send(new Batch(records, new Writer(epoch, number), batchEffects, clocks.read()));
   }
 
+  /** Removes and returns the pending values that fit into one append. */
+  private List<BatchRecord> takePending() {
+    List<BatchRecord> records = new ArrayList<>();
+    int maxBytes = Math.min(MAX_BATCH_BYTES, store.limits().callBytes());
+    int bytes = 0;
+    var entries = pendingValues.entrySet().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<String, PendingValue> entry = entries.next();
+      KeyedRecord each = new KeyedRecord(entry.getKey(), entry.getValue().value().get());
+      bytes += StoreLimits.bytesInCall(each.key(), each.value().size());
+      if (bytes > maxBytes && !records.isEmpty()) {
+        break;
+      }
+      records.add(new BatchRecord(each, entry.getValue().onDurable()));
+      rejectedKeys.remove(each.key());
+      entries.remove();
+    }
+    return records;
+  }
+
   private record Batch(
-      List<KeyedRecord> records, Writer writer, List<Runnable> effects, ClockReading firstSent) {}
+      List<BatchRecord> records, Writer writer, List<Runnable> effects, ClockReading firstSent) {
+    List<Runnable> allEffects() {
+      List<Runnable> all = new ArrayList<>();
+      records.forEach(each -> all.add(each.onDurable()));
+      all.addAll(effects);
+      return all;
+    }
+  }
 
   private void send(Batch batch) {
     if (closed) {
       return;
     }
     store
-        .append(Topic.PROGRESS, partition, batch.records(), Optional.of(batch.writer()))
+        .append(
+            Topic.PROGRESS,
+            partition,
+            batch.records().stream().map(BatchRecord::record).toList(),
+            Optional.of(batch.writer()))
         .thenAccept(result -> loop.run(() -> handleResult(batch, result)));
   }
 
@@ -222,15 +258,19 @@
       inFlight = false;
       evidence = Optional.of(batch.firstSent());
       if (hasEvidence()) {
-        batch.effects().forEach(this::runEffect);
+        batch.allEffects().forEach(this::runEffect);
       } else {
-        runAfterNextAppend(batch.effects());
+        runAfterNextAppend(batch.allEffects());
       }
       flush();
     } else if (result instanceof Fenced) {
       relinquish("another owner has a higher epoch");
     } else if (result instanceof OutOfSequence outOfSequence) {
       relinquish(outOfSequence.detail());
+    } else if (result instanceof NotAppended notAppended
+        && notAppended.rejected()
+        && !batch.records().isEmpty()) {
+      divide(batch, notAppended.reason());
     } else if (result instanceof NotAppended notAppended) {
       retry(batch, notAppended.reason());
     } else {
@@ -238,6 +278,42 @@
     }
   }
 
+  /**
+   * Continues with the records of a batch that the store does not take, one by one. A single record
+   * is dropped until its workflow changes: sent as it was, it would hold up all others of the
+   * partition for good.
+   */
+  private void divide(Batch batch, String reason) {
+    inFlight = false;
+    sequence = batch.writer().sequence();
+    effects.addAll(0, batch.effects());
+    if (batch.records().size() > 1) {
+      divided.addAll(batch.records());
+      LOG.warning(
+          LogLine.of("append-divided")
+              .with("partition", partition)
+              .with("epoch", epoch)
+              .with("records", batch.records().size())
+              .with("reason", reason));
+    } else {
+      KeyedRecord rejected = batch.records().get(0).record();
+      rejectedKeys.add(rejected.key());
+      LOG.error(
+          LogLine.of("record-rejected")
+              .with("partition", partition)
+              .with("epoch", epoch)
+              .with("key", rejected.key())
+              .with("bytes", rejected.value().size())
+              .with("reason", reason));
+    }
+    flush();
+  }
+
+  /** Returns whether the newest value of the key is not durable, as the store does not take it. */
+  boolean isRejected(String key) {
+    return rejectedKeys.contains(key);
+  }
+
   /**
    * Another owner may have ordered other attempts during a suspension; the effects, such as orders,
    * need an append from after it.
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SubmissionWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SubmissionWriter.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.daemon.capacity.StoreLimits;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
@@ -21,7 +22,7 @@
  * the calls of all entries together. Confined to the loop's thread.
  */
 final class SubmissionWriter {
-  /** Maximum number of submissions per append; well below 1 MB even with the longest programs. */
+  /** Maximum number of submissions per append; less if the store takes less at a time. */
   private static final int MAX_BATCH = 64;
 
   private record PendingSubmission(KeyedRecord submission, Consumer<AppendResult> onResult) {}
@@ -48,12 +49,26 @@
     flush(partition);
   }
 
+  private int batchSize(List<PendingSubmission> queue) {
+    int bytes = 0;
+    int size = 0;
+    while (size < Math.min(MAX_BATCH, queue.size())) {
+      KeyedRecord next = queue.get(size).submission();
+      bytes += StoreLimits.bytesInCall(next.key(), next.value().size());
+      if (size > 0 && bytes > store.limits().callBytes()) {
+        break;
+      }
+      size++;
+    }
+    return size;
+  }
+
   private void flush(int partition) {
     List<PendingSubmission> queue = pending.getOrDefault(partition, List.of());
     if (queue.isEmpty() || inFlight.getOrDefault(partition, false)) {
       return;
     }
-    List<PendingSubmission> head = queue.subList(0, Math.min(MAX_BATCH, queue.size()));
+    List<PendingSubmission> head = queue.subList(0, batchSize(queue));
     List<PendingSubmission> batch = List.copyOf(head);
     head.clear();
     inFlight.put(partition, true);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -124,6 +124,9 @@
   }
 
   private void orderDurable(OpenRun run) {
+    if (!run.partition().isDurable(run.task())) {
+      return;
+    }
     run.markDurable();
     if (run.isOpen()) {
       sendOrder(run);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -11,11 +11,13 @@
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
+import io.marigoldsail.daemon.workflow.WorkflowStore.AppendUnknown;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NotAppended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.OwnerFull;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
+import io.marigoldsail.daemon.workflow.WorkflowStore.SubmissionTooLarge;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.OwnerMap;
 import io.marigoldsail.protocol.Pong;
@@ -58,6 +60,7 @@
   private static final int MAX_LINKS = 2_000;
 
   private final LinkLoop loop;
+  private final WorkflowStore store;
   private final EntryParameters parameters;
   private final EntryMember self;
   private final LongSupplier wallMillis;
@@ -94,6 +97,7 @@
       PlacementAdviser adviser,
       EntryParameters parameters) {
     this.loop = requireNonNull(loop, "loop");
+    this.store = requireNonNull(store, "store");
     this.parameters = requireNonNull(parameters, "parameters");
     this.wallMillis = requireNonNull(wallMillis, "wallMillis");
     this.self =
@@ -199,7 +203,7 @@
    * Writes a workflow durably.
    *
    * @return completes on the loop with the result of the append; {@link OwnerFull} if none was made
-   *     since its owner would keep more than fits into its memory
+   *     since its owner would keep more than fits into its memory, or {@link SubmissionTooLarge}
    */
   public CompletableFuture<AppendResult> submit(WorkflowSpec spec) {
     CompletableFuture<AppendResult> appended = new CompletableFuture<>();
@@ -212,18 +216,49 @@
             return;
           }
           int partition = ownership.partitionOf(spec.id());
-          if (!retained.tryAdd(peers.ownerOf(partition).orElse(""), spec.footprintBytes())) {
-            completeSubmission(spec, new OwnerFull(), appended);
-            return;
-          }
           String key = WorkflowIds.format(spec.id());
           KeyedRecord submission = new KeyedRecord(key, WorkflowCodec.encode(spec));
+          int maxBytes = store.limits().maxValueBytes(key);
+          if (submission.value().size() > maxBytes) {
+            completeSubmission(
+                spec, new SubmissionTooLarge(submission.value().size(), maxBytes), appended);
+            return;
+          }
+          Optional<String> owner = peers.ownerOf(partition);
+          if (owner.isPresent() && !retained.tryAdd(owner.get(), spec.footprintBytes())) {
+            queries.query(
+                spec.id(),
+                spec.queue(),
+                false,
+                known -> completeSubmission(spec, resultWhileFull(known), appended));
+            return;
+          }
           submissions.write(
-              partition, submission, result -> completeSubmission(spec, result, appended));
+              partition,
+              submission,
+              result -> {
+                if (owner.isPresent() && result instanceof NotAppended) {
+                  retained.remove(owner.get(), spec.footprintBytes());
+                }
+                completeSubmission(spec, result, appended);
+              });
         });
     return appended;
   }
 
+  /**
+   * Returns the result of a submission whose owner is full, given what the owner knows of it: it
+   * may repeat one that was accepted, whose caller must not be told that it never runs.
+   */
+  private static AppendResult resultWhileFull(QueryResult known) {
+    if (known.status().isPresent()) {
+      return new Appended();
+    }
+    return known == QueryResult.UNKNOWN_WORKFLOW
+        ? new OwnerFull()
+        : new AppendUnknown("its full owner did not answer whether it knows the workflow");
+  }
+
   private void completeSubmission(
       WorkflowSpec spec, AppendResult result, CompletableFuture<AppendResult> appended) {
     LOG.info(
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowStore.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowStore.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
+import io.marigoldsail.daemon.capacity.StoreLimits;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -60,12 +61,30 @@
   /** The sequence number does not follow the previous one; nothing was written. */
   record OutOfSequence(String detail) implements AppendResult {}
 
-  /** Nothing was written. */
-  record NotAppended(String reason) implements AppendResult {}
+  /**
+   * Nothing was written.
+   *
+   * @param rejected whether the store would not take the same records at any other time, as they
+   *     are too large
+   */
+  record NotAppended(String reason, boolean rejected) implements AppendResult {
+    /** Creates the result of an append that may succeed later. */
+    public NotAppended(String reason) {
+      this(reason, false);
+    }
+
+    /** Returns the result of an append that the store does not take at any time. */
+    public static NotAppended rejected(String reason) {
+      return new NotAppended(reason, true);
+    }
+  }
 
   /** Nothing was written, since the owner of the partition can keep no more workflows now. */
   record OwnerFull() implements AppendResult {}
 
+  /** Nothing was written: the store takes no submission of this size at any time. */
+  record SubmissionTooLarge(int bytes, int maxBytes) implements AppendResult {}
+
   /** The records may have been written, or may still be written. */
   record AppendUnknown(String reason) implements AppendResult {}
 
@@ -147,6 +166,9 @@
     }
   }
 
+  /** Returns what the store takes at most. */
+  StoreLimits limits();
+
   /** Returns the number of partitions of each topic. */
   int partitions();
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/capacity/RetainedWorkTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/capacity/RetainedWorkTest.java
@@ -49,6 +49,8 @@
     assertTrue(retained.tryAdd("other", 100));
     retained.update(OWNER, 40);
     assertTrue(retained.tryAdd(OWNER, 60));
+    retained.remove(OWNER, 60);
+    assertTrue(retained.tryAdd(OWNER, 60));
     retained.retainOwners(Set.of("other"));
     assertEquals(0, retained.bytes(OWNER));
     assertEquals(100, retained.bytes("other"));
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import io.marigoldsail.daemon.capacity.StoreLimits;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -52,6 +53,7 @@
   private int faultsLeft;
   private int faultsSeen;
   private boolean refusesDrops;
+  private boolean enforcesLimits;
   private int dropsRefused;
 
   FakeWorkflowStore(int partitions, ScheduledExecutorService timer) {
@@ -64,6 +66,11 @@
     faultsLeft = times;
   }
 
+  /** Rejects what is over {@link #limits} from now on, as the platform's store does. */
+  synchronized void enforceLimits() {
+    enforcesLimits = true;
+  }
+
   /** Refuses to drop submissions from now on. */
   synchronized void refuseDrops() {
     refusesDrops = true;
@@ -172,6 +179,11 @@
     return future;
   }
 
+  @Override
+  public StoreLimits limits() {
+    return StoreLimits.DEFAULT;
+  }
+
   @Override
   public int partitions() {
     return partitions;
@@ -180,6 +192,9 @@
   @Override
   public synchronized CompletableFuture<AppendResult> append(
       Topic topic, int partition, List<KeyedRecord> records, Optional<Writer> writer) {
+    if (enforcesLimits && isTooLarge(records)) {
+      return completeLater(NotAppended.rejected("over the limits"));
+    }
     if (refusesDrops && topic == Topic.SUBMISSIONS && records.get(0).value().isEmpty()) {
       dropsRefused++;
       return completeLater(new NotAppended("drop refused by the test"));
@@ -196,6 +211,16 @@
     return completeLater(faulty ? new AppendUnknown("answer lost by the test") : result);
   }
 
+  private boolean isTooLarge(List<KeyedRecord> records) {
+    int total = 0;
+    for (KeyedRecord each : records) {
+      total += StoreLimits.bytesInCall(each.key(), each.value().size());
+    }
+    return total > limits().callBytes()
+        || records.stream()
+            .anyMatch(each -> each.value().size() > limits().maxValueBytes(each.key()));
+  }
+
   private AppendResult write(Log log, List<KeyedRecord> records, Optional<Writer> writer) {
     if (writer.isPresent()) {
       Writer from = writer.get();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RefusingStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RefusingStore.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.workflow;
 
+import io.marigoldsail.daemon.capacity.StoreLimits;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -35,6 +36,11 @@
     return CompletableFuture.completedFuture(result);
   }
 
+  @Override
+  public StoreLimits limits() {
+    return StoreLimits.DEFAULT;
+  }
+
   @Override
   public int partitions() {
     return store.partitions();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedOwnersStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedOwnersStore.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.daemon.workflow;
 
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.capacity.StoreLimits;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,6 +30,11 @@
     return nextRequest.take();
   }
 
+  @Override
+  public StoreLimits limits() {
+    return StoreLimits.DEFAULT;
+  }
+
   @Override
   public int partitions() {
     return partitions;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualCluster.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualCluster.java
@@ -111,7 +111,7 @@
               OptionalLong.empty(),
               1.5,
               OptionalInt.empty(),
-              1L << 30);
+              maxRetainedBytes);
       entry =
           new WorkflowEntry(
               time.loop(), store, address, time::wallMillis, new FakeAdviser(), parameters);
@@ -224,6 +224,7 @@
   private final FakeWorkflowStore sharedStore = new FakeWorkflowStore(PARTITIONS, network.timer());
   private final List<Process> processes = new ArrayList<>();
   private final Map<String, Long> joinedAt = new HashMap<>();
+  private long maxRetainedBytes = 1L << 30;
 
   VirtualCluster() {
     network
@@ -247,6 +248,11 @@
     return new Entry(number, retentionMillis);
   }
 
+  /** Limits the memory of the workflows that each entry started from now on may be given. */
+  void limitRetainedBytes(long bytes) {
+    maxRetainedBytes = bytes;
+  }
+
   /** Starts a VM. */
   Side addSide(String vm) {
     return new Side(vm);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualStore.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.daemon.workflow;
 
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.capacity.StoreLimits;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -59,6 +60,11 @@
     return future;
   }
 
+  @Override
+  public StoreLimits limits() {
+    return StoreLimits.DEFAULT;
+  }
+
   @Override
   public int partitions() {
     return 1;
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualStoreClient.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualStoreClient.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.daemon.capacity.StoreLimits;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -113,6 +114,11 @@
     }
   }
 
+  @Override
+  public StoreLimits limits() {
+    return StoreLimits.DEFAULT;
+  }
+
   @Override
   public int partitions() {
     return store.partitions();
