Evidence on images is bounded, and what no frame holds is divided

Cause: a VM kept evidence on each image ever seen and reported all of it on each new connection, and the limit of a frame was known to the receiver alone, which closed the connection over it each time.

Evidence is kept and passed on up to a size, most recent and weightiest first. Orders and reports are divided by the limit that the receiver has, and reports joined before they are looked at.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/ImagePair.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/ImagePair.java
@@ -14,4 +14,9 @@
     requireNonNull(bestEffort, "bestEffort");
     requireNonNull(service, "service");
   }
+
+  /** Returns the most bytes that the names take in a message. */
+  public int nameBytes() {
+    return RecentEvidence.bytesOf(bestEffort) + RecentEvidence.bytesOf(service);
+  }
 }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/InterferenceModel.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/InterferenceModel.java
@@ -43,7 +43,14 @@
    */
   static final double SATURATED_HEADROOM = 0.35;
 
-  private final Map<ImagePair, PairEvidence> local = new HashMap<>();
+  /** Maximum size of the evidence of one VM, in bytes; its first report holds all of it. */
+  public static final int MAX_LOCAL_BYTES = 48 * 1024;
+
+  /** Best-effort images whose effects are remembered; they are estimated anew beyond it. */
+  private static final int MAX_EFFECTS = 4_096;
+
+  private final RecentEvidence<ImagePair, PairEvidence> local =
+      new RecentEvidence<>(MAX_LOCAL_BYTES, ImagePair::nameBytes);
   private Map<ImagePair, PairEvidence> remote = Map.of();
 
   /** Estimates by best-effort image and service image, as far as they were asked for. */
@@ -57,12 +64,15 @@
 
   /** Returns the evidence of this VM, as a copy. */
   public Map<ImagePair, PairEvidence> localEvidence() {
-    return Map.copyOf(local);
+    return local.copy();
   }
 
   /** Returns the estimated effect of the image, from 0 to {@link #MAX_EFFECT}. */
   @Override
   public double effect(String bestEffort, String service) {
+    if (effects.size() > MAX_EFFECTS) {
+      effects.clear();
+    }
     // Owners look effects up for each VM and waiting task.
     return effects
         .computeIfAbsent(bestEffort, unused -> new HashMap<>())
@@ -107,10 +117,8 @@
       }
       double unexplained = loss - predicted + estimates.get(change.getKey()) * work;
       PairEvidence seen = new PairEvidence(work * work, work * unexplained);
-      local.merge(
-          new ImagePair(change.getKey(), service),
-          seen,
-          (sum, more) -> sum.plus(more).atMost(MAX_WORK));
+      ImagePair pair = new ImagePair(change.getKey(), service);
+      local.put(pair, local.getOrDefault(pair, PairEvidence.NONE).plus(seen).atMost(MAX_WORK));
       effects.remove(change.getKey());
     }
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/PairEvidenceAggregator.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/PairEvidenceAggregator.java
@@ -12,13 +12,26 @@
  *
  * <p>The sum is formed anew at intervals rather than with each report, of which there are many.
  *
+ * <p>Beyond a total size, what was reported the longest ago is forgotten.
+ *
  * <p>Confined to one thread. Rejects nulls. Times are monotonic nanoseconds.
  */
 public final class PairEvidenceAggregator {
   /** Minimum time between two sums, in nanoseconds. */
   static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  private final Map<String, Map<ImagePair, PairEvidence>> byVm = new HashMap<>();
+  /** Maximum size of the evidence of all VMs, in bytes. */
+  static final int MAX_BYTES = 6 << 20;
+
+  /** A pair on one VM. */
+  private record SeenPair(String vm, ImagePair pair) {
+    int nameBytes() {
+      return RecentEvidence.bytesOf(vm) + pair.nameBytes();
+    }
+  }
+
+  private final RecentEvidence<SeenPair, PairEvidence> evidenceOfVms =
+      new RecentEvidence<>(MAX_BYTES, SeenPair::nameBytes);
   private ImmutableMap<ImagePair, PairEvidence> total = ImmutableMap.of();
   private long summedAt = Long.MIN_VALUE;
 
@@ -27,14 +40,14 @@
    * was formed anew.
    */
   public boolean update(String vm, Map<ImagePair, PairEvidence> evidence, long now) {
-    byVm.computeIfAbsent(requireNonNull(vm, "vm"), unused -> new HashMap<>()).putAll(evidence);
+    requireNonNull(vm, "vm");
+    evidence.forEach((pair, seen) -> evidenceOfVms.put(new SeenPair(vm, pair), seen));
     if (summedAt != Long.MIN_VALUE && now - summedAt < INTERVAL_NANOS) {
       return false;
     }
     summedAt = now;
     Map<ImagePair, PairEvidence> sum = new HashMap<>();
-    byVm.values()
-        .forEach(each -> each.forEach((pair, seen) -> sum.merge(pair, seen, PairEvidence::plus)));
+    evidenceOfVms.forEach((key, seen) -> sum.merge(key.pair(), seen, PairEvidence::plus));
     total = ImmutableMap.copyOf(sum);
     return true;
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/RefusedImages.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/RefusedImages.java
@@ -24,6 +24,9 @@
   /** Time after which the VM is offered again although it has reported no more room. */
   static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** Images of which those that are no longer refused are forgotten. */
+  private static final int MAX_IMAGES = 256;
+
   private final Map<String, Long> retryAt = new HashMap<>();
   private ImmutableMap<String, Double> rooms = ImmutableMap.of();
   private long bestEffortMilli;
@@ -64,6 +67,9 @@
   public boolean recordRefusal(String image, long now) {
     checkArgument(!image.isEmpty(), "image is empty");
     boolean refusedBefore = isRefused(image, now);
+    if (retryAt.size() >= MAX_IMAGES) {
+      retryAt.values().removeIf(until -> now - until >= 0);
+    }
     retryAt.put(image, now + RETRY_NANOS);
     return !refusedBefore;
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageEvidenceAggregator.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageEvidenceAggregator.java
@@ -2,8 +2,10 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.colocation.RecentEvidence;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -13,28 +15,51 @@
  * for each VM would take time quadratic in the number of VMs; here an update takes time linear in
  * the number of images.
  *
+ * <p>Beyond a total size, the VMs that reported the longest ago are forgotten.
+ *
  * <p>Confined to one thread. Rejects nulls.
  */
 public final class ImageEvidenceAggregator {
   /** Weights up to this are rounding errors, too small to affect a belief. */
   private static final double NEGLIGIBLE_WEIGHT = 1e-6;
 
-  private final Map<String, Map<String, ImageInterference.Evidence>> byVm = new HashMap<>();
+  /** Maximum size of the evidence of all VMs, in bytes. */
+  static final int MAX_BYTES = 6 << 20;
+
+  /** By VM; the one that reported last comes last. */
+  private final Map<String, Map<String, ImageInterference.Evidence>> byVm = new LinkedHashMap<>();
+
+  private int bytes;
   private final Map<String, ImageInterference.Evidence> total = new HashMap<>();
 
   /** Replaces the evidence of a VM. */
   public void update(String vm, Map<String, ImageInterference.Evidence> evidence) {
-    Map<String, ImageInterference.Evidence> before =
-        byVm.put(requireNonNull(vm, "vm"), Map.copyOf(evidence));
-    if (before != null) {
-      subtract(before, total);
-    }
+    remove(requireNonNull(vm, "vm"));
+    byVm.put(vm, Map.copyOf(evidence));
+    bytes += sizeOf(evidence);
     evidence.forEach(
         (image, each) -> {
           if (each.weight() > NEGLIGIBLE_WEIGHT) {
             total.merge(image, each, ImageInterference.Evidence::plus);
           }
         });
+    while (bytes > MAX_BYTES) {
+      remove(byVm.keySet().iterator().next());
+    }
+  }
+
+  private void remove(String vm) {
+    Map<String, ImageInterference.Evidence> removed = byVm.remove(vm);
+    if (removed != null) {
+      bytes -= sizeOf(removed);
+      subtract(removed, total);
+    }
+  }
+
+  private static int sizeOf(Map<String, ImageInterference.Evidence> evidence) {
+    return evidence.keySet().stream()
+        .mapToInt(image -> RecentEvidence.bytesWithNames(RecentEvidence.bytesOf(image)))
+        .sum();
   }
 
   /** Subtracts a part from sums and drops images whose remaining weight is negligible. */
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageInterference.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageInterference.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.colocation.RecentEvidence;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -48,6 +49,9 @@
   /** A tail under this percentage of its target clears images. */
   static final double CLEAR_PERCENT = 65;
 
+  /** Maximum size of the evidence of one VM, in bytes; it is a part of each of its reports. */
+  public static final int MAX_LOCAL_BYTES = 32 * 1024;
+
   /**
    * Evidence on an image.
    *
@@ -99,7 +103,8 @@
     }
   }
 
-  private final Map<String, Evidence> localEvidence = new HashMap<>();
+  private final RecentEvidence<String, Evidence> localEvidence =
+      new RecentEvidence<>(MAX_LOCAL_BYTES, RecentEvidence::bytesOf);
   private Map<String, Evidence> remoteEvidence = Map.of();
 
   /**
@@ -118,7 +123,7 @@
 
   /** Returns the evidence of this VM, as a copy. */
   public Map<String, Evidence> localEvidence() {
-    return Map.copyOf(localEvidence);
+    return localEvidence.copy();
   }
 
   /** Returns the believed interference of the image, from 0 to 1. */
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -4,6 +4,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.marigoldsail.workflow.WorkflowTasks.StepOccurrence;
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
@@ -176,7 +177,9 @@
    * @throws IllegalStateException if an attempt of a member may still run, or a member is done
    */
   public void startGangAttempt(WorkflowTask member, List<Place> places) {
-    List<WorkflowTask> members = gangMembers(member);
+    List<WorkflowTask> members = new ArrayList<>(gangMembers(member));
+    // Objects of members without an attempt are made on demand; the caller's is the one to keep.
+    members.set(member.key().index(), member);
     checkArgument(
         places.size() == members.size(),
         "number of places differs from the number of gang members: %s",
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/frames/package-info.java
@@ -0,0 +1,2 @@
+/** How messages that may be long are divided into frames, and joined again. */
+package io.marigoldsail.daemon.frames;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkConnection.java
@@ -14,6 +14,8 @@
  * requests.
  */
 public final class LinkConnection {
+  private static final System.Logger LOG = System.getLogger(LinkConnection.class.getName());
+
   private final Channel channel;
   private final LinkLoop loop;
   private final String remote;
@@ -133,17 +135,31 @@
   }
 
   private void write(Frame frame) {
-    if (!unanswered) {
+    if (writeStamped(frame) && !unanswered) {
       unanswered = true;
       unansweredSince = loop.now();
     }
-    writeStamped(frame);
   }
 
-  private void writeStamped(Frame frame) {
+  /**
+   * Writes the frame unless the peer would close the connection over its length; returns whether it
+   * was written. What is lost with it is less than with the connection, and all that is sent on the
+   * next one.
+   */
+  private boolean writeStamped(Frame frame) {
     Frame stamped =
         frame.toBuilder().setStamp(loop.hybridClock().now()).setAnswersRead(responsesRead).build();
+    if (!FrameLimit.admits(stamped)) {
+      LOG.log(
+          System.Logger.Level.ERROR,
+          "event=frame-too-large peer={0} body={1} bytes={2}",
+          this,
+          frame.getBodyCase(),
+          String.valueOf(stamped.getSerializedSize()));
+      return false;
+    }
     channel.writeAndFlush(stamped, channel.voidPromise());
+    return true;
   }
 
   void discardStreams() {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkInitializer.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/link/LinkInitializer.java
@@ -12,12 +12,6 @@
 
 /** Builds the channel pipeline: frames of limited length, protobuf, and the listener. */
 final class LinkInitializer extends ChannelInitializer<Channel> {
-  /**
-   * The maximum length of a received frame, in bytes. Leaves space for one body chunk plus the
-   * longest headers allowed in a caller's or target's message.
-   */
-  static final int MAX_FRAME_BYTES = 192 * 1024;
-
   private static final int LENGTH_BYTES = 4;
   private static final int FLUSH_AFTER_FRAMES = 64;
   private static final WriteBufferWaterMark WRITE_MARKS =
@@ -39,7 +33,8 @@
         // Frames written while one batch is read are flushed in one system call.
         .addLast(new FlushConsolidationHandler(FLUSH_AFTER_FRAMES, true))
         .addLast(
-            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+            new LengthFieldBasedFrameDecoder(
+                FrameLimit.MAX_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
         .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
         .addLast(new ProtobufEncoder())
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ImageEvidenceCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/ImageEvidenceCodec.java
@@ -1,8 +1,11 @@
 package io.marigoldsail.daemon.workflow;
 
+import io.marigoldsail.daemon.frames.MessageBudget;
 import io.marigoldsail.protocol.ImageSeen;
+import io.marigoldsail.protocol.LeaseGrant;
 import io.marigoldsail.workflow.ImageInterference;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +27,13 @@
     return encoded;
   }
 
+  /** Returns as much of the evidence as fits into the size, that of the greatest weight first. */
+  static List<ImageSeen> encode(Map<String, ImageInterference.Evidence> evidence, int maxBytes) {
+    List<ImageSeen> encoded = encode(evidence);
+    encoded.sort(Comparator.comparingDouble(ImageSeen::getWeight).reversed());
+    return MessageBudget.take(encoded, LeaseGrant.IMAGES_FIELD_NUMBER, maxBytes);
+  }
+
   /** Returns the evidence; figures that are no finite numbers count as none. */
   static Map<String, ImageInterference.Evidence> decode(List<ImageSeen> encoded) {
     Map<String, ImageInterference.Evidence> evidence = new HashMap<>();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/InterferenceExchange.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/InterferenceExchange.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.daemon.frames.PendingOrders;
 import io.marigoldsail.protocol.LeaseGrant;
 import io.marigoldsail.protocol.VmReport;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,9 @@
    */
   private static final long PAIRS_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+  /** Maximum size of the evidence in a lease, in bytes; the rest is that of partitions. */
+  static final int MAX_EVIDENCE_BYTES = PendingOrders.MAX_LEASE_BYTES * 3 / 5;
+
   private final FleetStatistics fleet;
   private final MemberRateLimiter pairGrants = new MemberRateLimiter(PAIRS_INTERVAL_NANOS);
 
@@ -40,10 +44,14 @@
   LeaseGrant evidenceFor(VmSession session, long now) {
     LeaseGrant.Builder evidence = LeaseGrant.newBuilder();
     if (!session.reportsRooms() && session.areImagesDue(now)) {
-      evidence.addAllImages(ImageEvidenceCodec.encode(fleet.imageEvidenceOfOtherVms(session.vm())));
+      evidence.addAllImages(
+          ImageEvidenceCodec.encode(
+              fleet.imageEvidenceOfOtherVms(session.vm()), MAX_EVIDENCE_BYTES));
     }
     if (session.reportsRooms() && pairGrants.tryAcquire(session.vm(), now)) {
-      evidence.addAllPairs(PairEvidenceCodec.encode(fleet.pairEvidence(), session::hostsService));
+      evidence.addAllPairs(
+          PairEvidenceCodec.encode(
+              fleet.pairEvidence(), session::hostsService, MAX_EVIDENCE_BYTES));
     }
     return evidence.build();
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/LeaseGranter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/LeaseGranter.java
@@ -49,12 +49,13 @@
 
   /** Sends a lease and the pending orders. */
   void grant(VmSession session) {
-    flush(session, lease(session));
+    grant(session, LeaseGrant.getDefaultInstance());
   }
 
   /** Sends a lease with more evidence, and the pending orders. */
   void grant(VmSession session, LeaseGrant evidence) {
-    flush(session, lease(session).mergeFrom(evidence));
+    session.flush(
+        lease(session).build(), evidence, evacuations.newest(), demand.isPresent(loop.now()));
   }
 
   /** Sends the pending questions, which contain no lease; no orders may be pending. */
@@ -67,10 +68,6 @@
     return grantedAt.getOrDefault(vm, Long.MIN_VALUE);
   }
 
-  private void flush(VmSession session, LeaseGrant.Builder lease) {
-    session.flush(lease.build(), evacuations.newest(), demand.isPresent(loop.now()));
-  }
-
   private LeaseGrant.Builder lease(VmSession session) {
     LeaseGrant.Builder lease =
         LeaseGrant.newBuilder().setWorkerClock(session.report().getWorkerClock());
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PairEvidenceCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PairEvidenceCodec.java
@@ -3,9 +3,12 @@
 import com.google.common.collect.ImmutableMap;
 import io.marigoldsail.colocation.ImagePair;
 import io.marigoldsail.colocation.PairEvidence;
+import io.marigoldsail.daemon.frames.MessageBudget;
+import io.marigoldsail.protocol.LeaseGrant;
 import io.marigoldsail.protocol.PairSeen;
 import io.marigoldsail.protocol.ServiceRoom;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +40,14 @@
     return encoded;
   }
 
+  /** Returns as much of it as fits into the size, that of the most work first. */
+  static List<PairSeen> encode(
+      Map<ImagePair, PairEvidence> evidence, Predicate<String> serviceImage, int maxBytes) {
+    List<PairSeen> encoded = encode(evidence, serviceImage);
+    encoded.sort(Comparator.comparingDouble(PairSeen::getWork).reversed());
+    return MessageBudget.take(encoded, LeaseGrant.PAIRS_FIELD_NUMBER, maxBytes);
+  }
+
   /** Returns the evidence; figures that are no sums of squares count as none. */
   static Map<ImagePair, PairEvidence> decode(List<PairSeen> encoded) {
     Map<ImagePair, PairEvidence> evidence = new HashMap<>();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PairReports.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PairReports.java
@@ -30,6 +30,7 @@
   Map<ImagePair, PairEvidence> changes(String member, Map<ImagePair, PairEvidence> evidence) {
     Map<ImagePair, PairEvidence> before =
         reported.computeIfAbsent(requireNonNull(member, "member"), unused -> new HashMap<>());
+    before.keySet().retainAll(evidence.keySet());
     Map<ImagePair, PairEvidence> changes = new HashMap<>();
     evidence.forEach(
         (pair, seen) -> {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SubmissionWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SubmissionWriter.java
@@ -6,6 +6,7 @@
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
+import io.marigoldsail.daemon.workflow.WorkflowStore.SubmissionTooLarge;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -37,6 +38,15 @@
     this.loop = requireNonNull(loop, "loop");
   }
 
+  /** Returns the result for a submission that no record of the store can hold; else empty. */
+  Optional<AppendResult> refuseIfTooLarge(KeyedRecord submission) {
+    int bytes = submission.value().size();
+    int maxBytes = store.limits().maxValueBytes(submission.key());
+    return bytes > maxBytes
+        ? Optional.of(new SubmissionTooLarge(bytes, maxBytes))
+        : Optional.empty();
+  }
+
   /**
    * Writes the submission.
    *
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -8,6 +8,7 @@
 import com.google.common.primitives.Ints;
 import io.marigoldsail.colocation.RefusedImages;
 import io.marigoldsail.colocation.ServiceRooms;
+import io.marigoldsail.daemon.frames.PendingOrders;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -22,13 +23,10 @@
 import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.VmOffer;
-import io.marigoldsail.workflow.WorkflowSpec;
 import io.marigoldsail.workflow.WorkflowTask;
 import io.marigoldsail.workflow.ZoneEvacuations;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -54,10 +52,8 @@
 
   private RefusedImages refusedImages = new RefusedImages();
   private ImmutableMap<RunKey, RunReport> runs = ImmutableMap.of();
-  private RunOrders.Builder orders = RunOrders.newBuilder();
-  private final Set<Long> workflowsInFrame = new HashSet<>();
+  private final PendingOrders orders = new PendingOrders();
   private long lastFrameNumber;
-  private boolean ordersPending;
   private long imagesSentAt = Long.MIN_VALUE;
 
   VmSession(LinkConnection connection, VmReport first, long now) {
@@ -78,7 +74,7 @@
   void update(VmReport newest, long now) {
     ImmutableMap<RunKey, RunReport> newestRuns = checkReport(newest);
     if (report != null && !report.getWorker().equals(newest.getWorker())) {
-      dropPending();
+      orders.clear();
       refusedImages = new RefusedImages();
     }
     if (report == null || !report.getLabelsList().equals(newest.getLabelsList())) {
@@ -269,7 +265,6 @@
   /** Adds a start to the next frame and returns the number of that frame. */
   long addStart(OpenRun run) {
     WorkflowTask task = run.task();
-    WorkflowSpec spec = task.workflow().spec();
     StartRun.Builder start =
         StartRun.newBuilder()
             .setTask(WorkflowCodec.encode(run.key()))
@@ -284,33 +279,23 @@
             .setTicket(run.ticket())
             .setDelivery(
                 run.mayHaveBeenOrdered() ? StartRun.Delivery.REPEATED : StartRun.Delivery.FIRST);
-    if (workflowsInFrame.add(spec.id())) {
-      start.setProgram(spec.program());
-    } else {
-      start.setSameProgram(true);
-    }
-    orders.addStarts(start);
-    ordersPending = true;
-    return lastFrameNumber + 1;
+    return lastFrameNumber + 1 + orders.addStart(start, task.workflow().spec().program());
   }
 
   void addStop(RunKey run) {
-    orders.addStops(WorkflowCodec.encode(run));
-    ordersPending = true;
+    orders.addStop(WorkflowCodec.encode(run));
   }
 
   void addAcknowledgedEnd(WorkflowTaskId end) {
-    orders.addNotedEnds(end);
-    ordersPending = true;
+    orders.addAcknowledgedEnd(end);
   }
 
   void addSupersededEnd(WorkflowTaskId end) {
-    orders.addSupersededEnds(end);
-    ordersPending = true;
+    orders.addSupersededEnd(end);
   }
 
   boolean hasPendingOrders() {
-    return ordersPending;
+    return !orders.isEmpty();
   }
 
   /** Returns the evidence that the worker incarnation is gone, or empty if there is none. */
@@ -338,23 +323,41 @@
    * @throws IllegalStateException if orders are pending, whose frame has the next number
    */
   void sendQuestions(boolean capacityNeeded) {
-    checkState(!ordersPending, "orders are pending");
+    checkState(orders.isEmpty(), "orders are pending");
     for (String worker : incarnations.removePendingQuestions()) {
       send(RunOrders.newBuilder(), LeaseGrant.getDefaultInstance(), worker, capacityNeeded);
     }
   }
 
   /**
-   * Sends a frame with the lease and the pending orders, if any; all of it applies only to the
-   * worker incarnation of the last report.
+   * Sends a frame with the lease and the pending orders, if any, or several frames if one does not
+   * hold them all; all of it applies only to the worker incarnation of the last report.
    *
+   * @param evidence what else is to be told with the lease, once
    * @param evacuations the zones in which no run may start
    * @param capacityNeeded whether tasks wait for capacity, so that changes are to be reported soon
    */
-  void flush(LeaseGrant lease, ZoneEvacuations evacuations, boolean capacityNeeded) {
-    orders.setEvacuations(WorkflowCodec.encode(evacuations));
-    send(orders, lease, report.getWorker(), capacityNeeded);
-    dropPending();
+  void flush(
+      LeaseGrant lease, LeaseGrant evidence, ZoneEvacuations evacuations, boolean capacityNeeded) {
+    LeaseGrant first = lease.toBuilder().mergeFrom(evidence).build();
+    if (orders.isEmpty()) {
+      flush(RunOrders.newBuilder(), first, evacuations, capacityNeeded);
+      return;
+    }
+    LeaseGrant next = first;
+    for (RunOrders.Builder frame : orders.drain()) {
+      flush(frame, next, evacuations, capacityNeeded);
+      next = lease;
+    }
+  }
+
+  private void flush(
+      RunOrders.Builder frame,
+      LeaseGrant lease,
+      ZoneEvacuations evacuations,
+      boolean capacityNeeded) {
+    frame.setEvacuations(WorkflowCodec.encode(evacuations));
+    send(frame, lease, report.getWorker(), capacityNeeded);
   }
 
   private void send(
@@ -367,10 +370,4 @@
         .setTellsSupersededEnds(true);
     connection.send(Frame.newBuilder().setRunOrders(frame).build());
   }
-
-  private void dropPending() {
-    orders = RunOrders.newBuilder();
-    workflowsInFrame.clear();
-    ordersPending = false;
-  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.marigoldsail.daemon.capacity.RetainedWork;
+import io.marigoldsail.daemon.frames.ReportJoiner;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkListener;
 import io.marigoldsail.daemon.link.LinkLoop;
@@ -17,7 +18,6 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.NotAppended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.OwnerFull;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Owners;
-import io.marigoldsail.daemon.workflow.WorkflowStore.SubmissionTooLarge;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.OwnerMap;
 import io.marigoldsail.protocol.Pong;
@@ -60,13 +60,13 @@
   private static final int MAX_LINKS = 2_000;
 
   private final LinkLoop loop;
-  private final WorkflowStore store;
   private final EntryParameters parameters;
   private final EntryMember self;
   private final LongSupplier wallMillis;
   private final PartitionOwnership ownership;
   private final RetainedWork retained;
   private final EntryPeers peers;
+  private final ReportJoiner reports = new ReportJoiner();
   private final VmTracker vms;
   private final EntryScheduler scheduler;
   private final LongRunningTaskMonitor taskMonitor;
@@ -97,7 +97,6 @@
       PlacementAdviser adviser,
       EntryParameters parameters) {
     this.loop = requireNonNull(loop, "loop");
-    this.store = requireNonNull(store, "store");
     this.parameters = requireNonNull(parameters, "parameters");
     this.wallMillis = requireNonNull(wallMillis, "wallMillis");
     this.self =
@@ -218,10 +217,9 @@
           int partition = ownership.partitionOf(spec.id());
           String key = WorkflowIds.format(spec.id());
           KeyedRecord submission = new KeyedRecord(key, WorkflowCodec.encode(spec));
-          int maxBytes = store.limits().maxValueBytes(key);
-          if (submission.value().size() > maxBytes) {
-            completeSubmission(
-                spec, new SubmissionTooLarge(submission.value().size(), maxBytes), appended);
+          Optional<AppendResult> tooLarge = submissions.refuseIfTooLarge(submission);
+          if (tooLarge.isPresent()) {
+            completeSubmission(spec, tooLarge.get(), appended);
             return;
           }
           Optional<String> owner = peers.ownerOf(partition);
@@ -437,10 +435,10 @@
     @Override
     public void received(LinkConnection connection, Frame frame) {
       switch (frame.getBodyCase()) {
-        case VM_REPORT -> {
-          vms.handleReport(connection, frame.getVmReport());
-          sendOwnerMapIfNeeded(connection, frame.getVmReport());
-        }
+        case VM_REPORT ->
+            reports
+                .add(connection, frame.getVmReport())
+                .ifPresent(each -> report(connection, each));
         case WORKFLOW_QUERY -> handlePeerQuery(connection, frame.getWorkflowQuery());
         case WAITING_COUNTS -> peers.updateCounts(connection, frame.getWaitingCounts());
         case PING -> connection.send(Frame.newBuilder().setPong(Pong.getDefaultInstance()).build());
@@ -452,8 +450,14 @@
       }
     }
 
+    private void report(LinkConnection connection, VmReport report) {
+      vms.handleReport(connection, report);
+      sendOwnerMapIfNeeded(connection, report);
+    }
+
     @Override
     public void closed(LinkConnection connection, String reason) {
+      reports.disconnected(connection);
       ownerMapLimiter.remove(connection);
       peers.disconnected(connection);
       vms.disconnected(connection, reason);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.marigoldsail.colocation.InterferenceScope;
+import io.marigoldsail.daemon.frames.ReportParts;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -274,12 +275,7 @@
         }
       }
     }
-    Frame frame = Frame.newBuilder().setVmReport(report).build();
-    if (wantsLease) {
-      connection.link().send(frame);
-    } else {
-      connection.link().sendOneWay(frame);
-    }
+    ReportParts.send(connection.link(), report.build());
   }
 
   /**
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
@@ -885,6 +885,21 @@
     return ownersFingerprint_;
   }
 
+  public static final int CONTINUED_FIELD_NUMBER = 32;
+  private boolean continued_ = false;
+  /**
+   * <pre>
+   * Another part of the same report follows; this one holds nothing but elements of its lists.
+   * </pre>
+   *
+   * <code>bool continued = 32;</code>
+   * @return The continued.
+   */
+  @java.lang.Override
+  public boolean getContinued() {
+    return continued_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -992,6 +1007,9 @@
     if (ownersFingerprint_ != 0L) {
       output.writeFixed64(31, ownersFingerprint_);
     }
+    if (continued_ != false) {
+      output.writeBool(32, continued_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1143,6 +1161,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(31, ownersFingerprint_);
     }
+    if (continued_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(32, continued_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1229,6 +1251,8 @@
         .equals(other.getPairsList())) return false;
     if (getOwnersFingerprint()
         != other.getOwnersFingerprint()) return false;
+    if (getContinued()
+        != other.getContinued()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1321,6 +1345,9 @@
     hash = (37 * hash) + OWNERS_FINGERPRINT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getOwnersFingerprint());
+    hash = (37 * hash) + CONTINUED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getContinued());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1518,6 +1545,7 @@
       }
       bitField0_ = (bitField0_ & ~0x20000000);
       ownersFingerprint_ = 0L;
+      continued_ = false;
       return this;
     }
 
@@ -1679,6 +1707,9 @@
       if (((from_bitField0_ & 0x40000000) != 0)) {
         result.ownersFingerprint_ = ownersFingerprint_;
       }
+      if (((from_bitField0_ & 0x80000000) != 0)) {
+        result.continued_ = continued_;
+      }
     }
 
     @java.lang.Override
@@ -1920,6 +1951,9 @@
       if (other.getOwnersFingerprint() != 0L) {
         setOwnersFingerprint(other.getOwnersFingerprint());
       }
+      if (other.getContinued() != false) {
+        setContinued(other.getContinued());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2139,6 +2173,11 @@
               bitField0_ |= 0x40000000;
               break;
             } // case 249
+            case 256: {
+              continued_ = input.readBool();
+              bitField0_ |= 0x80000000;
+              break;
+            } // case 256
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4909,6 +4948,50 @@
       return this;
     }
 
+    private boolean continued_ ;
+    /**
+     * <pre>
+     * Another part of the same report follows; this one holds nothing but elements of its lists.
+     * </pre>
+     *
+     * <code>bool continued = 32;</code>
+     * @return The continued.
+     */
+    @java.lang.Override
+    public boolean getContinued() {
+      return continued_;
+    }
+    /**
+     * <pre>
+     * Another part of the same report follows; this one holds nothing but elements of its lists.
+     * </pre>
+     *
+     * <code>bool continued = 32;</code>
+     * @param value The continued to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContinued(boolean value) {
+
+      continued_ = value;
+      bitField0_ |= 0x80000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Another part of the same report follows; this one holds nothing but elements of its lists.
+     * </pre>
+     *
+     * <code>bool continued = 32;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearContinued() {
+      bitField0_ = (bitField0_ & ~0x80000000);
+      continued_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.VmReport)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
@@ -475,4 +475,14 @@
    * @return The ownersFingerprint.
    */
   long getOwnersFingerprint();
+
+  /**
+   * <pre>
+   * Another part of the same report follows; this one holds nothing but elements of its lists.
+   * </pre>
+   *
+   * <code>bool continued = 32;</code>
+   * @return The continued.
+   */
+  boolean getContinued();
 }
