Earlier versions leave a workflow alone whose record is only a part of it

During an upgrade an owner of an earlier version would have taken the first part of a wide workflow for all of it and started the other tasks anew beside their runs.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -389,7 +389,7 @@
 
   /** Returns the current state, which must be made durable. */
   public WorkflowRecordState record() {
-    return record(0, tasks.blocks().size());
+    return record(0, tasks.blocks().size(), false);
   }
 
   /**
@@ -397,12 +397,13 @@
    * independent of each other: whichever of them are durable, {@link #reconcile} finds what to do.
    */
   public WorkflowRecordState recordOfPart(int part) {
-    return record(part * TASKS_PER_PART, tasks.blocks().endOf(part));
+    boolean isPart = tasks.blocks().size() > TASKS_PER_PART;
+    return record(part * TASKS_PER_PART, tasks.blocks().endOf(part), isPart);
   }
 
-  private WorkflowRecordState record(int first, int end) {
+  private WorkflowRecordState record(int first, int end, boolean isPart) {
     String service = service().equals(spec.policy().service()) ? "" : service();
-    return new WorkflowRecordState(status, tasks.record(first, end), endedMillis, service);
+    return new WorkflowRecordState(status, tasks.record(first, end), endedMillis, service, isPart);
   }
 
   int partOf(TaskKey key) {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowRecordState.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowRecordState.java
@@ -14,13 +14,27 @@
  * @param tasks in the order of occurrence, step and index; tasks after the last have no attempt yet
  * @param endedMillis wall clock of the owner at the end, in milliseconds; 0 until then
  * @param service the service on which tasks start; empty for that of the specification
+ * @param isPart whether further tasks may be in other records
  */
 public record WorkflowRecordState(
-    WorkflowStatus status, ImmutableList<TaskRecordState> tasks, long endedMillis, String service) {
+    WorkflowStatus status,
+    ImmutableList<TaskRecordState> tasks,
+    long endedMillis,
+    String service,
+    boolean isPart) {
   /** State of a workflow without attempts. */
   public static final WorkflowRecordState NEW =
       new WorkflowRecordState(WorkflowStatus.QUEUED, ImmutableList.of(), 0, "");
 
+  /** Creates the state of all tasks. */
+  public WorkflowRecordState(
+      WorkflowStatus status,
+      ImmutableList<TaskRecordState> tasks,
+      long endedMillis,
+      String service) {
+    this(status, tasks, endedMillis, service, false);
+  }
+
   /** Checks the components. */
   public WorkflowRecordState {
     requireNonNull(status, "status");
@@ -40,7 +54,8 @@
                         : task.withoutCheckpoint())
             .collect(ImmutableList.toImmutableList()),
         endedMillis,
-        service);
+        service,
+        isPart);
   }
 
   /**
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
@@ -55,6 +55,12 @@
   private static final Parser<WorkflowProgress> PROGRESS_PARSER =
       DiscardUnknownFieldsParser.wrap(WorkflowProgress.parser());
 
+  /**
+   * Follows the tasks of a record that does not hold all of them. A version that knows no parts
+   * cannot decode it and leaves the workflow alone; it would start the other tasks anew.
+   */
+  private static final TaskProgress END_OF_PART = TaskProgress.newBuilder().setFailures(1).build();
+
   /** What a checkpoint adds to a record beside its text: tag, length, and that of its task. */
   private static final int CHECKPOINT_OVERHEAD_BYTES = 8;
 
@@ -238,6 +244,7 @@
     WorkflowProgress.Builder builder =
         WorkflowProgress.newBuilder()
             .setStatus(state.status().number())
+            .setPart(state.isPart())
             .setEndedMillis(state.endedMillis())
             .setService(state.service());
     Map<Place, Integer> positions = new LinkedHashMap<>();
@@ -255,6 +262,9 @@
                       positions.computeIfAbsent(place, unused -> positions.size() + 1)));
       builder.addTasks(progress);
     }
+    if (state.isPart()) {
+      builder.addTasks(END_OF_PART);
+    }
     for (Place place : positions.keySet()) {
       builder.addPlaces(PlaceName.newBuilder().setVm(place.vm()).setWorker(place.worker()));
     }
@@ -266,7 +276,9 @@
     try {
       WorkflowProgress progress = parse(PROGRESS_PARSER, bytes);
       ImmutableList.Builder<TaskRecordState> tasks = ImmutableList.builder();
-      for (TaskProgress task : progress.getTasksList()) {
+      int last = progress.getTasksCount() - (progress.getPart() ? 1 : 0);
+      checkArgument(last >= 0, "a part has no end");
+      for (TaskProgress task : progress.getTasksList().subList(0, last)) {
         checkArgument(task.getLastAttempt() <= MAX_ATTEMPT, "attempt is too large");
         checkArgument(task.getFailures() <= task.getLastAttempt(), "more failures than attempts");
         tasks.add(
@@ -282,7 +294,8 @@
               WorkflowStatus.forNumber(progress.getStatus()),
               tasks.build(),
               progress.getEndedMillis(),
-              progress.getService()));
+              progress.getService(),
+              progress.getPart()));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RecordLimitsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RecordLimitsTest.java
@@ -7,6 +7,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.marigoldsail.daemon.capacity.StoreLimits;
 import io.marigoldsail.daemon.progress.ProgressKey;
 import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
@@ -16,6 +17,7 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.NotAppended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Writer;
+import io.marigoldsail.protocol.WorkflowProgress;
 import io.marigoldsail.workflow.Place;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
@@ -152,6 +154,25 @@
     assertEquals(restored.record(), open(3).workflow(ID).orElseThrow().record());
   }
 
+  /**
+   * Guards against an owner of an earlier version that takes the first part for all, and starts
+   * tasks anew that run: it cannot read the record, and leaves the workflow to others.
+   */
+  @Test
+  void earlierVersionsCannotReadAPart() throws InvalidProtocolBufferException {
+    for (int tasks : new int[] {Workflow.TASKS_PER_PART, Workflow.TASKS_PER_PART + 1}) {
+      Workflow workflow = Workflow.of(WorkflowTestCluster.workflow(ID, tasks));
+      workflow.startAttempt(workflow.tasks().get(0), PLACE);
+      ByteString record = WorkflowCodec.encode(workflow.recordOfPart(0));
+      ByteString asReadBefore =
+          WorkflowProgress.parseFrom(record).toBuilder().clearPart().build().toByteString();
+      assertEquals(
+          tasks == Workflow.TASKS_PER_PART, WorkflowCodec.decodeProgress(asReadBefore).isPresent());
+      assertEquals(
+          WorkflowStatus.QUEUED, WorkflowCodec.decodeProgress(record).orElseThrow().status());
+    }
+  }
+
   /** Guards against parts that stay in the store after their workflow is forgotten. */
   @Test
   void allPartsOfAnEvictedWorkflowAreDropped() {
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgress.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgress.java
@@ -256,6 +256,22 @@
     }
   }
 
+  public static final int PART_FIELD_NUMBER = 7;
+  private boolean part_ = false;
+  /**
+   * <pre>
+   * Further tasks are in other records; the last element of tasks is none, but keeps versions that
+   * know no parts from reading this record as that of all tasks.
+   * </pre>
+   *
+   * <code>bool part = 7;</code>
+   * @return The part.
+   */
+  @java.lang.Override
+  public boolean getPart() {
+    return part_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -285,6 +301,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, service_);
     }
+    if (part_ != false) {
+      output.writeBool(7, part_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -318,6 +337,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, service_);
     }
+    if (part_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, part_);
+    }
     return size;
   }
   @java.lang.Override
@@ -352,6 +375,8 @@
         != other.getEndedMillis()) return false;
     if (!getService()
         .equals(other.getService())) return false;
+    if (getPart()
+        != other.getPart()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -378,6 +403,9 @@
         getEndedMillis());
     hash = (37 * hash) + SERVICE_FIELD_NUMBER;
     hash = (53 * hash) + getService().hashCode();
+    hash = (37 * hash) + PART_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getPart());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -530,6 +558,7 @@
       bitField0_ = (bitField0_ & ~0x00000004);
       endedMillis_ = 0L;
       service_ = "";
+      part_ = false;
       return this;
     }
 
@@ -594,6 +623,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.service_ = service_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.part_ = part_;
+      }
     }
 
     @java.lang.Override
@@ -671,6 +703,9 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (other.getPart() != false) {
+        setPart(other.getPart());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -736,6 +771,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 50
+            case 56: {
+              part_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1550,6 +1590,53 @@
       return this;
     }
 
+    private boolean part_ ;
+    /**
+     * <pre>
+     * Further tasks are in other records; the last element of tasks is none, but keeps versions that
+     * know no parts from reading this record as that of all tasks.
+     * </pre>
+     *
+     * <code>bool part = 7;</code>
+     * @return The part.
+     */
+    @java.lang.Override
+    public boolean getPart() {
+      return part_;
+    }
+    /**
+     * <pre>
+     * Further tasks are in other records; the last element of tasks is none, but keeps versions that
+     * know no parts from reading this record as that of all tasks.
+     * </pre>
+     *
+     * <code>bool part = 7;</code>
+     * @param value The part to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPart(boolean value) {
+
+      part_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Further tasks are in other records; the last element of tasks is none, but keeps versions that
+     * know no parts from reading this record as that of all tasks.
+     * </pre>
+     *
+     * <code>bool part = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPart() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      part_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.WorkflowProgress)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgressOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowProgressOrBuilder.java
@@ -139,4 +139,15 @@
    */
   com.google.protobuf.ByteString
       getServiceBytes();
+
+  /**
+   * <pre>
+   * Further tasks are in other records; the last element of tasks is none, but keeps versions that
+   * know no parts from reading this record as that of all tasks.
+   * </pre>
+   *
+   * <code>bool part = 7;</code>
+   * @return The part.
+   */
+  boolean getPart();
 }
