A pass over any backlog takes bounded memory

Owners now accept many wide workflows, each of which a pass would have looked at with 256 tasks of each step.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ReadyTasks.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ReadyTasks.java
@@ -6,23 +6,27 @@
 /**
  * One look at the tasks of a workflow that may start now.
  *
- * <p>Passes on all that had an attempt, and of the others up to {@link #MAX_NEW} of each step: they
- * are alike, so the first ones show whether there is room for them. Confined to one thread.
+ * <p>Passes on all that had an attempt, and of the others a limited number of each step: they are
+ * alike, so the first ones show whether there is room for them. Confined to one thread.
  */
 final class ReadyTasks {
-  /** Maximum number of tasks of one step without an attempt that are passed on. */
-  static final int MAX_NEW = 256;
-
   private final WorkflowSpec spec;
   private final WorkflowTasks tasks;
+  private final int maxNew;
   private final Consumer<WorkflowTask> consumer;
   private final int[] newOfStep;
   private int fullSteps;
   private boolean omitted;
 
-  ReadyTasks(WorkflowSpec spec, WorkflowTasks tasks, Consumer<WorkflowTask> consumer) {
+  /**
+   * Creates a look.
+   *
+   * @param maxNew maximum number of tasks of one step without an attempt that are passed on
+   */
+  ReadyTasks(WorkflowSpec spec, WorkflowTasks tasks, int maxNew, Consumer<WorkflowTask> consumer) {
     this.spec = spec;
     this.tasks = tasks;
+    this.maxNew = maxNew;
     this.consumer = consumer;
     this.newOfStep = new int[spec.steps().size()];
   }
@@ -90,12 +94,12 @@
   }
 
   private boolean countNew(int step) {
-    if (newOfStep[step] >= MAX_NEW) {
+    if (newOfStep[step] >= maxNew) {
       omitted = true;
       return false;
     }
     newOfStep[step]++;
-    fullSteps += newOfStep[step] == MAX_NEW ? 1 : 0;
+    fullSteps += newOfStep[step] == maxNew ? 1 : 0;
     return true;
   }
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -23,6 +23,9 @@
  * of tasks that are due. An occurrence that is not due takes no memory.
  */
 public final class Workflow {
+  /** The number of tasks of one step without an attempt that one look passes on. */
+  public static final int MAX_NEW_READY = 256;
+
   /** The number of tasks whose states are recorded together. */
   public static final int TASKS_PER_PART = TaskBlocks.BLOCK_TASKS;
 
@@ -152,7 +155,19 @@
    * @return whether further tasks may start now
    */
   public boolean forEachReady(long wallMillis, Consumer<WorkflowTask> consumer) {
-    return !status.isTerminal() && new ReadyTasks(spec, tasks, consumer).passAll(wallMillis);
+    return forEachReady(wallMillis, MAX_NEW_READY, consumer);
+  }
+
+  /**
+   * Passes ready tasks to the consumer as {@link #forEachReady(long, Consumer)} does, with another
+   * limit.
+   *
+   * @param maxNew maximum number of tasks of one step without an attempt; positive
+   */
+  public boolean forEachReady(long wallMillis, int maxNew, Consumer<WorkflowTask> consumer) {
+    checkArgument(maxNew > 0, "maxNew is not positive: %s", maxNew);
+    return !status.isTerminal()
+        && new ReadyTasks(spec, tasks, maxNew, consumer).passAll(wallMillis);
   }
 
   /**
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTasksTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTasksTest.java
@@ -69,16 +69,27 @@
   /** One below the limit, at it, and one above. */
   @Test
   void newTasksBeyondTheLimitAreLeftForTheNextLook() {
-    for (int tasks = ReadyTasks.MAX_NEW - 1; tasks <= ReadyTasks.MAX_NEW + 1; tasks++) {
+    for (int tasks = Workflow.MAX_NEW_READY - 1; tasks <= Workflow.MAX_NEW_READY + 1; tasks++) {
       Workflow workflow = Workflow.of(WorkflowFixtures.spec(step(tasks)));
       List<WorkflowTask> first = new ArrayList<>();
-      assertEquals(tasks > ReadyTasks.MAX_NEW, workflow.forEachReady(0, first::add));
-      assertEquals(Math.min(tasks, ReadyTasks.MAX_NEW), first.size());
+      assertEquals(tasks > Workflow.MAX_NEW_READY, workflow.forEachReady(0, first::add));
+      assertEquals(Math.min(tasks, Workflow.MAX_NEW_READY), first.size());
       first.forEach(task -> workflow.startAttempt(task, WorkflowFixtures.PLACE));
       assertEquals(tasks - first.size(), ready(workflow, 0).size());
     }
   }
 
+  @Test
+  void oneNewTaskOfEachStepIsPassedOnIfNoMoreAreAskedFor() {
+    Workflow workflow = Workflow.of(scheduled(3, 0, step(5), step(4)));
+    List<WorkflowTask> ready = new ArrayList<>();
+    assertTrue(workflow.forEachReady(0, 1, ready::add));
+    assertEquals(
+        List.of(
+            new TaskKey(WorkflowFixtures.ID, 0, 0, 0), new TaskKey(WorkflowFixtures.ID, 0, 1, 0)),
+        ready.stream().map(WorkflowTask::key).toList());
+  }
+
   /** Guards against tasks that are never started again behind many that never started. */
   @Test
   void tasksThatFailedAreReadyBesideAnyNumberOfNewOnes() {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -50,6 +50,12 @@
    */
   private static final long CAPACITY_PASS_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
+  /**
+   * Number of waiting tasks above which a pass looks at one task of each further step only: all of
+   * them get their turn, and the memory of a pass is bounded.
+   */
+  private static final int MAX_DETAILED = 20_000;
+
   private final LinkLoop loop;
   private final LongSupplier wallMillis;
   private final PartitionOwnership ownership;
@@ -358,11 +364,13 @@
 
   private void addReadyTasks(
       Candidate candidate, long wallNow, long now, List<WaitingTask> waiting) {
+    int maxNew = waiting.size() < MAX_DETAILED ? Workflow.MAX_NEW_READY : 1;
     boolean omitted =
         candidate
             .workflow()
             .forEachReady(
                 wallNow,
+                maxNew,
                 task -> {
                   WaitingTask each =
                       new WaitingTask(candidate.partition(), task, candidate.rank().urgency());
