The first part of a workflow's progress is dropped last

A part that outlived the first one would be taken for progress of a workflow submitted anew under its id. Also: records of 16 KiB are enough for any part, so a store with less than 48 KiB is served.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/capacity/StoreLimits.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/capacity/StoreLimits.java
@@ -15,7 +15,7 @@
   public static final StoreLimits DEFAULT = new StoreLimits(256 * 1024, 2 * 1024 * 1024);
 
   /** The smallest limit of a record by which any legal workflow can be kept, in parts. */
-  public static final int MIN_RECORD_BYTES = 48 * 1024;
+  public static final int MIN_RECORD_BYTES = 16 * 1024;
 
   /** The length of a key precedes it. */
   private static final int KEY_LENGTH_BYTES = 1;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/progress/ProgressWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/progress/ProgressWriter.java
@@ -70,12 +70,15 @@
     return encoder.encode(workflow.recordOfPart(key.part()), limits.maxValueBytes(key.toString()));
   }
 
-  /** Drops all records of the workflow. */
+  /**
+   * Drops all records of the workflow. The first part, which tells that the workflow has ended,
+   * comes last: another part alone would be taken for progress of a workflow submitted anew.
+   */
   public void drop(String id, Workflow workflow) {
-    records.write(id, () -> ByteString.EMPTY, () -> {});
     workflow.usedParts().stream()
         .filter(part -> part > 0)
         .mapToObj(part -> new ProgressKey(id, part).toString())
         .forEach(key -> records.write(key, () -> ByteString.EMPTY, () -> {}));
+    records.write(id, () -> ByteString.EMPTY, () -> {});
   }
 }
