What rests on a record that the store does not take waits for it

Read again, a rejected record was left out while effects behind it went on: its runs kept the capacity reserved for them and were never ordered, an end was acknowledged that the next owner would not know, a DELETE was answered 200 though the cancel was not durable, and a record refused for another cause than its size was never written again. Now such runs are refused, ends are reported again until they are durable, cancels are answered 503, and a record that fits is sent again, alone, after a second.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/Workflow.java
@@ -421,7 +421,8 @@
     return new WorkflowRecordState(status, tasks.record(first, end), endedMillis, service, isPart);
   }
 
-  int partOf(TaskKey key) {
+  /** Returns the part that holds the state of a task of this workflow. */
+  public int partOf(TaskKey key) {
     return TaskBlocks.blockOf(tasks.position(key));
   }
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
@@ -51,11 +51,6 @@
     return step;
   }
 
-  /** Returns the part of the workflow's record that holds the state of this task. */
-  public int part() {
-    return workflow.partOf(key);
-  }
-
   /** Returns whether a run completed. */
   public boolean isDone() {
     return done;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -91,6 +91,7 @@
   /** Workflows whose submission was written again, once by each owner. */
   private final Set<Long> restoredSubmissions = new HashSet<>();
 
+  private int reconciled;
   private boolean active;
   private boolean closed;
 
@@ -205,10 +206,11 @@
     progress.write(WorkflowIds.format(workflow.spec().id()), workflow);
   }
 
-  /** Returns whether the store has taken the state of the task, once all that was written is. */
-  boolean isDurable(WorkflowTask task) {
-    String id = WorkflowIds.format(task.key().workflow());
-    return !writer.isRejected(new ProgressKey(id, task.part()).toString());
+  /** Returns whether the store takes the state of the task, so that what was written is durable. */
+  boolean isDurable(TaskKey task) {
+    int part = workflow(task.workflow()).map(found -> found.partOf(task)).orElse(0);
+    return !writer.isRejected(
+        new ProgressKey(WorkflowIds.format(task.workflow()), part).toString());
   }
 
   /** Removes an ended workflow from memory and from the store. */
@@ -406,10 +408,11 @@
     boolean cancelled =
         cancelledMillis.isPresent()
             && workflow.cancel(Math.max(cancelledMillis.getAsLong(), spec.acceptedMillis()));
-    boolean changed = cancelled || workflow.reconcile(clocks.read().wallMillis());
+    boolean completed = !cancelled && workflow.reconcile(clocks.read().wallMillis());
+    reconciled += completed ? 1 : 0;
     workflows.put(spec.id(), workflow);
     failedRestores.remove(spec.id());
-    if (changed) {
+    if (cancelled || completed) {
       persist(workflow);
     }
     if (active) {
@@ -471,6 +474,7 @@
             .with("partition", number)
             .with("epoch", epoch())
             .with("workflows", workflows.size())
+            .with("reconciled", reconciled)
             .with("tombstones", tombstones.size())
             .with("submissions_end", tail.nextOffset()));
     // An exception must not prevent tailing: the partition is already active, and without tailing
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
@@ -18,9 +18,7 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.Writer;
 import io.marigoldsail.time.ClockPair;
 import io.marigoldsail.time.ClockReading;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -49,6 +47,9 @@
   /** Delay before an append is retried, in nanoseconds; spares a store that fails. */
   private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
 
+  /** Delay before a record that the store rejected is sent again, in nanoseconds. */
+  private static final long REJECTED_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   /**
    * Size that a batch does not exceed by another record, in bytes; less if the store takes less.
    */
@@ -56,7 +57,12 @@
 
   private record PendingValue(Supplier<ByteString> value, Runnable onDurable) {}
 
-  private record BatchRecord(KeyedRecord record, Runnable onDurable) {}
+  /** A value as it is sent, and where its newest one comes from. */
+  private record BatchRecord(KeyedRecord record, PendingValue pending) {
+    static BatchRecord of(String key, PendingValue pending) {
+      return new BatchRecord(new KeyedRecord(key, pending.value().get()), pending);
+    }
+  }
 
   private final WorkflowStore store;
   private final LinkLoop loop;
@@ -66,10 +72,12 @@
   private final Runnable onLost;
   private final Map<String, PendingValue> pendingValues = new LinkedHashMap<>();
 
-  /** Records of a batch that was rejected, which are sent one by one before all others. */
-  private final Deque<BatchRecord> divided = new ArrayDeque<>();
+  /** Keys of a batch that was rejected, whose newest values are sent one by one before others. */
+  private final Map<String, PendingValue> divided = new LinkedHashMap<>();
 
+  /** Keys whose newest values are not durable, as the store does not take them. */
   private final Set<String> rejectedKeys = new HashSet<>();
+
   private List<Runnable> effects = new ArrayList<>();
   private long sequence;
   private boolean inFlight;
@@ -194,7 +202,7 @@
     if (closed || inFlight || (isIdle() && !renewalDue && effects.isEmpty())) {
       return;
     }
-    List<BatchRecord> records = divided.isEmpty() ? takePending() : List.of(divided.remove());
+    List<BatchRecord> records = divided.isEmpty() ? takePending() : List.of(takeDivided());
     List<Runnable> batchEffects = List.of();
     if (pendingValues.isEmpty() && divided.isEmpty()) {
       batchEffects = effects;
@@ -207,6 +215,11 @@
     send(new Batch(records, new Writer(epoch, number), batchEffects, clocks.read()));
   }
 
+  private BatchRecord takeDivided() {
+    String key = divided.keySet().iterator().next();
+    return BatchRecord.of(key, divided.remove(key));
+  }
+
   /** Removes and returns the pending values that fit into one append. */
   private List<BatchRecord> takePending() {
     List<BatchRecord> records = new ArrayList<>();
@@ -215,13 +228,12 @@
     var entries = pendingValues.entrySet().iterator();
     while (entries.hasNext()) {
       Map.Entry<String, PendingValue> entry = entries.next();
-      KeyedRecord each = new KeyedRecord(entry.getKey(), entry.getValue().value().get());
-      bytes += StoreLimits.bytesInCall(each.key(), each.value().size());
+      BatchRecord each = BatchRecord.of(entry.getKey(), entry.getValue());
+      bytes += StoreLimits.bytesInCall(each.record().key(), each.record().value().size());
       if (bytes > maxBytes && !records.isEmpty()) {
         break;
       }
-      records.add(new BatchRecord(each, entry.getValue().onDurable()));
-      rejectedKeys.remove(each.key());
+      records.add(each);
       entries.remove();
     }
     return records;
@@ -231,7 +243,7 @@
       List<BatchRecord> records, Writer writer, List<Runnable> effects, ClockReading firstSent) {
     List<Runnable> allEffects() {
       List<Runnable> all = new ArrayList<>();
-      records.forEach(each -> all.add(each.onDurable()));
+      records.forEach(each -> all.add(each.pending().onDurable()));
       all.addAll(effects);
       return all;
     }
@@ -257,6 +269,7 @@
     if (result instanceof Appended) {
       inFlight = false;
       evidence = Optional.of(batch.firstSent());
+      batch.records().forEach(each -> rejectedKeys.remove(each.record().key()));
       if (hasEvidence()) {
         batch.allEffects().forEach(this::runEffect);
       } else {
@@ -279,16 +292,15 @@
   }
 
   /**
-   * Continues with the records of a batch that the store does not take, one by one. A single record
-   * is dropped until its workflow changes: sent as it was, it would hold up all others of the
-   * partition for good.
+   * Continues with the values of a batch that the store does not take, one by one: sent as it was,
+   * one record would hold up all others of the partition for good.
    */
   private void divide(Batch batch, String reason) {
     inFlight = false;
     sequence = batch.writer().sequence();
     effects.addAll(0, batch.effects());
     if (batch.records().size() > 1) {
-      divided.addAll(batch.records());
+      batch.records().forEach(each -> divided.putIfAbsent(each.record().key(), each.pending()));
       LOG.warning(
           LogLine.of("append-divided")
               .with("partition", partition)
@@ -296,19 +308,40 @@
               .with("records", batch.records().size())
               .with("reason", reason));
     } else {
-      KeyedRecord rejected = batch.records().get(0).record();
-      rejectedKeys.add(rejected.key());
-      LOG.error(
-          LogLine.of("record-rejected")
-              .with("partition", partition)
-              .with("epoch", epoch)
-              .with("key", rejected.key())
-              .with("bytes", rejected.value().size())
-              .with("reason", reason));
+      reject(batch.records().get(0), reason);
     }
     flush();
   }
 
+  /**
+   * Goes on without a record that the store does not take alone. One that is too large is written
+   * again only once its value is, any other one also after a while.
+   */
+  private void reject(BatchRecord rejected, String reason) {
+    String key = rejected.record().key();
+    int bytes = rejected.record().value().size();
+    boolean tooLarge = bytes > store.limits().maxValueBytes(key);
+    rejectedKeys.add(key);
+    LOG.error(
+        LogLine.of("record-rejected")
+            .with("partition", partition)
+            .with("epoch", epoch)
+            .with("key", key)
+            .with("bytes", bytes)
+            .with("too_large", tooLarge)
+            .with("reason", reason));
+    if (!tooLarge) {
+      loop.schedule(() -> retryRejected(key, rejected.pending()), REJECTED_DELAY_NANOS);
+    }
+  }
+
+  private void retryRejected(String key, PendingValue pending) {
+    if (!closed && rejectedKeys.contains(key) && !pendingValues.containsKey(key)) {
+      divided.putIfAbsent(key, pending);
+      scheduleFlush();
+    }
+  }
+
   /** Returns whether the newest value of the key is not durable, as the store does not take it. */
   boolean isRejected(String key) {
     return rejectedKeys.contains(key);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndAcknowledger.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndAcknowledger.java
@@ -78,7 +78,8 @@
   /**
    * Runs the acknowledgement once the end is durable; never runs it for a run that is still open.
    *
-   * <p>May be called again for the same end, whose state change may not be durable yet. A run
+   * <p>May be called again for the same end, whose state change may not be durable yet: the worker
+   * reports an end until it is acknowledged, also one whose record the store does not take. A run
    * without a record in the partition may have been ordered by a later owner, so its end is
    * acknowledged only after an append has proven that there is no later owner.
    *
@@ -94,7 +95,14 @@
       logUnknownEnd(partition, run, vm);
       partition.writer().afterRenewal(acknowledgement);
     } else if (task.get().hasEnded(run.attempt())) {
-      partition.writer().afterDurable(acknowledgement);
+      partition
+          .writer()
+          .afterDurable(
+              () -> {
+                if (partition.isDurable(run.task())) {
+                  acknowledgement.run();
+                }
+              });
     } else {
       LOG.error(
           LogLine.of("end-not-taken")
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndLog.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndLog.java
@@ -18,6 +18,9 @@
 final class RunEndLog {
   private static final EventLog LOG = EventLog.of(RunEndLog.class);
 
+  /** The reason of an end that the worker has listed. */
+  static final String LISTED = "listed by the worker";
+
   /** How long refusals with the same reason are aggregated, in nanoseconds. */
   private static final long AGGREGATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -124,7 +124,8 @@
   }
 
   private void orderDurable(OpenRun run) {
-    if (!run.partition().isDurable(run.task())) {
+    if (run.isOpen() && !run.partition().isDurable(run.task().key())) {
+      closeRun(run, RunOutcome.REFUSED, "", line -> line.with("reason", "attempt not durable"));
       return;
     }
     run.markDurable();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -382,7 +382,7 @@
     for (EndedRun end : listing.ended()) {
       listed.add(end.run());
       if (ends.recordSequence(end.sequence())) {
-        recordEnd(end.run(), end.outcome(), end.checkpoint(), end.sequence(), "listed");
+        recordEnd(end.run(), end.outcome(), end.checkpoint(), end.sequence(), RunEndLog.LISTED);
       }
     }
     for (ActiveRun active : listing.running()) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
@@ -7,6 +7,7 @@
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.protocol.WorkflowQuery;
 import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowIds;
 import java.util.Optional;
@@ -141,7 +142,10 @@
         .afterDurable(
             () -> {
               vms.stopUnwanted(workflow);
-              cancelled.complete(QueryResult.of(workflow.durableStatus()));
+              cancelled.complete(
+                  isStatusDurable(owned, workflow.spec().id())
+                      ? QueryResult.of(workflow.durableStatus())
+                      : QueryResult.UNAVAILABLE);
             });
     // The cancel may never become durable if the partition has another owner or the store is
     // unreachable.
@@ -149,6 +153,11 @@
     return cancelled;
   }
 
+  /** The status is recorded with the first task, also of a workflow that is not known. */
+  private static boolean isStatusDurable(OwnedPartition owned, long id) {
+    return owned.isDurable(new TaskKey(id, 0, 0, 0));
+  }
+
   /**
    * Reports that the workflow does not exist once its cancel is durable: the store may still take a
    * submission that it received before, or one that the caller repeats.
@@ -173,7 +182,10 @@
               if (submitted.isPresent()) {
                 cancelOwned(owned, submitted.get(), deadline).thenAccept(answered::complete);
               } else {
-                answered.complete(QueryResult.UNKNOWN_WORKFLOW);
+                answered.complete(
+                    isStatusDurable(owned, id)
+                        ? QueryResult.UNKNOWN_WORKFLOW
+                        : QueryResult.UNAVAILABLE);
               }
             });
     loop.schedule(() -> answered.complete(QueryResult.UNAVAILABLE), deadline - loop.now());
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FakeWorkflowStore.java
@@ -54,6 +54,8 @@
   private int faultsSeen;
   private boolean refusesDrops;
   private boolean enforcesLimits;
+  private final Set<String> rejectedKeys = new TreeSet<>();
+  private int appendsRejected;
   private int dropsRefused;
 
   FakeWorkflowStore(int partitions, ScheduledExecutorService timer) {
@@ -71,6 +73,21 @@
     enforcesLimits = true;
   }
 
+  /** Rejects each append to the progress that contains the key. */
+  synchronized void reject(String key) {
+    rejectedKeys.add(key);
+  }
+
+  /** Takes all keys again. */
+  synchronized void rejectNone() {
+    rejectedKeys.clear();
+  }
+
+  /** Returns the number of appends that were rejected for one of their keys. */
+  synchronized int appendsRejected() {
+    return appendsRejected;
+  }
+
   /** Refuses to drop submissions from now on. */
   synchronized void refuseDrops() {
     refusesDrops = true;
@@ -192,6 +209,11 @@
   @Override
   public synchronized CompletableFuture<AppendResult> append(
       Topic topic, int partition, List<KeyedRecord> records, Optional<Writer> writer) {
+    if (topic == Topic.PROGRESS
+        && records.stream().anyMatch(each -> rejectedKeys.contains(each.key()))) {
+      appendsRejected++;
+      return completeLater(NotAppended.rejected("rejected by the test"));
+    }
     if (enforcesLimits && isTooLarge(records)) {
       return completeLater(NotAppended.rejected("over the limits"));
     }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FullOwnersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/FullOwnersTest.java
@@ -3,12 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.OwnerFull;
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.WorkflowSpec;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
 /** What entries accept while owners keep as much as they may, on virtual time. */
@@ -24,15 +22,9 @@
     return WorkflowTestCluster.workflow(id, 1);
   }
 
-  private AppendResult submit(VirtualCluster.Entry entry, long id) {
-    CompletableFuture<AppendResult> result = new CompletableFuture<>();
-    entry.execute(() -> entry.entry().submit(spec(id)).thenAccept(result::complete));
-    return cluster.await(result, 2_000);
-  }
-
   private int acceptedOf(VirtualCluster.Entry entry, int first) {
     int accepted = 0;
-    while (accepted < MANY && submit(entry, first + accepted) instanceof Appended) {
+    while (accepted < MANY && entry.submit(spec(first + accepted)) instanceof Appended) {
       accepted++;
     }
     return accepted;
@@ -52,7 +44,7 @@
     cluster.advance(SETTLED_MILLIS);
     int more = acceptedOf(second, MANY);
     assertTrue((accepted + more) * each <= 2L * MAX_BYTES, "accepted " + more + " more");
-    assertInstanceOf(OwnerFull.class, submit(second, MANY + more));
+    assertInstanceOf(OwnerFull.class, second.submit(spec(MANY + more)));
   }
 
   /** Guards against a caller that is told that its accepted workflow never runs. */
@@ -65,7 +57,7 @@
     int accepted = acceptedOf(first, 0);
     cluster.advance(SETTLED_MILLIS);
     for (int id = 0; id < accepted; id++) {
-      assertInstanceOf(Appended.class, submit(id % 2 == 0 ? first : second, id));
+      assertInstanceOf(Appended.class, (id % 2 == 0 ? first : second).submit(spec(id)));
     }
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/LargeFramesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/LargeFramesTest.java
@@ -4,18 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.common.collect.ImmutableList;
-import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
-import io.marigoldsail.job.Sizes;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.WorkflowSpec;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
 /** What does not fit into one frame between an entry and a side process, on virtual time. */
@@ -23,6 +18,8 @@
   private static final long RETENTION_MILLIS = 60_000;
   private static final long SETTLED_MILLIS = 4_000;
   private static final int RUNS = 9_000;
+  private static final StepSpec.TaskTraits LASTING =
+      new StepSpec.TaskTraits(false, true, false, true, false, "", 0, 0);
 
   private final VirtualCluster cluster = new VirtualCluster();
   private final VirtualCluster.Entry entry = cluster.addEntry(0, RETENTION_MILLIS);
@@ -39,31 +36,11 @@
     return side;
   }
 
-  private static WorkflowSpec spec(long id, int tasks, String program) {
-    StepSpec step =
-        new StepSpec(
-            tasks,
-            new Sizes(1, 1 << 20, 0),
-            100,
-            ImmutableList.of(),
-            StepSpec.Placement.ANYWHERE,
-            new StepSpec.TaskTraits(false, true, false, true, false, "", 0, 0));
-    WorkflowSpec.QueuePolicy policy =
-        new WorkflowSpec.QueuePolicy("service", 0, 3, Optional.empty(), 2, 1_000);
-    return new WorkflowSpec(
-        id,
-        "queue",
-        policy,
-        program,
-        ImmutableList.of(step),
-        WorkflowSpec.Schedule.IMMEDIATE,
-        System.currentTimeMillis());
-  }
-
-  private void submit(WorkflowSpec spec) {
-    CompletableFuture<AppendResult> result = new CompletableFuture<>();
-    entry.execute(() -> entry.entry().submit(spec).thenAccept(result::complete));
-    assertInstanceOf(Appended.class, cluster.await(result, 2_000));
+  private void submit(long id, int tasks, String program) {
+    WorkflowSpec spec =
+        WorkflowTestCluster.workflowOfSmallTasks(
+            id, 0, tasks, StepSpec.Placement.ANYWHERE, LASTING, program);
+    assertInstanceOf(Appended.class, entry.submit(spec));
   }
 
   private void assertAllStartedOnce(int runs) {
@@ -77,7 +54,7 @@
   void startsThatNoFrameHoldsTogetherReachTheirVm() {
     String program = "p".repeat(WorkflowSpec.MAX_PROGRAM_LENGTH);
     for (int id = 1; id <= 60; id++) {
-      submit(spec(id, 2, program));
+      submit(id, 2, program);
     }
     addSide();
     assertAllStartedOnce(120);
@@ -89,7 +66,7 @@
    */
   @Test
   void runsThatNoFrameHoldsTogetherOutliveTheirEntry() {
-    submit(spec(1, RUNS, "program"));
+    submit(1, RUNS, "program");
     VirtualCluster.Side side = addSide();
     assertAllStartedOnce(RUNS);
     entry.kill();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualCluster.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualCluster.java
@@ -3,10 +3,13 @@
 import com.google.common.collect.ImmutableList;
 import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.link.VirtualLinks;
+import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.job.Sizes;
+import io.marigoldsail.workflow.QueryResult;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
 import io.marigoldsail.workflow.WorkflowIds;
+import io.marigoldsail.workflow.WorkflowSpec;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -131,6 +134,20 @@
     String memberPrefix() {
       return memberPrefix;
     }
+
+    /** Submits the workflow and advances the time until the entry responds. */
+    AppendResult submit(WorkflowSpec spec) {
+      CompletableFuture<AppendResult> result = new CompletableFuture<>();
+      execute(() -> entry.submit(spec).thenAccept(result::complete));
+      return await(result, 2_000);
+    }
+
+    /** Queries or cancels the workflow and advances the time until the entry responds. */
+    QueryResult query(long id, boolean cancel) {
+      CompletableFuture<QueryResult> result = new CompletableFuture<>();
+      execute(() -> entry.query(id, "queue", cancel).thenAccept(result::complete));
+      return await(result, 2_000);
+    }
   }
 
   /** A side process with its worker. */
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WideBacklogTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WideBacklogTest.java
@@ -3,17 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
-import com.google.common.collect.ImmutableList;
-import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
-import io.marigoldsail.job.Sizes;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.WorkflowSpec;
 import java.util.HashSet;
-import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
 /** Far more waiting tasks than a pass looks at one by one, on virtual time. */
@@ -26,29 +21,16 @@
   private final VirtualCluster.Entry entry = cluster.addEntry(0, 60_000);
   private final VirtualCluster.Side side = cluster.addSide("vm-0");
 
-  private static WorkflowSpec spec(long id, int priority, int tasks, String label) {
-    StepSpec step =
-        new StepSpec(
+  private void submit(long id, int priority, int tasks, String label) {
+    WorkflowSpec spec =
+        WorkflowTestCluster.workflowOfSmallTasks(
+            id,
+            priority,
             tasks,
-            new Sizes(1, 1 << 20, 0),
-            100,
-            ImmutableList.of(),
             new StepSpec.Placement(label, "", false, 0),
-            StepSpec.TaskTraits.PLAIN);
-    return new WorkflowSpec(
-        id,
-        "queue",
-        new WorkflowSpec.QueuePolicy("service", priority, 3, Optional.empty(), 2, 1_000),
-        "program",
-        ImmutableList.of(step),
-        WorkflowSpec.Schedule.IMMEDIATE,
-        System.currentTimeMillis());
-  }
-
-  private void submit(WorkflowSpec spec) {
-    CompletableFuture<AppendResult> result = new CompletableFuture<>();
-    entry.execute(() -> entry.entry().submit(spec).thenAccept(result::complete));
-    assertInstanceOf(Appended.class, cluster.await(result, 2_000));
+            StepSpec.TaskTraits.PLAIN,
+            "program");
+    assertInstanceOf(Appended.class, entry.submit(spec));
   }
 
   /**
@@ -61,10 +43,10 @@
     side.onStart(started::add);
     cluster.advance(4_000);
     for (int id = 0; id < BACKLOG; id++) {
-      submit(spec(id, 0, WIDTH, "no-such-label"));
+      submit(id, 0, WIDTH, "no-such-label");
     }
     for (int id = BACKLOG; id < BACKLOG + LATER; id++) {
-      submit(spec(id, 1, 30, ""));
+      submit(id, 1, 30, "");
     }
     cluster.advance(10_000);
     assertEquals(LATER * 30, started.size());
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowTestCluster.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/WorkflowTestCluster.java
@@ -296,6 +296,26 @@
         System.currentTimeMillis());
   }
 
+  /** Returns a workflow of one step whose tasks take a thousandth of a processor each. */
+  static WorkflowSpec workflowOfSmallTasks(
+      long id,
+      int priority,
+      int tasks,
+      StepSpec.Placement placement,
+      StepSpec.TaskTraits traits,
+      String program) {
+    StepSpec step =
+        new StepSpec(tasks, new Sizes(1, 1 << 20, 0), 100, ImmutableList.of(), placement, traits);
+    return new WorkflowSpec(
+        id,
+        "queue",
+        new WorkflowSpec.QueuePolicy("service", priority, 3, Optional.empty(), 2, 1_000),
+        program,
+        ImmutableList.of(step),
+        WorkflowSpec.Schedule.IMMEDIATE,
+        System.currentTimeMillis());
+  }
+
   QueryResult status(int entry, long id) {
     return entries.get(entry).entry().query(id, "queue", false).join();
   }
