Evidence of all VMs is bounded by the memory that it takes

The bound counted the bytes of a message, and evidence on images with short names takes some five times as much at an entry. It counts estimated memory there now. How images were last classified is kept on a VM only for those that run.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/InterferenceModel.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/InterferenceModel.java
@@ -50,7 +50,7 @@
   private static final int MAX_EFFECTS = 4_096;
 
   private final RecentEvidence<ImagePair, PairEvidence> local =
-      new RecentEvidence<>(MAX_LOCAL_BYTES, ImagePair::nameBytes);
+      RecentEvidence.forMessage(MAX_LOCAL_BYTES, ImagePair::nameBytes);
   private Map<ImagePair, PairEvidence> remote = Map.of();
 
   /** Estimates by best-effort image and service image, as far as they were asked for. */
--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/PairEvidenceAggregator.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/PairEvidenceAggregator.java
@@ -20,8 +20,8 @@
   /** Minimum time between two sums, in nanoseconds. */
   static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** Maximum size of the evidence of all VMs, in bytes. */
-  static final int MAX_BYTES = 6 << 20;
+  /** Maximum of the estimated memory of the evidence of all VMs, in bytes. */
+  static final int MAX_BYTES = 8 << 20;
 
   /** A pair on one VM. */
   private record SeenPair(String vm, ImagePair pair) {
@@ -31,7 +31,7 @@
   }
 
   private final RecentEvidence<SeenPair, PairEvidence> evidenceOfVms =
-      new RecentEvidence<>(MAX_BYTES, SeenPair::nameBytes);
+      RecentEvidence.inMemory(MAX_BYTES, SeenPair::nameBytes);
   private ImmutableMap<ImagePair, PairEvidence> total = ImmutableMap.of();
   private long summedAt = Long.MIN_VALUE;
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/colocation/RecentEvidence.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/colocation/RecentEvidence.java
@@ -19,41 +19,61 @@
  * @param <V> the evidence
  */
 public final class RecentEvidence<K, V> {
-  /** What evidence takes beside its names, in a message as well as in a record of it, in bytes. */
-  private static final int VALUE_BYTES = 32;
+  /** What evidence takes in a message beside its names, in bytes. */
+  private static final int MESSAGE_BYTES = 32;
+
+  /**
+   * What it takes in memory beside its names: objects for key, names, value and entry, in bytes.
+   */
+  private static final int MEMORY_BYTES = 260;
 
   /** Most bytes that one UTF-16 code unit takes in a message. */
   private static final int MAX_CHARACTER_BYTES = 3;
 
   private final int maxBytes;
-  private final ToIntFunction<K> nameBytes;
+  private final ToIntFunction<K> sizes;
   private final LinkedHashMap<K, V> evidence = new LinkedHashMap<>();
   private int bytes;
 
+  private RecentEvidence(int maxBytes, ToIntFunction<K> sizes) {
+    checkArgument(maxBytes > 0, "maxBytes is not positive: %s", maxBytes);
+    this.maxBytes = maxBytes;
+    this.sizes = requireNonNull(sizes, "sizes");
+  }
+
   /**
-   * Creates an instance without evidence.
+   * Returns an instance without evidence, all of which is to fit into a message.
    *
-   * @param maxBytes the maximum of the sizes of all evidence together
+   * @param maxBytes the maximum length in the message
    * @param nameBytes returns the length of the names in a key, in bytes
    */
-  public RecentEvidence(int maxBytes, ToIntFunction<K> nameBytes) {
-    checkArgument(maxBytes > 0, "maxBytes is not positive: %s", maxBytes);
-    this.maxBytes = maxBytes;
-    this.nameBytes = requireNonNull(nameBytes, "nameBytes");
+  public static <K, V> RecentEvidence<K, V> forMessage(int maxBytes, ToIntFunction<K> nameBytes) {
+    return new RecentEvidence<>(maxBytes, key -> bytesInMessage(nameBytes.applyAsInt(key)));
+  }
+
+  /**
+   * Returns an instance without evidence whose memory is bounded.
+   *
+   * @param maxBytes the maximum of the estimated memory
+   * @param nameBytes returns the length of the names in a key, in bytes
+   */
+  public static <K, V> RecentEvidence<K, V> inMemory(int maxBytes, ToIntFunction<K> nameBytes) {
+    return new RecentEvidence<>(maxBytes, key -> bytesInMemory(nameBytes.applyAsInt(key)));
   }
 
-  /** Returns the most bytes that a name takes in a message. */
+  /** Returns the most bytes that a name takes in a message or in memory. */
   public static int bytesOf(String name) {
     return name.chars().map(each -> each < 0x80 ? 1 : MAX_CHARACTER_BYTES).sum();
   }
 
-  /** Returns the estimated size of evidence whose names have the given length, in bytes. */
-  public static int bytesWithNames(int nameBytes) {
-    return nameBytes + VALUE_BYTES;
+  /** Returns the length in a message of evidence whose names have the given length, in bytes. */
+  public static int bytesInMessage(int nameBytes) {
+    return nameBytes + MESSAGE_BYTES;
   }
 
-  private int size(K key) {
-    return bytesWithNames(nameBytes.applyAsInt(key));
+  /** Returns the estimated memory of evidence whose names have the given length, in bytes. */
+  public static int bytesInMemory(int nameBytes) {
+    return nameBytes + MEMORY_BYTES;
   }
 
   /** Returns the evidence, or the given one if there is none. */
@@ -65,12 +85,12 @@
   public void put(K key, V value) {
     requireNonNull(value, "value");
     if (evidence.remove(requireNonNull(key, "key")) == null) {
-      bytes += size(key);
+      bytes += sizes.applyAsInt(key);
     }
     evidence.put(key, value);
     Iterator<K> eldest = evidence.keySet().iterator();
     while (bytes > maxBytes) {
-      bytes -= size(eldest.next());
+      bytes -= sizes.applyAsInt(eldest.next());
       eldest.remove();
     }
   }
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageEvidenceAggregator.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageEvidenceAggregator.java
@@ -23,8 +23,8 @@
   /** Weights up to this are rounding errors, too small to affect a belief. */
   private static final double NEGLIGIBLE_WEIGHT = 1e-6;
 
-  /** Maximum size of the evidence of all VMs, in bytes. */
-  static final int MAX_BYTES = 6 << 20;
+  /** Maximum of the estimated memory of the evidence of all VMs, in bytes. */
+  static final int MAX_BYTES = 8 << 20;
 
   /** By VM; the one that reported last comes last. */
   private final Map<String, Map<String, ImageInterference.Evidence>> byVm = new LinkedHashMap<>();
@@ -58,7 +58,7 @@
 
   private static int sizeOf(Map<String, ImageInterference.Evidence> evidence) {
     return evidence.keySet().stream()
-        .mapToInt(image -> RecentEvidence.bytesWithNames(RecentEvidence.bytesOf(image)))
+        .mapToInt(image -> RecentEvidence.bytesInMemory(RecentEvidence.bytesOf(image)))
         .sum();
   }
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageInterference.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/ImageInterference.java
@@ -104,7 +104,7 @@
   }
 
   private final RecentEvidence<String, Evidence> localEvidence =
-      new RecentEvidence<>(MAX_LOCAL_BYTES, RecentEvidence::bytesOf);
+      RecentEvidence.forMessage(MAX_LOCAL_BYTES, RecentEvidence::bytesOf);
   private Map<String, Evidence> remoteEvidence = Map.of();
 
   /**
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunThrottler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunThrottler.java
@@ -52,7 +52,10 @@
   private final Overcommit overcommit;
   private final BestEffortThrottler bestEffortThrottler = new BestEffortThrottler();
   private final ImageInterference interference = new ImageInterference();
-  private final Map<String, Boolean> loggedAsInterfering = new HashMap<>();
+
+  /** How the images of the last reading were classified; what no longer runs is left out. */
+  private Map<String, Boolean> loggedAsInterfering = Map.of();
+
   private final AggregatingLog throttleLog;
   private final InterferenceModel pairs = new InterferenceModel();
   private final Optional<Colocation> colocation;
@@ -258,9 +261,11 @@
 
   /** Logs the images on this VM that have become, or are no longer, classified as interfering. */
   private void logClassificationChanges(List<ImageInterference.ImageLoad> loads) {
+    Map<String, Boolean> classified = new HashMap<>();
     for (ImageInterference.ImageLoad each : loads) {
       boolean interfering = isInterfering(each.image());
-      Boolean before = loggedAsInterfering.put(each.image(), interfering);
+      classified.put(each.image(), interfering);
+      Boolean before = loggedAsInterfering.get(each.image());
       if (before != null && before != interfering) {
         LOG.info(
             LogLine.of(interfering ? "image-suspected" : "image-cleared")
@@ -270,6 +275,7 @@
                 .with("used_milli", Math.round(each.milliProcessors())));
       }
     }
+    loggedAsInterfering = classified;
   }
 
   private BestEffortThrottler.BestEffortLoad bestEffortLoad(
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PairReportsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/PairReportsTest.java
@@ -36,4 +36,13 @@
     assertTrue(reports.tryAcquire("entry-0", INTERVAL - 1));
     assertEquals(unused, reports.changes("entry-0", Map.of(FIRST, SEEN)));
   }
+
+  /** Guards against pairs that are kept as reported after their evidence was forgotten. */
+  @Test
+  void forgottenEvidenceIsReportedAgainWhenItIsSeenAgain() {
+    Map<ImagePair, PairEvidence> both = Map.of(FIRST, SEEN, SECOND, SEEN);
+    assertEquals(both, reports.changes("entry-0", both));
+    assertEquals(Map.of(), reports.changes("entry-0", Map.of(SECOND, SEEN)));
+    assertEquals(Map.of(FIRST, SEEN), reports.changes("entry-0", both));
+  }
 }
