What is cut is told, and parts name what they are of

A record that left checkpoints out said so nowhere; it logs checkpoints-left-out with the sizes. A part beyond any workflow's tasks is not joined. The completion of a gang that is durable in part had no test that fails without it (WorkflowTasksTest).

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowRecordState.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowRecordState.java
@@ -49,7 +49,7 @@
         tasks.stream()
             .map(
                 task ->
-                    Utf8.encodedLength(task.checkpoint()) <= Math.max(0, maxBytes)
+                    Utf8.encodedLength(task.checkpoint()) <= maxBytes
                         ? task
                         : task.withoutCheckpoint())
             .collect(ImmutableList.toImmutableList()),
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTasksTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkflowTasksTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -113,6 +115,31 @@
     assertFalse(workflow.task(task.key()).orElseThrow().isSuperseded(1, RunOutcome.DONE));
   }
 
+  /**
+   * Guards against a gang that is done in part, for which no attempt can start: its members are in
+   * two parts of the record, and the former owner died when one of them was durable.
+   */
+  @Test
+  void gangThatIsDurableInPartIsCompletedByTheNextOwner() {
+    int members = Workflow.TASKS_PER_PART + 10;
+    WorkflowSpec spec = WorkflowFixtures.spec(WorkflowFixtures.gang(members, 100, false));
+    Workflow former = Workflow.of(spec);
+    former.startGangAttempt(
+        former.tasks().get(0), Collections.nCopies(members, WorkflowFixtures.PLACE));
+    List<TaskRecordState> open = former.recordOfPart(0).tasks();
+    former.recordEnd(former.tasks().get(70).openRun(), RunOutcome.DONE, "", 1);
+    List<TaskRecordState> tasks = new ArrayList<>(open);
+    tasks.addAll(former.recordOfPart(1).tasks());
+    WorkflowRecordState state =
+        new WorkflowRecordState(WorkflowStatus.RUNNING, ImmutableList.copyOf(tasks), 0, "");
+    Workflow restored = Workflow.restore(spec, state);
+    assertTrue(restored.reconcile(7));
+    assertEquals(WorkflowStatus.DONE, restored.status());
+    assertEquals(7, restored.endedMillis());
+    assertFalse(restored.hasOpenTasks());
+    assertFalse(restored.reconcile(8));
+  }
+
   /** What a test remembers of a task. */
   private static final class Model {
     private boolean done;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/frames/ReportParts.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/frames/ReportParts.java
@@ -12,7 +12,9 @@
 
 /**
  * Divides the report of a VM into parts that fit into frames. All but the last announce that
- * another one follows, and hold nothing but lists; {@link ReportJoiner} joins them. Stateless.
+ * another one follows, and hold lists alone beside the names of VM and worker: an entry that knows
+ * no parts must not take them for the report of a VM without its worker. {@link ReportJoiner} joins
+ * them. Stateless.
  */
 public final class ReportParts {
   /** The maximum length of a part, in bytes. */
@@ -64,7 +66,8 @@
       for (T each : elements) {
         int size = CodedOutputStream.computeMessageSize(field, each);
         if (bytes + size > MAX_PART_BYTES) {
-          parts.add(part.setVm(rest.getVm()).setContinued(true).build());
+          parts.add(
+              part.setVm(rest.getVm()).setWorker(rest.getWorker()).setContinued(true).build());
           part = VmReport.newBuilder();
           bytes = rest.getSerializedSize();
         }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/progress/ProgressWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/progress/ProgressWriter.java
@@ -4,9 +4,12 @@
 
 import com.google.protobuf.ByteString;
 import io.marigoldsail.daemon.capacity.StoreLimits;
+import io.marigoldsail.daemon.observe.EventLog;
+import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.workflow.Workflow;
 import io.marigoldsail.workflow.WorkflowRecordState;
 import io.marigoldsail.workflow.WorkflowStatus;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /**
@@ -25,18 +28,22 @@
     void write(String key, Supplier<ByteString> value, Runnable onDurable);
   }
 
-  /** Encodes the state of a part. */
-  public interface Encoder {
-    /** Returns a record of at most the given length, in bytes. */
-    ByteString encode(WorkflowRecordState state, int maxBytes);
-  }
+  private static final EventLog LOG = EventLog.of(ProgressWriter.class);
+
+  /** What a checkpoint adds to a record beside its text: tag, length, and that of its task. */
+  private static final int CHECKPOINT_OVERHEAD_BYTES = 8;
 
   private final Records records;
   private final StoreLimits limits;
-  private final Encoder encoder;
+  private final Function<WorkflowRecordState, ByteString> encoder;
 
-  /** Creates a writer. */
-  public ProgressWriter(Records records, StoreLimits limits, Encoder encoder) {
+  /**
+   * Creates a writer.
+   *
+   * @param encoder returns the record of a state, of any length
+   */
+  public ProgressWriter(
+      Records records, StoreLimits limits, Function<WorkflowRecordState, ByteString> encoder) {
     this.records = requireNonNull(records, "records");
     this.limits = requireNonNull(limits, "limits");
     this.encoder = requireNonNull(encoder, "encoder");
@@ -67,7 +74,29 @@
   }
 
   private ByteString encode(ProgressKey key, Workflow workflow) {
-    return encoder.encode(workflow.recordOfPart(key.part()), limits.maxValueBytes(key.toString()));
+    return encode(key, workflow.recordOfPart(key.part()), limits.maxValueBytes(key.toString()));
+  }
+
+  /**
+   * Returns a record of at most the given length, without the checkpoints that are longer than
+   * their share of it: a task without its checkpoint starts over, one whose state cannot be written
+   * never ends.
+   */
+  public ByteString encode(ProgressKey key, WorkflowRecordState state, int maxBytes) {
+    ByteString record = encoder.apply(state);
+    if (record.size() <= maxBytes) {
+      return record;
+    }
+    int bytesOfRest = encoder.apply(state.withCheckpointsUpTo(0)).size();
+    int share = Math.max(0, maxBytes - bytesOfRest) / Math.max(1, state.tasks().size());
+    int longest = Math.max(0, share - CHECKPOINT_OVERHEAD_BYTES);
+    LOG.warning(
+        LogLine.of("checkpoints-left-out")
+            .with("key", key)
+            .with("bytes", record.size())
+            .with("max_bytes", maxBytes)
+            .with("longest_kept", longest));
+    return encoder.apply(state.withCheckpointsUpTo(longest));
   }
 
   /**
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/progress/UnclaimedProgress.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/progress/UnclaimedProgress.java
@@ -35,9 +35,10 @@
     this.decoder = requireNonNull(decoder, "decoder");
   }
 
-  /** Adds a part; returns whether it can be decoded. */
+  /** Adds a part; returns whether it can be decoded and be one of a workflow. */
   public boolean add(long workflow, int part, ByteString record) {
-    if (part > WorkflowSpec.MAX_TASKS || decoder.apply(record).isEmpty()) {
+    boolean mayHoldTasks = part <= WorkflowSpec.MAX_TASKS / Workflow.TASKS_PER_PART;
+    if (!mayHoldTasks || decoder.apply(record).isEmpty()) {
       return false;
     }
     partsOf.computeIfAbsent(workflow, unused -> new TreeMap<>()).put(part, record);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
@@ -61,9 +61,6 @@
    */
   private static final TaskProgress END_OF_PART = TaskProgress.newBuilder().setFailures(1).build();
 
-  /** What a checkpoint adds to a record beside its text: tag, length, and that of its task. */
-  private static final int CHECKPOINT_OVERHEAD_BYTES = 8;
-
   /** Phases of a task in durable records; the numbers must never change. */
   private static final int PHASE_WAITING = 0;
 
@@ -225,21 +222,6 @@
             step.getAllowedUnavailable()));
   }
 
-  /**
-   * Returns the state as a record of at most the given length, without the checkpoints that are
-   * longer than their share of it: a task without its checkpoint starts over, one whose state
-   * cannot be written never ends.
-   */
-  static ByteString encode(WorkflowRecordState state, int maxBytes) {
-    ByteString record = encode(state);
-    if (record.size() <= maxBytes) {
-      return record;
-    }
-    int bytesOfRest = encode(state.withCheckpointsUpTo(0)).size();
-    int share = Math.max(0, maxBytes - bytesOfRest) / Math.max(1, state.tasks().size());
-    return encode(state.withCheckpointsUpTo(share - CHECKPOINT_OVERHEAD_BYTES));
-  }
-
   static ByteString encode(WorkflowRecordState state) {
     WorkflowProgress.Builder builder =
         WorkflowProgress.newBuilder()
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/frames/ReportPartsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/frames/ReportPartsTest.java
@@ -83,6 +83,7 @@
     }
     List<VmReport> parts = ReportParts.divide(report.build());
     parts.forEach(part -> assertTrue(frameBytes(part) <= FrameLimit.MAX_BYTES));
+    assertTrue(parts.stream().allMatch(part -> part.getWorker().equals("i-1@17")));
     assertEquals(Optional.of(report.build()), join(parts));
   }
 
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RecordLimitsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RecordLimitsTest.java
@@ -10,6 +10,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.marigoldsail.daemon.capacity.StoreLimits;
 import io.marigoldsail.daemon.progress.ProgressKey;
+import io.marigoldsail.daemon.progress.ProgressWriter;
 import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
@@ -233,16 +234,19 @@
     }
     WorkflowRecordState state =
         new WorkflowRecordState(WorkflowStatus.RUNNING, tasks.build(), 0, "");
+    ProgressWriter writer =
+        new ProgressWriter((key, value, done) -> {}, StoreLimits.DEFAULT, WorkflowCodec::encode);
+    ProgressKey key = new ProgressKey(KEY, 1);
     for (int max : new int[] {limit, WorkflowCodec.encode(state).size()}) {
       for (int bytes = max - 1; bytes <= max + 1; bytes++) {
-        ByteString record = WorkflowCodec.encode(state, bytes);
+        ByteString record = writer.encode(key, state, bytes);
         assertTrue(record.size() <= bytes || bytes < StoreLimits.MIN_RECORD_BYTES);
         WorkflowRecordState read = WorkflowCodec.decodeProgress(record).orElseThrow();
         assertEquals(state.withCheckpointsUpTo(0), read.withCheckpointsUpTo(0));
       }
     }
     int size = WorkflowCodec.encode(state).size();
-    assertEquals(state, WorkflowCodec.decodeProgress(WorkflowCodec.encode(state, size)).get());
+    assertEquals(state, WorkflowCodec.decodeProgress(writer.encode(key, state, size)).get());
   }
 
   /** A store whose limit is lower than the settings tell: it takes all but one record. */
