The retry of a rejected record does not follow its drop

If a workflow was dropped while the retry of a record of it was due, the older value was written after the drop and stayed in the store.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionWriter.java
@@ -269,7 +269,7 @@
     if (result instanceof Appended) {
       inFlight = false;
       evidence = Optional.of(batch.firstSent());
-      batch.records().forEach(each -> rejectedKeys.remove(each.record().key()));
+      batch.records().forEach(each -> forgetRejection(each.record().key()));
       if (hasEvidence()) {
         batch.allEffects().forEach(this::runEffect);
       } else {
@@ -342,6 +342,12 @@
     }
   }
 
+  /** The key has a durable value that is newer than the rejected one, which must not follow it. */
+  private void forgetRejection(String key) {
+    rejectedKeys.remove(key);
+    divided.remove(key);
+  }
+
   /** Returns whether the newest value of the key is not durable, as the store does not take it. */
   boolean isRejected(String key) {
     return rejectedKeys.contains(key);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RecordLimitsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RecordLimitsTest.java
@@ -270,6 +270,28 @@
     assertFalse(writer.isRejected("b"));
   }
 
+  /**
+   * Guards against a workflow that is written again after it was dropped, as the retry of a
+   * rejected record and its drop are under way at the same time.
+   */
+  @Test
+  void retryOfARejectedRecordDoesNotFollowItsDrop() {
+    for (int millis = 995; millis <= 1_010; millis++) {
+      String key = "b" + millis;
+      store.reject(key);
+      PartitionWriter writer =
+          new PartitionWriter(store, time.loop(), time.clocks(), 0, millis, () -> {});
+      writer.write(key, () -> ByteString.copyFromUtf8("rejected"), () -> {});
+      time.advance(millis);
+      store.rejectNone();
+      writer.write(key, () -> ByteString.EMPTY, () -> {});
+      time.advance(5_000);
+      assertTrue(writer.isIdle());
+      assertEquals(List.of(), progress(), key);
+      writer.close();
+    }
+  }
+
   /** Guards against a batch that the store refuses, so that none of its submissions is accepted. */
   @Test
   void submissionsThatDoNotFitIntoOneAppendAreWrittenByMore() {
