--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WaitingOrder.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WaitingOrder.java
@@ -43,7 +43,7 @@
       Comparator.comparingInt((Rank each) -> each.priority)
           .thenComparing(Comparator.comparingDouble((Rank each) -> each.density).reversed())
           .thenComparingLong(each -> each.acceptedMillis)
-          .thenComparingLong(each -> each.id);
+          .thenComparing(each -> each.id);
 
   /** Whether the result of a waiting workflow is still of use. */
   public enum Timeliness {
@@ -68,7 +68,7 @@
     private final Urgency urgency;
     private final double density;
     private final long acceptedMillis;
-    private final long id;
+    private final WorkflowId id;
 
     private Rank(Workflow workflow, Timeliness timeliness, Urgency urgency) {
       this.priority = workflow.spec().policy().priority();
@@ -101,7 +101,7 @@
 
     @Override
     public int hashCode() {
-      return Long.hashCode(id);
+      return id.hashCode();
     }
   }
 
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowSpec.java
@@ -22,7 +22,7 @@
  * @param acceptedMillis wall clock of the accepting entry, in milliseconds
  */
 public record WorkflowSpec(
-    long id,
+    WorkflowId id,
     String queue,
     QueuePolicy policy,
     String program,
@@ -107,13 +107,14 @@
   public static final int MAX_TEXT_LENGTH = 1_024;
 
   /** Estimated memory of a specification and its workflow without texts and steps, in bytes. */
-  private static final int SPEC_BYTES = 900;
+  private static final int SPEC_BYTES = 970;
 
   /** Estimated memory of a step without its texts, in bytes. */
   private static final int STEP_BYTES = 220;
 
   /** Checks the components, and that steps depend only on earlier ones. */
   public WorkflowSpec {
+    requireNonNull(id, "id");
     requireNonNull(queue, "queue");
     requireNonNull(policy, "policy");
     requireNonNull(program, "program");
@@ -160,7 +161,7 @@
    * acceptance, and whenever that was.
    */
   public boolean isSameRequest(WorkflowSpec other) {
-    return id == other.id
+    return id.equals(other.id)
         && queue.equals(other.queue)
         && program.equals(other.program)
         && steps.equals(other.steps)
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTasks.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTasks.java
@@ -99,7 +99,7 @@
 
   /** Returns whether the workflow has a task with the key. */
   boolean contains(TaskKey key) {
-    return key.workflow() == spec.id()
+    return key.workflow().equals(spec.id())
         && key.occurrence() < spec.schedule().occurrenceCount()
         && key.step() < spec.steps().size()
         && key.index() < spec.steps().get(key.step()).tasks();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/frames/PendingOrders.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/frames/PendingOrders.java
@@ -27,7 +27,7 @@
       FrameLimit.MAX_BYTES - FrameLimit.OVERHEAD_BYTES - MAX_LEASE_BYTES;
 
   private final List<RunOrders.Builder> frames = new ArrayList<>();
-  private final Set<Long> workflowsInFrame = new HashSet<>();
+  private final Set<String> workflowsInFrame = new HashSet<>();
   private int bytes;
 
   /** Creates an instance without orders. */
@@ -45,7 +45,7 @@
    */
   public int addStart(StartRun.Builder start, String program) {
     requireNonNull(program, "program");
-    long workflow = start.getTask().getWorkflow();
+    String workflow = start.getTask().getWorkflowId();
     start.setSameProgram(workflowsInFrame.contains(workflow));
     if (!start.getSameProgram()) {
       start.setProgram(program);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/frames/ReportParts.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/frames/ReportParts.java
@@ -39,10 +39,26 @@
     if (report.getSerializedSize() <= MAX_PART_BYTES) {
       return ImmutableList.of(report);
     }
-    VmReport rest = report.toBuilder().clearRuns().clearEnds().clearImages().clearPairs().build();
+    VmReport rest =
+        report.toBuilder()
+            .clearRuns()
+            .clearEnds()
+            .clearTextIdRuns()
+            .clearTextIdEnds()
+            .clearImages()
+            .clearPairs()
+            .build();
     Divider divider = new Divider(rest);
     divider.addAll(VmReport.RUNS_FIELD_NUMBER, report.getRunsList(), VmReport.Builder::addRuns);
     divider.addAll(VmReport.ENDS_FIELD_NUMBER, report.getEndsList(), VmReport.Builder::addEnds);
+    divider.addAll(
+        VmReport.TEXT_ID_RUNS_FIELD_NUMBER,
+        report.getTextIdRunsList(),
+        VmReport.Builder::addTextIdRuns);
+    divider.addAll(
+        VmReport.TEXT_ID_ENDS_FIELD_NUMBER,
+        report.getTextIdEndsList(),
+        VmReport.Builder::addTextIdEnds);
     divider.addAll(
         VmReport.IMAGES_FIELD_NUMBER, report.getImagesList(), VmReport.Builder::addImages);
     divider.addAll(VmReport.PAIRS_FIELD_NUMBER, report.getPairsList(), VmReport.Builder::addPairs);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/progress/UnclaimedProgress.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/progress/UnclaimedProgress.java
@@ -6,6 +6,7 @@
 import com.google.protobuf.ByteString;
 import io.marigoldsail.workflow.TaskRecordState;
 import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowId;
 import io.marigoldsail.workflow.WorkflowRecordState;
 import io.marigoldsail.workflow.WorkflowSpec;
 import java.util.ArrayList;
@@ -24,7 +25,7 @@
  */
 public final class UnclaimedProgress {
   private final Function<ByteString, Optional<WorkflowRecordState>> decoder;
-  private final Map<Long, TreeMap<Integer, ByteString>> partsOf = new HashMap<>();
+  private final Map<WorkflowId, TreeMap<Integer, ByteString>> partsOf = new HashMap<>();
 
   /**
    * Creates an empty instance.
@@ -36,7 +37,7 @@
   }
 
   /** Adds a part; returns whether it can be decoded and be one of a workflow. */
-  public boolean add(long workflow, int part, ByteString record) {
+  public boolean add(WorkflowId workflow, int part, ByteString record) {
     boolean mayHoldTasks = part <= WorkflowSpec.MAX_TASKS / Workflow.TASKS_PER_PART;
     if (!mayHoldTasks || decoder.apply(record).isEmpty()) {
       return false;
@@ -46,12 +47,12 @@
   }
 
   /** Removes and returns the progress of the workflow; empty if there is none. */
-  public Optional<WorkflowRecordState> remove(long workflow) {
+  public Optional<WorkflowRecordState> remove(WorkflowId workflow) {
     return Optional.ofNullable(partsOf.remove(workflow)).map(this::join);
   }
 
   /** Removes all progress and passes it to the consumer, by workflow. */
-  public void drain(BiConsumer<Long, WorkflowRecordState> consumer) {
+  public void drain(BiConsumer<WorkflowId, WorkflowRecordState> consumer) {
     partsOf.forEach((workflow, parts) -> consumer.accept(workflow, join(parts)));
     partsOf.clear();
   }
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/records/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of the durable records of a partition. */
+package io.marigoldsail.daemon.records;
--- /dev/null
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/scheduling/package-info.java
@@ -0,0 +1,2 @@
+/** Scheduling decisions of an owner that need no connection and no clock. */
+package io.marigoldsail.daemon.scheduling;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/CancelTombstones.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/CancelTombstones.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.daemon.workflow;
 
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.workflow.WorkflowId;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -17,18 +18,18 @@
   /** Age at which a repeated cancel is written again, in milliseconds. */
   private static final long RENEWAL_INTERVAL_MILLIS = 5_000;
 
-  private final Map<Long, Long> cancelledMillisById = new LinkedHashMap<>();
+  private final Map<WorkflowId, Long> cancelledMillisById = new LinkedHashMap<>();
 
   int size() {
     return cancelledMillisById.size();
   }
 
-  boolean contains(long id) {
+  boolean contains(WorkflowId id) {
     return cancelledMillisById.containsKey(id);
   }
 
   /** Adds a cancel, or renews it; returns false, and changes nothing, if there are too many. */
-  boolean add(long id, long wallMillis) {
+  boolean add(WorkflowId id, long wallMillis) {
     if (!contains(id) && cancelledMillisById.size() >= MAX_TOMBSTONES) {
       return false;
     }
@@ -37,25 +38,25 @@
   }
 
   /** Returns whether the workflow was cancelled so recently that the cancel needs no renewal. */
-  boolean isRecent(long id, long wallMillis) {
+  boolean isRecent(WorkflowId id, long wallMillis) {
     return contains(id)
         && Math.abs(wallMillis - cancelledMillisById.get(id)) < RENEWAL_INTERVAL_MILLIS;
   }
 
   /** Adds a cancel that a former owner accepted. */
-  void restore(long id, long wallMillis) {
+  void restore(WorkflowId id, long wallMillis) {
     cancelledMillisById.put(id, wallMillis);
   }
 
   /** Removes the cancel and returns its wall clock in milliseconds, or empty if there is none. */
-  OptionalLong remove(long id) {
+  OptionalLong remove(WorkflowId id) {
     Long cancelledMillis = cancelledMillisById.remove(id);
     return cancelledMillis == null ? OptionalLong.empty() : OptionalLong.of(cancelledMillis);
   }
 
   /** Removes the cancels that are older than the time, in milliseconds, and returns their ids. */
-  ImmutableList<Long> removeOlderThan(long wallMillis) {
-    ImmutableList<Long> removed =
+  ImmutableList<WorkflowId> removeOlderThan(long wallMillis) {
+    ImmutableList<WorkflowId> removed =
         cancelledMillisById.entrySet().stream()
             .filter(entry -> entry.getValue() < wallMillis)
             .map(Map.Entry::getKey)
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryConnections.java
@@ -5,6 +5,8 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Maps;
+import io.marigoldsail.daemon.frames.ReportParts;
+import io.marigoldsail.daemon.identity.EarlierForms;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -13,6 +15,7 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.OwnersResult;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.OwnerMap;
+import io.marigoldsail.protocol.VmReport;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
@@ -53,6 +56,7 @@
     private final LinkConnection link;
     private long ordersSeen;
     private boolean needsCapacity = true;
+    private boolean readsTextIds;
 
     EntryConnection(String member, LinkConnection link) {
       this.member = member;
@@ -71,6 +75,11 @@
       return ordersSeen;
     }
 
+    /** Sends the report in a form that the entry reads, as far as it has told. */
+    void send(VmReport report) {
+      ReportParts.send(link, readsTextIds ? report : EarlierForms.reportForAnyEntry(report));
+    }
+
     /** Returns whether tasks wait for capacity at the entry, as far as it has sent. */
     boolean needsCapacity() {
       return needsCapacity;
@@ -236,6 +245,7 @@
     @Override
     public void received(String member, Frame frame) {
       if (frame.hasOwnerMap()) {
+        connections.get(member).readsTextIds |= frame.getOwnerMap().getReadsTextIds();
         ownerMapReceived(member, frame.getOwnerMap());
       } else {
         listener.received(connections.get(member), frame);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.Sets;
 import io.marigoldsail.daemon.capacity.RetainedWork;
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -18,6 +19,7 @@
 import io.marigoldsail.protocol.WaitingCounts;
 import io.marigoldsail.protocol.WorkflowQuery;
 import io.marigoldsail.workflow.QueryResult;
+import io.marigoldsail.workflow.WorkflowId;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -48,7 +50,7 @@
 
   private record PendingQuery(LinkConnection connection, Consumer<QueryResult> onResult) {}
 
-  private record PeerCounts(Map<String, Integer> waiting, long receivedAt) {}
+  private record PeerCounts(Map<String, Integer> waiting, boolean readsTextIds, long receivedAt) {}
 
   private final LinkLoop loop;
   private final EntryMember self;
@@ -120,9 +122,11 @@
    * @param readsMemberLists whether it reads maps that name each member once
    */
   OwnerMap ownerMap(boolean readsMemberLists) {
-    return readsMemberLists
-        ? ownerMap
-        : OwnerMapCodec.encode(ownersByPartition, ownerMap.getGeneration());
+    OwnerMap map =
+        readsMemberLists
+            ? ownerMap
+            : OwnerMapCodec.encode(ownersByPartition, ownerMap.getGeneration());
+    return map.toBuilder().setReadsTextIds(true).build();
   }
 
   /** Returns the member that owns the partition, or empty if no owner is known. */
@@ -145,22 +149,47 @@
   /**
    * Sends a query on a workflow to the owner of the partition.
    *
+   * @param query the query without ids
    * @param onResult runs on the loop, once; {@link QueryResult#UNAVAILABLE} if the owner is
-   *     unknown, unreachable or does not respond in time
+   *     unknown, unreachable, of an earlier version that cannot represent the workflow's id, or
+   *     does not respond in time
    */
-  void query(int partition, WorkflowQuery workflowQuery, Consumer<QueryResult> onResult) {
-    LinkConnection connection = ownerOf(partition).flatMap(links::linkTo).orElse(null);
+  void query(
+      int partition,
+      WorkflowId workflow,
+      WorkflowQuery.Builder query,
+      Consumer<QueryResult> onResult) {
+    Optional<String> owner = ownerOf(partition);
+    LinkConnection connection = owner.flatMap(links::linkTo).orElse(null);
     if (connection == null) {
       onResult.accept(QueryResult.UNAVAILABLE);
       return;
     }
+    if (readsTextIds(owner.get())) {
+      query.setWorkflowId(workflow.toString());
+    } else if (WorkflowIdCodec.hasNumber(workflow)) {
+      query.setWorkflow(WorkflowIdCodec.number(workflow));
+    } else {
+      LOG.info(
+          LogLine.of("query-withheld")
+              .with("workflow", workflow)
+              .with("member", owner.get())
+              .with("reason", "the owner is not known to distinguish the case of digits"));
+      onResult.accept(QueryResult.UNAVAILABLE);
+      return;
+    }
     long id = ++lastQueryId;
     pendingQueries.put(id, new PendingQuery(connection, onResult));
-    connection.send(
-        Frame.newBuilder().setWorkflowQuery(workflowQuery.toBuilder().setId(id)).build());
+    connection.send(Frame.newBuilder().setWorkflowQuery(query.setId(id)).build());
     loop.schedule(() -> completeQuery(id, QueryResult.UNAVAILABLE), QUERY_TIMEOUT_NANOS);
   }
 
+  /** Returns whether the member reads ids as texts, as far as it has told. */
+  private boolean readsTextIds(String member) {
+    PeerCounts told = counts.get(member);
+    return told != null && told.readsTextIds();
+  }
+
   private void completeQuery(long id, QueryResult result) {
     PendingQuery pending = pendingQueries.remove(id);
     if (pending != null) {
@@ -178,6 +207,7 @@
     WaitingCounts.Builder localCounts =
         WaitingCounts.newBuilder()
             .setMember(self.toString())
+            .setReadsTextIds(true)
             .setRetainedBytes(retained.bytes(self.toString()));
     waiting.forEach(
         (queue, count) ->
@@ -227,7 +257,8 @@
       checkArgument(queue.getWaiting() >= 0, "count is out of range: %s", queue.getWaiting());
       waiting.put(queue.getQueue(), queue.getWaiting());
     }
-    counts.put(received.getMember(), new PeerCounts(waiting, loop.now()));
+    counts.put(
+        received.getMember(), new PeerCounts(waiting, received.getReadsTextIds(), loop.now()));
     retained.update(received.getMember(), Math.max(0, received.getRetainedBytes()));
   }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -5,9 +5,11 @@
 import com.google.common.collect.EnumMultiset;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.Multiset;
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.scheduling.PlacementRequirements;
 import io.marigoldsail.workflow.AdviserTiming;
 import io.marigoldsail.workflow.GangChooser;
 import io.marigoldsail.workflow.Place;
@@ -20,7 +22,6 @@
 import io.marigoldsail.workflow.VmOffer;
 import io.marigoldsail.workflow.WaitingOrder;
 import io.marigoldsail.workflow.Workflow;
-import io.marigoldsail.workflow.WorkflowIds;
 import io.marigoldsail.workflow.WorkflowTask;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -93,7 +94,9 @@
     this.adviceClient = new PlacementAdviceClient(loop, adviser, this::schedulePass);
     this.configuration = requireNonNull(configuration, "configuration");
     this.backoffTimer = new EarliestTimer(loop, this::schedulePass);
-    this.mover = new RunMover(vms, (task, offers) -> chooseAmong(task, Urgency.ORDINARY, offers));
+    this.mover =
+        new RunMover(
+            vms, (task, offers) -> chooseAmong(task, Urgency.ORDINARY, representing(task, offers)));
   }
 
   /** Schedules a pass over the waiting tasks after the current task of the loop. */
@@ -146,28 +149,6 @@
     }
   }
 
-  /**
-   * Everything that decides whether a task can be placed: after one task could not be placed, tasks
-   * with equal requirements are skipped in the same pass.
-   *
-   * <p>Includes the service because workflows of several services may have equal steps: without it,
-   * a full service would keep tasks of the others from being placed although there is capacity.
-   *
-   * @param countedStep the step, present only if the number of its tasks per VM is limited
-   */
-  private record Requirements(
-      String service, StepSpec step, Urgency urgency, Optional<StepKey> countedStep) {
-    static Requirements of(WaitingTask waiting) {
-      WorkflowTask task = waiting.task();
-      boolean counts = task.step().placement().maxPerVm() > 0;
-      return new Requirements(
-          task.workflow().service(),
-          task.step(),
-          waiting.urgency(),
-          counts ? Optional.of(StepKey.of(task.key())) : Optional.empty());
-    }
-  }
-
   private void runPass() {
     Optional<QueueTable> queues = configuration.get();
     if (queues.isEmpty()) {
@@ -200,7 +181,7 @@
     private final Map<String, VmOffer> offersByVm = new HashMap<>();
 
     /** Free capacity only shrinks during a pass: a task that does not fit now never will. */
-    private final Set<Requirements> unplaceable = new HashSet<>();
+    private final Set<PlacementRequirements> unplaceable = new HashSet<>();
 
     private final Set<Workflow> served = new HashSet<>();
     private final boolean hasSpareCapacity;
@@ -216,7 +197,7 @@
       // A workflow with one running task no longer starves.
       boolean mayStarve = hasSpareCapacity && !served.contains(task.workflow());
       WaitingTask each = mayStarve ? candidate : candidate.withoutStarvation();
-      Requirements requirements = Requirements.of(each);
+      PlacementRequirements requirements = PlacementRequirements.of(task, each.urgency());
       if (unplaceable.contains(requirements)) {
         allPlaced = false;
         return;
@@ -259,7 +240,9 @@
           task,
           advice.get(),
           chooser.rankedOffers(
-              placementRequest(task, waiting.urgency(), ""), offers, offers.size()));
+              placementRequest(task, waiting.urgency(), ""),
+              representing(task, offers),
+              offers.size()));
     }
     return chosen;
   }
@@ -270,7 +253,7 @@
    */
   private List<VmOffer> choose(WaitingTask waiting, Collection<VmOffer> allOffers) {
     List<WorkflowTask> members = waiting.members();
-    Collection<VmOffer> offers = withoutRefusals(waiting, allOffers);
+    Collection<VmOffer> offers = withoutRefusals(waiting, representing(waiting.task(), allOffers));
     List<VmOffer> withoutFailure =
         offers.stream()
             .filter(offer -> members.stream().noneMatch(each -> hasFailedOn(each, offer)))
@@ -290,6 +273,13 @@
     return avoid ? elsewhere : anywhere;
   }
 
+  /** Returns the VMs whose side processes can represent the id of the workflow. */
+  private Collection<VmOffer> representing(WorkflowTask task, Collection<VmOffer> offers) {
+    return WorkflowIdCodec.hasNumber(task.key().workflow())
+        ? offers
+        : offers.stream().filter(offer -> vms.view().readsTextIds(offer.place().vm())).toList();
+  }
+
   /** Returns the VMs that have not refused the task's image; all for a workflow that starves. */
   private Collection<VmOffer> withoutRefusals(WaitingTask waiting, Collection<VmOffer> offers) {
     StepSpec.TaskTraits traits = waiting.task().step().traits();
@@ -341,7 +331,7 @@
       for (Workflow workflow : partition.workflows()) {
         if (!workflow.status().isTerminal()) {
           guard.run(
-              () -> WorkflowIds.format(workflow.spec().id()),
+              () -> workflow.spec().id().toString(),
               () -> {
                 follow(partition, workflow, queues);
                 candidates.add(
@@ -354,7 +344,7 @@
     List<WaitingTask> waiting = new ArrayList<>();
     for (Candidate candidate : candidates) {
       guard.run(
-          () -> WorkflowIds.format(candidate.workflow().spec().id()),
+          () -> candidate.workflow().spec().id().toString(),
           () -> addReadyTasks(candidate, wallNow, now, waiting));
     }
     return waiting;
@@ -392,7 +382,7 @@
     if (workflow.follow(queues)) {
       LOG.info(
           LogLine.of("workflow-rerouted")
-              .with("workflow", WorkflowIds.format(workflow.spec().id()))
+              .with("workflow", workflow.spec().id())
               .with("queue", workflow.spec().queue())
               .with("from", before)
               .with("to", workflow.service())
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRuns.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OpenRuns.java
@@ -59,7 +59,7 @@
   int countOfStep(String vm, WorkflowTask task) {
     int count = 0;
     for (RunKey key : byVm.getOrDefault(vm, Map.of()).keySet()) {
-      if (key.task().workflow() == task.key().workflow()
+      if (key.task().workflow().equals(task.key().workflow())
           && key.task().occurrence() == task.key().occurrence()
           && key.task().step() == task.key().step()) {
         count++;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -4,24 +4,24 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
+import io.marigoldsail.daemon.identity.InexactIds;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.progress.ProgressKey;
 import io.marigoldsail.daemon.progress.ProgressWriter;
 import io.marigoldsail.daemon.progress.UnclaimedProgress;
+import io.marigoldsail.daemon.records.NewestRecordsReader;
+import io.marigoldsail.daemon.workflow.WorkflowCodec.StoredSubmission;
 import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.daemon.workflow.WorkflowStore.KeyedRecord;
-import io.marigoldsail.daemon.workflow.WorkflowStore.NewestPage;
-import io.marigoldsail.daemon.workflow.WorkflowStore.NewestResult;
-import io.marigoldsail.daemon.workflow.WorkflowStore.NewestUnavailable;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Topic;
 import io.marigoldsail.time.ClockPair;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.Workflow;
-import io.marigoldsail.workflow.WorkflowIds;
+import io.marigoldsail.workflow.WorkflowId;
 import io.marigoldsail.workflow.WorkflowRecordState;
 import io.marigoldsail.workflow.WorkflowSpec;
 import io.marigoldsail.workflow.WorkflowStatus;
@@ -37,7 +37,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 /**
  * A partition that this process owns: fences former owners, loads the durable state, then tails the
@@ -71,8 +70,9 @@
   private final PartitionWriter writer;
   private final ProgressWriter progress;
   private final SubmissionTail tail;
+  private final NewestRecordsReader reader;
   private final CancelTombstones tombstones = new CancelTombstones();
-  private final Map<Long, Workflow> workflows = new HashMap<>();
+  private final Map<WorkflowId, Workflow> workflows = new HashMap<>();
   private final UnclaimedProgress unclaimedProgress =
       new UnclaimedProgress(WorkflowCodec::decodeProgress);
 
@@ -80,17 +80,18 @@
    * Workflows whose progress cannot be restored. They are not added: their progress is not in
    * memory, so they would start over and reuse attempt numbers that were already ordered.
    */
-  private final Set<Long> failedRestores = new HashSet<>();
+  private final Set<WorkflowId> failedRestores = new HashSet<>();
 
   /**
    * Workflows whose submission cannot be read. Their progress is kept: another version may read the
    * submission, and would run the workflow as a new one.
    */
-  private final Set<Long> unreadableSubmissions = new HashSet<>();
+  private final Set<WorkflowId> unreadableSubmissions = new HashSet<>();
 
   /** Workflows whose submission was written again, once by each owner. */
-  private final Set<Long> restoredSubmissions = new HashSet<>();
+  private final Set<WorkflowId> restoredSubmissions = new HashSet<>();
 
+  private final InexactIds inexactIds = new InexactIds();
   private int reconciled;
   private boolean active;
   private boolean closed;
@@ -109,6 +110,7 @@
     this.listener = requireNonNull(listener, "listener");
     this.writer = new PartitionWriter(store, loop, clocks, number, epoch, this::handleLost);
     this.progress = new ProgressWriter(writer::write, store.limits(), WorkflowCodec::encode);
+    this.reader = new NewestRecordsReader(store, loop, number);
     this.tail =
         new SubmissionTail(store, loop, clocks, number, this::addOrSkip, this::readSubmissions);
   }
@@ -124,6 +126,7 @@
     active = false;
     writer.close();
     tail.close();
+    reader.close();
   }
 
   private void handleLost() {
@@ -151,13 +154,13 @@
     return Collections.unmodifiableCollection(workflows.values());
   }
 
-  Optional<Workflow> workflow(long id) {
+  Optional<Workflow> workflow(WorkflowId id) {
     return Optional.ofNullable(workflows.get(id));
   }
 
   /** Returns whether the workflow may exist although it is not known, so that nothing runs it. */
-  boolean isUnrestorable(long id) {
-    return failedRestores.contains(id);
+  boolean mayExist(WorkflowId id) {
+    return failedRestores.contains(id) || inexactIds.mayStandFor(id);
   }
 
   Optional<WorkflowTask> task(TaskKey key) {
@@ -203,19 +206,18 @@
 
   /** Writes the workflow's state; callers see the new status once it is durable. */
   void persist(Workflow workflow) {
-    progress.write(WorkflowIds.format(workflow.spec().id()), workflow);
+    progress.write(workflow.spec().id().toString(), workflow);
   }
 
   /** Returns whether the store takes the state of the task, so that what was written is durable. */
   boolean isDurable(TaskKey task) {
     int part = workflow(task.workflow()).map(found -> found.partOf(task)).orElse(0);
-    return !writer.isRejected(
-        new ProgressKey(WorkflowIds.format(task.workflow()), part).toString());
+    return !writer.isRejected(new ProgressKey(task.workflow().toString(), part).toString());
   }
 
   /** Removes an ended workflow from memory and from the store. */
   void evict(Workflow workflow) {
-    String key = WorkflowIds.format(workflow.spec().id());
+    String key = workflow.spec().id().toString();
     KeyedRecord drop = new KeyedRecord(key, ByteString.EMPTY);
     // The submission is dropped first: a submission without progress would run again as a new one.
     store
@@ -231,12 +233,13 @@
   private void dropProgress(Workflow workflow, String key) {
     if (!closed && workflows.remove(workflow.spec().id()) != null) {
       restoredSubmissions.remove(workflow.spec().id());
+      inexactIds.remove(workflow.spec().id());
       progress.drop(key, workflow);
     }
   }
 
   private void readProgress(Optional<String> after) {
-    readNewest(
+    reader.read(
         Topic.PROGRESS,
         after,
         page -> {
@@ -255,7 +258,7 @@
   }
 
   private void readSubmissions(Optional<String> after, long firstPageEnd, Runnable onComplete) {
-    readNewest(
+    reader.read(
         Topic.SUBMISSIONS,
         after,
         page -> {
@@ -271,41 +274,15 @@
         });
   }
 
-  private void readNewest(Topic topic, Optional<String> after, Consumer<NewestPage> onPage) {
-    if (closed) {
-      return;
-    }
-    store
-        .readNewest(topic, number, after)
-        .thenAccept(result -> loop.run(() -> handleNewest(topic, after, onPage, result)));
-  }
-
-  private void handleNewest(
-      Topic topic, Optional<String> after, Consumer<NewestPage> onPage, NewestResult result) {
-    if (closed) {
-      return;
-    }
-    if (result instanceof NewestPage page) {
-      onPage.accept(page);
-      return;
-    }
-    LOG.warning(
-        LogLine.of("partition-read-retried")
-            .with("partition", number)
-            .with("topic", topic)
-            .with("reason", ((NewestUnavailable) result).reason()));
-    loop.schedule(() -> readNewest(topic, after, onPage), RETRY_DELAY_NANOS);
-  }
-
   private void loadProgress(KeyedRecord keyed) {
     Optional<ProgressKey> key = ProgressKey.parse(keyed.key());
-    OptionalLong id =
-        key.isPresent() ? WorkflowIds.parse(key.get().workflow()) : OptionalLong.empty();
-    if (id.isEmpty() || !isKeyOf(id.getAsLong(), key.get().workflow())) {
+    Optional<WorkflowId> id =
+        key.flatMap(each -> WorkflowId.parse(each.workflow())).filter(this::isHere);
+    if (id.isEmpty()) {
       logUnreadable(Topic.PROGRESS, keyed.key());
-    } else if (!unclaimedProgress.add(id.getAsLong(), key.get().part(), keyed.value())) {
+    } else if (!unclaimedProgress.add(id.get(), key.get().part(), keyed.value())) {
       logUnreadable(Topic.PROGRESS, keyed.key());
-      failedRestores.add(id.getAsLong());
+      failedRestores.add(id.get());
     }
   }
 
@@ -330,18 +307,25 @@
     if (keyed.value().isEmpty()) {
       return;
     }
-    Optional<WorkflowSpec> spec = WorkflowCodec.decodeSubmission(keyed.value());
-    if (spec.isEmpty() || !isKeyOf(spec.get().id(), keyed.key())) {
+    Optional<StoredSubmission> stored =
+        WorkflowCodec.decodeSubmission(keyed.value()).filter(each -> isStoredHere(each, keyed));
+    if (stored.isEmpty()) {
       logUnreadable(Topic.SUBMISSIONS, keyed.key());
       if (!active) {
-        WorkflowIds.parse(keyed.key()).ifPresent(unreadableSubmissions::add);
+        WorkflowId.parse(keyed.key()).ifPresent(unreadableSubmissions::add);
       }
       return;
     }
-    Workflow known = workflows.get(spec.get().id());
+    WorkflowSpec spec = stored.get().spec();
+    Workflow known = workflows.get(spec.id());
+    if (stored.get().hasExactId()) {
+      inexactIds.remove(spec.id());
+    } else if (known == null) {
+      inexactIds.add(spec.id());
+    }
     if (known == null) {
-      add(spec.get());
-    } else if (!known.spec().isSameRequest(spec.get())) {
+      add(spec);
+    } else if (!known.spec().isSameRequest(spec)) {
       restoreSubmission(known.spec());
     }
   }
@@ -354,13 +338,12 @@
     boolean restores = active && restoredSubmissions.add(first.id());
     LOG.warning(
         LogLine.of("submission-differs")
-            .with("workflow", WorkflowIds.format(first.id()))
+            .with("workflow", first.id())
             .with("partition", number)
             .with("epoch", epoch())
             .with("restored", restores));
     if (restores) {
-      KeyedRecord submission =
-          new KeyedRecord(WorkflowIds.format(first.id()), WorkflowCodec.encode(first));
+      KeyedRecord submission = new KeyedRecord(first.id().toString(), WorkflowCodec.encode(first));
       store
           .append(Topic.SUBMISSIONS, number, List.of(submission), Optional.empty())
           .thenAccept(result -> loop.run(() -> retryUnlessRestored(first, result)));
@@ -377,10 +360,14 @@
         RETRY_DELAY_NANOS);
   }
 
-  /** Returns whether entries write records of the workflow under the key and in this partition. */
-  private boolean isKeyOf(long id, String key) {
-    return WorkflowIds.format(id).equals(key)
-        && WorkflowIds.partition(id, store.partitions()) == number;
+  private boolean isStoredHere(StoredSubmission stored, KeyedRecord keyed) {
+    WorkflowId id = stored.spec().id();
+    return id.toString().equals(keyed.key()) && isHere(id);
+  }
+
+  /** Returns whether entries write records of the workflow into this partition. */
+  private boolean isHere(WorkflowId id) {
+    return id.partition(store.partitions()) == number;
   }
 
   private void logUnreadable(Topic topic, String key) {
@@ -418,7 +405,7 @@
     if (active) {
       LOG.info(
           LogLine.of("workflow-taken-up")
-              .with("workflow", WorkflowIds.format(spec.id()))
+              .with("workflow", spec.id())
               .with("partition", number)
               .with("epoch", epoch())
               .with("accepted_ms", spec.acceptedMillis())
@@ -444,7 +431,7 @@
    * @param wallMillis wall clock in milliseconds
    * @return false if there are too many such cancels; nothing is written then
    */
-  boolean cancelUnknown(long id, long wallMillis) {
+  boolean cancelUnknown(WorkflowId id, long wallMillis) {
     if (tombstones.isRecent(id, wallMillis)) {
       return true;
     }
@@ -454,14 +441,14 @@
     ByteString record =
         WorkflowCodec.encode(
             new WorkflowRecordState(WorkflowStatus.CANCELLED, ImmutableList.of(), wallMillis, ""));
-    writer.write(WorkflowIds.format(id), () -> record, () -> {});
+    writer.write(id.toString(), () -> record, () -> {});
     return true;
   }
 
   /** Drops the cancels of unknown workflows that are older than the time, in milliseconds. */
   void dropTombstones(long cancelledBefore) {
-    for (long id : tombstones.removeOlderThan(cancelledBefore)) {
-      writer.write(WorkflowIds.format(id), () -> ByteString.EMPTY, () -> {});
+    for (WorkflowId id : tombstones.removeOlderThan(cancelledBefore)) {
+      writer.write(id.toString(), () -> ByteString.EMPTY, () -> {});
     }
   }
 
@@ -492,7 +479,7 @@
     }
   }
 
-  private void restoreTombstone(long id, WorkflowRecordState state) {
+  private void restoreTombstone(WorkflowId id, WorkflowRecordState state) {
     if (state.status() == WorkflowStatus.CANCELLED && !unreadableSubmissions.contains(id)) {
       tombstones.restore(id, state.endedMillis());
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PartitionOwnership.java
@@ -18,7 +18,7 @@
 import io.marigoldsail.time.ClockReading;
 import io.marigoldsail.workflow.OwnerSelection;
 import io.marigoldsail.workflow.Workflow;
-import io.marigoldsail.workflow.WorkflowIds;
+import io.marigoldsail.workflow.WorkflowId;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -449,8 +449,8 @@
   }
 
   /** Returns the partition that holds the workflow. */
-  int partitionOf(long workflow) {
-    return WorkflowIds.partition(workflow, store.partitions());
+  int partitionOf(WorkflowId workflow) {
+    return workflow.partition(store.partitions());
   }
 
   /** Returns whether the last join succeeded; for any thread. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PlacementAdviser.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PlacementAdviser.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import io.marigoldsail.workflow.WorkflowId;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -44,5 +45,9 @@
    * @param timeoutMillis time to wait for the response, in milliseconds
    */
   CompletableFuture<AdviceResult> advise(
-      long workflow, int occurrence, int step, ImmutableList<String> workers, long timeoutMillis);
+      WorkflowId workflow,
+      int occurrence,
+      int step,
+      ImmutableList<String> workers,
+      long timeoutMillis);
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndAcknowledger.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndAcknowledger.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.AggregatingLog;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -41,7 +42,7 @@
    * @param flush sends what was added to the session; runs on the loop
    */
   void respondWhenSafe(OwnedPartition partition, VmSession session, EndReport end, Runnable flush) {
-    RunKey run = WorkflowCodec.decode(end.getTask());
+    RunKey run = WorkflowIdCodec.decode(end.getTask());
     RunOutcome outcome = RunOutcome.forNumber(end.getOutcome());
     boolean superseded =
         partition
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.workflow;
 
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.RunKey;
@@ -241,7 +242,7 @@
 
   RunReport report() {
     return RunReport.newBuilder()
-        .setTask(WorkflowCodec.encode(key))
+        .setTask(WorkflowIdCodec.encode(key))
         .setStarted(listed)
         .setCheckpoint(checkpoint)
         .setPercent(progressPercent)
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StepKey.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StepKey.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.daemon.workflow;
 
 import io.marigoldsail.workflow.TaskKey;
+import io.marigoldsail.workflow.WorkflowId;
 
 /**
  * Identifies a step of one occurrence of a workflow.
@@ -9,7 +10,7 @@
  * @param occurrence the occurrence, from 0
  * @param step the position of the step, from 0
  */
-record StepKey(long workflow, int occurrence, int step) {
+record StepKey(WorkflowId workflow, int occurrence, int step) {
   static StepKey of(TaskKey task) {
     return new StepKey(task.workflow(), task.occurrence(), task.step());
   }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/UnacknowledgedEnds.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/UnacknowledgedEnds.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.Collections2;
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
@@ -62,7 +63,7 @@
       WorkerLease.Mark orderedAt) {
     EndReport report =
         EndReport.newBuilder()
-            .setTask(WorkflowCodec.encode(run).toBuilder().setEndSequence(sequence))
+            .setTask(WorkflowIdCodec.encode(run).toBuilder().setEndSequence(sequence))
             .setOutcome(outcome.number())
             .setCheckpoint(checkpoint)
             .setSequence(sequence)
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -9,6 +9,8 @@
 import io.marigoldsail.colocation.RefusedImages;
 import io.marigoldsail.colocation.ServiceRooms;
 import io.marigoldsail.daemon.frames.PendingOrders;
+import io.marigoldsail.daemon.identity.EarlierForms;
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -106,9 +108,9 @@
             report.getOvercommitMilliProcessors(),
             report.getServing());
     checkArgument(least >= 0, "report contains a number out of range: %s", least);
-    report.getEndsList().forEach(end -> WorkflowCodec.decode(end.getTask()));
+    report.getEndsList().forEach(end -> WorkflowIdCodec.decode(end.getTask()));
     ImmutableMap.Builder<RunKey, RunReport> reported = ImmutableMap.builder();
-    report.getRunsList().forEach(run -> reported.put(WorkflowCodec.decode(run.getTask()), run));
+    report.getRunsList().forEach(run -> reported.put(WorkflowIdCodec.decode(run.getTask()), run));
     return reported.buildKeepingLast();
   }
 
@@ -267,7 +269,7 @@
     WorkflowTask task = run.task();
     StartRun.Builder start =
         StartRun.newBuilder()
-            .setTask(WorkflowCodec.encode(run.key()))
+            .setTask(WorkflowIdCodec.encode(run.key()))
             .setMilliProcessors((int) task.step().sizes().milliProcessors())
             .setMemoryMebibytes(WorkflowCodec.mebibytes(task.step().sizes()))
             .setAccelerators((int) task.step().sizes().accelerators())
@@ -283,7 +285,7 @@
   }
 
   void addStop(RunKey run) {
-    orders.addStop(WorkflowCodec.encode(run));
+    orders.addStop(WorkflowIdCodec.encode(run));
   }
 
   void addAcknowledgedEnd(WorkflowTaskId end) {
@@ -368,6 +370,24 @@
         .setCapacityUnneeded(!capacityNeeded)
         .setWorker(worker)
         .setTellsSupersededEnds(true);
-    connection.send(Frame.newBuilder().setRunOrders(frame).build());
+    connection.send(Frame.newBuilder().setRunOrders(readable(frame.build())).build());
+  }
+
+  /** Returns the orders that the side process reads, in the form that it reads. */
+  private RunOrders readable(RunOrders frame) {
+    if (report.getReadsTextIds()) {
+      return frame;
+    }
+    RunOrders converted = EarlierForms.ordersForEarlierSideProcess(frame);
+    int withheld = EarlierForms.orderCount(frame) - EarlierForms.orderCount(converted);
+    if (withheld > 0) {
+      LOG.warning(
+          LogLine.of("orders-not-sent")
+              .with("vm", vm())
+              .with("number", frame.getNumber())
+              .with("count", withheld)
+              .with("reason", "the side process does not distinguish the case of digits"));
+    }
+    return converted;
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.primitives.Ints;
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
@@ -224,11 +225,11 @@
   private void reconcile(VmSession session, VmReport report) {
     Set<RunKey> mentioned = new HashSet<>();
     for (EndReport end : report.getEndsList()) {
-      RunKey key = WorkflowCodec.decode(end.getTask());
+      RunKey key = WorkflowIdCodec.decode(end.getTask());
       guard.run(key::toString, () -> handleEnd(session, key, end));
     }
     for (RunReport run : report.getRunsList()) {
-      RunKey key = WorkflowCodec.decode(run.getTask());
+      RunKey key = WorkflowIdCodec.decode(run.getTask());
       mentioned.add(key);
       Optional<OpenRun> found = openRuns.find(report.getVm(), key);
       guard.run(key::toString, () -> reconcileRun(session, report, found, key, run));
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmView.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmView.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.VmReport;
@@ -45,6 +46,12 @@
     this.evacuations = requireNonNull(evacuations, "evacuations");
   }
 
+  /** Returns whether the side process of the VM reads workflow ids as texts. */
+  boolean readsTextIds(String vm) {
+    VmSession session = sessions.get(vm);
+    return session != null && session.report().getReadsTextIds();
+  }
+
   /** Returns whether the VM may be given work now, or why not. */
   VmAvailability availability(VmSession session) {
     return VmAvailability.of(session, fleet, loop.now());
@@ -113,7 +120,8 @@
     for (VmSession session : sessions.values()) {
       session.report().getRunsList().stream()
           .filter(RunReport::getCrowded)
-          .flatMap(run -> openRuns.find(session.vm(), WorkflowCodec.decode(run.getTask())).stream())
+          .flatMap(
+              run -> openRuns.find(session.vm(), WorkflowIdCodec.decode(run.getTask())).stream())
           .forEach(excess::add);
     }
     return excess.build();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -21,7 +21,6 @@
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
-import io.marigoldsail.workflow.WorkflowIds;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -180,7 +179,7 @@
   }
 
   int partitionOf(RunKey key) {
-    return WorkflowIds.partition(key.task().workflow(), partitions);
+    return key.task().workflow().partition(partitions);
   }
 
   /** Sends a start order to the worker, or refuses it; orders for known runs are not repeated. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
@@ -8,6 +8,7 @@
 import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.DiscardUnknownFieldsParser;
 import com.google.protobuf.Parser;
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.protocol.Evacuations;
 import io.marigoldsail.protocol.PlaceName;
@@ -16,12 +17,9 @@
 import io.marigoldsail.protocol.WorkflowProgress;
 import io.marigoldsail.protocol.WorkflowStep;
 import io.marigoldsail.protocol.WorkflowSubmission;
-import io.marigoldsail.protocol.WorkflowTaskId;
 import io.marigoldsail.workflow.AdviserTiming;
 import io.marigoldsail.workflow.Place;
-import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.StepSpec;
-import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.TaskRecordState;
 import io.marigoldsail.workflow.WorkflowRecordState;
 import io.marigoldsail.workflow.WorkflowSpec;
@@ -66,12 +64,19 @@
 
   private static final int PHASE_DONE = 1;
 
+  /**
+   * A workflow as read from its submission record.
+   *
+   * @param hasExactId whether the id is the caller's text; earlier versions kept it in lower case
+   */
+  record StoredSubmission(WorkflowSpec spec, boolean hasExactId) {}
+
   private WorkflowCodec() {}
 
   static ByteString encode(WorkflowSpec spec) {
     WorkflowSubmission.Builder builder =
         WorkflowSubmission.newBuilder()
-            .setId(spec.id())
+            .setWorkflowId(spec.id().toString())
             .setQueue(spec.queue())
             .setService(spec.policy().service())
             .setPriority(spec.policy().priority())
@@ -83,6 +88,9 @@
             .setFirstDueMillis(spec.schedule().firstDueMillis())
             .setIntervalMillis(spec.schedule().intervalMillis())
             .setAcceptedMillis(spec.acceptedMillis());
+    if (WorkflowIdCodec.hasNumber(spec.id())) {
+      builder.setId(WorkflowIdCodec.number(spec.id()));
+    }
     spec.policy().advice().ifPresent(advice -> builder.setAdvice(encode(advice)));
     spec.steps().forEach(step -> builder.addSteps(encode(step)));
     return builder.build().toByteString();
@@ -149,7 +157,7 @@
   }
 
   /** Returns the workflow of a submission record, or empty if it cannot be decoded. */
-  static Optional<WorkflowSpec> decodeSubmission(ByteString bytes) {
+  static Optional<StoredSubmission> decodeSubmission(ByteString bytes) {
     try {
       WorkflowSubmission submission = parse(SUBMISSION_PARSER, bytes);
       WorkflowSpec.QueuePolicy policy =
@@ -169,15 +177,16 @@
           submission.getStepsList().stream()
               .map(WorkflowCodec::decode)
               .collect(ImmutableList.toImmutableList());
-      return Optional.of(
+      WorkflowSpec spec =
           new WorkflowSpec(
-              submission.getId(),
+              WorkflowIdCodec.decode(submission.getWorkflowId(), submission.getId()),
               submission.getQueue(),
               policy,
               submission.getProgram(),
               steps,
               schedule,
-              submission.getAcceptedMillis()));
+              submission.getAcceptedMillis());
+      return Optional.of(new StoredSubmission(spec, !submission.getWorkflowId().isEmpty()));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
@@ -290,25 +299,4 @@
     PlaceName name = progress.getPlaces(position - 1);
     return Optional.of(new Place(name.getVm(), name.getWorker()));
   }
-
-  static WorkflowTaskId encode(RunKey run) {
-    return WorkflowTaskId.newBuilder()
-        .setWorkflow(run.task().workflow())
-        .setOccurrence(run.task().occurrence())
-        .setStep(run.task().step())
-        .setIndex(run.task().index())
-        .setAttempt(run.attempt())
-        .build();
-  }
-
-  /**
-   * Returns the run.
-   *
-   * @throws IllegalArgumentException if the frame contains none that an owner can have ordered;
-   *     those of this system always contain one
-   */
-  static RunKey decode(WorkflowTaskId id) {
-    TaskKey task = new TaskKey(id.getWorkflow(), id.getOccurrence(), id.getStep(), id.getIndex());
-    return new RunKey(task, id.getAttempt());
-  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import io.marigoldsail.daemon.capacity.RetainedWork;
 import io.marigoldsail.daemon.frames.ReportJoiner;
+import io.marigoldsail.daemon.identity.EarlierForms;
 import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkListener;
 import io.marigoldsail.daemon.link.LinkLoop;
@@ -22,15 +23,13 @@
 import io.marigoldsail.protocol.OwnerMap;
 import io.marigoldsail.protocol.Pong;
 import io.marigoldsail.protocol.VmReport;
-import io.marigoldsail.protocol.WorkflowQuery;
-import io.marigoldsail.protocol.WorkflowQueryAnswer;
 import io.marigoldsail.time.ClockReading;
 import io.marigoldsail.workflow.QueryResult;
 import io.marigoldsail.workflow.QueueTable;
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.VmChooser;
 import io.marigoldsail.workflow.Workflow;
-import io.marigoldsail.workflow.WorkflowIds;
+import io.marigoldsail.workflow.WorkflowId;
 import io.marigoldsail.workflow.WorkflowSpec;
 import io.marigoldsail.workflow.WorkflowTask;
 import io.marigoldsail.workflow.ZoneEvacuations;
@@ -216,7 +215,7 @@
             return;
           }
           int partition = ownership.partitionOf(spec.id());
-          String key = WorkflowIds.format(spec.id());
+          String key = spec.id().toString();
           KeyedRecord submission = new KeyedRecord(key, WorkflowCodec.encode(spec));
           Optional<AppendResult> tooLarge = submissions.refuseIfTooLarge(submission);
           if (tooLarge.isPresent()) {
@@ -262,7 +261,7 @@
       WorkflowSpec spec, AppendResult result, CompletableFuture<AppendResult> appended) {
     LOG.info(
         LogLine.of("workflow-submitted")
-            .with("workflow", WorkflowIds.format(spec.id()))
+            .with("workflow", spec.id())
             .with("partition", ownership.partitionOf(spec.id()))
             .with("queue", spec.queue())
             .with("steps", spec.steps().size())
@@ -281,7 +280,7 @@
    * @return completes on the loop; {@link QueryResult#UNAVAILABLE} if the owner is not reached in
    *     time
    */
-  public CompletableFuture<QueryResult> query(long workflow, String queue, boolean cancel) {
+  public CompletableFuture<QueryResult> query(WorkflowId workflow, String queue, boolean cancel) {
     CompletableFuture<QueryResult> future = new CompletableFuture<>();
     loop.run(() -> queries.query(workflow, queue, cancel, future::complete));
     return future;
@@ -439,8 +438,9 @@
         case VM_REPORT ->
             reports
                 .add(connection, frame.getVmReport())
+                .map(EarlierForms::join)
                 .ifPresent(each -> report(connection, each));
-        case WORKFLOW_QUERY -> handlePeerQuery(connection, frame.getWorkflowQuery());
+        case WORKFLOW_QUERY -> queries.answerPeer(connection, frame.getWorkflowQuery());
         case WAITING_COUNTS -> peers.updateCounts(connection, frame.getWaitingCounts());
         case PING -> connection.send(Frame.newBuilder().setPong(Pong.getDefaultInstance()).build());
         default ->
@@ -483,18 +483,4 @@
     OwnerMap map = peers.ownerMap(vms.readsMemberLists(connection));
     connection.send(Frame.newBuilder().setOwnerMap(map).build());
   }
-
-  private void handlePeerQuery(LinkConnection connection, WorkflowQuery query) {
-    queries.queryAsOwner(
-        query.getWorkflow(),
-        query.getCancel(),
-        result ->
-            connection.send(
-                Frame.newBuilder()
-                    .setWorkflowQueryAnswer(
-                        WorkflowQueryAnswer.newBuilder()
-                            .setId(query.getId())
-                            .setResult(result.number()))
-                    .build()));
-  }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
@@ -2,14 +2,18 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
+import io.marigoldsail.daemon.link.LinkConnection;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.WorkflowQuery;
+import io.marigoldsail.protocol.WorkflowQueryAnswer;
 import io.marigoldsail.workflow.QueryResult;
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.Workflow;
-import io.marigoldsail.workflow.WorkflowIds;
+import io.marigoldsail.workflow.WorkflowId;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -52,15 +56,29 @@
    *
    * @param onResult runs on the loop, once
    */
-  void query(long workflow, String queue, boolean cancel, Consumer<QueryResult> onResult) {
+  void query(WorkflowId workflow, String queue, boolean cancel, Consumer<QueryResult> onResult) {
     int partition = ownership.partitionOf(workflow);
     if (ownership.active(partition).isPresent()) {
       queryAsOwner(workflow, cancel, onResult);
       return;
     }
-    WorkflowQuery forwarded =
-        WorkflowQuery.newBuilder().setWorkflow(workflow).setQueue(queue).setCancel(cancel).build();
-    peers.query(partition, forwarded, onResult);
+    WorkflowQuery.Builder forwarded = WorkflowQuery.newBuilder().setQueue(queue).setCancel(cancel);
+    peers.query(partition, workflow, forwarded, onResult);
+  }
+
+  /** Answers the query of another entry, which considers this one the owner of the partition. */
+  void answerPeer(LinkConnection connection, WorkflowQuery query) {
+    queryAsOwner(
+        WorkflowIdCodec.decode(query.getWorkflowId(), query.getWorkflow()),
+        query.getCancel(),
+        result ->
+            connection.send(
+                Frame.newBuilder()
+                    .setWorkflowQueryAnswer(
+                        WorkflowQueryAnswer.newBuilder()
+                            .setId(query.getId())
+                            .setResult(result.number()))
+                    .build()));
   }
 
   /**
@@ -68,7 +86,7 @@
    *
    * @param onResult runs on the loop, once
    */
-  void queryAsOwner(long workflow, boolean cancel, Consumer<QueryResult> onResult) {
+  private void queryAsOwner(WorkflowId workflow, boolean cancel, Consumer<QueryResult> onResult) {
     Optional<OwnedPartition> owned = ownership.active(ownership.partitionOf(workflow));
     if (owned.isEmpty()) {
       onResult.accept(QueryResult.UNAVAILABLE);
@@ -78,7 +96,7 @@
   }
 
   private void queryOwned(
-      OwnedPartition owned, long id, boolean cancel, Consumer<QueryResult> onResult) {
+      OwnedPartition owned, WorkflowId id, boolean cancel, Consumer<QueryResult> onResult) {
     long askedAt = loop.now();
     long deadline = askedAt + TIMEOUT_NANOS;
     Optional<Workflow> found = owned.workflow(id);
@@ -101,7 +119,7 @@
                 answerKnown(owned, read.get(), cancel, deadline, onResult);
                 return;
               }
-              boolean unknown = confirmed && owned.isActive() && !owned.isUnrestorable(id);
+              boolean unknown = confirmed && owned.isActive() && !owned.mayExist(id);
               if (unknown && cancel) {
                 cancelUnknown(owned, id, askedAt, deadline, onResult);
                 return;
@@ -130,7 +148,7 @@
     if (workflow.cancel(wallMillis.getAsLong())) {
       LOG.info(
           LogLine.of("workflow-cancelled")
-              .with("workflow", WorkflowIds.format(workflow.spec().id()))
+              .with("workflow", workflow.spec().id())
               .with("partition", owned.number())
               .with("epoch", owned.epoch())
               .with("open_runs", workflow.openTasks().size()));
@@ -154,7 +172,7 @@
   }
 
   /** The status is recorded with the first task, also of a workflow that is not known. */
-  private static boolean isStatusDurable(OwnedPartition owned, long id) {
+  private static boolean isStatusDurable(OwnedPartition owned, WorkflowId id) {
     return owned.isDurable(new TaskKey(id, 0, 0, 0));
   }
 
@@ -163,7 +181,11 @@
    * submission that it received before, or one that the caller repeats.
    */
   private void cancelUnknown(
-      OwnedPartition owned, long id, long askedAt, long deadline, Consumer<QueryResult> onResult) {
+      OwnedPartition owned,
+      WorkflowId id,
+      long askedAt,
+      long deadline,
+      Consumer<QueryResult> onResult) {
     CompletableFuture<QueryResult> answered = new CompletableFuture<>();
     answered.thenAccept(
         result -> {
@@ -192,10 +214,10 @@
   }
 
   private void logNotKnown(
-      OwnedPartition owned, long id, boolean cancel, long askedAt, QueryResult result) {
+      OwnedPartition owned, WorkflowId id, boolean cancel, long askedAt, QueryResult result) {
     LOG.info(
         LogLine.of("workflow-not-known")
-            .with("workflow", WorkflowIds.format(id))
+            .with("workflow", id)
             .with("cancel", cancel)
             .with("partition", owned.number())
             .with("epoch", owned.epoch())
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowSideProcess.java
@@ -3,7 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.marigoldsail.colocation.InterferenceScope;
-import io.marigoldsail.daemon.frames.ReportParts;
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
@@ -19,6 +19,7 @@
 import io.marigoldsail.workflow.RunKey;
 import io.marigoldsail.workflow.WorkerIncarnation;
 import io.marigoldsail.workflow.WorkerLeaseTerms;
+import io.marigoldsail.workflow.WorkflowId;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -229,7 +230,7 @@
   }
 
   private int partitionOf(EndReport end) {
-    return session().partitionOf(WorkflowCodec.decode(end.getTask()));
+    return session().partitionOf(WorkflowIdCodec.decode(end.getTask()));
   }
 
   private void report(boolean wantsLease) {
@@ -275,7 +276,7 @@
         }
       }
     }
-    ReportParts.send(connection.link(), report.build());
+    connection.send(report.build());
   }
 
   /**
@@ -293,7 +294,8 @@
         VmReport.newBuilder()
             .setVm(vm)
             .setGoneWorker(registration.goneWorker())
-            .setReadsMemberLists(true);
+            .setReadsMemberLists(true)
+            .setReadsTextIds(true);
     if (session() != null) {
       VmStateEncoder.encode(session(), state);
     }
@@ -342,9 +344,9 @@
           .throttler()
           .setRemotePairEvidence(PairEvidenceCodec.decode(orders.getLease().getPairsList()));
     }
-    Map<Long, String> programs = new HashMap<>();
+    Map<WorkflowId, String> programs = new HashMap<>();
     for (StartRun start : orders.getStartsList()) {
-      RunKey key = WorkflowCodec.decode(start.getTask());
+      RunKey key = WorkflowIdCodec.decode(start.getTask());
       if (!start.getSameProgram()) {
         programs.put(key.task().workflow(), start.getProgram());
       }
@@ -353,7 +355,7 @@
       }
     }
     for (WorkflowTaskId stop : orders.getStopsList()) {
-      RunKey key = WorkflowCodec.decode(stop);
+      RunKey key = WorkflowIdCodec.decode(stop);
       if (isFromOwner(fromOwner, key)) {
         session().stop(key);
       }
@@ -368,7 +370,7 @@
   private void respondToEnds(
       Map<Integer, Boolean> fromOwner, List<WorkflowTaskId> ends, EndResponse response) {
     for (WorkflowTaskId end : ends) {
-      RunKey key = WorkflowCodec.decode(end);
+      RunKey key = WorkflowIdCodec.decode(end);
       if (isFromOwner(fromOwner, key) && isForCurrentEnd(end)) {
         session().respondToEnd(key, response);
       }
@@ -376,7 +378,7 @@
   }
 
   private boolean isForCurrentEnd(WorkflowTaskId end) {
-    return session().retention().isCurrent(WorkflowCodec.decode(end), end.getEndSequence());
+    return session().retention().isCurrent(WorkflowIdCodec.decode(end), end.getEndSequence());
   }
 
   private boolean isFromOwner(Map<Integer, Boolean> fromOwner, RunKey key) {
@@ -393,7 +395,7 @@
   /**
    * Returns whether the frame names the program of the run; without it, another one would start.
    */
-  private static boolean hasProgram(Map<Long, String> programs, RunKey key) {
+  private static boolean hasProgram(Map<WorkflowId, String> programs, RunKey key) {
     boolean named = programs.containsKey(key.task().workflow());
     if (!named) {
       LOG.warning(
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedEntry.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedEntry.java
@@ -6,6 +6,7 @@
 import io.marigoldsail.daemon.link.LinkServer;
 import io.marigoldsail.protocol.Frame;
 import io.marigoldsail.protocol.VmReport;
+import io.marigoldsail.protocol.WorkflowQuery;
 import io.marigoldsail.time.MonotonicClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -20,6 +21,7 @@
   private final LinkServer server;
   private final BlockingQueue<LinkConnection> connections = new LinkedBlockingQueue<>();
   private final BlockingQueue<VmReport> reports = new LinkedBlockingQueue<>();
+  private final BlockingQueue<WorkflowQuery> queries = new LinkedBlockingQueue<>();
 
   ScriptedEntry() throws IOException {
     server = new LinkServer(loop, new InetSocketAddress("127.0.0.1", 0), 10, new Incoming());
@@ -46,6 +48,16 @@
     return reports.take();
   }
 
+  /** Waits for the next query. */
+  WorkflowQuery awaitQuery() throws InterruptedException {
+    return queries.take();
+  }
+
+  /** Returns whether there was a query that the test has not awaited. */
+  boolean hasFurtherQuery() {
+    return !queries.isEmpty();
+  }
+
   void send(LinkConnection connection, Frame frame) {
     loop.run(() -> connection.send(frame));
   }
@@ -66,6 +78,8 @@
     public void received(LinkConnection connection, Frame frame) {
       if (frame.hasVmReport()) {
         reports.add(frame.getVmReport());
+      } else if (frame.hasWorkflowQuery()) {
+        queries.add(frame.getWorkflowQuery());
       }
     }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/OwnerMap.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/OwnerMap.java
@@ -215,6 +215,21 @@
   }
   private int ownerPositionsMemoizedSerializedSize = -1;
 
+  public static final int READS_TEXT_IDS_FIELD_NUMBER = 6;
+  private boolean readsTextIds_ = false;
+  /**
+   * <pre>
+   * The sender reads workflow ids as texts.
+   * </pre>
+   *
+   * <code>bool reads_text_ids = 6;</code>
+   * @return The readsTextIds.
+   */
+  @java.lang.Override
+  public boolean getReadsTextIds() {
+    return readsTextIds_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -249,6 +264,9 @@
     for (int i = 0; i < ownerPositions_.size(); i++) {
       output.writeUInt32NoTag(ownerPositions_.getInt(i));
     }
+    if (readsTextIds_ != false) {
+      output.writeBool(6, readsTextIds_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -292,6 +310,10 @@
       }
       ownerPositionsMemoizedSerializedSize = dataSize;
     }
+    if (readsTextIds_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, readsTextIds_);
+    }
     return size;
   }
   @java.lang.Override
@@ -326,6 +348,8 @@
         .equals(other.getMembersList())) return false;
     if (!getOwnerPositionsList()
         .equals(other.getOwnerPositionsList())) return false;
+    if (getReadsTextIds()
+        != other.getReadsTextIds()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -354,6 +378,9 @@
       hash = (37 * hash) + OWNER_POSITIONS_FIELD_NUMBER;
       hash = (53 * hash) + getOwnerPositionsList().hashCode();
     }
+    hash = (37 * hash) + READS_TEXT_IDS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getReadsTextIds());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -501,6 +528,7 @@
       members_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       ownerPositions_ = emptyIntList();
+      readsTextIds_ = false;
       return this;
     }
 
@@ -561,6 +589,9 @@
         ownerPositions_.makeImmutable();
         result.ownerPositions_ = ownerPositions_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.readsTextIds_ = readsTextIds_;
+      }
     }
 
     @java.lang.Override
@@ -628,6 +659,9 @@
         }
         onChanged();
       }
+      if (other.getReadsTextIds() != false) {
+        setReadsTextIds(other.getReadsTextIds());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -696,6 +730,11 @@
               input.popLimit(limit);
               break;
             } // case 42
+            case 48: {
+              readsTextIds_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1278,6 +1317,50 @@
       return this;
     }
 
+    private boolean readsTextIds_ ;
+    /**
+     * <pre>
+     * The sender reads workflow ids as texts.
+     * </pre>
+     *
+     * <code>bool reads_text_ids = 6;</code>
+     * @return The readsTextIds.
+     */
+    @java.lang.Override
+    public boolean getReadsTextIds() {
+      return readsTextIds_;
+    }
+    /**
+     * <pre>
+     * The sender reads workflow ids as texts.
+     * </pre>
+     *
+     * <code>bool reads_text_ids = 6;</code>
+     * @param value The readsTextIds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReadsTextIds(boolean value) {
+
+      readsTextIds_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender reads workflow ids as texts.
+     * </pre>
+     *
+     * <code>bool reads_text_ids = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReadsTextIds() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      readsTextIds_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.OwnerMap)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/OwnerMapOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/OwnerMapOrBuilder.java
@@ -116,4 +116,14 @@
    * @return The ownerPositions at the given index.
    */
   int getOwnerPositions(int index);
+
+  /**
+   * <pre>
+   * The sender reads workflow ids as texts.
+   * </pre>
+   *
+   * <code>bool reads_text_ids = 6;</code>
+   * @return The readsTextIds.
+   */
+  boolean getReadsTextIds();
 }
