--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReport.java
@@ -45,6 +45,8 @@
     rack_ = "";
     serviceRooms_ = java.util.Collections.emptyList();
     pairs_ = java.util.Collections.emptyList();
+    textIdRuns_ = java.util.Collections.emptyList();
+    textIdEnds_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -900,6 +902,128 @@
     return continued_;
   }
 
+  public static final int READS_TEXT_IDS_FIELD_NUMBER = 33;
+  private boolean readsTextIds_ = false;
+  /**
+   * <pre>
+   * The sender reads workflow ids as texts.
+   * </pre>
+   *
+   * <code>bool reads_text_ids = 33;</code>
+   * @return The readsTextIds.
+   */
+  @java.lang.Override
+  public boolean getReadsTextIds() {
+    return readsTextIds_;
+  }
+
+  public static final int TEXT_ID_RUNS_FIELD_NUMBER = 34;
+  @SuppressWarnings("serial")
+  private java.util.List<io.marigoldsail.protocol.RunReport> textIdRuns_;
+  /**
+   * <pre>
+   * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+   * that are not known to read texts.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.marigoldsail.protocol.RunReport> getTextIdRunsList() {
+    return textIdRuns_;
+  }
+  /**
+   * <pre>
+   * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+   * that are not known to read texts.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.marigoldsail.protocol.RunReportOrBuilder> 
+      getTextIdRunsOrBuilderList() {
+    return textIdRuns_;
+  }
+  /**
+   * <pre>
+   * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+   * that are not known to read texts.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+   */
+  @java.lang.Override
+  public int getTextIdRunsCount() {
+    return textIdRuns_.size();
+  }
+  /**
+   * <pre>
+   * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+   * that are not known to read texts.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.RunReport getTextIdRuns(int index) {
+    return textIdRuns_.get(index);
+  }
+  /**
+   * <pre>
+   * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+   * that are not known to read texts.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.RunReportOrBuilder getTextIdRunsOrBuilder(
+      int index) {
+    return textIdRuns_.get(index);
+  }
+
+  public static final int TEXT_ID_ENDS_FIELD_NUMBER = 35;
+  @SuppressWarnings("serial")
+  private java.util.List<io.marigoldsail.protocol.EndReport> textIdEnds_;
+  /**
+   * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.marigoldsail.protocol.EndReport> getTextIdEndsList() {
+    return textIdEnds_;
+  }
+  /**
+   * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.marigoldsail.protocol.EndReportOrBuilder> 
+      getTextIdEndsOrBuilderList() {
+    return textIdEnds_;
+  }
+  /**
+   * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+   */
+  @java.lang.Override
+  public int getTextIdEndsCount() {
+    return textIdEnds_.size();
+  }
+  /**
+   * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.EndReport getTextIdEnds(int index) {
+    return textIdEnds_.get(index);
+  }
+  /**
+   * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+   */
+  @java.lang.Override
+  public io.marigoldsail.protocol.EndReportOrBuilder getTextIdEndsOrBuilder(
+      int index) {
+    return textIdEnds_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1010,6 +1134,15 @@
     if (continued_ != false) {
       output.writeBool(32, continued_);
     }
+    if (readsTextIds_ != false) {
+      output.writeBool(33, readsTextIds_);
+    }
+    for (int i = 0; i < textIdRuns_.size(); i++) {
+      output.writeMessage(34, textIdRuns_.get(i));
+    }
+    for (int i = 0; i < textIdEnds_.size(); i++) {
+      output.writeMessage(35, textIdEnds_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1167,6 +1300,32 @@
     }
     return size;
   }
+  private int computeSerializedSize_1() {
+    int size = 0;
+    if (readsTextIds_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(33, readsTextIds_);
+    }
+
+        {
+          final int count = textIdRuns_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(textIdRuns_.get(i));
+          }
+          size += 2 * count;
+        }
+
+        {
+          final int count = textIdEnds_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(textIdEnds_.get(i));
+          }
+          size += 2 * count;
+        }
+    return size;
+  }
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -1174,6 +1333,7 @@
 
     size = 0;
     size += computeSerializedSize_0();
+    size += computeSerializedSize_1();
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1253,6 +1413,12 @@
         != other.getOwnersFingerprint()) return false;
     if (getContinued()
         != other.getContinued()) return false;
+    if (getReadsTextIds()
+        != other.getReadsTextIds()) return false;
+    if (!getTextIdRunsList()
+        .equals(other.getTextIdRunsList())) return false;
+    if (!getTextIdEndsList()
+        .equals(other.getTextIdEndsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1348,6 +1514,17 @@
     hash = (37 * hash) + CONTINUED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getContinued());
+    hash = (37 * hash) + READS_TEXT_IDS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getReadsTextIds());
+    if (getTextIdRunsCount() > 0) {
+      hash = (37 * hash) + TEXT_ID_RUNS_FIELD_NUMBER;
+      hash = (53 * hash) + getTextIdRunsList().hashCode();
+    }
+    if (getTextIdEndsCount() > 0) {
+      hash = (37 * hash) + TEXT_ID_ENDS_FIELD_NUMBER;
+      hash = (53 * hash) + getTextIdEndsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1483,6 +1660,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
+      bitField1_ = 0;
       workerClock_ = 0L;
       vm_ = "";
       worker_ = "";
@@ -1546,6 +1724,21 @@
       bitField0_ = (bitField0_ & ~0x20000000);
       ownersFingerprint_ = 0L;
       continued_ = false;
+      readsTextIds_ = false;
+      if (textIdRunsBuilder_ == null) {
+        textIdRuns_ = java.util.Collections.emptyList();
+      } else {
+        textIdRuns_ = null;
+        textIdRunsBuilder_.clear();
+      }
+      bitField1_ = (bitField1_ & ~0x00000002);
+      if (textIdEndsBuilder_ == null) {
+        textIdEnds_ = java.util.Collections.emptyList();
+      } else {
+        textIdEnds_ = null;
+        textIdEndsBuilder_.clear();
+      }
+      bitField1_ = (bitField1_ & ~0x00000004);
       return this;
     }
 
@@ -1574,6 +1767,7 @@
       io.marigoldsail.protocol.VmReport result = new io.marigoldsail.protocol.VmReport(this);
       buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField1_ != 0) { buildPartial1(result); }
       onBuilt();
       return result;
     }
@@ -1624,6 +1818,24 @@
       } else {
         result.pairs_ = pairsBuilder_.build();
       }
+      if (textIdRunsBuilder_ == null) {
+        if (((bitField1_ & 0x00000002) != 0)) {
+          textIdRuns_ = java.util.Collections.unmodifiableList(textIdRuns_);
+          bitField1_ = (bitField1_ & ~0x00000002);
+        }
+        result.textIdRuns_ = textIdRuns_;
+      } else {
+        result.textIdRuns_ = textIdRunsBuilder_.build();
+      }
+      if (textIdEndsBuilder_ == null) {
+        if (((bitField1_ & 0x00000004) != 0)) {
+          textIdEnds_ = java.util.Collections.unmodifiableList(textIdEnds_);
+          bitField1_ = (bitField1_ & ~0x00000004);
+        }
+        result.textIdEnds_ = textIdEnds_;
+      } else {
+        result.textIdEnds_ = textIdEndsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.marigoldsail.protocol.VmReport result) {
@@ -1712,6 +1924,13 @@
       }
     }
 
+    private void buildPartial1(io.marigoldsail.protocol.VmReport result) {
+      int from_bitField1_ = bitField1_;
+      if (((from_bitField1_ & 0x00000001) != 0)) {
+        result.readsTextIds_ = readsTextIds_;
+      }
+    }
+
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof io.marigoldsail.protocol.VmReport) {
@@ -1954,6 +2173,61 @@
       if (other.getContinued() != false) {
         setContinued(other.getContinued());
       }
+      if (other.getReadsTextIds() != false) {
+        setReadsTextIds(other.getReadsTextIds());
+      }
+      if (textIdRunsBuilder_ == null) {
+        if (!other.textIdRuns_.isEmpty()) {
+          if (textIdRuns_.isEmpty()) {
+            textIdRuns_ = other.textIdRuns_;
+            bitField1_ = (bitField1_ & ~0x00000002);
+          } else {
+            ensureTextIdRunsIsMutable();
+            textIdRuns_.addAll(other.textIdRuns_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.textIdRuns_.isEmpty()) {
+          if (textIdRunsBuilder_.isEmpty()) {
+            textIdRunsBuilder_.dispose();
+            textIdRunsBuilder_ = null;
+            textIdRuns_ = other.textIdRuns_;
+            bitField1_ = (bitField1_ & ~0x00000002);
+            textIdRunsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetTextIdRunsFieldBuilder() : null;
+          } else {
+            textIdRunsBuilder_.addAllMessages(other.textIdRuns_);
+          }
+        }
+      }
+      if (textIdEndsBuilder_ == null) {
+        if (!other.textIdEnds_.isEmpty()) {
+          if (textIdEnds_.isEmpty()) {
+            textIdEnds_ = other.textIdEnds_;
+            bitField1_ = (bitField1_ & ~0x00000004);
+          } else {
+            ensureTextIdEndsIsMutable();
+            textIdEnds_.addAll(other.textIdEnds_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.textIdEnds_.isEmpty()) {
+          if (textIdEndsBuilder_.isEmpty()) {
+            textIdEndsBuilder_.dispose();
+            textIdEndsBuilder_ = null;
+            textIdEnds_ = other.textIdEnds_;
+            bitField1_ = (bitField1_ & ~0x00000004);
+            textIdEndsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetTextIdEndsFieldBuilder() : null;
+          } else {
+            textIdEndsBuilder_.addAllMessages(other.textIdEnds_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2178,6 +2452,37 @@
               bitField0_ |= 0x80000000;
               break;
             } // case 256
+            case 264: {
+              readsTextIds_ = input.readBool();
+              bitField1_ |= 0x00000001;
+              break;
+            } // case 264
+            case 274: {
+              io.marigoldsail.protocol.RunReport m =
+                  input.readMessage(
+                      io.marigoldsail.protocol.RunReport.parser(),
+                      extensionRegistry);
+              if (textIdRunsBuilder_ == null) {
+                ensureTextIdRunsIsMutable();
+                textIdRuns_.add(m);
+              } else {
+                textIdRunsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 274
+            case 282: {
+              io.marigoldsail.protocol.EndReport m =
+                  input.readMessage(
+                      io.marigoldsail.protocol.EndReport.parser(),
+                      extensionRegistry);
+              if (textIdEndsBuilder_ == null) {
+                ensureTextIdEndsIsMutable();
+                textIdEnds_.add(m);
+              } else {
+                textIdEndsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 282
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2194,6 +2499,7 @@
       return this;
     }
     private int bitField0_;
+    private int bitField1_;
 
     private long workerClock_ ;
     /**
@@ -4992,6 +5298,608 @@
       return this;
     }
 
+    private boolean readsTextIds_ ;
+    /**
+     * <pre>
+     * The sender reads workflow ids as texts.
+     * </pre>
+     *
+     * <code>bool reads_text_ids = 33;</code>
+     * @return The readsTextIds.
+     */
+    @java.lang.Override
+    public boolean getReadsTextIds() {
+      return readsTextIds_;
+    }
+    /**
+     * <pre>
+     * The sender reads workflow ids as texts.
+     * </pre>
+     *
+     * <code>bool reads_text_ids = 33;</code>
+     * @param value The readsTextIds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReadsTextIds(boolean value) {
+
+      readsTextIds_ = value;
+      bitField1_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender reads workflow ids as texts.
+     * </pre>
+     *
+     * <code>bool reads_text_ids = 33;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReadsTextIds() {
+      bitField1_ = (bitField1_ & ~0x00000001);
+      readsTextIds_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.marigoldsail.protocol.RunReport> textIdRuns_ =
+      java.util.Collections.emptyList();
+    private void ensureTextIdRunsIsMutable() {
+      if (!((bitField1_ & 0x00000002) != 0)) {
+        textIdRuns_ = new java.util.ArrayList<io.marigoldsail.protocol.RunReport>(textIdRuns_);
+        bitField1_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.RunReport, io.marigoldsail.protocol.RunReport.Builder, io.marigoldsail.protocol.RunReportOrBuilder> textIdRunsBuilder_;
+
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.RunReport> getTextIdRunsList() {
+      if (textIdRunsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(textIdRuns_);
+      } else {
+        return textIdRunsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public int getTextIdRunsCount() {
+      if (textIdRunsBuilder_ == null) {
+        return textIdRuns_.size();
+      } else {
+        return textIdRunsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public io.marigoldsail.protocol.RunReport getTextIdRuns(int index) {
+      if (textIdRunsBuilder_ == null) {
+        return textIdRuns_.get(index);
+      } else {
+        return textIdRunsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public Builder setTextIdRuns(
+        int index, io.marigoldsail.protocol.RunReport value) {
+      if (textIdRunsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTextIdRunsIsMutable();
+        textIdRuns_.set(index, value);
+        onChanged();
+      } else {
+        textIdRunsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public Builder setTextIdRuns(
+        int index, io.marigoldsail.protocol.RunReport.Builder builderForValue) {
+      if (textIdRunsBuilder_ == null) {
+        ensureTextIdRunsIsMutable();
+        textIdRuns_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        textIdRunsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public Builder addTextIdRuns(io.marigoldsail.protocol.RunReport value) {
+      if (textIdRunsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTextIdRunsIsMutable();
+        textIdRuns_.add(value);
+        onChanged();
+      } else {
+        textIdRunsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public Builder addTextIdRuns(
+        int index, io.marigoldsail.protocol.RunReport value) {
+      if (textIdRunsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTextIdRunsIsMutable();
+        textIdRuns_.add(index, value);
+        onChanged();
+      } else {
+        textIdRunsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public Builder addTextIdRuns(
+        io.marigoldsail.protocol.RunReport.Builder builderForValue) {
+      if (textIdRunsBuilder_ == null) {
+        ensureTextIdRunsIsMutable();
+        textIdRuns_.add(builderForValue.build());
+        onChanged();
+      } else {
+        textIdRunsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public Builder addTextIdRuns(
+        int index, io.marigoldsail.protocol.RunReport.Builder builderForValue) {
+      if (textIdRunsBuilder_ == null) {
+        ensureTextIdRunsIsMutable();
+        textIdRuns_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        textIdRunsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public Builder addAllTextIdRuns(
+        java.lang.Iterable<? extends io.marigoldsail.protocol.RunReport> values) {
+      if (textIdRunsBuilder_ == null) {
+        ensureTextIdRunsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, textIdRuns_);
+        onChanged();
+      } else {
+        textIdRunsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public Builder clearTextIdRuns() {
+      if (textIdRunsBuilder_ == null) {
+        textIdRuns_ = java.util.Collections.emptyList();
+        bitField1_ = (bitField1_ & ~0x00000002);
+        onChanged();
+      } else {
+        textIdRunsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public Builder removeTextIdRuns(int index) {
+      if (textIdRunsBuilder_ == null) {
+        ensureTextIdRunsIsMutable();
+        textIdRuns_.remove(index);
+        onChanged();
+      } else {
+        textIdRunsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public io.marigoldsail.protocol.RunReport.Builder getTextIdRunsBuilder(
+        int index) {
+      return internalGetTextIdRunsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public io.marigoldsail.protocol.RunReportOrBuilder getTextIdRunsOrBuilder(
+        int index) {
+      if (textIdRunsBuilder_ == null) {
+        return textIdRuns_.get(index);  } else {
+        return textIdRunsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public java.util.List<? extends io.marigoldsail.protocol.RunReportOrBuilder> 
+         getTextIdRunsOrBuilderList() {
+      if (textIdRunsBuilder_ != null) {
+        return textIdRunsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(textIdRuns_);
+      }
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public io.marigoldsail.protocol.RunReport.Builder addTextIdRunsBuilder() {
+      return internalGetTextIdRunsFieldBuilder().addBuilder(
+          io.marigoldsail.protocol.RunReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public io.marigoldsail.protocol.RunReport.Builder addTextIdRunsBuilder(
+        int index) {
+      return internalGetTextIdRunsFieldBuilder().addBuilder(
+          index, io.marigoldsail.protocol.RunReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+     * that are not known to read texts.
+     * </pre>
+     *
+     * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.RunReport.Builder> 
+         getTextIdRunsBuilderList() {
+      return internalGetTextIdRunsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.RunReport, io.marigoldsail.protocol.RunReport.Builder, io.marigoldsail.protocol.RunReportOrBuilder> 
+        internalGetTextIdRunsFieldBuilder() {
+      if (textIdRunsBuilder_ == null) {
+        textIdRunsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.marigoldsail.protocol.RunReport, io.marigoldsail.protocol.RunReport.Builder, io.marigoldsail.protocol.RunReportOrBuilder>(
+                textIdRuns_,
+                ((bitField1_ & 0x00000002) != 0),
+                getParentForChildren(),
+                isClean());
+        textIdRuns_ = null;
+      }
+      return textIdRunsBuilder_;
+    }
+
+    private java.util.List<io.marigoldsail.protocol.EndReport> textIdEnds_ =
+      java.util.Collections.emptyList();
+    private void ensureTextIdEndsIsMutable() {
+      if (!((bitField1_ & 0x00000004) != 0)) {
+        textIdEnds_ = new java.util.ArrayList<io.marigoldsail.protocol.EndReport>(textIdEnds_);
+        bitField1_ |= 0x00000004;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.EndReport, io.marigoldsail.protocol.EndReport.Builder, io.marigoldsail.protocol.EndReportOrBuilder> textIdEndsBuilder_;
+
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.EndReport> getTextIdEndsList() {
+      if (textIdEndsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(textIdEnds_);
+      } else {
+        return textIdEndsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public int getTextIdEndsCount() {
+      if (textIdEndsBuilder_ == null) {
+        return textIdEnds_.size();
+      } else {
+        return textIdEndsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public io.marigoldsail.protocol.EndReport getTextIdEnds(int index) {
+      if (textIdEndsBuilder_ == null) {
+        return textIdEnds_.get(index);
+      } else {
+        return textIdEndsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public Builder setTextIdEnds(
+        int index, io.marigoldsail.protocol.EndReport value) {
+      if (textIdEndsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTextIdEndsIsMutable();
+        textIdEnds_.set(index, value);
+        onChanged();
+      } else {
+        textIdEndsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public Builder setTextIdEnds(
+        int index, io.marigoldsail.protocol.EndReport.Builder builderForValue) {
+      if (textIdEndsBuilder_ == null) {
+        ensureTextIdEndsIsMutable();
+        textIdEnds_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        textIdEndsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public Builder addTextIdEnds(io.marigoldsail.protocol.EndReport value) {
+      if (textIdEndsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTextIdEndsIsMutable();
+        textIdEnds_.add(value);
+        onChanged();
+      } else {
+        textIdEndsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public Builder addTextIdEnds(
+        int index, io.marigoldsail.protocol.EndReport value) {
+      if (textIdEndsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureTextIdEndsIsMutable();
+        textIdEnds_.add(index, value);
+        onChanged();
+      } else {
+        textIdEndsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public Builder addTextIdEnds(
+        io.marigoldsail.protocol.EndReport.Builder builderForValue) {
+      if (textIdEndsBuilder_ == null) {
+        ensureTextIdEndsIsMutable();
+        textIdEnds_.add(builderForValue.build());
+        onChanged();
+      } else {
+        textIdEndsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public Builder addTextIdEnds(
+        int index, io.marigoldsail.protocol.EndReport.Builder builderForValue) {
+      if (textIdEndsBuilder_ == null) {
+        ensureTextIdEndsIsMutable();
+        textIdEnds_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        textIdEndsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public Builder addAllTextIdEnds(
+        java.lang.Iterable<? extends io.marigoldsail.protocol.EndReport> values) {
+      if (textIdEndsBuilder_ == null) {
+        ensureTextIdEndsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, textIdEnds_);
+        onChanged();
+      } else {
+        textIdEndsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public Builder clearTextIdEnds() {
+      if (textIdEndsBuilder_ == null) {
+        textIdEnds_ = java.util.Collections.emptyList();
+        bitField1_ = (bitField1_ & ~0x00000004);
+        onChanged();
+      } else {
+        textIdEndsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public Builder removeTextIdEnds(int index) {
+      if (textIdEndsBuilder_ == null) {
+        ensureTextIdEndsIsMutable();
+        textIdEnds_.remove(index);
+        onChanged();
+      } else {
+        textIdEndsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public io.marigoldsail.protocol.EndReport.Builder getTextIdEndsBuilder(
+        int index) {
+      return internalGetTextIdEndsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public io.marigoldsail.protocol.EndReportOrBuilder getTextIdEndsOrBuilder(
+        int index) {
+      if (textIdEndsBuilder_ == null) {
+        return textIdEnds_.get(index);  } else {
+        return textIdEndsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public java.util.List<? extends io.marigoldsail.protocol.EndReportOrBuilder> 
+         getTextIdEndsOrBuilderList() {
+      if (textIdEndsBuilder_ != null) {
+        return textIdEndsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(textIdEnds_);
+      }
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public io.marigoldsail.protocol.EndReport.Builder addTextIdEndsBuilder() {
+      return internalGetTextIdEndsFieldBuilder().addBuilder(
+          io.marigoldsail.protocol.EndReport.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public io.marigoldsail.protocol.EndReport.Builder addTextIdEndsBuilder(
+        int index) {
+      return internalGetTextIdEndsFieldBuilder().addBuilder(
+          index, io.marigoldsail.protocol.EndReport.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+     */
+    public java.util.List<io.marigoldsail.protocol.EndReport.Builder> 
+         getTextIdEndsBuilderList() {
+      return internalGetTextIdEndsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.marigoldsail.protocol.EndReport, io.marigoldsail.protocol.EndReport.Builder, io.marigoldsail.protocol.EndReportOrBuilder> 
+        internalGetTextIdEndsFieldBuilder() {
+      if (textIdEndsBuilder_ == null) {
+        textIdEndsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.marigoldsail.protocol.EndReport, io.marigoldsail.protocol.EndReport.Builder, io.marigoldsail.protocol.EndReportOrBuilder>(
+                textIdEnds_,
+                ((bitField1_ & 0x00000004) != 0),
+                getParentForChildren(),
+                isClean());
+        textIdEnds_ = null;
+      }
+      return textIdEndsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.VmReport)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/VmReportOrBuilder.java
@@ -485,4 +485,87 @@
    * @return The continued.
    */
   boolean getContinued();
+
+  /**
+   * <pre>
+   * The sender reads workflow ids as texts.
+   * </pre>
+   *
+   * <code>bool reads_text_ids = 33;</code>
+   * @return The readsTextIds.
+   */
+  boolean getReadsTextIds();
+
+  /**
+   * <pre>
+   * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+   * that are not known to read texts.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+   */
+  java.util.List<io.marigoldsail.protocol.RunReport> 
+      getTextIdRunsList();
+  /**
+   * <pre>
+   * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+   * that are not known to read texts.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+   */
+  io.marigoldsail.protocol.RunReport getTextIdRuns(int index);
+  /**
+   * <pre>
+   * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+   * that are not known to read texts.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+   */
+  int getTextIdRunsCount();
+  /**
+   * <pre>
+   * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+   * that are not known to read texts.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+   */
+  java.util.List<? extends io.marigoldsail.protocol.RunReportOrBuilder> 
+      getTextIdRunsOrBuilderList();
+  /**
+   * <pre>
+   * Further elements of runs and ends whose ids earlier versions cannot represent; only to entries
+   * that are not known to read texts.
+   * </pre>
+   *
+   * <code>repeated .marigoldsail.RunReport text_id_runs = 34;</code>
+   */
+  io.marigoldsail.protocol.RunReportOrBuilder getTextIdRunsOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+   */
+  java.util.List<io.marigoldsail.protocol.EndReport> 
+      getTextIdEndsList();
+  /**
+   * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+   */
+  io.marigoldsail.protocol.EndReport getTextIdEnds(int index);
+  /**
+   * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+   */
+  int getTextIdEndsCount();
+  /**
+   * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+   */
+  java.util.List<? extends io.marigoldsail.protocol.EndReportOrBuilder> 
+      getTextIdEndsOrBuilderList();
+  /**
+   * <code>repeated .marigoldsail.EndReport text_id_ends = 35;</code>
+   */
+  io.marigoldsail.protocol.EndReportOrBuilder getTextIdEndsOrBuilder(
+      int index);
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WaitingCountsOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WaitingCountsOrBuilder.java
@@ -55,4 +55,14 @@
    * @return The retainedBytes.
    */
   long getRetainedBytes();
+
+  /**
+   * <pre>
+   * The sender reads workflow ids as texts.
+   * </pre>
+   *
+   * <code>bool reads_text_ids = 4;</code>
+   * @return The readsTextIds.
+   */
+  boolean getReadsTextIds();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -156,7 +156,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\033marigoldsail/workflow.proto\022\014marigolds" +
-      "ail\"\352\002\n\022WorkflowSubmission\022\n\n\002id\030\001 \001(\006\022\r" +
+      "ail\"\377\002\n\022WorkflowSubmission\022\n\n\002id\030\001 \001(\006\022\r" +
       "\n\005queue\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\020\n\010priori" +
       "ty\030\004 \001(\r\022\024\n\014max_failures\030\005 \001(\r\022\017\n\007progra" +
       "m\030\006 \001(\t\022)\n\005steps\030\007 \003(\0132\032.marigoldsail.Wo" +
@@ -165,103 +165,109 @@
       "(\003\022\027\n\017accepted_millis\030\013 \001(\003\022\024\n\014slack_fac" +
       "tor\030\r \001(\001\022\030\n\020objective_millis\030\016 \001(\003\022-\n\006a" +
       "dvice\030\017 \001(\0132\035.marigoldsail.PlacementAdvi" +
-      "ceJ\004\010\014\020\r\"U\n\017PlacementAdvice\022\025\n\rdecide_mi" +
-      "llis\030\001 \001(\r\022\025\n\rperiod_millis\030\002 \001(\r\022\024\n\014val" +
-      "id_millis\030\003 \001(\r\"\221\003\n\014WorkflowStep\022\r\n\005task" +
-      "s\030\001 \001(\r\022\030\n\020milli_processors\030\002 \001(\r\022\030\n\020mem" +
-      "ory_mebibytes\030\003 \001(\r\022\024\n\014accelerators\030\004 \001(" +
-      "\r\022\027\n\017estimate_millis\030\005 \001(\r\022\022\n\ndepends_on" +
-      "\030\006 \003(\r\022\014\n\004gang\030\007 \001(\010\022\021\n\tsame_rack\030\010 \001(\010\022" +
-      "\026\n\016required_label\030\t \001(\t\022\026\n\016preferred_rac" +
-      "k\030\n \001(\t\022\022\n\nmax_per_vm\030\013 \001(\r\022\026\n\016checkpoin" +
-      "table\030\014 \001(\010\022\023\n\013speculative\030\r \001(\010\022\017\n\007last" +
-      "ing\030\016 \001(\010\022\r\n\005image\030\017 \001(\t\022\035\n\025latency_targ" +
-      "et_millis\030\020 \001(\r\022\r\n\005fills\030\021 \001(\010\022\033\n\023allowe" +
-      "d_unavailable\030\022 \001(\r\"\261\001\n\020WorkflowProgress" +
-      "\022\016\n\006status\030\002 \001(\r\022\'\n\006places\030\003 \003(\0132\027.marig" +
-      "oldsail.PlaceName\022)\n\005tasks\030\004 \003(\0132\032.marig" +
-      "oldsail.TaskProgress\022\024\n\014ended_millis\030\005 \001" +
-      "(\003\022\017\n\007service\030\006 \001(\t\022\014\n\004part\030\007 \001(\010J\004\010\001\020\002\"" +
-      "\'\n\tPlaceName\022\n\n\002vm\030\001 \001(\t\022\016\n\006worker\030\002 \001(\t" +
-      "\"h\n\014TaskProgress\022\r\n\005phase\030\001 \001(\r\022\024\n\014last_" +
-      "attempt\030\002 \001(\r\022\020\n\010failures\030\003 \001(\r\022\r\n\005place" +
-      "\030\004 \001(\r\022\022\n\ncheckpoint\030\005 \001(\t\"z\n\016WorkflowTa" +
-      "skId\022\020\n\010workflow\030\001 \001(\006\022\022\n\noccurrence\030\002 \001" +
-      "(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005index\030\004 \001(\r\022\017\n\007attem" +
-      "pt\030\005 \001(\r\022\024\n\014end_sequence\030\006 \001(\004\"\277\006\n\010VmRep" +
-      "ort\022\024\n\014worker_clock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t\022\016\n" +
-      "\006worker\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\014\n\004zone\030\005" +
-      " \001(\t\022\016\n\006labels\030\006 \003(\t\022\020\n\010draining\030\007 \001(\010\022\030" +
-      "\n\020milli_processors\030\010 \001(\r\022\030\n\020memory_mebib" +
-      "ytes\030\t \001(\r\022\024\n\014accelerators\030\n \001(\r\022\035\n\025free" +
-      "_milli_processors\030\013 \001(\r\022\035\n\025free_memory_m" +
-      "ebibytes\030\014 \001(\r\022\031\n\021free_accelerators\030\r \001(" +
-      "\r\022\035\n\025fill_milli_processors\030\016 \001(\r\022\024\n\014fill" +
-      "_percent\030\017 \001(\r\022\023\n\013orders_seen\030\020 \001(\004\022%\n\004r" +
-      "uns\030\021 \003(\0132\027.marigoldsail.RunReport\022%\n\004en" +
-      "ds\030\022 \003(\0132\027.marigoldsail.EndReport\022\023\n\013wan" +
-      "ts_lease\030\023 \001(\010\022\023\n\013gone_worker\030\024 \001(\t\022\021\n\tu" +
-      "nhealthy\030\025 \001(\010\022\017\n\007serving\030\026 \001(\r\022\025\n\rowner" +
-      "s_digest\030\027 \001(\007\022\'\n\006images\030\030 \003(\0132\027.marigol" +
-      "dsail.ImageSeen\022 \n\030suspect_milli_process" +
-      "ors\030\031 \001(\r\022\014\n\004rack\030\032 \001(\t\022#\n\033overcommit_mi" +
-      "lli_processors\030\033 \001(\r\022\032\n\022reads_member_lis" +
-      "ts\030\034 \001(\010\0220\n\rservice_rooms\030\035 \003(\0132\031.marigo" +
-      "ldsail.ServiceRoom\022%\n\005pairs\030\036 \003(\0132\026.mari" +
-      "goldsail.PairSeen\022\032\n\022owners_fingerprint\030" +
-      "\037 \001(\006\022\021\n\tcontinued\030  \001(\010\".\n\013ServiceRoom\022" +
-      "\r\n\005image\030\001 \001(\t\022\020\n\010headroom\030\002 \001(\002\"N\n\010Pair" +
-      "Seen\022\023\n\013best_effort\030\001 \001(\t\022\017\n\007service\030\002 \001" +
-      "(\t\022\014\n\004work\030\003 \001(\002\022\016\n\006effect\030\004 \001(\002\"\246\001\n\tRun" +
-      "Report\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Work" +
-      "flowTaskId\022\017\n\007started\030\002 \001(\010\022\022\n\ncheckpoin" +
-      "t\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022\020\n\010stopping\030\005 \001" +
-      "(\010\022\024\n\014size_unknown\030\006 \001(\010\022\017\n\007crowded\030\007 \001(" +
-      "\010\"~\n\tEndReport\022*\n\004task\030\001 \001(\0132\034.marigolds" +
-      "ail.WorkflowTaskId\022\017\n\007outcome\030\002 \001(\r\022\022\n\nc" +
-      "heckpoint\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006rea" +
-      "son\030\005 \001(\t\"\245\001\n\nLeaseGrant\022\024\n\014worker_clock" +
-      "\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037.marigoldsail." +
-      "PartitionEvidence\022\'\n\006images\030\003 \003(\0132\027.mari" +
-      "goldsail.ImageSeen\022%\n\005pairs\030\004 \003(\0132\026.mari" +
-      "goldsail.PairSeen\"9\n\tImageSeen\022\r\n\005image\030" +
-      "\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006weight\030\003 \001(\002\"R\n\021" +
-      "PartitionEvidence\022\021\n\tpartition\030\001 \001(\r\022\r\n\005" +
-      "epoch\030\002 \001(\004\022\033\n\023after_report_millis\030\003 \001(\021" +
-      "\"\374\002\n\tRunOrders\022\016\n\006number\030\001 \001(\004\022\'\n\005lease\030" +
-      "\002 \001(\0132\030.marigoldsail.LeaseGrant\022&\n\006start" +
-      "s\030\003 \003(\0132\026.marigoldsail.StartRun\022+\n\005stops" +
-      "\030\004 \003(\0132\034.marigoldsail.WorkflowTaskId\0220\n\n" +
-      "noted_ends\030\005 \003(\0132\034.marigoldsail.Workflow" +
-      "TaskId\022\016\n\006worker\030\006 \001(\t\0225\n\017superseded_end" +
-      "s\030\007 \003(\0132\034.marigoldsail.WorkflowTaskId\022\035\n" +
-      "\025tells_superseded_ends\030\010 \001(\010\022\031\n\021capacity" +
-      "_unneeded\030\t \001(\010\022.\n\013evacuations\030\n \001(\0132\031.m" +
-      "arigoldsail.Evacuations\".\n\013Evacuations\022\020" +
-      "\n\010revision\030\001 \001(\004\022\r\n\005zones\030\002 \003(\t\"\213\003\n\010Star" +
-      "tRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Workfl" +
-      "owTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_proce" +
-      "ssors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 \001(\r\022\024\n" +
-      "\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001(\t\022" +
-      "\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_millis\030" +
-      "\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_program\030\n \001" +
-      "(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014 \001(\t\0221\n\010d" +
-      "elivery\030\r \001(\0162\037.marigoldsail.StartRun.De" +
-      "livery\"=\n\010Delivery\022\030\n\024DELIVERY_UNSPECIFI" +
-      "ED\020\000\022\t\n\005FIRST\020\001\022\014\n\010REPEATED\020\002\"\206\001\n\010OwnerM" +
-      "ap\022\022\n\ngeneration\030\001 \001(\004\022,\n\006owners\030\002 \003(\0132\034" +
-      ".marigoldsail.PartitionOwner\022\016\n\006digest\030\003" +
-      " \001(\007\022\017\n\007members\030\004 \003(\t\022\027\n\017owner_positions" +
-      "\030\005 \003(\r\"3\n\016PartitionOwner\022\021\n\tpartition\030\001 " +
-      "\001(\r\022\016\n\006member\030\002 \001(\t\"L\n\rWorkflowQuery\022\n\n\002" +
-      "id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005queue\030\003 \001(" +
-      "\t\022\016\n\006cancel\030\004 \001(\010\"1\n\023WorkflowQueryAnswer" +
-      "\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"a\n\rWaitingC" +
-      "ounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues\030\002 \003(\0132\030." +
-      "marigoldsail.QueueCount\022\026\n\016retained_byte" +
-      "s\030\003 \001(\004\",\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007" +
-      "waiting\030\002 \001(\rB\034\n\030io.marigoldsail.protoco" +
-      "lP\001b\006proto3"
+      "ce\022\023\n\013workflow_id\030\020 \001(\tJ\004\010\014\020\r\"U\n\017Placeme" +
+      "ntAdvice\022\025\n\rdecide_millis\030\001 \001(\r\022\025\n\rperio" +
+      "d_millis\030\002 \001(\r\022\024\n\014valid_millis\030\003 \001(\r\"\221\003\n" +
+      "\014WorkflowStep\022\r\n\005tasks\030\001 \001(\r\022\030\n\020milli_pr" +
+      "ocessors\030\002 \001(\r\022\030\n\020memory_mebibytes\030\003 \001(\r" +
+      "\022\024\n\014accelerators\030\004 \001(\r\022\027\n\017estimate_milli" +
+      "s\030\005 \001(\r\022\022\n\ndepends_on\030\006 \003(\r\022\014\n\004gang\030\007 \001(" +
+      "\010\022\021\n\tsame_rack\030\010 \001(\010\022\026\n\016required_label\030\t" +
+      " \001(\t\022\026\n\016preferred_rack\030\n \001(\t\022\022\n\nmax_per_" +
+      "vm\030\013 \001(\r\022\026\n\016checkpointable\030\014 \001(\010\022\023\n\013spec" +
+      "ulative\030\r \001(\010\022\017\n\007lasting\030\016 \001(\010\022\r\n\005image\030" +
+      "\017 \001(\t\022\035\n\025latency_target_millis\030\020 \001(\r\022\r\n\005" +
+      "fills\030\021 \001(\010\022\033\n\023allowed_unavailable\030\022 \001(\r" +
+      "\"\261\001\n\020WorkflowProgress\022\016\n\006status\030\002 \001(\r\022\'\n" +
+      "\006places\030\003 \003(\0132\027.marigoldsail.PlaceName\022)" +
+      "\n\005tasks\030\004 \003(\0132\032.marigoldsail.TaskProgres" +
+      "s\022\024\n\014ended_millis\030\005 \001(\003\022\017\n\007service\030\006 \001(\t" +
+      "\022\014\n\004part\030\007 \001(\010J\004\010\001\020\002\"\'\n\tPlaceName\022\n\n\002vm\030" +
+      "\001 \001(\t\022\016\n\006worker\030\002 \001(\t\"h\n\014TaskProgress\022\r\n" +
+      "\005phase\030\001 \001(\r\022\024\n\014last_attempt\030\002 \001(\r\022\020\n\010fa" +
+      "ilures\030\003 \001(\r\022\r\n\005place\030\004 \001(\r\022\022\n\ncheckpoin" +
+      "t\030\005 \001(\t\"\217\001\n\016WorkflowTaskId\022\020\n\010workflow\030\001" +
+      " \001(\006\022\022\n\noccurrence\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r" +
+      "\n\005index\030\004 \001(\r\022\017\n\007attempt\030\005 \001(\r\022\024\n\014end_se" +
+      "quence\030\006 \001(\004\022\023\n\013workflow_id\030\007 \001(\t\"\265\007\n\010Vm" +
+      "Report\022\024\n\014worker_clock\030\001 \001(\022\022\n\n\002vm\030\002 \001(\t" +
+      "\022\016\n\006worker\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\014\n\004zon" +
+      "e\030\005 \001(\t\022\016\n\006labels\030\006 \003(\t\022\020\n\010draining\030\007 \001(" +
+      "\010\022\030\n\020milli_processors\030\010 \001(\r\022\030\n\020memory_me" +
+      "bibytes\030\t \001(\r\022\024\n\014accelerators\030\n \001(\r\022\035\n\025f" +
+      "ree_milli_processors\030\013 \001(\r\022\035\n\025free_memor" +
+      "y_mebibytes\030\014 \001(\r\022\031\n\021free_accelerators\030\r" +
+      " \001(\r\022\035\n\025fill_milli_processors\030\016 \001(\r\022\024\n\014f" +
+      "ill_percent\030\017 \001(\r\022\023\n\013orders_seen\030\020 \001(\004\022%" +
+      "\n\004runs\030\021 \003(\0132\027.marigoldsail.RunReport\022%\n" +
+      "\004ends\030\022 \003(\0132\027.marigoldsail.EndReport\022\023\n\013" +
+      "wants_lease\030\023 \001(\010\022\023\n\013gone_worker\030\024 \001(\t\022\021" +
+      "\n\tunhealthy\030\025 \001(\010\022\017\n\007serving\030\026 \001(\r\022\025\n\row" +
+      "ners_digest\030\027 \001(\007\022\'\n\006images\030\030 \003(\0132\027.mari" +
+      "goldsail.ImageSeen\022 \n\030suspect_milli_proc" +
+      "essors\030\031 \001(\r\022\014\n\004rack\030\032 \001(\t\022#\n\033overcommit" +
+      "_milli_processors\030\033 \001(\r\022\032\n\022reads_member_" +
+      "lists\030\034 \001(\010\0220\n\rservice_rooms\030\035 \003(\0132\031.mar" +
+      "igoldsail.ServiceRoom\022%\n\005pairs\030\036 \003(\0132\026.m" +
+      "arigoldsail.PairSeen\022\032\n\022owners_fingerpri" +
+      "nt\030\037 \001(\006\022\021\n\tcontinued\030  \001(\010\022\026\n\016reads_tex" +
+      "t_ids\030! \001(\010\022-\n\014text_id_runs\030\" \003(\0132\027.mari" +
+      "goldsail.RunReport\022-\n\014text_id_ends\030# \003(\013" +
+      "2\027.marigoldsail.EndReport\".\n\013ServiceRoom" +
+      "\022\r\n\005image\030\001 \001(\t\022\020\n\010headroom\030\002 \001(\002\"N\n\010Pai" +
+      "rSeen\022\023\n\013best_effort\030\001 \001(\t\022\017\n\007service\030\002 " +
+      "\001(\t\022\014\n\004work\030\003 \001(\002\022\016\n\006effect\030\004 \001(\002\"\246\001\n\tRu" +
+      "nReport\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Wor" +
+      "kflowTaskId\022\017\n\007started\030\002 \001(\010\022\022\n\ncheckpoi" +
+      "nt\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022\020\n\010stopping\030\005 " +
+      "\001(\010\022\024\n\014size_unknown\030\006 \001(\010\022\017\n\007crowded\030\007 \001" +
+      "(\010\"~\n\tEndReport\022*\n\004task\030\001 \001(\0132\034.marigold" +
+      "sail.WorkflowTaskId\022\017\n\007outcome\030\002 \001(\r\022\022\n\n" +
+      "checkpoint\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006re" +
+      "ason\030\005 \001(\t\"\245\001\n\nLeaseGrant\022\024\n\014worker_cloc" +
+      "k\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037.marigoldsail" +
+      ".PartitionEvidence\022\'\n\006images\030\003 \003(\0132\027.mar" +
+      "igoldsail.ImageSeen\022%\n\005pairs\030\004 \003(\0132\026.mar" +
+      "igoldsail.PairSeen\"9\n\tImageSeen\022\r\n\005image" +
+      "\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006weight\030\003 \001(\002\"R\n" +
+      "\021PartitionEvidence\022\021\n\tpartition\030\001 \001(\r\022\r\n" +
+      "\005epoch\030\002 \001(\004\022\033\n\023after_report_millis\030\003 \001(" +
+      "\021\"\374\002\n\tRunOrders\022\016\n\006number\030\001 \001(\004\022\'\n\005lease" +
+      "\030\002 \001(\0132\030.marigoldsail.LeaseGrant\022&\n\006star" +
+      "ts\030\003 \003(\0132\026.marigoldsail.StartRun\022+\n\005stop" +
+      "s\030\004 \003(\0132\034.marigoldsail.WorkflowTaskId\0220\n" +
+      "\nnoted_ends\030\005 \003(\0132\034.marigoldsail.Workflo" +
+      "wTaskId\022\016\n\006worker\030\006 \001(\t\0225\n\017superseded_en" +
+      "ds\030\007 \003(\0132\034.marigoldsail.WorkflowTaskId\022\035" +
+      "\n\025tells_superseded_ends\030\010 \001(\010\022\031\n\021capacit" +
+      "y_unneeded\030\t \001(\010\022.\n\013evacuations\030\n \001(\0132\031." +
+      "marigoldsail.Evacuations\".\n\013Evacuations\022" +
+      "\020\n\010revision\030\001 \001(\004\022\r\n\005zones\030\002 \003(\t\"\213\003\n\010Sta" +
+      "rtRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Workf" +
+      "lowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_proc" +
+      "essors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 \001(\r\022\024" +
+      "\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001(\t" +
+      "\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_millis" +
+      "\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_program\030\n " +
+      "\001(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014 \001(\t\0221\n\010" +
+      "delivery\030\r \001(\0162\037.marigoldsail.StartRun.D" +
+      "elivery\"=\n\010Delivery\022\030\n\024DELIVERY_UNSPECIF" +
+      "IED\020\000\022\t\n\005FIRST\020\001\022\014\n\010REPEATED\020\002\"\236\001\n\010Owner" +
+      "Map\022\022\n\ngeneration\030\001 \001(\004\022,\n\006owners\030\002 \003(\0132" +
+      "\034.marigoldsail.PartitionOwner\022\016\n\006digest\030" +
+      "\003 \001(\007\022\017\n\007members\030\004 \003(\t\022\027\n\017owner_position" +
+      "s\030\005 \003(\r\022\026\n\016reads_text_ids\030\006 \001(\010\"3\n\016Parti" +
+      "tionOwner\022\021\n\tpartition\030\001 \001(\r\022\016\n\006member\030\002" +
+      " \001(\t\"a\n\rWorkflowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010wor" +
+      "kflow\030\002 \001(\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001" +
+      "(\010\022\023\n\013workflow_id\030\005 \001(\t\"1\n\023WorkflowQuery" +
+      "Answer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"y\n\rWa" +
+      "itingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues\030\002 " +
+      "\003(\0132\030.marigoldsail.QueueCount\022\026\n\016retaine" +
+      "d_bytes\030\003 \001(\004\022\026\n\016reads_text_ids\030\004 \001(\010\",\n" +
+      "\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 " +
+      "\001(\rB\034\n\030io.marigoldsail.protocolP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -272,7 +278,7 @@
     internal_static_marigoldsail_WorkflowSubmission_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowSubmission_descriptor,
-        new java.lang.String[] { "Id", "Queue", "Service", "Priority", "MaxFailures", "Program", "Steps", "Occurrences", "FirstDueMillis", "IntervalMillis", "AcceptedMillis", "SlackFactor", "ObjectiveMillis", "Advice", });
+        new java.lang.String[] { "Id", "Queue", "Service", "Priority", "MaxFailures", "Program", "Steps", "Occurrences", "FirstDueMillis", "IntervalMillis", "AcceptedMillis", "SlackFactor", "ObjectiveMillis", "Advice", "WorkflowId", });
     internal_static_marigoldsail_PlacementAdvice_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_marigoldsail_PlacementAdvice_fieldAccessorTable = new
@@ -308,13 +314,13 @@
     internal_static_marigoldsail_WorkflowTaskId_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowTaskId_descriptor,
-        new java.lang.String[] { "Workflow", "Occurrence", "Step", "Index", "Attempt", "EndSequence", });
+        new java.lang.String[] { "Workflow", "Occurrence", "Step", "Index", "Attempt", "EndSequence", "WorkflowId", });
     internal_static_marigoldsail_VmReport_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_marigoldsail_VmReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_VmReport_descriptor,
-        new java.lang.String[] { "WorkerClock", "Vm", "Worker", "Service", "Zone", "Labels", "Draining", "MilliProcessors", "MemoryMebibytes", "Accelerators", "FreeMilliProcessors", "FreeMemoryMebibytes", "FreeAccelerators", "FillMilliProcessors", "FillPercent", "OrdersSeen", "Runs", "Ends", "WantsLease", "GoneWorker", "Unhealthy", "Serving", "OwnersDigest", "Images", "SuspectMilliProcessors", "Rack", "OvercommitMilliProcessors", "ReadsMemberLists", "ServiceRooms", "Pairs", "OwnersFingerprint", "Continued", });
+        new java.lang.String[] { "WorkerClock", "Vm", "Worker", "Service", "Zone", "Labels", "Draining", "MilliProcessors", "MemoryMebibytes", "Accelerators", "FreeMilliProcessors", "FreeMemoryMebibytes", "FreeAccelerators", "FillMilliProcessors", "FillPercent", "OrdersSeen", "Runs", "Ends", "WantsLease", "GoneWorker", "Unhealthy", "Serving", "OwnersDigest", "Images", "SuspectMilliProcessors", "Rack", "OvercommitMilliProcessors", "ReadsMemberLists", "ServiceRooms", "Pairs", "OwnersFingerprint", "Continued", "ReadsTextIds", "TextIdRuns", "TextIdEnds", });
     internal_static_marigoldsail_ServiceRoom_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_marigoldsail_ServiceRoom_fieldAccessorTable = new
@@ -380,7 +386,7 @@
     internal_static_marigoldsail_OwnerMap_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_OwnerMap_descriptor,
-        new java.lang.String[] { "Generation", "Owners", "Digest", "Members", "OwnerPositions", });
+        new java.lang.String[] { "Generation", "Owners", "Digest", "Members", "OwnerPositions", "ReadsTextIds", });
     internal_static_marigoldsail_PartitionOwner_descriptor =
       getDescriptor().getMessageType(19);
     internal_static_marigoldsail_PartitionOwner_fieldAccessorTable = new
@@ -392,7 +398,7 @@
     internal_static_marigoldsail_WorkflowQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WorkflowQuery_descriptor,
-        new java.lang.String[] { "Id", "Workflow", "Queue", "Cancel", });
+        new java.lang.String[] { "Id", "Workflow", "Queue", "Cancel", "WorkflowId", });
     internal_static_marigoldsail_WorkflowQueryAnswer_descriptor =
       getDescriptor().getMessageType(21);
     internal_static_marigoldsail_WorkflowQueryAnswer_fieldAccessorTable = new
@@ -404,7 +410,7 @@
     internal_static_marigoldsail_WaitingCounts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WaitingCounts_descriptor,
-        new java.lang.String[] { "Member", "Queues", "RetainedBytes", });
+        new java.lang.String[] { "Member", "Queues", "RetainedBytes", "ReadsTextIds", });
     internal_static_marigoldsail_QueueCount_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_marigoldsail_QueueCount_fieldAccessorTable = new
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowQuery.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowQuery.java
@@ -33,6 +33,7 @@
   }
   private WorkflowQuery() {
     queue_ = "";
+    workflowId_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -67,6 +68,10 @@
   public static final int WORKFLOW_FIELD_NUMBER = 2;
   private long workflow_ = 0L;
   /**
+   * <pre>
+   * The digits of an id without upper-case ones as a number, from and to earlier versions.
+   * </pre>
+   *
    * <code>fixed64 workflow = 2;</code>
    * @return The workflow.
    */
@@ -125,6 +130,53 @@
     return cancel_;
   }
 
+  public static final int WORKFLOW_ID_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workflowId_ = "";
+  /**
+   * <pre>
+   * The caller's text; empty if workflow is set instead.
+   * </pre>
+   *
+   * <code>string workflow_id = 5;</code>
+   * @return The workflowId.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkflowId() {
+    java.lang.Object ref = workflowId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workflowId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The caller's text; empty if workflow is set instead.
+   * </pre>
+   *
+   * <code>string workflow_id = 5;</code>
+   * @return The bytes for workflowId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkflowIdBytes() {
+    java.lang.Object ref = workflowId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workflowId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -151,6 +203,9 @@
     if (cancel_ != false) {
       output.writeBool(4, cancel_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workflowId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, workflowId_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -170,6 +225,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, cancel_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workflowId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, workflowId_);
+    }
     return size;
   }
   @java.lang.Override
@@ -202,6 +260,8 @@
         .equals(other.getQueue())) return false;
     if (getCancel()
         != other.getCancel()) return false;
+    if (!getWorkflowId()
+        .equals(other.getWorkflowId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -224,6 +284,8 @@
     hash = (37 * hash) + CANCEL_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getCancel());
+    hash = (37 * hash) + WORKFLOW_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkflowId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -363,6 +425,7 @@
       workflow_ = 0L;
       queue_ = "";
       cancel_ = false;
+      workflowId_ = "";
       return this;
     }
 
@@ -408,6 +471,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.cancel_ = cancel_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.workflowId_ = workflowId_;
+      }
     }
 
     @java.lang.Override
@@ -436,6 +502,11 @@
       if (other.getCancel() != false) {
         setCancel(other.getCancel());
       }
+      if (!other.getWorkflowId().isEmpty()) {
+        workflowId_ = other.workflowId_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -480,6 +551,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              workflowId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -531,6 +607,10 @@
 
     private long workflow_ ;
     /**
+     * <pre>
+     * The digits of an id without upper-case ones as a number, from and to earlier versions.
+     * </pre>
+     *
      * <code>fixed64 workflow = 2;</code>
      * @return The workflow.
      */
@@ -539,6 +619,10 @@
       return workflow_;
     }
     /**
+     * <pre>
+     * The digits of an id without upper-case ones as a number, from and to earlier versions.
+     * </pre>
+     *
      * <code>fixed64 workflow = 2;</code>
      * @param value The workflow to set.
      * @return This builder for chaining.
@@ -551,6 +635,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The digits of an id without upper-case ones as a number, from and to earlier versions.
+     * </pre>
+     *
      * <code>fixed64 workflow = 2;</code>
      * @return This builder for chaining.
      */
@@ -665,6 +753,98 @@
       return this;
     }
 
+    private java.lang.Object workflowId_ = "";
+    /**
+     * <pre>
+     * The caller's text; empty if workflow is set instead.
+     * </pre>
+     *
+     * <code>string workflow_id = 5;</code>
+     * @return The workflowId.
+     */
+    public java.lang.String getWorkflowId() {
+      java.lang.Object ref = workflowId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workflowId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The caller's text; empty if workflow is set instead.
+     * </pre>
+     *
+     * <code>string workflow_id = 5;</code>
+     * @return The bytes for workflowId.
+     */
+    public com.google.protobuf.ByteString
+        getWorkflowIdBytes() {
+      java.lang.Object ref = workflowId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workflowId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The caller's text; empty if workflow is set instead.
+     * </pre>
+     *
+     * <code>string workflow_id = 5;</code>
+     * @param value The workflowId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkflowId(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      workflowId_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The caller's text; empty if workflow is set instead.
+     * </pre>
+     *
+     * <code>string workflow_id = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkflowId() {
+      workflowId_ = getDefaultInstance().getWorkflowId();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The caller's text; empty if workflow is set instead.
+     * </pre>
+     *
+     * <code>string workflow_id = 5;</code>
+     * @param value The bytes for workflowId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkflowIdBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      workflowId_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.WorkflowQuery)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowQueryOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowQueryOrBuilder.java
@@ -17,6 +17,10 @@
   long getId();
 
   /**
+   * <pre>
+   * The digits of an id without upper-case ones as a number, from and to earlier versions.
+   * </pre>
+   *
    * <code>fixed64 workflow = 2;</code>
    * @return The workflow.
    */
@@ -39,4 +43,24 @@
    * @return The cancel.
    */
   boolean getCancel();
+
+  /**
+   * <pre>
+   * The caller's text; empty if workflow is set instead.
+   * </pre>
+   *
+   * <code>string workflow_id = 5;</code>
+   * @return The workflowId.
+   */
+  java.lang.String getWorkflowId();
+  /**
+   * <pre>
+   * The caller's text; empty if workflow is set instead.
+   * </pre>
+   *
+   * <code>string workflow_id = 5;</code>
+   * @return The bytes for workflowId.
+   */
+  com.google.protobuf.ByteString
+      getWorkflowIdBytes();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmission.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmission.java
@@ -37,6 +37,7 @@
     service_ = "";
     program_ = "";
     steps_ = java.util.Collections.emptyList();
+    workflowId_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -61,6 +62,11 @@
   public static final int ID_FIELD_NUMBER = 1;
   private long id_ = 0L;
   /**
+   * <pre>
+   * The digits as a number, for earlier versions; 0 if the id has upper-case digits, which those
+   * do not read.
+   * </pre>
+   *
    * <code>fixed64 id = 1;</code>
    * @return The id.
    */
@@ -365,6 +371,55 @@
     return advice_ == null ? io.marigoldsail.protocol.PlacementAdvice.getDefaultInstance() : advice_;
   }
 
+  public static final int WORKFLOW_ID_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workflowId_ = "";
+  /**
+   * <pre>
+   * The caller's text, which is the key of the record; empty in records of earlier versions, whose
+   * id may have been submitted in any case.
+   * </pre>
+   *
+   * <code>string workflow_id = 16;</code>
+   * @return The workflowId.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkflowId() {
+    java.lang.Object ref = workflowId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workflowId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The caller's text, which is the key of the record; empty in records of earlier versions, whose
+   * id may have been submitted in any case.
+   * </pre>
+   *
+   * <code>string workflow_id = 16;</code>
+   * @return The bytes for workflowId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkflowIdBytes() {
+    java.lang.Object ref = workflowId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workflowId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -421,6 +476,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(15, getAdvice());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workflowId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 16, workflowId_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -483,6 +541,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(15, getAdvice());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workflowId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(16, workflowId_);
+    }
     return size;
   }
   @java.lang.Override
@@ -539,6 +600,8 @@
       if (!getAdvice()
           .equals(other.getAdvice())) return false;
     }
+    if (!getWorkflowId()
+        .equals(other.getWorkflowId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -588,6 +651,8 @@
       hash = (37 * hash) + ADVICE_FIELD_NUMBER;
       hash = (53 * hash) + getAdvice().hashCode();
     }
+    hash = (37 * hash) + WORKFLOW_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkflowId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -755,6 +820,7 @@
         adviceBuilder_.dispose();
         adviceBuilder_ = null;
       }
+      workflowId_ = "";
       return this;
     }
 
@@ -844,6 +910,9 @@
             : adviceBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.workflowId_ = workflowId_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -930,6 +999,11 @@
       if (other.hasAdvice()) {
         mergeAdvice(other.getAdvice());
       }
+      if (!other.getWorkflowId().isEmpty()) {
+        workflowId_ = other.workflowId_;
+        bitField0_ |= 0x00004000;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1034,6 +1108,11 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 122
+            case 130: {
+              workflowId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 130
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1053,6 +1132,11 @@
 
     private long id_ ;
     /**
+     * <pre>
+     * The digits as a number, for earlier versions; 0 if the id has upper-case digits, which those
+     * do not read.
+     * </pre>
+     *
      * <code>fixed64 id = 1;</code>
      * @return The id.
      */
@@ -1061,6 +1145,11 @@
       return id_;
     }
     /**
+     * <pre>
+     * The digits as a number, for earlier versions; 0 if the id has upper-case digits, which those
+     * do not read.
+     * </pre>
+     *
      * <code>fixed64 id = 1;</code>
      * @param value The id to set.
      * @return This builder for chaining.
@@ -1073,6 +1162,11 @@
       return this;
     }
     /**
+     * <pre>
+     * The digits as a number, for earlier versions; 0 if the id has upper-case digits, which those
+     * do not read.
+     * </pre>
+     *
      * <code>fixed64 id = 1;</code>
      * @return This builder for chaining.
      */
@@ -1980,6 +2074,103 @@
       return adviceBuilder_;
     }
 
+    private java.lang.Object workflowId_ = "";
+    /**
+     * <pre>
+     * The caller's text, which is the key of the record; empty in records of earlier versions, whose
+     * id may have been submitted in any case.
+     * </pre>
+     *
+     * <code>string workflow_id = 16;</code>
+     * @return The workflowId.
+     */
+    public java.lang.String getWorkflowId() {
+      java.lang.Object ref = workflowId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workflowId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The caller's text, which is the key of the record; empty in records of earlier versions, whose
+     * id may have been submitted in any case.
+     * </pre>
+     *
+     * <code>string workflow_id = 16;</code>
+     * @return The bytes for workflowId.
+     */
+    public com.google.protobuf.ByteString
+        getWorkflowIdBytes() {
+      java.lang.Object ref = workflowId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workflowId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The caller's text, which is the key of the record; empty in records of earlier versions, whose
+     * id may have been submitted in any case.
+     * </pre>
+     *
+     * <code>string workflow_id = 16;</code>
+     * @param value The workflowId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkflowId(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      workflowId_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The caller's text, which is the key of the record; empty in records of earlier versions, whose
+     * id may have been submitted in any case.
+     * </pre>
+     *
+     * <code>string workflow_id = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkflowId() {
+      workflowId_ = getDefaultInstance().getWorkflowId();
+      bitField0_ = (bitField0_ & ~0x00004000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The caller's text, which is the key of the record; empty in records of earlier versions, whose
+     * id may have been submitted in any case.
+     * </pre>
+     *
+     * <code>string workflow_id = 16;</code>
+     * @param value The bytes for workflowId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkflowIdBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      workflowId_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.WorkflowSubmission)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmissionOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowSubmissionOrBuilder.java
@@ -11,6 +11,11 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * The digits as a number, for earlier versions; 0 if the id has upper-case digits, which those
+   * do not read.
+   * </pre>
+   *
    * <code>fixed64 id = 1;</code>
    * @return The id.
    */
@@ -162,4 +167,26 @@
    * <code>.marigoldsail.PlacementAdvice advice = 15;</code>
    */
   io.marigoldsail.protocol.PlacementAdviceOrBuilder getAdviceOrBuilder();
+
+  /**
+   * <pre>
+   * The caller's text, which is the key of the record; empty in records of earlier versions, whose
+   * id may have been submitted in any case.
+   * </pre>
+   *
+   * <code>string workflow_id = 16;</code>
+   * @return The workflowId.
+   */
+  java.lang.String getWorkflowId();
+  /**
+   * <pre>
+   * The caller's text, which is the key of the record; empty in records of earlier versions, whose
+   * id may have been submitted in any case.
+   * </pre>
+   *
+   * <code>string workflow_id = 16;</code>
+   * @return The bytes for workflowId.
+   */
+  com.google.protobuf.ByteString
+      getWorkflowIdBytes();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowTaskId.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowTaskId.java
@@ -28,6 +28,7 @@
     super(builder);
   }
   private WorkflowTaskId() {
+    workflowId_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -51,6 +52,10 @@
   public static final int WORKFLOW_FIELD_NUMBER = 1;
   private long workflow_ = 0L;
   /**
+   * <pre>
+   * The digits of an id without upper-case ones as a number, from and to earlier versions.
+   * </pre>
+   *
    * <code>fixed64 workflow = 1;</code>
    * @return The workflow.
    */
@@ -119,6 +124,53 @@
     return endSequence_;
   }
 
+  public static final int WORKFLOW_ID_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workflowId_ = "";
+  /**
+   * <pre>
+   * The caller's text; empty if workflow is set instead.
+   * </pre>
+   *
+   * <code>string workflow_id = 7;</code>
+   * @return The workflowId.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkflowId() {
+    java.lang.Object ref = workflowId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workflowId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The caller's text; empty if workflow is set instead.
+   * </pre>
+   *
+   * <code>string workflow_id = 7;</code>
+   * @return The bytes for workflowId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkflowIdBytes() {
+    java.lang.Object ref = workflowId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workflowId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -151,6 +203,9 @@
     if (endSequence_ != 0L) {
       output.writeUInt64(6, endSequence_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workflowId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, workflowId_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -179,6 +234,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(6, endSequence_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workflowId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, workflowId_);
+    }
     return size;
   }
   @java.lang.Override
@@ -215,6 +273,8 @@
         != other.getAttempt()) return false;
     if (getEndSequence()
         != other.getEndSequence()) return false;
+    if (!getWorkflowId()
+        .equals(other.getWorkflowId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -240,6 +300,8 @@
     hash = (37 * hash) + END_SEQUENCE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEndSequence());
+    hash = (37 * hash) + WORKFLOW_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkflowId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -377,6 +439,7 @@
       index_ = 0;
       attempt_ = 0;
       endSequence_ = 0L;
+      workflowId_ = "";
       return this;
     }
 
@@ -428,6 +491,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.endSequence_ = endSequence_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.workflowId_ = workflowId_;
+      }
     }
 
     @java.lang.Override
@@ -460,6 +526,11 @@
       if (other.getEndSequence() != 0L) {
         setEndSequence(other.getEndSequence());
       }
+      if (!other.getWorkflowId().isEmpty()) {
+        workflowId_ = other.workflowId_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -514,6 +585,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              workflowId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -533,6 +609,10 @@
 
     private long workflow_ ;
     /**
+     * <pre>
+     * The digits of an id without upper-case ones as a number, from and to earlier versions.
+     * </pre>
+     *
      * <code>fixed64 workflow = 1;</code>
      * @return The workflow.
      */
@@ -541,6 +621,10 @@
       return workflow_;
     }
     /**
+     * <pre>
+     * The digits of an id without upper-case ones as a number, from and to earlier versions.
+     * </pre>
+     *
      * <code>fixed64 workflow = 1;</code>
      * @param value The workflow to set.
      * @return This builder for chaining.
@@ -553,6 +637,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The digits of an id without upper-case ones as a number, from and to earlier versions.
+     * </pre>
+     *
      * <code>fixed64 workflow = 1;</code>
      * @return This builder for chaining.
      */
@@ -738,6 +826,98 @@
       return this;
     }
 
+    private java.lang.Object workflowId_ = "";
+    /**
+     * <pre>
+     * The caller's text; empty if workflow is set instead.
+     * </pre>
+     *
+     * <code>string workflow_id = 7;</code>
+     * @return The workflowId.
+     */
+    public java.lang.String getWorkflowId() {
+      java.lang.Object ref = workflowId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workflowId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The caller's text; empty if workflow is set instead.
+     * </pre>
+     *
+     * <code>string workflow_id = 7;</code>
+     * @return The bytes for workflowId.
+     */
+    public com.google.protobuf.ByteString
+        getWorkflowIdBytes() {
+      java.lang.Object ref = workflowId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workflowId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The caller's text; empty if workflow is set instead.
+     * </pre>
+     *
+     * <code>string workflow_id = 7;</code>
+     * @param value The workflowId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkflowId(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      workflowId_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The caller's text; empty if workflow is set instead.
+     * </pre>
+     *
+     * <code>string workflow_id = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkflowId() {
+      workflowId_ = getDefaultInstance().getWorkflowId();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The caller's text; empty if workflow is set instead.
+     * </pre>
+     *
+     * <code>string workflow_id = 7;</code>
+     * @param value The bytes for workflowId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkflowIdBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      workflowId_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.WorkflowTaskId)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowTaskIdOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WorkflowTaskIdOrBuilder.java
@@ -11,6 +11,10 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * The digits of an id without upper-case ones as a number, from and to earlier versions.
+   * </pre>
+   *
    * <code>fixed64 workflow = 1;</code>
    * @return The workflow.
    */
@@ -50,4 +54,24 @@
    * @return The endSequence.
    */
   long getEndSequence();
+
+  /**
+   * <pre>
+   * The caller's text; empty if workflow is set instead.
+   * </pre>
+   *
+   * <code>string workflow_id = 7;</code>
+   * @return The workflowId.
+   */
+  java.lang.String getWorkflowId();
+  /**
+   * <pre>
+   * The caller's text; empty if workflow is set instead.
+   * </pre>
+   *
+   * <code>string workflow_id = 7;</code>
+   * @return The bytes for workflowId.
+   */
+  com.google.protobuf.ByteString
+      getWorkflowIdBytes();
 }
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetDay.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetDay.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import io.marigoldsail.job.Sizes;
 import io.marigoldsail.workflow.StepSpec;
+import io.marigoldsail.workflow.WorkflowId;
 import io.marigoldsail.workflow.WorkflowSpec;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -184,7 +185,7 @@
         steps.add(step(kind, step, tasks, Math.round(length * drawEstimateError()), image));
         lengths.add(lengths(tasks, length));
       }
-      long id = drawn.size() + 1;
+      WorkflowId id = WorkflowId.of(String.format("%016d", drawn.size() + 1));
       WorkflowSpec spec =
           new WorkflowSpec(
               id,
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetRun.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetRun.java
@@ -16,6 +16,7 @@
 import io.marigoldsail.workflow.VmSlowdownEstimator;
 import io.marigoldsail.workflow.WaitingOrder;
 import io.marigoldsail.workflow.Workflow;
+import io.marigoldsail.workflow.WorkflowId;
 import io.marigoldsail.workflow.WorkflowSpec;
 import io.marigoldsail.workflow.WorkflowTask;
 import java.util.ArrayList;
@@ -46,15 +47,15 @@
   private record PendingEnd(FleetTask run, RunOutcome outcome, long knownMillis) {}
 
   /** The properties of a task that decide whether it can be placed. */
-  private record PlacementNeed(StepSpec step, Urgency urgency, long counted) {}
+  private record PlacementNeed(StepSpec step, Urgency urgency, String counted) {}
 
   private final FleetDay day;
   private final FleetPolicy policy;
   private final List<FleetVm> vms = new ArrayList<>();
   private final List<OpenWorkflow> open = new ArrayList<>();
   private final List<PendingEnd> ends = new ArrayList<>();
-  private final Map<Long, double[]> serviceWindows = new HashMap<>();
-  private final Map<Long, Double> durationsMillis = new HashMap<>();
+  private final Map<WorkflowId, double[]> serviceWindows = new HashMap<>();
+  private final Map<WorkflowId, Double> durationsMillis = new HashMap<>();
   private final ImageInterference interference = new ImageInterference();
   private final ImageEvidenceAggregator evidence = new ImageEvidenceAggregator();
   private final VmSlowdownEstimator slowdowns = new VmSlowdownEstimator();
@@ -257,7 +258,7 @@
 
   private static PlacementNeed need(WorkflowTask task, Urgency urgency) {
     boolean counts = task.step().placement().maxPerVm() > 0;
-    return new PlacementNeed(task.step(), urgency, counts ? task.key().workflow() : 0);
+    return new PlacementNeed(task.step(), urgency, counts ? task.key().workflow().toString() : "");
   }
 
   private List<VmOffer> offers(long now) {
@@ -292,7 +293,7 @@
         vm(offer.place()).runs().stream()
             .map(FleetTask::key)
             .map(RunKey::task)
-            .filter(key -> key.workflow() == task.key().workflow())
+            .filter(key -> key.workflow().equals(task.key().workflow()))
             .filter(key -> key.step() == task.key().step())
             .count();
   }
--- a/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetVm.java
+++ b/marigoldsail-testlib/src/main/java/io/marigoldsail/testlib/interference/FleetVm.java
@@ -191,7 +191,8 @@
   }
 
   private double load(FleetTask run, long millis) {
-    return day.load(run.key().task().workflow() * 37 + run.key().task().index(), millis);
+    long drawn = Long.parseLong(run.key().task().workflow().toString());
+    return day.load(drawn * 37 + run.key().task().index(), millis);
   }
 
   private static double demandMilli(FleetTask run) {
