A start that a worker rejects is repeated more and more rarely, elsewhere first

Cause: a 400 counted as a refusal for lack of room: 25 ms later, at the latest after a second, at any worker, the one that had rejected it included.

Now it is an outcome of its own. The next attempt goes to a worker that has not rejected the task in this round; the backoff doubles from 25 ms (200 ms for a gang) to a minute; nothing is given up, as workers may be at fault; each rejection is logged by the owner. On the wire it is a refusal with a flag, so earlier versions go on as they did. 409 with an unknown reason stays as it was.

--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RunOutcome.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/RunOutcome.java
@@ -23,7 +23,9 @@
   /** Its worker is gone, or every lease that it can have has expired. */
   LOST(8),
   /** The worker knows that the attempt is over, but no longer its outcome. */
-  FORGOTTEN(9);
+  FORGOTTEN(9),
+  /** It never ran and never will: the worker rejected the order as malformed. */
+  REJECTED(10);
 
   private final int number;
 
@@ -53,7 +55,12 @@
 
   /** Returns whether the task may have run. */
   public boolean mayHaveRun() {
-    return this != REFUSED;
+    return !isRefusal();
+  }
+
+  /** Returns whether the run was refused, for whatever reason. */
+  public boolean isRefusal() {
+    return this == REFUSED || this == REJECTED;
   }
 
   /**
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowTask.java
@@ -27,7 +27,9 @@
   private boolean stopRequested;
   private long notBefore = Long.MIN_VALUE;
   private int refusals;
+  private int rejections;
   private Set<String> failedOn = Set.of();
+  private Set<String> rejectedOn = Set.of();
   private Set<Integer> endedWithoutReport = Set.of();
 
   WorkflowTask(Workflow workflow, TaskKey key, StepSpec step) {
@@ -147,6 +149,19 @@
     return refusals;
   }
 
+  /**
+   * Returns how many attempts workers have rejected as malformed since one was accepted, as far as
+   * this owner knows.
+   */
+  public int rejections() {
+    return rejections;
+  }
+
+  /** Returns whether the worker of the VM has rejected an attempt that others may accept. */
+  public boolean wasRejectedOn(String vm) {
+    return rejectedOn.contains(vm);
+  }
+
   /** Returns whether an attempt failed on the VM, as far as this owner knows. */
   public boolean hasFailedOn(String vm) {
     return failedOn.contains(vm);
@@ -161,6 +176,7 @@
   public void recordProgress(String newCheckpoint, int newPercent) {
     started = true;
     refusals = 0;
+    forgetRejections();
     percent = newPercent;
     if (!newCheckpoint.isEmpty() && !newCheckpoint.equals(checkpoint)) {
       workflow.changed(this);
@@ -205,6 +221,11 @@
       failedOn = mutable(failedOn);
       failedOn.add(place.vm());
     }
+    if (outcome == RunOutcome.REJECTED) {
+      recordRejection(place.vm());
+    } else if (outcome.limitsAttempts()) {
+      forgetRejections();
+    }
     workflow.attemptClosed(this);
     place = null;
     started = false;
@@ -213,7 +234,7 @@
     if (!newCheckpoint.isEmpty()) {
       checkpoint = newCheckpoint;
     }
-    refusals = outcome == RunOutcome.REFUSED ? refusals + 1 : 0;
+    refusals = outcome.isRefusal() ? refusals + 1 : 0;
     if (step.traits().longRunning()) {
       return;
     }
@@ -229,6 +250,19 @@
     }
   }
 
+  private void recordRejection(String vm) {
+    rejections++;
+    // A second rejection by the same worker shows that no other one was left to try: all of them
+    // get another turn.
+    rejectedOn = rejectedOn.contains(vm) ? new HashSet<>(2) : mutable(rejectedOn);
+    rejectedOn.add(vm);
+  }
+
+  private void forgetRejections() {
+    rejections = 0;
+    rejectedOn = Set.of();
+  }
+
   /** Most tasks never need their sets, so these are created by the first addition. */
   private static <T> Set<T> mutable(Set<T> set) {
     return set.isEmpty() ? new HashSet<>(2) : set;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -31,6 +31,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -129,7 +130,16 @@
 
   /** Sets the backoff of the task of an ended run and schedules a pass. */
   void runEnded(WorkflowTask task, RunOutcome outcome) {
-    StartBackoff.of(task, outcome).ifPresent(nanos -> task.deferUntil(loop.now() + nanos));
+    OptionalLong backoff = StartBackoff.of(task, outcome);
+    backoff.ifPresent(nanos -> task.deferUntil(loop.now() + nanos));
+    if (outcome == RunOutcome.REJECTED) {
+      LOG.warning(
+          LogLine.of("start-rejected")
+              .with("task", task.key())
+              .with("attempt", task.lastAttempt())
+              .with("rejections", task.rejections())
+              .with("retry_ms", TimeUnit.NANOSECONDS.toMillis(backoff.orElse(0))));
+    }
     if (outcome == RunOutcome.REFUSED) {
       // The capacity known here is outdated.
       vms.recordUnplaced();
@@ -292,7 +302,8 @@
   }
 
   private static boolean hasFailedOn(WorkflowTask task, VmOffer offer) {
-    return task.hasFailedOn(offer.place().vm());
+    String vm = offer.place().vm();
+    return task.hasFailedOn(vm) || task.wasRejectedOn(vm);
   }
 
   private List<VmOffer> chooseAmong(WaitingTask waiting, Collection<VmOffer> offers) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndAcknowledger.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/RunEndAcknowledger.java
@@ -43,7 +43,7 @@
    */
   void respondWhenSafe(OwnedPartition partition, VmSession session, EndReport end, Runnable flush) {
     RunKey run = WorkflowIdCodec.decode(end.getTask());
-    RunOutcome outcome = RunOutcome.forNumber(end.getOutcome());
+    RunOutcome outcome = WorkflowCodec.outcome(end);
     boolean superseded =
         partition
             .task(run.task())
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartBackoff.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StartBackoff.java
@@ -21,6 +21,15 @@
    */
   private static final long GANG_REFUSED_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+  /**
+   * Longest backoff of a task whose start workers reject as malformed, in nanoseconds. Some of them
+   * may be at fault, so such a task is never given up.
+   */
+  private static final long MAX_REJECTED_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+  /** Rejections from which on the longest backoff holds. */
+  private static final int MAX_DOUBLINGS = 12;
+
   /** Backoff of a failed long-running task. */
   private static final long FAILED_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -37,9 +46,13 @@
 
   /** Returns the backoff after an attempt with the outcome, in nanoseconds, or empty for none. */
   static OptionalLong of(WorkflowTask task, RunOutcome outcome) {
+    long base = task.step().traits().gang() ? GANG_REFUSED_NANOS : REFUSED_NANOS;
+    if (outcome == RunOutcome.REJECTED) {
+      int doublings = Math.min(task.rejections() - 1, MAX_DOUBLINGS);
+      return OptionalLong.of(Math.min(base << doublings, MAX_REJECTED_NANOS));
+    }
     if (outcome == RunOutcome.REFUSED) {
       int factor = Math.min(task.refusals(), MAX_FACTOR);
-      long base = task.step().traits().gang() ? GANG_REFUSED_NANOS : REFUSED_NANOS;
       return OptionalLong.of(Math.min(factor * base, MAX_REFUSED_NANOS));
     }
     boolean failed = outcome == RunOutcome.FAILED && task.step().traits().longRunning();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/UnacknowledgedEnds.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/UnacknowledgedEnds.java
@@ -31,7 +31,7 @@
    */
   record End(EndReport report, WorkerLease.Mark orderedAt) {
     RunOutcome outcome() {
-      return RunOutcome.forNumber(report.getOutcome());
+      return WorkflowCodec.outcome(report);
     }
   }
 
@@ -64,7 +64,8 @@
     EndReport report =
         EndReport.newBuilder()
             .setTask(WorkflowIdCodec.encode(run).toBuilder().setEndSequence(sequence))
-            .setOutcome(outcome.number())
+            .setOutcome(WorkflowCodec.number(outcome))
+            .setRejected(outcome == RunOutcome.REJECTED)
             .setCheckpoint(checkpoint)
             .setSequence(sequence)
             .setReason(reason)
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmTracker.java
@@ -317,7 +317,7 @@
     if (partition.isEmpty()) {
       return;
     }
-    RunOutcome outcome = RunOutcome.forNumber(end.getOutcome());
+    RunOutcome outcome = WorkflowCodec.outcome(end);
     openRuns
         .find(session.vm(), key)
         .filter(run -> isOnWorker(run, session.report().getWorker()))
@@ -332,7 +332,7 @@
     Optional<WorkflowTask> task = partition.task(key.task());
     long now = wallMillis.getAsLong();
     if (task.isPresent()
-        && RunOutcome.forNumber(end.getOutcome()).completes()
+        && WorkflowCodec.outcome(end).completes()
         && task.get().workflow().recordLateCompletion(key, end.getCheckpoint(), now)) {
       LOG.info(
           LogLine.of("run-completed-late")
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerGateway.java
@@ -56,8 +56,15 @@
     DEADLINE_PASSED,
     /** The worker is unhealthy or currently accepts no orders. */
     UNAVAILABLE,
-    /** The order is malformed. */
-    INVALID
+    /** The worker lacks what the order needs, such as a valid ticket. */
+    INVALID,
+    /** The worker rejects the order as malformed, and is likely to reject it again. */
+    MALFORMED;
+
+    /** Returns the outcome of a run whose start was refused. */
+    RunOutcome outcome() {
+      return this == MALFORMED ? RunOutcome.REJECTED : RunOutcome.REFUSED;
+    }
   }
 
   /** The result of a listing request. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -477,7 +477,7 @@
       } else if (run.isStartOutcomeUnknown()) {
         refuseOnceStopped(run, refused.detail());
       } else {
-        recordEnd(run.key(), RunOutcome.REFUSED, "", 0, refused.detail());
+        recordEnd(run.key(), refused.refusal().outcome(), "", 0, refused.detail());
       }
     }
 
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
@@ -10,6 +10,7 @@
 import com.google.protobuf.Parser;
 import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.job.Sizes;
+import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.Evacuations;
 import io.marigoldsail.protocol.PlaceName;
 import io.marigoldsail.protocol.PlacementAdvice;
@@ -19,6 +20,7 @@
 import io.marigoldsail.protocol.WorkflowSubmission;
 import io.marigoldsail.workflow.AdviserTiming;
 import io.marigoldsail.workflow.Place;
+import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.TaskRecordState;
 import io.marigoldsail.workflow.WorkflowRecordState;
@@ -292,6 +294,16 @@
     }
   }
 
+  /** Returns the number of the outcome in an {@link EndReport}, which also tells of rejections. */
+  static int number(RunOutcome outcome) {
+    return (outcome == RunOutcome.REJECTED ? RunOutcome.REFUSED : outcome).number();
+  }
+
+  static RunOutcome outcome(EndReport end) {
+    RunOutcome outcome = RunOutcome.forNumber(end.getOutcome());
+    return outcome == RunOutcome.REFUSED && end.getRejected() ? RunOutcome.REJECTED : outcome;
+  }
+
   private static Optional<Place> place(WorkflowProgress progress, int position) {
     if (position < 1 || position > progress.getPlacesCount()) {
       return Optional.empty();
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualCluster.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/VirtualCluster.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * A cluster of entries and side processes on virtual time: the real ones, with a store, workers and
@@ -190,6 +191,16 @@
       return worker;
     }
 
+    /** Lets the worker reject matching starts as malformed. */
+    void rejectStarts(Predicate<RunKey> rejects) {
+      recorder.rejects = rejects;
+    }
+
+    /** Returns how many starts the worker has rejected. */
+    int rejections() {
+      return recorder.rejections;
+    }
+
     /** Passes each run that starts on the worker to the consumer. */
     void onStart(Consumer<RunKey> consumer) {
       recorder.onStart = consumer;
@@ -201,6 +212,8 @@
     private final WorkerGateway worker;
     private final Set<RunKey> started = new HashSet<>();
     private Consumer<RunKey> onStart = run -> {};
+    private Predicate<RunKey> rejects = run -> false;
+    private int rejections;
 
     StartRecorder(WorkerGateway worker) {
       this.worker = worker;
@@ -208,6 +221,11 @@
 
     @Override
     public CompletableFuture<OrderResult> start(String incarnation, StartOrder start) {
+      if (rejects.test(start.run())) {
+        rejections++;
+        return CompletableFuture.completedFuture(
+            new Refused(Refusal.MALFORMED, "rejected by the test"));
+      }
       return worker
           .start(incarnation, start)
           .thenApply(
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/EndReport.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/EndReport.java
@@ -185,6 +185,22 @@
     }
   }
 
+  public static final int REJECTED_FIELD_NUMBER = 6;
+  private boolean rejected_ = false;
+  /**
+   * <pre>
+   * The worker rejected the order as malformed; the outcome tells of a refusal, as to earlier
+   * versions.
+   * </pre>
+   *
+   * <code>bool rejected = 6;</code>
+   * @return The rejected.
+   */
+  @java.lang.Override
+  public boolean getRejected() {
+    return rejected_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -214,6 +230,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, reason_);
     }
+    if (rejected_ != false) {
+      output.writeBool(6, rejected_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -236,6 +255,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, reason_);
     }
+    if (rejected_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, rejected_);
+    }
     return size;
   }
   @java.lang.Override
@@ -273,6 +296,8 @@
         != other.getSequence()) return false;
     if (!getReason()
         .equals(other.getReason())) return false;
+    if (getRejected()
+        != other.getRejected()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -297,6 +322,9 @@
         getSequence());
     hash = (37 * hash) + REASON_FIELD_NUMBER;
     hash = (53 * hash) + getReason().hashCode();
+    hash = (37 * hash) + REJECTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRejected());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -443,6 +471,7 @@
       checkpoint_ = "";
       sequence_ = 0L;
       reason_ = "";
+      rejected_ = false;
       return this;
     }
 
@@ -495,6 +524,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.reason_ = reason_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.rejected_ = rejected_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -529,6 +561,9 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (other.getRejected() != false) {
+        setRejected(other.getRejected());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -580,6 +615,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 48: {
+              rejected_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -948,6 +988,53 @@
       return this;
     }
 
+    private boolean rejected_ ;
+    /**
+     * <pre>
+     * The worker rejected the order as malformed; the outcome tells of a refusal, as to earlier
+     * versions.
+     * </pre>
+     *
+     * <code>bool rejected = 6;</code>
+     * @return The rejected.
+     */
+    @java.lang.Override
+    public boolean getRejected() {
+      return rejected_;
+    }
+    /**
+     * <pre>
+     * The worker rejected the order as malformed; the outcome tells of a refusal, as to earlier
+     * versions.
+     * </pre>
+     *
+     * <code>bool rejected = 6;</code>
+     * @param value The rejected to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRejected(boolean value) {
+
+      rejected_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The worker rejected the order as malformed; the outcome tells of a refusal, as to earlier
+     * versions.
+     * </pre>
+     *
+     * <code>bool rejected = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRejected() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      rejected_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.EndReport)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/EndReportOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/EndReportOrBuilder.java
@@ -68,4 +68,15 @@
    */
   com.google.protobuf.ByteString
       getReasonBytes();
+
+  /**
+   * <pre>
+   * The worker rejected the order as malformed; the outcome tells of a refusal, as to earlier
+   * versions.
+   * </pre>
+   *
+   * <code>bool rejected = 6;</code>
+   * @return The rejected.
+   */
+  boolean getRejected();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -221,53 +221,53 @@
       "kflowTaskId\022\017\n\007started\030\002 \001(\010\022\022\n\ncheckpoi" +
       "nt\030\003 \001(\t\022\017\n\007percent\030\004 \001(\r\022\020\n\010stopping\030\005 " +
       "\001(\010\022\024\n\014size_unknown\030\006 \001(\010\022\017\n\007crowded\030\007 \001" +
-      "(\010\"~\n\tEndReport\022*\n\004task\030\001 \001(\0132\034.marigold" +
-      "sail.WorkflowTaskId\022\017\n\007outcome\030\002 \001(\r\022\022\n\n" +
-      "checkpoint\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006re" +
-      "ason\030\005 \001(\t\"\245\001\n\nLeaseGrant\022\024\n\014worker_cloc" +
-      "k\030\001 \001(\022\0221\n\010evidence\030\002 \003(\0132\037.marigoldsail" +
-      ".PartitionEvidence\022\'\n\006images\030\003 \003(\0132\027.mar" +
-      "igoldsail.ImageSeen\022%\n\005pairs\030\004 \003(\0132\026.mar" +
-      "igoldsail.PairSeen\"9\n\tImageSeen\022\r\n\005image" +
-      "\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002\022\016\n\006weight\030\003 \001(\002\"R\n" +
-      "\021PartitionEvidence\022\021\n\tpartition\030\001 \001(\r\022\r\n" +
-      "\005epoch\030\002 \001(\004\022\033\n\023after_report_millis\030\003 \001(" +
-      "\021\"\374\002\n\tRunOrders\022\016\n\006number\030\001 \001(\004\022\'\n\005lease" +
-      "\030\002 \001(\0132\030.marigoldsail.LeaseGrant\022&\n\006star" +
-      "ts\030\003 \003(\0132\026.marigoldsail.StartRun\022+\n\005stop" +
-      "s\030\004 \003(\0132\034.marigoldsail.WorkflowTaskId\0220\n" +
-      "\nnoted_ends\030\005 \003(\0132\034.marigoldsail.Workflo" +
-      "wTaskId\022\016\n\006worker\030\006 \001(\t\0225\n\017superseded_en" +
-      "ds\030\007 \003(\0132\034.marigoldsail.WorkflowTaskId\022\035" +
-      "\n\025tells_superseded_ends\030\010 \001(\010\022\031\n\021capacit" +
-      "y_unneeded\030\t \001(\010\022.\n\013evacuations\030\n \001(\0132\031." +
-      "marigoldsail.Evacuations\".\n\013Evacuations\022" +
-      "\020\n\010revision\030\001 \001(\004\022\r\n\005zones\030\002 \003(\t\"\213\003\n\010Sta" +
-      "rtRun\022*\n\004task\030\001 \001(\0132\034.marigoldsail.Workf" +
-      "lowTaskId\022\017\n\007program\030\002 \001(\t\022\030\n\020milli_proc" +
-      "essors\030\003 \001(\r\022\030\n\020memory_mebibytes\030\004 \001(\r\022\024" +
-      "\n\014accelerators\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001(\t" +
-      "\022\r\n\005image\030\007 \001(\t\022\035\n\025latency_target_millis" +
-      "\030\010 \001(\r\022\r\n\005fills\030\t \001(\010\022\024\n\014same_program\030\n " +
-      "\001(\010\022\017\n\007starved\030\013 \001(\010\022\016\n\006ticket\030\014 \001(\t\0221\n\010" +
-      "delivery\030\r \001(\0162\037.marigoldsail.StartRun.D" +
-      "elivery\"=\n\010Delivery\022\030\n\024DELIVERY_UNSPECIF" +
-      "IED\020\000\022\t\n\005FIRST\020\001\022\014\n\010REPEATED\020\002\"\236\001\n\010Owner" +
-      "Map\022\022\n\ngeneration\030\001 \001(\004\022,\n\006owners\030\002 \003(\0132" +
-      "\034.marigoldsail.PartitionOwner\022\016\n\006digest\030" +
-      "\003 \001(\007\022\017\n\007members\030\004 \003(\t\022\027\n\017owner_position" +
-      "s\030\005 \003(\r\022\026\n\016reads_text_ids\030\006 \001(\010\"3\n\016Parti" +
-      "tionOwner\022\021\n\tpartition\030\001 \001(\r\022\016\n\006member\030\002" +
-      " \001(\t\"a\n\rWorkflowQuery\022\n\n\002id\030\001 \001(\004\022\020\n\010wor" +
-      "kflow\030\002 \001(\006\022\r\n\005queue\030\003 \001(\t\022\016\n\006cancel\030\004 \001" +
-      "(\010\022\023\n\013workflow_id\030\005 \001(\t\"1\n\023WorkflowQuery" +
-      "Answer\022\n\n\002id\030\001 \001(\004\022\016\n\006result\030\002 \001(\r\"y\n\rWa" +
-      "itingCounts\022\016\n\006member\030\001 \001(\t\022(\n\006queues\030\002 " +
-      "\003(\0132\030.marigoldsail.QueueCount\022\026\n\016retaine" +
-      "d_bytes\030\003 \001(\004\022\026\n\016reads_text_ids\030\004 \001(\010\",\n" +
-      "\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 " +
-      "\001(\rB\034\n\030io.marigoldsail.protocolP\001b\006proto" +
-      "3"
+      "(\010\"\220\001\n\tEndReport\022*\n\004task\030\001 \001(\0132\034.marigol" +
+      "dsail.WorkflowTaskId\022\017\n\007outcome\030\002 \001(\r\022\022\n" +
+      "\ncheckpoint\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\016\n\006r" +
+      "eason\030\005 \001(\t\022\020\n\010rejected\030\006 \001(\010\"\245\001\n\nLeaseG" +
+      "rant\022\024\n\014worker_clock\030\001 \001(\022\0221\n\010evidence\030\002" +
+      " \003(\0132\037.marigoldsail.PartitionEvidence\022\'\n" +
+      "\006images\030\003 \003(\0132\027.marigoldsail.ImageSeen\022%" +
+      "\n\005pairs\030\004 \003(\0132\026.marigoldsail.PairSeen\"9\n" +
+      "\tImageSeen\022\r\n\005image\030\001 \001(\t\022\r\n\005blame\030\002 \001(\002" +
+      "\022\016\n\006weight\030\003 \001(\002\"R\n\021PartitionEvidence\022\021\n" +
+      "\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\033\n\023after" +
+      "_report_millis\030\003 \001(\021\"\374\002\n\tRunOrders\022\016\n\006nu" +
+      "mber\030\001 \001(\004\022\'\n\005lease\030\002 \001(\0132\030.marigoldsail" +
+      ".LeaseGrant\022&\n\006starts\030\003 \003(\0132\026.marigoldsa" +
+      "il.StartRun\022+\n\005stops\030\004 \003(\0132\034.marigoldsai" +
+      "l.WorkflowTaskId\0220\n\nnoted_ends\030\005 \003(\0132\034.m" +
+      "arigoldsail.WorkflowTaskId\022\016\n\006worker\030\006 \001" +
+      "(\t\0225\n\017superseded_ends\030\007 \003(\0132\034.marigoldsa" +
+      "il.WorkflowTaskId\022\035\n\025tells_superseded_en" +
+      "ds\030\010 \001(\010\022\031\n\021capacity_unneeded\030\t \001(\010\022.\n\013e" +
+      "vacuations\030\n \001(\0132\031.marigoldsail.Evacuati" +
+      "ons\".\n\013Evacuations\022\020\n\010revision\030\001 \001(\004\022\r\n\005" +
+      "zones\030\002 \003(\t\"\213\003\n\010StartRun\022*\n\004task\030\001 \001(\0132\034" +
+      ".marigoldsail.WorkflowTaskId\022\017\n\007program\030" +
+      "\002 \001(\t\022\030\n\020milli_processors\030\003 \001(\r\022\030\n\020memor" +
+      "y_mebibytes\030\004 \001(\r\022\024\n\014accelerators\030\005 \001(\r\022" +
+      "\022\n\ncheckpoint\030\006 \001(\t\022\r\n\005image\030\007 \001(\t\022\035\n\025la" +
+      "tency_target_millis\030\010 \001(\r\022\r\n\005fills\030\t \001(\010" +
+      "\022\024\n\014same_program\030\n \001(\010\022\017\n\007starved\030\013 \001(\010\022" +
+      "\016\n\006ticket\030\014 \001(\t\0221\n\010delivery\030\r \001(\0162\037.mari" +
+      "goldsail.StartRun.Delivery\"=\n\010Delivery\022\030" +
+      "\n\024DELIVERY_UNSPECIFIED\020\000\022\t\n\005FIRST\020\001\022\014\n\010R" +
+      "EPEATED\020\002\"\236\001\n\010OwnerMap\022\022\n\ngeneration\030\001 \001" +
+      "(\004\022,\n\006owners\030\002 \003(\0132\034.marigoldsail.Partit" +
+      "ionOwner\022\016\n\006digest\030\003 \001(\007\022\017\n\007members\030\004 \003(" +
+      "\t\022\027\n\017owner_positions\030\005 \003(\r\022\026\n\016reads_text" +
+      "_ids\030\006 \001(\010\"3\n\016PartitionOwner\022\021\n\tpartitio" +
+      "n\030\001 \001(\r\022\016\n\006member\030\002 \001(\t\"a\n\rWorkflowQuery" +
+      "\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005queue\030" +
+      "\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\022\023\n\013workflow_id\030\005 \001" +
+      "(\t\"1\n\023WorkflowQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n" +
+      "\006result\030\002 \001(\r\"y\n\rWaitingCounts\022\016\n\006member" +
+      "\030\001 \001(\t\022(\n\006queues\030\002 \003(\0132\030.marigoldsail.Qu" +
+      "eueCount\022\026\n\016retained_bytes\030\003 \001(\004\022\026\n\016read" +
+      "s_text_ids\030\004 \001(\010\",\n\nQueueCount\022\r\n\005queue\030" +
+      "\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030io.marigoldsai" +
+      "l.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -344,7 +344,7 @@
     internal_static_marigoldsail_EndReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_EndReport_descriptor,
-        new java.lang.String[] { "Task", "Outcome", "Checkpoint", "Sequence", "Reason", });
+        new java.lang.String[] { "Task", "Outcome", "Checkpoint", "Sequence", "Reason", "Rejected", });
     internal_static_marigoldsail_LeaseGrant_descriptor =
       getDescriptor().getMessageType(12);
     internal_static_marigoldsail_LeaseGrant_fieldAccessorTable = new
