Names of worker incarnations are read in one spelling alone

i-1@007 was read as the incarnation i-1@7, contrary to the contract of parse, and so written again as another name. It is refused now, as EntryMember and ProgressKey do; the test fails without the change. Only this system writes such names, so nothing was seen of it: found by reading.

Ids are checked without matchers, as this is done for each run of each report. A test holds that explain tells ids in another case apart (it did).

--- a/marigoldsail-cli/src/test/java/io/marigoldsail/cli/logs/CausalLogSorterTest.java
+++ b/marigoldsail-cli/src/test/java/io/marigoldsail/cli/logs/CausalLogSorterTest.java
@@ -56,6 +56,18 @@
     assertEquals(expected.subList(4, 7), sorted(TASK + "#2").subList(1, 4));
   }
 
+  /** Guards against an explanation that mixes workflows whose ids have the same digits. */
+  @Test
+  void idsInAnotherCaseAreOtherSubjects() {
+    add(100, "owner", "run-ordered", "run", TASK + "#1");
+    add(101, "owner", "workflow-submitted", "workflow", "E96BE147D361A657");
+    add(102, "owner", "run-ordered", "run", "E96BE147D361A657.0.0.0#1");
+    assertEquals(List.of("owner run-ordered #1"), sorted("e96be147d361a657"));
+    assertEquals(
+        List.of("owner workflow-submitted", "owner run-orderedE96BE147D361A657.0.0.0#1"),
+        sorted("E96BE147D361A657"));
+  }
+
   /** Two files of one process in the wrong order contradict the other lines; none is dropped. */
   @Test
   void contradictoryLinesAreAllReturned() {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkerIncarnation.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkerIncarnation.java
@@ -27,7 +27,7 @@
   public static final long MAX_BIRTH = 999_999_999_999_999_999L;
 
   private static final String SEPARATOR = "@";
-  private static final Pattern WITH_BIRTH = Pattern.compile("([^@]+)@(\\d{1,18})");
+  private static final Pattern WITH_BIRTH = Pattern.compile("([^@]+)@(0|[1-9][0-9]{0,17})");
 
   /** Checks the components. */
   public WorkerIncarnation {
--- a/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowId.java
+++ b/marigoldsail-core/src/main/java/io/marigoldsail/workflow/WorkflowId.java
@@ -4,7 +4,6 @@
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.base.Ascii;
-import com.google.common.base.CharMatcher;
 import com.google.common.hash.Hashing;
 import java.util.Optional;
 
@@ -20,11 +19,6 @@
 
   private static final int RADIX = 16;
 
-  private static final CharMatcher UPPER_CASE_DIGIT = CharMatcher.inRange('A', 'F');
-
-  private static final CharMatcher DIGIT =
-      CharMatcher.inRange('0', '9').or(CharMatcher.inRange('a', 'f')).or(UPPER_CASE_DIGIT);
-
   private final String text;
 
   private WorkflowId(String text) {
@@ -48,7 +42,23 @@
 
   private static boolean isId(String text) {
     requireNonNull(text, "text");
-    return text.length() == LENGTH && DIGIT.matchesAllOf(text);
+    if (text.length() != LENGTH) {
+      return false;
+    }
+    for (int i = 0; i < LENGTH; i++) {
+      if (!isDigit(text.charAt(i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean isDigit(char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || isUpperCaseDigit(c);
+  }
+
+  private static boolean isUpperCaseDigit(char c) {
+    return c >= 'A' && c <= 'F';
   }
 
   /**
@@ -66,7 +76,12 @@
 
   /** Returns whether a digit is in upper case. */
   public boolean hasUpperCaseDigits() {
-    return UPPER_CASE_DIGIT.matchesAnyOf(text);
+    for (int i = 0; i < LENGTH; i++) {
+      if (isUpperCaseDigit(text.charAt(i))) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns the id with all its digits in lower case. */
--- a/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkerIncarnationTest.java
+++ b/marigoldsail-core/src/test/java/io/marigoldsail/workflow/WorkerIncarnationTest.java
@@ -44,6 +44,14 @@
     assertFalse(WorkerIncarnation.mayBeSame("i-1", "i-2"));
   }
 
+  /** Guards against a name that is written in another spelling than it was read in. */
+  @Test
+  void anotherSpellingOfABirthIsRejected() {
+    assertThrows(IllegalArgumentException.class, () -> WorkerIncarnation.parse("i-1@007"));
+    assertThrows(IllegalArgumentException.class, () -> WorkerIncarnation.parse("i-1@\u0667"));
+    assertEquals("i-1@0", WorkerIncarnation.parse("i-1@0").name());
+  }
+
   @Test
   void idWithSeparatorIsRejected() {
     assertThrows(IllegalArgumentException.class, () -> WorkerIncarnation.of("i@1"));
