A submission whose number is not that of its id is no submission

Since ids are texts, a record whose text and number disagree was read by its text; versions that know numbers alone pass it over, so two owners would have told differently whether the workflow exists. Only another writer can have left such a record.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/identity/WorkflowIdCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/identity/WorkflowIdCodec.java
@@ -33,6 +33,11 @@
     return Long.parseUnsignedLong(id.toString(), RADIX);
   }
 
+  /** Returns the number by which earlier versions identify the workflow, or 0 if they cannot. */
+  public static long numberOrZero(WorkflowId id) {
+    return hasNumber(id) ? number(id) : 0;
+  }
+
   /**
    * Returns the id in a message or record.
    *
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowCodec.java
@@ -23,6 +23,7 @@
 import io.marigoldsail.workflow.RunOutcome;
 import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.TaskRecordState;
+import io.marigoldsail.workflow.WorkflowId;
 import io.marigoldsail.workflow.WorkflowRecordState;
 import io.marigoldsail.workflow.WorkflowSpec;
 import io.marigoldsail.workflow.WorkflowStatus;
@@ -79,6 +80,7 @@
     WorkflowSubmission.Builder builder =
         WorkflowSubmission.newBuilder()
             .setWorkflowId(spec.id().toString())
+            .setId(WorkflowIdCodec.numberOrZero(spec.id()))
             .setQueue(spec.queue())
             .setService(spec.policy().service())
             .setPriority(spec.policy().priority())
@@ -90,9 +92,6 @@
             .setFirstDueMillis(spec.schedule().firstDueMillis())
             .setIntervalMillis(spec.schedule().intervalMillis())
             .setAcceptedMillis(spec.acceptedMillis());
-    if (WorkflowIdCodec.hasNumber(spec.id())) {
-      builder.setId(WorkflowIdCodec.number(spec.id()));
-    }
     spec.policy().advice().ifPresent(advice -> builder.setAdvice(encode(advice)));
     spec.steps().forEach(step -> builder.addSteps(encode(step)));
     return builder.build().toByteString();
@@ -179,9 +178,13 @@
           submission.getStepsList().stream()
               .map(WorkflowCodec::decode)
               .collect(ImmutableList.toImmutableList());
+      WorkflowId id = WorkflowIdCodec.decode(submission.getWorkflowId(), submission.getId());
+      checkArgument(
+          submission.getId() == WorkflowIdCodec.numberOrZero(id),
+          "earlier versions read the record as that of another workflow");
       WorkflowSpec spec =
           new WorkflowSpec(
-              WorkflowIdCodec.decode(submission.getWorkflowId(), submission.getId()),
+              id,
               submission.getQueue(),
               policy,
               submission.getProgram(),
