A rejected service task moves, and a rejection after a lost answer is one

A service task whose start a worker answered with 400 went back to that worker, with a growing backoff up to a minute, as long as it ran other service tasks and no other VM did: sound work was given up in effect. And a start that was answered 400 after a copy of it had got no answer was reported as refused for lack of capacity, and repeated without the bound of rejections.

Cause: rejections shared the rule for failures, by which a service task may return; and a refusal that waits for the stop of its run forgot its outcome.

Now VMs that rejected a task are used only if all others admit none (RetryPlacement, with the rule for failures unchanged), and the outcome is kept. The line start-rejected names the epoch.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -10,6 +10,7 @@
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
 import io.marigoldsail.daemon.scheduling.PlacementRequirements;
+import io.marigoldsail.daemon.scheduling.RetryPlacement;
 import io.marigoldsail.workflow.AdviserTiming;
 import io.marigoldsail.workflow.GangChooser;
 import io.marigoldsail.workflow.Place;
@@ -137,6 +138,7 @@
           LogLine.of("start-rejected")
               .with("task", task.key())
               .with("attempt", task.lastAttempt())
+              .with("epoch", epochOf(task))
               .with("rejections", task.rejections())
               .with("retry_ms", TimeUnit.NANOSECONDS.toMillis(backoff.orElse(0))));
     }
@@ -147,6 +149,13 @@
     schedulePass();
   }
 
+  private String epochOf(WorkflowTask task) {
+    return ownership
+        .active(ownership.partitionOf(task.key().workflow()))
+        .map(partition -> String.valueOf(partition.epoch()))
+        .orElse("none");
+  }
+
   /** A waiting task, or a waiting gang represented by its first member. */
   private record WaitingTask(OwnedPartition partition, WorkflowTask task, Urgency urgency) {
     List<WorkflowTask> members() {
@@ -257,30 +266,10 @@
     return chosen;
   }
 
-  /**
-   * Returns a VM for each member, or none. VMs on which a member has failed are avoided where
-   * possible, since the VM may be the cause of the failure; see {@link VmChooser#prefersOtherVm}.
-   */
+  /** Returns a VM for each member, or none. */
   private List<VmOffer> choose(WaitingTask waiting, Collection<VmOffer> allOffers) {
-    List<WorkflowTask> members = waiting.members();
     Collection<VmOffer> offers = withoutRefusals(waiting, representing(waiting.task(), allOffers));
-    List<VmOffer> withoutFailure =
-        offers.stream()
-            .filter(offer -> members.stream().noneMatch(each -> hasFailedOn(each, offer)))
-            .toList();
-    List<VmOffer> elsewhere = chooseAmong(waiting, withoutFailure);
-    if (withoutFailure.size() == offers.size()) {
-      return elsewhere;
-    }
-    List<VmOffer> anywhere = chooseAmong(waiting, offers);
-    if (members.size() > 1) {
-      return elsewhere.isEmpty() ? anywhere : elsewhere;
-    }
-    StepSpec step = waiting.task().step();
-    boolean avoid =
-        VmChooser.prefersOtherVm(
-            step, elsewhere.stream().findFirst(), anywhere.stream().findFirst());
-    return avoid ? elsewhere : anywhere;
+    return RetryPlacement.choose(waiting.members(), offers, each -> chooseAmong(waiting, each));
   }
 
   /** Returns the VMs whose side processes can represent the id of the workflow. */
@@ -301,11 +290,6 @@
         .toList();
   }
 
-  private static boolean hasFailedOn(WorkflowTask task, VmOffer offer) {
-    String vm = offer.place().vm();
-    return task.hasFailedOn(vm) || task.wasRejectedOn(vm);
-  }
-
   private List<VmOffer> chooseAmong(WaitingTask waiting, Collection<VmOffer> offers) {
     WorkflowTask task = waiting.task();
     if (task.step().traits().gang()) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/SideRun.java
@@ -4,6 +4,7 @@
 import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
 import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -37,6 +38,7 @@
   private boolean startOutcomeUnknown;
   private boolean stopping;
   private String refusal = "";
+  private RunOutcome refusalOutcome = RunOutcome.REFUSED;
   private int startTries;
   private int missedListings;
   private String checkpoint = "";
@@ -180,11 +182,21 @@
     return stopping;
   }
 
-  /** Records that the run is to be reported as refused once the worker cannot start it any more. */
-  void refuse(String reason) {
+  /**
+   * Records that the run is to be reported as refused once the worker cannot start it any more.
+   *
+   * @param outcome the outcome to be reported
+   */
+  void refuse(RunOutcome outcome, String reason) {
+    refusalOutcome = outcome;
     refusal = reason;
   }
 
+  /** Returns the outcome to be reported of a refused run. */
+  RunOutcome refusalOutcome() {
+    return refusalOutcome;
+  }
+
   /** Returns whether the run has been stopped in order to be reported as refused. */
   boolean isRefused() {
     return !refusal.isEmpty();
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkerSession.java
@@ -219,17 +219,17 @@
     int partition = partitionOf(key);
     SideRun run = SideRun.toBeRefused(key, partition, lease.mark(partition));
     runs.put(key, run);
-    refuseOnceStopped(run, reason);
+    refuseOnceStopped(run, RunOutcome.REFUSED, reason);
   }
 
   /** Reports a run as refused only when the worker can no longer execute any copy of its start. */
-  private void refuseOnceStopped(SideRun run, String reason) {
+  private void refuseOnceStopped(SideRun run, RunOutcome outcome, String reason) {
     LOG.info(
         LogLine.of("refusal-deferred")
             .with("run", run.key())
             .with("worker", worker)
             .with("reason", reason));
-    run.refuse(reason);
+    run.refuse(outcome, reason);
     stop(run.key());
   }
 
@@ -394,7 +394,7 @@
     for (SideRun run : List.copyOf(runs.values())) {
       boolean missing = !listed.contains(run.key()) && confirmed.contains(run.key());
       if (missing && run.isRefused() && !run.isListed()) {
-        recordEnd(run.key(), RunOutcome.REFUSED, "", 0, run.refusal());
+        recordEnd(run.key(), run.refusalOutcome(), "", 0, run.refusal());
       } else if (missing && run.countMissedListing()) {
         recordEnd(run.key(), RunOutcome.FORGOTTEN, "", 0, "the worker no longer lists the run");
       }
@@ -475,7 +475,7 @@
         // The attempt ended or was stopped; its end is listed or already acknowledged.
         run.confirm();
       } else if (run.isStartOutcomeUnknown()) {
-        refuseOnceStopped(run, refused.detail());
+        refuseOnceStopped(run, refused.refusal().outcome(), refused.detail());
       } else {
         recordEnd(run.key(), refused.refusal().outcome(), "", 0, refused.detail());
       }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/LateCopiesTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/LateCopiesTest.java
@@ -6,6 +6,7 @@
 
 import io.marigoldsail.colocation.InterferenceScope;
 import io.marigoldsail.daemon.identity.WorkflowIdCodec;
+import io.marigoldsail.daemon.workflow.WorkerGateway.Refusal;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.StartRun.Delivery;
@@ -68,7 +69,7 @@
   }
 
   private List<RunOutcome> outcomes() {
-    return session.ends().stream().map(end -> RunOutcome.forNumber(end.getOutcome())).toList();
+    return session.ends().stream().map(WorkflowCodec::outcome).toList();
   }
 
   private void acknowledgeAllEnds() {
@@ -99,6 +100,17 @@
     assertTrue(worker.isActive(SECOND));
   }
 
+  /** Guards against a start that is repeated as if only capacity had been missing. */
+  @Test
+  void startRejectedAfterACopyWithoutAnswerIsReportedAsRejected() {
+    startWithLateCopy();
+    worker.refuseStarts(Refusal.MALFORMED);
+    advance(2_500);
+    assertEquals(List.of(RunOutcome.REJECTED), outcomes());
+    worker.acceptStarts();
+    assertNeverActive(FIRST, COPY_MILLIS);
+  }
+
   /** A refusal must wait until the worker has answered the stop of the copy under way. */
   @Test
   void startWithACopyUnderWayIsNotRefusedBeforeItsStopIsAnswered() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RejectedStartsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/RejectedStartsTest.java
@@ -7,6 +7,8 @@
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
 import io.marigoldsail.workflow.QueryResult;
 import io.marigoldsail.workflow.RunKey;
+import io.marigoldsail.workflow.RunOutcome;
+import io.marigoldsail.workflow.StepSpec;
 import io.marigoldsail.workflow.WorkflowId;
 import java.util.HashSet;
 import java.util.Set;
@@ -73,6 +75,53 @@
     cluster.rethrowFailure();
   }
 
+  /**
+   * Guards against a service task that returns to the worker that rejects it, since that one runs
+   * other service tasks.
+   */
+  @Test
+  void serviceTaskRunsWhereItIsNotRejected() {
+    VirtualCluster one = new VirtualCluster();
+    VirtualCluster.Entry owner = one.addEntry(0, RETENTION_MILLIS);
+    VirtualCluster.Side busy = one.addSide("vm-0");
+    one.advance(3_000);
+    StepSpec.TaskTraits service =
+        new StepSpec.TaskTraits(false, false, false, true, false, "image", 200, 0);
+    assertInstanceOf(
+        Appended.class, owner.submit(WorkflowTestCluster.workflow(TestIds.id(1), service, 1)));
+    one.advance(1_000);
+    busy.rejectStarts(run -> true);
+    VirtualCluster.Side idle = one.addSide("vm-1");
+    idle.onStart(run -> started.add(run.task().workflow()));
+    assertInstanceOf(Appended.class, owner.submit(WorkflowTestCluster.workflow(ODD, service, 1)));
+    one.advance(3_000);
+    assertEquals(Set.of(ODD), started);
+    one.rethrowFailure();
+  }
+
+  /** Guards against a task that waits long after a rejection, for one of an earlier attempt. */
+  @Test
+  void backoffBeginsAnewOnceTheTaskHasRun() {
+    first.rejectStarts(RejectedStartsTest::isOdd);
+    second.rejectStarts(RejectedStartsTest::isOdd);
+    submit(ODD);
+    cluster.advance(TimeUnit.MINUTES.toMillis(2));
+    first.rejectStarts(run -> false);
+    second.rejectStarts(run -> false);
+    cluster.advance(TimeUnit.MINUTES.toMillis(2));
+    assertEquals(Set.of(ODD), started);
+    started.clear();
+    int before = first.rejections() + second.rejections();
+    first.rejectStarts(RejectedStartsTest::isOdd);
+    second.rejectStarts(RejectedStartsTest::isOdd);
+    first.worker().endAllRuns(RunOutcome.FAILED);
+    second.worker().endAllRuns(RunOutcome.FAILED);
+    cluster.advance(2_000);
+    int since = first.rejections() + second.rejections() - before;
+    assertTrue(since >= 4, since + " starts in two seconds");
+    cluster.rethrowFailure();
+  }
+
   /** Guards against sound work that is given up since all workers rejected it for a time. */
   @Test
   void workRunsOnceWorkersAcceptIt() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/ScriptedWorker.java
@@ -41,6 +41,7 @@
   private boolean fencedByAnother;
   private long failureDelayMillis = 1;
   private boolean dropsStarts;
+  private Refusal refusal = Refusal.INSUFFICIENT_CAPACITY;
   private boolean answersStarts = true;
   private boolean answersStops = true;
   private long startDelayMillis;
@@ -164,7 +165,13 @@
 
   /** Refuses each start for lack of capacity. */
   void refuseStarts() {
+    refuseStarts(Refusal.INSUFFICIENT_CAPACITY);
+  }
+
+  /** Refuses each start for the reason. */
+  void refuseStarts(Refusal reason) {
     refusesStarts = true;
+    refusal = reason;
   }
 
   void acceptStarts() {
@@ -226,6 +233,11 @@
     ended.add(new EndedRun(++sequence, run, outcome, ""));
   }
 
+  /** Ends all active runs. */
+  void endAllRuns(RunOutcome outcome) {
+    List.copyOf(running).forEach(run -> endRun(run, outcome));
+  }
+
   /** Returns the runs for which a stop was ordered. */
   List<RunKey> stopped() {
     return List.copyOf(stopped);
@@ -284,7 +296,7 @@
     }
     if (refusesStarts) {
       extend(start.deadline());
-      return after(1, () -> new Refused(Refusal.INSUFFICIENT_CAPACITY, "injected: no capacity"));
+      return after(1, () -> new Refused(refusal, "injected: refused"));
     }
     if (startDelayMillis > 0) {
       long sentUnder = fence;
