An owner tells on each connection that it reads ids as texts

An entry learned from the waiting counts of another one whether that reads ids as texts, and forgot it with the counts: after eight seconds without them. They come on the connection that the other one has dialled. So while that direction alone was cut, queries and cancels of ids with upper-case digits were answered 503, although the owner would have answered on the connection that was up. Found by reading.

Now the owner's answer to a ping tells it, on the connection on which queries are sent, first as soon as that is open, and it holds for that connection.

MixedVersionsTest#olderOwnerIsAskedOfWhatItCanRepresent: the owner tells by its pong alone, which said nothing before.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryPeers.java
@@ -48,9 +48,11 @@
   /** Far more workflows than can wait; the number of local ones can be added to it. */
   static final int MAX_WAITING = 1_000_000_000;
 
+  private static final Frame PING = Frame.newBuilder().setPing(Ping.getDefaultInstance()).build();
+
   private record PendingQuery(LinkConnection connection, Consumer<QueryResult> onResult) {}
 
-  private record PeerCounts(Map<String, Integer> waiting, boolean readsTextIds, long receivedAt) {}
+  private record PeerCounts(Map<String, Integer> waiting, long receivedAt) {}
 
   private final LinkLoop loop;
   private final EntryMember self;
@@ -58,6 +60,9 @@
   private final Map<Long, PendingQuery> pendingQueries = new HashMap<>();
   private final Map<String, PeerCounts> counts = new HashMap<>();
 
+  /** The connected members that have told that they read workflow ids as texts. */
+  private final Set<String> textIdReaders = new HashSet<>();
+
   /** Connections that entries which own nothing have dialled. */
   private final Set<LinkConnection> standbyConnections = new HashSet<>();
 
@@ -165,7 +170,7 @@
       onResult.accept(QueryResult.UNAVAILABLE);
       return;
     }
-    if (readsTextIds(owner.get())) {
+    if (textIdReaders.contains(owner.get())) {
       query.setWorkflowId(workflow.toString());
     } else if (WorkflowIdCodec.hasNumber(workflow)) {
       query.setWorkflow(WorkflowIdCodec.number(workflow));
@@ -173,6 +178,7 @@
       LOG.info(
           LogLine.of("query-withheld")
               .with("workflow", workflow)
+              .with("partition", partition)
               .with("member", owner.get())
               .with("reason", "the owner is not known to distinguish the case of digits"));
       onResult.accept(QueryResult.UNAVAILABLE);
@@ -184,12 +190,6 @@
     loop.schedule(() -> completeQuery(id, QueryResult.UNAVAILABLE), QUERY_TIMEOUT_NANOS);
   }
 
-  /** Returns whether the member reads ids as texts, as far as it has told. */
-  private boolean readsTextIds(String member) {
-    PeerCounts told = counts.get(member);
-    return told != null && told.readsTextIds();
-  }
-
   private void completeQuery(long id, QueryResult result) {
     PendingQuery pending = pendingQueries.remove(id);
     if (pending != null) {
@@ -207,20 +207,18 @@
     WaitingCounts.Builder localCounts =
         WaitingCounts.newBuilder()
             .setMember(self.toString())
-            .setReadsTextIds(true)
             .setRetainedBytes(retained.bytes(self.toString()));
     waiting.forEach(
         (queue, count) ->
             localCounts.addQueues(QueueCount.newBuilder().setQueue(queue).setWaiting(count)));
     Frame frame = Frame.newBuilder().setWaitingCounts(localCounts).build();
-    Frame ping = Frame.newBuilder().setPing(Ping.getDefaultInstance()).build();
     long now = loop.now();
     boolean sendCounts = countsSchedule.isDue(waiting);
     for (LinkConnection connection : links.closeUnresponsive()) {
       if (sendCounts) {
         connection.send(frame);
       }
-      connection.send(ping);
+      connection.send(PING);
     }
     if (sendCounts) {
       standbyConnections.forEach(connection -> connection.sendOneWay(frame));
@@ -257,8 +255,7 @@
       checkArgument(queue.getWaiting() >= 0, "count is out of range: %s", queue.getWaiting());
       waiting.put(queue.getQueue(), queue.getWaiting());
     }
-    counts.put(
-        received.getMember(), new PeerCounts(waiting, received.getReadsTextIds(), loop.now()));
+    counts.put(received.getMember(), new PeerCounts(waiting, loop.now()));
     retained.update(received.getMember(), Math.max(0, received.getRetainedBytes()));
   }
 
@@ -279,6 +276,7 @@
     @Override
     public void opened(String member, LinkConnection link) {
       countsSchedule.peerConnected();
+      link.send(PING);
     }
 
     @Override
@@ -287,6 +285,8 @@
         completeQuery(
             frame.getWorkflowQueryAnswer().getId(),
             QueryResult.forNumber(frame.getWorkflowQueryAnswer().getResult()));
+      } else if (frame.hasPong() && frame.getPong().getReadsTextIds()) {
+        textIdReaders.add(member);
       } else if (frame.hasWaitingCounts()) {
         updateCounts(frame.getWaitingCounts());
       }
@@ -294,6 +294,7 @@
 
     @Override
     public void closed(String member, LinkConnection link) {
+      textIdReaders.remove(member);
       for (Map.Entry<Long, PendingQuery> each : Map.copyOf(pendingQueries).entrySet()) {
         if (each.getValue().connection() == link) {
           completeQuery(each.getKey(), QueryResult.UNAVAILABLE);
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowEntry.java
@@ -442,7 +442,9 @@
                 .ifPresent(each -> report(connection, each));
         case WORKFLOW_QUERY -> queries.answerPeer(connection, frame.getWorkflowQuery());
         case WAITING_COUNTS -> peers.updateCounts(connection, frame.getWaitingCounts());
-        case PING -> connection.send(Frame.newBuilder().setPong(Pong.getDefaultInstance()).build());
+        case PING ->
+            connection.send(
+                Frame.newBuilder().setPong(Pong.newBuilder().setReadsTextIds(true)).build());
         default ->
             LOG.warning(
                 LogLine.of("frame-passed-over")
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/MixedVersionsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/MixedVersionsTest.java
@@ -19,11 +19,11 @@
 import io.marigoldsail.protocol.LeaseGrant;
 import io.marigoldsail.protocol.OwnerMap;
 import io.marigoldsail.protocol.PartitionEvidence;
+import io.marigoldsail.protocol.Pong;
 import io.marigoldsail.protocol.RunOrders;
 import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.VmReport;
-import io.marigoldsail.protocol.WaitingCounts;
 import io.marigoldsail.protocol.WorkflowQuery;
 import io.marigoldsail.protocol.WorkflowQueryAnswer;
 import io.marigoldsail.time.MonotonicClock;
@@ -223,12 +223,7 @@
       assertEquals(QueryResult.UNAVAILABLE, query(UPPER, true).join());
       assertFalse(owner.hasFurtherQuery(), "the owner was asked of an id that it would change");
 
-      owner.send(
-          link,
-          Frame.newBuilder()
-              .setWaitingCounts(
-                  WaitingCounts.newBuilder().setMember(owner.member()).setReadsTextIds(true))
-              .build());
+      owner.send(link, Frame.newBuilder().setPong(Pong.newBuilder().setReadsTextIds(true)).build());
       boolean[] isAsked = {false};
       cluster.await(
           "the owner is asked once it tells that it reads texts",
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Link.java
@@ -281,9 +281,10 @@
       "olution.State\"G\n\005State\022\025\n\021STATE_UNSPECIF" +
       "IED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007RUNNING\020\002\022\r\n\tFORGO" +
       "TTEN\020\003\"-\n\006Cancel\022#\n\002id\030\001 \001(\0132\027.marigolds" +
-      "ail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\004\"\025\n\004" +
-      "Pong\022\r\n\005nonce\030\001 \001(\004\"\010\n\006GoAway\"\013\n\tGoAwayA" +
-      "ckB\034\n\030io.marigoldsail.protocolP\001b\006proto3"
+      "ail.RequestId\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\004\"-\n\004" +
+      "Pong\022\r\n\005nonce\030\001 \001(\004\022\026\n\016reads_text_ids\030\002 " +
+      "\001(\010\"\010\n\006GoAway\"\013\n\tGoAwayAckB\034\n\030io.marigol" +
+      "dsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -446,7 +447,7 @@
     internal_static_marigoldsail_Pong_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_Pong_descriptor,
-        new java.lang.String[] { "Nonce", });
+        new java.lang.String[] { "Nonce", "ReadsTextIds", });
     internal_static_marigoldsail_GoAway_descriptor =
       getDescriptor().getMessageType(26);
     internal_static_marigoldsail_GoAway_fieldAccessorTable = new
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Pong.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Pong.java
@@ -59,6 +59,21 @@
     return nonce_;
   }
 
+  public static final int READS_TEXT_IDS_FIELD_NUMBER = 2;
+  private boolean readsTextIds_ = false;
+  /**
+   * <pre>
+   * Between entries: the sender reads workflow ids as texts.
+   * </pre>
+   *
+   * <code>bool reads_text_ids = 2;</code>
+   * @return The readsTextIds.
+   */
+  @java.lang.Override
+  public boolean getReadsTextIds() {
+    return readsTextIds_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -76,6 +91,9 @@
     if (nonce_ != 0L) {
       output.writeUInt64(1, nonce_);
     }
+    if (readsTextIds_ != false) {
+      output.writeBool(2, readsTextIds_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -84,6 +102,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(1, nonce_);
     }
+    if (readsTextIds_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, readsTextIds_);
+    }
     return size;
   }
   @java.lang.Override
@@ -110,6 +132,8 @@
 
     if (getNonce()
         != other.getNonce()) return false;
+    if (getReadsTextIds()
+        != other.getReadsTextIds()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -124,6 +148,9 @@
     hash = (37 * hash) + NONCE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getNonce());
+    hash = (37 * hash) + READS_TEXT_IDS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getReadsTextIds());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -256,6 +283,7 @@
       super.clear();
       bitField0_ = 0;
       nonce_ = 0L;
+      readsTextIds_ = false;
       return this;
     }
 
@@ -292,6 +320,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.nonce_ = nonce_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.readsTextIds_ = readsTextIds_;
+      }
     }
 
     @java.lang.Override
@@ -309,6 +340,9 @@
       if (other.getNonce() != 0L) {
         setNonce(other.getNonce());
       }
+      if (other.getReadsTextIds() != false) {
+        setReadsTextIds(other.getReadsTextIds());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -338,6 +372,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 16: {
+              readsTextIds_ = input.readBool();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -387,6 +426,50 @@
       return this;
     }
 
+    private boolean readsTextIds_ ;
+    /**
+     * <pre>
+     * Between entries: the sender reads workflow ids as texts.
+     * </pre>
+     *
+     * <code>bool reads_text_ids = 2;</code>
+     * @return The readsTextIds.
+     */
+    @java.lang.Override
+    public boolean getReadsTextIds() {
+      return readsTextIds_;
+    }
+    /**
+     * <pre>
+     * Between entries: the sender reads workflow ids as texts.
+     * </pre>
+     *
+     * <code>bool reads_text_ids = 2;</code>
+     * @param value The readsTextIds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReadsTextIds(boolean value) {
+
+      readsTextIds_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Between entries: the sender reads workflow ids as texts.
+     * </pre>
+     *
+     * <code>bool reads_text_ids = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReadsTextIds() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      readsTextIds_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldsail.Pong)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/PongOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/PongOrBuilder.java
@@ -15,4 +15,14 @@
    * @return The nonce.
    */
   long getNonce();
+
+  /**
+   * <pre>
+   * Between entries: the sender reads workflow ids as texts.
+   * </pre>
+   *
+   * <code>bool reads_text_ids = 2;</code>
+   * @return The readsTextIds.
+   */
+  boolean getReadsTextIds();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WaitingCounts.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WaitingCounts.java
@@ -149,21 +149,6 @@
     return retainedBytes_;
   }
 
-  public static final int READS_TEXT_IDS_FIELD_NUMBER = 4;
-  private boolean readsTextIds_ = false;
-  /**
-   * <pre>
-   * The sender reads workflow ids as texts.
-   * </pre>
-   *
-   * <code>bool reads_text_ids = 4;</code>
-   * @return The readsTextIds.
-   */
-  @java.lang.Override
-  public boolean getReadsTextIds() {
-    return readsTextIds_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -187,9 +172,6 @@
     if (retainedBytes_ != 0L) {
       output.writeUInt64(3, retainedBytes_);
     }
-    if (readsTextIds_ != false) {
-      output.writeBool(4, readsTextIds_);
-    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -210,10 +192,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, retainedBytes_);
     }
-    if (readsTextIds_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(4, readsTextIds_);
-    }
     return size;
   }
   @java.lang.Override
@@ -244,8 +222,6 @@
         .equals(other.getQueuesList())) return false;
     if (getRetainedBytes()
         != other.getRetainedBytes()) return false;
-    if (getReadsTextIds()
-        != other.getReadsTextIds()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -266,9 +242,6 @@
     hash = (37 * hash) + RETAINED_BYTES_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRetainedBytes());
-    hash = (37 * hash) + READS_TEXT_IDS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getReadsTextIds());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -413,7 +386,6 @@
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       retainedBytes_ = 0L;
-      readsTextIds_ = false;
       return this;
     }
 
@@ -466,9 +438,6 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.retainedBytes_ = retainedBytes_;
       }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.readsTextIds_ = readsTextIds_;
-      }
     }
 
     @java.lang.Override
@@ -517,9 +486,6 @@
       if (other.getRetainedBytes() != 0L) {
         setRetainedBytes(other.getRetainedBytes());
       }
-      if (other.getReadsTextIds() != false) {
-        setReadsTextIds(other.getReadsTextIds());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -567,11 +533,6 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
-            case 32: {
-              readsTextIds_ = input.readBool();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -939,50 +900,6 @@
       return this;
     }
 
-    private boolean readsTextIds_ ;
-    /**
-     * <pre>
-     * The sender reads workflow ids as texts.
-     * </pre>
-     *
-     * <code>bool reads_text_ids = 4;</code>
-     * @return The readsTextIds.
-     */
-    @java.lang.Override
-    public boolean getReadsTextIds() {
-      return readsTextIds_;
-    }
-    /**
-     * <pre>
-     * The sender reads workflow ids as texts.
-     * </pre>
-     *
-     * <code>bool reads_text_ids = 4;</code>
-     * @param value The readsTextIds to set.
-     * @return This builder for chaining.
-     */
-    public Builder setReadsTextIds(boolean value) {
-
-      readsTextIds_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * The sender reads workflow ids as texts.
-     * </pre>
-     *
-     * <code>bool reads_text_ids = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearReadsTextIds() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      readsTextIds_ = false;
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:marigoldsail.WaitingCounts)
   }
 
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WaitingCountsOrBuilder.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/WaitingCountsOrBuilder.java
@@ -55,14 +55,4 @@
    * @return The retainedBytes.
    */
   long getRetainedBytes();
-
-  /**
-   * <pre>
-   * The sender reads workflow ids as texts.
-   * </pre>
-   *
-   * <code>bool reads_text_ids = 4;</code>
-   * @return The readsTextIds.
-   */
-  boolean getReadsTextIds();
 }
--- a/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
+++ b/marigoldsail-protocol/src/main/java/io/marigoldsail/protocol/Workflow.java
@@ -262,12 +262,11 @@
       "\022\n\n\002id\030\001 \001(\004\022\020\n\010workflow\030\002 \001(\006\022\r\n\005queue\030" +
       "\003 \001(\t\022\016\n\006cancel\030\004 \001(\010\022\023\n\013workflow_id\030\005 \001" +
       "(\t\"1\n\023WorkflowQueryAnswer\022\n\n\002id\030\001 \001(\004\022\016\n" +
-      "\006result\030\002 \001(\r\"y\n\rWaitingCounts\022\016\n\006member" +
+      "\006result\030\002 \001(\r\"a\n\rWaitingCounts\022\016\n\006member" +
       "\030\001 \001(\t\022(\n\006queues\030\002 \003(\0132\030.marigoldsail.Qu" +
-      "eueCount\022\026\n\016retained_bytes\030\003 \001(\004\022\026\n\016read" +
-      "s_text_ids\030\004 \001(\010\",\n\nQueueCount\022\r\n\005queue\030" +
-      "\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034\n\030io.marigoldsai" +
-      "l.protocolP\001b\006proto3"
+      "eueCount\022\026\n\016retained_bytes\030\003 \001(\004\",\n\nQueu" +
+      "eCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\rB\034" +
+      "\n\030io.marigoldsail.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -410,7 +409,7 @@
     internal_static_marigoldsail_WaitingCounts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldsail_WaitingCounts_descriptor,
-        new java.lang.String[] { "Member", "Queues", "RetainedBytes", "ReadsTextIds", });
+        new java.lang.String[] { "Member", "Queues", "RetainedBytes", });
     internal_static_marigoldsail_QueueCount_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_marigoldsail_QueueCount_fieldAccessorTable = new
