Packages of the daemon know each other in one direction again

daemon.records read through an interface of daemon.workflow, which used it: its one class stands beside that interface now, and the key of a step, which needs nothing of daemon.workflow, in daemon.scheduling, where the requirements of a placement use it in place of a task's key.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/scheduling/PlacementRequirements.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/scheduling/PlacementRequirements.java
@@ -19,10 +19,10 @@
  * @param step the step of the task
  * @param urgency how urgent it is
  * @param textId whether only side processes that read ids as texts admit the task
- * @param countedStep the first task of the step, only if the number of its tasks per VM is limited
+ * @param countedStep the step, present only if the number of its tasks per VM is limited
  */
 public record PlacementRequirements(
-    String service, StepSpec step, Urgency urgency, boolean textId, Optional<TaskKey> countedStep) {
+    String service, StepSpec step, Urgency urgency, boolean textId, Optional<StepKey> countedStep) {
   /** Returns the requirements of the task. */
   public static PlacementRequirements of(WorkflowTask task, Urgency urgency) {
     TaskKey key = task.key();
@@ -32,8 +32,6 @@
         task.step(),
         urgency,
         !WorkflowIdCodec.hasNumber(key.workflow()),
-        counts
-            ? Optional.of(new TaskKey(key.workflow(), key.occurrence(), key.step(), 0))
-            : Optional.empty());
+        counts ? Optional.of(StepKey.of(key)) : Optional.empty());
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/StepKey.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/scheduling/StepKey.java
@@ -1,4 +1,4 @@
-package io.marigoldsail.daemon.workflow;
+package io.marigoldsail.daemon.scheduling;
 
 import io.marigoldsail.workflow.TaskKey;
 import io.marigoldsail.workflow.WorkflowId;
@@ -10,8 +10,9 @@
  * @param occurrence the occurrence, from 0
  * @param step the position of the step, from 0
  */
-record StepKey(WorkflowId workflow, int occurrence, int step) {
-  static StepKey of(TaskKey task) {
+public record StepKey(WorkflowId workflow, int occurrence, int step) {
+  /** Returns the key of the step of the task. */
+  public static StepKey of(TaskKey task) {
     return new StepKey(task.workflow(), task.occurrence(), task.step());
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/records/NewestRecordsReader.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/NewestRecordsReader.java
@@ -1,11 +1,10 @@
-package io.marigoldsail.daemon.records;
+package io.marigoldsail.daemon.workflow;
 
 import static java.util.Objects.requireNonNull;
 
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
-import io.marigoldsail.daemon.workflow.WorkflowStore;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NewestPage;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NewestResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.NewestUnavailable;
@@ -18,7 +17,7 @@
  * Reads the newest record of each key of a partition, by pages; reads a page again until the store
  * responds. Confined to the loop's thread.
  */
-public final class NewestRecordsReader {
+final class NewestRecordsReader {
   private static final EventLog LOG = EventLog.of(NewestRecordsReader.class);
   private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -28,7 +27,7 @@
   private boolean closed;
 
   /** Creates a reader of the partition. */
-  public NewestRecordsReader(WorkflowStore store, LinkLoop loop, int partition) {
+  NewestRecordsReader(WorkflowStore store, LinkLoop loop, int partition) {
     this.store = requireNonNull(store, "store");
     this.loop = requireNonNull(loop, "loop");
     this.partition = partition;
@@ -40,7 +39,7 @@
    * @param after the key after which the page begins; empty for the first page
    * @param onPage runs on the loop, once, unless the reader is closed before
    */
-  public void read(Topic topic, Optional<String> after, Consumer<NewestPage> onPage) {
+  void read(Topic topic, Optional<String> after, Consumer<NewestPage> onPage) {
     if (!closed) {
       store
           .readNewest(topic, partition, after)
@@ -66,7 +65,7 @@
   }
 
   /** Ends the reading: no page is passed on any more. */
-  public void close() {
+  void close() {
     closed = true;
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/OwnedPartition.java
@@ -11,7 +11,6 @@
 import io.marigoldsail.daemon.progress.ProgressKey;
 import io.marigoldsail.daemon.progress.ProgressWriter;
 import io.marigoldsail.daemon.progress.UnclaimedProgress;
-import io.marigoldsail.daemon.records.NewestRecordsReader;
 import io.marigoldsail.daemon.workflow.WorkflowCodec.StoredSubmission;
 import io.marigoldsail.daemon.workflow.WorkflowStore.AppendResult;
 import io.marigoldsail.daemon.workflow.WorkflowStore.Appended;
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PlacementAdviceClient.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/PlacementAdviceClient.java
@@ -6,6 +6,7 @@
 import io.marigoldsail.daemon.link.LinkLoop;
 import io.marigoldsail.daemon.observe.EventLog;
 import io.marigoldsail.daemon.observe.LogLine;
+import io.marigoldsail.daemon.scheduling.StepKey;
 import io.marigoldsail.daemon.workflow.PlacementAdviser.AdviceResult;
 import io.marigoldsail.daemon.workflow.PlacementAdviser.AdviceUnavailable;
 import io.marigoldsail.daemon.workflow.PlacementAdviser.Advised;
