What waits for an upgrade is told by its id and cause

A task that no VM was given as all side processes are of earlier versions was logged as one that no VM admits; orders that were not sent were counted, not named; a query answered 503 because an earlier version may have accepted the workflow was not told from one whose owner could not read. Now the cause is one of its own, the line names the first five runs, and workflow-not-known says whether the workflow may exist.

LongRunningTaskMonitorTest#logsTaskWhoseIdNoSideProcessRepresents; the others have no decision to test.

--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/identity/EarlierForms.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/identity/EarlierForms.java
@@ -1,12 +1,15 @@
 package io.marigoldsail.daemon.identity;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Streams;
 import io.marigoldsail.protocol.EndReport;
 import io.marigoldsail.protocol.RunOrders;
 import io.marigoldsail.protocol.RunReport;
 import io.marigoldsail.protocol.StartRun;
 import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.protocol.WorkflowTaskId;
+import io.marigoldsail.workflow.RunKey;
 import java.util.List;
 import java.util.function.Function;
 
@@ -75,12 +78,16 @@
         .build();
   }
 
-  /** Returns the number of starts, stops and responses to ends in the frame. */
-  public static int orderCount(RunOrders orders) {
-    return orders.getStartsCount()
-        + orders.getStopsCount()
-        + orders.getNotedEndsCount()
-        + orders.getSupersededEndsCount();
+  /** Returns the runs in the orders that side processes of earlier versions cannot represent. */
+  public static ImmutableSet<RunKey> unrepresentable(RunOrders orders) {
+    return Streams.concat(
+            orders.getStartsList().stream().map(StartRun::getTask),
+            orders.getStopsList().stream(),
+            orders.getNotedEndsList().stream(),
+            orders.getSupersededEndsList().stream())
+        .filter(task -> !hasNumber(task))
+        .map(WorkflowIdCodec::decode)
+        .collect(ImmutableSet.toImmutableSet());
   }
 
   private static ImmutableList<WorkflowTaskId> convert(List<WorkflowTaskId> runs) {
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/EntryScheduler.java
@@ -405,6 +405,9 @@
     if (offers.isEmpty()) {
       return WaitCause.NO_VM_OFFERED;
     }
+    if (representing(task, offers).isEmpty()) {
+      return WaitCause.ID_NOT_REPRESENTED;
+    }
     if (choose(waiting, offers).isEmpty()) {
       return WaitCause.NO_VM_ADMITS;
     }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/VmSession.java
@@ -43,6 +43,8 @@
   /** Minimum interval between two frames with the evidence on images, in nanoseconds. */
   static final long IMAGES_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  private static final int MAX_LOGGED_RUNS = 5;
+
   private final LinkConnection connection;
   private final IncarnationHistory incarnations = new IncarnationHistory();
   private VmReport report;
@@ -378,16 +380,16 @@
     if (report.getReadsTextIds()) {
       return frame;
     }
-    RunOrders converted = EarlierForms.ordersForEarlierSideProcess(frame);
-    int withheld = EarlierForms.orderCount(frame) - EarlierForms.orderCount(converted);
-    if (withheld > 0) {
+    ImmutableSet<RunKey> withheld = EarlierForms.unrepresentable(frame);
+    if (!withheld.isEmpty()) {
       LOG.warning(
           LogLine.of("orders-not-sent")
               .with("vm", vm())
               .with("number", frame.getNumber())
-              .with("count", withheld)
+              .with("count", withheld.size())
+              .with("runs", withheld.stream().limit(MAX_LOGGED_RUNS).toList())
               .with("reason", "the side process does not distinguish the case of digits"));
     }
-    return converted;
+    return EarlierForms.ordersForEarlierSideProcess(frame);
   }
 }
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WaitCause.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WaitCause.java
@@ -8,6 +8,8 @@
   BACKING_OFF("backing off after its last attempt"),
   /** No VM may be given work. */
   NO_VM_OFFERED("no VM is offered"),
+  /** The side processes of all VMs are of versions that cannot represent the workflow's id. */
+  ID_NOT_REPRESENTED("no VM offered has a side process that can represent the id"),
   /** VMs may be given work, but none of them admits this task. */
   NO_VM_ADMITS("none of the VMs offered admits it"),
   /** The placement adviser has not allowed a VM that admits it. */
--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/workflow/WorkflowQueries.java
@@ -219,6 +219,7 @@
         LogLine.of("workflow-not-known")
             .with("workflow", id)
             .with("cancel", cancel)
+            .with("may_exist", owned.mayExist(id))
             .with("partition", owned.number())
             .with("epoch", owned.epoch())
             .with("waited_ms", TimeUnit.NANOSECONDS.toMillis(loop.now() - askedAt))
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/identity/EarlierFormsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/identity/EarlierFormsTest.java
@@ -96,8 +96,8 @@
             converted.getSupersededEndsList())) {
       assertEquals(ImmutableSet.of(LOWER, HIGH), readByEarlierVersion(ids.stream()));
     }
-    assertEquals(16, EarlierForms.orderCount(orders.build()));
-    assertEquals(8, EarlierForms.orderCount(converted));
+    assertEquals(ImmutableSet.of(UPPER, MIXED), EarlierForms.unrepresentable(orders.build()));
+    assertEquals(ImmutableSet.of(), EarlierForms.unrepresentable(converted));
     assertEquals(5, converted.getNumber());
     assertTrue(converted.getSerializedSize() < orders.build().getSerializedSize());
   }
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/LongRunningTaskMonitorTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/LongRunningTaskMonitorTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.daemon.link.LinkLoop;
+import io.marigoldsail.time.MonotonicClock;
 import io.marigoldsail.workflow.QueryResult;
 import io.marigoldsail.workflow.StepSpec;
+import io.marigoldsail.workflow.WorkflowId;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -64,15 +67,45 @@
   }
 
   private void awaitLine(String event, long id, String... parts) {
-    String prefix = "event=" + event + " task=" + TestIds.id(id).toString() + ".0.0.0 ";
     cluster.await(
         event + " is logged with " + List.of(parts),
-        () ->
-            lines.stream()
-                .anyMatch(
-                    line ->
-                        line.startsWith(prefix)
-                            && List.of(parts).stream().allMatch(line::contains)));
+        () -> isLogged(event, TestIds.id(id), List.of(parts)));
+  }
+
+  private boolean isLogged(String event, WorkflowId id, List<String> parts) {
+    String prefix = "event=" + event + " task=" + id + ".0.0.0 ";
+    return lines.stream()
+        .anyMatch(line -> line.startsWith(prefix) && parts.stream().allMatch(line::contains));
+  }
+
+  /** Guards against a task that waits for an upgrade without a line that says so. */
+  @Test
+  void logsTaskWhoseIdNoSideProcessRepresents() throws IOException {
+    cluster.addEntry();
+    cluster.awaitReady();
+    LinkLoop loop = new LinkLoop("vm", MonotonicClock.system());
+    try {
+      ScriptedVm older = new ScriptedVm(loop, cluster.entry(0).memberPrefix(), "vm-0");
+      WorkflowId id = WorkflowId.of("000000000000004B");
+      assertInstanceOf(
+          WorkflowStore.Appended.class,
+          cluster
+              .entry(0)
+              .entry()
+              .submit(WorkflowTestCluster.workflow(id, LONG_RUNNING, 1))
+              .join());
+      cluster.await(
+          "the cause is logged",
+          () -> {
+            older.report();
+            return isLogged(
+                "task-absent",
+                id,
+                List.of(" belief=ready ", WaitCause.ID_NOT_REPRESENTED.toString()));
+          });
+    } finally {
+      loop.close();
+    }
   }
 
   /** The worker is dead, but its side process keeps listing the run, so the attempt stays open. */
