--- a/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/frames/PendingOrders.java
+++ b/marigoldsail-daemon/src/main/java/io/marigoldsail/daemon/frames/PendingOrders.java
@@ -1,5 +1,6 @@
 package io.marigoldsail.daemon.frames;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.Objects.requireNonNull;
 
 import com.google.common.collect.ImmutableList;
@@ -42,10 +43,13 @@
    * Adds a start; returns the position of its frame among those of {@link #drain}, from 0.
    *
    * @param program the program of the workflow, which the frame names once
+   * @throws IllegalArgumentException if the start has no text of the workflow's id
    */
   public int addStart(StartRun.Builder start, String program) {
     requireNonNull(program, "program");
     String workflow = start.getTask().getWorkflowId();
+    checkArgument(
+        !workflow.isEmpty(), "the start does not name its workflow by the text of its id");
     start.setSameProgram(workflowsInFrame.contains(workflow));
     if (!start.getSameProgram()) {
       start.setProgram(program);
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/frames/PendingOrdersTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/frames/PendingOrdersTest.java
@@ -1,6 +1,7 @@
 package io.marigoldsail.daemon.frames;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.marigoldsail.protocol.RunOrders;
@@ -75,6 +76,15 @@
     return ("p" + workflow + "-").repeat((int) workflow * 100);
   }
 
+  /** Guards against workflows that share a program, as none of them is told from the others. */
+  @Test
+  void startWithoutTheTextOfItsIdIsRejected() {
+    WorkflowTaskId number = WorkflowTaskId.newBuilder().setWorkflow(7).setAttempt(1).build();
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> new PendingOrders().addStart(StartRun.newBuilder().setTask(number), "program"));
+  }
+
   /** One byte below the limit, at it, and one above. */
   @Test
   void secondFrameBeginsOnlyAboveTheLimit() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/frames/ReportPartsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/frames/ReportPartsTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.marigoldsail.daemon.identity.EarlierForms;
+import io.marigoldsail.daemon.identity.WorkflowIdCodec;
 import io.marigoldsail.daemon.link.FakeLinks;
 import io.marigoldsail.daemon.link.FrameLimit;
 import io.marigoldsail.daemon.link.LinkConnection;
@@ -16,10 +18,14 @@
 import io.marigoldsail.protocol.VmReport;
 import io.marigoldsail.protocol.WorkflowTaskId;
 import io.marigoldsail.time.MonotonicClock;
+import io.marigoldsail.workflow.RunKey;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.AfterAll;
@@ -87,6 +93,40 @@
     assertEquals(Optional.of(report.build()), join(parts));
   }
 
+  /** Guards against a frame over the limit, or a run left out, in a report for any version. */
+  @Property(tries = 30)
+  void partsOfAReportForAnyVersionFitAndAreJoinedAgain(@ForAll long seed) {
+    Random random = new Random(seed);
+    VmReport.Builder report = VmReport.newBuilder().setVm("vm-0").setWorker("i-1@17");
+    for (int i = 0; i < 3_000; i++) {
+      WorkflowTaskId task =
+          WorkflowTaskId.newBuilder()
+              .setWorkflowId(random.nextBoolean() ? "5c0e7a21d94b36f8" : "5C0E7A21D94B36F8")
+              .setIndex(i)
+              .setAttempt(1)
+              .build();
+      report.addRuns(
+          RunReport.newBuilder().setTask(task).setCheckpoint("c".repeat(random.nextInt(1_025))));
+      report.addEnds(EndReport.newBuilder().setTask(task).setReason("r".repeat(300)));
+    }
+    List<VmReport> parts = ReportParts.divide(EarlierForms.reportForAnyEntry(report.build()));
+    assertTrue(parts.size() > 1);
+    parts.forEach(part -> assertTrue(frameBytes(part) <= FrameLimit.MAX_BYTES));
+    VmReport joined = EarlierForms.join(join(parts).orElseThrow());
+    assertEquals(
+        tasks(report.getRunsList(), RunReport::getTask),
+        tasks(joined.getRunsList(), RunReport::getTask));
+    assertEquals(
+        tasks(report.getEndsList(), EndReport::getTask),
+        tasks(joined.getEndsList(), EndReport::getTask));
+  }
+
+  private static <T> Set<RunKey> tasks(List<T> reports, Function<T, WorkflowTaskId> task) {
+    return reports.stream()
+        .map(each -> WorkflowIdCodec.decode(task.apply(each)))
+        .collect(Collectors.toSet());
+  }
+
   /** One byte below the limit, at it, and one above. */
   @Test
   void reportIsDividedOnlyAboveTheLimit() {
--- a/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EarlierRecordsTest.java
+++ b/marigoldsail-daemon/src/test/java/io/marigoldsail/daemon/workflow/EarlierRecordsTest.java
@@ -100,6 +100,20 @@
     cluster.rethrowFailure();
   }
 
+  /** Guards against a caller that is never told that its job does not exist: it ended long ago. */
+  @Test
+  void otherSpellingsAreUnknownOnceTheWorkflowIsForgotten() {
+    startSide();
+    submitAsEarlierVersion();
+    assertEquals(QueryResult.CANCELLED, entry.query(LOWER, true));
+    cluster.advance(RETENTION_MILLIS / 2);
+    assertEquals(QueryResult.UNAVAILABLE, other.query(UPPER, false));
+    cluster.advance(RETENTION_MILLIS);
+    assertEquals(QueryResult.UNKNOWN_WORKFLOW, other.query(LOWER, false));
+    assertEquals(QueryResult.UNKNOWN_WORKFLOW, other.query(UPPER, false));
+    cluster.rethrowFailure();
+  }
+
   /** Guards against a caller that is never told that its job does not exist. */
   @Test
   void otherSpellingsAreUnknownOnceTheCallerHasRepeatedItsId() {
